Lay out the workspace, the kernel and the shared types

Cause: the repository was empty, and several modules are to be written side by side. Change: a cargo workspace with a thin binary over a library; keys, arenas, moments, revisions, refusals, the declared configuration with its checks and its compiled view; a kernel in which services find each other by name; numbered events; the stage protocol with committed code. Conclusion: the shared types are in place, so the request path, the policy, the fold and the at-most-once protocol can be built in parallel.

--- /dev/null
+++ b/crates/limpetmux-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -0,0 +1,1 @@
+//! Support.
--- /dev/null
+++ b/crates/xtask/src/main.rs
@@ -0,0 +1,28 @@
+//! Developer tasks that the build itself does not need.
+//!
+//! `cargo run -p xtask -- codegen` compiles `proto/*.proto` into `src/limpetmux/wire/gen/`, whose
+//! files are committed so that neither the build nor CI runs a generator.
+
+mod codegen;
+
+use argh::FromArgs;
+
+/// Developer tasks for limpetmux.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    task: Task,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Task {
+    Codegen(codegen::CodegenArgs),
+}
+
+fn main() -> miette::Result<()> {
+    let args: Args = argh::from_env();
+    match args.task {
+        Task::Codegen(args) => Ok(codegen::exec(args)?),
+    }
+}
--- /dev/null
+++ b/src/bin/limpetmux/cli.rs
@@ -0,0 +1,24 @@
+//! The command line: one subcommand per verb, each defined beside its `exec`.
+
+use crate::commands;
+use argh::FromArgs;
+
+/// Serves multi-stage model pipelines.
+#[derive(FromArgs)]
+pub struct Cli {
+    #[argh(subcommand)]
+    verb: Verb,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Verb {
+    Version(commands::version::VersionArgs),
+}
+
+/// Runs the chosen verb.
+pub fn exec(cli: Cli) -> miette::Result<()> {
+    match cli.verb {
+        Verb::Version(args) => commands::version::exec(args),
+    }
+}
--- /dev/null
+++ b/src/bin/limpetmux/commands/mod.rs
@@ -0,0 +1,3 @@
+//! One module per verb: its arguments and its `exec`.
+
+pub mod version;
--- /dev/null
+++ b/src/bin/limpetmux/main.rs
@@ -0,0 +1,9 @@
+//! The `limpetmux` program: parses the command line and runs one command.
+
+mod cli;
+mod commands;
+
+fn main() -> miette::Result<()> {
+    let args: cli::Cli = argh::from_env();
+    cli::exec(args)
+}
--- /dev/null
+++ b/src/limpetmux/adapters/log.rs
@@ -0,0 +1,93 @@
+//! The client of the platform's append-only log.
+
+use crate::core::revision::Offset;
+use futures::future::BoxFuture;
+use std::time::Duration;
+use strum::{Display, EnumString, IntoStaticStr, VariantArray};
+
+/// A stream of the log, each with its own offsets.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    VariantArray,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Stream {
+    /// Configuration changes and snapshots.
+    Config,
+    /// Claims and takeovers of idempotency keys.
+    Claims,
+    /// Leases of control duties and the planner's orders.
+    Duties,
+}
+
+/// Why the log gave no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum LogError {
+    /// The request did not reach the log, so nothing was appended.
+    #[error("the platform log cannot be reached")]
+    Unreachable(#[source] reqwest::Error),
+    /// The answer was lost; an append may have taken effect.
+    #[error("the platform log gave no answer")]
+    NoAnswer(#[source] reqwest::Error),
+    /// The log refused the request, so nothing was appended.
+    #[error("the platform log refused the request with status {status}")]
+    Refused {
+        /// The HTTP status.
+        status: u16,
+        /// When the log asks to be tried again.
+        retry_after: Option<Duration>,
+    },
+    /// The answer does not follow the protocol; an append may have taken effect.
+    #[error("the platform log gave an answer that cannot be read")]
+    Malformed(#[source] reqwest::Error),
+}
+
+impl LogError {
+    /// Returns whether an append that failed this way may have taken effect.
+    pub fn may_have_appended(&self) -> bool {
+        matches!(self, Self::NoAnswer(_) | Self::Malformed(_))
+    }
+}
+
+/// One record of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogRecord {
+    /// The record's position.
+    pub offset: Offset,
+    /// The record's bytes.
+    pub data: Vec<u8>,
+}
+
+/// A run of records and the bounds of the stream when it was read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LogPage {
+    /// The first offset that the log still keeps.
+    pub first: Offset,
+    /// The offset that the next append will get.
+    pub end: Offset,
+    /// Records in offset order, starting at the requested offset or at `first`.
+    pub records: Vec<LogRecord>,
+}
+
+type AppendFn =
+    dyn Fn(Stream, Vec<u8>) -> BoxFuture<'static, Result<Offset, LogError>> + Send + Sync;
+type ReadFn =
+    dyn Fn(Stream, Offset, Duration) -> BoxFuture<'static, Result<LogPage, LogError>> + Send + Sync;
+
+/// Access to the log; replaceable by a fake in tests.
+#[derive(Clone)]
+pub struct LogClient {
+    /// Appends one record and returns its offset.
+    pub append: std::sync::Arc<AppendFn>,
+    /// Reads records from an offset on, waiting up to the given time for the first one.
+    pub read: std::sync::Arc<ReadFn>,
+}
--- /dev/null
+++ b/src/limpetmux/adapters/mod.rs
@@ -0,0 +1,7 @@
+//! Clients of the platform's and the backend servers' published protocols.
+//!
+//! Each client is a plain struct of closures, so another protocol is one more constructor and no
+//! shape of a protocol reaches `core`. The protocols spoken by default are written down in
+//! `docs/PROTOCOLS.md`.
+
+pub mod log;
--- /dev/null
+++ b/src/limpetmux/core/budget/mod.rs
@@ -0,0 +1,1 @@
+//! Deadlines, retries and hedging.
--- /dev/null
+++ b/src/limpetmux/core/cost/mod.rs
@@ -0,0 +1,1 @@
+//! Cost by stage and workspace.
--- /dev/null
+++ b/src/limpetmux/core/membership/mod.rs
@@ -0,0 +1,1 @@
+//! The state of each host, from every source that reports on it.
--- /dev/null
+++ b/src/limpetmux/core/mod.rs
@@ -0,0 +1,20 @@
+//! Decisions without I/O or clocks.
+//!
+//! Every function here takes the time as a parameter and returns its decision as a value, so a
+//! whole session can be replayed from its inputs. Traffic and control code outside this module
+//! performs the I/O and feeds the results back in.
+
+pub mod admission;
+pub mod arena;
+pub mod budget;
+pub mod config;
+pub mod cost;
+pub mod keys;
+pub mod membership;
+pub mod once;
+pub mod planner;
+pub mod revision;
+pub mod routing;
+pub mod time;
+pub mod verdict;
+pub mod view;
--- /dev/null
+++ b/src/limpetmux/core/once/mod.rs
@@ -0,0 +1,1 @@
+//! Runs non-idempotent stages at most once.
--- /dev/null
+++ b/src/limpetmux/core/planner/mod.rs
@@ -0,0 +1,1 @@
+//! Which hosts are awake.
--- /dev/null
+++ b/src/limpetmux/core/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of a backend server for a stage.
--- /dev/null
+++ b/src/limpetmux/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The role that takes callers' requests and runs their pipelines.
--- /dev/null
+++ b/src/limpetmux/lib.rs
@@ -0,0 +1,24 @@
+//! limpetmux serves multi-stage model pipelines.
+//!
+//! The crate is split by job. [`core`] holds decisions without I/O or clocks; [`kernel`] lets
+//! services find each other by name; [`adapters`] speak the published protocols of the platform
+//! and of backend servers; [`wire`] carries messages between the system's own processes; [`entry`]
+//! and [`sidecar`] are the two roles on the request path; [`ops`] has one function per operator
+//! command. Requests flow from an entry through sidecars to backend servers; configuration flows
+//! from the platform log through the control thread into an immutable view that traffic threads
+//! read. See `docs/README.md` for a map of the pages.
+
+pub mod adapters;
+pub mod claims;
+pub mod control;
+pub mod core;
+pub mod entry;
+pub mod kernel;
+pub mod membership;
+pub mod node;
+pub mod ops;
+pub mod planner;
+pub mod prelude;
+pub mod sidecar;
+pub mod util;
+pub mod wire;
--- /dev/null
+++ b/src/limpetmux/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Feeds the host list, orders and observations into the membership state machine.
--- /dev/null
+++ b/src/limpetmux/node/mod.rs
@@ -0,0 +1,1 @@
+//! Builds the processes of both roles from their settings.
--- /dev/null
+++ b/src/limpetmux/ops/mod.rs
@@ -0,0 +1,1 @@
+//! One function per operator command.
--- /dev/null
+++ b/src/limpetmux/prelude.rs
@@ -0,0 +1,11 @@
+//! Common types, imported as a whole so that modules agree on keys, times and names.
+
+pub use crate::core::arena::Arena;
+pub use crate::core::config::{Config, Name, StageKind};
+pub use crate::core::keys::{
+    HostKey, PipelineKey, RegionKey, ServiceKey, StageIndex, WorkspaceKey, ZoneKey,
+};
+pub use crate::core::revision::{Offset, Revision};
+pub use crate::core::time::Moment;
+pub use crate::core::verdict::{Execution, Refusal, RefusalCode};
+pub use crate::core::view::View;
--- /dev/null
+++ b/src/limpetmux/sidecar/mod.rs
@@ -0,0 +1,1 @@
+//! The role that guards one backend server.
--- /dev/null
+++ b/src/limpetmux/util/event.rs
@@ -0,0 +1,92 @@
+//! Numbered log events.
+//!
+//! Every line that the program logs is one of these events, so operators can search by number and
+//! alerts survive rewording. The catalogue in `docs/EVENTS.md` is held equal to this enum by a
+//! test. Numbers are grouped: 1xx configuration, 2xx requests, 3xx idempotency keys, 4xx hosts and
+//! shutdown, 5xx power, 6xx platform and backend servers, 7xx the process itself.
+
+use strum::{EnumMessage, EnumProperty, FromRepr, IntoStaticStr, VariantArray};
+
+/// A numbered log event; its doc comment is its summary in the catalogue.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    IntoStaticStr,
+    VariantArray,
+    EnumMessage,
+    EnumProperty,
+    FromRepr,
+)]
+#[strum(serialize_all = "snake_case")]
+#[repr(u16)]
+pub enum EventCode {
+    // 1xx: configuration.
+    /// A new configuration revision is in force.
+    RevisionInForce = 100,
+
+    // 2xx: requests.
+    /// A request was refused.
+    #[strum(props(level = "warn"))]
+    RequestRefused = 200,
+
+    // 3xx: idempotency keys.
+
+    // 4xx: hosts and shutdown.
+
+    // 5xx: power.
+
+    // 6xx: platform and backend servers.
+
+    // 7xx: the process itself.
+    /// The process has started.
+    ProcessStarted = 700,
+    /// The process has ended.
+    ProcessEnded = 701,
+}
+
+impl EventCode {
+    /// Returns the number under which the catalogue lists the event.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// Returns the name under which the catalogue lists the event.
+    pub fn name(self) -> &'static str {
+        self.into()
+    }
+
+    /// Returns the one-line summary.
+    pub fn summary(self) -> &'static str {
+        self.get_documentation().unwrap_or_default()
+    }
+
+    /// Returns the severity: the `level` property, or `info` without one.
+    pub fn level(self) -> log::Level {
+        match self.get_str("level") {
+            Some("error") => log::Level::Error,
+            Some("warn") => log::Level::Warn,
+            _ => log::Level::Info,
+        }
+    }
+}
+
+/// Logs one numbered event with named fields.
+#[macro_export]
+macro_rules! event {
+    ($code:expr $(, $field:ident = $value:expr)* $(,)?) => {{
+        let code: $crate::util::event::EventCode = $code;
+        log::log!(
+            target: "limpetmux",
+            code.level(),
+            code = code.number(),
+            event = code.name()
+            $(, $field:% = $value)*;
+            "{}", code.summary()
+        );
+    }};
+}
--- /dev/null
+++ b/src/limpetmux/util/mod.rs
@@ -0,0 +1,5 @@
+//! Helpers without knowledge of the request path.
+
+pub mod clock;
+pub mod event;
+pub mod hash;
--- /dev/null
+++ b/src/limpetmux/wire/mod.rs
@@ -0,0 +1,10 @@
+//! Messages between the system's own processes.
+//!
+//! The modules below are generated from `proto/*.proto` by `cargo run -p xtask -- codegen` and
+//! committed. One module stands for one protocol package.
+
+/// Stage execution between an entry and a sidecar.
+#[allow(missing_docs, clippy::all, clippy::pedantic, rust_2018_idioms)]
+#[rustfmt::skip]
+#[path = "gen/limpetmux.stage.v1.rs"]
+pub mod stage;
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! The integration tests, one module per subject.
+
+mod kernel;
