Add the stand-ins and the sample configurations

Cause: every role needs a platform and backend servers to run against, and no third-party server may be started.

--- a/crates/limpetmux-standins/src/lib.rs
+++ b/crates/limpetmux-standins/src/lib.rs
@@ -1,1 +1,29 @@
-//! Stand-ins.
+//! Small in-process stand-ins of the platform and of the backend servers.
+//!
+//! Each stand-in answers its part of `docs/PROTOCOLS.md` over HTTP on the loopback interface, on a
+//! port that the system hands out unless one is given. Starting one returns a handle with the
+//! address, the switches that bring about the faults that the part can have, and the counters that
+//! tests read. A stand-in knows nothing of the system under test.
+
+pub mod backend;
+pub mod engine;
+pub mod hosts;
+pub mod log;
+pub mod plain;
+pub mod pool;
+pub mod power;
+pub mod server;
+pub mod weights;
+
+mod connection;
+mod limiter;
+
+pub use backend::{Backend, BackendOptions};
+pub use engine::{Engine, EngineOptions};
+pub use hosts::{HostState, Hosts};
+pub use log::{Log, LogOptions};
+pub use plain::Plain;
+pub use pool::{Pool, PoolKind};
+pub use power::Power;
+pub use server::{Faults, Server, StartError};
+pub use weights::{Weights, WeightsOptions};
--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -1,1 +1,10 @@
-//! Support.
+//! Fixtures by functions, shared by the test suite, the benchmarks and the experiments.
+//!
+//! [`config`] builds configurations in the shape of the two deployments that the system serves
+//! today; [`cases`] draws many cases from fixed seeds.
+
+pub mod cases;
+pub mod config;
+
+pub use cases::check_cases;
+pub use config::{sample_config, small_config};
