Add the power planner under a lease in the log

Cause: hardware is to be on only when needed, and no host or service is set aside to decide it. Change: a lease whose races are decided by log order, a fold of the duties stream, a planner with hysteresis that looks ahead by the warm-up time, an agent that combines them, and the service around it. A host puts itself to sleep from the folded plan, so a stale planner's order reaches nobody.

--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -5,3 +5,4 @@
 //! `docs/PROTOCOLS.md`.
 
 pub mod log;
+pub mod power;
--- a/src/limpetmux/core/planner/mod.rs
+++ b/src/limpetmux/core/planner/mod.rs
@@ -1,1 +1,19 @@
 //! Which hosts are awake.
+//!
+//! Hardware that no request needs is switched off. One node at a time holds the planner's lease and
+//! appends plans to the duties stream of the platform log; every node folds that stream alike
+//! ([`DutyFold`]). A host puts itself to sleep when the folded plan says so, therefore an order of a
+//! planner that lost its lease is rejected by the fold and reaches nobody. [`Planner`] derives the
+//! next plan from measured [`Demand`]. The ways weighed are in `docs/design/power.md`.
+
+mod agent;
+mod demand;
+mod duty;
+mod lease;
+mod plan;
+
+pub use agent::{Agent, AgentAction, AgentOptions, LoadSample};
+pub use demand::{Demand, DemandTracker};
+pub use duty::{DutyError, DutyFold, DutyRecord, DutyVerdict, PlanDelta};
+pub use lease::{Lease, LeaseClock, LeaseState};
+pub use plan::{HostPower, PlanInput, Planner, PlannerLimits, Pool};
--- /dev/null
+++ b/src/limpetmux/core/planner/plan.rs
@@ -0,0 +1,157 @@
+//! The next plan for one service, from its demand and the state of its hosts.
+//!
+//! Waking is immediate and looks ahead by the time to become warm. Sleeping waits until the
+//! surplus has lasted, and takes a bounded share of the pool at once, so a short dip never removes
+//! capacity that a cold start would be needed to bring back.
+
+use super::demand::Demand;
+use crate::core::keys::{HostKey, ZoneKey};
+use crate::core::time::Moment;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What the planner knows about one host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostPower {
+    /// The host.
+    pub host: HostKey,
+    /// The availability zone of the host.
+    pub zone: ZoneKey,
+    /// Whether the accepted plan has the host awake.
+    pub awake: bool,
+    /// Whether the host answers and may take work: declared running, zone serving, not leaving.
+    pub usable: bool,
+}
+
+/// The bounds within which a pool is planned.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlannerLimits {
+    /// The share of the awake concurrency that demand should fill, above 0 and at most 1.
+    pub target: f64,
+    /// The time for which a surplus has to last before hosts are put to sleep.
+    pub hold: Duration,
+    /// The most hosts of one pool that may be waking at once, bounded by the weight store.
+    pub waking: usize,
+    /// The largest share of a pool's awake hosts that one plan puts to sleep.
+    pub shrink: f64,
+    /// The number of hosts kept awake beyond the demand.
+    pub spare: usize,
+}
+
+impl Default for PlannerLimits {
+    fn default() -> Self {
+        Self { target: 0.7, hold: Duration::from_secs(300), waking: 4, shrink: 0.2, spare: 1 }
+    }
+}
+
+/// One service as the planner sees it now.
+#[derive(Clone, Debug)]
+pub struct PlanInput<'a> {
+    /// The hosts of the service.
+    pub hosts: &'a [HostPower],
+    /// The demand for the service.
+    pub demand: Demand,
+    /// The calls that a warm backend server runs at once.
+    pub concurrency: u32,
+    /// The time from wake to warm.
+    pub warmup: Duration,
+    /// The least number of hosts kept awake.
+    pub floor: usize,
+}
+
+/// The planner's decision for one service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Pool {
+    /// Hosts to wake now.
+    pub wake: Vec<HostKey>,
+    /// Hosts to put to sleep now.
+    pub sleep: Vec<HostKey>,
+}
+
+/// Plans one service over time.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    limits: PlannerLimits,
+    surplus: Option<Moment>,
+    waking: BTreeMap<HostKey, Moment>,
+}
+
+impl Planner {
+    /// Creates a planner without history.
+    pub fn new(limits: PlannerLimits) -> Self {
+        Self { limits, surplus: None, waking: BTreeMap::new() }
+    }
+
+    /// Decides which hosts to wake and to put to sleep.
+    pub fn plan(&mut self, now: Moment, input: &PlanInput<'_>) -> Pool {
+        self.waking.retain(|_, until| *until > now);
+        let awake: Vec<&HostPower> = input.hosts.iter().filter(|h| h.awake && h.usable).collect();
+        let needed = self.needed(input);
+        if awake.len() < needed {
+            self.surplus = None;
+            let wake = self.choose_wakes(now, input, needed - awake.len());
+            return Pool { wake, sleep: Vec::new() };
+        }
+        let sleep = self.choose_sleeps(now, &awake, needed);
+        Pool { wake: Vec::new(), sleep }
+    }
+
+    fn needed(&self, input: &PlanInput<'_>) -> usize {
+        let usable = input.hosts.iter().filter(|h| h.usable).count();
+        let each = f64::from(input.concurrency) * self.limits.target;
+        let busy = (input.demand.after(input.warmup) / each).ceil();
+        let busy = if busy.is_finite() { busy as usize } else { usable };
+        busy.saturating_add(self.limits.spare).max(input.floor).min(usable)
+    }
+
+    fn choose_wakes(&mut self, now: Moment, input: &PlanInput<'_>, missing: usize) -> Vec<HostKey> {
+        let room = self.limits.waking.saturating_sub(self.waking.len());
+        let mut per_zone: BTreeMap<ZoneKey, usize> = BTreeMap::new();
+        for host in input.hosts.iter().filter(|h| h.awake && h.usable) {
+            *per_zone.entry(host.zone).or_default() += 1;
+        }
+        let mut asleep: Vec<&HostPower> =
+            input.hosts.iter().filter(|h| !h.awake && h.usable).collect();
+        let mut wake = Vec::new();
+        while wake.len() < missing.min(room) {
+            let emptiest =
+                |h: &&&HostPower| (per_zone.get(&h.zone).copied().unwrap_or_default(), h.host);
+            let Some(next) = asleep.iter().min_by_key(emptiest).map(|h| **h) else { break };
+            asleep.retain(|h| h.host != next.host);
+            *per_zone.entry(next.zone).or_default() += 1;
+            self.waking.insert(next.host, now + input.warmup);
+            wake.push(next.host);
+        }
+        wake
+    }
+
+    fn choose_sleeps(&mut self, now: Moment, awake: &[&HostPower], needed: usize) -> Vec<HostKey> {
+        if awake.len() == needed || !self.waking.is_empty() {
+            self.surplus = None;
+            return Vec::new();
+        }
+        let since = *self.surplus.get_or_insert(now);
+        if now.since(since) < self.limits.hold {
+            return Vec::new();
+        }
+        self.surplus = Some(now);
+        let step = ((awake.len() as f64 * self.limits.shrink) as usize).max(1);
+        let count = step.min(awake.len() - needed);
+        fullest_first(awake, count)
+    }
+}
+
+/// Chooses hosts from the zones that have the most hosts awake, so that zones stay even.
+fn fullest_first(awake: &[&HostPower], count: usize) -> Vec<HostKey> {
+    let mut zones: BTreeMap<ZoneKey, Vec<HostKey>> = BTreeMap::new();
+    for host in awake {
+        zones.entry(host.zone).or_default().push(host.host);
+    }
+    let mut chosen = Vec::new();
+    while chosen.len() < count {
+        let fullest = zones.iter_mut().max_by_key(|(zone, hosts)| (hosts.len(), **zone));
+        let Some(host) = fullest.and_then(|(_, hosts)| hosts.pop()) else { break };
+        chosen.push(host);
+    }
+    chosen
+}
--- a/src/limpetmux/planner/mod.rs
+++ b/src/limpetmux/planner/mod.rs
@@ -1,1 +1,9 @@
-//! Runs the power planner under a lease in the platform log.
+//! Runs the planner duty of one node under a lease in the platform log.
+//!
+//! The service lives on the control thread. It reads the duties stream, feeds records, ticks and
+//! load samples to the [`Agent`](crate::core::planner::Agent) and carries out its actions. The
+//! folded plan is published as a [`PowerView`], which the router and the sidecars read.
+
+mod service;
+
+pub use service::{LoadFn, PlannerError, PlannerParts, PowerView, run, wait_for_sleep};
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -39,6 +39,22 @@
     // 4xx: hosts and shutdown.
 
     // 5xx: power.
+    /// A plan was accepted.
+    PlanAccepted = 500,
+    /// A plan was rejected because its planner had lost the lease.
+    #[strum(props(level = "warn"))]
+    PlanRejected = 501,
+    /// A host is being switched on.
+    HostWaking = 502,
+    /// A step of the planner duty failed and will be tried again.
+    #[strum(props(level = "warn"))]
+    DutyStepFailed = 503,
+    /// A duty record of an unknown version was passed over.
+    #[strum(props(level = "warn"))]
+    DutySkipped = 504,
+    /// The duties stream ends before what was read from it, so it is not folded.
+    #[strum(props(level = "error"))]
+    DutyLogReset = 505,
 
     // 6xx: platform and backend servers.
 
