--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! The integration tests, one module per subject.
 
 mod kernel;
+mod planner;
 mod standins;
