--- a/crates/limpetmux-standins/src/backend.rs
+++ b/crates/limpetmux-standins/src/backend.rs
@@ -1,6 +1,7 @@
 //! What all backend servers have in common: slots, cold start, load report and fencing.
 
 use crate::server::Faults;
+use crate::slot::{Full, Slot, Waiting};
 use poem::http::StatusCode;
 use poem::web::{Data, Json};
 use poem::{Response, handler};
@@ -55,6 +56,9 @@
     }
 }
 
+/// A place in the queue: the highest priority first, then the order of arrival.
+pub(crate) type Ticket = (Reverse<u32>, u64);
+
 #[derive(Clone, Copy, Debug)]
 struct Report {
     at: Instant,
@@ -67,7 +71,7 @@
 #[derive(Debug)]
 struct Inner {
     running: u32,
-    waiting: BTreeSet<(Reverse<u32>, u64)>,
+    waiting: BTreeSet<Ticket>,
     arrivals: u64,
     warm_at: Instant,
     incarnation: u64,
@@ -248,7 +252,7 @@
     }
 
     /// Starts a call at once (`None`) or queues it.
-    fn enter(&self, priority: u32) -> Result<Option<(Reverse<u32>, u64)>, Full> {
+    fn enter(&self, priority: u32) -> Result<Option<Ticket>, Full> {
         let mut inner = self.inner();
         let cold = Instant::now() < inner.warm_at;
         let limit = if cold { self.options.cold } else { self.options.capacity };
@@ -273,7 +277,7 @@
         Ok(Some(ticket))
     }
 
-    fn try_start(&self, ticket: (Reverse<u32>, u64)) -> Result<bool, Full> {
+    fn try_start(&self, ticket: Ticket) -> Result<bool, Full> {
         let mut inner = self.inner();
         if inner.off {
             inner.counts.refused += 1;
@@ -317,6 +321,24 @@
         }
     }
 
+    /// Takes a call out of the queue.
+    pub(crate) fn abandon(&self, ticket: Ticket) {
+        self.inner().waiting.remove(&ticket);
+        self.freed.notify_waiters();
+    }
+
+    /// Gives a slot back, unless a restart has already done so.
+    pub(crate) fn release(&self, incarnation: u64, done: bool) {
+        let mut inner = self.inner();
+        if inner.incarnation == incarnation {
+            inner.running = inner.running.saturating_sub(1);
+            inner.counts.cancelled += u64::from(!done);
+            self.record(&mut inner);
+        }
+        drop(inner);
+        self.freed.notify_waiters();
+    }
+
     fn load(&self) -> LoadReport {
         let inner = self.inner();
         let now = Instant::now();
@@ -334,57 +356,6 @@
     }
 }
 
-/// The backend server bears no more calls.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Full;
-
-/// Removes a call from the queue if its caller goes while it waits.
-struct Waiting {
-    backend: Arc<Backend>,
-    ticket: (Reverse<u32>, u64),
-    granted: bool,
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        if !self.granted {
-            self.backend.inner().waiting.remove(&self.ticket);
-            self.backend.freed.notify_waiters();
-        }
-    }
-}
-
-/// The right to run one call.
-#[derive(Debug)]
-pub(crate) struct Slot {
-    backend: Arc<Backend>,
-    incarnation: u64,
-    /// Whether the call ran to its end.
-    pub(crate) done: bool,
-}
-
-impl Slot {
-    /// Returns whether a restart broke the call.
-    pub(crate) fn is_broken(&self) -> bool {
-        self.backend.incarnation() != self.incarnation
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let mut inner = self.backend.inner();
-        if inner.incarnation == self.incarnation {
-            inner.running = inner.running.saturating_sub(1);
-            if !self.done {
-                inner.counts.cancelled += 1;
-            }
-            self.backend.record(&mut inner);
-        }
-        drop(inner);
-        self.backend.freed.notify_waiters();
-    }
-}
-
 #[derive(Serialize)]
 pub(crate) struct LoadReport {
     running: u32,
--- a/crates/limpetmux-standins/src/engine/mod.rs
+++ b/crates/limpetmux-standins/src/engine/mod.rs
@@ -98,6 +98,8 @@
     state: Arc<State>,
 }
 
+handle!(Engine);
+
 impl Engine {
     /// Starts one model engine.
     ///
@@ -129,16 +131,6 @@
         Ok(Self { server, backend, state })
     }
 
-    /// Returns the base URL.
-    pub fn url(&self) -> String {
-        self.server.url()
-    }
-
-    /// Stops the server.
-    pub async fn stop(&mut self) {
-        self.server.stop().await;
-    }
-
     /// Breaks the connection of the next streams after a number of tokens.
     pub fn break_next(&self, streams: u32, after: u32) {
         self.state.break_after.store(after, Ordering::SeqCst);
--- a/crates/limpetmux-standins/src/hosts.rs
+++ b/crates/limpetmux-standins/src/hosts.rs
@@ -56,6 +56,8 @@
     state: Arc<Mutex<State>>,
 }
 
+handle!(Hosts);
+
 impl Hosts {
     /// Starts an empty list that reports changes after `lag`.
     ///
@@ -73,16 +75,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the base URL.
-    pub fn url(&self) -> String {
-        self.server.url()
-    }
-
-    /// Stops the server.
-    pub async fn stop(&mut self) {
-        self.server.stop().await;
-    }
-
     /// Changes the truth about a host; the list shows it after the lag.
     pub fn set(&self, host: &str, state: HostState, incarnation: u64) {
         let row = Row { host: host.to_owned(), state, incarnation };
--- a/crates/limpetmux-standins/src/lib.rs
+++ b/crates/limpetmux-standins/src/lib.rs
@@ -5,6 +5,23 @@
 //! address, the switches that bring about the faults that the part can have, and the counters that
 //! tests read. A stand-in knows nothing of the system under test.
 
+/// Gives a stand-in's handle the address and the stop of its server.
+macro_rules! handle {
+    ($name:ident) => {
+        impl $name {
+            /// Returns the base URL without a closing slash.
+            pub fn url(&self) -> String {
+                self.server.url()
+            }
+
+            /// Closes the listener and all connections at once and waits until they are closed.
+            pub async fn stop(&mut self) {
+                self.server.stop().await;
+            }
+        }
+    };
+}
+
 pub mod backend;
 pub mod engine;
 pub mod hosts;
@@ -17,6 +34,7 @@
 
 mod connection;
 mod limiter;
+mod slot;
 
 pub use backend::{Backend, BackendOptions};
 pub use engine::{Engine, EngineOptions};
--- a/crates/limpetmux-standins/src/log.rs
+++ b/crates/limpetmux-standins/src/log.rs
@@ -82,6 +82,8 @@
     state: Arc<State>,
 }
 
+handle!(Log);
+
 impl Log {
     /// Starts an empty log.
     ///
@@ -102,16 +104,6 @@
         Ok(Self { server, faults, state })
     }
 
-    /// Returns the base URL.
-    pub fn url(&self) -> String {
-        self.server.url()
-    }
-
-    /// Stops the server.
-    pub async fn stop(&mut self) {
-        self.server.stop().await;
-    }
-
     /// Changes what is kept of each stream, at once.
     pub fn set_retention(&self, keep: usize, age: Duration) {
         *self.state.bounds.lock().unwrap_or_else(PoisonError::into_inner) = (keep, age);
--- a/crates/limpetmux-standins/src/plain.rs
+++ b/crates/limpetmux-standins/src/plain.rs
@@ -26,6 +26,8 @@
     runs: Arc<Mutex<Runs>>,
 }
 
+handle!(Plain);
+
 impl Plain {
     /// Starts one backend server.
     ///
@@ -48,16 +50,6 @@
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the base URL.
-    pub fn url(&self) -> String {
-        self.server.url()
-    }
-
-    /// Stops the server.
-    pub async fn stop(&mut self) {
-        self.server.stop().await;
-    }
-
     /// Returns how often each `X-Attempt-Id` ran.
     pub fn attempts(&self) -> BTreeMap<String, u32> {
         self.runs().attempts.clone()
--- a/crates/limpetmux-standins/src/pool.rs
+++ b/crates/limpetmux-standins/src/pool.rs
@@ -44,6 +44,8 @@
     pub backend: Arc<Backend>,
 }
 
+handle!(Pool);
+
 impl Pool {
     /// Starts one backend server.
     ///
@@ -59,16 +61,6 @@
         let server = Server::start(port, route, Arc::clone(&backend.faults)).await?;
         Ok(Self { server, backend })
     }
-
-    /// Returns the base URL.
-    pub fn url(&self) -> String {
-        self.server.url()
-    }
-
-    /// Stops the server.
-    pub async fn stop(&mut self) {
-        self.server.stop().await;
-    }
 }
 
 /// Returns the output that a pool gives for an input; tests compare answers with it.
--- a/crates/limpetmux-standins/src/power.rs
+++ b/crates/limpetmux-standins/src/power.rs
@@ -35,6 +35,8 @@
     state: Arc<Mutex<State>>,
 }
 
+handle!(Power);
+
 impl Power {
     /// Starts a switch without hosts.
     ///
@@ -52,16 +54,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the base URL.
-    pub fn url(&self) -> String {
-        self.server.url()
-    }
-
-    /// Stops the server.
-    pub async fn stop(&mut self) {
-        self.server.stop().await;
-    }
-
     /// Connects a backend server, which then follows the orders for its host.
     pub fn attach(&self, host: &str, backend: Arc<Backend>) {
         self.state().backends.insert(host.to_owned(), backend);
--- a/crates/limpetmux-standins/src/weights.rs
+++ b/crates/limpetmux-standins/src/weights.rs
@@ -45,6 +45,8 @@
     state: Arc<State>,
 }
 
+handle!(Weights);
+
 impl Weights {
     /// Starts the store.
     ///
@@ -59,16 +61,6 @@
         Ok(Self { server, faults, state })
     }
 
-    /// Returns the base URL.
-    pub fn url(&self) -> String {
-        self.server.url()
-    }
-
-    /// Stops the server.
-    pub async fn stop(&mut self) {
-        self.server.stop().await;
-    }
-
     /// Returns the number of transfers that completed.
     pub fn transfers(&self) -> u64 {
         self.state.transfers.load(Ordering::SeqCst)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! The integration tests, one module per subject.
 
+#![allow(clippy::expect_used, clippy::unwrap_used)]
+
 mod kernel;
 mod planner;
 mod standins;
