--- a/crates/limpetmux-standins/src/engine/stream.rs
+++ b/crates/limpetmux-standins/src/engine/stream.rs
@@ -1,9 +1,10 @@
 //! Completions, token by token.
 
 use super::{Known, State, answer, text_hash};
-use crate::backend::{Slot, refuse};
+use crate::backend::refuse;
 use crate::connection::Cutter;
 use crate::server::take;
+use crate::slot::Slot;
 use futures::stream::{StreamExt, unfold};
 use poem::http::StatusCode;
 use poem::web::{Data, Json};
