Derive each host's state from evidence that only grows

Cause: the host list lags, replies cross and operators race, so the last message heard may be the oldest. Change: core::membership keeps list, configuration, drain and reachability apart per host and derives live, leaving or gone; replies are ordered by the moment their request was sent, since processes of a host follow each other.

--- a/src/limpetmux/core/membership/mod.rs
+++ b/src/limpetmux/core/membership/mod.rs
@@ -1,1 +1,173 @@
 //! The state of each host, from every source that reports on it.
+//!
+//! Four sources speak about a host: the configuration in force, the platform's lagging host list,
+//! the host's own replies, and failures to connect. Each is kept as evidence that only grows
+//! within one incarnation, so late, repeated and reordered reports cannot take a host back to an
+//! earlier state. [`Membership`] turns the evidence into one [`HostState`] per host and publishes
+//! them as [`HostStates`]. The rules are in `docs/design/membership.md`.
+
+mod host;
+mod reach;
+mod states;
+
+pub use states::{HostStates, HostStatus};
+
+use crate::core::config::Name;
+use crate::core::keys::HostKey;
+use crate::core::time::Moment;
+use crate::core::view::View;
+use host::Host;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use strum::{Display, EnumString, IntoStaticStr, VariantArray};
+
+/// Whether a host may be given work; a later state is worse.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    VariantArray,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum HostState {
+    /// The host takes new work.
+    #[default]
+    Live,
+    /// The host finishes its running work and takes no new work.
+    Leaving,
+    /// The host cannot be reached or no longer exists.
+    Gone,
+}
+
+/// Why a host is not live.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    VariantArray,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Cause {
+    /// Operators do not let the host run.
+    Stopped,
+    /// The availability zone of the host is out of service.
+    ZoneOut,
+    /// The host's process was told to drain.
+    Drained,
+    /// The platform's host list says so.
+    Listed,
+    /// The host's process cannot be connected to.
+    Unreachable,
+}
+
+/// One row of the platform's host list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// The host.
+    pub host: Name,
+    /// The state that the list shows.
+    pub state: HostState,
+    /// Rises each time the host is replaced or restarted.
+    pub incarnation: u64,
+}
+
+/// Identifies one run of a host's process; equal numbers mean the same run, order means nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ProcessId(pub u64);
+
+/// What was seen of a host on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sighting {
+    /// The host's process replied.
+    Reply {
+        /// The process that replied.
+        process: ProcessId,
+        /// Whether it is draining.
+        draining: bool,
+        /// When the request was sent that it replied to.
+        sent: Moment,
+    },
+    /// No connection could be made.
+    Unreachable,
+}
+
+/// The evidence about all hosts of one configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Membership {
+    hosts: BTreeMap<Name, Host>,
+}
+
+impl Membership {
+    /// Takes in a configuration; hosts that it does not declare are forgotten.
+    pub fn adopt(&mut self, now: Moment, view: &View) {
+        self.hosts.retain(|name, _| view.host(name.as_str()).is_some());
+        for (_, row) in view.hosts.iter() {
+            let zone_serves = view.zones[row.zone].serving;
+            let host = self.hosts.entry(row.name.clone()).or_insert_with(|| Host::new(now));
+            host.configure(row.running, zone_serves);
+            host.settle(now);
+        }
+    }
+
+    /// Takes in the host list; rows of hosts that are not declared are skipped.
+    pub fn list(&mut self, now: Moment, rows: &[Listed]) {
+        for row in rows {
+            let Some(host) = self.hosts.get_mut(&row.host) else { continue };
+            host.list(now, row.state, row.incarnation);
+            host.settle(now);
+        }
+    }
+
+    /// Takes in what was seen of a host on the wire.
+    pub fn saw(&mut self, now: Moment, name: &Name, sighting: Sighting) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        match sighting {
+            Sighting::Reply { process, draining, sent } => host.reply(now, sent, process, draining),
+            Sighting::Unreachable => host.unreachable(now),
+        }
+        host.settle(now);
+    }
+
+    /// Ends pauses whose time is over; to be called at [`wake`](Self::wake).
+    pub fn tick(&mut self, now: Moment) {
+        self.hosts.values_mut().for_each(|host| host.settle(now));
+    }
+
+    /// Returns when a host's state changes by time alone, if any will.
+    pub fn wake(&self, now: Moment) -> Option<Moment> {
+        self.hosts.values().filter_map(|host| host.wake(now)).min()
+    }
+
+    /// Returns the state of one host.
+    pub fn status(&self, name: &Name) -> Option<HostStatus> {
+        self.hosts.get(name).map(Host::status)
+    }
+
+    /// Returns the states of all hosts of a view, to be published.
+    pub fn states(&self, view: &View) -> HostStates {
+        let status = |key: HostKey| self.status(&view.hosts[key].name).unwrap_or_default();
+        HostStates::new(view, status)
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,5 +3,6 @@
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
 mod kernel;
+mod membership;
 mod planner;
 mod standins;
--- /dev/null
+++ b/tests/testsuite/membership.rs
@@ -0,0 +1,234 @@
+//! The state of a host follows from evidence in whatever order it arrives.
+
+use limpetmux::core::config::Config;
+use limpetmux::core::membership::{Cause, HostState, Listed, Membership, ProcessId, Sighting};
+use limpetmux::core::revision::Revision;
+use limpetmux::core::time::Moment;
+use limpetmux::core::view::View;
+use limpetmux_test_support::{check_cases, config::name, small_config};
+use std::time::Duration;
+
+const HOST: &str = "generate-0";
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+fn view(revision: u64, config: &Config) -> View {
+    View::compile(Revision(revision), config)
+}
+
+fn started() -> Membership {
+    let mut membership = Membership::default();
+    membership.adopt(at(0), &view(1, &small_config()));
+    membership
+}
+
+fn row(state: HostState, incarnation: u64) -> Listed {
+    Listed { host: name(HOST), state, incarnation }
+}
+
+fn reply(process: u64, draining: bool, sent_ms: u64) -> Sighting {
+    Sighting::Reply { process: ProcessId(process), draining, sent: at(sent_ms) }
+}
+
+fn state(membership: &Membership) -> (HostState, Option<Cause>) {
+    let status = membership.status(&name(HOST)).unwrap();
+    (status.state, status.cause)
+}
+
+#[test]
+fn stale_list_does_not_bring_back_drained_host() {
+    let mut membership = started();
+    membership.list(at(1), &[row(HostState::Live, 3)]);
+    membership.saw(at(2), &name(HOST), reply(10, true, 1));
+
+    membership.list(at(3), &[row(HostState::Live, 2)]);
+    membership.list(at(4), &[row(HostState::Live, 3)]);
+    let stale = state(&membership);
+    membership.list(at(5), &[row(HostState::Live, 4)]);
+
+    assert_eq!(stale, (HostState::Leaving, Some(Cause::Drained)));
+    assert_eq!(state(&membership), (HostState::Live, None));
+}
+
+#[test]
+fn late_reply_of_earlier_process_does_not_end_drain() {
+    let mut membership = started();
+    membership.saw(at(100), &name(HOST), reply(2, true, 90));
+
+    membership.saw(at(110), &name(HOST), reply(1, false, 50));
+    let late = state(&membership);
+    membership.saw(at(300), &name(HOST), reply(3, false, 290));
+
+    assert_eq!(late, (HostState::Leaving, Some(Cause::Drained)));
+    assert_eq!(state(&membership), (HostState::Live, None));
+}
+
+#[test]
+fn host_that_comes_and_goes_is_out_for_longer_each_time() {
+    let mut membership = started();
+    let mut now = 0;
+    let mut pauses = Vec::new();
+
+    for _ in 0..4 {
+        while state(&membership).0 == HostState::Live {
+            now += 600;
+            membership.saw(at(now), &name(HOST), Sighting::Unreachable);
+        }
+        let wake = membership.wake(at(now)).unwrap();
+        pauses.push(wake.since(at(now)));
+        membership.tick(wake);
+        now = wake.as_millis();
+    }
+
+    let expected = [2, 4, 8, 16].map(Duration::from_secs);
+    assert_eq!(pauses, expected);
+}
+
+#[test]
+fn single_failures_between_replies_do_not_make_host_unreachable() {
+    let mut membership = started();
+
+    for i in 0..100 {
+        let now = i * 1_000;
+        membership.saw(at(now), &name(HOST), Sighting::Unreachable);
+        membership.saw(at(now + 500), &name(HOST), reply(1, false, now + 400));
+    }
+
+    assert_eq!(state(&membership), (HostState::Live, None));
+}
+
+#[test]
+fn reader_with_newer_view_sees_zone_at_once() {
+    let mut config = small_config();
+    let (before, mut membership) = (view(1, &config), Membership::default());
+    membership.adopt(at(0), &before);
+    config.zones.get_mut("mnl-a").unwrap().serving = false;
+    let out = view(2, &config);
+    let host = before.host(HOST).unwrap();
+    let states = membership.states(&before);
+
+    let usable = (states.is_usable(&before, host), states.is_usable(&out, host));
+    membership.adopt(at(1), &out);
+    let states = membership.states(&out);
+    config.zones.get_mut("mnl-a").unwrap().serving = true;
+    let back = view(3, &config);
+
+    assert_eq!(usable, (true, false));
+    assert!(!states.is_usable(&out, host));
+    assert!(!states.is_usable(&before, host));
+    assert!(states.is_usable(&back, host));
+}
+
+/// A report about the host as it truly was when the report was made.
+#[derive(Clone, Copy, Debug)]
+enum Report {
+    List { state: HostState, incarnation: u64 },
+    Reply { process: u64, draining: bool, sent: u64 },
+}
+
+/// Draws a life of the host: one process after another, each draining before it ends.
+fn draw_life(
+    u: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<Vec<Report>> {
+    let mut reports = Vec::new();
+    let (mut process, mut draining, mut incarnation) = (1, false, 1);
+    let mut listed = HostState::Live;
+    for step in 0..u.int_in_range(5..=30)? {
+        let sent = step * 10;
+        match u.int_in_range(0..=5)? {
+            0 => draining = true,
+            1 => (process, draining) = (process + 1, false),
+            2 => listed = listed.max(HostState::Leaving),
+            3 => {
+                (process, draining) = (process + 1, false);
+                (incarnation, listed) = (incarnation + 1, HostState::Live);
+            }
+            4 => reports.push(Report::List { state: listed, incarnation }),
+            _ => reports.push(Report::Reply { process, draining, sent }),
+        }
+    }
+    Ok(reports)
+}
+
+/// Delivers reports late, twice and in any order, never before they were made.
+fn deliveries(
+    u: &mut arbtest::arbitrary::Unstructured<'_>,
+    reports: &[Report],
+) -> arbtest::arbitrary::Result<Vec<(u64, Report)>> {
+    let mut all = Vec::new();
+    for (i, report) in reports.iter().enumerate() {
+        for _ in 0..u.int_in_range(1..=2)? {
+            let made = match report {
+                Report::Reply { sent, .. } => *sent,
+                Report::List { .. } => i as u64 * 10,
+            };
+            all.push((made + 1 + u.int_in_range(0..=200)?, *report));
+        }
+    }
+    all.sort_by_key(|(at, _)| *at);
+    Ok(all)
+}
+
+#[test]
+fn host_is_live_only_after_news_of_a_later_process() {
+    const CASES: u64 = 2_000;
+
+    check_cases(CASES, |u| {
+        let reports = draw_life(u)?;
+        let mut membership = started();
+        let (mut drained, mut left) = (0, 0);
+        let (mut newest, mut listed) = (0, 0);
+        for (now, report) in deliveries(u, &reports)? {
+            match report {
+                Report::List { state, incarnation } => {
+                    membership.list(at(now), &[row(state, incarnation)]);
+                    listed = listed.max(incarnation);
+                    if state != HostState::Live {
+                        left = left.max(incarnation);
+                    }
+                }
+                Report::Reply { process, draining, sent } => {
+                    membership.saw(at(now), &name(HOST), reply(process, draining, sent));
+                    newest = newest.max(process);
+                    if draining {
+                        drained = drained.max(process);
+                    }
+                }
+            }
+            if state(&membership).0 == HostState::Live {
+                assert!(listed > left || left == 0, "live at {now} though listed as leaving");
+                let outlived = newest > drained || listed > 1;
+                assert!(drained == 0 || outlived, "live at {now} though process {drained} drains");
+            }
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn host_is_live_in_the_end_if_its_last_process_is() {
+    const CASES: u64 = 2_000;
+
+    check_cases(CASES, |u| {
+        let reports = draw_life(u)?;
+        let mut membership = started();
+        for (now, report) in deliveries(u, &reports)? {
+            match report {
+                Report::List { state, incarnation } => {
+                    membership.list(at(now), &[row(state, incarnation)]);
+                }
+                Report::Reply { process, draining, sent } => {
+                    membership.saw(at(now), &name(HOST), reply(process, draining, sent));
+                }
+            }
+        }
+
+        membership.list(at(10_000), &[row(HostState::Live, 1_000)]);
+        membership.saw(at(10_000), &name(HOST), reply(1_000, false, 9_999));
+
+        assert_eq!(state(&membership), (HostState::Live, None));
+        Ok(())
+    });
+}
