Add the membership service and the shutdown of a process

Cause: entries and sidecars need one view of which hosts take work, and SIGTERM and drain orders have to end a process without cutting a request.

--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -4,5 +4,6 @@
 //! shape of a protocol reaches `core`. The protocols spoken by default are written down in
 //! `docs/PROTOCOLS.md`.
 
+pub mod hosts;
 pub mod log;
 pub mod power;
--- a/src/limpetmux/core/membership/host.rs
+++ b/src/limpetmux/core/membership/host.rs
@@ -79,7 +79,7 @@
         } else if sent < self.seen && !draining {
             return;
         } else {
-            self.process = (sent >= self.seen).then_some(process);
+            self.process = Some(process);
             self.seen = now;
             self.drained = None;
             self.reach = Reach::default();
--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod planner;
 pub mod revision;
 pub mod routing;
+pub mod shutdown;
 pub mod time;
 pub mod verdict;
 pub mod view;
--- /dev/null
+++ b/src/limpetmux/membership/reporter.rs
@@ -0,0 +1,58 @@
+//! Reads the published states and reports what contradicts them.
+
+use super::MembershipMessage;
+use crate::core::keys::HostKey;
+use crate::core::membership::{HostStates, ProcessId, Sighting};
+use crate::core::time::Moment;
+use crate::core::view::View;
+use crate::kernel::{Port, Published};
+use std::sync::Arc;
+
+/// The request path's access to the membership.
+#[derive(Clone, Debug)]
+pub struct Reporter {
+    port: Port<MembershipMessage>,
+    states: Published<HostStates>,
+}
+
+impl Reporter {
+    pub(super) fn new(port: Port<MembershipMessage>, states: Published<HostStates>) -> Self {
+        Self { port, states }
+    }
+
+    /// Returns the latest states.
+    pub fn states(&self) -> Arc<HostStates> {
+        self.states.load()
+    }
+
+    /// Returns a reader of the states that can wait for changes.
+    pub fn reader(&self) -> Published<HostStates> {
+        self.states.clone()
+    }
+
+    /// Takes in a reply to a request sent at `sent`; only news is passed on.
+    pub fn replied(
+        &self,
+        view: &View,
+        host: HostKey,
+        sent: Moment,
+        process: ProcessId,
+        draining: bool,
+    ) {
+        if self.states.load().is_news(view, host, process, draining) {
+            self.report(view, host, Sighting::Reply { process, draining, sent });
+        }
+    }
+
+    /// Takes in a failure to connect.
+    pub fn unreachable(&self, view: &View, host: HostKey) {
+        self.report(view, host, Sighting::Unreachable);
+    }
+
+    fn report(&self, view: &View, host: HostKey, sighting: Sighting) {
+        let Some(row) = view.hosts.get(host) else { return };
+        let message = MembershipMessage::Saw { host: row.name.clone(), sighting };
+        // A dropped report comes again with the next reply or failure.
+        let _ = self.port.try_send(message);
+    }
+}
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -37,6 +37,20 @@
     // 3xx: idempotency keys.
 
     // 4xx: hosts and shutdown.
+    /// The state of a host has changed.
+    HostStateChanged = 400,
+    /// The platform's host list cannot be read; what was last read stays in force.
+    #[strum(props(level = "warn"))]
+    HostListDown = 401,
+    /// The platform's host list can be read again.
+    HostListBack = 402,
+    /// The process has started to drain.
+    DrainStarted = 410,
+    /// The process has drained and cut no request.
+    DrainEnded = 411,
+    /// The process exits with requests or records left undone.
+    #[strum(props(level = "warn"))]
+    DrainUnfinished = 412,
 
     // 5xx: power.
     /// A plan was accepted.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,4 +5,5 @@
 mod kernel;
 mod membership;
 mod planner;
+mod shutdown;
 mod standins;
