Test the membership service through a list outage

Cause: the list can be down for long and must not bring hosts back or take them out meanwhile. Change: two tests, on paused time: a drain and a leaving row hold through 60 s of outage, and the list's cost stays under 8 KiB a second at 950 rows.

--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -1,11 +1,17 @@
 //! The state of a host follows from evidence in whatever order it arrives.
 
+use futures::FutureExt;
+use limpetmux::adapters::hosts::{HostsClient, HostsError};
 use limpetmux::core::config::Config;
 use limpetmux::core::membership::{Cause, HostState, Listed, Membership, ProcessId, Sighting};
 use limpetmux::core::revision::Revision;
 use limpetmux::core::time::Moment;
 use limpetmux::core::view::View;
+use limpetmux::kernel::{Kernel, Publisher};
+use limpetmux::membership::{self, MembershipParts};
+use limpetmux::util::clock;
 use limpetmux_test_support::{check_cases, config::name, small_config};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 const HOST: &str = "generate-0";
@@ -232,3 +238,48 @@
         Ok(())
     });
 }
+
+/// A host list that a test rewrites, or that cannot be read while it is `None`.
+fn fake_list(rows: &Arc<Mutex<Option<Vec<Listed>>>>) -> HostsClient {
+    let rows = Arc::clone(rows);
+    let list = move || {
+        let rows = rows.lock().unwrap().clone();
+        async move { rows.ok_or(HostsError::Refused(503)) }.boxed()
+    };
+    HostsClient { list: Arc::new(list) }
+}
+
+#[tokio::test(start_paused = true)]
+async fn service_keeps_what_it_knows_while_the_list_is_down() {
+    let rows = Arc::new(Mutex::new(Some(vec![row(HostState::Leaving, 1)])));
+    let (kernel, config) = (Kernel::new(), small_config());
+    let views = Publisher::new(view(1, &config));
+    let hosts = Some(fake_list(&rows));
+    let parts = MembershipParts { views: views.reader(), hosts };
+    let reporter = membership::start(&kernel, parts).unwrap();
+    let view = views.load();
+    let host = view.host(HOST).unwrap();
+    let other = view.host("generate-1").unwrap();
+
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    *rows.lock().unwrap() = None;
+    reporter.replied(&view, other, clock::now(), ProcessId(1), true);
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    let down = reporter.states();
+    *rows.lock().unwrap() = Some(vec![row(HostState::Live, 2)]);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let up = reporter.states();
+
+    assert!(!down.is_usable(&view, host) && !down.is_usable(&view, other));
+    assert!(up.is_usable(&view, host) && !up.is_usable(&view, other));
+}
+
+#[test]
+fn list_costs_at_most_8_kib_a_second() {
+    const ROW_BYTES: usize = 64;
+
+    for rows in [10, 100, 950, 10_000] {
+        let seconds = membership::poll_interval(rows).as_secs_f64();
+        assert!((rows * ROW_BYTES) as f64 / seconds <= 8_192.0, "{rows} rows in {seconds} s");
+    }
+}
