Add an open-loop load generator with a report and a plot

Cause: end-to-end figures need a load whose latency counts from the intended send time. Change: xtask load sends at a fixed rate, checks each answer, and writes a table, JSON and an SVG plot. Conclusion: used once the request path runs.

--- /dev/null
+++ b/crates/xtask/src/load/report.rs
@@ -0,0 +1,85 @@
+//! The summary of a load.
+
+use super::{Load, LoadError, Outcome, Sample};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::fmt;
+
+const MAX_LATENCY_US: u64 = 600_000_000;
+const DIGITS: u8 = 3;
+
+/// How a load was answered.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Requests a second that were sent.
+    pub rate: f64,
+    /// Requests sent.
+    pub sent: usize,
+    /// Whole answers within the deadline.
+    pub answered: usize,
+    /// Whole answers after the deadline.
+    pub late: usize,
+    /// Refusals that say that nothing ran.
+    pub unrun: usize,
+    /// Other refusals.
+    pub refused: usize,
+    /// Broken connections and unreadable answers.
+    pub broken: usize,
+    /// The share of requests answered whole within the deadline.
+    pub attainment: f64,
+    /// The median latency of whole answers, in microseconds.
+    pub p50_us: u64,
+    /// The 95th percentile of the latency of whole answers, in microseconds.
+    pub p95_us: u64,
+    /// The 99th percentile of the latency of whole answers, in microseconds.
+    pub p99_us: u64,
+    /// The greatest latency of whole answers, in microseconds.
+    pub max_us: u64,
+}
+
+impl Report {
+    /// Adds up the samples of a run.
+    ///
+    /// # Errors
+    /// Returns [`LoadError`] if a latency does not fit the histogram.
+    pub fn new(load: &Load, samples: &[Sample]) -> Result<Self, LoadError> {
+        let mut latency = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, DIGITS)?;
+        let whole = |s: &&Sample| matches!(s.outcome, Outcome::Answered | Outcome::Late);
+        for sample in samples.iter().filter(whole) {
+            let us = u64::try_from(sample.latency.as_micros()).unwrap_or(MAX_LATENCY_US);
+            latency.record(us.clamp(1, MAX_LATENCY_US))?;
+        }
+        let count = |outcome| samples.iter().filter(|s| s.outcome == outcome).count();
+        let answered = count(Outcome::Answered);
+        Ok(Self {
+            rate: load.rate,
+            sent: samples.len(),
+            answered,
+            late: count(Outcome::Late),
+            unrun: count(Outcome::NotRun),
+            refused: count(Outcome::Refused),
+            broken: count(Outcome::Broken),
+            attainment: answered as f64 / samples.len().max(1) as f64,
+            p50_us: latency.value_at_quantile(0.50),
+            p95_us: latency.value_at_quantile(0.95),
+            p99_us: latency.value_at_quantile(0.99),
+            max_us: latency.max(),
+        })
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "sent {} at {}/s: answered {}, late {}, not run {}, refused {}, broken {}",
+            self.sent, self.rate, self.answered, self.late, self.unrun, self.refused, self.broken
+        )?;
+        writeln!(f, "attainment {:.4}", self.attainment)?;
+        write!(
+            f,
+            "latency: p50 {} us, p95 {} us, p99 {} us, max {} us",
+            self.p50_us, self.p95_us, self.p99_us, self.max_us
+        )
+    }
+}
--- /dev/null
+++ b/crates/xtask/src/load/runner.rs
@@ -0,0 +1,148 @@
+//! The open-loop generator.
+
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What to send.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// The entry's URL.
+    pub url: String,
+    /// The workspace to send as.
+    pub workspace: String,
+    /// The pipeline to run.
+    pub pipeline: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// How long to send.
+    pub duration: Duration,
+    /// The deadline of each request.
+    pub deadline: Duration,
+    /// Whether each request carries an idempotency key.
+    pub keyed: bool,
+}
+
+/// A load that could not be run or reported.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum LoadError {
+    /// The rate or the duration is out of range.
+    #[error("the rate must lie between 0.1 and 20000 a second and the duration be above zero")]
+    Range,
+    /// The HTTP client cannot be built.
+    #[error("cannot build the HTTP client")]
+    Client(#[from] reqwest::Error),
+    /// A file cannot be written.
+    #[error("cannot write the report")]
+    Io(#[from] std::io::Error),
+    /// The report has no JSON form.
+    #[error("cannot write the report as JSON")]
+    Json(#[from] serde_json::Error),
+    /// The latencies do not fit the histogram.
+    #[error("cannot record a latency")]
+    Record(#[from] hdrhistogram::RecordError),
+    /// The histogram cannot be created.
+    #[error("cannot create a histogram")]
+    Histogram(#[from] hdrhistogram::CreationError),
+    /// The plot cannot be drawn.
+    #[error("cannot draw the plot")]
+    Plot(#[from] plotters::drawing::DrawingAreaErrorKind<std::io::Error>),
+}
+
+/// How one request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer within the deadline.
+    Answered,
+    /// A whole answer after the deadline.
+    Late,
+    /// A refusal that says that nothing ran.
+    NotRun,
+    /// Any other refusal.
+    Refused,
+    /// A broken connection or an unreadable answer.
+    Broken,
+}
+
+/// One request of the run.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    /// When the request was due, from the start of the run.
+    pub due: Duration,
+    /// The time from when it was due to the end of its answer.
+    pub latency: Duration,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+impl Load {
+    /// Checks the ranges.
+    ///
+    /// # Errors
+    /// Returns [`LoadError::Range`].
+    pub fn check(&self) -> Result<(), LoadError> {
+        let rate = (0.1..=20_000.0).contains(&self.rate);
+        if rate && !self.duration.is_zero() { Ok(()) } else { Err(LoadError::Range) }
+    }
+
+    /// Returns the number of requests that the load sends.
+    pub fn count(&self) -> u64 {
+        (self.rate * self.duration.as_secs_f64()).ceil() as u64
+    }
+
+    fn target(&self) -> String {
+        let base = self.url.trim_end_matches('/');
+        format!("{base}/v1/workspaces/{}/pipelines/{}/runs", self.workspace, self.pipeline)
+    }
+}
+
+/// Sends the load and waits for every answer.
+///
+/// # Errors
+/// Returns [`LoadError`] if the client cannot be built; failed requests are samples, not errors.
+pub async fn run(load: &Load) -> Result<Vec<Sample>, LoadError> {
+    let client = reqwest::Client::builder().no_proxy().build()?;
+    let start = Instant::now();
+    let mut tasks = Vec::new();
+    for n in 0..load.count() {
+        let due = Duration::from_secs_f64(n as f64 / load.rate);
+        tokio::time::sleep_until(start + due).await;
+        let request = request(&client, load, n);
+        let deadline = load.deadline;
+        tasks.push(tokio::spawn(async move {
+            let outcome = send(request).await;
+            let latency = start.elapsed().saturating_sub(due);
+            let late = outcome == Outcome::Answered && latency > deadline;
+            let outcome = if late { Outcome::Late } else { outcome };
+            Sample { due, latency, outcome }
+        }));
+    }
+    let mut samples = Vec::with_capacity(tasks.len());
+    for task in tasks {
+        samples.extend(task.await.ok());
+    }
+    Ok(samples)
+}
+
+fn request(client: &reqwest::Client, load: &Load, n: u64) -> reqwest::RequestBuilder {
+    let deadline_ms = u64::try_from(load.deadline.as_millis()).unwrap_or(u64::MAX);
+    let body = serde_json::json!({ "input": format!("question {n}"), "deadline_ms": deadline_ms });
+    let request = client.post(load.target()).json(&body).timeout(load.deadline * 4);
+    if load.keyed {
+        request.header("idempotency-key", uuid::Uuid::now_v7().to_string())
+    } else {
+        request
+    }
+}
+
+async fn send(request: reqwest::RequestBuilder) -> Outcome {
+    let Ok(answer) = request.send().await else { return Outcome::Broken };
+    let status = answer.status();
+    let Ok(body) = answer.json::<serde_json::Value>().await else { return Outcome::Broken };
+    if status.is_success() {
+        return Outcome::Answered;
+    }
+    match body.get("execution").and_then(|e| e.as_str()) {
+        Some("not_run") => Outcome::NotRun,
+        _ => Outcome::Refused,
+    }
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,8 +2,10 @@
 //!
 //! `cargo run -p xtask -- codegen` compiles `proto/*.proto` into `src/limpetmux/wire/gen/`, whose
 //! files are committed so that neither the build nor CI runs a generator.
+//! `cargo run --release -p xtask -- load` sends requests at a fixed rate and writes a report.
 
 mod codegen;
+mod load;
 
 use argh::FromArgs;
 
@@ -18,11 +20,13 @@
 #[argh(subcommand)]
 enum Task {
     Codegen(codegen::CodegenArgs),
+    Load(load::LoadArgs),
 }
 
 fn main() -> miette::Result<()> {
     let args: Args = argh::from_env();
     match args.task {
         Task::Codegen(args) => Ok(codegen::exec(args)?),
+        Task::Load(args) => Ok(load::exec(args)?),
     }
 }
