Add configurations of any size as a fixture

Cause: slopes over 10, 100 and 1,000 rows need configurations of each size. Change: sized_config builds a valid configuration; Size::TARGET is the size that the system is built for. Conclusion: one fixture serves the tables and the bounds.

--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -1,10 +1,14 @@
 //! Fixtures by functions, shared by the test suite, the benchmarks and the experiments.
 //!
 //! [`config`] builds configurations in the shape of the two deployments that the system serves
-//! today; [`cases`] draws many cases from fixed seeds.
+//! today; [`sized`] builds larger ones for slopes and bounds; [`cases`] draws many cases from fixed seeds.
+
+#![allow(clippy::expect_used, clippy::unwrap_used)]
 
 pub mod cases;
 pub mod config;
+pub mod sized;
 
 pub use cases::check_cases;
 pub use config::{sample_config, small_config};
+pub use sized::{Size, sized_config};
