--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -6,6 +6,7 @@
 
 mod codegen;
 mod load;
+mod power;
 
 use argh::FromArgs;
 
@@ -21,6 +22,7 @@
 enum Task {
     Codegen(codegen::CodegenArgs),
     Load(load::LoadArgs),
+    Power(power::PowerArgs),
 }
 
 fn main() -> miette::Result<()> {
@@ -28,5 +30,9 @@
     match args.task {
         Task::Codegen(args) => Ok(codegen::exec(args)?),
         Task::Load(args) => Ok(load::exec(args)?),
+        Task::Power(args) => {
+            power::exec(args);
+            Ok(())
+        }
     }
 }
