Put hosts to sleep by the greatest need of the hold time

Cause: the need of the moment follows the noise of the demand, so hosts were put to sleep and woken again. Change: the planner keeps the greatest need of the hold time and goes down to it, at most once per hold time.

--- a/src/limpetmux/core/planner/plan.rs
+++ b/src/limpetmux/core/planner/plan.rs
@@ -1,13 +1,13 @@
 //! The next plan for one service, from its demand and the state of its hosts.
 //!
-//! Waking is immediate and looks ahead by the time to become warm. Sleeping waits until the
-//! surplus has lasted, and takes a bounded share of the pool at once, so a short dip never removes
-//! capacity that a cold start would be needed to bring back.
+//! Waking is immediate and looks ahead by the time to become warm. Sleeping goes down to the greatest
+//! need within the hold time and takes a bounded share of the pool at once, so neither noise nor a
+//! short dip removes capacity that a cold start would be needed to bring back.
 
 use super::demand::Demand;
 use crate::core::keys::{HostKey, ZoneKey};
 use crate::core::time::Moment;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// What the planner knows about one host.
@@ -28,7 +28,7 @@
 pub struct PlannerLimits {
     /// The share of the awake concurrency that demand should fill, above 0 and at most 1.
     pub target: f64,
-    /// The time for which a surplus has to last before hosts are put to sleep.
+    /// The time over which the greatest need bounds what is put to sleep.
     pub hold: Duration,
     /// The most hosts of one pool that may be waking at once, bounded by the weight store.
     pub waking: usize,
@@ -72,14 +72,15 @@
 #[derive(Clone, Debug)]
 pub struct Planner {
     limits: PlannerLimits,
-    surplus: Option<Moment>,
+    recent: VecDeque<(Moment, usize)>,
+    watched: Option<Moment>,
     waking: BTreeMap<HostKey, Moment>,
 }
 
 impl Planner {
     /// Creates a planner without history.
     pub fn new(limits: PlannerLimits) -> Self {
-        Self { limits, surplus: None, waking: BTreeMap::new() }
+        Self { limits, recent: VecDeque::new(), watched: None, waking: BTreeMap::new() }
     }
 
     /// Decides which hosts to wake and to put to sleep.
@@ -87,15 +88,29 @@
         self.waking.retain(|_, until| *until > now);
         let awake: Vec<&HostPower> = input.hosts.iter().filter(|h| h.awake && h.usable).collect();
         let needed = self.needed(input);
+        let peak = self.peak(now, needed);
         if awake.len() < needed {
-            self.surplus = None;
             let wake = self.choose_wakes(now, input, needed - awake.len());
             return Pool { wake, sleep: Vec::new() };
         }
-        let sleep = self.choose_sleeps(now, &awake, needed);
+        let sleep = self.choose_sleeps(now, &awake, peak);
         Pool { wake: Vec::new(), sleep }
     }
 
+    /// Returns the greatest need within the hold time, after adding the current one.
+    fn peak(&mut self, now: Moment, needed: usize) -> usize {
+        let hold = self.limits.hold;
+        self.watched.get_or_insert(now);
+        while self.recent.back().is_some_and(|(_, n)| *n <= needed) {
+            self.recent.pop_back();
+        }
+        self.recent.push_back((now, needed));
+        while self.recent.front().is_some_and(|(at, _)| now.since(*at) > hold) {
+            self.recent.pop_front();
+        }
+        self.recent.front().map_or(needed, |(_, n)| *n)
+    }
+
     fn needed(&self, input: &PlanInput<'_>) -> usize {
         let usable = input.hosts.iter().filter(|h| h.usable).count();
         let each = f64::from(input.concurrency) * self.limits.target;
@@ -125,19 +140,14 @@
         wake
     }
 
-    fn choose_sleeps(&mut self, now: Moment, awake: &[&HostPower], needed: usize) -> Vec<HostKey> {
-        if awake.len() == needed || !self.waking.is_empty() {
-            self.surplus = None;
-            return Vec::new();
-        }
-        let since = *self.surplus.get_or_insert(now);
-        if now.since(since) < self.limits.hold {
+    fn choose_sleeps(&mut self, now: Moment, awake: &[&HostPower], peak: usize) -> Vec<HostKey> {
+        let held = self.watched.is_some_and(|from| now.since(from) >= self.limits.hold);
+        if awake.len() <= peak || !held {
             return Vec::new();
         }
-        self.surplus = Some(now);
+        self.watched = Some(now);
         let step = ((awake.len() as f64 * self.limits.shrink) as usize).max(1);
-        let count = step.min(awake.len() - needed);
-        fullest_first(awake, count)
+        fullest_first(awake, step.min(awake.len() - peak))
     }
 }
 
