--- a/src/limpetmux/control/mod.rs
+++ b/src/limpetmux/control/mod.rs
@@ -1,1 +1,106 @@
-//! The control thread: folds the log, exchanges digests with peers, publishes views.
+//! The control service: folds the configuration log and publishes views.
+//!
+//! Records arrive from the platform log by long poll and from peers by exchange. The service folds
+//! them into a [`Replica`](crate::core::config::Replica), compiles a
+//! [`View`] once per revision and replaces the published one, so traffic threads never wait for
+//! control. It also answers peers and writes snapshots before the log forgets old records. The
+//! design is in `docs/design/configuration.md`.
+
+mod message;
+mod peer;
+mod service;
+mod snapshots;
+mod spread;
+mod status;
+
+pub use message::{ControlMessage, Exchanged};
+pub use peer::peer_server;
+pub use service::Service;
+pub use spread::{Spread, SpreadOptions};
+pub use status::{ControlStatus, PeerCounters, PeerTraffic};
+
+use crate::adapters::log::LogClient;
+use crate::core::view::View;
+use crate::kernel::{
+    Kernel, KernelError, Port, Published, Publisher, ServiceId, ThreadError, spawn_control,
+};
+use std::time::Duration;
+
+const QUEUE_MESSAGES: usize = 256;
+
+/// The control service cannot be started.
+#[derive(Debug, thiserror::Error)]
+pub enum ControlError {
+    /// The kernel refused the service.
+    #[error("cannot register the control service")]
+    Kernel(#[from] KernelError),
+    /// The control thread cannot be started.
+    #[error(transparent)]
+    Thread(#[from] ThreadError),
+}
+
+/// How the control service reads and writes the log.
+#[derive(Clone, Debug)]
+pub struct ControlOptions {
+    /// The name of this node, which decides when it writes snapshots.
+    pub name: String,
+    /// How long the log may hold back the answer to a read without records.
+    pub poll: Duration,
+    /// How long to wait after a failed read.
+    pub retry: Duration,
+    /// The longest time between two snapshots in the log; well below the log's retention.
+    pub snapshot: Duration,
+}
+
+impl ControlOptions {
+    /// Creates the usual options for a node of the given name.
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            poll: Duration::from_secs(10),
+            retry: Duration::from_secs(1),
+            snapshot: Duration::from_secs(600),
+        }
+    }
+}
+
+/// The readers' side of the control service.
+#[derive(Clone, Debug)]
+pub struct Control {
+    /// The configuration in force; revision zero means that none is known yet.
+    pub view: Published<View>,
+    /// What is known about the log and the configuration.
+    pub status: Published<ControlStatus>,
+    /// Where peers' records and questions go.
+    pub port: Port<ControlMessage>,
+}
+
+/// Registers the control service and returns it unstarted, for a caller that has its own runtime.
+///
+/// # Errors
+/// Returns [`KernelError::Taken`] if the kernel has a control service.
+pub fn prepare(
+    kernel: &Kernel,
+    log: LogClient,
+    options: ControlOptions,
+) -> Result<(Control, Service), KernelError> {
+    let queue = kernel.register(ServiceId::Control, QUEUE_MESSAGES)?;
+    let port = kernel.find(ServiceId::Control)?;
+    let (view, status) = (Publisher::new(View::default()), Publisher::new(ControlStatus::default()));
+    let control = Control { view: view.reader(), status: status.reader(), port };
+    Ok((control, Service::new(log, options, queue, view, status)))
+}
+
+/// Starts the control service on its own thread; it ends when the kernel and all ports are gone.
+///
+/// # Errors
+/// Returns [`ControlError`] if the service is registered already or the thread cannot start.
+pub fn start(
+    kernel: &Kernel,
+    log: LogClient,
+    options: ControlOptions,
+) -> Result<Control, ControlError> {
+    let (control, service) = prepare(kernel, log, options)?;
+    spawn_control(move || service.run())?;
+    Ok(control)
+}
--- a/src/limpetmux/core/config/change.rs
+++ b/src/limpetmux/core/config/change.rs
@@ -1,8 +1,9 @@
 //! One operator change: a set of edits against a base revision.
 
-use super::{Config, HostSpec, Name, PipelineSpec, ServiceSpec, WorkspaceSpec, ZoneSpec};
-use crate::core::revision::Revision;
+use super::{Config, HostSpec, Name, Object, ObjectKind, PipelineSpec, ServiceSpec, WorkspaceSpec, ZoneSpec};
+use crate::core::revision::{Offset, Revision};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use uuid::Uuid;
 
 /// Identifies a change across repeated appends.
@@ -33,26 +34,55 @@
 }
 
 impl Edit {
-    /// Applies the modification to a configuration.
-    pub fn apply(&self, config: &mut Config) {
-        fn put<V: Clone>(
-            map: &mut std::collections::BTreeMap<Name, V>,
-            name: &Name,
-            value: &Option<V>,
-        ) {
+    /// Applies the modification and returns the one that takes it back.
+    ///
+    /// A rejected change is undone by its inverse edits, so no check needs a copy of the whole
+    /// configuration.
+    pub fn apply(&self, config: &mut Config) -> Self {
+        fn put<V: Clone>(map: &mut BTreeMap<Name, V>, name: &Name, value: &Option<V>) -> Option<V> {
             match value {
-                Some(v) => drop(map.insert(name.clone(), v.clone())),
-                None => drop(map.remove(name)),
+                Some(v) => map.insert(name.clone(), v.clone()),
+                None => map.remove(name),
             }
         }
         match self {
-            Self::Zone(name, v) => put(&mut config.zones, name, v),
-            Self::Host(name, v) => put(&mut config.hosts, name, v),
-            Self::Service(name, v) => put(&mut config.services, name, v),
-            Self::Pipeline(name, v) => put(&mut config.pipelines, name, v),
-            Self::Workspace(name, v) => put(&mut config.workspaces, name, v),
+            Self::Zone(name, v) => Self::Zone(name.clone(), put(&mut config.zones, name, v)),
+            Self::Host(name, v) => Self::Host(name.clone(), put(&mut config.hosts, name, v)),
+            Self::Service(name, v) => {
+                Self::Service(name.clone(), put(&mut config.services, name, v))
+            }
+            Self::Pipeline(name, v) => {
+                Self::Pipeline(name.clone(), put(&mut config.pipelines, name, v))
+            }
+            Self::Workspace(name, v) => {
+                Self::Workspace(name.clone(), put(&mut config.workspaces, name, v))
+            }
         }
     }
+
+    /// Returns the object that the modification touches.
+    pub fn object(&self) -> Object {
+        let (kind, name) = match self {
+            Self::Zone(name, _) => (ObjectKind::Zone, name),
+            Self::Host(name, _) => (ObjectKind::Host, name),
+            Self::Service(name, _) => (ObjectKind::Service, name),
+            Self::Pipeline(name, _) => (ObjectKind::Pipeline, name),
+            Self::Workspace(name, _) => (ObjectKind::Workspace, name),
+        };
+        Object { kind, name: name.clone() }
+    }
+
+    /// Returns whether the modification removes its object.
+    pub fn is_removal(&self) -> bool {
+        matches!(
+            self,
+            Self::Zone(_, None)
+                | Self::Host(_, None)
+                | Self::Service(_, None)
+                | Self::Pipeline(_, None)
+                | Self::Workspace(_, None)
+        )
+    }
 }
 
 /// A change as an operator submits it; applied whole or not at all.
@@ -63,10 +93,20 @@
     pub id: ChangeId,
     /// The revision that the change was made against.
     pub base: Revision,
+    /// The end of the log when the change was made; old changes expire by it.
+    pub seen: Offset,
     /// Who submitted the change.
     pub author: Name,
+    /// When the operator's command submitted the change, in milliseconds of Unix time.
+    ///
+    /// Only the audit trail shows it; no decision reads it.
+    #[serde(default)]
+    pub submitted_ms: u64,
     /// Why the change was made.
     pub reason: String,
+    /// Whether the operator allows the dangers that [`dangers`](super::dangers) finds.
+    #[serde(default)]
+    pub force: bool,
     /// The modifications, applied in order.
     pub edits: Vec<Edit>,
 }
--- a/src/limpetmux/core/config/check.rs
+++ b/src/limpetmux/core/config/check.rs
@@ -1,12 +1,15 @@
 //! Checks that hold for every configuration in force.
 //!
 //! The same function runs at the operator's command and in the fold on every node, so that all
-//! nodes give the same verdict on a change.
+//! nodes give the same verdict on a change. A rule is part of the record format: adding or
+//! changing one needs a new [`FORMAT`](super::FORMAT), or nodes of two versions would disagree.
 
 use super::{Config, Name, PipelineSpec, StageKind};
+use serde::{Deserialize, Serialize};
 
 /// A rule that a configuration breaks.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[serde(rename_all = "snake_case")]
 pub enum ConfigError {
     /// A host stands in a zone that is not declared.
     #[error("host `{host}` stands in unknown availability zone `{zone}`")]
--- a/src/limpetmux/core/config/mod.rs
+++ b/src/limpetmux/core/config/mod.rs
@@ -6,11 +6,29 @@
 
 mod change;
 mod check;
+mod danger;
+mod diff;
+mod fold;
+mod ledger;
+mod object;
+pub mod record;
+mod replica;
+mod snapshot;
 mod spec;
+mod tail;
 
 pub use change::{Change, ChangeId, Edit};
 pub use check::{ConfigError, check};
+pub use danger::{Coverage, Danger, dangers};
+pub use diff::{Ownership, diff};
+pub use fold::{Fold, FoldError, Step, WINDOW_RECORDS};
+pub use ledger::{Entry, EntryKind, Ledger, Rejection, Verdict};
+pub use object::{Object, ObjectKind};
+pub use record::FORMAT;
+pub use replica::{Asked, Delta, Position, Progress, Replica};
+pub use snapshot::{Snapshot, snapshot_delay};
 pub use spec::{
     Config, Fencing, HostSpec, Name, PipelineSpec, ServiceSpec, StageKind, StageSpec,
     WorkspaceSpec, ZoneSpec,
 };
+pub use tail::Tail;
--- /dev/null
+++ b/src/limpetmux/core/config/record.rs
@@ -0,0 +1,123 @@
+//! The bytes of a configuration record in the platform log.
+//!
+//! A record is a JSON envelope with a format number, so that a log stays readable with ordinary
+//! tools. The format number is the rolling-upgrade rule: a record whose format is above the one
+//! activated in the log is rejected by nodes of every version alike, whether they could decode it
+//! or not. Operators activate a format once all nodes run a version that knows it. See
+//! `docs/design/configuration.md`.
+
+use super::{Change, ChangeId, Name, Snapshot};
+use serde::{Deserialize, Serialize};
+
+/// The newest record format that this version of the program knows.
+pub const FORMAT: u32 = 1;
+/// The record format that is active in an empty log.
+pub const FIRST_FORMAT: u32 = 1;
+/// The longest record that is folded, in bytes.
+pub const RECORD_BYTES: usize = 4 << 20;
+
+/// Activates a record format.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Activation {
+    /// Identifies the record, as in a [`Change`].
+    pub id: ChangeId,
+    /// The format to activate.
+    pub format: u32,
+    /// Who submitted the record.
+    pub author: Name,
+    /// When it was submitted, in milliseconds of Unix time.
+    pub submitted_ms: u64,
+}
+
+/// Gives up a change id, so that an append that is still under way can have no effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Void {
+    /// The change id to give up.
+    pub id: ChangeId,
+    /// Who submitted the record.
+    pub author: Name,
+    /// When it was submitted, in milliseconds of Unix time.
+    pub submitted_ms: u64,
+}
+
+/// What a record says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Body {
+    /// An operator's change.
+    Change(Change),
+    /// The state that all records below an offset lead to.
+    Snapshot(Box<Snapshot>),
+    /// The activation of a record format.
+    Format(Activation),
+    /// A change id that is given up.
+    Void(Void),
+}
+
+/// Why bytes are no record.
+#[derive(Debug, thiserror::Error)]
+pub enum RecordError {
+    /// The bytes are no JSON envelope of a known format.
+    #[error("the record cannot be decoded")]
+    Json(#[from] serde_json::Error),
+    /// The record is longer than [`RECORD_BYTES`].
+    #[error("the record has {bytes} bytes, above {RECORD_BYTES}")]
+    Length {
+        /// The record's length.
+        bytes: usize,
+    },
+    /// This version of the program does not know the format.
+    #[error("record format {version} is unknown to this version")]
+    Version {
+        /// The record's format.
+        version: u32,
+    },
+}
+
+#[derive(Deserialize)]
+struct Head {
+    version: u32,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Envelope<B> {
+    version: u32,
+    body: B,
+}
+
+/// Reads the format number of a record.
+///
+/// # Errors
+/// Returns [`RecordError`] if the bytes are too long or no envelope.
+pub fn version(data: &[u8]) -> Result<u32, RecordError> {
+    if data.len() > RECORD_BYTES {
+        return Err(RecordError::Length { bytes: data.len() });
+    }
+    Ok(serde_json::from_slice::<Head>(data)?.version)
+}
+
+/// Decodes a record of a format that this version knows.
+///
+/// # Errors
+/// Returns [`RecordError`] if the format is unknown or the bytes do not follow it.
+pub fn decode(data: &[u8]) -> Result<Body, RecordError> {
+    match version(data)? {
+        FIRST_FORMAT..=FORMAT => Ok(serde_json::from_slice::<Envelope<Body>>(data)?.body),
+        version => Err(RecordError::Version { version }),
+    }
+}
+
+/// Encodes a record in the format that is activated, so that older nodes decode it too.
+///
+/// # Errors
+/// Returns [`RecordError`] if the record is longer than [`RECORD_BYTES`].
+pub fn encode(body: &Body, format: u32) -> Result<Vec<u8>, RecordError> {
+    let data = serde_json::to_vec(&Envelope { version: format.min(FORMAT), body })?;
+    if data.len() > RECORD_BYTES {
+        return Err(RecordError::Length { bytes: data.len() });
+    }
+    Ok(data)
+}
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -28,6 +28,36 @@
     // 1xx: configuration.
     /// A new configuration revision is in force.
     RevisionInForce = 100,
+    /// A configuration record was rejected.
+    #[strum(props(level = "warn"))]
+    ChangeRejected = 101,
+    /// The platform log does not answer; configuration is taken from peers.
+    #[strum(props(level = "warn"))]
+    LogUnreachable = 102,
+    /// The platform log answers again.
+    LogReachable = 103,
+    /// The platform log was lost or created anew; nothing is folded from it.
+    #[strum(props(level = "error"))]
+    LogReset = 104,
+    /// Configuration records are gone from the log; a snapshot is needed.
+    #[strum(props(level = "warn"))]
+    RecordsMissing = 105,
+    /// A configuration snapshot replaced the state of this node.
+    SnapshotAdopted = 106,
+    /// A configuration snapshot was appended to the log.
+    SnapshotWritten = 107,
+    /// A configuration snapshot could not be appended.
+    #[strum(props(level = "warn"))]
+    SnapshotFailed = 108,
+    /// A configuration snapshot in the log belongs to another history.
+    #[strum(props(level = "error"))]
+    SnapshotForeign = 109,
+    /// A configuration record needs a newer version of the program.
+    #[strum(props(level = "error"))]
+    FormatUnknown = 110,
+    /// A peer holds another configuration history.
+    #[strum(props(level = "error"))]
+    PeerDiverged = 111,
 
     // 2xx: requests.
     /// A request was refused.
--- a/src/limpetmux/wire/mod.rs
+++ b/src/limpetmux/wire/mod.rs
@@ -8,3 +8,9 @@
 #[rustfmt::skip]
 #[path = "gen/limpetmux.stage.v1.rs"]
 pub mod stage;
+
+/// Exchange of configuration records between nodes.
+#[allow(missing_docs, clippy::all, clippy::pedantic, rust_2018_idioms)]
+#[rustfmt::skip]
+#[path = "gen/limpetmux.peer.v1.rs"]
+pub mod peer;
