Test the fold and the control service

Cause: the fold, the replica and the control service had no tests. Change: tests of each verdict of the fold, and of the control service against a log in the process with outage, lost answers, retention and re-creation; the log client of the tests is a fake with a switch for each fault.

--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -1,1 +1,14 @@
-//! Support.
+//! Fixtures by functions, shared by the test suite, the benchmarks and the experiments.
+//!
+//! [`config`] builds configurations in the shape of the two deployments that the system serves
+//! today; [`cases`] draws many cases from fixed seeds; [`changes`] makes configuration records;
+//! [`fake_log`] is a platform log in the process.
+
+pub mod cases;
+pub mod changes;
+pub mod config;
+pub mod fake_log;
+
+pub use cases::check_cases;
+pub use config::{name, sample_config, small_config};
+pub use fake_log::FakeLog;
--- a/src/limpetmux/control/mod.rs
+++ b/src/limpetmux/control/mod.rs
@@ -86,7 +86,8 @@
 ) -> Result<(Control, Service), KernelError> {
     let queue = kernel.register(ServiceId::Control, QUEUE_MESSAGES)?;
     let port = kernel.find(ServiceId::Control)?;
-    let (view, status) = (Publisher::new(View::default()), Publisher::new(ControlStatus::default()));
+    let (view, status) =
+        (Publisher::new(View::default()), Publisher::new(ControlStatus::default()));
     let control = Control { view: view.reader(), status: status.reader(), port };
     Ok((control, Service::new(log, options, queue, view, status)))
 }
--- a/src/limpetmux/core/config/change.rs
+++ b/src/limpetmux/core/config/change.rs
@@ -1,6 +1,8 @@
 //! One operator change: a set of edits against a base revision.
 
-use super::{Config, HostSpec, Name, Object, ObjectKind, PipelineSpec, ServiceSpec, WorkspaceSpec, ZoneSpec};
+use super::{
+    Config, HostSpec, Name, Object, ObjectKind, PipelineSpec, ServiceSpec, WorkspaceSpec, ZoneSpec,
+};
 use crate::core::revision::{Offset, Revision};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
