--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,9 @@
 //! The integration tests, one module per subject.
 
+#![allow(clippy::expect_used, clippy::unwrap_used)]
+
 mod config_fold;
 mod control;
 mod kernel;
+mod planner;
+mod standins;
