--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -4,11 +4,19 @@
 //! today; [`sized`] builds larger ones for slopes and bounds; [`cases`] draws many cases from fixed seeds.
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
+//! today; [`cases`] draws many cases from fixed seeds; [`changes`] makes configuration records;
+//! [`fake_log`] is a platform log in the process.
 
 pub mod cases;
+pub mod changes;
 pub mod config;
 pub mod sized;
 
 pub use cases::check_cases;
 pub use config::{sample_config, small_config};
 pub use sized::{Size, sized_config};
+pub mod fake_log;
+
+pub use cases::check_cases;
+pub use config::{name, sample_config, small_config};
+pub use fake_log::FakeLog;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
+mod config_fold;
+mod control;
 mod kernel;
 mod planner;
 mod standins;
