--- a/src/limpetmux/core/routing/mod.rs
+++ b/src/limpetmux/core/routing/mod.rs
@@ -1,1 +1,226 @@
 //! Choice of a backend server for a stage.
+//!
+//! Each entry owns one [`Router`] and asks it for a host per stage attempt. The router weighs the
+//! entry's own calls in flight, the load that sidecars report in replies and probes (discounted by
+//! its age), prompt-prefix affinity and availability zones. Every choice is a hint: the sidecar
+//! decides. State is kept per host name in [`SlotKey`]s that outlive a configuration view. The
+//! rules are in `docs/design/routing.md`.
+
+mod choice;
+mod outlier;
+mod slot;
+mod subset;
+
+pub use slot::{Ending, SlotKey};
+pub use subset::{EntryPlace, subset};
+
+use crate::core::admission::Load;
+use crate::core::arena::Arena;
+use crate::core::config::Name;
+use crate::core::keys::{HostKey, ServiceKey, ZoneKey};
+use crate::core::revision::Revision;
+use crate::core::time::Moment;
+use crate::core::verdict::RefusalCode;
+use crate::core::view::View;
+use rand::Rng;
+use slot::Slot;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How an entry routes.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// Where the entry stands among all entries.
+    pub place: EntryPlace,
+    /// Hosts of the entry's own zone that it considers, per service.
+    pub local: usize,
+    /// Hosts of each other zone that it considers, per service.
+    pub remote: usize,
+}
+
+impl RouterSettings {
+    /// Hosts of the own zone in a subset.
+    pub const LOCAL_HOSTS: usize = 32;
+    /// Hosts of each other zone in a subset.
+    pub const REMOTE_HOSTS: usize = 8;
+
+    /// Returns the usual settings for an entry.
+    pub fn new(place: EntryPlace) -> Self {
+        Self { place, local: Self::LOCAL_HOSTS, remote: Self::REMOTE_HOSTS }
+    }
+}
+
+/// What a stage needs of a host.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// The service that runs the stage.
+    pub service: ServiceKey,
+    /// The hash of the prompt prefix, if the stage gains from a prefix cache.
+    pub affinity: Option<u64>,
+    /// Hosts that must not be chosen, such as those that have refused the stage.
+    pub exclude: &'a [HostKey],
+}
+
+/// A chosen host. The call counts as in flight until [`Router::finished`] is called for the slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// The host, in the view that was passed.
+    pub host: HostKey,
+    /// The host's record in the router, valid across views.
+    pub slot: SlotKey,
+}
+
+/// The slots of one service that this entry considers.
+#[derive(Clone, Debug, Default)]
+struct Pool {
+    local: Vec<(HostKey, SlotKey)>,
+    remote: Vec<(HostKey, SlotKey)>,
+    /// All other hosts, used only when none of the subset can be.
+    rest: Vec<(HostKey, SlotKey)>,
+}
+
+/// Chooses hosts for one entry.
+#[derive(Clone, Debug)]
+pub struct Router {
+    settings: RouterSettings,
+    revision: Option<Revision>,
+    slots: Arena<SlotKey, Slot>,
+    names: BTreeMap<Name, SlotKey>,
+    pools: Arena<ServiceKey, Pool>,
+}
+
+impl Router {
+    /// Creates a router that knows no host yet.
+    pub fn new(settings: RouterSettings) -> Self {
+        Self {
+            settings,
+            revision: None,
+            slots: Arena::new(),
+            names: BTreeMap::new(),
+            pools: Arena::new(),
+        }
+    }
+
+    /// Chooses a host and counts the call as in flight there.
+    ///
+    /// `usable` tells whether a host can be reached at all, as far as the entry knows from other
+    /// sources such as the platform's host list. Returns `None` if no host is left to try.
+    pub fn pick(
+        &mut self,
+        now: Moment,
+        view: &View,
+        query: Query<'_>,
+        usable: impl Fn(HostKey) -> bool,
+        rng: &mut impl Rng,
+    ) -> Option<Pick> {
+        self.adopt(view);
+        let pick = self.choose(now, view, query, usable, rng)?;
+        self.slots[pick.slot].started();
+        Some(pick)
+    }
+
+    /// Records the end of a call that [`pick`](Self::pick) chose the slot for.
+    pub fn finished(&mut self, now: Moment, slot: SlotKey, ending: Ending) {
+        let eject = self.slots.get_mut(slot).is_some_and(|s| s.finished(now, ending));
+        if eject {
+            self.eject(now, slot);
+        }
+    }
+
+    /// Records a load report, of the given age when it arrived.
+    pub fn report(&mut self, now: Moment, slot: SlotKey, load: Load, age: Duration) {
+        if let Some(s) = self.slots.get_mut(slot) {
+            s.report(now - age, load);
+        }
+    }
+
+    /// Records a refusal of the sidecar, without ending the call.
+    pub fn refused(
+        &mut self,
+        now: Moment,
+        slot: SlotKey,
+        code: RefusalCode,
+        retry_after: Option<Duration>,
+    ) {
+        if let Some(s) = self.slots.get_mut(slot) {
+            s.refused(now, code, retry_after);
+        }
+    }
+
+    /// Returns the slot of a host, if the router has seen a view that declares it.
+    pub fn slot(&self, host: &Name) -> Option<SlotKey> {
+        self.names.get(host).copied()
+    }
+
+    /// Returns the number of the entry's own calls in flight at a host.
+    pub fn inflight(&self, slot: SlotKey) -> u32 {
+        self.slots.get(slot).map_or(0, |s| s.inflight)
+    }
+
+    /// Returns whether a host is ejected as an outlier.
+    pub fn is_ejected(&self, now: Moment, slot: SlotKey) -> bool {
+        self.slots.get(slot).is_some_and(|s| s.outlier.is_ejected(now))
+    }
+
+    /// Chooses up to `count` hosts of the service's subset whose load was not reported of late,
+    /// oldest first, so that a few probes per second keep the picture fresh.
+    pub fn probes(&self, now: Moment, service: ServiceKey, count: usize) -> Vec<HostKey> {
+        let Some(pool) = self.pools.get(service) else { return Vec::new() };
+        let mut stale: Vec<(Moment, HostKey)> = (pool.local.iter().chain(&pool.remote))
+            .map(|(host, slot)| (self.slots[*slot].reported_at(), *host))
+            .filter(|(at, _)| now.since(*at) > slot::PROBE_AGE)
+            .collect();
+        stale.sort_unstable();
+        stale.into_iter().take(count).map(|(_, host)| host).collect()
+    }
+
+    /// Rebuilds the pools for a new view; state of hosts is found again by their names.
+    fn adopt(&mut self, view: &View) {
+        if self.revision == Some(view.revision) {
+            return;
+        }
+        self.revision = Some(view.revision);
+        self.forget_removed(view);
+        self.pools = view.services.keys().map(|s| self.build_pool(view, s)).collect();
+    }
+
+    fn build_pool(&mut self, view: &View, service: ServiceKey) -> Pool {
+        let mut pool = Pool::default();
+        let home = view.zone(self.settings.place.zone.as_str());
+        for zone in view.zones.keys() {
+            let is_local = Some(zone) == home;
+            let size = if is_local { self.settings.local } else { self.settings.remote };
+            let hosts = zone_hosts(view, service, zone);
+            let names: Vec<&Name> = hosts.iter().map(|h| &view.hosts[*h].name).collect();
+            let chosen = subset(&self.settings.place, &view.zones[zone].name, &names, size);
+            for (index, host) in hosts.iter().enumerate() {
+                let entry = (*host, self.intern(&view.hosts[*host].name));
+                match (chosen.binary_search(&index).is_ok(), is_local) {
+                    (true, true) => pool.local.push(entry),
+                    (true, false) => pool.remote.push(entry),
+                    (false, _) => pool.rest.push(entry),
+                }
+            }
+        }
+        pool
+    }
+
+    fn intern(&mut self, name: &Name) -> SlotKey {
+        if let Some(slot) = self.names.get(name) {
+            return *slot;
+        }
+        let slot = self.slots.push(Slot::new(name));
+        self.names.insert(name.clone(), slot);
+        slot
+    }
+
+    /// Forgets names that the view no longer declares; their slots stay for late feedback.
+    fn forget_removed(&mut self, view: &View) {
+        self.names.retain(|name, _| view.host(name.as_str()).is_some());
+    }
+}
+
+fn zone_hosts(view: &View, service: ServiceKey, zone: ZoneKey) -> Vec<HostKey> {
+    let hosts = &view.services[service].hosts;
+    hosts.iter().copied().filter(|h| view.hosts[*h].zone == zone).collect()
+}
--- /dev/null
+++ b/tests/testsuite/admission.rs
@@ -0,0 +1,301 @@
+//! Admission keeps limits, loses no call and shares fairly.
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use limpetmux::core::admission::{
+    Admission, Admitted, Cancelled, Offer, Outcome, Report, Step, Ticket,
+};
+use limpetmux::core::time::Moment;
+use limpetmux::core::verdict::{Execution, RefusalCode};
+use limpetmux_test_support::policy::{at, limits, ms, offer, seeds};
+use std::collections::{BTreeMap, BTreeSet};
+
+const WARM: Report = Report { incarnation: 1, cold: false, age: std::time::Duration::ZERO };
+
+/// An admission that has grown to its full concurrency at moment zero.
+fn warm(concurrency: u32, cold: u32) -> Admission {
+    let mut admission = Admission::new(at(0), limits(concurrency, cold));
+    admission.observe(at(0), WARM);
+    for _ in 0..concurrency * 4 {
+        let Admitted::Start(ticket) = admission.offer(at(0), offer(1, at(60_000))) else { break };
+        admission.finish(at(0) + ms(10), ticket, Outcome::Done);
+    }
+    admission
+}
+
+/// Offers calls until `count` are on the backend server and returns their tickets.
+fn fill(admission: &mut Admission, now: Moment, count: u32) -> Vec<Ticket> {
+    let start = |_| match admission.offer(now, offer(1, now + ms(60_000))) {
+        Admitted::Start(ticket) => ticket,
+        other => panic!("{other:?}"),
+    };
+    (0..count).map(start).collect()
+}
+
+/// Where each call of a run stands, checked after every step.
+#[derive(Default)]
+struct Book {
+    queued: BTreeSet<Ticket>,
+    running: BTreeMap<Ticket, Moment>,
+    ended: BTreeSet<Ticket>,
+}
+
+impl Book {
+    fn begin(&mut self, now: Moment, ticket: Ticket, limit: u32) {
+        assert!(!self.ended.contains(&ticket), "started after its end");
+        assert!(self.running.insert(ticket, now).is_none(), "started twice");
+        assert!(self.running.len() <= limit as usize, "started beyond the limit");
+    }
+
+    fn end(&mut self, ticket: Ticket) {
+        assert!(self.ended.insert(ticket), "ended twice");
+    }
+
+    fn apply(&mut self, now: Moment, admission: &Admission, step: Step) {
+        for (ticket, refusal) in step.refused {
+            assert!(self.queued.remove(&ticket), "refused a call that was not queued");
+            assert_eq!(refusal.execution, Execution::NotRun);
+            self.end(ticket);
+        }
+        for ticket in step.start {
+            assert!(self.queued.remove(&ticket), "started a call that was not queued");
+            self.begin(now, ticket, admission.limit());
+        }
+        assert_eq!(admission.load().inflight as usize, self.running.len());
+        assert_eq!(admission.load().queued as usize, self.queued.len());
+    }
+
+    fn any_running(&self, u: &mut Unstructured<'_>) -> Result<Option<Ticket>> {
+        let tickets: Vec<Ticket> = self.running.keys().copied().collect();
+        if tickets.is_empty() { Ok(None) } else { u.choose(&tickets).copied().map(Some) }
+    }
+}
+
+fn arbitrary_offer(u: &mut Unstructured<'_>, now: Moment) -> Result<Offer> {
+    Ok(Offer {
+        weight: u.int_in_range(1..=4)?,
+        priority: u.int_in_range(0..=2)?,
+        work: u.int_in_range(1..=8)?,
+        ..offer(u.int_in_range(0..=5)?, now + ms(u.int_in_range(0..=400)?))
+    })
+}
+
+fn act(u: &mut Unstructured<'_>, now: Moment, a: &mut Admission, book: &mut Book) -> Result<()> {
+    match u.int_in_range(0..=11)? {
+        0..=5 => match a.offer(now, arbitrary_offer(u, now)?) {
+            Admitted::Start(ticket) => book.begin(now, ticket, a.limit()),
+            Admitted::Queued(ticket) => assert!(book.queued.insert(ticket)),
+            Admitted::Refused(refusal) => assert_eq!(refusal.execution, Execution::NotRun),
+        },
+        6..=8 => {
+            let outcomes = [Outcome::Done, Outcome::Failed, Outcome::Saturated, Outcome::Cancelled];
+            if let Some(ticket) = book.any_running(u)? {
+                a.finish(now, ticket, *u.choose(&outcomes)?);
+                book.running.remove(&ticket);
+                book.end(ticket);
+            }
+        }
+        9 => {
+            if let Some(ticket) = book.queued.first().copied() {
+                assert_eq!(a.cancel(ticket), Cancelled::NeverStarts);
+                book.queued.remove(&ticket);
+                book.end(ticket);
+            }
+        }
+        10 => a.observe(now, Report { incarnation: u.int_in_range(1..=2)?, ..WARM }),
+        _ => {
+            a.set_draining(u.ratio(1, 4)?);
+            a.set_zone(u.ratio(3, 4)?);
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn every_call_starts_or_ends_once_within_the_limit() {
+    for seed in seeds(200, 2_000) {
+        arbtest(|u| {
+            let mut admission = Admission::new(at(0), limits(6, 2));
+            let mut book = Book::default();
+            let mut now = at(0);
+            while !u.is_empty() {
+                now = now + ms(u.int_in_range(0..=30)?);
+                act(u, now, &mut admission, &mut book)?;
+                let step = admission.next(now);
+                book.apply(now, &admission, step);
+            }
+            now = now + ms(1_000);
+            let step = admission.next(now);
+            book.apply(now, &admission, step);
+            assert!(book.queued.is_empty(), "queued calls outlive their deadlines");
+            Ok(())
+        })
+        .seed(seed)
+        .run();
+    }
+}
+
+#[test]
+fn unknown_backend_server_counts_as_cold() {
+    let mut admission = Admission::new(at(0), limits(8, 2));
+
+    fill(&mut admission, at(0), 2);
+
+    let third = admission.offer(at(0), offer(1, at(1_000)));
+    assert!(matches!(third, Admitted::Queued(_)), "{third:?}");
+}
+
+#[test]
+fn new_incarnation_is_cold_until_reported_warm() {
+    let mut admission = warm(8, 2);
+    let restarted = Report { incarnation: 2, cold: true, ..WARM };
+
+    admission.observe(at(100), restarted);
+    assert_eq!(admission.limit(), 2);
+    // A report that was taken before the restart was seen proves nothing.
+    admission.observe(at(200), Report { cold: false, age: ms(150), ..restarted });
+    assert_eq!(admission.limit(), 2);
+    admission.observe(at(300), Report { cold: false, ..restarted });
+    for ticket in fill(&mut admission, at(300), 2) {
+        admission.finish(at(310), ticket, Outcome::Done);
+    }
+
+    assert_eq!(admission.limit(), 4);
+}
+
+#[test]
+fn late_first_outputs_mean_a_cold_start() {
+    let mut admission = warm(8, 2);
+    let tickets = fill(&mut admission, at(100), 6);
+
+    for ticket in &tickets[..3] {
+        admission.first_output(at(400), *ticket);
+    }
+
+    assert_eq!(admission.limit(), 2);
+}
+
+#[test]
+fn missing_first_outputs_mean_a_cold_start() {
+    let mut admission = warm(8, 2);
+    fill(&mut admission, at(100), 6);
+
+    let wake = admission.next(at(100)).wake.expect("overdue calls are looked at");
+    admission.next(wake + ms(1));
+
+    assert_eq!(admission.limit(), 2);
+}
+
+#[test]
+fn failures_in_a_row_mean_a_cold_start() {
+    let mut admission = warm(8, 2);
+
+    for ticket in fill(&mut admission, at(100), 5) {
+        admission.finish(at(110), ticket, Outcome::Failed);
+    }
+
+    assert_eq!(admission.limit(), 2);
+}
+
+#[test]
+fn limit_shrinks_when_first_outputs_slow_down_and_recovers() {
+    let mut admission = warm(32, 32);
+    let mut now = at(1_000);
+    let mut run = |admission: &mut Admission, rounds: u32, took: u64| {
+        for _ in 0..rounds {
+            let count = admission.limit();
+            for ticket in fill(admission, now, count) {
+                admission.finish(now + ms(took), ticket, Outcome::Done);
+            }
+            now = now + ms(took);
+        }
+    };
+    run(&mut admission, 8, 10);
+    assert_eq!(admission.limit(), 32);
+
+    run(&mut admission, 16, 30);
+    let slow = admission.limit();
+    run(&mut admission, 64, 10);
+
+    assert!(slow <= 16, "{slow}");
+    assert_eq!(admission.limit(), 32);
+}
+
+#[test]
+fn draining_refuses_the_queue_and_keeps_what_runs() {
+    let mut admission = warm(2, 2);
+    let running = fill(&mut admission, at(100), 2);
+    let Admitted::Queued(waiting) = admission.offer(at(100), offer(1, at(5_000))) else { panic!() };
+
+    admission.set_draining(true);
+    let step = admission.next(at(100));
+
+    assert_eq!(step.refused.len(), 1);
+    assert_eq!(step.refused[0].0, waiting);
+    assert_eq!(step.refused[0].1.code, RefusalCode::Draining);
+    assert!(!admission.is_idle());
+    for ticket in running {
+        admission.finish(at(200), ticket, Outcome::Done);
+    }
+    assert!(admission.is_idle());
+}
+
+#[test]
+fn call_that_cannot_start_in_time_is_refused_at_once() {
+    let mut admission = warm(2, 2);
+    fill(&mut admission, at(100), 2);
+
+    let hopeless = admission.offer(at(100), offer(1, at(112)));
+
+    let Admitted::Refused(refusal) = hopeless else { panic!("{hopeless:?}") };
+    assert_eq!(refusal.code, RefusalCode::Overloaded);
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn higher_priority_displaces_the_least_valuable_call_of_a_full_queue() {
+    let mut admission = warm(1, 1);
+    fill(&mut admission, at(100), 1);
+    let queued: Vec<Admitted> =
+        (0..64).map(|_| admission.offer(at(100), offer(1, at(60_000)))).collect();
+    let urgent = Offer { priority: 1, ..offer(2, at(60_000)) };
+
+    let admitted = admission.offer(at(100), urgent);
+    let step = admission.next(at(100));
+
+    assert!(matches!(admitted, Admitted::Queued(_)));
+    let shed: Vec<Admitted> = step.refused.iter().map(|(t, _)| Admitted::Queued(*t)).collect();
+    assert_eq!(shed, queued[63..]);
+}
+
+#[test]
+fn workspaces_share_by_weight_whatever_they_offer() {
+    let mut admission = warm(4, 4);
+    let mut started = BTreeMap::from([(1, 0_u32), (2, 0)]);
+    let mut flows = BTreeMap::new();
+    let mut running = Vec::new();
+    for round in 0..400 {
+        let now = at(1_000 + round * 10);
+        // Flow 1 has weight 3 and offers little more than it gets; flow 2 offers ten times that.
+        let offers = [(1, 3, 4), (2, 1, 40)];
+        for (flow, weight, count) in offers {
+            for _ in 0..count {
+                let call = Offer { weight, ..offer(flow, now + ms(100)) };
+                match admission.offer(now, call) {
+                    Admitted::Start(t) => running.push((t, flow)),
+                    Admitted::Queued(t) => drop(flows.insert(t, flow)),
+                    Admitted::Refused(_) => {}
+                }
+            }
+        }
+        let end = now + ms(10);
+        for (ticket, flow) in std::mem::take(&mut running) {
+            *started.get_mut(&flow).unwrap() += 1;
+            admission.finish(end, ticket, Outcome::Done);
+        }
+        running.extend(admission.next(end).start.into_iter().map(|t| (t, flows[&t])));
+    }
+
+    let (first, second) = (started[&1], started[&2]);
+    assert!(first * 10 >= second * 27 && first * 10 <= second * 33, "{first} to {second}");
+}
