--- a/src/limpetmux/core/routing/mod.rs
+++ b/src/limpetmux/core/routing/mod.rs
@@ -57,11 +57,13 @@
     pub service: ServiceKey,
     /// The hash of the prompt prefix, if the stage gains from a prefix cache.
     pub affinity: Option<u64>,
-    /// Hosts that must not be chosen, such as those that have refused the stage.
+    /// Hosts to leave out, such as those that have refused the stage.
     pub exclude: &'a [HostKey],
 }
 
-/// A chosen host. The call counts as in flight until [`Router::finished`] is called for the slot.
+/// The host to send to.
+///
+/// The call counts as in flight until [`Router::finished`] is called for the slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pick {
     /// The host, in the view that was passed.
