--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,11 @@
 //! The integration tests, one module per subject.
 
+#![allow(clippy::expect_used, clippy::unwrap_used)]
+
 mod admission;
 mod budget;
 mod cost;
 mod kernel;
+mod planner;
 mod routing;
+mod standins;
