--- a/crates/limpetmux-test-support/src/policy.rs
+++ b/crates/limpetmux-test-support/src/policy.rs
@@ -1,8 +1,9 @@
 //! Fixtures for tests of admission, routing, budgets and cost.
 
+use crate::config::name;
 use limpetmux::core::admission::{FlowId, Limits, Offer};
 use limpetmux::core::config::{
-    Config, Fencing, HostSpec, Name, PipelineSpec, ServiceSpec, StageKind, StageSpec, ZoneSpec,
+    Config, Fencing, HostSpec, PipelineSpec, ServiceSpec, StageKind, StageSpec, ZoneSpec,
 };
 use limpetmux::core::revision::Revision;
 use limpetmux::core::time::Moment;
@@ -13,17 +14,6 @@
 /// The service of [`pool_config`].
 pub const POOL: &str = "writer";
 
-/// Returns seeds for `arbtest`, each of `bytes` of randomness.
-pub fn seeds(count: u64, bytes: u32) -> impl Iterator<Item = u64> {
-    const SPREAD: u64 = 0x9e37_79b9_0000_0000;
-    (1..=count).map(move |i| (i.wrapping_mul(SPREAD) & !0xffff_ffff) | u64::from(bytes))
-}
-
-/// Returns a checked name.
-pub fn name(text: &str) -> Name {
-    Name::new(text).unwrap_or_else(|e| panic!("{e}"))
-}
-
 /// Returns a moment in milliseconds.
 pub fn at(ms: u64) -> Moment {
     Moment::from_millis(ms)
--- a/tests/testsuite/admission.rs
+++ b/tests/testsuite/admission.rs
@@ -1,13 +1,13 @@
 //! Admission keeps limits, loses no call and shares fairly.
 
 use arbtest::arbitrary::{Result, Unstructured};
-use arbtest::arbtest;
 use limpetmux::core::admission::{
     Admission, Admitted, Cancelled, Offer, Outcome, Report, Step, Ticket,
 };
 use limpetmux::core::time::Moment;
 use limpetmux::core::verdict::{Execution, RefusalCode};
-use limpetmux_test_support::policy::{at, limits, ms, offer, seeds};
+use limpetmux_test_support::check_cases;
+use limpetmux_test_support::policy::{at, limits, ms, offer};
 use std::collections::{BTreeMap, BTreeSet};
 
 const WARM: Report = Report { incarnation: 1, cold: false, age: std::time::Duration::ZERO };
@@ -113,26 +113,22 @@
 
 #[test]
 fn every_call_starts_or_ends_once_within_the_limit() {
-    for seed in seeds(200, 2_000) {
-        arbtest(|u| {
-            let mut admission = Admission::new(at(0), limits(6, 2));
-            let mut book = Book::default();
-            let mut now = at(0);
-            while !u.is_empty() {
-                now = now + ms(u.int_in_range(0..=30)?);
-                act(u, now, &mut admission, &mut book)?;
-                let step = admission.next(now);
-                book.apply(now, &admission, step);
-            }
-            now = now + ms(1_000);
+    check_cases(200, |u| {
+        let mut admission = Admission::new(at(0), limits(6, 2));
+        let mut book = Book::default();
+        let mut now = at(0);
+        while !u.is_empty() {
+            now = now + ms(u.int_in_range(0..=30)?);
+            act(u, now, &mut admission, &mut book)?;
             let step = admission.next(now);
             book.apply(now, &admission, step);
-            assert!(book.queued.is_empty(), "queued calls outlive their deadlines");
-            Ok(())
-        })
-        .seed(seed)
-        .run();
-    }
+        }
+        now = now + ms(1_000);
+        let step = admission.next(now);
+        book.apply(now, &admission, step);
+        assert!(book.queued.is_empty(), "queued calls outlive their deadlines");
+        Ok(())
+    });
 }
 
 #[test]
--- a/tests/testsuite/budget.rs
+++ b/tests/testsuite/budget.rs
@@ -1,10 +1,10 @@
 //! Time budgets refuse early, and retries stay within their share.
 
-use arbtest::arbtest;
 use limpetmux::core::admission::FlowId;
 use limpetmux::core::budget::{Retry, RetryBudget, StageId, StageTimes};
 use limpetmux::core::verdict::{Refusal, RefusalCode};
-use limpetmux_test_support::policy::{at, ms, name, seeds};
+use limpetmux_test_support::policy::{at, ms};
+use limpetmux_test_support::{check_cases, config::name};
 
 const FIRST: StageId = StageId(1);
 const SECOND: StageId = StageId(2);
@@ -74,28 +74,24 @@
 
 #[test]
 fn retries_stay_within_their_share_of_fresh_requests() {
-    for seed in seeds(50, 4_000) {
-        arbtest(|u| {
-            let mut budget = RetryBudget::new();
-            let pools = [name("writer"), name("ranker")];
-            let (mut fresh, mut retries) = ([0_u32; 2], [0_u32; 2]);
-            while !u.is_empty() {
-                let pool = u.int_in_range(0..=1)?;
-                let flow = FlowId(u.int_in_range(0..=2)?);
-                if u.arbitrary()? {
-                    budget.fresh(flow, &pools[pool]);
-                    fresh[pool] += 1;
-                } else if budget.spend(flow, &pools[pool]) == Retry::Allowed {
-                    retries[pool] += 1;
-                }
-                // A tenth at most, and the two attempts that an unused budget holds.
-                assert!(retries[pool] <= fresh[pool] / 10 + 2, "{retries:?} of {fresh:?}");
+    check_cases(50, |u| {
+        let mut budget = RetryBudget::new();
+        let pools = [name("writer"), name("ranker")];
+        let (mut fresh, mut retries) = ([0_u32; 2], [0_u32; 2]);
+        while !u.is_empty() {
+            let pool = u.int_in_range(0..=1)?;
+            let flow = FlowId(u.int_in_range(0..=2)?);
+            if u.arbitrary()? {
+                budget.fresh(flow, &pools[pool]);
+                fresh[pool] += 1;
+            } else if budget.spend(flow, &pools[pool]) == Retry::Allowed {
+                retries[pool] += 1;
             }
-            Ok(())
-        })
-        .seed(seed)
-        .run();
-    }
+            // A tenth at most, and the two attempts that an unused budget holds.
+            assert!(retries[pool] <= fresh[pool] / 10 + 2, "{retries:?} of {fresh:?}");
+        }
+        Ok(())
+    });
 }
 
 #[test]
--- a/tests/testsuite/cost.rs
+++ b/tests/testsuite/cost.rs
@@ -1,8 +1,8 @@
 //! The costs of calls add up to the price of the busy time.
 
-use arbtest::arbtest;
 use limpetmux::core::cost::{Ledger, Meter};
-use limpetmux_test_support::policy::{at, ms, name, seeds};
+use limpetmux_test_support::policy::{at, ms};
+use limpetmux_test_support::{check_cases, config::name};
 
 #[test]
 fn calls_at_once_share_the_price() {
@@ -18,30 +18,26 @@
 
 #[test]
 fn no_cost_is_lost_or_counted_twice() {
-    for seed in seeds(50, 500) {
-        arbtest(|u| {
-            let price = 3_000_000;
-            let mut meter = Meter::new(at(0), price);
-            let (mut now, mut marks, mut sum, mut calls) = (at(0), Vec::new(), 0, 0);
-            while !u.is_empty() {
-                now = now + ms(u.int_in_range(0..=50)?);
-                if marks.is_empty() || u.arbitrary()? {
-                    marks.push(meter.enter(now));
-                    calls += 1;
-                } else {
-                    let mark = marks.swap_remove(u.choose_index(marks.len())?);
-                    sum += meter.leave(now, mark);
-                }
+    check_cases(50, |u| {
+        let price = 3_000_000;
+        let mut meter = Meter::new(at(0), price);
+        let (mut now, mut marks, mut sum, mut calls) = (at(0), Vec::new(), 0, 0);
+        while !u.is_empty() {
+            now = now + ms(u.int_in_range(0..=50)?);
+            if marks.is_empty() || u.arbitrary()? {
+                marks.push(meter.enter(now));
+                calls += 1;
+            } else {
+                let mark = marks.swap_remove(u.choose_index(marks.len())?);
+                sum += meter.leave(now, mark);
             }
-            sum += marks.into_iter().map(|m| meter.leave(now, m)).sum::<u64>();
-            let total = sum + meter.idle(now);
-            let exact = now.as_micros() * price / 1_000_000;
-            assert!(total <= exact && total + calls + 1 >= exact, "{total} of {exact}");
-            Ok(())
-        })
-        .seed(seed)
-        .run();
-    }
+        }
+        sum += marks.into_iter().map(|m| meter.leave(now, m)).sum::<u64>();
+        let total = sum + meter.idle(now);
+        let exact = now.as_micros() * price / 1_000_000;
+        assert!(total <= exact && total + calls + 1 >= exact, "{total} of {exact}");
+        Ok(())
+    });
 }
 
 #[test]
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -1,6 +1,5 @@
 //! Routing spreads load, keeps to zones and prefixes, and never ejects a whole pool.
 
-use arbtest::arbtest;
 use limpetmux::core::admission::Load;
 use limpetmux::core::config::{Config, Name};
 use limpetmux::core::keys::HostKey;
@@ -10,7 +9,8 @@
 use limpetmux::core::time::Moment;
 use limpetmux::core::verdict::RefusalCode;
 use limpetmux::core::view::View;
-use limpetmux_test_support::policy::{POOL, at, ms, name, pool_config, seeds, view};
+use limpetmux_test_support::policy::{POOL, at, ms, pool_config, view};
+use limpetmux_test_support::{check_cases, config::name};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
@@ -94,24 +94,20 @@
 
 #[test]
 fn subset_holds_no_host_twice() {
-    for seed in seeds(100, 64) {
-        arbtest(|u| {
-            let hosts: Vec<Name> =
-                (0..u.int_in_range(1..=60)?).map(|h| name(&format!("host-{h}"))).collect();
-            let hosts: Vec<&Name> = hosts.iter().collect();
-            let size = u.int_in_range(1..=70)?;
-            let place = EntryPlace { zone: name("mnl-a"), ordinal: u.int_in_range(0..=400)? };
-
-            let chosen = subset(&place, &name("mnl-b"), &hosts, size);
-
-            let distinct: BTreeSet<usize> = chosen.iter().copied().collect();
-            assert_eq!(distinct.len(), size.min(hosts.len()));
-            assert_eq!(distinct.len(), chosen.len());
-            Ok(())
-        })
-        .seed(seed)
-        .run();
-    }
+    check_cases(100, |u| {
+        let hosts: Vec<Name> =
+            (0..u.int_in_range(1..=60)?).map(|h| name(&format!("host-{h}"))).collect();
+        let hosts: Vec<&Name> = hosts.iter().collect();
+        let size = u.int_in_range(1..=70)?;
+        let place = EntryPlace { zone: name("mnl-a"), ordinal: u.int_in_range(0..=400)? };
+
+        let chosen = subset(&place, &name("mnl-b"), &hosts, size);
+
+        let distinct: BTreeSet<usize> = chosen.iter().copied().collect();
+        assert_eq!(distinct.len(), size.min(hosts.len()));
+        assert_eq!(distinct.len(), chosen.len());
+        Ok(())
+    });
 }
 
 #[test]
@@ -194,26 +190,22 @@
 
 #[test]
 fn never_ejects_more_than_a_third_of_a_pool() {
-    for seed in seeds(60, 600) {
-        arbtest(|u| {
-            let count = u.int_in_range(1..=12)?;
-            let mut scene = Scene::new(&pool_config(&[("mnl-a", count)], 10, 2));
-            let slots = scene.slots();
-            let mut now = at(0);
-            while !u.is_empty() {
-                now = now + ms(u.int_in_range(0..=300)?);
-                let slot = *u.choose(&slots)?;
-                scene.fail(now, slot, u.int_in_range(1..=6)?);
-                let ejected = slots.iter().filter(|s| scene.router.is_ejected(now, **s)).count();
-                assert!(ejected <= count / 3, "{ejected} of {count}");
-                let pick = scene.pick(now);
-                scene.router.finished(now, pick.slot, Ending::Neutral);
-            }
-            Ok(())
-        })
-        .seed(seed)
-        .run();
-    }
+    check_cases(60, |u| {
+        let count = u.int_in_range(1..=12)?;
+        let mut scene = Scene::new(&pool_config(&[("mnl-a", count)], 10, 2));
+        let slots = scene.slots();
+        let mut now = at(0);
+        while !u.is_empty() {
+            now = now + ms(u.int_in_range(0..=300)?);
+            let slot = *u.choose(&slots)?;
+            scene.fail(now, slot, u.int_in_range(1..=6)?);
+            let ejected = slots.iter().filter(|s| scene.router.is_ejected(now, **s)).count();
+            assert!(ejected <= count / 3, "{ejected} of {count}");
+            let pick = scene.pick(now);
+            scene.router.finished(now, pick.slot, Ending::Neutral);
+        }
+        Ok(())
+    });
 }
 
 #[test]
