--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -6,11 +6,14 @@
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 //! today; [`cases`] draws many cases from fixed seeds; [`changes`] makes configuration records;
 //! [`fake_log`] is a platform log in the process.
+//! today; [`cases`] draws many cases from fixed seeds; [`policy`] builds what decisions under load
+//! need.
 
 pub mod cases;
 pub mod changes;
 pub mod config;
 pub mod sized;
+pub mod policy;
 
 pub use cases::check_cases;
 pub use config::{sample_config, small_config};
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,10 @@
 
 mod config_fold;
 mod control;
+mod admission;
+mod budget;
+mod cost;
 mod kernel;
 mod planner;
+mod routing;
 mod standins;
