--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,10 +2,10 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
-mod config_fold;
-mod control;
 mod admission;
 mod budget;
+mod config_fold;
+mod control;
 mod cost;
 mod kernel;
 mod planner;
