--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,8 +2,14 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
+mod admission;
+mod budget;
+mod config_fold;
+mod control;
+mod cost;
 mod kernel;
 mod membership;
 mod planner;
 mod shutdown;
+mod routing;
 mod standins;
