--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,6 @@
 mod kernel;
 mod membership;
 mod planner;
-mod shutdown;
 mod routing;
+mod shutdown;
 mod standins;
