Add the admin interface with drain and status, and two design notes

Cause: operators have to end a process without cutting a request and see the fleet in one place. Change: proto/admin.proto (Drain, Status), its service, the verbs drain and status, and the notes on membership and shutdown. stage.proto's Load names the sidecar's process, since a backend server's incarnation outlives its sidecar. Conclusion: tests over TCP show that a drain waits for the last request and that status lists a process that does not answer.

--- a/src/bin/limpetmux/cli.rs
+++ b/src/bin/limpetmux/cli.rs
@@ -13,12 +13,16 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Verb {
+    Drain(commands::drain::DrainArgs),
+    Status(commands::status::StatusArgs),
     Version(commands::version::VersionArgs),
 }
 
 /// Runs the chosen verb.
 pub fn exec(cli: Cli) -> miette::Result<()> {
     match cli.verb {
+        Verb::Drain(args) => commands::drain::exec(args),
+        Verb::Status(args) => commands::status::exec(args),
         Verb::Version(args) => commands::version::exec(args),
     }
 }
--- a/src/bin/limpetmux/commands/mod.rs
+++ b/src/bin/limpetmux/commands/mod.rs
@@ -1,3 +1,5 @@
 //! One module per verb: its arguments and its `exec`.
 
+pub mod drain;
+pub mod status;
 pub mod version;
--- /dev/null
+++ b/src/bin/limpetmux/commands/status.rs
@@ -0,0 +1,31 @@
+//! `limpetmux status`
+
+use argh::FromArgs;
+use limpetmux::ops::status::{status, table};
+use miette::IntoDiagnostic;
+use std::net::SocketAddr;
+
+/// Show hosts, zones, revisions and their lag, cold and draining backend servers, attainment and
+/// cost by stage.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusArgs {
+    /// the gRPC address of an entry or a sidecar; entries name the sidecars of all hosts
+    #[argh(positional)]
+    nodes: Vec<SocketAddr>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Asks the processes and prints what they report.
+pub fn exec(args: StatusArgs) -> miette::Result<()> {
+    let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
+    let fleet = runtime.block_on(status(&args.nodes));
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&fleet).into_diagnostic()?);
+    } else {
+        print!("{}", table(&fleet));
+    }
+    Ok(())
+}
--- a/src/limpetmux/lib.rs
+++ b/src/limpetmux/lib.rs
@@ -9,6 +9,7 @@
 //! read. See `docs/README.md` for a map of the pages.
 
 pub mod adapters;
+pub mod admin;
 pub mod claims;
 pub mod control;
 pub mod core;
--- /dev/null
+++ b/src/limpetmux/ops/admin_client.rs
@@ -0,0 +1,49 @@
+//! Calls to the admin interface of a process.
+
+use crate::wire::admin::admin_client::AdminClient;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tonic::transport::{Channel, Endpoint};
+
+/// The time allowed to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// An operator's command that got no answer.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum AdminError {
+    /// The address cannot be connected to.
+    #[error("cannot connect to {addr}")]
+    #[diagnostic(help("give the gRPC address of a running entry or sidecar"))]
+    Connect {
+        /// The address.
+        addr: SocketAddr,
+        /// Why not.
+        #[source]
+        source: tonic::transport::Error,
+    },
+    /// The process did not answer.
+    #[error("{addr} gave no answer")]
+    NoAnswer {
+        /// The address.
+        addr: SocketAddr,
+        /// Why not.
+        #[source]
+        source: Box<tonic::Status>,
+    },
+}
+
+/// Connects to the admin interface of a process.
+///
+/// # Errors
+/// Returns [`AdminError::Connect`] if no connection can be made.
+pub async fn connect(addr: SocketAddr) -> Result<AdminClient<Channel>, AdminError> {
+    let error = |source| AdminError::Connect { addr, source };
+    let endpoint = Endpoint::from_shared(format!("http://{addr}")).map_err(error)?;
+    let channel = endpoint.connect_timeout(CONNECT_TIMEOUT).connect().await.map_err(error)?;
+    Ok(AdminClient::new(channel))
+}
+
+/// Makes an error of a call that failed.
+pub(super) fn no_answer(addr: SocketAddr) -> impl FnOnce(tonic::Status) -> AdminError {
+    move |source| AdminError::NoAnswer { addr, source: Box::new(source) }
+}
--- /dev/null
+++ b/src/limpetmux/ops/drain.rs
@@ -0,0 +1,38 @@
+//! `limpetmux drain`: ends one process without cutting a request.
+
+use super::admin_client::{AdminError, connect, no_answer};
+use crate::core::shutdown::DrainReport;
+use crate::wire::admin::DrainRequest;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The process exits with something left undone.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+#[error(
+    "{addr} drained with {} requests unfinished and records {}",
+    report.unfinished,
+    if report.flushed { "flushed" } else { "not flushed" }
+)]
+#[diagnostic(help("see the events of the process; give a longer --deadline next time"))]
+pub struct DrainUnclean {
+    /// The process.
+    pub addr: SocketAddr,
+    /// How the drain went.
+    pub report: DrainReport,
+}
+
+/// Orders a drain and waits until the process is about to exit.
+///
+/// # Errors
+/// Returns [`AdminError`] if the process cannot be reached or exits before it answers.
+pub async fn drain(
+    addr: SocketAddr,
+    deadline: Option<Duration>,
+) -> Result<DrainReport, AdminError> {
+    let mut client = connect(addr).await?;
+    let ms = deadline.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
+    let reply = client.drain(DrainRequest { deadline_ms: ms }).await.map_err(no_answer(addr))?;
+    let reply = reply.into_inner();
+    let (took_us, unfinished, flushed) = (reply.took_us, reply.unfinished, reply.flushed);
+    Ok(DrainReport { took_us, unfinished, flushed })
+}
--- a/src/limpetmux/ops/mod.rs
+++ b/src/limpetmux/ops/mod.rs
@@ -1,1 +1,5 @@
 //! One function per operator command.
+
+pub mod admin_client;
+pub mod drain;
+pub mod status;
--- a/src/limpetmux/wire/gen/limpetmux.stage.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.stage.v1.rs
@@ -151,6 +151,9 @@
     /// Smoothed time from dispatch to first output.
     #[prost(uint64, tag = "7")]
     pub first_us: u64,
+    /// Identifies this run of the sidecar's process; zero if not known.
+    #[prost(uint64, tag = "8")]
+    pub process: u64,
 }
 /// Generated client implementations.
 pub mod stage_client {
--- a/src/limpetmux/wire/mod.rs
+++ b/src/limpetmux/wire/mod.rs
@@ -3,6 +3,12 @@
 //! The modules below are generated from `proto/*.proto` by `cargo run -p xtask -- codegen` and
 //! committed. One module stands for one protocol package.
 
+/// Operators' commands to one process.
+#[allow(missing_docs, clippy::all, clippy::pedantic, rust_2018_idioms)]
+#[rustfmt::skip]
+#[path = "gen/limpetmux.admin.v1.rs"]
+pub mod admin;
+
 /// Stage execution between an entry and a sidecar.
 #[allow(missing_docs, clippy::all, clippy::pedantic, rust_2018_idioms)]
 #[rustfmt::skip]
--- /dev/null
+++ b/tests/testsuite/admin.rs
@@ -0,0 +1,152 @@
+//! Operators reach processes over the admin interface.
+
+use expect_test::expect;
+use futures::FutureExt;
+use limpetmux::admin::AdminService;
+use limpetmux::core::shutdown::ShutdownOptions;
+use limpetmux::kernel::Kernel;
+use limpetmux::ops;
+use limpetmux::shutdown::{ShutdownHooks, register};
+use limpetmux::wire::admin::{Attainment, BackendRow, HostRow, StageRow, StatusReply, ZoneRow};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+
+/// Serves the admin interface of a process that runs `running` requests.
+async fn serve(
+    running: Arc<AtomicU32>,
+    reply: StatusReply,
+) -> (SocketAddr, tokio::task::JoinHandle<()>) {
+    let kernel = Kernel::new();
+    let nothing = || ();
+    let hooks = ShutdownHooks {
+        unready: Arc::new(nothing),
+        refuse: Arc::new(nothing),
+        running: Arc::new(move || running.load(Ordering::SeqCst)),
+        flush: Arc::new(|| async { true }.boxed()),
+    };
+    let (service, port) = register(&kernel, ShutdownOptions::SIDECAR, hooks).unwrap();
+    let admin = AdminService::server(port, Arc::new(move || reply.clone()));
+    let incoming = TcpIncoming::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let addr = incoming.local_addr().unwrap();
+    let process = tokio::spawn(async move {
+        let _kernel = kernel;
+        let ended = service.run(std::future::pending()).map(drop);
+        let server = Server::builder().add_service(admin);
+        server.serve_with_incoming_shutdown(incoming, ended).await.unwrap();
+    });
+    (addr, process)
+}
+
+fn sidecar_reply() -> StatusReply {
+    StatusReply {
+        node: "generate-0".to_owned(),
+        role: "sidecar".to_owned(),
+        zone: "mnl-a".to_owned(),
+        revision: 7,
+        running: 3,
+        backend: Some(BackendRow { inflight: 3, queued: 2, limit: 2, cold: true, incarnation: 9 }),
+        ..StatusReply::default()
+    }
+}
+
+fn entry_reply() -> StatusReply {
+    let host = HostRow {
+        host: "generate-0".to_owned(),
+        zone: "mnl-a".to_owned(),
+        service: "generate".to_owned(),
+        state: "leaving".to_owned(),
+        cause: "drained".to_owned(),
+        since_ms: 4_200,
+        ..HostRow::default()
+    };
+    let zone = ZoneRow {
+        zone: "mnl-a".to_owned(),
+        region: "ph-luzon".to_owned(),
+        serving: true,
+        hosts: 1,
+        usable: 0,
+    };
+    let stage = StageRow {
+        pipeline: "call-summary".to_owned(),
+        stage: "generate".to_owned(),
+        attempts: 12,
+        busy_us: 3_400_000,
+        cost: 3_400,
+    };
+    StatusReply {
+        node: "entry-0".to_owned(),
+        role: "entry".to_owned(),
+        zone: "mnl-b".to_owned(),
+        revision: 9,
+        newest: 9,
+        phase: "running".to_owned(),
+        hosts: vec![host],
+        zones: vec![zone],
+        stages: vec![stage],
+        attainment: Some(Attainment { attained: 11, late: 1, refused: 0 }),
+        ..StatusReply::default()
+    }
+}
+
+#[tokio::test]
+async fn drain_waits_for_the_last_request_and_ends_the_process() {
+    let running = Arc::new(AtomicU32::new(1));
+    let (addr, process) = serve(Arc::clone(&running), sidecar_reply()).await;
+
+    let order = tokio::spawn(ops::drain::drain(addr, None));
+    while ops::status::status(&[addr]).await.nodes[0].phase != "draining" {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let waits = !order.is_finished();
+    running.store(0, Ordering::SeqCst);
+    let report = order.await.unwrap().unwrap();
+    process.await.unwrap();
+
+    assert!(waits && report.is_clean(), "{report:?}");
+}
+
+#[tokio::test]
+async fn status_lists_a_process_that_does_not_answer() {
+    let (addr, process) = serve(Arc::default(), sidecar_reply()).await;
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+
+    let fleet = ops::status::status(&[addr, closed]).await;
+
+    let mut roles: Vec<&str> = fleet.nodes.iter().map(|n| n.role.as_str()).collect();
+    roles.sort_unstable();
+    assert_eq!(roles, ["sidecar", "unreachable"]);
+    process.abort();
+}
+
+#[test]
+fn status_table_shows_lag_cold_and_draining() {
+    let addr = |port: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    let answers =
+        [(addr(1), Some(entry_reply())), (addr(2), Some(sidecar_reply())), (addr(3), None)];
+
+    let text = ops::status::table(&ops::status::combine(&answers));
+
+    expect![[r#"
+        ZONE   REGION    SERVING  USABLE
+        mnl-a  ph-luzon  in       0/1
+
+        HOST        ZONE   SERVICE   STATE    CAUSE    SINCE
+        generate-0  mnl-a  generate  leaving  drained  4s
+
+        NODE        ROLE         ADDRESS      PHASE    REVISION  LAG  RUNNING  QUEUED  LIMIT  COLD
+        entry-0     entry        127.0.0.1:1  running  r9        0    0        0       0      false
+        generate-0  sidecar      127.0.0.1:2           r7        2    3        2       2      true
+                    unreachable  127.0.0.1:3           r0        -    0        0       0      false
+
+        PIPELINE      STAGE     ATTEMPTS  BUSY_MS  COST
+        call-summary  generate  12        3400     3400
+
+        ATTAINED  LATE  REFUSED
+        11        1     0
+
+    "#]].assert_eq(&text);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
+mod admin;
 mod admission;
 mod budget;
 mod config_fold;
