Add the frame assembler and the backend and log clients

The request path needs pure frame checks and clients that speak docs/PROTOCOLS.md. Adds core/frames, the HTTP adapters and conversions of the stage protocol; payloads are Bytes in the generated stage code so that they are not copied per hop.

--- a/crates/xtask/src/codegen.rs
+++ b/crates/xtask/src/codegen.rs
@@ -31,6 +31,7 @@
     tonic_prost_build::configure()
         .out_dir(root.join("src/limpetmux/wire/gen"))
         .btree_map(".")
+        .bytes(".limpetmux.stage.v1")
         .compile_fds(descriptors)?;
     Ok(())
 }
--- /dev/null
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -0,0 +1,246 @@
+//! Speaks the HTTP protocols of model engines, pools and plain services.
+
+use super::backend::{Backend, BackendError, Chunk, ChunkStream, Job, LoadReport};
+use super::sse::DataLines;
+use crate::core::config::{Fencing, StageKind};
+use crate::core::frames::AttemptKey;
+use bytes::Bytes;
+use futures::{FutureExt, StreamExt, future::BoxFuture, stream, stream::BoxStream};
+use reqwest::{Client, RequestBuilder, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The most bytes of one answer, or of one line of a streamed answer.
+const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
+/// The most time that a load report may take.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Backend {
+    /// Creates a client that speaks `docs/PROTOCOLS.md` to the server at a base URL.
+    pub fn http(client: Client, base: &str) -> Self {
+        let base: Arc<str> = base.trim_end_matches('/').into();
+        let (run_client, run_base) = (client.clone(), Arc::clone(&base));
+        let (cancel_client, cancel_base) = (client.clone(), Arc::clone(&base));
+        Self {
+            run: Arc::new(move |job| run(run_client.clone(), Arc::clone(&run_base), job)),
+            cancel: Arc::new(move |key| {
+                cancel(cancel_client.clone(), Arc::clone(&cancel_base), key).boxed()
+            }),
+            load: Arc::new(move || load(client.clone(), Arc::clone(&base)).boxed()),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct InputBody<'a> {
+    input: &'a RawValue,
+}
+
+#[derive(Serialize)]
+struct CompletionBody<'a> {
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: u32,
+    stream: bool,
+    priority: u32,
+    request_id: String,
+    prefix: &'a [String],
+}
+
+#[derive(Deserialize)]
+struct CompletionEvent {
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    text: String,
+    finish_reason: Option<String>,
+}
+
+#[derive(Serialize)]
+struct CancelBody {
+    request_id: String,
+}
+
+#[derive(Deserialize)]
+struct CancelAnswer {
+    cancelled: bool,
+}
+
+fn run(
+    client: Client,
+    base: Arc<str>,
+    job: Job,
+) -> BoxFuture<'static, Result<ChunkStream, BackendError>> {
+    async move {
+        match job.kind {
+            StageKind::Generate => generate(&client, &base, &job).await,
+            _ => call(&client, &base, &job).await,
+        }
+    }
+    .boxed()
+}
+
+fn path_of(kind: StageKind) -> &'static str {
+    match kind {
+        StageKind::Encode => "/v1/embeddings",
+        StageKind::Retrieve => "/v1/search",
+        StageKind::Rerank => "/v1/rerank",
+        StageKind::Generate => "/v1/completions",
+        StageKind::Plain => "/v1/call",
+    }
+}
+
+async fn call(client: &Client, base: &str, job: &Job) -> Result<ChunkStream, BackendError> {
+    let input: &RawValue = serde_json::from_slice(&job.input).map_err(BackendError::Malformed)?;
+    let mut request = client.post(format!("{base}{}", path_of(job.kind)));
+    if job.kind == StageKind::Plain {
+        request = request.header("x-attempt-id", job.key.to_string());
+        if let Some((fence, Fencing::Checked)) = job.fence {
+            request = request.header("x-fence", fence);
+        }
+    }
+    let answer = send(request.json(&InputBody { input })).await?;
+    let payload = read_whole(answer).await?;
+    Ok(stream::once(async move { Ok(Chunk { payload, tokens: 0 }) }).boxed())
+}
+
+async fn read_whole(mut answer: Response) -> Result<Bytes, BackendError> {
+    let first = answer.chunk().await.map_err(BackendError::Lost)?.unwrap_or_default();
+    let Some(second) = answer.chunk().await.map_err(BackendError::Lost)? else {
+        return Ok(first);
+    };
+    let mut whole = Vec::from(first);
+    whole.extend_from_slice(&second);
+    while let Some(part) = answer.chunk().await.map_err(BackendError::Lost)? {
+        whole.extend_from_slice(&part);
+        if whole.len() > ANSWER_LIMIT {
+            return Err(BackendError::Oversize { limit: ANSWER_LIMIT });
+        }
+    }
+    Ok(whole.into())
+}
+
+async fn generate(client: &Client, base: &str, job: &Job) -> Result<ChunkStream, BackendError> {
+    let text = std::str::from_utf8(&job.input).unwrap_or_default();
+    let prompt: String = serde_json::from_str(text).unwrap_or_else(|_| text.to_owned());
+    let body = CompletionBody {
+        model: job.model.as_ref().map_or("", |m| m.as_str()),
+        prompt: &prompt,
+        max_tokens: job.tokens,
+        stream: true,
+        priority: job.priority,
+        request_id: job.key.to_string(),
+        prefix: &job.prefix,
+    };
+    let request = client.post(format!("{base}{}", path_of(job.kind)));
+    let answer = send(request.json(&body)).await?;
+    Ok(tokens(answer.bytes_stream().boxed()))
+}
+
+struct Tokens {
+    body: BoxStream<'static, reqwest::Result<Bytes>>,
+    lines: DataLines,
+    ready: VecDeque<Chunk>,
+    finished: bool,
+    ended: bool,
+}
+
+/// Turns the body of a streamed completion into one chunk per token.
+fn tokens(body: BoxStream<'static, reqwest::Result<Bytes>>) -> ChunkStream {
+    let state = Tokens {
+        body,
+        lines: DataLines::default(),
+        ready: VecDeque::new(),
+        finished: false,
+        ended: false,
+    };
+    stream::unfold(state, |mut state| async move {
+        let item = next_token(&mut state).await?;
+        state.ended |= item.is_err();
+        Some((item, state))
+    })
+    .boxed()
+}
+
+async fn next_token(state: &mut Tokens) -> Option<Result<Chunk, BackendError>> {
+    loop {
+        if let Some(chunk) = state.ready.pop_front() {
+            return Some(Ok(chunk));
+        }
+        if state.ended {
+            return None;
+        }
+        match state.lines.pop() {
+            Some(line) => {
+                if let Err(error) = read_event(state, &line) {
+                    return Some(Err(error));
+                }
+            }
+            None => match state.body.next().await {
+                Some(Ok(bytes)) => state.lines.push(&bytes),
+                Some(Err(error)) => return Some(Err(BackendError::Lost(error))),
+                None => return Some(Err(BackendError::Truncated)),
+            },
+        }
+        if state.lines.pending() > ANSWER_LIMIT {
+            return Some(Err(BackendError::Oversize { limit: ANSWER_LIMIT }));
+        }
+    }
+}
+
+fn read_event(state: &mut Tokens, line: &[u8]) -> Result<(), BackendError> {
+    if line == b"[DONE]" {
+        state.ended = true;
+        return if state.finished { Ok(()) } else { Err(BackendError::Truncated) };
+    }
+    let event: CompletionEvent = serde_json::from_slice(line).map_err(BackendError::Malformed)?;
+    for choice in event.choices {
+        state.finished |= choice.finish_reason.is_some();
+        if !choice.text.is_empty() {
+            state.ready.push_back(Chunk { payload: choice.text.into(), tokens: 1 });
+        }
+    }
+    Ok(())
+}
+
+async fn cancel(client: Client, base: Arc<str>, key: AttemptKey) -> Result<bool, BackendError> {
+    let body = CancelBody { request_id: key.to_string() };
+    let answer = send(client.post(format!("{base}/v1/cancel")).json(&body)).await?;
+    let answer: CancelAnswer = answer.json().await.map_err(BackendError::Lost)?;
+    Ok(answer.cancelled)
+}
+
+async fn load(client: Client, base: Arc<str>) -> Result<LoadReport, BackendError> {
+    let request = client.get(format!("{base}/v1/load")).timeout(LOAD_TIMEOUT);
+    send(request).await?.json().await.map_err(BackendError::Lost)
+}
+
+async fn send(request: RequestBuilder) -> Result<Response, BackendError> {
+    let answer = request.send().await.map_err(|error| {
+        if error.is_connect() { BackendError::Unreachable(error) } else { BackendError::Lost(error) }
+    })?;
+    let status = answer.status();
+    if status.is_success() {
+        return Ok(answer);
+    }
+    let retry_after = retry_after(&answer);
+    let status_code = status.as_u16();
+    Err(match status {
+        StatusCode::CONFLICT => BackendError::Fenced,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            BackendError::Refused { status: status_code, retry_after }
+        }
+        _ => BackendError::Failed { status: status_code },
+    })
+}
+
+/// Reads the `Retry-After` header of an answer, in whole seconds.
+pub(super) fn retry_after(answer: &Response) -> Option<Duration> {
+    let value = answer.headers().get(reqwest::header::RETRY_AFTER)?;
+    value.to_str().ok()?.parse().ok().map(Duration::from_secs)
+}
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -4,4 +4,8 @@
 //! shape of a protocol reaches `core`. The protocols spoken by default are written down in
 //! `docs/PROTOCOLS.md`.
 
+pub mod backend;
+mod backend_http;
 pub mod log;
+mod log_http;
+mod sse;
--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod config;
 pub mod cost;
+pub mod frames;
 pub mod keys;
 pub mod membership;
 pub mod once;
--- /dev/null
+++ b/src/limpetmux/wire/convert.rs
@@ -0,0 +1,80 @@
+//! Conversions between the messages of the stage protocol and the types of `core`.
+
+use super::stage;
+use crate::core::frames::{AttemptKey, Close, RequestId};
+use crate::core::keys::StageIndex;
+use crate::core::verdict::{Execution, Refusal, RefusalCode};
+use bytes::Bytes;
+use std::time::Duration;
+use uuid::Uuid;
+
+/// A message that does not follow the stage protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum WireError {
+    /// The attempt's identity is missing or malformed.
+    #[error("the attempt id is missing or malformed")]
+    Attempt,
+}
+
+impl From<AttemptKey> for stage::AttemptId {
+    fn from(key: AttemptKey) -> Self {
+        Self {
+            request: Bytes::copy_from_slice(key.request.0.as_bytes()),
+            stage: u32::from(key.stage.0),
+            attempt: key.attempt,
+        }
+    }
+}
+
+impl TryFrom<&stage::AttemptId> for AttemptKey {
+    type Error = WireError;
+
+    fn try_from(id: &stage::AttemptId) -> Result<Self, WireError> {
+        let request = Uuid::from_slice(&id.request).map_err(|_| WireError::Attempt)?;
+        let stage = u8::try_from(id.stage).map_err(|_| WireError::Attempt)?;
+        Ok(Self {
+            request: RequestId(request),
+            stage: StageIndex(stage),
+            attempt: id.attempt,
+        })
+    }
+}
+
+/// Reads the attempt that a message belongs to.
+///
+/// # Errors
+/// Returns [`WireError::Attempt`] if it is missing or malformed.
+pub fn attempt(id: Option<&stage::AttemptId>) -> Result<AttemptKey, WireError> {
+    id.ok_or(WireError::Attempt)?.try_into()
+}
+
+impl From<&stage::Done> for Close {
+    fn from(done: &stage::Done) -> Self {
+        Self { count: done.count, checksum: done.checksum }
+    }
+}
+
+/// Writes a refusal as a message.
+pub fn refused(refusal: Refusal, load: Option<stage::Load>) -> stage::Refused {
+    stage::Refused {
+        code: refusal.code.to_string(),
+        execution: refusal.execution.to_string(),
+        retry_after_us: refusal.retry_after.map_or(0, micros),
+        load,
+    }
+}
+
+/// Reads a refusal; one that cannot be read is taken as a failure with unknown outcome.
+pub fn refusal(message: &stage::Refused) -> Refusal {
+    Refusal {
+        code: message.code.parse().unwrap_or(RefusalCode::Failed),
+        execution: message.execution.parse().unwrap_or(Execution::Unknown),
+        retry_after: (message.retry_after_us > 0)
+            .then(|| Duration::from_micros(message.retry_after_us)),
+    }
+}
+
+/// Returns a duration in whole microseconds, saturating.
+pub fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/src/limpetmux/wire/gen/limpetmux.stage.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.stage.v1.rs
@@ -3,8 +3,8 @@
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct AttemptId {
     /// The request's UUID, 16 bytes.
-    #[prost(bytes = "vec", tag = "1")]
-    pub request: ::prost::alloc::vec::Vec<u8>,
+    #[prost(bytes = "bytes", tag = "1")]
+    pub request: ::prost::bytes::Bytes,
     /// The stage's position in its pipeline.
     #[prost(uint32, tag = "2")]
     pub stage: u32,
@@ -30,8 +30,8 @@
     #[prost(uint64, tag = "6")]
     pub remaining_us: u64,
     /// The stage's input.
-    #[prost(bytes = "vec", tag = "7")]
-    pub input: ::prost::alloc::vec::Vec<u8>,
+    #[prost(bytes = "bytes", tag = "7")]
+    pub input: ::prost::bytes::Bytes,
     /// Tokens that an earlier attempt delivered, to be continued.
     #[prost(string, repeated, tag = "8")]
     pub prefix: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
@@ -77,8 +77,8 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Data {
-    #[prost(bytes = "vec", tag = "1")]
-    pub payload: ::prost::alloc::vec::Vec<u8>,
+    #[prost(bytes = "bytes", tag = "1")]
+    pub payload: ::prost::bytes::Bytes,
     /// The number of tokens in the payload.
     #[prost(uint32, tag = "2")]
     pub tokens: u32,
--- a/src/limpetmux/wire/mod.rs
+++ b/src/limpetmux/wire/mod.rs
@@ -8,3 +8,5 @@
 #[rustfmt::skip]
 #[path = "gen/limpetmux.stage.v1.rs"]
 pub mod stage;
+
+pub mod convert;
