Add the sidecar: gate, attempts, frames and the gRPC service

Every call to a backend server has to pass one gate. The sidecar checks zone, host and pipeline, waits for room, runs the call and numbers its frames; a cancel that comes first leaves a tombstone.

--- /dev/null
+++ b/src/limpetmux/sidecar/attempts.rs
@@ -0,0 +1,138 @@
+//! Remembers which attempts run and which were cancelled before they arrived.
+
+use crate::core::frames::AttemptKey;
+use crate::core::verdict::Execution;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::oneshot;
+
+/// The most ended or cancelled attempts that are remembered.
+const REMEMBERED: usize = 16_384;
+
+/// The attempt was cancelled before the backend server was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the attempt was cancelled before it ran")]
+pub struct Cancelled;
+
+#[derive(Debug)]
+enum State {
+    Waiting(oneshot::Sender<()>),
+    Dispatched(oneshot::Sender<()>),
+    Ended,
+    Tombstone,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    states: BTreeMap<AttemptKey, State>,
+    order: VecDeque<AttemptKey>,
+}
+
+/// The attempts of one sidecar.
+#[derive(Clone, Debug, Default)]
+pub struct Attempts {
+    table: Arc<Mutex<Table>>,
+}
+
+/// Keeps an attempt registered until it is dropped.
+#[derive(Debug)]
+pub struct Registration {
+    key: AttemptKey,
+    table: Arc<Mutex<Table>>,
+}
+
+fn lock(table: &Mutex<Table>) -> MutexGuard<'_, Table> {
+    table.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Attempts {
+    /// Registers an attempt and returns the signal that tells of its cancel.
+    ///
+    /// # Errors
+    /// Returns [`Cancelled`] if a cancel came first or the attempt is already known.
+    pub fn begin(
+        &self,
+        key: AttemptKey,
+    ) -> Result<(Registration, oneshot::Receiver<()>), Cancelled> {
+        let mut table = lock(&self.table);
+        if table.states.contains_key(&key) {
+            return Err(Cancelled);
+        }
+        let (sender, receiver) = oneshot::channel();
+        table.states.insert(key, State::Waiting(sender));
+        Ok((Registration { key, table: Arc::clone(&self.table) }, receiver))
+    }
+
+    /// Cancels an attempt, or leaves a tombstone that keeps it from starting.
+    ///
+    /// The answer is [`Execution::NotRun`] only if the backend server was and will not be asked.
+    pub fn cancel(&self, key: AttemptKey) -> Execution {
+        let mut table = lock(&self.table);
+        match table.states.remove(&key) {
+            None | Some(State::Tombstone) => {
+                table.remember(key, State::Tombstone);
+                Execution::NotRun
+            }
+            Some(State::Waiting(signal)) => {
+                // The receiver is gone only if the attempt ended at this moment.
+                let _ = signal.send(());
+                table.states.insert(key, State::Tombstone);
+                Execution::NotRun
+            }
+            Some(State::Dispatched(signal)) => {
+                let _ = signal.send(());
+                table.states.insert(key, State::Ended);
+                Execution::Unknown
+            }
+            Some(State::Ended) => {
+                table.states.insert(key, State::Ended);
+                Execution::Unknown
+            }
+        }
+    }
+}
+
+impl Registration {
+    /// Marks the attempt as handed to the backend server.
+    ///
+    /// # Errors
+    /// Returns [`Cancelled`] if a cancel came first; the backend server must not be asked then.
+    pub fn dispatch(&self) -> Result<(), Cancelled> {
+        let mut table = lock(&self.table);
+        match table.states.remove(&self.key) {
+            Some(State::Waiting(signal)) => {
+                table.states.insert(self.key, State::Dispatched(signal));
+                Ok(())
+            }
+            other => {
+                table.states.extend(other.map(|state| (self.key, state)));
+                Err(Cancelled)
+            }
+        }
+    }
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        let mut table = lock(&self.table);
+        let state = match table.states.remove(&self.key) {
+            Some(State::Tombstone) => State::Tombstone,
+            _ => State::Ended,
+        };
+        table.remember(self.key, state);
+    }
+}
+
+impl Table {
+    fn remember(&mut self, key: AttemptKey, state: State) {
+        self.states.insert(key, state);
+        self.order.push_back(key);
+        while self.order.len() > REMEMBERED {
+            let Some(oldest) = self.order.pop_front() else { break };
+            let ended = |s: &State| matches!(s, State::Ended | State::Tombstone);
+            if self.states.get(&oldest).is_some_and(ended) {
+                self.states.remove(&oldest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/limpetmux/sidecar/output.rs
@@ -0,0 +1,107 @@
+//! Where the pieces of an attempt go: to the entry as frames, or into memory as a whole answer.
+
+use crate::adapters::backend::Chunk;
+use crate::core::frames::AttemptKey;
+use crate::core::verdict::Refusal;
+use crate::util::hash::StreamHash;
+use crate::wire::{convert, stage};
+use bytes::Bytes;
+use tokio::sync::mpsc;
+
+/// The receiver of the frames is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the receiver of the frames is gone")]
+pub struct Gone;
+
+/// A frame as the gRPC stream carries it.
+pub type FrameResult = Result<stage::Frame, tonic::Status>;
+
+/// Numbers the frames of one attempt and keeps their count and checksum.
+#[derive(Debug)]
+pub struct FrameWriter {
+    key: AttemptKey,
+    sequence: u64,
+    hash: StreamHash,
+    sender: mpsc::Sender<FrameResult>,
+}
+
+impl FrameWriter {
+    /// Creates a writer for one attempt.
+    pub fn new(key: AttemptKey, sender: mpsc::Sender<FrameResult>) -> Self {
+        Self { key, sequence: 0, hash: StreamHash::default(), sender }
+    }
+
+    /// Sends one data frame.
+    ///
+    /// # Errors
+    /// Returns [`Gone`] if the entry no longer reads.
+    pub async fn data(&mut self, chunk: Chunk) -> Result<(), Gone> {
+        self.hash.update(&chunk.payload);
+        let data = stage::Data { payload: chunk.payload, tokens: chunk.tokens };
+        let sequence = self.sequence;
+        self.sequence += 1;
+        self.send(sequence, stage::frame::Kind::Data(data)).await
+    }
+
+    /// Sends the close of a whole answer; count and checksum are filled in here.
+    ///
+    /// # Errors
+    /// Returns [`Gone`] if the entry no longer reads.
+    pub async fn done(&mut self, mut done: stage::Done) -> Result<(), Gone> {
+        done.count = self.sequence;
+        done.checksum = self.hash.value();
+        self.send(self.sequence, stage::frame::Kind::Done(done)).await
+    }
+
+    /// Sends the close of a refused or failed attempt.
+    ///
+    /// # Errors
+    /// Returns [`Gone`] if the entry no longer reads.
+    pub async fn refused(&mut self, refusal: Refusal, load: stage::Load) -> Result<(), Gone> {
+        let refused = convert::refused(refusal, Some(load));
+        self.send(self.sequence, stage::frame::Kind::Refused(refused)).await
+    }
+
+    /// Waits until the entry no longer reads.
+    pub async fn closed(&self) {
+        self.sender.closed().await;
+    }
+
+    async fn send(&self, sequence: u64, kind: stage::frame::Kind) -> Result<(), Gone> {
+        let frame = stage::Frame { id: Some(self.key.into()), sequence, kind: Some(kind) };
+        self.sender.send(Ok(frame)).await.map_err(|_| Gone)
+    }
+}
+
+/// The destination of an attempt's pieces.
+#[derive(Debug)]
+pub enum Output {
+    /// Frames to an entry; the attempt is cancelled when the entry goes.
+    Frames(FrameWriter),
+    /// Memory, for answers that must be kept whether or not the entry stays.
+    Whole(Vec<Bytes>),
+}
+
+impl Output {
+    /// Delivers one piece.
+    ///
+    /// # Errors
+    /// Returns [`Gone`] if an entry no longer reads its frames.
+    pub async fn deliver(&mut self, chunk: Chunk) -> Result<(), Gone> {
+        match self {
+            Self::Frames(writer) => writer.data(chunk).await,
+            Self::Whole(pieces) => {
+                pieces.push(chunk.payload);
+                Ok(())
+            }
+        }
+    }
+
+    /// Waits until nobody reads; never returns for an answer kept in memory.
+    pub async fn closed(&self) {
+        match self {
+            Self::Frames(writer) => writer.closed().await,
+            Self::Whole(_) => std::future::pending().await,
+        }
+    }
+}
--- /dev/null
+++ b/src/limpetmux/sidecar/service.rs
@@ -0,0 +1,121 @@
+//! The gRPC face of the sidecar.
+
+use super::output::FrameResult;
+use super::{Attempt, FrameWriter, Output, Sidecar, Usage, run_attempt};
+use crate::adapters::backend::Job;
+use crate::core::frames::AttemptKey;
+use crate::core::verdict::{Refusal, RefusalCode};
+use crate::wire::{convert, stage};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Request, Response, Status};
+
+/// The frames of one attempt that may wait for the connection.
+const FRAME_QUEUE: usize = 32;
+
+/// Answers the calls of entries.
+pub struct StageService {
+    sidecar: Arc<Sidecar>,
+}
+
+impl StageService {
+    /// Creates the service of a sidecar.
+    pub fn new(sidecar: Arc<Sidecar>) -> Self {
+        Self { sidecar }
+    }
+}
+
+#[tonic::async_trait]
+impl stage::stage_server::Stage for StageService {
+    type RunStream = ReceiverStream<FrameResult>;
+
+    async fn run(
+        &self,
+        request: Request<stage::RunRequest>,
+    ) -> Result<Response<Self::RunStream>, Status> {
+        let arrived = Instant::now();
+        let request = request.into_inner();
+        let key = convert::attempt(request.id.as_ref())
+            .map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let (sender, receiver) = mpsc::channel(FRAME_QUEUE);
+        let sidecar = Arc::clone(&self.sidecar);
+        let writer = FrameWriter::new(key, sender);
+        tokio::spawn(async move { answer(&sidecar, key, request, arrived, writer).await });
+        Ok(Response::new(ReceiverStream::new(receiver)))
+    }
+
+    async fn cancel(
+        &self,
+        request: Request<stage::CancelRequest>,
+    ) -> Result<Response<stage::CancelReply>, Status> {
+        let request = request.into_inner();
+        let key = convert::attempt(request.id.as_ref())
+            .map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let execution = self.sidecar.attempts.cancel(key).to_string();
+        Ok(Response::new(stage::CancelReply { execution }))
+    }
+
+    async fn probe(
+        &self,
+        _request: Request<stage::ProbeRequest>,
+    ) -> Result<Response<stage::Load>, Status> {
+        Ok(Response::new(self.sidecar.gate.load()))
+    }
+}
+
+/// Runs an attempt and writes its frames up to the close.
+async fn answer(
+    sidecar: &Sidecar,
+    key: AttemptKey,
+    request: stage::RunRequest,
+    arrived: Instant,
+    writer: FrameWriter,
+) {
+    let mut output = Output::Frames(writer);
+    let result = run(sidecar, key, request, arrived, &mut output).await;
+    let Output::Frames(mut writer) = output else { return };
+    // An entry that has gone needs no close.
+    let _ = match result {
+        Ok(usage) => writer.done(done(usage, sidecar.gate.load())).await,
+        Err(refusal) => writer.refused(refusal, sidecar.gate.load()).await,
+    };
+}
+
+async fn run(
+    sidecar: &Sidecar,
+    key: AttemptKey,
+    request: stage::RunRequest,
+    arrived: Instant,
+    output: &mut Output,
+) -> Result<Usage, Refusal> {
+    let admitted = sidecar.gate.check(&request.pipeline, u32::from(key.stage.0))?;
+    let cancelled = |_| Refusal::not_run(RefusalCode::Cancelled);
+    let (registration, cancel) = sidecar.attempts.begin(key).map_err(cancelled)?;
+    let deadline = arrived + Duration::from_micros(request.remaining_us);
+    let job = Job {
+        key,
+        kind: admitted.service.kind,
+        model: admitted.service.model.clone(),
+        input: request.input,
+        prefix: request.prefix,
+        tokens: request.max_tokens,
+        priority: request.priority,
+        fence: None,
+    };
+    let attempt = Attempt { job, admitted, deadline, arrived };
+    run_attempt(sidecar, attempt, &registration, cancel, output).await
+}
+
+fn done(usage: Usage, load: stage::Load) -> stage::Done {
+    stage::Done {
+        count: 0,
+        checksum: 0,
+        load: Some(load),
+        queued_us: convert::micros(usage.queued),
+        busy_us: convert::micros(usage.busy),
+        cost: usage.cost,
+    }
+}
