--- /dev/null
+++ b/src/limpetmux/entry/fleet.rs
@@ -0,0 +1,43 @@
+//! The hosts as the request path sees them: a view and one link per host.
+
+use super::link::Link;
+use crate::core::arena::Arena;
+use crate::core::keys::HostKey;
+use crate::core::view::View;
+use crate::kernel::{Published, Publisher};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// One configuration together with the links to its hosts.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    /// The configuration.
+    pub view: Arc<View>,
+    /// The link to each host's sidecar.
+    pub links: Arena<HostKey, Arc<Link>>,
+}
+
+impl Fleet {
+    /// Builds the fleet of a view, keeping links whose sidecar address stays.
+    fn build(view: Arc<View>, old: &Self) -> Self {
+        let mut known: BTreeMap<SocketAddr, &Arc<Link>> =
+            old.links.iter().map(|(_, link)| (link.addr(), link)).collect();
+        let link = |addr| known.remove(&addr).map_or_else(|| Arc::new(Link::new(addr)), Arc::clone);
+        let links = view.hosts.iter().map(|(_, row)| row.sidecar).map(link).collect();
+        Self { view, links }
+    }
+}
+
+/// Publishes the fleet of every view; the task ends with the last reader or the view's publisher.
+pub(super) fn follow(mut views: Published<View>) -> Published<Fleet> {
+    let publisher = Publisher::new(Fleet::build(views.load(), &Fleet::default()));
+    let reader = publisher.reader();
+    tokio::spawn(async move {
+        while views.changed().await {
+            let fleet = Fleet::build(views.load(), &publisher.load());
+            publisher.publish(fleet);
+        }
+    });
+    reader
+}
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -1,1 +1,144 @@
-//! The role that takes callers' requests and runs their pipelines.
+//! The entry: takes callers' HTTP requests, runs pipelines and streams answers.
+//!
+//! [`http`] reads and checks a request, [`pipeline`] runs its stages one after another, [`stage`]
+//! gives each stage its attempts, [`pick`] is the one place that chooses a host, and [`attempt`]
+//! speaks to the sidecar of that host. All of them read one [`Fleet`], which is rebuilt whenever a
+//! new configuration is published, without waiting for the control thread. See
+//! `docs/design/requests.md`.
+
+mod answer;
+mod attempt;
+mod fleet;
+mod http;
+mod link;
+mod order;
+mod pick;
+mod pipeline;
+mod problem;
+mod stage;
+mod stream;
+
+pub use answer::{StageTrailer, Trailer};
+pub use fleet::Fleet;
+pub use link::Link;
+pub use order::{Limits, Order, OrderError};
+pub use pick::{Choice, choose_host};
+pub use problem::Problem;
+
+use crate::core::config::Name;
+use crate::core::view::View;
+use crate::kernel::Published;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// What an entry needs to start.
+pub struct EntryOptions {
+    /// The availability zone that the entry stands in, if any; its hosts are preferred.
+    pub zone: Option<Name>,
+    /// The configuration in force.
+    pub view: Published<View>,
+    /// The limits on callers' requests.
+    pub limits: Limits,
+}
+
+/// The state of one entry, shared by all its requests.
+pub struct Entry {
+    pub(crate) zone: Option<Name>,
+    pub(crate) fleet: Published<Fleet>,
+    pub(crate) limits: Limits,
+    pub(crate) counters: Counters,
+    draining: AtomicBool,
+    inflight: AtomicU32,
+}
+
+/// Counts of the requests of one entry.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Requests answered whole.
+    pub answered: AtomicU64,
+    /// Requests refused as bad input.
+    pub rejected: AtomicU64,
+    /// Requests refused or failed for other reasons.
+    pub refused: AtomicU64,
+}
+
+/// A failure of the entry's HTTP server.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum EntryError {
+    /// The HTTP server stopped.
+    #[error("the HTTP server of the entry stopped")]
+    Serve(#[source] std::io::Error),
+}
+
+impl Entry {
+    /// Creates the state and starts to follow the configuration.
+    pub fn start(options: EntryOptions) -> Arc<Self> {
+        Arc::new(Self {
+            zone: options.zone,
+            fleet: fleet::follow(options.view),
+            limits: options.limits,
+            counters: Counters::default(),
+            draining: AtomicBool::new(false),
+            inflight: AtomicU32::new(0),
+        })
+    }
+
+    /// Serves callers on a listener until `stop` is ready, then finishes the running requests.
+    ///
+    /// # Errors
+    /// Returns [`EntryError`] if the HTTP server fails.
+    pub async fn serve(
+        self: Arc<Self>,
+        listener: TcpListener,
+        stop: impl Future<Output = ()>,
+        grace: Duration,
+    ) -> Result<(), EntryError> {
+        http::serve(self, listener, stop, grace).await.map_err(EntryError::Serve)
+    }
+
+    /// Stops or resumes the acceptance of new requests; readiness follows at once.
+    pub fn set_draining(&self, draining: bool) {
+        self.draining.store(draining, Ordering::Release);
+    }
+
+    /// Returns whether the entry accepts new requests.
+    pub fn is_ready(&self) -> bool {
+        let configured = self.fleet.load().view.revision != crate::core::revision::Revision::EMPTY;
+        configured && !self.draining.load(Ordering::Acquire)
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn inflight(&self) -> u32 {
+        self.inflight.load(Ordering::Relaxed)
+    }
+
+    /// Returns the counts of requests.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+}
+
+/// Counts a request as in progress until dropped.
+pub(crate) struct InFlight(Arc<Entry>);
+
+impl InFlight {
+    pub(crate) fn begin(entry: &Arc<Entry>) -> Self {
+        entry.inflight.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(entry))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.inflight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Returns the base URL of a listener's address.
+pub fn base_url(addr: SocketAddr) -> String {
+    format!("http://{addr}")
+}
--- /dev/null
+++ b/src/limpetmux/entry/order.rs
@@ -0,0 +1,222 @@
+//! Reads a caller's request and checks it against the limits and the configuration.
+
+use super::Fleet;
+use crate::core::frames::RequestId;
+use crate::core::keys::{PipelineKey, WorkspaceKey};
+use crate::util::hash::hash_bytes;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::time::Duration;
+use uuid::Uuid;
+
+/// Limits on callers' requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The most bytes of a request body.
+    pub body: usize,
+    /// The longest deadline that a caller may ask for.
+    pub deadline: Duration,
+    /// The most bytes of an idempotency key.
+    pub key: usize,
+    /// The most requests in progress.
+    pub inflight: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body: 1024 * 1024,
+            deadline: Duration::from_secs(300),
+            key: 128,
+            inflight: 4_096,
+        }
+    }
+}
+
+/// Why a request is not acceptable as it stands.
+#[derive(Debug, thiserror::Error)]
+pub enum OrderError {
+    /// The body is not the expected JSON.
+    #[error("the body is not a valid run request")]
+    Json(#[source] serde_json::Error),
+    /// The body is too large.
+    #[error("the body exceeds {limit} bytes")]
+    Oversize {
+        /// The limit in bytes.
+        limit: usize,
+    },
+    /// The body could not be received.
+    #[error("the body could not be read")]
+    Unread,
+    /// The workspace is not declared.
+    #[error("workspace `{name}` does not exist")]
+    Workspace {
+        /// The name in the path.
+        name: String,
+    },
+    /// The pipeline is not declared or not open to the workspace.
+    #[error("workspace `{workspace}` has no pipeline `{name}`")]
+    Pipeline {
+        /// The workspace.
+        workspace: String,
+        /// The name in the path.
+        name: String,
+    },
+    /// The deadline is zero or beyond the limit.
+    #[error("`deadline_ms` must lie between 1 and {limit_ms}")]
+    Deadline {
+        /// The limit in milliseconds.
+        limit_ms: u128,
+    },
+    /// The priority is out of range.
+    #[error("`priority` must lie between 0 and {MAX_PRIORITY}")]
+    Priority,
+    /// The pipeline has a stage that may not be repeated and the request has no key.
+    #[error("this pipeline needs an `Idempotency-Key` header")]
+    KeyMissing,
+    /// The idempotency key is empty, too long or not printable ASCII.
+    #[error("`Idempotency-Key` must have 1 to {limit} printable ASCII characters")]
+    Key {
+        /// The limit in bytes.
+        limit: usize,
+    },
+}
+
+impl OrderError {
+    /// Returns the HTTP status that tells the caller what to mend.
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::Oversize { .. } => 413,
+            Self::Workspace { .. } | Self::Pipeline { .. } => 404,
+            _ => 400,
+        }
+    }
+}
+
+/// The highest priority that a caller may ask for.
+pub const MAX_PRIORITY: u8 = 9;
+/// The priority of requests that state none.
+pub const DEFAULT_PRIORITY: u8 = 4;
+/// The number of leading bytes of the input that stand for its prompt prefix.
+const AFFINITY_BYTES: usize = 256;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RunBody<'a> {
+    #[serde(borrow)]
+    input: &'a RawValue,
+    #[serde(default)]
+    deadline_ms: Option<u64>,
+    #[serde(default)]
+    priority: Option<u8>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// A caller's idempotency key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerKey {
+    /// The key as the caller sent it.
+    pub key: String,
+    /// Hash of the request body, to detect the use of one key for two requests.
+    pub body_hash: u64,
+}
+
+/// A request that passed all checks.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Identifies the request.
+    pub id: RequestId,
+    /// The workspace that asks.
+    pub workspace: WorkspaceKey,
+    /// The pipeline to run.
+    pub pipeline: PipelineKey,
+    /// The input, a JSON value.
+    pub input: Bytes,
+    /// The time allowed.
+    pub deadline: Duration,
+    /// Higher runs first.
+    pub priority: u8,
+    /// Whether the caller reads the answer as a stream.
+    pub stream: bool,
+    /// The idempotency key, if the caller sent one.
+    pub key: Option<CallerKey>,
+    /// Hash of the input's beginning.
+    pub affinity: u64,
+}
+
+/// The parts of an HTTP request that make an order.
+#[derive(Clone, Copy, Debug)]
+pub struct Parts<'a> {
+    /// The workspace named in the path.
+    pub workspace: &'a str,
+    /// The pipeline named in the path.
+    pub pipeline: &'a str,
+    /// The idempotency key header.
+    pub key: Option<&'a [u8]>,
+    /// The whole body.
+    pub body: &'a Bytes,
+}
+
+impl Order {
+    /// Checks a request against the limits and a configuration.
+    ///
+    /// # Errors
+    /// Returns [`OrderError`] naming the first part that is wrong.
+    pub fn read(parts: Parts<'_>, limits: &Limits, fleet: &Fleet) -> Result<Self, OrderError> {
+        let (workspace, pipeline) = find_names(parts, fleet)?;
+        let body: RunBody<'_> = serde_json::from_slice(parts.body).map_err(OrderError::Json)?;
+        let row = &fleet.view.pipelines[pipeline];
+        let deadline = body.deadline_ms.map_or(row.deadline, Duration::from_millis);
+        if deadline.is_zero() || deadline > limits.deadline {
+            return Err(OrderError::Deadline { limit_ms: limits.deadline.as_millis() });
+        }
+        let priority = body.priority.unwrap_or(DEFAULT_PRIORITY);
+        if priority > MAX_PRIORITY {
+            return Err(OrderError::Priority);
+        }
+        let key = read_key(parts, limits)?;
+        let repeatable = |s: &crate::core::view::StageRow| {
+            fleet.view.services[s.service].spec.idempotent
+        };
+        if key.is_none() && !row.stages.iter().all(repeatable) {
+            return Err(OrderError::KeyMissing);
+        }
+        let input = parts.body.slice_ref(body.input.get().as_bytes());
+        let head = input.len().min(AFFINITY_BYTES);
+        let affinity = hash_bytes(&input[..head]);
+        let id = RequestId(Uuid::now_v7());
+        let stream = body.stream;
+        Ok(Self { id, workspace, pipeline, input, deadline, priority, stream, key, affinity })
+    }
+}
+
+fn find_names(
+    parts: Parts<'_>,
+    fleet: &Fleet,
+) -> Result<(WorkspaceKey, PipelineKey), OrderError> {
+    let view = &fleet.view;
+    let no_workspace = || OrderError::Workspace { name: parts.workspace.to_owned() };
+    let workspace = view.workspace(parts.workspace).ok_or_else(no_workspace)?;
+    let allowed = &view.workspaces[workspace].pipelines;
+    let pipeline = view.pipeline(parts.pipeline).filter(|p| allowed.binary_search(p).is_ok());
+    let no_pipeline = || OrderError::Pipeline {
+        workspace: parts.workspace.to_owned(),
+        name: parts.pipeline.to_owned(),
+    };
+    Ok((workspace, pipeline.ok_or_else(no_pipeline)?))
+}
+
+fn read_key(parts: Parts<'_>, limits: &Limits) -> Result<Option<CallerKey>, OrderError> {
+    let Some(raw) = parts.key else { return Ok(None) };
+    let limit = limits.key;
+    let printable = raw.iter().all(u8::is_ascii_graphic);
+    let text = std::str::from_utf8(raw).ok();
+    match text.filter(|t| printable && !t.is_empty() && t.len() <= limit) {
+        Some(text) => {
+            Ok(Some(CallerKey { key: text.to_owned(), body_hash: hash_bytes(parts.body) }))
+        }
+        None => Err(OrderError::Key { limit }),
+    }
+}
--- /dev/null
+++ b/src/limpetmux/entry/stream.rs
@@ -0,0 +1,95 @@
+//! Streams an answer as server-sent events.
+//!
+//! Tokens arrive as `data` events. A whole answer ends with one `done` event that carries their
+//! count and checksum and the trailer; every other end is one `error` event.
+
+use super::pipeline::{self, Answer};
+use super::problem::Problem;
+use super::{Entry, Fleet, InFlight, Order, Trailer};
+use crate::util::hash::hash_bytes;
+use bytes::Bytes;
+use futures::StreamExt;
+use poem::web::sse::{Event, SSE};
+use poem::{IntoResponse, Response};
+use serde::Serialize;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio_stream::wrappers::ReceiverStream;
+
+/// The events that may wait for the caller to read.
+const EVENT_QUEUE: usize = 64;
+
+/// Takes the pieces of a streamed answer.
+#[derive(Clone, Debug)]
+pub(super) struct TokenSink(mpsc::Sender<Event>);
+
+#[derive(Serialize)]
+struct Piece<'a> {
+    text: &'a str,
+}
+
+#[derive(Serialize)]
+struct Done {
+    count: usize,
+    checksum: String,
+    trailer: Trailer,
+}
+
+impl TokenSink {
+    /// Sends one piece; returns `false` if the caller no longer reads.
+    pub(super) async fn send(&self, payload: Bytes) -> bool {
+        let text = String::from_utf8_lossy(&payload);
+        self.event("data", &Piece { text: &text }).await
+    }
+
+    async fn event(&self, kind: &str, body: &impl Serialize) -> bool {
+        let body = serde_json::to_string(body).unwrap_or_default();
+        self.0.send(Event::message(body).event_type(kind)).await.is_ok()
+    }
+}
+
+/// Ends a task with its owner.
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Starts a request and returns its events; the request is cancelled when the caller goes.
+pub(super) fn respond(entry: Arc<Entry>, fleet: Arc<Fleet>, order: Order) -> Response {
+    let (sender, receiver) = mpsc::channel(EVENT_QUEUE);
+    let sink = TokenSink(sender);
+    let task = AbortOnDrop(tokio::spawn(run(entry, fleet, order, sink)));
+    let events = ReceiverStream::new(receiver).map(move |event| {
+        let _owner = &task;
+        event
+    });
+    SSE::new(events).into_response()
+}
+
+async fn run(entry: Arc<Entry>, fleet: Arc<Fleet>, order: Order, sink: TokenSink) {
+    let _inflight = InFlight::begin(&entry);
+    match pipeline::run(&entry, &fleet, &order, Some(&sink)).await {
+        Ok(answer) => {
+            entry.counters.answered.fetch_add(1, Ordering::Relaxed);
+            finish(&sink, answer).await;
+        }
+        Err(refusal) => {
+            entry.counters.refused.fetch_add(1, Ordering::Relaxed);
+            sink.event("error", &Problem::of_refusal(refusal, Some(order.id))).await;
+        }
+    }
+}
+
+async fn finish(sink: &TokenSink, answer: Answer) {
+    if !answer.is_text {
+        sink.send(answer.output.clone()).await;
+    }
+    let checksum = format!("{:016x}", hash_bytes(&answer.output));
+    let done = Done { count: answer.count, checksum, trailer: answer.trailer };
+    sink.event("done", &done).await;
+}
