--- a/src/bin/limpetmux/cli.rs
+++ b/src/bin/limpetmux/cli.rs
@@ -13,12 +13,14 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Verb {
+    Local(commands::local::LocalArgs),
     Version(commands::version::VersionArgs),
 }
 
 /// Runs the chosen verb.
 pub fn exec(cli: Cli) -> miette::Result<()> {
     match cli.verb {
+        Verb::Local(args) => commands::local::exec(args),
         Verb::Version(args) => commands::version::exec(args),
     }
 }
--- /dev/null
+++ b/src/bin/limpetmux/commands/local.rs
@@ -0,0 +1,168 @@
+//! `limpetmux local`
+
+use argh::FromArgs;
+use futures::StreamExt;
+use limpetmux::node::deployment::{Deployment, Sample};
+use limpetmux::node::local::{Local, LocalOptions};
+use limpetmux::util::sse::{SseEvent, SseEvents};
+use miette::IntoDiagnostic;
+use serde::Deserialize;
+use std::io::Write;
+
+/// Run a whole small deployment in this process, on loopback.
+///
+/// Exit codes: 0 after a whole answer or a clean stop, 1 after a failure.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "local")]
+pub struct LocalArgs {
+    /// send one request, print its answer, and exit
+    #[argh(switch)]
+    once: bool,
+    /// the deployment to run: ph-luzon (default) or sierra-costa
+    #[argh(option, default = "Deployment::PhLuzon")]
+    deployment: Deployment,
+    /// the entry's port; 0 (default) takes any free one
+    #[argh(option, default = "0")]
+    port: u16,
+}
+
+/// A request to the entry that did not end with a whole answer.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+enum AnswerError {
+    /// The entry refused or failed the request.
+    #[error("the entry gave no answer: {body}")]
+    Refused { body: String },
+    /// The stream ended before its last event.
+    #[error("the answer ended early")]
+    Truncated,
+}
+
+#[derive(Deserialize)]
+struct Piece {
+    text: String,
+}
+
+#[derive(Deserialize)]
+struct Done {
+    count: usize,
+    checksum: String,
+    trailer: Trailer,
+}
+
+#[derive(Deserialize)]
+struct Trailer {
+    request: String,
+    elapsed_us: u64,
+    cost_micros: u64,
+    stages: Vec<Stage>,
+}
+
+#[derive(Deserialize)]
+struct Stage {
+    stage: String,
+    host: String,
+    zone: String,
+    attempts: u32,
+    queued_us: u64,
+    busy_us: u64,
+    elapsed_us: u64,
+    cost_micros: u64,
+}
+
+/// Starts the deployment and either sends one request or waits for a signal.
+pub fn exec(args: LocalArgs) -> miette::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    runtime.into_diagnostic()?.block_on(run(args))
+}
+
+async fn run(args: LocalArgs) -> miette::Result<()> {
+    let options = LocalOptions { deployment: args.deployment, port: args.port };
+    let local = Local::start(options).await?;
+    let sample = args.deployment.sample();
+    let url = format!(
+        "{}/v1/workspaces/{}/pipelines/{}/runs",
+        local.url(),
+        sample.workspace,
+        sample.pipeline
+    );
+    let result = if args.once {
+        request(&url, sample).await
+    } else {
+        announce(&local, &url, sample);
+        crate::signal::wait().await.into_diagnostic()
+    };
+    local.stop().await;
+    result
+}
+
+fn announce(local: &Local, url: &str, sample: Sample) {
+    println!("limpetmux is up at {} with {} hosts", local.url(), local.hosts.len());
+    println!("try:");
+    println!("  curl -N {url} -d '{{\"input\": {}, \"stream\": true}}'", sample.input);
+    println!("stop with ctrl-c");
+}
+
+async fn request(url: &str, sample: Sample) -> miette::Result<()> {
+    let client = reqwest::Client::builder().no_proxy().build().into_diagnostic()?;
+    let body = format!("{{\"input\": {}, \"stream\": true}}", sample.input);
+    let answer = client.post(url).body(body).send().await.into_diagnostic()?;
+    if !answer.status().is_success() {
+        let body = answer.text().await.into_diagnostic()?;
+        return Err(AnswerError::Refused { body }.into());
+    }
+    let mut parts = answer.bytes_stream();
+    let mut events = SseEvents::default();
+    while let Some(part) = parts.next().await {
+        events.push(&part.into_diagnostic()?);
+        while let Some(event) = events.pop() {
+            if print_event(&event)? {
+                return Ok(());
+            }
+        }
+    }
+    Err(AnswerError::Truncated.into())
+}
+
+/// Prints one event; returns whether it was the last one.
+fn print_event(event: &SseEvent) -> miette::Result<bool> {
+    match event.kind.as_ref() {
+        b"data" => {
+            let piece: Piece = serde_json::from_slice(&event.data).into_diagnostic()?;
+            print!("{}", piece.text);
+            std::io::stdout().flush().into_diagnostic()?;
+            Ok(false)
+        }
+        b"done" => {
+            print_done(&serde_json::from_slice(&event.data).into_diagnostic()?);
+            Ok(true)
+        }
+        _ => {
+            let body = String::from_utf8_lossy(&event.data).into_owned();
+            Err(AnswerError::Refused { body }.into())
+        }
+    }
+}
+
+fn print_done(done: &Done) {
+    let trailer = &done.trailer;
+    println!("\n\n{} pieces, checksum {}", done.count, done.checksum);
+    println!("request {}", trailer.request);
+    println!(
+        "{:<10} {:<18} {:<12} {:>8} {:>10} {:>10} {:>10} {:>10}",
+        "stage", "host", "zone", "attempts", "queued us", "busy us", "total us", "cost"
+    );
+    for s in &trailer.stages {
+        println!(
+            "{:<10} {:<18} {:<12} {:>8} {:>10} {:>10} {:>10} {:>10}",
+            s.stage,
+            s.host,
+            s.zone,
+            s.attempts,
+            s.queued_us,
+            s.busy_us,
+            s.elapsed_us,
+            s.cost_micros
+        );
+    }
+    println!("{:<62} {:>21} {:>10}", "whole request", trailer.elapsed_us, trailer.cost_micros);
+}
--- a/src/bin/limpetmux/commands/mod.rs
+++ b/src/bin/limpetmux/commands/mod.rs
@@ -1,3 +1,4 @@
 //! One module per verb: its arguments and its `exec`.
 
+pub mod local;
 pub mod version;
--- a/src/bin/limpetmux/main.rs
+++ b/src/bin/limpetmux/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod commands;
+mod signal;
 
 fn main() -> miette::Result<()> {
     let args: cli::Cli = argh::from_env();
--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -1,9 +1,9 @@
 //! Speaks the HTTP protocols of model engines, pools and plain services.
 
 use super::backend::{Backend, BackendError, Chunk, ChunkStream, Job, LoadReport};
-use super::sse::DataLines;
 use crate::core::config::{Fencing, StageKind};
 use crate::core::frames::AttemptKey;
+use crate::util::sse::SseEvents;
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream, stream::BoxStream};
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
@@ -139,24 +139,27 @@
     };
     let request = client.post(format!("{base}{}", path_of(job.kind)));
     let answer = send(request.json(&body)).await?;
-    Ok(tokens(answer.bytes_stream().boxed()))
+    Ok(tokens(answer.bytes_stream().boxed(), !job.prefix.is_empty()))
 }
 
 struct Tokens {
     body: BoxStream<'static, reqwest::Result<Bytes>>,
-    lines: DataLines,
+    events: SseEvents,
     ready: VecDeque<Chunk>,
+    /// Whether the engine has stated why it ends.
     finished: bool,
     ended: bool,
 }
 
 /// Turns the body of a streamed completion into one chunk per token.
-fn tokens(body: BoxStream<'static, reqwest::Result<Bytes>>) -> ChunkStream {
+///
+/// A resumed generation whose prefix was already whole has no token left and states no reason.
+fn tokens(body: BoxStream<'static, reqwest::Result<Bytes>>, is_resumed: bool) -> ChunkStream {
     let state = Tokens {
         body,
-        lines: DataLines::default(),
+        events: SseEvents::default(),
         ready: VecDeque::new(),
-        finished: false,
+        finished: is_resumed,
         ended: false,
     };
     stream::unfold(state, |mut state| async move {
@@ -175,19 +178,19 @@
         if state.ended {
             return None;
         }
-        match state.lines.pop() {
-            Some(line) => {
-                if let Err(error) = read_event(state, &line) {
+        match state.events.pop() {
+            Some(event) => {
+                if let Err(error) = read_event(state, &event.data) {
                     return Some(Err(error));
                 }
             }
             None => match state.body.next().await {
-                Some(Ok(bytes)) => state.lines.push(&bytes),
+                Some(Ok(bytes)) => state.events.push(&bytes),
                 Some(Err(error)) => return Some(Err(BackendError::Lost(error))),
                 None => return Some(Err(BackendError::Truncated)),
             },
         }
-        if state.lines.pending() > ANSWER_LIMIT {
+        if state.events.pending() > ANSWER_LIMIT {
             return Some(Err(BackendError::Oversize { limit: ANSWER_LIMIT }));
         }
     }
@@ -200,7 +203,7 @@
     }
     let event: CompletionEvent = serde_json::from_slice(line).map_err(BackendError::Malformed)?;
     for choice in event.choices {
-        state.finished |= choice.finish_reason.is_some();
+        state.finished = choice.finish_reason.is_some();
         if !choice.text.is_empty() {
             state.ready.push_back(Chunk { payload: choice.text.into(), tokens: 1 });
         }
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -8,4 +8,3 @@
 mod backend_http;
 pub mod log;
 mod log_http;
-mod sse;
--- a/src/limpetmux/core/config/mod.rs
+++ b/src/limpetmux/core/config/mod.rs
@@ -11,6 +11,6 @@
 pub use change::{Change, ChangeId, Edit};
 pub use check::{ConfigError, check};
 pub use spec::{
-    Config, Fencing, HostSpec, Name, PipelineSpec, ServiceSpec, StageKind, StageSpec,
+    Config, Fencing, HostSpec, Name, NameError, PipelineSpec, ServiceSpec, StageKind, StageSpec,
     WorkspaceSpec, ZoneSpec,
 };
