--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -225,7 +225,11 @@
 
 async fn send(request: RequestBuilder) -> Result<Response, BackendError> {
     let answer = request.send().await.map_err(|error| {
-        if error.is_connect() { BackendError::Unreachable(error) } else { BackendError::Lost(error) }
+        if error.is_connect() {
+            BackendError::Unreachable(error)
+        } else {
+            BackendError::Lost(error)
+        }
     })?;
     let status = answer.status();
     if status.is_success() {
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -8,3 +8,4 @@
 mod backend_http;
 pub mod log;
 mod log_http;
+pub mod power;
--- a/src/limpetmux/entry/order.rs
+++ b/src/limpetmux/entry/order.rs
@@ -25,12 +25,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self {
-            body: 1024 * 1024,
-            deadline: Duration::from_secs(300),
-            key: 128,
-            inflight: 4_096,
-        }
+        Self { body: 1024 * 1024, deadline: Duration::from_secs(300), key: 128, inflight: 4_096 }
     }
 }
 
@@ -177,9 +172,8 @@
             return Err(OrderError::Priority);
         }
         let key = read_key(parts, limits)?;
-        let repeatable = |s: &crate::core::view::StageRow| {
-            fleet.view.services[s.service].spec.idempotent
-        };
+        let repeatable =
+            |s: &crate::core::view::StageRow| fleet.view.services[s.service].spec.idempotent;
         if key.is_none() && !row.stages.iter().all(repeatable) {
             return Err(OrderError::KeyMissing);
         }
@@ -192,10 +186,7 @@
     }
 }
 
-fn find_names(
-    parts: Parts<'_>,
-    fleet: &Fleet,
-) -> Result<(WorkspaceKey, PipelineKey), OrderError> {
+fn find_names(parts: Parts<'_>, fleet: &Fleet) -> Result<(WorkspaceKey, PipelineKey), OrderError> {
     let view = &fleet.view;
     let no_workspace = || OrderError::Workspace { name: parts.workspace.to_owned() };
     let workspace = view.workspace(parts.workspace).ok_or_else(no_workspace)?;
--- a/src/limpetmux/entry/pipeline.rs
+++ b/src/limpetmux/entry/pipeline.rs
@@ -45,8 +45,7 @@
     let started = Instant::now();
     let zone = entry.zone.as_ref().and_then(|z| fleet.view.zone(z.as_str()));
     let deadline = started + order.deadline;
-    let mut run =
-        Run { fleet, order, zone, deadline, dispatched: false, undetermined: false };
+    let mut run = Run { fleet, order, zone, deadline, dispatched: false, undetermined: false };
     let result = tokio::time::timeout_at(deadline, run_stages(&mut run, started, sink)).await;
     let refusal = match result {
         Ok(Ok(answer)) => return Ok(answer),
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -108,10 +108,9 @@
         input: input.clone(),
         prefix: pieces.iter().map(|p| String::from_utf8_lossy(p).into_owned()).collect(),
         max_tokens: row.tokens,
-        idempotency: idempotency.filter(|_| !repeatable).map(|k| stage::Idempotency {
-            key: k.key.clone(),
-            body_hash: k.body_hash,
-        }),
+        idempotency: idempotency
+            .filter(|_| !repeatable)
+            .map(|k| stage::Idempotency { key: k.key.clone(), body_hash: k.body_hash }),
         affinity: run.order.affinity,
     }
 }
--- a/src/limpetmux/sidecar/gate.rs
+++ b/src/limpetmux/sidecar/gate.rs
@@ -116,11 +116,7 @@
     ///
     /// # Errors
     /// Returns a refusal that is proven to have run nothing once the deadline has passed.
-    pub async fn admit(
-        &self,
-        admitted: &Admitted,
-        deadline: Instant,
-    ) -> Result<Permit, Refusal> {
+    pub async fn admit(&self, admitted: &Admitted, deadline: Instant) -> Result<Permit, Refusal> {
         self.follow(admitted.service.concurrency);
         self.queued.fetch_add(1, Ordering::Relaxed);
         let slot = tokio::time::timeout_at(deadline, Arc::clone(&self.slots).acquire_owned()).await;
--- a/src/limpetmux/wire/convert.rs
+++ b/src/limpetmux/wire/convert.rs
@@ -32,11 +32,7 @@
     fn try_from(id: &stage::AttemptId) -> Result<Self, WireError> {
         let request = Uuid::from_slice(&id.request).map_err(|_| WireError::Attempt)?;
         let stage = u8::try_from(id.stage).map_err(|_| WireError::Attempt)?;
-        Ok(Self {
-            request: RequestId(request),
-            stage: StageIndex(stage),
-            attempt: id.attempt,
-        })
+        Ok(Self { request: RequestId(request), stage: StageIndex(stage), attempt: id.attempt })
     }
 }
 
