--- a/src/bin/limpetmux/cli.rs
+++ b/src/bin/limpetmux/cli.rs
@@ -14,6 +14,7 @@
 #[argh(subcommand)]
 enum Verb {
     Drain(commands::drain::DrainArgs),
+    Local(commands::local::LocalArgs),
     Status(commands::status::StatusArgs),
     Version(commands::version::VersionArgs),
 }
@@ -22,6 +23,7 @@
 pub fn exec(cli: Cli) -> miette::Result<()> {
     match cli.verb {
         Verb::Drain(args) => commands::drain::exec(args),
+        Verb::Local(args) => commands::local::exec(args),
         Verb::Status(args) => commands::status::exec(args),
         Verb::Version(args) => commands::version::exec(args),
     }
--- a/src/limpetmux/wire/mod.rs
+++ b/src/limpetmux/wire/mod.rs
@@ -20,3 +20,5 @@
 #[rustfmt::skip]
 #[path = "gen/limpetmux.peer.v1.rs"]
 pub mod peer;
+
+pub mod convert;
--- a/tests/testsuite/admin.rs
+++ b/tests/testsuite/admin.rs
@@ -148,5 +148,6 @@
         ATTAINED  LATE  REFUSED
         11        1     0
 
-    "#]].assert_eq(&text);
+    "#]]
+    .assert_eq(&text);
 }
