Let entries consult the membership and processes drain

Cause: entries chose hosts by configuration alone, and no process could end in order. Change: the entry reads HostStates, reports what replies and connections tell, tells readiness from acceptance and counts a request from its arrival; node::process runs the gRPC server of either role until its shutdown service lets it exit.

--- a/src/limpetmux/entry/attempt.rs
+++ b/src/limpetmux/entry/attempt.rs
@@ -34,6 +34,11 @@
 }
 
 impl AttemptError {
+    /// Returns whether no connection could be made.
+    pub(super) fn is_unreachable(&self) -> bool {
+        matches!(self, Self::Transport(status) if is_connect(status))
+    }
+
     /// Returns the refusal that the attempt amounts to.
     pub(super) fn refusal(&self) -> Refusal {
         match self {
@@ -79,11 +84,13 @@
     }
 }
 
-/// Sends an attempt and hands each piece of its answer to `deliver` in order.
+/// Sends an attempt and hands each piece of its answer to `deliver` in order, and the load that
+/// the sidecar reports at the close to `observe`.
 pub(super) async fn run_attempt<Fut: Future<Output = bool>>(
     link: &Link,
     key: AttemptKey,
     request: stage::RunRequest,
+    observe: impl Fn(&stage::Load),
     mut deliver: impl FnMut(Bytes) -> Fut,
 ) -> Result<Closed, AttemptError> {
     let _running = link.begin();
@@ -109,12 +116,12 @@
             Verdict::Ignore => {}
             Verdict::Done(done) => {
                 guard.client = None;
-                done.load.iter().for_each(|load| link.observe(load));
+                done.load.iter().for_each(&observe);
                 return Ok(Closed { done });
             }
             Verdict::Refused(refused) => {
                 guard.client = None;
-                refused.load.iter().for_each(|load| link.observe(load));
+                refused.load.iter().for_each(&observe);
                 return Err(AttemptError::Refused(convert::refusal(&refused)));
             }
             Verdict::Broken(fault) => return Err(fault.into()),
--- a/src/limpetmux/entry/fleet.rs
+++ b/src/limpetmux/entry/fleet.rs
@@ -1,5 +1,6 @@
 //! The hosts as the request path sees them: a view and one link per host.
 
+use super::Members;
 use super::link::Link;
 use crate::core::arena::Arena;
 use crate::core::keys::HostKey;
@@ -16,6 +17,8 @@
     pub view: Arc<View>,
     /// The link to each host's sidecar.
     pub links: Arena<HostKey, Arc<Link>>,
+    /// What is known of hosts beside the configuration.
+    pub members: Members,
 }
 
 impl Fleet {
@@ -25,13 +28,14 @@
             old.links.iter().map(|(_, link)| (link.addr(), link)).collect();
         let link = |addr| known.remove(&addr).map_or_else(|| Arc::new(Link::new(addr)), Arc::clone);
         let links = view.hosts.iter().map(|(_, row)| row.sidecar).map(link).collect();
-        Self { view, links }
+        Self { view, links, members: old.members.clone() }
     }
 }
 
 /// Publishes the fleet of every view; the task ends with the last reader or the view's publisher.
-pub(super) fn follow(mut views: Published<View>) -> Published<Fleet> {
-    let publisher = Publisher::new(Fleet::build(views.load(), &Fleet::default()));
+pub(super) fn follow(mut views: Published<View>, members: Members) -> Published<Fleet> {
+    let empty = Fleet { members, ..Fleet::default() };
+    let publisher = Publisher::new(Fleet::build(views.load(), &empty));
     let reader = publisher.reader();
     tokio::spawn(async move {
         while views.changed().await {
--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -73,7 +73,8 @@
     request: &Request,
     body: Body,
 ) -> Response {
-    if !entry.is_ready() {
+    let inflight = InFlight::begin(entry);
+    if !entry.accepts() {
         entry.counters.refused.fetch_add(1, Ordering::Relaxed);
         return not_ready(entry).into_response();
     }
@@ -87,7 +88,7 @@
         Err(error) => Err(error),
     };
     match order {
-        Ok(order) if order.stream => stream::respond(Arc::clone(entry), fleet, order),
+        Ok(order) if order.stream => stream::respond(inflight, fleet, order),
         Ok(order) => answer_whole(entry, &fleet, &order).await,
         Err(error) => {
             entry.counters.rejected.fetch_add(1, Ordering::Relaxed);
@@ -117,7 +118,6 @@
 }
 
 async fn answer_whole(entry: &Arc<Entry>, fleet: &super::Fleet, order: &Order) -> Response {
-    let _inflight = InFlight::begin(entry);
     let result = pipeline::run(entry, fleet, order, None).await;
     let refusal = match result.map(render) {
         Ok(Some(body)) => {
--- a/src/limpetmux/entry/link.rs
+++ b/src/limpetmux/entry/link.rs
@@ -1,6 +1,5 @@
 //! The connection to one sidecar and what this entry knows of its load.
 
-use crate::wire::stage;
 use crate::wire::stage::stage_client::StageClient;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -68,7 +67,4 @@
         self.inflight.fetch_add(1, Ordering::Relaxed);
         Running(self)
     }
-
-    /// Takes note of a load that the sidecar reported.
-    pub fn observe(&self, _load: &stage::Load) {}
 }
--- /dev/null
+++ b/src/limpetmux/entry/members.rs
@@ -0,0 +1,37 @@
+//! What the entry knows of hosts beside their load, and what it tells the membership service.
+
+use crate::core::keys::HostKey;
+use crate::core::membership::ProcessId;
+use crate::core::time::Moment;
+use crate::core::view::View;
+use crate::membership::Reporter;
+use crate::wire::stage;
+
+/// The entry's access to the membership; without one, only the configuration counts.
+#[derive(Clone, Debug, Default)]
+pub struct Members(pub Option<Reporter>);
+
+impl Members {
+    /// Returns whether a host may be given new work.
+    pub fn is_usable(&self, view: &View, host: HostKey) -> bool {
+        match &self.0 {
+            Some(reporter) => reporter.states().is_usable(view, host),
+            None => view.is_serving(host),
+        }
+    }
+
+    /// Takes in the load that a sidecar reported in its reply to a request sent at `sent`.
+    pub fn replied(&self, view: &View, host: HostKey, sent: Moment, load: &stage::Load) {
+        let Some(reporter) = &self.0 else { return };
+        if load.process != 0 {
+            reporter.replied(view, host, sent, ProcessId(load.process), load.draining);
+        }
+    }
+
+    /// Takes in a failure to connect to a sidecar.
+    pub fn unreachable(&self, view: &View, host: HostKey) {
+        if let Some(reporter) = &self.0 {
+            reporter.unreachable(view, host);
+        }
+    }
+}
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod http;
 mod link;
+mod members;
 mod order;
 mod pick;
 mod pipeline;
@@ -21,6 +22,7 @@
 pub use answer::{StageTrailer, Trailer};
 pub use fleet::Fleet;
 pub use link::Link;
+pub use members::Members;
 pub use order::{Limits, Order, OrderError};
 pub use pick::{Choice, choose_host};
 pub use problem::Problem;
@@ -41,6 +43,8 @@
     pub zone: Option<Name>,
     /// The configuration in force.
     pub view: Published<View>,
+    /// What is known of hosts beside the configuration.
+    pub members: Members,
     /// The limits on callers' requests.
     pub limits: Limits,
 }
@@ -51,6 +55,7 @@
     pub(crate) fleet: Published<Fleet>,
     pub(crate) limits: Limits,
     pub(crate) counters: Counters,
+    unready: AtomicBool,
     draining: AtomicBool,
     inflight: AtomicU32,
 }
@@ -79,9 +84,10 @@
     pub fn start(options: EntryOptions) -> Arc<Self> {
         Arc::new(Self {
             zone: options.zone,
-            fleet: fleet::follow(options.view),
+            fleet: fleet::follow(options.view, options.members),
             limits: options.limits,
             counters: Counters::default(),
+            unready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             inflight: AtomicU32::new(0),
         })
@@ -100,13 +106,23 @@
         http::serve(self, listener, stop, grace).await.map_err(EntryError::Serve)
     }
 
+    /// Answers readiness checks with "not ready", while new requests are still accepted.
+    pub fn set_unready(&self) {
+        self.unready.store(true, Ordering::Release);
+    }
+
     /// Stops or resumes the acceptance of new requests; readiness follows at once.
     pub fn set_draining(&self, draining: bool) {
         self.draining.store(draining, Ordering::Release);
     }
 
-    /// Returns whether the entry accepts new requests.
+    /// Returns whether the balancer should send requests.
     pub fn is_ready(&self) -> bool {
+        self.accepts() && !self.unready.load(Ordering::Acquire)
+    }
+
+    /// Returns whether the entry accepts new requests.
+    pub fn accepts(&self) -> bool {
         let configured = self.fleet.load().view.revision != crate::core::revision::Revision::EMPTY;
         configured && !self.draining.load(Ordering::Acquire)
     }
@@ -130,6 +146,10 @@
         entry.inflight.fetch_add(1, Ordering::Relaxed);
         Self(Arc::clone(entry))
     }
+
+    pub(crate) fn entry(&self) -> &Arc<Entry> {
+        &self.0
+    }
 }
 
 impl Drop for InFlight {
--- a/src/limpetmux/entry/pick.rs
+++ b/src/limpetmux/entry/pick.rs
@@ -20,7 +20,7 @@
 pub fn choose_host(fleet: &Fleet, choice: Choice<'_>) -> Option<HostKey> {
     let view = &fleet.view;
     let hosts = view.services[choice.service].hosts.iter().copied();
-    let open = hosts.filter(|h| view.is_serving(*h) && !choice.tried.contains(h));
+    let open = hosts.filter(|h| fleet.members.is_usable(view, *h) && !choice.tried.contains(h));
     open.min_by_key(|h| {
         let far = Some(view.hosts[*h].zone) != choice.zone;
         (fleet.links[*h].inflight(), far, *h)
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -9,6 +9,7 @@
 use crate::core::keys::{HostKey, StageIndex};
 use crate::core::verdict::{Execution, Refusal, RefusalCode};
 use crate::core::view::StageRow;
+use crate::util::clock;
 use crate::wire::{convert, stage};
 use bytes::Bytes;
 use std::time::Duration;
@@ -71,13 +72,20 @@
                 }
             }
         };
-        match run_attempt(&fleet.links[host], key, request, deliver).await {
+        let sent = clock::now();
+        let observe = |load: &stage::Load| fleet.members.replied(&fleet.view, host, sent, load);
+        match run_attempt(&fleet.links[host], key, request, observe, deliver).await {
             Ok(closed) => {
                 state.done = closed.done;
                 state.elapsed = started.elapsed();
                 return Ok(state);
             }
-            Err(error) => last = error.refusal(),
+            Err(error) => {
+                if error.is_unreachable() {
+                    fleet.members.unreachable(&fleet.view, host);
+                }
+                last = error.refusal();
+            }
         }
         run.dispatched |= last.execution != Execution::NotRun;
         run.undetermined |= last.execution == Execution::Unknown && !service.idempotent;
--- a/src/limpetmux/entry/stream.rs
+++ b/src/limpetmux/entry/stream.rs
@@ -5,7 +5,7 @@
 
 use super::pipeline::{self, Answer};
 use super::problem::Problem;
-use super::{Entry, Fleet, InFlight, Order, Trailer};
+use super::{Fleet, InFlight, Order, Trailer};
 use crate::util::hash::hash_bytes;
 use bytes::Bytes;
 use futures::StreamExt;
@@ -60,10 +60,10 @@
 }
 
 /// Starts a request and returns its events; the request is cancelled when the caller goes.
-pub(super) fn respond(entry: Arc<Entry>, fleet: Arc<Fleet>, order: Order) -> Response {
+pub(super) fn respond(inflight: InFlight, fleet: Arc<Fleet>, order: Order) -> Response {
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE);
     let sink = TokenSink(sender);
-    let task = AbortOnDrop(tokio::spawn(run(entry, fleet, order, sink)));
+    let task = AbortOnDrop(tokio::spawn(run(inflight, fleet, order, sink)));
     let events = ReceiverStream::new(receiver).map(move |event| {
         let _owner = &task;
         event
@@ -71,9 +71,9 @@
     SSE::new(events).into_response()
 }
 
-async fn run(entry: Arc<Entry>, fleet: Arc<Fleet>, order: Order, sink: TokenSink) {
-    let _inflight = InFlight::begin(&entry);
-    match pipeline::run(&entry, &fleet, &order, Some(&sink)).await {
+async fn run(inflight: InFlight, fleet: Arc<Fleet>, order: Order, sink: TokenSink) {
+    let entry = inflight.entry();
+    match pipeline::run(entry, &fleet, &order, Some(&sink)).await {
         Ok(answer) => {
             entry.counters.answered.fetch_add(1, Ordering::Relaxed);
             finish(&sink, answer).await;
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -6,8 +6,9 @@
 use crate::core::config::{Config, Name, NameError, StageKind};
 use crate::core::revision::Revision;
 use crate::core::view::View;
-use crate::entry::{Entry, EntryOptions, Limits};
-use crate::kernel::{Published, Publisher};
+use crate::entry::{Entry, EntryOptions, Limits, Members};
+use crate::kernel::{Kernel, KernelError, Published, Publisher};
+use crate::membership::{self, MembershipParts};
 use crate::sidecar::{Sidecar, SidecarOptions};
 use limpetmux_standins as standins;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -33,6 +34,9 @@
     /// The sample declares a malformed name.
     #[error("the sample deployment declares a malformed name")]
     Name(#[from] NameError),
+    /// A service cannot be registered.
+    #[error("cannot register a service")]
+    Kernel(#[from] KernelError),
     /// The HTTP client cannot be set up.
     #[error("cannot set up the HTTP client")]
     Client(#[from] reqwest::Error),
@@ -81,6 +85,8 @@
     pub view: Publisher<View>,
     /// The declared configuration.
     pub config: Config,
+    /// The services of the entry.
+    pub kernel: Kernel,
     stop: watch::Sender<bool>,
     servers: JoinSet<()>,
 }
@@ -153,14 +159,18 @@
             servers.spawn(async move { drop(server.await) });
             hosts.push(LocalHost { plan, addr, standin, sidecar });
         }
+        let kernel = Kernel::new();
+        let parts = MembershipParts { views: view.reader(), hosts: None };
+        let members = membership::start(&kernel, parts)?;
         let entry = Entry::start(EntryOptions {
             zone: Some(options.deployment.entry_zone()?),
             view: view.reader(),
+            members: Members(Some(members)),
             limits: Limits::default(),
         });
         let server = Arc::clone(&entry).serve(entry_listener, stopped(&stop), GRACE);
         servers.spawn(async move { drop(server.await) });
-        Ok(Self { entry, addr, hosts, view, config, stop, servers })
+        Ok(Self { entry, addr, hosts, view, config, kernel, stop, servers })
     }
 
     /// Returns the base URL of the entry.
--- a/src/limpetmux/node/mod.rs
+++ b/src/limpetmux/node/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod deployment;
 pub mod local;
+pub mod process;
 mod server;
 
 pub use server::{ServeError, serve_sidecar};
--- /dev/null
+++ b/src/limpetmux/node/process.rs
@@ -0,0 +1,168 @@
+//! The life of a process of either role, from its listeners to its report.
+
+use super::server::ServeError;
+use crate::admin::{AdminService, StatusFn};
+use crate::core::shutdown::{DrainReport, ShutdownOptions};
+use crate::entry::Entry;
+use crate::kernel::{Kernel, KernelError};
+use crate::shutdown::{ShutdownHooks, ShutdownPort, ShutdownService, register};
+use crate::sidecar::Sidecar;
+use futures::future::BoxFuture;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tonic::service::Routes;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+
+/// The most streams that one peer may have open on one connection.
+const MAX_STREAMS: u32 = 4_096;
+/// The time for closing connections once a drain has ended.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
+
+/// Why a process does not run.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum ProcessError {
+    /// A service cannot be registered.
+    #[error("cannot register a service")]
+    Kernel(#[from] KernelError),
+    /// A server failed.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Serve(#[from] ServeError),
+    /// The HTTP server of an entry failed.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Entry(#[from] crate::entry::EntryError),
+}
+
+/// Sends outstanding records to the platform; returns whether all arrived.
+pub type FlushFn = dyn Fn() -> BoxFuture<'static, bool> + Send + Sync;
+
+/// What both roles need beside themselves.
+pub struct ProcessParts {
+    /// The services of the process.
+    pub kernel: Arc<Kernel>,
+    /// The times of its shutdown.
+    pub times: ShutdownOptions,
+    /// Sends outstanding records to the platform at the end.
+    pub flush: Arc<FlushFn>,
+    /// Describes the process to operators.
+    pub status: Arc<StatusFn>,
+}
+
+/// A process that is ready to run.
+pub struct Process {
+    /// Orders the drain.
+    pub shutdown: ShutdownPort,
+    service: ShutdownService,
+    routes: Routes,
+}
+
+impl Process {
+    /// Prepares the process of a sidecar.
+    ///
+    /// # Errors
+    /// Returns [`KernelError::Taken`] if the kernel already has a shutdown service.
+    pub fn sidecar(sidecar: &Arc<Sidecar>, parts: ProcessParts) -> Result<Self, KernelError> {
+        let (refusing, running) = (Arc::clone(sidecar), Arc::clone(sidecar));
+        let hooks = ShutdownHooks {
+            unready: Arc::new(|| ()),
+            refuse: Arc::new(move || refusing.gate().set_draining(true)),
+            running: Arc::new(move || running.gate().inflight()),
+            flush: parts.flush,
+        };
+        let (service, shutdown) = register(&parts.kernel, parts.times, hooks)?;
+        let routes = Routes::new(sidecar.service());
+        let routes = routes.add_service(AdminService::server(shutdown.clone(), parts.status));
+        Ok(Self { shutdown, service, routes })
+    }
+
+    /// Prepares the process of an entry.
+    ///
+    /// # Errors
+    /// Returns [`KernelError::Taken`] if the kernel already has a shutdown service.
+    pub fn entry(entry: &Arc<Entry>, parts: ProcessParts) -> Result<Self, KernelError> {
+        let (unready, refusing) = (Arc::clone(entry), Arc::clone(entry));
+        let running = Arc::clone(entry);
+        let hooks = ShutdownHooks {
+            unready: Arc::new(move || unready.set_unready()),
+            refuse: Arc::new(move || refusing.set_draining(true)),
+            running: Arc::new(move || running.inflight()),
+            flush: parts.flush,
+        };
+        let (service, shutdown) = register(&parts.kernel, parts.times, hooks)?;
+        let routes = Routes::new(AdminService::server(shutdown.clone(), parts.status));
+        Ok(Self { shutdown, service, routes })
+    }
+
+    /// Adds a gRPC service of the process.
+    pub fn with(mut self, add: impl FnOnce(Routes) -> Routes) -> Self {
+        self.routes = add(self.routes);
+        self
+    }
+
+    /// Serves gRPC until `signal` or a drain order has ended the process.
+    ///
+    /// # Errors
+    /// Returns [`ServeError`] if the server fails.
+    pub async fn run(
+        self,
+        listener: TcpListener,
+        signal: impl Future<Output = ()> + Send,
+    ) -> Result<DrainReport, ServeError> {
+        let (drained, ended) = oneshot::channel::<()>();
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+        let server = Server::builder().max_concurrent_streams(MAX_STREAMS).add_routes(self.routes);
+        let server = server.serve_with_incoming_shutdown(incoming, async { drop(ended.await) });
+        tokio::pin!(server);
+        let report = tokio::select! {
+            report = self.service.run(signal) => report,
+            result = &mut server => {
+                result.map_err(ServeError::Grpc)?;
+                return Ok(DrainReport::default());
+            }
+        };
+        drop(drained);
+        // Connections that are still open then belong to what the report calls unfinished.
+        if let Ok(result) = tokio::time::timeout(CLOSE_TIME, server).await {
+            result.map_err(ServeError::Grpc)?;
+        }
+        Ok(report)
+    }
+}
+
+/// Runs the process of an entry: callers' HTTP on one listener, gRPC on the other.
+///
+/// # Errors
+/// Returns [`ProcessError`] if a server fails.
+pub async fn run_entry(
+    entry: Arc<Entry>,
+    process: Process,
+    listeners: EntryListeners,
+    signal: impl Future<Output = ()> + Send,
+) -> Result<DrainReport, ProcessError> {
+    let (drained, ended) = oneshot::channel::<()>();
+    let http = entry.serve(listeners.http, async { drop(ended.await) }, CLOSE_TIME);
+    tokio::pin!(http);
+    let report = tokio::select! {
+        report = process.run(listeners.grpc, signal) => report?,
+        result = &mut http => {
+            result?;
+            return Ok(DrainReport::default());
+        }
+    };
+    drop(drained);
+    http.await?;
+    Ok(report)
+}
+
+/// The listeners of an entry.
+pub struct EntryListeners {
+    /// For callers.
+    pub http: TcpListener,
+    /// For operators and peers.
+    pub grpc: TcpListener,
+}
