--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,7 +2,13 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
+mod admission;
+mod budget;
+mod config_fold;
+mod control;
+mod cost;
 mod kernel;
 mod path;
 mod planner;
+mod routing;
 mod standins;
