Admit attempts at the sidecar by core admission

The semaphore knew no cold start, fair share or time bound. The gate now drives core::admission (slow start, queue bounded by time, shares, priority) and meters cost by core::cost; a view change closes the gate and refuses waiting attempts at once.

--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -12,8 +12,8 @@
 pub mod cases;
 pub mod changes;
 pub mod config;
-pub mod http;
 pub mod fake_log;
+pub mod http;
 pub mod policy;
 pub mod sized;
 
--- /dev/null
+++ b/src/limpetmux/sidecar/admit.rs
@@ -0,0 +1,256 @@
+//! Drives [`Admission`] for one backend server: waiters, the wake-up timer and the cost meter.
+//!
+//! Requests of all entries meet here under one short lock. A waiting request is a ticket and a
+//! one-shot channel; each change of state asks admission for the next step and tells the waiters.
+
+use crate::core::admission::{
+    Admission, Admitted, Limits, Load, Offer, Outcome, Report, Step, Ticket,
+};
+use crate::core::config::ServiceSpec;
+use crate::core::cost::{Mark, Meter};
+use crate::core::time::Moment;
+use crate::core::verdict::{Refusal, RefusalCode};
+use crate::util::clock;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use tokio::sync::{oneshot, watch};
+
+/// What a sidecar assumes before it knows its service's declaration.
+const UNKNOWN_LIMITS: Limits =
+    Limits { concurrency: 1, cold: 1, warmup: std::time::Duration::from_secs(1), queue: 1 };
+
+struct State {
+    admission: Admission,
+    meter: Meter,
+    waiting: BTreeMap<Ticket, oneshot::Sender<Result<(), Refusal>>>,
+}
+
+struct Inner {
+    state: Mutex<State>,
+    wake: watch::Sender<Option<Moment>>,
+}
+
+/// The admission of one backend server, shared by its requests.
+pub(super) struct Admitter(Arc<Inner>);
+
+/// The right to one call on the backend server, given back when dropped.
+pub struct Permit {
+    inner: Arc<Inner>,
+    ticket: Ticket,
+    mark: Mark,
+    outcome: Outcome,
+    ended: bool,
+}
+
+/// Takes a request out of the queue if its caller goes while it waits.
+struct Waiting {
+    inner: Arc<Inner>,
+    ticket: Ticket,
+    armed: bool,
+}
+
+impl Admitter {
+    pub(super) fn new() -> Self {
+        let now = clock::now();
+        let state = State {
+            admission: Admission::new(now, UNKNOWN_LIMITS),
+            meter: Meter::new(now, 0),
+            waiting: BTreeMap::new(),
+        };
+        let (wake, moments) = watch::channel(None);
+        let inner = Arc::new(Inner { state: Mutex::new(state), wake });
+        tokio::spawn(wake_up(Arc::downgrade(&inner), moments));
+        Self(inner)
+    }
+
+    /// Takes over the declaration of the service.
+    pub(super) fn configure(&self, spec: &ServiceSpec) {
+        self.change(|state, now| {
+            state.admission.configure(Limits::of(spec));
+            state.meter.set_price(now, spec.price);
+        });
+    }
+
+    /// Opens or closes the gate; closing refuses all waiting requests at once.
+    pub(super) fn set_open(&self, serving: bool, draining: bool) {
+        self.change(|state, _| {
+            state.admission.set_zone(serving);
+            state.admission.set_draining(draining);
+        });
+    }
+
+    /// Takes in a report of the backend server.
+    pub(super) fn observe(&self, report: Report) {
+        self.change(|state, now| state.admission.observe(now, report));
+    }
+
+    /// Returns the load as entries are told it.
+    pub(super) fn load(&self) -> Load {
+        self.0.lock().admission.load()
+    }
+
+    /// Returns whether no call runs or waits.
+    pub(super) fn is_idle(&self) -> bool {
+        self.0.lock().admission.is_idle()
+    }
+
+    /// Waits for the right to one call.
+    ///
+    /// # Errors
+    /// Returns a refusal that is proven to have run nothing.
+    pub(super) async fn admit(&self, offer: Offer) -> Result<Permit, Refusal> {
+        let (ticket, answer) = {
+            let mut state = self.0.lock();
+            let now = clock::now();
+            let decision = state.admission.offer(now, offer);
+            let queued = match decision {
+                Admitted::Queued(ticket) => {
+                    let (sender, answer) = oneshot::channel();
+                    state.waiting.insert(ticket, sender);
+                    Some((ticket, answer))
+                }
+                Admitted::Start(_) | Admitted::Refused(_) => None,
+            };
+            self.0.step(&mut state, now);
+            match (decision, queued) {
+                (_, Some(queued)) => queued,
+                (Admitted::Refused(refusal), None) => return Err(refusal),
+                (Admitted::Start(ticket) | Admitted::Queued(ticket), None) => {
+                    return Ok(self.0.permit(&mut state, now, ticket));
+                }
+            }
+        };
+        self.wait(ticket, answer).await
+    }
+
+    async fn wait(
+        &self,
+        ticket: Ticket,
+        answer: oneshot::Receiver<Result<(), Refusal>>,
+    ) -> Result<Permit, Refusal> {
+        let mut waiting = Waiting { inner: Arc::clone(&self.0), ticket, armed: true };
+        let answer = answer.await;
+        waiting.armed = false;
+        match answer {
+            Ok(Ok(())) => Ok(self.0.permit(&mut self.0.lock(), clock::now(), ticket)),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => Err(Refusal::not_run(RefusalCode::Unavailable)),
+        }
+    }
+
+    fn change(&self, change: impl FnOnce(&mut State, Moment)) {
+        let mut state = self.0.lock();
+        let now = clock::now();
+        change(&mut state, now);
+        self.0.step(&mut state, now);
+    }
+}
+
+impl Inner {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn permit(self: &Arc<Self>, state: &mut State, now: Moment, ticket: Ticket) -> Permit {
+        let mark = state.meter.enter(now);
+        let inner = Arc::clone(self);
+        Permit { inner, ticket, mark, outcome: Outcome::Cancelled, ended: false }
+    }
+
+    /// Tells waiting requests what admission has decided.
+    fn step(&self, state: &mut State, now: Moment) {
+        loop {
+            let Step { start, refused, wake } = state.admission.next(now);
+            for (ticket, refusal) in refused {
+                // A waiter that has gone needs no answer.
+                let _ = state.waiting.remove(&ticket).map(|w| w.send(Err(refusal)));
+            }
+            let mut gone = false;
+            for ticket in start {
+                let told = state.waiting.remove(&ticket).is_some_and(|w| w.send(Ok(())).is_ok());
+                if !told {
+                    state.admission.finish(now, ticket, Outcome::Cancelled);
+                    gone = true;
+                }
+            }
+            if !gone {
+                self.wake.send_if_modified(|w| std::mem::replace(w, wake) != wake);
+                return;
+            }
+        }
+    }
+}
+
+impl Permit {
+    /// Records the first output of the call.
+    pub fn first_output(&self) {
+        let mut state = self.inner.lock();
+        let now = clock::now();
+        state.admission.first_output(now, self.ticket);
+        self.inner.step(&mut state, now);
+    }
+
+    /// Ends the call and returns its cost in millionths of the accounting unit.
+    pub fn end(mut self, outcome: Outcome) -> u64 {
+        self.outcome = outcome;
+        self.finish()
+    }
+
+    fn finish(&mut self) -> u64 {
+        if std::mem::replace(&mut self.ended, true) {
+            return 0;
+        }
+        let mut state = self.inner.lock();
+        let now = clock::now();
+        let cost = state.meter.leave(now, self.mark);
+        state.admission.finish(now, self.ticket, self.outcome);
+        self.inner.step(&mut state, now);
+        cost
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.finish();
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        let mut state = self.inner.lock();
+        let now = clock::now();
+        state.waiting.remove(&self.ticket);
+        if state.admission.cancel(self.ticket) == crate::core::admission::Cancelled::Running {
+            state.admission.finish(now, self.ticket, Outcome::Cancelled);
+        }
+        self.inner.step(&mut state, now);
+    }
+}
+
+/// Asks admission for its next step at the moments that it names.
+async fn wake_up(inner: Weak<Inner>, mut moments: watch::Receiver<Option<Moment>>) {
+    loop {
+        let wake = *moments.borrow_and_update();
+        let sleep = async {
+            match wake {
+                Some(at) => tokio::time::sleep(clock::now().until(at)).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = sleep => {
+                let Some(inner) = inner.upgrade() else { return };
+                let mut state = inner.lock();
+                inner.step(&mut state, clock::now());
+            }
+            changed = moments.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
--- a/src/limpetmux/sidecar/gate.rs
+++ b/src/limpetmux/sidecar/gate.rs
@@ -1,163 +1,186 @@
 //! Decides whether an attempt may reach the backend server.
 
+use super::admit::{Admitter, Permit};
 use crate::adapters::backend::LoadReport;
+use crate::core::admission::{FlowId, Load, Offer, Report};
 use crate::core::config::{Name, ServiceSpec};
+use crate::core::keys::{HostKey, ServiceKey};
 use crate::core::revision::Revision;
 use crate::core::verdict::{Refusal, RefusalCode};
 use crate::core::view::View;
 use crate::kernel::Published;
-use crate::wire::stage;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use crate::util::clock;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
 /// How long a refused entry should wait before it asks this host again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
-/// The most calls that a backend server may be declared to run at once.
-const CONCURRENCY_CEILING: usize = 65_536;
 
 /// The gate of one backend server.
 pub struct Gate {
     host: Name,
     view: Published<View>,
     draining: AtomicBool,
-    report: Mutex<Option<LoadReport>>,
-    slots: Arc<Semaphore>,
-    limit: AtomicU32,
-    inflight: Arc<AtomicU32>,
-    queued: AtomicU32,
+    admitter: Admitter,
+}
+
+/// What an attempt says about itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Claimant<'a> {
+    /// The workspace that asks.
+    pub workspace: &'a str,
+    /// The pipeline.
+    pub pipeline: &'a str,
+    /// The stage's position in the pipeline.
+    pub stage: u32,
+    /// Higher runs first.
+    pub priority: u32,
+    /// The most tokens to generate.
+    pub tokens: u32,
 }
 
 /// What the gate found out about an attempt that it lets pass.
 #[derive(Clone, Debug)]
 pub struct Admitted {
-    /// The declaration of the service.
-    pub service: ServiceSpec,
-    /// The revision that the verdict is based on.
-    pub revision: Revision,
-}
-
-/// The right to one call on the backend server, given back when dropped.
-#[derive(Debug)]
-pub struct Permit {
-    _slot: OwnedSemaphorePermit,
-    inflight: Arc<AtomicU32>,
+    /// The view that the verdict is based on.
+    pub view: Arc<View>,
+    /// The service of the host.
+    pub service: ServiceKey,
+    flow: FlowId,
+    weight: u32,
+    priority: u8,
+    work: u32,
 }
 
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.inflight.fetch_sub(1, Ordering::Relaxed);
+impl Admitted {
+    /// Returns the declaration of the service.
+    pub fn spec(&self) -> &ServiceSpec {
+        &self.view.services[self.service].spec
     }
 }
 
 impl Gate {
     /// Creates the gate of a host.
     pub fn new(host: Name, view: Published<View>) -> Self {
-        Self {
-            host,
-            view,
-            draining: AtomicBool::new(false),
-            report: Mutex::new(None),
-            slots: Arc::new(Semaphore::new(0)),
-            limit: AtomicU32::new(0),
-            inflight: Arc::default(),
-            queued: AtomicU32::new(0),
-        }
+        let draining = AtomicBool::new(false);
+        let gate = Self { host, view, draining, admitter: Admitter::new() };
+        gate.adopt();
+        gate
     }
 
-    /// Stops or resumes the acceptance of new attempts.
+    /// Stops or resumes the acceptance of new attempts; stopping refuses all waiting ones.
     pub fn set_draining(&self, draining: bool) {
         self.draining.store(draining, Ordering::Release);
+        self.adopt();
     }
 
     /// Returns the number of calls that run on the backend server.
     pub fn inflight(&self) -> u32 {
-        self.inflight.load(Ordering::Relaxed)
+        self.admitter.load().inflight
+    }
+
+    /// Returns whether no call runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.admitter.is_idle()
+    }
+
+    /// Returns a reader of the configuration in force.
+    pub(super) fn views(&self) -> Published<View> {
+        self.view.clone()
+    }
+
+    /// Takes over limits, price and openness from the configuration in force.
+    pub(super) fn adopt(&self) {
+        let view = self.view.load();
+        let draining = self.draining.load(Ordering::Acquire);
+        let Some(host) = view.host(self.host.as_str()) else {
+            self.admitter.set_open(true, draining);
+            return;
+        };
+        let row = &view.hosts[host];
+        self.admitter.configure(&view.services[row.service].spec);
+        self.admitter.set_open(view.zones[row.zone].serving, draining || !row.running);
     }
 
     /// Checks an attempt against the configuration in force on this host.
     ///
     /// # Errors
     /// Returns a refusal that is proven to have run nothing.
-    pub fn check(&self, pipeline: &str, stage: u32) -> Result<Admitted, Refusal> {
-        let refuse = |code| Err(Refusal::not_run(code).retry_in(RETRY_AFTER));
+    pub fn check(&self, claimant: Claimant<'_>) -> Result<Admitted, Refusal> {
+        let view = self.view.load();
+        let host = self.check_host(&view)?;
+        let service = view.hosts[host].service;
+        let position = usize::try_from(claimant.stage).unwrap_or(usize::MAX);
+        let stage = view
+            .pipeline(claimant.pipeline)
+            .and_then(|p| view.pipelines[p].stages.get(position))
+            .filter(|s| s.service == service);
+        let workspace = view.workspace(claimant.workspace);
+        let (Some(_), Some(workspace)) = (stage, workspace) else {
+            return Err(refuse(RefusalCode::Stale));
+        };
+        let row = &view.workspaces[workspace];
+        Ok(Admitted {
+            flow: FlowId::of(&row.name),
+            weight: row.weight,
+            priority: u8::try_from(claimant.priority).unwrap_or(u8::MAX),
+            work: claimant.tokens,
+            service,
+            view,
+        })
+    }
+
+    fn check_host(&self, view: &View) -> Result<HostKey, Refusal> {
         if self.draining.load(Ordering::Acquire) {
-            return refuse(RefusalCode::Draining);
+            return Err(refuse(RefusalCode::Draining));
         }
-        let view = self.view.load();
         if view.revision == Revision::EMPTY {
-            return refuse(RefusalCode::Unconfigured);
+            return Err(refuse(RefusalCode::Unconfigured));
         }
-        let Some(host) = view.host(self.host.as_str()) else {
-            return refuse(RefusalCode::Stale);
-        };
+        let host = view.host(self.host.as_str()).ok_or(refuse(RefusalCode::Stale))?;
         let row = &view.hosts[host];
         if !view.zones[row.zone].serving {
-            return refuse(RefusalCode::ZoneOut);
+            return Err(refuse(RefusalCode::ZoneOut));
         }
         if !row.running {
-            return refuse(RefusalCode::Draining);
-        }
-        let declared = view.pipeline(pipeline).and_then(|p| {
-            view.pipelines[p].stages.get(usize::try_from(stage).unwrap_or(usize::MAX))
-        });
-        match declared {
-            Some(declared) if declared.service == row.service => {
-                let service = view.services[row.service].spec.clone();
-                Ok(Admitted { service, revision: view.revision })
-            }
-            _ => refuse(RefusalCode::Stale),
+            return Err(refuse(RefusalCode::Draining));
         }
+        Ok(host)
     }
 
     /// Waits for room on the backend server.
     ///
     /// # Errors
-    /// Returns a refusal that is proven to have run nothing once the deadline has passed.
+    /// Returns a refusal that is proven to have run nothing.
     pub async fn admit(&self, admitted: &Admitted, deadline: Instant) -> Result<Permit, Refusal> {
-        self.follow(admitted.service.concurrency);
-        self.queued.fetch_add(1, Ordering::Relaxed);
-        let slot = tokio::time::timeout_at(deadline, Arc::clone(&self.slots).acquire_owned()).await;
-        self.queued.fetch_sub(1, Ordering::Relaxed);
-        let Ok(Ok(slot)) = slot else {
-            return Err(Refusal::not_run(RefusalCode::Overloaded).retry_in(RETRY_AFTER));
+        let left = deadline.saturating_duration_since(Instant::now());
+        let offer = Offer {
+            flow: admitted.flow,
+            weight: admitted.weight,
+            priority: admitted.priority,
+            work: admitted.work,
+            deadline: clock::now() + left,
         };
-        self.inflight.fetch_add(1, Ordering::Relaxed);
-        Ok(Permit { _slot: slot, inflight: Arc::clone(&self.inflight) })
+        self.admitter.admit(offer).await
     }
 
-    /// Stores a new report of the backend server.
-    pub fn observe(&self, report: Option<LoadReport>) {
-        *self.report.lock().unwrap_or_else(PoisonError::into_inner) = report;
+    /// Takes in a report of the backend server.
+    pub fn observe(&self, report: LoadReport) {
+        self.admitter.observe(Report {
+            incarnation: report.incarnation,
+            cold: report.cold,
+            age: Duration::from_millis(report.age_ms),
+        });
     }
 
     /// Returns the load as entries are told it.
-    pub fn load(&self) -> stage::Load {
-        let report = *self.report.lock().unwrap_or_else(PoisonError::into_inner);
-        stage::Load {
-            inflight: self.inflight(),
-            queued: self.queued.load(Ordering::Relaxed),
-            limit: self.limit.load(Ordering::Relaxed),
-            cold: report.is_some_and(|r| r.cold),
-            draining: self.draining.load(Ordering::Acquire),
-            incarnation: report.map_or(0, |r| r.incarnation),
-            first_us: 0,
-        }
-    }
-
-    fn follow(&self, concurrency: u32) {
-        let old = self.limit.swap(concurrency, Ordering::Relaxed);
-        let (old, new) = (clamp(old), clamp(concurrency));
-        if new > old {
-            self.slots.add_permits(new - old);
-        } else if old > new {
-            self.slots.forget_permits(old - new);
-        }
+    pub fn load(&self) -> Load {
+        self.admitter.load()
     }
 }
 
-fn clamp(concurrency: u32) -> usize {
-    usize::try_from(concurrency).unwrap_or(CONCURRENCY_CEILING).min(CONCURRENCY_CEILING)
+fn refuse(code: RefusalCode) -> Refusal {
+    Refusal::not_run(code).retry_in(RETRY_AFTER)
 }
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -6,6 +6,7 @@
 //! task follows the load and the incarnation of the backend server. See
 //! `docs/design/requests.md`.
 
+mod admit;
 mod attempts;
 mod gate;
 mod output;
@@ -13,8 +14,9 @@
 mod run;
 mod service;
 
+pub use admit::Permit;
 pub use attempts::{Attempts, Cancelled};
-pub use gate::{Admitted, Gate, Permit};
+pub use gate::{Admitted, Claimant, Gate};
 pub use output::{FrameWriter, Gone, Output};
 pub use run::{Attempt, Usage, run_attempt};
 pub use service::StageService;
@@ -24,7 +26,7 @@
 use crate::core::view::View;
 use crate::kernel::Published;
 use crate::wire::stage;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 
 /// What a sidecar needs to start.
 pub struct SidecarOptions {
@@ -54,6 +56,7 @@
             attempts: Attempts::default(),
         });
         tokio::spawn(probe::run(Arc::downgrade(&sidecar)));
+        tokio::spawn(follow(Arc::downgrade(&sidecar), sidecar.gate.views()));
         sidecar
     }
 
@@ -67,3 +70,11 @@
         &self.gate
     }
 }
+
+/// Adopts every new configuration until the sidecar is dropped.
+async fn follow(sidecar: Weak<Sidecar>, mut views: Published<View>) {
+    while views.changed().await {
+        let Some(sidecar) = sidecar.upgrade() else { return };
+        sidecar.gate.adopt();
+    }
+}
--- a/src/limpetmux/sidecar/probe.rs
+++ b/src/limpetmux/sidecar/probe.rs
@@ -14,7 +14,8 @@
     loop {
         ticks.tick().await;
         let Some(sidecar) = sidecar.upgrade() else { return };
-        let report = (sidecar.backend.load)().await;
-        sidecar.gate.observe(report.ok());
+        if let Ok(report) = (sidecar.backend.load)().await {
+            sidecar.gate.observe(report);
+        }
     }
 }
--- a/src/limpetmux/sidecar/run.rs
+++ b/src/limpetmux/sidecar/run.rs
@@ -1,8 +1,9 @@
 //! Runs one admitted attempt on the backend server.
 
 use super::attempts::Registration;
-use super::{Admitted, Gone, Output, Sidecar};
+use super::{Admitted, Gone, Output, Permit, Sidecar};
 use crate::adapters::backend::{BackendError, Job};
+use crate::core::admission::Outcome;
 use crate::core::verdict::{Execution, Refusal, RefusalCode};
 use futures::StreamExt;
 use std::time::Duration;
@@ -54,23 +55,40 @@
     registration.dispatch().map_err(|_| Refusal::not_run(RefusalCode::Cancelled))?;
     let started = Instant::now();
     let result = tokio::select! {
-        result = call(sidecar, attempt.job, output) => result,
+        result = call(sidecar, attempt.job, &permit, output) => result,
         _ = &mut cancel => Err(Refusal::unknown(RefusalCode::Cancelled)),
         () = tokio::time::sleep_until(attempt.deadline) => {
             Err(Refusal::unknown(RefusalCode::Deadline))
         }
     };
-    drop(permit);
+    let cost = permit.end(outcome_of(&result));
     result?;
     let busy = started.elapsed();
     let queued = started.saturating_duration_since(attempt.arrived);
-    let service = &attempt.admitted.service;
-    let cost = share_of_price(service.price, busy, service.concurrency);
     Ok(Usage { queued, busy, cost })
 }
 
-async fn call(sidecar: &Sidecar, job: Job, output: &mut Output) -> Result<(), Refusal> {
+fn outcome_of(result: &Result<(), Refusal>) -> Outcome {
+    match result {
+        Ok(()) => Outcome::Done,
+        Err(refusal) => match refusal.code {
+            RefusalCode::Overloaded => Outcome::Saturated,
+            RefusalCode::Cancelled | RefusalCode::Deadline | RefusalCode::Stale => {
+                Outcome::Cancelled
+            }
+            _ => Outcome::Failed,
+        },
+    }
+}
+
+async fn call(
+    sidecar: &Sidecar,
+    job: Job,
+    permit: &Permit,
+    output: &mut Output,
+) -> Result<(), Refusal> {
     let mut chunks = (sidecar.backend.run)(job).await.map_err(|e| refusal_of(&e))?;
+    let mut is_first = true;
     loop {
         let chunk = tokio::select! {
             chunk = chunks.next() => chunk,
@@ -78,6 +96,9 @@
         };
         let Some(chunk) = chunk else { return Ok(()) };
         let chunk = chunk.map_err(|e| refusal_of(&e))?;
+        if std::mem::take(&mut is_first) {
+            permit.first_output();
+        }
         let delivered = output.deliver(chunk).await;
         delivered.map_err(|Gone| Refusal::unknown(RefusalCode::Cancelled))?;
     }
@@ -93,10 +114,3 @@
     };
     Refusal { code, execution, retry_after }
 }
-
-/// Returns one slot's share of the backend server's price for the time that the call took.
-fn share_of_price(price: u64, busy: Duration, concurrency: u32) -> u64 {
-    let micros = busy.as_micros().saturating_mul(u128::from(price));
-    let share = micros / (1_000_000 * u128::from(concurrency.max(1)));
-    u64::try_from(share).unwrap_or(u64::MAX)
-}
--- a/src/limpetmux/sidecar/service.rs
+++ b/src/limpetmux/sidecar/service.rs
@@ -1,7 +1,7 @@
 //! The gRPC face of the sidecar.
 
 use super::output::FrameResult;
-use super::{Attempt, FrameWriter, Output, Sidecar, Usage, run_attempt};
+use super::{Attempt, Claimant, FrameWriter, Output, Sidecar, Usage, run_attempt};
 use crate::adapters::backend::Job;
 use crate::core::frames::AttemptKey;
 use crate::core::verdict::{Refusal, RefusalCode};
@@ -62,7 +62,7 @@
         &self,
         _request: Request<stage::ProbeRequest>,
     ) -> Result<Response<stage::Load>, Status> {
-        Ok(Response::new(self.sidecar.gate.load()))
+        Ok(Response::new(self.sidecar.gate.load().into()))
     }
 }
 
@@ -79,8 +79,8 @@
     let Output::Frames(mut writer) = output else { return };
     // An entry that has gone needs no close.
     let _ = match result {
-        Ok(usage) => writer.done(done(usage, sidecar.gate.load())).await,
-        Err(refusal) => writer.refused(refusal, sidecar.gate.load()).await,
+        Ok(usage) => writer.done(done(usage, sidecar.gate.load().into())).await,
+        Err(refusal) => writer.refused(refusal, sidecar.gate.load().into()).await,
     };
 }
 
@@ -91,14 +91,21 @@
     arrived: Instant,
     output: &mut Output,
 ) -> Result<Usage, Refusal> {
-    let admitted = sidecar.gate.check(&request.pipeline, u32::from(key.stage.0))?;
+    let claimant = Claimant {
+        workspace: &request.workspace,
+        pipeline: &request.pipeline,
+        stage: u32::from(key.stage.0),
+        priority: request.priority,
+        tokens: request.max_tokens,
+    };
+    let admitted = sidecar.gate.check(claimant)?;
     let cancelled = |_| Refusal::not_run(RefusalCode::Cancelled);
     let (registration, cancel) = sidecar.attempts.begin(key).map_err(cancelled)?;
     let deadline = arrived + Duration::from_micros(request.remaining_us);
     let job = Job {
         key,
-        kind: admitted.service.kind,
-        model: admitted.service.model.clone(),
+        kind: admitted.spec().kind,
+        model: admitted.spec().model.clone(),
         input: request.input,
         prefix: request.prefix,
         tokens: request.max_tokens,
--- a/src/limpetmux/wire/convert.rs
+++ b/src/limpetmux/wire/convert.rs
@@ -1,6 +1,7 @@
 //! Conversions between the messages of the stage protocol and the types of `core`.
 
 use super::stage;
+use crate::core::admission::Load;
 use crate::core::frames::{AttemptKey, Close, RequestId};
 use crate::core::keys::StageIndex;
 use crate::core::verdict::{Execution, Refusal, RefusalCode};
@@ -50,6 +51,34 @@
     }
 }
 
+impl From<Load> for stage::Load {
+    fn from(load: Load) -> Self {
+        Self {
+            inflight: load.inflight,
+            queued: load.queued,
+            limit: load.limit,
+            cold: load.cold,
+            draining: load.draining,
+            incarnation: load.incarnation,
+            first_us: micros(load.first),
+        }
+    }
+}
+
+impl From<&stage::Load> for Load {
+    fn from(load: &stage::Load) -> Self {
+        Self {
+            inflight: load.inflight,
+            queued: load.queued,
+            limit: load.limit,
+            cold: load.cold,
+            draining: load.draining,
+            incarnation: load.incarnation,
+            first: Duration::from_micros(load.first_us),
+        }
+    }
+}
+
 /// Writes a refusal as a message.
 pub fn refused(refusal: Refusal, load: Option<stage::Load>) -> stage::Refused {
     stage::Refused {
