Decide hosts, retries, deadlines and shares at the entry by core

Least in-flight knew neither load of others, age, affinity nor zones. The entry now asks core::routing, core::budget and core::cost through one policy lock: early refusal, stage deadlines, paid retries, hedges of short idempotent stages, workspace limits, cost ledger. What can have run is tracked per attempt.

--- a/src/limpetmux/entry/attempt.rs
+++ b/src/limpetmux/entry/attempt.rs
@@ -1,6 +1,7 @@
 //! Runs one attempt of one stage on the sidecar of a host.
 
 use super::link::Link;
+use crate::core::admission::Load;
 use crate::core::frames::{Assembler, AttemptKey, FrameFault, Step};
 use crate::core::verdict::{Execution, Refusal, RefusalCode};
 use crate::wire::stage::frame::Kind;
@@ -10,12 +11,6 @@
 use tonic::Status;
 use tonic::transport::Channel;
 
-/// What a whole attempt reported at its close.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Closed {
-    pub(super) done: stage::Done,
-}
-
 /// Why an attempt gave no whole answer.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum AttemptError {
@@ -80,46 +75,59 @@
 }
 
 /// Sends an attempt and hands each piece of its answer to `deliver` in order.
+///
+/// The second value is the load that the sidecar reported at the close, if it did.
 pub(super) async fn run_attempt<Fut: Future<Output = bool>>(
     link: &Link,
     key: AttemptKey,
     request: stage::RunRequest,
     mut deliver: impl FnMut(Bytes) -> Fut,
-) -> Result<Closed, AttemptError> {
-    let _running = link.begin();
-    let missing = || AttemptError::Refused(Refusal::not_run(RefusalCode::Unavailable));
-    let mut client = link.client().ok_or_else(missing)?;
+) -> (Result<stage::Done, AttemptError>, Option<Load>) {
+    let Some(client) = link.client() else {
+        let refusal = Refusal::not_run(RefusalCode::Unavailable);
+        return (Err(AttemptError::Refused(refusal)), None);
+    };
     let mut guard = CancelGuard { key, client: Some(client.clone()) };
-    let result = client.run(request).await;
-    let mut frames = result.map_err(|s| AttemptError::Transport(Box::new(s)))?.into_inner();
-    let mut assembler = Assembler::new(key);
-    loop {
-        let frame = frames.message().await.map_err(|s| AttemptError::Transport(Box::new(s)))?;
-        let Some(frame) = frame else {
+    match read_frames(client, key, request, &mut deliver).await {
+        Ok(Verdict::Done(done)) => {
             guard.client = None;
-            let fault = assembler.end();
-            return Err(fault.unwrap_or(FrameFault::Truncated { got: 0 }).into());
-        };
+            let load = done.load.as_ref().map(Load::from);
+            (Ok(done), load)
+        }
+        Ok(Verdict::Refused(refused)) => {
+            guard.client = None;
+            let load = refused.load.as_ref().map(Load::from);
+            (Err(AttemptError::Refused(convert::refusal(&refused))), load)
+        }
+        Ok(Verdict::Broken(fault)) => (Err(fault.into()), None),
+        Ok(Verdict::Deliver(_) | Verdict::Ignore) => (Err(AttemptError::CallerGone), None),
+        Err(status) => (Err(AttemptError::Transport(Box::new(status))), None),
+    }
+}
+
+/// Reads frames up to the verdict that ends the attempt.
+///
+/// A verdict of [`Verdict::Deliver`] means that its piece was not taken.
+async fn read_frames<Fut: Future<Output = bool>>(
+    mut client: StageClient<Channel>,
+    key: AttemptKey,
+    request: stage::RunRequest,
+    deliver: &mut impl FnMut(Bytes) -> Fut,
+) -> Result<Verdict, Status> {
+    let mut frames = client.run(request).await?.into_inner();
+    let mut assembler = Assembler::new(key);
+    while let Some(frame) = frames.message().await? {
         match judge(&mut assembler, frame) {
+            Verdict::Ignore => {}
             Verdict::Deliver(payload) => {
-                if !deliver(payload).await {
-                    return Err(AttemptError::CallerGone);
+                if !deliver(payload.clone()).await {
+                    return Ok(Verdict::Deliver(payload));
                 }
             }
-            Verdict::Ignore => {}
-            Verdict::Done(done) => {
-                guard.client = None;
-                done.load.iter().for_each(|load| link.observe(load));
-                return Ok(Closed { done });
-            }
-            Verdict::Refused(refused) => {
-                guard.client = None;
-                refused.load.iter().for_each(|load| link.observe(load));
-                return Err(AttemptError::Refused(convert::refusal(&refused)));
-            }
-            Verdict::Broken(fault) => return Err(fault.into()),
+            last => return Ok(last),
         }
     }
+    Ok(assembler.end().map_or(Verdict::Ignore, Verdict::Broken))
 }
 
 enum Verdict {
--- a/src/limpetmux/entry/link.rs
+++ b/src/limpetmux/entry/link.rs
@@ -1,9 +1,7 @@
-//! The connection to one sidecar and what this entry knows of its load.
+//! The connection to one sidecar.
 
-use crate::wire::stage;
 use crate::wire::stage::stage_client::StageClient;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tonic::transport::{Channel, Endpoint};
 
@@ -19,17 +17,6 @@
 pub struct Link {
     addr: SocketAddr,
     client: Option<StageClient<Channel>>,
-    inflight: AtomicU32,
-}
-
-/// Counts an attempt on a link until dropped.
-#[derive(Debug)]
-pub struct Running<'a>(&'a Link);
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        self.0.inflight.fetch_sub(1, Ordering::Relaxed);
-    }
 }
 
 impl Link {
@@ -45,7 +32,7 @@
                 .connect_lazy();
             StageClient::new(channel)
         });
-        Self { addr, client, inflight: AtomicU32::new(0) }
+        Self { addr, client }
     }
 
     /// Returns the address of the sidecar.
@@ -57,18 +44,4 @@
     pub fn client(&self) -> Option<StageClient<Channel>> {
         self.client.clone()
     }
-
-    /// Returns the number of this entry's attempts on the sidecar.
-    pub fn inflight(&self) -> u32 {
-        self.inflight.load(Ordering::Relaxed)
-    }
-
-    /// Counts an attempt.
-    pub fn begin(&self) -> Running<'_> {
-        self.inflight.fetch_add(1, Ordering::Relaxed);
-        Running(self)
-    }
-
-    /// Takes note of a load that the sidecar reported.
-    pub fn observe(&self, _load: &stage::Load) {}
 }
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -1,8 +1,8 @@
 //! The entry: takes callers' HTTP requests, runs pipelines and streams answers.
 //!
 //! [`http`] reads and checks a request, [`pipeline`] runs its stages one after another, [`stage`]
-//! gives each stage its attempts, [`pick`] is the one place that chooses a host, and [`attempt`]
-//! speaks to the sidecar of that host. All of them read one [`Fleet`], which is rebuilt whenever a
+//! gives each stage its attempts and is the one place that chooses a host, by the decisions of
+//! [`policy`], and [`attempt`] speaks to the sidecar of that host. All of them read one [`Fleet`], which is rebuilt whenever a
 //! new configuration is published, without waiting for the control thread. See
 //! `docs/design/requests.md`.
 
@@ -12,9 +12,11 @@
 mod http;
 mod link;
 mod order;
-mod pick;
 mod pipeline;
+mod policy;
+mod probe;
 mod problem;
+mod progress;
 mod stage;
 mod stream;
 
@@ -22,12 +24,14 @@
 pub use fleet::Fleet;
 pub use link::Link;
 pub use order::{Limits, Order, OrderError};
-pub use pick::{Choice, choose_host};
 pub use problem::Problem;
 
+use crate::core::budget::TimesError;
 use crate::core::config::Name;
+use crate::core::cost::CostRow;
 use crate::core::view::View;
 use crate::kernel::Published;
+use policy::Policy;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -37,8 +41,10 @@
 
 /// What an entry needs to start.
 pub struct EntryOptions {
-    /// The availability zone that the entry stands in, if any; its hosts are preferred.
-    pub zone: Option<Name>,
+    /// The availability zone that the entry stands in; its hosts are preferred.
+    pub zone: Name,
+    /// The number of the entry among the entries of its zone, counted from zero.
+    pub ordinal: u32,
     /// The configuration in force.
     pub view: Published<View>,
     /// The limits on callers' requests.
@@ -47,7 +53,7 @@
 
 /// The state of one entry, shared by all its requests.
 pub struct Entry {
-    pub(crate) zone: Option<Name>,
+    pub(crate) policy: Policy,
     pub(crate) fleet: Published<Fleet>,
     pub(crate) limits: Limits,
     pub(crate) counters: Counters,
@@ -69,22 +75,30 @@
 /// A failure of the entry's HTTP server.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum EntryError {
+    /// The record of stage durations cannot be created.
+    #[error("cannot set up the entry")]
+    Times(#[from] TimesError),
     /// The HTTP server stopped.
     #[error("the HTTP server of the entry stopped")]
     Serve(#[source] std::io::Error),
 }
 
 impl Entry {
-    /// Creates the state and starts to follow the configuration.
-    pub fn start(options: EntryOptions) -> Arc<Self> {
-        Arc::new(Self {
-            zone: options.zone,
+    /// Creates the state and starts to follow the configuration and to probe hosts.
+    ///
+    /// # Errors
+    /// Returns [`EntryError::Times`] if the record of stage durations cannot be created.
+    pub fn start(options: EntryOptions) -> Result<Arc<Self>, EntryError> {
+        let entry = Arc::new(Self {
+            policy: Policy::new(&options)?,
             fleet: fleet::follow(options.view),
             limits: options.limits,
             counters: Counters::default(),
             draining: AtomicBool::new(false),
             inflight: AtomicU32::new(0),
-        })
+        });
+        tokio::spawn(probe::run(Arc::downgrade(&entry)));
+        Ok(entry)
     }
 
     /// Serves callers on a listener until `stop` is ready, then finishes the running requests.
@@ -116,6 +130,11 @@
         self.inflight.load(Ordering::Relaxed)
     }
 
+    /// Returns the cost so far by workspace, pipeline and stage.
+    pub fn costs(&self) -> Vec<CostRow> {
+        self.policy.costs()
+    }
+
     /// Returns the counts of requests.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/src/limpetmux/entry/pipeline.rs
+++ b/src/limpetmux/entry/pipeline.rs
@@ -1,26 +1,26 @@
 //! Runs the stages of one request under its deadline.
 
 use super::answer::{StageTrailer, Trailer};
-use super::stage::{StageRun, run_stage};
+use super::progress::Progress;
+use super::stage::{Scene, StageRun, run_stage};
 use super::stream::TokenSink;
 use super::{Entry, Fleet, Order};
+use crate::core::budget::StageId;
 use crate::core::config::StageKind;
-use crate::core::keys::{StageIndex, ZoneKey};
-use crate::core::verdict::{Execution, Refusal, RefusalCode};
+use crate::core::keys::StageIndex;
+use crate::core::verdict::{Refusal, RefusalCode};
+use crate::core::view::StageRow;
+use crate::util::clock;
 use bytes::Bytes;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// One request in progress.
 pub(super) struct Run<'a> {
+    pub(super) entry: &'a Entry,
     pub(super) fleet: &'a Fleet,
     pub(super) order: &'a Order,
-    pub(super) zone: Option<ZoneKey>,
-    pub(super) deadline: Instant,
-    /// Whether any backend server may have been asked.
-    pub(super) dispatched: bool,
-    /// Whether the outcome of a stage that may not be repeated is not known.
-    pub(super) undetermined: bool,
+    pub(super) progress: Progress,
 }
 
 /// A whole answer.
@@ -42,71 +42,53 @@
     order: &Order,
     sink: Option<&TokenSink>,
 ) -> Result<Answer, Refusal> {
+    let _share = entry.policy.enter(&fleet.view.workspaces[order.workspace])?;
     let started = Instant::now();
-    let zone = entry.zone.as_ref().and_then(|z| fleet.view.zone(z.as_str()));
-    let deadline = started + order.deadline;
-    let mut run = Run { fleet, order, zone, deadline, dispatched: false, undetermined: false };
-    let result = tokio::time::timeout_at(deadline, run_stages(&mut run, started, sink)).await;
-    let refusal = match result {
-        Ok(Ok(answer)) => return Ok(answer),
-        Ok(Err(refusal)) => refusal,
-        Err(_) => {
-            // The attempt that was cut off may have reached its backend server.
-            run.dispatched = true;
-            run.undetermined |= !is_repeatable(&run);
-            Refusal::unknown(RefusalCode::Deadline)
-        }
-    };
-    Err(final_refusal(&run, refusal))
-}
-
-fn is_repeatable(run: &Run<'_>) -> bool {
-    let stages = &run.fleet.view.pipelines[run.order.pipeline].stages;
-    stages.iter().all(|s| run.fleet.view.services[s.service].spec.idempotent)
-}
-
-/// States how much of the whole request can have run.
-fn final_refusal(run: &Run<'_>, refusal: Refusal) -> Refusal {
-    let execution = if run.undetermined {
-        Execution::Unknown
-    } else if run.dispatched {
-        Execution::PartlyRun
-    } else {
-        Execution::NotRun
-    };
-    Refusal { execution, ..refusal }
+    let run = Run { entry, fleet, order, progress: Progress::default() };
+    let stages = run_stages(&run, started, sink);
+    let result = tokio::time::timeout_at(started + order.deadline, stages).await;
+    let result = result.unwrap_or(Err(Refusal::unknown(RefusalCode::Deadline)));
+    result.map_err(|refusal| Refusal { execution: run.progress.execution(), ..refusal })
 }
 
 async fn run_stages(
-    run: &mut Run<'_>,
+    run: &Run<'_>,
     started: Instant,
     sink: Option<&TokenSink>,
 ) -> Result<Answer, Refusal> {
-    let count = run.fleet.view.pipelines[run.order.pipeline].stages.len();
+    let row = &run.fleet.view.pipelines[run.order.pipeline];
+    let ids: Vec<StageId> = row.stages.iter().map(|s| StageId::of(&row.name, &s.name)).collect();
+    let deadline = clock::now() + run.order.deadline;
+    run.entry.policy.check(deadline, &ids)?;
     let mut input = run.order.input.clone();
-    let mut stages = Vec::with_capacity(count);
-    for position in 0..count {
-        let index = StageIndex(u8::try_from(position).unwrap_or(u8::MAX));
-        let is_last = position + 1 == count;
-        let stage = run_stage(run, index, &input, sink.filter(|_| is_last)).await?;
-        run.dispatched = true;
-        stages.push(trailer_of(run, index, &stage));
-        let is_text = kind_of(run, index) == StageKind::Generate;
+    let mut trailers = Vec::with_capacity(ids.len());
+    for (position, stage_row) in row.stages.iter().enumerate() {
+        let is_last = position + 1 == row.stages.len();
+        let scene = Scene {
+            run,
+            index: StageIndex(u8::try_from(position).unwrap_or(u8::MAX)),
+            row: stage_row,
+            id: ids[position],
+            deadline: run.entry.policy.stage_deadline(deadline, &ids[position + 1..]),
+            input,
+            sink: sink.filter(|_| is_last),
+        };
+        let begun = Instant::now();
+        let stage = run_stage(&scene).await?;
+        trailers.push(complete(&scene, &stage, begun.elapsed()));
+        let is_text = kind_of(run, stage_row) == StageKind::Generate;
         if is_last {
-            let trailer = total(run, started.elapsed(), stages);
             let count = stage.pieces.len();
-            let output = join(stage.pieces);
-            return Ok(Answer { output, is_text, count, trailer });
+            let trailer = total(run, started.elapsed(), trailers);
+            return Ok(Answer { output: join(stage.pieces), is_text, count, trailer });
         }
         input = next_input(stage.pieces, is_text);
     }
     Err(Refusal::not_run(RefusalCode::BadRequest))
 }
 
-fn kind_of(run: &Run<'_>, index: StageIndex) -> StageKind {
-    let view = &run.fleet.view;
-    let row = &view.pipelines[run.order.pipeline].stages[usize::from(index.0)];
-    view.services[row.service].spec.kind
+fn kind_of(run: &Run<'_>, row: &StageRow) -> StageKind {
+    run.fleet.view.services[row.service].spec.kind
 }
 
 /// Turns a stage's answer into the next stage's input, a JSON value.
@@ -125,20 +107,26 @@
     pieces.concat().into()
 }
 
-fn trailer_of(run: &Run<'_>, index: StageIndex, stage: &StageRun) -> StageTrailer {
-    let view = &run.fleet.view;
-    let row = &view.pipelines[run.order.pipeline].stages[usize::from(index.0)];
-    let host = stage.tried.last().map(|h| &view.hosts[*h]);
-    StageTrailer {
-        stage: row.name.to_string(),
-        host: host.map(|h| h.name.to_string()).unwrap_or_default(),
-        zone: host.map(|h| view.zones[h.zone].name.to_string()).unwrap_or_default(),
-        attempts: u32::try_from(stage.tried.len()).unwrap_or(u32::MAX),
+/// Describes a completed stage and teaches the policy its time and cost.
+fn complete(scene: &Scene<'_>, stage: &StageRun, elapsed: Duration) -> StageTrailer {
+    let view = &scene.run.fleet.view;
+    let host = &view.hosts[stage.host];
+    let trailer = StageTrailer {
+        stage: scene.row.name.to_string(),
+        host: host.name.to_string(),
+        zone: view.zones[host.zone].name.to_string(),
+        attempts: stage.attempts,
         queued: Duration::from_micros(stage.done.queued_us),
         busy: Duration::from_micros(stage.done.busy_us),
-        elapsed: stage.elapsed,
+        elapsed,
         cost: stage.done.cost,
-    }
+    };
+    let order = scene.run.order;
+    let workspace = &view.workspaces[order.workspace].name;
+    let pipeline = &view.pipelines[order.pipeline].name;
+    let names = [workspace, pipeline, &scene.row.name];
+    scene.run.entry.policy.completed(names, scene.id, &trailer);
+    trailer
 }
 
 fn total(run: &Run<'_>, elapsed: Duration, stages: Vec<StageTrailer>) -> Trailer {
--- /dev/null
+++ b/src/limpetmux/entry/probe.rs
@@ -0,0 +1,41 @@
+//! Keeps the picture of hosts fresh that the entry has not heard of lately.
+
+use super::Entry;
+use crate::wire::stage::ProbeRequest;
+use std::sync::Weak;
+use std::time::Duration;
+
+/// The time between two rounds of probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// The most hosts of one service that are probed in a round.
+const PROBES_PER_SERVICE: usize = 2;
+/// The time allowed for an answer.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Probes until the entry is dropped.
+pub(super) async fn run(entry: Weak<Entry>) {
+    let mut ticks = tokio::time::interval(PROBE_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(entry) = entry.upgrade() else { return };
+        round(&entry).await;
+    }
+}
+
+async fn round(entry: &Entry) {
+    let fleet = entry.fleet.load();
+    let services = fleet.view.services.keys();
+    let hosts = services.flat_map(|s| entry.policy.probes(s, PROBES_PER_SERVICE));
+    let probes = hosts.map(|host| {
+        let (fleet, policy) = (&fleet, &entry.policy);
+        async move {
+            let Some(mut client) = fleet.links[host].client() else { return };
+            let answer = tokio::time::timeout(PROBE_TIMEOUT, client.probe(ProbeRequest {})).await;
+            if let Ok(Ok(load)) = answer {
+                policy.observe(&fleet.view.hosts[host].name, load.get_ref().into());
+            }
+        }
+    });
+    futures::future::join_all(probes).await;
+}
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -1,116 +1,206 @@
 //! Gives one stage its attempts until one is whole.
+//!
+//! Attempts end with the first whole answer, a refusal that no retry can mend, an empty budget or
+//! [`MAX_ATTEMPTS`]. A generation that breaks goes on after the pieces delivered so far; any other
+//! stage starts again. A short idempotent stage that is late gets one hedge.
 
 use super::attempt::{is_retryable, run_attempt};
-use super::pick::{Choice, choose_host};
 use super::pipeline::Run;
+use super::policy::Picked;
 use super::stream::TokenSink;
-use crate::core::config::StageKind;
+use crate::core::admission::FlowId;
+use crate::core::budget::StageId;
+use crate::core::config::{ServiceSpec, StageKind};
 use crate::core::frames::AttemptKey;
 use crate::core::keys::{HostKey, StageIndex};
-use crate::core::verdict::{Execution, Refusal, RefusalCode};
+use crate::core::routing::Query;
+use crate::core::time::Moment;
+use crate::core::verdict::{Refusal, RefusalCode};
 use crate::core::view::StageRow;
+use crate::util::clock;
 use crate::wire::{convert, stage};
 use bytes::Bytes;
+use std::pin::pin;
 use std::time::Duration;
-use tokio::time::Instant;
 
-/// The most attempts at one stage.
+/// The most attempts at one stage, hedges included.
 const MAX_ATTEMPTS: u32 = 4;
 /// When it is worth asking again if no host is available.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// The pieces of a stage's answer and where the attempts ran.
-#[derive(Debug, Default)]
+/// One stage of a request in progress.
+pub(super) struct Scene<'a> {
+    pub(super) run: &'a Run<'a>,
+    pub(super) index: StageIndex,
+    pub(super) row: &'a StageRow,
+    pub(super) id: StageId,
+    pub(super) deadline: Moment,
+    pub(super) input: Bytes,
+    pub(super) sink: Option<&'a TokenSink>,
+}
+
+/// A stage's whole answer and where it ran.
+#[derive(Debug)]
 pub(super) struct StageRun {
     pub(super) pieces: Vec<Bytes>,
-    pub(super) tried: Vec<HostKey>,
+    pub(super) host: HostKey,
+    pub(super) attempts: u32,
     pub(super) done: stage::Done,
-    pub(super) elapsed: Duration,
+}
+
+/// The end of one attempt; the pieces of a failed one stay valid as a prefix.
+struct Attempted {
+    host: HostKey,
+    pieces: Vec<Bytes>,
+    result: Result<stage::Done, Refusal>,
+}
+
+impl Scene<'_> {
+    fn spec(&self) -> &ServiceSpec {
+        &self.run.fleet.view.services[self.row.service].spec
+    }
+
+    fn flow(&self) -> FlowId {
+        FlowId::of(&self.run.fleet.view.workspaces[self.run.order.workspace].name)
+    }
+
+    /// Returns whether a broken attempt can be continued by another one.
+    fn is_resumable(&self) -> bool {
+        self.spec().kind == StageKind::Generate
+    }
+
+    fn may_retry(&self) -> bool {
+        let service = &self.run.fleet.view.services[self.row.service].name;
+        self.run.entry.policy.may_retry(self.flow(), service)
+    }
+
+    fn pick(&self, tried: &[HostKey]) -> Option<Picked<'_>> {
+        let affinity = self.is_resumable().then_some(self.run.order.affinity);
+        let query = Query { service: self.row.service, affinity, exclude: tried };
+        self.run.entry.policy.pick(self.run.fleet, query, |_| true)
+    }
 }
 
 /// Runs one stage to its whole answer.
-///
-/// A generation that breaks goes on after the pieces delivered so far; any other stage starts
-/// again. Attempts end with the first whole answer, a refusal that no retry can mend, or
-/// [`MAX_ATTEMPTS`].
-pub(super) async fn run_stage(
-    run: &mut Run<'_>,
-    index: StageIndex,
-    input: &Bytes,
-    sink: Option<&TokenSink>,
-) -> Result<StageRun, Refusal> {
-    let fleet = run.fleet;
-    let row = &fleet.view.pipelines[run.order.pipeline].stages[usize::from(index.0)];
-    let service = &fleet.view.services[row.service].spec;
-    let started = Instant::now();
-    let mut state = StageRun::default();
+pub(super) async fn run_stage(scene: &Scene<'_>) -> Result<StageRun, Refusal> {
+    let service = &scene.run.fleet.view.services[scene.row.service].name;
+    scene.run.entry.policy.fresh(scene.flow(), service);
+    let (mut pieces, mut tried) = (Vec::new(), Vec::new());
+    let mut attempts = 0;
     let mut last = Refusal::not_run(RefusalCode::Unavailable).retry_in(RETRY_AFTER);
-    for attempt in 0..MAX_ATTEMPTS {
-        let choice = Choice {
-            service: row.service,
-            tried: &state.tried,
-            zone: run.zone,
-            affinity: run.order.affinity,
-        };
-        let Some(host) = choose_host(fleet, choice) else { break };
-        state.tried.push(host);
-        let key = AttemptKey { request: run.order.id, stage: index, attempt };
-        let request = build_request(run, row, key, input, &state.pieces);
-        let resumable = service.kind == StageKind::Generate;
-        if !resumable {
-            state.pieces.clear();
+    while attempts < MAX_ATTEMPTS {
+        if attempts > 0 && !scene.may_retry() {
+            break;
         }
-        let pieces = &mut state.pieces;
-        let live = sink.filter(|_| resumable);
-        let deliver = |payload: Bytes| {
-            pieces.push(payload.clone());
-            async move {
-                match live {
-                    Some(sink) => sink.send(payload).await,
-                    None => true,
-                }
-            }
-        };
-        match run_attempt(&fleet.links[host], key, request, deliver).await {
-            Ok(closed) => {
-                state.done = closed.done;
-                state.elapsed = started.elapsed();
-                return Ok(state);
+        let Some(picked) = scene.pick(&tried) else { break };
+        tried.push(picked.host);
+        let attempted = run_hedged(scene, &mut attempts, picked, &mut tried, &pieces).await;
+        pieces.extend(attempted.pieces);
+        match attempted.result {
+            Ok(done) => {
+                return Ok(StageRun { pieces, host: attempted.host, attempts, done });
             }
-            Err(error) => last = error.refusal(),
+            Err(refusal) => last = refusal,
         }
-        run.dispatched |= last.execution != Execution::NotRun;
-        run.undetermined |= last.execution == Execution::Unknown && !service.idempotent;
-        if !is_retryable(last, service.idempotent) {
+        if !scene.is_resumable() {
+            pieces.clear();
+        }
+        if !is_retryable(last, scene.spec().idempotent) {
             break;
         }
     }
     Err(last)
 }
 
-fn build_request(
-    run: &Run<'_>,
-    row: &StageRow,
-    key: AttemptKey,
-    input: &Bytes,
-    pieces: &[Bytes],
-) -> stage::RunRequest {
-    let view = &run.fleet.view;
-    let idempotency = run.order.key.as_ref();
-    let repeatable = view.services[row.service].spec.idempotent;
+/// Runs an attempt, and a hedge beside it if the stage allows one and the attempt is late.
+async fn run_hedged(
+    scene: &Scene<'_>,
+    attempts: &mut u32,
+    picked: Picked<'_>,
+    tried: &mut Vec<HostKey>,
+    prefix: &[Bytes],
+) -> Attempted {
+    let number = *attempts;
+    *attempts += 1;
+    let mut first = pin!(run_on(scene, number, picked, prefix));
+    let may_hedge = scene.spec().idempotent && !scene.is_resumable();
+    let wait = scene.run.entry.policy.hedge_after(scene.id).filter(|_| may_hedge);
+    let Some(wait) = wait else { return first.await };
+    if let Ok(attempted) = tokio::time::timeout(wait, &mut first).await {
+        return attempted;
+    }
+    let hedge = scene.pick(tried).filter(|_| scene.may_retry());
+    let Some(hedge) = hedge else { return first.await };
+    tried.push(hedge.host);
+    *attempts += 1;
+    let mut second = pin!(run_on(scene, number + 1, hedge, prefix));
+    tokio::select! {
+        attempted = &mut first => match attempted.result {
+            Ok(_) => attempted,
+            Err(_) => second.await,
+        },
+        attempted = &mut second => match attempted.result {
+            Ok(_) => attempted,
+            Err(_) => first.await,
+        },
+    }
+}
+
+/// Runs one attempt on a chosen host.
+async fn run_on(
+    scene: &Scene<'_>,
+    number: u32,
+    mut picked: Picked<'_>,
+    prefix: &[Bytes],
+) -> Attempted {
+    let host = picked.host;
+    let key = AttemptKey { request: scene.run.order.id, stage: scene.index, attempt: number };
+    let request = build_request(scene, key, prefix);
+    let mut pieces = Vec::new();
+    let live = scene.sink.filter(|_| scene.is_resumable());
+    let deliver = |payload: Bytes| {
+        pieces.push(payload.clone());
+        async move {
+            match live {
+                Some(sink) => sink.send(payload).await,
+                None => true,
+            }
+        }
+    };
+    let open = scene.run.progress.begin(scene.spec().idempotent);
+    let (result, load) = run_attempt(&scene.run.fleet.links[host], key, request, deliver).await;
+    if let Some(load) = load {
+        picked.observe(load);
+    }
+    let result = result.map_err(|error| error.refusal());
+    match &result {
+        Ok(_) => {
+            open.completed();
+            picked.completed();
+        }
+        Err(refusal) => {
+            open.refused(refusal.execution);
+            picked.refused(*refusal);
+        }
+    }
+    Attempted { host, pieces, result }
+}
+
+fn build_request(scene: &Scene<'_>, key: AttemptKey, prefix: &[Bytes]) -> stage::RunRequest {
+    let (view, order) = (&scene.run.fleet.view, scene.run.order);
+    let key_of_caller = order.key.as_ref().filter(|_| !scene.spec().idempotent);
     stage::RunRequest {
         id: Some(key.into()),
         revision: view.revision.0,
-        workspace: view.workspaces[run.order.workspace].name.to_string(),
-        pipeline: view.pipelines[run.order.pipeline].name.to_string(),
-        priority: u32::from(run.order.priority),
-        remaining_us: convert::micros(run.deadline.saturating_duration_since(Instant::now())),
-        input: input.clone(),
-        prefix: pieces.iter().map(|p| String::from_utf8_lossy(p).into_owned()).collect(),
-        max_tokens: row.tokens,
-        idempotency: idempotency
-            .filter(|_| !repeatable)
+        workspace: view.workspaces[order.workspace].name.to_string(),
+        pipeline: view.pipelines[order.pipeline].name.to_string(),
+        priority: u32::from(order.priority),
+        remaining_us: convert::micros(clock::now().until(scene.deadline)),
+        input: scene.input.clone(),
+        prefix: prefix.iter().map(|p| String::from_utf8_lossy(p).into_owned()).collect(),
+        max_tokens: scene.row.tokens,
+        idempotency: key_of_caller
             .map(|k| stage::Idempotency { key: k.key.clone(), body_hash: k.body_hash }),
-        affinity: run.order.affinity,
+        affinity: order.affinity,
     }
 }
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -6,7 +6,7 @@
 use crate::core::config::{Config, Name, NameError, StageKind};
 use crate::core::revision::Revision;
 use crate::core::view::View;
-use crate::entry::{Entry, EntryOptions, Limits};
+use crate::entry::{Entry, EntryError, EntryOptions, Limits};
 use crate::kernel::{Published, Publisher};
 use crate::sidecar::{Sidecar, SidecarOptions};
 use limpetmux_standins as standins;
@@ -30,6 +30,10 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Serve(#[from] ServeError),
+    /// The entry does not start.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Entry(#[from] EntryError),
     /// The sample declares a malformed name.
     #[error("the sample deployment declares a malformed name")]
     Name(#[from] NameError),
@@ -154,10 +158,11 @@
             hosts.push(LocalHost { plan, addr, standin, sidecar });
         }
         let entry = Entry::start(EntryOptions {
-            zone: Some(options.deployment.entry_zone()?),
+            zone: options.deployment.entry_zone()?,
+            ordinal: 0,
             view: view.reader(),
             limits: Limits::default(),
-        });
+        })?;
         let server = Arc::clone(&entry).serve(entry_listener, stopped(&stop), GRACE);
         servers.spawn(async move { drop(server.await) });
         Ok(Self { entry, addr, hosts, view, config, stop, servers })
