--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -6,7 +6,7 @@
 use crate::core::config::{Config, Name, NameError, StageKind};
 use crate::core::revision::Revision;
 use crate::core::view::View;
-use crate::entry::{Entry, EntryOptions, Limits, Members};
+use crate::entry::{Entry, EntryError, EntryOptions, Limits, Members};
 use crate::kernel::{Kernel, KernelError, Published, Publisher};
 use crate::membership::{self, MembershipParts};
 use crate::sidecar::{Sidecar, SidecarOptions};
@@ -31,6 +31,10 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Serve(#[from] ServeError),
+    /// The entry does not start.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Entry(#[from] EntryError),
     /// The sample declares a malformed name.
     #[error("the sample deployment declares a malformed name")]
     Name(#[from] NameError),
@@ -163,11 +167,12 @@
         let parts = MembershipParts { views: view.reader(), hosts: None };
         let members = membership::start(&kernel, parts)?;
         let entry = Entry::start(EntryOptions {
-            zone: Some(options.deployment.entry_zone()?),
+            zone: options.deployment.entry_zone()?,
+            ordinal: 0,
             view: view.reader(),
             members: Members(Some(members)),
             limits: Limits::default(),
-        });
+        })?;
         let server = Arc::clone(&entry).serve(entry_listener, stopped(&stop), GRACE);
         servers.spawn(async move { drop(server.await) });
         Ok(Self { entry, addr, hosts, view, config, kernel, stop, servers })
