Show an availability zone leaving and returning over TCP

Cause: a zone that operators took out must get no new work on any node, with the log up, slow or down. Change: a Deployment fixture with real nodes over TCP (each with its own control, spread, membership and shutdown), callers that check every answer, and three zone tests.

--- a/crates/limpetmux-test-support/src/config.rs
+++ b/crates/limpetmux-test-support/src/config.rs
@@ -58,6 +58,23 @@
     config
 }
 
+/// Returns a small configuration with the services of `call-summary` and a pipeline `port` whose
+/// only stage may not be repeated.
+pub fn summary_config() -> Config {
+    let mut config = small_config();
+    let services = ["encode", "retrieve", "rerank", "generate", "provisioning"];
+    config.services.retain(|service, _| services.contains(&service.as_str()));
+    config.hosts.retain(|_, host| services.contains(&host.service.as_str()));
+    config.pipelines.retain(|pipeline, _| pipeline.as_str() == "call-summary");
+    let service = name("provisioning");
+    let stage = StageSpec { name: service.clone(), service, tokens: 0 };
+    let spec = PipelineSpec { stages: vec![stage], deadline: Duration::from_secs(5) };
+    config.pipelines.insert(name("port"), spec);
+    let pipelines: Vec<Name> = config.pipelines.keys().cloned().collect();
+    config.workspaces.values_mut().for_each(|w| w.pipelines.clone_from(&pipelines));
+    config
+}
+
 fn zone_spec() -> ZoneSpec {
     ZoneSpec { region: name("ph-luzon"), serving: true }
 }
--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -12,12 +12,15 @@
 pub mod cases;
 pub mod changes;
 pub mod config;
+pub mod deployment;
 pub mod fake_log;
 pub mod http;
+pub mod load;
 pub mod policy;
 pub mod sized;
 
 pub use cases::check_cases;
 pub use config::{name, sample_config, small_config};
+pub use deployment::Deployment;
 pub use fake_log::FakeLog;
 pub use sized::{Size, sized_config};
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -96,7 +96,11 @@
 }
 
 impl StandIn {
-    async fn start(kind: StageKind) -> Result<Self, standins::StartError> {
+    /// Starts a backend server with the limits that the sample deployments declare.
+    ///
+    /// # Errors
+    /// Returns an error if it cannot listen.
+    pub async fn start(kind: StageKind) -> Result<Self, standins::StartError> {
         let options = standins::BackendOptions {
             capacity: CONCURRENCY,
             cold: COLD,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,3 +15,4 @@
 mod routing;
 mod shutdown;
 mod standins;
+mod zones;
--- /dev/null
+++ b/tests/testsuite/zones.rs
@@ -0,0 +1,94 @@
+//! An availability zone leaves and returns under load, with the log up, slow and down.
+
+use limpetmux::core::config::Name;
+use limpetmux_test_support::Deployment;
+use limpetmux_test_support::config::summary_config;
+use limpetmux_test_support::deployment::wait_for;
+use limpetmux_test_support::load::Load;
+use std::time::Duration;
+
+const ZONE: &str = "mnl-a";
+const CALLERS: usize = 8;
+
+async fn start() -> (Deployment, Load) {
+    let deployment = Deployment::start(summary_config(), 2).await;
+    let urls = deployment.entries.iter().map(|e| e.url.clone()).collect();
+    let load = Load::start(urls, CALLERS, None);
+    load.answered(8).await;
+    (deployment, load)
+}
+
+fn started(deployment: &Deployment, hosts: &[Name]) -> u64 {
+    hosts.iter().map(|h| deployment.standins[h].backend().counts().started).sum()
+}
+
+/// Waits until no call runs in the zone any more, then checks that none is dispatched there.
+async fn check_out(deployment: &Deployment, load: &Load) {
+    let hosts = deployment.zone_hosts(ZONE);
+    wait_for(|| hosts.iter().all(|h| deployment.sidecars[h].role.gate().is_idle())).await;
+    let before = started(deployment, &hosts);
+    assert!(before > 0, "the zone had no work to lose");
+    load.answered(24).await;
+    assert_eq!(started(deployment, &hosts), before, "dispatches after the zone was out");
+}
+
+async fn check_back(deployment: &Deployment, load: &Load) {
+    let hosts = deployment.zone_hosts(ZONE);
+    let before = started(deployment, &hosts);
+    wait_for(|| started(deployment, &hosts) > before).await;
+    load.answered(8).await;
+}
+
+async fn finish(deployment: Deployment, load: Load) {
+    let tally = load.stop().await;
+    assert_eq!(tally.faults, Vec::<String>::new());
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn zone_leaves_and_returns_under_load_without_a_cut() {
+    let (mut deployment, load) = start().await;
+
+    let out = deployment.set_zone(ZONE, false).await;
+    deployment.in_force(out).await;
+    check_out(&deployment, &load).await;
+    let back = deployment.set_zone(ZONE, true).await;
+    deployment.in_force(back).await;
+    check_back(&deployment, &load).await;
+
+    finish(deployment, load).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn zone_leaves_with_the_log_slow() {
+    let (mut deployment, load) = start().await;
+    deployment.log.faults.set_slow(Duration::from_millis(500));
+
+    let out = deployment.set_zone(ZONE, false).await;
+    deployment.in_force(out).await;
+    check_out(&deployment, &load).await;
+
+    finish(deployment, load).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn zone_leaves_with_the_log_down_after_one_node_has_read_it() {
+    let (mut deployment, load) = start().await;
+    let nodes = deployment.nodes();
+    for node in &nodes[1..] {
+        deployment.set_cut(node, true);
+    }
+    let out = deployment.set_zone(ZONE, false).await;
+    let first = &deployment.sidecars[nodes[0].as_str()].control;
+    wait_for(|| first.view.load().revision == out).await;
+    deployment.log.faults.set_outage(true);
+
+    deployment.in_force(out).await;
+    check_out(&deployment, &load).await;
+    for node in &nodes {
+        deployment.set_cut(node, false);
+    }
+    check_out(&deployment, &load).await;
+
+    finish(deployment, load).await;
+}
