--- /dev/null
+++ b/crates/limpetmux-capacity/src/probe.rs
@@ -0,0 +1,169 @@
+//! One function per measured subject.
+
+use crate::alloc::{Reading, measure};
+use limpetmux::core::admission::{Admission, Admitted, FlowId, Limits, Offer, Outcome};
+use limpetmux::core::config::{Fold, Replica, Step, record};
+use limpetmux::core::planner::{Agent, AgentOptions, DutyRecord, LoadSample};
+use limpetmux::core::routing::{Ending, EntryPlace, Query, Router, RouterSettings};
+use limpetmux::prelude::*;
+use limpetmux::wire::peer::Sync;
+use limpetmux_test_support::changes::{change, change_record, first_change, weight_edit};
+use limpetmux_test_support::{Size, name, sized_config};
+use prost::Message;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+
+const SEED: u64 = 7;
+
+/// Returns the compiled view of a size and what it keeps.
+pub fn view(size: Size) -> (View, Reading) {
+    let config = sized_config(size);
+    measure(|| View::compile(Revision(1), &config))
+}
+
+/// Returns a fold that holds the configuration of a size, and what it keeps.
+pub fn fold(size: Size) -> (Fold, Reading) {
+    let first = change_record(first_change(&sized_config(size)));
+    measure(|| {
+        let mut fold = Fold::new();
+        let step = fold.step(Offset(0), &first);
+        assert!(matches!(&step, Ok(Step::Verdict(v)) if v.is_accepted()), "{step:?}");
+        fold
+    })
+}
+
+/// Folds `count` small changes, each of one workspace, and returns what that allocated.
+pub fn changes(fold: &mut Fold, count: u32) -> Reading {
+    let records: Vec<Vec<u8>> = (0..count).map(|i| small_change(fold, i)).collect();
+    let ((), reading) = measure(|| {
+        for record in &records {
+            let step = fold.step(fold.next(), record);
+            assert!(matches!(&step, Ok(Step::Verdict(v)) if v.is_accepted()), "{step:?}");
+        }
+    });
+    reading
+}
+
+/// Returns the record of one small change that will be folded `ahead` records from now.
+pub fn small_change(fold: &Fold, ahead: u32) -> Vec<u8> {
+    let at = fold.next().0 + u64::from(ahead);
+    let edit = weight_edit(fold.config(), "workspace-0000", 1 + ahead % 4 + ahead % 2);
+    change_record(change(u128::from(at) + 1, Revision(at), Offset(at), vec![edit]))
+}
+
+/// Returns the length of the snapshot record of a size, in bytes.
+pub fn snapshot_bytes(size: Size) -> usize {
+    let (fold, _) = fold(size);
+    let body = record::Body::Snapshot(Box::new(fold.snapshot()));
+    record::encode(&body, fold.format()).map_or(usize::MAX, |data| data.len())
+}
+
+/// Returns the bytes of one message of an idle exchange between peers, without framing.
+pub fn idle_exchange_bytes(size: Size) -> usize {
+    let mut replica = Replica::new();
+    let first = change_record(first_change(&sized_config(size)));
+    let page = [(Offset(0), first.as_slice())];
+    let asked = replica.ask();
+    let folded = replica.on_page(asked, (Offset(0), Offset(1)), page.into_iter());
+    assert!(folded.is_ok(), "{folded:?}");
+    let position = replica.position();
+    Sync { next: position.next.0, digest: position.digest, ..Sync::default() }.encoded_len()
+}
+
+/// An entry's router over one view.
+pub struct Routing {
+    view: View,
+    router: Router,
+    rng: Pcg64Mcg,
+    turn: u64,
+}
+
+impl Routing {
+    /// Builds a router that has seen the view of a size, and returns what it keeps.
+    pub fn new(size: Size) -> (Self, Reading) {
+        let (view, _) = view(size);
+        let place = EntryPlace { zone: name("zone-0000"), ordinal: 0 };
+        measure(|| {
+            let router = Router::new(RouterSettings::new(place));
+            let rng = Pcg64Mcg::seed_from_u64(SEED);
+            let mut routing = Self { view, router, rng, turn: 0 };
+            routing.decide();
+            routing
+        })
+    }
+
+    /// Makes and finishes one decision.
+    pub fn decide(&mut self) {
+        self.turn += 1;
+        let now = Moment::from_micros(self.turn * 100);
+        let services = self.view.services.len() as u64;
+        let service = ServiceKey((self.turn % services) as u16);
+        let query = Query { service, affinity: Some(self.turn % 64), exclude: &[] };
+        let pick = self.router.pick(now, &self.view, query, |_| true, &mut self.rng);
+        if let Some(pick) = pick {
+            self.router.finished(now, pick.slot, Ending::Done);
+        }
+    }
+
+    /// Makes `count` decisions and returns what they allocated.
+    pub fn decisions(&mut self, count: u32) -> Reading {
+        measure(|| (0..count).for_each(|_| self.decide())).1
+    }
+}
+
+/// Offers and finishes `count` calls at one sidecar and returns what that allocated.
+pub fn admissions(count: u32) -> Reading {
+    let limits = Limits { concurrency: 32, cold: 2, warmup: Duration::from_secs(60), queue: 1_024 };
+    let mut admission = Admission::new(Moment::ZERO, limits);
+    measure(|| (0..count).for_each(|i| admit(&mut admission, i))).1
+}
+
+/// Offers one call and finishes it if it starts.
+pub fn admit(admission: &mut Admission, turn: u32) {
+    let now = Moment::from_micros(u64::from(turn) * 1_000);
+    let offer = Offer {
+        flow: FlowId(u64::from(turn % 330)),
+        weight: 1,
+        priority: 4,
+        work: 1,
+        deadline: now + Duration::from_secs(5),
+    };
+    if let Admitted::Start(ticket) = admission.offer(now, offer) {
+        admission.finish(now, ticket, Outcome::Done);
+    }
+    admission.next(now);
+}
+
+/// A planner duty that holds the lease over one view.
+pub struct Planning {
+    view: View,
+    agent: Agent,
+    turn: u64,
+}
+
+impl Planning {
+    /// Builds the duty for a size and returns what it keeps.
+    pub fn new(size: Size) -> (Self, Reading) {
+        let (view, _) = view(size);
+        measure(|| {
+            let mut agent = Agent::new(AgentOptions::new("node".to_owned()), Offset(0));
+            let grant = DutyRecord::Grant { holder: "node".to_owned(), previous: None };
+            agent.on_tick(Moment::ZERO, 0.0);
+            agent.on_record(Moment::ZERO, Offset(0), Some(&grant));
+            let mut planning = Self { view, agent, turn: 0 };
+            planning.plan();
+            planning
+        })
+    }
+
+    /// Turns one round of load samples into a plan.
+    pub fn plan(&mut self) {
+        self.turn += 1;
+        let now = Moment::from_millis(self.turn % 20 * 1_000);
+        let sample = LoadSample { inflight: 20, queued: 0 };
+        let loads = self.view.hosts.keys().map(|h| (h, sample)).collect();
+        let usable = self.view.hosts.keys().collect();
+        self.agent.on_loads(now, &self.view, &loads, &usable);
+    }
+}
