--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -4,5 +4,9 @@
 //! shape of a protocol reaches `core`. The protocols spoken by default are written down in
 //! `docs/PROTOCOLS.md`.
 
+pub mod backend;
+mod backend_http;
+pub mod hosts;
 pub mod log;
+mod log_http;
 pub mod power;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,12 +2,16 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
+mod admin;
 mod admission;
 mod budget;
 mod config_fold;
 mod control;
 mod cost;
 mod kernel;
+mod membership;
+mod path;
 mod planner;
 mod routing;
+mod shutdown;
 mod standins;
