Measure the policy in virtual time against plain baselines

Cause: the policy's worth has to be shown, and its weak figures found, with the same figures on every run.

--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod cases;
 pub mod config;
+pub mod model;
 pub mod policy;
 
 pub use cases::check_cases;
--- /dev/null
+++ b/crates/xtask/src/policy.rs
@@ -0,0 +1,83 @@
+//! Measures the policy under load and faults against plain baselines, in virtual time.
+
+use argh::FromArgs;
+use limpetmux_test_support::model::{Fault, Policy, Scenario, Summary, run};
+
+/// Loads as shares of capacity.
+const LOADS: [f64; 5] = [0.5, 0.8, 1.0, 1.5, 2.0];
+/// Millionths of the accounting unit in a thousandth.
+const MILLIONTHS_PER_THOUSANDTH: f64 = 1_000.0;
+
+/// Measure the policy in virtual time and print tables in Markdown.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "policy")]
+pub struct PolicyArgs {
+    /// measure only the real policy
+    #[argh(switch)]
+    real: bool,
+}
+
+/// Runs all scenarios and prints one table for each.
+pub fn exec(args: &PolicyArgs) {
+    let policies = if args.real { &Policy::ALL[..1] } else { &Policy::ALL[..] };
+    println!("### Steady load\n");
+    table(policies, &LOADS.map(Scenario::steady));
+    println!("\n### Burst: load 0.8, tripled from second 20 to 25\n");
+    table(policies, &[burst()]);
+    println!("\n### Faults at load 0.6\n");
+    table(policies, &[faults()]);
+    println!("\n### Zone returns to 72 entries at load 0.8\n");
+    table(policies, &[returning_zone()]);
+}
+
+fn burst() -> Scenario {
+    Scenario { burst: Some((20, 25, 3.0)), ..Scenario::steady(0.8) }
+}
+
+fn faults() -> Scenario {
+    let faults = vec![
+        Fault::Restart(15, 0),
+        Fault::Restart(20, 4),
+        Fault::TurnCold(25, 7),
+        Fault::TurnCold(30, 2),
+        Fault::ZoneOut(35, 1),
+        Fault::ZoneBack(45, 1),
+    ];
+    Scenario { faults, ..Scenario::steady(0.6) }
+}
+
+fn returning_zone() -> Scenario {
+    let faults = vec![Fault::ZoneOut(15, 1), Fault::ZoneBack(25, 1)];
+    Scenario { faults, entries: 72, ..Scenario::steady(0.8) }
+}
+
+fn table(policies: &[Policy], scenarios: &[Scenario]) {
+    println!(
+        "| policy | load | attainment | goodput/s | p99 ms | cost | prefix hits | attempts \
+         | cold load | falls | blind |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|");
+    for scenario in scenarios {
+        for policy in policies {
+            print_row(&run(scenario, *policy));
+        }
+    }
+}
+
+fn print_row(s: &Summary) {
+    println!(
+        "| {} | {:.1} | {:.3} | {:.1} | {} | {:.1} | {:.3} | {:.3} | {}/{} | {} | {} |",
+        s.policy,
+        s.load,
+        s.attainment(),
+        s.goodput(),
+        s.p99().as_millis(),
+        s.unit_cost() / MILLIONTHS_PER_THOUSANDTH,
+        s.hit_share(),
+        s.amplification(),
+        s.cold_load.0,
+        s.cold_load.1,
+        s.falls,
+        s.blind_starts,
+    );
+}
