--- a/crates/limpetmux-test-support/src/model/summary.rs
+++ b/crates/limpetmux-test-support/src/model/summary.rs
@@ -1,5 +1,7 @@
 //! What came of a run.
 
+use limpetmux::core::verdict::RefusalCode;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Counts of one run, over requests that arrived after the lead-in.
@@ -15,6 +17,8 @@
     pub completed: u64,
     /// Requests refused before their deadline.
     pub refused: u64,
+    /// Attempts that were refused or failed, by code.
+    pub refusals: BTreeMap<RefusalCode, u64>,
     /// Completed requests by second of arrival.
     pub by_second: Vec<u64>,
     /// Completed requests and arrivals by workspace.
--- a/crates/limpetmux-test-support/src/model/world.rs
+++ b/crates/limpetmux-test-support/src/model/world.rs
@@ -292,6 +292,7 @@
     }
 
     fn retry(&mut self, id: usize, host: HostKey, code: RefusalCode) {
+        *self.summary.refusals.entry(code).or_insert(0) += 1;
         let request = &mut self.requests[id];
         let entry = &mut self.entries[request.arrival.entry];
         if entry.may_retry(request, &self.pipeline, host, code) {
--- a/crates/xtask/src/policy.rs
+++ b/crates/xtask/src/policy.rs
@@ -12,7 +12,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "policy")]
 pub struct PolicyArgs {
-    /// measure only the real policy
+    /// measure only the real policy, with refusals by code
     #[argh(switch)]
     real: bool,
 }
@@ -59,7 +59,12 @@
     println!("|---|---|---|---|---|---|---|---|---|---|---|");
     for scenario in scenarios {
         for policy in policies {
-            print_row(&run(scenario, *policy));
+            let summary = run(scenario, *policy);
+            print_row(&summary);
+            if policies.len() == 1 {
+                println!("{:?} of {}", summary.refusals, summary.arrived);
+                println!("{:?}", summary.by_second);
+            }
         }
     }
 }
--- a/src/limpetmux/core/admission/mod.rs
+++ b/src/limpetmux/core/admission/mod.rs
@@ -47,6 +47,8 @@
     running: BTreeMap<Ticket, Running>,
     awaiting: BTreeSet<(Moment, Ticket)>,
     busy: Estimate,
+    /// Durations of calls that ended while the backend server was cold.
+    cold_busy: Estimate,
     first: Estimate,
     refused: Vec<(Ticket, Refusal)>,
     draining: bool,
@@ -66,6 +68,7 @@
             running: BTreeMap::new(),
             awaiting: BTreeSet::new(),
             busy: Estimate::default(),
+            cold_busy: Estimate::default(),
             first: Estimate::default(),
             refused: Vec::new(),
             draining: false,
@@ -91,9 +94,9 @@
         if let Some(refusal) = self.gate() {
             return Admitted::Refused(refusal);
         }
-        let Some(start_by) = self.start_by(now, offer.deadline) else {
+        if offer.deadline <= now {
             return Admitted::Refused(Refusal::not_run(RefusalCode::Deadline));
-        };
+        }
         let ticket = Ticket(self.issued);
         let place = self.queue.place(&offer, ticket);
         if self.queue.is_empty() && self.inflight() < self.limit() {
@@ -103,6 +106,7 @@
             return Admitted::Start(ticket);
         }
         let wait = self.wait(self.queue.ahead(place));
+        let start_by = offer.deadline - self.usual().cautious();
         if now + wait > start_by {
             return Admitted::Refused(self.overload(now, wait));
         }
@@ -144,15 +148,12 @@
             return;
         }
         call.first = Some(now);
-        let (took, inflight) = (now.since(call.started), call.inflight);
+        let took = now.since(call.started);
         self.awaiting.remove(&(call.started, ticket));
         if self.warmth.first_output(now, took) {
             self.turn_cold(now);
-            return;
-        }
-        self.first.add(took);
-        if self.warmth.is_warm() {
-            self.limiter.add(took, inflight);
+        } else {
+            self.first.add(took);
         }
     }
 
@@ -164,7 +165,7 @@
         let Some(call) = self.running.remove(&ticket) else { return };
         self.awaiting.remove(&(call.started, ticket));
         match outcome {
-            Outcome::Done => self.busy.add(now.since(call.started)),
+            Outcome::Done => self.done(now.since(call.started), call.inflight),
             Outcome::Saturated => self.limiter.saturated(call.inflight),
             Outcome::Failed | Outcome::Cancelled => {}
         }
@@ -227,6 +228,17 @@
         self.warmth.bound().min(self.limiter.limit())
     }
 
+    fn done(&mut self, took: Duration, inflight: u32) {
+        if self.warmth.is_cold() {
+            self.cold_busy.add(took);
+        } else {
+            self.busy.add(took);
+        }
+        if self.warmth.is_warm() {
+            self.limiter.add(took, inflight);
+        }
+    }
+
     fn inflight(&self) -> u32 {
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
@@ -245,15 +257,15 @@
         }
     }
 
-    fn start_by(&self, now: Moment, deadline: Moment) -> Option<Moment> {
-        let start_by = deadline - self.busy.cautious();
-        (start_by >= now && deadline > now).then_some(start_by)
+    /// Returns the durations to expect in the present condition.
+    fn usual(&self) -> &Estimate {
+        if self.warmth.is_cold() { &self.cold_busy } else { &self.busy }
     }
 
     /// Estimates the time until a call with `ahead` calls before it in the queue starts.
     fn wait(&self, ahead: usize) -> Duration {
         let rounds = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        self.busy.mean().saturating_mul(rounds) / self.limit().max(1)
+        self.usual().mean().saturating_mul(rounds) / self.limit().max(1)
     }
 
     fn overload(&self, now: Moment, wait: Duration) -> Refusal {
@@ -278,7 +290,7 @@
 
     /// Refuses queued calls that newer, more valuable ones have pushed past their last start.
     fn shed_hopeless(&mut self, now: Moment) {
-        let slot = self.busy.mean() / self.limit().max(1);
+        let slot = self.usual().mean() / self.limit().max(1);
         for ticket in self.queue.hopeless(now, slot) {
             self.shed(now, ticket);
         }
@@ -293,6 +305,7 @@
 
     fn turn_cold(&mut self, now: Moment) {
         self.warmth.turn_cold(now);
+        self.cold_busy = Estimate::default();
         self.limiter.forget_window();
         self.shed_hopeless(now);
     }
--- a/src/limpetmux/core/admission/warmth.rs
+++ b/src/limpetmux/core/admission/warmth.rs
@@ -64,6 +64,10 @@
         self.phase == Phase::Warm
     }
 
+    pub(super) fn is_cold(&self) -> bool {
+        matches!(self.phase, Phase::Cold { .. })
+    }
+
     pub(super) fn incarnation(&self) -> u64 {
         self.incarnation.unwrap_or_default()
     }
