Keep prompt prefixes together under full load

Cause: affinity was given up at 90% utilisation of a host, so it was lost on all hosts just when cached prefixes save most.

Change: a host may hold 1.25 times the mean utilisation of the pool, or 90% if that is more.

--- a/src/limpetmux/core/routing/choice.rs
+++ b/src/limpetmux/core/routing/choice.rs
@@ -18,9 +18,10 @@
 const SPILL_MARGIN: f64 = 0.1;
 /// Hosts that are tried for a prompt prefix, in its rendezvous order.
 const AFFINITY_HOSTS: usize = 3;
-/// How many times the mean of the entry's own calls per host a host may hold for affinity.
+/// How many times the mean a host may hold for affinity, of the entry's own calls and of the
+/// utilisation.
 const AFFINITY_BALANCE: f64 = 1.25;
-/// The utilisation from which on affinity is given up.
+/// The utilisation up to which a host may hold more than that.
 const AFFINITY_UTILISATION: f64 = 0.9;
 /// At most one in this many hosts of a pool may be ejected.
 const EJECTED_PARTS: usize = 3;
@@ -84,21 +85,22 @@
 
     /// Returns the first host in the prefix's rendezvous order that is not loaded beyond bounds.
     fn affine(&self, members: &[Member], prefix: u64) -> Option<(Member, f64)> {
-        let mut good: Vec<(u64, Member)> = members
+        let mut good: Vec<(u64, Member, f64)> = members
             .iter()
             .filter(|m| self.is_good(**m))
-            .map(|m| (rendezvous(prefix, self.slots[m.1].hash), *m))
+            .map(|m| (rendezvous(prefix, self.slots[m.1].hash), *m, self.utilisation(*m)))
             .collect();
-        let own: u32 = good.iter().map(|(_, m)| self.slots[m.1].inflight).sum();
-        let mean = f64::from(own + 1) / good.len().max(1) as f64;
-        let bound = (mean * AFFINITY_BALANCE).ceil();
-        let fits = |m: Member| {
-            let utilisation = self.utilisation(m);
-            let balanced = f64::from(self.slots[m.1].inflight) + 1.0 <= bound;
-            (balanced && utilisation <= AFFINITY_UTILISATION).then_some((m, utilisation))
+        let hosts = good.len().max(1) as f64;
+        let own: u32 = good.iter().map(|(_, m, _)| self.slots[m.1].inflight).sum();
+        let own_bound = (f64::from(own + 1) / hosts * AFFINITY_BALANCE).ceil();
+        let mean = good.iter().map(|(.., u)| u).sum::<f64>() / hosts;
+        let bound = (mean * AFFINITY_BALANCE).max(AFFINITY_UTILISATION);
+        let fits = |m: Member, utilisation: f64| {
+            f64::from(self.slots[m.1].inflight) + 1.0 <= own_bound && utilisation <= bound
         };
-        good.sort_unstable_by(|a, b| b.cmp(a));
-        good.iter().take(AFFINITY_HOSTS).find_map(|(_, m)| fits(*m))
+        good.sort_unstable_by_key(|(rank, ..)| std::cmp::Reverse(*rank));
+        let first = good.iter().take(AFFINITY_HOSTS);
+        first.copied().find(|(_, m, u)| fits(*m, *u)).map(|(_, m, u)| (m, u))
     }
 
     fn any_allowed(&self, members: &[Member], rng: &mut impl Rng) -> Option<(Member, f64)> {
