Pause a backend server that fails call after call

Cause: a dead backend server answers at once with a failure, so its sidecar took in call after call, and each entry had to eject it on its own at the cost of five failed calls.

Change: five failures in a row pause the sidecar for 100 ms, doubling to 1.6 s, with a refusal that nothing ran; after a pause one call tries the server. The router avoids the host for that time.

--- a/crates/xtask/src/policy.rs
+++ b/crates/xtask/src/policy.rs
@@ -62,7 +62,8 @@
             let summary = run(scenario, *policy);
             print_row(&summary);
             if policies.len() == 1 {
-                println!("{:?} of {}", summary.refusals, summary.arrived);
+                let late = summary.arrived - summary.completed - summary.refused;
+                println!("{:?} of {}, {late} late", summary.refusals, summary.arrived);
                 println!("{:?}", summary.by_second);
             }
         }
--- a/src/limpetmux/core/admission/mod.rs
+++ b/src/limpetmux/core/admission/mod.rs
@@ -91,7 +91,7 @@
     ///
     /// The refusal names the moment from which asking again is worthwhile, if there is one.
     pub fn offer(&mut self, now: Moment, offer: Offer) -> Admitted {
-        if let Some(refusal) = self.gate() {
+        if let Some(refusal) = self.gate(now) {
             return Admitted::Refused(refusal);
         }
         if offer.deadline <= now {
@@ -128,6 +128,7 @@
     /// Returns the calls to start and the queued calls to refuse at this moment.
     pub fn next(&mut self, now: Moment) -> Step {
         self.check_overdue(now);
+        self.apply_gate(now);
         for ticket in self.queue.expired(now) {
             self.shed(now, ticket);
         }
@@ -196,13 +197,11 @@
     /// queued calls to other hosts; running calls go on.
     pub fn set_draining(&mut self, draining: bool) {
         self.draining = draining;
-        self.apply_gate();
     }
 
     /// Records whether the host's availability zone serves; if not, the queue is refused.
     pub fn set_zone(&mut self, serving: bool) {
         self.serving = serving;
-        self.apply_gate();
     }
 
     /// Returns whether no call runs or waits, which ends a drain.
@@ -243,15 +242,19 @@
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
-    fn gate(&self) -> Option<Refusal> {
+    fn gate(&self, now: Moment) -> Option<Refusal> {
         if self.draining {
             return Some(Refusal::not_run(RefusalCode::Draining));
         }
-        (!self.serving).then(|| Refusal::not_run(RefusalCode::ZoneOut))
+        if !self.serving {
+            return Some(Refusal::not_run(RefusalCode::ZoneOut));
+        }
+        let left = self.warmth.pause_left(now)?;
+        Some(Refusal::not_run(RefusalCode::Unavailable).retry_in(left))
     }
 
-    fn apply_gate(&mut self) {
-        let Some(refusal) = self.gate() else { return };
+    fn apply_gate(&mut self, now: Moment) {
+        let Some(refusal) = self.gate(now) else { return };
         while let Some(ticket) = self.queue.pop() {
             self.refused.push((ticket, refusal));
         }
--- a/src/limpetmux/core/admission/warmth.rs
+++ b/src/limpetmux/core/admission/warmth.rs
@@ -4,6 +4,10 @@
 //! later than usual. The bound then falls to the declared cold concurrency. Once the warm-up time
 //! is over, or the backend server reports itself warm, the bound doubles with each round of good
 //! results until it reaches the declared concurrency.
+//!
+//! A backend server that fails call after call is paused, for longer each time, and then tried
+//! with one call. Without the pause every entry would have to find out by itself, at the cost of
+//! several failed calls each.
 
 use super::offer::{Limits, Outcome, Report};
 use crate::core::time::Moment;
@@ -11,6 +15,10 @@
 
 /// The number of failures in a row that count as a cold start.
 const FAILURES: u32 = 5;
+/// The first pause after these; it doubles with each failed trial.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// The number of doublings of the pause.
+const MAX_DOUBLINGS: u32 = 4;
 /// The number of "full" answers in a row, within the limit, that count as a cold start.
 const SATURATIONS: u32 = 3;
 /// The number of slow first outputs in a row that count as a cold start.
@@ -41,6 +49,9 @@
     failures: u32,
     saturations: u32,
     slow: u32,
+    /// Pauses since the last completed call.
+    pauses: u32,
+    paused: Moment,
 }
 
 impl Warmth {
@@ -53,6 +64,8 @@
             failures: 0,
             saturations: 0,
             slow: 0,
+            pauses: 0,
+            paused: Moment::ZERO,
         }
     }
 
@@ -75,6 +88,7 @@
     /// Returns the number of calls that the backend server bears now.
     pub(super) fn bound(&self) -> u32 {
         match self.phase {
+            _ if self.pauses > 0 => 1,
             Phase::Cold { .. } => self.limits.cold,
             Phase::Ramp { bound, .. } => bound.min(self.limits.concurrency),
             Phase::Warm => self.limits.concurrency,
@@ -82,6 +96,11 @@
         .max(1)
     }
 
+    /// Returns the time left of a pause after failures.
+    pub(super) fn pause_left(&self, now: Moment) -> Option<Duration> {
+        (now < self.paused).then(|| now.until(self.paused))
+    }
+
     /// Returns the time left of the warm-up, or `None` if the backend server is not cold.
     pub(super) fn warm_in(&self, now: Moment) -> Option<Duration> {
         match self.phase {
@@ -144,8 +163,9 @@
             Outcome::Done => {
                 self.failures = 0;
                 self.saturations = 0;
+                self.pauses = 0;
             }
-            Outcome::Failed => self.failures += 1,
+            Outcome::Failed => self.fail(now),
             Outcome::Saturated => self.saturations += 1,
             Outcome::Cancelled => {}
         }
@@ -155,6 +175,14 @@
         self.failures >= FAILURES || self.saturations >= SATURATIONS
     }
 
+    fn fail(&mut self, now: Moment) {
+        self.failures += 1;
+        if self.failures >= FAILURES || self.pauses > 0 && now >= self.paused {
+            self.paused = now + FIRST_PAUSE * (1 << self.pauses.min(MAX_DOUBLINGS));
+            self.pauses += 1;
+        }
+    }
+
     /// Returns the time after which a first output is slow, once the usual time is known.
     pub(super) fn overdue_after(&self) -> Option<Duration> {
         let usual = Duration::from_micros(self.usual_us? as u64);
--- a/src/limpetmux/core/routing/slot.rs
+++ b/src/limpetmux/core/routing/slot.rs
@@ -105,7 +105,7 @@
     pub(super) fn refused(&mut self, now: Moment, code: RefusalCode, after: Option<Duration>) {
         let pause = match code {
             RefusalCode::Draining | RefusalCode::ZoneOut => LEAVING_PAUSE,
-            RefusalCode::Overloaded | RefusalCode::Cold => {
+            RefusalCode::Overloaded | RefusalCode::Cold | RefusalCode::Unavailable => {
                 after.unwrap_or(FULL_PAUSE).min(MAX_PAUSE)
             }
             _ => return,
--- a/tests/testsuite/admission.rs
+++ b/tests/testsuite/admission.rs
@@ -5,7 +5,7 @@
     Admission, Admitted, Cancelled, Offer, Outcome, Report, Step, Ticket,
 };
 use limpetmux::core::time::Moment;
-use limpetmux::core::verdict::{Execution, RefusalCode};
+use limpetmux::core::verdict::{Execution, Refusal, RefusalCode};
 use limpetmux_test_support::check_cases;
 use limpetmux_test_support::policy::{at, limits, ms, offer};
 use std::collections::{BTreeMap, BTreeSet};
@@ -189,6 +189,8 @@
     for ticket in fill(&mut admission, at(100), 5) {
         admission.finish(at(110), ticket, Outcome::Failed);
     }
+    let trial = fill(&mut admission, at(300), 1);
+    admission.finish(at(310), trial[0], Outcome::Done);
 
     assert_eq!(admission.limit(), 2);
 }
@@ -213,6 +215,26 @@
     }
 }
 
+#[test]
+fn broken_backend_server_is_tried_with_one_call_at_a_time() {
+    let mut admission = warm(8, 2);
+    for ticket in fill(&mut admission, at(100), 5) {
+        admission.finish(at(110), ticket, Outcome::Failed);
+    }
+
+    let paused = admission.offer(at(120), offer(1, at(5_000)));
+    let trial = fill(&mut admission, at(210), 1);
+    let second = admission.offer(at(210), offer(1, at(5_000)));
+    admission.finish(at(220), trial[0], Outcome::Failed);
+    let longer = admission.offer(at(330), offer(1, at(5_000)));
+
+    let Admitted::Refused(refusal) = paused else { panic!("{paused:?}") };
+    assert_eq!(refusal, Refusal::not_run(RefusalCode::Unavailable).retry_in(ms(90)));
+    assert!(matches!(second, Admitted::Queued(_)), "{second:?}");
+    assert!(matches!(longer, Admitted::Refused(_)), "{longer:?}");
+    assert_eq!(admission.next(at(330)).refused.len(), 1);
+}
+
 #[test]
 fn limit_finds_what_the_backend_server_bears() {
     let mut admission = warm(32, 32);
