--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -1,13 +1,24 @@
 //! Fixtures by functions, shared by the test suite, the benchmarks and the experiments.
 //!
+//! Each module builds one kind of input: configurations in the shape of the two deployments that
+//! the system serves today, larger ones for slopes and bounds, configuration records, a platform
+//! log in the process, and cases drawn from fixed seeds.
+
+#![allow(clippy::expect_used, clippy::unwrap_used)]
 //! [`config`] builds configurations in the shape of the two deployments that the system serves
-//! today; [`cases`] draws many cases from fixed seeds; [`policy`] builds what decisions under load
-//! need.
+//! today; [`cases`] draws many cases from fixed seeds;
+//! [`http`] calls an entry.
 
 pub mod cases;
+pub mod changes;
 pub mod config;
 pub mod model;
+pub mod fake_log;
+pub mod http;
 pub mod policy;
+pub mod sized;
 
 pub use cases::check_cases;
-pub use config::{sample_config, small_config};
+pub use config::{name, sample_config, small_config};
+pub use fake_log::FakeLog;
+pub use sized::{Size, sized_config};
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,11 +1,14 @@
 //! Developer tasks that the build itself does not need.
 //!
 //! `cargo run -p xtask -- codegen` compiles `proto/*.proto` into `src/limpetmux/wire/gen/`, whose
-//! files are committed so that neither the build nor CI runs a generator. `cargo run --release -p
-//! xtask -- policy` prints the tables of `docs/MEASUREMENTS.md`.
+//! files are committed so that neither the build nor CI runs a generator.
+//! `cargo run --release -p xtask -- load` sends requests at a fixed rate and writes a report.
+//! `cargo run --release -p xtask -- policy` prints the policy's tables of `docs/MEASUREMENTS.md`.
 
 mod codegen;
+mod load;
 mod policy;
+mod power;
 
 use argh::FromArgs;
 
@@ -20,16 +23,23 @@
 #[argh(subcommand)]
 enum Task {
     Codegen(codegen::CodegenArgs),
+    Load(load::LoadArgs),
     Policy(policy::PolicyArgs),
+    Power(power::PowerArgs),
 }
 
 fn main() -> miette::Result<()> {
     let args: Args = argh::from_env();
     match args.task {
         Task::Codegen(args) => Ok(codegen::exec(args)?),
+        Task::Load(args) => Ok(load::exec(args)?),
         Task::Policy(args) => {
             policy::exec(&args);
             Ok(())
         }
+        Task::Power(args) => {
+            power::exec(args);
+            Ok(())
+        }
     }
 }
--- a/src/bin/limpetmux/cli.rs
+++ b/src/bin/limpetmux/cli.rs
@@ -13,12 +13,18 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Verb {
+    Drain(commands::drain::DrainArgs),
+    Local(commands::local::LocalArgs),
+    Status(commands::status::StatusArgs),
     Version(commands::version::VersionArgs),
 }
 
 /// Runs the chosen verb.
 pub fn exec(cli: Cli) -> miette::Result<()> {
     match cli.verb {
+        Verb::Drain(args) => commands::drain::exec(args),
+        Verb::Local(args) => commands::local::exec(args),
+        Verb::Status(args) => commands::status::exec(args),
         Verb::Version(args) => commands::version::exec(args),
     }
 }
