--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -2,19 +2,17 @@
 //!
 //! Each module builds one kind of input: configurations in the shape of the two deployments that
 //! the system serves today, larger ones for slopes and bounds, configuration records, a platform
-//! log in the process, and cases drawn from fixed seeds.
+//! log in the process, and cases drawn from fixed seeds. [`http`] calls an entry; [`model`] drives
+//! the decisions under load in virtual time.
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
-//! [`config`] builds configurations in the shape of the two deployments that the system serves
-//! today; [`cases`] draws many cases from fixed seeds;
-//! [`http`] calls an entry.
 
 pub mod cases;
 pub mod changes;
 pub mod config;
-pub mod model;
 pub mod fake_log;
 pub mod http;
+pub mod model;
 pub mod policy;
 pub mod sized;
 
