--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod fake_log;
 pub mod http;
+pub mod invariants;
 pub mod model;
 pub mod policy;
 pub mod sized;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod config_fold;
 mod control;
 mod cost;
+mod invariants;
 mod kernel;
 mod membership;
 mod path;
