--- a/crates/limpetmux-test-support/src/invariants.rs
+++ b/crates/limpetmux-test-support/src/invariants.rs
@@ -149,6 +149,40 @@
     },
 }
 
+impl std::fmt::Display for Fact {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Sent { request, key: Some(key) } => {
+                write!(f, "request {request} sent, key {key}")
+            }
+            Self::Sent { request, key: None } => write!(f, "request {request} sent"),
+            Self::Started { request, stage, host, zone, .. } => {
+                write!(f, "request {request} stage {stage} started on {host} in {zone}")
+            }
+            Self::Completed { request, stage, host } => {
+                write!(f, "request {request} stage {stage} completed on {host}")
+            }
+            Self::Stopped { request, stage, host } => {
+                write!(f, "request {request} stage {stage} stopped on {host}")
+            }
+            Self::Answered { request, text, .. } => write!(f, "request {request} answered: {text}"),
+            Self::Refused { request, execution } => {
+                write!(f, "request {request} refused: {execution}")
+            }
+            Self::Cut { request } => write!(f, "request {request} cut"),
+            Self::Cold { host, bound } => write!(f, "{host} is cold and bears {bound}"),
+            Self::Warm { host } => write!(f, "{host} is warm"),
+            Self::Zone { zone, serving: true } => write!(f, "zone {zone} in"),
+            Self::Zone { zone, serving: false } => write!(f, "zone {zone} out"),
+            Self::Leaves { host, leaving: true } => write!(f, "{host} leaves"),
+            Self::Leaves { host, leaving: false } => write!(f, "{host} is back"),
+            Self::Accepted { revision } => write!(f, "r{revision} accepted"),
+            Self::InForce { node, revision } => write!(f, "{node} has r{revision} in force"),
+            Self::NodeEnded { node } => write!(f, "{node} ended"),
+        }
+    }
+}
+
 /// Facts in the order of time.
 #[derive(Clone, Debug, Default)]
 pub struct Journal {
@@ -161,6 +195,13 @@
         self.facts.push((at, fact));
     }
 
+    /// Returns the facts as text, one line each with its time in seconds.
+    pub fn transcript(&self) -> String {
+        let line =
+            |(at, fact): &(Moment, Fact)| format!("{:>9.3} {fact}\n", at.as_micros() as f64 / 1e6);
+        self.facts.iter().map(line).collect()
+    }
+
     /// Returns the recorded facts.
     pub fn facts(&self) -> &[(Moment, Fact)] {
         &self.facts
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,5 +14,6 @@
 mod path;
 mod planner;
 mod routing;
+mod sessions;
 mod shutdown;
 mod standins;
