Plan and apply declarations and sheets

Cause: operators had no way to change the configuration, and the fold was tested record by record only.

--- a/src/limpetmux/core/config/mod.rs
+++ b/src/limpetmux/core/config/mod.rs
@@ -28,7 +28,7 @@
 pub use replica::{Asked, Delta, Position, Progress, Replica};
 pub use snapshot::{Snapshot, snapshot_delay};
 pub use spec::{
-    Config, Fencing, HostSpec, Name, PipelineSpec, ServiceSpec, StageKind, StageSpec,
+    Config, Fencing, HostSpec, Name, NameError, PipelineSpec, ServiceSpec, StageKind, StageSpec,
     WorkspaceSpec, ZoneSpec,
 };
 pub use tail::Tail;
--- a/src/limpetmux/core/config/replica.rs
+++ b/src/limpetmux/core/config/replica.rs
@@ -142,7 +142,7 @@
             } else if offset == self.fold.next() {
                 self.step(offset, data, &mut progress)?;
             } else {
-                self.seek(first, offset, data, &mut progress)?;
+                self.seek(offset, data, &mut progress)?;
             }
             if progress.adopted {
                 break;
@@ -236,17 +236,16 @@
         self.scan = is_behind.then(|| self.scan.unwrap_or(self.first));
     }
 
-    /// Looks at a record beyond a gap: only a snapshot whose following records are kept helps.
+    /// Looks at a record beyond a gap: only a snapshot helps.
     fn seek(
         &mut self,
-        first: Offset,
         offset: Offset,
         data: &[u8],
         progress: &mut Progress,
     ) -> Result<(), FoldError> {
         self.scan = Some(offset.next());
         let Ok(Body::Snapshot(snapshot)) = record::decode(data) else { return Ok(()) };
-        if snapshot.next < first || snapshot.next > offset || !snapshot.is_intact() {
+        if snapshot.next > offset {
             return Ok(());
         }
         self.adopt(*snapshot, progress)
--- a/src/limpetmux/core/config/spec.rs
+++ b/src/limpetmux/core/config/spec.rs
@@ -4,7 +4,7 @@
 //! equal serialized bytes on every node and a digest can compare them.
 
 use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
+use serde_with::{DurationMilliSeconds, MapPreventDuplicates, serde_as};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -232,17 +232,23 @@
 }
 
 /// The whole declared configuration.
+#[serde_as]
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Config {
     /// Availability zones by name.
+    #[serde_as(as = "MapPreventDuplicates<_, _>")]
     pub zones: BTreeMap<Name, ZoneSpec>,
     /// Hosts by name.
+    #[serde_as(as = "MapPreventDuplicates<_, _>")]
     pub hosts: BTreeMap<Name, HostSpec>,
     /// Services by name.
+    #[serde_as(as = "MapPreventDuplicates<_, _>")]
     pub services: BTreeMap<Name, ServiceSpec>,
     /// Pipelines by name.
+    #[serde_as(as = "MapPreventDuplicates<_, _>")]
     pub pipelines: BTreeMap<Name, PipelineSpec>,
     /// Workspaces by name.
+    #[serde_as(as = "MapPreventDuplicates<_, _>")]
     pub workspaces: BTreeMap<Name, WorkspaceSpec>,
 }
--- /dev/null
+++ b/src/limpetmux/ops/audit.rs
@@ -0,0 +1,110 @@
+//! The audit trail: who changed what, from which base, where in the log, with which verdict.
+//!
+//! The trail is read from the log itself. What the log forgot is known as far as the latest
+//! snapshot carries it; what is older is said to be gone.
+
+use crate::core::config::{ChangeId, Entry, Name, Verdict};
+use crate::core::revision::Offset;
+use std::fmt::Write;
+
+/// Which entries to list; an empty filter lists all.
+#[derive(Clone, Debug, Default)]
+pub struct AuditFilter {
+    /// Only records of this author.
+    pub author: Option<Name>,
+    /// Only records that touch an object of this name.
+    pub object: Option<Name>,
+    /// Only the record with this change id.
+    pub id: Option<ChangeId>,
+    /// Only rejected records.
+    pub rejected: bool,
+    /// Only records from this offset on.
+    pub since: Offset,
+}
+
+impl AuditFilter {
+    /// Returns whether the filter lets an entry pass.
+    ///
+    /// An entry keeps the first few objects of a large change only, so a filter by object may miss
+    /// the others.
+    pub fn passes(&self, entry: &Entry) -> bool {
+        let is_author = self.author.is_none() || self.author == entry.author;
+        let is_id = self.id.is_none() || self.id == entry.id;
+        let is_object =
+            self.object.as_ref().is_none_or(|n| entry.objects.iter().any(|o| o.name == *n));
+        let is_verdict = !self.rejected || !entry.verdict.is_accepted();
+        is_author && is_id && is_object && is_verdict && entry.offset >= self.since
+    }
+}
+
+/// Returns the entries that pass a filter, oldest first.
+pub fn entries<'a>(
+    trail: &'a [Entry],
+    filter: &'a AuditFilter,
+) -> impl Iterator<Item = &'a Entry> + 'a {
+    trail.iter().filter(|e| filter.passes(e))
+}
+
+/// Returns entries as a table for people.
+pub fn table(trail: &[Entry], filter: &AuditFilter) -> String {
+    let mut text = String::new();
+    let _ = writeln!(
+        text,
+        "{:>8}  {:<6}  {:<16}  {:>8}  {:<13}  {:<8}  what",
+        "offset", "kind", "author", "base", "submitted ms", "verdict"
+    );
+    for entry in entries(trail, filter) {
+        let author = entry.author.as_ref().map_or("-", Name::as_str);
+        let base = entry.base.map_or_else(|| "-".to_owned(), |b| b.to_string());
+        let (verdict, why) = verdict(entry);
+        let _ = writeln!(
+            text,
+            "{:>8}  {:<6}  {author:<16}  {base:>8}  {:<13}  {verdict:<8}  {}{why}",
+            entry.offset,
+            entry.kind,
+            entry.submitted_ms,
+            what(entry)
+        );
+    }
+    if let Some(first) = trail.first().filter(|e| e.offset > Offset(0)) {
+        let _ = writeln!(text, "records before offset {} are gone", first.offset);
+    }
+    text
+}
+
+/// Returns entries as JSON lines.
+///
+/// # Errors
+/// Returns the error of the serializer, which does not occur for these types.
+pub fn json_lines(trail: &[Entry], filter: &AuditFilter) -> Result<String, serde_json::Error> {
+    let mut text = String::new();
+    for entry in entries(trail, filter) {
+        text.push_str(&serde_json::to_string(entry)?);
+        text.push('\n');
+    }
+    Ok(text)
+}
+
+fn verdict(entry: &Entry) -> (&'static str, String) {
+    match &entry.verdict {
+        Verdict::Accepted => ("accepted", String::new()),
+        Verdict::Rejected(reason) => {
+            let cause = std::error::Error::source(reason);
+            let cause = cause.map(|c| format!(": {c}")).unwrap_or_default();
+            ("rejected", format!(" ({reason}{cause})"))
+        }
+    }
+}
+
+fn what(entry: &Entry) -> String {
+    let mut text: String =
+        entry.objects.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ");
+    let more = entry.touched.saturating_sub(entry.objects.len());
+    if more > 0 {
+        let _ = write!(text, " and {more} more");
+    }
+    if !entry.reason.is_empty() {
+        let _ = write!(text, ": {}", entry.reason);
+    }
+    text
+}
--- /dev/null
+++ b/src/limpetmux/ops/config_client.rs
@@ -0,0 +1,251 @@
+//! An operator command's access to the configuration log.
+//!
+//! A command folds the log like any node and keeps nothing. A change counts as accepted only once
+//! it was read back at its offset; an append whose answer was lost is repeated under the same
+//! change id, which the fold accepts at most once.
+
+use crate::adapters::log::{LogClient, LogError, LogPage, Stream};
+use crate::core::config::record::{self, Body, RecordError, Void};
+use crate::core::config::{
+    Asked, Change, ChangeId, Entry, Fold, FoldError, Name, Rejection, Replica, Verdict,
+};
+use crate::core::revision::{Offset, Revision};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How often one change is appended at most.
+const APPENDS: u32 = 3;
+/// How long a command waits for its change to be read back.
+const READ_BACK: Duration = Duration::from_secs(15);
+/// The time between two tries to reach the log.
+const RETRY: Duration = Duration::from_millis(500);
+/// How many records are folded before their verdicts are collected.
+const PIECE_RECORDS: usize = 256;
+const TOO_MANY: u16 = 429;
+
+/// A command cannot work on the configuration log.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum ClientError {
+    /// The log gave no answer to a read.
+    #[error("cannot read the configuration from the platform log")]
+    #[diagnostic(
+        code(limpetmux::config::log),
+        help("nothing was changed by this command; try again when the log answers")
+    )]
+    Log(#[from] LogError),
+    /// The log's records cannot be folded.
+    #[error("cannot fold the configuration log")]
+    #[diagnostic(code(limpetmux::config::fold))]
+    Fold(#[from] FoldError),
+    /// The log forgot records and holds no snapshot that covers them.
+    #[error("the log begins at offset {first} and holds no snapshot of what was before")]
+    #[diagnostic(
+        code(limpetmux::config::history),
+        help("a running node writes a snapshot within a minute; try again then")
+    )]
+    History {
+        /// The first offset that the log keeps.
+        first: Offset,
+    },
+    /// The change is too long for one record.
+    #[error("cannot encode the change")]
+    #[diagnostic(code(limpetmux::config::record))]
+    Record(#[from] RecordError),
+}
+
+/// What became of a submitted change.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The change was read back at its offset and is in force.
+    Accepted {
+        /// The change.
+        id: ChangeId,
+        /// Where it lies in the log.
+        offset: Offset,
+    },
+    /// The change was read back and has no effect on any node.
+    Rejected {
+        /// The change.
+        id: ChangeId,
+        /// Where it lies in the log.
+        offset: Offset,
+        /// Why every node rejects it.
+        reason: Rejection,
+    },
+    /// The log refused the change, so nothing was appended.
+    NotAppended {
+        /// The change.
+        id: ChangeId,
+        /// Why the log refused.
+        error: LogError,
+    },
+    /// The change may have been appended, but was not read back in time.
+    Unknown {
+        /// The change.
+        id: ChangeId,
+    },
+}
+
+impl std::fmt::Display for Outcome {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Accepted { id, offset } => {
+                write!(f, "accepted at offset {offset} as {} (change {id})", Revision::at(*offset))
+            }
+            Self::Rejected { id, offset, reason } => {
+                write!(f, "rejected at offset {offset}: {reason} (change {id})")?;
+                match std::error::Error::source(reason) {
+                    Some(cause) => write!(f, "\ncaused by: {cause}"),
+                    None => Ok(()),
+                }
+            }
+            Self::NotAppended { id, error } => write!(f, "not applied: {error} (change {id})"),
+            Self::Unknown { id } => write!(
+                f,
+                "unknown: the change may have been appended\nrun `limpetmux config settle {id}`"
+            ),
+        }
+    }
+}
+
+/// Folds the configuration log for one command.
+pub struct ConfigClient {
+    log: LogClient,
+    replica: Replica,
+    trail: Vec<Entry>,
+}
+
+impl ConfigClient {
+    /// Folds the log up to its end.
+    ///
+    /// # Errors
+    /// Returns [`ClientError`] if the log cannot be read or folded.
+    pub async fn connect(log: LogClient) -> Result<Self, ClientError> {
+        let mut client = Self { log, replica: Replica::new(), trail: Vec::new() };
+        client.catch_up().await?;
+        if client.replica.is_behind() {
+            return Err(ClientError::History { first: client.replica.log_first() });
+        }
+        Ok(client)
+    }
+
+    /// Returns the folded state.
+    pub fn fold(&self) -> &Fold {
+        self.replica.fold()
+    }
+
+    /// Returns the verdicts on all records that the log keeps, oldest first.
+    ///
+    /// What the log forgot is there as far as a snapshot carries it.
+    pub fn trail(&self) -> &[Entry] {
+        &self.trail
+    }
+
+    /// Appends a change and reads it back.
+    ///
+    /// # Errors
+    /// Returns [`ClientError`] if the change cannot be encoded or the log cannot be folded.
+    pub async fn submit(&mut self, change: Change) -> Result<Outcome, ClientError> {
+        let id = change.id;
+        self.append(id, &Body::Change(change)).await
+    }
+
+    /// Settles what became of a change by giving its id up, unless the log holds its verdict.
+    ///
+    /// # Errors
+    /// As [`ConfigClient::submit`].
+    pub async fn settle(
+        &mut self,
+        id: ChangeId,
+        author: Name,
+        submitted_ms: u64,
+    ) -> Result<Outcome, ClientError> {
+        if let Some(entry) = self.fold().ledger().find(id) {
+            return Ok(outcome(id, entry));
+        }
+        self.append(id, &Body::Void(Void { id, author, submitted_ms })).await
+    }
+
+    async fn append(&mut self, id: ChangeId, body: &Body) -> Result<Outcome, ClientError> {
+        let data = record::encode(body, self.fold().format())?;
+        let mut may_be_there = false;
+        for _ in 0..APPENDS {
+            match (self.log.append)(Stream::Config, data.clone()).await {
+                Ok(_) => break,
+                Err(e) if e.may_have_appended() => may_be_there = true,
+                Err(LogError::Refused { status: TOO_MANY, retry_after }) => {
+                    tokio::time::sleep(retry_after.unwrap_or(RETRY)).await;
+                    continue;
+                }
+                Err(error) if !may_be_there => return Ok(Outcome::NotAppended { id, error }),
+                Err(_) => break,
+            }
+            if let Some(found) = self.look(id).await? {
+                return Ok(found);
+            }
+        }
+        self.wait(id).await
+    }
+
+    /// Reads to the log's end until the verdict on a change is there.
+    async fn wait(&mut self, id: ChangeId) -> Result<Outcome, ClientError> {
+        let deadline = Instant::now() + READ_BACK;
+        loop {
+            if let Some(found) = self.look(id).await? {
+                return Ok(found);
+            }
+            if Instant::now() >= deadline {
+                return Ok(Outcome::Unknown { id });
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+    }
+
+    /// Returns the verdict on a change if the log can be read and holds one.
+    async fn look(&mut self, id: ChangeId) -> Result<Option<Outcome>, ClientError> {
+        match self.catch_up().await {
+            Ok(()) | Err(ClientError::Log(_)) => {}
+            Err(e) => return Err(e),
+        }
+        Ok(self.fold().ledger().find(id).map(|entry| outcome(id, entry)))
+    }
+
+    async fn catch_up(&mut self) -> Result<(), ClientError> {
+        loop {
+            let asked = self.replica.ask();
+            let page = (self.log.read)(Stream::Config, asked.from, Duration::ZERO).await?;
+            self.fold_page(asked, &page)?;
+            let is_scanned = self.replica.is_behind() && self.replica.ask().from >= page.end;
+            if self.fold().next() >= page.end || is_scanned {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Folds a page in pieces, so that no verdict leaves the fold's window unseen.
+    fn fold_page(&mut self, asked: Asked, page: &LogPage) -> Result<(), FoldError> {
+        let bounds = (page.first, page.end);
+        if page.records.is_empty() {
+            self.replica.on_page(asked, bounds, std::iter::empty())?;
+        }
+        for piece in page.records.chunks(PIECE_RECORDS) {
+            let records = piece.iter().map(|r| (r.offset, r.data.as_slice()));
+            let progress = self.replica.on_page(asked, bounds, records)?;
+            let seen = self.trail.last().map_or(Offset::default(), |e| e.offset.next());
+            let ledger = self.replica.fold().ledger();
+            self.trail.extend(ledger.iter().filter(|e| e.offset >= seen).cloned());
+            if progress.adopted {
+                break;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn outcome(id: ChangeId, entry: &Entry) -> Outcome {
+    let offset = entry.offset;
+    match entry.verdict.clone() {
+        Verdict::Accepted => Outcome::Accepted { id, offset },
+        Verdict::Rejected(reason) => Outcome::Rejected { id, offset, reason },
+    }
+}
--- /dev/null
+++ b/src/limpetmux/ops/config_files.rs
@@ -0,0 +1,129 @@
+//! Declarations as files under version control.
+//!
+//! A declaration file is JSON with comments and holds any part of a
+//! [`Config`]; a directory stands for all its `.json` and `.jsonc` files together. An object may be
+//! declared in one file only.
+
+use crate::core::config::{Config, Name, Object, ObjectKind};
+use crate::util::hash::hash_bytes;
+use crate::util::jsonc::{self, JsoncError};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+/// The longest declaration file, in bytes.
+const FILE_BYTES: u64 = 8 << 20;
+
+/// Declarations cannot be loaded.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum FilesError {
+    /// A file or directory cannot be read.
+    #[error("cannot read {}", path.display())]
+    #[diagnostic(code(limpetmux::declarations::read))]
+    Read {
+        /// The file or directory.
+        path: PathBuf,
+        /// Why not.
+        #[source]
+        error: std::io::Error,
+    },
+    /// A file is longer than a declaration may be.
+    #[error("{} is longer than {FILE_BYTES} bytes", path.display())]
+    #[diagnostic(code(limpetmux::declarations::length))]
+    Length {
+        /// The file.
+        path: PathBuf,
+    },
+    /// A file is not a declaration.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Parse(#[from] Box<JsoncError>),
+    /// Two files declare one object.
+    #[error("{} declares {object}, which another file declares too", path.display())]
+    #[diagnostic(code(limpetmux::declarations::twice))]
+    Twice {
+        /// The second file in name order.
+        path: PathBuf,
+        /// The object.
+        object: Object,
+    },
+    /// A directory holds no declaration.
+    #[error("{} holds no .json or .jsonc file", path.display())]
+    #[diagnostic(code(limpetmux::declarations::none))]
+    Empty {
+        /// The directory.
+        path: PathBuf,
+    },
+}
+
+/// Loads a file or a directory.
+///
+/// # Errors
+/// Returns [`FilesError`] with the place of the first fault.
+pub fn load(path: &Path) -> Result<Config, FilesError> {
+    let mut config = Config::default();
+    for file in files(path)? {
+        let text = read(&file)?;
+        let part: Config = jsonc::parse(&file.display().to_string(), &text, "declarations")?;
+        merge(&mut config, part, &file)?;
+    }
+    Ok(config)
+}
+
+/// Returns the digest by which a sheet names declarations: xxHash64 over their canonical form.
+pub fn digest(config: &Config) -> u64 {
+    serde_json::to_vec(config).map_or(0, |bytes| hash_bytes(&bytes))
+}
+
+fn files(path: &Path) -> Result<Vec<PathBuf>, FilesError> {
+    let fail = |error| FilesError::Read { path: path.to_owned(), error };
+    if !path.is_dir() {
+        return Ok(vec![path.to_owned()]);
+    }
+    let entries = std::fs::read_dir(path).map_err(fail)?;
+    let mut files = Vec::new();
+    for entry in entries {
+        let file = entry.map_err(fail)?.path();
+        if file.extension().is_some_and(|e| e == "json" || e == "jsonc") {
+            files.push(file);
+        }
+    }
+    files.sort();
+    if files.is_empty() {
+        return Err(FilesError::Empty { path: path.to_owned() });
+    }
+    Ok(files)
+}
+
+/// Reads a whole text file of bounded length.
+pub(super) fn read(path: &Path) -> Result<String, FilesError> {
+    let fail = |error| FilesError::Read { path: path.to_owned(), error };
+    if std::fs::metadata(path).map_err(fail)?.len() > FILE_BYTES {
+        return Err(FilesError::Length { path: path.to_owned() });
+    }
+    std::fs::read_to_string(path).map_err(fail)
+}
+
+fn merge(config: &mut Config, part: Config, file: &Path) -> Result<(), FilesError> {
+    let twice = |kind| {
+        move |name: Name| {
+            let object = Object { kind, name };
+            FilesError::Twice { path: file.to_owned(), object }
+        }
+    };
+    put_all(&mut config.zones, part.zones).map_err(twice(ObjectKind::Zone))?;
+    put_all(&mut config.hosts, part.hosts).map_err(twice(ObjectKind::Host))?;
+    put_all(&mut config.services, part.services).map_err(twice(ObjectKind::Service))?;
+    put_all(&mut config.pipelines, part.pipelines).map_err(twice(ObjectKind::Pipeline))?;
+    put_all(&mut config.workspaces, part.workspaces).map_err(twice(ObjectKind::Workspace))
+}
+
+/// Adds all values; returns the first name that was there.
+fn put_all<V>(to: &mut BTreeMap<Name, V>, from: BTreeMap<Name, V>) -> Result<(), Name> {
+    for (name, value) in from {
+        if to.contains_key(&name) {
+            return Err(name);
+        }
+        to.insert(name, value);
+    }
+    Ok(())
+}
--- a/src/limpetmux/util/mod.rs
+++ b/src/limpetmux/util/mod.rs
@@ -3,3 +3,4 @@
 pub mod clock;
 pub mod event;
 pub mod hash;
+pub mod jsonc;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
 mod config_fold;
+mod config_replicas;
 mod control;
 mod kernel;
 mod planner;
