--- a/crates/limpetmux-test-support/src/fake_log.rs
+++ b/crates/limpetmux-test-support/src/fake_log.rs
@@ -78,18 +78,15 @@
         self.lock().lost_appends = count;
     }
 
-    /// Keeps appends under way, unanswered, until [`FakeLog::release`].
-    pub fn hold_appends(&self) {
-        self.lock().holds_appends = true;
+    /// Starts or ends a time in which appends stay under way, unanswered, until
+    /// [`FakeLog::release`].
+    pub fn hold_appends(&self, is_held: bool) {
+        self.lock().holds_appends = is_held;
     }
 
     /// Lets the held appends take effect.
     pub fn release(&self) {
-        let held = {
-            let mut state = self.lock();
-            state.holds_appends = false;
-            std::mem::take(&mut state.held)
-        };
+        let held = std::mem::take(&mut self.lock().held);
         for (stream, data) in held {
             self.push(stream, data);
         }
--- a/src/limpetmux/core/config/change.rs
+++ b/src/limpetmux/core/config/change.rs
@@ -13,6 +13,14 @@
 #[serde(transparent)]
 pub struct ChangeId(pub Uuid);
 
+impl std::str::FromStr for ChangeId {
+    type Err = uuid::Error;
+
+    fn from_str(text: &str) -> Result<Self, uuid::Error> {
+        text.parse().map(Self)
+    }
+}
+
 impl std::fmt::Display for ChangeId {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         self.0.fmt(f)
--- a/src/limpetmux/ops/config.rs
+++ b/src/limpetmux/ops/config.rs
@@ -142,10 +142,7 @@
         client: &mut ConfigClient,
         submission: Submission,
     ) -> Result<Outcome, PlanError> {
-        if !self.errors.is_empty() {
-            let rules = self.errors.into_iter().map(RuleError).collect();
-            return Err(PlanError::Invalid { rules });
-        }
+        refuse_broken(self.errors)?;
         if !self.dangers.is_empty() && !submission.force {
             let dangers = self.dangers.into_iter().map(DangerError).collect();
             return Err(PlanError::Dangerous { dangers });
@@ -164,6 +161,21 @@
     }
 }
 
+/// Checks declarations by themselves.
+///
+/// # Errors
+/// Returns [`PlanError::Invalid`] with every rule that they break.
+pub fn require_valid(config: &Config) -> Result<(), PlanError> {
+    refuse_broken(check(config))
+}
+
+fn refuse_broken(errors: Vec<ConfigError>) -> Result<(), PlanError> {
+    if errors.is_empty() {
+        return Ok(());
+    }
+    Err(PlanError::Invalid { rules: errors.into_iter().map(RuleError).collect() })
+}
+
 fn action(edit: &Edit, config: &Config) -> Action {
     let is_there = match edit {
         Edit::Zone(name, _) => config.zones.contains_key(name),
--- a/src/limpetmux/ops/config_client.rs
+++ b/src/limpetmux/ops/config_client.rs
@@ -7,7 +7,7 @@
 use crate::adapters::log::{LogClient, LogError, LogPage, Stream};
 use crate::core::config::record::{self, Body, RecordError, Void};
 use crate::core::config::{
-    Asked, Change, ChangeId, Entry, Fold, FoldError, Name, Rejection, Replica, Verdict,
+    Asked, Change, ChangeId, Entry, EntryKind, Fold, FoldError, Name, Rejection, Replica, Verdict,
 };
 use crate::core::revision::{Offset, Revision};
 use std::time::Duration;
@@ -72,6 +72,13 @@
         /// Why every node rejects it.
         reason: Rejection,
     },
+    /// The change id was given up, so the change can have no effect any more.
+    GivenUp {
+        /// The change.
+        id: ChangeId,
+        /// Where the record that gives it up lies in the log.
+        offset: Offset,
+    },
     /// The log refused the change, so nothing was appended.
     NotAppended {
         /// The change.
@@ -99,6 +106,9 @@
                     None => Ok(()),
                 }
             }
+            Self::GivenUp { id, offset } => {
+                write!(f, "not applied: given up at offset {offset} (change {id})")
+            }
             Self::NotAppended { id, error } => write!(f, "not applied: {error} (change {id})"),
             Self::Unknown { id } => write!(
                 f,
@@ -245,6 +255,7 @@
 fn outcome(id: ChangeId, entry: &Entry) -> Outcome {
     let offset = entry.offset;
     match entry.verdict.clone() {
+        Verdict::Accepted if entry.kind == EntryKind::Void => Outcome::GivenUp { id, offset },
         Verdict::Accepted => Outcome::Accepted { id, offset },
         Verdict::Rejected(reason) => Outcome::Rejected { id, offset, reason },
     }
--- a/src/limpetmux/ops/sheet.rs
+++ b/src/limpetmux/ops/sheet.rs
@@ -304,9 +304,10 @@
     /// Returns the place of a cell; one that is not there stands for the whole row.
     fn place(&self, record: &StringRecord, cell: usize) -> Place {
         let position = record.position();
-        let line = position.map_or(1, csv::Position::line);
-        let start = position.map_or(0, |p| usize::try_from(p.byte()).unwrap_or(0));
-        let (start, row) = row_at(self.text, start);
+        let before = position.map_or(0, |p| usize::try_from(p.byte()).unwrap_or(0));
+        let (start, row) = row_at(self.text, before);
+        let skipped = self.text.get(before..start).map_or(0, |t| t.matches('\n').count());
+        let line = position.map_or(1, csv::Position::line) + skipped as u64;
         let span = cell_span(row, cell).unwrap_or((0, row.len()));
         let column = COLUMNS.get(cell).copied().unwrap_or(COLUMNS[0]);
         Place { line, column, span: (start + span.0, span.1) }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,8 +3,10 @@
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
 mod config_fold;
+mod config_ops;
 mod config_replicas;
 mod control;
 mod kernel;
 mod planner;
+mod sheet;
 mod standins;
