Measure the spread of a change between nodes

Cause: the bound of 24 KB/s a node and 16 s to all nodes had no run behind it. Change: tests over TCP of a fresh node and of a node that is behind with the log down, a count of the bytes of one idle exchange on TCP, and the rounds that a change needs over 1,310 real replicas.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,4 +9,5 @@
 mod kernel;
 mod planner;
 mod sheet;
+mod spread;
 mod standins;
