--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -1,14 +1,19 @@
 //! Fixtures by functions, shared by the test suite, the benchmarks and the experiments.
 //!
-//! [`config`] builds configurations in the shape of the two deployments that the system serves
-//! today; [`cases`] draws many cases from fixed seeds; [`changes`] makes configuration records;
-//! [`fake_log`] is a platform log in the process.
+//! Each module builds one kind of input: configurations in the shape of the two deployments that
+//! the system serves today, larger ones for slopes and bounds, configuration records, a platform
+//! log in the process, and cases drawn from fixed seeds.
+
+#![allow(clippy::expect_used, clippy::unwrap_used)]
 
 pub mod cases;
 pub mod changes;
 pub mod config;
 pub mod fake_log;
+pub mod policy;
+pub mod sized;
 
 pub use cases::check_cases;
 pub use config::{name, sample_config, small_config};
 pub use fake_log::FakeLog;
+pub use sized::{Size, sized_config};
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,12 +2,16 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
+mod admission;
+mod budget;
 mod config_fold;
 mod config_ops;
 mod config_replicas;
 mod control;
+mod cost;
 mod kernel;
 mod planner;
 mod sheet;
 mod spread;
+mod routing;
 mod standins;
