--- /dev/null
+++ b/crates/limpetmux-test-support/src/http.rs
@@ -0,0 +1,144 @@
+//! A caller of the entry's HTTP interface.
+
+use limpetmux::util::sse::{SseEvent, SseEvents};
+use reqwest::{Client, Response};
+use serde_json::Value;
+
+/// A caller with its own connections.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client,
+    base: String,
+}
+
+/// What a caller received.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The `Content-Type`.
+    pub kind: String,
+    /// The `Retry-After` in seconds, if there is one.
+    pub retry: Option<u64>,
+    /// The body, or null if it is not JSON.
+    pub body: Value,
+}
+
+impl Caller {
+    /// Creates a caller of the entry at a base URL.
+    ///
+    /// # Panics
+    /// Panics if the HTTP client cannot be set up.
+    pub fn new(base: &str) -> Self {
+        match Client::builder().no_proxy().build() {
+            Ok(client) => Self { client, base: base.to_owned() },
+            Err(e) => panic!("{e}"),
+        }
+    }
+
+    /// Returns the URL of a pipeline's runs.
+    pub fn runs(&self, workspace: &str, pipeline: &str) -> String {
+        format!("{}/v1/workspaces/{workspace}/pipelines/{pipeline}/runs", self.base)
+    }
+
+    /// Runs a pipeline and reads the whole answer.
+    pub async fn run(&self, workspace: &str, pipeline: &str, body: &Value) -> Answer {
+        self.post(workspace, pipeline, None, body.to_string()).await
+    }
+
+    /// Runs a pipeline under an idempotency key and reads the whole answer.
+    pub async fn run_once(
+        &self,
+        workspace: &str,
+        pipeline: &str,
+        key: &str,
+        body: &Value,
+    ) -> Answer {
+        self.post(workspace, pipeline, Some(key), body.to_string()).await
+    }
+
+    /// Sends any bytes as a run request.
+    ///
+    /// # Panics
+    /// Panics if the entry cannot be reached.
+    pub async fn post(
+        &self,
+        workspace: &str,
+        pipeline: &str,
+        key: Option<&str>,
+        body: impl Into<reqwest::Body>,
+    ) -> Answer {
+        let mut request = self.client.post(self.runs(workspace, pipeline)).body(body);
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        match request.send().await {
+            Ok(answer) => read(answer).await,
+            Err(e) => panic!("{e}"),
+        }
+    }
+
+    /// Fetches a path below the base URL.
+    ///
+    /// # Panics
+    /// Panics if the entry cannot be reached.
+    pub async fn get(&self, path: &str) -> Answer {
+        match self.client.get(format!("{}{path}", self.base)).send().await {
+            Ok(answer) => read(answer).await,
+            Err(e) => panic!("{e}"),
+        }
+    }
+
+    /// Starts a streamed run and returns the open answer.
+    ///
+    /// # Panics
+    /// Panics if the entry cannot be reached.
+    pub async fn open(&self, workspace: &str, pipeline: &str, body: &Value) -> Response {
+        let mut body = body.clone();
+        body["stream"] = Value::Bool(true);
+        let request = self.client.post(self.runs(workspace, pipeline));
+        match request.body(body.to_string()).send().await {
+            Ok(answer) => answer,
+            Err(e) => panic!("{e}"),
+        }
+    }
+
+    /// Runs a pipeline as a stream and reads it to its end.
+    ///
+    /// # Panics
+    /// Panics if the entry cannot be reached or the stream breaks.
+    pub async fn stream(&self, workspace: &str, pipeline: &str, body: &Value) -> Vec<SseEvent> {
+        let answer = self.open(workspace, pipeline, body).await;
+        let mut events = SseEvents::default();
+        match answer.bytes().await {
+            Ok(bytes) => events.push(&bytes),
+            Err(e) => panic!("{e}"),
+        }
+        std::iter::from_fn(|| events.pop()).collect()
+    }
+}
+
+async fn read(answer: Response) -> Answer {
+    let header = |name| answer.headers().get(name).and_then(|v| v.to_str().ok());
+    let status = answer.status().as_u16();
+    let kind = header("content-type").unwrap_or_default().to_owned();
+    let retry = header("retry-after").and_then(|v| v.parse().ok());
+    let body = answer.json().await.unwrap_or(Value::Null);
+    Answer { status, kind, retry, body }
+}
+
+/// Splits the events of a stream into the texts of its pieces and the closing event's data.
+///
+/// # Panics
+/// Panics if the last event is not the only `done` event.
+pub fn split_events(events: &[SseEvent]) -> (Vec<String>, Value) {
+    let (last, pieces) = match events.split_last() {
+        Some(split) => split,
+        None => panic!("the stream has no event"),
+    };
+    assert_eq!(last.kind.as_ref(), b"done", "{events:?}");
+    assert!(pieces.iter().all(|e| e.kind.as_ref() == b"data"), "{events:?}");
+    let data = |e: &SseEvent| serde_json::from_slice::<Value>(&e.data).unwrap_or_default();
+    let text = |e: &SseEvent| data(e)["text"].as_str().unwrap_or_default().to_owned();
+    (pieces.iter().map(text).collect(), data(last))
+}
--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -5,11 +5,15 @@
 //! log in the process, and cases drawn from fixed seeds.
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
+//! [`config`] builds configurations in the shape of the two deployments that the system serves
+//! today; [`cases`] draws many cases from fixed seeds;
+//! [`http`] calls an entry.
 
 pub mod cases;
 pub mod changes;
 pub mod config;
 pub mod fake_log;
+pub mod http;
 pub mod policy;
 pub mod sized;
 
--- a/src/bin/limpetmux/cli.rs
+++ b/src/bin/limpetmux/cli.rs
@@ -13,12 +13,20 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Verb {
+    Audit(commands::audit::AuditArgs),
+    Config(commands::config::ConfigArgs),
+    Local(commands::local::LocalArgs),
+    Sheet(commands::sheet::SheetArgs),
     Version(commands::version::VersionArgs),
 }
 
 /// Runs the chosen verb.
 pub fn exec(cli: Cli) -> miette::Result<()> {
     match cli.verb {
+        Verb::Audit(args) => commands::audit::exec(args),
+        Verb::Config(args) => commands::config::exec(args),
+        Verb::Local(args) => commands::local::exec(args),
+        Verb::Sheet(args) => commands::sheet::exec(args),
         Verb::Version(args) => commands::version::exec(args),
     }
 }
--- a/src/bin/limpetmux/commands/config.rs
+++ b/src/bin/limpetmux/commands/config.rs
@@ -165,7 +165,8 @@
 }
 
 async fn history(client: ConfigClient, args: HistoryArgs) -> miette::Result<()> {
-    let filter = AuditFilter { id: args.change, since: Offset(args.since), ..AuditFilter::default() };
+    let filter =
+        AuditFilter { id: args.change, since: Offset(args.since), ..AuditFilter::default() };
     print!("{}", audit::table(client.trail(), &filter));
     Ok(())
 }
--- a/src/limpetmux/wire/mod.rs
+++ b/src/limpetmux/wire/mod.rs
@@ -3,6 +3,8 @@
 //! The modules below are generated from `proto/*.proto` by `cargo run -p xtask -- codegen` and
 //! committed. One module stands for one protocol package.
 
+pub mod convert;
+
 /// Stage execution between an entry and a sidecar.
 #[allow(missing_docs, clippy::all, clippy::pedantic, rust_2018_idioms)]
 #[rustfmt::skip]
