--- a/src/bin/limpetmux/cli.rs
+++ b/src/bin/limpetmux/cli.rs
@@ -15,8 +15,10 @@
 enum Verb {
     Audit(commands::audit::AuditArgs),
     Config(commands::config::ConfigArgs),
+    Drain(commands::drain::DrainArgs),
     Local(commands::local::LocalArgs),
     Sheet(commands::sheet::SheetArgs),
+    Status(commands::status::StatusArgs),
     Version(commands::version::VersionArgs),
 }
 
@@ -25,8 +27,10 @@
     match cli.verb {
         Verb::Audit(args) => commands::audit::exec(args),
         Verb::Config(args) => commands::config::exec(args),
+        Verb::Drain(args) => commands::drain::exec(args),
         Verb::Local(args) => commands::local::exec(args),
         Verb::Sheet(args) => commands::sheet::exec(args),
+        Verb::Status(args) => commands::status::exec(args),
         Verb::Version(args) => commands::version::exec(args),
     }
 }
--- a/src/bin/limpetmux/commands/mod.rs
+++ b/src/bin/limpetmux/commands/mod.rs
@@ -2,7 +2,10 @@
 
 pub mod audit;
 pub mod config;
+pub mod drain;
+pub mod local;
 pub mod local;
 mod operator;
 pub mod sheet;
+pub mod status;
 pub mod version;
--- a/src/limpetmux/ops/mod.rs
+++ b/src/limpetmux/ops/mod.rs
@@ -1,9 +1,12 @@
 //! One function per operator command.
 
+pub mod admin_client;
 pub mod audit;
 pub mod config;
 pub mod config_client;
 pub mod config_files;
+pub mod drain;
 pub mod sheet;
 mod sheet_error;
 pub mod sheet_plan;
+pub mod status;
--- a/src/limpetmux/sidecar/gate.rs
+++ b/src/limpetmux/sidecar/gate.rs
@@ -144,6 +144,7 @@
             draining: self.draining.load(Ordering::Acquire),
             incarnation: report.map_or(0, |r| r.incarnation),
             first_us: 0,
+            process: 0,
         }
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
+mod admin;
 mod admission;
 mod budget;
 mod config_fold;
@@ -10,9 +11,11 @@
 mod control;
 mod cost;
 mod kernel;
+mod membership;
 mod path;
 mod planner;
 mod routing;
 mod sheet;
+mod shutdown;
 mod spread;
 mod standins;
