--- a/src/bin/limpetmux/commands/mod.rs
+++ b/src/bin/limpetmux/commands/mod.rs
@@ -4,7 +4,6 @@
 pub mod config;
 pub mod drain;
 pub mod local;
-pub mod local;
 mod operator;
 pub mod sheet;
 pub mod status;
