--- a/src/limpetmux/entry/attempt.rs
+++ b/src/limpetmux/entry/attempt.rs
@@ -10,12 +10,6 @@
 use tonic::Status;
 use tonic::transport::Channel;
 
-/// What a whole attempt reported at its close.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Closed {
-    pub(super) done: stage::Done,
-}
-
 /// Why an attempt gave no whole answer.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum AttemptError {
@@ -34,6 +28,11 @@
 }
 
 impl AttemptError {
+    /// Returns whether no connection could be made.
+    pub(super) fn is_unreachable(&self) -> bool {
+        matches!(self, Self::Transport(status) if is_connect(status))
+    }
+
     /// Returns the refusal that the attempt amounts to.
     pub(super) fn refusal(&self) -> Refusal {
         match self {
@@ -49,7 +48,7 @@
 }
 
 /// Returns whether a call failed because no connection could be made, so it was never sent.
-fn is_connect(status: &Status) -> bool {
+pub(super) fn is_connect(status: &Status) -> bool {
     let mut error = std::error::Error::source(status);
     while let Some(e) = error {
         if e.is::<tonic::ConnectError>() {
@@ -80,46 +79,58 @@
 }
 
 /// Sends an attempt and hands each piece of its answer to `deliver` in order.
+///
+/// The second value is the load that the sidecar reported at the close, if it did.
 pub(super) async fn run_attempt<Fut: Future<Output = bool>>(
     link: &Link,
     key: AttemptKey,
     request: stage::RunRequest,
     mut deliver: impl FnMut(Bytes) -> Fut,
-) -> Result<Closed, AttemptError> {
-    let _running = link.begin();
-    let missing = || AttemptError::Refused(Refusal::not_run(RefusalCode::Unavailable));
-    let mut client = link.client().ok_or_else(missing)?;
+) -> (Result<stage::Done, AttemptError>, Option<stage::Load>) {
+    let Some(client) = link.client() else {
+        let refusal = Refusal::not_run(RefusalCode::Unavailable);
+        return (Err(AttemptError::Refused(refusal)), None);
+    };
     let mut guard = CancelGuard { key, client: Some(client.clone()) };
-    let result = client.run(request).await;
-    let mut frames = result.map_err(|s| AttemptError::Transport(Box::new(s)))?.into_inner();
-    let mut assembler = Assembler::new(key);
-    loop {
-        let frame = frames.message().await.map_err(|s| AttemptError::Transport(Box::new(s)))?;
-        let Some(frame) = frame else {
+    match read_frames(client, key, request, &mut deliver).await {
+        Ok(Verdict::Done(done)) => {
+            guard.client = None;
+            let load = done.load;
+            (Ok(done), load)
+        }
+        Ok(Verdict::Refused(refused)) => {
             guard.client = None;
-            let fault = assembler.end();
-            return Err(fault.unwrap_or(FrameFault::Truncated { got: 0 }).into());
-        };
+            (Err(AttemptError::Refused(convert::refusal(&refused))), refused.load)
+        }
+        Ok(Verdict::Broken(fault)) => (Err(fault.into()), None),
+        Ok(Verdict::Deliver(_) | Verdict::Ignore) => (Err(AttemptError::CallerGone), None),
+        Err(status) => (Err(AttemptError::Transport(Box::new(status))), None),
+    }
+}
+
+/// Reads frames up to the verdict that ends the attempt.
+///
+/// A verdict of [`Verdict::Deliver`] means that its piece was not taken.
+async fn read_frames<Fut: Future<Output = bool>>(
+    mut client: StageClient<Channel>,
+    key: AttemptKey,
+    request: stage::RunRequest,
+    deliver: &mut impl FnMut(Bytes) -> Fut,
+) -> Result<Verdict, Status> {
+    let mut frames = client.run(request).await?.into_inner();
+    let mut assembler = Assembler::new(key);
+    while let Some(frame) = frames.message().await? {
         match judge(&mut assembler, frame) {
+            Verdict::Ignore => {}
             Verdict::Deliver(payload) => {
-                if !deliver(payload).await {
-                    return Err(AttemptError::CallerGone);
+                if !deliver(payload.clone()).await {
+                    return Ok(Verdict::Deliver(payload));
                 }
             }
-            Verdict::Ignore => {}
-            Verdict::Done(done) => {
-                guard.client = None;
-                done.load.iter().for_each(|load| link.observe(load));
-                return Ok(Closed { done });
-            }
-            Verdict::Refused(refused) => {
-                guard.client = None;
-                refused.load.iter().for_each(|load| link.observe(load));
-                return Err(AttemptError::Refused(convert::refusal(&refused)));
-            }
-            Verdict::Broken(fault) => return Err(fault.into()),
+            last => return Ok(last),
         }
     }
+    Ok(assembler.end().map_or(Verdict::Ignore, Verdict::Broken))
 }
 
 enum Verdict {
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -1,8 +1,8 @@
 //! The entry: takes callers' HTTP requests, runs pipelines and streams answers.
 //!
 //! [`http`] reads and checks a request, [`pipeline`] runs its stages one after another, [`stage`]
-//! gives each stage its attempts, [`pick`] is the one place that chooses a host, and [`attempt`]
-//! speaks to the sidecar of that host. All of them read one [`Fleet`], which is rebuilt whenever a
+//! gives each stage its attempts and is the one place that chooses a host, by the decisions of
+//! [`policy`], and [`attempt`] speaks to the sidecar of that host. All of them read one [`Fleet`], which is rebuilt whenever a
 //! new configuration is published, without waiting for the control thread. See
 //! `docs/design/requests.md`.
 
@@ -11,23 +11,29 @@
 mod fleet;
 mod http;
 mod link;
+mod members;
 mod order;
-mod pick;
 mod pipeline;
+mod policy;
+mod probe;
 mod problem;
+mod progress;
 mod stage;
 mod stream;
 
 pub use answer::{StageTrailer, Trailer};
 pub use fleet::Fleet;
 pub use link::Link;
+pub use members::Members;
 pub use order::{Limits, Order, OrderError};
-pub use pick::{Choice, choose_host};
 pub use problem::Problem;
 
+use crate::core::budget::TimesError;
 use crate::core::config::Name;
+use crate::core::cost::CostRow;
 use crate::core::view::View;
 use crate::kernel::Published;
+use policy::Policy;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -37,20 +43,25 @@
 
 /// What an entry needs to start.
 pub struct EntryOptions {
-    /// The availability zone that the entry stands in, if any; its hosts are preferred.
-    pub zone: Option<Name>,
+    /// The availability zone that the entry stands in; its hosts are preferred.
+    pub zone: Name,
+    /// The number of the entry among the entries of its zone, counted from zero.
+    pub ordinal: u32,
     /// The configuration in force.
     pub view: Published<View>,
+    /// What is known of hosts beside the configuration.
+    pub members: Members,
     /// The limits on callers' requests.
     pub limits: Limits,
 }
 
 /// The state of one entry, shared by all its requests.
 pub struct Entry {
-    pub(crate) zone: Option<Name>,
+    pub(crate) policy: Policy,
     pub(crate) fleet: Published<Fleet>,
     pub(crate) limits: Limits,
     pub(crate) counters: Counters,
+    unready: AtomicBool,
     draining: AtomicBool,
     inflight: AtomicU32,
 }
@@ -69,22 +80,31 @@
 /// A failure of the entry's HTTP server.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum EntryError {
+    /// The record of stage durations cannot be created.
+    #[error("cannot set up the entry")]
+    Times(#[from] TimesError),
     /// The HTTP server stopped.
     #[error("the HTTP server of the entry stopped")]
     Serve(#[source] std::io::Error),
 }
 
 impl Entry {
-    /// Creates the state and starts to follow the configuration.
-    pub fn start(options: EntryOptions) -> Arc<Self> {
-        Arc::new(Self {
-            zone: options.zone,
-            fleet: fleet::follow(options.view),
+    /// Creates the state and starts to follow the configuration and to probe hosts.
+    ///
+    /// # Errors
+    /// Returns [`EntryError::Times`] if the record of stage durations cannot be created.
+    pub fn start(options: EntryOptions) -> Result<Arc<Self>, EntryError> {
+        let entry = Arc::new(Self {
+            policy: Policy::new(&options)?,
+            fleet: fleet::follow(options.view, options.members),
             limits: options.limits,
             counters: Counters::default(),
+            unready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             inflight: AtomicU32::new(0),
-        })
+        });
+        tokio::spawn(probe::run(Arc::downgrade(&entry)));
+        Ok(entry)
     }
 
     /// Serves callers on a listener until `stop` is ready, then finishes the running requests.
@@ -100,13 +120,23 @@
         http::serve(self, listener, stop, grace).await.map_err(EntryError::Serve)
     }
 
+    /// Answers readiness checks with "not ready", while new requests are still accepted.
+    pub fn set_unready(&self) {
+        self.unready.store(true, Ordering::Release);
+    }
+
     /// Stops or resumes the acceptance of new requests; readiness follows at once.
     pub fn set_draining(&self, draining: bool) {
         self.draining.store(draining, Ordering::Release);
     }
 
-    /// Returns whether the entry accepts new requests.
+    /// Returns whether the balancer should send requests.
     pub fn is_ready(&self) -> bool {
+        self.accepts() && !self.unready.load(Ordering::Acquire)
+    }
+
+    /// Returns whether the entry accepts new requests.
+    pub fn accepts(&self) -> bool {
         let configured = self.fleet.load().view.revision != crate::core::revision::Revision::EMPTY;
         configured && !self.draining.load(Ordering::Acquire)
     }
@@ -116,6 +146,11 @@
         self.inflight.load(Ordering::Relaxed)
     }
 
+    /// Returns the cost so far by workspace, pipeline and stage.
+    pub fn costs(&self) -> Vec<CostRow> {
+        self.policy.costs()
+    }
+
     /// Returns the counts of requests.
     pub fn counters(&self) -> &Counters {
         &self.counters
@@ -130,6 +165,10 @@
         entry.inflight.fetch_add(1, Ordering::Relaxed);
         Self(Arc::clone(entry))
     }
+
+    pub(crate) fn entry(&self) -> &Arc<Entry> {
+        &self.0
+    }
 }
 
 impl Drop for InFlight {
