--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fake_log;
 pub mod http;
 pub mod load;
+pub mod invariants;
 pub mod model;
 pub mod policy;
 pub mod sized;
