--- a/src/bin/limpetmux/cli.rs
+++ b/src/bin/limpetmux/cli.rs
@@ -14,6 +14,7 @@
 #[argh(subcommand)]
 enum Verb {
     Local(commands::local::LocalArgs),
+    Settings(commands::settings::SettingsArgs),
     Version(commands::version::VersionArgs),
 }
 
@@ -21,6 +22,7 @@
 pub fn exec(cli: Cli) -> miette::Result<()> {
     match cli.verb {
         Verb::Local(args) => commands::local::exec(args),
+        Verb::Settings(args) => commands::settings::exec(args),
         Verb::Version(args) => commands::version::exec(args),
     }
 }
--- /dev/null
+++ b/src/bin/limpetmux/commands/settings.rs
@@ -0,0 +1,37 @@
+//! `limpetmux settings`
+
+use argh::FromArgs;
+use std::path::PathBuf;
+
+/// Work on settings files.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "settings")]
+pub struct SettingsArgs {
+    #[argh(subcommand)]
+    verb: Verb,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Verb {
+    Check(CheckArgs),
+}
+
+/// Check a settings file without starting anything.
+///
+/// Exit codes: 0 if the file can be used, 1 if not.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckArgs {
+    /// the settings file, JSON with comments
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// Checks a settings file and points at the first thing that is wrong.
+pub fn exec(args: SettingsArgs) -> miette::Result<()> {
+    let Verb::Check(args) = args.verb;
+    let settings = limpetmux::settings::load(&args.file)?;
+    println!("{}: settings of `{}` can be used", args.file.display(), settings.name);
+    Ok(())
+}
--- a/src/limpetmux/lib.rs
+++ b/src/limpetmux/lib.rs
@@ -19,6 +19,7 @@
 pub mod ops;
 pub mod planner;
 pub mod prelude;
+pub mod settings;
 pub mod sidecar;
 pub mod util;
 pub mod wire;
--- /dev/null
+++ b/src/limpetmux/settings/load.rs
@@ -0,0 +1,224 @@
+//! Reads and checks a settings file and points at what is wrong in it.
+
+use super::{Role, Settings};
+use jsonc_parser::ast::{ObjectProp, Value};
+use jsonc_parser::common::{Range, Ranged};
+use jsonc_parser::errors::ParseError;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast, parse_to_serde_value};
+use miette::{NamedSource, SourceSpan};
+use std::path::Path;
+use std::sync::Arc;
+
+/// What to do about a value of the wrong type, mostly a duration with a unit.
+const UNIT_HELP: &str = "durations and sizes are whole numbers of the unit in the field's name";
+
+/// Why settings cannot be used.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("cannot read settings file {path}")]
+    Read {
+        /// The file.
+        path: String,
+        /// Why it cannot be read.
+        #[source]
+        source: std::io::Error,
+    },
+    /// The text is not JSON with comments, or a field is unknown, missing or of another type.
+    #[error("{message}")]
+    #[diagnostic(help(
+        "durations are whole numbers of the unit in the field's name, such as `_ms`"
+    ))]
+    Parse {
+        /// What is wrong.
+        message: String,
+        /// How to mend it, if that is known.
+        #[help]
+        help: Option<&'static str>,
+        /// The file's name and text.
+        #[source_code]
+        text: Arc<NamedSource<String>>,
+        /// Where it is wrong.
+        #[label("here")]
+        span: SourceSpan,
+    },
+    /// Two addresses of the process are the same.
+    #[error("two addresses clash: {address}")]
+    Clash {
+        /// The address.
+        address: String,
+        /// The file's name and text.
+        #[source_code]
+        text: Arc<NamedSource<String>>,
+        /// The first use.
+        #[label("used here")]
+        first: SourceSpan,
+        /// The second use.
+        #[label("and here")]
+        second: SourceSpan,
+    },
+    /// A base URL is not one.
+    #[error("`{value}` is not an http URL")]
+    Url {
+        /// The text.
+        value: String,
+        /// The file's name and text.
+        #[source_code]
+        text: Arc<NamedSource<String>>,
+        /// The field.
+        #[label("here")]
+        span: SourceSpan,
+    },
+    /// The part that a role needs is missing.
+    #[error("a process that runs as {role} needs a `{role}` part")]
+    Role {
+        /// The role.
+        role: Role,
+        /// The file's name and text.
+        #[source_code]
+        text: Arc<NamedSource<String>>,
+    },
+}
+
+/// The text of a settings file with its name.
+struct Source<'a> {
+    name: &'a str,
+    text: &'a str,
+}
+
+impl Source<'_> {
+    fn named(&self) -> Arc<NamedSource<String>> {
+        Arc::new(NamedSource::new(self.name, self.text.to_owned()).with_language("json"))
+    }
+
+    /// Returns where the value of a field stands, or the whole file if it is absent.
+    fn span(&self, path: &[&str]) -> SourceSpan {
+        let ast = parse_to_ast(self.text, &CollectOptions::default(), &ParseOptions::default());
+        let value = ast.ok().and_then(|ast| ast.value);
+        let range = value.as_ref().and_then(|v| find(v, path));
+        range.map_or_else(|| (0, self.text.len()).into(), span)
+    }
+}
+
+fn span(range: Range) -> SourceSpan {
+    (range.start, range.end.saturating_sub(range.start).max(1)).into()
+}
+
+fn find(value: &Value<'_>, path: &[&str]) -> Option<Range> {
+    let Some((first, rest)) = path.split_first() else { return Some(value.range()) };
+    match value {
+        Value::Object(object) => find(&object.get(first)?.value, rest),
+        Value::Array(array) => find(array.elements.get(first.parse::<usize>().ok()?)?, rest),
+        _ => None,
+    }
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// Returns [`SettingsError`] pointing at the first thing that is wrong.
+pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| SettingsError::Read { path: name.clone(), source })?;
+    parse(&name, &text)
+}
+
+/// Checks the text of a settings file.
+///
+/// # Errors
+/// Returns [`SettingsError`] pointing at the first thing that is wrong.
+pub fn parse(name: &str, text: &str) -> Result<Settings, SettingsError> {
+    let source = Source { name, text };
+    let settings: Settings = parse_to_serde_value(text, &ParseOptions::default())
+        .map_err(|error| parse_error(&source, &error))?;
+    check_addresses(&source, &settings)?;
+    check_urls(&source, &settings)?;
+    Ok(settings)
+}
+
+impl Settings {
+    /// Checks that the settings hold the part that a role needs.
+    ///
+    /// # Errors
+    /// Returns [`SettingsError::Role`] if it is missing.
+    pub fn require(&self, role: Role, path: &Path) -> Result<(), SettingsError> {
+        let is_present = match role {
+            Role::Entry => self.entry.is_some(),
+            Role::Sidecar => self.sidecar.is_some(),
+        };
+        if is_present {
+            return Ok(());
+        }
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        Err(SettingsError::Role { role, text: Arc::new(NamedSource::new(name, text)) })
+    }
+}
+
+fn parse_error(source: &Source<'_>, error: &ParseError) -> SettingsError {
+    let message = error.kind().to_string();
+    let range = unknown_field(source, error, &message).unwrap_or(error.range());
+    let help = message.starts_with("invalid type").then_some(UNIT_HELP);
+    SettingsError::Parse { message, help, text: source.named(), span: span(range) }
+}
+
+/// Finds the name of an unknown field, as the parser only tells the object that holds it.
+fn unknown_field(source: &Source<'_>, error: &ParseError, message: &str) -> Option<Range> {
+    let name = message.strip_prefix("unknown field `")?.split('`').next()?;
+    let options = CollectOptions::default();
+    let ast = parse_to_ast(source.text, &options, &ParseOptions::default()).ok()?;
+    field_of(ast.value.as_ref()?, error.range().start, name).map(|p| p.name.range())
+}
+
+fn field_of<'a, 'b>(value: &'b Value<'a>, start: usize, name: &str) -> Option<&'b ObjectProp<'a>> {
+    match value {
+        Value::Object(object) if object.range.start == start => object.get(name),
+        Value::Object(object) => {
+            object.properties.iter().find_map(|p| field_of(&p.value, start, name))
+        }
+        Value::Array(array) => array.elements.iter().find_map(|v| field_of(v, start, name)),
+        _ => None,
+    }
+}
+
+fn check_addresses(source: &Source<'_>, settings: &Settings) -> Result<(), SettingsError> {
+    let own = ("listen".to_owned(), settings.listen);
+    let http = settings.entry.iter().map(|e| ("entry.http".to_owned(), e.http));
+    let peers = settings.peers.iter().enumerate().map(|(i, p)| (format!("peers.{i}"), *p));
+    let all: Vec<_> = std::iter::once(own).chain(http).chain(peers).collect();
+    for (i, (second, address)) in all.iter().enumerate() {
+        let clash = all[..i].iter().find(|(_, a)| a == address && address.port() != 0);
+        if let Some((first, _)) = clash {
+            let span = |path: &str| source.span(&path.split('.').collect::<Vec<_>>());
+            return Err(SettingsError::Clash {
+                address: address.to_string(),
+                text: source.named(),
+                first: span(first),
+                second: span(second),
+            });
+        }
+    }
+    Ok(())
+}
+
+fn check_urls(source: &Source<'_>, settings: &Settings) -> Result<(), SettingsError> {
+    let platform = &settings.platform;
+    let urls = [
+        (&["platform", "log"], Some(&platform.log)),
+        (&["platform", "hosts"], platform.hosts.as_ref()),
+        (&["platform", "weights"], platform.weights.as_ref()),
+        (&["platform", "power"], platform.power.as_ref()),
+        (&["sidecar", "backend"], settings.sidecar.as_ref().map(|s| &s.backend)),
+    ];
+    for (path, url) in urls {
+        let Some(url) = url else { continue };
+        let is_http =
+            reqwest::Url::parse(url).is_ok_and(|u| matches!(u.scheme(), "http" | "https"));
+        if !is_http {
+            let (value, span) = (url.clone(), source.span(path));
+            return Err(SettingsError::Url { value, text: source.named(), span });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/limpetmux/settings/spec.rs
@@ -0,0 +1,166 @@
+//! The fields of a settings file.
+
+use crate::core::config::Name;
+use crate::entry::Limits;
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, serde_as};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use strum::Display;
+
+/// The time that running requests get by default once a shutdown began.
+const DEFAULT_GRACE: Duration = Duration::from_secs(30);
+
+/// The settings of one process.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of the process; for a sidecar, the host's name in the configuration.
+    pub name: Name,
+    /// The region that the host stands in.
+    pub region: Name,
+    /// The availability zone that the host stands in.
+    pub zone: Name,
+    /// Where other processes of the system reach this one.
+    pub listen: SocketAddr,
+    /// Where the platform's services are.
+    pub platform: PlatformSettings,
+    /// Other processes, asked for the configuration while the log cannot be reached.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// The time that running requests get once a shutdown began, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "default_grace", rename = "grace_ms")]
+    pub grace: Duration,
+    /// Present on entries.
+    #[serde(default)]
+    pub entry: Option<EntrySettings>,
+    /// Present on sidecars.
+    #[serde(default)]
+    pub sidecar: Option<SidecarSettings>,
+    /// How events are logged.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Where metrics go.
+    #[serde(default)]
+    pub metrics: MetricsSettings,
+}
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Role {
+    /// Takes callers' requests.
+    Entry,
+    /// Stands beside a backend server.
+    Sidecar,
+}
+
+/// The platform's services, as base URLs.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// The append-only log.
+    pub log: String,
+    /// The host list.
+    #[serde(default)]
+    pub hosts: Option<String>,
+    /// The weight store.
+    #[serde(default)]
+    pub weights: Option<String>,
+    /// The power switch.
+    #[serde(default)]
+    pub power: Option<String>,
+}
+
+/// The settings of an entry.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Where callers connect.
+    pub http: SocketAddr,
+    /// The number of the entry among the entries of its zone, counted from zero.
+    #[serde(default)]
+    pub ordinal: u32,
+    /// The most bytes of a request body.
+    #[serde(default = "default_body", rename = "body_bytes")]
+    pub body: usize,
+    /// The longest deadline that a caller may ask for, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "default_deadline", rename = "deadline_ms")]
+    pub deadline: Duration,
+    /// The most bytes of an idempotency key.
+    #[serde(default = "default_key", rename = "key_bytes")]
+    pub key: usize,
+    /// The most requests in progress.
+    #[serde(default = "default_inflight")]
+    pub inflight: u32,
+}
+
+/// The settings of a sidecar.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SidecarSettings {
+    /// The base URL of the backend server.
+    pub backend: String,
+}
+
+/// How log lines look.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One line of text per event.
+    #[default]
+    Text,
+    /// One JSON object per event.
+    Json,
+}
+
+/// How events are logged.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// How log lines look.
+    pub format: LogFormat,
+    /// The file to append to; standard error without one.
+    pub file: Option<PathBuf>,
+}
+
+/// Where metrics go.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MetricsSettings {
+    /// The address of a statsd server, reached by UDP; metrics are dropped without one.
+    pub statsd: Option<SocketAddr>,
+}
+
+impl EntrySettings {
+    /// Returns the limits on callers' requests.
+    pub fn limits(&self) -> Limits {
+        let Self { body, deadline, key, inflight, .. } = *self;
+        Limits { body, deadline, key, inflight }
+    }
+}
+
+fn default_grace() -> Duration {
+    DEFAULT_GRACE
+}
+
+fn default_body() -> usize {
+    Limits::default().body
+}
+
+fn default_deadline() -> Duration {
+    Limits::default().deadline
+}
+
+fn default_key() -> usize {
+    Limits::default().key
+}
+
+fn default_inflight() -> u32 {
+    Limits::default().inflight
+}
