--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -1,11 +1,8 @@
 //! Fixtures by functions, shared by the test suite, the benchmarks and the experiments.
 //!
-//! [`config`] builds configurations in the shape of the two deployments that the system serves
-//! today; [`cases`] draws many cases from fixed seeds;
-//! [`http`] calls an entry.
 //! Each module builds one kind of input: configurations in the shape of the two deployments that
 //! the system serves today, larger ones for slopes and bounds, configuration records, a platform
-//! log in the process, and cases drawn from fixed seeds.
+//! log in the process, callers of an entry, and cases drawn from fixed seeds.
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod backend;
 mod backend_http;
+pub mod hosts;
 pub mod log;
 mod log_http;
 pub mod power;
--- a/src/limpetmux/entry/attempt.rs
+++ b/src/limpetmux/entry/attempt.rs
@@ -1,7 +1,6 @@
 //! Runs one attempt of one stage on the sidecar of a host.
 
 use super::link::Link;
-use crate::core::admission::Load;
 use crate::core::frames::{Assembler, AttemptKey, FrameFault, Step};
 use crate::core::verdict::{Execution, Refusal, RefusalCode};
 use crate::wire::stage::frame::Kind;
@@ -29,6 +28,11 @@
 }
 
 impl AttemptError {
+    /// Returns whether no connection to the sidecar could be made.
+    pub(super) fn is_connect(&self) -> bool {
+        matches!(self, Self::Transport(status) if is_connect(status))
+    }
+
     /// Returns the refusal that the attempt amounts to.
     pub(super) fn refusal(&self) -> Refusal {
         match self {
@@ -82,7 +86,7 @@
     key: AttemptKey,
     request: stage::RunRequest,
     mut deliver: impl FnMut(Bytes) -> Fut,
-) -> (Result<stage::Done, AttemptError>, Option<Load>) {
+) -> (Result<stage::Done, AttemptError>, Option<stage::Load>) {
     let Some(client) = link.client() else {
         let refusal = Refusal::not_run(RefusalCode::Unavailable);
         return (Err(AttemptError::Refused(refusal)), None);
@@ -91,12 +95,12 @@
     match read_frames(client, key, request, &mut deliver).await {
         Ok(Verdict::Done(done)) => {
             guard.client = None;
-            let load = done.load.as_ref().map(Load::from);
+            let load = done.load;
             (Ok(done), load)
         }
         Ok(Verdict::Refused(refused)) => {
             guard.client = None;
-            let load = refused.load.as_ref().map(Load::from);
+            let load = refused.load;
             (Err(AttemptError::Refused(convert::refusal(&refused))), load)
         }
         Ok(Verdict::Broken(fault)) => (Err(fault.into()), None),
--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -3,8 +3,13 @@
 use super::order::Parts;
 use super::pipeline::{self, Answer};
 use super::problem::Problem;
-use super::{Entry, InFlight, Order, OrderError, Trailer, stream};
+use super::{Entry, Fleet, InFlight, Order, OrderError, Trailer, stream};
+use crate::core::frames::RequestId;
 use crate::core::verdict::{Refusal, RefusalCode};
+use crate::event;
+use crate::util::clock;
+use crate::util::event::EventCode;
+use crate::util::metrics::Metric;
 use bytes::Bytes;
 use poem::http::{StatusCode, header};
 use poem::listener::TcpAcceptor;
@@ -53,17 +58,9 @@
     if entry.is_ready() {
         return StatusCode::OK.into();
     }
-    not_ready(entry).into_response()
-}
-
-fn not_ready(entry: &Entry) -> Problem {
-    let view = &entry.fleet.load().view;
-    let code = if view.revision == crate::core::revision::Revision::EMPTY {
-        RefusalCode::Unconfigured
-    } else {
-        RefusalCode::Draining
-    };
-    Problem::of_refusal(Refusal::not_run(code).retry_in(NOT_READY_RETRY), None)
+    let code = entry.closed().unwrap_or(RefusalCode::Draining);
+    let refusal = Refusal::not_run(code).retry_in(NOT_READY_RETRY);
+    Problem::of_refusal(refusal, None).into_response()
 }
 
 #[handler]
@@ -73,9 +70,9 @@
     request: &Request,
     body: Body,
 ) -> Response {
-    if !entry.is_ready() {
-        entry.counters.refused.fetch_add(1, Ordering::Relaxed);
-        return not_ready(entry).into_response();
+    if let Some(code) = entry.closed() {
+        let refusal = Refusal::not_run(code).retry_in(NOT_READY_RETRY);
+        return refuse(entry, refusal, None);
     }
     let fleet = entry.fleet.load();
     let key = request.headers().get(KEY_HEADER).map(|v| v.as_bytes());
@@ -89,10 +86,49 @@
     match order {
         Ok(order) if order.stream => stream::respond(Arc::clone(entry), fleet, order),
         Ok(order) => answer_whole(entry, &fleet, &order).await,
-        Err(error) => {
-            entry.counters.rejected.fetch_add(1, Ordering::Relaxed);
-            Problem::of_order(&error).into_response()
-        }
+        Err(error) => reject(entry, &error),
+    }
+}
+
+fn reject(entry: &Entry, error: &OrderError) -> Response {
+    entry.counters.rejected.fetch_add(1, Ordering::Relaxed);
+    entry.metrics.count(Metric::RequestsRejected, 1, &[]);
+    if entry.refusals.permits(clock::now()) {
+        event!(EventCode::RequestRejected, error = error);
+    }
+    Problem::of_order(error).into_response()
+}
+
+fn refuse(entry: &Entry, refusal: Refusal, request: Option<RequestId>) -> Response {
+    note_refusal(entry, refusal, request);
+    Problem::of_refusal(refusal, request).into_response()
+}
+
+/// Counts and logs a refusal.
+pub(super) fn note_refusal(entry: &Entry, refusal: Refusal, request: Option<RequestId>) {
+    entry.counters.refused.fetch_add(1, Ordering::Relaxed);
+    let (code, execution) = (refusal.code, refusal.execution);
+    let tags = [("code", code.into()), ("execution", execution.into())];
+    entry.metrics.count(Metric::RequestsRefused, 1, &tags);
+    if entry.refusals.permits(clock::now()) {
+        let request = request.map(|r| r.to_string()).unwrap_or_default();
+        event!(EventCode::RequestRefused, request = request, code = code, execution = execution);
+    }
+}
+
+/// Counts a whole answer.
+pub(super) fn note_answer(entry: &Entry, fleet: &Fleet, order: &Order, trailer: &Trailer) {
+    entry.counters.answered.fetch_add(1, Ordering::Relaxed);
+    let workspace = fleet.view.workspaces[order.workspace].name.as_str();
+    let pipeline = fleet.view.pipelines[order.pipeline].name.as_str();
+    let tags = [("workspace", workspace), ("pipeline", pipeline)];
+    entry.metrics.count(Metric::RequestsAnswered, 1, &tags);
+    entry.metrics.time(Metric::RequestTime, trailer.elapsed, &tags);
+    for stage in &trailer.stages {
+        let tags = [("workspace", workspace), ("pipeline", pipeline), ("stage", &*stage.stage)];
+        entry.metrics.count(Metric::StageCost, stage.cost, &tags);
+        entry.metrics.count(Metric::StageAttempts, u64::from(stage.attempts), &tags[1..]);
+        entry.metrics.time(Metric::StageTime, stage.elapsed, &tags[1..]);
     }
 }
 
@@ -116,19 +152,17 @@
     trailer: Trailer,
 }
 
-async fn answer_whole(entry: &Arc<Entry>, fleet: &super::Fleet, order: &Order) -> Response {
+async fn answer_whole(entry: &Arc<Entry>, fleet: &Fleet, order: &Order) -> Response {
     let _inflight = InFlight::begin(entry);
-    let result = pipeline::run(entry, fleet, order, None).await;
-    let refusal = match result.map(render) {
-        Ok(Some(body)) => {
-            entry.counters.answered.fetch_add(1, Ordering::Relaxed);
-            return Response::builder().content_type("application/json").body(body);
-        }
-        Ok(None) => Refusal::unknown(RefusalCode::Failed),
-        Err(refusal) => refusal,
+    let answer = match pipeline::run(entry, fleet, order, None).await {
+        Ok(answer) => answer,
+        Err(refusal) => return refuse(entry, refusal, Some(order.id)),
     };
-    entry.counters.refused.fetch_add(1, Ordering::Relaxed);
-    Problem::of_refusal(refusal, Some(order.id)).into_response()
+    note_answer(entry, fleet, order, &answer.trailer);
+    match render(answer) {
+        Some(body) => Response::builder().content_type("application/json").body(body),
+        None => refuse(entry, Refusal::unknown(RefusalCode::Failed), Some(order.id)),
+    }
 }
 
 /// Writes the answer's JSON, or nothing if the backend server's output is not JSON.
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -28,9 +28,14 @@
 
 use crate::core::budget::TimesError;
 use crate::core::config::Name;
-use crate::core::cost::CostRow;
+use crate::core::cost::Ledger;
+use crate::core::revision::Revision;
+use crate::core::verdict::RefusalCode;
 use crate::core::view::View;
 use crate::kernel::Published;
+use crate::membership::Reporter;
+use crate::util::metrics::Metrics;
+use crate::util::throttle::Throttle;
 use policy::Policy;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -47,8 +52,12 @@
     pub ordinal: u32,
     /// The configuration in force.
     pub view: Published<View>,
+    /// The states of hosts, if the process follows them.
+    pub membership: Option<Reporter>,
     /// The limits on callers' requests.
     pub limits: Limits,
+    /// Where metrics go.
+    pub metrics: Metrics,
 }
 
 /// The state of one entry, shared by all its requests.
@@ -57,6 +66,10 @@
     pub(crate) fleet: Published<Fleet>,
     pub(crate) limits: Limits,
     pub(crate) counters: Counters,
+    pub(crate) membership: Option<Reporter>,
+    pub(crate) metrics: Metrics,
+    pub(crate) refusals: Throttle,
+    ready: AtomicBool,
     draining: AtomicBool,
     inflight: AtomicU32,
 }
@@ -94,6 +107,10 @@
             fleet: fleet::follow(options.view),
             limits: options.limits,
             counters: Counters::default(),
+            membership: options.membership,
+            metrics: options.metrics,
+            refusals: Throttle::default(),
+            ready: AtomicBool::new(true),
             draining: AtomicBool::new(false),
             inflight: AtomicU32::new(0),
         });
@@ -114,15 +131,28 @@
         http::serve(self, listener, stop, grace).await.map_err(EntryError::Serve)
     }
 
+    /// Tells the balancer to send or not to send requests; what arrives is still accepted.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Release);
+    }
+
     /// Stops or resumes the acceptance of new requests; readiness follows at once.
     pub fn set_draining(&self, draining: bool) {
         self.draining.store(draining, Ordering::Release);
     }
 
-    /// Returns whether the entry accepts new requests.
+    /// Returns whether the balancer should send requests.
     pub fn is_ready(&self) -> bool {
-        let configured = self.fleet.load().view.revision != crate::core::revision::Revision::EMPTY;
-        configured && !self.draining.load(Ordering::Acquire)
+        self.ready.load(Ordering::Acquire) && self.closed().is_none()
+    }
+
+    /// Returns why no request is accepted now, if so.
+    pub(crate) fn closed(&self) -> Option<RefusalCode> {
+        if self.draining.load(Ordering::Acquire) {
+            return Some(RefusalCode::Draining);
+        }
+        let is_known = self.fleet.load().view.revision != Revision::EMPTY;
+        (!is_known).then_some(RefusalCode::Unconfigured)
     }
 
     /// Returns the number of requests in progress.
@@ -130,9 +160,9 @@
         self.inflight.load(Ordering::Relaxed)
     }
 
-    /// Returns the cost so far by workspace, pipeline and stage.
-    pub fn costs(&self) -> Vec<CostRow> {
-        self.policy.costs()
+    /// Reads the cost so far by workspace, pipeline and stage.
+    pub fn with_ledger<R>(&self, read: impl FnOnce(&Ledger) -> R) -> R {
+        self.policy.with_ledger(read)
     }
 
     /// Returns the counts of requests.
--- a/src/limpetmux/entry/probe.rs
+++ b/src/limpetmux/entry/probe.rs
@@ -1,6 +1,8 @@
 //! Keeps the picture of hosts fresh that the entry has not heard of lately.
 
 use super::Entry;
+use crate::core::membership::ProcessId;
+use crate::util::clock;
 use crate::wire::stage::ProbeRequest;
 use std::sync::Weak;
 use std::time::Duration;
@@ -31,9 +33,14 @@
         let (fleet, policy) = (&fleet, &entry.policy);
         async move {
             let Some(mut client) = fleet.links[host].client() else { return };
+            let sent = clock::now();
             let answer = tokio::time::timeout(PROBE_TIMEOUT, client.probe(ProbeRequest {})).await;
-            if let Ok(Ok(load)) = answer {
-                policy.observe(&fleet.view.hosts[host].name, load.get_ref().into());
+            let Ok(Ok(load)) = answer else { return };
+            let load = load.into_inner();
+            policy.observe(&fleet.view.hosts[host].name, (&load).into());
+            if let Some(membership) = &entry.membership {
+                let process = ProcessId(load.process);
+                membership.replied(&fleet.view, host, sent, process, load.draining);
             }
         }
     });
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -4,7 +4,7 @@
 //! [`MAX_ATTEMPTS`]. A generation that breaks goes on after the pieces delivered so far; any other
 //! stage starts again. A short idempotent stage that is late gets one hedge.
 
-use super::attempt::{is_retryable, run_attempt};
+use super::attempt::{AttemptError, is_retryable, run_attempt};
 use super::pipeline::Run;
 use super::policy::Picked;
 use super::stream::TokenSink;
@@ -13,11 +13,15 @@
 use crate::core::config::{ServiceSpec, StageKind};
 use crate::core::frames::AttemptKey;
 use crate::core::keys::{HostKey, StageIndex};
+use crate::core::membership::ProcessId;
 use crate::core::routing::Query;
 use crate::core::time::Moment;
 use crate::core::verdict::{Refusal, RefusalCode};
 use crate::core::view::StageRow;
+use crate::event;
+use crate::membership::Reporter;
 use crate::util::clock;
+use crate::util::event::EventCode;
 use crate::wire::{convert, stage};
 use bytes::Bytes;
 use std::pin::pin;
@@ -77,7 +81,34 @@
     fn pick(&self, tried: &[HostKey]) -> Option<Picked<'_>> {
         let affinity = self.is_resumable().then_some(self.run.order.affinity);
         let query = Query { service: self.row.service, affinity, exclude: tried };
-        self.run.entry.policy.pick(self.run.fleet, query, |_| true)
+        let view = &self.run.fleet.view;
+        let states = self.run.entry.membership.as_ref().map(Reporter::states);
+        let usable = |host| states.as_ref().is_none_or(|s| s.is_usable(view, host));
+        self.run.entry.policy.pick(self.run.fleet, query, usable)
+    }
+
+    /// Logs a failed attempt, reports a host that cannot be reached, and returns the refusal.
+    fn failed(&self, key: AttemptKey, host: HostKey, error: &AttemptError) -> Refusal {
+        let view = &self.run.fleet.view;
+        if let (true, Some(membership)) = (error.is_connect(), &self.run.entry.membership) {
+            membership.unreachable(view, host);
+        }
+        if self.run.entry.refusals.permits(clock::now()) {
+            event!(
+                EventCode::AttemptFailed,
+                attempt = key,
+                host = view.hosts[host].name,
+                error = error
+            );
+        }
+        error.refusal()
+    }
+
+    /// Passes what a reply tells about a host on to the membership.
+    fn replied(&self, host: HostKey, sent: Moment, load: &stage::Load) {
+        let Some(membership) = self.run.entry.membership.as_ref() else { return };
+        let process = ProcessId(load.process);
+        membership.replied(&self.run.fleet.view, host, sent, process, load.draining);
     }
 }
 
@@ -168,11 +199,13 @@
         }
     };
     let open = scene.run.progress.begin(scene.spec().idempotent);
+    let sent = clock::now();
     let (result, load) = run_attempt(&scene.run.fleet.links[host], key, request, deliver).await;
     if let Some(load) = load {
-        picked.observe(load);
+        picked.observe((&load).into());
+        scene.replied(host, sent, &load);
     }
-    let result = result.map_err(|error| error.refusal());
+    let result = result.map_err(|error| scene.failed(key, host, &error));
     match &result {
         Ok(_) => {
             open.completed();
--- a/src/limpetmux/lib.rs
+++ b/src/limpetmux/lib.rs
@@ -9,6 +9,7 @@
 //! read. See `docs/README.md` for a map of the pages.
 
 pub mod adapters;
+pub mod admin;
 pub mod claims;
 pub mod control;
 pub mod core;
@@ -20,6 +21,7 @@
 pub mod planner;
 pub mod prelude;
 pub mod settings;
+pub mod shutdown;
 pub mod sidecar;
 pub mod util;
 pub mod wire;
--- a/src/limpetmux/settings/load.rs
+++ b/src/limpetmux/settings/load.rs
@@ -26,9 +26,6 @@
     },
     /// The text is not JSON with comments, or a field is unknown, missing or of another type.
     #[error("{message}")]
-    #[diagnostic(help(
-        "durations are whole numbers of the unit in the field's name, such as `_ms`"
-    ))]
     Parse {
         /// What is wrong.
         message: String,
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -25,17 +25,23 @@
 use crate::core::config::Name;
 use crate::core::view::View;
 use crate::kernel::Published;
+use crate::util::metrics::Metrics;
 use crate::wire::stage;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Weak};
 
 /// What a sidecar needs to start.
 pub struct SidecarOptions {
     /// The name under which the configuration declares the host.
     pub host: Name,
+    /// Identifies this run of the process to entries.
+    pub process: u64,
     /// The configuration in force.
     pub view: Published<View>,
     /// The backend server beside the sidecar.
     pub backend: Backend,
+    /// Where metrics go.
+    pub metrics: Metrics,
 }
 
 /// The state of one sidecar, shared by all its requests.
@@ -43,6 +49,9 @@
     pub(crate) backend: Backend,
     pub(crate) gate: Gate,
     pub(crate) attempts: Attempts,
+    pub(crate) metrics: Metrics,
+    process: u64,
+    running: AtomicU32,
 }
 
 impl Sidecar {
@@ -54,6 +63,9 @@
             backend: options.backend,
             gate: Gate::new(options.host, options.view),
             attempts: Attempts::default(),
+            metrics: options.metrics,
+            process: options.process,
+            running: AtomicU32::new(0),
         });
         tokio::spawn(probe::run(Arc::downgrade(&sidecar)));
         tokio::spawn(follow(Arc::downgrade(&sidecar), sidecar.gate.views()));
@@ -65,12 +77,43 @@
         stage::stage_server::StageServer::new(StageService::new(Arc::clone(self)))
     }
 
+    /// Returns the number that identifies this run of the process.
+    pub fn process(&self) -> u64 {
+        self.process
+    }
+
+    /// Returns the number of attempts whose answers are not yet handed over.
+    pub fn running(&self) -> u32 {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    /// Returns the load as entries are told it.
+    pub(crate) fn load(&self) -> stage::Load {
+        stage::Load { process: self.process, ..self.gate.load().into() }
+    }
+
     /// Returns the gate, which knows the load and whether the sidecar is draining.
     pub fn gate(&self) -> &Gate {
         &self.gate
     }
 }
 
+/// Counts an attempt as running until dropped.
+pub(crate) struct Running(Arc<Sidecar>);
+
+impl Running {
+    pub(crate) fn begin(sidecar: &Arc<Sidecar>) -> Self {
+        sidecar.running.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(sidecar))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Adopts every new configuration until the sidecar is dropped.
 async fn follow(sidecar: Weak<Sidecar>, mut views: Published<View>) {
     while views.changed().await {
--- a/src/limpetmux/sidecar/service.rs
+++ b/src/limpetmux/sidecar/service.rs
@@ -1,7 +1,7 @@
 //! The gRPC face of the sidecar.
 
 use super::output::FrameResult;
-use super::{Attempt, Claimant, FrameWriter, Output, Sidecar, Usage, run_attempt};
+use super::{Attempt, Claimant, FrameWriter, Output, Running, Sidecar, Usage, run_attempt};
 use crate::adapters::backend::Job;
 use crate::core::frames::AttemptKey;
 use crate::core::verdict::{Refusal, RefusalCode};
@@ -43,7 +43,11 @@
         let (sender, receiver) = mpsc::channel(FRAME_QUEUE);
         let sidecar = Arc::clone(&self.sidecar);
         let writer = FrameWriter::new(key, sender);
-        tokio::spawn(async move { answer(&sidecar, key, request, arrived, writer).await });
+        let running = Running::begin(&sidecar);
+        tokio::spawn(async move {
+            answer(&sidecar, key, request, arrived, writer).await;
+            drop(running);
+        });
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
@@ -62,7 +66,7 @@
         &self,
         _request: Request<stage::ProbeRequest>,
     ) -> Result<Response<stage::Load>, Status> {
-        Ok(Response::new(self.sidecar.gate.load().into()))
+        Ok(Response::new(self.sidecar.load()))
     }
 }
 
@@ -79,8 +83,8 @@
     let Output::Frames(mut writer) = output else { return };
     // An entry that has gone needs no close.
     let _ = match result {
-        Ok(usage) => writer.done(done(usage, sidecar.gate.load().into())).await,
-        Err(refusal) => writer.refused(refusal, sidecar.gate.load().into()).await,
+        Ok(usage) => writer.done(done(usage, sidecar.load())).await,
+        Err(refusal) => writer.refused(refusal, sidecar.load()).await,
     };
 }
 
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -63,10 +63,28 @@
     /// A request was refused.
     #[strum(props(level = "warn"))]
     RequestRefused = 200,
+    /// A request was rejected as bad input.
+    RequestRejected = 201,
+    /// An attempt at a stage gave no whole answer.
+    AttemptFailed = 202,
 
     // 3xx: idempotency keys.
 
     // 4xx: hosts and shutdown.
+    /// The state of a host has changed.
+    HostStateChanged = 400,
+    /// The platform's host list cannot be read; what was last read stays in force.
+    #[strum(props(level = "warn"))]
+    HostListDown = 401,
+    /// The platform's host list can be read again.
+    HostListBack = 402,
+    /// The process has started to drain.
+    DrainStarted = 410,
+    /// The process has drained and cut no request.
+    DrainEnded = 411,
+    /// The process exits with requests or records left undone.
+    #[strum(props(level = "warn"))]
+    DrainUnfinished = 412,
 
     // 5xx: power.
     /// A plan was accepted.
@@ -93,6 +111,8 @@
     ProcessStarted = 700,
     /// The process has ended.
     ProcessEnded = 701,
+    /// The process listens for callers.
+    CallersWelcome = 702,
 }
 
 impl EventCode {
@@ -132,7 +152,7 @@
             code = code.number(),
             event = code.name()
             $(, $field:% = $value)*;
-            "{}", code.summary()
+            concat!("{}" $(, " ", stringify!($field), "={}")*), code.summary() $(, $value)*
         );
     }};
 }
--- a/src/limpetmux/wire/convert.rs
+++ b/src/limpetmux/wire/convert.rs
@@ -61,6 +61,7 @@
             draining: load.draining,
             incarnation: load.incarnation,
             first_us: micros(load.first),
+            process: 0,
         }
     }
 }
