--- a/src/bin/limpetmux/cli.rs
+++ b/src/bin/limpetmux/cli.rs
@@ -14,8 +14,10 @@
 #[argh(subcommand)]
 enum Verb {
     Drain(commands::drain::DrainArgs),
+    Entry(commands::entry::EntryArgs),
     Local(commands::local::LocalArgs),
     Settings(commands::settings::SettingsArgs),
+    Sidecar(commands::sidecar::SidecarArgs),
     Status(commands::status::StatusArgs),
     Version(commands::version::VersionArgs),
 }
@@ -24,8 +26,10 @@
 pub fn exec(cli: Cli) -> miette::Result<()> {
     match cli.verb {
         Verb::Drain(args) => commands::drain::exec(args),
+        Verb::Entry(args) => commands::entry::exec(args),
         Verb::Local(args) => commands::local::exec(args),
         Verb::Settings(args) => commands::settings::exec(args),
+        Verb::Sidecar(args) => commands::sidecar::exec(args),
         Verb::Status(args) => commands::status::exec(args),
         Verb::Version(args) => commands::version::exec(args),
     }
--- /dev/null
+++ b/src/bin/limpetmux/commands/entry.rs
@@ -0,0 +1,27 @@
+//! `limpetmux entry`
+
+use super::role;
+use argh::FromArgs;
+use limpetmux::node::run_entry;
+use limpetmux::settings::Role;
+use std::path::PathBuf;
+
+/// Run an entry: take callers' requests and run pipelines.
+///
+/// Exit codes: 0 after a drain that cut nothing, 1 after a failure or a cut request.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "entry")]
+pub struct EntryArgs {
+    /// the settings file, JSON with comments
+    #[argh(positional)]
+    settings: PathBuf,
+}
+
+/// Runs the entry until SIGTERM, ctrl-c or a drain order.
+pub fn exec(args: EntryArgs) -> miette::Result<()> {
+    let settings = role::prepare(Role::Entry, &args.settings)?;
+    role::run(&settings, |signal| async {
+        let Some(own) = settings.entry else { return Ok(Default::default()) };
+        run_entry(&settings, &own, signal).await
+    })
+}
--- /dev/null
+++ b/src/bin/limpetmux/commands/sidecar.rs
@@ -0,0 +1,27 @@
+//! `limpetmux sidecar`
+
+use super::role;
+use argh::FromArgs;
+use limpetmux::node::run_sidecar;
+use limpetmux::settings::Role;
+use std::path::PathBuf;
+
+/// Run the sidecar of one backend server.
+///
+/// Exit codes: 0 after a drain that cut nothing, 1 after a failure or a cut request.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sidecar")]
+pub struct SidecarArgs {
+    /// the settings file, JSON with comments
+    #[argh(positional)]
+    settings: PathBuf,
+}
+
+/// Runs the sidecar until SIGTERM, ctrl-c or a drain order.
+pub fn exec(args: SidecarArgs) -> miette::Result<()> {
+    let settings = role::prepare(Role::Sidecar, &args.settings)?;
+    role::run(&settings, |signal| async {
+        let Some(own) = &settings.sidecar else { return Ok(Default::default()) };
+        run_sidecar(&settings, own, signal).await
+    })
+}
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -114,7 +114,7 @@
     let (stop, _) = watch::channel(false);
     let callers = tokio::spawn(Arc::clone(&entry).serve(http, stopped(&stop), settings.grace));
     let peers = tokio::spawn(serve(router, listener, stopped(&stop)));
-    event!(EventCode::CallersWelcome, address = http_addr);
+    event!(EventCode::ListenerReady, address = http_addr);
     let report = shutdown.run(signal).await;
     stop.send_replace(true);
     // The requests have ended; what is left are idle connections.
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -112,7 +112,7 @@
     /// The process has ended.
     ProcessEnded = 701,
     /// The process listens for callers.
-    CallersWelcome = 702,
+    ListenerReady = 702,
 }
 
 impl EventCode {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,13 +5,17 @@
 mod admin;
 mod admission;
 mod budget;
+mod catalogue;
 mod config_fold;
 mod control;
 mod cost;
+mod frames;
 mod kernel;
 mod membership;
 mod path;
 mod planner;
+mod requests;
 mod routing;
+mod settings;
 mod shutdown;
 mod standins;
