--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -1,1 +1,3 @@
 //! Support.
+
+pub mod once;
--- /dev/null
+++ b/src/limpetmux/core/once/key.rs
@@ -0,0 +1,66 @@
+//! Idempotency keys, reduced to a fixed size, and the time that a key carries.
+
+use crate::util::hash::hash_parts;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// A wall-clock time in milliseconds since the Unix epoch.
+///
+/// Used only to compare a key's creation with a start or a takeover, within the margin of
+/// [`Rules`](super::Rules).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct KeyTime(pub u64);
+
+impl std::ops::Add<Duration> for KeyTime {
+    type Output = Self;
+
+    fn add(self, d: Duration) -> Self {
+        Self(self.0.saturating_add(u64::try_from(d.as_millis()).unwrap_or(u64::MAX)))
+    }
+}
+
+/// Identifies one non-idempotent stage under one caller's key.
+///
+/// Holds a 128-bit digest of workspace, pipeline, stage and key text, so that a table row and a
+/// claim have a fixed size, and the creation time that a UUIDv7 key carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct KeyId {
+    digest: u128,
+    created: Option<KeyTime>,
+}
+
+impl KeyId {
+    /// Reduces a caller's key, scoped by workspace, pipeline and stage.
+    pub fn new(workspace: &str, pipeline: &str, stage: u8, key: &str) -> Self {
+        let half = |tag: &[u8]| {
+            let parts = [tag, workspace.as_bytes(), pipeline.as_bytes(), &[stage], key.as_bytes()];
+            u128::from(hash_parts(&parts))
+        };
+        Self { digest: half(b"high") << 64 | half(b"low"), created: uuid_time(key) }
+    }
+
+    /// Creates a key from its digest and creation time.
+    pub const fn from_digest(digest: u128, created: Option<KeyTime>) -> Self {
+        Self { digest, created }
+    }
+
+    /// Returns the digest, which decides the key's home.
+    pub const fn digest(self) -> u128 {
+        self.digest
+    }
+
+    /// Returns when the caller created the key, if the key says so.
+    pub const fn created(self) -> Option<KeyTime> {
+        self.created
+    }
+}
+
+/// Returns the time inside a UUIDv7, or `None` for another text.
+fn uuid_time(key: &str) -> Option<KeyTime> {
+    let id = uuid::Uuid::try_parse(key).ok()?;
+    if id.get_version_num() != 7 {
+        return None;
+    }
+    u64::try_from(id.as_u128() >> 80).ok().map(KeyTime)
+}
--- /dev/null
+++ b/src/limpetmux/core/once/node.rs
@@ -0,0 +1,457 @@
+//! One host's part in the protocol: requests in, decisions out.
+
+use super::seat::Seat;
+use super::table::{Entry, State};
+use super::{
+    Answer, Guard, Guards, Handover, HostId, Incarnation, KeyId, KeyTime, NoPromise, Outcome,
+    Record, Role, Rules, Table,
+};
+use crate::core::time::Moment;
+use crate::core::verdict::{Refusal, RefusalCode};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// The time of an event on both clocks of the host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time {
+    /// The monotonic clock, for promises.
+    pub now: Moment,
+    /// The wall clock, for the age of keys; must not go back within one process.
+    pub wall: KeyTime,
+}
+
+/// A request to run a stage under a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Work {
+    /// The key.
+    pub key: KeyId,
+    /// Hash of the caller's request body.
+    pub body: u64,
+    /// The part that this host plays for the key.
+    pub role: Role,
+}
+
+/// What to do with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// Run the stage now and report with [`Node::finish`].
+    Run,
+    /// Append [`Node::claims`] and wait for an [`Action`] on the key.
+    Claim,
+    /// Wait for the run that another request with this key started.
+    Wait,
+    /// Give the stored answer again.
+    Replay(Answer),
+    /// Refuse the request.
+    Refuse(Refusal),
+}
+
+/// What to do after the log was read further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Run the stage of a claimed key now and report with [`Node::finish`].
+    Run(KeyId),
+    /// Refuse the requests that wait for the key's claim.
+    Refuse(KeyId, Refusal),
+}
+
+/// What a look-up of an outcome finds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Known {
+    /// The stage answered.
+    Answered(Answer),
+    /// The stage is running or about to.
+    Running,
+    /// The stage was accepted and is proven not to have run.
+    NotRun,
+    /// No request with the key was accepted, and the host vouches for that.
+    Absent,
+    /// The stage may have run.
+    Unknown,
+}
+
+/// One host's state: its table, its promises and takeovers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Node {
+    pub(super) id: HostId,
+    pub(super) incarnation: Incarnation,
+    pub(super) rules: Rules,
+    pub(super) guards: Guards,
+    pub(super) started: KeyTime,
+    /// A takeover may not be appended before.
+    quiet: Option<Moment>,
+    reachable: bool,
+    pub(super) read: bool,
+    pub(super) table: Table,
+    /// Keys to be claimed with the next append.
+    due: BTreeSet<KeyId>,
+    /// Until when each successor promised not to take over.
+    pub(super) beliefs: BTreeMap<HostId, Moment>,
+    /// The successors that have taken over, with their processes.
+    pub(super) lost: BTreeMap<HostId, Incarnation>,
+    /// The successors to which this host handed over without knowing the takeover yet.
+    pub(super) stopped: BTreeSet<HostId>,
+    /// Since when keys of a successor that returned them are vouched for.
+    pub(super) floors: BTreeMap<HostId, KeyTime>,
+    /// Tables of successors that are about to return keys.
+    pub(super) returns: BTreeMap<HostId, Handover>,
+    pub(super) seats: BTreeMap<HostId, Seat>,
+}
+
+impl Node {
+    /// Starts a host's process, which knows nothing of earlier ones.
+    pub fn new(
+        id: HostId,
+        incarnation: Incarnation,
+        rules: Rules,
+        guards: Guards,
+        time: Time,
+    ) -> Self {
+        let quiet = Some(time.now + rules.promise + rules.slack);
+        Self {
+            id,
+            incarnation,
+            rules,
+            guards,
+            started: time.wall,
+            quiet,
+            reachable: false,
+            read: false,
+            table: Table::default(),
+            due: BTreeSet::new(),
+            beliefs: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            stopped: BTreeSet::new(),
+            floors: BTreeMap::new(),
+            returns: BTreeMap::new(),
+            seats: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the process's identity.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns the table, for metrics.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Returns whether the log was reachable when last tried.
+    pub fn is_reachable(&self) -> bool {
+        self.reachable
+    }
+
+    /// Notes whether the log can be reached.
+    pub fn log_reachable(&mut self, reachable: bool) {
+        self.reachable = reachable;
+    }
+
+    /// Notes that every record up to the log's end has been observed.
+    pub fn read_to_end(&mut self) {
+        self.read = true;
+    }
+
+    /// Decides on a request.
+    pub fn begin(&mut self, work: Work, time: Time) -> Begin {
+        if let Some(begin) = self.begin_known(&work) {
+            return begin;
+        }
+        match self.admit(&work, time) {
+            Err(refusal) => Begin::Refuse(refusal),
+            Ok(state) => self.accept(work, state, time),
+        }
+    }
+
+    /// Looks up how a key's run ended.
+    pub fn look_up(&self, key: KeyId, role: Role, time: Time) -> Known {
+        match self.table.entries.get(&key).map(|e| &e.state) {
+            Some(State::Answered(a)) => Known::Answered(a.clone()),
+            Some(State::Claiming | State::Running) => Known::Running,
+            Some(State::Released) => Known::NotRun,
+            Some(State::Unknown) => Known::Unknown,
+            None if self.vouch(key, role, time).is_ok() => Known::Absent,
+            None => Known::Unknown,
+        }
+    }
+
+    /// Stores how a run ended.
+    pub fn finish(&mut self, key: KeyId, outcome: Outcome) {
+        self.table.finish(key, outcome, &self.rules);
+    }
+
+    /// Gives up a claim that has not been read back; returns whether the stage is now certain not
+    /// to run for it.
+    pub fn abandon(&mut self, key: KeyId) -> bool {
+        match self.table.entries.get_mut(&key) {
+            Some(entry) if entry.state == State::Claiming => {
+                entry.state = State::Released;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes the keys to be claimed, at most `most`, as one record.
+    ///
+    /// The caller appends the record until it is certain to be in the log.
+    pub fn claims(&mut self, most: usize) -> Option<Record> {
+        let keys: Vec<KeyId> = self.due.iter().copied().take(most).collect();
+        if keys.is_empty() {
+            return None;
+        }
+        for key in &keys {
+            self.due.remove(key);
+        }
+        Some(Record::Claims { home: self.id, incarnation: self.incarnation, keys })
+    }
+
+    /// Returns whether a key waits for its claim to be read back.
+    pub fn is_claiming(&self, key: KeyId) -> bool {
+        self.table.entries.get(&key).is_some_and(|e| e.state == State::Claiming)
+    }
+
+    /// Returns the number of keys still to be claimed.
+    pub fn due(&self) -> usize {
+        self.due.len()
+    }
+
+    /// Notes a promise of a successor that was asked for at `sent`.
+    pub fn promised(&mut self, successor: HostId, sent: Moment) {
+        let end = sent + self.rules.promise;
+        let belief = self.beliefs.entry(successor).or_insert(end);
+        *belief = end.max(*belief);
+    }
+
+    /// Returns until when a successor has promised not to take over.
+    pub fn belief(&self, successor: HostId) -> Option<Moment> {
+        self.beliefs.get(&successor).copied()
+    }
+
+    /// Promises a home not to take over, as its successor.
+    ///
+    /// # Errors
+    /// Returns [`NoPromise`] if the home must not run from memory.
+    pub fn promise(
+        &mut self,
+        home: HostId,
+        incarnation: Incarnation,
+        now: Moment,
+    ) -> Result<(), NoPromise> {
+        if self.reachable {
+            return Err(NoPromise::LogReachable);
+        }
+        if !self.read && self.guards.on(Guard::ReadBeforePromise) {
+            return Err(NoPromise::NotRead);
+        }
+        let end = now + self.rules.promise + self.rules.slack;
+        let fresh = self.guards.on(Guard::FreshHandover);
+        let seat = self.seats.entry(home).or_default();
+        if seat.held.is_some() || seat.asked.is_some() {
+            return Err(NoPromise::TakenOver);
+        }
+        if fresh {
+            seat.note_process(incarnation);
+        }
+        seat.promised = Some(end);
+        Ok(())
+    }
+
+    /// Returns the record that takes over from a home, or renews that, if it may be appended now.
+    pub fn take_over(&mut self, home: HostId, now: Moment) -> Option<Record> {
+        let quiet = self.quiet.is_some_and(|end| now < end) && self.guards.on(Guard::Quiet);
+        let honour = self.guards.on(Guard::Honour);
+        let (by, incarnation) = (self.id, self.incarnation);
+        let seat = self.seats.entry(home).or_default();
+        let bound = honour && seat.is_bound(now);
+        let open = seat.asked.is_none() && !seat.returning;
+        if !self.reachable || !self.read || !open || seat.taken.is_none() && (quiet || bound) {
+            return None;
+        }
+        seat.asked = Some(now);
+        Some(Record::Takeover { home, by, incarnation })
+    }
+
+    /// Notes that the record of [`Node::take_over`] is certain not to be in the log.
+    pub fn takeover_failed(&mut self, home: HostId) {
+        if let Some(seat) = self.seats.get_mut(&home) {
+            seat.asked = None;
+        }
+    }
+
+    /// Stops accepting the keys shared with a successor and returns their table for it.
+    ///
+    /// Returns `None` if the successor has taken over already.
+    pub fn hand_over(&mut self, successor: HostId) -> Option<Handover> {
+        if self.lost.contains_key(&successor) {
+            return None;
+        }
+        let since = self.floor(successor);
+        if self.guards.on(Guard::StopFirst) {
+            self.stopped.insert(successor);
+        }
+        self.beliefs.remove(&successor);
+        let rows = self.table.export(Role::Home { successor: Some(successor) });
+        Some(Handover { from: self.id, incarnation: self.incarnation, since, rows })
+    }
+
+    /// Accepts keys again after a successor refused a table for certain.
+    pub fn resume(&mut self, successor: HostId) {
+        self.stopped.remove(&successor);
+    }
+
+    /// Keeps a table of a home for the takeover to come; returns whether it is of use.
+    ///
+    /// A table of another process than the one last heard of is stale.
+    pub fn receive(&mut self, handover: Handover) -> bool {
+        let role = Role::Successor { home: handover.from };
+        let fresh = self.guards.on(Guard::FreshHandover);
+        let seat = self.seats.entry(handover.from).or_default();
+        if seat.taken.is_some() {
+            self.table.adopt(handover.rows, role);
+            return true;
+        }
+        if fresh && seat.seen.is_some_and(|seen| seen != handover.incarnation) {
+            return false;
+        }
+        seat.promised = None;
+        seat.table = Some(handover);
+        true
+    }
+
+    /// Stops accepting a home's keys and returns their table for it and the record to append.
+    ///
+    /// Returns `None` if this process has not taken over.
+    pub fn give_back(&mut self, home: HostId) -> Option<(Handover, Record)> {
+        let (by, incarnation) = (self.id, self.incarnation);
+        let seat = self.seats.get_mut(&home)?;
+        let since = seat.taken?.since;
+        if seat.asked.is_some() {
+            return None;
+        }
+        seat.returning = true;
+        let rows = self.table.export(Role::Successor { home });
+        let handover = Handover { from: by, incarnation, since, rows };
+        Some((handover, Record::Return { home, by, incarnation }))
+    }
+
+    /// Goes on holding a home's keys after the record of [`Node::give_back`] is certain not to be
+    /// in the log.
+    pub fn return_failed(&mut self, home: HostId) {
+        if let Some(seat) = self.seats.get_mut(&home) {
+            seat.returning = false;
+        }
+    }
+
+    /// Keeps a table of a successor for the return to come.
+    pub fn receive_return(&mut self, handover: Handover) {
+        self.returns.insert(handover.from, handover);
+    }
+
+    /// Returns whether this process holds a home's keys.
+    pub fn holds(&self, home: HostId, now: Moment) -> bool {
+        self.seats.get(&home).is_some_and(|s| s.holds(now).is_some())
+    }
+
+    /// Drops rows whose time has passed.
+    pub fn sweep(&mut self, wall: KeyTime) {
+        self.table.sweep(wall);
+    }
+
+    /// Moves the origin of the monotonic clock, so that an exploration can compare states.
+    pub fn rebase(&mut self, by: Duration) {
+        let live = |m: &Moment| *m > Moment::ZERO;
+        self.quiet = self.quiet.map(|m| m - by).filter(live);
+        for belief in self.beliefs.values_mut() {
+            *belief = *belief - by;
+        }
+        self.beliefs.retain(|_, m| live(m));
+        for seat in self.seats.values_mut() {
+            seat.rebase(by);
+        }
+    }
+
+    fn begin_known(&self, work: &Work) -> Option<Begin> {
+        let entry = self.table.entries.get(&work.key)?;
+        if entry.body.is_some_and(|b| b != work.body) {
+            return Some(Begin::Refuse(Refusal::not_run(RefusalCode::KeyReused)));
+        }
+        match &entry.state {
+            State::Claiming | State::Running => Some(Begin::Wait),
+            State::Answered(answer) => Some(Begin::Replay(answer.clone())),
+            State::Unknown => Some(Begin::Refuse(Refusal::unknown(RefusalCode::Unvouched))),
+            State::Released => None,
+        }
+    }
+
+    /// Returns the state in which a key may be accepted.
+    fn admit(&self, work: &Work, time: Time) -> Result<State, Refusal> {
+        if work.key.created().is_some_and(|t| t > time.wall + self.rules.margin) {
+            return Err(Refusal::not_run(RefusalCode::BadRequest));
+        }
+        self.vouch(work.key, work.role, time)?;
+        if !self.table.entries.contains_key(&work.key) && !self.table.has_room(&self.rules) {
+            return Err(Refusal::not_run(RefusalCode::Overloaded).retry_in(self.rules.margin));
+        }
+        match work.role {
+            Role::Successor { .. } => Ok(State::Running),
+            Role::Home { .. } if self.reachable => Ok(State::Claiming),
+            Role::Home { successor } if self.may_run(successor, time.now) => Ok(State::Running),
+            Role::Home { .. } => {
+                Err(Refusal::not_run(RefusalCode::Unavailable).retry_in(self.rules.promise))
+            }
+        }
+    }
+
+    /// Returns whether a key may run from memory.
+    fn may_run(&self, successor: Option<HostId>, now: Moment) -> bool {
+        let Some(s) = successor else { return true };
+        !self.guards.on(Guard::Promise) || self.beliefs.get(&s).is_some_and(|end| now < *end)
+    }
+
+    /// Checks that a key without a row has certainly not run before.
+    fn vouch(&self, key: KeyId, role: Role, time: Time) -> Result<(), Refusal> {
+        let not_home = Refusal::unknown(RefusalCode::NotHome);
+        let (floor, guard) = match role {
+            Role::Home { successor } => {
+                if successor.is_some_and(|s| self.gave_up(s)) {
+                    return Err(not_home);
+                }
+                let floor = successor.map_or(self.started, |s| self.floor(s));
+                (floor, Guard::OlderThanHome)
+            }
+            Role::Successor { home } => {
+                let floor = self.seats.get(&home).and_then(|s| s.holds(time.now));
+                (floor.ok_or(not_home)?, Guard::OlderThanTakeover)
+            }
+        };
+        let (margin, window) = (self.rules.margin, self.rules.window);
+        let newer = match key.created() {
+            Some(t) => t > floor + margin || !self.guards.on(guard),
+            None => time.wall > floor + window,
+        };
+        let kept = key.created().is_none_or(|t| time.wall <= t + window);
+        if newer && kept { Ok(()) } else { Err(Refusal::unknown(RefusalCode::Unvouched)) }
+    }
+
+    fn gave_up(&self, successor: HostId) -> bool {
+        self.lost.contains_key(&successor) || self.stopped.contains(&successor)
+    }
+
+    pub(super) fn floor(&self, successor: HostId) -> KeyTime {
+        self.floors.get(&successor).copied().unwrap_or(self.started)
+    }
+
+    fn accept(&mut self, work: Work, state: State, time: Time) -> Begin {
+        let begin = if state == State::Claiming { Begin::Claim } else { Begin::Run };
+        if matches!(work.role, Role::Home { .. }) {
+            self.due.insert(work.key);
+        }
+        let born = work.key.created().unwrap_or(time.wall);
+        let expires = born + self.rules.window + self.rules.margin;
+        let entry = Entry { body: Some(work.body), state, role: work.role, expires };
+        self.table.entries.insert(work.key, entry);
+        begin
+    }
+}
--- /dev/null
+++ b/src/limpetmux/core/once/observe.rs
@@ -0,0 +1,129 @@
+//! What a host learns from the claims stream, record by record in log order.
+
+use super::seat::{Seat, Taken};
+use super::table::{Entry, State};
+use super::{Action, Guard, HostId, Incarnation, KeyId, KeyTime, Node, Record, Role, Time};
+use crate::core::verdict::{Refusal, RefusalCode};
+
+impl Node {
+    /// Takes in the next record of the stream and returns what to do.
+    pub fn observe(&mut self, record: &Record, time: Time) -> Vec<Action> {
+        match record {
+            Record::Claims { home, incarnation, keys } if *home == self.id => {
+                keys.iter().filter_map(|k| self.observe_own(*k, *incarnation, time)).collect()
+            }
+            Record::Claims { home, incarnation, .. } => {
+                self.observe_home(*home, *incarnation);
+                Vec::new()
+            }
+            Record::Takeover { home, by, incarnation } => {
+                self.observe_takeover(*home, *by, *incarnation, time);
+                Vec::new()
+            }
+            Record::Return { home, by, incarnation } => {
+                self.observe_return(*home, *by, *incarnation, time);
+                Vec::new()
+            }
+        }
+    }
+
+    fn observe_own(&mut self, key: KeyId, by: Incarnation, time: Time) -> Option<Action> {
+        if by != self.incarnation {
+            self.remember(key, time);
+            return None;
+        }
+        let order = self.guards.on(Guard::LogOrder);
+        let entry = self.table.entries.get_mut(&key)?;
+        if entry.state != State::Claiming {
+            return None;
+        }
+        let Role::Home { successor } = entry.role else { return None };
+        if order && successor.is_some_and(|s| self.lost.contains_key(&s)) {
+            self.table.entries.remove(&key);
+            return Some(Action::Refuse(key, Refusal::unknown(RefusalCode::NotHome)));
+        }
+        entry.state = State::Running;
+        Some(Action::Run(key))
+    }
+
+    /// Notes a key that an earlier process of this host claimed.
+    fn remember(&mut self, key: KeyId, time: Time) {
+        let expires = key.created().unwrap_or(time.wall) + self.rules.window + self.rules.margin;
+        if expires < time.wall || self.table.len() >= self.rules.keys {
+            return;
+        }
+        let role = Role::Home { successor: None };
+        let entry = Entry { body: None, state: State::Unknown, role, expires };
+        self.table.entries.entry(key).or_insert(entry);
+    }
+
+    /// Notes that a process of a home still claims.
+    fn observe_home(&mut self, home: HostId, incarnation: Incarnation) {
+        if !self.guards.on(Guard::FreshHandover) {
+            return;
+        }
+        if let Some(seat) = self.seats.get_mut(&home) {
+            seat.note_process(incarnation);
+        }
+    }
+
+    fn observe_takeover(&mut self, home: HostId, by: HostId, process: Incarnation, time: Time) {
+        if home == self.id {
+            self.lost.insert(by, process);
+            self.beliefs.remove(&by);
+            self.table.forget_released(Role::Home { successor: Some(by) });
+            if self.returns.get(&by).is_some_and(|t| t.incarnation != process) {
+                self.returns.remove(&by);
+            }
+        }
+        if by == self.id {
+            let seat = self.seats.entry(home).or_default();
+            seat.held = Some(process);
+            if process == self.incarnation {
+                self.hold(home, time);
+            }
+        }
+    }
+
+    /// Becomes the holder of a home's keys, or goes on being it.
+    fn hold(&mut self, home: HostId, time: Time) {
+        let hold = self.rules.hold;
+        let Some(seat) = self.seats.get_mut(&home) else { return };
+        let Some(sent) = seat.asked.take() else { return };
+        let table = seat.table.take();
+        let since = seat.taken.map(|t| t.since);
+        let fresh = table.as_ref().map_or(time.wall, |t| t.since);
+        seat.taken = Some(Taken { since: since.unwrap_or(fresh), until: sent + hold });
+        if let Some(table) = table {
+            self.table.adopt(table.rows, Role::Successor { home });
+        }
+    }
+
+    fn observe_return(&mut self, home: HostId, by: HostId, process: Incarnation, time: Time) {
+        if home == self.id && self.lost.get(&by) == Some(&process) {
+            self.regain(by, time.wall);
+        }
+        let Some(seat) = self.seats.get_mut(&home) else { return };
+        if by == self.id && seat.held == Some(process) {
+            *seat = Seat {
+                promised: seat.promised,
+                asked: seat.asked,
+                seen: seat.seen,
+                ..Seat::default()
+            };
+            self.table.forget_released(Role::Successor { home });
+        }
+    }
+
+    /// Becomes the holder of the keys that a successor gave back.
+    fn regain(&mut self, successor: HostId, wall: KeyTime) {
+        self.lost.remove(&successor);
+        self.stopped.remove(&successor);
+        let table = self.returns.remove(&successor);
+        let floor = table.as_ref().map_or(wall, |t| t.since);
+        self.floors.insert(successor, floor);
+        if let Some(table) = table {
+            self.table.adopt(table.rows, Role::Home { successor: Some(successor) });
+        }
+    }
+}
--- /dev/null
+++ b/src/limpetmux/core/once/seat.rs
@@ -0,0 +1,101 @@
+//! What a host keeps for each home whose successor it is.
+
+use super::table::Entry;
+use super::{HostId, Incarnation, KeyId, KeyTime};
+use crate::core::time::Moment;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Why a successor gives no promise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NoPromise {
+    /// The successor reaches the log, so the home has to claim through it.
+    #[error("the successor reaches the log")]
+    LogReachable,
+    /// The successor has taken over or is about to.
+    #[error("the successor has taken over")]
+    TakenOver,
+    /// The successor restarted and has not read the log since.
+    #[error("the successor has not read the log since its start")]
+    NotRead,
+}
+
+/// A table that one host hands over to another after it has stopped accepting.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Handover {
+    /// The host that stopped.
+    pub from: HostId,
+    /// Its process.
+    pub incarnation: Incarnation,
+    /// The table is whole for keys created later than this time.
+    pub since: KeyTime,
+    pub(super) rows: BTreeMap<KeyId, Entry>,
+}
+
+impl Handover {
+    /// Returns the number of keys handed over.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns whether no key is handed over.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
+
+/// A takeover that has been read back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Taken {
+    /// Keys created later than this time are vouched for.
+    pub since: KeyTime,
+    /// The takeover counts until then unless it is appended again.
+    pub until: Moment,
+}
+
+/// The successor's state towards one home.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Seat {
+    /// When the last promise ends.
+    pub promised: Option<Moment>,
+    /// When a takeover that is not yet read back was first sent.
+    pub asked: Option<Moment>,
+    /// The process of this host that took over last, as the log tells it.
+    pub held: Option<Incarnation>,
+    /// This process's own takeover.
+    pub taken: Option<Taken>,
+    /// Whether this process has stopped in order to return the keys.
+    pub returning: bool,
+    /// The home's process that was last heard of.
+    pub seen: Option<Incarnation>,
+    /// The home's table, for a takeover to come.
+    pub table: Option<Handover>,
+}
+
+impl Seat {
+    /// Returns since when this process vouches for the home's keys, or `None` if it may not run
+    /// them.
+    pub fn holds(&self, now: Moment) -> Option<KeyTime> {
+        self.taken.filter(|t| now < t.until && !self.returning).map(|t| t.since)
+    }
+
+    /// Returns whether a promise is live.
+    pub fn is_bound(&self, now: Moment) -> bool {
+        self.promised.is_some_and(|end| now < end)
+    }
+
+    /// Notes a process of the home and drops the table of another one.
+    pub fn note_process(&mut self, incarnation: Incarnation) {
+        self.seen = Some(incarnation);
+        if self.table.as_ref().is_some_and(|t| t.incarnation != incarnation) {
+            self.table = None;
+        }
+    }
+
+    pub fn rebase(&mut self, by: Duration) {
+        let shift = |m: Moment| if m == Moment::MAX { m } else { m - by };
+        self.promised = self.promised.map(shift).filter(|m| *m > Moment::ZERO);
+        self.asked = self.asked.map(shift);
+        self.taken = self.taken.map(|t| Taken { until: shift(t.until), ..t });
+    }
+}
--- a/src/limpetmux/core/time.rs
+++ b/src/limpetmux/core/time.rs
@@ -18,6 +18,8 @@
 impl Moment {
     /// The origin of the clock.
     pub const ZERO: Self = Self(0);
+    /// The end of time, which no process reaches.
+    pub const MAX: Self = Self(u64::MAX);
 
     /// Creates a moment from microseconds since the origin.
     pub const fn from_micros(us: u64) -> Self {
