--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -28,6 +28,36 @@
     // 1xx: configuration.
     /// A new configuration revision is in force.
     RevisionInForce = 100,
+    /// A configuration record was rejected.
+    #[strum(props(level = "warn"))]
+    ChangeRejected = 101,
+    /// The platform log does not answer; configuration is taken from peers.
+    #[strum(props(level = "warn"))]
+    LogUnreachable = 102,
+    /// The platform log answers again.
+    LogReachable = 103,
+    /// The platform log was lost or created anew; nothing is folded from it.
+    #[strum(props(level = "error"))]
+    LogReset = 104,
+    /// Configuration records are gone from the log; a snapshot is needed.
+    #[strum(props(level = "warn"))]
+    RecordsMissing = 105,
+    /// A configuration snapshot replaced the state of this node.
+    SnapshotAdopted = 106,
+    /// A configuration snapshot was appended to the log.
+    SnapshotWritten = 107,
+    /// A configuration snapshot could not be appended.
+    #[strum(props(level = "warn"))]
+    SnapshotFailed = 108,
+    /// A configuration snapshot in the log belongs to another history.
+    #[strum(props(level = "error"))]
+    SnapshotForeign = 109,
+    /// A configuration record needs a newer version of the program.
+    #[strum(props(level = "error"))]
+    FormatUnknown = 110,
+    /// A peer holds another configuration history.
+    #[strum(props(level = "error"))]
+    PeerDiverged = 111,
 
     // 2xx: requests.
     /// A request was refused.
@@ -39,6 +69,22 @@
     // 4xx: hosts and shutdown.
 
     // 5xx: power.
+    /// A plan was accepted.
+    PlanAccepted = 500,
+    /// A plan was rejected because its planner had lost the lease.
+    #[strum(props(level = "warn"))]
+    PlanRejected = 501,
+    /// A host is being switched on.
+    HostWaking = 502,
+    /// A step of the planner duty failed and will be tried again.
+    #[strum(props(level = "warn"))]
+    DutyStepFailed = 503,
+    /// A duty record of an unknown version was passed over.
+    #[strum(props(level = "warn"))]
+    DutySkipped = 504,
+    /// The duties stream ends before what was read from it, so it is not folded.
+    #[strum(props(level = "error"))]
+    DutyLogReset = 505,
 
     // 6xx: platform and backend servers.
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,14 @@
 //! The integration tests, one module per subject.
 
+#![allow(clippy::expect_used, clippy::unwrap_used)]
+
+mod admission;
+mod budget;
+mod config_fold;
+mod control;
+mod cost;
 mod kernel;
 mod once_explore;
+mod planner;
+mod routing;
+mod standins;
