--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
+mod admin;
 mod admission;
 mod budget;
 mod config_fold;
@@ -9,6 +10,9 @@
 mod cost;
 mod kernel;
 mod once_explore;
+mod membership;
+mod path;
 mod planner;
 mod routing;
+mod shutdown;
 mod standins;
