Run non-idempotent stages through the at-most-once gate

Cause: the sidecar ran stages that may not be repeated like any other. Change: sidecar::once feeds core::once with requests, the claims stream, promises and takeovers; claims groups keys into appends; the entry routes by the key's home and looks a lost answer up.

--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -13,8 +13,8 @@
 pub mod changes;
 pub mod config;
 pub mod fake_log;
-pub mod once;
 pub mod http;
+pub mod once;
 pub mod policy;
 pub mod sized;
 
--- a/crates/limpetmux-test-support/src/once.rs
+++ b/crates/limpetmux-test-support/src/once.rs
@@ -59,7 +59,9 @@
 const B: HostId = HostId(2);
 const TICK: Duration = Duration::from_secs(1);
 /// The clock stands here; a tick moves every stored moment back instead.
-const NOW: Moment = Moment::from_millis(10_000);
+///
+/// One tick above zero, so that moments of the past soon become equal.
+const NOW: Moment = Moment::from_millis(1_000);
 const OLD: KeyId = KeyId::from_digest(0, Some(KeyTime(10)));
 const NEW: KeyId = KeyId::from_digest(1, Some(KeyTime(20)));
 
@@ -148,8 +150,15 @@
         self.b.log_reachable(b);
     }
 
+    /// Returns the keys worth sending: after one was accepted, only that one can run twice, and
+    /// rows of different keys do not touch each other.
     fn keys(&self) -> &'static [KeyId] {
-        if self.created { &[OLD, NEW] } else { &[OLD] }
+        let busy = |key: KeyId| self.runs[usize::from(key == NEW)] > 0 || self.a.is_claiming(key);
+        match (self.created, busy(OLD), busy(NEW)) {
+            (false, ..) | (_, true, _) => &[OLD],
+            (_, _, true) => &[NEW],
+            _ => &[OLD, NEW],
+        }
     }
 
     /// A request reaches a host, by way of any entry.
--- a/src/limpetmux/entry/link.rs
+++ b/src/limpetmux/entry/link.rs
@@ -1,5 +1,6 @@
 //! The connection to one sidecar and what this entry knows of its load.
 
+use crate::wire::once::once_client::OnceClient;
 use crate::wire::stage;
 use crate::wire::stage::stage_client::StageClient;
 use std::net::SocketAddr;
@@ -18,7 +19,7 @@
 #[derive(Debug)]
 pub struct Link {
     addr: SocketAddr,
-    client: Option<StageClient<Channel>>,
+    channel: Option<Channel>,
     inflight: AtomicU32,
 }
 
@@ -36,16 +37,14 @@
     /// Creates a link that connects on first use.
     pub fn new(addr: SocketAddr) -> Self {
         let endpoint = Endpoint::from_shared(format!("http://{addr}")).ok();
-        let client = endpoint.map(|e| {
-            let channel = e
-                .connect_timeout(CONNECT_TIMEOUT)
+        let channel = endpoint.map(|e| {
+            e.connect_timeout(CONNECT_TIMEOUT)
                 .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
                 .keep_alive_timeout(KEEPALIVE_TIMEOUT)
                 .tcp_nodelay(true)
-                .connect_lazy();
-            StageClient::new(channel)
+                .connect_lazy()
         });
-        Self { addr, client, inflight: AtomicU32::new(0) }
+        Self { addr, channel, inflight: AtomicU32::new(0) }
     }
 
     /// Returns the address of the sidecar.
@@ -55,7 +54,12 @@
 
     /// Returns a client that shares the link's connection.
     pub fn client(&self) -> Option<StageClient<Channel>> {
-        self.client.clone()
+        self.channel.clone().map(StageClient::new)
+    }
+
+    /// Returns a client for idempotency keys that shares the link's connection.
+    pub fn once_client(&self) -> Option<OnceClient<Channel>> {
+        self.channel.clone().map(OnceClient::new)
     }
 
     /// Returns the number of this entry's attempts on the sidecar.
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod http;
 mod link;
+mod once;
 mod order;
 mod pick;
 mod pipeline;
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -42,6 +42,9 @@
     let fleet = run.fleet;
     let row = &fleet.view.pipelines[run.order.pipeline].stages[usize::from(index.0)];
     let service = &fleet.view.services[row.service].spec;
+    if !service.idempotent {
+        return super::once::run_stage_once(run, index, input).await;
+    }
     let started = Instant::now();
     let mut state = StageRun::default();
     let mut last = Refusal::not_run(RefusalCode::Unavailable).retry_in(RETRY_AFTER);
@@ -88,7 +91,7 @@
     Err(last)
 }
 
-fn build_request(
+pub(super) fn build_request(
     run: &Run<'_>,
     row: &StageRow,
     key: AttemptKey,
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -3,12 +3,13 @@
 use super::deployment::{COLD, CONCURRENCY, Deployment, PlannedHost, WARMUP};
 use super::server::{ServeError, serve_sidecar};
 use crate::adapters::backend::Backend;
+use crate::adapters::log::LogClient;
 use crate::core::config::{Config, Name, NameError, StageKind};
 use crate::core::revision::Revision;
 use crate::core::view::View;
 use crate::entry::{Entry, EntryOptions, Limits};
 use crate::kernel::{Published, Publisher};
-use crate::sidecar::{Sidecar, SidecarOptions};
+use crate::sidecar::{OnceLink, Sidecar, SidecarOptions};
 use limpetmux_standins as standins;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -77,6 +78,8 @@
     pub addr: SocketAddr,
     /// All hosts in name order of their services.
     pub hosts: Vec<LocalHost>,
+    /// The platform log.
+    pub log: standins::Log,
     /// The configuration in force, for changes at run time.
     pub view: Publisher<View>,
     /// The declared configuration.
@@ -144,11 +147,13 @@
         let (stop, _) = watch::channel(false);
         let mut servers = JoinSet::new();
         let client = reqwest::Client::builder().no_proxy().build()?;
+        let log = standins::Log::start(standins::LogOptions::default()).await?;
+        let claims = OnceLink::new(LogClient::http(client.clone(), &log.url()));
         let mut hosts = Vec::with_capacity(planned.len());
         for (plan, addr, listener) in planned {
             let standin = StandIn::start(plan.kind).await?;
             let backend = Backend::http(client.clone(), &standin.url());
-            let sidecar = start_sidecar(&plan.name, view.reader(), backend);
+            let sidecar = start_sidecar(&plan.name, view.reader(), backend, &claims);
             let server = serve_sidecar(Arc::clone(&sidecar), listener, stopped(&stop));
             servers.spawn(async move { drop(server.await) });
             hosts.push(LocalHost { plan, addr, standin, sidecar });
@@ -160,7 +165,7 @@
         });
         let server = Arc::clone(&entry).serve(entry_listener, stopped(&stop), GRACE);
         servers.spawn(async move { drop(server.await) });
-        Ok(Self { entry, addr, hosts, view, config, stop, servers })
+        Ok(Self { entry, addr, hosts, log, view, config, stop, servers })
     }
 
     /// Returns the base URL of the entry.
@@ -176,8 +181,14 @@
     }
 }
 
-fn start_sidecar(host: &Name, view: Published<View>, backend: Backend) -> Arc<Sidecar> {
-    Sidecar::start(SidecarOptions { host: host.clone(), view, backend })
+fn start_sidecar(
+    host: &Name,
+    view: Published<View>,
+    backend: Backend,
+    claims: &OnceLink,
+) -> Arc<Sidecar> {
+    let once = Some(claims.clone());
+    Sidecar::start(SidecarOptions { host: host.clone(), view, backend, once })
 }
 
 /// Returns a future that is ready once the deployment stops.
--- a/src/limpetmux/node/server.rs
+++ b/src/limpetmux/node/server.rs
@@ -41,6 +41,7 @@
     Server::builder()
         .max_concurrent_streams(MAX_STREAMS)
         .add_service(sidecar.service())
+        .add_optional_service(sidecar.once_service())
         .serve_with_incoming_shutdown(incoming, stop)
         .await
         .map_err(ServeError::Grpc)
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -8,6 +8,7 @@
 
 mod attempts;
 mod gate;
+pub mod once;
 mod output;
 mod probe;
 mod run;
@@ -19,10 +20,15 @@
 pub use run::{Attempt, Usage, run_attempt};
 pub use service::StageService;
 
+use self::once::{OnceGate, OnceOptions, OnceService};
 use crate::adapters::backend::Backend;
+use crate::adapters::log::LogClient;
+use crate::claims::Pace;
 use crate::core::config::Name;
+use crate::core::once::Rules;
 use crate::core::view::View;
 use crate::kernel::Published;
+use crate::wire::once::once_server::OnceServer;
 use crate::wire::stage;
 use std::sync::Arc;
 
@@ -34,6 +40,26 @@
     pub view: Published<View>,
     /// The backend server beside the sidecar.
     pub backend: Backend,
+    /// What stages that may run at most once need; without it they are refused.
+    pub once: Option<OnceLink>,
+}
+
+/// How a sidecar keeps idempotency keys.
+#[derive(Clone)]
+pub struct OnceLink {
+    /// The platform log.
+    pub log: LogClient,
+    /// Times and bounds of the protocol.
+    pub rules: Rules,
+    /// The pace of claims.
+    pub pace: Pace,
+}
+
+impl OnceLink {
+    /// Uses the log with the usual rules and pace.
+    pub fn new(log: LogClient) -> Self {
+        Self { log, rules: Rules::default(), pace: Pace::default() }
+    }
 }
 
 /// The state of one sidecar, shared by all its requests.
@@ -41,6 +67,7 @@
     pub(crate) backend: Backend,
     pub(crate) gate: Gate,
     pub(crate) attempts: Attempts,
+    pub(crate) once: Option<(Arc<OnceGate>, LogClient)>,
 }
 
 impl Sidecar {
@@ -48,7 +75,14 @@
     ///
     /// The probe ends when the sidecar is dropped.
     pub fn start(options: SidecarOptions) -> Arc<Self> {
+        let once = options.once.map(|link| {
+            let (host, view) = (options.host.clone(), options.view.clone());
+            let OnceLink { log, rules, pace } = link;
+            let gate = OnceGate::start(OnceOptions { host, view, log: log.clone(), rules, pace });
+            (gate, log)
+        });
         let sidecar = Arc::new(Self {
+            once,
             backend: options.backend,
             gate: Gate::new(options.host, options.view),
             attempts: Attempts::default(),
@@ -62,6 +96,17 @@
         stage::stage_server::StageServer::new(StageService::new(Arc::clone(self)))
     }
 
+    /// Returns the gRPC service of idempotency keys, if the sidecar keeps any.
+    pub fn once_service(&self) -> Option<OnceServer<OnceService>> {
+        let (gate, log) = self.once.as_ref()?;
+        Some(OnceServer::new(OnceService::new(Arc::clone(gate), log.clone())))
+    }
+
+    /// Returns the gate of idempotency keys, if the sidecar keeps any.
+    pub fn once(&self) -> Option<&Arc<OnceGate>> {
+        self.once.as_ref().map(|(gate, _)| gate)
+    }
+
     /// Returns the gate, which knows the load and whether the sidecar is draining.
     pub fn gate(&self) -> &Gate {
         &self.gate
--- /dev/null
+++ b/src/limpetmux/sidecar/once/run.rs
@@ -0,0 +1,103 @@
+//! Runs one attempt at a stage that may run at most once.
+
+use super::{Decision, Naming, OnceGate};
+use crate::adapters::backend::Chunk;
+use crate::core::once::{Answer, KeyId, Outcome};
+use crate::core::verdict::{Execution, Refusal, RefusalCode};
+use crate::sidecar::attempts::Registration;
+use crate::sidecar::{Attempt, Gone, Output, Sidecar, Usage, run_attempt};
+use crate::wire::stage;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// How long a run may go on after its request's deadline, so that its outcome becomes known.
+const RUN_GRACE: Duration = Duration::from_secs(30);
+
+/// Reports an unknown outcome unless the run reports another one.
+struct Report<'a> {
+    gate: &'a OnceGate,
+    key: Option<KeyId>,
+}
+
+impl Report<'_> {
+    fn finish(mut self, outcome: Outcome) {
+        if let Some(key) = self.key.take() {
+            self.gate.finish(key, outcome);
+        }
+    }
+}
+
+impl Drop for Report<'_> {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            self.gate.finish(key, Outcome::Unknown);
+        }
+    }
+}
+
+/// Lets the gate decide on an attempt, runs it or gives the stored answer, and delivers it.
+///
+/// A run goes on when its entry leaves, so that the caller's retry finds the answer.
+///
+/// # Errors
+/// Returns the gate's refusal, or how the run failed.
+pub async fn run_once(
+    sidecar: &Sidecar,
+    gate: &OnceGate,
+    request: (&stage::RunRequest, &stage::Idempotency),
+    attempt: Attempt,
+    registration: &Registration,
+    output: &mut Output,
+) -> Result<Usage, Refusal> {
+    let (request, idempotency) = request;
+    let naming = Naming {
+        workspace: &request.workspace,
+        pipeline: &request.pipeline,
+        stage: attempt.job.key.stage.0,
+        key: &idempotency.key,
+    };
+    match gate.decide(naming, idempotency.body_hash, attempt.deadline).await {
+        Decision::Refuse(refusal) => Err(refusal),
+        Decision::Replay(answer) => deliver(answer, Duration::ZERO, output).await,
+        Decision::Run => {
+            let report = Report { gate, key: Some(naming.id()) };
+            let arrived = attempt.arrived;
+            let (answer, busy) = run(sidecar, attempt, registration, report).await?;
+            let usage = deliver(answer, busy, output).await?;
+            Ok(Usage { queued: arrived.elapsed().saturating_sub(busy), ..usage })
+        }
+    }
+}
+
+async fn run(
+    sidecar: &Sidecar,
+    attempt: Attempt,
+    registration: &Registration,
+    report: Report<'_>,
+) -> Result<(Answer, Duration), Refusal> {
+    let mut whole = Output::Whole(Vec::new());
+    // The sender lives as long as the run, so a cancel does not stop what has been dispatched.
+    let (_uncancelled, cancel) = oneshot::channel();
+    let attempt = Attempt { grace: RUN_GRACE, ..attempt };
+    let result = run_attempt(sidecar, attempt, registration, cancel, &mut whole).await;
+    match (result, whole) {
+        (Ok(usage), Output::Whole(pieces)) => {
+            let answer = Answer { payload: pieces.concat().into(), cost: usage.cost };
+            report.finish(Outcome::Answered(answer.clone()));
+            Ok((answer, usage.busy))
+        }
+        (Err(refusal), _) => {
+            let not_run = refusal.execution == Execution::NotRun;
+            report.finish(if not_run { Outcome::NotRun } else { Outcome::Unknown });
+            Err(refusal)
+        }
+        (Ok(_), Output::Frames(_)) => Err(Refusal::unknown(RefusalCode::Failed)),
+    }
+}
+
+async fn deliver(answer: Answer, busy: Duration, output: &mut Output) -> Result<Usage, Refusal> {
+    let payload = bytes::Bytes::copy_from_slice(&answer.payload);
+    let delivered = output.deliver(Chunk { payload, tokens: 0 }).await;
+    delivered.map_err(|Gone| Refusal::unknown(RefusalCode::Cancelled))?;
+    Ok(Usage { queued: Duration::ZERO, busy, cost: answer.cost })
+}
--- /dev/null
+++ b/src/limpetmux/sidecar/once/service.rs
@@ -0,0 +1,77 @@
+//! The gRPC face of the gate.
+
+use super::{Naming, OnceGate, convert};
+use crate::adapters::log::{LogClient, Stream};
+use crate::core::once::{HostId, Incarnation, Record};
+use crate::core::revision::Offset;
+use crate::wire::once;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use tonic::{Request, Response, Status};
+
+/// The longest time that a look-up waits for a run to end.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// Answers other hosts and entries.
+pub struct OnceService {
+    gate: Arc<OnceGate>,
+    log: LogClient,
+}
+
+impl OnceService {
+    /// Creates the service of a gate.
+    pub fn new(gate: Arc<OnceGate>, log: LogClient) -> Self {
+        Self { gate, log }
+    }
+}
+
+#[tonic::async_trait]
+impl once::once_server::Once for OnceService {
+    async fn promise(
+        &self,
+        request: Request<once::PromiseRequest>,
+    ) -> Result<Response<once::PromiseReply>, Status> {
+        let request = request.into_inner();
+        let home = request.home.ok_or_else(|| Status::invalid_argument("the home is missing"))?;
+        let (id, process) = (HostId(home.host), Incarnation(home.incarnation));
+        let now = self.gate.time().now;
+        let promise = self.gate.lock().node.promise(id, process, Offset(request.read), now);
+        Ok(Response::new(once::PromiseReply { granted: promise.is_ok() }))
+    }
+
+    async fn forward_claims(
+        &self,
+        request: Request<once::ForwardClaimsRequest>,
+    ) -> Result<Response<once::ForwardClaimsReply>, Status> {
+        let record = request.into_inner().record;
+        if !matches!(Record::decode(&record), Ok(Record::Claims { .. })) {
+            return Err(Status::invalid_argument("only claims are forwarded"));
+        }
+        let appended = (self.log.append)(Stream::Claims, record).await.is_ok();
+        Ok(Response::new(once::ForwardClaimsReply { appended }))
+    }
+
+    async fn hand_over(
+        &self,
+        _request: Request<once::HandOverRequest>,
+    ) -> Result<Response<once::HandOverReply>, Status> {
+        Ok(Response::new(once::HandOverReply { accepted: false }))
+    }
+
+    async fn look_up(
+        &self,
+        request: Request<once::LookUpRequest>,
+    ) -> Result<Response<once::LookUpReply>, Status> {
+        let request = request.into_inner();
+        let naming = Naming {
+            workspace: &request.workspace,
+            pipeline: &request.pipeline,
+            stage: u8::try_from(request.stage).unwrap_or(u8::MAX),
+            key: &request.key,
+        };
+        let wait = Duration::from_micros(request.wait_us).min(MAX_WAIT);
+        let known = self.gate.look_up(naming, Instant::now() + wait).await;
+        Ok(Response::new(convert::known(known)))
+    }
+}
--- /dev/null
+++ b/src/limpetmux/sidecar/once/tasks.rs
@@ -0,0 +1,201 @@
+//! The tasks of the gate: reading the claims stream, claiming, promises and takeovers.
+
+use super::{OnceGate, convert};
+use crate::adapters::log::{LogClient, LogError, LogPage, Stream};
+use crate::claims::{self, Pace, Source};
+use crate::core::once::{HostId, Record};
+use crate::core::revision::Offset;
+use crate::event;
+use crate::util::clock;
+use crate::util::event::EventCode;
+use crate::wire::once;
+use futures::FutureExt;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+/// How long a read waits for the next record.
+const READ_WAIT: Duration = Duration::from_secs(1);
+/// The time between two reads while the log cannot be reached.
+const READ_RETRY: Duration = Duration::from_millis(100);
+/// The time between two rounds of promises and takeovers; far below a promise's length.
+const ROUND: Duration = Duration::from_millis(250);
+/// The number of rounds without an answer after which a home counts as dead.
+const DEAD_ROUNDS: u32 = 4;
+
+/// Starts all tasks; each ends once the gate is dropped.
+pub(super) fn spawn(gate: &Arc<OnceGate>, log: LogClient, pace: Pace) {
+    tokio::spawn(read(Arc::downgrade(gate), log.clone()));
+    tokio::spawn(promises(Arc::downgrade(gate)));
+    tokio::spawn(takeovers(Arc::downgrade(gate), log.clone()));
+    let source = source(gate);
+    let weak = Arc::downgrade(gate);
+    tokio::spawn(async move {
+        tokio::select! {
+            () = claims::run(log, source, pace) => {}
+            () = dropped(weak) => {}
+        }
+    });
+}
+
+async fn dropped(gate: Weak<OnceGate>) {
+    while gate.strong_count() > 0 {
+        tokio::time::sleep(ROUND).await;
+    }
+}
+
+fn source(gate: &Arc<OnceGate>) -> Source {
+    let (taker, forwarder) = (Arc::downgrade(gate), Arc::downgrade(gate));
+    Source {
+        take: Arc::new(move |most| taker.upgrade()?.lock().node.claims(most)),
+        due: Arc::clone(&gate.due),
+        forward: Arc::new(move |data| forward(forwarder.clone(), data).boxed()),
+    }
+}
+
+/// Sends a record through the first successor that reaches the log.
+async fn forward(gate: Weak<OnceGate>, record: Vec<u8>) -> bool {
+    let Some(gate) = gate.upgrade() else { return false };
+    let peers: Vec<HostId> = gate.lock().wanted.iter().copied().collect();
+    for peer in peers {
+        let Some(mut client) = gate.peers.client(&gate.view.load(), peer) else { continue };
+        let request = once::ForwardClaimsRequest { record: record.clone() };
+        if client.forward_claims(request).await.is_ok_and(|r| r.into_inner().appended) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Follows the claims stream.
+async fn read(gate: Weak<OnceGate>, log: LogClient) {
+    let mut from = Offset::default();
+    let mut wait = Duration::ZERO;
+    while gate.strong_count() > 0 {
+        let page = (log.read)(Stream::Claims, from, wait).await;
+        let Some(gate) = gate.upgrade() else { return };
+        match gate.take_page(page, from) {
+            Some(next) => {
+                from = next;
+                wait = READ_WAIT;
+            }
+            None => {
+                wait = Duration::ZERO;
+                drop(gate);
+                tokio::time::sleep(READ_RETRY).await;
+            }
+        }
+    }
+}
+
+impl OnceGate {
+    /// Takes in a page of the claims stream; returns where to read on, or `None` after a failure.
+    fn take_page(&self, page: Result<LogPage, LogError>, from: Offset) -> Option<Offset> {
+        let mut inner = self.lock();
+        let was_reachable = inner.node.is_reachable();
+        inner.node.log_reachable(page.is_ok());
+        if was_reachable != page.is_ok() {
+            event!(EventCode::ClaimsLogChanged, reachable = page.is_ok());
+        }
+        let page = page.ok()?;
+        let mut next = from.max(page.first);
+        for record in &page.records {
+            next = record.offset.next();
+            match Record::decode(&record.data) {
+                Ok(decoded) => {
+                    let actions = inner.node.observe(record.offset, &decoded, self.time());
+                    self.apply(&mut inner, actions);
+                }
+                Err(error) => event!(EventCode::ClaimUnreadable, error = error),
+            }
+        }
+        if next >= page.end {
+            inner.node.read_to_end();
+        }
+        inner.node.sweep(self.time().wall);
+        drop(inner);
+        self.wake();
+        Some(next)
+    }
+}
+
+/// Keeps the promises of successors alive while the log cannot be reached.
+async fn promises(gate: Weak<OnceGate>) {
+    loop {
+        tokio::time::sleep(ROUND).await;
+        let Some(gate) = gate.upgrade() else { return };
+        gate.note_successors();
+        let wanted: Vec<HostId> = {
+            let inner = gate.lock();
+            let needed = !inner.node.is_reachable();
+            inner.wanted.iter().copied().filter(|_| needed).collect()
+        };
+        for successor in wanted {
+            gate.ask(successor).await;
+        }
+    }
+}
+
+impl OnceGate {
+    /// Counts all other hosts of the service in other zones as successors of some key.
+    fn note_successors(&self) {
+        let view = self.view.load();
+        let Some(host) = view.host(self.host.as_str()) else { return };
+        let row = &view.hosts[host];
+        let others = view.services[row.service].hosts.iter().map(|h| &view.hosts[*h]);
+        let ids = others.filter(|h| h.zone != row.zone).map(|h| HostId::of(h.name.as_str()));
+        self.lock().wanted = ids.collect();
+    }
+
+    async fn ask(&self, successor: HostId) {
+        let Some(mut client) = self.peers.client(&self.view.load(), successor) else { return };
+        let sent = clock::now();
+        let request = {
+            let node = &self.lock().node;
+            let home = convert::process(HostId::of(self.host.as_str()), node.incarnation());
+            once::PromiseRequest { home: Some(home), read: node.position().0 }
+        };
+        let reply = client.promise(request).await;
+        if reply.is_ok_and(|r| r.into_inner().granted) {
+            self.lock().node.promised(successor, sent);
+        }
+    }
+
+    /// Returns whether a host's sidecar answers.
+    async fn is_alive(&self, host: HostId) -> bool {
+        let Some(mut client) = self.peers.client(&self.view.load(), host) else { return false };
+        client.look_up(once::LookUpRequest::default()).await.is_ok()
+    }
+}
+
+/// Takes over from homes that do not answer and for which requests arrive here, and renews.
+async fn takeovers(gate: Weak<OnceGate>, log: LogClient) {
+    let mut silent = std::collections::BTreeMap::<HostId, u32>::new();
+    loop {
+        tokio::time::sleep(ROUND).await;
+        let Some(gate) = gate.upgrade() else { return };
+        let missing: Vec<HostId> = gate.lock().missing.iter().copied().collect();
+        for home in missing {
+            let rounds = silent.entry(home).or_default();
+            *rounds = if gate.is_alive(home).await { 0 } else { *rounds + 1 };
+            let held = gate.lock().node.holds(home, clock::now());
+            if *rounds == 0 && !held {
+                gate.lock().missing.remove(&home);
+            } else if *rounds >= DEAD_ROUNDS && !held {
+                gate.take_over(home, &log).await;
+            }
+        }
+    }
+}
+
+impl OnceGate {
+    async fn take_over(&self, home: HostId, log: &LogClient) {
+        let record = self.lock().node.take_over(home, clock::now());
+        let Some(data) = record.and_then(|r| r.encode().ok()) else { return };
+        event!(EventCode::TakeoverAppended, home = home.0);
+        if let Err(error) = (log.append)(Stream::Claims, data).await
+            && !error.may_have_appended()
+        {
+            self.lock().node.takeover_failed(home);
+        }
+    }
+}
--- a/src/limpetmux/sidecar/run.rs
+++ b/src/limpetmux/sidecar/run.rs
@@ -18,6 +18,8 @@
     pub admitted: Admitted,
     /// When the request's time is over.
     pub deadline: Instant,
+    /// How long a call that was made may go on after the deadline, to learn its outcome.
+    pub grace: Duration,
     /// When the attempt arrived.
     pub arrived: Instant,
 }
@@ -56,7 +58,7 @@
     let result = tokio::select! {
         result = call(sidecar, attempt.job, output) => result,
         _ = &mut cancel => Err(Refusal::unknown(RefusalCode::Cancelled)),
-        () = tokio::time::sleep_until(attempt.deadline) => {
+        () = tokio::time::sleep_until(attempt.deadline + attempt.grace) => {
             Err(Refusal::unknown(RefusalCode::Deadline))
         }
     };
--- a/src/limpetmux/sidecar/service.rs
+++ b/src/limpetmux/sidecar/service.rs
@@ -1,5 +1,6 @@
 //! The gRPC face of the sidecar.
 
+use super::once::run_once;
 use super::output::FrameResult;
 use super::{Attempt, FrameWriter, Output, Sidecar, Usage, run_attempt};
 use crate::adapters::backend::Job;
@@ -99,14 +100,21 @@
         key,
         kind: admitted.service.kind,
         model: admitted.service.model.clone(),
-        input: request.input,
-        prefix: request.prefix,
+        input: request.input.clone(),
+        prefix: request.prefix.clone(),
         tokens: request.max_tokens,
         priority: request.priority,
         fence: None,
     };
-    let attempt = Attempt { job, admitted, deadline, arrived };
-    run_attempt(sidecar, attempt, &registration, cancel, output).await
+    let repeatable = admitted.service.idempotent;
+    let attempt = Attempt { job, admitted, deadline, grace: Duration::ZERO, arrived };
+    if repeatable {
+        return run_attempt(sidecar, attempt, &registration, cancel, output).await;
+    }
+    let gate = sidecar.once().ok_or(Refusal::not_run(RefusalCode::Unavailable))?;
+    let idempotency = request.idempotency.as_ref();
+    let idempotency = idempotency.ok_or(Refusal::not_run(RefusalCode::BadRequest))?;
+    run_once(sidecar, gate, (&request, idempotency), attempt, &registration, output).await
 }
 
 fn done(usage: Usage, load: stage::Load) -> stage::Done {
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -65,6 +65,15 @@
     RequestRefused = 200,
 
     // 3xx: idempotency keys.
+    /// The claims stream of the platform log became reachable or unreachable.
+    #[strum(props(level = "warn"))]
+    ClaimsLogChanged = 300,
+    /// A record of the claims stream cannot be read or written.
+    #[strum(props(level = "error"))]
+    ClaimUnreadable = 301,
+    /// A takeover of a home's keys was appended to the log.
+    #[strum(props(level = "warn"))]
+    TakeoverAppended = 302,
 
     // 4xx: hosts and shutdown.
     /// The state of a host has changed.
--- a/src/limpetmux/wire/mod.rs
+++ b/src/limpetmux/wire/mod.rs
@@ -22,3 +22,9 @@
 pub mod peer;
 
 pub mod convert;
+
+/// At-most-once execution.
+#[allow(missing_docs, clippy::all, clippy::pedantic, rust_2018_idioms)]
+#[rustfmt::skip]
+#[path = "gen/limpetmux.once.v1.rs"]
+pub mod once;
