Merge the at-most-once gate into path; tell outcomes by key

Fits the entry's side of the gate to attempts tracked per request, serves the once service in both roles and adds GET /v1/workspaces/{workspace}/outcomes/{key}. A reused key with another body is a 422; stages before the one under the key have run by then, so it says partly_run; a check before the first stage is still to come.

--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod fake_log;
 pub mod http;
+pub mod once;
 pub mod policy;
 pub mod sized;
 
--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -3,7 +3,7 @@
 use super::order::Parts;
 use super::pipeline::{self, Answer};
 use super::problem::Problem;
-use super::{Entry, Fleet, InFlight, Order, OrderError, Trailer, stream};
+use super::{Entry, Fleet, InFlight, Order, OrderError, Trailer, outcomes, stream};
 use crate::core::frames::RequestId;
 use crate::core::verdict::{Refusal, RefusalCode};
 use crate::event;
@@ -31,6 +31,7 @@
 pub(super) fn routes(entry: Arc<Entry>) -> AddDataEndpoint<Route, Arc<Entry>> {
     Route::new()
         .at("/v1/workspaces/:workspace/pipelines/:pipeline/runs", post(run))
+        .at("/v1/workspaces/:workspace/outcomes/:key", get(outcome))
         .at("/healthz", get(health))
         .at("/readyz", get(ready))
         .data(entry)
@@ -90,6 +91,14 @@
     }
 }
 
+#[handler]
+async fn outcome(
+    Path((workspace, key)): Path<(String, String)>,
+    Data(entry): Data<&Arc<Entry>>,
+) -> Response {
+    outcomes::respond(entry, &workspace, &key).await
+}
+
 fn reject(entry: &Entry, error: &OrderError) -> Response {
     entry.counters.rejected.fetch_add(1, Ordering::Relaxed);
     entry.metrics.count(Metric::RequestsRejected, 1, &[]);
--- a/src/limpetmux/entry/order.rs
+++ b/src/limpetmux/entry/order.rs
@@ -70,6 +70,9 @@
     /// The pipeline has a stage that may not be repeated and the request has no key.
     #[error("this pipeline needs an `Idempotency-Key` header")]
     KeyMissing,
+    /// No run under the idempotency key is known.
+    #[error("no run under this idempotency key is known")]
+    KeyUnknown,
     /// The idempotency key is empty, too long or not printable ASCII.
     #[error("`Idempotency-Key` must have 1 to {limit} printable ASCII characters")]
     Key {
@@ -83,7 +86,7 @@
     pub fn status(&self) -> u16 {
         match self {
             Self::Oversize { .. } => 413,
-            Self::Workspace { .. } | Self::Pipeline { .. } => 404,
+            Self::Workspace { .. } | Self::Pipeline { .. } | Self::KeyUnknown => 404,
             _ => 400,
         }
     }
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -5,6 +5,7 @@
 //! stage starts again. A short idempotent stage that is late gets one hedge.
 
 use super::attempt::{AttemptError, is_retryable, run_attempt};
+use super::once::run_stage_once;
 use super::pipeline::Run;
 use super::policy::Picked;
 use super::stream::TokenSink;
@@ -60,7 +61,7 @@
 }
 
 impl Scene<'_> {
-    fn spec(&self) -> &ServiceSpec {
+    pub(super) fn spec(&self) -> &ServiceSpec {
         &self.run.fleet.view.services[self.row.service].spec
     }
 
@@ -88,7 +89,7 @@
     }
 
     /// Logs a failed attempt, reports a host that cannot be reached, and returns the refusal.
-    fn failed(&self, key: AttemptKey, host: HostKey, error: &AttemptError) -> Refusal {
+    pub(super) fn failed(&self, key: AttemptKey, host: HostKey, error: &AttemptError) -> Refusal {
         let view = &self.run.fleet.view;
         if let (true, Some(membership)) = (error.is_connect(), &self.run.entry.membership) {
             membership.unreachable(view, host);
@@ -105,7 +106,7 @@
     }
 
     /// Passes what a reply tells about a host on to the membership.
-    fn replied(&self, host: HostKey, sent: Moment, load: &stage::Load) {
+    pub(super) fn replied(&self, host: HostKey, sent: Moment, load: &stage::Load) {
         let Some(membership) = self.run.entry.membership.as_ref() else { return };
         let process = ProcessId(load.process);
         membership.replied(&self.run.fleet.view, host, sent, process, load.draining);
@@ -113,7 +114,12 @@
 }
 
 /// Runs one stage to its whole answer.
+///
+/// A stage that may not be repeated runs under the caller's key instead.
 pub(super) async fn run_stage(scene: &Scene<'_>) -> Result<StageRun, Refusal> {
+    if !scene.spec().idempotent {
+        return run_stage_once(scene).await;
+    }
     let service = &scene.run.fleet.view.services[scene.row.service].name;
     scene.run.entry.policy.fresh(scene.flow(), service);
     let (mut pieces, mut tried) = (Vec::new(), Vec::new());
@@ -219,7 +225,11 @@
     Attempted { host, pieces, result }
 }
 
-fn build_request(scene: &Scene<'_>, key: AttemptKey, prefix: &[Bytes]) -> stage::RunRequest {
+pub(super) fn build_request(
+    scene: &Scene<'_>,
+    key: AttemptKey,
+    prefix: &[Bytes],
+) -> stage::RunRequest {
     let (view, order) = (&scene.run.fleet.view, scene.run.order);
     let key_of_caller = order.key.as_ref().filter(|_| !scene.spec().idempotent);
     stage::RunRequest {
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -11,9 +11,10 @@
 use crate::core::config::{
     Change, ChangeId, Config, FORMAT, Name, NameError, Ownership, StageKind, diff,
 };
+use crate::core::once::Rules;
 use crate::core::revision::{Offset, Revision};
 use crate::entry::{Entry, EntryError, EntryOptions, Limits};
-use crate::sidecar::{Sidecar, SidecarOptions};
+use crate::sidecar::{OnceLink, Sidecar, SidecarOptions};
 use crate::util::metrics::Metrics;
 use limpetmux_standins as standins;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -191,6 +192,10 @@
         let client = http_client()?;
         let platform = Platform::start(&planned.iter().map(|p| &p.0).collect::<Vec<_>>()).await?;
         let process = start_process(&platform, &client, &config).await?;
+        // All parts share one clock.
+        let rules = Rules { margin: Duration::ZERO, ..Rules::default() };
+        let once = OnceLink::new(LogClient::http(client.clone(), &platform.log.url()));
+        let once = OnceLink { rules, ..once };
         let (stop, _) = watch::channel(false);
         let mut servers = JoinSet::new();
         let mut hosts = Vec::with_capacity(planned.len());
@@ -201,9 +206,13 @@
                 process: Uuid::new_v4().as_u64_pair().0,
                 view: process.control.view.clone(),
                 backend: Backend::http(client.clone(), &standin.url()),
+                once: Some(once.clone()),
                 metrics: Metrics::none(),
             });
-            let router = grpc().add_service(sidecar.service()).add_service(process.peer_server());
+            let router = grpc()
+                .add_service(sidecar.service())
+                .add_optional_service(sidecar.once_service())
+                .add_service(process.peer_server());
             let server = serve(router, listener, stopped(&stop));
             servers.spawn(async move { drop(server.await) });
             hosts.push(LocalHost { plan, addr, standin, sidecar });
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -15,7 +15,7 @@
 use crate::kernel::KernelError;
 use crate::settings::{EntrySettings, Settings, SidecarSettings};
 use crate::shutdown::{ShutdownHooks, register};
-use crate::sidecar::{Sidecar, SidecarOptions};
+use crate::sidecar::{OnceLink, Sidecar, SidecarOptions};
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::{Metrics, MetricsError};
@@ -177,7 +177,8 @@
         host: settings.name.clone(),
         process: Uuid::new_v4().as_u64_pair().0,
         view: process.control.view.clone(),
-        backend: Backend::http(client, &own.backend),
+        backend: Backend::http(client.clone(), &own.backend),
+        once: Some(OnceLink::new(LogClient::http(client, &settings.platform.log))),
         metrics: metrics(settings)?,
     });
     let options = ShutdownOptions { deadline: settings.grace, ..ShutdownOptions::SIDECAR };
@@ -185,6 +186,7 @@
     let status = sidecar_status(settings, &process, &sidecar);
     let router = grpc()
         .add_service(sidecar.service())
+        .add_optional_service(sidecar.once_service())
         .add_service(process.peer_server())
         .add_service(AdminService::server(port, status));
     let (stop, _) = watch::channel(false);
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -9,6 +9,7 @@
 mod admit;
 mod attempts;
 mod gate;
+pub mod once;
 mod output;
 mod probe;
 mod run;
@@ -21,11 +22,16 @@
 pub use run::{Attempt, Usage, run_attempt};
 pub use service::StageService;
 
+use self::once::{OnceGate, OnceOptions, OnceService};
 use crate::adapters::backend::Backend;
+use crate::adapters::log::LogClient;
+use crate::claims::Pace;
 use crate::core::config::Name;
+use crate::core::once::Rules;
 use crate::core::view::View;
 use crate::kernel::Published;
 use crate::util::metrics::Metrics;
+use crate::wire::once::once_server::OnceServer;
 use crate::wire::stage;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Weak};
@@ -42,6 +48,26 @@
     pub backend: Backend,
     /// Where metrics go.
     pub metrics: Metrics,
+    /// What stages that may run at most once need; without it they are refused.
+    pub once: Option<OnceLink>,
+}
+
+/// How a sidecar keeps idempotency keys.
+#[derive(Clone)]
+pub struct OnceLink {
+    /// The platform log.
+    pub log: LogClient,
+    /// Times and bounds of the protocol.
+    pub rules: Rules,
+    /// The pace of claims.
+    pub pace: Pace,
+}
+
+impl OnceLink {
+    /// Uses the log with the usual rules and pace.
+    pub fn new(log: LogClient) -> Self {
+        Self { log, rules: Rules::default(), pace: Pace::default() }
+    }
 }
 
 /// The state of one sidecar, shared by all its requests.
@@ -52,6 +78,7 @@
     pub(crate) metrics: Metrics,
     process: u64,
     running: AtomicU32,
+    pub(crate) once: Option<(Arc<OnceGate>, LogClient)>,
 }
 
 impl Sidecar {
@@ -59,7 +86,14 @@
     ///
     /// The probe ends when the sidecar is dropped.
     pub fn start(options: SidecarOptions) -> Arc<Self> {
+        let once = options.once.map(|link| {
+            let (host, view) = (options.host.clone(), options.view.clone());
+            let OnceLink { log, rules, pace } = link;
+            let gate = OnceGate::start(OnceOptions { host, view, log: log.clone(), rules, pace });
+            (gate, log)
+        });
         let sidecar = Arc::new(Self {
+            once,
             backend: options.backend,
             gate: Gate::new(options.host, options.view),
             attempts: Attempts::default(),
@@ -92,6 +126,17 @@
         stage::Load { process: self.process, ..self.gate.load().into() }
     }
 
+    /// Returns the gRPC service of idempotency keys, if the sidecar keeps any.
+    pub fn once_service(&self) -> Option<OnceServer<OnceService>> {
+        let (gate, log) = self.once.as_ref()?;
+        Some(OnceServer::new(OnceService::new(Arc::clone(gate), log.clone())))
+    }
+
+    /// Returns the gate of idempotency keys, if the sidecar keeps any.
+    pub fn once(&self) -> Option<&Arc<OnceGate>> {
+        self.once.as_ref().map(|(gate, _)| gate)
+    }
+
     /// Returns the gate, which knows the load and whether the sidecar is draining.
     pub fn gate(&self) -> &Gate {
         &self.gate
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod frames;
 mod kernel;
 mod membership;
+mod once_explore;
 mod path;
 mod planner;
 mod requests;
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -201,3 +201,28 @@
     assert_eq!(started(&local), 0);
     local.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn key_used_twice_runs_once_and_its_outcome_can_be_asked_for() {
+    let (local, caller) = start().await;
+    let body = json!({ "input": { "key": "port-1", "number": "+63 2 8123 4567" } });
+    let key = uuid::Uuid::now_v7().to_string();
+
+    let first = caller.run_once("porting", "number-port", &key, &body).await;
+    let second = caller.run_once("porting", "number-port", &key, &body).await;
+    let other = json!({ "input": { "key": "port-2" } });
+    let reused = caller.run_once("porting", "number-port", &key, &other).await;
+    let outcome = caller.get(&format!("/v1/workspaces/porting/outcomes/{key}")).await;
+    let absent = caller.get("/v1/workspaces/porting/outcomes/never-used").await;
+
+    assert_eq!(first.status, 200, "{}", first.body);
+    assert_eq!(second.body["output"], first.body["output"]);
+    assert_eq!(problem(&reused), (422, "key_reused", "partly_run"));
+    assert_eq!(outcome.body["outcomes"][0]["state"], json!("answered"));
+    assert_eq!(outcome.body["outcomes"][0]["output"], first.body["output"]);
+    assert_eq!(absent.status, 404);
+    let ports = local.hosts.iter().filter(|h| h.plan.service.as_str() == "provisioning");
+    let runs: u64 = ports.map(|h| h.standin.backend().counts().started).sum();
+    assert_eq!(runs, 1);
+    local.stop().await;
+}
