--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -3,9 +3,11 @@
 //! `cargo run -p xtask -- codegen` compiles `proto/*.proto` into `src/limpetmux/wire/gen/`, whose
 //! files are committed so that neither the build nor CI runs a generator.
 //! `cargo run --release -p xtask -- load` sends requests at a fixed rate and writes a report.
+//! `cargo run --release -p xtask -- policy` prints the policy's tables of `docs/MEASUREMENTS.md`.
 
 mod codegen;
 mod load;
+mod policy;
 mod power;
 
 use argh::FromArgs;
@@ -22,6 +24,7 @@
 enum Task {
     Codegen(codegen::CodegenArgs),
     Load(load::LoadArgs),
+    Policy(policy::PolicyArgs),
     Power(power::PowerArgs),
 }
 
@@ -30,6 +33,10 @@
     match args.task {
         Task::Codegen(args) => Ok(codegen::exec(args)?),
         Task::Load(args) => Ok(load::exec(args)?),
+        Task::Policy(args) => {
+            policy::exec(&args);
+            Ok(())
+        }
         Task::Power(args) => {
             power::exec(args);
             Ok(())
--- a/src/limpetmux/entry/attempt.rs
+++ b/src/limpetmux/entry/attempt.rs
@@ -37,8 +37,8 @@
         }
     }
 
-    /// Returns whether no connection to the sidecar could be made.
-    pub(super) fn is_connect(&self) -> bool {
+    /// Returns whether no connection could be made.
+    pub(super) fn is_unreachable(&self) -> bool {
         matches!(self, Self::Transport(status) if is_connect(status))
     }
 
@@ -57,7 +57,7 @@
 }
 
 /// Returns whether a call failed because no connection could be made, so it was never sent.
-fn is_connect(status: &Status) -> bool {
+pub(super) fn is_connect(status: &Status) -> bool {
     let mut error = std::error::Error::source(status);
     while let Some(e) = error {
         if e.is::<tonic::ConnectError>() {
@@ -109,8 +109,7 @@
         }
         Ok(Verdict::Refused(refused)) => {
             guard.client = None;
-            let load = refused.load;
-            (Err(AttemptError::Refused(convert::refusal(&refused))), load)
+            (Err(AttemptError::Refused(convert::refusal(&refused))), refused.load)
         }
         Ok(Verdict::Broken(fault)) => (Err(fault.into()), None),
         Ok(Verdict::Deliver(_) | Verdict::Ignore) => (Err(AttemptError::CallerGone), None),
--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -71,6 +71,7 @@
     request: &Request,
     body: Body,
 ) -> Response {
+    let inflight = InFlight::begin(entry);
     if let Some(code) = entry.closed() {
         let refusal = Refusal::not_run(code).retry_in(NOT_READY_RETRY);
         return refuse(entry, refusal, None);
@@ -85,7 +86,7 @@
         Err(error) => Err(error),
     };
     match order {
-        Ok(order) if order.stream => stream::respond(Arc::clone(entry), fleet, order),
+        Ok(order) if order.stream => stream::respond(inflight, fleet, order),
         Ok(order) => answer_whole(entry, &fleet, &order).await,
         Err(error) => reject(entry, &error),
     }
@@ -162,7 +163,6 @@
 }
 
 async fn answer_whole(entry: &Arc<Entry>, fleet: &Fleet, order: &Order) -> Response {
-    let _inflight = InFlight::begin(entry);
     let answer = match pipeline::run(entry, fleet, order, None).await {
         Ok(answer) => answer,
         Err(refusal) => return refuse(entry, refusal, Some(order.id)),
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod http;
 mod link;
+mod members;
 mod once;
 mod order;
 mod outcomes;
@@ -25,6 +26,7 @@
 pub use answer::{StageTrailer, Trailer};
 pub use fleet::Fleet;
 pub use link::Link;
+pub use members::Members;
 pub use order::{Limits, Order, OrderError};
 pub use problem::Problem;
 
@@ -35,7 +37,6 @@
 use crate::core::verdict::RefusalCode;
 use crate::core::view::View;
 use crate::kernel::Published;
-use crate::membership::Reporter;
 use crate::util::metrics::Metrics;
 use crate::util::throttle::Throttle;
 use policy::Policy;
@@ -54,8 +55,8 @@
     pub ordinal: u32,
     /// The configuration in force.
     pub view: Published<View>,
-    /// The states of hosts, if the process follows them.
-    pub membership: Option<Reporter>,
+    /// What is known of hosts beside the configuration.
+    pub members: Members,
     /// The limits on callers' requests.
     pub limits: Limits,
     /// Where metrics go.
@@ -68,10 +69,9 @@
     pub(crate) fleet: Published<Fleet>,
     pub(crate) limits: Limits,
     pub(crate) counters: Counters,
-    pub(crate) membership: Option<Reporter>,
     pub(crate) metrics: Metrics,
     pub(crate) refusals: Throttle,
-    ready: AtomicBool,
+    unready: AtomicBool,
     draining: AtomicBool,
     inflight: AtomicU32,
 }
@@ -106,13 +106,12 @@
     pub fn start(options: EntryOptions) -> Result<Arc<Self>, EntryError> {
         let entry = Arc::new(Self {
             policy: Policy::new(&options)?,
-            fleet: fleet::follow(options.view),
+            fleet: fleet::follow(options.view, options.members),
             limits: options.limits,
             counters: Counters::default(),
-            membership: options.membership,
             metrics: options.metrics,
             refusals: Throttle::default(),
-            ready: AtomicBool::new(true),
+            unready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             inflight: AtomicU32::new(0),
         });
@@ -133,9 +132,9 @@
         http::serve(self, listener, stop, grace).await.map_err(EntryError::Serve)
     }
 
-    /// Tells the balancer to send or not to send requests; what arrives is still accepted.
-    pub fn set_ready(&self, ready: bool) {
-        self.ready.store(ready, Ordering::Release);
+    /// Answers readiness checks with "not ready", while new requests are still accepted.
+    pub fn set_unready(&self) {
+        self.unready.store(true, Ordering::Release);
     }
 
     /// Stops or resumes the acceptance of new requests; readiness follows at once.
@@ -145,7 +144,12 @@
 
     /// Returns whether the balancer should send requests.
     pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Acquire) && self.closed().is_none()
+        self.accepts() && !self.unready.load(Ordering::Acquire)
+    }
+
+    /// Returns whether the entry accepts new requests.
+    pub fn accepts(&self) -> bool {
+        self.closed().is_none()
     }
 
     /// Returns why no request is accepted now, if so.
@@ -181,6 +185,10 @@
         entry.inflight.fetch_add(1, Ordering::Relaxed);
         Self(Arc::clone(entry))
     }
+
+    pub(crate) fn entry(&self) -> &Arc<Entry> {
+        &self.0
+    }
 }
 
 impl Drop for InFlight {
--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -92,11 +92,11 @@
     };
     let open = scene.run.progress.begin(false);
     let sent = clock::now();
-    let link = &scene.run.fleet.links[host];
+    let fleet = scene.run.fleet;
     let request = build_request(scene, key, &[]);
-    let (result, load) = run_attempt(link, key, request, deliver).await;
+    let (result, load) = run_attempt(&fleet.links[host], key, request, deliver).await;
     if let Some(load) = load {
-        scene.replied(host, sent, &load);
+        fleet.members.replied(&fleet.view, host, sent, &load);
     }
     let attempts = number + 1;
     let error = match result {
--- a/src/limpetmux/entry/probe.rs
+++ b/src/limpetmux/entry/probe.rs
@@ -1,7 +1,7 @@
 //! Keeps the picture of hosts fresh that the entry has not heard of lately.
 
 use super::Entry;
-use crate::core::membership::ProcessId;
+use super::attempt::is_connect;
 use crate::util::clock;
 use crate::wire::stage::ProbeRequest;
 use std::sync::Weak;
@@ -35,12 +35,15 @@
             let Some(mut client) = fleet.links[host].client() else { return };
             let sent = clock::now();
             let answer = tokio::time::timeout(PROBE_TIMEOUT, client.probe(ProbeRequest {})).await;
-            let Ok(Ok(load)) = answer else { return };
-            let load = load.into_inner();
-            policy.observe(&fleet.view.hosts[host].name, (&load).into());
-            if let Some(membership) = &entry.membership {
-                let process = ProcessId(load.process);
-                membership.replied(&fleet.view, host, sent, process, load.draining);
+            match answer {
+                Ok(Ok(load)) => {
+                    policy.observe(&fleet.view.hosts[host].name, load.get_ref().into());
+                    fleet.members.replied(&fleet.view, host, sent, load.get_ref());
+                }
+                Ok(Err(status)) if is_connect(&status) => {
+                    fleet.members.unreachable(&fleet.view, host);
+                }
+                Ok(Err(_)) | Err(_) => {}
             }
         }
     });
--- a/src/limpetmux/entry/stream.rs
+++ b/src/limpetmux/entry/stream.rs
@@ -5,7 +5,7 @@
 
 use super::pipeline::{self, Answer};
 use super::problem::Problem;
-use super::{Entry, Fleet, InFlight, Order, Trailer, http};
+use super::{Fleet, InFlight, Order, Trailer, http};
 use crate::util::hash::hash_bytes;
 use bytes::Bytes;
 use futures::StreamExt;
@@ -59,10 +59,10 @@
 }
 
 /// Starts a request and returns its events; the request is cancelled when the caller goes.
-pub(super) fn respond(entry: Arc<Entry>, fleet: Arc<Fleet>, order: Order) -> Response {
+pub(super) fn respond(inflight: InFlight, fleet: Arc<Fleet>, order: Order) -> Response {
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE);
     let sink = TokenSink(sender);
-    let task = AbortOnDrop(tokio::spawn(run(entry, fleet, order, sink)));
+    let task = AbortOnDrop(tokio::spawn(run(inflight, fleet, order, sink)));
     let events = ReceiverStream::new(receiver).map(move |event| {
         let _owner = &task;
         event
@@ -70,15 +70,15 @@
     SSE::new(events).into_response()
 }
 
-async fn run(entry: Arc<Entry>, fleet: Arc<Fleet>, order: Order, sink: TokenSink) {
-    let _inflight = InFlight::begin(&entry);
-    match pipeline::run(&entry, &fleet, &order, Some(&sink)).await {
+async fn run(inflight: InFlight, fleet: Arc<Fleet>, order: Order, sink: TokenSink) {
+    let entry = inflight.entry();
+    match pipeline::run(entry, &fleet, &order, Some(&sink)).await {
         Ok(answer) => {
-            http::note_answer(&entry, &fleet, &order, &answer.trailer);
+            http::note_answer(entry, &fleet, &order, &answer.trailer);
             finish(&sink, answer).await;
         }
         Err(refusal) => {
-            http::note_refusal(&entry, refusal, Some(order.id));
+            http::note_refusal(entry, refusal, Some(order.id));
             sink.event("error", &Problem::of_refusal(refusal, Some(order.id))).await;
         }
     }
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -1,9 +1,9 @@
 //! A whole small deployment in one process: stand-ins, sidecars and an entry on loopback.
 
 use super::deployment::{COLD, CONCURRENCY, Deployment, PlannedHost, WARMUP};
-use super::process::{Process, ProcessError, ProcessOptions};
 use super::role::{http_client, stopped};
 use super::server::{ServeError, bind, grpc, serve};
+use super::services::{Services, ServicesError, ServicesOptions};
 use crate::adapters::backend::Backend;
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::{LogClient, LogError, Stream};
@@ -13,7 +13,7 @@
 };
 use crate::core::once::Rules;
 use crate::core::revision::{Offset, Revision};
-use crate::entry::{Entry, EntryError, EntryOptions, Limits};
+use crate::entry::{Entry, EntryError, EntryOptions, Limits, Members};
 use crate::sidecar::{OnceLink, Sidecar, SidecarOptions};
 use crate::util::metrics::Metrics;
 use limpetmux_standins as standins;
@@ -52,7 +52,7 @@
     /// The control services do not start.
     #[error(transparent)]
     #[diagnostic(transparent)]
-    Process(#[from] ProcessError),
+    Services(#[from] ServicesError),
     /// The declared configuration cannot be encoded.
     #[error("the declared configuration cannot be encoded")]
     Record(#[from] RecordError),
@@ -128,7 +128,7 @@
     /// The platform.
     pub platform: Platform,
     /// The control services that all parts share.
-    pub process: Process,
+    pub services: Services,
     /// The configuration that was declared at the start.
     pub config: Config,
     stop: watch::Sender<bool>,
@@ -191,7 +191,7 @@
         let config = options.deployment.config(addresses)?;
         let client = http_client()?;
         let platform = Platform::start(&planned.iter().map(|p| &p.0).collect::<Vec<_>>()).await?;
-        let process = start_process(&platform, &client, &config).await?;
+        let services = start_services(&platform, &client, &config).await?;
         // All parts share one clock.
         let rules = Rules { margin: Duration::ZERO, ..Rules::default() };
         let once = OnceLink::new(LogClient::http(client.clone(), &platform.log.url()));
@@ -203,8 +203,7 @@
             let standin = StandIn::start(plan.kind).await?;
             let sidecar = Sidecar::start(SidecarOptions {
                 host: plan.name.clone(),
-                process: Uuid::new_v4().as_u64_pair().0,
-                view: process.control.view.clone(),
+                view: services.control.view.clone(),
                 backend: Backend::http(client.clone(), &standin.url()),
                 once: Some(once.clone()),
                 metrics: Metrics::none(),
@@ -212,7 +211,7 @@
             let router = grpc()
                 .add_service(sidecar.service())
                 .add_optional_service(sidecar.once_service())
-                .add_service(process.peer_server());
+                .add_service(services.peer_server());
             let server = serve(router, listener, stopped(&stop));
             servers.spawn(async move { drop(server.await) });
             hosts.push(LocalHost { plan, addr, standin, sidecar });
@@ -220,14 +219,14 @@
         let entry = Entry::start(EntryOptions {
             zone: options.deployment.entry_zone()?,
             ordinal: 0,
-            view: process.control.view.clone(),
-            membership: Some(process.membership.clone()),
+            view: services.control.view.clone(),
+            members: Members(Some(services.membership.clone())),
             limits: Limits::default(),
             metrics: Metrics::none(),
         })?;
         let server = Arc::clone(&entry).serve(entry_listener, stopped(&stop), GRACE);
         servers.spawn(async move { drop(server.await) });
-        Ok(Self { entry, addr, hosts, platform, process, config, stop, servers })
+        Ok(Self { entry, addr, hosts, platform, services, config, stop, servers })
     }
 
     /// Returns the base URL of the entry.
@@ -244,21 +243,21 @@
 }
 
 /// Starts the control services and waits until the declared configuration is in force.
-async fn start_process(
+async fn start_services(
     platform: &Platform,
     client: &reqwest::Client,
     config: &Config,
-) -> Result<Process, LocalError> {
+) -> Result<Services, LocalError> {
     let log = LogClient::http(client.clone(), &platform.log.url());
     declare(&log, config).await?;
-    let process = Process::start(ProcessOptions {
+    let services = Services::start(ServicesOptions {
         name: "local",
         log,
         hosts: Some(HostsClient::http(client.clone(), &platform.hosts.url())),
         own: None,
         peers: Vec::new(),
     })?;
-    let mut view = process.control.view.clone();
+    let mut view = services.control.view.clone();
     let known = async {
         while view.load().revision == Revision::EMPTY {
             if !view.changed().await {
@@ -267,7 +266,7 @@
         }
     };
     tokio::time::timeout(CONFIG_TIMEOUT, known).await.map_err(|_| LocalError::Unconfigured)?;
-    Ok(process)
+    Ok(services)
 }
 
 /// Appends the change that declares the whole configuration.
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -1,20 +1,20 @@
-//! Runs one process in its role until it is drained.
+//! Runs one process by its settings until it is drained.
 //!
-//! Both roles follow one plan: bind the listeners, start the control services, register the
-//! shutdown with the role's hooks, serve, and return when the shutdown has ended.
+//! Both roles follow one plan: bind the listeners, start the control services, start the role and
+//! hand both to the [`process`], which ends with the shutdown.
 
-use super::process::{Process, ProcessError, ProcessOptions};
-use super::server::{ServeError, bind, grpc, serve};
+use super::process::{self, EntryListeners, Process, ProcessError, ProcessParts};
+use super::server::{ServeError, bind};
+use super::services::{Services, ServicesError, ServicesOptions};
 use crate::adapters::backend::Backend;
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::LogClient;
-use crate::admin::{AdminService, StatusFn, report};
+use crate::admin::{StatusFn, report};
 use crate::core::shutdown::{DrainReport, ShutdownOptions};
-use crate::entry::{Entry, EntryError, EntryOptions};
+use crate::entry::{Entry, EntryError, EntryOptions, Members};
 use crate::event;
 use crate::kernel::KernelError;
 use crate::settings::{EntrySettings, Settings, SidecarSettings};
-use crate::shutdown::{ShutdownHooks, register};
 use crate::sidecar::{OnceLink, Sidecar, SidecarOptions};
 use crate::util::clock;
 use crate::util::event::EventCode;
@@ -26,7 +26,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use tokio::sync::watch;
-use uuid::Uuid;
 
 /// A process does not start or stops early.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -38,6 +37,10 @@
     /// The control services do not start.
     #[error(transparent)]
     #[diagnostic(transparent)]
+    Services(#[from] ServicesError),
+    /// The process does not run.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
     Process(#[from] ProcessError),
     /// The entry fails.
     #[error(transparent)]
@@ -60,13 +63,13 @@
     reqwest::Client::builder().no_proxy().redirect(reqwest::redirect::Policy::none()).build()
 }
 
-fn start_process(
+fn start_services(
     settings: &Settings,
     own: SocketAddr,
     client: &reqwest::Client,
-) -> Result<Process, ProcessError> {
+) -> Result<Services, ServicesError> {
     let hosts = settings.platform.hosts.as_ref();
-    Process::start(ProcessOptions {
+    Services::start(ServicesOptions {
         name: settings.name.as_str(),
         log: LogClient::http(client.clone(), &settings.platform.log),
         hosts: hosts.map(|url| HostsClient::http(client.clone(), url)),
@@ -92,50 +95,35 @@
 pub async fn run_entry(
     settings: &Settings,
     own: &EntrySettings,
-    signal: impl Future<Output = ()>,
+    signal: impl Future<Output = ()> + Send,
 ) -> Result<DrainReport, RoleError> {
     let (http, http_addr) = bind(own.http).await?;
-    let (listener, grpc_addr) = bind(settings.listen).await?;
-    let client = http_client()?;
-    let process = start_process(settings, grpc_addr, &client)?;
+    let (grpc, grpc_addr) = bind(settings.listen).await?;
+    let services = start_services(settings, grpc_addr, &http_client()?)?;
     let entry = Entry::start(EntryOptions {
         zone: settings.zone.clone(),
         ordinal: own.ordinal,
-        view: process.control.view.clone(),
-        membership: Some(process.membership.clone()),
+        view: services.control.view.clone(),
+        members: Members(Some(services.membership.clone())),
         limits: own.limits(),
         metrics: metrics(settings)?,
     })?;
-    let options = ShutdownOptions { deadline: settings.grace, ..ShutdownOptions::ENTRY };
-    let (shutdown, port) = register(&process.kernel, options, entry_hooks(&entry))?;
-    let status = entry_status(settings, &process, &entry);
-    let router =
-        grpc().add_service(process.peer_server()).add_service(AdminService::server(port, status));
-    let (stop, _) = watch::channel(false);
-    let callers = tokio::spawn(Arc::clone(&entry).serve(http, stopped(&stop), settings.grace));
-    let peers = tokio::spawn(serve(router, listener, stopped(&stop)));
-    event!(EventCode::ListenerReady, address = http_addr);
-    let report = shutdown.run(signal).await;
-    stop.send_replace(true);
-    // The requests have ended; what is left are idle connections.
-    let _ = tokio::time::timeout(ShutdownOptions::ENTRY.flush, callers).await;
-    peers.abort();
-    Ok(report)
-}
-
-fn entry_hooks(entry: &Arc<Entry>) -> ShutdownHooks {
-    let (unready, refuse, running) = (Arc::clone(entry), Arc::clone(entry), Arc::clone(entry));
-    ShutdownHooks {
-        unready: Arc::new(move || unready.set_ready(false)),
-        refuse: Arc::new(move || refuse.set_draining(true)),
-        running: Arc::new(move || running.inflight()),
+    let parts = ProcessParts {
+        kernel: Arc::clone(&services.kernel),
+        times: ShutdownOptions { deadline: settings.grace, ..ShutdownOptions::ENTRY },
         flush: Arc::new(|| async { true }.boxed()),
-    }
+        status: entry_status(settings, &services, &entry),
+    };
+    let peers = services.peer_server();
+    let process = Process::entry(&entry, parts)?.with(|routes| routes.add_service(peers));
+    event!(EventCode::ListenerReady, address = http_addr);
+    let listeners = EntryListeners { http, grpc };
+    Ok(process::run_entry(entry, process, listeners, signal).await?)
 }
 
-fn entry_status(settings: &Settings, process: &Process, entry: &Arc<Entry>) -> Arc<StatusFn> {
+fn entry_status(settings: &Settings, services: &Services, entry: &Arc<Entry>) -> Arc<StatusFn> {
     let (node, zone) = (settings.name.to_string(), settings.zone.to_string());
-    let (control, membership) = (process.control.clone(), process.membership.clone());
+    let (control, membership) = (services.control.clone(), services.membership.clone());
     let entry = Arc::clone(entry);
     Arc::new(move || {
         let view = control.view.load();
@@ -168,49 +156,36 @@
 pub async fn run_sidecar(
     settings: &Settings,
     own: &SidecarSettings,
-    signal: impl Future<Output = ()>,
+    signal: impl Future<Output = ()> + Send,
 ) -> Result<DrainReport, RoleError> {
     let (listener, addr) = bind(settings.listen).await?;
     let client = http_client()?;
-    let process = start_process(settings, addr, &client)?;
+    let services = start_services(settings, addr, &client)?;
     let sidecar = Sidecar::start(SidecarOptions {
         host: settings.name.clone(),
-        process: Uuid::new_v4().as_u64_pair().0,
-        view: process.control.view.clone(),
+        view: services.control.view.clone(),
         backend: Backend::http(client.clone(), &own.backend),
         once: Some(OnceLink::new(LogClient::http(client, &settings.platform.log))),
         metrics: metrics(settings)?,
     });
-    let options = ShutdownOptions { deadline: settings.grace, ..ShutdownOptions::SIDECAR };
-    let (shutdown, port) = register(&process.kernel, options, sidecar_hooks(&sidecar))?;
-    let status = sidecar_status(settings, &process, &sidecar);
-    let router = grpc()
-        .add_service(sidecar.service())
-        .add_optional_service(sidecar.once_service())
-        .add_service(process.peer_server())
-        .add_service(AdminService::server(port, status));
-    let (stop, _) = watch::channel(false);
-    let entries = tokio::spawn(serve(router, listener, stopped(&stop)));
-    let report = shutdown.run(signal).await;
-    stop.send_replace(true);
-    // The attempts have ended; what is left are idle connections.
-    let _ = tokio::time::timeout(ShutdownOptions::SIDECAR.flush, entries).await;
-    Ok(report)
-}
-
-fn sidecar_hooks(sidecar: &Arc<Sidecar>) -> ShutdownHooks {
-    let (refuse, running) = (Arc::clone(sidecar), Arc::clone(sidecar));
-    ShutdownHooks {
-        unready: Arc::new(|| ()),
-        refuse: Arc::new(move || refuse.gate().set_draining(true)),
-        running: Arc::new(move || running.running()),
+    let parts = ProcessParts {
+        kernel: Arc::clone(&services.kernel),
+        times: ShutdownOptions { deadline: settings.grace, ..ShutdownOptions::SIDECAR },
         flush: Arc::new(|| async { true }.boxed()),
-    }
+        status: sidecar_status(settings, &services, &sidecar),
+    };
+    let peers = services.peer_server();
+    let process = Process::sidecar(&sidecar, parts)?.with(|routes| routes.add_service(peers));
+    Ok(process.run(listener, signal).await?)
 }
 
-fn sidecar_status(settings: &Settings, process: &Process, sidecar: &Arc<Sidecar>) -> Arc<StatusFn> {
+fn sidecar_status(
+    settings: &Settings,
+    services: &Services,
+    sidecar: &Arc<Sidecar>,
+) -> Arc<StatusFn> {
     let (node, zone) = (settings.name.to_string(), settings.zone.to_string());
-    let control = process.control.clone();
+    let control = services.control.clone();
     let sidecar = Arc::clone(sidecar);
     Arc::new(move || {
         let revision = control.view.load().revision.0;
@@ -219,7 +194,7 @@
             node: node.clone(),
             role: "sidecar".to_owned(),
             zone: zone.clone(),
-            process: sidecar.process(),
+            process: sidecar.process().0,
             revision,
             newest: control.status.load().revision.0.max(revision),
             running: sidecar.running(),
--- a/src/limpetmux/sidecar/gate.rs
+++ b/src/limpetmux/sidecar/gate.rs
@@ -76,6 +76,11 @@
         self.adopt();
     }
 
+    /// Returns whether the process drains.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
     /// Returns the number of calls that run on the backend server.
     pub fn inflight(&self) -> u32 {
         self.admitter.load().inflight
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -27,12 +27,13 @@
 use crate::adapters::log::LogClient;
 use crate::claims::Pace;
 use crate::core::config::Name;
+use crate::core::membership::ProcessId;
 use crate::core::once::Rules;
 use crate::core::view::View;
 use crate::kernel::Published;
 use crate::util::metrics::Metrics;
 use crate::wire::once::once_server::OnceServer;
-use crate::wire::stage;
+use crate::wire::{convert, stage};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Weak};
 
@@ -40,8 +41,6 @@
 pub struct SidecarOptions {
     /// The name under which the configuration declares the host.
     pub host: Name,
-    /// Identifies this run of the process to entries.
-    pub process: u64,
     /// The configuration in force.
     pub view: Published<View>,
     /// The backend server beside the sidecar.
@@ -76,7 +75,7 @@
     pub(crate) gate: Gate,
     pub(crate) attempts: Attempts,
     pub(crate) metrics: Metrics,
-    process: u64,
+    process: ProcessId,
     running: AtomicU32,
     pub(crate) once: Option<(Arc<OnceGate>, LogClient)>,
 }
@@ -98,7 +97,7 @@
             gate: Gate::new(options.host, options.view),
             attempts: Attempts::default(),
             metrics: options.metrics,
-            process: options.process,
+            process: ProcessId::random(&mut rand::rng()),
             running: AtomicU32::new(0),
         });
         tokio::spawn(probe::run(Arc::downgrade(&sidecar)));
@@ -111,8 +110,8 @@
         stage::stage_server::StageServer::new(StageService::new(Arc::clone(self)))
     }
 
-    /// Returns the number that identifies this run of the process.
-    pub fn process(&self) -> u64 {
+    /// Returns the number of this run of the process.
+    pub fn process(&self) -> ProcessId {
         self.process
     }
 
@@ -122,8 +121,8 @@
     }
 
     /// Returns the load as entries are told it.
-    pub(crate) fn load(&self) -> stage::Load {
-        stage::Load { process: self.process, ..self.gate.load().into() }
+    pub fn load(&self) -> stage::Load {
+        convert::load(self.gate.load(), self.process, self.gate.is_draining())
     }
 
     /// Returns the gRPC service of idempotency keys, if the sidecar keeps any.
--- a/src/limpetmux/wire/convert.rs
+++ b/src/limpetmux/wire/convert.rs
@@ -4,6 +4,7 @@
 use crate::core::admission::Load;
 use crate::core::frames::{AttemptKey, Close, RequestId};
 use crate::core::keys::StageIndex;
+use crate::core::membership::ProcessId;
 use crate::core::verdict::{Execution, Refusal, RefusalCode};
 use bytes::Bytes;
 use std::time::Duration;
@@ -51,18 +52,17 @@
     }
 }
 
-impl From<Load> for stage::Load {
-    fn from(load: Load) -> Self {
-        Self {
-            inflight: load.inflight,
-            queued: load.queued,
-            limit: load.limit,
-            cold: load.cold,
-            draining: load.draining,
-            incarnation: load.incarnation,
-            first_us: micros(load.first),
-            process: 0,
-        }
+/// Writes a load as a message of one process; `draining` is the process's own, not the host's.
+pub fn load(load: Load, process: ProcessId, draining: bool) -> stage::Load {
+    stage::Load {
+        inflight: load.inflight,
+        queued: load.queued,
+        limit: load.limit,
+        cold: load.cold,
+        draining,
+        incarnation: load.incarnation,
+        first_us: micros(load.first),
+        process: process.0,
     }
 }
 
