Move keys between home and successor, and test keys over TCP

Cause: a home whose zone leaves would have refused its keys for as long as it lived, and nothing showed the gate at work through crashes and outages. Change: handover, takeover and return of tables through the log; outcome look-up in the entry's HTTP; keys without a time run on a host's first process; the body hash covers the input only, so a retry may state another deadline. The exploration found a stale table accepted after a restart that the successor had not heard of; the order of the home's processes is kept now.

--- a/crates/limpetmux-test-support/src/http.rs
+++ b/crates/limpetmux-test-support/src/http.rs
@@ -57,6 +57,19 @@
         self.post(workspace, pipeline, Some(key), body.to_string()).await
     }
 
+    /// Asks what became of an idempotency key.
+    ///
+    /// # Panics
+    /// Panics if the entry cannot be reached.
+    pub async fn outcome(&self, workspace: &str, pipeline: &str, key: &str) -> Answer {
+        let base = &self.base;
+        let url = format!("{base}/v1/workspaces/{workspace}/pipelines/{pipeline}/outcomes/{key}");
+        match self.client.get(url).send().await {
+            Ok(answer) => read(answer).await,
+            Err(e) => panic!("{e}"),
+        }
+    }
+
     /// Sends any bytes as a run request.
     ///
     /// # Panics
--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fake_log;
 pub mod http;
 pub mod once;
+pub mod once_fleet;
 pub mod policy;
 pub mod sized;
 
--- /dev/null
+++ b/crates/limpetmux-test-support/src/once_fleet.rs
@@ -0,0 +1,202 @@
+//! A service that may run at most once: a log, hosts in two zones and two entries on loopback.
+
+use limpetmux::adapters::backend::Backend;
+use limpetmux::adapters::log::LogClient;
+use limpetmux::core::config::{
+    Config, Fencing, HostSpec, PipelineSpec, ServiceSpec, StageKind, StageSpec, WorkspaceSpec,
+    ZoneSpec,
+};
+use limpetmux::core::once::{KeyId, Rules, homes};
+use limpetmux::core::revision::Revision;
+use limpetmux::core::view::View;
+use limpetmux::entry::{Entry, EntryOptions, Limits};
+use limpetmux::kernel::Publisher;
+use limpetmux::node::serve_sidecar;
+use limpetmux::sidecar::{OnceLink, Sidecar, SidecarOptions};
+use limpetmux_standins::{BackendOptions, Log, LogOptions, Plain};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use crate::config::name;
+use crate::http::Caller;
+
+const HOSTS: [(&str, &str); 2] = [("port-1", "zone-a"), ("port-2", "zone-b")];
+const GRACE: Duration = Duration::from_millis(100);
+
+/// The workspace of the fixture.
+pub const WORKSPACE: &str = "porting";
+/// The pipeline of the fixture, with one stage.
+pub const PIPELINE: &str = "number-port";
+
+/// One host.
+pub struct Host {
+    /// Where the sidecar listens.
+    pub addr: SocketAddr,
+    /// The plain service beside it.
+    pub plain: Plain,
+    /// The sidecar's current process.
+    pub sidecar: Option<Arc<Sidecar>>,
+    server: JoinHandle<()>,
+}
+
+/// Everything that runs.
+pub struct OnceFleet {
+    /// The platform log.
+    pub log: Log,
+    /// The hosts, one in each zone.
+    pub hosts: Vec<Host>,
+    /// Callers of the two entries.
+    pub callers: Vec<Caller>,
+    entries: Vec<JoinHandle<()>>,
+    view: Publisher<View>,
+    config: Config,
+    client: reqwest::Client,
+    rules: Rules,
+}
+
+impl OnceFleet {
+    /// Starts everything; the log is up and empty.
+    pub async fn start() -> Self {
+        let log = Log::start(LogOptions::default()).await.unwrap();
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        let mut listeners = Vec::new();
+        for _ in HOSTS {
+            listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+        }
+        let addresses: Vec<SocketAddr> =
+            listeners.iter().map(|l| l.local_addr().unwrap()).collect();
+        let config = config(&addresses);
+        let view = Publisher::new(View::compile(Revision(1), &config));
+        // All processes share one clock.
+        let rules = Rules {
+            margin: Duration::ZERO,
+            promise: Duration::from_millis(1_000),
+            slack: Duration::from_millis(200),
+            ..Rules::default()
+        };
+        let (hosts, callers, entries) = (Vec::new(), Vec::new(), Vec::new());
+        let mut fleet = Self { log, hosts, callers, entries, view, config, client, rules };
+        for (i, listener) in listeners.into_iter().enumerate() {
+            let plain = Plain::start(BackendOptions::default()).await.unwrap();
+            let addr = listener.local_addr().unwrap();
+            let sidecar = fleet.sidecar(i, &plain);
+            let server = serve(Arc::clone(&sidecar), listener);
+            fleet.hosts.push(Host { addr, plain, sidecar: Some(sidecar), server });
+        }
+        for _ in 0..2 {
+            fleet.add_entry().await;
+        }
+        fleet
+    }
+
+    async fn add_entry(&mut self) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let entry = Entry::start(EntryOptions {
+            zone: None,
+            view: self.view.reader(),
+            limits: Limits::default(),
+        });
+        let server = entry.serve(listener, std::future::pending(), GRACE);
+        self.entries.push(tokio::spawn(async move { drop(server.await) }));
+        self.callers.push(Caller::new(&limpetmux::entry::base_url(addr)));
+    }
+
+    fn sidecar(&self, host: usize, plain: &Plain) -> Arc<Sidecar> {
+        let log = LogClient::http(self.client.clone(), &self.log.url());
+        Sidecar::start(SidecarOptions {
+            host: name(HOSTS[host].0),
+            view: self.view.reader(),
+            backend: Backend::http(self.client.clone(), &plain.url()),
+            once: Some(OnceLink { rules: self.rules, ..OnceLink::new(log) }),
+        })
+    }
+
+    /// Ends a sidecar's process without warning.
+    pub async fn kill(&mut self, host: usize) {
+        self.hosts[host].server.abort();
+        self.hosts[host].sidecar = None;
+        tokio::task::yield_now().await;
+    }
+
+    /// Starts a new process of a sidecar that was killed, at the same address.
+    pub async fn restart(&mut self, host: usize) {
+        let sidecar = self.sidecar(host, &self.hosts[host].plain);
+        let addr = self.hosts[host].addr;
+        let listener = loop {
+            match TcpListener::bind(addr).await {
+                Ok(listener) => break listener,
+                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            }
+        };
+        self.hosts[host].server = serve(Arc::clone(&sidecar), listener);
+        self.hosts[host].sidecar = Some(sidecar);
+    }
+
+    /// Ends an entry's process without warning.
+    pub fn kill_entry(&self, entry: usize) {
+        self.entries[entry].abort();
+    }
+
+    /// Takes a host's zone out of service or back.
+    pub fn set_serving(&mut self, host: usize, serving: bool) {
+        if let Some(zone) = self.config.zones.get_mut(HOSTS[host].1) {
+            zone.serving = serving;
+        }
+        let revision = Revision(self.view.load().revision.0 + 1);
+        self.view.publish(View::compile(revision, &self.config));
+    }
+
+    /// Returns the position of a key's home; the other host is its successor.
+    pub fn home(&self, key: &str) -> usize {
+        let view = self.view.load();
+        let workspace = view.workspace(WORKSPACE).unwrap();
+        let service = view.service("provisioning").unwrap();
+        let id = KeyId::new(WORKSPACE, PIPELINE, 0, key);
+        let home = homes(&view, workspace, service, id).unwrap().home;
+        usize::from(view.hosts[home].name.as_str() != HOSTS[0].0)
+    }
+
+    /// Returns how often a key ran on all hosts together.
+    pub fn runs(&self, key: &str) -> u32 {
+        self.hosts.iter().filter_map(|h| h.plain.keys().get(key).copied()).sum()
+    }
+}
+
+fn serve(sidecar: Arc<Sidecar>, listener: TcpListener) -> JoinHandle<()> {
+    let server = serve_sidecar(sidecar, listener, std::future::pending());
+    tokio::spawn(async move { drop(server.await) })
+}
+
+fn config(addresses: &[SocketAddr]) -> Config {
+    let mut config = Config::default();
+    for ((host, zone), addr) in HOSTS.iter().zip(addresses) {
+        let spec = ZoneSpec { region: name("region"), serving: true };
+        config.zones.insert(name(zone), spec);
+        let (zone, service) = (name(zone), name("provisioning"));
+        let spec = HostSpec { zone, service, sidecar: *addr, running: true };
+        config.hosts.insert(name(host), spec);
+    }
+    let service = ServiceSpec {
+        kind: StageKind::Plain,
+        model: None,
+        idempotent: false,
+        fencing: Fencing::Ignored,
+        concurrency: 8,
+        cold: 8,
+        warmup: Duration::ZERO,
+        price: 1,
+        floor: 0,
+    };
+    config.services.insert(name("provisioning"), service);
+    let stage = StageSpec { name: name("port"), service: name("provisioning"), tokens: 0 };
+    let deadline = Duration::from_secs(20);
+    config.pipelines.insert(name(PIPELINE), PipelineSpec { stages: vec![stage], deadline });
+    let (region, pipelines) = (name("region"), vec![name(PIPELINE)]);
+    let workspace = WorkspaceSpec { region, weight: 1, inflight: 64, pipelines };
+    config.workspaces.insert(name(WORKSPACE), workspace);
+    config
+}
--- a/src/limpetmux/core/once/mod.rs
+++ b/src/limpetmux/core/once/mod.rs
@@ -22,5 +22,5 @@
 pub use node::{Action, Begin, Known, Node, Time, Work};
 pub use record::{Incarnation, Record, RecordError};
 pub use rules::Rules;
-pub use seat::{Handover, NoPromise};
+pub use seat::{Handover, NoPromise, Row};
 pub use table::{Answer, Outcome, Role, Table};
--- a/src/limpetmux/core/once/node.rs
+++ b/src/limpetmux/core/once/node.rs
@@ -81,6 +81,12 @@
     quiet: Option<Moment>,
     reachable: bool,
     pub(super) read: bool,
+    /// Whether the stream was read from its first record ever on.
+    pub(super) whole: bool,
+    /// Whether the log names another process of this host, or another holder of its keys.
+    pub(super) others: bool,
+    /// Whether no earlier process of this host can have run anything.
+    pub(super) first: bool,
     /// The offset behind the last observed record.
     pub(super) position: Offset,
     pub(super) table: Table,
@@ -120,6 +126,9 @@
             quiet,
             reachable: false,
             read: false,
+            whole: false,
+            others: false,
+            first: false,
             position: Offset::default(),
             table: Table::default(),
             due: BTreeSet::new(),
@@ -216,6 +225,17 @@
         self.table.entries.get(&key).is_some_and(|e| e.state == State::Claiming)
     }
 
+    /// Returns the record by which a process makes itself known before it vouches for keys
+    /// without a time.
+    pub fn hello(&self) -> Record {
+        Record::Claims { home: self.id, incarnation: self.incarnation, keys: Vec::new() }
+    }
+
+    /// Notes that the stream was read from its very first record on.
+    pub fn read_from_start(&mut self) {
+        self.whole = true;
+    }
+
     /// Returns the number of keys still to be claimed.
     pub fn due(&self) -> usize {
         self.due.len()
@@ -328,7 +348,7 @@
             self.table.adopt(handover.rows, role);
             return true;
         }
-        if fresh && seat.seen.is_some_and(|seen| seen != handover.incarnation) {
+        if fresh && !seat.is_latest(handover.incarnation) {
             return false;
         }
         seat.promised = None;
@@ -370,6 +390,14 @@
         self.seats.get(&home).is_some_and(|s| s.holds(now).is_some())
     }
 
+    /// Returns the homes whose keys this process holds, and whether each hold is half over.
+    pub fn held(&self, now: Moment) -> Vec<(HostId, bool)> {
+        let half = self.rules.hold / 2;
+        let old = |until: Moment| now + half > until;
+        let seats = self.seats.iter();
+        seats.filter_map(|(home, s)| s.taken.map(|t| (*home, old(t.until)))).collect()
+    }
+
     /// Drops rows whose time has passed.
     pub fn sweep(&mut self, wall: KeyTime) {
         self.table.sweep(wall);
@@ -445,12 +473,18 @@
         let (margin, window) = (self.rules.margin, self.rules.window);
         let newer = match key.created() {
             Some(t) => t > floor + margin || !self.guards.on(guard),
-            None => time.wall > floor + window,
+            None => self.vouches_untimed(role) || time.wall > floor + window,
         };
         let kept = key.created().is_none_or(|t| time.wall <= t + window);
         if newer && kept { Ok(()) } else { Err(Refusal::unknown(RefusalCode::Unvouched)) }
     }
 
+    /// Returns whether no other process can have run a key without a time.
+    fn vouches_untimed(&self, role: Role) -> bool {
+        let Role::Home { successor } = role else { return false };
+        self.first && successor.is_none_or(|s| !self.floors.contains_key(&s))
+    }
+
     fn gave_up(&self, successor: HostId) -> bool {
         self.lost.contains_key(&successor) || self.stopped.contains(&successor)
     }
--- a/src/limpetmux/core/once/observe.rs
+++ b/src/limpetmux/core/once/observe.rs
@@ -10,6 +10,7 @@
     /// Takes in the next record of the stream and returns what to do.
     pub fn observe(&mut self, at: Offset, record: &Record, time: Time) -> Vec<Action> {
         self.position = at.next();
+        self.note_others(record);
         match record {
             Record::Claims { home, incarnation, keys } if *home == self.id => {
                 keys.iter().filter_map(|k| self.observe_own(*k, *incarnation, time)).collect()
@@ -29,6 +30,21 @@
         }
     }
 
+    /// Notes whether another process can have run this host's keys before.
+    fn note_others(&mut self, record: &Record) {
+        match record {
+            Record::Claims { home, incarnation, .. } if *home == self.id => {
+                if *incarnation == self.incarnation {
+                    self.first |= self.whole && !self.others;
+                } else {
+                    self.others = true;
+                }
+            }
+            Record::Takeover { home, .. } => self.others |= *home == self.id,
+            Record::Claims { .. } | Record::Return { .. } => {}
+        }
+    }
+
     fn observe_own(&mut self, key: KeyId, by: Incarnation, time: Time) -> Option<Action> {
         if by != self.incarnation {
             self.remember(key, time);
@@ -64,9 +80,7 @@
         if !self.guards.on(Guard::FreshHandover) {
             return;
         }
-        if let Some(seat) = self.seats.get_mut(&home) {
-            seat.note_process(incarnation);
-        }
+        self.seats.entry(home).or_default().note_process(incarnation);
     }
 
     fn observe_takeover(&mut self, home: HostId, by: HostId, process: Incarnation, time: Time) {
@@ -112,7 +126,7 @@
                 changed: self.position,
                 promised: seat.promised,
                 asked: seat.asked,
-                seen: seat.seen,
+                seen: std::mem::take(&mut seat.seen),
                 ..Seat::default()
             };
             self.table.forget_released(Role::Successor { home });
--- a/src/limpetmux/core/once/seat.rs
+++ b/src/limpetmux/core/once/seat.rs
@@ -1,7 +1,7 @@
 //! What a host keeps for each home whose successor it is.
 
 use super::table::Entry;
-use super::{HostId, Incarnation, KeyId, KeyTime};
+use super::{HostId, Incarnation, KeyId, KeyTime, Outcome, Role};
 use crate::core::revision::Offset;
 use crate::core::time::Moment;
 use std::collections::BTreeMap;
@@ -37,6 +37,27 @@
 }
 
 impl Handover {
+    /// Builds a table that another host sent.
+    pub fn new(
+        from: HostId,
+        incarnation: Incarnation,
+        since: KeyTime,
+        rows: impl IntoIterator<Item = Row>,
+    ) -> Self {
+        let rows = rows.into_iter().map(|r| (r.key, r.into())).collect();
+        Self { from, incarnation, since, rows }
+    }
+
+    /// Iterates over the rows in key order.
+    pub fn rows(&self) -> impl Iterator<Item = Row> {
+        self.rows.iter().map(|(key, entry)| Row {
+            key: *key,
+            body: entry.body,
+            outcome: entry.state.clone().into(),
+            expires: entry.expires,
+        })
+    }
+
     /// Returns the number of keys handed over.
     pub fn len(&self) -> usize {
         self.rows.len()
@@ -48,6 +69,26 @@
     }
 }
 
+/// One key of a table that is handed over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// The key.
+    pub key: KeyId,
+    /// Hash of the caller's request body, if known.
+    pub body: Option<u64>,
+    /// How the run ended; one that has not ended counts as unknown.
+    pub outcome: Outcome,
+    /// When the row may be dropped.
+    pub expires: KeyTime,
+}
+
+impl From<Row> for Entry {
+    fn from(row: Row) -> Self {
+        let role = Role::Home { successor: None };
+        Self { body: row.body, state: row.outcome.into(), role, expires: row.expires }
+    }
+}
+
 /// A takeover that has been read back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Taken {
@@ -72,8 +113,8 @@
     pub taken: Option<Taken>,
     /// Whether this process has stopped in order to return the keys.
     pub returning: bool,
-    /// The home's process that was last heard of.
-    pub seen: Option<Incarnation>,
+    /// The home's processes in the order in which they were first heard of.
+    pub seen: Vec<Incarnation>,
     /// The home's table, for a takeover to come.
     pub table: Option<Handover>,
 }
@@ -92,12 +133,19 @@
 
     /// Notes a process of the home and drops the table of another one.
     pub fn note_process(&mut self, incarnation: Incarnation) {
-        self.seen = Some(incarnation);
-        if self.table.as_ref().is_some_and(|t| t.incarnation != incarnation) {
+        if !self.seen.contains(&incarnation) {
+            self.seen.push(incarnation);
+        }
+        if self.table.as_ref().is_some_and(|t| !self.is_latest(t.incarnation)) {
             self.table = None;
         }
     }
 
+    /// Returns whether no later process of the home was heard of.
+    pub fn is_latest(&self, incarnation: Incarnation) -> bool {
+        self.seen.last().is_none_or(|seen| *seen == incarnation)
+    }
+
     pub fn rebase(&mut self, by: Duration) {
         let shift = |m: Moment| if m == Moment::MAX { m } else { m - by };
         self.promised = self.promised.map(shift).filter(|m| *m > Moment::ZERO);
--- a/src/limpetmux/core/once/table.rs
+++ b/src/limpetmux/core/once/table.rs
@@ -54,6 +54,26 @@
     Unknown,
 }
 
+impl From<Outcome> for State {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Answered(answer) => Self::Answered(answer),
+            Outcome::NotRun => Self::Released,
+            Outcome::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl From<State> for Outcome {
+    fn from(state: State) -> Self {
+        match state {
+            State::Answered(answer) => Self::Answered(answer),
+            State::Released => Self::NotRun,
+            State::Claiming | State::Running | State::Unknown => Self::Unknown,
+        }
+    }
+}
+
 /// One row of the table.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Entry {
--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -1,6 +1,7 @@
 //! The callers' HTTP interface.
 
 use super::order::Parts;
+use super::outcome::find;
 use super::pipeline::{self, Answer};
 use super::problem::Problem;
 use super::{Entry, InFlight, Order, OrderError, Trailer, stream};
@@ -26,6 +27,7 @@
 pub(super) fn routes(entry: Arc<Entry>) -> AddDataEndpoint<Route, Arc<Entry>> {
     Route::new()
         .at("/v1/workspaces/:workspace/pipelines/:pipeline/runs", post(run))
+        .at("/v1/workspaces/:workspace/pipelines/:pipeline/outcomes/:key", get(outcome))
         .at("/healthz", get(health))
         .at("/readyz", get(ready))
         .data(entry)
@@ -96,6 +98,21 @@
     }
 }
 
+#[handler]
+async fn outcome(
+    Path((workspace, pipeline, key)): Path<(String, String, String)>,
+    Data(entry): Data<&Arc<Entry>>,
+) -> Response {
+    let fleet = entry.fleet.load();
+    match find(&fleet, &workspace, &pipeline, &key).await {
+        Ok(body) => {
+            let body = serde_json::to_vec(&body).unwrap_or_default();
+            Response::builder().content_type("application/json").body(body)
+        }
+        Err(error) => Problem::of_order(&error).into_response(),
+    }
+}
+
 async fn read_body(entry: &Entry, request: &Request, body: Body) -> Result<Bytes, OrderError> {
     let limit = entry.limits.body;
     let stated = request.headers().get(header::CONTENT_LENGTH);
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -13,6 +13,7 @@
 mod link;
 mod once;
 mod order;
+mod outcome;
 mod pick;
 mod pipeline;
 mod problem;
--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -17,7 +17,9 @@
 use tokio::time::Instant;
 
 /// The most times that the home and the successor are asked in turn.
-const MAX_ATTEMPTS: u32 = 4;
+const MAX_ATTEMPTS: u32 = 12;
+/// The pause after both hosts were asked, in which a move of the key may end.
+const PAUSE: Duration = Duration::from_millis(200);
 /// When it is worth asking again while the key moves between its hosts.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The time left for a look-up to answer before the request's deadline.
@@ -77,6 +79,9 @@
         if !is_elsewhere(last) {
             return Err(last);
         }
+        if usize::try_from(attempt).is_ok_and(|n| (n + 1).is_multiple_of(hosts.len())) {
+            tokio::time::sleep(PAUSE).await;
+        }
     }
     Err(last.retry_in(RETRY_AFTER))
 }
--- a/src/limpetmux/entry/order.rs
+++ b/src/limpetmux/entry/order.rs
@@ -3,6 +3,7 @@
 use super::Fleet;
 use crate::core::frames::RequestId;
 use crate::core::keys::{PipelineKey, WorkspaceKey};
+use crate::core::view::View;
 use crate::util::hash::hash_bytes;
 use bytes::Bytes;
 use serde::Deserialize;
@@ -114,7 +115,8 @@
 pub struct CallerKey {
     /// The key as the caller sent it.
     pub key: String,
-    /// Hash of the request body, to detect the use of one key for two requests.
+    /// Hash of the input, to detect the use of one key for two requests; a retry may state another
+    /// deadline.
     pub body_hash: u64,
 }
 
@@ -160,7 +162,7 @@
     /// # Errors
     /// Returns [`OrderError`] naming the first part that is wrong.
     pub fn read(parts: Parts<'_>, limits: &Limits, fleet: &Fleet) -> Result<Self, OrderError> {
-        let (workspace, pipeline) = find_names(parts, fleet)?;
+        let (workspace, pipeline) = find_pipeline(&fleet.view, parts.workspace, parts.pipeline)?;
         let body: RunBody<'_> = serde_json::from_slice(parts.body).map_err(OrderError::Json)?;
         let row = &fleet.view.pipelines[pipeline];
         let deadline = body.deadline_ms.map_or(row.deadline, Duration::from_millis);
@@ -171,13 +173,13 @@
         if priority > MAX_PRIORITY {
             return Err(OrderError::Priority);
         }
-        let key = read_key(parts, limits)?;
+        let input = parts.body.slice_ref(body.input.get().as_bytes());
+        let key = read_key(parts, &input, limits)?;
         let repeatable =
             |s: &crate::core::view::StageRow| fleet.view.services[s.service].spec.idempotent;
         if key.is_none() && !row.stages.iter().all(repeatable) {
             return Err(OrderError::KeyMissing);
         }
-        let input = parts.body.slice_ref(body.input.get().as_bytes());
         let head = input.len().min(AFFINITY_BYTES);
         let affinity = hash_bytes(&input[..head]);
         let id = RequestId(Uuid::now_v7());
@@ -186,28 +188,35 @@
     }
 }
 
-fn find_names(parts: Parts<'_>, fleet: &Fleet) -> Result<(WorkspaceKey, PipelineKey), OrderError> {
-    let view = &fleet.view;
-    let no_workspace = || OrderError::Workspace { name: parts.workspace.to_owned() };
-    let workspace = view.workspace(parts.workspace).ok_or_else(no_workspace)?;
-    let allowed = &view.workspaces[workspace].pipelines;
-    let pipeline = view.pipeline(parts.pipeline).filter(|p| allowed.binary_search(p).is_ok());
-    let no_pipeline = || OrderError::Pipeline {
-        workspace: parts.workspace.to_owned(),
-        name: parts.pipeline.to_owned(),
-    };
-    Ok((workspace, pipeline.ok_or_else(no_pipeline)?))
+/// Finds a workspace and a pipeline that it may run.
+///
+/// # Errors
+/// Returns [`OrderError`] if one of them does not exist or is not open to the other.
+pub(super) fn find_pipeline(
+    view: &View,
+    workspace: &str,
+    pipeline: &str,
+) -> Result<(WorkspaceKey, PipelineKey), OrderError> {
+    let no_workspace = || OrderError::Workspace { name: workspace.to_owned() };
+    let key = view.workspace(workspace).ok_or_else(no_workspace)?;
+    let allowed = &view.workspaces[key].pipelines;
+    let found = view.pipeline(pipeline).filter(|p| allowed.binary_search(p).is_ok());
+    let no_pipeline =
+        || OrderError::Pipeline { workspace: workspace.to_owned(), name: pipeline.to_owned() };
+    Ok((key, found.ok_or_else(no_pipeline)?))
 }
 
-fn read_key(parts: Parts<'_>, limits: &Limits) -> Result<Option<CallerKey>, OrderError> {
+fn read_key(
+    parts: Parts<'_>,
+    input: &Bytes,
+    limits: &Limits,
+) -> Result<Option<CallerKey>, OrderError> {
     let Some(raw) = parts.key else { return Ok(None) };
     let limit = limits.key;
     let printable = raw.iter().all(u8::is_ascii_graphic);
     let text = std::str::from_utf8(raw).ok();
     match text.filter(|t| printable && !t.is_empty() && t.len() <= limit) {
-        Some(text) => {
-            Ok(Some(CallerKey { key: text.to_owned(), body_hash: hash_bytes(parts.body) }))
-        }
+        Some(text) => Ok(Some(CallerKey { key: text.to_owned(), body_hash: hash_bytes(input) })),
         None => Err(OrderError::Key { limit }),
     }
 }
--- /dev/null
+++ b/src/limpetmux/entry/outcome.rs
@@ -0,0 +1,88 @@
+//! Answers what became of an idempotency key.
+
+use super::once::look_up;
+use super::order::find_pipeline;
+use super::{Fleet, OrderError};
+use crate::core::keys::{PipelineKey, StageIndex, WorkspaceKey};
+use crate::core::once::{KeyId, homes};
+use crate::wire::once::{LookUpReply, LookUpRequest};
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+/// The states of a run, the most certain one first.
+const STATES: [&str; 4] = ["answered", "running", "not_run", "absent"];
+const UNKNOWN: &str = "unknown";
+
+/// What became of the stages that may run at most once.
+#[derive(Debug, Serialize)]
+pub(super) struct Outcome {
+    stages: Vec<StageOutcome>,
+}
+
+#[derive(Debug, Serialize)]
+struct StageOutcome {
+    stage: String,
+    /// One of `answered`, `running`, `not_run`, `absent` and `unknown`.
+    state: &'static str,
+    /// The whole stored answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    output: Option<Box<RawValue>>,
+}
+
+/// Asks the home and the successor of each stage's key.
+///
+/// # Errors
+/// Returns [`OrderError`] if the workspace or its pipeline does not exist.
+pub(super) async fn find(
+    fleet: &Fleet,
+    workspace: &str,
+    pipeline: &str,
+    key: &str,
+) -> Result<Outcome, OrderError> {
+    let (workspace, pipeline) = find_pipeline(&fleet.view, workspace, pipeline)?;
+    let rows = &fleet.view.pipelines[pipeline].stages;
+    let mut stages = Vec::new();
+    for (position, row) in (0_u8..).zip(rows) {
+        if fleet.view.services[row.service].spec.idempotent {
+            continue;
+        }
+        let replies = ask(fleet, workspace, pipeline, StageIndex(position), key).await;
+        stages.push(judge(row.name.to_string(), replies));
+    }
+    Ok(Outcome { stages })
+}
+
+async fn ask(
+    fleet: &Fleet,
+    workspace: WorkspaceKey,
+    pipeline: PipelineKey,
+    stage: StageIndex,
+    key: &str,
+) -> Vec<LookUpReply> {
+    let view = &fleet.view;
+    let service = view.pipelines[pipeline].stages[usize::from(stage.0)].service;
+    let names = (&view.workspaces[workspace].name, &view.pipelines[pipeline].name);
+    let id = KeyId::new(names.0.as_str(), names.1.as_str(), stage.0, key);
+    let Some(homes) = homes(view, workspace, service, id) else { return Vec::new() };
+    let mut replies = Vec::new();
+    for host in std::iter::once(homes.home).chain(homes.successor) {
+        let request = LookUpRequest {
+            workspace: names.0.to_string(),
+            pipeline: names.1.to_string(),
+            stage: u32::from(stage.0),
+            key: key.to_owned(),
+            wait_us: 0,
+        };
+        replies.extend(look_up(&fleet.links[host], request).await);
+    }
+    replies
+}
+
+/// Takes the most certain reply.
+fn judge(stage: String, replies: Vec<LookUpReply>) -> StageOutcome {
+    let state = STATES.into_iter().find(|s| replies.iter().any(|r| r.state == *s));
+    let answer = replies.into_iter().find_map(|r| r.answer);
+    let text = answer.and_then(|a| String::from_utf8(a.payload).ok());
+    let output = text.and_then(|t| RawValue::from_string(t).ok());
+    StageOutcome { stage, state: state.unwrap_or(UNKNOWN), output }
+}
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -5,6 +5,7 @@
 use crate::adapters::backend::Backend;
 use crate::adapters::log::LogClient;
 use crate::core::config::{Config, Name, NameError, StageKind};
+use crate::core::once::Rules;
 use crate::core::revision::Revision;
 use crate::core::view::View;
 use crate::entry::{Entry, EntryOptions, Limits};
@@ -148,7 +149,10 @@
         let mut servers = JoinSet::new();
         let client = reqwest::Client::builder().no_proxy().build()?;
         let log = standins::Log::start(standins::LogOptions::default()).await?;
-        let claims = OnceLink::new(LogClient::http(client.clone(), &log.url()));
+        // All parts share one clock.
+        let rules = Rules { margin: Duration::ZERO, ..Rules::default() };
+        let claims =
+            OnceLink { rules, ..OnceLink::new(LogClient::http(client.clone(), &log.url())) };
         let mut hosts = Vec::with_capacity(planned.len());
         for (plan, addr, listener) in planned {
             let standin = StandIn::start(plan.kind).await?;
--- a/src/limpetmux/sidecar/gate.rs
+++ b/src/limpetmux/sidecar/gate.rs
@@ -22,7 +22,7 @@
 pub struct Gate {
     host: Name,
     view: Published<View>,
-    draining: AtomicBool,
+    draining: Arc<AtomicBool>,
     report: Mutex<Option<LoadReport>>,
     slots: Arc<Semaphore>,
     limit: AtomicU32,
@@ -58,7 +58,7 @@
         Self {
             host,
             view,
-            draining: AtomicBool::new(false),
+            draining: Arc::default(),
             report: Mutex::new(None),
             slots: Arc::new(Semaphore::new(0)),
             limit: AtomicU32::new(0),
@@ -72,6 +72,11 @@
         self.draining.store(draining, Ordering::Release);
     }
 
+    /// Returns the switch of [`Gate::set_draining`], for those that follow it.
+    pub fn draining(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.draining)
+    }
+
     /// Returns the number of calls that run on the backend server.
     pub fn inflight(&self) -> u32 {
         self.inflight.load(Ordering::Relaxed)
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -75,18 +75,16 @@
     ///
     /// The probe ends when the sidecar is dropped.
     pub fn start(options: SidecarOptions) -> Arc<Self> {
+        let gate = Gate::new(options.host.clone(), options.view.clone());
         let once = options.once.map(|link| {
             let (host, view) = (options.host.clone(), options.view.clone());
             let OnceLink { log, rules, pace } = link;
-            let gate = OnceGate::start(OnceOptions { host, view, log: log.clone(), rules, pace });
-            (gate, log)
-        });
-        let sidecar = Arc::new(Self {
-            once,
-            backend: options.backend,
-            gate: Gate::new(options.host, options.view),
-            attempts: Attempts::default(),
+            let draining = gate.draining();
+            let options = OnceOptions { host, view, log: log.clone(), rules, pace, draining };
+            (OnceGate::start(options), log)
         });
+        let sidecar =
+            Arc::new(Self { once, backend: options.backend, gate, attempts: Attempts::default() });
         tokio::spawn(probe::run(Arc::downgrade(&sidecar)));
         sidecar
     }
--- a/src/limpetmux/sidecar/once/convert.rs
+++ b/src/limpetmux/sidecar/once/convert.rs
@@ -1,6 +1,8 @@
 //! Conversions between the messages of the protocol and the types of `core`.
 
-use crate::core::once::{Answer, HostId, Incarnation, Known};
+use crate::core::once::{
+    Answer, Handover, HostId, Incarnation, KeyId, KeyTime, Known, Outcome, Row,
+};
 use crate::wire::once;
 
 /// Writes the identity of a process.
@@ -29,3 +31,48 @@
     };
     once::LookUpReply { state: state.to_owned(), answer }
 }
+
+/// Writes a table.
+pub(super) fn hand_over(table: &Handover, returns: bool) -> once::HandOverRequest {
+    once::HandOverRequest {
+        from: Some(process(table.from, table.incarnation)),
+        since_ms: table.since.0,
+        rows: table.rows().map(row).collect(),
+        returns,
+    }
+}
+
+fn row(row: Row) -> once::Row {
+    let answer = match &row.outcome {
+        Outcome::Answered(answer) => Some(stored(answer)),
+        Outcome::NotRun | Outcome::Unknown => None,
+    };
+    once::Row {
+        digest: row.key.digest().to_be_bytes().to_vec(),
+        created_ms: row.key.created().map_or(0, |t| t.0),
+        body_hash: row.body,
+        expires_ms: row.expires.0,
+        answer,
+        not_run: row.outcome == Outcome::NotRun,
+    }
+}
+
+/// Reads a table, or `None` if it is malformed.
+pub(super) fn handover(request: once::HandOverRequest) -> Option<Handover> {
+    let from = request.from?;
+    let rows: Option<Vec<Row>> = request.rows.into_iter().map(read_row).collect();
+    let (host, incarnation) = (HostId(from.host), Incarnation(from.incarnation));
+    Some(Handover::new(host, incarnation, KeyTime(request.since_ms), rows?))
+}
+
+fn read_row(row: once::Row) -> Option<Row> {
+    let digest = u128::from_be_bytes(row.digest.try_into().ok()?);
+    let created = (row.created_ms > 0).then_some(KeyTime(row.created_ms));
+    let outcome = match row.answer {
+        Some(a) => Outcome::Answered(Answer { payload: a.payload.into(), cost: a.cost }),
+        None if row.not_run => Outcome::NotRun,
+        None => Outcome::Unknown,
+    };
+    let key = KeyId::from_digest(digest, created);
+    Some(Row { key, body: row.body_hash, outcome, expires: KeyTime(row.expires_ms) })
+}
--- a/src/limpetmux/sidecar/once/mod.rs
+++ b/src/limpetmux/sidecar/once/mod.rs
@@ -7,6 +7,7 @@
 //! protocol is in `docs/design/at-most-once.md`.
 
 mod convert;
+mod moves;
 mod peers;
 mod run;
 mod service;
@@ -29,6 +30,7 @@
 use crate::kernel::Published;
 use crate::util::clock;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, watch};
@@ -47,6 +49,8 @@
     pub rules: Rules,
     /// The pace of claims.
     pub pace: Pace,
+    /// Whether the host is leaving, so that its keys should move.
+    pub draining: Arc<AtomicBool>,
 }
 
 /// What to do with a request under a key.
@@ -82,6 +86,8 @@
 
 struct Inner {
     node: Node,
+    /// Whether the process has put a record into the log, or is about to.
+    announced: bool,
     /// Claims decided by the log and not yet taken up by their request.
     decided: BTreeMap<KeyId, Decision>,
     /// Successors whose promise the host needs while the log cannot be reached.
@@ -95,6 +101,7 @@
     host: Name,
     view: Published<View>,
     started: (Moment, KeyTime),
+    draining: Arc<AtomicBool>,
     inner: Mutex<Inner>,
     due: Arc<Notify>,
     /// Counts decisions and outcomes, to wake the requests that wait.
@@ -112,6 +119,7 @@
         let node = Node::new(id, incarnation, options.rules, Guards::default(), time);
         let inner = Inner {
             node,
+            announced: false,
             decided: BTreeMap::new(),
             wanted: BTreeSet::new(),
             missing: BTreeSet::new(),
@@ -120,6 +128,7 @@
             host: options.host,
             view: options.view,
             started,
+            draining: options.draining,
             inner: Mutex::new(inner),
             due: Arc::default(),
             version: watch::Sender::new(0),
@@ -179,6 +188,13 @@
         (inner.node.table().len(), inner.node.table().bytes())
     }
 
+    /// Returns whether new work should go to other hosts than this one.
+    fn is_away(&self) -> bool {
+        let view = self.view.load();
+        let serving = view.host(self.host.as_str()).is_some_and(|h| view.is_serving(h));
+        !serving || self.draining.load(Ordering::Acquire)
+    }
+
     /// Returns the part that this host plays for a key.
     fn role(&self, naming: Naming<'_>) -> Option<Role> {
         let view = self.view.load();
--- a/src/limpetmux/sidecar/once/service.rs
+++ b/src/limpetmux/sidecar/once/service.rs
@@ -54,9 +54,14 @@
 
     async fn hand_over(
         &self,
-        _request: Request<once::HandOverRequest>,
+        request: Request<once::HandOverRequest>,
     ) -> Result<Response<once::HandOverReply>, Status> {
-        Ok(Response::new(once::HandOverReply { accepted: false }))
+        let request = request.into_inner();
+        let returns = request.returns;
+        let table = convert::handover(request)
+            .ok_or_else(|| Status::invalid_argument("the table is malformed"))?;
+        let accepted = self.gate.receive(table, returns, &self.log).await;
+        Ok(Response::new(once::HandOverReply { accepted }))
     }
 
     async fn look_up(
--- a/src/limpetmux/sidecar/once/tasks.rs
+++ b/src/limpetmux/sidecar/once/tasks.rs
@@ -1,6 +1,6 @@
 //! The tasks of the gate: reading the claims stream, claiming, promises and takeovers.
 
-use super::{OnceGate, convert};
+use super::{OnceGate, convert, moves};
 use crate::adapters::log::{LogClient, LogError, LogPage, Stream};
 use crate::claims::{self, Pace, Source};
 use crate::core::once::{HostId, Record};
@@ -17,16 +17,13 @@
 const READ_WAIT: Duration = Duration::from_secs(1);
 /// The time between two reads while the log cannot be reached.
 const READ_RETRY: Duration = Duration::from_millis(100);
-/// The time between two rounds of promises and takeovers; far below a promise's length.
+/// The time between two rounds of promises; far below a promise's length.
 const ROUND: Duration = Duration::from_millis(250);
-/// The number of rounds without an answer after which a home counts as dead.
-const DEAD_ROUNDS: u32 = 4;
-
 /// Starts all tasks; each ends once the gate is dropped.
 pub(super) fn spawn(gate: &Arc<OnceGate>, log: LogClient, pace: Pace) {
     tokio::spawn(read(Arc::downgrade(gate), log.clone()));
     tokio::spawn(promises(Arc::downgrade(gate)));
-    tokio::spawn(takeovers(Arc::downgrade(gate), log.clone()));
+    tokio::spawn(moves::run(Arc::downgrade(gate), log.clone()));
     let source = source(gate);
     let weak = Arc::downgrade(gate);
     tokio::spawn(async move {
@@ -46,7 +43,7 @@
 fn source(gate: &Arc<OnceGate>) -> Source {
     let (taker, forwarder) = (Arc::downgrade(gate), Arc::downgrade(gate));
     Source {
-        take: Arc::new(move |most| taker.upgrade()?.lock().node.claims(most)),
+        take: Arc::new(move |most| taker.upgrade()?.take_claims(most)),
         due: Arc::clone(&gate.due),
         forward: Arc::new(move |data| forward(forwarder.clone(), data).boxed()),
     }
@@ -88,6 +85,13 @@
 }
 
 impl OnceGate {
+    /// Takes the keys that are due, the process's first record even without any.
+    fn take_claims(&self, most: usize) -> Option<Record> {
+        let mut inner = self.lock();
+        let first = !std::mem::replace(&mut inner.announced, true);
+        inner.node.claims(most).or_else(|| first.then(|| inner.node.hello()))
+    }
+
     /// Takes in a page of the claims stream; returns where to read on, or `None` after a failure.
     fn take_page(&self, page: Result<LogPage, LogError>, from: Offset) -> Option<Offset> {
         let mut inner = self.lock();
@@ -98,6 +102,9 @@
         }
         let page = page.ok()?;
         let mut next = from.max(page.first);
+        if from == Offset::default() && page.first == Offset::default() {
+            inner.node.read_from_start();
+        }
         for record in &page.records {
             next = record.offset.next();
             match Record::decode(&record.data) {
@@ -159,43 +166,4 @@
             self.lock().node.promised(successor, sent);
         }
     }
-
-    /// Returns whether a host's sidecar answers.
-    async fn is_alive(&self, host: HostId) -> bool {
-        let Some(mut client) = self.peers.client(&self.view.load(), host) else { return false };
-        client.look_up(once::LookUpRequest::default()).await.is_ok()
-    }
-}
-
-/// Takes over from homes that do not answer and for which requests arrive here, and renews.
-async fn takeovers(gate: Weak<OnceGate>, log: LogClient) {
-    let mut silent = std::collections::BTreeMap::<HostId, u32>::new();
-    loop {
-        tokio::time::sleep(ROUND).await;
-        let Some(gate) = gate.upgrade() else { return };
-        let missing: Vec<HostId> = gate.lock().missing.iter().copied().collect();
-        for home in missing {
-            let rounds = silent.entry(home).or_default();
-            *rounds = if gate.is_alive(home).await { 0 } else { *rounds + 1 };
-            let held = gate.lock().node.holds(home, clock::now());
-            if *rounds == 0 && !held {
-                gate.lock().missing.remove(&home);
-            } else if *rounds >= DEAD_ROUNDS && !held {
-                gate.take_over(home, &log).await;
-            }
-        }
-    }
-}
-
-impl OnceGate {
-    async fn take_over(&self, home: HostId, log: &LogClient) {
-        let record = self.lock().node.take_over(home, clock::now());
-        let Some(data) = record.and_then(|r| r.encode().ok()) else { return };
-        event!(EventCode::TakeoverAppended, home = home.0);
-        if let Err(error) = (log.append)(Stream::Claims, data).await
-            && !error.may_have_appended()
-        {
-            self.lock().node.takeover_failed(home);
-        }
-    }
 }
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -74,6 +74,8 @@
     /// A takeover of a home's keys was appended to the log.
     #[strum(props(level = "warn"))]
     TakeoverAppended = 302,
+    /// A return of keys to their home was appended to the log.
+    ReturnAppended = 303,
 
     // 4xx: hosts and shutdown.
     /// The state of a host has changed.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod kernel;
 mod membership;
 mod once_explore;
+mod once_path;
 mod path;
 mod planner;
 mod routing;
