--- a/crates/limpetmux-test-support/src/once_fleet.rs
+++ b/crates/limpetmux-test-support/src/once_fleet.rs
@@ -9,7 +9,7 @@
 use limpetmux::core::once::{KeyId, Rules, homes};
 use limpetmux::core::revision::Revision;
 use limpetmux::core::view::View;
-use limpetmux::entry::{Entry, EntryOptions, Limits};
+use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
 use limpetmux::kernel::Publisher;
 use limpetmux::node::serve_sidecar;
 use limpetmux::sidecar::{OnceLink, Sidecar, SidecarOptions};
@@ -96,10 +96,13 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         let entry = Entry::start(EntryOptions {
-            zone: None,
+            zone: name(HOSTS[0].1),
+            ordinal: 0,
             view: self.view.reader(),
+            members: Members(None),
             limits: Limits::default(),
-        });
+        })
+        .unwrap();
         let server = entry.serve(listener, std::future::pending(), GRACE);
         self.entries.push(tokio::spawn(async move { drop(server.await) }));
         self.callers.push(Caller::new(&limpetmux::entry::base_url(addr)));
--- a/src/limpetmux/core/admission/mod.rs
+++ b/src/limpetmux/core/admission/mod.rs
@@ -47,6 +47,8 @@
     running: BTreeMap<Ticket, Running>,
     awaiting: BTreeSet<(Moment, Ticket)>,
     busy: Estimate,
+    /// Durations of calls that ended while the backend server was cold.
+    cold_busy: Estimate,
     first: Estimate,
     refused: Vec<(Ticket, Refusal)>,
     draining: bool,
@@ -66,6 +68,7 @@
             running: BTreeMap::new(),
             awaiting: BTreeSet::new(),
             busy: Estimate::default(),
+            cold_busy: Estimate::default(),
             first: Estimate::default(),
             refused: Vec::new(),
             draining: false,
@@ -88,12 +91,12 @@
     ///
     /// The refusal names the moment from which asking again is worthwhile, if there is one.
     pub fn offer(&mut self, now: Moment, offer: Offer) -> Admitted {
-        if let Some(refusal) = self.gate() {
+        if let Some(refusal) = self.gate(now) {
             return Admitted::Refused(refusal);
         }
-        let Some(start_by) = self.start_by(now, offer.deadline) else {
+        if offer.deadline <= now {
             return Admitted::Refused(Refusal::not_run(RefusalCode::Deadline));
-        };
+        }
         let ticket = Ticket(self.issued);
         let place = self.queue.place(&offer, ticket);
         if self.queue.is_empty() && self.inflight() < self.limit() {
@@ -103,6 +106,7 @@
             return Admitted::Start(ticket);
         }
         let wait = self.wait(self.queue.ahead(place));
+        let start_by = offer.deadline - self.usual().cautious();
         if now + wait > start_by {
             return Admitted::Refused(self.overload(now, wait));
         }
@@ -124,6 +128,7 @@
     /// Returns the calls to start and the queued calls to refuse at this moment.
     pub fn next(&mut self, now: Moment) -> Step {
         self.check_overdue(now);
+        self.apply_gate(now);
         for ticket in self.queue.expired(now) {
             self.shed(now, ticket);
         }
@@ -144,15 +149,12 @@
             return;
         }
         call.first = Some(now);
-        let (took, inflight) = (now.since(call.started), call.inflight);
+        let took = now.since(call.started);
         self.awaiting.remove(&(call.started, ticket));
         if self.warmth.first_output(now, took) {
             self.turn_cold(now);
-            return;
-        }
-        self.first.add(took);
-        if self.warmth.is_warm() {
-            self.limiter.add(took, inflight);
+        } else {
+            self.first.add(took);
         }
     }
 
@@ -164,7 +166,7 @@
         let Some(call) = self.running.remove(&ticket) else { return };
         self.awaiting.remove(&(call.started, ticket));
         match outcome {
-            Outcome::Done => self.busy.add(now.since(call.started)),
+            Outcome::Done => self.done(now.since(call.started), call.inflight),
             Outcome::Saturated => self.limiter.saturated(call.inflight),
             Outcome::Failed | Outcome::Cancelled => {}
         }
@@ -195,13 +197,11 @@
     /// queued calls to other hosts; running calls go on.
     pub fn set_draining(&mut self, draining: bool) {
         self.draining = draining;
-        self.apply_gate();
     }
 
     /// Records whether the host's availability zone serves; if not, the queue is refused.
     pub fn set_zone(&mut self, serving: bool) {
         self.serving = serving;
-        self.apply_gate();
     }
 
     /// Returns whether no call runs or waits, which ends a drain.
@@ -227,33 +227,48 @@
         self.warmth.bound().min(self.limiter.limit())
     }
 
+    fn done(&mut self, took: Duration, inflight: u32) {
+        if self.warmth.is_cold() {
+            self.cold_busy.add(took);
+        } else {
+            self.busy.add(took);
+        }
+        if self.warmth.is_warm() {
+            self.limiter.add(took, inflight);
+        }
+    }
+
     fn inflight(&self) -> u32 {
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
-    fn gate(&self) -> Option<Refusal> {
+    fn gate(&self, now: Moment) -> Option<Refusal> {
         if self.draining {
             return Some(Refusal::not_run(RefusalCode::Draining));
         }
-        (!self.serving).then(|| Refusal::not_run(RefusalCode::ZoneOut))
+        if !self.serving {
+            return Some(Refusal::not_run(RefusalCode::ZoneOut));
+        }
+        let left = self.warmth.pause_left(now)?;
+        Some(Refusal::not_run(RefusalCode::Unavailable).retry_in(left))
     }
 
-    fn apply_gate(&mut self) {
-        let Some(refusal) = self.gate() else { return };
+    fn apply_gate(&mut self, now: Moment) {
+        let Some(refusal) = self.gate(now) else { return };
         while let Some(ticket) = self.queue.pop() {
             self.refused.push((ticket, refusal));
         }
     }
 
-    fn start_by(&self, now: Moment, deadline: Moment) -> Option<Moment> {
-        let start_by = deadline - self.busy.cautious();
-        (start_by >= now && deadline > now).then_some(start_by)
+    /// Returns the durations to expect in the present condition.
+    fn usual(&self) -> &Estimate {
+        if self.warmth.is_cold() { &self.cold_busy } else { &self.busy }
     }
 
     /// Estimates the time until a call with `ahead` calls before it in the queue starts.
     fn wait(&self, ahead: usize) -> Duration {
         let rounds = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        self.busy.mean().saturating_mul(rounds) / self.limit().max(1)
+        self.usual().mean().saturating_mul(rounds) / self.limit().max(1)
     }
 
     fn overload(&self, now: Moment, wait: Duration) -> Refusal {
@@ -278,7 +293,7 @@
 
     /// Refuses queued calls that newer, more valuable ones have pushed past their last start.
     fn shed_hopeless(&mut self, now: Moment) {
-        let slot = self.busy.mean() / self.limit().max(1);
+        let slot = self.usual().mean() / self.limit().max(1);
         for ticket in self.queue.hopeless(now, slot) {
             self.shed(now, ticket);
         }
@@ -293,6 +308,7 @@
 
     fn turn_cold(&mut self, now: Moment) {
         self.warmth.turn_cold(now);
+        self.cold_busy = Estimate::default();
         self.limiter.forget_window();
         self.shed_hopeless(now);
     }
--- a/src/limpetmux/core/membership/mod.rs
+++ b/src/limpetmux/core/membership/mod.rs
@@ -17,6 +17,7 @@
 use crate::core::time::Moment;
 use crate::core::view::View;
 use host::Host;
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use strum::{Display, EnumString, IntoStaticStr, VariantArray};
@@ -97,6 +98,13 @@
 #[serde(transparent)]
 pub struct ProcessId(pub u64);
 
+impl ProcessId {
+    /// Draws the number of a new process; zero is left for "not known".
+    pub fn random(rng: &mut impl Rng) -> Self {
+        Self(rng.random_range(1..=u64::MAX))
+    }
+}
+
 /// What was seen of a host on the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sighting {
--- a/src/limpetmux/entry/link.rs
+++ b/src/limpetmux/entry/link.rs
@@ -1,10 +1,8 @@
-//! The connection to one sidecar and what this entry knows of its load.
+//! The connection to one sidecar.
 
 use crate::wire::once::once_client::OnceClient;
-use crate::wire::stage;
 use crate::wire::stage::stage_client::StageClient;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tonic::transport::{Channel, Endpoint};
 
@@ -20,17 +18,6 @@
 pub struct Link {
     addr: SocketAddr,
     channel: Option<Channel>,
-    inflight: AtomicU32,
-}
-
-/// Counts an attempt on a link until dropped.
-#[derive(Debug)]
-pub struct Running<'a>(&'a Link);
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        self.0.inflight.fetch_sub(1, Ordering::Relaxed);
-    }
 }
 
 impl Link {
@@ -44,7 +31,7 @@
                 .tcp_nodelay(true)
                 .connect_lazy()
         });
-        Self { addr, channel, inflight: AtomicU32::new(0) }
+        Self { addr, channel }
     }
 
     /// Returns the address of the sidecar.
@@ -61,18 +48,4 @@
     pub fn once_client(&self) -> Option<OnceClient<Channel>> {
         self.channel.clone().map(OnceClient::new)
     }
-
-    /// Returns the number of this entry's attempts on the sidecar.
-    pub fn inflight(&self) -> u32 {
-        self.inflight.load(Ordering::Relaxed)
-    }
-
-    /// Counts an attempt.
-    pub fn begin(&self) -> Running<'_> {
-        self.inflight.fetch_add(1, Ordering::Relaxed);
-        Running(self)
-    }
-
-    /// Takes note of a load that the sidecar reported.
-    pub fn observe(&self, _load: &stage::Load) {}
 }
--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -5,16 +5,15 @@
 
 use super::attempt::{AttemptError, run_attempt};
 use super::link::Link;
-use super::pipeline::Run;
-use super::stage::{StageRun, build_request};
+use super::stage::{Scene, StageRun, build_request};
 use crate::core::frames::AttemptKey;
-use crate::core::keys::{HostKey, StageIndex};
+use crate::core::keys::HostKey;
 use crate::core::once::{KeyId, homes};
 use crate::core::verdict::{Execution, Refusal, RefusalCode};
+use crate::util::clock;
 use crate::wire::{convert, once, stage};
 use bytes::Bytes;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// The most times that the home and the successor are asked in turn.
 const MAX_ATTEMPTS: u32 = 12;
@@ -22,59 +21,31 @@
 const PAUSE: Duration = Duration::from_millis(200);
 /// When it is worth asking again while the key moves between its hosts.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
-/// The time left for a look-up to answer before the request's deadline.
+/// The time left for a look-up to answer before the stage's deadline.
 const LOOK_UP_SLACK: Duration = Duration::from_millis(50);
 
 /// Runs one stage under the caller's key.
-pub(super) async fn run_stage_once(
-    run: &mut Run<'_>,
-    index: StageIndex,
-    input: &Bytes,
-) -> Result<StageRun, Refusal> {
-    let started = Instant::now();
-    let mut state = StageRun::default();
-    let result = ask_hosts(run, index, input, &mut state).await;
-    state.elapsed = started.elapsed();
-    match result {
-        Ok(()) => Ok(state),
-        Err(refusal) => {
-            run.dispatched |= refusal.execution != Execution::NotRun;
-            run.undetermined |= refusal.execution == Execution::Unknown;
-            Err(refusal)
-        }
+pub(super) async fn run_stage_once(scene: &Scene<'_>) -> Result<StageRun, Refusal> {
+    let open = scene.run.progress.begin(false);
+    let result = ask_hosts(scene).await;
+    match &result {
+        Ok(_) => open.completed(),
+        Err(refusal) => open.refused(refusal.execution),
     }
+    result
 }
 
-async fn ask_hosts(
-    run: &Run<'_>,
-    index: StageIndex,
-    input: &Bytes,
-    state: &mut StageRun,
-) -> Result<(), Refusal> {
-    let hosts = hosts_of(run, index)?;
-    let fleet = run.fleet;
-    let row = &fleet.view.pipelines[run.order.pipeline].stages[usize::from(index.0)];
+async fn ask_hosts(scene: &Scene<'_>) -> Result<StageRun, Refusal> {
+    let hosts = hosts_of(scene)?;
     let mut last = Refusal::not_run(RefusalCode::Unavailable);
     for (attempt, host) in (0..MAX_ATTEMPTS).zip(hosts.iter().cycle()) {
-        state.tried.push(*host);
-        state.pieces.clear();
-        let key = AttemptKey { request: run.order.id, stage: index, attempt };
-        let request = build_request(run, row, key, input, &[]);
-        let pieces = &mut state.pieces;
-        let deliver = |payload: Bytes| {
-            pieces.push(payload);
-            std::future::ready(true)
-        };
-        match run_attempt(&fleet.links[*host], key, request, deliver).await {
-            Ok(closed) => {
-                state.done = closed.done;
-                return Ok(());
-            }
+        match ask(scene, attempt, *host).await {
+            Ok(run) => return Ok(run),
             Err(AttemptError::Refused(refusal)) => last = refusal,
             Err(error) if error.refusal().execution == Execution::NotRun => {
                 last = error.refusal();
             }
-            Err(error) => return recover(run, index, *host, state, error.refusal()).await,
+            Err(error) => return recover(scene, attempt, *host, error.refusal()).await,
         }
         if !is_elsewhere(last) {
             return Err(last);
@@ -86,16 +57,32 @@
     Err(last.retry_in(RETRY_AFTER))
 }
 
+/// Runs one attempt on one of the key's hosts.
+async fn ask(scene: &Scene<'_>, attempt: u32, host: HostKey) -> Result<StageRun, AttemptError> {
+    let key = AttemptKey { request: scene.run.order.id, stage: scene.index, attempt };
+    let request = build_request(scene, key, &[]);
+    let mut pieces = Vec::new();
+    let deliver = |payload: Bytes| {
+        pieces.push(payload);
+        std::future::ready(true)
+    };
+    let (fleet, sent) = (scene.run.fleet, clock::now());
+    let (result, load) = run_attempt(&fleet.links[host], key, request, deliver).await;
+    if let Some(load) = load {
+        fleet.members.replied(&fleet.view, host, sent, &load);
+    }
+    let done = result?;
+    Ok(StageRun { pieces, host, attempts: attempt + 1, done })
+}
+
 /// Returns the home and the successor of the caller's key.
-fn hosts_of(run: &Run<'_>, index: StageIndex) -> Result<Vec<HostKey>, Refusal> {
-    let view = &run.fleet.view;
-    let row = &view.pipelines[run.order.pipeline].stages[usize::from(index.0)];
-    let caller = run.order.key.as_ref();
-    let caller = caller.ok_or(Refusal::not_run(RefusalCode::BadRequest))?;
-    let workspace = view.workspaces[run.order.workspace].name.as_str();
-    let pipeline = view.pipelines[run.order.pipeline].name.as_str();
-    let key = KeyId::new(workspace, pipeline, index.0, &caller.key);
-    let homes = homes(view, run.order.workspace, row.service, key)
+fn hosts_of(scene: &Scene<'_>) -> Result<Vec<HostKey>, Refusal> {
+    let (view, order) = (&scene.run.fleet.view, scene.run.order);
+    let caller = order.key.as_ref().ok_or(Refusal::not_run(RefusalCode::BadRequest))?;
+    let workspace = view.workspaces[order.workspace].name.as_str();
+    let pipeline = view.pipelines[order.pipeline].name.as_str();
+    let key = KeyId::new(workspace, pipeline, scene.index.0, &caller.key);
+    let homes = homes(view, order.workspace, scene.row.service, key)
         .ok_or(Refusal::not_run(RefusalCode::Unavailable))?;
     Ok(std::iter::once(homes.home).chain(homes.successor).collect())
 }
@@ -115,31 +102,28 @@
 
 /// Asks for the outcome of a run whose answer was lost.
 async fn recover(
-    run: &Run<'_>,
-    index: StageIndex,
+    scene: &Scene<'_>,
+    attempt: u32,
     host: HostKey,
-    state: &mut StageRun,
     lost: Refusal,
-) -> Result<(), Refusal> {
-    let left = run.deadline.saturating_duration_since(Instant::now());
-    let wait = left.saturating_sub(LOOK_UP_SLACK);
-    let request = look_up_request(run, index, wait);
-    let reply = look_up(&run.fleet.links[host], request).await;
+) -> Result<StageRun, Refusal> {
+    let wait = clock::now().until(scene.deadline).saturating_sub(LOOK_UP_SLACK);
+    let reply = look_up(&scene.run.fleet.links[host], look_up_request(scene, wait)).await;
     let Some(once::LookUpReply { answer: Some(answer), .. }) = reply else {
         return Err(Refusal::unknown(lost.code).retry_in(RETRY_AFTER));
     };
-    state.pieces = vec![answer.payload.into()];
-    state.done = stage::Done { cost: answer.cost, ..stage::Done::default() };
-    Ok(())
+    let pieces = vec![answer.payload.into()];
+    let done = stage::Done { cost: answer.cost, ..stage::Done::default() };
+    Ok(StageRun { pieces, host, attempts: attempt + 1, done })
 }
 
-fn look_up_request(run: &Run<'_>, index: StageIndex, wait: Duration) -> once::LookUpRequest {
-    let view = &run.fleet.view;
+fn look_up_request(scene: &Scene<'_>, wait: Duration) -> once::LookUpRequest {
+    let (view, order) = (&scene.run.fleet.view, scene.run.order);
     once::LookUpRequest {
-        workspace: view.workspaces[run.order.workspace].name.to_string(),
-        pipeline: view.pipelines[run.order.pipeline].name.to_string(),
-        stage: u32::from(index.0),
-        key: run.order.key.as_ref().map(|k| k.key.clone()).unwrap_or_default(),
+        workspace: view.workspaces[order.workspace].name.to_string(),
+        pipeline: view.pipelines[order.pipeline].name.to_string(),
+        stage: u32::from(scene.index.0),
+        key: order.key.as_ref().map(|k| k.key.clone()).unwrap_or_default(),
         wait_us: convert::micros(wait),
     }
 }
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -6,6 +6,7 @@
 //! task follows the load and the incarnation of the backend server. See
 //! `docs/design/requests.md`.
 
+mod admit;
 mod attempts;
 mod gate;
 pub mod once;
@@ -14,8 +15,9 @@
 mod run;
 mod service;
 
+pub use admit::Permit;
 pub use attempts::{Attempts, Cancelled};
-pub use gate::{Admitted, Gate, Permit};
+pub use gate::{Admitted, Claimant, Gate};
 pub use output::{FrameWriter, Gone, Output};
 pub use run::{Attempt, Usage, run_attempt};
 pub use service::StageService;
@@ -25,12 +27,13 @@
 use crate::adapters::log::LogClient;
 use crate::claims::Pace;
 use crate::core::config::Name;
+use crate::core::membership::ProcessId;
 use crate::core::once::Rules;
 use crate::core::view::View;
 use crate::kernel::Published;
 use crate::wire::once::once_server::OnceServer;
-use crate::wire::stage;
-use std::sync::Arc;
+use crate::wire::{convert, stage};
+use std::sync::{Arc, Weak};
 
 /// What a sidecar needs to start.
 pub struct SidecarOptions {
@@ -68,6 +71,7 @@
     pub(crate) gate: Gate,
     pub(crate) attempts: Attempts,
     pub(crate) once: Option<(Arc<OnceGate>, LogClient)>,
+    process: ProcessId,
 }
 
 impl Sidecar {
@@ -83,9 +87,15 @@
             let options = OnceOptions { host, view, log: log.clone(), rules, pace, draining };
             (OnceGate::start(options), log)
         });
-        let sidecar =
-            Arc::new(Self { once, backend: options.backend, gate, attempts: Attempts::default() });
+        let sidecar = Arc::new(Self {
+            backend: options.backend,
+            gate,
+            attempts: Attempts::default(),
+            once,
+            process: ProcessId::random(&mut rand::rng()),
+        });
         tokio::spawn(probe::run(Arc::downgrade(&sidecar)));
+        tokio::spawn(follow(Arc::downgrade(&sidecar), sidecar.gate.views()));
         sidecar
     }
 
@@ -105,8 +115,26 @@
         self.once.as_ref().map(|(gate, _)| gate)
     }
 
+    /// Returns the number of this run of the process.
+    pub fn process(&self) -> ProcessId {
+        self.process
+    }
+
+    /// Returns the load as entries are told it.
+    pub fn load(&self) -> stage::Load {
+        convert::load(self.gate.load(), self.process, self.gate.is_draining())
+    }
+
     /// Returns the gate, which knows the load and whether the sidecar is draining.
     pub fn gate(&self) -> &Gate {
         &self.gate
     }
 }
+
+/// Adopts every new configuration until the sidecar is dropped.
+async fn follow(sidecar: Weak<Sidecar>, mut views: Published<View>) {
+    while views.changed().await {
+        let Some(sidecar) = sidecar.upgrade() else { return };
+        sidecar.gate.adopt();
+    }
+}
--- a/src/limpetmux/sidecar/service.rs
+++ b/src/limpetmux/sidecar/service.rs
@@ -2,7 +2,7 @@
 
 use super::once::run_once;
 use super::output::FrameResult;
-use super::{Attempt, FrameWriter, Output, Sidecar, Usage, run_attempt};
+use super::{Attempt, Claimant, FrameWriter, Output, Sidecar, Usage, run_attempt};
 use crate::adapters::backend::Job;
 use crate::core::frames::AttemptKey;
 use crate::core::verdict::{Refusal, RefusalCode};
@@ -63,7 +63,7 @@
         &self,
         _request: Request<stage::ProbeRequest>,
     ) -> Result<Response<stage::Load>, Status> {
-        Ok(Response::new(self.sidecar.gate.load()))
+        Ok(Response::new(self.sidecar.load()))
     }
 }
 
@@ -80,8 +80,8 @@
     let Output::Frames(mut writer) = output else { return };
     // An entry that has gone needs no close.
     let _ = match result {
-        Ok(usage) => writer.done(done(usage, sidecar.gate.load())).await,
-        Err(refusal) => writer.refused(refusal, sidecar.gate.load()).await,
+        Ok(usage) => writer.done(done(usage, sidecar.load())).await,
+        Err(refusal) => writer.refused(refusal, sidecar.load()).await,
     };
 }
 
@@ -92,21 +92,28 @@
     arrived: Instant,
     output: &mut Output,
 ) -> Result<Usage, Refusal> {
-    let admitted = sidecar.gate.check(&request.pipeline, u32::from(key.stage.0))?;
+    let claimant = Claimant {
+        workspace: &request.workspace,
+        pipeline: &request.pipeline,
+        stage: u32::from(key.stage.0),
+        priority: request.priority,
+        tokens: request.max_tokens,
+    };
+    let admitted = sidecar.gate.check(claimant)?;
     let cancelled = |_| Refusal::not_run(RefusalCode::Cancelled);
     let (registration, cancel) = sidecar.attempts.begin(key).map_err(cancelled)?;
     let deadline = arrived + Duration::from_micros(request.remaining_us);
     let job = Job {
         key,
-        kind: admitted.service.kind,
-        model: admitted.service.model.clone(),
+        kind: admitted.spec().kind,
+        model: admitted.spec().model.clone(),
         input: request.input.clone(),
         prefix: request.prefix.clone(),
         tokens: request.max_tokens,
         priority: request.priority,
         fence: None,
     };
-    let repeatable = admitted.service.idempotent;
+    let repeatable = admitted.spec().idempotent;
     let attempt = Attempt { job, admitted, deadline, grace: Duration::ZERO, arrived };
     if repeatable {
         return run_attempt(sidecar, attempt, &registration, cancel, output).await;
--- a/src/limpetmux/wire/convert.rs
+++ b/src/limpetmux/wire/convert.rs
@@ -1,8 +1,10 @@
 //! Conversions between the messages of the stage protocol and the types of `core`.
 
 use super::stage;
+use crate::core::admission::Load;
 use crate::core::frames::{AttemptKey, Close, RequestId};
 use crate::core::keys::StageIndex;
+use crate::core::membership::ProcessId;
 use crate::core::verdict::{Execution, Refusal, RefusalCode};
 use bytes::Bytes;
 use std::time::Duration;
@@ -50,6 +52,34 @@
     }
 }
 
+/// Writes a load as a message of one process; `draining` is the process's own, not the host's.
+pub fn load(load: Load, process: ProcessId, draining: bool) -> stage::Load {
+    stage::Load {
+        inflight: load.inflight,
+        queued: load.queued,
+        limit: load.limit,
+        cold: load.cold,
+        draining,
+        incarnation: load.incarnation,
+        first_us: micros(load.first),
+        process: process.0,
+    }
+}
+
+impl From<&stage::Load> for Load {
+    fn from(load: &stage::Load) -> Self {
+        Self {
+            inflight: load.inflight,
+            queued: load.queued,
+            limit: load.limit,
+            cold: load.cold,
+            draining: load.draining,
+            incarnation: load.incarnation,
+            first: Duration::from_micros(load.first_us),
+        }
+    }
+}
+
 /// Writes a refusal as a message.
 pub fn refused(refusal: Refusal, load: Option<stage::Load>) -> stage::Refused {
     stage::Refused {
