--- a/src/limpetmux/entry/attempt.rs
+++ b/src/limpetmux/entry/attempt.rs
@@ -28,15 +28,6 @@
 }
 
 impl AttemptError {
-    /// Returns whether the attempt may have run and its answer was lost on the way.
-    pub(super) fn is_lost(&self) -> bool {
-        match self {
-            Self::Refused(_) | Self::CallerGone => false,
-            Self::Broken(_) => true,
-            Self::Transport(status) => !is_connect(status),
-        }
-    }
-
     /// Returns whether no connection could be made.
     pub(super) fn is_unreachable(&self) -> bool {
         matches!(self, Self::Transport(status) if is_connect(status))
--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -1,9 +1,10 @@
 //! The callers' HTTP interface.
 
 use super::order::Parts;
+use super::outcome::find;
 use super::pipeline::{self, Answer};
 use super::problem::Problem;
-use super::{Entry, Fleet, InFlight, Order, OrderError, Trailer, outcomes, stream};
+use super::{Entry, Fleet, InFlight, Order, OrderError, Trailer, stream};
 use crate::core::frames::RequestId;
 use crate::core::verdict::{Refusal, RefusalCode};
 use crate::event;
@@ -31,7 +32,7 @@
 pub(super) fn routes(entry: Arc<Entry>) -> AddDataEndpoint<Route, Arc<Entry>> {
     Route::new()
         .at("/v1/workspaces/:workspace/pipelines/:pipeline/runs", post(run))
-        .at("/v1/workspaces/:workspace/outcomes/:key", get(outcome))
+        .at("/v1/workspaces/:workspace/pipelines/:pipeline/outcomes/:key", get(outcome))
         .at("/healthz", get(health))
         .at("/readyz", get(ready))
         .data(entry)
@@ -92,14 +93,6 @@
     }
 }
 
-#[handler]
-async fn outcome(
-    Path((workspace, key)): Path<(String, String)>,
-    Data(entry): Data<&Arc<Entry>>,
-) -> Response {
-    outcomes::respond(entry, &workspace, &key).await
-}
-
 fn reject(entry: &Entry, error: &OrderError) -> Response {
     entry.counters.rejected.fetch_add(1, Ordering::Relaxed);
     entry.metrics.count(Metric::RequestsRejected, 1, &[]);
@@ -142,6 +135,21 @@
     }
 }
 
+#[handler]
+async fn outcome(
+    Path((workspace, pipeline, key)): Path<(String, String, String)>,
+    Data(entry): Data<&Arc<Entry>>,
+) -> Response {
+    let fleet = entry.fleet.load();
+    match find(&fleet, &workspace, &pipeline, &key).await {
+        Ok(body) => {
+            let body = serde_json::to_vec(&body).unwrap_or_default();
+            Response::builder().content_type("application/json").body(body)
+        }
+        Err(error) => reject(entry, &error),
+    }
+}
+
 async fn read_body(entry: &Entry, request: &Request, body: Body) -> Result<Bytes, OrderError> {
     let limit = entry.limits.body;
     let stated = request.headers().get(header::CONTENT_LENGTH);
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -14,7 +14,7 @@
 mod members;
 mod once;
 mod order;
-mod outcomes;
+mod outcome;
 mod pipeline;
 mod policy;
 mod probe;
--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -3,12 +3,11 @@
 //! A lost answer is asked for by key and never sent again. A refusal that is proven to have run
 //! nothing, or a host that no longer holds the key, lets the other of the two hosts be asked.
 
-use super::Fleet;
-use super::attempt::run_attempt;
+use super::attempt::{AttemptError, run_attempt};
 use super::link::Link;
 use super::stage::{Scene, StageRun, build_request};
 use crate::core::frames::AttemptKey;
-use crate::core::keys::{HostKey, PipelineKey, StageIndex, WorkspaceKey};
+use crate::core::keys::HostKey;
 use crate::core::once::{KeyId, homes};
 use crate::core::verdict::{Execution, Refusal, RefusalCode};
 use crate::util::clock;
@@ -17,103 +16,75 @@
 use std::time::Duration;
 
 /// The most times that the home and the successor are asked in turn.
-const MAX_ATTEMPTS: u32 = 4;
+const MAX_ATTEMPTS: u32 = 12;
+/// The pause after both hosts were asked, in which a move of the key may end.
+const PAUSE: Duration = Duration::from_millis(200);
 /// When it is worth asking again while the key moves between its hosts.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
-/// The time left for a look-up to answer before the request's deadline.
+/// The time left for a look-up to answer before the stage's deadline.
 const LOOK_UP_SLACK: Duration = Duration::from_millis(50);
 
-/// A key together with the stage that it stands for.
-#[derive(Clone, Copy)]
-pub(super) struct Naming<'a> {
-    pub(super) workspace: WorkspaceKey,
-    pub(super) pipeline: PipelineKey,
-    pub(super) stage: StageIndex,
-    pub(super) key: &'a str,
-}
-
-impl Naming<'_> {
-    /// Returns the home of the key and then its successor.
-    pub(super) fn hosts(self, fleet: &Fleet) -> Option<Vec<HostKey>> {
-        let view = &fleet.view;
-        let workspace = view.workspaces[self.workspace].name.as_str();
-        let pipeline = view.pipelines[self.pipeline].name.as_str();
-        let service = view.stage(self.pipeline, self.stage)?.service;
-        let id = KeyId::new(workspace, pipeline, self.stage.0, self.key);
-        let homes = homes(view, self.workspace, service, id)?;
-        Some(std::iter::once(homes.home).chain(homes.successor).collect())
-    }
-
-    /// Returns the question for the outcome, to be answered within a time.
-    pub(super) fn look_up(self, fleet: &Fleet, wait: Duration) -> once::LookUpRequest {
-        once::LookUpRequest {
-            workspace: fleet.view.workspaces[self.workspace].name.to_string(),
-            pipeline: fleet.view.pipelines[self.pipeline].name.to_string(),
-            stage: u32::from(self.stage.0),
-            key: self.key.to_owned(),
-            wait_us: convert::micros(wait),
-        }
+/// Runs one stage under the caller's key.
+pub(super) async fn run_stage_once(scene: &Scene<'_>) -> Result<StageRun, Refusal> {
+    let open = scene.run.progress.begin(false);
+    let result = ask_hosts(scene).await;
+    match &result {
+        Ok(_) => open.completed(),
+        Err(refusal) => open.refused(refusal.execution),
     }
+    result
 }
 
-/// Runs one stage under the caller's key.
-pub(super) async fn run_stage_once(scene: &Scene<'_>) -> Result<StageRun, Refusal> {
-    let order = scene.run.order;
-    let caller = order.key.as_ref().ok_or(Refusal::not_run(RefusalCode::BadRequest))?;
-    let (workspace, pipeline) = (order.workspace, order.pipeline);
-    let naming = Naming { workspace, pipeline, stage: scene.index, key: &caller.key };
-    let hosts = naming.hosts(scene.run.fleet);
-    let hosts = hosts.ok_or(Refusal::not_run(RefusalCode::Unavailable).retry_in(RETRY_AFTER))?;
+async fn ask_hosts(scene: &Scene<'_>) -> Result<StageRun, Refusal> {
+    let hosts = hosts_of(scene)?;
     let mut last = Refusal::not_run(RefusalCode::Unavailable);
-    for (number, host) in (0..MAX_ATTEMPTS).zip(hosts.iter().cycle()) {
-        match ask(scene, naming, number, *host).await {
+    for (attempt, host) in (0..MAX_ATTEMPTS).zip(hosts.iter().cycle()) {
+        match ask(scene, attempt, *host).await {
             Ok(run) => return Ok(run),
-            Err(refusal) => last = refusal,
+            Err(AttemptError::Refused(refusal)) => last = refusal,
+            Err(error) if error.refusal().execution == Execution::NotRun => {
+                last = error.refusal();
+            }
+            Err(error) => return recover(scene, attempt, *host, error.refusal()).await,
         }
         if !is_elsewhere(last) {
             return Err(last);
         }
+        if usize::try_from(attempt).is_ok_and(|n| (n + 1).is_multiple_of(hosts.len())) {
+            tokio::time::sleep(PAUSE).await;
+        }
     }
     Err(last.retry_in(RETRY_AFTER))
 }
 
-/// Asks one host to run the stage, and for the outcome if its answer is lost.
-async fn ask(
-    scene: &Scene<'_>,
-    naming: Naming<'_>,
-    number: u32,
-    host: HostKey,
-) -> Result<StageRun, Refusal> {
-    let key = AttemptKey { request: scene.run.order.id, stage: scene.index, attempt: number };
+/// Runs one attempt on one of the key's hosts.
+async fn ask(scene: &Scene<'_>, attempt: u32, host: HostKey) -> Result<StageRun, AttemptError> {
+    let key = AttemptKey { request: scene.run.order.id, stage: scene.index, attempt };
+    let request = build_request(scene, key, &[]);
     let mut pieces = Vec::new();
     let deliver = |payload: Bytes| {
         pieces.push(payload);
         std::future::ready(true)
     };
-    let open = scene.run.progress.begin(false);
-    let sent = clock::now();
-    let fleet = scene.run.fleet;
-    let request = build_request(scene, key, &[]);
+    let (fleet, sent) = (scene.run.fleet, clock::now());
     let (result, load) = run_attempt(&fleet.links[host], key, request, deliver).await;
     if let Some(load) = load {
         fleet.members.replied(&fleet.view, host, sent, &load);
     }
-    let attempts = number + 1;
-    let error = match result {
-        Ok(done) => {
-            open.completed();
-            return Ok(StageRun { pieces, host, attempts, done });
-        }
-        Err(error) => error,
-    };
-    let refusal = scene.failed(key, host, &error);
-    if error.is_lost() {
-        let run = recover(scene, naming, host, refusal).await?;
-        open.completed();
-        return Ok(StageRun { attempts, ..run });
-    }
-    open.refused(refusal.execution);
-    Err(refusal)
+    let done = result.inspect_err(|error| scene.note_failure(key, host, error))?;
+    Ok(StageRun { pieces, host, attempts: attempt + 1, done })
+}
+
+/// Returns the home and the successor of the caller's key.
+fn hosts_of(scene: &Scene<'_>) -> Result<Vec<HostKey>, Refusal> {
+    let (view, order) = (&scene.run.fleet.view, scene.run.order);
+    let caller = order.key.as_ref().ok_or(Refusal::not_run(RefusalCode::BadRequest))?;
+    let workspace = view.workspaces[order.workspace].name.as_str();
+    let pipeline = view.pipelines[order.pipeline].name.as_str();
+    let key = KeyId::new(workspace, pipeline, scene.index.0, &caller.key);
+    let homes = homes(view, order.workspace, scene.row.service, key)
+        .ok_or(Refusal::not_run(RefusalCode::Unavailable))?;
+    Ok(std::iter::once(homes.home).chain(homes.successor).collect())
 }
 
 /// Returns whether the other host may hold the key.
@@ -132,19 +103,29 @@
 /// Asks for the outcome of a run whose answer was lost.
 async fn recover(
     scene: &Scene<'_>,
-    naming: Naming<'_>,
+    attempt: u32,
     host: HostKey,
     lost: Refusal,
 ) -> Result<StageRun, Refusal> {
-    let fleet = scene.run.fleet;
-    let left = clock::now().until(scene.deadline);
-    let request = naming.look_up(fleet, left.saturating_sub(LOOK_UP_SLACK));
-    let reply = look_up(&fleet.links[host], request).await;
+    let wait = clock::now().until(scene.deadline).saturating_sub(LOOK_UP_SLACK);
+    let reply = look_up(&scene.run.fleet.links[host], look_up_request(scene, wait)).await;
     let Some(once::LookUpReply { answer: Some(answer), .. }) = reply else {
         return Err(Refusal::unknown(lost.code).retry_in(RETRY_AFTER));
     };
+    let pieces = vec![answer.payload.into()];
     let done = stage::Done { cost: answer.cost, ..stage::Done::default() };
-    Ok(StageRun { pieces: vec![answer.payload.into()], host, attempts: 1, done })
+    Ok(StageRun { pieces, host, attempts: attempt + 1, done })
+}
+
+fn look_up_request(scene: &Scene<'_>, wait: Duration) -> once::LookUpRequest {
+    let (view, order) = (&scene.run.fleet.view, scene.run.order);
+    once::LookUpRequest {
+        workspace: view.workspaces[order.workspace].name.to_string(),
+        pipeline: view.pipelines[order.pipeline].name.to_string(),
+        stage: u32::from(scene.index.0),
+        key: order.key.as_ref().map(|k| k.key.clone()).unwrap_or_default(),
+        wait_us: convert::micros(wait),
+    }
 }
 
 /// Looks up an outcome on one host; `None` if the host does not answer.
@@ -152,5 +133,5 @@
     link: &Link,
     request: once::LookUpRequest,
 ) -> Option<once::LookUpReply> {
-    link.once_client()?.look_up(request).await.ok().map(tonic::Response::into_inner)
+    link.once_client()?.look_up(request).await.ok().map(|reply| reply.into_inner())
 }
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -85,8 +85,8 @@
         self.run.entry.policy.pick(fleet, query, usable)
     }
 
-    /// Logs a failed attempt, reports a host that cannot be reached, and returns the refusal.
-    pub(super) fn failed(&self, key: AttemptKey, host: HostKey, error: &AttemptError) -> Refusal {
+    /// Logs a failed attempt and reports a host that cannot be reached.
+    pub(super) fn note_failure(&self, key: AttemptKey, host: HostKey, error: &AttemptError) {
         let fleet = self.run.fleet;
         if error.is_unreachable() {
             fleet.members.unreachable(&fleet.view, host);
@@ -99,7 +99,6 @@
                 error = error
             );
         }
-        error.refusal()
     }
 }
 
@@ -201,7 +200,10 @@
         picked.observe((&load).into());
         fleet.members.replied(&fleet.view, host, sent, &load);
     }
-    let result = result.map_err(|error| scene.failed(key, host, &error));
+    let result = result.map_err(|error| {
+        scene.note_failure(key, host, &error);
+        error.refusal()
+    });
     match &result {
         Ok(_) => {
             open.completed();
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -75,9 +75,9 @@
     pub(crate) gate: Gate,
     pub(crate) attempts: Attempts,
     pub(crate) metrics: Metrics,
+    pub(crate) once: Option<(Arc<OnceGate>, LogClient)>,
     process: ProcessId,
     running: AtomicU32,
-    pub(crate) once: Option<(Arc<OnceGate>, LogClient)>,
 }
 
 impl Sidecar {
@@ -85,18 +85,20 @@
     ///
     /// The probe ends when the sidecar is dropped.
     pub fn start(options: SidecarOptions) -> Arc<Self> {
+        let gate = Gate::new(options.host.clone(), options.view.clone());
         let once = options.once.map(|link| {
             let (host, view) = (options.host.clone(), options.view.clone());
             let OnceLink { log, rules, pace } = link;
-            let gate = OnceGate::start(OnceOptions { host, view, log: log.clone(), rules, pace });
-            (gate, log)
+            let draining = gate.draining();
+            let options = OnceOptions { host, view, log: log.clone(), rules, pace, draining };
+            (OnceGate::start(options), log)
         });
         let sidecar = Arc::new(Self {
-            once,
             backend: options.backend,
-            gate: Gate::new(options.host, options.view),
+            gate,
             attempts: Attempts::default(),
             metrics: options.metrics,
+            once,
             process: ProcessId::random(&mut rand::rng()),
             running: AtomicU32::new(0),
         });
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod kernel;
 mod membership;
 mod once_explore;
+mod once_path;
 mod path;
 mod planner;
 mod requests;
