--- a/crates/limpetmux-test-support/src/once_fleet.rs
+++ b/crates/limpetmux-test-support/src/once_fleet.rs
@@ -13,6 +13,7 @@
 use limpetmux::kernel::Publisher;
 use limpetmux::node::serve_sidecar;
 use limpetmux::sidecar::{OnceLink, Sidecar, SidecarOptions};
+use limpetmux::util::metrics::Metrics;
 use limpetmux_standins::{BackendOptions, Log, LogOptions, Plain};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -101,6 +102,7 @@
             view: self.view.reader(),
             members: Members(None),
             limits: Limits::default(),
+            metrics: Metrics::none(),
         })
         .unwrap();
         let server = entry.serve(listener, std::future::pending(), GRACE);
@@ -115,6 +117,7 @@
             view: self.view.reader(),
             backend: Backend::http(self.client.clone(), &plain.url()),
             once: Some(OnceLink { rules: self.rules, ..OnceLink::new(log) }),
+            metrics: Metrics::none(),
         })
     }
 
--- a/src/limpetmux/node/server.rs
+++ b/src/limpetmux/node/server.rs
@@ -1,7 +1,9 @@
 //! The listeners of a process.
 
+use crate::sidecar::Sidecar;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use tokio::net::TcpListener;
 use tonic::transport::Server;
 use tonic::transport::server::{Router, TcpIncoming};
@@ -57,3 +59,16 @@
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     router.serve_with_incoming_shutdown(incoming, stop).await.map_err(ServeError::Grpc)
 }
+
+/// Serves a sidecar without its control services, as fixtures do.
+///
+/// # Errors
+/// Returns [`ServeError::Grpc`] if the server fails.
+pub async fn serve_sidecar(
+    sidecar: Arc<Sidecar>,
+    listener: TcpListener,
+    stop: impl Future<Output = ()>,
+) -> Result<(), ServeError> {
+    let router = grpc().add_service(sidecar.service()).add_optional_service(sidecar.once_service());
+    serve(router, listener, stop).await
+}
