--- a/src/bin/limpetmux/cli.rs
+++ b/src/bin/limpetmux/cli.rs
@@ -13,11 +13,14 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Verb {
+    Audit(commands::audit::AuditArgs),
+    Config(commands::config::ConfigArgs),
     Drain(commands::drain::DrainArgs),
     Entry(commands::entry::EntryArgs),
     Local(commands::local::LocalArgs),
     Settings(commands::settings::SettingsArgs),
     Sidecar(commands::sidecar::SidecarArgs),
+    Sheet(commands::sheet::SheetArgs),
     Status(commands::status::StatusArgs),
     Version(commands::version::VersionArgs),
 }
@@ -25,11 +28,14 @@
 /// Runs the chosen verb.
 pub fn exec(cli: Cli) -> miette::Result<()> {
     match cli.verb {
+        Verb::Audit(args) => commands::audit::exec(args),
+        Verb::Config(args) => commands::config::exec(args),
         Verb::Drain(args) => commands::drain::exec(args),
         Verb::Entry(args) => commands::entry::exec(args),
         Verb::Local(args) => commands::local::exec(args),
         Verb::Settings(args) => commands::settings::exec(args),
         Verb::Sidecar(args) => commands::sidecar::exec(args),
+        Verb::Sheet(args) => commands::sheet::exec(args),
         Verb::Status(args) => commands::status::exec(args),
         Verb::Version(args) => commands::version::exec(args),
     }
