--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each module builds one kind of input: configurations in the shape of the two deployments that
 //! the system serves today, larger ones for slopes and bounds, configuration records, a platform
+//! log in the process, callers of an entry, and cases drawn from fixed seeds.
 //! log in the process, and cases drawn from fixed seeds. [`http`] calls an entry; [`model`] drives
 //! the decisions under load in virtual time.
 
@@ -16,6 +17,8 @@
 pub mod invariants;
 pub mod load;
 pub mod model;
+pub mod once;
+pub mod once_fleet;
 pub mod policy;
 pub mod sized;
 
--- a/src/limpetmux/lib.rs
+++ b/src/limpetmux/lib.rs
@@ -20,6 +20,7 @@
 pub mod ops;
 pub mod planner;
 pub mod prelude;
+pub mod settings;
 pub mod shutdown;
 pub mod sidecar;
 pub mod util;
--- a/src/limpetmux/sidecar/run.rs
+++ b/src/limpetmux/sidecar/run.rs
@@ -5,6 +5,7 @@
 use crate::adapters::backend::{BackendError, Job};
 use crate::core::admission::Outcome;
 use crate::core::verdict::{Execution, Refusal, RefusalCode};
+use crate::util::metrics::Metric;
 use futures::StreamExt;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -19,6 +20,8 @@
     pub admitted: Admitted,
     /// When the request's time is over.
     pub deadline: Instant,
+    /// How long a call that was made may go on after the deadline, to learn its outcome.
+    pub grace: Duration,
     /// When the attempt arrived.
     pub arrived: Instant,
 }
@@ -57,14 +60,18 @@
     let result = tokio::select! {
         result = call(sidecar, attempt.job, &permit, output) => result,
         _ = &mut cancel => Err(Refusal::unknown(RefusalCode::Cancelled)),
-        () = tokio::time::sleep_until(attempt.deadline) => {
+        () = tokio::time::sleep_until(attempt.deadline + attempt.grace) => {
             Err(Refusal::unknown(RefusalCode::Deadline))
         }
     };
-    let cost = permit.end(outcome_of(&result));
-    result?;
+    let outcome = outcome_of(&result);
+    let cost = permit.end(outcome);
     let busy = started.elapsed();
     let queued = started.saturating_duration_since(attempt.arrived);
+    let tags = [("outcome", outcome_name(outcome))];
+    sidecar.metrics.count(Metric::SidecarCalls, 1, &tags);
+    sidecar.metrics.time(Metric::SidecarQueueTime, queued, &[]);
+    result?;
     Ok(Usage { queued, busy, cost })
 }
 
@@ -81,6 +88,15 @@
     }
 }
 
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Failed => "failed",
+        Outcome::Saturated => "saturated",
+        Outcome::Cancelled => "cancelled",
+    }
+}
+
 async fn call(
     sidecar: &Sidecar,
     job: Job,
--- a/src/limpetmux/sidecar/service.rs
+++ b/src/limpetmux/sidecar/service.rs
@@ -1,7 +1,8 @@
 //! The gRPC face of the sidecar.
 
+use super::once::run_once;
 use super::output::FrameResult;
-use super::{Attempt, Claimant, FrameWriter, Output, Sidecar, Usage, run_attempt};
+use super::{Attempt, Claimant, FrameWriter, Output, Running, Sidecar, Usage, run_attempt};
 use crate::adapters::backend::Job;
 use crate::core::frames::AttemptKey;
 use crate::core::verdict::{Refusal, RefusalCode};
@@ -43,7 +44,11 @@
         let (sender, receiver) = mpsc::channel(FRAME_QUEUE);
         let sidecar = Arc::clone(&self.sidecar);
         let writer = FrameWriter::new(key, sender);
-        tokio::spawn(async move { answer(&sidecar, key, request, arrived, writer).await });
+        let running = Running::begin(&sidecar);
+        tokio::spawn(async move {
+            answer(&sidecar, key, request, arrived, writer).await;
+            drop(running);
+        });
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
@@ -106,14 +111,21 @@
         key,
         kind: admitted.spec().kind,
         model: admitted.spec().model.clone(),
-        input: request.input,
-        prefix: request.prefix,
+        input: request.input.clone(),
+        prefix: request.prefix.clone(),
         tokens: request.max_tokens,
         priority: request.priority,
         fence: None,
     };
-    let attempt = Attempt { job, admitted, deadline, arrived };
-    run_attempt(sidecar, attempt, &registration, cancel, output).await
+    let repeatable = admitted.spec().idempotent;
+    let attempt = Attempt { job, admitted, deadline, grace: Duration::ZERO, arrived };
+    if repeatable {
+        return run_attempt(sidecar, attempt, &registration, cancel, output).await;
+    }
+    let gate = sidecar.once().ok_or(Refusal::not_run(RefusalCode::Unavailable))?;
+    let idempotency = request.idempotency.as_ref();
+    let idempotency = idempotency.ok_or(Refusal::not_run(RefusalCode::BadRequest))?;
+    run_once(sidecar, gate, (&request, idempotency), attempt, &registration, output).await
 }
 
 fn done(usage: Usage, load: stage::Load) -> stage::Done {
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -63,8 +63,23 @@
     /// A request was refused.
     #[strum(props(level = "warn"))]
     RequestRefused = 200,
+    /// A request was rejected as bad input.
+    RequestRejected = 201,
+    /// An attempt at a stage gave no whole answer.
+    AttemptFailed = 202,
 
     // 3xx: idempotency keys.
+    /// The claims stream of the platform log became reachable or unreachable.
+    #[strum(props(level = "warn"))]
+    ClaimsLogChanged = 300,
+    /// A record of the claims stream cannot be read or written.
+    #[strum(props(level = "error"))]
+    ClaimUnreadable = 301,
+    /// A takeover of a home's keys was appended to the log.
+    #[strum(props(level = "warn"))]
+    TakeoverAppended = 302,
+    /// A return of keys to their home was appended to the log.
+    ReturnAppended = 303,
 
     // 4xx: hosts and shutdown.
     /// The state of a host has changed.
@@ -107,6 +122,8 @@
     ProcessStarted = 700,
     /// The process has ended.
     ProcessEnded = 701,
+    /// The process listens for callers.
+    ListenerReady = 702,
 }
 
 impl EventCode {
@@ -146,7 +163,7 @@
             code = code.number(),
             event = code.name()
             $(, $field:% = $value)*;
-            "{}", code.summary()
+            concat!("{}" $(, " ", stringify!($field), "={}")*), code.summary() $(, $value)*
         );
     }};
 }
--- a/src/limpetmux/util/mod.rs
+++ b/src/limpetmux/util/mod.rs
@@ -4,4 +4,7 @@
 pub mod event;
 pub mod hash;
 pub mod jsonc;
+pub mod logging;
+pub mod metrics;
 pub mod sse;
+pub mod throttle;
