Give the deployment fixture idempotency keys

Cause: stages that may run at most once now need a link to the claims. Change: each sidecar of the fixture has one, with no clock margin since all share one clock; callers use keys that carry their time.

--- a/crates/limpetmux-test-support/src/deployment.rs
+++ b/crates/limpetmux-test-support/src/deployment.rs
@@ -12,6 +12,7 @@
     Control, ControlOptions, PeerCounters, Spread, SpreadOptions, peer_server, prepare,
 };
 use limpetmux::core::config::{Change, Config, Edit, Name};
+use limpetmux::core::once::Rules;
 use limpetmux::core::revision::{Offset, Revision};
 use limpetmux::core::shutdown::{DrainReport, ShutdownOptions};
 use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
@@ -20,7 +21,8 @@
 use limpetmux::node::local::StandIn;
 use limpetmux::node::process::{EntryListeners, Process, ProcessParts, run_entry};
 use limpetmux::shutdown::ShutdownPort;
-use limpetmux::sidecar::{Sidecar, SidecarOptions};
+use limpetmux::sidecar::{OnceLink, Sidecar, SidecarOptions};
+use limpetmux::util::metrics::Metrics;
 use limpetmux::wire::admin::StatusReply;
 use limpetmux_standins::{Hosts, Log, LogOptions};
 use rand::SeedableRng;
@@ -246,10 +248,20 @@
     async fn sidecar(&mut self, name: &Name, listener: TcpListener) -> Node<Sidecar> {
         let grpc = listener.local_addr().unwrap();
         let kernel = Arc::new(Kernel::new());
-        let control = self.control(name.as_str(), &kernel);
+        let log = self.node_log(name.as_str());
+        let control = control(name.as_str(), log.clone(), &kernel);
         let backend = Backend::http(reqwest::Client::new(), &self.standins[name].url());
         let view = control.view.clone();
-        let role = Sidecar::start(SidecarOptions { host: name.clone(), view, backend });
+        // All processes share one clock.
+        let rules = Rules { margin: Duration::ZERO, ..Rules::default() };
+        let once = Some(OnceLink { rules, ..OnceLink::new(log) });
+        let role = Sidecar::start(SidecarOptions {
+            host: name.clone(),
+            view,
+            backend,
+            metrics: Metrics::none(),
+            once,
+        });
         let times = ShutdownOptions { notice: Duration::ZERO, ..TIMES };
         let process = Process::sidecar(&role, parts(&kernel, times)).unwrap();
         let (process, spread) = self.spread(process, &control, grpc);
@@ -268,7 +280,8 @@
         let grpc = listeners.grpc.local_addr().unwrap();
         let url = limpetmux::entry::base_url(listeners.http.local_addr().unwrap());
         let kernel = Arc::new(Kernel::new());
-        let control = self.control(&format!("entry-{index}"), &kernel);
+        let node = format!("entry-{index}");
+        let control = control(&node, self.node_log(&node), &kernel);
         let list = HostsClient::http(reqwest::Client::new(), &self.hosts.url());
         let members = MembershipParts { views: control.view.clone(), hosts: Some(list) };
         let members = membership::start(&kernel, members).unwrap();
@@ -279,6 +292,7 @@
             view: control.view.clone(),
             members: Members(Some(members.clone())),
             limits: Limits::default(),
+            metrics: Metrics::none(),
         });
         let role = role.unwrap();
         let process = Process::entry(&role, parts(&kernel, TIMES)).unwrap();
@@ -290,14 +304,10 @@
         Node { role, control, grpc, url, members, shutdown, main, spread, _kernel: kernel }
     }
 
-    fn control(&mut self, node: &str, kernel: &Kernel) -> Control {
+    /// Returns a node's own access to the log.
+    fn node_log(&mut self, node: &str) -> LogClient {
         let cut = self.cuts.entry(node.to_owned()).or_default();
-        let log = LogClient::http(reqwest::Client::new(), &self.log.url());
-        let retry = Duration::from_millis(50);
-        let options = ControlOptions { retry, ..ControlOptions::new(node) };
-        let (control, service) = prepare(kernel, cuttable(log, cut), options).unwrap();
-        tokio::spawn(service.run());
-        control
+        cuttable(LogClient::http(reqwest::Client::new(), &self.log.url()), cut)
     }
 
     /// Adds the exchange with peers to a process.
@@ -318,6 +328,15 @@
     }
 }
 
+/// Starts the control service of a node.
+fn control(node: &str, log: LogClient, kernel: &Kernel) -> Control {
+    let retry = Duration::from_millis(50);
+    let options = ControlOptions { retry, ..ControlOptions::new(node) };
+    let (control, service) = prepare(kernel, log, options).unwrap();
+    tokio::spawn(service.run());
+    control
+}
+
 fn parts(kernel: &Arc<Kernel>, times: ShutdownOptions) -> ProcessParts {
     ProcessParts {
         kernel: Arc::clone(kernel),
--- a/crates/limpetmux-test-support/src/load.rs
+++ b/crates/limpetmux-test-support/src/load.rs
@@ -12,6 +12,8 @@
 
 /// The wait before a refused request is sent again.
 const RETRY: Duration = Duration::from_millis(20);
+/// One in this many requests runs at most once.
+const ONCE_EVERY: u64 = 4;
 /// The tokens of the `call-summary` pipeline.
 const TOKENS: u32 = 32;
 
@@ -38,7 +40,8 @@
     /// The base URLs that a balancer would send to now.
     pub urls: Arc<Mutex<Vec<String>>>,
     tally: Arc<Mutex<Tally>>,
-    asked: Arc<AtomicU64>,
+    /// The idempotency keys under which callers have asked so far.
+    pub keys: Arc<Mutex<Vec<String>>>,
     stopping: Arc<AtomicBool>,
     callers: JoinSet<()>,
 }
@@ -49,6 +52,7 @@
     urls: Arc<Mutex<Vec<String>>>,
     tally: Arc<Mutex<Tally>>,
     asked: Arc<AtomicU64>,
+    keys: Arc<Mutex<Vec<String>>>,
     stopping: Arc<AtomicBool>,
     /// The non-idempotent pipeline that every fourth request runs, if any.
     once: Option<&'static str>,
@@ -62,6 +66,7 @@
             urls: Arc::new(Mutex::new(urls)),
             tally: Arc::default(),
             asked: Arc::default(),
+            keys: Arc::default(),
             stopping: Arc::default(),
             once,
         };
@@ -69,8 +74,8 @@
         for _ in 0..callers {
             set.spawn(caller.clone().run());
         }
-        let Caller { urls, tally, asked, stopping, .. } = caller;
-        Self { urls, tally, asked, stopping, callers: set }
+        let Caller { urls, tally, keys, stopping, .. } = caller;
+        Self { urls, tally, keys, stopping, callers: set }
     }
 
     /// Returns what has been seen so far.
@@ -78,11 +83,6 @@
         self.tally.lock().unwrap().clone()
     }
 
-    /// Returns the number of requests sent under an idempotency key, which is also their keys.
-    pub fn asked(&self) -> u64 {
-        self.asked.load(Ordering::SeqCst)
-    }
-
     /// Waits until `count` further requests have been answered whole.
     pub async fn answered(&self, count: u64) {
         let target = self.tally().whole + count;
@@ -101,7 +101,9 @@
     async fn run(self) {
         while !self.stopping.load(Ordering::SeqCst) {
             let number = self.asked.fetch_add(1, Ordering::SeqCst);
-            while !self.note(self.ask(number).await) {
+            let key =
+                self.once.filter(|_| number.is_multiple_of(ONCE_EVERY)).map(|_| self.new_key());
+            while !self.note(self.ask(number, key.as_deref()).await) {
                 tokio::time::sleep(RETRY).await;
             }
         }
@@ -126,12 +128,18 @@
         urls[usize::try_from(number).unwrap() % urls.len()].clone()
     }
 
-    async fn ask(&self, number: u64) -> Ending {
+    /// Makes the key of a request that may run at most once; its time is the present.
+    fn new_key(&self) -> String {
+        let key = uuid::Uuid::now_v7().to_string();
+        self.keys.lock().unwrap().push(key.clone());
+        key
+    }
+
+    async fn ask(&self, number: u64, key: Option<&str>) -> Ending {
         let base = self.url(number);
-        match (number % 4, self.once) {
-            (0, Some(pipeline)) => self.ask_once(&base, pipeline, number).await,
-            (1, _) => self.ask_summary(&base, number, true).await,
-            _ => self.ask_summary(&base, number, false).await,
+        match (key, self.once) {
+            (Some(key), Some(pipeline)) => self.ask_once(&base, pipeline, key).await,
+            _ => self.ask_summary(&base, number, number.is_multiple_of(2)).await,
         }
     }
 
@@ -146,10 +154,9 @@
         judge(output, json!(expected(&input)), &text)
     }
 
-    async fn ask_once(&self, base: &str, pipeline: &str, number: u64) -> Ending {
-        let key = format!("key-{number}");
+    async fn ask_once(&self, base: &str, pipeline: &str, key: &str) -> Ending {
         let body = json!({ "input": { "key": key }, "deadline_ms": 30_000 });
-        match self.send(base, pipeline, Some(&key), &body).await {
+        match self.send(base, pipeline, Some(key), &body).await {
             Ok(text) => {
                 let output = whole(&text).map(|o| o["input"]["key"].clone());
                 judge(output, json!(key), &text)
--- a/tests/testsuite/restarts.rs
+++ b/tests/testsuite/restarts.rs
@@ -6,6 +6,7 @@
 use limpetmux_test_support::config::summary_config;
 use limpetmux_test_support::load::Load;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 const CALLERS: usize = 8;
 const ENTRIES: usize = 2;
@@ -41,14 +42,15 @@
         assert!(report.is_clean(), "entry {index}: {report:?}");
         load.answered(4).await;
     }
-    let asked = load.asked();
+    let keys = Arc::clone(&load.keys);
     let tally = load.stop().await;
 
     assert_eq!(tally.faults, Vec::<String>::new());
     let runs = runs(&deployment);
     let doubled: Vec<_> = runs.iter().filter(|(_, count)| **count != 1).collect();
     assert!(doubled.is_empty(), "{doubled:?}");
-    let lost = (0..asked).step_by(4).find(|n| !runs.contains_key(&format!("key-{n}")));
-    assert_eq!(lost, None);
+    let keys = keys.lock().unwrap().clone();
+    let lost: Vec<_> = keys.iter().filter(|key| !runs.contains_key(*key)).collect();
+    assert!(lost.is_empty() && !keys.is_empty(), "{lost:?}");
     deployment.stop().await;
 }
