Feed arbitrary bytes to every reader of outside input

Cause: records, sheets, declarations and event streams come from outside, and no test changed them at random. Conclusion: readers refuse what they cannot read.

--- /dev/null
+++ b/tests/testsuite/fuzz.rs
@@ -0,0 +1,118 @@
+//! Bytes from outside never end the process: whatever arrives is read or refused.
+//!
+//! Each property sees arbitrary bytes and valid inputs with a few bytes changed, from fixed seeds.
+
+use arbtest::arbitrary::{Result, Unstructured};
+use limpetmux::core::config::{Config, Fold, record};
+use limpetmux::core::planner::{DutyFold, DutyRecord};
+use limpetmux::core::revision::Offset;
+use limpetmux::ops::sheet::Sheet;
+use limpetmux::util::sse::SseEvents;
+use limpetmux_test_support::changes::{change_record, first_change};
+use limpetmux_test_support::{check_cases, small_config};
+
+const CASES: u64 = 400;
+
+/// Draws arbitrary bytes, or a valid input with up to eight bytes changed or cut off.
+fn mutate(u: &mut Unstructured<'_>, valid: &[u8]) -> Result<Vec<u8>> {
+    if u.ratio(1, 4)? {
+        return u.arbitrary();
+    }
+    let mut data = valid.to_vec();
+    for _ in 0..u.int_in_range(0..=8)? {
+        let at = u.choose_index(data.len())?;
+        data[at] = u.arbitrary()?;
+    }
+    if u.ratio(1, 4)? {
+        data.truncate(u.choose_index(data.len())?);
+    }
+    Ok(data)
+}
+
+#[test]
+fn fold_gives_a_verdict_on_any_record() {
+    let valid = change_record(first_change(&small_config()));
+    check_cases(CASES, |u| {
+        let mut fold = Fold::new();
+        let data = mutate(u, &valid)?;
+
+        let step = fold.step(Offset(0), &data);
+
+        let decoded = record::decode(&data);
+        assert_eq!(fold.next(), Offset(u64::from(step.is_ok())), "{decoded:?}");
+        Ok(())
+    });
+}
+
+#[test]
+fn duties_are_read_or_refused() {
+    let grant = DutyRecord::Grant { holder: "a".to_owned(), previous: None };
+    let valid = grant.encode().unwrap();
+    check_cases(CASES, |u| {
+        let data = mutate(u, &valid)?;
+        let mut fold = DutyFold::new(Offset(0));
+
+        match DutyRecord::decode(&data) {
+            Ok(record) => drop(fold.fold(Offset(0), &record)),
+            Err(_) => fold.skip(Offset(0)),
+        }
+
+        assert_eq!(fold.next(), Offset(1));
+        Ok(())
+    });
+}
+
+#[test]
+fn sheets_are_read_or_refused() {
+    let valid = include_bytes!("../../examples/sheets/ph-luzon-weekday.csv");
+    check_cases(CASES, |u| {
+        let data = mutate(u, valid)?;
+        let text = String::from_utf8_lossy(&data);
+
+        let sheet = Sheet::parse("sheet.csv", &text);
+
+        if let Err(error) = sheet {
+            assert!(!error.to_string().is_empty());
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn declarations_are_read_or_refused() {
+    let valid = serde_json::to_vec(&small_config()).unwrap();
+    check_cases(CASES, |u| {
+        let data = mutate(u, &valid)?;
+        let text = String::from_utf8_lossy(&data);
+
+        let config = limpetmux::util::jsonc::parse::<Config>("config.jsonc", &text, "declarations");
+
+        if let Ok(config) = config {
+            limpetmux::core::config::check(&config);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn event_stream_reads_alike_however_it_is_cut() {
+    let valid = b"event: piece\ndata: {\"a\":1}\n\ndata: [DONE]\n\n";
+    check_cases(CASES, |u| {
+        let data = mutate(u, valid)?;
+        let mut whole = SseEvents::default();
+        let mut parts = SseEvents::default();
+
+        whole.push(&data);
+        let mut rest = data.as_slice();
+        let mut found = Vec::new();
+        while !rest.is_empty() {
+            let (part, later) = rest.split_at(u.int_in_range(1..=rest.len())?);
+            parts.push(part);
+            found.extend(std::iter::from_fn(|| parts.pop()));
+            rest = later;
+        }
+
+        assert_eq!(std::iter::from_fn(|| whole.pop()).collect::<Vec<_>>(), found);
+        Ok(())
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod config_replicas;
 mod control;
 mod cost;
+mod fuzz;
 mod invariants;
 mod kernel;
 mod membership;
