Test the planner duty through takeover and a long outage of the log

Cause: the service around the planner's agent had no test. Change: four tests on paused time over a log in the process: one holder and one plan on all nodes, takeover with a higher fencing number, no change of any host while the log is down, and the host's own notice to sleep.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod membership;
 mod path;
 mod planner;
+mod planner_service;
 mod routing;
 mod sessions;
 mod sheet;
