--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod http;
 pub mod invariants;
 pub mod model;
+pub mod once;
+pub mod once_fleet;
 pub mod policy;
 pub mod sized;
 
--- /dev/null
+++ b/crates/limpetmux-test-support/src/once.rs
@@ -0,0 +1,390 @@
+//! A home, its successor, a log and two keys, and a breadth-first search over their steps.
+
+use limpetmux::core::once::{
+    Action, Begin, Guards, Handover, HostId, Incarnation, KeyId, KeyTime, Node, Record, Role,
+    Rules, Time, Work,
+};
+use limpetmux::core::revision::Offset;
+use limpetmux::core::time::Moment;
+use std::collections::{BTreeSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often each rare step may happen in one exploration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Limits {
+    /// Changes of the log's state and of the link between the home and the log.
+    pub cuts: u8,
+    /// Restarts of the home.
+    pub home_restarts: u8,
+    /// Restarts of the successor.
+    pub successor_restarts: u8,
+    /// Tables handed over by the home.
+    pub handovers: u8,
+    /// Keys given back by the successor.
+    pub returns: u8,
+    /// Takeover records.
+    pub takeovers: u8,
+}
+
+impl Limits {
+    /// Outages and cuts, and a restart of the home.
+    pub const HOME_RESTARTS: Self = Self {
+        cuts: 2,
+        home_restarts: 1,
+        successor_restarts: 0,
+        handovers: 0,
+        returns: 0,
+        takeovers: 1,
+    };
+    /// Outages and cuts, and a restart of the successor.
+    pub const SUCCESSOR_RESTARTS: Self =
+        Self { home_restarts: 0, successor_restarts: 1, ..Self::HOME_RESTARTS };
+    /// The home's table moving to the successor and back, with an outage and a restart of the
+    /// home between.
+    pub const MOVES: Self = Self { cuts: 1, handovers: 1, returns: 1, ..Self::HOME_RESTARTS };
+    /// Everything above together, for a run by hand.
+    pub const ALL: Self = Self {
+        cuts: 3,
+        home_restarts: 1,
+        successor_restarts: 1,
+        handovers: 1,
+        returns: 1,
+        takeovers: 2,
+    };
+}
+
+const A: HostId = HostId(1);
+const B: HostId = HostId(2);
+const TICK: Duration = Duration::from_secs(1);
+/// The clock stands here; a tick moves every stored moment back instead.
+///
+/// One tick above zero, so that moments of the past soon become equal.
+const NOW: Moment = Moment::from_millis(1_000);
+const OLD: KeyId = KeyId::from_digest(0, Some(KeyTime(10)));
+const NEW: KeyId = KeyId::from_digest(1, Some(KeyTime(20)));
+
+/// What an exploration found.
+#[derive(Debug)]
+pub struct Exploration {
+    /// The number of different states.
+    pub states: usize,
+    /// The steps to a double run, if there is one.
+    pub path: Option<String>,
+}
+
+#[derive(Clone, Hash)]
+struct World {
+    up: bool,
+    link: bool,
+    created: bool,
+    /// How often each key was accepted. A dispatch may follow after any pause, so an accepted run
+    /// counts as run.
+    runs: [u8; 2],
+    left: Limits,
+    /// A question for a promise on its way, with the asking process.
+    ask: Option<(Incarnation, Offset, Moment)>,
+    /// A home's table on its way.
+    table: Option<Handover>,
+    log: Vec<Record>,
+    a: Node,
+    b: Node,
+}
+
+/// A step's name, interned to keep paths small.
+type Step = &'static str;
+
+fn rules() -> Rules {
+    Rules {
+        promise: TICK,
+        slack: Duration::ZERO,
+        margin: Duration::ZERO,
+        window: Duration::MAX,
+        hold: Duration::MAX,
+        ..Rules::default()
+    }
+}
+
+fn start(guards: Guards, limits: Limits, link: bool) -> World {
+    let time = Time { now: NOW, wall: KeyTime(5) };
+    let node = |id| {
+        let mut node = Node::new(id, Incarnation(0), rules(), guards, time);
+        node.log_reachable(true);
+        node.read_to_end();
+        node.rebase(TICK);
+        node
+    };
+    let mut world = World {
+        a: node(A),
+        b: node(B),
+        log: Vec::new(),
+        up: true,
+        link,
+        created: false,
+        ask: None,
+        table: None,
+        runs: [0, 0],
+        left: limits,
+    };
+    world.note_links();
+    world
+}
+
+impl World {
+    fn time(&self) -> Time {
+        Time { now: NOW, wall: KeyTime(if self.created { 25 } else { 15 }) }
+    }
+
+    fn node(&mut self, id: HostId) -> &mut Node {
+        if id == A { &mut self.a } else { &mut self.b }
+    }
+
+    fn reaches(&self, id: HostId) -> bool {
+        self.up && (id == B || self.link)
+    }
+
+    fn note_links(&mut self) {
+        let (a, b) = (self.reaches(A), self.reaches(B));
+        self.a.log_reachable(a);
+        self.b.log_reachable(b);
+    }
+
+    /// Returns the keys worth sending: after one was accepted, only that one can run twice, and
+    /// rows of different keys do not touch each other.
+    fn keys(&self) -> &'static [KeyId] {
+        let busy = |key: KeyId| self.runs[usize::from(key == NEW)] > 0 || self.a.is_claiming(key);
+        match (self.created, busy(OLD), busy(NEW)) {
+            (false, ..) | (_, true, _) => &[OLD],
+            (_, _, true) => &[NEW],
+            _ => &[OLD, NEW],
+        }
+    }
+
+    /// A request reaches a host, by way of any entry.
+    fn send(&self, id: HostId, key: KeyId) -> Option<Self> {
+        let mut next = self.clone();
+        let time = next.time();
+        let role = match id {
+            A => Role::Home { successor: Some(B) },
+            _ => Role::Successor { home: A },
+        };
+        match next.node(id).begin(Work { key, body: 0, role }, time) {
+            Begin::Run => next.runs[usize::from(key == NEW)] += 1,
+            Begin::Claim => {}
+            Begin::Wait | Begin::Replay(_) | Begin::Refuse(_) => return None,
+        }
+        Some(next)
+    }
+
+    fn append(&self, record: Record) -> Self {
+        let mut next = self.clone();
+        next.log.push(record);
+        next
+    }
+
+    /// A host reads one record further.
+    fn observe(&self, id: HostId) -> Option<Self> {
+        let mut next = self.clone();
+        let (at, time) = (next.node(id).position(), next.time());
+        let record = self.log.get(at.0 as usize)?;
+        let actions = next.node(id).observe(at, record, time);
+        if at.next().0 as usize == next.log.len() {
+            next.node(id).read_to_end();
+        }
+        for action in actions {
+            if let Action::Run(key) = action {
+                next.runs[usize::from(key == NEW)] += 1;
+            }
+        }
+        Some(next)
+    }
+
+    fn restart(&self, id: HostId, guards: Guards) -> Self {
+        let mut next = self.clone();
+        let incarnation = Incarnation(next.node(id).incarnation().0 + 1);
+        let mut node = Node::new(id, incarnation, rules(), guards, next.time());
+        if id == A {
+            // A never takes over, so its quiet period makes no difference.
+            node.rebase(TICK);
+        }
+        *next.node(id) = node;
+        if id == A {
+            next.ask = None;
+        }
+        next.note_links();
+        if next.log.is_empty() && next.reaches(id) {
+            next.node(id).read_to_end();
+        }
+        next
+    }
+
+    fn tick(&self) -> Self {
+        let mut next = self.clone();
+        next.a.rebase(TICK);
+        next.b.rebase(TICK);
+        next.ask = next.ask.map(|(process, read, sent)| (process, read, sent - TICK));
+        next
+    }
+
+    fn answer_ask(&self) -> Option<Self> {
+        let (incarnation, read, sent) = self.ask?;
+        let mut next = self.clone();
+        next.ask = None;
+        if next.b.promise(A, incarnation, read, NOW).is_ok() {
+            next.a.promised(B, sent);
+        }
+        Some(next)
+    }
+
+    fn steps(&self, guards: Guards, out: &mut Vec<(Step, Self)>) {
+        self.outer_steps(guards, out);
+        self.key_steps(out);
+        self.log_steps(out);
+        self.promise_steps(out);
+        self.move_steps(out);
+    }
+
+    fn outer_steps(&self, guards: Guards, out: &mut Vec<(Step, Self)>) {
+        if self.left.cuts > 0 {
+            let cut = |up: bool, link: bool| {
+                let mut next = Self { up, link, ..self.clone() };
+                next.left.cuts -= 1;
+                next.note_links();
+                next
+            };
+            out.push(("log toggles", cut(!self.up, self.link)));
+            out.push(("link of A to the log toggles", cut(self.up, !self.link)));
+        }
+        if !self.created {
+            out.push(("new key is created", Self { created: true, ..self.clone() }));
+        }
+        if self.left.home_restarts > 0 {
+            let mut next = self.restart(A, guards);
+            next.left.home_restarts -= 1;
+            out.push(("A restarts", next));
+        }
+        if self.left.successor_restarts > 0 {
+            let mut next = self.restart(B, guards);
+            next.left.successor_restarts -= 1;
+            out.push(("B restarts", next));
+        }
+        out.push(("time passes", self.tick()));
+    }
+
+    fn key_steps(&self, out: &mut Vec<(Step, Self)>) {
+        for key in self.keys() {
+            let names = if *key == OLD {
+                ["A accepts old", "B accepts old"]
+            } else {
+                ["A accepts new", "B accepts new"]
+            };
+            for (host, name) in [A, B].into_iter().zip(names) {
+                out.extend(self.send(host, *key).map(|n| (name, n)));
+            }
+        }
+    }
+
+    fn log_steps(&self, out: &mut Vec<(Step, Self)>) {
+        if self.reaches(A) {
+            let mut next = self.clone();
+            if let Some(record) = next.a.claims(2) {
+                out.push(("A appends claims", next.append(record)));
+            }
+            out.extend(self.observe(A).map(|n| ("A reads a record", n)));
+        }
+        if self.reaches(B) {
+            out.extend(self.observe(B).map(|n| ("B reads a record", n)));
+        }
+        if self.left.takeovers > 0 {
+            let mut next = self.clone();
+            next.left.takeovers -= 1;
+            if let Some(record) = next.b.take_over(A, NOW) {
+                out.push(("B appends takeover", next.append(record)));
+            }
+        }
+    }
+
+    fn promise_steps(&self, out: &mut Vec<(Step, Self)>) {
+        if self.ask.is_none() && !self.a.is_reachable() && self.a.belief(B).is_none() {
+            let ask = Some((self.a.incarnation(), self.a.position(), NOW));
+            out.push(("A asks for a promise", Self { ask, ..self.clone() }));
+        }
+        out.extend(self.answer_ask().map(|n| ("B answers the question", n)));
+    }
+
+    fn move_steps(&self, out: &mut Vec<(Step, Self)>) {
+        if self.left.handovers > 0 {
+            let mut next = self.clone();
+            next.left.handovers -= 1;
+            if let Some(table) = next.a.hand_over(B) {
+                next.table = Some(table);
+                out.push(("A hands over", next));
+            }
+        }
+        if let Some(table) = self.table.clone() {
+            let mut next = Self { table: None, ..self.clone() };
+            next.b.receive(table);
+            out.push(("B receives the table", next));
+        }
+        if self.left.returns > 0 && self.reaches(B) {
+            let mut next = self.clone();
+            next.left.returns -= 1;
+            if let Some((table, record)) = next.b.give_back(A) {
+                next.a.receive_return(table);
+                out.push(("B gives back", next.append(record)));
+            }
+        }
+    }
+}
+
+/// One visited state's step and the state it came from.
+struct Trace {
+    step: Step,
+    before: Option<Rc<Trace>>,
+}
+
+fn describe(mut trace: &Rc<Trace>) -> String {
+    let mut steps = Vec::new();
+    loop {
+        steps.push(trace.step);
+        match &trace.before {
+            Some(before) => trace = before,
+            None => break,
+        }
+    }
+    steps.reverse();
+    steps.join("; ")
+}
+
+/// Identifies a state; 64 bits leave a chance of about 1e-8 that two of a million states collide.
+fn fingerprint(world: &World) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    world.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Visits every reachable state within the limits, breadth first, until a key has run twice.
+///
+/// The home starts with or without its link to the log.
+pub fn explore(guards: Guards, limits: Limits) -> Exploration {
+    let root = Rc::new(Trace { step: "start", before: None });
+    let firsts = [true, false].map(|link| start(guards, limits, link));
+    let mut queue = VecDeque::from(firsts.clone().map(|world| (world, Rc::clone(&root))));
+    let mut seen = BTreeSet::from(firsts.map(|world| fingerprint(&world)));
+    let mut next = Vec::new();
+    while let Some((world, trace)) = queue.pop_front() {
+        world.steps(guards, &mut next);
+        for (step, world) in next.drain(..) {
+            if !seen.insert(fingerprint(&world)) {
+                continue;
+            }
+            let trace = Rc::new(Trace { step, before: Some(Rc::clone(&trace)) });
+            if world.runs.iter().any(|n| *n > 1) {
+                return Exploration { states: seen.len(), path: Some(describe(&trace)) };
+            }
+            queue.push_back((world, trace));
+        }
+    }
+    Exploration { states: seen.len(), path: None }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,8 @@
 mod invariants;
 mod kernel;
 mod membership;
+mod once_explore;
+mod once_path;
 mod path;
 mod planner;
 mod routing;
