--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -5,6 +5,7 @@
 //! stage starts again. A short idempotent stage that is late gets one hedge.
 
 use super::attempt::{is_retryable, run_attempt};
+use super::once::run_stage_once;
 use super::pipeline::Run;
 use super::policy::Picked;
 use super::stream::TokenSink;
@@ -85,6 +86,9 @@
 
 /// Runs one stage to its whole answer.
 pub(super) async fn run_stage(scene: &Scene<'_>) -> Result<StageRun, Refusal> {
+    if !scene.spec().idempotent {
+        return run_stage_once(scene).await;
+    }
     let service = &scene.run.fleet.view.services[scene.row.service].name;
     scene.run.entry.policy.fresh(scene.flow(), service);
     let (mut pieces, mut tried) = (Vec::new(), Vec::new());
@@ -193,7 +197,11 @@
     Attempted { host, pieces, result }
 }
 
-fn build_request(scene: &Scene<'_>, key: AttemptKey, prefix: &[Bytes]) -> stage::RunRequest {
+pub(super) fn build_request(
+    scene: &Scene<'_>,
+    key: AttemptKey,
+    prefix: &[Bytes],
+) -> stage::RunRequest {
     let (view, order) = (&scene.run.fleet.view, scene.run.order);
     let key_of_caller = order.key.as_ref().filter(|_| !scene.spec().idempotent);
     stage::RunRequest {
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -3,13 +3,15 @@
 use super::deployment::{COLD, CONCURRENCY, Deployment, PlannedHost, WARMUP};
 use super::server::{ServeError, serve_sidecar};
 use crate::adapters::backend::Backend;
+use crate::adapters::log::LogClient;
 use crate::core::config::{Config, Name, NameError, StageKind};
+use crate::core::once::Rules;
 use crate::core::revision::Revision;
 use crate::core::view::View;
 use crate::entry::{Entry, EntryError, EntryOptions, Limits, Members};
 use crate::kernel::{Kernel, KernelError, Published, Publisher};
 use crate::membership::{self, MembershipParts};
-use crate::sidecar::{Sidecar, SidecarOptions};
+use crate::sidecar::{OnceLink, Sidecar, SidecarOptions};
 use limpetmux_standins as standins;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -85,6 +87,8 @@
     pub addr: SocketAddr,
     /// All hosts in name order of their services.
     pub hosts: Vec<LocalHost>,
+    /// The platform log.
+    pub log: standins::Log,
     /// The configuration in force, for changes at run time.
     pub view: Publisher<View>,
     /// The declared configuration.
@@ -154,11 +158,16 @@
         let (stop, _) = watch::channel(false);
         let mut servers = JoinSet::new();
         let client = reqwest::Client::builder().no_proxy().build()?;
+        let log = standins::Log::start(standins::LogOptions::default()).await?;
+        // All parts share one clock.
+        let rules = Rules { margin: Duration::ZERO, ..Rules::default() };
+        let claims =
+            OnceLink { rules, ..OnceLink::new(LogClient::http(client.clone(), &log.url())) };
         let mut hosts = Vec::with_capacity(planned.len());
         for (plan, addr, listener) in planned {
             let standin = StandIn::start(plan.kind).await?;
             let backend = Backend::http(client.clone(), &standin.url());
-            let sidecar = start_sidecar(&plan.name, view.reader(), backend);
+            let sidecar = start_sidecar(&plan.name, view.reader(), backend, &claims);
             let server = serve_sidecar(Arc::clone(&sidecar), listener, stopped(&stop));
             servers.spawn(async move { drop(server.await) });
             hosts.push(LocalHost { plan, addr, standin, sidecar });
@@ -175,7 +184,7 @@
         })?;
         let server = Arc::clone(&entry).serve(entry_listener, stopped(&stop), GRACE);
         servers.spawn(async move { drop(server.await) });
-        Ok(Self { entry, addr, hosts, view, config, kernel, stop, servers })
+        Ok(Self { entry, addr, hosts, log, view, config, kernel, stop, servers })
     }
 
     /// Returns the base URL of the entry.
@@ -191,8 +200,14 @@
     }
 }
 
-fn start_sidecar(host: &Name, view: Published<View>, backend: Backend) -> Arc<Sidecar> {
-    Sidecar::start(SidecarOptions { host: host.clone(), view, backend })
+fn start_sidecar(
+    host: &Name,
+    view: Published<View>,
+    backend: Backend,
+    claims: &OnceLink,
+) -> Arc<Sidecar> {
+    let once = Some(claims.clone());
+    Sidecar::start(SidecarOptions { host: host.clone(), view, backend, once })
 }
 
 /// Returns a future that is ready once the deployment stops.
--- a/src/limpetmux/sidecar/gate.rs
+++ b/src/limpetmux/sidecar/gate.rs
@@ -22,7 +22,7 @@
 pub struct Gate {
     host: Name,
     view: Published<View>,
-    draining: AtomicBool,
+    draining: Arc<AtomicBool>,
     admitter: Admitter,
 }
 
@@ -64,7 +64,7 @@
 impl Gate {
     /// Creates the gate of a host.
     pub fn new(host: Name, view: Published<View>) -> Self {
-        let draining = AtomicBool::new(false);
+        let draining = Arc::default();
         let gate = Self { host, view, draining, admitter: Admitter::new() };
         gate.adopt();
         gate
@@ -81,6 +81,11 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Returns the switch of [`Gate::set_draining`], for those that follow it.
+    pub fn draining(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.draining)
+    }
+
     /// Returns the number of calls that run on the backend server.
     pub fn inflight(&self) -> u32 {
         self.admitter.load().inflight
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,8 @@
 mod invariants;
 mod kernel;
 mod membership;
+mod once_explore;
+mod once_path;
 mod path;
 mod planner;
 mod planner_service;
