--- a/src/limpetmux/control/mod.rs
+++ b/src/limpetmux/control/mod.rs
@@ -14,7 +14,7 @@
 mod status;
 
 pub use message::{ControlMessage, Exchanged};
-pub use peer::peer_server;
+pub use peer::{PeerService, peer_server};
 pub use service::Service;
 pub use spread::{Spread, SpreadOptions};
 pub use status::{ControlStatus, PeerCounters, PeerTraffic};
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -1,28 +1,37 @@
 //! A whole small deployment in one process: stand-ins, sidecars and an entry on loopback.
 
 use super::deployment::{COLD, CONCURRENCY, Deployment, PlannedHost, WARMUP};
-use super::server::{ServeError, serve_sidecar};
+use super::role::{http_client, stopped};
+use super::server::{ServeError, bind, grpc, serve};
+use super::services::{Services, ServicesError, ServicesOptions};
 use crate::adapters::backend::Backend;
-use crate::adapters::log::LogClient;
-use crate::core::config::{Config, Name, NameError, StageKind};
+use crate::adapters::hosts::HostsClient;
+use crate::adapters::log::{LogClient, LogError, Stream};
+use crate::core::config::record::{self, Body, RecordError};
+use crate::core::config::{
+    Change, ChangeId, Config, FORMAT, Name, NameError, Ownership, StageKind, diff,
+};
 use crate::core::once::Rules;
-use crate::core::revision::Revision;
-use crate::core::view::View;
+use crate::core::revision::{Offset, Revision};
 use crate::entry::{Entry, EntryError, EntryOptions, Limits, Members};
-use crate::kernel::{Kernel, KernelError, Published, Publisher};
-use crate::membership::{self, MembershipParts};
 use crate::sidecar::{OnceLink, Sidecar, SidecarOptions};
+use crate::util::metrics::Metrics;
 use limpetmux_standins as standins;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::net::TcpListener;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use uuid::Uuid;
 
 /// The time that running requests get once a shutdown began.
 const GRACE: Duration = Duration::from_secs(10);
 
+/// The time until the declared configuration has to be in force.
+const CONFIG_TIMEOUT: Duration = Duration::from_secs(10);
+/// How late the host list is.
+const HOST_LIST_LAG: Duration = Duration::from_millis(500);
+
 /// Why a local deployment does not start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum LocalError {
@@ -40,9 +49,19 @@
     /// The sample declares a malformed name.
     #[error("the sample deployment declares a malformed name")]
     Name(#[from] NameError),
-    /// A service cannot be registered.
-    #[error("cannot register a service")]
-    Kernel(#[from] KernelError),
+    /// The control services do not start.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Services(#[from] ServicesError),
+    /// The declared configuration cannot be encoded.
+    #[error("the declared configuration cannot be encoded")]
+    Record(#[from] RecordError),
+    /// The declared configuration cannot be appended.
+    #[error("the declared configuration cannot be appended")]
+    Append(#[from] LogError),
+    /// The declared configuration is not in force in time.
+    #[error("the declared configuration is not in force after {CONFIG_TIMEOUT:?}")]
+    Unconfigured,
     /// The HTTP client cannot be set up.
     #[error("cannot set up the HTTP client")]
     Client(#[from] reqwest::Error),
@@ -67,6 +86,25 @@
     Plain(standins::Plain),
 }
 
+/// The platform's stand-ins.
+pub struct Platform {
+    /// The append-only log.
+    pub log: standins::Log,
+    /// The host list.
+    pub hosts: standins::Hosts,
+}
+
+impl Platform {
+    async fn start(hosts: &[&PlannedHost]) -> Result<Self, standins::StartError> {
+        let log = standins::Log::start(standins::LogOptions::default()).await?;
+        let list = standins::Hosts::start(0, HOST_LIST_LAG).await?;
+        for host in hosts {
+            list.set(host.name.as_str(), standins::HostState::Live, 1);
+        }
+        Ok(Self { log, hosts: list })
+    }
+}
+
 /// One host of a running local deployment.
 pub struct LocalHost {
     /// The host's name, zone and service.
@@ -87,14 +125,12 @@
     pub addr: SocketAddr,
     /// All hosts in name order of their services.
     pub hosts: Vec<LocalHost>,
-    /// The platform log.
-    pub log: standins::Log,
-    /// The configuration in force, for changes at run time.
-    pub view: Publisher<View>,
-    /// The declared configuration.
+    /// The platform.
+    pub platform: Platform,
+    /// The control services that all parts share.
+    pub services: Services,
+    /// The configuration that was declared at the start.
     pub config: Config,
-    /// The services of the entry.
-    pub kernel: Kernel,
     stop: watch::Sender<bool>,
     servers: JoinSet<()>,
 }
@@ -145,46 +181,52 @@
     /// # Errors
     /// Returns [`LocalError`] naming the part that does not start.
     pub async fn start(options: LocalOptions) -> Result<Self, LocalError> {
-        let entry_listener = bind(options.port).await?;
-        let addr = local_addr(&entry_listener)?;
+        let (entry_listener, addr) = bind(loopback(options.port)).await?;
         let mut planned = Vec::new();
         for plan in options.deployment.hosts()? {
-            let listener = bind(0).await?;
-            planned.push((plan, local_addr(&listener)?, listener));
+            let (listener, addr) = bind(loopback(0)).await?;
+            planned.push((plan, addr, listener));
         }
         let addresses = planned.iter().map(|(plan, addr, _)| (plan.clone(), *addr));
         let config = options.deployment.config(addresses)?;
-        let view = Publisher::new(View::compile(Revision(1), &config));
-        let (stop, _) = watch::channel(false);
-        let mut servers = JoinSet::new();
-        let client = reqwest::Client::builder().no_proxy().build()?;
-        let log = standins::Log::start(standins::LogOptions::default()).await?;
+        let client = http_client()?;
+        let platform = Platform::start(&planned.iter().map(|p| &p.0).collect::<Vec<_>>()).await?;
+        let services = start_services(&platform, &client, &config).await?;
         // All parts share one clock.
         let rules = Rules { margin: Duration::ZERO, ..Rules::default() };
-        let claims =
-            OnceLink { rules, ..OnceLink::new(LogClient::http(client.clone(), &log.url())) };
+        let once = OnceLink::new(LogClient::http(client.clone(), &platform.log.url()));
+        let once = OnceLink { rules, ..once };
+        let (stop, _) = watch::channel(false);
+        let mut servers = JoinSet::new();
         let mut hosts = Vec::with_capacity(planned.len());
         for (plan, addr, listener) in planned {
             let standin = StandIn::start(plan.kind).await?;
-            let backend = Backend::http(client.clone(), &standin.url());
-            let sidecar = start_sidecar(&plan.name, view.reader(), backend, &claims);
-            let server = serve_sidecar(Arc::clone(&sidecar), listener, stopped(&stop));
+            let sidecar = Sidecar::start(SidecarOptions {
+                host: plan.name.clone(),
+                view: services.control.view.clone(),
+                backend: Backend::http(client.clone(), &standin.url()),
+                once: Some(once.clone()),
+                metrics: Metrics::none(),
+            });
+            let router = grpc()
+                .add_service(sidecar.service())
+                .add_optional_service(sidecar.once_service())
+                .add_service(services.peer_server());
+            let server = serve(router, listener, stopped(&stop));
             servers.spawn(async move { drop(server.await) });
             hosts.push(LocalHost { plan, addr, standin, sidecar });
         }
-        let kernel = Kernel::new();
-        let parts = MembershipParts { views: view.reader(), hosts: None };
-        let members = membership::start(&kernel, parts)?;
         let entry = Entry::start(EntryOptions {
             zone: options.deployment.entry_zone()?,
             ordinal: 0,
-            view: view.reader(),
-            members: Members(Some(members)),
+            view: services.control.view.clone(),
+            members: Members(Some(services.membership.clone())),
             limits: Limits::default(),
+            metrics: Metrics::none(),
         })?;
         let server = Arc::clone(&entry).serve(entry_listener, stopped(&stop), GRACE);
         servers.spawn(async move { drop(server.await) });
-        Ok(Self { entry, addr, hosts, log, view, config, kernel, stop, servers })
+        Ok(Self { entry, addr, hosts, platform, services, config, stop, servers })
     }
 
     /// Returns the base URL of the entry.
@@ -200,28 +242,51 @@
     }
 }
 
-fn start_sidecar(
-    host: &Name,
-    view: Published<View>,
-    backend: Backend,
-    claims: &OnceLink,
-) -> Arc<Sidecar> {
-    let once = Some(claims.clone());
-    Sidecar::start(SidecarOptions { host: host.clone(), view, backend, once })
-}
-
-/// Returns a future that is ready once the deployment stops.
-fn stopped(stop: &watch::Sender<bool>) -> impl Future<Output = ()> + Send + 'static {
-    let mut stop = stop.subscribe();
-    async move { drop(stop.wait_for(|stop| *stop).await) }
+/// Starts the control services and waits until the declared configuration is in force.
+async fn start_services(
+    platform: &Platform,
+    client: &reqwest::Client,
+    config: &Config,
+) -> Result<Services, LocalError> {
+    let log = LogClient::http(client.clone(), &platform.log.url());
+    declare(&log, config).await?;
+    let services = Services::start(ServicesOptions {
+        name: "local",
+        log,
+        hosts: Some(HostsClient::http(client.clone(), &platform.hosts.url())),
+        own: None,
+        peers: Vec::new(),
+    })?;
+    let mut view = services.control.view.clone();
+    let known = async {
+        while view.load().revision == Revision::EMPTY {
+            if !view.changed().await {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(CONFIG_TIMEOUT, known).await.map_err(|_| LocalError::Unconfigured)?;
+    Ok(services)
 }
 
-async fn bind(port: u16) -> Result<TcpListener, ServeError> {
-    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-    TcpListener::bind(addr).await.map_err(|source| ServeError::Bind { addr, source })
+/// Appends the change that declares the whole configuration.
+async fn declare(log: &LogClient, config: &Config) -> Result<(), LocalError> {
+    let submitted = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let change = Change {
+        id: ChangeId(Uuid::new_v4()),
+        base: Revision::EMPTY,
+        seen: Offset(0),
+        author: Name::new("local")?,
+        submitted_ms: u64::try_from(submitted.as_millis()).unwrap_or(u64::MAX),
+        reason: "the sample deployment".to_owned(),
+        force: false,
+        edits: diff(&Config::default(), config, Ownership::Declared),
+    };
+    let record = record::encode(&Body::Change(change), FORMAT)?;
+    (log.append)(Stream::Config, record).await?;
+    Ok(())
 }
 
-fn local_addr(listener: &TcpListener) -> Result<SocketAddr, ServeError> {
-    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    listener.local_addr().map_err(|source| ServeError::Bind { addr: any, source })
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
--- a/src/limpetmux/node/server.rs
+++ b/src/limpetmux/node/server.rs
@@ -1,14 +1,17 @@
-//! The gRPC server of a sidecar.
+//! The listeners of a process.
 
 use crate::sidecar::Sidecar;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tonic::transport::Server;
-use tonic::transport::server::TcpIncoming;
+use tonic::transport::server::{Router, TcpIncoming};
 
-/// The most streams that one entry may have open on one connection.
+/// The most streams that one peer may have open on one connection.
 const MAX_STREAMS: u32 = 4_096;
+/// The most bytes of a request's headers.
+const MAX_HEADERS: u32 = 16 * 1024;
 
 /// A failure of a process's server.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -18,7 +21,7 @@
     #[diagnostic(help("choose another port, or stop the process that uses this one"))]
     Bind {
         /// The address.
-        addr: std::net::SocketAddr,
+        addr: SocketAddr,
         /// Why the address cannot be bound.
         #[source]
         source: std::io::Error,
@@ -28,7 +31,36 @@
     Grpc(#[source] tonic::transport::Error),
 }
 
-/// Serves entries on a listener until `stop` is ready, then finishes the running attempts.
+/// Binds an address and returns the listener with the port that it got.
+///
+/// # Errors
+/// Returns [`ServeError::Bind`] if the address cannot be bound.
+pub async fn bind(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), ServeError> {
+    let error = |source| ServeError::Bind { addr, source };
+    let listener = TcpListener::bind(addr).await.map_err(error)?;
+    let bound = listener.local_addr().map_err(error)?;
+    Ok((listener, bound))
+}
+
+/// Returns a gRPC server with the limits that all processes share.
+pub fn grpc() -> Server {
+    Server::builder().max_concurrent_streams(MAX_STREAMS).http2_max_header_list_size(MAX_HEADERS)
+}
+
+/// Serves gRPC on a listener until `stop` is ready, then finishes the running calls.
+///
+/// # Errors
+/// Returns [`ServeError::Grpc`] if the server fails.
+pub async fn serve(
+    router: Router,
+    listener: TcpListener,
+    stop: impl Future<Output = ()>,
+) -> Result<(), ServeError> {
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    router.serve_with_incoming_shutdown(incoming, stop).await.map_err(ServeError::Grpc)
+}
+
+/// Serves a sidecar without its control services, as fixtures do.
 ///
 /// # Errors
 /// Returns [`ServeError::Grpc`] if the server fails.
@@ -37,12 +69,6 @@
     listener: TcpListener,
     stop: impl Future<Output = ()>,
 ) -> Result<(), ServeError> {
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-    Server::builder()
-        .max_concurrent_streams(MAX_STREAMS)
-        .add_service(sidecar.service())
-        .add_optional_service(sidecar.once_service())
-        .serve_with_incoming_shutdown(incoming, stop)
-        .await
-        .map_err(ServeError::Grpc)
+    let router = grpc().add_service(sidecar.service()).add_optional_service(sidecar.once_service());
+    serve(router, listener, stop).await
 }
--- a/src/limpetmux/sidecar/service.rs
+++ b/src/limpetmux/sidecar/service.rs
@@ -2,7 +2,7 @@
 
 use super::once::run_once;
 use super::output::FrameResult;
-use super::{Attempt, Claimant, FrameWriter, Output, Sidecar, Usage, run_attempt};
+use super::{Attempt, Claimant, FrameWriter, Output, Running, Sidecar, Usage, run_attempt};
 use crate::adapters::backend::Job;
 use crate::core::frames::AttemptKey;
 use crate::core::verdict::{Refusal, RefusalCode};
@@ -44,7 +44,11 @@
         let (sender, receiver) = mpsc::channel(FRAME_QUEUE);
         let sidecar = Arc::clone(&self.sidecar);
         let writer = FrameWriter::new(key, sender);
-        tokio::spawn(async move { answer(&sidecar, key, request, arrived, writer).await });
+        let running = Running::begin(&sidecar);
+        tokio::spawn(async move {
+            answer(&sidecar, key, request, arrived, writer).await;
+            drop(running);
+        });
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
