Run all control services on one thread, the planner duty among them

Cause: the fold had a thread of its own while membership and spread ran between requests, and the planner duty ran nowhere. Change: a control thread hosts every control service of a process. Entries compete for the planner's lease, sidecars follow the plan: a host that is to sleep drains, ends and asks the platform to switch it off under the tenure's fencing number; if it could not finish its work it stays on.

--- a/src/limpetmux/control/mod.rs
+++ b/src/limpetmux/control/mod.rs
@@ -21,24 +21,11 @@
 
 use crate::adapters::log::LogClient;
 use crate::core::view::View;
-use crate::kernel::{
-    Kernel, KernelError, Port, Published, Publisher, ServiceId, ThreadError, spawn_control,
-};
+use crate::kernel::{Kernel, KernelError, Port, Published, Publisher, ServiceId};
 use std::time::Duration;
 
 const QUEUE_MESSAGES: usize = 256;
 
-/// The control service cannot be started.
-#[derive(Debug, thiserror::Error)]
-pub enum ControlError {
-    /// The kernel refused the service.
-    #[error("cannot register the control service")]
-    Kernel(#[from] KernelError),
-    /// The control thread cannot be started.
-    #[error(transparent)]
-    Thread(#[from] ThreadError),
-}
-
 /// How the control service reads and writes the log.
 #[derive(Clone, Debug)]
 pub struct ControlOptions {
@@ -92,16 +79,17 @@
     Ok((control, Service::new(log, options, queue, view, status)))
 }
 
-/// Starts the control service on its own thread; it ends when the kernel and all ports are gone.
+/// Starts the control service on the current runtime; it ends when the kernel and all ports are
+/// gone.
 ///
 /// # Errors
-/// Returns [`ControlError`] if the service is registered already or the thread cannot start.
+/// Returns [`KernelError::Taken`] if the kernel has a control service.
 pub fn start(
     kernel: &Kernel,
     log: LogClient,
     options: ControlOptions,
-) -> Result<Control, ControlError> {
+) -> Result<Control, KernelError> {
     let (control, service) = prepare(kernel, log, options)?;
-    spawn_control(move || service.run())?;
+    tokio::spawn(service.run());
     Ok(control)
 }
--- a/src/limpetmux/kernel/thread.rs
+++ b/src/limpetmux/kernel/thread.rs
@@ -1,25 +1,41 @@
 //! The one thread that owns control state.
 
-use std::future::Future;
+use tokio::runtime::{Builder, EnterGuard, Handle};
+use tokio::sync::oneshot;
 
 /// The control thread cannot be started.
 #[derive(Debug, thiserror::Error)]
 #[error("cannot start the control thread")]
 pub struct ThreadError(#[from] std::io::Error);
 
-/// Starts a thread with its own single-threaded runtime and runs a future on it.
+/// A thread with a single-threaded runtime, on which all control services of a process run.
 ///
-/// The future is built on the new thread, so control state need not be `Send`. The thread ends
-/// when the future does.
-///
-/// # Errors
-/// Returns [`ThreadError`] if the runtime or the thread cannot be created.
-pub fn spawn_control<F, Fut>(main: F) -> Result<std::thread::JoinHandle<()>, ThreadError>
-where
-    F: FnOnce() -> Fut + Send + 'static,
-    Fut: Future<Output = ()>,
-{
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let thread = std::thread::Builder::new().name("control".to_owned());
-    Ok(thread.spawn(move || runtime.block_on(main()))?)
+/// Traffic runs on other threads, so load cannot delay control. Dropping the value ends the thread
+/// and every service on it.
+#[derive(Debug)]
+pub struct ControlThread {
+    handle: Handle,
+    _stop: oneshot::Sender<()>,
+}
+
+impl ControlThread {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    /// Returns [`ThreadError`] if the runtime or the thread cannot be created.
+    pub fn start() -> Result<Self, ThreadError> {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let handle = runtime.handle().clone();
+        let (stop, stopped) = oneshot::channel::<()>();
+        std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+            runtime.block_on(async { drop(stopped.await) });
+        })?;
+        Ok(Self { handle, _stop: stop })
+    }
+
+    /// Makes the thread the place where the caller's [`tokio::spawn`] puts services, until the
+    /// guard is dropped.
+    pub fn enter(&self) -> EnterGuard<'_> {
+        self.handle.enter()
+    }
 }
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -260,6 +260,8 @@
         hosts: Some(HostsClient::http(client.clone(), &platform.hosts.url())),
         own: None,
         peers: Vec::new(),
+        power: None,
+        plans: false,
     })?;
     let mut view = services.control.view.clone();
     let known = async {
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -9,11 +9,14 @@
 use crate::adapters::backend::Backend;
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::LogClient;
+use crate::adapters::power::{PowerClient, PowerOrder};
 use crate::admin::{StatusFn, report};
+use crate::core::revision::Offset;
 use crate::core::shutdown::{DrainReport, ShutdownOptions};
 use crate::entry::{Entry, EntryError, EntryOptions, Members};
 use crate::event;
 use crate::kernel::KernelError;
+use crate::planner::wait_for_sleep;
 use crate::settings::{EntrySettings, Settings, SidecarSettings};
 use crate::sidecar::{OnceLink, Sidecar, SidecarOptions};
 use crate::util::clock;
@@ -66,16 +69,21 @@
 fn start_services(
     settings: &Settings,
     own: SocketAddr,
-    client: &reqwest::Client,
-) -> Result<Services, ServicesError> {
+    plans: bool,
+) -> Result<Services, RoleError> {
+    let client = http_client()?;
     let hosts = settings.platform.hosts.as_ref();
-    Services::start(ServicesOptions {
+    let power = settings.platform.power.as_ref();
+    let services = Services::start(ServicesOptions {
         name: settings.name.as_str(),
         log: LogClient::http(client.clone(), &settings.platform.log),
         hosts: hosts.map(|url| HostsClient::http(client.clone(), url)),
         own: Some(own),
         peers: settings.peers.clone(),
-    })
+        power: power.map(|url| PowerClient::http(client.clone(), url)),
+        plans,
+    })?;
+    Ok(services)
 }
 
 fn metrics(settings: &Settings) -> Result<Metrics, MetricsError> {
@@ -99,7 +107,7 @@
 ) -> Result<DrainReport, RoleError> {
     let (http, http_addr) = bind(own.http).await?;
     let (grpc, grpc_addr) = bind(settings.listen).await?;
-    let services = start_services(settings, grpc_addr, &http_client()?)?;
+    let services = start_services(settings, grpc_addr, true)?;
     let entry = Entry::start(EntryOptions {
         zone: settings.zone.clone(),
         ordinal: own.ordinal,
@@ -160,7 +168,7 @@
 ) -> Result<DrainReport, RoleError> {
     let (listener, addr) = bind(settings.listen).await?;
     let client = http_client()?;
-    let services = start_services(settings, addr, &client)?;
+    let services = start_services(settings, addr, false)?;
     let sidecar = Sidecar::start(SidecarOptions {
         host: settings.name.clone(),
         view: services.control.view.clone(),
@@ -176,7 +184,45 @@
     };
     let peers = services.peer_server();
     let process = Process::sidecar(&sidecar, parts)?.with(|routes| routes.add_service(peers));
-    Ok(process.run(listener, signal).await?)
+    let asleep = sleep_order(settings, &services);
+    tokio::pin!(asleep);
+    let mut fence = None;
+    let ended = async {
+        tokio::select! {
+            () = signal => {}
+            order = &mut asleep => fence = Some(order),
+        }
+    };
+    let report = process.run(listener, ended).await?;
+    if let Some(fence) = fence {
+        switch_off(settings, &report, fence).await;
+    }
+    Ok(report)
+}
+
+/// Waits until the accepted plan puts this host to sleep.
+async fn sleep_order(settings: &Settings, services: &Services) -> Offset {
+    let fence = match services.power.clone() {
+        Some(power) => wait_for_sleep(power, settings.name.as_str()).await,
+        None => None,
+    };
+    match fence {
+        Some(fence) => fence,
+        None => std::future::pending().await,
+    }
+}
+
+/// Asks the platform to switch this host off, once its process has drained.
+///
+/// A host that could not finish its work stays on; the planner sees it and plans again.
+async fn switch_off(settings: &Settings, report: &DrainReport, fence: Offset) {
+    let (Some(url), true) = (&settings.platform.power, report.is_clean()) else { return };
+    let Ok(client) = http_client() else { return };
+    let order = PowerOrder { host: settings.name.to_string(), on: false, fence };
+    match (PowerClient::http(client, url).set)(order).await {
+        Ok(()) => event!(EventCode::HostSleeping, host = settings.name, fence = fence),
+        Err(error) => event!(EventCode::DutyStepFailed, error = error),
+    }
 }
 
 fn sidecar_status(
--- a/src/limpetmux/node/services.rs
+++ b/src/limpetmux/node/services.rs
@@ -2,22 +2,26 @@
 
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::LogClient;
-use crate::control::{self, Control, ControlError, ControlOptions, PeerCounters};
+use crate::adapters::power::PowerClient;
+use crate::control::{self, Control, ControlOptions, PeerCounters};
 use crate::control::{PeerService, Spread, SpreadOptions, peer_server};
-use crate::kernel::{Kernel, KernelError};
+use crate::core::planner::AgentOptions;
+use crate::kernel::{ControlThread, Kernel, KernelError, Published, Publisher, ThreadError};
 use crate::membership::{self, MembershipParts, Reporter};
+use crate::planner::{self, PlannerParts, PowerView};
 use crate::wire::peer::peer_server::PeerServer;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use uuid::Uuid;
 
 /// The control services do not start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum ServicesError {
-    /// The control service does not start.
-    #[error("cannot start the control service")]
-    Control(#[from] ControlError),
+    /// The control thread does not start.
+    #[error(transparent)]
+    Thread(#[from] ThreadError),
     /// A service is registered twice.
     #[error("cannot connect the services of the process")]
     Kernel(#[from] KernelError),
@@ -35,6 +39,10 @@
     pub own: Option<SocketAddr>,
     /// Peers known from the settings.
     pub peers: Vec<SocketAddr>,
+    /// The platform's power switch, if hosts are woken and put to sleep.
+    pub power: Option<PowerClient>,
+    /// Whether this process may hold the planner's lease.
+    pub plans: bool,
 }
 
 /// The control services of a process; they end when this is dropped.
@@ -47,17 +55,23 @@
     pub membership: Reporter,
     /// The traffic with peers.
     pub traffic: Arc<PeerCounters>,
+    /// Which hosts sleep; present if the process knows the power switch.
+    pub power: Option<Published<PowerView>>,
+    _thread: ControlThread,
 }
 
 impl Services {
-    /// Starts the control services: the fold on the control thread, the exchange with peers and
-    /// the membership on the traffic threads.
+    /// Starts the control services on the control thread: the fold, the exchange with peers, the
+    /// membership and the planner duty.
     ///
     /// # Errors
     /// Returns [`ServicesError`] naming the service that does not start.
     pub fn start(options: ServicesOptions<'_>) -> Result<Self, ServicesError> {
+        let thread = ControlThread::start()?;
+        let entered = thread.enter();
         let kernel = Arc::new(Kernel::new());
-        let control = control::start(&kernel, options.log, ControlOptions::new(options.name))?;
+        let log = options.log.clone();
+        let control = control::start(&kernel, log, ControlOptions::new(options.name))?;
         let traffic = Arc::<PeerCounters>::default();
         let spread = SpreadOptions::new(options.own, options.peers);
         let rng = StdRng::from_os_rng();
@@ -65,7 +79,23 @@
         tokio::spawn(spread.run());
         let parts = MembershipParts { views: control.view.clone(), hosts: options.hosts };
         let membership = membership::start(&kernel, parts)?;
-        Ok(Self { kernel, control, membership, traffic })
+        let power = options.power.map(|power| {
+            let agent = AgentOptions::new(format!("{}/{}", options.name, Uuid::new_v4()));
+            let publisher = Publisher::new(PowerView::default());
+            let reader = publisher.reader();
+            let parts = PlannerParts {
+                options: agent,
+                log: options.log,
+                power,
+                views: control.view.clone(),
+                load: planner::probe_load(),
+                candidate: options.plans,
+            };
+            tokio::spawn(planner::run(parts, publisher));
+            reader
+        });
+        drop(entered);
+        Ok(Self { kernel, control, membership, traffic, power, _thread: thread })
     }
 
     /// Returns the gRPC service through which peers exchange the configuration.
--- a/src/limpetmux/planner/mod.rs
+++ b/src/limpetmux/planner/mod.rs
@@ -4,6 +4,8 @@
 //! load samples to the [`Agent`](crate::core::planner::Agent) and carries out its actions. The
 //! folded plan is published as a [`PowerView`], which the router and the sidecars read.
 
+mod probe;
 mod service;
 
+pub use probe::probe_load;
 pub use service::{LoadFn, PlannerError, PlannerParts, PowerView, run, wait_for_sleep};
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -114,6 +114,8 @@
     /// The duties stream ends before what was read from it, so it is not folded.
     #[strum(props(level = "error"))]
     DutyLogReset = 505,
+    /// This host has drained and is being switched off.
+    HostSleeping = 506,
 
     // 6xx: platform and backend servers.
 
