Start roles on bound listeners and test their life; check reused keys first

A test of processes started by settings drained one of two hosts and saw 503 after two requests: attempts at the drained host spent the retry budget. Attempts after a host that proved to take no work are no longer paid, and an unreachable host is avoided for a second; the test failed without this and passes with it. A key used with another input is refused before the first stage, which the test of keys now demands (it saw partly_run before).

--- a/src/bin/limpetmux/commands/entry.rs
+++ b/src/bin/limpetmux/commands/entry.rs
@@ -2,7 +2,8 @@
 
 use super::role;
 use argh::FromArgs;
-use limpetmux::node::run_entry;
+use limpetmux::node::process::EntryListeners;
+use limpetmux::node::{bind, run_entry};
 use limpetmux::settings::Role;
 use std::path::PathBuf;
 
@@ -22,6 +23,8 @@
     let settings = role::prepare(Role::Entry, &args.settings)?;
     role::run(&settings, |signal| async {
         let Some(own) = settings.entry else { return Ok(Default::default()) };
-        run_entry(&settings, &own, signal).await
+        let (http, _) = bind(own.http).await?;
+        let (grpc, _) = bind(settings.listen).await?;
+        run_entry(&settings, &own, EntryListeners { http, grpc }, signal).await
     })
 }
--- a/src/bin/limpetmux/commands/sidecar.rs
+++ b/src/bin/limpetmux/commands/sidecar.rs
@@ -2,7 +2,7 @@
 
 use super::role;
 use argh::FromArgs;
-use limpetmux::node::run_sidecar;
+use limpetmux::node::{bind, run_sidecar};
 use limpetmux::settings::Role;
 use std::path::PathBuf;
 
@@ -22,6 +22,7 @@
     let settings = role::prepare(Role::Sidecar, &args.settings)?;
     role::run(&settings, |signal| async {
         let Some(own) = &settings.sidecar else { return Ok(Default::default()) };
-        run_sidecar(&settings, own, signal).await
+        let (listener, _) = bind(settings.listen).await?;
+        run_sidecar(&settings, own, listener, signal).await
     })
 }
--- a/src/limpetmux/core/once/node.rs
+++ b/src/limpetmux/core/once/node.rs
@@ -189,6 +189,11 @@
         }
     }
 
+    /// Returns the hash of the input that a key was first used with, if it is known.
+    pub fn body_hash(&self, key: KeyId) -> Option<u64> {
+        self.table.entries.get(&key)?.body
+    }
+
     /// Stores how a run ended.
     pub fn finish(&mut self, key: KeyId, outcome: Outcome) {
         self.table.finish(key, outcome, &self.rules);
--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -19,11 +19,31 @@
 const MAX_ATTEMPTS: u32 = 12;
 /// The pause after both hosts were asked, in which a move of the key may end.
 const PAUSE: Duration = Duration::from_millis(200);
+/// The time allowed for the check of a key before the first stage.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 /// When it is worth asking again while the key moves between its hosts.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The time left for a look-up to answer before the stage's deadline.
 const LOOK_UP_SLACK: Duration = Duration::from_millis(50);
 
+/// Refuses a key that was used with another input, before any stage runs.
+///
+/// A home that does not answer in time is passed over: it decides again before the stage.
+///
+/// # Errors
+/// Returns a refusal with [`RefusalCode::KeyReused`].
+pub(super) async fn check_reuse(scene: &Scene<'_>) -> Result<(), Refusal> {
+    let (Ok(hosts), Some(caller)) = (hosts_of(scene), &scene.run.order.key) else { return Ok(()) };
+    let Some(home) = hosts.first() else { return Ok(()) };
+    let request = look_up_request(scene, Duration::ZERO);
+    let answer = look_up(&scene.run.fleet.links[*home], request);
+    let reply = tokio::time::timeout(CHECK_TIMEOUT, answer).await.ok().flatten();
+    match reply.and_then(|r| r.body_hash) {
+        Some(hash) if hash != caller.body_hash => Err(Refusal::not_run(RefusalCode::KeyReused)),
+        _ => Ok(()),
+    }
+}
+
 /// Runs one stage under the caller's key.
 pub(super) async fn run_stage_once(scene: &Scene<'_>) -> Result<StageRun, Refusal> {
     let open = scene.run.progress.begin(false);
--- a/src/limpetmux/entry/pipeline.rs
+++ b/src/limpetmux/entry/pipeline.rs
@@ -1,6 +1,7 @@
 //! Runs the stages of one request under its deadline.
 
 use super::answer::{StageTrailer, Trailer};
+use super::once::check_reuse;
 use super::progress::Progress;
 use super::stage::{Scene, StageRun, run_stage};
 use super::stream::TokenSink;
@@ -60,19 +61,25 @@
     let ids: Vec<StageId> = row.stages.iter().map(|s| StageId::of(&row.name, &s.name)).collect();
     let deadline = clock::now() + run.order.deadline;
     run.entry.policy.check(deadline, &ids)?;
+    let scene = |position: usize, input: Bytes| Scene {
+        run,
+        index: StageIndex(u8::try_from(position).unwrap_or(u8::MAX)),
+        row: &row.stages[position],
+        id: ids[position],
+        deadline: run.entry.policy.stage_deadline(deadline, &ids[position + 1..]),
+        input,
+        sink: sink.filter(|_| position + 1 == row.stages.len()),
+    };
+    for (position, stage_row) in row.stages.iter().enumerate() {
+        if !run.fleet.view.services[stage_row.service].spec.idempotent {
+            check_reuse(&scene(position, Bytes::new())).await?;
+        }
+    }
     let mut input = run.order.input.clone();
     let mut trailers = Vec::with_capacity(ids.len());
     for (position, stage_row) in row.stages.iter().enumerate() {
         let is_last = position + 1 == row.stages.len();
-        let scene = Scene {
-            run,
-            index: StageIndex(u8::try_from(position).unwrap_or(u8::MAX)),
-            row: stage_row,
-            id: ids[position],
-            deadline: run.entry.policy.stage_deadline(deadline, &ids[position + 1..]),
-            input,
-            sink: sink.filter(|_| is_last),
-        };
+        let scene = scene(position, input);
         let begun = Instant::now();
         let stage = run_stage(&scene).await?;
         trailers.push(complete(&scene, &stage, begun.elapsed()));
--- a/src/limpetmux/entry/policy.rs
+++ b/src/limpetmux/entry/policy.rs
@@ -23,6 +23,8 @@
 
 /// When a workspace beyond its limit should come back.
 const SHARE_RETRY: Duration = Duration::from_millis(200);
+/// How long a host that cannot be reached is avoided if it does not say.
+const UNREACHABLE_PAUSE: Duration = Duration::from_secs(1);
 /// Reports in replies are taken to be this old.
 const REPLY_AGE: Duration = Duration::ZERO;
 
@@ -166,14 +168,18 @@
     }
 
     /// Records why the attempt gave no whole answer.
+    ///
+    /// A host that cannot be reached counts as failed and is avoided for a moment.
     pub(super) fn refused(&mut self, refusal: Refusal) {
-        match refusal.code {
-            RefusalCode::Failed | RefusalCode::Unavailable => self.ending = Ending::Failed,
-            code => {
-                let mut state = self.policy.lock();
-                state.router.refused(clock::now(), self.slot, code, refusal.retry_after);
-            }
+        if matches!(refusal.code, RefusalCode::Failed | RefusalCode::Unavailable) {
+            self.ending = Ending::Failed;
         }
+        let after = match refusal.code {
+            RefusalCode::Unavailable => refusal.retry_after.or(Some(UNREACHABLE_PAUSE)),
+            _ => refusal.retry_after,
+        };
+        let mut state = self.policy.lock();
+        state.router.refused(clock::now(), self.slot, refusal.code, after);
     }
 }
 
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -16,7 +16,7 @@
 use crate::core::keys::{HostKey, StageIndex};
 use crate::core::routing::Query;
 use crate::core::time::Moment;
-use crate::core::verdict::{Refusal, RefusalCode};
+use crate::core::verdict::{Execution, Refusal, RefusalCode};
 use crate::core::view::StageRow;
 use crate::event;
 use crate::util::clock;
@@ -115,7 +115,7 @@
     let mut attempts = 0;
     let mut last = Refusal::not_run(RefusalCode::Unavailable).retry_in(RETRY_AFTER);
     while attempts < MAX_ATTEMPTS {
-        if attempts > 0 && !scene.may_retry() {
+        if attempts > 0 && !is_misdirected(last) && !scene.may_retry() {
             break;
         }
         let Some(picked) = scene.pick(&tried) else { break };
@@ -138,6 +138,20 @@
     Err(last)
 }
 
+/// Returns whether an attempt only went to a host that takes no work, so that another one adds no
+/// load and need not be paid from the retry budget.
+fn is_misdirected(refusal: Refusal) -> bool {
+    let is_out = matches!(
+        refusal.code,
+        RefusalCode::Draining
+            | RefusalCode::ZoneOut
+            | RefusalCode::Stale
+            | RefusalCode::Unconfigured
+            | RefusalCode::Unavailable
+    );
+    is_out && refusal.execution == Execution::NotRun
+}
+
 /// Runs an attempt, and a hedge beside it if the stage allows one and the attempt is late.
 async fn run_hedged(
     scene: &Scene<'_>,
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -1,10 +1,10 @@
 //! Runs one process by its settings until it is drained.
 //!
-//! Both roles follow one plan: bind the listeners, start the control services, start the role and
+//! Both roles follow one plan: start the control services, start the role and
 //! hand both to the [`process`], which ends with the shutdown.
 
 use super::process::{self, EntryListeners, Process, ProcessError, ProcessParts};
-use super::server::{ServeError, bind};
+use super::server::{ServeError, local_addr};
 use super::services::{Services, ServicesError, ServicesOptions};
 use crate::adapters::backend::Backend;
 use crate::adapters::hosts::HostsClient;
@@ -25,6 +25,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 /// A process does not start or stops early.
@@ -88,17 +89,18 @@
     async move { drop(stop.wait_for(|stop| *stop).await) }
 }
 
-/// Runs an entry until `signal` or a drain order, and returns the report of its shutdown.
+/// Runs an entry on bound listeners until `signal` or a drain order, and returns the report of its shutdown.
 ///
 /// # Errors
 /// Returns [`RoleError`] if the entry does not start.
 pub async fn run_entry(
     settings: &Settings,
     own: &EntrySettings,
+    listeners: EntryListeners,
     signal: impl Future<Output = ()> + Send,
 ) -> Result<DrainReport, RoleError> {
-    let (http, http_addr) = bind(own.http).await?;
-    let (grpc, grpc_addr) = bind(settings.listen).await?;
+    let http_addr = local_addr(&listeners.http)?;
+    let grpc_addr = local_addr(&listeners.grpc)?;
     let services = start_services(settings, grpc_addr, &http_client()?)?;
     let entry = Entry::start(EntryOptions {
         zone: settings.zone.clone(),
@@ -117,7 +119,6 @@
     let peers = services.peer_server();
     let process = Process::entry(&entry, parts)?.with(|routes| routes.add_service(peers));
     event!(EventCode::ListenerReady, address = http_addr);
-    let listeners = EntryListeners { http, grpc };
     Ok(process::run_entry(entry, process, listeners, signal).await?)
 }
 
@@ -149,16 +150,17 @@
     })
 }
 
-/// Runs a sidecar until `signal` or a drain order, and returns the report of its shutdown.
+/// Runs a sidecar on a bound listener until `signal` or a drain order, and returns the report of its shutdown.
 ///
 /// # Errors
 /// Returns [`RoleError`] if the sidecar does not start.
 pub async fn run_sidecar(
     settings: &Settings,
     own: &SidecarSettings,
+    listener: TcpListener,
     signal: impl Future<Output = ()> + Send,
 ) -> Result<DrainReport, RoleError> {
-    let (listener, addr) = bind(settings.listen).await?;
+    let addr = local_addr(&listener)?;
     let client = http_client()?;
     let services = start_services(settings, addr, &client)?;
     let sidecar = Sidecar::start(SidecarOptions {
--- a/src/limpetmux/node/server.rs
+++ b/src/limpetmux/node/server.rs
@@ -26,6 +26,9 @@
         #[source]
         source: std::io::Error,
     },
+    /// The address of a listener is not known.
+    #[error("the address of a listener is not known")]
+    Address(#[source] std::io::Error),
     /// The gRPC server stopped.
     #[error("the gRPC server stopped")]
     Grpc(#[source] tonic::transport::Error),
@@ -38,10 +41,18 @@
 pub async fn bind(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), ServeError> {
     let error = |source| ServeError::Bind { addr, source };
     let listener = TcpListener::bind(addr).await.map_err(error)?;
-    let bound = listener.local_addr().map_err(error)?;
+    let bound = local_addr(&listener)?;
     Ok((listener, bound))
 }
 
+/// Returns the address of a listener.
+///
+/// # Errors
+/// Returns [`ServeError::Address`] if the system does not tell it.
+pub fn local_addr(listener: &TcpListener) -> Result<SocketAddr, ServeError> {
+    listener.local_addr().map_err(ServeError::Address)
+}
+
 /// Returns a gRPC server with the limits that all processes share.
 pub fn grpc() -> Server {
     Server::builder().max_concurrent_streams(MAX_STREAMS).http2_max_header_list_size(MAX_HEADERS)
--- a/src/limpetmux/sidecar/once/convert.rs
+++ b/src/limpetmux/sidecar/once/convert.rs
@@ -29,7 +29,7 @@
         Some(Known::Answered(answer)) => Some(stored(answer)),
         _ => None,
     };
-    once::LookUpReply { state: state.to_owned(), answer }
+    once::LookUpReply { state: state.to_owned(), answer, body_hash: None }
 }
 
 /// Writes a table.
--- a/src/limpetmux/sidecar/once/service.rs
+++ b/src/limpetmux/sidecar/once/service.rs
@@ -77,6 +77,7 @@
         };
         let wait = Duration::from_micros(request.wait_us).min(MAX_WAIT);
         let known = self.gate.look_up(naming, Instant::now() + wait).await;
-        Ok(Response::new(convert::known(known)))
+        let body_hash = self.gate.lock().node.body_hash(naming.id());
+        Ok(Response::new(once::LookUpReply { body_hash, ..convert::known(known) }))
     }
 }
--- a/src/limpetmux/wire/gen/limpetmux.once.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.once.v1.rs
@@ -100,6 +100,9 @@
     /// Present if answered.
     #[prost(message, optional, tag = "2")]
     pub answer: ::core::option::Option<Stored>,
+    /// The hash of the input that the key was first used with, if the host knows it.
+    #[prost(fixed64, optional, tag = "3")]
+    pub body_hash: ::core::option::Option<u64>,
 }
 /// Generated client implementations.
 pub mod once_client {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod path;
 mod planner;
 mod requests;
+mod roles;
 mod routing;
 mod sessions;
 mod settings;
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -216,11 +216,14 @@
 
     assert_eq!(first.status, 200, "{}", first.body);
     assert_eq!(second.body["output"], first.body["output"]);
-    assert_eq!(problem(&reused), (422, "key_reused", "partly_run"));
+    assert_eq!(problem(&reused), (422, "key_reused", "not_run"));
     assert_eq!(outcome.body["stages"][0]["state"], json!("answered"));
     assert_eq!(outcome.body["stages"][0]["output"], first.body["output"]);
     let ports = local.hosts.iter().filter(|h| h.plan.service.as_str() == "provisioning");
     let runs: u64 = ports.map(|h| h.standin.backend().counts().started).sum();
     assert_eq!(runs, 1);
+    let look_ups = local.hosts.iter().filter(|h| h.plan.service.as_str() == "directory");
+    let runs: u64 = look_ups.map(|h| h.standin.backend().counts().started).sum();
+    assert_eq!(runs, 2, "the reused key has run a stage");
     local.stop().await;
 }
