Tell faults of the log from doubts about peers

Cause: one field held both, so an exchange with a sound peer hid a log that was created anew, and the two errors were logged again by turns, once a second. Change: the status shows the log's fault only; a peer's other history is logged once; the log's wish to be left alone is followed up to 5 s; a test of two histories that meet.

--- a/src/limpetmux/control/service.rs
+++ b/src/limpetmux/control/service.rs
@@ -19,6 +19,9 @@
 /// How long a read may exceed the time for which the log may hold it back.
 const READ_GRACE: Duration = Duration::from_secs(5);
 
+/// The longest time that the log can ask a node to wait before it reads again.
+const RETRY_MAX: Duration = Duration::from_secs(5);
+
 /// A read of the log with what was asked; `None` means that no answer came in time.
 type Read = BoxFuture<'static, (Asked, Option<Result<LogPage, LogError>>)>;
 
@@ -30,6 +33,7 @@
     view: Publisher<View>,
     status: Publisher<ControlStatus>,
     current: ControlStatus,
+    doubted: Option<FoldError>,
     replica: Replica,
     duty: SnapshotDuty,
 }
@@ -44,7 +48,8 @@
     ) -> Self {
         let duty = SnapshotDuty::new(&options, now());
         let current = ControlStatus::default();
-        Self { log, options, queue, view, status, current, replica: Replica::new(), duty }
+        let (replica, doubted) = (Replica::new(), None);
+        Self { log, options, queue, view, status, current, doubted, replica, duty }
     }
 
     /// Runs until the kernel and all ports are gone.
@@ -90,8 +95,7 @@
     /// Handles the answer to a read and returns how long to wait before the next one.
     fn on_read(&mut self, asked: Asked, answer: Option<Result<LogPage, LogError>>) -> Duration {
         let Some(Ok(page)) = answer else {
-            self.on_unreachable(answer.and_then(Result::err));
-            return self.options.retry;
+            return self.on_unreachable(answer.and_then(Result::err));
         };
         self.on_reachable(&page);
         let records = page.records.iter().map(|r| (r.offset, r.data.as_slice()));
@@ -99,9 +103,12 @@
         if page.records.is_empty() {
             self.replica.suspect_log();
         }
-        let is_faulty = result.is_err();
-        self.on_progress(result, EventCode::LogReset);
-        if is_faulty { self.options.retry } else { Duration::ZERO }
+        let fault = result.as_ref().err().cloned();
+        log_fault(fault.as_ref(), self.current.fault.as_ref(), EventCode::LogReset);
+        let delay = if fault.is_some() { self.options.retry } else { Duration::ZERO };
+        self.current.fault = fault;
+        self.on_progress(result.unwrap_or_default());
+        delay
     }
 
     fn on_reachable(&mut self, page: &LogPage) {
@@ -112,7 +119,12 @@
         self.current.end = Some(page.end);
     }
 
-    fn on_unreachable(&mut self, error: Option<LogError>) {
+    /// Notes a failed read and returns how long to wait before the next one.
+    fn on_unreachable(&mut self, error: Option<LogError>) -> Duration {
+        let asked = match &error {
+            Some(LogError::Refused { retry_after, .. }) => retry_after.unwrap_or_default(),
+            _ => Duration::ZERO,
+        };
         if self.current.reachable || self.current.end.is_none() {
             let reason = error.map_or_else(|| "no answer in time".to_owned(), |e| e.to_string());
             event!(EventCode::LogUnreachable, reason = reason);
@@ -120,6 +132,7 @@
         self.current.reachable = false;
         self.replica.suspect_log();
         self.publish();
+        self.options.retry.max(asked.min(RETRY_MAX))
     }
 
     fn on_message(&mut self, message: ControlMessage) {
@@ -137,24 +150,16 @@
     fn exchange(&mut self, peer: &Exchanged) -> Result<Exchanged, FoldError> {
         let result = self.replica.on_delta(peer.position, &peer.delta);
         let outcome = result.clone().and_then(|_| self.replica.delta_for(peer.position));
-        self.on_progress(result, EventCode::PeerDiverged);
+        let doubt = outcome.as_ref().err().cloned();
+        log_fault(doubt.as_ref(), self.doubted.as_ref(), EventCode::PeerDiverged);
+        self.doubted = doubt.or(self.doubted.take());
+        self.on_progress(result.unwrap_or_default());
         Ok(Exchanged { position: self.replica.position(), delta: outcome? })
     }
 
     /// Logs what a page or a delta led to and puts a new revision in force.
-    fn on_progress(&mut self, result: Result<Progress, FoldError>, diverged: EventCode) {
-        match &result {
-            Ok(progress) => self.log_progress(progress),
-            Err(fault) if self.current.fault.as_ref() != Some(fault) => {
-                let code = match fault {
-                    FoldError::Unsupported { .. } => EventCode::FormatUnknown,
-                    _ => diverged,
-                };
-                event!(code, reason = fault);
-            }
-            Err(_) => {}
-        }
-        self.current.fault = result.err();
+    fn on_progress(&mut self, progress: Progress) {
+        self.log_progress(&progress);
         let is_behind = self.replica.is_behind();
         if is_behind && !self.current.behind {
             event!(EventCode::RecordsMissing, first = self.replica.log_first());
@@ -190,3 +195,13 @@
         }
     }
 }
+
+/// Logs a fault unless it is the one that was logged last.
+fn log_fault(fault: Option<&FoldError>, last: Option<&FoldError>, diverged: EventCode) {
+    let Some(fault) = fault.filter(|f| last != Some(*f)) else { return };
+    let code = match fault {
+        FoldError::Unsupported { .. } => EventCode::FormatUnknown,
+        _ => diverged,
+    };
+    event!(code, reason = fault);
+}
--- a/tests/testsuite/config_replicas.rs
+++ b/tests/testsuite/config_replicas.rs
@@ -2,7 +2,7 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use limpetmux::core::config::record::{Body, Void, decode};
-use limpetmux::core::config::{Asked, Config, Delta, Edit, Fold, Position, Replica};
+use limpetmux::core::config::{Asked, Config, Delta, Edit, Fold, FoldError, Position, Replica};
 use limpetmux::core::revision::{Offset, Revision};
 use limpetmux_test_support::changes::{
     change, change_id, change_record, first_change, record, weight_edit, zone_edit,
@@ -274,3 +274,25 @@
     assert!(!early);
     assert_eq!(replica.in_force().map(|(revision, _)| revision), Some(Revision(2)));
 }
+
+#[test]
+fn nodes_of_two_histories_exchange_nothing() {
+    let [mut old, mut new, mut newer] = [(); 3].map(|()| Replica::new());
+    let declared = change_record(first_change(&tiny_config()));
+    let other = change_record(first_change(&small_config()));
+    let read = |replica: &mut Replica, records: &[&[u8]]| {
+        let bounds = (Offset(0), Offset(records.len() as u64));
+        let rows = records.iter().enumerate().map(|(o, data)| (Offset(o as u64), *data));
+        replica.on_page(replica.ask(), bounds, rows).unwrap();
+    };
+    read(&mut old, &[&declared]);
+    read(&mut new, &[&other]);
+    read(&mut newer, &[&other, b"{}"]);
+
+    let refused = newer.delta_for(old.position());
+    let noticed = old.on_delta(new.position(), &Delta::Nothing);
+
+    let diverged = FoldError::Diverged { offset: Offset(1) };
+    assert_eq!(refused, Err(diverged.clone()));
+    assert_eq!(noticed, Err(diverged));
+}
