--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -12,7 +12,10 @@
 pub mod config;
 pub mod fake_log;
 pub mod http;
+pub mod invariants;
 pub mod model;
+pub mod once;
+pub mod once_fleet;
 pub mod policy;
 pub mod sized;
 
