Read the configuration in small pages and at a bounded pace

Change: 100 ms between reads that give nothing new; pages of 64 records of the configuration stream;

--- a/crates/limpetmux-test-support/src/fake_log.rs
+++ b/crates/limpetmux-test-support/src/fake_log.rs
@@ -20,6 +20,7 @@
 struct State {
     streams: BTreeMap<Stream, Kept>,
     is_down: bool,
+    is_hasty: bool,
     lost_answers: u32,
     lost_appends: u32,
     held: Vec<(Stream, Vec<u8>)>,
@@ -68,6 +69,11 @@
         self.wake();
     }
 
+    /// Answers reads without records at once, whatever the reader is willing to wait.
+    pub fn set_hasty(&self, is_hasty: bool) {
+        self.lock().is_hasty = is_hasty;
+    }
+
     /// Loses the answers of the next appends after they have taken effect.
     pub fn lose_answers(&self, count: u32) {
         self.lock().lost_answers = count;
@@ -158,7 +164,11 @@
         wait: Duration,
     ) -> Result<LogPage, LogError> {
         let mut version = self.version.subscribe();
-        self.lock().reads += 1;
+        let wait = {
+            let mut state = self.lock();
+            state.reads += 1;
+            if state.is_hasty { Duration::ZERO } else { wait }
+        };
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             let page = self.page(stream, from)?;
--- a/src/limpetmux/adapters/log_http.rs
+++ b/src/limpetmux/adapters/log_http.rs
@@ -12,6 +12,8 @@
 
 /// The most records asked for at once.
 const PAGE_RECORDS: u64 = 1_000;
+/// The same for the configuration, whose snapshots are long.
+const CONFIG_PAGE_RECORDS: u64 = 64;
 /// The time allowed for an answer beyond the time that the log was asked to wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -71,9 +73,8 @@
     wait: Duration,
 ) -> Result<LogPage, LogError> {
     let wait_ms = wait.as_millis();
-    let url = format!(
-        "{base}/v1/streams/{stream}/records?from={from}&max={PAGE_RECORDS}&wait_ms={wait_ms}"
-    );
+    let max = if stream == Stream::Config { CONFIG_PAGE_RECORDS } else { PAGE_RECORDS };
+    let url = format!("{base}/v1/streams/{stream}/records?from={from}&max={max}&wait_ms={wait_ms}");
     let answer = send(client.get(url).timeout(wait + ANSWER_TIMEOUT)).await?;
     let page: Page = answer.json().await.map_err(unread)?;
     let record = |r: Record| LogRecord { offset: r.offset, data: r.data };
--- a/src/limpetmux/control/mod.rs
+++ b/src/limpetmux/control/mod.rs
@@ -14,7 +14,7 @@
 mod status;
 
 pub use message::{ControlMessage, Exchanged};
-pub use peer::peer_server;
+pub use peer::{PeerService, peer_server};
 pub use service::Service;
 pub use spread::{Spread, SpreadOptions};
 pub use status::{ControlStatus, PeerCounters, PeerTraffic};
@@ -59,7 +59,7 @@
             name: name.to_owned(),
             poll: Duration::from_secs(10),
             retry: Duration::from_secs(1),
-            snapshot: Duration::from_secs(600),
+            snapshot: Duration::from_secs(3_600),
         }
     }
 }
--- a/src/limpetmux/control/service.rs
+++ b/src/limpetmux/control/service.rs
@@ -19,6 +19,8 @@
 /// How long a read may exceed the time for which the log may hold it back.
 const READ_GRACE: Duration = Duration::from_secs(5);
 
+/// The time between two reads that give nothing new, should the log not hold its answers back.
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
 /// The longest time that the log can ask a node to wait before it reads again.
 const RETRY_MAX: Duration = Duration::from_secs(5);
 
@@ -105,9 +107,14 @@
         }
         let fault = result.as_ref().err().cloned();
         log_fault(fault.as_ref(), self.current.fault.as_ref(), EventCode::LogReset);
-        let delay = if fault.is_some() { self.options.retry } else { Duration::ZERO };
+        let progress = result.unwrap_or_default();
+        let delay = match &fault {
+            Some(_) => self.options.retry,
+            None if progress == Progress::default() => IDLE_PAUSE,
+            None => Duration::ZERO,
+        };
         self.current.fault = fault;
-        self.on_progress(result.unwrap_or_default());
+        self.on_progress(progress);
         delay
     }
 
--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -144,7 +144,7 @@
         small_config().hosts.keys().map(|host| host.as_str().to_owned()).collect();
     let nodes: Vec<_> = names.iter().map(|name| start(&log, name)).collect();
 
-    tokio::time::sleep(Duration::from_secs(660)).await;
+    tokio::time::sleep(Duration::from_secs(3_660)).await;
 
     assert_eq!(nodes.len(), 18);
     assert_eq!(snapshots(&log), 1);
@@ -175,7 +175,7 @@
 async fn node_behind_horizon_adopts_snapshot_from_log() {
     let log = declared(&small_config());
     let (_kernel, control) = start(&log, "billing-0");
-    tokio::time::sleep(Duration::from_secs(660)).await;
+    tokio::time::sleep(Duration::from_secs(3_660)).await;
     push(&log, weight(1, 1, 9));
     log.forget(Stream::Config, Offset(1));
 
@@ -185,3 +185,15 @@
     assert_eq!(late.view.load().revision, Revision(3));
     assert_eq!(late.status.load().position, control.status.load().position);
 }
+
+#[tokio::test(start_paused = true)]
+async fn does_not_hurry_log_that_answers_at_once() {
+    let log = declared(&small_config());
+    log.set_hasty(true);
+    let (_kernel, _control) = start(&log, "billing-0");
+
+    tokio::time::sleep(Duration::from_secs(10)).await;
+
+    let (_, reads) = log.calls();
+    assert!(reads <= 110, "{reads}");
+}
