--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -71,7 +71,7 @@
     if let Some(load) = load {
         fleet.members.replied(&fleet.view, host, sent, &load);
     }
-    let done = result?;
+    let done = result.inspect_err(|error| scene.note_failure(key, host, error))?;
     Ok(StageRun { pieces, host, attempts: attempt + 1, done })
 }
 
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -4,7 +4,7 @@
 //! [`MAX_ATTEMPTS`]. A generation that breaks goes on after the pieces delivered so far; any other
 //! stage starts again. A short idempotent stage that is late gets one hedge.
 
-use super::attempt::{is_retryable, run_attempt};
+use super::attempt::{AttemptError, is_retryable, run_attempt};
 use super::once::run_stage_once;
 use super::pipeline::Run;
 use super::policy::Picked;
@@ -16,9 +16,11 @@
 use crate::core::keys::{HostKey, StageIndex};
 use crate::core::routing::Query;
 use crate::core::time::Moment;
-use crate::core::verdict::{Refusal, RefusalCode};
+use crate::core::verdict::{Execution, Refusal, RefusalCode};
 use crate::core::view::StageRow;
+use crate::event;
 use crate::util::clock;
+use crate::util::event::EventCode;
 use crate::wire::{convert, stage};
 use bytes::Bytes;
 use std::pin::pin;
@@ -57,7 +59,7 @@
 }
 
 impl Scene<'_> {
-    fn spec(&self) -> &ServiceSpec {
+    pub(super) fn spec(&self) -> &ServiceSpec {
         &self.run.fleet.view.services[self.row.service].spec
     }
 
@@ -82,9 +84,27 @@
         let usable = |host| fleet.members.is_usable(&fleet.view, host);
         self.run.entry.policy.pick(fleet, query, usable)
     }
+
+    /// Logs a failed attempt and reports a host that cannot be reached.
+    pub(super) fn note_failure(&self, key: AttemptKey, host: HostKey, error: &AttemptError) {
+        let fleet = self.run.fleet;
+        if error.is_unreachable() {
+            fleet.members.unreachable(&fleet.view, host);
+        }
+        if self.run.entry.refusals.permits(clock::now()) {
+            event!(
+                EventCode::AttemptFailed,
+                attempt = key,
+                host = fleet.view.hosts[host].name,
+                error = error
+            );
+        }
+    }
 }
 
 /// Runs one stage to its whole answer.
+///
+/// A stage that may not be repeated runs under the caller's key instead.
 pub(super) async fn run_stage(scene: &Scene<'_>) -> Result<StageRun, Refusal> {
     if !scene.spec().idempotent {
         return run_stage_once(scene).await;
@@ -95,7 +115,7 @@
     let mut attempts = 0;
     let mut last = Refusal::not_run(RefusalCode::Unavailable).retry_in(RETRY_AFTER);
     while attempts < MAX_ATTEMPTS {
-        if attempts > 0 && !scene.may_retry() {
+        if attempts > 0 && !is_handover(last) && !scene.may_retry() {
             break;
         }
         let Some(picked) = scene.pick(&tried) else { break };
@@ -118,6 +138,15 @@
     Err(last)
 }
 
+/// Returns whether a host that leaves has given the attempt back.
+///
+/// Such an attempt goes on elsewhere without a retry token: it has cost no backend server anything,
+/// and a shutdown that empties a queue must not fail requests for want of a budget.
+fn is_handover(refusal: Refusal) -> bool {
+    let leaving = matches!(refusal.code, RefusalCode::Draining | RefusalCode::ZoneOut);
+    leaving && refusal.execution == Execution::NotRun
+}
+
 /// Runs an attempt, and a hedge beside it if the stage allows one and the attempt is late.
 async fn run_hedged(
     scene: &Scene<'_>,
@@ -180,10 +209,10 @@
         picked.observe((&load).into());
         fleet.members.replied(&fleet.view, host, sent, &load);
     }
-    if result.as_ref().is_err_and(|error| error.is_unreachable()) {
-        fleet.members.unreachable(&fleet.view, host);
-    }
-    let result = result.map_err(|error| error.refusal());
+    let result = result.map_err(|error| {
+        scene.note_failure(key, host, &error);
+        error.refusal()
+    });
     match &result {
         Ok(_) => {
             open.completed();
--- a/src/limpetmux/entry/stream.rs
+++ b/src/limpetmux/entry/stream.rs
@@ -5,7 +5,7 @@
 
 use super::pipeline::{self, Answer};
 use super::problem::Problem;
-use super::{Fleet, InFlight, Order, Trailer};
+use super::{Fleet, InFlight, Order, Trailer, http};
 use crate::util::hash::hash_bytes;
 use bytes::Bytes;
 use futures::StreamExt;
@@ -13,7 +13,6 @@
 use poem::{IntoResponse, Response};
 use serde::Serialize;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio_stream::wrappers::ReceiverStream;
@@ -75,11 +74,11 @@
     let entry = inflight.entry();
     match pipeline::run(entry, &fleet, &order, Some(&sink)).await {
         Ok(answer) => {
-            entry.counters.answered.fetch_add(1, Ordering::Relaxed);
+            http::note_answer(entry, &fleet, &order, &answer.trailer);
             finish(&sink, answer).await;
         }
         Err(refusal) => {
-            entry.counters.refused.fetch_add(1, Ordering::Relaxed);
+            http::note_refusal(entry, refusal, Some(order.id));
             sink.event("error", &Problem::of_refusal(refusal, Some(order.id))).await;
         }
     }
--- a/src/limpetmux/node/process.rs
+++ b/src/limpetmux/node/process.rs
@@ -1,6 +1,6 @@
 //! The life of a process of either role, from its listeners to its report.
 
-use super::server::ServeError;
+use super::server::{ServeError, grpc};
 use crate::admin::{AdminService, StatusFn};
 use crate::core::shutdown::{DrainReport, ShutdownOptions};
 use crate::entry::Entry;
@@ -14,11 +14,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tonic::service::Routes;
-use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 
-/// The most streams that one peer may have open on one connection.
-const MAX_STREAMS: u32 = 4_096;
 /// The time for closing connections once a drain has ended.
 const CLOSE_TIME: Duration = Duration::from_secs(1);
 
@@ -71,11 +68,14 @@
         let hooks = ShutdownHooks {
             unready: Arc::new(|| ()),
             refuse: Arc::new(move || refusing.gate().set_draining(true)),
-            running: Arc::new(move || running.gate().inflight()),
+            running: Arc::new(move || running.running()),
             flush: parts.flush,
         };
         let (service, shutdown) = register(&parts.kernel, parts.times, hooks)?;
-        let routes = Routes::new(sidecar.service());
+        let mut routes = Routes::new(sidecar.service());
+        if let Some(once) = sidecar.once_service() {
+            routes = routes.add_service(once);
+        }
         let routes = routes.add_service(AdminService::server(shutdown.clone(), parts.status));
         Ok(Self { shutdown, service, routes })
     }
@@ -115,7 +115,7 @@
     ) -> Result<DrainReport, ServeError> {
         let (drained, ended) = oneshot::channel::<()>();
         let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-        let server = Server::builder().max_concurrent_streams(MAX_STREAMS).add_routes(self.routes);
+        let server = grpc().add_routes(self.routes);
         let server = server.serve_with_incoming_shutdown(incoming, async { drop(ended.await) });
         tokio::pin!(server);
         let report = tokio::select! {
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -63,6 +63,10 @@
     /// A request was refused.
     #[strum(props(level = "warn"))]
     RequestRefused = 200,
+    /// A request was rejected as bad input.
+    RequestRejected = 201,
+    /// An attempt at a stage gave no whole answer.
+    AttemptFailed = 202,
 
     // 3xx: idempotency keys.
     /// The claims stream of the platform log became reachable or unreachable.
@@ -118,6 +122,8 @@
     ProcessStarted = 700,
     /// The process has ended.
     ProcessEnded = 701,
+    /// The process listens for callers.
+    ListenerReady = 702,
 }
 
 impl EventCode {
@@ -157,7 +163,7 @@
             code = code.number(),
             event = code.name()
             $(, $field:% = $value)*;
-            "{}", code.summary()
+            concat!("{}" $(, " ", stringify!($field), "={}")*), code.summary() $(, $value)*
         );
     }};
 }
