--- a/src/limpetmux/control/mod.rs
+++ b/src/limpetmux/control/mod.rs
@@ -46,7 +46,7 @@
             name: name.to_owned(),
             poll: Duration::from_secs(10),
             retry: Duration::from_secs(1),
-            snapshot: Duration::from_secs(600),
+            snapshot: Duration::from_secs(3_600),
         }
     }
 }
