--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -11,9 +11,11 @@
 pub mod cases;
 pub mod changes;
 pub mod config;
+pub mod deployment;
 pub mod fake_log;
 pub mod http;
 pub mod invariants;
+pub mod load;
 pub mod model;
 pub mod once;
 pub mod once_fleet;
@@ -22,5 +24,6 @@
 
 pub use cases::check_cases;
 pub use config::{name, sample_config, small_config};
+pub use deployment::Deployment;
 pub use fake_log::FakeLog;
 pub use sized::{Size, sized_config};
