Test separate processes under kills, freezes and signals

Cause: the whole path ran in one process only, so nothing showed what a killed or frozen process leaves behind. Change: a fixture runs sidecars and entries as child processes before stand-ins; five tests cover the whole path, a killed entry, a killed sidecar, SIGTERM under load and a frozen sidecar.

--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod once;
 pub mod once_fleet;
 pub mod policy;
+pub mod processes;
 pub mod sized;
 
 pub use cases::check_cases;
--- /dev/null
+++ b/crates/limpetmux-test-support/src/processes.rs
@@ -0,0 +1,249 @@
+//! A deployment of separate operating-system processes over loopback, for kills and signals.
+//!
+//! The platform and the backend servers are stand-ins in the test's own process; every sidecar and
+//! entry is a child process that runs the built program with a settings file.
+
+use crate::changes::{change_record, first_change};
+use limpetmux::adapters::log::{LogClient, Stream};
+use limpetmux::core::config::{Config, Name};
+use limpetmux::entry::base_url;
+use limpetmux::node::local::StandIn;
+use limpetmux_standins::{Hosts, Log, LogOptions, Power};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+const LOOK: Duration = Duration::from_millis(20);
+
+/// One child process; killed when dropped.
+pub struct NodeProcess {
+    child: Child,
+    /// Where callers reach it, if it is an entry.
+    pub url: String,
+}
+
+impl NodeProcess {
+    /// Ends the process at once, as a power failure does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Stops or continues the process without ending it.
+    pub fn set_frozen(&self, frozen: bool) {
+        self.signal(if frozen { "-STOP" } else { "-CONT" });
+    }
+
+    /// Asks the process to shut down and waits for its end.
+    pub async fn terminate(&mut self) -> ExitStatus {
+        self.signal("-TERM");
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Returns whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Returns the processor time that the process has used, in clock ticks, and its resident
+    /// memory in bytes.
+    pub fn usage(&self) -> Usage {
+        let proc = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let stat = std::fs::read_to_string(proc.join("stat")).unwrap_or_default();
+        let fields: Vec<&str> =
+            stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let number = |i: usize| fields.get(i).and_then(|f| f.parse::<u64>().ok()).unwrap_or(0);
+        Usage { ticks: number(11) + number(12), resident: number(21) * 4_096 }
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        Command::new("kill").args([signal, &id]).status().unwrap();
+    }
+}
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Processor time in clock ticks.
+    pub ticks: u64,
+    /// Resident memory in bytes.
+    pub resident: u64,
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A deployment of one configuration.
+pub struct Processes {
+    /// The configuration that was declared.
+    pub config: Config,
+    /// The platform's log.
+    pub log: Log,
+    /// The platform's host list.
+    pub hosts: Hosts,
+    /// The platform's power switch.
+    pub power: Power,
+    /// The backend server of each host.
+    pub standins: BTreeMap<Name, StandIn>,
+    /// The sidecar of each host.
+    pub sidecars: BTreeMap<Name, NodeProcess>,
+    /// The entries.
+    pub entries: Vec<NodeProcess>,
+    binary: PathBuf,
+    dir: PathBuf,
+    peers: Vec<SocketAddr>,
+}
+
+impl Processes {
+    /// Starts stand-ins, a sidecar per host and some entries, and waits until all are ready.
+    ///
+    /// # Panics
+    /// Panics if a part does not start.
+    pub async fn start(binary: &Path, dir: &Path, mut config: Config, entries: usize) -> Self {
+        for host in config.hosts.values_mut() {
+            host.sidecar = free_address();
+        }
+        let mut standins = BTreeMap::new();
+        for (name, host) in &config.hosts {
+            let kind = config.services[&host.service].kind;
+            standins.insert(name.clone(), StandIn::start(kind).await.unwrap());
+        }
+        let mut processes = Self {
+            log: Log::start(LogOptions::default()).await.unwrap(),
+            hosts: Hosts::start(0, Duration::ZERO).await.unwrap(),
+            power: Power::start(0).await.unwrap(),
+            standins,
+            sidecars: BTreeMap::new(),
+            entries: Vec::new(),
+            binary: binary.to_owned(),
+            dir: dir.to_owned(),
+            peers: config.hosts.values().map(|h| h.sidecar).take(3).collect(),
+            config,
+        };
+        std::fs::create_dir_all(dir).unwrap();
+        let log = LogClient::http(reqwest::Client::new(), &processes.log.url());
+        let first = change_record(first_change(&processes.config));
+        (log.append)(Stream::Config, first).await.unwrap();
+        let names: Vec<Name> = processes.config.hosts.keys().cloned().collect();
+        for name in names {
+            processes.start_sidecar(&name);
+        }
+        for index in 0..entries {
+            let entry = processes.entry(index);
+            processes.entries.push(entry);
+        }
+        for host in processes.config.hosts.values() {
+            accepts(host.sidecar).await;
+        }
+        for entry in &processes.entries {
+            ready(&entry.url).await;
+        }
+        processes
+    }
+
+    /// Starts the sidecar of a host, in place of the one that ran before.
+    ///
+    /// # Panics
+    /// Panics if the program cannot be started.
+    pub fn start_sidecar(&mut self, name: &Name) {
+        let host = &self.config.hosts[name];
+        let settings = json!({
+            "name": name, "region": "ph-luzon", "zone": host.zone, "listen": host.sidecar,
+            "platform": self.platform(), "peers": self.peers_of(host.sidecar),
+            "sidecar": { "backend": self.standins[name].url() },
+        });
+        let process = self.spawn("sidecar", name.as_str(), &settings, String::new());
+        self.sidecars.insert(name.clone(), process);
+    }
+
+    /// Starts one more entry.
+    ///
+    /// # Panics
+    /// Panics if the program cannot be started.
+    pub fn entry(&self, index: usize) -> NodeProcess {
+        let zones: Vec<&Name> = self.config.zones.keys().collect();
+        let (http, name) = (free_address(), format!("entry-{index}"));
+        let settings = json!({
+            "name": name, "region": "ph-luzon", "zone": zones[index % zones.len()],
+            "listen": free_address(), "platform": self.platform(), "peers": self.peers,
+            "entry": { "http": http, "ordinal": index / zones.len() },
+        });
+        self.spawn("entry", &name, &settings, base_url(http))
+    }
+
+    fn peers_of(&self, own: SocketAddr) -> Vec<SocketAddr> {
+        self.peers.iter().copied().filter(|p| *p != own).collect()
+    }
+
+    fn platform(&self) -> serde_json::Value {
+        json!({ "log": self.log.url(), "hosts": self.hosts.url(), "power": self.power.url() })
+    }
+
+    fn spawn(
+        &self,
+        role: &str,
+        name: &str,
+        settings: &serde_json::Value,
+        url: String,
+    ) -> NodeProcess {
+        let file = self.dir.join(format!("{name}.jsonc"));
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let child = Command::new(&self.binary)
+            .arg(role)
+            .arg(&file)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        NodeProcess { child, url }
+    }
+}
+
+/// Waits until a process accepts connections.
+async fn accepts(addr: SocketAddr) {
+    while tokio::net::TcpStream::connect(addr).await.is_err() {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Waits until an entry is ready.
+pub async fn ready(url: &str) {
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    let is_ready = async || {
+        let answer = client.get(format!("{url}/readyz")).send().await;
+        answer.is_ok_and(|a| a.status().is_success())
+    };
+    while !is_ready().await {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Ports below those that the system gives to clients, so that none is taken in between.
+const PORTS: std::ops::Range<u32> = 11_000..31_000;
+
+/// Returns a loopback address that was free a moment ago and is given out only once.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let count = PORTS.len() as u32;
+    loop {
+        let turn =
+            std::process::id().wrapping_mul(97) % count + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = (PORTS.start + turn % count) as u16;
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod path;
 mod planner;
 mod planner_service;
+mod processes;
 mod requests;
 mod restarts;
 mod roles;
