--- a/src/bin/limpetmux/cli.rs
+++ b/src/bin/limpetmux/cli.rs
@@ -13,8 +13,11 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Verb {
+    Audit(commands::audit::AuditArgs),
+    Config(commands::config::ConfigArgs),
     Drain(commands::drain::DrainArgs),
     Local(commands::local::LocalArgs),
+    Sheet(commands::sheet::SheetArgs),
     Status(commands::status::StatusArgs),
     Version(commands::version::VersionArgs),
 }
@@ -22,8 +25,11 @@
 /// Runs the chosen verb.
 pub fn exec(cli: Cli) -> miette::Result<()> {
     match cli.verb {
+        Verb::Audit(args) => commands::audit::exec(args),
+        Verb::Config(args) => commands::config::exec(args),
         Verb::Drain(args) => commands::drain::exec(args),
         Verb::Local(args) => commands::local::exec(args),
+        Verb::Sheet(args) => commands::sheet::exec(args),
         Verb::Status(args) => commands::status::exec(args),
         Verb::Version(args) => commands::version::exec(args),
     }
--- a/src/limpetmux/util/mod.rs
+++ b/src/limpetmux/util/mod.rs
@@ -3,4 +3,5 @@
 pub mod clock;
 pub mod event;
 pub mod hash;
+pub mod jsonc;
 pub mod sse;
