--- a/crates/limpetmux-test-support/src/once.rs
+++ b/crates/limpetmux-test-support/src/once.rs
@@ -41,18 +41,12 @@
     /// Outages and cuts, and a restart of the successor.
     pub const SUCCESSOR_RESTARTS: Self =
         Self { home_restarts: 0, successor_restarts: 1, ..Self::HOME_RESTARTS };
-    /// The home's table moving to the successor and back, with an outage and a restart of the
-    /// home between.
-    pub const MOVES: Self = Self { cuts: 1, handovers: 1, returns: 1, ..Self::HOME_RESTARTS };
-    /// Everything above together, for a run by hand.
-    pub const ALL: Self = Self {
-        cuts: 3,
-        home_restarts: 1,
-        successor_restarts: 1,
-        handovers: 1,
-        returns: 1,
-        takeovers: 2,
-    };
+    /// The home's table moving to the successor, with an outage and a restart of the home.
+    pub const HANDOVER: Self = Self { cuts: 1, handovers: 1, ..Self::HOME_RESTARTS };
+    /// Keys moving back to the home, with an outage and a restart of the home.
+    pub const RETURN: Self = Self { cuts: 1, returns: 1, ..Self::HOME_RESTARTS };
+    /// A handover and a return in one exploration, for `cargo run -p xtask -- explore`.
+    pub const MOVES: Self = Self { returns: 1, ..Self::HANDOVER };
 }
 
 const A: HostId = HostId(1);
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,10 +2,12 @@
 //!
 //! `cargo run -p xtask -- codegen` compiles `proto/*.proto` into `src/limpetmux/wire/gen/`, whose
 //! files are committed so that neither the build nor CI runs a generator.
+//! `cargo run -p xtask -- explore` explores the at-most-once protocol further than the tests do.
 //! `cargo run --release -p xtask -- load` sends requests at a fixed rate and writes a report.
 //! `cargo run --release -p xtask -- policy` prints the policy's tables of `docs/MEASUREMENTS.md`.
 
 mod codegen;
+mod explore;
 mod load;
 mod policy;
 mod power;
@@ -23,6 +25,7 @@
 #[argh(subcommand)]
 enum Task {
     Codegen(codegen::CodegenArgs),
+    Explore(explore::ExploreArgs),
     Load(load::LoadArgs),
     Policy(policy::PolicyArgs),
     Power(power::PowerArgs),
@@ -32,6 +35,7 @@
     let args: Args = argh::from_env();
     match args.task {
         Task::Codegen(args) => Ok(codegen::exec(args)?),
+        Task::Explore(args) => Ok(explore::exec(args)?),
         Task::Load(args) => Ok(load::exec(args)?),
         Task::Policy(args) => {
             policy::exec(&args);
--- a/src/limpetmux/claims/mod.rs
+++ b/src/limpetmux/claims/mod.rs
@@ -29,7 +29,7 @@
 
 impl Default for Pace {
     fn default() -> Self {
-        let interval = Duration::from_millis(100);
+        let interval = Duration::from_millis(200);
         Self { interval, keys: 512, retry: Duration::from_millis(200) }
     }
 }
--- a/src/limpetmux/core/once/homes.rs
+++ b/src/limpetmux/core/once/homes.rs
@@ -4,7 +4,7 @@
 //! no key; only a change of the declared hosts does.
 
 use super::KeyId;
-use crate::core::keys::{HostKey, ServiceKey, WorkspaceKey};
+use crate::core::keys::{HostKey, RegionKey, ServiceKey, WorkspaceKey};
 use crate::core::view::View;
 use crate::util::hash::{hash_bytes, hash_parts};
 use serde::{Deserialize, Serialize};
@@ -41,7 +41,11 @@
     service: ServiceKey,
     key: KeyId,
 ) -> Option<Homes> {
-    let region = view.workspaces.get(workspace)?.region;
+    homes_in(view, view.workspaces.get(workspace)?.region, service, key)
+}
+
+/// Returns the home and the successor of a key among a service's hosts in one region.
+pub fn homes_in(view: &View, region: RegionKey, service: ServiceKey, key: KeyId) -> Option<Homes> {
     let mut order: Vec<(u64, HostKey)> = view
         .services
         .get(service)?
--- a/src/limpetmux/core/once/mod.rs
+++ b/src/limpetmux/core/once/mod.rs
@@ -9,6 +9,7 @@
 mod guard;
 mod homes;
 mod key;
+mod moves;
 mod node;
 mod observe;
 mod record;
@@ -17,7 +18,7 @@
 mod table;
 
 pub use guard::{Guard, Guards};
-pub use homes::{Homes, HostId, homes};
+pub use homes::{Homes, HostId, homes, homes_in};
 pub use key::{KeyId, KeyTime};
 pub use node::{Action, Begin, Known, Node, Time, Work};
 pub use record::{Incarnation, Record, RecordError};
--- a/src/limpetmux/core/once/observe.rs
+++ b/src/limpetmux/core/once/observe.rs
@@ -47,8 +47,7 @@
 
     fn observe_own(&mut self, key: KeyId, by: Incarnation, time: Time) -> Option<Action> {
         if by != self.incarnation {
-            self.remember(key, time);
-            return None;
+            return self.remember(key, time);
         }
         let order = self.guards.on(Guard::LogOrder);
         let entry = self.table.entries.get_mut(&key)?;
@@ -64,15 +63,23 @@
         Some(Action::Run(key))
     }
 
-    /// Notes a key that an earlier process of this host claimed.
-    fn remember(&mut self, key: KeyId, time: Time) {
+    /// Notes that another process has claimed a key of which this host is the home.
+    ///
+    /// Needed for an earlier process of this host, and for a former home that acts on an outdated
+    /// configuration. A key whose own claim is not read back yet has lost.
+    pub fn remember(&mut self, key: KeyId, time: Time) -> Option<Action> {
         let expires = key.created().unwrap_or(time.wall) + self.rules.window + self.rules.margin;
-        if expires < time.wall || self.table.len() >= self.rules.keys {
-            return;
+        let known = self.table.entries.get(&key).map(|e| &e.state);
+        let had_claim = known == Some(&State::Claiming);
+        let is_open = matches!(known, None | Some(State::Claiming | State::Released));
+        if !is_open || expires < time.wall || known.is_none() && self.table.len() >= self.rules.keys
+        {
+            return None;
         }
         let role = Role::Home { successor: None };
         let entry = Entry { body: None, state: State::Unknown, role, expires };
-        self.table.entries.entry(key).or_insert(entry);
+        self.table.entries.insert(key, entry);
+        had_claim.then(|| Action::Refuse(key, Refusal::unknown(RefusalCode::Unvouched)))
     }
 
     /// Notes that a process of a home still claims.
--- a/src/limpetmux/sidecar/once/tasks.rs
+++ b/src/limpetmux/sidecar/once/tasks.rs
@@ -3,7 +3,7 @@
 use super::{OnceGate, convert, moves};
 use crate::adapters::log::{LogClient, LogError, LogPage, Stream};
 use crate::claims::{self, Pace, Source};
-use crate::core::once::{HostId, Record};
+use crate::core::once::{Action, HostId, KeyId, Record, homes_in};
 use crate::core::revision::Offset;
 use crate::event;
 use crate::util::clock;
@@ -68,6 +68,10 @@
     let mut from = Offset::default();
     let mut wait = Duration::ZERO;
     while gate.strong_count() > 0 {
+        if !gate.upgrade().is_some_and(|g| g.is_needed()) {
+            tokio::time::sleep(ROUND).await;
+            continue;
+        }
         let page = (log.read)(Stream::Claims, from, wait).await;
         let Some(gate) = gate.upgrade() else { return };
         match gate.take_page(page, from) {
@@ -85,13 +89,40 @@
 }
 
 impl OnceGate {
+    /// Returns whether the host's service has stages that may run at most once.
+    fn is_needed(&self) -> bool {
+        let view = self.view.load();
+        let service = view.host(self.host.as_str()).map(|h| view.hosts[h].service);
+        service.is_some_and(|s| !view.services[s].spec.idempotent)
+    }
+
     /// Takes the keys that are due, the process's first record even without any.
     fn take_claims(&self, most: usize) -> Option<Record> {
+        if !self.is_needed() {
+            return None;
+        }
         let mut inner = self.lock();
         let first = !std::mem::replace(&mut inner.announced, true);
         inner.node.claims(most).or_else(|| first.then(|| inner.node.hello()))
     }
 
+    /// Returns the keys that another host claimed although this host is their home.
+    fn claimed_here(&self, record: &Record) -> Vec<KeyId> {
+        let Record::Claims { home, keys, .. } = record else { return Vec::new() };
+        let view = self.view.load();
+        let Some(host) = view.host(self.host.as_str()) else { return Vec::new() };
+        let row = &view.hosts[host];
+        let claimant = view.hosts.iter().find(|(_, h)| HostId::of(h.name.as_str()) == *home);
+        if claimant.is_some_and(|(key, h)| key == host || h.service != row.service) {
+            return Vec::new();
+        }
+        let region = view.zones[row.zone].region;
+        let is_mine = |key: &&KeyId| {
+            homes_in(&view, region, row.service, **key).is_some_and(|h| h.home == host)
+        };
+        keys.iter().filter(is_mine).copied().collect()
+    }
+
     /// Takes in a page of the claims stream; returns where to read on, or `None` after a failure.
     fn take_page(&self, page: Result<LogPage, LogError>, from: Offset) -> Option<Offset> {
         let mut inner = self.lock();
@@ -105,12 +136,20 @@
         if from == Offset::default() && page.first == Offset::default() {
             inner.node.read_from_start();
         }
+        if !inner.announced {
+            self.due.notify_one();
+        }
         for record in &page.records {
             next = record.offset.next();
             match Record::decode(&record.data) {
                 Ok(decoded) => {
                     let actions = inner.node.observe(record.offset, &decoded, self.time());
                     self.apply(&mut inner, actions);
+                    let claimed = self.claimed_here(&decoded);
+                    let time = self.time();
+                    let lost = claimed.into_iter().filter_map(|k| inner.node.remember(k, time));
+                    let lost: Vec<Action> = lost.collect();
+                    self.apply(&mut inner, lost);
                 }
                 Err(error) => event!(EventCode::ClaimUnreadable, error = error),
             }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod invariants;
 mod kernel;
 mod membership;
+mod once;
 mod once_explore;
 mod once_path;
 mod path;
