--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each module builds one kind of input: configurations in the shape of the two deployments that
 //! the system serves today, larger ones for slopes and bounds, configuration records, a platform
+//! log in the process, callers of an entry, and cases drawn from fixed seeds.
 //! log in the process, and cases drawn from fixed seeds. [`http`] calls an entry; [`model`] drives
 //! the decisions under load in virtual time.
 
@@ -10,9 +11,11 @@
 pub mod cases;
 pub mod changes;
 pub mod config;
+pub mod deployment;
 pub mod fake_log;
 pub mod http;
 pub mod invariants;
+pub mod load;
 pub mod model;
 pub mod once;
 pub mod once_fleet;
@@ -21,5 +24,6 @@
 
 pub use cases::check_cases;
 pub use config::{name, sample_config, small_config};
+pub use deployment::Deployment;
 pub use fake_log::FakeLog;
 pub use sized::{Size, sized_config};
--- a/src/bin/limpetmux/commands/mod.rs
+++ b/src/bin/limpetmux/commands/mod.rs
@@ -3,8 +3,12 @@
 pub mod audit;
 pub mod config;
 pub mod drain;
+pub mod entry;
 pub mod local;
 mod operator;
+mod role;
+pub mod settings;
 pub mod sheet;
+pub mod sidecar;
 pub mod status;
 pub mod version;
--- /dev/null
+++ b/src/limpetmux/node/role.rs
@@ -0,0 +1,211 @@
+//! Runs one process by its settings until it is drained.
+//!
+//! Both roles follow one plan: bind the listeners, start the control services, start the role and
+//! hand both to the [`process`], which ends with the shutdown.
+
+use super::process::{self, EntryListeners, Process, ProcessError, ProcessParts};
+use super::server::{ServeError, bind};
+use super::services::{Services, ServicesError, ServicesOptions};
+use crate::adapters::backend::Backend;
+use crate::adapters::hosts::HostsClient;
+use crate::adapters::log::LogClient;
+use crate::admin::{StatusFn, report};
+use crate::core::shutdown::{DrainReport, ShutdownOptions};
+use crate::entry::{Entry, EntryError, EntryOptions, Members};
+use crate::event;
+use crate::kernel::KernelError;
+use crate::settings::{EntrySettings, Settings, SidecarSettings};
+use crate::sidecar::{OnceLink, Sidecar, SidecarOptions};
+use crate::util::clock;
+use crate::util::event::EventCode;
+use crate::util::metrics::{Metrics, MetricsError};
+use crate::wire::admin::{Attainment, BackendRow, StatusReply};
+use futures::FutureExt;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tokio::sync::watch;
+
+/// A process does not start or stops early.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum RoleError {
+    /// A listener or a server fails.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Serve(#[from] ServeError),
+    /// The control services do not start.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Services(#[from] ServicesError),
+    /// The process does not run.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Process(#[from] ProcessError),
+    /// The entry fails.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Entry(#[from] EntryError),
+    /// Metrics cannot be sent.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Metrics(#[from] MetricsError),
+    /// The HTTP client cannot be set up.
+    #[error("cannot set up the HTTP client")]
+    Client(#[from] reqwest::Error),
+    /// The shutdown service is registered twice.
+    #[error("cannot connect the services of the process")]
+    Kernel(#[from] KernelError),
+}
+
+/// Returns the HTTP client for platform and backend servers.
+pub(super) fn http_client() -> Result<reqwest::Client, reqwest::Error> {
+    reqwest::Client::builder().no_proxy().redirect(reqwest::redirect::Policy::none()).build()
+}
+
+fn start_services(
+    settings: &Settings,
+    own: SocketAddr,
+    client: &reqwest::Client,
+) -> Result<Services, ServicesError> {
+    let hosts = settings.platform.hosts.as_ref();
+    Services::start(ServicesOptions {
+        name: settings.name.as_str(),
+        log: LogClient::http(client.clone(), &settings.platform.log),
+        hosts: hosts.map(|url| HostsClient::http(client.clone(), url)),
+        own: Some(own),
+        peers: settings.peers.clone(),
+    })
+}
+
+fn metrics(settings: &Settings) -> Result<Metrics, MetricsError> {
+    settings.metrics.statsd.map_or(Ok(Metrics::none()), Metrics::statsd)
+}
+
+/// Returns a future that is ready once the process stops.
+pub(super) fn stopped(stop: &watch::Sender<bool>) -> impl Future<Output = ()> + Send + 'static {
+    let mut stop = stop.subscribe();
+    async move { drop(stop.wait_for(|stop| *stop).await) }
+}
+
+/// Runs an entry until `signal` or a drain order, and returns the report of its shutdown.
+///
+/// # Errors
+/// Returns [`RoleError`] if the entry does not start.
+pub async fn run_entry(
+    settings: &Settings,
+    own: &EntrySettings,
+    signal: impl Future<Output = ()> + Send,
+) -> Result<DrainReport, RoleError> {
+    let (http, http_addr) = bind(own.http).await?;
+    let (grpc, grpc_addr) = bind(settings.listen).await?;
+    let services = start_services(settings, grpc_addr, &http_client()?)?;
+    let entry = Entry::start(EntryOptions {
+        zone: settings.zone.clone(),
+        ordinal: own.ordinal,
+        view: services.control.view.clone(),
+        members: Members(Some(services.membership.clone())),
+        limits: own.limits(),
+        metrics: metrics(settings)?,
+    })?;
+    let parts = ProcessParts {
+        kernel: Arc::clone(&services.kernel),
+        times: ShutdownOptions { deadline: settings.grace, ..ShutdownOptions::ENTRY },
+        flush: Arc::new(|| async { true }.boxed()),
+        status: entry_status(settings, &services, &entry),
+    };
+    let peers = services.peer_server();
+    let process = Process::entry(&entry, parts)?.with(|routes| routes.add_service(peers));
+    event!(EventCode::ListenerReady, address = http_addr);
+    let listeners = EntryListeners { http, grpc };
+    Ok(process::run_entry(entry, process, listeners, signal).await?)
+}
+
+fn entry_status(settings: &Settings, services: &Services, entry: &Arc<Entry>) -> Arc<StatusFn> {
+    let (node, zone) = (settings.name.to_string(), settings.zone.to_string());
+    let (control, membership) = (services.control.clone(), services.membership.clone());
+    let entry = Arc::clone(entry);
+    Arc::new(move || {
+        let view = control.view.load();
+        let states = membership.states();
+        let counters = entry.counters();
+        StatusReply {
+            node: node.clone(),
+            role: "entry".to_owned(),
+            zone: zone.clone(),
+            revision: view.revision.0,
+            newest: control.status.load().revision.0.max(view.revision.0),
+            running: entry.inflight(),
+            hosts: report::host_rows(clock::now(), &view, &states),
+            zones: report::zone_rows(&view, &states),
+            stages: entry.with_ledger(report::stage_rows),
+            attainment: Some(Attainment {
+                attained: counters.answered.load(Ordering::Relaxed),
+                late: 0,
+                refused: counters.refused.load(Ordering::Relaxed),
+            }),
+            ..StatusReply::default()
+        }
+    })
+}
+
+/// Runs a sidecar until `signal` or a drain order, and returns the report of its shutdown.
+///
+/// # Errors
+/// Returns [`RoleError`] if the sidecar does not start.
+pub async fn run_sidecar(
+    settings: &Settings,
+    own: &SidecarSettings,
+    signal: impl Future<Output = ()> + Send,
+) -> Result<DrainReport, RoleError> {
+    let (listener, addr) = bind(settings.listen).await?;
+    let client = http_client()?;
+    let services = start_services(settings, addr, &client)?;
+    let sidecar = Sidecar::start(SidecarOptions {
+        host: settings.name.clone(),
+        view: services.control.view.clone(),
+        backend: Backend::http(client.clone(), &own.backend),
+        once: Some(OnceLink::new(LogClient::http(client, &settings.platform.log))),
+        metrics: metrics(settings)?,
+    });
+    let parts = ProcessParts {
+        kernel: Arc::clone(&services.kernel),
+        times: ShutdownOptions { deadline: settings.grace, ..ShutdownOptions::SIDECAR },
+        flush: Arc::new(|| async { true }.boxed()),
+        status: sidecar_status(settings, &services, &sidecar),
+    };
+    let peers = services.peer_server();
+    let process = Process::sidecar(&sidecar, parts)?.with(|routes| routes.add_service(peers));
+    Ok(process.run(listener, signal).await?)
+}
+
+fn sidecar_status(
+    settings: &Settings,
+    services: &Services,
+    sidecar: &Arc<Sidecar>,
+) -> Arc<StatusFn> {
+    let (node, zone) = (settings.name.to_string(), settings.zone.to_string());
+    let control = services.control.clone();
+    let sidecar = Arc::clone(sidecar);
+    Arc::new(move || {
+        let revision = control.view.load().revision.0;
+        let load = sidecar.gate().load();
+        StatusReply {
+            node: node.clone(),
+            role: "sidecar".to_owned(),
+            zone: zone.clone(),
+            process: sidecar.process().0,
+            revision,
+            newest: control.status.load().revision.0.max(revision),
+            running: sidecar.running(),
+            backend: Some(BackendRow {
+                inflight: load.inflight,
+                queued: load.queued,
+                limit: load.limit,
+                cold: load.cold,
+                incarnation: load.incarnation,
+            }),
+            ..StatusReply::default()
+        }
+    })
+}
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -31,8 +31,10 @@
 use crate::core::once::Rules;
 use crate::core::view::View;
 use crate::kernel::Published;
+use crate::util::metrics::Metrics;
 use crate::wire::once::once_server::OnceServer;
 use crate::wire::{convert, stage};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Weak};
 
 /// What a sidecar needs to start.
@@ -43,6 +45,8 @@
     pub view: Published<View>,
     /// The backend server beside the sidecar.
     pub backend: Backend,
+    /// Where metrics go.
+    pub metrics: Metrics,
     /// What stages that may run at most once need; without it they are refused.
     pub once: Option<OnceLink>,
 }
@@ -70,8 +74,10 @@
     pub(crate) backend: Backend,
     pub(crate) gate: Gate,
     pub(crate) attempts: Attempts,
+    pub(crate) metrics: Metrics,
     pub(crate) once: Option<(Arc<OnceGate>, LogClient)>,
     process: ProcessId,
+    running: AtomicU32,
 }
 
 impl Sidecar {
@@ -91,8 +97,10 @@
             backend: options.backend,
             gate,
             attempts: Attempts::default(),
+            metrics: options.metrics,
             once,
             process: ProcessId::random(&mut rand::rng()),
+            running: AtomicU32::new(0),
         });
         tokio::spawn(probe::run(Arc::downgrade(&sidecar)));
         tokio::spawn(follow(Arc::downgrade(&sidecar), sidecar.gate.views()));
@@ -104,6 +112,21 @@
         stage::stage_server::StageServer::new(StageService::new(Arc::clone(self)))
     }
 
+    /// Returns the number of this run of the process.
+    pub fn process(&self) -> ProcessId {
+        self.process
+    }
+
+    /// Returns the number of attempts whose answers are not yet handed over.
+    pub fn running(&self) -> u32 {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    /// Returns the load as entries are told it.
+    pub fn load(&self) -> stage::Load {
+        convert::load(self.gate.load(), self.process, self.gate.is_draining())
+    }
+
     /// Returns the gRPC service of idempotency keys, if the sidecar keeps any.
     pub fn once_service(&self) -> Option<OnceServer<OnceService>> {
         let (gate, log) = self.once.as_ref()?;
@@ -115,19 +138,25 @@
         self.once.as_ref().map(|(gate, _)| gate)
     }
 
-    /// Returns the number of this run of the process.
-    pub fn process(&self) -> ProcessId {
-        self.process
+    /// Returns the gate, which knows the load and whether the sidecar is draining.
+    pub fn gate(&self) -> &Gate {
+        &self.gate
     }
+}
 
-    /// Returns the load as entries are told it.
-    pub fn load(&self) -> stage::Load {
-        convert::load(self.gate.load(), self.process, self.gate.is_draining())
+/// Counts an attempt as running until dropped.
+pub(crate) struct Running(Arc<Sidecar>);
+
+impl Running {
+    pub(crate) fn begin(sidecar: &Arc<Sidecar>) -> Self {
+        sidecar.running.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(sidecar))
     }
+}
 
-    /// Returns the gate, which knows the load and whether the sidecar is draining.
-    pub fn gate(&self) -> &Gate {
-        &self.gate
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- /dev/null
+++ b/src/limpetmux/util/metrics.rs
@@ -0,0 +1,157 @@
+//! Metrics by name, sent to a statsd server by UDP or dropped.
+//!
+//! Every metric is a [`Metric`]; the list in `docs/METRICS.md` is held equal to it by a test.
+//! Sending never blocks the request path: a queue in front of the socket drops what does not fit.
+
+use cadence::prelude::*;
+use cadence::{QueuingMetricSink, StatsdClient, UdpMetricSink};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+use strum::{EnumMessage, EnumProperty, IntoStaticStr, VariantArray};
+
+/// The prefix of all names.
+const PREFIX: &str = "limpetmux";
+/// The metrics that may wait to be sent.
+const QUEUE: usize = 16_384;
+
+/// A metric; its doc comment is its summary in the list.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    IntoStaticStr,
+    VariantArray,
+    EnumMessage,
+    EnumProperty,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Metric {
+    /// Requests answered whole.
+    #[strum(props(kind = "counter", tags = "workspace, pipeline"))]
+    RequestsAnswered,
+    /// Requests refused as bad input.
+    #[strum(props(kind = "counter", tags = "none"))]
+    RequestsRejected,
+    /// Requests refused or failed for other reasons.
+    #[strum(props(kind = "counter", tags = "code, execution"))]
+    RequestsRefused,
+    /// Time of a whole answer in milliseconds.
+    #[strum(props(kind = "timer", tags = "workspace, pipeline"))]
+    RequestTime,
+    /// Time of a completed stage in milliseconds, as the entry saw it.
+    #[strum(props(kind = "timer", tags = "pipeline, stage"))]
+    StageTime,
+    /// Cost of completed stages in millionths of the accounting unit.
+    #[strum(props(kind = "counter", tags = "workspace, pipeline, stage"))]
+    StageCost,
+    /// Attempts at completed stages, retries and hedges included.
+    #[strum(props(kind = "counter", tags = "pipeline, stage"))]
+    StageAttempts,
+    /// Calls that a sidecar ended, by their outcome.
+    #[strum(props(kind = "counter", tags = "outcome"))]
+    SidecarCalls,
+    /// Time of a call in the sidecar's queue in milliseconds.
+    #[strum(props(kind = "timer", tags = "none"))]
+    SidecarQueueTime,
+}
+
+impl Metric {
+    /// Returns the name without the prefix.
+    pub fn name(self) -> &'static str {
+        self.into()
+    }
+
+    /// Returns the one-line summary.
+    pub fn summary(self) -> &'static str {
+        self.get_documentation().unwrap_or_default()
+    }
+
+    /// Returns `counter` or `timer`.
+    pub fn kind(self) -> &'static str {
+        self.get_str("kind").unwrap_or_default()
+    }
+
+    /// Returns the names of the tags.
+    pub fn tags(self) -> &'static str {
+        self.get_str("tags").unwrap_or_default()
+    }
+}
+
+/// Metrics cannot be sent.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum MetricsError {
+    /// No UDP socket can be opened.
+    #[error("cannot open a UDP socket for metrics")]
+    Socket(#[from] std::io::Error),
+    /// The address of the statsd server cannot be used.
+    #[error("cannot send metrics to {address}")]
+    Sink {
+        /// The address.
+        address: SocketAddr,
+        /// Why it cannot be used.
+        #[source]
+        source: cadence::MetricError,
+    },
+}
+
+/// Sends metrics; cheap to clone.
+#[derive(Clone)]
+pub struct Metrics(Option<Arc<StatsdClient>>);
+
+impl Metrics {
+    /// Drops all metrics.
+    pub fn none() -> Self {
+        Self(None)
+    }
+
+    /// Sends metrics to a statsd server.
+    ///
+    /// # Errors
+    /// Returns [`MetricsError`] if no socket can be set up.
+    pub fn statsd(address: SocketAddr) -> Result<Self, MetricsError> {
+        let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+        socket.set_nonblocking(true)?;
+        let sink = UdpMetricSink::from(address, socket)
+            .map_err(|source| MetricsError::Sink { address, source })?;
+        let sink = QueuingMetricSink::with_capacity(sink, QUEUE);
+        Ok(Self(Some(Arc::new(StatsdClient::from_sink(PREFIX, sink)))))
+    }
+
+    /// Sends metrics to any sink, such as a spy in tests.
+    pub fn sink(
+        sink: impl cadence::MetricSink + Sync + Send + std::panic::RefUnwindSafe + 'static,
+    ) -> Self {
+        Self(Some(Arc::new(StatsdClient::from_sink(PREFIX, sink))))
+    }
+
+    /// Adds to a counter.
+    pub fn count(&self, metric: Metric, amount: u64, tags: &[(&str, &str)]) {
+        let Some(client) = &self.0 else { return };
+        let mut builder = client.count_with_tags(metric.name(), amount);
+        for (key, value) in tags {
+            builder = builder.with_tag(key, value);
+        }
+        builder.send();
+    }
+
+    /// Records a duration.
+    pub fn time(&self, metric: Metric, took: Duration, tags: &[(&str, &str)]) {
+        let Some(client) = &self.0 else { return };
+        let mut builder = client.time_with_tags(metric.name(), took);
+        for (key, value) in tags {
+            builder = builder.with_tag(key, value);
+        }
+        builder.send();
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::none()
+    }
+}
