Give the deployment fixture the gate of idempotency keys

Cause: main did not build its fixtures: sidecars had gained the once and metrics fields. Change: the fixture's sidecars use the platform log of the fixture, cut off like the rest.

--- a/crates/limpetmux-test-support/src/deployment.rs
+++ b/crates/limpetmux-test-support/src/deployment.rs
@@ -12,6 +12,7 @@
     Control, ControlOptions, PeerCounters, Spread, SpreadOptions, peer_server, prepare,
 };
 use limpetmux::core::config::{Change, Config, Edit, Name};
+use limpetmux::core::once::Rules;
 use limpetmux::core::revision::{Offset, Revision};
 use limpetmux::core::shutdown::{DrainReport, ShutdownOptions};
 use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
@@ -20,7 +21,8 @@
 use limpetmux::node::local::StandIn;
 use limpetmux::node::process::{EntryListeners, Process, ProcessParts, run_entry};
 use limpetmux::shutdown::ShutdownPort;
-use limpetmux::sidecar::{Sidecar, SidecarOptions};
+use limpetmux::sidecar::{OnceLink, Sidecar, SidecarOptions};
+use limpetmux::util::metrics::Metrics;
 use limpetmux::wire::admin::StatusReply;
 use limpetmux_standins::{Hosts, Log, LogOptions};
 use rand::SeedableRng;
@@ -249,7 +251,17 @@
         let control = self.control(name.as_str(), &kernel);
         let backend = Backend::http(reqwest::Client::new(), &self.standins[name].url());
         let view = control.view.clone();
-        let role = Sidecar::start(SidecarOptions { host: name.clone(), view, backend });
+        let log = LogClient::http(reqwest::Client::new(), &self.log.url());
+        // All processes share one clock.
+        let rules = Rules { margin: Duration::ZERO, ..Rules::default() };
+        let link = OnceLink { rules, ..OnceLink::new(cuttable(log, &self.cuts[name.as_str()])) };
+        let role = Sidecar::start(SidecarOptions {
+            host: name.clone(),
+            view,
+            backend,
+            once: Some(link),
+            metrics: Metrics::none(),
+        });
         let times = ShutdownOptions { notice: Duration::ZERO, ..TIMES };
         let process = Process::sidecar(&role, parts(&kernel, times)).unwrap();
         let (process, spread) = self.spread(process, &control, grpc);
@@ -279,6 +291,7 @@
             view: control.view.clone(),
             members: Members(Some(members.clone())),
             limits: Limits::default(),
+            metrics: Metrics::none(),
         });
         let role = role.unwrap();
         let process = Process::entry(&role, parts(&kernel, TIMES)).unwrap();
