Keep keys without a time through a graceful restart

Change: a table says whether it is whole for keys without a time; a leaving host gives back what it holds and waits until its successors have taken over; an orphaned takeover is renewed by the next process; a successor promises one process of a home at a time.

--- a/crates/limpetmux-test-support/src/deployment.rs
+++ b/crates/limpetmux-test-support/src/deployment.rs
@@ -5,6 +5,7 @@
 //! node can be cut off from the log alone.
 
 use crate::changes::{change, change_record, first_change};
+use futures::future::BoxFuture;
 use limpetmux::adapters::backend::Backend;
 use limpetmux::adapters::hosts::HostsClient;
 use limpetmux::adapters::log::{LogClient, LogError, Stream};
@@ -263,7 +264,13 @@
             metrics: Metrics::none(),
         });
         let times = ShutdownOptions { notice: Duration::ZERO, ..TIMES };
-        let process = Process::sidecar(&role, parts(&kernel, times)).unwrap();
+        let flushed = Arc::clone(&role);
+        let flush = move || -> BoxFuture<'static, bool> {
+            let role = Arc::clone(&flushed);
+            Box::pin(async move { role.flush().await })
+        };
+        let parts = ProcessParts { flush: Arc::new(flush), ..parts(&kernel, times) };
+        let process = Process::sidecar(&role, parts).unwrap();
         let (process, spread) = self.spread(process, &control, grpc);
         let shutdown = process.shutdown.clone();
         let main =
--- a/crates/limpetmux-test-support/src/once_fleet.rs
+++ b/crates/limpetmux-test-support/src/once_fleet.rs
@@ -121,6 +121,18 @@
         })
     }
 
+    /// Ends a sidecar's process by a graceful shutdown.
+    ///
+    /// # Panics
+    /// Panics if the sidecar does not run.
+    pub async fn drain(&mut self, host: usize) {
+        let sidecar = self.hosts[host].sidecar.clone().unwrap();
+        sidecar.gate().set_draining(true);
+        assert!(sidecar.flush().await);
+        drop(sidecar);
+        self.kill(host).await;
+    }
+
     /// Ends a sidecar's process without warning.
     pub async fn kill(&mut self, host: usize) {
         self.hosts[host].server.abort();
--- a/src/limpetmux/core/once/moves.rs
+++ b/src/limpetmux/core/once/moves.rs
@@ -51,10 +51,17 @@
         if seat.held.is_some() || seat.asked.is_some() {
             return Err(NoPromise::TakenOver);
         }
+        if seat.is_bound(now) && seat.promisee != Some(incarnation) {
+            return Err(NoPromise::OtherProcess);
+        }
         if fresh {
             seat.note_process(incarnation);
+            if !seat.is_latest(incarnation) {
+                return Err(NoPromise::OtherProcess);
+            }
         }
         seat.promised = Some(end);
+        seat.promisee = Some(incarnation);
         Ok(())
     }
 
@@ -87,13 +94,20 @@
         if self.lost.contains_key(&successor) {
             return None;
         }
-        let since = self.floor(successor);
         if self.guards.on(Guard::StopFirst) {
             self.stopped.insert(successor);
         }
         self.beliefs.remove(&successor);
+        Some(self.last_table(successor))
+    }
+
+    /// Returns the table of the keys shared with a successor, to be sent again once the last run
+    /// has ended; of use only after [`Node::hand_over`].
+    pub fn last_table(&self, successor: HostId) -> Handover {
+        let since = self.floor(successor);
         let rows = self.table.export(Role::Home { successor: Some(successor) });
-        Some(Handover { from: self.id, incarnation: self.incarnation, since, rows })
+        let whole = self.vouches_untimed(Role::Home { successor: Some(successor) });
+        Handover { from: self.id, incarnation: self.incarnation, since, whole, rows }
     }
 
     /// Accepts keys again after a successor refused a table for certain.
@@ -126,13 +140,14 @@
     pub fn give_back(&mut self, home: HostId) -> Option<(Handover, Record)> {
         let (by, incarnation) = (self.id, self.incarnation);
         let seat = self.seats.get_mut(&home)?;
-        let since = seat.taken?.since;
+        let taken = seat.taken?;
         if seat.asked.is_some() {
             return None;
         }
         seat.returning = true;
         let rows = self.table.export(Role::Successor { home });
-        let handover = Handover { from: by, incarnation, since, rows };
+        let (since, whole) = (taken.since, taken.whole);
+        let handover = Handover { from: by, incarnation, since, whole, rows };
         Some((handover, Record::Return { home, by, incarnation }))
     }
 
--- a/src/limpetmux/core/once/node.rs
+++ b/src/limpetmux/core/once/node.rs
@@ -100,6 +100,8 @@
     pub(super) stopped: BTreeSet<HostId>,
     /// Since when keys of a successor that returned them are vouched for.
     pub(super) floors: BTreeMap<HostId, KeyTime>,
+    /// Successors that returned keys with a table that is whole for keys without a time.
+    pub(super) whole_again: BTreeSet<HostId>,
     /// Tables of successors that are about to return keys.
     pub(super) returns: BTreeMap<HostId, Handover>,
     pub(super) seats: BTreeMap<HostId, Seat>,
@@ -136,6 +138,7 @@
             lost: BTreeMap::new(),
             stopped: BTreeSet::new(),
             floors: BTreeMap::new(),
+            whole_again: BTreeSet::new(),
             returns: BTreeMap::new(),
             seats: BTreeMap::new(),
         }
@@ -241,6 +244,15 @@
         self.due.len()
     }
 
+    /// Returns the homes whose keys an earlier process of this host held until its end.
+    ///
+    /// Nobody runs these keys until this process takes over anew, or the home regains them.
+    pub fn orphaned(&self) -> Vec<HostId> {
+        let seats = self.seats.iter();
+        let orphans = seats.filter(|(_, s)| s.held.is_some() && s.taken.is_none());
+        orphans.map(|(home, _)| *home).collect()
+    }
+
     /// Drops rows whose time has passed.
     pub fn sweep(&mut self, wall: KeyTime) {
         self.table.sweep(wall);
@@ -323,9 +335,16 @@
     }
 
     /// Returns whether no other process can have run a key without a time.
-    fn vouches_untimed(&self, role: Role) -> bool {
-        let Role::Home { successor } = role else { return false };
-        self.first && successor.is_none_or(|s| !self.floors.contains_key(&s))
+    pub(super) fn vouches_untimed(&self, role: Role) -> bool {
+        match role {
+            Role::Home { successor: Some(s) } if self.floors.contains_key(&s) => {
+                self.whole_again.contains(&s)
+            }
+            Role::Home { .. } => self.first,
+            Role::Successor { home } => {
+                self.seats.get(&home).and_then(|s| s.taken).is_some_and(|t| t.whole)
+            }
+        }
     }
 
     fn gave_up(&self, successor: HostId) -> bool {
--- a/src/limpetmux/core/once/observe.rs
+++ b/src/limpetmux/core/once/observe.rs
@@ -115,9 +115,12 @@
         let Some(seat) = self.seats.get_mut(&home) else { return };
         let Some(sent) = seat.asked.take() else { return };
         let table = seat.table.take();
-        let since = seat.taken.map(|t| t.since);
-        let fresh = table.as_ref().map_or(time.wall, |t| t.since);
-        seat.taken = Some(Taken { since: since.unwrap_or(fresh), until: sent + hold });
+        let (since, whole) = match (seat.taken, &table) {
+            (Some(taken), _) => (taken.since, taken.whole),
+            (None, Some(table)) => (table.since, table.whole),
+            (None, None) => (time.wall, false),
+        };
+        seat.taken = Some(Taken { since, whole, until: sent + hold });
         if let Some(table) = table {
             self.table.adopt(table.rows, Role::Successor { home });
         }
@@ -132,6 +135,7 @@
             *seat = Seat {
                 changed: self.position,
                 promised: seat.promised,
+                promisee: seat.promisee,
                 asked: seat.asked,
                 seen: std::mem::take(&mut seat.seen),
                 ..Seat::default()
@@ -147,6 +151,10 @@
         let table = self.returns.remove(&successor);
         let floor = table.as_ref().map_or(wall, |t| t.since);
         self.floors.insert(successor, floor);
+        self.whole_again.remove(&successor);
+        if table.as_ref().is_some_and(|t| t.whole) {
+            self.whole_again.insert(successor);
+        }
         if let Some(table) = table {
             self.table.adopt(table.rows, Role::Home { successor: Some(successor) });
         }
--- a/src/limpetmux/core/once/seat.rs
+++ b/src/limpetmux/core/once/seat.rs
@@ -19,6 +19,9 @@
     /// The home has not read the last takeover or return.
     #[error("the home has not read the last takeover or return")]
     HomeBehind,
+    /// Another process of the home holds a promise, or a later one was heard of.
+    #[error("another process of the home is heard of")]
+    OtherProcess,
     /// The successor restarted and has not read the log since.
     #[error("the successor has not read the log since its start")]
     NotRead,
@@ -33,6 +36,8 @@
     pub incarnation: Incarnation,
     /// The table is whole for keys created later than this time.
     pub since: KeyTime,
+    /// Whether the table is whole for keys without a time.
+    pub whole: bool,
     pub(super) rows: BTreeMap<KeyId, Entry>,
 }
 
@@ -42,10 +47,11 @@
         from: HostId,
         incarnation: Incarnation,
         since: KeyTime,
+        whole: bool,
         rows: impl IntoIterator<Item = Row>,
     ) -> Self {
         let rows = rows.into_iter().map(|r| (r.key, r.into())).collect();
-        Self { from, incarnation, since, rows }
+        Self { from, incarnation, since, whole, rows }
     }
 
     /// Iterates over the rows in key order.
@@ -94,6 +100,8 @@
 pub(super) struct Taken {
     /// Keys created later than this time are vouched for.
     pub since: KeyTime,
+    /// Whether keys without a time are vouched for.
+    pub whole: bool,
     /// The takeover counts until then unless it is appended again.
     pub until: Moment,
 }
@@ -103,6 +111,8 @@
 pub(super) struct Seat {
     /// When the last promise ends.
     pub promised: Option<Moment>,
+    /// The home's process that holds the last promise.
+    pub promisee: Option<Incarnation>,
     /// When a takeover that is not yet read back was first sent.
     pub asked: Option<Moment>,
     /// The offset behind the last takeover or return.
--- a/src/limpetmux/core/once/table.rs
+++ b/src/limpetmux/core/once/table.rs
@@ -141,8 +141,11 @@
     pub(super) fn adopt(&mut self, rows: BTreeMap<KeyId, Entry>, role: Role) {
         for (key, entry) in rows {
             let known = self.entries.get(&key).map(|e| &e.state);
-            if matches!(known, Some(State::Answered(_) | State::Running | State::Unknown)) {
-                continue;
+            let learns = matches!(entry.state, State::Answered(_));
+            match known {
+                Some(State::Answered(_) | State::Running) => continue,
+                Some(State::Unknown) if !learns => continue,
+                _ => {}
             }
             self.bytes += size(&entry.state);
             self.entries.insert(key, Entry { role, ..entry });
--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 /// The most times that the home and the successor are asked in turn.
-const MAX_ATTEMPTS: u32 = 12;
+const MAX_ATTEMPTS: u32 = 40;
 /// The pause after both hosts were asked, in which a move of the key may end.
 const PAUSE: Duration = Duration::from_millis(200);
 /// When it is worth asking again while the key moves between its hosts.
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -3,7 +3,7 @@
 //! Both roles follow one plan: bind the listeners, start the control services, start the role and
 //! hand both to the [`process`], which ends with the shutdown.
 
-use super::process::{self, EntryListeners, Process, ProcessError, ProcessParts};
+use super::process::{self, EntryListeners, FlushFn, Process, ProcessError, ProcessParts};
 use super::server::{ServeError, bind};
 use super::services::{Services, ServicesError, ServicesOptions};
 use crate::adapters::backend::Backend;
@@ -171,7 +171,7 @@
     let parts = ProcessParts {
         kernel: Arc::clone(&services.kernel),
         times: ShutdownOptions { deadline: settings.grace, ..ShutdownOptions::SIDECAR },
-        flush: Arc::new(|| async { true }.boxed()),
+        flush: flush(&sidecar),
         status: sidecar_status(settings, &services, &sidecar),
     };
     let peers = services.peer_server();
@@ -179,6 +179,15 @@
     Ok(process.run(listener, signal).await?)
 }
 
+/// Returns the hook that flushes a sidecar's claims before it ends.
+fn flush(sidecar: &Arc<Sidecar>) -> Arc<FlushFn> {
+    let sidecar = Arc::clone(sidecar);
+    Arc::new(move || {
+        let sidecar = Arc::clone(&sidecar);
+        async move { sidecar.flush().await }.boxed()
+    })
+}
+
 fn sidecar_status(
     settings: &Settings,
     services: &Services,
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -133,6 +133,14 @@
         Some(OnceServer::new(OnceService::new(Arc::clone(gate), log.clone())))
     }
 
+    /// Waits until claims are in the log and successors have this host's tables.
+    pub async fn flush(&self) -> bool {
+        match self.once() {
+            Some(once) => once.flush().await,
+            None => true,
+        }
+    }
+
     /// Returns the gate of idempotency keys, if the sidecar keeps any.
     pub fn once(&self) -> Option<&Arc<OnceGate>> {
         self.once.as_ref().map(|(gate, _)| gate)
--- a/src/limpetmux/sidecar/once/convert.rs
+++ b/src/limpetmux/sidecar/once/convert.rs
@@ -39,6 +39,7 @@
         since_ms: table.since.0,
         rows: table.rows().map(row).collect(),
         returns,
+        whole: table.whole,
     }
 }
 
@@ -62,7 +63,7 @@
     let from = request.from?;
     let rows: Option<Vec<Row>> = request.rows.into_iter().map(read_row).collect();
     let (host, incarnation) = (HostId(from.host), Incarnation(from.incarnation));
-    Some(Handover::new(host, incarnation, KeyTime(request.since_ms), rows?))
+    Some(Handover::new(host, incarnation, KeyTime(request.since_ms), request.whole, rows?))
 }
 
 fn read_row(row: once::Row) -> Option<Row> {
--- a/src/limpetmux/sidecar/once/mod.rs
+++ b/src/limpetmux/sidecar/once/mod.rs
@@ -88,6 +88,8 @@
     node: Node,
     /// Whether the process has put a record into the log, or is about to.
     announced: bool,
+    /// Whether a record of claims may not be in the log yet.
+    appending: bool,
     /// Claims decided by the log and not yet taken up by their request.
     decided: BTreeMap<KeyId, Decision>,
     /// Successors whose promise the host needs while the log cannot be reached.
@@ -120,6 +122,7 @@
         let inner = Inner {
             node,
             announced: false,
+            appending: false,
             decided: BTreeMap::new(),
             wanted: BTreeSet::new(),
             missing: BTreeSet::new(),
--- a/src/limpetmux/sidecar/once/moves.rs
+++ b/src/limpetmux/sidecar/once/moves.rs
@@ -25,12 +25,12 @@
         if !gate.lock().node.is_reachable() {
             continue;
         }
+        gate.follow_held(&log).await;
         if gate.is_away() {
             gate.hand_over_all().await;
-            continue;
+        } else {
+            gate.follow_missing(&mut silent, &log).await;
         }
-        gate.follow_missing(&mut silent, &log).await;
-        gate.follow_held(&log).await;
     }
 }
 
@@ -50,8 +50,13 @@
         }
     }
 
-    /// Returns keys to homes that serve again and renews the other takeovers.
+    /// Returns keys to homes that serve again and renews the other takeovers, those of an earlier
+    /// process included.
     async fn follow_held(&self, log: &LogClient) {
+        let orphaned = self.lock().node.orphaned();
+        for home in orphaned {
+            self.take_over(home, log).await;
+        }
         let held = self.lock().node.held(clock::now());
         for (home, is_old) in held {
             if self.is_serving(home) && self.is_alive(home).await {
@@ -91,6 +96,48 @@
         }
     }
 
+    /// Waits until all claims are in the log and every successor has taken over with the last
+    /// table, which the next process's first record would void before.
+    ///
+    /// Does not end while that is impossible; the caller limits the time.
+    pub async fn flush(&self) -> bool {
+        if !self.is_needed() {
+            return true;
+        }
+        while !(self.is_claimed() && self.is_returned() && self.send_last_tables().await) {
+            tokio::time::sleep(ROUND).await;
+        }
+        true
+    }
+
+    fn is_claimed(&self) -> bool {
+        let inner = self.lock();
+        inner.node.due() == 0 && !inner.appending
+    }
+
+    /// Returns whether no home that serves waits for its keys.
+    fn is_returned(&self) -> bool {
+        let held = self.lock().node.held(clock::now());
+        !held.iter().any(|(home, _)| self.is_serving(*home))
+    }
+
+    async fn send_last_tables(&self) -> bool {
+        let successors: Vec<HostId> = self.lock().wanted.iter().copied().collect();
+        for successor in successors.into_iter().filter(|s| self.is_serving(*s)) {
+            let (table, taken) = {
+                let node = &mut self.lock().node;
+                match node.hand_over(successor) {
+                    Some(table) => (table, false),
+                    None => (node.last_table(successor), true),
+                }
+            };
+            if self.send(successor, &table, false).await != Some(true) || !taken {
+                return false;
+            }
+        }
+        true
+    }
+
     async fn give_back(&self, home: HostId, log: &LogClient) {
         let given = self.lock().node.give_back(home);
         let Some((table, record)) = given else { return };
--- a/src/limpetmux/sidecar/once/tasks.rs
+++ b/src/limpetmux/sidecar/once/tasks.rs
@@ -90,7 +90,7 @@
 
 impl OnceGate {
     /// Returns whether the host's service has stages that may run at most once.
-    fn is_needed(&self) -> bool {
+    pub(super) fn is_needed(&self) -> bool {
         let view = self.view.load();
         let service = view.host(self.host.as_str()).map(|h| view.hosts[h].service);
         service.is_some_and(|s| !view.services[s].spec.idempotent)
@@ -103,7 +103,9 @@
         }
         let mut inner = self.lock();
         let first = !std::mem::replace(&mut inner.announced, true);
-        inner.node.claims(most).or_else(|| first.then(|| inner.node.hello()))
+        let record = inner.node.claims(most).or_else(|| first.then(|| inner.node.hello()));
+        inner.appending = record.is_some();
+        record
     }
 
     /// Returns the keys that another host claimed although this host is their home.
--- a/src/limpetmux/wire/gen/limpetmux.once.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.once.v1.rs
@@ -47,6 +47,9 @@
     /// Whether a successor gives keys back to their home.
     #[prost(bool, tag = "4")]
     pub returns: bool,
+    /// The table is whole for keys without a time.
+    #[prost(bool, tag = "5")]
+    pub whole: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HandOverReply {
--- a/tests/testsuite/once_path.rs
+++ b/tests/testsuite/once_path.rs
@@ -203,6 +203,18 @@
     assert_eq!(fleet.hosts[1].plain.keys().get(&key), Some(&1));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drained_home_leaves_its_answers_to_the_successor() {
+    let mut fleet = OnceFleet::start().await;
+    let (old, first) = send_until_answered(&fleet, 0).await;
+    fleet.drain(0).await;
+
+    let again = send(&fleet, 1, &old).await;
+
+    assert_eq!(again.body["output"], first.body["output"]);
+    assert_eq!(fleet.runs(&old), 1);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn returning_zone_gets_its_keys_back_with_their_answers() {
     let mut fleet = OnceFleet::start().await;
