Explore handover and return together in the suite again

Cause: the exploration of both moves had left the suite for a task run by hand because of its size; a check that nobody runs proves nothing. Change: it is a test again, beside the two smaller ones. Conclusion: kept in the suite.

--- a/tests/testsuite/once_explore.rs
+++ b/tests/testsuite/once_explore.rs
@@ -27,6 +27,11 @@
     assert_safe(Limits::RETURN);
 }
 
+#[test]
+fn runs_no_key_twice_over_a_handover_and_a_return() {
+    assert_safe(Limits::MOVES);
+}
+
 /// The least number of states that shows that the exploration covers the steps it should.
 const MIN_STATES: usize = 10_000;
 
