--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -6,6 +6,7 @@
 //! task follows the load and the incarnation of the backend server. See
 //! `docs/design/requests.md`.
 
+mod admit;
 mod attempts;
 mod gate;
 mod output;
@@ -13,18 +14,20 @@
 mod run;
 mod service;
 
+pub use admit::Permit;
 pub use attempts::{Attempts, Cancelled};
-pub use gate::{Admitted, Gate, Permit};
+pub use gate::{Admitted, Claimant, Gate};
 pub use output::{FrameWriter, Gone, Output};
 pub use run::{Attempt, Usage, run_attempt};
 pub use service::StageService;
 
 use crate::adapters::backend::Backend;
 use crate::core::config::Name;
+use crate::core::membership::ProcessId;
 use crate::core::view::View;
 use crate::kernel::Published;
-use crate::wire::stage;
-use std::sync::Arc;
+use crate::wire::{convert, stage};
+use std::sync::{Arc, Weak};
 
 /// What a sidecar needs to start.
 pub struct SidecarOptions {
@@ -41,6 +44,7 @@
     pub(crate) backend: Backend,
     pub(crate) gate: Gate,
     pub(crate) attempts: Attempts,
+    process: ProcessId,
 }
 
 impl Sidecar {
@@ -52,8 +56,10 @@
             backend: options.backend,
             gate: Gate::new(options.host, options.view),
             attempts: Attempts::default(),
+            process: ProcessId::random(&mut rand::rng()),
         });
         tokio::spawn(probe::run(Arc::downgrade(&sidecar)));
+        tokio::spawn(follow(Arc::downgrade(&sidecar), sidecar.gate.views()));
         sidecar
     }
 
@@ -62,8 +68,26 @@
         stage::stage_server::StageServer::new(StageService::new(Arc::clone(self)))
     }
 
+    /// Returns the number of this run of the process.
+    pub fn process(&self) -> ProcessId {
+        self.process
+    }
+
+    /// Returns the load as entries are told it.
+    pub fn load(&self) -> stage::Load {
+        convert::load(self.gate.load(), self.process, self.gate.is_draining())
+    }
+
     /// Returns the gate, which knows the load and whether the sidecar is draining.
     pub fn gate(&self) -> &Gate {
         &self.gate
     }
 }
+
+/// Adopts every new configuration until the sidecar is dropped.
+async fn follow(sidecar: Weak<Sidecar>, mut views: Published<View>) {
+    while views.changed().await {
+        let Some(sidecar) = sidecar.upgrade() else { return };
+        sidecar.gate.adopt();
+    }
+}
