Check bounds under load and faults with the model

Cause: goodput past saturation, retry amplification and the load of cold backend servers were measured but not held by a test.

Change: tests/testsuite/overload.rs runs the model of the policy measurements with fixed seeds and checks each bound on the real policy, and on a plain baseline that breaks it. The entry keeps a paused sidecar's refusal apart from a failed connection.

--- a/crates/limpetmux-test-support/src/model/summary.rs
+++ b/crates/limpetmux-test-support/src/model/summary.rs
@@ -19,8 +19,8 @@
     pub refused: u64,
     /// Attempts that were refused or failed, by code.
     pub refusals: BTreeMap<RefusalCode, u64>,
-    /// Completed requests by second of arrival.
-    pub by_second: Vec<u64>,
+    /// Completed requests and arrivals by second of arrival.
+    pub by_second: Vec<(u64, u64)>,
     /// Completed requests and arrivals by workspace.
     pub by_workspace: [(u64, u64); 5],
     /// Durations of completed requests, sorted.
@@ -48,6 +48,13 @@
         self.completed as f64 / self.arrived.max(1) as f64
     }
 
+    /// Returns the attainment of requests that arrived in a span of seconds.
+    pub fn attainment_in(&self, seconds: std::ops::Range<usize>) -> f64 {
+        let rows = self.by_second.get(seconds).unwrap_or_default();
+        let (completed, arrived) = rows.iter().fold((0, 0), |(c, a), row| (c + row.0, a + row.1));
+        completed as f64 / arrived.max(1) as f64
+    }
+
     /// Returns requests completed within their deadline per second.
     pub fn goodput(&self) -> f64 {
         self.completed as f64 / self.span.as_secs_f64()
--- a/crates/limpetmux-test-support/src/model/world.rs
+++ b/crates/limpetmux-test-support/src/model/world.rs
@@ -183,6 +183,7 @@
         self.requests.push(Request::new(self.now, arrival));
         if self.counts(id) {
             self.summary.arrived += 1;
+            self.second_of(id).1 += 1;
             self.summary.by_workspace[arrival.workspace].1 += 1;
         }
         let entry = &mut self.entries[arrival.entry];
@@ -283,14 +284,20 @@
         if !self.counts(id) {
             return;
         }
-        let second = (arrived.as_millis() / 1_000) as usize;
         self.summary.completed += 1;
         self.summary.by_workspace[workspace].0 += 1;
-        self.summary.by_second.resize(self.summary.by_second.len().max(second + 1), 0);
-        self.summary.by_second[second] += 1;
+        self.second_of(id).0 += 1;
         self.summary.durations.push(self.now.since(arrived));
     }
 
+    /// Returns the counts of the second in which a request arrived.
+    fn second_of(&mut self, id: usize) -> &mut (u64, u64) {
+        let second = (self.requests[id].arrived.as_millis() / 1_000) as usize;
+        let rows = &mut self.summary.by_second;
+        rows.resize(rows.len().max(second + 1), (0, 0));
+        &mut rows[second]
+    }
+
     fn retry(&mut self, id: usize, host: HostKey, code: RefusalCode) {
         *self.summary.refusals.entry(code).or_insert(0) += 1;
         let request = &mut self.requests[id];
--- a/crates/xtask/src/policy.rs
+++ b/crates/xtask/src/policy.rs
@@ -64,7 +64,6 @@
             if policies.len() == 1 {
                 let late = summary.arrived - summary.completed - summary.refused;
                 println!("{:?} of {}, {late} late", summary.refusals, summary.arrived);
-                println!("{:?}", summary.by_second);
             }
         }
     }
--- a/src/limpetmux/entry/policy.rs
+++ b/src/limpetmux/entry/policy.rs
@@ -168,7 +168,11 @@
     /// Records why the attempt gave no whole answer.
     pub(super) fn refused(&mut self, refusal: Refusal) {
         match refusal.code {
-            RefusalCode::Failed | RefusalCode::Unavailable => self.ending = Ending::Failed,
+            RefusalCode::Failed => self.ending = Ending::Failed,
+            // With a time to come back, the sidecar itself says that its backend server is paused.
+            RefusalCode::Unavailable if refusal.retry_after.is_none() => {
+                self.ending = Ending::Failed;
+            }
             code => {
                 let mut state = self.policy.lock();
                 state.router.refused(clock::now(), self.slot, code, refusal.retry_after);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod cost;
 mod kernel;
 mod membership;
+mod overload;
 mod path;
 mod planner;
 mod routing;
--- /dev/null
+++ b/tests/testsuite/overload.rs
@@ -0,0 +1,79 @@
+//! Entries, sidecars and budgets together hold their bounds under load and faults.
+//!
+//! Each check is also run on a plain baseline that breaks it, so that it cannot pass by chance.
+
+use limpetmux_test_support::model::{Fault, GateKind, Policy, Scenario, Summary, run};
+
+const FIXED: Policy = Policy { name: "fixed limit", gate: GateKind::Fixed, ..Policy::REAL };
+const UNBUDGETED: Policy = Policy { name: "no budget", budget: false, ..Policy::REAL };
+
+fn steady(load: f64, policy: Policy) -> Summary {
+    run(&Scenario { seconds: 30, ..Scenario::steady(load) }, policy)
+}
+
+fn returning_zone() -> Scenario {
+    let faults = vec![Fault::ZoneOut(11, 1), Fault::ZoneBack(15, 1)];
+    Scenario { faults, entries: 72, seconds: 24, ..Scenario::steady(0.8) }
+}
+
+#[test]
+fn same_seed_gives_the_same_figures() {
+    let scenario = Scenario { seconds: 14, ..Scenario::steady(1.0) };
+
+    let (first, second) = (run(&scenario, Policy::REAL), run(&scenario, Policy::REAL));
+
+    assert_eq!(first, second);
+}
+
+#[test]
+fn goodput_stays_flat_past_saturation() {
+    let share = |policy| steady(2.0, policy).goodput() / steady(1.0, policy).goodput();
+
+    let (real, fixed) = (share(Policy::REAL), share(FIXED));
+
+    assert!(real >= 0.95, "{real}");
+    assert!(fixed < 0.95, "the check passes without the real gate: {fixed}");
+}
+
+#[test]
+fn attempts_stay_within_a_tenth_more_than_fresh_requests() {
+    let (real, unbudgeted) = (steady(2.0, Policy::REAL), steady(2.0, UNBUDGETED));
+
+    assert!(real.amplification() <= 1.1, "{}", real.amplification());
+    assert!(unbudgeted.amplification() > 1.5, "{}", unbudgeted.amplification());
+}
+
+#[test]
+fn overload_ends_with_the_burst_that_caused_it() {
+    let scenario = Scenario { burst: Some((12, 16, 3.0)), seconds: 26, ..Scenario::steady(0.8) };
+    let plain = Policy::ALL[7];
+
+    let (real, plain) = (run(&scenario, Policy::REAL), run(&scenario, plain));
+
+    assert!(real.attainment_in(12..16) < 0.9, "the burst is no overload");
+    assert!(real.attainment_in(18..26) > 0.99, "{}", real.attainment_in(18..26));
+    assert!(plain.attainment_in(18..26) < 0.5, "{}", plain.attainment_in(18..26));
+}
+
+#[test]
+fn many_entries_do_not_flood_a_returning_zone() {
+    let (real, fixed) = (run(&returning_zone(), Policy::REAL), run(&returning_zone(), FIXED));
+
+    let (load, bound) = real.cold_load;
+    assert!(load > 0, "no cold backend server was used");
+    assert!(load <= bound, "{load} calls on a cold backend server that bears {bound}");
+    assert_eq!(real.falls, 0);
+    assert!(fixed.cold_load.0 > bound && fixed.falls > 0, "{:?}", fixed.cold_load);
+}
+
+#[test]
+fn restarts_and_cold_turns_cost_few_requests() {
+    let faults = vec![Fault::Restart(11, 0), Fault::TurnCold(13, 7), Fault::Restart(15, 4)];
+    let scenario = Scenario { faults, seconds: 24, ..Scenario::steady(0.6) };
+
+    let (real, fixed) = (run(&scenario, Policy::REAL), run(&scenario, FIXED));
+
+    assert!(real.attainment() >= 0.995, "{}", real.attainment());
+    assert!(real.cold_load.0 <= real.cold_load.1, "{:?}", real.cold_load);
+    assert!(fixed.cold_load.0 > fixed.cold_load.1, "{:?}", fixed.cold_load);
+}
