--- a/src/bin/limpetmux/commands/mod.rs
+++ b/src/bin/limpetmux/commands/mod.rs
@@ -1,6 +1,14 @@
 //! One module per verb: its arguments and its `exec`.
 
+pub mod audit;
+pub mod config;
 pub mod drain;
+pub mod entry;
 pub mod local;
+mod operator;
+mod role;
+pub mod settings;
+pub mod sheet;
+pub mod sidecar;
 pub mod status;
 pub mod version;
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -12,7 +12,9 @@
 mod http;
 mod link;
 mod members;
+mod once;
 mod order;
+mod outcome;
 mod pipeline;
 mod policy;
 mod probe;
@@ -30,9 +32,13 @@
 
 use crate::core::budget::TimesError;
 use crate::core::config::Name;
-use crate::core::cost::CostRow;
+use crate::core::cost::Ledger;
+use crate::core::revision::Revision;
+use crate::core::verdict::RefusalCode;
 use crate::core::view::View;
 use crate::kernel::Published;
+use crate::util::metrics::Metrics;
+use crate::util::throttle::Throttle;
 use policy::Policy;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -53,6 +59,8 @@
     pub members: Members,
     /// The limits on callers' requests.
     pub limits: Limits,
+    /// Where metrics go.
+    pub metrics: Metrics,
 }
 
 /// The state of one entry, shared by all its requests.
@@ -61,6 +69,8 @@
     pub(crate) fleet: Published<Fleet>,
     pub(crate) limits: Limits,
     pub(crate) counters: Counters,
+    pub(crate) metrics: Metrics,
+    pub(crate) refusals: Throttle,
     unready: AtomicBool,
     draining: AtomicBool,
     inflight: AtomicU32,
@@ -99,6 +109,8 @@
             fleet: fleet::follow(options.view, options.members),
             limits: options.limits,
             counters: Counters::default(),
+            metrics: options.metrics,
+            refusals: Throttle::default(),
             unready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             inflight: AtomicU32::new(0),
@@ -137,8 +149,16 @@
 
     /// Returns whether the entry accepts new requests.
     pub fn accepts(&self) -> bool {
-        let configured = self.fleet.load().view.revision != crate::core::revision::Revision::EMPTY;
-        configured && !self.draining.load(Ordering::Acquire)
+        self.closed().is_none()
+    }
+
+    /// Returns why no request is accepted now, if so.
+    pub(crate) fn closed(&self) -> Option<RefusalCode> {
+        if self.draining.load(Ordering::Acquire) {
+            return Some(RefusalCode::Draining);
+        }
+        let is_known = self.fleet.load().view.revision != Revision::EMPTY;
+        (!is_known).then_some(RefusalCode::Unconfigured)
     }
 
     /// Returns the number of requests in progress.
@@ -146,9 +166,9 @@
         self.inflight.load(Ordering::Relaxed)
     }
 
-    /// Returns the cost so far by workspace, pipeline and stage.
-    pub fn costs(&self) -> Vec<CostRow> {
-        self.policy.costs()
+    /// Reads the cost so far by workspace, pipeline and stage.
+    pub fn with_ledger<R>(&self, read: impl FnOnce(&Ledger) -> R) -> R {
+        self.policy.with_ledger(read)
     }
 
     /// Returns the counts of requests.
--- a/src/limpetmux/entry/policy.rs
+++ b/src/limpetmux/entry/policy.rs
@@ -8,7 +8,7 @@
 use crate::core::admission::{FlowId, Load};
 use crate::core::budget::{Retry, RetryBudget, StageId, StageTimes, TimesError};
 use crate::core::config::Name;
-use crate::core::cost::{CostRow, Ledger};
+use crate::core::cost::Ledger;
 use crate::core::keys::{HostKey, ServiceKey};
 use crate::core::routing::{Ending, EntryPlace, Query, Router, RouterSettings, SlotKey};
 use crate::core::time::Moment;
@@ -144,9 +144,9 @@
         state.ledger.add(names, stage.busy, stage.cost);
     }
 
-    /// Returns the cost so far by workspace, pipeline and stage.
-    pub(super) fn costs(&self) -> Vec<CostRow> {
-        self.lock().ledger.rows().into_iter().cloned().collect()
+    /// Reads the cost so far by workspace, pipeline and stage.
+    pub(super) fn with_ledger<R>(&self, read: impl FnOnce(&Ledger) -> R) -> R {
+        read(&self.lock().ledger)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/src/limpetmux/entry/problem.rs
+++ b/src/limpetmux/entry/problem.rs
@@ -9,6 +9,9 @@
 use serde_with::{DisplayFromStr, serde_as};
 use std::time::Duration;
 
+/// When to come back after a refusal that states no time.
+const DEFAULT_RETRY: Duration = Duration::from_secs(1);
+
 /// The body of an error answer.
 #[serde_as]
 #[derive(Clone, Debug, Serialize)]
@@ -52,7 +55,7 @@
             code: refusal.code,
             execution: refusal.execution,
             request,
-            retry_after: refusal.retry_after,
+            retry_after: refusal.retry_after.or(default_retry(refusal.code)),
         }
     }
 
@@ -70,6 +73,14 @@
     }
 }
 
+/// Returns when to come back after a refusal that states no time and may pass.
+fn default_retry(code: RefusalCode) -> Option<Duration> {
+    match code {
+        RefusalCode::BadRequest | RefusalCode::KeyReused => None,
+        _ => Some(DEFAULT_RETRY),
+    }
+}
+
 fn status(code: RefusalCode) -> StatusCode {
     match code {
         RefusalCode::BadRequest => StatusCode::BAD_REQUEST,
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -9,6 +9,7 @@
 mod admit;
 mod attempts;
 mod gate;
+pub mod once;
 mod output;
 mod probe;
 mod run;
@@ -21,12 +22,19 @@
 pub use run::{Attempt, Usage, run_attempt};
 pub use service::StageService;
 
+use self::once::{OnceGate, OnceOptions, OnceService};
 use crate::adapters::backend::Backend;
+use crate::adapters::log::LogClient;
+use crate::claims::Pace;
 use crate::core::config::Name;
 use crate::core::membership::ProcessId;
+use crate::core::once::Rules;
 use crate::core::view::View;
 use crate::kernel::Published;
+use crate::util::metrics::Metrics;
+use crate::wire::once::once_server::OnceServer;
 use crate::wire::{convert, stage};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Weak};
 
 /// What a sidecar needs to start.
@@ -37,6 +45,28 @@
     pub view: Published<View>,
     /// The backend server beside the sidecar.
     pub backend: Backend,
+    /// Where metrics go.
+    pub metrics: Metrics,
+    /// What stages that may run at most once need; without it they are refused.
+    pub once: Option<OnceLink>,
+}
+
+/// How a sidecar keeps idempotency keys.
+#[derive(Clone)]
+pub struct OnceLink {
+    /// The platform log.
+    pub log: LogClient,
+    /// Times and bounds of the protocol.
+    pub rules: Rules,
+    /// The pace of claims.
+    pub pace: Pace,
+}
+
+impl OnceLink {
+    /// Uses the log with the usual rules and pace.
+    pub fn new(log: LogClient) -> Self {
+        Self { log, rules: Rules::default(), pace: Pace::default() }
+    }
 }
 
 /// The state of one sidecar, shared by all its requests.
@@ -44,7 +74,10 @@
     pub(crate) backend: Backend,
     pub(crate) gate: Gate,
     pub(crate) attempts: Attempts,
+    pub(crate) metrics: Metrics,
+    pub(crate) once: Option<(Arc<OnceGate>, LogClient)>,
     process: ProcessId,
+    running: AtomicU32,
 }
 
 impl Sidecar {
@@ -52,11 +85,22 @@
     ///
     /// The probe ends when the sidecar is dropped.
     pub fn start(options: SidecarOptions) -> Arc<Self> {
+        let gate = Gate::new(options.host.clone(), options.view.clone());
+        let once = options.once.map(|link| {
+            let (host, view) = (options.host.clone(), options.view.clone());
+            let OnceLink { log, rules, pace } = link;
+            let draining = gate.draining();
+            let options = OnceOptions { host, view, log: log.clone(), rules, pace, draining };
+            (OnceGate::start(options), log)
+        });
         let sidecar = Arc::new(Self {
             backend: options.backend,
-            gate: Gate::new(options.host, options.view),
+            gate,
             attempts: Attempts::default(),
+            metrics: options.metrics,
+            once,
             process: ProcessId::random(&mut rand::rng()),
+            running: AtomicU32::new(0),
         });
         tokio::spawn(probe::run(Arc::downgrade(&sidecar)));
         tokio::spawn(follow(Arc::downgrade(&sidecar), sidecar.gate.views()));
@@ -73,17 +117,49 @@
         self.process
     }
 
+    /// Returns the number of attempts whose answers are not yet handed over.
+    pub fn running(&self) -> u32 {
+        self.running.load(Ordering::Relaxed)
+    }
+
     /// Returns the load as entries are told it.
     pub fn load(&self) -> stage::Load {
         convert::load(self.gate.load(), self.process, self.gate.is_draining())
     }
 
+    /// Returns the gRPC service of idempotency keys, if the sidecar keeps any.
+    pub fn once_service(&self) -> Option<OnceServer<OnceService>> {
+        let (gate, log) = self.once.as_ref()?;
+        Some(OnceServer::new(OnceService::new(Arc::clone(gate), log.clone())))
+    }
+
+    /// Returns the gate of idempotency keys, if the sidecar keeps any.
+    pub fn once(&self) -> Option<&Arc<OnceGate>> {
+        self.once.as_ref().map(|(gate, _)| gate)
+    }
+
     /// Returns the gate, which knows the load and whether the sidecar is draining.
     pub fn gate(&self) -> &Gate {
         &self.gate
     }
 }
 
+/// Counts an attempt as running until dropped.
+pub(crate) struct Running(Arc<Sidecar>);
+
+impl Running {
+    pub(crate) fn begin(sidecar: &Arc<Sidecar>) -> Self {
+        sidecar.running.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(sidecar))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Adopts every new configuration until the sidecar is dropped.
 async fn follow(sidecar: Weak<Sidecar>, mut views: Published<View>) {
     while views.changed().await {
--- a/src/limpetmux/util/mod.rs
+++ b/src/limpetmux/util/mod.rs
@@ -3,4 +3,8 @@
 pub mod clock;
 pub mod event;
 pub mod hash;
+pub mod jsonc;
+pub mod logging;
+pub mod metrics;
 pub mod sse;
+pub mod throttle;
