--- a/crates/limpetmux-test-support/src/model/mod.rs
+++ b/crates/limpetmux-test-support/src/model/mod.rs
@@ -9,6 +9,7 @@
 mod arrivals;
 mod backend;
 mod entry;
+mod event;
 mod gate;
 mod route;
 mod side;
@@ -99,6 +100,16 @@
     ZoneBack(u64, usize),
 }
 
+impl Fault {
+    fn at(self) -> Duration {
+        let (Self::Restart(second, _)
+        | Self::TurnCold(second, _)
+        | Self::ZoneOut(second, _)
+        | Self::ZoneBack(second, _)) = self;
+        Duration::from_secs(second)
+    }
+}
+
 /// What happens in a run.
 #[derive(Clone, Debug)]
 pub struct Scenario {
