--- a/crates/limpetmux-test-support/src/model/world.rs
+++ b/crates/limpetmux-test-support/src/model/world.rs
@@ -2,19 +2,19 @@
 
 use super::arrivals::{draw, gap};
 use super::entry::{Entry, Pipeline, Request, pipeline};
+use super::event::{Attempt, Event};
 use super::route::{ZONES, config};
 use super::side::{Answer, Answers, Side};
 use super::summary::Summary;
 use super::{DEADLINE, ENCODER, Fault, LEAD_IN, Policy, Scenario, WRITER};
 use crate::config::name;
-use crate::policy::{POOL, view};
+use crate::policy::view;
 use limpetmux::core::admission::{Limits, Load, Offer};
 use limpetmux::core::config::Config;
 use limpetmux::core::keys::{ArenaKey, HostKey};
-use limpetmux::core::routing::{Ending, Pick};
+use limpetmux::core::routing::Ending;
 use limpetmux::core::time::Moment;
 use limpetmux::core::verdict::RefusalCode;
-use limpetmux::core::view::View;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
@@ -33,27 +33,6 @@
 /// The first entry knows a change after this time, each further one of ten so much later.
 const ENTRY_LEARNS: Duration = Duration::from_millis(200);
 
-enum Event {
-    Arrive,
-    Offer(usize, Offer),
-    Tick(usize, u64),
-    Reply(usize, Answer, Load),
-    Expire(usize),
-    Cancel(usize),
-    Poll(usize),
-    Probe(usize),
-    Fault(Fault),
-    SideLearns(usize, bool),
-    EntryLearns(usize, Rc<View>),
-}
-
-struct Attempt {
-    request: usize,
-    pick: Pick,
-    sent: Moment,
-    open: bool,
-}
-
 pub(super) struct World<'a> {
     scenario: &'a Scenario,
     policy: Policy,
@@ -130,12 +109,7 @@
             self.after(PROBE_EVERY, Event::Probe(entry));
         }
         for fault in &self.scenario.faults {
-            let (Fault::Restart(s, _) | Fault::TurnCold(s, _)) = fault else {
-                let (Fault::ZoneOut(s, _) | Fault::ZoneBack(s, _)) = fault else { continue };
-                self.after(Duration::from_secs(*s), Event::Fault(*fault));
-                continue;
-            };
-            self.after(Duration::from_secs(*s), Event::Fault(*fault));
+            self.after(fault.at(), Event::Fault(*fault));
         }
     }
 
@@ -183,6 +157,7 @@
         self.requests.push(Request::new(self.now, arrival));
         if self.counts(id) {
             self.summary.arrived += 1;
+            self.second_of(id).1 += 1;
             self.summary.by_workspace[arrival.workspace].1 += 1;
         }
         let entry = &mut self.entries[arrival.entry];
@@ -283,14 +258,20 @@
         if !self.counts(id) {
             return;
         }
-        let second = (arrived.as_millis() / 1_000) as usize;
         self.summary.completed += 1;
         self.summary.by_workspace[workspace].0 += 1;
-        self.summary.by_second.resize(self.summary.by_second.len().max(second + 1), 0);
-        self.summary.by_second[second] += 1;
+        self.second_of(id).0 += 1;
         self.summary.durations.push(self.now.since(arrived));
     }
 
+    /// Returns the counts of the second in which a request arrived.
+    fn second_of(&mut self, id: usize) -> &mut (u64, u64) {
+        let second = (self.requests[id].arrived.as_millis() / 1_000) as usize;
+        let rows = &mut self.summary.by_second;
+        rows.resize(rows.len().max(second + 1), (0, 0));
+        &mut rows[second]
+    }
+
     fn retry(&mut self, id: usize, host: HostKey, code: RefusalCode) {
         *self.summary.refusals.entry(code).or_insert(0) += 1;
         let request = &mut self.requests[id];
@@ -389,7 +370,6 @@
         self.summary.durations.sort_unstable();
         self.summary.cost = self.sides.iter().map(|s| s.cost).sum();
         self.summary.cold_load.1 = WRITER.cold;
-        debug_assert!(self.config.services.contains_key(&name(POOL)));
         for host in &self.writers {
             let side = &self.sides[host.index()];
             self.summary.hits.0 += side.backend.starts;
--- a/src/limpetmux/entry/policy.rs
+++ b/src/limpetmux/entry/policy.rs
@@ -171,7 +171,9 @@
     ///
     /// A host that cannot be reached counts as failed and is avoided for a moment.
     pub(super) fn refused(&mut self, refusal: Refusal) {
-        if matches!(refusal.code, RefusalCode::Failed | RefusalCode::Unavailable) {
+        // With a time to come back, the sidecar itself says that its backend server is paused.
+        let unreachable = refusal.code == RefusalCode::Unavailable && refusal.retry_after.is_none();
+        if refusal.code == RefusalCode::Failed || unreachable {
             self.ending = Ending::Failed;
         }
         let after = match refusal.code {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod once;
 mod once_explore;
 mod once_path;
+mod overload;
 mod path;
 mod planner;
 mod planner_service;
