--- a/tests/testsuite/zones.rs
+++ b/tests/testsuite/zones.rs
@@ -39,6 +39,18 @@
     load.answered(8).await;
 }
 
+/// Restarts the zone's backend servers and waits until their sidecars know it.
+async fn turn_cold(deployment: &Deployment) -> Vec<Name> {
+    let hosts = deployment.zone_hosts(ZONE);
+    for host in &hosts {
+        let backend = deployment.standins[host].backend();
+        backend.turn_cold();
+        let gate = deployment.sidecars[host].role.gate();
+        wait_for(|| gate.load().incarnation == backend.incarnation()).await;
+    }
+    hosts
+}
+
 async fn finish(deployment: Deployment, load: Load) {
     let tally = load.stop().await;
     assert_eq!(tally.faults, Vec::<String>::new());
@@ -52,9 +64,14 @@
     let out = deployment.set_zone(ZONE, false).await;
     deployment.in_force(out).await;
     check_out(&deployment, &load).await;
+    let cold = turn_cold(&deployment).await;
     let back = deployment.set_zone(ZONE, true).await;
     deployment.in_force(back).await;
     check_back(&deployment, &load).await;
+    for host in &cold {
+        let counts = deployment.standins[host].backend().counts();
+        assert_eq!(counts.overloads, 0, "{host}: {counts:?}");
+    }
 
     finish(deployment, load).await;
 }
