Let a sidecar refuse once the platform lists its host as leaving

Cause: entries read the host list at different times, and the rule is enforced at the sidecar as well. Change: the sidecar's process follows its own row and drains for good; a new process of a later incarnation takes over. A test over TCP lists a host as leaving under load and counts its dispatches.

--- a/crates/limpetmux-test-support/src/deployment.rs
+++ b/crates/limpetmux-test-support/src/deployment.rs
@@ -19,7 +19,7 @@
 use limpetmux::kernel::Kernel;
 use limpetmux::membership::{self, MembershipParts, Reporter};
 use limpetmux::node::local::StandIn;
-use limpetmux::node::process::{EntryListeners, Process, ProcessParts, run_entry};
+use limpetmux::node::process::{EntryListeners, Process, ProcessParts, follow_listing, run_entry};
 use limpetmux::shutdown::ShutdownPort;
 use limpetmux::sidecar::{OnceLink, Sidecar, SidecarOptions};
 use limpetmux::util::metrics::Metrics;
@@ -55,7 +55,7 @@
     pub grpc: SocketAddr,
     /// Where callers reach the node, if it is an entry.
     pub url: String,
-    /// What an entry knows of hosts.
+    /// What the node knows of hosts.
     pub members: Option<Reporter>,
     shutdown: ShutdownPort,
     main: JoinHandle<DrainReport>,
@@ -80,7 +80,7 @@
 
 impl Node<Entry> {
     /// Returns whether the entry knows that a host takes new work.
-    fn knows(&self, host: &Name) -> bool {
+    pub fn knows(&self, host: &Name) -> bool {
         let view = self.control.view.load();
         let states = self.members.as_ref().map(Reporter::states).unwrap_or_default();
         view.host(host.as_str()).is_some_and(|key| states.is_usable(&view, key))
@@ -262,6 +262,8 @@
             metrics: Metrics::none(),
             once,
         });
+        let members = self.members(&control, &kernel);
+        follow_listing(&role, name.clone(), control.view.clone(), &members);
         let times = ShutdownOptions { notice: Duration::ZERO, ..TIMES };
         let process = Process::sidecar(&role, parts(&kernel, times)).unwrap();
         let (process, spread) = self.spread(process, &control, grpc);
@@ -270,7 +272,7 @@
             tokio::spawn(
                 async move { process.run(listener, std::future::pending()).await.unwrap() },
             );
-        let (url, members) = (String::new(), None);
+        let (url, members) = (String::new(), Some(members));
         Node { role, control, grpc, url, members, shutdown, main, spread, _kernel: kernel }
     }
 
@@ -282,9 +284,7 @@
         let kernel = Arc::new(Kernel::new());
         let node = format!("entry-{index}");
         let control = control(&node, self.node_log(&node), &kernel);
-        let list = HostsClient::http(reqwest::Client::new(), &self.hosts.url());
-        let members = MembershipParts { views: control.view.clone(), hosts: Some(list) };
-        let members = membership::start(&kernel, members).unwrap();
+        let members = self.members(&control, &kernel);
         let zones: Vec<&Name> = self.config.zones.keys().collect();
         let role = Entry::start(EntryOptions {
             zone: zones[index % zones.len()].clone(),
@@ -304,6 +304,13 @@
         Node { role, control, grpc, url, members, shutdown, main, spread, _kernel: kernel }
     }
 
+    /// Starts the membership of a node.
+    fn members(&self, control: &Control, kernel: &Kernel) -> Reporter {
+        let list = HostsClient::http(reqwest::Client::new(), &self.hosts.url());
+        let parts = MembershipParts { views: control.view.clone(), hosts: Some(list) };
+        membership::start(kernel, parts).unwrap()
+    }
+
     /// Returns a node's own access to the log.
     fn node_log(&mut self, node: &str) -> LogClient {
         let cut = self.cuts.entry(node.to_owned()).or_default();
--- a/src/limpetmux/node/process.rs
+++ b/src/limpetmux/node/process.rs
@@ -2,9 +2,13 @@
 
 use super::server::{ServeError, grpc};
 use crate::admin::{AdminService, StatusFn};
+use crate::core::config::Name;
+use crate::core::membership::Cause;
 use crate::core::shutdown::{DrainReport, ShutdownOptions};
+use crate::core::view::View;
 use crate::entry::Entry;
-use crate::kernel::{Kernel, KernelError};
+use crate::kernel::{Kernel, KernelError, Published};
+use crate::membership::Reporter;
 use crate::shutdown::{ShutdownHooks, ShutdownPort, ShutdownService, register};
 use crate::sidecar::Sidecar;
 use futures::future::BoxFuture;
@@ -134,6 +138,27 @@
     }
 }
 
+/// Makes a sidecar refuse new work once the platform's host list says that its host leaves.
+///
+/// Entries read the list as well; the sidecar has the last word for those that read it later.
+pub fn follow_listing(sidecar: &Arc<Sidecar>, host: Name, views: Published<View>, own: &Reporter) {
+    let (sidecar, mut states) = (Arc::downgrade(sidecar), own.reader());
+    tokio::spawn(async move {
+        loop {
+            let Some(sidecar) = sidecar.upgrade() else { return };
+            let view = views.load();
+            let status = view.host(host.as_str()).map(|key| states.load().status(&view, key));
+            if status.is_some_and(|s| s.cause == Some(Cause::Listed)) {
+                sidecar.gate().set_draining(true);
+            }
+            drop(sidecar);
+            if !states.changed().await {
+                return;
+            }
+        }
+    });
+}
+
 /// Runs the process of an entry: callers' HTTP on one listener, gRPC on the other.
 ///
 /// # Errors
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -168,6 +168,8 @@
         once: Some(OnceLink::new(LogClient::http(client, &settings.platform.log))),
         metrics: metrics(settings)?,
     });
+    let (name, views) = (settings.name.clone(), services.control.view.clone());
+    process::follow_listing(&sidecar, name, views, &services.membership);
     let parts = ProcessParts {
         kernel: Arc::clone(&services.kernel),
         times: ShutdownOptions { deadline: settings.grace, ..ShutdownOptions::SIDECAR },
--- a/tests/testsuite/restarts.rs
+++ b/tests/testsuite/restarts.rs
@@ -2,8 +2,10 @@
 
 use limpetmux::core::config::Name;
 use limpetmux::node::local::StandIn;
+use limpetmux_standins::HostState;
 use limpetmux_test_support::Deployment;
-use limpetmux_test_support::config::summary_config;
+use limpetmux_test_support::config::{name, summary_config};
+use limpetmux_test_support::deployment::wait_for;
 use limpetmux_test_support::load::Load;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -24,6 +26,28 @@
     runs
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn host_that_the_platform_lists_as_leaving_gets_no_new_work() {
+    let deployment = Deployment::start(summary_config(), ENTRIES).await;
+    let urls = deployment.entries.iter().map(|e| e.url.clone()).collect();
+    let load = Load::start(urls, CALLERS, None);
+    load.answered(8).await;
+    let host = name("generate-0");
+    let gate = deployment.sidecars[&host].role.gate();
+    let backend = deployment.standins[&host].backend();
+
+    deployment.hosts.set(host.as_str(), HostState::Leaving, 1);
+    wait_for(|| deployment.entries.iter().all(|e| !e.knows(&host))).await;
+    wait_for(|| gate.is_draining() && gate.is_idle()).await;
+    let before = backend.counts().started;
+    load.answered(16).await;
+
+    assert_eq!(backend.counts().started, before);
+    let tally = load.stop().await;
+    assert_eq!(tally.faults, Vec::<String>::new());
+    deployment.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn rolling_restart_loses_cuts_and_doubles_nothing() {
     let mut deployment = Deployment::start(summary_config(), ENTRIES).await;
