--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -138,13 +138,20 @@
     Err(last)
 }
 
-/// Returns whether a host that leaves has given the attempt back.
+/// Returns whether a host that takes no work has given the attempt back.
 ///
 /// Such an attempt goes on elsewhere without a retry token: it has cost no backend server anything,
 /// and a shutdown that empties a queue must not fail requests for want of a budget.
 fn is_handover(refusal: Refusal) -> bool {
-    let leaving = matches!(refusal.code, RefusalCode::Draining | RefusalCode::ZoneOut);
-    leaving && refusal.execution == Execution::NotRun
+    let is_out = matches!(
+        refusal.code,
+        RefusalCode::Draining
+            | RefusalCode::ZoneOut
+            | RefusalCode::Stale
+            | RefusalCode::Unconfigured
+            | RefusalCode::Unavailable
+    );
+    is_out && refusal.execution == Execution::NotRun
 }
 
 /// Runs an attempt, and a hedge beside it if the stage allows one and the attempt is late.
