--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod invariants;
 mod kernel;
 mod membership;
+mod once;
 mod once_explore;
 mod once_path;
 mod path;
