Settle a change by all that the log keeps

Cause: settling looked at the fold's window only; a change that had been accepted more than 1,024 records ago would have been reported as given up, though it was in force. Change: settling looks at the whole trail, and says before which offset verdicts are gone. The audit table is a golden file. Conclusion: a report of a change that was given up is true as far as the log goes, and says how far.

--- a/src/limpetmux/ops/config_client.rs
+++ b/src/limpetmux/ops/config_client.rs
@@ -78,6 +78,8 @@
         id: ChangeId,
         /// Where the record that gives it up lies in the log.
         offset: Offset,
+        /// The offset before which the log forgot the verdicts.
+        since: Offset,
     },
     /// The log refused the change, so nothing was appended.
     NotAppended {
@@ -106,8 +108,15 @@
                     None => Ok(()),
                 }
             }
-            Self::GivenUp { id, offset } => {
-                write!(f, "not applied: given up at offset {offset} (change {id})")
+            Self::GivenUp { id, offset, since } => {
+                write!(f, "not applied: given up at offset {offset} (change {id})")?;
+                match since.0 {
+                    0 => Ok(()),
+                    _ => write!(
+                        f,
+                        "\nunless it was accepted before offset {since}, whose verdicts are gone"
+                    ),
+                }
             }
             Self::NotAppended { id, error } => write!(f, "not applied: {error} (change {id})"),
             Self::Unknown { id } => write!(
@@ -170,8 +179,8 @@
         author: Name,
         submitted_ms: u64,
     ) -> Result<Outcome, ClientError> {
-        if let Some(entry) = self.fold().ledger().find(id) {
-            return Ok(outcome(id, entry));
+        if let Some(entry) = self.trail.iter().find(|e| e.id == Some(id)) {
+            return Ok(self.outcome(id, entry));
         }
         self.append(id, &Body::Void(Void { id, author, submitted_ms })).await
     }
@@ -217,7 +226,26 @@
             Ok(()) | Err(ClientError::Log(_)) => {}
             Err(e) => return Err(e),
         }
-        Ok(self.fold().ledger().find(id).map(|entry| outcome(id, entry)))
+        Ok(self.fold().ledger().find(id).map(|entry| self.outcome(id, entry)))
+    }
+
+    fn outcome(&self, id: ChangeId, entry: &Entry) -> Outcome {
+        let offset = entry.offset;
+        match entry.verdict.clone() {
+            Verdict::Accepted if entry.kind == EntryKind::Void => {
+                let since = self.known_since();
+                Outcome::GivenUp { id, offset, since }
+            }
+            Verdict::Accepted => Outcome::Accepted { id, offset },
+            Verdict::Rejected(reason) => Outcome::Rejected { id, offset, reason },
+        }
+    }
+
+    /// Returns the offset of the first verdict that is known.
+    fn known_since(&self) -> Offset {
+        let first = self.replica.log_first();
+        let is_whole = first == Offset::default();
+        self.trail.first().filter(|_| !is_whole).map_or(first, |e| e.offset)
     }
 
     async fn catch_up(&mut self) -> Result<(), ClientError> {
@@ -251,12 +279,3 @@
         Ok(())
     }
 }
-
-fn outcome(id: ChangeId, entry: &Entry) -> Outcome {
-    let offset = entry.offset;
-    match entry.verdict.clone() {
-        Verdict::Accepted if entry.kind == EntryKind::Void => Outcome::GivenUp { id, offset },
-        Verdict::Accepted => Outcome::Accepted { id, offset },
-        Verdict::Rejected(reason) => Outcome::Rejected { id, offset, reason },
-    }
-}
--- a/tests/testsuite/config_ops.rs
+++ b/tests/testsuite/config_ops.rs
@@ -1,9 +1,10 @@
 //! A change is accepted when it is read back, whatever becomes of the log's answers.
 
+use expect_test::expect_file;
 use limpetmux::adapters::log::{LogError, Stream};
-use limpetmux::core::config::{Config, Ownership, Rejection, WINDOW_RECORDS};
+use limpetmux::core::config::{Config, Ownership, Rejection, Replica, WINDOW_RECORDS};
 use limpetmux::core::revision::{Offset, Revision};
-use limpetmux::ops::audit::{AuditFilter, entries};
+use limpetmux::ops::audit::{AuditFilter, entries, table};
 use limpetmux::ops::config::{Plan, PlanError, Submission};
 use limpetmux::ops::config_client::{ClientError, ConfigClient, Outcome};
 use limpetmux_test_support::changes::{
@@ -169,18 +170,52 @@
     assert!(matches!(result.err(), Some(ClientError::History { first: Offset(1) })));
 }
 
-#[tokio::test(start_paused = true)]
-async fn trail_lists_every_record_that_the_log_keeps() {
+/// Returns a log of more changes than the fold remembers.
+fn crowded() -> FakeLog {
     let log = declared();
     for number in 1..=WINDOW_RECORDS + 100 {
         let edits = vec![weight_edit(&small_config(), "trial", 1 + (number % 7) as u32)];
         let change = change(number.into(), Revision(number), Offset(number), edits);
         log.push(Stream::Config, change_record(change));
     }
-    let client = connect(&log).await;
+    log
+}
+
+#[tokio::test(start_paused = true)]
+async fn trail_lists_every_record_that_the_log_keeps() {
+    let client = connect(&crowded()).await;
 
     let filter = AuditFilter { since: Offset(1), ..AuditFilter::default() };
     let listed: Vec<u64> = entries(client.trail(), &filter).map(|e| e.offset.0).collect();
 
     assert_eq!(listed, (1..=WINDOW_RECORDS + 100).collect::<Vec<_>>());
 }
+
+#[tokio::test(start_paused = true)]
+async fn settles_change_that_the_fold_no_longer_remembers() {
+    let mut client = connect(&crowded()).await;
+
+    let outcome = client.settle(change_id(1), name("ben"), 0).await.unwrap();
+
+    assert!(client.fold().ledger().find(change_id(1)).is_none());
+    assert!(matches!(outcome, Outcome::Accepted { offset: Offset(1), .. }), "{outcome}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn says_that_older_verdicts_are_gone() {
+    let log = crowded();
+    let records = log.records(Stream::Config);
+    let end = Offset(records.len() as u64);
+    let mut replica = Replica::new();
+    let rows = records.iter().map(|r| (r.offset, &r.data[..]));
+    replica.on_page(replica.ask(), (Offset(0), end), rows).unwrap();
+    log.push(Stream::Config, replica.encoded_snapshot().unwrap().to_vec());
+    log.forget(Stream::Config, end);
+
+    let mut client = connect(&log).await;
+    let outcome = client.settle(change_id(1), name("ben"), 0).await.unwrap();
+
+    let filter = AuditFilter { since: Offset(end.0 - 1), ..AuditFilter::default() };
+    let table = table(client.trail(), &filter);
+    expect_file!["golden/audit.txt"].assert_eq(&format!("{table}{outcome}\n"));
+}
