--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod planner_service;
 mod requests;
 mod restarts;
+mod roles;
 mod routing;
 mod sessions;
 mod settings;
