--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -115,7 +115,7 @@
     let mut attempts = 0;
     let mut last = Refusal::not_run(RefusalCode::Unavailable).retry_in(RETRY_AFTER);
     while attempts < MAX_ATTEMPTS {
-        if attempts > 0 && !is_misdirected(last) && !scene.may_retry() {
+        if attempts > 0 && !is_handover(last) && !scene.may_retry() {
             break;
         }
         let Some(picked) = scene.pick(&tried) else { break };
@@ -138,9 +138,11 @@
     Err(last)
 }
 
-/// Returns whether an attempt only went to a host that takes no work, so that another one adds no
-/// load and need not be paid from the retry budget.
-fn is_misdirected(refusal: Refusal) -> bool {
+/// Returns whether a host that takes no work has given the attempt back.
+///
+/// Such an attempt goes on elsewhere without a retry token: it has cost no backend server anything,
+/// and a shutdown that empties a queue must not fail requests for want of a budget.
+fn is_handover(refusal: Refusal) -> bool {
     let is_out = matches!(
         refusal.code,
         RefusalCode::Draining
