--- a/src/limpetmux/core/once/moves.rs
+++ b/src/limpetmux/core/once/moves.rs
@@ -98,6 +98,8 @@
             self.stopped.insert(successor);
         }
         self.beliefs.remove(&successor);
+        // Claims under way are given up here, so that the successor may run their keys.
+        self.table.release_claims(Role::Home { successor: Some(successor) });
         Some(self.last_table(successor))
     }
 
--- a/src/limpetmux/core/once/table.rs
+++ b/src/limpetmux/core/once/table.rs
@@ -152,6 +152,15 @@
         }
     }
 
+    /// Gives up the claims of one role that have not been read back.
+    pub(super) fn release_claims(&mut self, role: Role) {
+        for entry in self.entries.values_mut() {
+            if entry.role == role && entry.state == State::Claiming {
+                entry.state = State::Released;
+            }
+        }
+    }
+
     /// Forgets the rows of one role that another host may run from now on.
     pub(super) fn forget_released(&mut self, role: Role) {
         self.entries.retain(|_, e| e.role != role || e.state != State::Released);
--- a/src/limpetmux/sidecar/once/moves.rs
+++ b/src/limpetmux/sidecar/once/moves.rs
@@ -90,6 +90,7 @@
         for successor in successors.into_iter().filter(|s| self.is_serving(*s)) {
             let table = self.lock().node.hand_over(successor);
             let Some(table) = table else { continue };
+            self.wake();
             if self.send(successor, &table, false).await == Some(false) {
                 self.lock().node.resume(successor);
             }
