Let the last table of a leaving home say how open runs ended

Cause: a run that a draining home refused after its table was copied stayed unknown at the successor, since adopting a table never replaced an unknown row by one that did not run; the request was answered 409 unvouched although the home had proven that nothing ran. Change: a row that was open in a home's table is kept as open, and a later table of the same process may say that it did not run. An entry whose attempt was given back by a leaving home goes on asking while the other host does not know yet. A lost answer is also asked of the other host.

--- a/src/limpetmux/core/once/moves.rs
+++ b/src/limpetmux/core/once/moves.rs
@@ -124,8 +124,9 @@
         let role = Role::Successor { home: handover.from };
         let fresh = self.guards.on(Guard::FreshHandover);
         let seat = self.seats.entry(handover.from).or_default();
-        if seat.taken.is_some() {
-            self.table.adopt(handover.rows, role);
+        if let Some(taken) = seat.taken {
+            let again = taken.from == Some(handover.incarnation);
+            self.table.adopt(handover.rows, role, again);
             return true;
         }
         if fresh && !seat.is_latest(handover.incarnation) {
--- a/src/limpetmux/core/once/observe.rs
+++ b/src/limpetmux/core/once/observe.rs
@@ -115,14 +115,14 @@
         let Some(seat) = self.seats.get_mut(&home) else { return };
         let Some(sent) = seat.asked.take() else { return };
         let table = seat.table.take();
-        let (since, whole) = match (seat.taken, &table) {
-            (Some(taken), _) => (taken.since, taken.whole),
-            (None, Some(table)) => (table.since, table.whole),
-            (None, None) => (time.wall, false),
+        let (since, whole, from) = match (seat.taken, &table) {
+            (Some(taken), _) => (taken.since, taken.whole, taken.from),
+            (None, Some(table)) => (table.since, table.whole, Some(table.incarnation)),
+            (None, None) => (time.wall, false, None),
         };
-        seat.taken = Some(Taken { since, whole, until: sent + hold });
+        seat.taken = Some(Taken { since, whole, from, until: sent + hold });
         if let Some(table) = table {
-            self.table.adopt(table.rows, Role::Successor { home });
+            self.table.adopt(table.rows, Role::Successor { home }, false);
         }
     }
 
@@ -156,7 +156,7 @@
             self.whole_again.insert(successor);
         }
         if let Some(table) = table {
-            self.table.adopt(table.rows, Role::Home { successor: Some(successor) });
+            self.table.adopt(table.rows, Role::Home { successor: Some(successor) }, false);
         }
     }
 }
--- a/src/limpetmux/core/once/seat.rs
+++ b/src/limpetmux/core/once/seat.rs
@@ -98,6 +98,8 @@
 /// A takeover that has been read back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Taken {
+    /// The process of the home whose table came with the takeover.
+    pub from: Option<Incarnation>,
     /// Keys created later than this time are vouched for.
     pub since: KeyTime,
     /// Whether keys without a time are vouched for.
--- a/src/limpetmux/core/once/table.rs
+++ b/src/limpetmux/core/once/table.rs
@@ -50,6 +50,8 @@
     Answered(Answer),
     /// The stage did not run and may be tried again.
     Released,
+    /// The home had not ended the run when it copied its table; its last table tells.
+    Open,
     /// The stage may have run.
     Unknown,
 }
@@ -69,7 +71,7 @@
         match state {
             State::Answered(answer) => Self::Answered(answer),
             State::Released => Self::NotRun,
-            State::Claiming | State::Running | State::Unknown => Self::Unknown,
+            State::Claiming | State::Running | State::Open | State::Unknown => Self::Unknown,
         }
     }
 }
@@ -131,24 +133,28 @@
     /// Copies the rows of one role for another host, which cannot learn how open runs end.
     pub(super) fn export(&self, role: Role) -> BTreeMap<KeyId, Entry> {
         let copy = |e: &Entry| match e.state {
-            State::Claiming | State::Running => Entry { state: State::Unknown, ..e.clone() },
+            State::Claiming | State::Running | State::Open => {
+                Entry { state: State::Unknown, ..e.clone() }
+            }
             _ => e.clone(),
         };
         self.entries.iter().filter(|(_, e)| e.role == role).map(|(k, e)| (*k, copy(e))).collect()
     }
 
     /// Adds rows of another host; answers that are already known stay.
-    pub(super) fn adopt(&mut self, rows: BTreeMap<KeyId, Entry>, role: Role) {
+    ///
+    /// `again` tells that the rows come from the same process of the home as an earlier table, so
+    /// they say how runs ended that were open in that one.
+    pub(super) fn adopt(&mut self, rows: BTreeMap<KeyId, Entry>, role: Role, again: bool) {
         for (key, entry) in rows {
             let known = self.entries.get(&key).map(|e| &e.state);
-            let learns = matches!(entry.state, State::Answered(_));
-            match known {
-                Some(State::Answered(_) | State::Running) => continue,
-                Some(State::Unknown) if !learns => continue,
-                _ => {}
+            if !learns(known, &entry.state, again) {
+                continue;
             }
             self.bytes += size(&entry.state);
-            self.entries.insert(key, Entry { role, ..entry });
+            let is_open = entry.state == State::Unknown && matches!(role, Role::Successor { .. });
+            let state = if is_open { State::Open } else { entry.state };
+            self.entries.insert(key, Entry { role, state, ..entry });
         }
     }
 
@@ -180,6 +186,17 @@
     }
 }
 
+/// Returns whether a row of another host says more than what is known.
+fn learns(known: Option<&State>, row: &State, again: bool) -> bool {
+    let answered = matches!(row, State::Answered(_));
+    match known {
+        Some(State::Answered(_) | State::Running) => false,
+        Some(State::Unknown) => answered,
+        Some(State::Open) => answered || again && *row == State::Released,
+        Some(State::Claiming | State::Released) | None => true,
+    }
+}
+
 fn size(state: &State) -> usize {
     match state {
         State::Answered(a) => a.payload.len(),
--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -58,6 +58,7 @@
 async fn ask_hosts(scene: &Scene<'_>) -> Result<StageRun, Refusal> {
     let hosts = hosts_of(scene)?;
     let mut last = Refusal::not_run(RefusalCode::Unavailable);
+    let mut moving = false;
     for (attempt, host) in (0..MAX_ATTEMPTS).zip(hosts.iter().cycle()) {
         match ask(scene, attempt, *host).await {
             Ok(run) => return Ok(run),
@@ -65,9 +66,16 @@
             Err(error) if error.refusal().execution == Execution::NotRun => {
                 last = error.refusal();
             }
-            Err(error) => return recover(scene, attempt, *host, error.refusal()).await,
+            Err(error) => match recover(scene, attempt, *host, error.refusal()).await {
+                Recovered::Answered(run) => return Ok(run),
+                Recovered::Unknown(refusal) => return Err(refusal),
+                Recovered::NotRun => last = Refusal::not_run(RefusalCode::Unavailable),
+            },
         }
-        if !is_elsewhere(last) {
+        // A host that leaves has given this attempt back; its last table will tell the other host.
+        moving |= is_leaving(last);
+        let awaited = moving && last.code == RefusalCode::Unvouched;
+        if !is_elsewhere(last) && !awaited {
             return Err(last);
         }
         if usize::try_from(attempt).is_ok_and(|n| (n + 1).is_multiple_of(hosts.len())) {
@@ -120,21 +128,41 @@
     }
 }
 
-/// Asks for the outcome of a run whose answer was lost.
-async fn recover(
-    scene: &Scene<'_>,
-    attempt: u32,
-    host: HostKey,
-    lost: Refusal,
-) -> Result<StageRun, Refusal> {
+/// Returns whether a leaving host has given an attempt back.
+fn is_leaving(refusal: Refusal) -> bool {
+    let leaving = matches!(refusal.code, RefusalCode::Draining | RefusalCode::ZoneOut);
+    leaving && refusal.execution == Execution::NotRun
+}
+
+/// What became of a run whose answer was lost.
+enum Recovered {
+    /// The stage answered.
+    Answered(StageRun),
+    /// The holder of the key vouches that the stage did not run.
+    NotRun,
+    /// The outcome cannot be determined.
+    Unknown(Refusal),
+}
+
+/// Asks for the outcome of a run whose answer was lost: the host itself, or, if that is gone, the
+/// other host, which vouches for the key once it has taken over.
+async fn recover(scene: &Scene<'_>, attempt: u32, host: HostKey, lost: Refusal) -> Recovered {
+    let unknown = Recovered::Unknown(Refusal::unknown(lost.code).retry_in(RETRY_AFTER));
+    let Ok(mut hosts) = hosts_of(scene) else { return unknown };
+    hosts.sort_by_key(|h| *h != host);
     let wait = clock::now().until(scene.deadline).saturating_sub(LOOK_UP_SLACK);
-    let reply = look_up(&scene.run.fleet.links[host], look_up_request(scene, wait)).await;
-    let Some(once::LookUpReply { answer: Some(answer), .. }) = reply else {
-        return Err(Refusal::unknown(lost.code).retry_in(RETRY_AFTER));
-    };
-    let pieces = vec![answer.payload.into()];
-    let done = stage::Done { cost: answer.cost, ..stage::Done::default() };
-    Ok(StageRun { pieces, host, attempts: attempt + 1, done })
+    for host in hosts {
+        let link = &scene.run.fleet.links[host];
+        let Some(reply) = look_up(link, look_up_request(scene, wait)).await else { continue };
+        if let Some(answer) = reply.answer {
+            let pieces = vec![answer.payload.into()];
+            let done = stage::Done { cost: answer.cost, ..stage::Done::default() };
+            let run = StageRun { pieces, host, attempts: attempt + 1, done };
+            return Recovered::Answered(run);
+        }
+        return if reply.state == "not_run" { Recovered::NotRun } else { unknown };
+    }
+    unknown
 }
 
 fn look_up_request(scene: &Scene<'_>, wait: Duration) -> once::LookUpRequest {
