Describe the interface by OpenAPI and bound headers and requests in progress

Callers had no page of the interface, and two limits of the settings were not enforced. docs/openapi.json is served and held equal to routes and codes by tests; headers beyond 16 KiB get a 431, requests beyond the entry's limit a 503 with Retry-After.

--- a/src/bin/limpetmux/commands/local.rs
+++ b/src/bin/limpetmux/commands/local.rs
@@ -71,6 +71,9 @@
 
 /// Starts the deployment and either sends one request or waits for a signal.
 pub fn exec(args: LocalArgs) -> miette::Result<()> {
+    if !args.once {
+        limpetmux::util::logging::init(&Default::default())?;
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     runtime.into_diagnostic()?.block_on(run(args))
 }
--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -26,18 +26,43 @@
 
 /// The header that carries a caller's idempotency key.
 const KEY_HEADER: &str = "idempotency-key";
+/// The most bytes of a request's headers.
+const HEADER_BYTES: usize = 16 * 1024;
+/// The time after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
+/// When a caller should come back to an entry that is full.
+const FULL_RETRY: Duration = Duration::from_millis(500);
 /// When a caller should come back to an entry that is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 
+const RUNS: &str = "/v1/workspaces/:workspace/pipelines/:pipeline/runs";
+const OUTCOMES: &str = "/v1/workspaces/:workspace/pipelines/:pipeline/outcomes/:key";
+const HEALTH: &str = "/healthz";
+const READY: &str = "/readyz";
+const PAGE: &str = "/openapi.json";
+
+/// The methods and paths that an entry answers.
+pub const ROUTES: [(&str, &str); 5] =
+    [("post", RUNS), ("get", OUTCOMES), ("get", HEALTH), ("get", READY), ("get", PAGE)];
+
+/// The description of the interface, as served.
+pub const OPENAPI: &str = include_str!("../../../docs/openapi.json");
+
 pub(super) fn routes(entry: Arc<Entry>) -> AddDataEndpoint<Route, Arc<Entry>> {
     Route::new()
-        .at("/v1/workspaces/:workspace/pipelines/:pipeline/runs", post(run))
-        .at("/v1/workspaces/:workspace/pipelines/:pipeline/outcomes/:key", get(outcome))
-        .at("/healthz", get(health))
-        .at("/readyz", get(ready))
+        .at(RUNS, post(run))
+        .at(OUTCOMES, get(outcome))
+        .at(HEALTH, get(health))
+        .at(READY, get(ready))
+        .at(PAGE, get(page))
         .data(entry)
 }
 
+#[handler]
+fn page() -> Response {
+    Response::builder().content_type("application/json").body(OPENAPI)
+}
+
 pub(super) async fn serve(
     entry: Arc<Entry>,
     listener: TcpListener,
@@ -46,6 +71,8 @@
 ) -> std::io::Result<()> {
     let acceptor = TcpAcceptor::from_tokio(listener)?;
     Server::new_with_acceptor(acceptor)
+        .idle_timeout(IDLE_TIMEOUT)
+        .http2_max_header_list_size(HEADER_BYTES as u32)
         .run_with_graceful_shutdown(routes(entry), stop, Some(grace))
         .await
 }
@@ -77,6 +104,10 @@
         let refusal = Refusal::not_run(code).retry_in(NOT_READY_RETRY);
         return refuse(entry, refusal, None);
     }
+    if entry.inflight() > entry.limits.inflight {
+        let refusal = Refusal::not_run(RefusalCode::Overloaded).retry_in(FULL_RETRY);
+        return refuse(entry, refusal, None);
+    }
     let fleet = entry.fleet.load();
     let key = request.headers().get(KEY_HEADER).map(|v| v.as_bytes());
     let order = match read_body(entry, request, body).await {
@@ -151,6 +182,10 @@
 }
 
 async fn read_body(entry: &Entry, request: &Request, body: Body) -> Result<Bytes, OrderError> {
+    let headers = request.headers().iter();
+    if headers.map(|(n, v)| n.as_str().len() + v.len()).sum::<usize>() > HEADER_BYTES {
+        return Err(OrderError::Headers { limit: HEADER_BYTES });
+    }
     let limit = entry.limits.body;
     let stated = request.headers().get(header::CONTENT_LENGTH);
     let stated = stated.and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<usize>().ok());
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -25,6 +25,7 @@
 
 pub use answer::{StageTrailer, Trailer};
 pub use fleet::Fleet;
+pub use http::{OPENAPI, ROUTES};
 pub use link::Link;
 pub use members::Members;
 pub use order::{Limits, Order, OrderError};
--- a/src/limpetmux/entry/order.rs
+++ b/src/limpetmux/entry/order.rs
@@ -42,6 +42,12 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// The headers are too large.
+    #[error("the headers exceed {limit} bytes")]
+    Headers {
+        /// The limit in bytes.
+        limit: usize,
+    },
     /// The body could not be received.
     #[error("the body could not be read")]
     Unread,
@@ -84,6 +90,7 @@
     pub fn status(&self) -> u16 {
         match self {
             Self::Oversize { .. } => 413,
+            Self::Headers { .. } => 431,
             Self::Workspace { .. } | Self::Pipeline { .. } => 404,
             _ => 400,
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod once_explore;
 mod once_path;
+mod openapi;
 mod path;
 mod planner;
 mod planner_service;
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -83,9 +83,13 @@
         assert_eq!(answer.kind, "application/problem+json");
     }
 
+    let long = "k".repeat(17 * 1024);
+    let answer = caller.post("porting", "number-port", Some(&long), good).await;
+    assert_eq!(problem(&answer), (431, "bad_request", "not_run"));
+
     assert_eq!(started(&local), 0);
     let rejected = local.entry.counters().rejected.load(Ordering::Relaxed);
-    assert_eq!(rejected, rows.len() as u64);
+    assert_eq!(rejected, rows.len() as u64 + 1);
     local.stop().await;
 }
 
@@ -185,6 +189,7 @@
     assert!(answer.retry >= Some(1));
     assert_eq!(caller.get("/readyz").await.status, 503);
     assert_eq!(caller.get("/healthz").await.status, 200);
+    assert_eq!(caller.get("/openapi.json").await.body["openapi"], json!("3.0.3"));
     assert_eq!(started(&local), 0);
     local.stop().await;
 }
