--- a/src/limpetmux/core/once/observe.rs
+++ b/src/limpetmux/core/once/observe.rs
@@ -47,8 +47,7 @@
 
     fn observe_own(&mut self, key: KeyId, by: Incarnation, time: Time) -> Option<Action> {
         if by != self.incarnation {
-            self.remember(key, time);
-            return None;
+            return self.remember(key, time);
         }
         let order = self.guards.on(Guard::LogOrder);
         let entry = self.table.entries.get_mut(&key)?;
@@ -64,15 +63,23 @@
         Some(Action::Run(key))
     }
 
-    /// Notes a key that an earlier process of this host claimed.
-    fn remember(&mut self, key: KeyId, time: Time) {
+    /// Notes that another process has claimed a key of which this host is the home.
+    ///
+    /// Needed for an earlier process of this host, and for a former home that acts on an outdated
+    /// configuration. A key whose own claim is not read back yet has lost.
+    pub fn remember(&mut self, key: KeyId, time: Time) -> Option<Action> {
         let expires = key.created().unwrap_or(time.wall) + self.rules.window + self.rules.margin;
-        if expires < time.wall || self.table.len() >= self.rules.keys {
-            return;
+        let known = self.table.entries.get(&key).map(|e| &e.state);
+        let had_claim = known == Some(&State::Claiming);
+        let is_open = matches!(known, None | Some(State::Claiming | State::Released));
+        if !is_open || expires < time.wall || known.is_none() && self.table.len() >= self.rules.keys
+        {
+            return None;
         }
         let role = Role::Home { successor: None };
         let entry = Entry { body: None, state: State::Unknown, role, expires };
-        self.table.entries.entry(key).or_insert(entry);
+        self.table.entries.insert(key, entry);
+        had_claim.then(|| Action::Refuse(key, Refusal::unknown(RefusalCode::Unvouched)))
     }
 
     /// Notes that a process of a home still claims.
@@ -108,9 +115,12 @@
         let Some(seat) = self.seats.get_mut(&home) else { return };
         let Some(sent) = seat.asked.take() else { return };
         let table = seat.table.take();
-        let since = seat.taken.map(|t| t.since);
-        let fresh = table.as_ref().map_or(time.wall, |t| t.since);
-        seat.taken = Some(Taken { since: since.unwrap_or(fresh), until: sent + hold });
+        let (since, whole) = match (seat.taken, &table) {
+            (Some(taken), _) => (taken.since, taken.whole),
+            (None, Some(table)) => (table.since, table.whole),
+            (None, None) => (time.wall, false),
+        };
+        seat.taken = Some(Taken { since, whole, until: sent + hold });
         if let Some(table) = table {
             self.table.adopt(table.rows, Role::Successor { home });
         }
@@ -125,6 +135,7 @@
             *seat = Seat {
                 changed: self.position,
                 promised: seat.promised,
+                promisee: seat.promisee,
                 asked: seat.asked,
                 seen: std::mem::take(&mut seat.seen),
                 ..Seat::default()
@@ -140,6 +151,10 @@
         let table = self.returns.remove(&successor);
         let floor = table.as_ref().map_or(wall, |t| t.since);
         self.floors.insert(successor, floor);
+        self.whole_again.remove(&successor);
+        if table.as_ref().is_some_and(|t| t.whole) {
+            self.whole_again.insert(successor);
+        }
         if let Some(table) = table {
             self.table.adopt(table.rows, Role::Home { successor: Some(successor) });
         }
