--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod once_explore;
 mod once_path;
 mod overload;
+mod openapi;
 mod path;
 mod planner;
 mod planner_service;
