Make the cost of control flat in the number of hosts

Change: only services that keep keys ask for promises, every 600 ms; the identity of a silent log is checked at every eighth poll. xtask idle measures processes; xtask load reports what the system adds to the backend servers' time. Guards: quiet_log_is_seldom_read_again and hosts_of_idempotent_services_ask_for_no_promise fail without their change.

--- a/crates/limpetmux-test-support/src/processes.rs
+++ b/crates/limpetmux-test-support/src/processes.rs
@@ -161,7 +161,8 @@
     pub fn start_sidecar(&mut self, name: &Name) {
         let host = &self.config.hosts[name];
         let settings = json!({
-            "name": name, "region": "ph-luzon", "zone": host.zone, "listen": host.sidecar,
+            "name": name, "region": self.config.zones[&host.zone].region, "zone": host.zone,
+            "listen": host.sidecar,
             "platform": self.platform(), "peers": self.peers_of(host.sidecar),
             "sidecar": { "backend": self.standins[name].url() },
         });
@@ -176,8 +177,9 @@
     pub fn entry(&self, index: usize) -> NodeProcess {
         let zones: Vec<&Name> = self.config.zones.keys().collect();
         let (http, name) = (free_address(), format!("entry-{index}"));
+        let zone = zones[index % zones.len()];
         let settings = json!({
-            "name": name, "region": "ph-luzon", "zone": zones[index % zones.len()],
+            "name": name, "region": self.config.zones[zone].region, "zone": zone,
             "listen": free_address(), "platform": self.platform(), "peers": self.peers,
             "entry": { "http": http, "ordinal": index / zones.len() },
         });
--- /dev/null
+++ b/crates/xtask/src/idle.rs
@@ -0,0 +1,103 @@
+//! What control costs idle processes: processor time, memory and traffic per node.
+//!
+//! Real processes run before stand-ins over loopback, without callers. Traffic is read off the
+//! loopback interface, so it includes framing, and also what sidecars ask their backend servers.
+
+use argh::FromArgs;
+use limpetmux_test_support::processes::{NodeProcess, Processes, Usage};
+use limpetmux_test_support::{Size, sized_config};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Clock ticks a second in the accounting of processor time.
+const TICKS_PER_S: f64 = 100.0;
+/// The time after the start that is not counted.
+const SETTLE: Duration = Duration::from_secs(10);
+
+/// Measure idle processes of growing deployments.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "idle")]
+pub struct IdleArgs {
+    /// the limpetmux program
+    #[argh(option)]
+    binary: PathBuf,
+    /// seconds to count
+    #[argh(option, default = "20")]
+    seconds: u64,
+    /// numbers of hosts, separated by commas
+    #[argh(option, default = "String::from(\"10,20,40,80\")")]
+    hosts: String,
+    /// the number of entries
+    #[argh(option, default = "4")]
+    entries: usize,
+}
+
+/// A measurement that cannot be made.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum IdleError {
+    /// A number of hosts cannot be read.
+    #[error("`{0}` is not a number of hosts")]
+    Hosts(String),
+    /// The runtime cannot start, or the interface's counters cannot be read.
+    #[error("cannot measure")]
+    Io(#[from] std::io::Error),
+}
+
+/// Prints one row per number of hosts.
+pub fn exec(args: IdleArgs) -> Result<(), IdleError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    println!(
+        "| hosts | entries | entry core % | sidecar core % | entry MB | sidecar MB | B/s a node |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for text in args.hosts.split(',') {
+        let hosts = text.trim().parse().map_err(|_| IdleError::Hosts(text.to_owned()))?;
+        runtime.block_on(measure(&args, hosts))?;
+    }
+    Ok(())
+}
+
+async fn measure(args: &IdleArgs, hosts: u32) -> Result<(), IdleError> {
+    let size = Size { hosts, services: 5, pipelines: 6, workspaces: 30, zones: 2 };
+    let dir = std::env::temp_dir().join(format!("limpetmux-idle-{}", std::process::id()));
+    let fleet = Processes::start(&args.binary, &dir, sized_config(size), args.entries).await;
+    tokio::time::sleep(SETTLE).await;
+    let (entries, sidecars, bytes) =
+        (usage(&fleet.entries), usage(fleet.sidecars.values()), loopback()?);
+    let span = Duration::from_secs(args.seconds);
+    tokio::time::sleep(span).await;
+    let (entries_end, sidecars_end) = (usage(&fleet.entries), usage(fleet.sidecars.values()));
+    let traffic = loopback()? - bytes;
+    let share = |a: Usage, b: Usage, count: usize| {
+        (b.ticks - a.ticks) as f64 / TICKS_PER_S / span.as_secs_f64() / count as f64 * 100.0
+    };
+    let megabytes = |u: Usage, count: usize| u.resident as f64 / count as f64 / 1e6;
+    let nodes = args.entries + hosts as usize;
+    println!(
+        "| {hosts} | {} | {:.2} | {:.2} | {:.1} | {:.1} | {:.0} |",
+        args.entries,
+        share(entries, entries_end, args.entries),
+        share(sidecars, sidecars_end, hosts as usize),
+        megabytes(entries_end, args.entries),
+        megabytes(sidecars_end, hosts as usize),
+        // Each byte is sent by one node and received by another.
+        2.0 * traffic as f64 / span.as_secs_f64() / nodes as f64
+    );
+    std::fs::remove_dir_all(&dir)?;
+    Ok(())
+}
+
+fn usage<'a>(nodes: impl IntoIterator<Item = &'a NodeProcess>) -> Usage {
+    nodes.into_iter().map(NodeProcess::usage).fold(Usage::default(), |sum, u| Usage {
+        ticks: sum.ticks + u.ticks,
+        resident: sum.resident + u.resident,
+    })
+}
+
+/// Returns the bytes that the loopback interface has carried.
+fn loopback() -> Result<u64, std::io::Error> {
+    let text = std::fs::read_to_string("/proc/net/dev")?;
+    let line = text.lines().find_map(|l| l.trim().strip_prefix("lo:"));
+    let first = line.and_then(|l| l.split_whitespace().next());
+    Ok(first.and_then(|f| f.parse().ok()).unwrap_or(0))
+}
--- a/crates/xtask/src/load/report.rs
+++ b/crates/xtask/src/load/report.rs
@@ -35,6 +35,10 @@
     pub p99_us: u64,
     /// The greatest latency of whole answers, in microseconds.
     pub max_us: u64,
+    /// The median of what the system added to the backend servers' time, in microseconds.
+    pub added50: u64,
+    /// The 99th percentile of what the system added, in microseconds.
+    pub added99: u64,
 }
 
 impl Report {
@@ -44,10 +48,13 @@
     /// Returns [`LoadError`] if a latency does not fit the histogram.
     pub fn new(load: &Load, samples: &[Sample]) -> Result<Self, LoadError> {
         let mut latency = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, DIGITS)?;
+        let mut added = latency.clone();
         let whole = |s: &&Sample| matches!(s.outcome, Outcome::Answered | Outcome::Late);
         for sample in samples.iter().filter(whole) {
             let us = u64::try_from(sample.latency.as_micros()).unwrap_or(MAX_LATENCY_US);
             latency.record(us.clamp(1, MAX_LATENCY_US))?;
+            let over = u64::try_from(sample.latency.saturating_sub(sample.busy).as_micros());
+            added.record(over.unwrap_or(MAX_LATENCY_US).clamp(1, MAX_LATENCY_US))?;
         }
         let count = |outcome| samples.iter().filter(|s| s.outcome == outcome).count();
         let answered = count(Outcome::Answered);
@@ -64,22 +71,21 @@
             p95_us: latency.value_at_quantile(0.95),
             p99_us: latency.value_at_quantile(0.99),
             max_us: latency.max(),
+            added50: added.value_at_quantile(0.50),
+            added99: added.value_at_quantile(0.99),
         })
     }
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(
-            f,
-            "sent {} at {}/s: answered {}, late {}, not run {}, refused {}, broken {}",
-            self.sent, self.rate, self.answered, self.late, self.unrun, self.refused, self.broken
-        )?;
+        let (p50, p95, p99, max) = (self.p50_us, self.p95_us, self.p99_us, self.max_us);
+        write!(f, "sent {} at {}/s: answered {}, ", self.sent, self.rate, self.answered)?;
+        write!(f, "late {}, not run {}, ", self.late, self.unrun)?;
+        writeln!(f, "refused {}, broken {}", self.refused, self.broken)?;
         writeln!(f, "attainment {:.4}", self.attainment)?;
-        write!(
-            f,
-            "latency: p50 {} us, p95 {} us, p99 {} us, max {} us",
-            self.p50_us, self.p95_us, self.p99_us, self.max_us
-        )
+        writeln!(f, "latency: p50 {p50} us, p95 {p95} us, p99 {p99} us, max {max} us")?;
+        let (median, high) = (self.added50, self.added99);
+        write!(f, "added to the backend servers' time: p50 {median} us, p99 {high} us")
     }
 }
--- a/crates/xtask/src/load/runner.rs
+++ b/crates/xtask/src/load/runner.rs
@@ -72,6 +72,8 @@
     pub latency: Duration,
     /// How it ended.
     pub outcome: Outcome,
+    /// The part of the latency in which a backend server worked on it, as its sidecars saw it.
+    pub busy: Duration,
 }
 
 impl Load {
@@ -109,11 +111,11 @@
         let request = request(&client, load, n);
         let deadline = load.deadline;
         tasks.push(tokio::spawn(async move {
-            let outcome = send(request).await;
+            let (outcome, busy) = send(request).await;
             let latency = start.elapsed().saturating_sub(due);
             let late = outcome == Outcome::Answered && latency > deadline;
             let outcome = if late { Outcome::Late } else { outcome };
-            Sample { due, latency, outcome }
+            Sample { due, latency, outcome, busy }
         }));
     }
     let mut samples = Vec::with_capacity(tasks.len());
@@ -134,15 +136,23 @@
     }
 }
 
-async fn send(request: reqwest::RequestBuilder) -> Outcome {
-    let Ok(answer) = request.send().await else { return Outcome::Broken };
+async fn send(request: reqwest::RequestBuilder) -> (Outcome, Duration) {
+    let broken = (Outcome::Broken, Duration::ZERO);
+    let Ok(answer) = request.send().await else { return broken };
     let status = answer.status();
-    let Ok(body) = answer.json::<serde_json::Value>().await else { return Outcome::Broken };
+    let Ok(body) = answer.json::<serde_json::Value>().await else { return broken };
     if status.is_success() {
-        return Outcome::Answered;
+        return (Outcome::Answered, busy(&body));
     }
     match body.get("execution").and_then(|e| e.as_str()) {
-        Some("not_run") => Outcome::NotRun,
-        _ => Outcome::Refused,
+        Some("not_run") => (Outcome::NotRun, Duration::ZERO),
+        _ => (Outcome::Refused, Duration::ZERO),
     }
 }
+
+/// Adds up the time on backend servers from an answer's trailer.
+fn busy(body: &serde_json::Value) -> Duration {
+    let stages = body["trailer"]["stages"].as_array();
+    let each = stages.into_iter().flatten().filter_map(|s| s["busy_us"].as_u64());
+    Duration::from_micros(each.sum())
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -8,6 +8,7 @@
 
 mod codegen;
 mod explore;
+mod idle;
 mod load;
 mod policy;
 mod power;
@@ -26,6 +27,7 @@
 enum Task {
     Codegen(codegen::CodegenArgs),
     Explore(explore::ExploreArgs),
+    Idle(idle::IdleArgs),
     Load(load::LoadArgs),
     Policy(policy::PolicyArgs),
     Power(power::PowerArgs),
@@ -36,6 +38,7 @@
     match args.task {
         Task::Codegen(args) => Ok(codegen::exec(args)?),
         Task::Explore(args) => Ok(explore::exec(args)?),
+        Task::Idle(args) => Ok(idle::exec(args)?),
         Task::Load(args) => Ok(load::exec(args)?),
         Task::Policy(args) => {
             policy::exec(&args);
--- a/src/limpetmux/control/service.rs
+++ b/src/limpetmux/control/service.rs
@@ -24,6 +24,10 @@
 /// The longest time that the log can ask a node to wait before it reads again.
 const RETRY_MAX: Duration = Duration::from_secs(5);
 
+/// The number of reads without a record after which the identity of the log is checked; a check
+/// reads the last record again, which may be a whole snapshot.
+const SILENT_READS: u32 = 8;
+
 /// A read of the log with what was asked; `None` means that no answer came in time.
 type Read = BoxFuture<'static, (Asked, Option<Result<LogPage, LogError>>)>;
 
@@ -38,6 +42,8 @@
     doubted: Option<FoldError>,
     replica: Replica,
     duty: SnapshotDuty,
+    /// Reads in a row that gave no record.
+    silent: u32,
 }
 
 impl Service {
@@ -51,7 +57,7 @@
         let duty = SnapshotDuty::new(&options, now());
         let current = ControlStatus::default();
         let (replica, doubted) = (Replica::new(), None);
-        Self { log, options, queue, view, status, current, doubted, replica, duty }
+        Self { log, options, queue, view, status, current, doubted, replica, duty, silent: 0 }
     }
 
     /// Runs until the kernel and all ports are gone.
@@ -102,7 +108,8 @@
         self.on_reachable(&page);
         let records = page.records.iter().map(|r| (r.offset, r.data.as_slice()));
         let result = self.replica.on_page(asked, (page.first, page.end), records);
-        if page.records.is_empty() {
+        self.silent = if page.records.is_empty() { self.silent + 1 } else { 0 };
+        if self.silent.is_multiple_of(SILENT_READS) && self.silent > 0 {
             self.replica.suspect_log();
         }
         let fault = result.as_ref().err().cloned();
--- a/src/limpetmux/sidecar/once/mod.rs
+++ b/src/limpetmux/sidecar/once/mod.rs
@@ -94,6 +94,8 @@
     decided: BTreeMap<KeyId, Decision>,
     /// Successors whose promise the host needs while the log cannot be reached.
     wanted: BTreeSet<HostId>,
+    /// Counts the promises asked for.
+    asked: u64,
     /// Homes that requests were sent here for.
     missing: BTreeSet<HostId>,
 }
@@ -125,6 +127,7 @@
             appending: false,
             decided: BTreeMap::new(),
             wanted: BTreeSet::new(),
+            asked: 0,
             missing: BTreeSet::new(),
         };
         let gate = Arc::new(Self {
@@ -191,6 +194,11 @@
         (inner.node.table().len(), inner.node.table().bytes())
     }
 
+    /// Returns how often this process has asked for a promise.
+    pub fn asked(&self) -> u64 {
+        self.lock().asked
+    }
+
     /// Returns whether new work should go to other hosts than this one.
     fn is_away(&self) -> bool {
         let view = self.view.load();
--- a/src/limpetmux/sidecar/once/tasks.rs
+++ b/src/limpetmux/sidecar/once/tasks.rs
@@ -17,8 +17,11 @@
 const READ_WAIT: Duration = Duration::from_secs(1);
 /// The time between two reads while the log cannot be reached.
 const READ_RETRY: Duration = Duration::from_millis(100);
-/// The time between two rounds of promises; far below a promise's length.
+/// The time between two looks at what the gate has to do.
 const ROUND: Duration = Duration::from_millis(250);
+/// The time between two rounds of promises; a promise outlasts three of them.
+const PROMISE_ROUND: Duration = Duration::from_millis(600);
+
 /// Starts all tasks; each ends once the gate is dropped.
 pub(super) fn spawn(gate: &Arc<OnceGate>, log: LogClient, pace: Pace) {
     tokio::spawn(read(Arc::downgrade(gate), log.clone()));
@@ -169,8 +172,12 @@
 /// Keeps the promises of successors alive while the log cannot be reached.
 async fn promises(gate: Weak<OnceGate>) {
     loop {
-        tokio::time::sleep(ROUND).await;
+        tokio::time::sleep(PROMISE_ROUND).await;
         let Some(gate) = gate.upgrade() else { return };
+        // A host whose service is idempotent never reads the stream, which is no outage.
+        if !gate.is_needed() {
+            continue;
+        }
         gate.note_successors();
         let wanted: Vec<HostId> = {
             let inner = gate.lock();
@@ -198,7 +205,9 @@
         let Some(mut client) = self.peers.client(&self.view.load(), successor) else { return };
         let sent = clock::now();
         let request = {
-            let node = &self.lock().node;
+            let inner = &mut self.lock();
+            inner.asked += 1;
+            let node = &inner.node;
             let home = convert::process(HostId::of(self.host.as_str()), node.incarnation());
             once::PromiseRequest { home: Some(home), read: node.position().0 }
         };
--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -1,6 +1,6 @@
 //! The control service against a log in the process, on paused time.
 
-use limpetmux::adapters::log::Stream;
+use limpetmux::adapters::log::{LogClient, Stream};
 use limpetmux::control::{Control, ControlMessage, ControlOptions, Exchanged, prepare};
 use limpetmux::core::config::record::{Body, decode};
 use limpetmux::core::config::{Change, Config, FoldError};
@@ -8,6 +8,8 @@
 use limpetmux::kernel::Kernel;
 use limpetmux_test_support::changes::{change, change_record, first_change, weight_edit};
 use limpetmux_test_support::{FakeLog, small_config};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 const LONG: Duration = Duration::from_secs(30);
@@ -70,6 +72,31 @@
     assert_eq!((view.revision, view.workspaces[workspace].weight), (Revision(2), 9));
 }
 
+#[tokio::test(start_paused = true)]
+async fn quiet_log_is_seldom_read_again() {
+    let log = declared(&small_config());
+    let again = Arc::new(AtomicUsize::new(0));
+    let (client, count) = (log.client(), Arc::clone(&again));
+    let read = Arc::clone(&client.read);
+    let counting = LogClient {
+        read: Arc::new(move |stream, from, wait| {
+            count.fetch_add(usize::from(from == Offset(0)), Ordering::SeqCst);
+            read(stream, from, wait)
+        }),
+        ..client
+    };
+    let kernel = Kernel::new();
+    let options = ControlOptions { snapshot: 100 * LONG, ..ControlOptions::new("billing-0") };
+    let (_control, service) = prepare(&kernel, counting, options).unwrap();
+    tokio::spawn(service.run());
+
+    tokio::time::sleep(Duration::from_secs(600)).await;
+
+    // The first read, and at most one of each eight reads of ten seconds.
+    let again = again.load(Ordering::SeqCst);
+    assert!((2..=9).contains(&again), "the record was read {again} times");
+}
+
 #[tokio::test(start_paused = true)]
 async fn keeps_serving_through_outage_and_catches_up() {
     let log = declared(&small_config());
--- a/tests/testsuite/zones.rs
+++ b/tests/testsuite/zones.rs
@@ -1,9 +1,10 @@
 //! An availability zone leaves and returns under load, with the log up, slow and down.
 
 use limpetmux::core::config::Name;
+use limpetmux::sidecar::Sidecar;
 use limpetmux_test_support::Deployment;
 use limpetmux_test_support::config::summary_config;
-use limpetmux_test_support::deployment::wait_for;
+use limpetmux_test_support::deployment::{Node, wait_for};
 use limpetmux_test_support::load::Load;
 use std::time::Duration;
 
@@ -109,3 +110,19 @@
 
     finish(deployment, load).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hosts_of_idempotent_services_ask_for_no_promise() {
+    let (deployment, load) = start().await;
+    load.answered(24).await;
+
+    let asked = |(name, node): (&Name, &Node<Sidecar>)| {
+        let spec = &deployment.config.services[&deployment.config.hosts[name].service];
+        let asked = node.role.once().map_or(0, |gate| gate.asked());
+        (spec.idempotent && asked > 0).then(|| name.clone())
+    };
+    let found: Vec<Name> = deployment.sidecars.iter().filter_map(asked).collect();
+
+    assert_eq!(found, Vec::<Name>::new());
+    finish(deployment, load).await;
+}
