Take a leaving host's successors from the view when it hands over

Cause: a host knew its successors only after the first round of promises. Change: the successors are read from the configuration in force when tables are sent and when claims are forwarded.

--- a/src/limpetmux/sidecar/once/moves.rs
+++ b/src/limpetmux/sidecar/once/moves.rs
@@ -86,6 +86,7 @@
 
     /// Hands all keys of this home over to their successors.
     async fn hand_over_all(&self) {
+        self.note_successors();
         let successors: Vec<HostId> = self.lock().wanted.iter().copied().collect();
         for successor in successors.into_iter().filter(|s| self.is_serving(*s)) {
             let table = self.lock().node.hand_over(successor);
@@ -123,6 +124,7 @@
     }
 
     async fn send_last_tables(&self) -> bool {
+        self.note_successors();
         let successors: Vec<HostId> = self.lock().wanted.iter().copied().collect();
         for successor in successors.into_iter().filter(|s| self.is_serving(*s)) {
             let (table, taken) = {
--- a/src/limpetmux/sidecar/once/tasks.rs
+++ b/src/limpetmux/sidecar/once/tasks.rs
@@ -55,6 +55,7 @@
 /// Sends a record through the first successor that reaches the log.
 async fn forward(gate: Weak<OnceGate>, record: Vec<u8>) -> bool {
     let Some(gate) = gate.upgrade() else { return false };
+    gate.note_successors();
     let peers: Vec<HostId> = gate.lock().wanted.iter().copied().collect();
     for peer in peers {
         let Some(mut client) = gate.peers.client(&gate.view.load(), peer) else { continue };
@@ -192,7 +193,7 @@
 
 impl OnceGate {
     /// Counts all other hosts of the service in other zones as successors of some key.
-    fn note_successors(&self) {
+    pub(super) fn note_successors(&self) {
         let view = self.view.load();
         let Some(host) = view.host(self.host.as_str()) else { return };
         let row = &view.hosts[host];
--- a/tests/testsuite/once_path.rs
+++ b/tests/testsuite/once_path.rs
@@ -211,7 +211,7 @@
 
     let again = send(&fleet, 1, &old).await;
 
-    assert_eq!(again.body["output"], first.body["output"]);
+    assert_eq!(again.body["output"], first.body["output"], "{:?}", again.body);
     assert_eq!(fleet.runs(&old), 1);
 }
 
