Bar a former home from running keys after the declared hosts changed

Cause: homes followed from each host's own view. A former home that was cut off with its successor ran keys from memory while a new home, which had seen the change, claimed and ran them. And a new home ran keys again that the former one had run before, even with the log up.

Change: hosts declare in the claims stream among which hosts they choose homes (record d1) and act on that. A pair of home and successor ends when one of the two declares other hosts; until then no other pair runs its keys, and afterwards only newer ones. The exploration gains a world with a change of the declared hosts that reaches three hosts at different times, and keys without a time in both worlds.

A home that restarts while the log is down now waits for the log.

--- a/crates/limpetmux-test-support/src/once.rs
+++ b/crates/limpetmux-test-support/src/once/pair.rs
@@ -1,14 +1,12 @@
-//! A home, its successor, a log and two keys, and a breadth-first search over their steps.
+//! A home, its successor, a log and two keys.
 
+use super::{Exploration, Step, search};
 use limpetmux::core::once::{
     Action, Begin, Guards, Handover, HostId, Incarnation, KeyId, KeyTime, Node, Record, Role,
     Rules, Time, Work,
 };
 use limpetmux::core::revision::Offset;
 use limpetmux::core::time::Moment;
-use std::collections::{BTreeSet, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
-use std::rc::Rc;
 use std::time::Duration;
 
 /// How often each rare step may happen in one exploration.
@@ -26,6 +24,8 @@
     pub returns: u8,
     /// Takeover records.
     pub takeovers: u8,
+    /// Whether the old key carries no time, and the log names the home's first process.
+    pub untimed: bool,
 }
 
 impl Limits {
@@ -37,6 +37,7 @@
         handovers: 0,
         returns: 0,
         takeovers: 1,
+        untimed: false,
     };
     /// Outages and cuts, and a restart of the successor.
     pub const SUCCESSOR_RESTARTS: Self =
@@ -45,6 +46,16 @@
     pub const HANDOVER: Self = Self { cuts: 1, handovers: 1, ..Self::HOME_RESTARTS };
     /// Keys moving back to the home, with an outage and a restart of the home.
     pub const RETURN: Self = Self { cuts: 1, returns: 1, ..Self::HOME_RESTARTS };
+    /// A key without a time, with outages, cuts and a restart of the home.
+    pub const UNTIMED_HOME: Self = Self { untimed: true, ..Self::HOME_RESTARTS };
+    /// A key without a time, with outages, cuts and a restart of the successor.
+    pub const UNTIMED_SUCCESSOR: Self = Self { untimed: true, ..Self::SUCCESSOR_RESTARTS };
+    /// A key without a time while the table moves to the successor.
+    pub const UNTIMED_HANDOVER: Self = Self { untimed: true, ..Self::HANDOVER };
+    /// A key without a time while keys move back to the home.
+    pub const UNTIMED_RETURN: Self = Self { untimed: true, ..Self::RETURN };
+    /// A key without a time in both moves, for `cargo run -p xtask -- explore`.
+    pub const UNTIMED_MOVES: Self = Self { untimed: true, ..Self::MOVES };
     /// A handover and a return in one exploration, for `cargo run -p xtask -- explore`.
     pub const MOVES: Self = Self { returns: 1, ..Self::HANDOVER };
 }
@@ -57,17 +68,9 @@
 /// One tick above zero, so that moments of the past soon become equal.
 const NOW: Moment = Moment::from_millis(1_000);
 const OLD: KeyId = KeyId::from_digest(0, Some(KeyTime(10)));
+const UNTIMED: KeyId = KeyId::from_digest(0, None);
 const NEW: KeyId = KeyId::from_digest(1, Some(KeyTime(20)));
 
-/// What an exploration found.
-#[derive(Debug)]
-pub struct Exploration {
-    /// The number of different states.
-    pub states: usize,
-    /// The steps to a double run, if there is one.
-    pub path: Option<String>,
-}
-
 #[derive(Clone, Hash)]
 struct World {
     up: bool,
@@ -86,9 +89,6 @@
     b: Node,
 }
 
-/// A step's name, interned to keep paths small.
-type Step = &'static str;
-
 fn rules() -> Rules {
     Rules {
         promise: TICK,
@@ -121,11 +121,29 @@
         runs: [0, 0],
         left: limits,
     };
+    if limits.untimed {
+        world.note_first_process();
+    }
     world.note_links();
     world
 }
 
 impl World {
+    /// Lets both hosts read the home's first record.
+    fn note_first_process(&mut self) {
+        let (hello, time) = (self.a.hello(), self.time());
+        for node in [&mut self.a, &mut self.b] {
+            node.read_from_start();
+            node.observe(Offset(0), &hello, time);
+        }
+        self.log.push(hello);
+    }
+
+    /// Returns the key that is older than every event.
+    fn old(&self) -> KeyId {
+        if self.left.untimed { UNTIMED } else { OLD }
+    }
+
     fn time(&self) -> Time {
         Time { now: NOW, wall: KeyTime(if self.created { 25 } else { 15 }) }
     }
@@ -146,12 +164,13 @@
 
     /// Returns the keys worth sending: after one was accepted, only that one can run twice, and
     /// rows of different keys do not touch each other.
-    fn keys(&self) -> &'static [KeyId] {
+    fn keys(&self) -> Vec<KeyId> {
+        let old = self.old();
         let busy = |key: KeyId| self.runs[usize::from(key == NEW)] > 0 || self.a.is_claiming(key);
-        match (self.created, busy(OLD), busy(NEW)) {
-            (false, ..) | (_, true, _) => &[OLD],
-            (_, _, true) => &[NEW],
-            _ => &[OLD, NEW],
+        match (self.created, busy(old), busy(NEW)) {
+            (false, ..) | (_, true, _) => vec![old],
+            (_, _, true) => vec![NEW],
+            _ => vec![old, NEW],
         }
     }
 
@@ -202,6 +221,9 @@
             // A never takes over, so its quiet period makes no difference.
             node.rebase(TICK);
         }
+        if self.left.untimed {
+            node.read_from_start();
+        }
         *next.node(id) = node;
         if id == A {
             next.ask = None;
@@ -268,13 +290,13 @@
 
     fn key_steps(&self, out: &mut Vec<(Step, Self)>) {
         for key in self.keys() {
-            let names = if *key == OLD {
+            let names = if key == self.old() {
                 ["A accepts old", "B accepts old"]
             } else {
                 ["A accepts new", "B accepts new"]
             };
             for (host, name) in [A, B].into_iter().zip(names) {
-                out.extend(self.send(host, *key).map(|n| (name, n)));
+                out.extend(self.send(host, key).map(|n| (name, n)));
             }
         }
     }
@@ -332,53 +354,11 @@
     }
 }
 
-/// One visited state's step and the state it came from.
-struct Trace {
-    step: Step,
-    before: Option<Rc<Trace>>,
-}
-
-fn describe(mut trace: &Rc<Trace>) -> String {
-    let mut steps = Vec::new();
-    loop {
-        steps.push(trace.step);
-        match &trace.before {
-            Some(before) => trace = before,
-            None => break,
-        }
-    }
-    steps.reverse();
-    steps.join("; ")
-}
-
-/// Identifies a state; 64 bits leave a chance of about 1e-8 that two of a million states collide.
-fn fingerprint(world: &World) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    world.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Visits every reachable state within the limits, breadth first, until a key has run twice.
 ///
 /// The home starts with or without its link to the log.
 pub fn explore(guards: Guards, limits: Limits) -> Exploration {
-    let root = Rc::new(Trace { step: "start", before: None });
     let firsts = [true, false].map(|link| start(guards, limits, link));
-    let mut queue = VecDeque::from(firsts.clone().map(|world| (world, Rc::clone(&root))));
-    let mut seen = BTreeSet::from(firsts.map(|world| fingerprint(&world)));
-    let mut next = Vec::new();
-    while let Some((world, trace)) = queue.pop_front() {
-        world.steps(guards, &mut next);
-        for (step, world) in next.drain(..) {
-            if !seen.insert(fingerprint(&world)) {
-                continue;
-            }
-            let trace = Rc::new(Trace { step, before: Some(Rc::clone(&trace)) });
-            if world.runs.iter().any(|n| *n > 1) {
-                return Exploration { states: seen.len(), path: Some(describe(&trace)) };
-            }
-            queue.push_back((world, trace));
-        }
-    }
-    Exploration { states: seen.len(), path: None }
+    let steps = |world: &World, out: &mut Vec<(Step, World)>| world.steps(guards, out);
+    search(firsts, steps, |world| world.runs.iter().any(|n| *n > 1))
 }
--- a/crates/limpetmux-test-support/src/once_fleet.rs
+++ b/crates/limpetmux-test-support/src/once_fleet.rs
@@ -168,6 +168,13 @@
         self.view.publish(View::compile(revision, &self.config));
     }
 
+    /// Removes a host from the declared ones; its process goes on.
+    pub fn undeclare(&mut self, host: usize) {
+        self.config.hosts.remove(&name(HOSTS[host].0));
+        let revision = Revision(self.view.load().revision.0 + 1);
+        self.view.publish(View::compile(revision, &self.config));
+    }
+
     /// Returns the position of a key's home; the other host is its successor.
     pub fn home(&self, key: &str) -> usize {
         let view = self.view.load();
--- a/crates/xtask/src/explore.rs
+++ b/crates/xtask/src/explore.rs
@@ -2,9 +2,11 @@
 
 use argh::FromArgs;
 use limpetmux::core::once::Guards;
-use limpetmux_test_support::once::{Exploration, Limits, explore};
+use limpetmux_test_support::once::Exploration;
+use limpetmux_test_support::once::change::{self, Change, Start};
+use limpetmux_test_support::once::pair::{Limits, explore};
 
-/// Explore the at-most-once protocol with a handover and a return in one run.
+/// Explore the at-most-once protocol: a handover and a return, and changes of the declared hosts.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explore")]
 pub struct ExploreArgs {}
@@ -16,12 +18,29 @@
     path: String,
 }
 
-/// Runs the exploration.
+/// Runs the explorations.
 ///
 /// # Errors
 /// Returns [`DoubleRun`] with the steps that lead to it.
 pub fn exec(_args: ExploreArgs) -> Result<(), DoubleRun> {
-    let Exploration { states, path } = explore(Guards::default(), Limits::MOVES);
-    println!("{states} states");
+    let guards = Guards::default();
+    report("handover and return", explore(guards, Limits::MOVES))?;
+    report("handover and return, no time", explore(guards, Limits::UNTIMED_MOVES))?;
+    for limits in change::Limits::LARGE {
+        for change in Change::ALL {
+            let name = format!("{change:?}, {limits:?}");
+            report(&name, change::explore(guards, change, &Start::USUAL, limits, false))?;
+            report(
+                &format!("{name}, no time"),
+                change::explore(guards, change, &Start::USUAL, limits, true),
+            )?;
+        }
+    }
+    Ok(())
+}
+
+fn report(name: &str, exploration: Exploration) -> Result<(), DoubleRun> {
+    let Exploration { states, path } = exploration;
+    println!("{name}: {states} states");
     path.map_or(Ok(()), |path| Err(DoubleRun { path }))
 }
--- a/src/limpetmux/core/once/guard.rs
+++ b/src/limpetmux/core/once/guard.rs
@@ -28,6 +28,18 @@
     FreshHandover,
     /// A host accepts nothing from the moment at which it hands its table over.
     StopFirst,
+    /// A pair runs no key that another pair may still run by the hosts that it declared.
+    FormerPair,
+    /// A pair of which one host has declared other hosts runs no key any more.
+    PartnerLeft,
+    /// A pair runs only keys that are newer than the end of the pair before it.
+    OlderThanMove,
+    /// The successor promises nothing to a home that has declared other hosts than itself.
+    AgreedPromise,
+    /// A host runs no key that a declaration of its own on the way gives to another pair.
+    StopToDeclare,
+    /// A process runs nothing before it has read its own declaration back.
+    DeclareFirst,
 }
 
 /// The guards in force: all of them by default.
--- a/src/limpetmux/core/once/homes.rs
+++ b/src/limpetmux/core/once/homes.rs
@@ -1,9 +1,10 @@
 //! The choice of a key's home and successor.
 //!
 //! Both follow from the configured hosts alone, so a host that is down, cold or switched off moves
-//! no key; only a change of the declared hosts does.
+//! no key; only a change of the declared hosts does. A host acts on the hosts that it has
+//! [`Declared`] in the claims stream, see [`super::declared`].
 
-use super::KeyId;
+use super::{Declared, KeyId, Role};
 use crate::core::keys::{HostKey, RegionKey, ServiceKey, WorkspaceKey};
 use crate::core::view::View;
 use crate::util::hash::{hash_bytes, hash_parts};
@@ -30,6 +31,38 @@
     pub successor: Option<HostKey>,
 }
 
+/// The home and the successor of a key by their identities.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Pair {
+    /// The host that runs the key.
+    pub home: HostId,
+    /// The host that may take over; `None` if the service stands in one availability zone only.
+    pub successor: Option<HostId>,
+}
+
+impl Pair {
+    /// Returns the pair in which a host plays a part.
+    pub fn of(host: HostId, role: Role) -> Self {
+        match role {
+            Role::Home { successor } => Self { home: host, successor },
+            Role::Successor { home } => Self { home, successor: Some(host) },
+        }
+    }
+
+    /// Returns the part that a host plays in the pair.
+    pub fn role(self, host: HostId) -> Option<Role> {
+        if self.home == host {
+            return Some(Role::Home { successor: self.successor });
+        }
+        (self.successor == Some(host)).then_some(Role::Successor { home: self.home })
+    }
+
+    /// Returns the other host of the pair.
+    pub fn partner(self, host: HostId) -> Option<HostId> {
+        if self.home == host { self.successor } else { Some(self.home) }
+    }
+}
+
 /// Returns the home and the successor of a key, or `None` if the service has no host in the
 /// workspace's home region.
 ///
@@ -46,22 +79,35 @@
 
 /// Returns the home and the successor of a key among a service's hosts in one region.
 pub fn homes_in(view: &View, region: RegionKey, service: ServiceKey, key: KeyId) -> Option<Homes> {
-    let mut order: Vec<(u64, HostKey)> = view
-        .services
-        .get(service)?
-        .hosts
-        .iter()
-        .filter(|h| view.zones[view.hosts[**h].zone].region == region)
-        .map(|h| (score(view, *h, key), *h))
-        .collect();
-    order.sort_unstable_by(|a, b| b.cmp(a));
-    let (_, home) = *order.first()?;
-    let zone = view.hosts[home].zone;
-    let successor = order.iter().map(|(_, h)| *h).find(|h| view.hosts[*h].zone != zone);
+    let hosts = view.services.get(service)?.hosts.iter();
+    let hosts = hosts.filter(|h| view.zones[view.hosts[**h].zone].region == region);
+    let ranked = hosts.map(|h| (view.hosts[*h].name.as_str(), view.hosts[*h].zone, *h));
+    let (home, successor) = choose(ranked, key)?;
     Some(Homes { home, successor })
 }
 
-fn score(view: &View, host: HostKey, key: KeyId) -> u64 {
-    let name = view.hosts[host].name.as_str();
+impl Declared {
+    /// Returns the home and the successor of a key among the declared hosts.
+    pub fn pair(&self, key: KeyId) -> Option<Pair> {
+        let hosts = self.hosts.iter();
+        let ranked = hosts.map(|h| (h.name.as_str(), h.zone.as_str(), HostId::of(&h.name)));
+        let (home, successor) = choose(ranked, key)?;
+        Some(Pair { home, successor })
+    }
+}
+
+/// Ranks hosts, each with its name and availability zone, and picks home and successor.
+fn choose<'a, Z: Eq, H: Copy + Ord>(
+    hosts: impl Iterator<Item = (&'a str, Z, H)>,
+    key: KeyId,
+) -> Option<(H, Option<H>)> {
+    let mut order: Vec<(u64, H, Z)> = hosts.map(|(n, z, h)| (score(n, key), h, z)).collect();
+    order.sort_unstable_by_key(|(score, host, _)| std::cmp::Reverse((*score, *host)));
+    let (_, home, zone) = order.first()?;
+    let successor = order.iter().find(|(_, _, z)| z != zone).map(|(_, h, _)| *h);
+    Some((*home, successor))
+}
+
+fn score(name: &str, key: KeyId) -> u64 {
     hash_parts(&[name.as_bytes(), &key.digest().to_le_bytes()])
 }
--- a/src/limpetmux/core/once/mod.rs
+++ b/src/limpetmux/core/once/mod.rs
@@ -6,6 +6,7 @@
 //! ways that were weighed and the exploration that checks it are in
 //! `docs/design/at-most-once.md`.
 
+mod declared;
 mod guard;
 mod homes;
 mod key;
@@ -17,8 +18,9 @@
 mod seat;
 mod table;
 
+pub use declared::{Declared, DeclaredHost};
 pub use guard::{Guard, Guards};
-pub use homes::{Homes, HostId, homes, homes_in};
+pub use homes::{Homes, HostId, Pair, homes, homes_in};
 pub use key::{KeyId, KeyTime};
 pub use node::{Action, Begin, Known, Node, Time, Work};
 pub use record::{Incarnation, Record, RecordError};
--- a/src/limpetmux/core/once/moves.rs
+++ b/src/limpetmux/core/once/moves.rs
@@ -41,6 +41,10 @@
         if !self.read && self.guards.on(Guard::ReadBeforePromise) {
             return Err(NoPromise::NotRead);
         }
+        let disagrees = self.declared.is_sending() || !self.agrees_with(home);
+        if disagrees && self.guards.on(Guard::AgreedPromise) {
+            return Err(NoPromise::OtherHosts);
+        }
         let end = now + self.rules.promise + self.rules.slack;
         let fresh = self.guards.on(Guard::FreshHandover);
         let behind = self.guards.on(Guard::HomeRead);
--- a/src/limpetmux/core/once/node.rs
+++ b/src/limpetmux/core/once/node.rs
@@ -1,5 +1,6 @@
 //! One host's part in the protocol: requests in, decisions out.
 
+use super::declared::Declarations;
 use super::seat::Seat;
 use super::table::{Entry, State};
 use super::{
@@ -105,6 +106,8 @@
     /// Tables of successors that are about to return keys.
     pub(super) returns: BTreeMap<HostId, Handover>,
     pub(super) seats: BTreeMap<HostId, Seat>,
+    /// The hosts that hosts declared.
+    pub(super) declared: Declarations,
     pub(super) rules: Rules,
     pub(super) guards: Guards,
 }
@@ -141,6 +144,7 @@
             whole_again: BTreeSet::new(),
             returns: BTreeMap::new(),
             seats: BTreeMap::new(),
+            declared: Declarations::default(),
         }
     }
 
@@ -261,11 +265,13 @@
     /// Drops rows whose time has passed.
     pub fn sweep(&mut self, wall: KeyTime) {
         self.table.sweep(wall);
+        self.sweep_declared(wall);
     }
 
     /// Moves the origin of the monotonic clock, so that an exploration can compare states.
     pub fn rebase(&mut self, by: Duration) {
         let live = |m: &Moment| *m > Moment::ZERO;
+        self.declared.rebase(by);
         self.quiet = self.quiet.map(|m| m - by).filter(live);
         for belief in self.beliefs.values_mut() {
             *belief = *belief - by;
@@ -319,6 +325,9 @@
     /// Checks that a key without a row has certainly not run before.
     fn vouch(&self, key: KeyId, role: Role, time: Time) -> Result<(), Refusal> {
         let not_home = Refusal::unknown(RefusalCode::NotHome);
+        if self.is_declaring_away(key, role) || self.is_contested(key, role, time.wall) {
+            return Err(not_home);
+        }
         let (floor, guard) = match role {
             Role::Home { successor } => {
                 if successor.is_some_and(|s| self.gave_up(s)) {
@@ -338,7 +347,11 @@
             None => self.vouches_untimed(role) || time.wall > floor + window,
         };
         let kept = key.created().is_none_or(|t| time.wall <= t + window);
-        if newer && kept { Ok(()) } else { Err(Refusal::unknown(RefusalCode::Unvouched)) }
+        if newer && kept && !self.is_older_than_move(key, role, time.wall) {
+            Ok(())
+        } else {
+            Err(Refusal::unknown(RefusalCode::Unvouched))
+        }
     }
 
     /// Returns whether no other process can have run a key without a time.
--- a/src/limpetmux/core/once/observe.rs
+++ b/src/limpetmux/core/once/observe.rs
@@ -27,13 +27,20 @@
                 self.observe_return(*home, *by, *incarnation, time);
                 Vec::new()
             }
+            Record::Declared { host, incarnation, declared } => {
+                self.observe_declared(*host, *incarnation, declared, time);
+                Vec::new()
+            }
         }
     }
 
     /// Notes whether another process can have run this host's keys before.
     fn note_others(&mut self, record: &Record) {
         match record {
-            Record::Claims { home, incarnation, .. } if *home == self.id => {
+            Record::Claims { home: host, incarnation, .. }
+            | Record::Declared { host, incarnation, .. }
+                if *host == self.id =>
+            {
                 if *incarnation == self.incarnation {
                     self.first |= self.whole && !self.others;
                 } else {
@@ -41,7 +48,7 @@
                 }
             }
             Record::Takeover { home, .. } => self.others |= *home == self.id,
-            Record::Claims { .. } | Record::Return { .. } => {}
+            Record::Claims { .. } | Record::Return { .. } | Record::Declared { .. } => {}
         }
     }
 
@@ -50,12 +57,14 @@
             return self.remember(key, time);
         }
         let order = self.guards.on(Guard::LogOrder);
+        let role = self.table.entries.get(&key).map(|e| e.role)?;
+        let contested = self.is_contested(key, role, time.wall);
         let entry = self.table.entries.get_mut(&key)?;
         if entry.state != State::Claiming {
             return None;
         }
-        let Role::Home { successor } = entry.role else { return None };
-        if order && successor.is_some_and(|s| self.lost.contains_key(&s)) {
+        let Role::Home { successor } = role else { return None };
+        if contested || order && successor.is_some_and(|s| self.lost.contains_key(&s)) {
             self.table.entries.remove(&key);
             return Some(Action::Refuse(key, Refusal::unknown(RefusalCode::NotHome)));
         }
@@ -91,6 +100,7 @@
     }
 
     fn observe_takeover(&mut self, home: HostId, by: HostId, process: Incarnation, time: Time) {
+        self.note_hold(home, by, process, time.wall);
         if home == self.id {
             self.lost.insert(by, process);
             self.beliefs.remove(&by);
@@ -127,6 +137,7 @@
     }
 
     fn observe_return(&mut self, home: HostId, by: HostId, process: Incarnation, time: Time) {
+        self.end_hold(home, by, process);
         if home == self.id && self.lost.get(&by) == Some(&process) {
             self.regain(by, time.wall);
         }
--- a/src/limpetmux/core/once/record.rs
+++ b/src/limpetmux/core/once/record.rs
@@ -1,8 +1,9 @@
 //! Records of the claims stream.
 
-use super::{HostId, KeyId, KeyTime};
+use super::{Declared, HostId, KeyId, KeyTime};
 use serde::{Deserialize, Serialize};
 use serde_with::{base64::Base64, serde_as};
+use std::sync::Arc;
 
 /// Identifies one run of a host's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -39,6 +40,15 @@
         /// The process that had taken over.
         incarnation: Incarnation,
     },
+    /// A host chooses homes among these hosts from here on; void behind one of a later revision.
+    Declared {
+        /// The host that declares.
+        host: HostId,
+        /// Its process.
+        incarnation: Incarnation,
+        /// The hosts.
+        declared: Arc<Declared>,
+    },
 }
 
 /// A record cannot be read or written.
@@ -65,6 +75,8 @@
     Takeover(HostId, HostId, Incarnation),
     #[serde(rename = "r1")]
     Return(HostId, HostId, Incarnation),
+    #[serde(rename = "d1")]
+    Declared(HostId, Incarnation, Declared),
 }
 
 /// Bytes of one packed key: a 16-byte digest and a 6-byte time in milliseconds.
@@ -83,6 +95,9 @@
             }
             Self::Takeover { home, by, incarnation } => Stored::Takeover(*home, *by, *incarnation),
             Self::Return { home, by, incarnation } => Stored::Return(*home, *by, *incarnation),
+            Self::Declared { host, incarnation, declared } => {
+                Stored::Declared(*host, *incarnation, declared.as_ref().clone())
+            }
         };
         serde_json::to_vec(&stored).map_err(RecordError::Encode)
     }
@@ -98,6 +113,9 @@
             }
             Stored::Takeover(home, by, incarnation) => Ok(Self::Takeover { home, by, incarnation }),
             Stored::Return(home, by, incarnation) => Ok(Self::Return { home, by, incarnation }),
+            Stored::Declared(host, incarnation, declared) => {
+                Ok(Self::Declared { host, incarnation, declared: Arc::new(declared) })
+            }
         }
     }
 }
--- a/src/limpetmux/core/once/seat.rs
+++ b/src/limpetmux/core/once/seat.rs
@@ -22,6 +22,9 @@
     /// Another process of the home holds a promise, or a later one was heard of.
     #[error("another process of the home is heard of")]
     OtherProcess,
+    /// The successor and the home have declared different hosts.
+    #[error("the successor and the home have declared different hosts")]
+    OtherHosts,
     /// The successor restarted and has not read the log since.
     #[error("the successor has not read the log since its start")]
     NotRead,
--- a/src/limpetmux/sidecar/once/mod.rs
+++ b/src/limpetmux/sidecar/once/mod.rs
@@ -19,10 +19,9 @@
 use crate::adapters::log::LogClient;
 use crate::claims::Pace;
 use crate::core::config::Name;
-use crate::core::keys::HostKey;
 use crate::core::once::{
     Action, Answer, Begin, Guards, HostId, Incarnation, KeyId, KeyTime, Known, Node, Outcome, Role,
-    Rules, Time, Work, homes,
+    Rules, Time, Work,
 };
 use crate::core::time::Moment;
 use crate::core::verdict::{Refusal, RefusalCode};
@@ -206,17 +205,14 @@
         !serving || self.draining.load(Ordering::Acquire)
     }
 
-    /// Returns the part that this host plays for a key.
+    /// Returns the part that this host plays for a key, by the hosts that it has declared.
     fn role(&self, naming: Naming<'_>) -> Option<Role> {
         let view = self.view.load();
-        let host = view.host(self.host.as_str())?;
         let workspace = view.workspace(naming.workspace)?;
-        let homes = homes(&view, workspace, view.hosts[host].service, naming.id())?;
-        let id = |h: HostKey| HostId::of(view.hosts[h].name.as_str());
-        if homes.home == host {
-            return Some(Role::Home { successor: homes.successor.map(id) });
-        }
-        (homes.successor == Some(host)).then(|| Role::Successor { home: id(homes.home) })
+        let host = view.host(self.host.as_str())?;
+        let region = view.zones[view.hosts[host].zone].region;
+        let is_here = view.workspaces[workspace].region == region;
+        self.lock().node.role(naming.id()).filter(|_| is_here)
     }
 
     /// Tries to decide; `owner` tells whether this request holds the key's claim.
--- a/src/limpetmux/sidecar/once/moves.rs
+++ b/src/limpetmux/sidecar/once/moves.rs
@@ -25,6 +25,7 @@
         if !gate.lock().node.is_reachable() {
             continue;
         }
+        gate.due.notify_one();
         gate.follow_held(&log).await;
         if gate.is_away() {
             gate.hand_over_all().await;
--- a/src/limpetmux/sidecar/once/service.rs
+++ b/src/limpetmux/sidecar/once/service.rs
@@ -45,8 +45,9 @@
         request: Request<once::ForwardClaimsRequest>,
     ) -> Result<Response<once::ForwardClaimsReply>, Status> {
         let record = request.into_inner().record;
-        if !matches!(Record::decode(&record), Ok(Record::Claims { .. })) {
-            return Err(Status::invalid_argument("only claims are forwarded"));
+        let decoded = Record::decode(&record);
+        if !matches!(decoded, Ok(Record::Claims { .. } | Record::Declared { .. })) {
+            return Err(Status::invalid_argument("only claims and declarations are forwarded"));
         }
         let appended = (self.log.append)(Stream::Claims, record).await.is_ok();
         Ok(Response::new(once::ForwardClaimsReply { appended }))
--- a/src/limpetmux/sidecar/once/tasks.rs
+++ b/src/limpetmux/sidecar/once/tasks.rs
@@ -3,7 +3,7 @@
 use super::{OnceGate, convert, moves};
 use crate::adapters::log::{LogClient, LogError, LogPage, Stream};
 use crate::claims::{self, Pace, Source};
-use crate::core::once::{Action, HostId, KeyId, Record, homes_in};
+use crate::core::once::{Action, Declared, HostId, KeyId, Node, Record, homes_in};
 use crate::core::revision::Offset;
 use crate::event;
 use crate::util::clock;
@@ -97,7 +97,17 @@
     pub(super) fn is_needed(&self) -> bool {
         let view = self.view.load();
         let service = view.host(self.host.as_str()).map(|h| view.hosts[h].service);
-        service.is_some_and(|s| !view.services[s].spec.idempotent)
+        let is_declared = || self.lock().node.own().is_some_and(|d| !d.hosts.is_empty());
+        service.is_some_and(|s| !view.services[s].spec.idempotent) || is_declared()
+    }
+
+    /// Returns the hosts to declare next, or `None` if the view never declared this one.
+    fn to_declare(&self, node: &Node) -> Option<Arc<Declared>> {
+        let view = self.view.load();
+        match view.host(self.host.as_str()) {
+            Some(host) => Some(Arc::new(Declared::of(&view, host))),
+            None => node.own().map(|own| Arc::new(own.without_hosts(view.revision))),
+        }
     }
 
     /// Takes the keys that are due, the process's first record even without any.
@@ -107,7 +117,11 @@
         }
         let mut inner = self.lock();
         let first = !std::mem::replace(&mut inner.announced, true);
-        let record = inner.node.claims(most).or_else(|| first.then(|| inner.node.hello()));
+        let hosts = self.to_declare(&inner.node);
+        let node = &mut inner.node;
+        // Claims go first, so that no key of a pair is claimed behind the pair's end.
+        let record = node.claims(most).or_else(|| first.then(|| node.hello()));
+        let record = record.or_else(|| node.declare(&hosts?, clock::now()));
         inner.appending = record.is_some();
         record
     }
@@ -142,9 +156,7 @@
         if from == Offset::default() && page.first == Offset::default() {
             inner.node.read_from_start();
         }
-        if !inner.announced {
-            self.due.notify_one();
-        }
+        self.due.notify_one();
         for record in &page.records {
             next = record.offset.next();
             match Record::decode(&record.data) {
--- a/tests/testsuite/once.rs
+++ b/tests/testsuite/once.rs
@@ -3,8 +3,8 @@
 use limpetmux::adapters::log::Stream;
 use limpetmux::claims::{self, Pace, Source};
 use limpetmux::core::once::{
-    Action, Answer, Begin, Guards, HostId, Incarnation, KeyId, KeyTime, Known, Node, Outcome,
-    Record, Role, Rules, Time, Work, homes,
+    Action, Answer, Begin, Declared, DeclaredHost, Guards, HostId, Incarnation, KeyId, KeyTime,
+    Known, Node, Outcome, Record, Role, Rules, Time, Work, homes,
 };
 use limpetmux::core::revision::{Offset, Revision};
 use limpetmux::core::time::Moment;
@@ -180,6 +180,35 @@
     assert!(matches!(begin, Begin::Refuse(r) if r.execution == Execution::Unknown));
 }
 
+#[test]
+fn declaration_behind_one_of_a_later_revision_is_void() {
+    let host = |name: &str| DeclaredHost { name: name.into(), zone: name.into() };
+    let declared = |revision, names: &[&str]| {
+        let hosts = names.iter().map(|n| host(n)).collect();
+        Arc::new(Declared { group: 1, revision: Revision(revision), hosts })
+    };
+    let (older, newer) = (declared(1, &["a", "b"]), declared(2, &["a", "b", "c"]));
+    let (key, id) = (key(1, 10_000), HostId::of("a"));
+    let role_after = |records: &[(u64, &Arc<Declared>)]| {
+        let mut node = Node::new(id, Incarnation(1), Rules::default(), Guards::default(), at(0));
+        for (offset, (process, declared)) in (0..).zip(records) {
+            let (incarnation, declared) = (Incarnation(*process), Arc::clone(declared));
+            let record = Record::Declared { host: id, incarnation, declared };
+            node.observe(Offset(offset), &record, at(0));
+        }
+        node.role(key)
+    };
+
+    let (first, restarted, regressed) = (
+        role_after(&[(1, &older)]),
+        role_after(&[(0, &older)]),
+        role_after(&[(0, &newer), (1, &older)]),
+    );
+
+    assert_eq!(first, older.pair(key).unwrap().role(id));
+    assert_eq!((restarted, regressed), (None, None));
+}
+
 #[test]
 fn table_is_bounded_and_rows_expire_after_the_window() {
     let rules = Rules { keys: 2, ..Rules::default() };
--- a/tests/testsuite/once_explore.rs
+++ b/tests/testsuite/once_explore.rs
@@ -5,7 +5,9 @@
 //! what each guard is for by switching it off.
 
 use limpetmux::core::once::{Guard, Guards};
-use limpetmux_test_support::once::{Exploration, Limits, explore};
+use limpetmux_test_support::once::Exploration;
+use limpetmux_test_support::once::change::{self, Change, Start};
+use limpetmux_test_support::once::pair::{Limits, explore};
 
 #[test]
 fn runs_no_key_twice_over_home_restarts() {
@@ -54,6 +56,57 @@
     assert!(path.is_some(), "no double run without {guard} in {states} states");
 }
 
+#[test]
+fn runs_no_key_without_a_time_twice_over_home_restarts() {
+    assert_safe(Limits::UNTIMED_HOME);
+}
+
+#[test]
+fn runs_no_key_without_a_time_twice_over_successor_restarts() {
+    assert_safe(Limits::UNTIMED_SUCCESSOR);
+}
+
+#[test]
+fn runs_no_key_without_a_time_twice_over_a_handover() {
+    assert_safe(Limits::UNTIMED_HANDOVER);
+}
+
+#[test]
+fn runs_no_key_without_a_time_twice_over_a_return() {
+    assert_safe(Limits::UNTIMED_RETURN);
+}
+
+fn assert_change_safe(change: Change, untimed: bool) {
+    let limits = change::Limits::STALE;
+
+    let Exploration { states, path } =
+        change::explore(Guards::default(), change, &Start::USUAL, limits, untimed);
+
+    println!("{change:?}, all guards: {states} states");
+    assert_eq!(path, None);
+    assert!(states > MIN_STATES, "{states} states");
+}
+
+#[test]
+fn runs_no_key_twice_when_a_home_comes() {
+    assert_change_safe(Change::NewHome, false);
+}
+
+#[test]
+fn runs_no_key_without_a_time_twice_when_a_home_becomes_the_successor() {
+    assert_change_safe(Change::HomeBecomesSuccessor, true);
+}
+
+#[test]
+fn runs_no_key_without_a_time_twice_when_a_successor_comes() {
+    assert_change_safe(Change::NewSuccessor, true);
+}
+
+#[test]
+fn runs_no_key_without_a_time_twice_when_a_home_is_removed() {
+    assert_change_safe(Change::HomeRemoved, true);
+}
+
 macro_rules! needs {
     ($($name:ident: $guard:ident, $limits:ident;)*) => {
         $(
@@ -77,3 +130,33 @@
     needs_fresh_handover: FreshHandover, HANDOVER;
     needs_stop_first: StopFirst, HANDOVER;
 }
+
+fn assert_change_needs(guard: Guard, change: Change, starts: &[Start], limits: change::Limits) {
+    let guards = Guards::without(guard);
+
+    let Exploration { states, path } = change::explore(guards, change, starts, limits, false);
+
+    println!("without {guard}: {states} states, {}", path.as_deref().unwrap_or("no double run"));
+    assert!(path.is_some(), "no double run without {guard} in {states} states");
+}
+
+macro_rules! change_needs {
+    ($($name:ident: $guard:ident, $change:ident, $start:ident, $limits:ident;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let (starts, limits) = (Start::$start, change::Limits::$limits);
+                assert_change_needs(Guard::$guard, Change::$change, &starts, limits);
+            }
+        )*
+    };
+}
+
+change_needs! {
+    change_needs_former_pair: FormerPair, NewHome, USUAL, STALE;
+    change_needs_partner_left: PartnerLeft, NewHome, USUAL, STALE;
+    change_needs_older_than_move: OlderThanMove, HomeRemoved, USUAL, STALE;
+    change_needs_agreed_promise: AgreedPromise, NewHome, SUCCESSOR_DECLARED, STALE;
+    change_needs_stop_to_declare: StopToDeclare, NewHome, HOME_DECLARES, STALE;
+    change_needs_declare_first: DeclareFirst, NewHome, HOME_DECLARED, RESTART_AND_CUT;
+}
--- a/tests/testsuite/once_path.rs
+++ b/tests/testsuite/once_path.rs
@@ -235,6 +235,20 @@
     assert_eq!([fleet.runs(&key), fleet.runs(&home_ran)], [1, 1]);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn removed_home_leaves_newer_keys_to_the_remaining_host() {
+    let mut fleet = OnceFleet::start().await;
+    let (old, _) = send_until_answered(&fleet, 0).await;
+    fleet.undeclare(0);
+
+    let (key, _) = send_until_answered(&fleet, 1).await;
+
+    assert_eq!(fleet.hosts[1].plain.keys().get(&key), Some(&1));
+    let again = send(&fleet, 1, &old).await;
+    assert_eq!(again.body["execution"], "unknown", "{:?}", again.body);
+    assert_eq!([fleet.runs(&old), fleet.runs(&key)], [1, 1]);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn outcome_look_up_returns_the_whole_answer() {
     let fleet = OnceFleet::start().await;
