Keep requests through hosts that start, and answers through open uploads

Cause: three faults seen as tests that failed in some runs. - restarts::rolling_restart: a connection that ended before its answer (a host that has just left still had it in its accept queue) sent the entry to the look-up. The successor, which had taken over and vouched for the key, said "absent"; only "not_run" counted, so the request ended as unknown. The same happened if the host's next process answered first. - processes::request_passes: every host of a stage refused as unconfigured right after its start; each was then excluded for good, and the request ended with 18 of its 20 seconds left. - requests::bad_input: the server closed the connection under a body it had refused, so the caller got a reset in place of its 413.

Change: a lost answer is looked up on both hosts in up to three rounds and "absent" from a host that vouches counts as not run; after a loss no final refusal says "not run" any more. A stage whose hosts all gave the attempt back unrun asks them again for up to 2 s, never for more than half of its time. The rest of a refused body is read, up to 16 MiB and 5 s.

--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -22,12 +22,17 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::net::TcpListener;
 
 /// The header that carries a caller's idempotency key.
 const KEY_HEADER: &str = "idempotency-key";
 /// The most bytes of a request's headers.
 const HEADER_BYTES: usize = 16 * 1024;
+/// The most bytes that are read of a body whose request is answered already.
+const DISCARD_BYTES: u64 = 16 * 1024 * 1024;
+/// The longest time for which such a body is read.
+const DISCARD_TIME: Duration = Duration::from_secs(5);
 /// The time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
 /// When a caller should come back to an entry that is full.
@@ -101,10 +106,12 @@
 ) -> Response {
     let inflight = InFlight::begin(entry);
     if let Some(code) = entry.closed() {
+        discard(body.into_async_read());
         let refusal = Refusal::not_run(code).retry_in(NOT_READY_RETRY);
         return refuse(entry, refusal, None);
     }
     if entry.inflight() > entry.limits.inflight {
+        discard(body.into_async_read());
         let refusal = Refusal::not_run(RefusalCode::Overloaded).retry_in(FULL_RETRY);
         return refuse(entry, refusal, None);
     }
@@ -184,19 +191,38 @@
 async fn read_body(entry: &Entry, request: &Request, body: Body) -> Result<Bytes, OrderError> {
     let headers = request.headers().iter();
     if headers.map(|(n, v)| n.as_str().len() + v.len()).sum::<usize>() > HEADER_BYTES {
+        discard(body.into_async_read());
         return Err(OrderError::Headers { limit: HEADER_BYTES });
     }
     let limit = entry.limits.body;
     let stated = request.headers().get(header::CONTENT_LENGTH);
     let stated = stated.and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<usize>().ok());
+    let mut reader = body.into_async_read();
     if stated.is_some_and(|length| length > limit) {
+        discard(reader);
         return Err(OrderError::Oversize { limit });
     }
-    match body.into_bytes_limit(limit).await {
-        Ok(bytes) => Ok(bytes),
-        Err(poem::error::ReadBodyError::PayloadTooLarge) => Err(OrderError::Oversize { limit }),
-        Err(_) => Err(OrderError::Unread),
+    let mut bytes = Vec::with_capacity(stated.unwrap_or_default());
+    let mut part = (&mut reader).take(limit as u64 + 1);
+    part.read_to_end(&mut bytes).await.map_err(|_| OrderError::Unread)?;
+    if bytes.len() > limit {
+        discard(reader);
+        return Err(OrderError::Oversize { limit });
     }
+    Ok(bytes.into())
+}
+
+/// Reads and drops the rest of a body whose request is answered already.
+///
+/// A server that closes a connection on which the caller still sends resets it, and the caller then
+/// loses the answer that says what was wrong.
+fn discard(reader: impl AsyncRead + Send + Unpin + 'static) {
+    tokio::spawn(async move {
+        let mut rest = reader.take(DISCARD_BYTES);
+        let mut sink = tokio::io::sink();
+        // A caller that fails while it sends has gone.
+        let _ = tokio::time::timeout(DISCARD_TIME, tokio::io::copy(&mut rest, &mut sink)).await;
+    });
 }
 
 #[derive(Serialize)]
--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -23,6 +23,8 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 /// When it is worth asking again while the key moves between its hosts.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// How often both hosts are asked for a lost answer while a move of the key may be under way.
+const LOOK_UP_ROUNDS: u32 = 3;
 /// The time left for a look-up to answer before the stage's deadline.
 const LOOK_UP_SLACK: Duration = Duration::from_millis(50);
 
@@ -58,7 +60,7 @@
 async fn ask_hosts(scene: &Scene<'_>) -> Result<StageRun, Refusal> {
     let hosts = hosts_of(scene)?;
     let mut last = Refusal::not_run(RefusalCode::Unavailable);
-    let mut moving = false;
+    let (mut moving, mut lost) = (false, false);
     for (attempt, host) in (0..MAX_ATTEMPTS).zip(hosts.iter().cycle()) {
         match ask(scene, attempt, *host).await {
             Ok(run) => return Ok(run),
@@ -69,20 +71,32 @@
             Err(error) => match recover(scene, attempt, *host, error.refusal()).await {
                 Recovered::Answered(run) => return Ok(run),
                 Recovered::Unknown(refusal) => return Err(refusal),
-                Recovered::NotRun => last = Refusal::not_run(RefusalCode::Unavailable),
+                Recovered::NotRun => {
+                    last = Refusal::not_run(RefusalCode::Unavailable);
+                    lost = true;
+                }
             },
         }
         // A host that leaves has given this attempt back; its last table will tell the other host.
         moving |= is_leaving(last);
         let awaited = moving && last.code == RefusalCode::Unvouched;
         if !is_elsewhere(last) && !awaited {
-            return Err(last);
+            return Err(certain(last, lost));
         }
         if usize::try_from(attempt).is_ok_and(|n| (n + 1).is_multiple_of(hosts.len())) {
             tokio::time::sleep(PAUSE).await;
         }
     }
-    Err(last.retry_in(RETRY_AFTER))
+    Err(certain(last, lost).retry_in(RETRY_AFTER))
+}
+
+/// Returns the refusal that holds when an earlier attempt's answer was lost: the message of that
+/// attempt may still be on its way, so nothing proves any more that the stage will not run.
+fn certain(refusal: Refusal, lost: bool) -> Refusal {
+    match lost {
+        true => Refusal { execution: Execution::Unknown, ..refusal },
+        false => refusal,
+    }
 }
 
 /// Runs one attempt on one of the key's hosts.
@@ -144,27 +158,37 @@
     Unknown(Refusal),
 }
 
-/// Asks for the outcome of a run whose answer was lost: the host itself, or, if that is gone, the
-/// other host, which vouches for the key once it has taken over.
+/// Asks for the outcome of a run whose answer was lost: the host itself, or, if that is gone or has
+/// been replaced, the other host, which vouches for the key once it has taken over.
 async fn recover(scene: &Scene<'_>, attempt: u32, host: HostKey, lost: Refusal) -> Recovered {
     let unknown = Recovered::Unknown(Refusal::unknown(lost.code).retry_in(RETRY_AFTER));
     let Ok(mut hosts) = hosts_of(scene) else { return unknown };
     hosts.sort_by_key(|h| *h != host);
-    let wait = clock::now().until(scene.deadline).saturating_sub(LOOK_UP_SLACK);
-    for host in hosts {
-        let link = &scene.run.fleet.links[host];
-        let Some(reply) = look_up(link, look_up_request(scene, wait)).await else { continue };
-        if let Some(answer) = reply.answer {
-            let pieces = vec![answer.payload.into()];
-            let done = stage::Done { cost: answer.cost, ..stage::Done::default() };
-            let run = StageRun { pieces, host, attempts: attempt + 1, done };
-            return Recovered::Answered(run);
+    for round in 0..LOOK_UP_ROUNDS {
+        if round > 0 {
+            tokio::time::sleep(PAUSE).await;
+        }
+        for host in &hosts {
+            if let Some(known) = look_up_lost(scene, attempt, *host).await {
+                return known;
+            }
         }
-        return if reply.state == "not_run" { Recovered::NotRun } else { unknown };
     }
     unknown
 }
 
+/// Looks up a lost run on one host; a host that vouches for a key without a row says "not run".
+async fn look_up_lost(scene: &Scene<'_>, attempt: u32, host: HostKey) -> Option<Recovered> {
+    let wait = clock::now().until(scene.deadline).saturating_sub(LOOK_UP_SLACK);
+    let reply = look_up(&scene.run.fleet.links[host], look_up_request(scene, wait)).await?;
+    if let Some(answer) = reply.answer {
+        let pieces = vec![answer.payload.into()];
+        let done = stage::Done { cost: answer.cost, ..stage::Done::default() };
+        return Some(Recovered::Answered(StageRun { pieces, host, attempts: attempt + 1, done }));
+    }
+    matches!(reply.state.as_str(), "not_run" | "absent").then_some(Recovered::NotRun)
+}
+
 fn look_up_request(scene: &Scene<'_>, wait: Duration) -> once::LookUpRequest {
     let (view, order) = (&scene.run.fleet.view, scene.run.order);
     once::LookUpRequest {
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -26,8 +26,16 @@
 use std::pin::pin;
 use std::time::Duration;
 
-/// The most attempts at one stage, hedges included.
+/// The most attempts at one stage, hedges included, without those that hosts gave back unrun.
 const MAX_ATTEMPTS: u32 = 4;
+/// How long a stage waits at most while every host that it asked starts or is being replaced.
+const OUTAGE_LIMIT: Duration = Duration::from_secs(2);
+/// The share of a stage's time that it spends on that wait at most.
+const OUTAGE_SHARE: u32 = 2;
+/// The pause after the first round over such hosts; it doubles with each round.
+const OUTAGE_PAUSE: Duration = Duration::from_millis(50);
+/// The most attempts at one stage that hosts may give back unrun.
+const MAX_GIVEN_BACK: u32 = 24;
 /// When it is worth asking again if no host is available.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -112,13 +120,23 @@
     let service = &scene.run.fleet.view.services[scene.row.service].name;
     scene.run.entry.policy.fresh(scene.flow(), service);
     let (mut pieces, mut tried) = (Vec::new(), Vec::new());
-    let mut attempts = 0;
+    let (mut attempts, mut given_back) = (0, 0);
+    let mut pause = OUTAGE_PAUSE;
+    let patience = outage_end(clock::now(), scene.deadline);
     let mut last = Refusal::not_run(RefusalCode::Unavailable).retry_in(RETRY_AFTER);
-    while attempts < MAX_ATTEMPTS {
+    while attempts - given_back < MAX_ATTEMPTS && given_back < MAX_GIVEN_BACK {
+        let Some(picked) = scene.pick(&tried) else {
+            if tried.is_empty() || !is_handover(last) || clock::now() >= patience {
+                break;
+            }
+            tokio::time::sleep(pause).await;
+            pause *= 2;
+            tried.clear();
+            continue;
+        };
         if attempts > 0 && !is_handover(last) && !scene.may_retry() {
             break;
         }
-        let Some(picked) = scene.pick(&tried) else { break };
         tried.push(picked.host);
         let attempted = run_hedged(scene, &mut attempts, picked, &mut tried, &pieces).await;
         pieces.extend(attempted.pieces);
@@ -128,6 +146,7 @@
             }
             Err(refusal) => last = refusal,
         }
+        given_back += u32::from(is_handover(last));
         if !scene.is_resumable() {
             pieces.clear();
         }
@@ -138,6 +157,11 @@
     Err(last)
 }
 
+/// Returns until when a stage may wait for hosts that give every attempt back.
+fn outage_end(now: Moment, deadline: Moment) -> Moment {
+    now + OUTAGE_LIMIT.min(now.until(deadline) / OUTAGE_SHARE)
+}
+
 /// Returns whether a host that takes no work has given the attempt back.
 ///
 /// Such an attempt goes on elsewhere without a retry token: it has cost no backend server anything,
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -93,6 +93,19 @@
     local.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn caller_of_an_oversize_body_gets_its_answer_although_it_still_sends() {
+    let (local, caller) = start().await;
+    let huge = "x".repeat(12 << 20);
+
+    for _ in 0..8 {
+        let answer = caller.post("hotels", "voicemail", None, huge.clone()).await;
+
+        assert_eq!(problem(&answer), (413, "bad_request", "not_run"));
+    }
+    local.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn broken_stream_goes_on_without_losing_or_doubling_a_token() {
     let (local, caller) = start().await;
--- /dev/null
+++ b/tests/testsuite/starting.rs
@@ -0,0 +1,100 @@
+//! Requests that arrive while the hosts of a stage start.
+
+use limpetmux::adapters::backend::Backend;
+use limpetmux::core::config::{Config, PipelineSpec, StageSpec};
+use limpetmux::core::revision::Revision;
+use limpetmux::core::view::View;
+use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
+use limpetmux::kernel::Publisher;
+use limpetmux::node::serve_sidecar;
+use limpetmux::sidecar::{Sidecar, SidecarOptions};
+use limpetmux::util::metrics::Metrics;
+use limpetmux_standins::{BackendOptions, Pool, PoolKind};
+use limpetmux_test_support::config::{name, summary_config};
+use limpetmux_test_support::http::Caller;
+use serde_json::json;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+const WORKSPACE: &str = "exchange";
+
+/// Returns a configuration of two encoders and a pipeline of one stage.
+fn config() -> Config {
+    let mut config = summary_config();
+    let service = name("encode");
+    config.services.retain(|name, _| *name == service);
+    config.hosts.retain(|_, host| host.service == service);
+    let stage = StageSpec { name: service.clone(), service, tokens: 0 };
+    let spec = PipelineSpec { stages: vec![stage], deadline: Duration::from_secs(20) };
+    config.pipelines = [(name("embed"), spec)].into();
+    config.workspaces.values_mut().for_each(|w| w.pipelines = vec![name("embed")]);
+    config
+}
+
+/// The nodes of one deployment: the sidecars' configuration is published apart from the entry's.
+struct Nodes {
+    config: Config,
+    known_to_sidecars: Publisher<View>,
+    caller: Caller,
+}
+
+async fn start() -> Nodes {
+    let mut config = config();
+    let known_to_sidecars = Publisher::new(View::default());
+    for (host, spec) in &mut config.hosts {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        spec.sidecar = listener.local_addr().unwrap();
+        let pool = Pool::start(PoolKind::Encode, BackendOptions::default()).await.unwrap();
+        let sidecar = Sidecar::start(SidecarOptions {
+            host: host.clone(),
+            view: known_to_sidecars.reader(),
+            backend: Backend::http(reqwest::Client::new(), &pool.url()),
+            once: None,
+            metrics: Metrics::none(),
+        });
+        tokio::spawn(async move {
+            let _pool = pool;
+            serve_sidecar(sidecar, listener, std::future::pending()).await
+        });
+    }
+    let view = Publisher::new(View::compile(Revision(1), &config));
+    let entry = Entry::start(EntryOptions {
+        zone: config.zones.keys().next().unwrap().clone(),
+        ordinal: 0,
+        view: view.reader(),
+        members: Members(None),
+        limits: Limits::default(),
+        metrics: Metrics::none(),
+    })
+    .unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let caller = Caller::new(&limpetmux::entry::base_url(listener.local_addr().unwrap()));
+    tokio::spawn(async move {
+        let _view = view;
+        entry.serve(listener, std::future::pending(), Duration::ZERO).await
+    });
+    Nodes { config, known_to_sidecars, caller }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_waits_for_hosts_that_learn_their_configuration() {
+    let nodes = start().await;
+    let body = json!({ "input": "page the doctor" });
+
+    let (answer, ()) = tokio::join!(nodes.caller.run(WORKSPACE, "embed", &body), async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        nodes.known_to_sidecars.publish(View::compile(Revision(1), &nodes.config));
+    });
+
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hosts_that_stay_without_configuration_are_not_waited_for_to_the_deadline() {
+    let nodes = start().await;
+    let body = json!({ "input": "page the doctor", "deadline_ms": 300_000 });
+
+    let answer = nodes.caller.run(WORKSPACE, "embed", &body).await;
+
+    assert_eq!((answer.status, &answer.body["execution"]), (503, &json!("not_run")));
+}
