Read event streams by a library

Cause: a small event-stream reader of our own stood where libraries offer one. Change: eventsource-stream reads engines' completions, the local command's answer and the fixtures' streams; a streamed answer is bounded as a whole (16 MiB) in place of line by line. The fuzz test of the reader now checks the product's token reader: any cut of a mutated body reads alike.

--- a/crates/limpetmux-test-support/src/http.rs
+++ b/crates/limpetmux-test-support/src/http.rs
@@ -1,6 +1,7 @@
 //! A caller of the entry's HTTP interface.
 
-use limpetmux::util::sse::{SseEvent, SseEvents};
+use eventsource_stream::{Event, Eventsource};
+use futures::{FutureExt, StreamExt, stream};
 use reqwest::{Client, Response};
 use serde_json::Value;
 
@@ -120,14 +121,12 @@
     ///
     /// # Panics
     /// Panics if the entry cannot be reached or the stream breaks.
-    pub async fn stream(&self, workspace: &str, pipeline: &str, body: &Value) -> Vec<SseEvent> {
+    pub async fn stream(&self, workspace: &str, pipeline: &str, body: &Value) -> Vec<Event> {
         let answer = self.open(workspace, pipeline, body).await;
-        let mut events = SseEvents::default();
         match answer.bytes().await {
-            Ok(bytes) => events.push(&bytes),
+            Ok(bytes) => read_events(&bytes),
             Err(e) => panic!("{e}"),
         }
-        std::iter::from_fn(|| events.pop()).collect()
     }
 }
 
@@ -140,18 +139,25 @@
     Answer { status, kind, retry, body }
 }
 
+/// Reads the events of a whole body up to the first that is malformed.
+pub fn read_events(body: &[u8]) -> Vec<Event> {
+    let parts = stream::iter([Ok::<_, std::convert::Infallible>(body.to_vec())]);
+    let events = parts.eventsource().take_while(|e| std::future::ready(e.is_ok()));
+    events.filter_map(|e| std::future::ready(e.ok())).collect().now_or_never().unwrap_or_default()
+}
+
 /// Splits the events of a stream into the texts of its pieces and the closing event's data.
 ///
 /// # Panics
 /// Panics if the last event is not the only `done` event.
-pub fn split_events(events: &[SseEvent]) -> (Vec<String>, Value) {
+pub fn split_events(events: &[Event]) -> (Vec<String>, Value) {
     let (last, pieces) = match events.split_last() {
         Some(split) => split,
         None => panic!("the stream has no event"),
     };
-    assert_eq!(last.kind.as_ref(), b"done", "{events:?}");
-    assert!(pieces.iter().all(|e| e.kind.as_ref() == b"data"), "{events:?}");
-    let data = |e: &SseEvent| serde_json::from_slice::<Value>(&e.data).unwrap_or_default();
-    let text = |e: &SseEvent| data(e)["text"].as_str().unwrap_or_default().to_owned();
+    assert_eq!(last.event, "done", "{events:?}");
+    assert!(pieces.iter().all(|e| e.event == "data"), "{events:?}");
+    let data = |e: &Event| serde_json::from_str::<Value>(&e.data).unwrap_or_default();
+    let text = |e: &Event| data(e)["text"].as_str().unwrap_or_default().to_owned();
     (pieces.iter().map(text).collect(), data(last))
 }
--- a/crates/limpetmux-test-support/src/load.rs
+++ b/crates/limpetmux-test-support/src/load.rs
@@ -1,7 +1,6 @@
 //! Callers that keep asking and check every answer.
 
-use crate::http::split_events;
-use limpetmux::util::sse::SseEvents;
+use crate::http::{read_events, split_events};
 use limpetmux_standins::{PoolKind, engine, pool};
 use reqwest::Client;
 use serde_json::{Value, json};
@@ -215,10 +214,8 @@
 }
 
 fn streamed(text: &str) -> Option<Value> {
-    let mut events = SseEvents::default();
-    events.push(text.as_bytes());
-    let events: Vec<_> = std::iter::from_fn(|| events.pop()).collect();
-    if events.last()?.kind.as_ref() != b"done" {
+    let events = read_events(text.as_bytes());
+    if events.last()?.event != "done" {
         return None;
     }
     let (pieces, done) = split_events(&events);
--- a/src/bin/limpetmux/commands/local.rs
+++ b/src/bin/limpetmux/commands/local.rs
@@ -1,10 +1,10 @@
 //! `limpetmux local`
 
 use argh::FromArgs;
+use eventsource_stream::{Event, Eventsource};
 use futures::StreamExt;
 use limpetmux::node::deployment::{Deployment, Sample};
 use limpetmux::node::local::{Local, LocalOptions};
-use limpetmux::util::sse::{SseEvent, SseEvents};
 use miette::IntoDiagnostic;
 use serde::Deserialize;
 use std::io::Write;
@@ -113,34 +113,30 @@
         let body = answer.text().await.into_diagnostic()?;
         return Err(AnswerError::Refused { body }.into());
     }
-    let mut parts = answer.bytes_stream();
-    let mut events = SseEvents::default();
-    while let Some(part) = parts.next().await {
-        events.push(&part.into_diagnostic()?);
-        while let Some(event) = events.pop() {
-            if print_event(&event)? {
-                return Ok(());
-            }
+    let mut events = answer.bytes_stream().eventsource();
+    while let Some(event) = events.next().await {
+        if print_event(&event.into_diagnostic()?)? {
+            return Ok(());
         }
     }
     Err(AnswerError::Truncated.into())
 }
 
 /// Prints one event; returns whether it was the last one.
-fn print_event(event: &SseEvent) -> miette::Result<bool> {
-    match event.kind.as_ref() {
-        b"data" => {
-            let piece: Piece = serde_json::from_slice(&event.data).into_diagnostic()?;
+fn print_event(event: &Event) -> miette::Result<bool> {
+    match event.event.as_str() {
+        "data" => {
+            let piece: Piece = serde_json::from_str(&event.data).into_diagnostic()?;
             print!("{}", piece.text);
             std::io::stdout().flush().into_diagnostic()?;
             Ok(false)
         }
-        b"done" => {
-            print_done(&serde_json::from_slice(&event.data).into_diagnostic()?);
+        "done" => {
+            print_done(&serde_json::from_str(&event.data).into_diagnostic()?);
             Ok(true)
         }
         _ => {
-            let body = String::from_utf8_lossy(&event.data).into_owned();
+            let body = event.data.clone();
             Err(AnswerError::Refused { body }.into())
         }
     }
--- a/src/limpetmux/adapters/backend.rs
+++ b/src/limpetmux/adapters/backend.rs
@@ -91,6 +91,9 @@
     /// The answer does not follow the protocol.
     #[error("the backend server's answer cannot be read")]
     Malformed(#[source] serde_json::Error),
+    /// The answer is not a stream of events.
+    #[error("the backend server's answer is not a stream of events")]
+    NoEvents,
     /// A piece of the answer exceeds the limit.
     #[error("the backend server's answer exceeds {limit} bytes")]
     Oversize {
--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -3,9 +3,9 @@
 use super::backend::{Backend, BackendError, Chunk, ChunkStream, Job, LoadReport};
 use crate::core::config::{Fencing, StageKind};
 use crate::core::frames::AttemptKey;
-use crate::util::sse::SseEvents;
 use bytes::Bytes;
-use futures::{FutureExt, StreamExt, future::BoxFuture, stream, stream::BoxStream};
+use eventsource_stream::{Event, EventStreamError, Eventsource};
+use futures::{FutureExt, Stream, StreamExt, TryStreamExt, future::BoxFuture, stream};
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -13,8 +13,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The most bytes of one answer, or of one line of a streamed answer.
+/// The most bytes of one answer.
 const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
+/// The most bytes of one streamed answer, events included.
+const STREAM_LIMIT: usize = 16 * 1024 * 1024;
 /// The most time that a load report may take.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -139,12 +141,13 @@
     };
     let request = client.post(format!("{base}{}", path_of(job.kind)));
     let answer = send(request.json(&body)).await?;
-    Ok(tokens(answer.bytes_stream().boxed(), !job.prefix.is_empty()))
+    let body = answer.bytes_stream().map_err(BackendError::Lost);
+    Ok(tokens(body, !job.prefix.is_empty()))
 }
 
-struct Tokens {
-    body: BoxStream<'static, reqwest::Result<Bytes>>,
-    events: SseEvents,
+/// What has been read of a streamed completion.
+struct Tokens<S> {
+    events: S,
     ready: VecDeque<Chunk>,
     /// Whether the engine has stated why it ends.
     finished: bool,
@@ -154,14 +157,16 @@
 /// Turns the body of a streamed completion into one chunk per token.
 ///
 /// A resumed generation whose prefix was already whole has no token left and states no reason.
-fn tokens(body: BoxStream<'static, reqwest::Result<Bytes>>, is_resumed: bool) -> ChunkStream {
-    let state = Tokens {
-        body,
-        events: SseEvents::default(),
-        ready: VecDeque::new(),
-        finished: is_resumed,
-        ended: false,
-    };
+///
+/// # Errors
+/// The stream ends with [`BackendError`] if the body breaks off, is no event stream or exceeds the
+/// size limit.
+pub fn tokens(
+    body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
+    is_resumed: bool,
+) -> ChunkStream {
+    let events = Box::pin(limited(body).eventsource());
+    let state = Tokens { events, ready: VecDeque::new(), finished: is_resumed, ended: false };
     stream::unfold(state, |mut state| async move {
         let item = next_token(&mut state).await?;
         state.ended |= item.is_err();
@@ -170,7 +175,25 @@
     .boxed()
 }
 
-async fn next_token(state: &mut Tokens) -> Option<Result<Chunk, BackendError>> {
+/// Ends a body with an error once it exceeds the size of any answer.
+fn limited(
+    body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
+) -> impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static {
+    let mut size = 0;
+    body.map(move |part| {
+        let part = part?;
+        size += part.len();
+        if size > STREAM_LIMIT {
+            return Err(BackendError::Oversize { limit: STREAM_LIMIT });
+        }
+        Ok(part)
+    })
+}
+
+async fn next_token<S>(state: &mut Tokens<S>) -> Option<Result<Chunk, BackendError>>
+where
+    S: Stream<Item = Result<Event, EventStreamError<BackendError>>> + Unpin,
+{
     loop {
         if let Some(chunk) = state.ready.pop_front() {
             return Some(Ok(chunk));
@@ -178,30 +201,24 @@
         if state.ended {
             return None;
         }
-        match state.events.pop() {
-            Some(event) => {
-                if let Err(error) = read_event(state, &event.data) {
-                    return Some(Err(error));
-                }
-            }
-            None => match state.body.next().await {
-                Some(Ok(bytes)) => state.events.push(&bytes),
-                Some(Err(error)) => return Some(Err(BackendError::Lost(error))),
-                None => return Some(Err(BackendError::Truncated)),
-            },
-        }
-        if state.events.pending() > ANSWER_LIMIT {
-            return Some(Err(BackendError::Oversize { limit: ANSWER_LIMIT }));
+        let event = match state.events.next().await {
+            Some(Ok(event)) => event,
+            Some(Err(EventStreamError::Transport(error))) => return Some(Err(error)),
+            Some(Err(_)) => return Some(Err(BackendError::NoEvents)),
+            None => return Some(Err(BackendError::Truncated)),
+        };
+        if let Err(error) = read_event(state, &event.data) {
+            return Some(Err(error));
         }
     }
 }
 
-fn read_event(state: &mut Tokens, line: &[u8]) -> Result<(), BackendError> {
-    if line == b"[DONE]" {
+fn read_event<S>(state: &mut Tokens<S>, data: &str) -> Result<(), BackendError> {
+    if data == "[DONE]" {
         state.ended = true;
         return if state.finished { Ok(()) } else { Err(BackendError::Truncated) };
     }
-    let event: CompletionEvent = serde_json::from_slice(line).map_err(BackendError::Malformed)?;
+    let event: CompletionEvent = serde_json::from_str(data).map_err(BackendError::Malformed)?;
     for choice in event.choices {
         state.finished = choice.finish_reason.is_some();
         if !choice.text.is_empty() {
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -5,7 +5,7 @@
 //! `docs/PROTOCOLS.md`.
 
 pub mod backend;
-mod backend_http;
+pub mod backend_http;
 pub mod hosts;
 pub mod log;
 mod log_http;
--- a/src/limpetmux/util/mod.rs
+++ b/src/limpetmux/util/mod.rs
@@ -6,5 +6,4 @@
 pub mod jsonc;
 pub mod logging;
 pub mod metrics;
-pub mod sse;
 pub mod throttle;
--- a/tests/testsuite/fuzz.rs
+++ b/tests/testsuite/fuzz.rs
@@ -3,11 +3,13 @@
 //! Each property sees arbitrary bytes and valid inputs with a few bytes changed, from fixed seeds.
 
 use arbtest::arbitrary::{Result, Unstructured};
+use bytes::Bytes;
+use futures::{FutureExt, StreamExt, stream};
+use limpetmux::adapters::backend_http::tokens;
 use limpetmux::core::config::{Config, Fold, record};
 use limpetmux::core::planner::{DutyFold, DutyRecord};
 use limpetmux::core::revision::Offset;
 use limpetmux::ops::sheet::Sheet;
-use limpetmux::util::sse::SseEvents;
 use limpetmux_test_support::changes::{change_record, first_change};
 use limpetmux_test_support::{check_cases, small_config};
 
@@ -94,25 +96,31 @@
     });
 }
 
+/// Reads a completion's body that arrives in parts.
+fn read(parts: Vec<Vec<u8>>) -> Vec<Result<Bytes, String>> {
+    let body = stream::iter(parts.into_iter().map(|part| Ok(Bytes::from(part))));
+    let tokens = tokens(body, false).map(|t| t.map(|t| t.payload).map_err(|e| e.to_string()));
+    tokens.collect().now_or_never().unwrap()
+}
+
 #[test]
-fn event_stream_reads_alike_however_it_is_cut() {
-    let valid = b"event: piece\ndata: {\"a\":1}\n\ndata: [DONE]\n\n";
+fn completion_reads_alike_however_it_is_cut() {
+    let valid = b"data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":null}]}\n\n\
+        data: {\"choices\":[{\"text\":\"b\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
+    assert_eq!(read(vec![valid.to_vec()]), [Ok("a".into()), Ok("b".into())]);
     check_cases(CASES, |u| {
         let data = mutate(u, valid)?;
-        let mut whole = SseEvents::default();
-        let mut parts = SseEvents::default();
-
-        whole.push(&data);
+        let mut parts = Vec::new();
         let mut rest = data.as_slice();
-        let mut found = Vec::new();
         while !rest.is_empty() {
             let (part, later) = rest.split_at(u.int_in_range(1..=rest.len())?);
-            parts.push(part);
-            found.extend(std::iter::from_fn(|| parts.pop()));
+            parts.push(part.to_vec());
             rest = later;
         }
 
-        assert_eq!(std::iter::from_fn(|| whole.pop()).collect::<Vec<_>>(), found);
+        let cut = read(parts);
+
+        assert_eq!(cut, read(vec![data]));
         Ok(())
     });
 }
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -135,10 +135,10 @@
     let events = caller.stream("hotels", "voicemail", &json!({ "input": "x" })).await;
 
     let last = events.last().unwrap();
-    let body: Value = serde_json::from_slice(&last.data).unwrap();
-    assert_eq!(last.kind.as_ref(), b"error");
+    let body: Value = serde_json::from_str(&last.data).unwrap();
+    assert_eq!(last.event, "error");
     assert_eq!((&body["code"], &body["execution"]), (&json!("failed"), &json!("partly_run")));
-    assert!(events.iter().all(|e| e.kind.as_ref() != b"done"));
+    assert!(events.iter().all(|e| e.event != "done"));
     local.stop().await;
 }
 
