Ask a moving key's hosts for as long as a move takes

A host that is drained right after its successor was replaced hands its keys over, but the successor may not take over until its predecessor's promises have lapsed (3 s). The entry gave up after 40 questions, about 4 s, with 26 of the request's 30 seconds left. Change: the entry asks until the stage's deadline, 15 s at most, in place of 40 times. Conclusion: the bound now follows from the protocol's times and the caller's deadline.

--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -15,8 +15,9 @@
 use bytes::Bytes;
 use std::time::Duration;
 
-/// The most times that the home and the successor are asked in turn.
-const MAX_ATTEMPTS: u32 = 40;
+/// How long the home and the successor are asked in turn at most; a successor that has itself just
+/// been replaced takes over only after its promises have lapsed.
+const MOVE_LIMIT: Duration = Duration::from_secs(15);
 /// The pause after both hosts were asked, in which a move of the key may end.
 const PAUSE: Duration = Duration::from_millis(200);
 /// The time allowed for the check of a key before the first stage.
@@ -61,7 +62,8 @@
     let hosts = hosts_of(scene)?;
     let mut last = Refusal::not_run(RefusalCode::Unavailable);
     let (mut moving, mut lost) = (false, false);
-    for (attempt, host) in (0..MAX_ATTEMPTS).zip(hosts.iter().cycle()) {
+    let end = (clock::now() + MOVE_LIMIT).min(scene.deadline);
+    for (attempt, host) in (0..).zip(hosts.iter().cycle()) {
         match ask(scene, attempt, *host).await {
             Ok(run) => return Ok(run),
             Err(AttemptError::Refused(refusal)) => last = refusal,
@@ -84,6 +86,9 @@
             return Err(certain(last, lost));
         }
         if usize::try_from(attempt).is_ok_and(|n| (n + 1).is_multiple_of(hosts.len())) {
+            if clock::now() + PAUSE >= end {
+                break;
+            }
             tokio::time::sleep(PAUSE).await;
         }
     }
