Move the measuring driver into a crate of its own

The driver that runs the decisions in virtual time is a measuring tool, not a fixture, yet every crate that used a fixture also built it. It moves to crates/limpetmux-model, which xtask and the test suite use; the fixtures for admission, routing, budgets and cost stay in the test support, because other tests use them too. The comment that named two inputs twice is mended.

--- a/crates/limpetmux-test-support/src/model/entry.rs
+++ b/crates/limpetmux-model/src/entry.rs
@@ -3,7 +3,6 @@
 use super::arrivals::{Arrival, WORKSPACES};
 use super::route::Finder;
 use super::{Policy, Scenario};
-use crate::config::name;
 use limpetmux::core::admission::{FlowId, Offer};
 use limpetmux::core::budget::{Retry, RetryBudget, StageId, StageTimes, TimesError};
 use limpetmux::core::config::Name;
@@ -12,6 +11,7 @@
 use limpetmux::core::time::Moment;
 use limpetmux::core::verdict::{Refusal, RefusalCode};
 use limpetmux::core::view::View;
+use limpetmux_test_support::config::name;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::rc::Rc;
--- a/crates/limpetmux-test-support/src/model/route.rs
+++ b/crates/limpetmux-model/src/route.rs
@@ -1,13 +1,13 @@
 //! Choice of a host by the real router or by a baseline.
 
 use super::{DECLARED, ENCODER, Policy, Route, Scenario, WRITER};
-use crate::config::name;
-use crate::policy::{POOL, pool_config};
 use limpetmux::core::config::{Config, HostSpec, ServiceSpec, StageKind, StageSpec};
 use limpetmux::core::keys::{ArenaKey, HostKey, ServiceKey};
 use limpetmux::core::routing::{EntryPlace, Pick, Query, Router, RouterSettings, SlotKey};
 use limpetmux::core::time::Moment;
 use limpetmux::core::view::View;
+use limpetmux_test_support::config::name;
+use limpetmux_test_support::policy::{POOL, pool_config};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use rand_pcg::Pcg64Mcg;
--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -2,9 +2,7 @@
 //!
 //! Each module builds one kind of input: configurations in the shape of the two deployments that
 //! the system serves today, larger ones for slopes and bounds, configuration records, a platform
-//! log in the process, callers of an entry, and cases drawn from fixed seeds.
-//! log in the process, and cases drawn from fixed seeds. [`http`] calls an entry; [`model`] drives
-//! the decisions under load in virtual time.
+//! log in the process, and cases drawn from fixed seeds. [`http`] calls an entry.
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
@@ -16,7 +14,6 @@
 pub mod http;
 pub mod invariants;
 pub mod load;
-pub mod model;
 pub mod once;
 pub mod once_fleet;
 pub mod policy;
--- a/crates/xtask/src/policy.rs
+++ b/crates/xtask/src/policy.rs
@@ -1,7 +1,7 @@
 //! Measures the policy under load and faults against plain baselines, in virtual time.
 
 use argh::FromArgs;
-use limpetmux_test_support::model::{Fault, Policy, Scenario, Summary, run};
+use limpetmux_model::{Fault, Policy, Scenario, Summary, run};
 
 /// Loads as shares of capacity.
 const LOADS: [f64; 5] = [0.5, 0.8, 1.0, 1.5, 2.0];
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -2,7 +2,7 @@
 //!
 //! Each check is also run on a plain baseline that breaks it, so that it cannot pass by chance.
 
-use limpetmux_test_support::model::{Fault, GateKind, Policy, Scenario, Summary, run};
+use limpetmux_model::{Fault, GateKind, Policy, Scenario, Summary, run};
 
 const FIXED: Policy = Policy { name: "fixed limit", gate: GateKind::Fixed, ..Policy::REAL };
 const UNBUDGETED: Policy = Policy { name: "no budget", budget: false, ..Policy::REAL };
