Tell calls that were never sent from lost ones

Cause: in the rolling restart at a load of 16 the entry's losses were all hyper's "canceled: connection closed": the host's connection had closed while the call still waited in the entry's own queue. They counted as "may have run", cost a retry token, and ended requests as partly run or unknown once the two tokens of a fresh budget were spent. Change: such a call counts as not run and goes to another host without a token, like one that could not connect. Conclusion: only calls that were on the wire are uncertain now.

--- a/src/limpetmux/entry/attempt.rs
+++ b/src/limpetmux/entry/attempt.rs
@@ -7,6 +7,7 @@
 use crate::wire::stage::stage_client::StageClient;
 use crate::wire::{convert, stage};
 use bytes::Bytes;
+use std::error::Error;
 use tonic::Status;
 use tonic::transport::Channel;
 
@@ -37,7 +38,7 @@
     pub(super) fn refusal(&self) -> Refusal {
         match self {
             Self::Refused(refusal) => *refusal,
-            Self::Transport(status) if is_connect(status) => {
+            Self::Transport(status) if is_unsent(status) => {
                 Refusal::not_run(RefusalCode::Unavailable)
             }
             Self::Transport(_) => Refusal::unknown(RefusalCode::Unavailable),
@@ -47,14 +48,27 @@
     }
 }
 
-/// Returns whether a call failed because no connection could be made, so it was never sent.
+type Cause<'a> = &'a (dyn Error + 'static);
+
+/// Returns whether a call failed because no connection could be made.
 pub(super) fn is_connect(status: &Status) -> bool {
-    let mut error = std::error::Error::source(status);
-    while let Some(e) = error {
-        if e.is::<tonic::ConnectError>() {
+    has_cause(status, |e| e.is::<tonic::ConnectError>())
+}
+
+/// Returns whether a call was never sent: no connection could be made, or it closed while the call
+/// still waited in this process, as happens when a host shuts down.
+fn is_unsent(status: &Status) -> bool {
+    let is_canceled = |e: Cause<'_>| e.downcast_ref().is_some_and(hyper::Error::is_canceled);
+    is_connect(status) || has_cause(status, is_canceled)
+}
+
+fn has_cause(status: &Status, matches: impl Fn(Cause<'_>) -> bool) -> bool {
+    let mut cause = status.source();
+    while let Some(e) = cause {
+        if matches(e) {
             return true;
         }
-        error = e.source();
+        cause = e.source();
     }
     false
 }
