Wait for hosts of a whole pool, and accept claims given up before a restart

(a) A late reply of a replaced process takes its host out of the entry's view until a later one arrives; with the pool's other host draining no host is left, and the stage ended at once. (b) A claim that a draining home gave up is in the log; the home's next process reads it there as "may have run", and kept that when the successor returned the key as not run, so the caller's request ended as 409 unvouched. Change: (a) a stage waits, within the same 2 s, whenever operators let a host of its service run. (b) A key that an earlier process of the same host claimed has a state of its own, which the holder's returned table overrides; a key that another host claimed stays unknown. Conclusion: two of the causes are gone; a stall of a move at high load is still open.

--- a/src/limpetmux/core/once/node.rs
+++ b/src/limpetmux/core/once/node.rs
@@ -186,7 +186,7 @@
             Some(State::Answered(a)) => Known::Answered(a.clone()),
             Some(State::Claiming | State::Running) => Known::Running,
             Some(State::Released) => Known::NotRun,
-            Some(State::Open | State::Unknown) => Known::Unknown,
+            Some(State::Open | State::Claimed | State::Unknown) => Known::Unknown,
             None if self.vouch(key, role, time).is_ok() => Known::Absent,
             None => Known::Unknown,
         }
@@ -284,7 +284,7 @@
         match &entry.state {
             State::Claiming | State::Running => Some(Begin::Wait),
             State::Answered(answer) => Some(Begin::Replay(answer.clone())),
-            State::Open | State::Unknown => {
+            State::Open | State::Claimed | State::Unknown => {
                 Some(Begin::Refuse(Refusal::unknown(RefusalCode::Unvouched)))
             }
             State::Released => None,
--- a/src/limpetmux/core/once/observe.rs
+++ b/src/limpetmux/core/once/observe.rs
@@ -47,7 +47,7 @@
 
     fn observe_own(&mut self, key: KeyId, by: Incarnation, time: Time) -> Option<Action> {
         if by != self.incarnation {
-            return self.remember(key, time);
+            return self.note_claim(key, State::Claimed, time);
         }
         let order = self.guards.on(Guard::LogOrder);
         let entry = self.table.entries.get_mut(&key)?;
@@ -63,11 +63,16 @@
         Some(Action::Run(key))
     }
 
-    /// Notes that another process has claimed a key of which this host is the home.
+    /// Notes that another host has claimed a key of which this host is the home.
     ///
-    /// Needed for an earlier process of this host, and for a former home that acts on an outdated
-    /// configuration. A key whose own claim is not read back yet has lost.
+    /// Needed for a former home that acts on an outdated configuration. A key whose own claim is
+    /// not read back yet has lost.
     pub fn remember(&mut self, key: KeyId, time: Time) -> Option<Action> {
+        self.note_claim(key, State::Unknown, time)
+    }
+
+    /// Notes that another process has claimed a key: an earlier one of this host, or a former home.
+    fn note_claim(&mut self, key: KeyId, state: State, time: Time) -> Option<Action> {
         let expires = key.created().unwrap_or(time.wall) + self.rules.window + self.rules.margin;
         let known = self.table.entries.get(&key).map(|e| &e.state);
         let had_claim = known == Some(&State::Claiming);
@@ -77,7 +82,7 @@
             return None;
         }
         let role = Role::Home { successor: None };
-        let entry = Entry { body: None, state: State::Unknown, role, expires };
+        let entry = Entry { body: None, state, role, expires };
         self.table.entries.insert(key, entry);
         had_claim.then(|| Action::Refuse(key, Refusal::unknown(RefusalCode::Unvouched)))
     }
--- a/src/limpetmux/core/once/table.rs
+++ b/src/limpetmux/core/once/table.rs
@@ -52,6 +52,9 @@
     Released,
     /// The home had not ended the run when it copied its table; its last table tells.
     Open,
+    /// An earlier process of this host claimed the key, so the stage may have run; the holder's
+    /// table tells when the keys return.
+    Claimed,
     /// The stage may have run.
     Unknown,
 }
@@ -71,7 +74,9 @@
         match state {
             State::Answered(answer) => Self::Answered(answer),
             State::Released => Self::NotRun,
-            State::Claiming | State::Running | State::Open | State::Unknown => Self::Unknown,
+            State::Claiming | State::Running | State::Open | State::Claimed | State::Unknown => {
+                Self::Unknown
+            }
         }
     }
 }
@@ -133,7 +138,7 @@
     /// Copies the rows of one role for another host, which cannot learn how open runs end.
     pub(super) fn export(&self, role: Role) -> BTreeMap<KeyId, Entry> {
         let copy = |e: &Entry| match e.state {
-            State::Claiming | State::Running | State::Open => {
+            State::Claiming | State::Running | State::Open | State::Claimed => {
                 Entry { state: State::Unknown, ..e.clone() }
             }
             _ => e.clone(),
@@ -148,7 +153,7 @@
     pub(super) fn adopt(&mut self, rows: BTreeMap<KeyId, Entry>, role: Role, again: bool) {
         for (key, entry) in rows {
             let known = self.entries.get(&key).map(|e| &e.state);
-            if !learns(known, &entry.state, again) {
+            if !learns(known, &entry.state, role, again) {
                 continue;
             }
             self.bytes += size(&entry.state);
@@ -187,12 +192,15 @@
 }
 
 /// Returns whether a row of another host says more than what is known.
-fn learns(known: Option<&State>, row: &State, again: bool) -> bool {
+fn learns(known: Option<&State>, row: &State, role: Role, again: bool) -> bool {
     let answered = matches!(row, State::Answered(_));
+    let released = *row == State::Released;
+    let returned = matches!(role, Role::Home { .. });
     match known {
         Some(State::Answered(_) | State::Running) => false,
         Some(State::Unknown) => answered,
-        Some(State::Open) => answered || again && *row == State::Released,
+        Some(State::Claimed) => answered || returned && released,
+        Some(State::Open) => answered || again && released,
         Some(State::Claiming | State::Released) | None => true,
     }
 }
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -28,7 +28,7 @@
 
 /// The most attempts at one stage, hedges included, without those that hosts gave back unrun.
 const MAX_ATTEMPTS: u32 = 4;
-/// How long a stage waits at most while every host that it asked starts or is being replaced.
+/// How long a stage waits at most while every host of its service starts or is being replaced.
 const OUTAGE_LIMIT: Duration = Duration::from_secs(2);
 /// The share of a stage's time that it spends on that wait at most.
 const OUTAGE_SHARE: u32 = 2;
@@ -93,6 +93,12 @@
         self.run.entry.policy.pick(fleet, query, usable)
     }
 
+    /// Returns whether operators let any host of the service run, so that one may come back.
+    fn is_declared(&self) -> bool {
+        let view = &self.run.fleet.view;
+        view.services[self.row.service].hosts.iter().any(|host| view.is_serving(*host))
+    }
+
     /// Logs a failed attempt and reports a host that cannot be reached.
     pub(super) fn note_failure(&self, key: AttemptKey, host: HostKey, error: &AttemptError) {
         let fleet = self.run.fleet;
@@ -126,7 +132,7 @@
     let mut last = Refusal::not_run(RefusalCode::Unavailable).retry_in(RETRY_AFTER);
     while attempts - given_back < MAX_ATTEMPTS && given_back < MAX_GIVEN_BACK {
         let Some(picked) = scene.pick(&tried) else {
-            if tried.is_empty() || !is_handover(last) || clock::now() >= patience {
+            if !scene.is_declared() || !is_handover(last) || clock::now() >= patience {
                 break;
             }
             tokio::time::sleep(pause).await;
--- a/tests/testsuite/lost_answers.rs
+++ b/tests/testsuite/lost_answers.rs
@@ -1,5 +1,12 @@
 //! Keyed requests whose connection to a host ends before an answer arrives.
 
+use limpetmux::core::once::{
+    Begin, Guards, Handover, HostId, Incarnation, KeyId, KeyTime, Node, Outcome, Record, Role, Row,
+    Rules, Time, Work,
+};
+use limpetmux::core::revision::Offset;
+use limpetmux::core::time::Moment;
+use limpetmux::core::verdict::Execution;
 use limpetmux_test_support::once_fleet::{OnceFleet, PIPELINE, WORKSPACE};
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -27,3 +34,40 @@
     assert_eq!(fleet.runs(&key), 1);
     closing.abort();
 }
+
+/// Starts a home's process after the one that claimed a key, and lets the holder return its table.
+fn regained(key: KeyId, outcome: Outcome) -> Node {
+    let (home, holder) = (HostId(1), HostId(2));
+    let time = at(10_000);
+    let mut node = Node::new(home, Incarnation(2), Rules::default(), Guards::default(), time);
+    node.log_reachable(true);
+    let (claimed, held) = (Incarnation(1), Incarnation(9));
+    let row = Row { key, body: None, outcome, expires: KeyTime(u64::MAX) };
+    node.receive_return(Handover::new(holder, held, KeyTime(0), false, [row]));
+    let records = [
+        Record::Claims { home, incarnation: claimed, keys: vec![key] },
+        Record::Takeover { home, by: holder, incarnation: held },
+        Record::Return { home, by: holder, incarnation: held },
+    ];
+    for (offset, record) in (0..).zip(&records) {
+        node.observe(Offset(offset), record, time);
+    }
+    node.read_to_end();
+    node
+}
+
+fn at(ms: u64) -> Time {
+    Time { now: Moment::from_millis(ms), wall: KeyTime(ms) }
+}
+
+#[test]
+fn claim_given_up_before_a_restart_is_accepted_once_the_keys_return() {
+    let key = KeyId::from_digest(7, Some(KeyTime(9_000)));
+    let role = Role::Home { successor: Some(HostId(2)) };
+    let begin = |outcome| regained(key, outcome).begin(Work { key, body: 7, role }, at(10_000));
+
+    let (given_up, open) = (begin(Outcome::NotRun), begin(Outcome::Unknown));
+
+    assert_eq!(given_up, Begin::Claim);
+    assert!(matches!(open, Begin::Refuse(r) if r.execution == Execution::Unknown));
+}
