Send older keys on while a restarted home has not read the log

Cause: traced in the rolling restart: 130 ms after its start and before its first read of the claims stream, a home got a key made just before the start. It answered "unvouched", which is final, while its successor held the key and vouched for it. Change: until the home has read to the end of the stream it answers "not home" for keys that it cannot vouch for and shares with a successor, so the entry goes on to ask that one. Conclusion: the verdict is final only once the log says who holds the keys.

--- a/src/limpetmux/core/once/node.rs
+++ b/src/limpetmux/core/once/node.rs
@@ -338,7 +338,12 @@
             None => self.vouches_untimed(role) || time.wall > floor + window,
         };
         let kept = key.created().is_none_or(|t| time.wall <= t + window);
-        if newer && kept { Ok(()) } else { Err(Refusal::unknown(RefusalCode::Unvouched)) }
+        if newer && kept {
+            return Ok(());
+        }
+        // The part of the log that is not read yet may say that the successor holds the key.
+        let shared = matches!(role, Role::Home { successor: Some(_) });
+        Err(if shared && !self.read { not_home } else { Refusal::unknown(RefusalCode::Unvouched) })
     }
 
     /// Returns whether no other process can have run a key without a time.
--- a/tests/testsuite/lost_answers.rs
+++ b/tests/testsuite/lost_answers.rs
@@ -6,7 +6,7 @@
 };
 use limpetmux::core::revision::Offset;
 use limpetmux::core::time::Moment;
-use limpetmux::core::verdict::Execution;
+use limpetmux::core::verdict::{Execution, RefusalCode};
 use limpetmux_test_support::once_fleet::{OnceFleet, PIPELINE, WORKSPACE};
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -71,3 +71,21 @@
     assert_eq!(given_up, Begin::Claim);
     assert!(matches!(open, Begin::Refuse(r) if r.execution == Execution::Unknown));
 }
+
+#[test]
+fn home_sends_older_keys_on_until_it_has_read_who_holds_them() {
+    let (key, role) =
+        (KeyId::from_digest(7, Some(KeyTime(9_000))), Role::Home { successor: Some(HostId(2)) });
+    let mut node =
+        Node::new(HostId(1), Incarnation(2), Rules::default(), Guards::default(), at(10_000));
+    let refusal = |node: &mut Node| match node.begin(Work { key, body: 7, role }, at(10_000)) {
+        Begin::Refuse(refusal) => refusal.code,
+        other => panic!("{other:?}"),
+    };
+
+    let unread = refusal(&mut node);
+    node.read_to_end();
+    let read = refusal(&mut node);
+
+    assert_eq!((unread, read), (RefusalCode::NotHome, RefusalCode::Unvouched));
+}
