--- a/src/bin/limpetmux/cli.rs
+++ b/src/bin/limpetmux/cli.rs
@@ -25,7 +25,7 @@
     Version(commands::version::VersionArgs),
 }
 
-/// Runs the chosen verb.
+/// Runs the verb of the command line.
 pub fn exec(cli: Cli) -> miette::Result<()> {
     match cli.verb {
         Verb::Audit(args) => commands::audit::exec(args),
--- a/src/limpetmux/entry/policy.rs
+++ b/src/limpetmux/entry/policy.rs
@@ -42,7 +42,7 @@
     state: Mutex<State>,
 }
 
-/// A chosen host; the call counts as in flight there until this is dropped.
+/// The host of an attempt; the call counts as in flight there until this is dropped.
 pub(super) struct Picked<'a> {
     pub(super) host: HostKey,
     slot: SlotKey,
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -218,7 +218,7 @@
     }
 }
 
-/// Runs one attempt on a chosen host.
+/// Runs one attempt on the host that was picked for it.
 async fn run_on(
     scene: &Scene<'_>,
     number: u32,
