Test a lost link between regions and a rolling restart without the log

Cause: nothing showed what nodes do while two regions have lost each other, or that sidecars can be replaced one by one while the log is down.

Change: tests/testsuite/outages.rs starts two regions whose peers meet over TCP proxies that can be cut, with the log in one of them. Changes go on in that region; the other one holds its last configuration, and so does a node that starts there. When the link returns all converge, no node goes back a revision, and neither a host that was stopped meanwhile nor a zone that was taken out comes back, although the host list shows all as live. A third test replaces all ten sidecars under load during an outage of the log; each learns the configuration from its peers.

Conclusion: a sidecar that vouches for keys reports flushed: false when it ends without the log, since it cannot hand over; the test expects that of these hosts and of no other. Cutting no request is shown for idempotent work only.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod once_explore;
 mod once_path;
 mod openapi;
+mod outages;
 mod overload;
 mod path;
 mod planner;
