Count requests whose deadline passed, by stage

Cause: status had a field `late` for answers after their deadline, and it was always zero. An entry ends a request at its deadline, so such answers hardly exist; requests that were begun and ran out of time were counted as refused.

Change: late counts requests that were begun but not answered whole when their deadline passed, and the rare whole answer that arrives after it. Each is counted once for the entry and once in the row of the stage that ran; status shows both. A refusal because the deadline cannot be met stays a refusal, since nothing ran.

Conclusion: attained, late and refused add up to all requests that were not bad input. The expected text of status_table_shows_lag_cold_and_draining has one more column.

--- a/src/limpetmux/admin/report.rs
+++ b/src/limpetmux/admin/report.rs
@@ -57,6 +57,7 @@
         sum.attempts += row.attempts;
         sum.busy_us += u64::try_from(row.busy.as_micros()).unwrap_or(u64::MAX);
         sum.cost = sum.cost.saturating_add(row.cost);
+        sum.late += row.late;
     }
     sums.into_values().collect()
 }
--- a/src/limpetmux/core/cost/ledger.rs
+++ b/src/limpetmux/core/cost/ledger.rs
@@ -20,6 +20,8 @@
     pub busy: Duration,
     /// Cost in millionths of the accounting unit.
     pub cost: u64,
+    /// Requests whose deadline passed while they were in this stage.
+    pub late: u64,
 }
 
 /// Adds up cost since the process started.
@@ -36,18 +38,28 @@
 
     /// Adds one attempt.
     pub fn add(&mut self, names: [&Name; 3], busy: Duration, cost: u64) {
+        let row = self.row(names);
+        row.attempts += 1;
+        row.busy += busy;
+        row.cost = row.cost.saturating_add(cost);
+    }
+
+    /// Adds one request whose deadline passed in a stage.
+    pub fn add_late(&mut self, names: [&Name; 3]) {
+        self.row(names).late += 1;
+    }
+
+    fn row(&mut self, names: [&Name; 3]) -> &mut CostRow {
         let row = self.rows.entry(hash_parts(&names.map(|n| n.as_str().as_bytes())));
-        let row = row.or_insert_with(|| CostRow {
+        row.or_insert_with(|| CostRow {
             workspace: names[0].clone(),
             pipeline: names[1].clone(),
             stage: names[2].clone(),
             attempts: 0,
             busy: Duration::ZERO,
             cost: 0,
-        });
-        row.attempts += 1;
-        row.busy += busy;
-        row.cost = row.cost.saturating_add(cost);
+            late: 0,
+        })
     }
 
     /// Returns all rows, ordered by workspace, pipeline and stage.
--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -2,7 +2,7 @@
 
 use super::order::Parts;
 use super::outcome::find;
-use super::pipeline::{self, Answer};
+use super::pipeline::{self, Answer, is_late};
 use super::problem::Problem;
 use super::{Entry, Fleet, InFlight, Order, OrderError, Trailer, stream};
 use crate::core::frames::RequestId;
@@ -140,7 +140,9 @@
 
 /// Counts and logs a refusal.
 pub(super) fn note_refusal(entry: &Entry, refusal: Refusal, request: Option<RequestId>) {
-    entry.counters.refused.fetch_add(1, Ordering::Relaxed);
+    let counters = &entry.counters;
+    let counter = if is_late(&refusal) { &counters.late } else { &counters.refused };
+    counter.fetch_add(1, Ordering::Relaxed);
     let (code, execution) = (refusal.code, refusal.execution);
     let tags = [("code", code.into()), ("execution", execution.into())];
     entry.metrics.count(Metric::RequestsRefused, 1, &tags);
@@ -152,7 +154,9 @@
 
 /// Counts a whole answer.
 pub(super) fn note_answer(entry: &Entry, fleet: &Fleet, order: &Order, trailer: &Trailer) {
-    entry.counters.answered.fetch_add(1, Ordering::Relaxed);
+    let (counters, in_time) = (&entry.counters, trailer.elapsed <= order.deadline);
+    let counter = if in_time { &counters.answered } else { &counters.late };
+    counter.fetch_add(1, Ordering::Relaxed);
     let workspace = fleet.view.workspaces[order.workspace].name.as_str();
     let pipeline = fleet.view.pipelines[order.pipeline].name.as_str();
     let tags = [("workspace", workspace), ("pipeline", pipeline)];
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -84,6 +84,8 @@
     pub answered: AtomicU64,
     /// Requests refused as bad input.
     pub rejected: AtomicU64,
+    /// Requests begun, but not answered whole when their deadline passed.
+    pub late: AtomicU64,
     /// Requests refused or failed for other reasons.
     pub refused: AtomicU64,
 }
--- a/src/limpetmux/entry/pipeline.rs
+++ b/src/limpetmux/entry/pipeline.rs
@@ -7,9 +7,9 @@
 use super::stream::TokenSink;
 use super::{Entry, Fleet, Order};
 use crate::core::budget::StageId;
-use crate::core::config::StageKind;
+use crate::core::config::{Name, StageKind};
 use crate::core::keys::StageIndex;
-use crate::core::verdict::{Refusal, RefusalCode};
+use crate::core::verdict::{Execution, Refusal, RefusalCode};
 use crate::core::view::StageRow;
 use crate::util::clock;
 use bytes::Bytes;
@@ -49,7 +49,29 @@
     let stages = run_stages(&run, started, sink);
     let result = tokio::time::timeout_at(started + order.deadline, stages).await;
     let result = result.unwrap_or(Err(Refusal::unknown(RefusalCode::Deadline)));
-    result.map_err(|refusal| Refusal { execution: run.progress.execution(), ..refusal })
+    let result =
+        result.map_err(|refusal| Refusal { execution: run.progress.execution(), ..refusal });
+    let is_late = match &result {
+        Ok(answer) => answer.trailer.elapsed > order.deadline,
+        Err(refusal) => is_late(refusal),
+    };
+    if is_late {
+        entry.policy.late(stage_names(&run));
+    }
+    result
+}
+
+/// Returns whether a refusal says that the deadline passed after the request had begun.
+pub(super) fn is_late(refusal: &Refusal) -> bool {
+    refusal.code == RefusalCode::Deadline && refusal.execution != Execution::NotRun
+}
+
+/// Returns the names of workspace, pipeline and stage of a request.
+fn stage_names<'a>(run: &Run<'a>) -> [&'a Name; 3] {
+    let view = &run.fleet.view;
+    let pipeline = &view.pipelines[run.order.pipeline];
+    let stage = &pipeline.stages[run.progress.stage()];
+    [&view.workspaces[run.order.workspace].name, &pipeline.name, &stage.name]
 }
 
 async fn run_stages(
@@ -79,6 +101,7 @@
     let mut trailers = Vec::with_capacity(ids.len());
     for (position, stage_row) in row.stages.iter().enumerate() {
         let is_last = position + 1 == row.stages.len();
+        run.progress.enter(position);
         let scene = scene(position, input);
         let begun = Instant::now();
         let stage = run_stage(&scene).await?;
--- a/src/limpetmux/entry/policy.rs
+++ b/src/limpetmux/entry/policy.rs
@@ -146,6 +146,11 @@
         state.ledger.add(names, stage.busy, stage.cost);
     }
 
+    /// Records a request whose deadline passed in a stage.
+    pub(super) fn late(&self, names: [&Name; 3]) {
+        self.lock().ledger.add_late(names);
+    }
+
     /// Reads the cost so far by workspace, pipeline and stage.
     pub(super) fn with_ledger<R>(&self, read: impl FnOnce(&Ledger) -> R) -> R {
         read(&self.lock().ledger)
--- a/src/limpetmux/entry/progress.rs
+++ b/src/limpetmux/entry/progress.rs
@@ -1,7 +1,7 @@
 //! Keeps track of how much of one request can have run.
 
 use crate::core::verdict::Execution;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 
 /// How much of one request can have run.
 #[derive(Debug, Default)]
@@ -12,6 +12,8 @@
     repeatable: AtomicU32,
     /// Attempts at stages that may not be repeated whose outcome is not known.
     once: AtomicU32,
+    /// The position of the stage that runs.
+    stage: AtomicUsize,
 }
 
 /// One attempt whose outcome is not known; dropping it leaves the outcome unknown for good.
@@ -29,6 +31,16 @@
         Open { progress: self, count }
     }
 
+    /// Records that a stage begins.
+    pub(super) fn enter(&self, position: usize) {
+        self.stage.store(position, Ordering::Relaxed);
+    }
+
+    /// Returns the position of the stage that began last.
+    pub(super) fn stage(&self) -> usize {
+        self.stage.load(Ordering::Relaxed)
+    }
+
     /// Returns what the caller may be told.
     pub(super) fn execution(&self) -> Execution {
         if self.once.load(Ordering::Relaxed) > 0 {
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -150,7 +150,7 @@
             stages: entry.with_ledger(report::stage_rows),
             attainment: Some(Attainment {
                 attained: counters.answered.load(Ordering::Relaxed),
-                late: 0,
+                late: counters.late.load(Ordering::Relaxed),
                 refused: counters.refused.load(Ordering::Relaxed),
             }),
             ..StatusReply::default()
--- a/src/limpetmux/ops/status.rs
+++ b/src/limpetmux/ops/status.rs
@@ -90,6 +90,8 @@
     pub busy_us: u64,
     /// Cost in millionths of the accounting unit.
     pub cost: u64,
+    /// Requests whose deadline passed while they were in this stage.
+    pub late: u64,
 }
 
 /// Requests of all entries since they started.
@@ -97,9 +99,9 @@
 pub struct AttainmentStatus {
     /// Answered whole within the deadline.
     pub attained: u64,
-    /// Answered whole after it.
+    /// Begun, but not answered whole when the deadline passed.
     pub late: u64,
-    /// Refused or failed.
+    /// Refused or failed before the deadline.
     pub refused: u64,
 }
 
@@ -164,6 +166,7 @@
         sum.attempts += row.attempts;
         sum.busy_us += row.busy_us;
         sum.cost += row.cost;
+        sum.late += row.late;
     }
     fleet.stages = stages.into_values().collect();
     for row in replies().filter_map(|r| r.attainment) {
@@ -248,10 +251,14 @@
     ];
     section(&mut text, &head, nodes.collect());
     let stages = fleet.stages.iter().map(|s| {
-        let numbers = [s.attempts, s.busy_us / 1_000, s.cost].map(|n| n.to_string());
+        let numbers = [s.attempts, s.late, s.busy_us / 1_000, s.cost].map(|n| n.to_string());
         [vec![s.pipeline.clone(), s.stage.clone()], numbers.to_vec()].concat()
     });
-    section(&mut text, &["PIPELINE", "STAGE", "ATTEMPTS", "BUSY_MS", "COST"], stages.collect());
+    section(
+        &mut text,
+        &["PIPELINE", "STAGE", "ATTEMPTS", "LATE", "BUSY_MS", "COST"],
+        stages.collect(),
+    );
     let a = fleet.attainment;
     let requests = [a.attained, a.late, a.refused].map(|n| n.to_string());
     section(&mut text, &["ATTAINED", "LATE", "REFUSED"], vec![requests.to_vec()]);
--- a/src/limpetmux/wire/gen/limpetmux.admin.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.admin.v1.rs
@@ -118,6 +118,9 @@
     /// Millionths of the accounting unit.
     #[prost(uint64, tag = "5")]
     pub cost: u64,
+    /// Requests whose deadline passed while they were in this stage.
+    #[prost(uint64, tag = "6")]
+    pub late: u64,
 }
 /// Requests since the process started.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -125,10 +128,10 @@
     /// Answered whole within the deadline.
     #[prost(uint64, tag = "1")]
     pub attained: u64,
-    /// Answered whole after the deadline.
+    /// Begun, but not answered whole when the deadline passed.
     #[prost(uint64, tag = "2")]
     pub late: u64,
-    /// Refused or failed.
+    /// Refused or failed before the deadline.
     #[prost(uint64, tag = "3")]
     pub refused: u64,
 }
--- a/tests/testsuite/admin.rs
+++ b/tests/testsuite/admin.rs
@@ -2,12 +2,16 @@
 
 use expect_test::expect;
 use futures::FutureExt;
-use limpetmux::admin::AdminService;
+use limpetmux::admin::{AdminService, report};
 use limpetmux::core::shutdown::ShutdownOptions;
 use limpetmux::kernel::Kernel;
+use limpetmux::node::deployment::Deployment::PhLuzon;
+use limpetmux::node::local::{Local, LocalOptions, StandIn};
 use limpetmux::ops;
 use limpetmux::shutdown::{ShutdownHooks, register};
 use limpetmux::wire::admin::{Attainment, BackendRow, HostRow, StageRow, StatusReply, ZoneRow};
+use limpetmux_test_support::http::Caller;
+use serde_json::json;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -76,6 +80,7 @@
         attempts: 12,
         busy_us: 3_400_000,
         cost: 3_400,
+        late: 1,
     };
     StatusReply {
         node: "entry-0".to_owned(),
@@ -122,6 +127,34 @@
     process.abort();
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_past_its_deadline_is_late_in_the_stage_that_ran() {
+    let local = Local::start(LocalOptions { deployment: PhLuzon, port: 0 }).await.unwrap();
+    let caller = Caller::new(&local.url());
+    let engines = || {
+        local.hosts.iter().filter_map(|h| match &h.standin {
+            StandIn::Engine(engine) => Some(&engine.backend),
+            _ => None,
+        })
+    };
+    engines().for_each(|backend| backend.set_stalled(true));
+    let body = json!({ "input": "x", "deadline_ms": 300 });
+
+    let late = caller.run("hotels", "voicemail", &body).await.status;
+    engines().for_each(|backend| backend.set_stalled(false));
+    local.entry.set_draining(true);
+    let refused = caller.run("hotels", "voicemail", &body).await.status;
+
+    assert_eq!((late, refused), (504, 503));
+    let counters = local.entry.counters();
+    let counts = [&counters.answered, &counters.late, &counters.refused];
+    assert_eq!(counts.map(|c| c.load(Ordering::SeqCst)), [0, 1, 1]);
+    let rows = local.entry.with_ledger(report::stage_rows);
+    let late: Vec<_> = rows.iter().filter(|r| r.late > 0).map(|r| (&*r.stage, r.late)).collect();
+    assert_eq!(late, [("generate", 1)]);
+    local.stop().await;
+}
+
 #[test]
 fn status_table_shows_lag_cold_and_draining() {
     let addr = |port: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
@@ -142,8 +175,8 @@
         generate-0  sidecar      127.0.0.1:2           r7        2    3        2       2      true
                     unreachable  127.0.0.1:3           r0        -    0        0       0      false
 
-        PIPELINE      STAGE     ATTEMPTS  BUSY_MS  COST
-        call-summary  generate  12        3400     3400
+        PIPELINE      STAGE     ATTEMPTS  LATE  BUSY_MS  COST
+        call-summary  generate  12        1     3400     3400
 
         ATTAINED  LATE  REFUSED
         11        1     0
