Sample hosts for the planner and count what the weight store bears

Cause: the holder of the planner's lease asked every host each five seconds, worked out as about 200 KB/s at 950 hosts, against 24 KB/s for all of control on a node. The bound on waking hosts was one for each pool and did not know that all pools fetch weights from one store.

Change: a round asks 24 hosts, one of each service first and then the longest unasked. A pool's demand is the mean of its recent answers times its awake hosts that are not silent. Wakes of services with a model share the transfers that the weight store starts, the pools with the greatest shortage first, and the queue before the store counts as time to wake. on_loads now takes Some or None for each host that was asked, since a host that was not asked is no longer silent.

Without the bound on a round 950 hosts are asked and the test fails; without counting transfers 21 hosts wake where ten may, and the test fails. Both guards are back.

Tests of the agent and the golden session pass the same answers in the new form; nothing that they expect has changed.

--- a/crates/limpetmux-capacity/src/probe.rs
+++ b/crates/limpetmux-capacity/src/probe.rs
@@ -3,7 +3,7 @@
 use crate::alloc::{Reading, measure};
 use limpetmux::core::admission::{Admission, Admitted, FlowId, Limits, Offer, Outcome};
 use limpetmux::core::config::{Fold, Replica, Step, record};
-use limpetmux::core::planner::{Agent, AgentOptions, DutyRecord, LoadSample};
+use limpetmux::core::planner::{Agent, AgentOptions, DutyRecord, LoadSample, PROBES_PER_ROUND};
 use limpetmux::core::routing::{Ending, EntryPlace, Query, Router, RouterSettings};
 use limpetmux::prelude::*;
 use limpetmux::wire::peer::Sync;
@@ -152,18 +152,26 @@
             agent.on_tick(Moment::ZERO, 0.0);
             agent.on_record(Moment::ZERO, Offset(0), Some(&grant));
             let mut planning = Self { view, agent, turn: 0 };
-            planning.plan();
+            // After these rounds every host has been asked.
+            (0..size.hosts.div_ceil(PROBES_PER_ROUND as u32)).for_each(|_| planning.plan());
             planning
         })
     }
 
+    /// Returns how many hosts the next round asks for their load.
+    pub fn probes(&self) -> usize {
+        let usable = self.view.hosts.keys().collect();
+        self.agent.probes(&self.view, &usable).len()
+    }
+
     /// Turns one round of load samples into a plan.
     pub fn plan(&mut self) {
         self.turn += 1;
         let now = Moment::from_millis(self.turn % 20 * 1_000);
         let sample = LoadSample { inflight: 20, queued: 0 };
-        let loads = self.view.hosts.keys().map(|h| (h, sample)).collect();
         let usable = self.view.hosts.keys().collect();
+        let hosts = self.agent.probes(&self.view, &usable);
+        let loads = hosts.into_iter().map(|h| (h, Some(sample))).collect();
         self.agent.on_loads(now, &self.view, &loads, &usable);
     }
 }
--- a/crates/limpetmux-capacity/src/target.rs
+++ b/crates/limpetmux-capacity/src/target.rs
@@ -12,6 +12,11 @@
 pub const IN_FORCE_S: u32 = 16;
 /// Requests a second at the peak.
 pub const REQUESTS_PER_S: u32 = 2_600;
+/// Traffic of one load probe of the planner on a connection of its own, packet headers included, in
+/// bytes.
+pub const PROBE_BYTES: usize = 1_024;
+/// Time between two rounds of the planner's probes, in seconds.
+pub const PROBE_ROUND_S: usize = 5;
 /// Entries.
 pub const ENTRIES: u32 = 360;
 /// Hosts with backend servers.
--- a/crates/limpetmux-capacity/tests/bounds.rs
+++ b/crates/limpetmux-capacity/tests/bounds.rs
@@ -63,6 +63,13 @@
     bound("bytes of an idle exchange with two peers, asked and answered", bytes * 4, most)
 }
 
+/// The holder of the planner's lease spends a fifth of the traffic for control on probes at most.
+fn planner_probes() -> Bound {
+    let (planner, _) = probe::Planning::new(Size::TARGET);
+    let bytes = planner.probes() * target::PROBE_BYTES / target::PROBE_ROUND_S;
+    bound("bytes a second of the planner's probes", bytes, target::TRAFFIC_BYTES_PER_S / 5)
+}
+
 /// A routing decision allocates no more at the target size than in a small pool.
 fn routing_work() -> Bound {
     let (mut small, _) = probe::Routing::new(Size::with_hosts(100));
@@ -86,6 +93,7 @@
         change_work(),
         snapshot(),
         idle_exchange(),
+        planner_probes(),
         routing_work(),
         admission_state(),
     ];
--- a/src/limpetmux/core/planner/agent.rs
+++ b/src/limpetmux/core/planner/agent.rs
@@ -4,12 +4,12 @@
 //! the lease turns load samples into plans. An agent never acts on a plan that it has not read back
 //! from the log, so a plan that lost its lease on the way wakes nothing.
 
-use super::demand::DemandTracker;
 use super::duty::{DutyFold, DutyRecord, DutyVerdict, PlanDelta};
 use super::lease::{LeaseClock, LeaseState};
-use super::plan::{HostPower, PlanInput, Planner, PlannerLimits};
-use crate::core::config::Name;
-use crate::core::keys::{HostKey, ServiceKey};
+use super::plan::PlannerLimits;
+use super::pools::{Pools, Round};
+use super::samples::Samples;
+use crate::core::keys::HostKey;
 use crate::core::revision::Offset;
 use crate::core::time::Moment;
 use crate::core::view::View;
@@ -64,25 +64,21 @@
 pub enum AgentAction {
     /// Append a record to the duties stream.
     Append(DutyRecord),
-    /// Collect load samples and pass them to [`Agent::on_loads`].
+    /// Ask the hosts of [`Agent::probes`] for their load and pass the answers to
+    /// [`Agent::on_loads`].
     Sample,
     /// Switch a host on under a fencing number.
     Wake(String, Offset),
 }
 
-#[derive(Clone, Debug)]
-struct PoolState {
-    demand: DemandTracker,
-    planner: Planner,
-}
-
 /// The planner duty of one node.
 #[derive(Clone, Debug)]
 pub struct Agent {
     options: AgentOptions,
     fold: DutyFold,
     clock: LeaseClock,
-    pools: BTreeMap<Name, PoolState>,
+    pools: Pools,
+    samples: Samples,
     attempt: Option<Moment>,
     snapshot: Offset,
 }
@@ -91,11 +87,13 @@
     /// Creates an agent; `first` is the first offset that the duties stream keeps.
     pub fn new(options: AgentOptions, first: Offset) -> Self {
         let clock = LeaseClock::new(options.term, options.margin);
+        let pools = Pools::new(options.window, options.limits);
         Self {
             options,
             fold: DutyFold::new(first),
             clock,
-            pools: BTreeMap::new(),
+            pools,
+            samples: Samples::default(),
             attempt: None,
             snapshot: first,
         }
@@ -183,29 +181,33 @@
         AgentAction::Append(DutyRecord::Grant { holder: self.options.node.clone(), previous })
     }
 
-    /// Turns load samples into the next plan, if this node holds the lease.
+    /// Returns the hosts to ask for their load in this round.
+    pub fn probes(&self, view: &View, usable: &BTreeSet<HostKey>) -> Vec<HostKey> {
+        self.samples.choose(view, &self.awake(view, usable))
+    }
+
+    /// Turns the answers of a round into the next plan, if this node holds the lease; `None` stands
+    /// for a host that was asked and gave no answer.
     ///
-    /// A usable host that the plan has awake but that gave no sample is woken again: the order may
+    /// A usable host that the plan has awake but that gave no answer is woken again: the order may
     /// have been lost, or the host may have been replaced.
     pub fn on_loads(
         &mut self,
         now: Moment,
         view: &View,
-        loads: &BTreeMap<HostKey, LoadSample>,
+        answers: &BTreeMap<HostKey, Option<LoadSample>>,
         usable: &BTreeSet<HostKey>,
     ) -> Vec<AgentAction> {
         let LeaseState::Held(fence) = self.lease(now) else { return Vec::new() };
-        let mut delta = PlanDelta::default();
-        for service in view.services.keys() {
-            self.plan_service(now, view, service, loads, usable, &mut delta);
-        }
-        let silent = |h: &&HostKey| !loads.contains_key(h) && !self.is_asleep(view, **h);
-        let name = |h: &HostKey| view.hosts[*h].name.to_string();
-        let mut actions: Vec<AgentAction> = usable
-            .iter()
-            .filter(silent)
+        let awake = self.awake(view, usable);
+        self.samples.record(now, view, &awake, answers);
+        let samples = &self.samples;
+        let delta =
+            self.pools.plan(Round { now, view, asleep: self.fold.asleep(), usable, samples });
+        let silent = answers.iter().filter(|(host, load)| load.is_none() && awake.contains(host));
+        let mut actions: Vec<AgentAction> = silent
             .take(self.options.limits.waking)
-            .map(|h| AgentAction::Wake(name(h), fence))
+            .map(|(host, _)| AgentAction::Wake(view.hosts[*host].name.to_string(), fence))
             .collect();
         if !delta.is_empty() {
             actions.push(AgentAction::Append(DutyRecord::Plan { fence, delta }));
@@ -213,50 +215,10 @@
         actions
     }
 
-    fn is_asleep(&self, view: &View, host: HostKey) -> bool {
-        self.fold.asleep().contains(view.hosts[host].name.as_str())
-    }
-
-    fn plan_service(
-        &mut self,
-        now: Moment,
-        view: &View,
-        service: ServiceKey,
-        loads: &BTreeMap<HostKey, LoadSample>,
-        usable: &BTreeSet<HostKey>,
-        delta: &mut PlanDelta,
-    ) {
-        let row = &view.services[service];
-        let hosts: Vec<HostPower> = row
-            .hosts
-            .iter()
-            .map(|&host| HostPower {
-                host,
-                zone: view.hosts[host].zone,
-                awake: !self.is_asleep(view, host),
-                usable: usable.contains(&host),
-            })
-            .collect();
-        let calls: u32 =
-            row.hosts.iter().filter_map(|h| loads.get(h)).map(|l| l.inflight + l.queued).sum();
-        let options = &self.options;
-        let pool = self.pools.entry(row.name.clone()).or_insert_with(|| PoolState {
-            demand: DemandTracker::new(options.window),
-            planner: Planner::new(options.limits),
-        });
-        pool.demand.observe(now, f64::from(calls));
-        let plan = pool.planner.plan(
-            now,
-            &PlanInput {
-                hosts: &hosts,
-                demand: pool.demand.demand(),
-                concurrency: row.spec.concurrency,
-                warmup: row.spec.warmup,
-                floor: row.spec.floor as usize,
-            },
-        );
-        let name = |h: HostKey| view.hosts[h].name.to_string();
-        delta.wake.extend(plan.wake.into_iter().map(name));
-        delta.sleep.extend(plan.sleep.into_iter().map(name));
+    /// Returns the usable hosts that the accepted plan has awake.
+    fn awake(&self, view: &View, usable: &BTreeSet<HostKey>) -> BTreeSet<HostKey> {
+        let asleep = self.fold.asleep();
+        let is_awake = |host: &&HostKey| !asleep.contains(view.hosts[**host].name.as_str());
+        usable.iter().filter(is_awake).copied().collect()
     }
 }
--- a/src/limpetmux/core/planner/mod.rs
+++ b/src/limpetmux/core/planner/mod.rs
@@ -11,9 +11,14 @@
 mod duty;
 mod lease;
 mod plan;
+mod pools;
+mod samples;
+mod weights;
 
 pub use agent::{Agent, AgentAction, AgentOptions, LoadSample};
 pub use demand::{Demand, DemandTracker};
 pub use duty::{DutyError, DutyFold, DutyRecord, DutyVerdict, PlanDelta};
 pub use lease::{Lease, LeaseClock, LeaseState};
 pub use plan::{HostPower, PlanInput, Planner, PlannerLimits, Pool};
+pub use samples::{PROBES_PER_ROUND, Samples};
+pub use weights::WeightStore;
--- a/src/limpetmux/core/planner/plan.rs
+++ b/src/limpetmux/core/planner/plan.rs
@@ -30,7 +30,7 @@
     pub target: f64,
     /// The time over which the greatest need bounds what is put to sleep.
     pub hold: Duration,
-    /// The most hosts of one pool that may be waking at once, bounded by the weight store.
+    /// The most hosts of one pool that may be waking at once.
     pub waking: usize,
     /// The largest share of a pool's awake hosts that one plan puts to sleep.
     pub shrink: f64,
@@ -85,18 +85,30 @@
 
     /// Decides which hosts to wake and to put to sleep.
     pub fn plan(&mut self, now: Moment, input: &PlanInput<'_>) -> Pool {
+        self.plan_within(now, input, usize::MAX)
+    }
+
+    /// As [`Planner::plan`], but wakes no more hosts than the weight store has room for.
+    pub fn plan_within(&mut self, now: Moment, input: &PlanInput<'_>, room: usize) -> Pool {
         self.waking.retain(|_, until| *until > now);
         let awake: Vec<&HostPower> = input.hosts.iter().filter(|h| h.awake && h.usable).collect();
         let needed = self.needed(input);
         let peak = self.peak(now, needed);
         if awake.len() < needed {
-            let wake = self.choose_wakes(now, input, needed - awake.len());
+            let wake = self.choose_wakes(now, input, (needed - awake.len()).min(room));
             return Pool { wake, sleep: Vec::new() };
         }
         let sleep = self.choose_sleeps(now, &awake, peak);
         Pool { wake: Vec::new(), sleep }
     }
 
+    /// Returns the share of the needed hosts that is not awake.
+    pub fn shortage(&self, input: &PlanInput<'_>) -> f64 {
+        let awake = input.hosts.iter().filter(|h| h.awake && h.usable).count();
+        let needed = self.needed(input);
+        needed.saturating_sub(awake) as f64 / needed.max(1) as f64
+    }
+
     /// Returns the greatest need within the hold time, after adding the current one.
     fn peak(&mut self, now: Moment, needed: usize) -> usize {
         let hold = self.limits.hold;
--- a/src/limpetmux/planner/service.rs
+++ b/src/limpetmux/planner/service.rs
@@ -167,24 +167,20 @@
         self.act(actions).await;
     }
 
+    /// Asks the hosts whose turn it is for their load.
     async fn sample(
         &self,
         view: &View,
         usable: &BTreeSet<HostKey>,
-    ) -> BTreeMap<HostKey, LoadSample> {
-        let asleep = self.agent.fold().asleep();
-        let awake = usable.iter().filter(|h| !asleep.contains(view.hosts[**h].name.as_str()));
-        let probes: Vec<_> = awake
-            .map(|&host| {
+    ) -> BTreeMap<HostKey, Option<LoadSample>> {
+        let hosts = self.agent.probes(view, usable).into_iter();
+        let probes: Vec<_> = hosts
+            .map(|host| {
                 let load = (self.parts.load)(view.hosts[host].sidecar);
                 async move { (host, load.await) }
             })
             .collect();
-        futures::stream::iter(probes)
-            .buffer_unordered(PROBES)
-            .filter_map(|(host, load)| async move { Some((host, load?)) })
-            .collect()
-            .await
+        futures::stream::iter(probes).buffer_unordered(PROBES).collect().await
     }
 
     async fn act(&self, actions: Vec<AgentAction>) {
--- a/tests/testsuite/sessions/planners.rs
+++ b/tests/testsuite/sessions/planners.rs
@@ -72,8 +72,8 @@
         let asleep = self.agents[agent].1.fold().asleep().clone();
         let awake = |h: &HostKey| !asleep.contains(self.view.hosts[*h].name.as_str());
         let sample = LoadSample { inflight: calls, queued: 0 };
-        let loads: BTreeMap<HostKey, LoadSample> =
-            self.view.hosts.keys().filter(awake).map(|h| (h, sample)).collect();
+        let loads: BTreeMap<HostKey, Option<LoadSample>> =
+            self.view.hosts.keys().filter(awake).map(|h| (h, Some(sample))).collect();
         let usable: BTreeSet<HostKey> = self.view.hosts.keys().collect();
         let actions = self.agents[agent].1.on_loads(self.now, &self.view, &loads, &usable);
         self.act(agent, actions);
--- a/tests/testsuite/spread.rs
+++ b/tests/testsuite/spread.rs
@@ -5,8 +5,12 @@
     Control, ControlOptions, PeerCounters, Spread, SpreadOptions, peer_server, prepare,
 };
 use limpetmux::core::config::Replica;
+use limpetmux::core::planner::PROBES_PER_ROUND;
 use limpetmux::core::revision::{Offset, Revision};
 use limpetmux::kernel::Kernel;
+use limpetmux::node::deployment::Deployment::PhLuzon;
+use limpetmux::node::local::{Local, LocalOptions};
+use limpetmux::planner::probe_load;
 use limpetmux_test_support::changes::{change_record, first_change};
 use limpetmux_test_support::{FakeLog, small_config};
 use rand::rngs::StdRng;
@@ -24,6 +28,10 @@
 const ROUNDS: usize = 8;
 /// A quarter of a node's 24 KB/s for control.
 const NODE_BYTES: f64 = 6_000.0;
+/// Traffic that the holder of the lease may spend on probes, in bytes a second.
+const PROBE_BYTES_PER_S: f64 = 6_000.0;
+/// The time between two rounds of probes.
+const ROUND_S: f64 = 5.0;
 
 struct Node {
     _kernel: Kernel,
@@ -126,6 +134,20 @@
     assert!(bytes > 0 && rate <= NODE_BYTES, "{rate}");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn probes_of_a_round_stay_within_their_share_of_bandwidth() {
+    let local = Local::start(LocalOptions { deployment: PhLuzon, port: 0 }).await.unwrap();
+    let (proxy, mut counts) = count_bytes(local.hosts[0].addr).await;
+
+    let load = probe_load()(proxy).await;
+    let bytes = counts.recv().await.unwrap();
+
+    let rate = bytes as f64 * PROBES_PER_ROUND as f64 / ROUND_S;
+    println!("a probe: {bytes} bytes on TCP; all probes of the holder: {rate:.0} bytes/s");
+    assert!(load.is_some() && rate <= PROBE_BYTES_PER_S, "{rate}");
+    local.stop().await;
+}
+
 #[test]
 fn change_reaches_all_nodes_at_the_target_size() {
     let record = change_record(first_change(&small_config()));
