Test over TCP that a host puts itself to sleep for the lease's holder only

Cause: sidecars that drain and switch their host off by an accepted plan were shown in no test with running processes.

Change: a test with separate processes under load takes the planner's lease twice and plans with both fencing numbers. The host of the valid plan drains, asks for its hardware to be switched off under that number and ends; the host of the outdated plan goes on.

Conclusion: no request was cut while the host left.

--- a/tests/testsuite/planner_service.rs
+++ b/tests/testsuite/planner_service.rs
@@ -1,14 +1,19 @@
-//! The planner duty around a log in the process, on paused time.
+//! The planner duty around a log in the process, on paused time, and its plans on running processes.
 
 use futures::FutureExt;
+use limpetmux::adapters::log::{LogClient, Stream};
 use limpetmux::adapters::power::{PowerClient, PowerError, PowerOrder};
-use limpetmux::core::planner::{AgentOptions, LoadSample};
+use limpetmux::core::planner::{AgentOptions, DutyFold, DutyRecord, LoadSample, PlanDelta};
 use limpetmux::kernel::{Published, Publisher};
 use limpetmux::planner::{PlannerParts, PowerView, run, wait_for_sleep};
 use limpetmux::prelude::*;
-use limpetmux_test_support::FakeLog;
+use limpetmux_test_support::config::summary_config;
+use limpetmux_test_support::load::Load;
 use limpetmux_test_support::policy::{pool_config, view};
+use limpetmux_test_support::processes::Processes;
+use limpetmux_test_support::{FakeLog, name};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -135,3 +140,59 @@
 
     assert_eq!(fence, plan.load().fence);
 }
+
+/// Takes the lease for a planner of the test, whoever held it, and returns the fencing number.
+async fn take_lease(log: &LogClient, planner: &str) -> Offset {
+    loop {
+        let page = (log.read)(Stream::Duties, Offset(0), Duration::ZERO).await.unwrap();
+        let mut fold = DutyFold::new(page.first);
+        for record in &page.records {
+            fold.fold(record.offset, &DutyRecord::decode(&record.data).unwrap());
+        }
+        if let Some(lease) = fold.lease().filter(|l| l.holder == planner) {
+            return lease.fence;
+        }
+        let previous = fold.lease().map(|l| l.last);
+        append(log, DutyRecord::Grant { holder: planner.to_owned(), previous }).await;
+    }
+}
+
+async fn append(log: &LogClient, record: DutyRecord) {
+    (log.append)(Stream::Duties, record.encode().unwrap()).await.unwrap();
+}
+
+fn sleep(fence: Offset, host: &Name) -> DutyRecord {
+    let delta = PlanDelta { sleep: [host.to_string()].into(), ..PlanDelta::default() };
+    DutyRecord::Plan { fence, delta }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn host_drains_and_switches_itself_off_for_the_planner_that_holds_the_lease() {
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join("sleep");
+    let binary = Path::new(env!("CARGO_BIN_EXE_limpetmux"));
+    let mut processes = Processes::start(binary, &dir, summary_config(), 1).await;
+    let log = LogClient::http(reqwest::Client::new(), &processes.log.url());
+    let load = Load::start(vec![processes.entries[0].url.clone()], 6, None);
+    load.answered(12).await;
+    let (host, kept) = (name("encode-0"), name("encode-1"));
+    let backend = Arc::clone(processes.standins[&host].backend());
+    processes.power.attach(host.as_str(), Arc::clone(&backend));
+    let paused = take_lease(&log, "paused").await;
+    let fence = take_lease(&log, "planner").await;
+
+    append(&log, sleep(paused, &kept)).await;
+    append(&log, sleep(fence, &host)).await;
+    while processes.sidecars.get_mut(&host).unwrap().is_running() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    load.answered(12).await;
+    let tally = load.stop().await;
+
+    assert_eq!(tally.faults, Vec::<String>::new());
+    let off: Vec<_> = processes.power.orders().into_iter().filter(|o| !o.on).collect();
+    let order =
+        limpetmux_standins::power::PowerOrder { host: host.to_string(), on: false, fence: fence.0 };
+    assert_eq!(off, [order]);
+    assert_eq!(backend.running(), 0);
+    assert!(processes.sidecars.get_mut(&kept).unwrap().is_running());
+}
