--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -3,12 +3,14 @@
 //! `cargo run -p xtask -- codegen` compiles `proto/*.proto` into `src/limpetmux/wire/gen/`, whose
 //! files are committed so that neither the build nor CI runs a generator.
 //! `cargo run -p xtask -- explore` explores the at-most-once protocol further than the tests do.
+//! `cargo run --release -p xtask -- inforce` measures how fast a change reaches all processes.
 //! `cargo run --release -p xtask -- load` sends requests at a fixed rate and writes a report.
 //! `cargo run --release -p xtask -- policy` prints the policy's tables of `docs/MEASUREMENTS.md`.
 
 mod codegen;
 mod explore;
 mod idle;
+mod inforce;
 mod load;
 mod policy;
 mod power;
@@ -28,6 +30,7 @@
     Codegen(codegen::CodegenArgs),
     Explore(explore::ExploreArgs),
     Idle(idle::IdleArgs),
+    Inforce(inforce::InforceArgs),
     Load(load::LoadArgs),
     Policy(policy::PolicyArgs),
     Power(power::PowerArgs),
@@ -39,6 +42,7 @@
         Task::Codegen(args) => Ok(codegen::exec(args)?),
         Task::Explore(args) => Ok(explore::exec(args)?),
         Task::Idle(args) => Ok(idle::exec(args)?),
+        Task::Inforce(args) => Ok(inforce::exec(args)?),
         Task::Load(args) => Ok(load::exec(args)?),
         Task::Policy(args) => {
             policy::exec(&args);
