--- a/src/limpetmux/core/once/node.rs
+++ b/src/limpetmux/core/once/node.rs
@@ -190,7 +190,7 @@
             Some(State::Answered(a)) => Known::Answered(a.clone()),
             Some(State::Claiming | State::Running) => Known::Running,
             Some(State::Released) => Known::NotRun,
-            Some(State::Open | State::Unknown) => Known::Unknown,
+            Some(State::Open | State::Claimed | State::Unknown) => Known::Unknown,
             None if self.vouch(key, role, time).is_ok() => Known::Absent,
             None => Known::Unknown,
         }
@@ -290,7 +290,7 @@
         match &entry.state {
             State::Claiming | State::Running => Some(Begin::Wait),
             State::Answered(answer) => Some(Begin::Replay(answer.clone())),
-            State::Open | State::Unknown => {
+            State::Open | State::Claimed | State::Unknown => {
                 Some(Begin::Refuse(Refusal::unknown(RefusalCode::Unvouched)))
             }
             State::Released => None,
@@ -348,10 +348,11 @@
         };
         let kept = key.created().is_none_or(|t| time.wall <= t + window);
         if newer && kept && !self.is_older_than_move(key, role, time.wall) {
-            Ok(())
-        } else {
-            Err(Refusal::unknown(RefusalCode::Unvouched))
+            return Ok(());
         }
+        // The part of the log that is not read yet may say that the successor holds the key.
+        let shared = matches!(role, Role::Home { successor: Some(_) });
+        Err(if shared && !self.read { not_home } else { Refusal::unknown(RefusalCode::Unvouched) })
     }
 
     /// Returns whether no other process can have run a key without a time.
