Pass a fencing number to services of requests that run at most once

Cause: the field was never filled, so a service that compares fencing numbers could not refuse a run that its home had accepted before the key moved and dispatched after.

Change: each run carries the offset behind the last takeover, return, change of hosts or new process that its host had read when it accepted the key. Over TCP, a former home that is held between accepting and dispatching is refused by a service that compares, and runs the key late and once at one that does not.

--- a/crates/limpetmux-standins/src/plain.rs
+++ b/crates/limpetmux-standins/src/plain.rs
@@ -14,6 +14,7 @@
 struct Runs {
     attempts: BTreeMap<String, u32>,
     keys: BTreeMap<String, u32>,
+    fenced: Vec<String>,
 }
 
 /// A running plain service.
@@ -55,6 +56,11 @@
         self.runs().attempts.clone()
     }
 
+    /// Returns the keys of the calls that were refused for an old fencing number.
+    pub fn fenced(&self) -> Vec<String> {
+        self.runs().fenced.clone()
+    }
+
     /// Returns how often each key ran: the body's `key` or `input.key`, or else the whole body.
     pub fn keys(&self) -> BTreeMap<String, u32> {
         self.runs().keys.clone()
@@ -80,6 +86,7 @@
     let fence = header(request, "x-fence").and_then(|v| v.parse().ok()).unwrap_or(0);
     let attempt = header(request, "x-attempt-id").unwrap_or_default().to_owned();
     if let Err(newer) = backend.check_fence(fence) {
+        runs.lock().unwrap_or_else(PoisonError::into_inner).fenced.push(key_of(&body));
         return (StatusCode::CONFLICT, Json(json!({ "fence": newer }))).into_response();
     }
     let mut slot = match backend.acquire(0).await {
--- a/crates/limpetmux-test-support/src/once_fleet.rs
+++ b/crates/limpetmux-test-support/src/once_fleet.rs
@@ -1,5 +1,6 @@
 //! A service that may run at most once: a log, hosts in two zones and two entries on loopback.
 
+use futures::FutureExt;
 use limpetmux::adapters::backend::Backend;
 use limpetmux::adapters::log::LogClient;
 use limpetmux::core::config::{
@@ -17,8 +18,10 @@
 use limpetmux_standins::{BackendOptions, Log, LogOptions, Plain};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::config::name;
@@ -56,11 +59,24 @@
     config: Config,
     client: reqwest::Client,
     rules: Rules,
+    /// Whether all sidecars use the first host's service.
+    shared: bool,
+    paused: watch::Sender<bool>,
+    held: Arc<AtomicU32>,
 }
 
 impl OnceFleet {
     /// Starts everything; the log is up and empty.
     pub async fn start() -> Self {
+        Self::start_with(BackendOptions::default(), false).await
+    }
+
+    /// Starts everything with one service for all hosts.
+    pub async fn start_shared(options: BackendOptions) -> Self {
+        Self::start_with(options, true).await
+    }
+
+    async fn start_with(options: BackendOptions, shared: bool) -> Self {
         let log = Log::start(LogOptions::default()).await.unwrap();
         let client = reqwest::Client::builder().no_proxy().build().unwrap();
         let mut listeners = Vec::new();
@@ -79,9 +95,22 @@
             ..Rules::default()
         };
         let (hosts, callers, entries) = (Vec::new(), Vec::new(), Vec::new());
-        let mut fleet = Self { log, hosts, callers, entries, view, config, client, rules };
+        let paused = watch::Sender::new(false);
+        let mut fleet = Self {
+            log,
+            hosts,
+            callers,
+            entries,
+            view,
+            config,
+            client,
+            rules,
+            shared,
+            paused,
+            held: Arc::default(),
+        };
         for (i, listener) in listeners.into_iter().enumerate() {
-            let plain = Plain::start(BackendOptions::default()).await.unwrap();
+            let plain = Plain::start(options.clone()).await.unwrap();
             let addr = listener.local_addr().unwrap();
             let sidecar = fleet.sidecar(i, &plain);
             let server = serve(Arc::clone(&sidecar), listener);
@@ -112,15 +141,31 @@
 
     fn sidecar(&self, host: usize, plain: &Plain) -> Arc<Sidecar> {
         let log = LogClient::http(self.client.clone(), &self.log.url());
+        let plain = self.hosts.first().map(|h| &h.plain).filter(|_| self.shared).unwrap_or(plain);
+        let backend = Backend::http(self.client.clone(), &plain.url());
         Sidecar::start(SidecarOptions {
             host: name(HOSTS[host].0),
             view: self.view.reader(),
-            backend: Backend::http(self.client.clone(), &plain.url()),
+            backend: if host == 0 {
+                pausing(backend, self.paused.subscribe(), Arc::clone(&self.held))
+            } else {
+                backend
+            },
             once: Some(OnceLink { rules: self.rules, ..OnceLink::new(log) }),
             metrics: Metrics::none(),
         })
     }
 
+    /// Holds the first host's calls back between accepting and dispatching, or lets them go on.
+    pub fn set_paused(&self, paused: bool) {
+        self.paused.send_replace(paused);
+    }
+
+    /// Returns how many calls of the first host were held back.
+    pub fn held(&self) -> u32 {
+        self.held.load(Ordering::SeqCst)
+    }
+
     /// Ends a sidecar's process by a graceful shutdown.
     ///
     /// # Panics
@@ -191,6 +236,20 @@
     }
 }
 
+fn pausing(backend: Backend, paused: watch::Receiver<bool>, held: Arc<AtomicU32>) -> Backend {
+    let run = Arc::clone(&backend.run);
+    let wait = move |job| {
+        let (run, mut paused) = (Arc::clone(&run), paused.clone());
+        held.fetch_add(u32::from(*paused.borrow()), Ordering::SeqCst);
+        async move {
+            drop(paused.wait_for(|paused| !paused).await);
+            run(job).await
+        }
+        .boxed()
+    };
+    Backend { run: Arc::new(wait), ..backend }
+}
+
 fn serve(sidecar: Arc<Sidecar>, listener: TcpListener) -> JoinHandle<()> {
     let server = serve_sidecar(sidecar, listener, std::future::pending());
     tokio::spawn(async move { drop(server.await) })
@@ -209,7 +268,7 @@
         kind: StageKind::Plain,
         model: None,
         idempotent: false,
-        fencing: Fencing::Ignored,
+        fencing: Fencing::Checked,
         concurrency: 8,
         cold: 8,
         warmup: Duration::ZERO,
--- a/src/limpetmux/core/once/declared.rs
+++ b/src/limpetmux/core/once/declared.rs
@@ -80,6 +80,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Member {
     declared: Arc<Declared>,
+    by: Incarnation,
     /// When a host that is declared no more counts as gone.
     until: KeyTime,
 }
@@ -193,11 +194,13 @@
         }
         self.declared.is_read |= is_own;
         let until = time.wall + self.rules.hold + self.rules.margin;
-        let member = Member { declared: Arc::clone(declared), until };
-        let last = self.declared.hosts.insert(host, member).map(|m| m.declared);
-        self.declared
-            .former
-            .extend(last.filter(|d| !d.is_same(declared)).map(|d| Former::new(host, d, time.wall)));
+        let member = Member { declared: Arc::clone(declared), by, until };
+        let last = self.declared.hosts.insert(host, member);
+        if last.as_ref().is_none_or(|l| l.by != by || !l.declared.is_same(declared)) {
+            self.fence = self.position;
+        }
+        let left = last.map(|l| l.declared).filter(|d| !d.is_same(declared));
+        self.declared.former.extend(left.map(|d| Former::new(host, d, time.wall)));
     }
 
     /// Notes a takeover of any home.
--- a/src/limpetmux/core/once/node.rs
+++ b/src/limpetmux/core/once/node.rs
@@ -90,6 +90,8 @@
     pub(super) first: bool,
     /// The offset behind the last observed record.
     pub(super) position: Offset,
+    /// The offset behind the last record that may have moved keys.
+    pub(super) fence: Offset,
     pub(super) table: Table,
     /// Keys to be claimed with the next append.
     due: BTreeSet<KeyId>,
@@ -135,6 +137,7 @@
             others: false,
             first: false,
             position: Offset::default(),
+            fence: Offset::default(),
             table: Table::default(),
             due: BTreeSet::new(),
             beliefs: BTreeMap::new(),
--- a/src/limpetmux/core/once/observe.rs
+++ b/src/limpetmux/core/once/observe.rs
@@ -34,6 +34,14 @@
         }
     }
 
+    /// Returns the fencing number of a run that is accepted now.
+    ///
+    /// It grows with every takeover, return, change of hosts and new process, so a service that
+    /// compares it refuses a run that was accepted before and is dispatched after a later one.
+    pub fn fence(&self) -> Offset {
+        self.fence
+    }
+
     /// Notes whether another process can have run this host's keys before.
     fn note_others(&mut self, record: &Record) {
         match record {
@@ -105,6 +113,7 @@
     }
 
     fn observe_takeover(&mut self, home: HostId, by: HostId, process: Incarnation, time: Time) {
+        self.fence = self.position;
         self.note_hold(home, by, process, time.wall);
         if home == self.id {
             self.lost.insert(by, process);
@@ -142,6 +151,7 @@
     }
 
     fn observe_return(&mut self, home: HostId, by: HostId, process: Incarnation, time: Time) {
+        self.fence = self.position;
         self.end_hold(home, by, process);
         if home == self.id && self.lost.get(&by) == Some(&process) {
             self.regain(by, time.wall);
--- a/src/limpetmux/sidecar/once/mod.rs
+++ b/src/limpetmux/sidecar/once/mod.rs
@@ -23,6 +23,7 @@
     Action, Answer, Begin, Guards, HostId, Incarnation, KeyId, KeyTime, Known, Node, Outcome, Role,
     Rules, Time, Work,
 };
+use crate::core::revision::Offset;
 use crate::core::time::Moment;
 use crate::core::verdict::{Refusal, RefusalCode};
 use crate::core::view::View;
@@ -55,8 +56,8 @@
 /// What to do with a request under a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
-    /// Run the stage, then call [`OnceGate::finish`] whatever happens.
-    Run,
+    /// Run the stage under a fencing number, then call [`OnceGate::finish`] whatever happens.
+    Run(Offset),
     /// Give the stored answer again.
     Replay(Answer),
     /// Refuse the request.
@@ -222,7 +223,7 @@
             return Some(decision);
         }
         match inner.node.begin(work, self.time()) {
-            Begin::Run => Some(Decision::Run),
+            Begin::Run => Some(Decision::Run(inner.node.fence())),
             Begin::Replay(answer) => Some(Decision::Replay(answer)),
             Begin::Refuse(refusal) => {
                 inner.note_refusal(work.role);
@@ -243,7 +244,7 @@
         if !owner {
             return Decision::Refuse(Refusal::unknown(RefusalCode::Deadline));
         }
-        let won = inner.decided.remove(&key) == Some(Decision::Run);
+        let won = matches!(inner.decided.remove(&key), Some(Decision::Run(_)));
         if won {
             inner.node.finish(key, Outcome::NotRun);
         } else {
@@ -256,9 +257,10 @@
 
     /// Hands the log's decisions to the requests that wait.
     fn apply(&self, inner: &mut Inner, actions: Vec<Action>) {
+        let fence = inner.node.fence();
         for action in actions {
             match action {
-                Action::Run(key) => inner.decided.insert(key, Decision::Run),
+                Action::Run(key) => inner.decided.insert(key, Decision::Run(fence)),
                 Action::Refuse(key, r) => inner.decided.insert(key, Decision::Refuse(r)),
             };
         }
--- a/src/limpetmux/sidecar/once/run.rs
+++ b/src/limpetmux/sidecar/once/run.rs
@@ -45,7 +45,7 @@
     sidecar: &Sidecar,
     gate: &OnceGate,
     request: (&stage::RunRequest, &stage::Idempotency),
-    attempt: Attempt,
+    mut attempt: Attempt,
     registration: &Registration,
     output: &mut Output,
 ) -> Result<Usage, Refusal> {
@@ -59,7 +59,8 @@
     match gate.decide(naming, idempotency.body_hash, attempt.deadline).await {
         Decision::Refuse(refusal) => Err(refusal),
         Decision::Replay(answer) => deliver(answer, Duration::ZERO, output).await,
-        Decision::Run => {
+        Decision::Run(fence) => {
+            attempt.job.fence = Some((fence.0, attempt.admitted.spec().fencing));
             let report = Report { gate, key: Some(naming.id()) };
             let arrived = attempt.arrived;
             let (answer, busy) = run(sidecar, attempt, registration, report).await?;
--- a/tests/testsuite/once_path.rs
+++ b/tests/testsuite/once_path.rs
@@ -1,5 +1,6 @@
 //! Keys over TCP: each runs once through retries, crashes, outages and moves.
 
+use limpetmux_standins::BackendOptions;
 use limpetmux_test_support::http::Answer;
 use limpetmux_test_support::once_fleet::{OnceFleet, PIPELINE, WORKSPACE};
 use serde_json::json;
@@ -249,6 +250,44 @@
     assert_eq!([fleet.runs(&old), fleet.runs(&key)], [1, 1]);
 }
 
+/// Lets the home accept a key, moves its keys before it dispatches, and returns the keys that the
+/// service refused and how often the key ran.
+async fn dispatch_after_a_move(checks_fence: bool) -> (Vec<String>, u32, String) {
+    let options = BackendOptions { checks_fence, ..BackendOptions::default() };
+    let mut fleet = OnceFleet::start_shared(options).await;
+    send_until_answered(&fleet, 0).await;
+    let key = key_of(&fleet, 0);
+    fleet.set_paused(true);
+    let (caller, sent) = (fleet.callers[0].clone(), key.clone());
+    let body = json!({ "input": { "key": key } });
+    let request =
+        tokio::spawn(async move { caller.run_once(WORKSPACE, PIPELINE, &sent, &body).await });
+    while fleet.held() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    fleet.set_serving(0, false);
+    send_until_answered(&fleet, 0).await;
+    fleet.set_paused(false);
+    request.await.unwrap();
+    let plain = &fleet.hosts[0].plain;
+    (plain.fenced(), fleet.runs(&key), key)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn service_that_compares_fences_refuses_a_paused_former_home() {
+    let (fenced, runs, key) = dispatch_after_a_move(true).await;
+
+    assert_eq!(fenced, [key]);
+    assert!(runs <= 1, "{runs} runs");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn service_that_ignores_fences_runs_a_paused_key_late_and_once() {
+    let (fenced, runs, _) = dispatch_after_a_move(false).await;
+
+    assert_eq!((fenced, runs), (Vec::new(), 1));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn outcome_look_up_returns_the_whole_answer() {
     let fleet = OnceFleet::start().await;
