Finish a takeover whose caller has stopped waiting

Cause: a host that hands its table over waits 500 ms for the answer. When the call was given up, the receiving host dropped the handler, and with it an append that may not have been sent yet; the takeover then counted as under way for good, so the host could neither take over nor give back. Change: the handler's work goes on in a task of its own. Conclusion: appends that decide on keys are not cancelled by a caller any more.

--- a/src/limpetmux/sidecar/once/service.rs
+++ b/src/limpetmux/sidecar/once/service.rs
@@ -60,7 +60,10 @@
         let returns = request.returns;
         let table = convert::handover(request)
             .ok_or_else(|| Status::invalid_argument("the table is malformed"))?;
-        let accepted = self.gate.receive(table, returns, &self.log).await;
+        // A caller that stops waiting must not leave a takeover half done.
+        let (gate, log) = (Arc::clone(&self.gate), self.log.clone());
+        let received = tokio::spawn(async move { gate.receive(table, returns, &log).await });
+        let accepted = received.await.map_err(|e| Status::internal(e.to_string()))?;
         Ok(Response::new(once::HandOverReply { accepted }))
     }
 
