Order a host's model under the fencing number of the plan

Cause: the protocol has orders to load models, and engines that check or ignore fencing numbers, but nothing sent them.

Change: the sidecar orders its own backend server to load the model of its service, with the fencing number of the accepted plan: once for each tenure, model and restart, and each minute where fencing is declared as ignored. Events 507 and 508 tell of it.

Conclusion: an engine that honours fencing refuses the late order with 409, one that ignores it applies it until the next repetition. Adapters, versions and changes of role are not ordered.

--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -9,4 +9,5 @@
 pub mod hosts;
 pub mod log;
 mod log_http;
+pub mod orders;
 pub mod power;
--- /dev/null
+++ b/src/limpetmux/adapters/orders.rs
@@ -0,0 +1,77 @@
+//! The client through which a sidecar orders its backend server to load a model.
+
+use crate::core::config::Name;
+use crate::core::revision::Offset;
+use futures::future::BoxFuture;
+use reqwest::StatusCode;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The time allowed for the answer; loading goes on after it.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// An order to load a model; it is idempotent and may be repeated.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ModelOrder {
+    /// The model.
+    pub model: Name,
+    /// The fencing number of the planner's tenure.
+    pub fence: Offset,
+}
+
+/// An order that was not applied.
+#[derive(Debug, thiserror::Error)]
+pub enum OrderError {
+    /// The backend server gave no usable answer; it may have applied the order.
+    #[error("the backend server gave no answer to an order")]
+    NoAnswer(#[from] reqwest::Error),
+    /// The backend server has seen a higher fencing number.
+    #[error("the backend server refused an old fencing number")]
+    Fenced,
+    /// The backend server refused the order.
+    #[error("the backend server refused an order with status {0}")]
+    Refused(u16),
+}
+
+type SendFn = dyn Fn(ModelOrder) -> BoxFuture<'static, Result<(), OrderError>> + Send + Sync;
+
+/// Access to the orders of one backend server; replaceable by a fake in tests.
+#[derive(Clone)]
+pub struct OrdersClient {
+    /// Sends one order.
+    pub send: Arc<SendFn>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct OrderBody {
+    kind: OrderKind,
+    model: Name,
+    fence: Offset,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum OrderKind {
+    Load,
+}
+
+impl OrdersClient {
+    /// Creates a client of the protocol in `docs/PROTOCOLS.md`; `base` is the backend server's URL.
+    pub fn http(http: reqwest::Client, base: &str) -> Self {
+        let url = format!("{}/v1/orders", base.trim_end_matches('/'));
+        let send = move |order: ModelOrder| {
+            let body = OrderBody { kind: OrderKind::Load, model: order.model, fence: order.fence };
+            let request = http.post(&url).timeout(TIMEOUT).json(&body);
+            let answer: BoxFuture<'static, Result<(), OrderError>> = Box::pin(async move {
+                match request.send().await?.status() {
+                    status if status.is_success() => Ok(()),
+                    StatusCode::CONFLICT => Err(OrderError::Fenced),
+                    status => Err(OrderError::Refused(status.as_u16())),
+                }
+            });
+            answer
+        };
+        Self { send: Arc::new(send) }
+    }
+}
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -9,6 +9,7 @@
 use crate::adapters::backend::Backend;
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::LogClient;
+use crate::adapters::orders::OrdersClient;
 use crate::adapters::power::{PowerClient, PowerOrder};
 use crate::admin::{StatusFn, report};
 use crate::core::revision::Offset;
@@ -16,7 +17,7 @@
 use crate::entry::{Entry, EntryError, EntryOptions, Members};
 use crate::event;
 use crate::kernel::KernelError;
-use crate::planner::wait_for_sleep;
+use crate::planner::{ModelParts, follow_model, wait_for_sleep};
 use crate::settings::{EntrySettings, Settings, SidecarSettings};
 use crate::sidecar::{OnceLink, Sidecar, SidecarOptions};
 use crate::util::clock;
@@ -24,6 +25,7 @@
 use crate::util::metrics::{Metrics, MetricsError};
 use crate::wire::admin::{Attainment, BackendRow, StatusReply};
 use futures::FutureExt;
+use futures::future::BoxFuture;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -190,6 +192,7 @@
     let process = Process::sidecar(&sidecar, parts)?.with(|routes| routes.add_service(peers));
     let asleep = sleep_order(settings, &services);
     tokio::pin!(asleep);
+    let models = tokio::spawn(model_orders(settings, own, &services, &sidecar)?);
     let mut fence = None;
     let ended = async {
         tokio::select! {
@@ -197,7 +200,9 @@
             order = &mut asleep => fence = Some(order),
         }
     };
-    let report = process.run(listener, ended).await?;
+    let report = process.run(listener, ended).await;
+    models.abort();
+    let report = report?;
     if let Some(fence) = fence {
         switch_off(settings, &report, fence).await;
     }
@@ -216,6 +221,25 @@
     }
 }
 
+/// Returns a future that keeps the model of the backend server in step with the accepted plan.
+fn model_orders(
+    settings: &Settings,
+    own: &SidecarSettings,
+    services: &Services,
+    sidecar: &Arc<Sidecar>,
+) -> Result<BoxFuture<'static, ()>, RoleError> {
+    let Some(power) = services.power.clone() else { return Ok(std::future::ready(()).boxed()) };
+    let sidecar = Arc::clone(sidecar);
+    let parts = ModelParts {
+        host: settings.name.clone(),
+        views: services.control.view.clone(),
+        power,
+        orders: OrdersClient::http(http_client()?, &own.backend),
+        incarnation: Arc::new(move || sidecar.gate().load().incarnation),
+    };
+    Ok(follow_model(parts).boxed())
+}
+
 /// Asks the platform to switch this host off, once its process has drained.
 ///
 /// A host that could not finish its work stays on; the planner sees it and plans again.
--- a/src/limpetmux/planner/mod.rs
+++ b/src/limpetmux/planner/mod.rs
@@ -2,10 +2,13 @@
 //!
 //! The service lives on the control thread. It reads the duties stream, feeds records, ticks and
 //! load samples to the [`Agent`](crate::core::planner::Agent) and carries out its actions. The
-//! folded plan is published as a [`PowerView`], which the router and the sidecars read.
+//! folded plan is published as a [`PowerView`], which the router and the sidecars read. A sidecar
+//! orders its backend server's model under the plan's fencing number ([`follow_model`]).
 
+mod models;
 mod probe;
 mod service;
 
+pub use models::{ModelParts, follow_model};
 pub use probe::probe_load;
 pub use service::{LoadFn, PlannerError, PlannerParts, PowerView, run, wait_for_sleep};
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -116,6 +116,11 @@
     DutyLogReset = 505,
     /// This host has drained and is being switched off.
     HostSleeping = 506,
+    /// The backend server was ordered to load a model.
+    ModelOrdered = 507,
+    /// The backend server refused an order because it has seen a higher fencing number.
+    #[strum(props(level = "warn"))]
+    ModelOrderFenced = 508,
 
     // 6xx: platform and backend servers.
 
--- a/tests/testsuite/planner_service.rs
+++ b/tests/testsuite/planner_service.rs
@@ -5,9 +5,11 @@
 use limpetmux::adapters::power::{PowerClient, PowerError, PowerOrder};
 use limpetmux::core::planner::{AgentOptions, DutyFold, DutyRecord, LoadSample, PlanDelta};
 use limpetmux::kernel::{Published, Publisher};
+use limpetmux::node::local::StandIn;
 use limpetmux::planner::{PlannerParts, PowerView, run, wait_for_sleep};
 use limpetmux::prelude::*;
 use limpetmux_test_support::config::summary_config;
+use limpetmux_test_support::deployment::wait_for;
 use limpetmux_test_support::load::Load;
 use limpetmux_test_support::policy::{pool_config, view};
 use limpetmux_test_support::processes::Processes;
@@ -186,6 +188,8 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     load.answered(12).await;
+    let StandIn::Engine(engine) = &processes.standins["generate-0"] else { panic!("no engine") };
+    wait_for(|| engine.orders().iter().any(|o| o.kind == "load" && o.fence == fence.0)).await;
     let tally = load.stop().await;
 
     assert_eq!(tally.faults, Vec::<String>::new());
@@ -196,3 +200,127 @@
     assert_eq!(backend.running(), 0);
     assert!(processes.sidecars.get_mut(&kept).unwrap().is_running());
 }
+
+mod models {
+    //! A sidecar orders the model of its backend server under the plan's fencing number.
+
+    use super::*;
+    use limpetmux::adapters::orders::{ModelOrder, OrderError, OrdersClient};
+    use limpetmux::core::config::Fencing;
+    use limpetmux::planner::{ModelParts, follow_model};
+    use limpetmux_standins::{BackendOptions, Engine, EngineOptions};
+    use std::sync::atomic::{AtomicU64, Ordering};
+
+    const LOOK: Duration = Duration::from_secs(6);
+
+    /// A sidecar's duty with everything that it follows.
+    struct Host {
+        config: Config,
+        views: Publisher<View>,
+        power: Publisher<PowerView>,
+        incarnation: Arc<AtomicU64>,
+        _duty: JoinHandle<()>,
+    }
+
+    impl Host {
+        fn start(fencing: Fencing, orders: OrdersClient) -> Self {
+            let mut config = summary_config();
+            config.services.get_mut("generate").unwrap().fencing = fencing;
+            let views = Publisher::new(view(1, &config));
+            let power = Publisher::new(PowerView::default());
+            let incarnation = Arc::new(AtomicU64::new(1));
+            let seen = Arc::clone(&incarnation);
+            let duty = tokio::spawn(follow_model(ModelParts {
+                host: name("generate-0"),
+                views: views.reader(),
+                power: power.reader(),
+                orders,
+                incarnation: Arc::new(move || seen.load(Ordering::SeqCst)),
+            }));
+            Self { config, views, power, incarnation, _duty: duty }
+        }
+
+        async fn set_fence(&self, fence: u64) {
+            let fence = Some(Offset(fence));
+            self.power.publish(PowerView { fence, ..PowerView::default() });
+            tokio::time::sleep(LOOK).await;
+        }
+
+        async fn set_model(&mut self, revision: u64, model: &str) {
+            let model = Some(name(model));
+            self.config.services.get_mut("generate").unwrap().model = model;
+            self.views.publish(view(revision, &self.config));
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Returns a client that keeps the orders; it fails the first ones.
+    fn recorder(failures: usize) -> (OrdersClient, Arc<Mutex<Vec<(String, u64)>>>) {
+        let sent: Arc<Mutex<Vec<(String, u64)>>> = Arc::default();
+        let record = Arc::clone(&sent);
+        let send = move |order: ModelOrder| {
+            let mut sent = record.lock().unwrap();
+            sent.push((order.model.to_string(), order.fence.0));
+            let fails = sent.len() <= failures;
+            async move { if fails { Err(OrderError::Refused(503)) } else { Ok(()) } }.boxed()
+        };
+        (OrdersClient { send: Arc::new(send) }, sent)
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn model_is_ordered_once_for_each_tenure_model_and_restart() {
+        let (orders, sent) = recorder(1);
+        let mut host = Host::start(Fencing::Checked, orders);
+        tokio::time::sleep(LOOK).await;
+        let without_planner = sent.lock().unwrap().len();
+
+        host.set_fence(3).await;
+        host.set_model(2, "dispatch-8b").await;
+        host.set_fence(9).await;
+        host.incarnation.store(2, Ordering::SeqCst);
+        minutes(10).await;
+
+        assert_eq!(without_planner, 0);
+        let rows = [
+            ("dispatch-7b", 3),
+            ("dispatch-7b", 3),
+            ("dispatch-8b", 3),
+            ("dispatch-8b", 9),
+            ("dispatch-8b", 9),
+        ];
+        assert_eq!(*sent.lock().unwrap(), rows.map(|(model, fence)| (model.to_owned(), fence)));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn backend_server_that_ignores_fencing_is_told_again() {
+        let (orders, sent) = recorder(0);
+        let host = Host::start(Fencing::Ignored, orders);
+
+        host.set_fence(3).await;
+        minutes(10).await;
+
+        assert_eq!(sent.lock().unwrap().len(), 11);
+    }
+
+    /// Sends an order of each tenure, the newer one first, and returns the results and what applied.
+    async fn crossed(checks_fence: bool) -> (Vec<bool>, Vec<u64>) {
+        let backend = BackendOptions { checks_fence, ..BackendOptions::default() };
+        let engine = Engine::start(EngineOptions { backend, ..EngineOptions::default() }).await;
+        let engine = engine.unwrap();
+        let orders = OrdersClient::http(reqwest::Client::new(), &engine.server.url());
+        let mut fenced = Vec::new();
+        for fence in [5, 3].map(Offset) {
+            let result = (orders.send)(ModelOrder { model: name("dispatch-7b"), fence }).await;
+            fenced.push(matches!(result, Err(OrderError::Fenced)));
+        }
+        (fenced, engine.orders().iter().map(|o| o.fence).collect())
+    }
+
+    #[tokio::test]
+    async fn late_order_reaches_only_an_engine_that_ignores_fencing() {
+        let (honours, ignores) = (crossed(true).await, crossed(false).await);
+
+        assert_eq!(honours, (vec![false, true], vec![5]));
+        assert_eq!(ignores, (vec![false, false], vec![5, 3]));
+    }
+}
