Activate a record format by command once every process knows it

Cause: the fold has had the rule for formats from the start, but an operator had no command to activate one, and could not see which formats the processes know.

Change: `config activate FORMAT` asks the given entries, and through them all sidecars, for the newest format that they know, refuses while one is older or silent, and reads its record back like any other. The status reply and its JSON have the format.

With the comparison of a node's format taken out, an old node passes and the test fails; it is back.

Conclusion: only format 1 exists, so today the command refuses every other format as unknown. Whether a host that is off will start with a program that knows the format is the operator's to see to.

--- a/src/bin/limpetmux/commands/config.rs
+++ b/src/bin/limpetmux/commands/config.rs
@@ -1,15 +1,19 @@
 //! `limpetmux config`
 
-use super::operator::{finish, run, submission, unix_ms};
+use super::operator::{NotInForce, finish, run, submission, unix_ms};
 use argh::FromArgs;
-use limpetmux::core::config::{ChangeId, Name, Ownership};
+use limpetmux::core::config::record::Activation;
+use limpetmux::core::config::{ChangeId, FORMAT, Name, Ownership};
 use limpetmux::core::revision::Offset;
+use limpetmux::ops::activate;
 use limpetmux::ops::audit::{self, AuditFilter};
 use limpetmux::ops::config::{Plan, require_valid};
-use limpetmux::ops::config_client::ConfigClient;
+use limpetmux::ops::config_client::{ConfigClient, Outcome};
 use limpetmux::ops::config_files;
 use limpetmux::ops::sheet::digest_text;
+use limpetmux::ops::status::status;
 use miette::IntoDiagnostic;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// Plan, apply and show the configuration.
@@ -31,6 +35,7 @@
     Show(ShowArgs),
     History(HistoryArgs),
     Settle(SettleArgs),
+    Activate(ActivateArgs),
 }
 
 /// Check declarations without a log and print their digest.
@@ -120,6 +125,27 @@
     author: Name,
 }
 
+/// Let a format of configuration records take effect once every process knows it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "activate")]
+struct ActivateArgs {
+    /// the format
+    #[argh(positional)]
+    format: u32,
+    /// base URL of the platform log
+    #[argh(option)]
+    log: String,
+    /// who activates it
+    #[argh(option)]
+    author: Name,
+    /// the gRPC address of an entry, once for each entry; entries name the sidecars of all hosts
+    #[argh(option)]
+    node: Vec<SocketAddr>,
+    /// pass over processes that give no answer, such as those of hosts that are off
+    #[argh(switch)]
+    allow_silent: bool,
+}
+
 /// Runs the action.
 pub fn exec(args: ConfigArgs) -> miette::Result<()> {
     match args.action {
@@ -129,6 +155,7 @@
         Action::Show(args) => run(&args.log, show),
         Action::History(args) => run(&args.log.clone(), |client| history(client, args)),
         Action::Settle(args) => run(&args.log.clone(), |client| settle(client, args)),
+        Action::Activate(args) => run(&args.log.clone(), |client| activate(client, args)),
     }
 }
 
@@ -176,3 +203,22 @@
     println!("{outcome}");
     Ok(())
 }
+
+async fn activate(mut client: ConfigClient, args: ActivateArgs) -> miette::Result<()> {
+    let (fleet, active) = (status(&args.node).await, client.fold().format());
+    activate::check(args.format, (active, FORMAT), &fleet, args.allow_silent)?;
+    let submission = submission(args.author, String::new(), false);
+    let activation = Activation {
+        id: submission.id,
+        format: args.format,
+        author: submission.author,
+        submitted_ms: submission.submitted_ms,
+    };
+    match client.activate(activation).await? {
+        Outcome::Accepted { offset, .. } => {
+            println!("format {} is active from offset {offset} on", args.format);
+            Ok(())
+        }
+        outcome => Err(NotInForce { outcome }.into()),
+    }
+}
--- a/src/bin/limpetmux/commands/operator.rs
+++ b/src/bin/limpetmux/commands/operator.rs
@@ -11,8 +11,8 @@
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 #[error("{outcome}")]
 #[diagnostic(code(limpetmux::config::outcome))]
-struct NotInForce {
-    outcome: Outcome,
+pub struct NotInForce {
+    pub outcome: Outcome,
 }
 
 /// Folds the configuration log at a base URL and runs an action on it.
--- a/src/limpetmux/admin/mod.rs
+++ b/src/limpetmux/admin/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod report;
 
+use crate::core::config::FORMAT;
 use crate::shutdown::ShutdownPort;
 use crate::wire::admin::admin_server::{Admin, AdminServer};
 use crate::wire::admin::{DrainReply, DrainRequest, StatusReply, StatusRequest};
@@ -46,6 +47,7 @@
     async fn status(&self, _: Request<StatusRequest>) -> Result<Response<StatusReply>, Status> {
         let mut reply = (self.status)();
         reply.phase = self.shutdown.phase().to_string();
+        reply.format = FORMAT;
         Ok(Response::new(reply))
     }
 }
--- /dev/null
+++ b/src/limpetmux/ops/activate.rs
@@ -0,0 +1,99 @@
+//! `config activate`: lets a record format take effect once every node knows it.
+//!
+//! A node that is too old for an active format stops at its first record, so the command asks every
+//! process first. The fold accepts the activation itself by the same rule on all nodes; see
+//! `docs/design/configuration.md`.
+
+use super::status::{FleetStatus, NodeStatus};
+use thiserror::Error;
+
+/// A format is not activated.
+#[derive(Clone, Debug, PartialEq, Eq, Error, miette::Diagnostic)]
+pub enum ActivateError {
+    /// This program does not know the format.
+    #[error("format {format} is unknown to this program, which knows formats up to {known}")]
+    #[diagnostic(code(limpetmux::config::format_unknown), help("use the newer program"))]
+    Unknown {
+        /// The format.
+        format: u32,
+        /// The newest format that this program knows.
+        known: u32,
+    },
+    /// The format is active.
+    #[error("format {active} is active, so format {format} is too")]
+    #[diagnostic(code(limpetmux::config::format_active))]
+    Active {
+        /// The format.
+        format: u32,
+        /// The format that is active.
+        active: u32,
+    },
+    /// No process was asked.
+    #[error("no process was asked which formats it knows")]
+    #[diagnostic(
+        code(limpetmux::config::format_unasked),
+        help("give the gRPC addresses of all entries with --node")
+    )]
+    Unasked,
+    /// Processes run a program that does not know the format, or gave no answer.
+    #[error("{} process(es) do not know format {format} as far as is known", nodes.len())]
+    #[diagnostic(
+        code(limpetmux::config::format_early),
+        help("upgrade them first; --allow-silent passes over hosts that are off")
+    )]
+    Early {
+        /// The format.
+        format: u32,
+        /// The processes.
+        #[related]
+        nodes: Vec<EarlyNode>,
+    },
+}
+
+/// A process that does not know a format as far as is known.
+#[derive(Clone, Debug, PartialEq, Eq, Error, miette::Diagnostic)]
+pub enum EarlyNode {
+    /// The process is too old.
+    #[error("{node} knows formats up to {known}")]
+    Old {
+        /// The process.
+        node: String,
+        /// The newest format that it knows.
+        known: u32,
+    },
+    /// The process gave no answer.
+    #[error("{address} gives no answer")]
+    Silent {
+        /// The address.
+        address: std::net::SocketAddr,
+    },
+}
+
+/// Checks that a format can be activated: this program and every process know it.
+///
+/// # Errors
+/// Returns [`ActivateError`] naming what stands against it.
+pub fn check(
+    format: u32,
+    (active, known): (u32, u32),
+    fleet: &FleetStatus,
+    allow_silent: bool,
+) -> Result<(), ActivateError> {
+    if format > known {
+        return Err(ActivateError::Unknown { format, known });
+    }
+    if format <= active {
+        return Err(ActivateError::Active { format, active });
+    }
+    if fleet.nodes.iter().all(NodeStatus::is_silent) {
+        return Err(ActivateError::Unasked);
+    }
+    let early = |node: &NodeStatus| match node.is_silent() {
+        true if allow_silent => None,
+        true => Some(EarlyNode::Silent { address: node.address }),
+        false if node.format >= format => None,
+        false => Some(EarlyNode::Old { node: node.node.clone(), known: node.format }),
+    };
+    let nodes: Vec<EarlyNode> = fleet.nodes.iter().filter_map(early).collect();
+    if nodes.is_empty() { Ok(()) } else { Err(ActivateError::Early { format, nodes }) }
+}
--- a/src/limpetmux/ops/config_client.rs
+++ b/src/limpetmux/ops/config_client.rs
@@ -5,7 +5,7 @@
 //! change id, which the fold accepts at most once.
 
 use crate::adapters::log::{LogClient, LogError, LogPage, Stream};
-use crate::core::config::record::{self, Body, RecordError, Void};
+use crate::core::config::record::{self, Activation, Body, RecordError, Void};
 use crate::core::config::{
     Asked, Change, ChangeId, Entry, EntryKind, Fold, FoldError, Name, Rejection, Replica, Verdict,
 };
@@ -169,6 +169,14 @@
         self.append(id, &Body::Change(change)).await
     }
 
+    /// Activates a record format and reads the record back.
+    ///
+    /// # Errors
+    /// As [`ConfigClient::submit`].
+    pub async fn activate(&mut self, activation: Activation) -> Result<Outcome, ClientError> {
+        self.append(activation.id, &Body::Format(activation)).await
+    }
+
     /// Settles what became of a change by giving its id up, unless the log holds its verdict.
     ///
     /// # Errors
--- a/src/limpetmux/ops/mod.rs
+++ b/src/limpetmux/ops/mod.rs
@@ -1,5 +1,6 @@
 //! One function per operator command.
 
+pub mod activate;
 pub mod admin_client;
 pub mod audit;
 pub mod config;
--- a/src/limpetmux/ops/status.rs
+++ b/src/limpetmux/ops/status.rs
@@ -12,6 +12,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The role of a process that gave no answer.
+const UNREACHABLE: &str = "unreachable";
 /// Processes asked at the same time.
 const CONCURRENCY: usize = 16;
 /// The time allowed for one answer.
@@ -43,6 +45,15 @@
     pub limit: u32,
     /// Whether the backend server is cold.
     pub cold: bool,
+    /// The newest format of configuration records that the process knows; 0 if it did not answer.
+    pub format: u32,
+}
+
+impl NodeStatus {
+    /// Returns whether the process gave no answer.
+    pub fn is_silent(&self) -> bool {
+        self.role == UNREACHABLE
+    }
 }
 
 /// One host as the first answering entry sees it.
@@ -179,7 +190,7 @@
 
 fn node(address: SocketAddr, reply: Option<&StatusReply>, newest: u64) -> NodeStatus {
     let lag = reply.map(|r| newest - r.revision);
-    let unreachable = StatusReply { role: "unreachable".to_owned(), ..StatusReply::default() };
+    let unreachable = StatusReply { role: UNREACHABLE.to_owned(), ..StatusReply::default() };
     let reply = reply.unwrap_or(&unreachable);
     let backend = reply.backend.unwrap_or_default();
     NodeStatus {
@@ -194,6 +205,7 @@
         queued: backend.queued,
         limit: backend.limit,
         cold: backend.cold,
+        format: reply.format,
     }
 }
 
--- a/src/limpetmux/wire/gen/limpetmux.admin.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.admin.v1.rs
@@ -54,6 +54,9 @@
     pub stages: ::prost::alloc::vec::Vec<StageRow>,
     #[prost(message, optional, tag = "13")]
     pub attainment: ::core::option::Option<Attainment>,
+    /// The newest format of configuration records that the process knows.
+    #[prost(uint32, tag = "14")]
+    pub format: u32,
 }
 /// The backend server beside a sidecar.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/testsuite/admin.rs
+++ b/tests/testsuite/admin.rs
@@ -3,14 +3,20 @@
 use expect_test::expect;
 use futures::FutureExt;
 use limpetmux::admin::{AdminService, report};
+use limpetmux::core::config::Rejection;
+use limpetmux::core::config::record::Activation;
 use limpetmux::core::shutdown::ShutdownOptions;
 use limpetmux::kernel::Kernel;
 use limpetmux::node::deployment::Deployment::PhLuzon;
 use limpetmux::node::local::{Local, LocalOptions, StandIn};
 use limpetmux::ops;
+use limpetmux::ops::activate::{ActivateError, EarlyNode};
+use limpetmux::ops::config_client::{ConfigClient, Outcome};
 use limpetmux::shutdown::{ShutdownHooks, register};
 use limpetmux::wire::admin::{Attainment, BackendRow, HostRow, StageRow, StatusReply, ZoneRow};
+use limpetmux_test_support::changes::change_id;
 use limpetmux_test_support::http::Caller;
+use limpetmux_test_support::{FakeLog, name};
 use serde_json::json;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -155,6 +161,49 @@
     local.stop().await;
 }
 
+#[test]
+fn format_is_activated_only_when_every_process_knows_it() {
+    let addr = |port: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    let fleet = |formats: &[Option<u32>]| {
+        let reply = |format: u32| StatusReply { format, ..sidecar_reply() };
+        let answers: Vec<_> = (1..).map(addr).zip(formats.iter().map(|f| f.map(reply))).collect();
+        ops::status::combine(&answers)
+    };
+    let check = |format, formats: &[Option<u32>], silent| {
+        ops::activate::check(format, (2, 3), &fleet(formats), silent)
+    };
+    let early = |node| Err(ActivateError::Early { format: 3, nodes: vec![node] });
+    let old = EarlyNode::Old { node: "generate-0".to_owned(), known: 2 };
+
+    assert_eq!(check(3, &[Some(3), Some(4)], false), Ok(()));
+    assert_eq!(check(4, &[Some(4)], false), Err(ActivateError::Unknown { format: 4, known: 3 }));
+    assert_eq!(check(2, &[Some(3)], false), Err(ActivateError::Active { format: 2, active: 2 }));
+    assert_eq!(check(3, &[], true), Err(ActivateError::Unasked));
+    assert_eq!(check(3, &[Some(3), Some(2)], true), early(old));
+    let silent = EarlyNode::Silent { address: addr(2) };
+    assert_eq!(check(3, &[Some(3), None], false), early(silent));
+    assert_eq!(check(3, &[Some(3), None], true), Ok(()));
+}
+
+#[tokio::test]
+async fn activation_is_read_back_and_accepted_once() {
+    let log = FakeLog::new();
+    let mut client = ConfigClient::connect(log.client()).await.unwrap();
+    let activation = |number: u128| Activation {
+        id: change_id(number),
+        format: 2,
+        author: name("ana"),
+        submitted_ms: 0,
+    };
+
+    let first = client.activate(activation(1)).await.unwrap();
+    let second = client.activate(activation(2)).await.unwrap();
+
+    assert!(matches!(first, Outcome::Accepted { .. }), "{first}");
+    assert!(matches!(second, Outcome::Rejected { reason: Rejection::Empty, .. }), "{second}");
+    assert_eq!(client.fold().format(), 2);
+}
+
 #[test]
 fn status_table_shows_lag_cold_and_draining() {
     let addr = |port: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
--- a/tests/testsuite/planner_service.rs
+++ b/tests/testsuite/planner_service.rs
@@ -213,6 +213,9 @@
 
     const LOOK: Duration = Duration::from_secs(6);
 
+    /// The orders that were sent: model and fencing number.
+    type Sent = Arc<Mutex<Vec<(String, u64)>>>;
+
     /// A sidecar's duty with everything that it follows.
     struct Host {
         config: Config,
@@ -255,8 +258,8 @@
     }
 
     /// Returns a client that keeps the orders; it fails the first ones.
-    fn recorder(failures: usize) -> (OrdersClient, Arc<Mutex<Vec<(String, u64)>>>) {
-        let sent: Arc<Mutex<Vec<(String, u64)>>> = Arc::default();
+    fn recorder(failures: usize) -> (OrdersClient, Sent) {
+        let sent = Sent::default();
         let record = Arc::clone(&sent);
         let send = move |order: ModelOrder| {
             let mut sent = record.lock().unwrap();
