--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod overload;
 mod path;
 mod planner;
+mod planner_fleet;
 mod planner_service;
 mod processes;
 mod requests;
--- /dev/null
+++ b/tests/testsuite/planner_fleet.rs
@@ -0,0 +1,125 @@
+//! Many pools at once: whom the planner asks, and who may fetch weights.
+
+use limpetmux::core::planner::{
+    Agent, AgentAction, AgentOptions, DutyRecord, LoadSample, PROBES_PER_ROUND, PlanDelta, Samples,
+    WeightStore,
+};
+use limpetmux::prelude::*;
+use limpetmux_test_support::{Size, name, sized_config};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const ROUND: Duration = Duration::from_secs(5);
+const WINDOW: Duration = Duration::from_secs(30);
+
+fn at(round: u32) -> Moment {
+    Moment::ZERO + round * ROUND
+}
+
+fn calls_of(host: HostKey) -> u32 {
+    10 + host.0 % 7
+}
+
+/// Asks for one round; every host answers with its own number of calls.
+fn ask(samples: &mut Samples, round: u32, view: &View) -> Vec<HostKey> {
+    let awake: BTreeSet<HostKey> = view.hosts.keys().collect();
+    let hosts = samples.choose(view, &awake);
+    let load = |h: &HostKey| Some(LoadSample { inflight: calls_of(*h), queued: 0 });
+    let answers = hosts.iter().map(|h| (*h, load(h))).collect();
+    samples.record(at(round), view, &awake, &answers);
+    hosts
+}
+
+#[test]
+fn planner_asks_few_hosts_a_round_and_every_host_in_turn() {
+    let view = View::compile(Revision(1), &sized_config(Size::TARGET));
+    let (mut samples, mut asked) = (Samples::default(), BTreeSet::new());
+
+    for round in 0..view.hosts.len().div_ceil(PROBES_PER_ROUND) as u32 {
+        let hosts = ask(&mut samples, round, &view);
+        let services: BTreeSet<ServiceKey> = hosts.iter().map(|h| view.hosts[*h].service).collect();
+        assert_eq!((hosts.len(), services.len()), (PROBES_PER_ROUND, view.services.len()));
+        asked.extend(hosts);
+    }
+
+    assert_eq!(asked.len(), view.hosts.len());
+}
+
+#[test]
+fn sampled_load_of_each_pool_is_near_the_true_one() {
+    let view = View::compile(Revision(1), &sized_config(Size::TARGET));
+    let mut samples = Samples::default();
+
+    for round in 0..7 {
+        ask(&mut samples, round, &view);
+    }
+
+    for (_, service) in view.services.iter() {
+        let truth: u32 = service.hosts.iter().map(|h| calls_of(*h)).sum();
+        let found = samples.calls(at(6), &view, &service.hosts, WINDOW).unwrap();
+        let ratio = found / f64::from(truth);
+        assert!((0.85..=1.15).contains(&ratio), "{}: {found} of {truth}", service.name);
+    }
+}
+
+#[test]
+fn silent_hosts_do_not_count_as_loaded() {
+    let view = View::compile(Revision(1), &sized_config(Size::with_hosts(24)));
+    let mut samples = Samples::default();
+    let awake: BTreeSet<HostKey> = view.hosts.keys().collect();
+    let load = LoadSample { inflight: 6, queued: 2 };
+    let answers = awake.iter().map(|h| (*h, (h.0 % 2 == 0).then_some(load))).collect();
+
+    samples.record(at(0), &view, &awake, &answers);
+
+    let pool: Vec<HostKey> = awake.iter().copied().collect();
+    assert_eq!(samples.calls(at(0), &view, &pool, WINDOW), Some(96.0));
+}
+
+#[test]
+fn weight_store_is_shared_and_refills() {
+    let mut store = WeightStore::default();
+    let before = store.room(at(1));
+
+    store.take(at(1), before);
+
+    assert_eq!((before, store.room(at(1)), store.wait(at(1))), (10, 0, ROUND));
+    assert_eq!(store.room(at(1) + Duration::from_secs(1)), 2);
+    assert_eq!(store.room(at(2)), 10);
+}
+
+#[test]
+fn weights_go_to_the_pools_that_lack_most() {
+    let size = Size { hosts: 60, services: 6, ..Size::TARGET };
+    let mut config = sized_config(size);
+    for spec in config.services.values_mut() {
+        (spec.model, spec.concurrency, spec.floor) = (Some(name("draft-7b")), 10, 1);
+    }
+    let view = View::compile(Revision(1), &config);
+    let usable: BTreeSet<HostKey> = view.hosts.keys().collect();
+    let awake: BTreeSet<HostKey> = view.services.iter().map(|(_, s)| s.hosts[0]).collect();
+    let asleep = usable.difference(&awake).map(|h| view.hosts[*h].name.to_string());
+    let mut agent = Agent::new(AgentOptions::new("a".to_owned()), Offset(0));
+    agent.on_tick(at(0), 0.0);
+    let grant = DutyRecord::Grant { holder: "a".to_owned(), previous: None };
+    agent.on_record(at(0), Offset(0), Some(&grant));
+    let delta = PlanDelta { sleep: asleep.collect(), ..PlanDelta::default() };
+    let plan = DutyRecord::Plan { fence: Offset(0), delta };
+    agent.on_record(at(0), Offset(1), Some(&plan));
+    // A later service is loaded more, so it lacks a larger share of its hosts.
+    let load = |h: &HostKey| LoadSample {
+        inflight: 10 * (1 + u32::from(view.hosts[*h].service.0)),
+        queued: 0,
+    };
+    let answers: BTreeMap<_, _> = awake.iter().map(|h| (*h, Some(load(h)))).collect();
+
+    let actions = agent.on_loads(at(1), &view, &answers, &usable);
+
+    let [AgentAction::Append(DutyRecord::Plan { delta, .. })] = &actions[..] else {
+        panic!("{actions:?}")
+    };
+    let service = |host: &String| view.hosts[view.host(host).unwrap()].service.0;
+    let mut woken: BTreeMap<u16, usize> = BTreeMap::new();
+    delta.wake.iter().for_each(|host| *woken.entry(service(host)).or_default() += 1);
+    assert_eq!(woken, BTreeMap::from([(5, 4), (4, 4), (3, 2)]));
+}
