Check that a process reports the record format that it knows

Cause: config activate relies on the reply's format, which no test looked at.

Change: the test of status over TCP also compares the format of the process that answers and of the one that does not.

--- a/tests/testsuite/admin.rs
+++ b/tests/testsuite/admin.rs
@@ -3,8 +3,8 @@
 use expect_test::expect;
 use futures::FutureExt;
 use limpetmux::admin::{AdminService, report};
-use limpetmux::core::config::Rejection;
 use limpetmux::core::config::record::Activation;
+use limpetmux::core::config::{FORMAT, Rejection};
 use limpetmux::core::shutdown::ShutdownOptions;
 use limpetmux::kernel::Kernel;
 use limpetmux::node::deployment::Deployment::PhLuzon;
@@ -130,6 +130,8 @@
     let mut roles: Vec<&str> = fleet.nodes.iter().map(|n| n.role.as_str()).collect();
     roles.sort_unstable();
     assert_eq!(roles, ["sidecar", "unreachable"]);
+    let known = |silent: bool| fleet.nodes.iter().find(|n| n.is_silent() == silent).unwrap().format;
+    assert_eq!((known(false), known(true)), (FORMAT, 0));
     process.abort();
 }
 
