--- a/crates/limpetmux-model/src/backend.rs
+++ b/crates/limpetmux-model/src/backend.rs
@@ -4,6 +4,7 @@
 //! more than their share. A cold server runs at a quarter of its speed, and falls over if it holds
 //! more calls than its bound for too long.
 
+use super::usage::Usage;
 use limpetmux::core::time::Moment;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -82,11 +83,14 @@
     pub hits: u64,
     /// Calls started.
     pub starts: u64,
+    /// Where its capacity went within the counted time.
+    pub usage: Usage,
+    counted: (Moment, Moment),
 }
 
 impl Backend {
     /// Creates a warm backend server.
-    pub fn new(spec: BackendSpec) -> Self {
+    pub fn new(spec: BackendSpec, counted: (Moment, Moment)) -> Self {
         Self {
             spec,
             at: Moment::ZERO,
@@ -100,6 +104,8 @@
             falls: 0,
             hits: 0,
             starts: 0,
+            usage: Usage::default(),
+            counted,
         }
     }
 
@@ -113,18 +119,19 @@
         now < self.cold_until
     }
 
-    /// Starts a call; returns `false` if it fails at once.
-    pub fn start(&mut self, now: Moment, id: usize, work: Work) -> bool {
+    /// Starts a call; returns its work in seconds at full speed, or `None` if it fails at once.
+    pub fn start(&mut self, now: Moment, id: usize, work: Work) -> Option<f64> {
         self.advance(now);
         if now < self.boots_until {
-            return false;
+            return None;
         }
         self.starts += 1;
         let hit = self.touch(work.prefix);
         self.hits += u64::from(hit);
-        let first = self.clock + if hit { work.cached } else { work.prefill };
+        let prefill = if hit { work.cached } else { work.prefill };
+        let first = self.clock + prefill;
         self.calls.insert(id, Call { first, end: first + work.rest, told: false });
-        true
+        Some(prefill + work.rest)
     }
 
     /// Stops a call that its caller no longer wants.
@@ -185,12 +192,26 @@
     }
 
     fn advance(&mut self, now: Moment) {
+        self.count(now);
         self.clock += now.since(self.at).as_secs_f64() * self.speed();
         self.at = self.at.max(now);
         let over = self.is_cold(now) && self.inflight() > self.spec.cold;
         self.over_since = if over { self.over_since.or(Some(now)) } else { None };
     }
 
+    /// Counts the time since the last step, in which nothing changed.
+    fn count(&mut self, now: Moment) {
+        let from = self.at.max(self.counted.0);
+        let seconds = now.min(self.counted.1).since(from).as_secs_f64();
+        let (calls, capacity) = (self.calls.len() as f64, f64::from(self.spec.capacity));
+        let busy = calls.min(capacity);
+        let done = calls * self.speed();
+        self.usage.capacity += capacity * seconds;
+        self.usage.idle += (capacity - busy) * seconds;
+        self.usage.slowed += (busy - done) * seconds;
+        self.usage.done += done * seconds;
+    }
+
     fn speed(&self) -> f64 {
         let (calls, capacity) = (self.calls.len() as f64, f64::from(self.spec.capacity));
         let base = if self.is_cold(self.at) { COLD_SPEED } else { 1.0 };
--- a/crates/limpetmux-model/src/lib.rs
+++ b/crates/limpetmux-model/src/lib.rs
@@ -14,10 +14,12 @@
 mod route;
 mod side;
 mod summary;
+mod usage;
 mod world;
 
 pub use backend::BackendSpec;
 pub use summary::Summary;
+pub use usage::Usage;
 
 use std::time::Duration;
 
--- a/crates/limpetmux-model/src/side.rs
+++ b/crates/limpetmux-model/src/side.rs
@@ -1,6 +1,6 @@
 //! A host: the gate of its sidecar and its backend server.
 
-use super::backend::{Backend, BackendSpec, Milestone, Work};
+use super::backend::{Backend, Milestone, Work};
 use super::gate::{FixedGate, Gate};
 use super::{GateKind, Policy};
 use limpetmux::core::admission::{
@@ -18,8 +18,8 @@
 /// What a sidecar answers about an attempt.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Answer {
-    /// It completed after this time in the queue.
-    Done { queued: Duration },
+    /// It completed after this time in the queue, with this work in seconds at full speed.
+    Done { queued: Duration, work: f64 },
     /// It was refused and did not run.
     Refused(Refusal),
     /// The backend server failed.
@@ -35,6 +35,8 @@
     work: Work,
     offered: Moment,
     started: Option<(Moment, Mark)>,
+    /// Its work in seconds at full speed, once started.
+    spent: f64,
 }
 
 /// A host.
@@ -58,10 +60,10 @@
 }
 
 impl Side {
-    pub(super) fn new(policy: Policy, spec: BackendSpec, limits: Limits, price: u64) -> Self {
+    pub(super) fn new(policy: Policy, backend: Backend, limits: Limits, price: u64) -> Self {
         let mut side = Self {
             gate: new_gate(policy, Moment::ZERO, limits),
-            backend: Backend::new(spec),
+            backend,
             limits,
             meter: Meter::new(Moment::ZERO, price),
             attempts: BTreeMap::new(),
@@ -90,7 +92,7 @@
             Admitted::Queued(ticket) => (ticket, false),
             Admitted::Refused(refusal) => return vec![(id, Answer::Refused(refusal))],
         };
-        self.attempts.insert(id, Attempt { ticket, work, offered: now, started: None });
+        self.attempts.insert(id, Attempt { ticket, work, offered: now, started: None, spent: 0.0 });
         self.tickets.insert(ticket, id);
         if start {
             self.begin(now, id, &mut answers);
@@ -159,8 +161,9 @@
                     }
                 }
                 Milestone::End(id) => {
+                    let work = self.attempts.get(&id).map_or(0.0, |a| a.spent);
                     let queued = self.end(now, id, Outcome::Done);
-                    answers.push((id, Answer::Done { queued }));
+                    answers.push((id, Answer::Done { queued, work }));
                 }
                 Milestone::Lost(id) => {
                     self.restarted = true;
@@ -199,12 +202,13 @@
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
         let (work, mark) = (attempt.work, self.meter.enter(now));
         attempt.started = Some((now, mark));
-        if !self.backend.start(now, id, work) {
+        let Some(spent) = self.backend.start(now, id, work) else {
             self.restarted = true;
             self.end(now, id, Outcome::Failed);
             answers.push((id, Answer::Failed));
             return;
-        }
+        };
+        attempt.spent = spent;
         if self.backend.is_cold(now) {
             self.note_cold_start();
         }
--- a/crates/limpetmux-model/src/summary.rs
+++ b/crates/limpetmux-model/src/summary.rs
@@ -1,5 +1,6 @@
 //! What came of a run.
 
+use super::usage::Usage;
 use limpetmux::core::verdict::RefusalCode;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -40,6 +41,8 @@
     pub blind_starts: u64,
     /// Times that a cold writer fell over.
     pub falls: u32,
+    /// Where the writers' capacity went.
+    pub usage: Usage,
 }
 
 impl Summary {
--- /dev/null
+++ b/crates/limpetmux-model/src/usage.rs
@@ -0,0 +1,28 @@
+//! Where the capacity of backend servers went.
+
+use std::ops::AddAssign;
+
+/// Call-seconds at full speed; `idle`, `slowed` and `done` add up to `capacity`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// What could have been done.
+    pub capacity: f64,
+    /// Left unused because fewer calls ran than the backend server bears.
+    pub idle: f64,
+    /// Lost because too many calls ran at once or the backend server was cold.
+    pub slowed: f64,
+    /// Work done.
+    pub done: f64,
+    /// The part of `done` that went into calls of requests which were not completed in time.
+    pub wasted: f64,
+}
+
+impl AddAssign for Usage {
+    fn add_assign(&mut self, other: Self) {
+        self.capacity += other.capacity;
+        self.idle += other.idle;
+        self.slowed += other.slowed;
+        self.done += other.done;
+        self.wasted += other.wasted;
+    }
+}
--- a/crates/limpetmux-model/src/world.rs
+++ b/crates/limpetmux-model/src/world.rs
@@ -1,6 +1,7 @@
 //! The event loop that connects entries and hosts.
 
 use super::arrivals::{draw, gap};
+use super::backend::Backend;
 use super::entry::{Entry, Pipeline, Request, pipeline};
 use super::event::{Attempt, Event};
 use super::route::{ZONES, config};
@@ -49,6 +50,8 @@
     requests: Vec<Request>,
     attempts: Vec<Attempt>,
     summary: Summary,
+    /// Work of writers that completed requests, in seconds at full speed.
+    useful_s: f64,
 }
 
 impl<'a> World<'a> {
@@ -61,12 +64,14 @@
             Err(e) => panic!("{e}"),
         };
         let writer = pipeline.services[1].0;
+        let end = Moment::ZERO + Duration::from_secs(scenario.seconds);
+        let counted = (Moment::ZERO + LEAD_IN, end);
+        let span = counted.1.since(counted.0);
         let side = |(_, host): (HostKey, &limpetmux::core::view::HostRow)| {
             let spec = &first.services[host.service].spec;
             let model = if host.service == writer { WRITER } else { ENCODER };
-            Side::new(policy, model, Limits::of(spec), spec.price)
+            Side::new(policy, Backend::new(model, counted), Limits::of(spec), spec.price)
         };
-        let span = Duration::from_secs(scenario.seconds) - LEAD_IN;
         let (name, load) = (policy.name, scenario.load);
         Self {
             scenario,
@@ -84,6 +89,7 @@
             requests: Vec::new(),
             attempts: Vec::new(),
             summary: Summary { policy: name, load, span, ..Summary::default() },
+            useful_s: 0.0,
         }
     }
 
@@ -233,7 +239,9 @@
             return;
         }
         match answer {
-            Answer::Done { queued } => {
+            Answer::Done { queued, work } => {
+                self.useful(id_request, work);
+                let entry = &mut self.entries[self.requests[id_request].arrival.entry];
                 let stage = self.pipeline.stages[self.requests[id_request].stage];
                 entry.times.add(now, stage, now.since(sent).saturating_sub(queued));
                 self.advance(id_request);
@@ -264,6 +272,15 @@
         self.summary.durations.push(self.now.since(arrived));
     }
 
+    /// Counts the work of a writer's call whose result came in time.
+    fn useful(&mut self, id: usize, work: f64) {
+        let end = Moment::ZERO + Duration::from_secs(self.scenario.seconds);
+        let counted = self.now >= Moment::ZERO + LEAD_IN && self.now < end;
+        if counted && self.requests[id].stage == 1 {
+            self.useful_s += work;
+        }
+    }
+
     /// Returns the counts of the second in which a request arrived.
     fn second_of(&mut self, id: usize) -> &mut (u64, u64) {
         let second = (self.requests[id].arrived.as_millis() / 1_000) as usize;
@@ -377,7 +394,9 @@
             self.summary.cold_load.0 = self.summary.cold_load.0.max(side.peak);
             self.summary.blind_starts += side.blind;
             self.summary.falls += side.backend.falls;
+            self.summary.usage += side.backend.usage;
         }
+        self.summary.usage.wasted = self.summary.usage.done - self.useful_s;
         self.summary
     }
 }
--- a/crates/xtask/src/policy.rs
+++ b/crates/xtask/src/policy.rs
@@ -18,6 +18,14 @@
     #[argh(switch)]
     real: bool,
 
+    /// show where the writers' capacity went, in place of the usual columns
+    #[argh(switch)]
+    usage: bool,
+
+    /// show only steady load, as mean and range of the goodput over this many seeds from 1 on
+    #[argh(option)]
+    seeds: Option<u64>,
+
     /// the seed of all random draws (default: 7)
     #[argh(option, default = "SEED")]
     seed: u64,
@@ -26,7 +34,17 @@
 /// Runs all scenarios and prints one table for each.
 pub fn exec(args: &PolicyArgs) {
     let policies = if args.real { &Policy::ALL[..1] } else { &Policy::ALL[..] };
-    let table = |scenarios: &[Scenario]| print_table(policies, scenarios, args.seed);
+    if let Some(seeds) = args.seeds {
+        print_seeds(policies, seeds);
+        return;
+    }
+    let table = |scenarios: &[Scenario]| {
+        if args.usage {
+            print_usage(policies, scenarios, args.seed);
+        } else {
+            print_table(policies, scenarios, args.seed);
+        }
+    };
     println!("### Steady load\n");
     table(&LOADS.map(Scenario::steady));
     println!("\n### Burst: load 0.8, tripled from second 20 to 25\n");
@@ -77,6 +95,44 @@
     }
 }
 
+fn print_seeds(policies: &[Policy], seeds: u64) {
+    println!("| policy | load | mean goodput/s | least | most |");
+    println!("|---|---|---|---|---|");
+    for load in LOADS {
+        for policy in policies {
+            let goodput =
+                |seed| run(&Scenario { seed, ..Scenario::steady(load) }, *policy).goodput();
+            let rates: Vec<f64> = (1..=seeds).map(goodput).collect();
+            let mean = rates.iter().sum::<f64>() / seeds.max(1) as f64;
+            let least = rates.iter().copied().fold(f64::INFINITY, f64::min);
+            let most = rates.iter().copied().fold(0.0, f64::max);
+            println!("| {} | {load:.1} | {mean:.1} | {least:.1} | {most:.1} |", policy.name);
+        }
+    }
+}
+
+fn print_usage(policies: &[Policy], scenarios: &[Scenario], seed: u64) {
+    println!("| policy | load | goodput/s | idle | slowed | wasted | useful | prefix hits |");
+    println!("|---|---|---|---|---|---|---|---|");
+    for scenario in scenarios {
+        let scenario = Scenario { seed, ..scenario.clone() };
+        for policy in policies {
+            let s = run(&scenario, *policy);
+            let share = |seconds: f64| seconds / s.usage.capacity;
+            let useful = share(s.usage.done - s.usage.wasted);
+            let (idle, slowed) = (share(s.usage.idle), share(s.usage.slowed));
+            let wasted = share(s.usage.wasted).max(0.0);
+            println!(
+                "| {} | {:.1} | {:.1} | {idle:.3} | {slowed:.3} | {wasted:.3} | {useful:.3} | {:.3} |",
+                s.policy,
+                s.load,
+                s.goodput(),
+                s.hit_share(),
+            );
+        }
+    }
+}
+
 fn print_row(s: &Summary) {
     println!(
         "| {} | {:.1} | {:.3} | {:.1} | {} | {:.1} | {:.3} | {:.3} | {}/{} | {} | {} |",
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -35,6 +35,20 @@
     assert!(fixed < 0.95, "the check passes without the real gate: {fixed}");
 }
 
+#[test]
+fn limits_settle_near_what_writers_bear() {
+    let slowed = |seed, policy| {
+        let usage = run(&Scenario { seed, ..Scenario::steady(2.0) }, policy).usage;
+        usage.slowed / usage.capacity
+    };
+
+    let (real, fixed) = ([1, 2, 7].map(|seed| slowed(seed, Policy::REAL)), slowed(7, FIXED));
+
+    let mean = real.iter().sum::<f64>() / real.len() as f64;
+    assert!(mean <= 0.035, "{real:?}");
+    assert!(fixed > 0.15, "{fixed}");
+}
+
 #[test]
 fn attempts_stay_within_a_tenth_more_than_fresh_requests() {
     let (real, unbudgeted) = (steady(2.0, Policy::REAL), steady(2.0, UNBUDGETED));
