Measure hedges, bursts at cold hosts and failures of the first minute

The model hedged nothing, although entries do, so its policy was not that of production. It now hedges the encode stage as entries do, and policy prints three more tables. The event loop and the tables are split into modules by job.

--- a/crates/limpetmux-model/src/arrivals.rs
+++ b/crates/limpetmux-model/src/arrivals.rs
@@ -17,8 +17,6 @@
 const PREFILL_S: (f64, f64) = (0.060, 0.010);
 /// The bounds of the further work of a writer, in seconds.
 const REST_S: (f64, f64) = (0.100, 0.500);
-/// The bounds of the work of an encoder, in seconds.
-const ENCODE_S: (f64, f64) = (0.005, 0.015);
 
 /// A request as it arrives.
 #[derive(Clone, Copy, Debug)]
@@ -58,7 +56,7 @@
         rest: rng.random_range(REST_S.0..REST_S.1),
         prefix,
     };
-    let encode = rng.random_range(ENCODE_S.0..ENCODE_S.1);
+    let encode = rng.random_range(scenario.encode.0..scenario.encode.1);
     Arrival {
         entry: rng.random_range(0..scenario.entries),
         workspace: draw_workspace(rng),
--- a/crates/limpetmux-model/src/backend.rs
+++ b/crates/limpetmux-model/src/backend.rs
@@ -75,6 +75,7 @@
     cold_until: Moment,
     boots_until: Moment,
     over_since: Option<Moment>,
+    pace: f64,
     /// Counts restarts.
     pub incarnation: u64,
     /// Counts the times it fell over.
@@ -100,6 +101,7 @@
             cold_until: Moment::ZERO,
             boots_until: Moment::ZERO,
             over_since: None,
+            pace: 1.0,
             incarnation: 1,
             falls: 0,
             hits: 0,
@@ -147,6 +149,12 @@
         self.cache.clear();
     }
 
+    /// Runs at this share of its speed from now on.
+    pub fn set_pace(&mut self, now: Moment, pace: f64) {
+        self.advance(now);
+        self.pace = pace;
+    }
+
     /// Restarts: loses all calls, then is cold.
     pub fn restart(&mut self, now: Moment) -> Vec<Milestone> {
         self.advance(now);
@@ -214,7 +222,7 @@
 
     fn speed(&self) -> f64 {
         let (calls, capacity) = (self.calls.len() as f64, f64::from(self.spec.capacity));
-        let base = if self.is_cold(self.at) { COLD_SPEED } else { 1.0 };
+        let base = self.pace * if self.is_cold(self.at) { COLD_SPEED } else { 1.0 };
         if calls <= capacity {
             return base;
         }
--- a/crates/limpetmux-model/src/entry.rs
+++ b/crates/limpetmux-model/src/entry.rs
@@ -15,6 +15,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Further attempts at one stage of one request.
 const MAX_FURTHER: u32 = 3;
@@ -35,6 +36,8 @@
     further: u32,
     exclude: Vec<HostKey>,
     pub(super) attempt: Option<usize>,
+    /// The second attempt beside a late first one.
+    pub(super) hedge: Option<usize>,
     pub(super) open: bool,
 }
 
@@ -47,6 +50,7 @@
             further: 0,
             exclude: Vec::new(),
             attempt: None,
+            hedge: None,
             open: true,
         }
     }
@@ -55,6 +59,11 @@
         FlowId(self.arrival.workspace as u64)
     }
 
+    /// Leaves a host out of further attempts at this stage.
+    pub(super) fn leave_out(&mut self, host: HostKey) {
+        self.exclude.push(host);
+    }
+
     /// Moves to the next stage; returns `false` after the last one.
     pub(super) fn advance(&mut self) -> bool {
         self.stage += 1;
@@ -137,6 +146,23 @@
         Offer { flow, weight, priority: request.arrival.priority, work: 1, deadline }
     }
 
+    /// Returns how long to wait before a second attempt beside the first.
+    pub(super) fn hedge_after(
+        &mut self,
+        now: Moment,
+        request: &Request,
+        pipeline: &Pipeline,
+    ) -> Option<Duration> {
+        let hedged = self.policy.hedge && request.stage == 0;
+        hedged.then(|| self.times.hedge_after(now, pipeline.stages[0])).flatten()
+    }
+
+    /// Pays for a second attempt beside the first.
+    pub(super) fn may_hedge(&mut self, request: &Request, pipeline: &Pipeline) -> bool {
+        let service = &pipeline.services[request.stage].1;
+        self.retries.spend(request.flow(), service) == Retry::Allowed
+    }
+
     /// Returns whether a refused or failed stage may be tried again, elsewhere.
     pub(super) fn may_retry(
         &mut self,
@@ -145,7 +171,7 @@
         host: HostKey,
         code: RefusalCode,
     ) -> bool {
-        request.exclude.push(host);
+        request.leave_out(host);
         request.further += 1;
         if request.further > MAX_FURTHER {
             return false;
--- a/crates/limpetmux-model/src/event.rs
+++ b/crates/limpetmux-model/src/event.rs
@@ -16,6 +16,7 @@
     Reply(usize, Answer, Load),
     Expire(usize),
     Cancel(usize),
+    Hedge(usize),
     Poll(usize),
     Probe(usize),
     Fault(Fault),
--- a/crates/limpetmux-model/src/lib.rs
+++ b/crates/limpetmux-model/src/lib.rs
@@ -58,6 +58,8 @@
     pub budget: bool,
     /// Whether work is cancelled once its caller has gone.
     pub cancel: bool,
+    /// Whether a late `encode` gets a second attempt beside the first.
+    pub hedge: bool,
 }
 
 impl Policy {
@@ -68,6 +70,7 @@
         gate: GateKind::Adaptive,
         budget: true,
         cancel: true,
+        hedge: true,
     };
 
     /// The real policy, the baselines that replace one decision each, and one that replaces all.
@@ -85,6 +88,7 @@
             gate: GateKind::Fixed,
             budget: false,
             cancel: false,
+            hedge: false,
         },
     ];
 }
@@ -94,6 +98,8 @@
 pub enum Fault {
     /// The n-th writer restarts and loses its calls.
     Restart(u64, usize),
+    /// The n-th encoder runs at one part in this of its speed from now on.
+    Slow(u64, usize, u32),
     /// The n-th writer turns cold without losing calls.
     TurnCold(u64, usize),
     /// Operators take the n-th zone out.
@@ -106,6 +112,7 @@
     fn at(self) -> Duration {
         let (Self::Restart(second, _)
         | Self::TurnCold(second, _)
+        | Self::Slow(second, _, _)
         | Self::ZoneOut(second, _)
         | Self::ZoneBack(second, _)) = self;
         Duration::from_secs(second)
@@ -123,6 +130,10 @@
     pub burst: Option<(u64, u64, f64)>,
     /// The length of the run in seconds.
     pub seconds: u64,
+    /// The first seconds of the run, which are not counted.
+    pub lead: u64,
+    /// The bounds of an encoder's work, in seconds.
+    pub encode: (f64, f64),
     /// The number of entries.
     pub entries: usize,
     /// Writers and encoders per zone; there are four zones.
@@ -139,6 +150,8 @@
             load,
             burst: None,
             seconds: 60,
+            lead: LEAD_IN_S,
+            encode: ENCODE_S,
             entries: 12,
             hosts: (3, 2),
             faults: Vec::new(),
@@ -146,8 +159,10 @@
     }
 }
 
-/// The first part of a run, which is not counted.
-const LEAD_IN: Duration = Duration::from_secs(10);
+/// The usual first part of a run, in seconds, which is not counted.
+const LEAD_IN_S: u64 = 10;
+/// The usual bounds of the work of an encoder, in seconds.
+const ENCODE_S: (f64, f64) = (0.005, 0.015);
 /// The deadline of requests.
 const DEADLINE: Duration = Duration::from_secs(2);
 /// Calls that a writer is declared to run at once, more than it bears without slowing down.
--- a/crates/limpetmux-model/src/side.rs
+++ b/crates/limpetmux-model/src/side.rs
@@ -132,6 +132,11 @@
         answers
     }
 
+    pub(super) fn set_pace(&mut self, now: Moment, pace: f64) -> Answers {
+        self.backend.set_pace(now, pace);
+        self.settle(now, Answers::new())
+    }
+
     pub(super) fn set_zone(&mut self, now: Moment, serving: bool) -> Answers {
         self.gate.set_zone(serving);
         self.settle(now, Answers::new())
--- a/crates/limpetmux-model/src/summary.rs
+++ b/crates/limpetmux-model/src/summary.rs
@@ -43,6 +43,10 @@
     pub falls: u32,
     /// Where the writers' capacity went.
     pub usage: Usage,
+    /// Work done by encoders, in seconds at full speed.
+    pub encoded: f64,
+    /// Second attempts beside a late first one.
+    pub hedges: u64,
 }
 
 impl Summary {
@@ -65,7 +69,12 @@
 
     /// Returns the duration that 99 in 100 completed requests do not exceed.
     pub fn p99(&self) -> Duration {
-        let rank = self.durations.len() * 99 / 100;
+        self.percentile(99)
+    }
+
+    /// Returns the duration that so many in 100 completed requests do not exceed.
+    pub fn percentile(&self, percent: usize) -> Duration {
+        let rank = self.durations.len() * percent / 100;
         self.durations.get(rank).copied().unwrap_or_default()
     }
 
--- a/crates/limpetmux-model/src/world.rs
+++ b/crates/limpetmux-model/src/world/mod.rs
@@ -1,20 +1,20 @@
 //! The event loop that connects entries and hosts.
 
-use super::arrivals::{draw, gap};
-use super::backend::Backend;
-use super::entry::{Entry, Pipeline, Request, pipeline};
-use super::event::{Attempt, Event};
-use super::route::{ZONES, config};
-use super::side::{Answer, Answers, Side};
-use super::summary::Summary;
-use super::{DEADLINE, ENCODER, Fault, LEAD_IN, Policy, Scenario, WRITER};
-use limpetmux::core::admission::{Limits, Load, Offer};
+mod attempts;
+mod faults;
+
+use crate::arrivals::{draw, gap};
+use crate::backend::Backend;
+use crate::entry::{Entry, Pipeline, Request, pipeline};
+use crate::event::{Attempt, Event};
+use crate::route::config;
+use crate::side::{Answers, Side};
+use crate::summary::Summary;
+use crate::{DEADLINE, ENCODER, Policy, Scenario, WRITER};
+use limpetmux::core::admission::{Limits, Offer};
 use limpetmux::core::config::Config;
 use limpetmux::core::keys::{ArenaKey, HostKey};
-use limpetmux::core::routing::Ending;
 use limpetmux::core::time::Moment;
-use limpetmux::core::verdict::RefusalCode;
-use limpetmux_test_support::config::name;
 use limpetmux_test_support::policy::view;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -34,7 +34,7 @@
 /// The first entry knows a change after this time, each further one of ten so much later.
 const ENTRY_LEARNS: Duration = Duration::from_millis(200);
 
-pub(super) struct World<'a> {
+pub(crate) struct World<'a> {
     scenario: &'a Scenario,
     policy: Policy,
     now: Moment,
@@ -44,6 +44,7 @@
     config: Config,
     revision: u64,
     pipeline: Pipeline,
+    encoders: Vec<HostKey>,
     writers: Vec<HostKey>,
     entries: Vec<Entry>,
     sides: Vec<Side>,
@@ -55,7 +56,7 @@
 }
 
 impl<'a> World<'a> {
-    pub(super) fn new(scenario: &'a Scenario, policy: Policy) -> Self {
+    pub(crate) fn new(scenario: &'a Scenario, policy: Policy) -> Self {
         let config = config(scenario);
         let first = Rc::new(view(1, &config));
         let Some(pipeline) = pipeline(&first) else { panic!("no pipeline") };
@@ -65,7 +66,7 @@
         };
         let writer = pipeline.services[1].0;
         let end = Moment::ZERO + Duration::from_secs(scenario.seconds);
-        let counted = (Moment::ZERO + LEAD_IN, end);
+        let counted = (Moment::ZERO + Duration::from_secs(scenario.lead), end);
         let span = counted.1.since(counted.0);
         let side = |(_, host): (HostKey, &limpetmux::core::view::HostRow)| {
             let spec = &first.services[host.service].spec;
@@ -80,6 +81,7 @@
             events: BTreeMap::new(),
             scheduled: 0,
             rng: Pcg64Mcg::seed_from_u64(scenario.seed),
+            encoders: first.services[pipeline.services[0].0].hosts.clone(),
             writers: first.services[writer].hosts.clone(),
             entries: (0..scenario.entries).map(entry).collect(),
             sides: first.hosts.iter().map(side).collect(),
@@ -93,7 +95,7 @@
         }
     }
 
-    pub(super) fn run(mut self) -> Summary {
+    pub(crate) fn run(mut self) -> Summary {
         self.schedule_start();
         let end = Moment::ZERO + Duration::from_secs(self.scenario.seconds) + DEADLINE * 2;
         while let Some(((at, _), event)) = self.events.pop_first() {
@@ -139,6 +141,7 @@
                 let host = self.attempts[id].pick.host.index();
                 self.side(host, |side, now| side.cancel(now, id));
             }
+            Event::Hedge(id) => self.hedge(id),
             Event::Poll(host) => {
                 self.side(host, Side::poll);
                 self.after(POLL_EVERY, Event::Poll(host));
@@ -175,27 +178,6 @@
         self.begin_stage(id);
     }
 
-    fn begin_stage(&mut self, id: usize) {
-        let request = &self.requests[id];
-        self.summary.attempts.0 += 1;
-        self.entries[request.arrival.entry].fresh(request, &self.pipeline);
-        self.send(id);
-    }
-
-    fn send(&mut self, id: usize) {
-        let request = &self.requests[id];
-        let entry = &mut self.entries[request.arrival.entry];
-        let Some(pick) = entry.pick(self.now, request, &self.pipeline) else {
-            self.refuse(id);
-            return;
-        };
-        let offer = entry.offer(self.now, request, &self.pipeline);
-        let attempt = self.attempts.len();
-        self.attempts.push(Attempt { request: id, pick, sent: self.now, open: true });
-        self.requests[id].attempt = Some(attempt);
-        self.after(LATENCY, Event::Offer(attempt, offer));
-    }
-
     fn offer(&mut self, id: usize, offer: Offer) {
         let attempt = &self.attempts[id];
         let request = &self.requests[attempt.request];
@@ -221,40 +203,6 @@
         }
     }
 
-    fn reply(&mut self, id: usize, answer: Answer, load: Load) {
-        let (now, Attempt { request, pick, sent, open }) = (self.now, &self.attempts[id]);
-        let (id_request, pick, sent) = (*request, *pick, *sent);
-        if !open {
-            return;
-        }
-        let ending = match answer {
-            Answer::Done { .. } => Ending::Done,
-            Answer::Refused(_) => Ending::Neutral,
-            Answer::Failed => Ending::Failed,
-        };
-        self.close(id, ending);
-        let entry = &mut self.entries[self.requests[id_request].arrival.entry];
-        entry.finder.router.report(now, pick.slot, load, LATENCY);
-        if !self.requests[id_request].open {
-            return;
-        }
-        match answer {
-            Answer::Done { queued, work } => {
-                self.useful(id_request, work);
-                let entry = &mut self.entries[self.requests[id_request].arrival.entry];
-                let stage = self.pipeline.stages[self.requests[id_request].stage];
-                entry.times.add(now, stage, now.since(sent).saturating_sub(queued));
-                self.advance(id_request);
-            }
-            Answer::Refused(refusal) => {
-                let after = refusal.retry_after;
-                entry.finder.router.refused(now, pick.slot, refusal.code, after);
-                self.retry(id_request, pick.host, refusal.code);
-            }
-            Answer::Failed => self.retry(id_request, pick.host, RefusalCode::Failed),
-        }
-    }
-
     fn advance(&mut self, id: usize) {
         if self.requests[id].advance() {
             self.begin_stage(id);
@@ -275,7 +223,7 @@
     /// Counts the work of a writer's call whose result came in time.
     fn useful(&mut self, id: usize, work: f64) {
         let end = Moment::ZERO + Duration::from_secs(self.scenario.seconds);
-        let counted = self.now >= Moment::ZERO + LEAD_IN && self.now < end;
+        let counted = self.now >= self.lead_in() && self.now < end;
         if counted && self.requests[id].stage == 1 {
             self.useful_s += work;
         }
@@ -289,45 +237,6 @@
         &mut rows[second]
     }
 
-    fn retry(&mut self, id: usize, host: HostKey, code: RefusalCode) {
-        *self.summary.refusals.entry(code).or_insert(0) += 1;
-        let request = &mut self.requests[id];
-        let entry = &mut self.entries[request.arrival.entry];
-        if entry.may_retry(request, &self.pipeline, host, code) {
-            self.summary.attempts.1 += 1;
-            self.send(id);
-        } else {
-            self.refuse(id);
-        }
-    }
-
-    fn refuse(&mut self, id: usize) {
-        self.requests[id].open = false;
-        if self.counts(id) {
-            self.summary.refused += 1;
-        }
-    }
-
-    fn expire(&mut self, id: usize) {
-        if !self.requests[id].open {
-            return;
-        }
-        self.requests[id].open = false;
-        let Some(attempt) = self.requests[id].attempt else { return };
-        if self.policy.cancel && self.attempts[attempt].open {
-            self.close(attempt, Ending::Neutral);
-            self.after(LATENCY, Event::Cancel(attempt));
-        }
-    }
-
-    fn close(&mut self, id: usize, ending: Ending) {
-        let attempt = &mut self.attempts[id];
-        attempt.open = false;
-        let entry = &mut self.entries[self.requests[attempt.request].arrival.entry];
-        entry.finder.ended(attempt.pick.host);
-        entry.finder.router.finished(self.now, attempt.pick.slot, ending);
-    }
-
     fn probe(&mut self, index: usize) {
         let entry = &mut self.entries[index];
         for (service, _) in &self.pipeline.services {
@@ -342,51 +251,22 @@
         self.after(PROBE_EVERY, Event::Probe(index));
     }
 
-    fn fault(&mut self, fault: Fault) {
-        match fault {
-            Fault::Restart(_, n) => self.side(self.writers[n].index(), Side::restart),
-            Fault::TurnCold(_, n) => self.side(self.writers[n].index(), Side::turn_cold),
-            Fault::ZoneOut(_, n) => self.set_zone(n, false),
-            Fault::ZoneBack(_, n) => {
-                let policy = self.policy;
-                for host in self.zone_hosts(n) {
-                    self.side(host, |side, now| side.replace(now, policy));
-                }
-                self.set_zone(n, true);
-            }
-        }
-    }
-
-    fn set_zone(&mut self, zone: usize, serving: bool) {
-        if let Some(spec) = self.config.zones.get_mut(&name(ZONES[zone])) {
-            spec.serving = serving;
-        }
-        self.revision += 1;
-        let view = Rc::new(view(self.revision, &self.config));
-        for host in self.zone_hosts(zone) {
-            self.after(SIDECAR_LEARNS, Event::SideLearns(host, serving));
-        }
-        for entry in 0..self.entries.len() {
-            let delay = ENTRY_LEARNS * (entry as u32 % 10 + 1);
-            self.after(delay, Event::EntryLearns(entry, Rc::clone(&view)));
-        }
-    }
-
-    fn zone_hosts(&self, zone: usize) -> Vec<usize> {
-        let view = &self.entries[0].view;
-        let of_zone = |h: &HostKey| view.zones[view.hosts[*h].zone].name.as_str() == ZONES[zone];
-        view.hosts.keys().filter(of_zone).map(|h| h.index()).collect()
+    fn lead_in(&self) -> Moment {
+        Moment::ZERO + Duration::from_secs(self.scenario.lead)
     }
 
     /// Returns whether a request arrived in the time that is counted.
     fn counts(&self, id: usize) -> bool {
-        self.requests[id].arrived >= Moment::ZERO + LEAD_IN
+        self.requests[id].arrived >= self.lead_in()
     }
 
     fn finish(mut self) -> Summary {
         self.summary.durations.sort_unstable();
         self.summary.cost = self.sides.iter().map(|s| s.cost).sum();
         self.summary.cold_load.1 = WRITER.cold;
+        for host in &self.encoders {
+            self.summary.encoded += self.sides[host.index()].backend.usage.done;
+        }
         for host in &self.writers {
             let side = &self.sides[host.index()];
             self.summary.hits.0 += side.backend.starts;
--- a/crates/xtask/src/policy.rs
+++ b/crates/xtask/src/policy/tables.rs
@@ -1,82 +1,12 @@
-//! Measures the policy under load and faults against plain baselines, in virtual time.
+//! Tables in Markdown.
 
-use argh::FromArgs;
-use limpetmux_model::{Fault, Policy, Scenario, Summary, run};
+use super::scenarios::LOADS;
+use limpetmux_model::{GateKind, Policy, Scenario, Summary, run};
 
-/// Loads as shares of capacity.
-const LOADS: [f64; 5] = [0.5, 0.8, 1.0, 1.5, 2.0];
-/// The usual seed.
-const SEED: u64 = 7;
 /// Millionths of the accounting unit in a thousandth.
 const MILLIONTHS_PER_THOUSANDTH: f64 = 1_000.0;
 
-/// Measure the policy in virtual time and print tables in Markdown.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "policy")]
-pub struct PolicyArgs {
-    /// measure only the real policy, with refusals by code
-    #[argh(switch)]
-    real: bool,
-
-    /// show where the writers' capacity went, in place of the usual columns
-    #[argh(switch)]
-    usage: bool,
-
-    /// show only steady load, as mean and range of the goodput over this many seeds from 1 on
-    #[argh(option)]
-    seeds: Option<u64>,
-
-    /// the seed of all random draws (default: 7)
-    #[argh(option, default = "SEED")]
-    seed: u64,
-}
-
-/// Runs all scenarios and prints one table for each.
-pub fn exec(args: &PolicyArgs) {
-    let policies = if args.real { &Policy::ALL[..1] } else { &Policy::ALL[..] };
-    if let Some(seeds) = args.seeds {
-        print_seeds(policies, seeds);
-        return;
-    }
-    let table = |scenarios: &[Scenario]| {
-        if args.usage {
-            print_usage(policies, scenarios, args.seed);
-        } else {
-            print_table(policies, scenarios, args.seed);
-        }
-    };
-    println!("### Steady load\n");
-    table(&LOADS.map(Scenario::steady));
-    println!("\n### Burst: load 0.8, tripled from second 20 to 25\n");
-    table(&[burst()]);
-    println!("\n### Faults at load 0.6\n");
-    table(&[faults()]);
-    println!("\n### Zone returns to 72 entries at load 0.8\n");
-    table(&[returning_zone()]);
-}
-
-fn burst() -> Scenario {
-    Scenario { burst: Some((20, 25, 3.0)), ..Scenario::steady(0.8) }
-}
-
-fn faults() -> Scenario {
-    let faults = vec![
-        Fault::Restart(15, 0),
-        Fault::Restart(20, 4),
-        Fault::TurnCold(25, 7),
-        Fault::TurnCold(30, 2),
-        Fault::ZoneOut(35, 1),
-        Fault::ZoneBack(45, 1),
-    ];
-    Scenario { faults, ..Scenario::steady(0.6) }
-}
-
-fn returning_zone() -> Scenario {
-    let faults = vec![Fault::ZoneOut(15, 1), Fault::ZoneBack(25, 1)];
-    Scenario { faults, entries: 72, ..Scenario::steady(0.8) }
-}
-
-fn print_table(policies: &[Policy], scenarios: &[Scenario], seed: u64) {
+pub fn print_table(policies: &[Policy], scenarios: &[Scenario], seed: u64) {
     println!(
         "| policy | load | attainment | goodput/s | p99 ms | cost | prefix hits | attempts \
          | cold load | falls | blind |"
@@ -95,7 +25,7 @@
     }
 }
 
-fn print_seeds(policies: &[Policy], seeds: u64) {
+pub fn print_seeds(policies: &[Policy], seeds: u64) {
     println!("| policy | load | mean goodput/s | least | most |");
     println!("|---|---|---|---|---|");
     for load in LOADS {
@@ -111,7 +41,7 @@
     }
 }
 
-fn print_usage(policies: &[Policy], scenarios: &[Scenario], seed: u64) {
+pub fn print_usage(policies: &[Policy], scenarios: &[Scenario], seed: u64) {
     println!("| policy | load | goodput/s | idle | slowed | wasted | useful | prefix hits |");
     println!("|---|---|---|---|---|---|---|---|");
     for scenario in scenarios {
@@ -150,3 +80,52 @@
         s.blind_starts,
     );
 }
+
+/// Prints the calls on cold writers with the real and the fixed limit.
+pub fn print_cold(scenarios: &[Scenario]) {
+    let fixed = Policy { name: "fixed limit", gate: GateKind::Fixed, ..Policy::REAL };
+    println!("| policy | entries | cold load | falls | blind | attainment |");
+    println!("|---|---|---|---|---|---|");
+    for policy in [Policy::REAL, fixed] {
+        for scenario in scenarios {
+            let s = run(scenario, policy);
+            let (load, bound) = s.cold_load;
+            let (falls, blind, share) = (s.falls, s.blind_starts, s.attainment());
+            let entries = scenario.entries;
+            println!(
+                "| {} | {entries} | {load}/{bound} | {falls} | {blind} | {share:.3} |",
+                s.policy
+            );
+        }
+    }
+}
+
+/// Prints durations and the encoders' work with and without hedges.
+pub fn print_hedges(scenarios: &[Scenario]) {
+    println!("| hedges | load | attainment | p50 ms | p99 ms | hedges sent | encoders' work s |");
+    println!("|---|---|---|---|---|---|---|");
+    for scenario in scenarios {
+        for hedge in [true, false] {
+            let s = run(scenario, Policy { hedge, ..Policy::REAL });
+            let ms = |percent| s.percentile(percent).as_millis();
+            let (sent, work, share) = (s.hedges, s.encoded, s.attainment());
+            let (name, load) = (if hedge { "on" } else { "off" }, s.load);
+            let (p50, p99) = (ms(50), ms(99));
+            println!("| {name} | {load:.1} | {share:.4} | {p50} | {p99} | {sent} | {work:.0} |");
+        }
+    }
+}
+
+/// Prints what a failing host costs entries that have just started.
+pub fn print_start(scenarios: &[Scenario]) {
+    println!(
+        "| entries | arrived | not completed | further attempts | refused or failed attempts |"
+    );
+    println!("|---|---|---|---|---|");
+    for scenario in scenarios {
+        let s = run(scenario, Policy::REAL);
+        let lost = s.arrived - s.completed;
+        let (entries, arrived, further) = (scenario.entries, s.arrived, s.attempts.1);
+        println!("| {entries} | {arrived} | {lost} | {further} | {:?} |", s.refusals);
+    }
+}
