--- a/crates/xtask/src/load/mod.rs
+++ b/crates/xtask/src/load/mod.rs
@@ -7,6 +7,7 @@
 mod plot;
 mod report;
 mod runner;
+mod zone;
 
 use argh::FromArgs;
 use std::path::PathBuf;
@@ -21,7 +22,10 @@
 pub struct LoadArgs {
     /// URL of the entry, for example http://127.0.0.1:8080
     #[argh(option)]
-    url: String,
+    url: Option<String>,
+    /// zone to take out and bring back, in a system that this process runs in place of a URL
+    #[argh(option)]
+    zone_out: Option<String>,
     /// workspace to send as
     #[argh(option)]
     workspace: String,
@@ -40,7 +44,7 @@
     /// send an idempotency key with each request
     #[argh(switch)]
     keyed: bool,
-    /// directory for report.json and latency.svg
+    /// directory for report.json, latency.svg and, with a zone, zone.svg
     #[argh(option)]
     out: Option<PathBuf>,
 }
@@ -48,7 +52,7 @@
 /// Runs the load and writes the report.
 pub fn exec(args: LoadArgs) -> Result<(), LoadError> {
     let load = Load {
-        url: args.url,
+        url: args.url.unwrap_or_default(),
         workspace: args.workspace,
         pipeline: args.pipeline,
         rate: args.rate,
@@ -58,13 +62,23 @@
     };
     load.check()?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-    let samples = runtime.block_on(run(&load))?;
+    let (samples, marks) = match (&args.zone_out, load.url.is_empty()) {
+        (Some(zone), true) => runtime.block_on(zone::run_zone(&load, zone))?,
+        (None, false) => (runtime.block_on(run(&load))?, Vec::new()),
+        _ => return Err(LoadError::Target),
+    };
     let report = Report::new(&load, &samples)?;
     println!("{report}");
+    for (at, change) in &marks {
+        println!("{:.2} s: {change:?}", at.as_secs_f64());
+    }
     if let Some(dir) = args.out {
         std::fs::create_dir_all(&dir)?;
         std::fs::write(dir.join("report.json"), serde_json::to_vec_pretty(&report)?)?;
         plot::latency(&dir.join("latency.svg"), &samples)?;
+        if !marks.is_empty() {
+            plot::zone(&dir.join("zone.svg"), &load, &samples, &marks)?;
+        }
     }
     Ok(())
 }
--- a/crates/xtask/src/load/plot.rs
+++ b/crates/xtask/src/load/plot.rs
@@ -1,8 +1,10 @@
 //! The plot of latency over time.
 
-use super::{LoadError, Outcome, Sample};
+use super::zone::{Change, Mark};
+use super::{Load, LoadError, Outcome, Sample};
 use plotters::prelude::*;
 use std::path::Path;
+use std::time::Duration;
 
 const SIZE: (u32, u32) = (960, 480);
 
@@ -30,6 +32,60 @@
     Ok(())
 }
 
+/// Draws, by second, the share answered in time of the requests due then above the whole answers
+/// that arrived then, with lines where operators changed the zone.
+///
+/// # Errors
+/// Returns [`LoadError::Plot`] if the file cannot be drawn.
+pub fn zone(path: &Path, load: &Load, samples: &[Sample], marks: &[Mark]) -> Result<(), LoadError> {
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let halves = area.split_evenly((2, 1));
+    let attainment = by_second(load, samples, |s| s.due, |due, answered| answered / due.max(1.0));
+    let rate = by_second(load, samples, |s| s.due + s.latency, |_, answered| answered);
+    let panels = [(attainment, 1.05, "attainment"), (rate, load.rate * 1.5, "answers/s")];
+    for (half, (points, top, name)) in halves.iter().zip(panels) {
+        let seconds = load.duration.as_secs_f64();
+        let mut chart = ChartBuilder::on(half)
+            .margin(12)
+            .x_label_area_size(36)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..seconds, 0.0..top)?;
+        chart.configure_mesh().x_desc("s").y_desc(name).draw()?;
+        for (at, change) in marks {
+            let x = at.as_secs_f64();
+            chart.draw_series(LineSeries::new([(x, 0.0), (x, top)], mark_color(*change)))?;
+        }
+        chart.draw_series(LineSeries::new(points, BLUE.stroke_width(2)))?;
+    }
+    area.present()?;
+    Ok(())
+}
+
+/// Returns a point per whole second from the numbers of requests and of those answered in it.
+fn by_second(
+    load: &Load,
+    samples: &[Sample],
+    when: impl Fn(&Sample) -> Duration,
+    value: impl Fn(f64, f64) -> f64,
+) -> Vec<(f64, f64)> {
+    let point = |second: u64| {
+        let of: Vec<&Sample> = samples.iter().filter(|s| when(s).as_secs() == second).collect();
+        let answered = of.iter().filter(|s| s.outcome == Outcome::Answered).count();
+        (second as f64 + 0.5, value(of.len() as f64, answered as f64))
+    };
+    (0..load.duration.as_secs()).map(point).collect()
+}
+
+fn mark_color(change: Change) -> RGBColor {
+    match change {
+        Change::Out => RED,
+        Change::OutInForce => MAGENTA,
+        Change::Back => GREEN,
+        Change::BackInForce => CYAN,
+    }
+}
+
 fn millis(sample: &Sample) -> f64 {
     sample.latency.as_secs_f64() * 1_000.0
 }
--- a/crates/xtask/src/load/runner.rs
+++ b/crates/xtask/src/load/runner.rs
@@ -28,6 +28,9 @@
     /// The rate or the duration is out of range.
     #[error("the rate must lie between 0.1 and 20000 a second and the duration be above zero")]
     Range,
+    /// Neither or both of a URL and a zone are given.
+    #[error("give either a URL or a zone to take out")]
+    Target,
     /// The HTTP client cannot be built.
     #[error("cannot build the HTTP client")]
     Client(#[from] reqwest::Error),
