--- a/crates/limpetmux-test-support/src/deployment.rs
+++ b/crates/limpetmux-test-support/src/deployment.rs
@@ -275,10 +275,8 @@
         let process = Process::sidecar(&role, parts).unwrap();
         let (process, spread) = self.spread(process, &control, grpc);
         let shutdown = process.shutdown.clone();
-        let main =
-            tokio::spawn(
-                async move { process.run(listener, std::future::pending()).await.unwrap() },
-            );
+        let run = process.run(listener, std::future::pending());
+        let main = tokio::spawn(async move { run.await.unwrap() });
         let (url, members) = (String::new(), Some(members));
         Node { role, control, grpc, url, members, shutdown, main, spread, _kernel: kernel }
     }
@@ -298,6 +296,7 @@
             ordinal: u32::try_from(index / zones.len()).unwrap(),
             view: control.view.clone(),
             members: Members(Some(members.clone())),
+            channels: Default::default(),
             limits: Limits::default(),
             metrics: Metrics::none(),
         });
@@ -354,6 +353,7 @@
 fn parts(kernel: &Arc<Kernel>, times: ShutdownOptions) -> ProcessParts {
     ProcessParts {
         kernel: Arc::clone(kernel),
+        channels: Default::default(),
         times,
         flush: Arc::new(|| Box::pin(async { true })),
         status: Arc::new(StatusReply::default),
--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod policy;
 pub mod processes;
 pub mod sized;
+pub mod tls;
 
 pub use cases::check_cases;
 pub use config::{name, sample_config, small_config};
--- a/crates/limpetmux-test-support/src/once_fleet.rs
+++ b/crates/limpetmux-test-support/src/once_fleet.rs
@@ -1,6 +1,7 @@
 //! A service that may run at most once: a log, hosts in two zones and two entries on loopback.
 
 use limpetmux::adapters::backend::Backend;
+use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::log::LogClient;
 use limpetmux::core::config::{
     Config, Fencing, HostSpec, PipelineSpec, ServiceSpec, StageKind, StageSpec, WorkspaceSpec,
@@ -101,6 +102,7 @@
             ordinal: 0,
             view: self.view.reader(),
             members: Members(None),
+            channels: Channels::plain(),
             limits: Limits::default(),
             metrics: Metrics::none(),
         })
--- a/crates/limpetmux-test-support/src/processes.rs
+++ b/crates/limpetmux-test-support/src/processes.rs
@@ -4,6 +4,7 @@
 //! entry is a child process that runs the built program with a settings file.
 
 use crate::changes::{change_record, first_change};
+use crate::tls::Authority;
 use limpetmux::adapters::log::{LogClient, Stream};
 use limpetmux::core::config::{Config, Name};
 use limpetmux::entry::base_url;
@@ -105,6 +106,7 @@
     binary: PathBuf,
     dir: PathBuf,
     peers: Vec<SocketAddr>,
+    authority: Option<Authority>,
 }
 
 impl Processes {
@@ -112,7 +114,21 @@
     ///
     /// # Panics
     /// Panics if a part does not start.
-    pub async fn start(binary: &Path, dir: &Path, mut config: Config, entries: usize) -> Self {
+    pub async fn start(binary: &Path, dir: &Path, config: Config, entries: usize) -> Self {
+        Self::start_with(binary, dir, config, entries, None).await
+    }
+
+    /// Starts the same with certificates that an authority signs, or in plain text without one.
+    ///
+    /// # Panics
+    /// Panics if a part does not start.
+    pub async fn start_with(
+        binary: &Path,
+        dir: &Path,
+        mut config: Config,
+        entries: usize,
+        authority: Option<Authority>,
+    ) -> Self {
         for host in config.hosts.values_mut() {
             host.sidecar = free_address();
         }
@@ -132,6 +148,7 @@
             dir: dir.to_owned(),
             peers: config.hosts.values().map(|h| h.sidecar).take(3).collect(),
             config,
+            authority,
         };
         std::fs::create_dir_all(dir).unwrap();
         let log = LogClient::http(reqwest::Client::new(), &processes.log.url());
@@ -201,6 +218,10 @@
         settings: &serde_json::Value,
         url: String,
     ) -> NodeProcess {
+        let mut settings = settings.clone();
+        if let Some(authority) = &self.authority {
+            settings["tls"] = authority.write(&self.dir, name);
+        }
         let file = self.dir.join(format!("{name}.jsonc"));
         std::fs::write(&file, settings.to_string()).unwrap();
         let child = Command::new(&self.binary)
--- /dev/null
+++ b/crates/limpetmux-test-support/src/tls.rs
@@ -0,0 +1,78 @@
+//! Certificate authorities and the certificates that they sign, made anew for each test.
+
+use crate::config::name;
+use limpetmux::adapters::channel::Channels;
+use limpetmux::adapters::tls::TlsParts;
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use serde_json::{Value, json};
+use std::path::Path;
+
+/// The name that certificates of the fixtures carry.
+pub const DEPLOYMENT: &str = "ph-luzon";
+
+/// A certificate authority.
+pub struct Authority {
+    issuer: Issuer<'static, KeyPair>,
+    certificate: String,
+}
+
+impl Authority {
+    /// Creates an authority that nobody knows yet.
+    ///
+    /// # Panics
+    /// Panics if no key can be made.
+    pub fn new() -> Self {
+        let key = KeyPair::generate().unwrap();
+        let mut params = CertificateParams::new(Vec::new()).unwrap();
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let certificate = params.self_signed(&key).unwrap().pem();
+        Self { issuer: Issuer::new(params, key), certificate }
+    }
+
+    /// Signs a new certificate that carries the name of a deployment.
+    ///
+    /// # Panics
+    /// Panics if the name is none of a deployment.
+    pub fn parts(&self, deployment: &str) -> TlsParts {
+        let key = KeyPair::generate().unwrap();
+        let params = CertificateParams::new(vec![deployment.to_owned()]).unwrap();
+        let certificate = params.signed_by(&key, &self.issuer).unwrap();
+        TlsParts {
+            deployment: name(deployment),
+            certificate: certificate.pem(),
+            key: key.serialize_pem(),
+            authority: self.certificate.clone(),
+        }
+    }
+
+    /// Returns what connects with a new certificate.
+    ///
+    /// # Panics
+    /// Panics if the certificate cannot be used.
+    pub fn channels(&self) -> Channels {
+        Channels::tls(&self.parts(DEPLOYMENT)).unwrap()
+    }
+
+    /// Writes a new certificate for a node into a directory and returns the `tls` part of its
+    /// settings.
+    ///
+    /// # Panics
+    /// Panics if the directory cannot be written to.
+    pub fn write(&self, dir: &Path, node: &str) -> Value {
+        let parts = self.parts(DEPLOYMENT);
+        let files = [("certificate", parts.certificate), ("key", parts.key)];
+        let mut settings = json!({ "deployment": DEPLOYMENT });
+        for (field, text) in files.into_iter().chain([("authority", parts.authority)]) {
+            let file = dir.join(format!("{node}.{field}.pem"));
+            std::fs::write(&file, text).unwrap();
+            settings[field] = json!(file);
+        }
+        settings
+    }
+}
+
+impl Default for Authority {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/src/bin/limpetmux/commands/drain.rs
+++ b/src/bin/limpetmux/commands/drain.rs
@@ -1,9 +1,11 @@
 //! `limpetmux drain`
 
+use super::operator::channels;
 use argh::FromArgs;
 use limpetmux::ops::drain::{DrainUnclean, drain};
 use miette::IntoDiagnostic;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// Drain one process and wait until it is about to exit. Exit status 1 if a request was cut or a
@@ -17,13 +19,17 @@
     /// seconds for running requests; the process's own time if not given
     #[argh(option)]
     deadline: Option<u64>,
+    /// a file with the `tls` part of the settings, if the processes ask for certificates
+    #[argh(option)]
+    tls: Option<PathBuf>,
 }
 
 /// Orders the drain and prints its report.
 pub fn exec(args: DrainArgs) -> miette::Result<()> {
     let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
+    let channels = channels(args.tls.as_deref())?;
     let deadline = args.deadline.map(Duration::from_secs);
-    let report = runtime.block_on(drain(args.node, deadline))?;
+    let report = runtime.block_on(drain(&channels, args.node, deadline))?;
     if !report.is_clean() {
         return Err(DrainUnclean { addr: args.node, report }.into());
     }
--- a/src/bin/limpetmux/commands/operator.rs
+++ b/src/bin/limpetmux/commands/operator.rs
@@ -1,10 +1,13 @@
-//! What the operator commands share: the log's client, the submission, the report.
+//! What the operator commands share: connections, the log's client, the submission, the report.
 
+use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::log::LogClient;
 use limpetmux::core::config::{ChangeId, Name};
 use limpetmux::ops::config::{Plan, Submission};
 use limpetmux::ops::config_client::{ConfigClient, Outcome};
+use limpetmux::settings::load_tls;
 use miette::IntoDiagnostic;
+use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A change is not in force.
@@ -15,6 +18,12 @@
     outcome: Outcome,
 }
 
+/// Returns what connects to processes, with the certificates that a file names or in plain text.
+pub fn channels(tls: Option<&Path>) -> miette::Result<Channels> {
+    let Some(path) = tls else { return Ok(Channels::plain()) };
+    Ok(load_tls(path)?.channels()?)
+}
+
 /// Folds the configuration log at a base URL and runs an action on it.
 pub fn run<F>(url: &str, action: impl FnOnce(ConfigClient) -> F) -> miette::Result<()>
 where
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -2,11 +2,14 @@
 //!
 //! Each client is a plain struct of closures, so another protocol is one more constructor and no
 //! shape of a protocol reaches `core`. The protocols spoken by default are written down in
-//! `docs/PROTOCOLS.md`.
+//! `docs/PROTOCOLS.md`. [`channel`] makes the connections between the system's own processes.
 
 pub mod backend;
 mod backend_http;
+pub mod channel;
 pub mod hosts;
 pub mod log;
 mod log_http;
 pub mod power;
+pub mod tls;
+mod watched;
--- a/src/limpetmux/control/spread.rs
+++ b/src/limpetmux/control/spread.rs
@@ -7,6 +7,7 @@
 
 use super::peer::{MESSAGE_BYTES, decode, encode};
 use super::{Control, ControlMessage, Exchanged, PeerCounters};
+use crate::adapters::channel::Channels;
 use crate::core::config::Delta;
 use crate::wire::peer::peer_client::PeerClient;
 use prost::Message;
@@ -32,13 +33,15 @@
     pub fanout: usize,
     /// How long one exchange may take.
     pub timeout: Duration,
+    /// Makes the connections; plain text unless it is replaced.
+    pub channels: Channels,
 }
 
 impl SpreadOptions {
     /// Creates the usual options for a node with the given address and seeds.
     pub fn new(own: Option<SocketAddr>, seeds: Vec<SocketAddr>) -> Self {
         let (period, timeout) = (Duration::from_secs(1), Duration::from_secs(3));
-        Self { own, seeds, period, fanout: 2, timeout }
+        Self { own, seeds, period, fanout: 2, timeout, channels: Channels::plain() }
     }
 }
 
@@ -92,9 +95,10 @@
     fn round(&mut self) {
         for peer in self.peers() {
             let (control, counters) = (self.control.clone(), Arc::clone(&self.counters));
-            let timeout = self.options.timeout;
+            let (timeout, channels) = (self.options.timeout, self.options.channels.clone());
             tokio::spawn(async move {
-                let exchange = exchange(&control, &counters, peer, timeout);
+                let endpoint = channels.endpoint(peer, timeout);
+                let exchange = exchange(&control, &counters, endpoint);
                 if !matches!(tokio::time::timeout(timeout, exchange).await, Ok(Ok(()))) {
                     counters.count_failure();
                 }
@@ -117,11 +121,9 @@
 async fn exchange(
     control: &Control,
     counters: &PeerCounters,
-    peer: SocketAddr,
-    timeout: Duration,
+    endpoint: Result<Endpoint, tonic::transport::Error>,
 ) -> Result<(), ExchangeError> {
-    let endpoint = Endpoint::from_shared(format!("http://{peer}"))?.connect_timeout(timeout);
-    let mut client = PeerClient::new(endpoint.connect().await?)
+    let mut client = PeerClient::new(endpoint?.connect().await?)
         .max_decoding_message_size(MESSAGE_BYTES)
         .max_encoding_message_size(MESSAGE_BYTES);
     let position = control.status.load().position;
--- a/src/limpetmux/entry/fleet.rs
+++ b/src/limpetmux/entry/fleet.rs
@@ -2,6 +2,7 @@
 
 use super::Members;
 use super::link::Link;
+use crate::adapters::channel::Channels;
 use crate::core::arena::Arena;
 use crate::core::keys::HostKey;
 use crate::core::view::View;
@@ -19,6 +20,8 @@
     pub links: Arena<HostKey, Arc<Link>>,
     /// What is known of hosts beside the configuration.
     pub members: Members,
+    /// Makes the connections.
+    pub channels: Channels,
 }
 
 impl Fleet {
@@ -26,15 +29,22 @@
     fn build(view: Arc<View>, old: &Self) -> Self {
         let mut known: BTreeMap<SocketAddr, &Arc<Link>> =
             old.links.iter().map(|(_, link)| (link.addr(), link)).collect();
-        let link = |addr| known.remove(&addr).map_or_else(|| Arc::new(Link::new(addr)), Arc::clone);
+        let link = |addr| match known.remove(&addr) {
+            Some(link) => Arc::clone(link),
+            None => Arc::new(Link::new(&old.channels, addr)),
+        };
         let links = view.hosts.iter().map(|(_, row)| row.sidecar).map(link).collect();
-        Self { view, links, members: old.members.clone() }
+        Self { view, links, members: old.members.clone(), channels: old.channels.clone() }
     }
 }
 
 /// Publishes the fleet of every view; the task ends with the last reader or the view's publisher.
-pub(super) fn follow(mut views: Published<View>, members: Members) -> Published<Fleet> {
-    let empty = Fleet { members, ..Fleet::default() };
+pub(super) fn follow(
+    mut views: Published<View>,
+    members: Members,
+    channels: Channels,
+) -> Published<Fleet> {
+    let empty = Fleet { members, channels, ..Fleet::default() };
     let publisher = Publisher::new(Fleet::build(views.load(), &empty));
     let reader = publisher.reader();
     tokio::spawn(async move {
--- a/src/limpetmux/entry/link.rs
+++ b/src/limpetmux/entry/link.rs
@@ -1,10 +1,11 @@
 //! The connection to one sidecar.
 
+use crate::adapters::channel::Channels;
 use crate::wire::once::once_client::OnceClient;
 use crate::wire::stage::stage_client::StageClient;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::Channel;
 
 /// The time allowed to connect to a sidecar.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -22,13 +23,11 @@
 
 impl Link {
     /// Creates a link that connects on first use.
-    pub fn new(addr: SocketAddr) -> Self {
-        let endpoint = Endpoint::from_shared(format!("http://{addr}")).ok();
+    pub fn new(channels: &Channels, addr: SocketAddr) -> Self {
+        let endpoint = channels.endpoint(addr, CONNECT_TIMEOUT).ok();
         let channel = endpoint.map(|e| {
-            e.connect_timeout(CONNECT_TIMEOUT)
-                .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
+            e.http2_keep_alive_interval(KEEPALIVE_INTERVAL)
                 .keep_alive_timeout(KEEPALIVE_TIMEOUT)
-                .tcp_nodelay(true)
                 .connect_lazy()
         });
         Self { addr, channel }
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -31,6 +31,7 @@
 pub use order::{Limits, Order, OrderError};
 pub use problem::Problem;
 
+use crate::adapters::channel::Channels;
 use crate::core::budget::TimesError;
 use crate::core::config::Name;
 use crate::core::cost::Ledger;
@@ -58,6 +59,8 @@
     pub view: Published<View>,
     /// What is known of hosts beside the configuration.
     pub members: Members,
+    /// Makes the connections to sidecars.
+    pub channels: Channels,
     /// The limits on callers' requests.
     pub limits: Limits,
     /// Where metrics go.
@@ -107,7 +110,7 @@
     pub fn start(options: EntryOptions) -> Result<Arc<Self>, EntryError> {
         let entry = Arc::new(Self {
             policy: Policy::new(&options)?,
-            fleet: fleet::follow(options.view, options.members),
+            fleet: fleet::follow(options.view, options.members, options.channels),
             limits: options.limits,
             counters: Counters::default(),
             metrics: options.metrics,
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -2,9 +2,10 @@
 
 use super::deployment::{COLD, CONCURRENCY, Deployment, PlannedHost, WARMUP};
 use super::role::{http_client, stopped};
-use super::server::{ServeError, bind, grpc, serve};
+use super::server::{ServeError, bind, sidecar_routes};
 use super::services::{Services, ServicesError, ServicesOptions};
 use crate::adapters::backend::Backend;
+use crate::adapters::channel::Channels;
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::{LogClient, LogError, Stream};
 use crate::core::config::record::{self, Body, RecordError};
@@ -200,6 +201,7 @@
         let rules = Rules { margin: Duration::ZERO, ..Rules::default() };
         let once = OnceLink::new(LogClient::http(client.clone(), &platform.log.url()));
         let once = OnceLink { rules, ..once };
+        let channels = Channels::plain();
         let (stop, _) = watch::channel(false);
         let mut servers = JoinSet::new();
         let mut hosts = Vec::with_capacity(planned.len());
@@ -212,12 +214,9 @@
                 once: Some(once.clone()),
                 metrics: Metrics::none(),
             });
-            let router = grpc()
-                .add_service(sidecar.service())
-                .add_optional_service(sidecar.once_service())
-                .add_service(services.peer_server());
-            let server = serve(router, listener, stopped(&stop));
-            servers.spawn(async move { drop(server.await) });
+            let routes = sidecar_routes(&sidecar).add_service(services.peer_server());
+            let (channels, stopped) = (channels.clone(), stopped(&stop));
+            servers.spawn(async move { drop(channels.serve(routes, listener, stopped).await) });
             hosts.push(LocalHost { plan, addr, standin, sidecar });
         }
         let entry = Entry::start(EntryOptions {
@@ -225,6 +224,7 @@
             ordinal: 0,
             view: services.control.view.clone(),
             members: Members(Some(services.membership.clone())),
+            channels,
             limits: Limits::default(),
             metrics: Metrics::none(),
         })?;
@@ -259,6 +259,7 @@
         log,
         hosts: Some(HostsClient::http(client.clone(), &platform.hosts.url())),
         own: None,
+        channels: Channels::plain(),
         peers: Vec::new(),
         power: None,
         plans: false,
--- a/src/limpetmux/node/mod.rs
+++ b/src/limpetmux/node/mod.rs
@@ -13,5 +13,5 @@
 mod services;
 
 pub use role::{RoleError, run_entry, run_sidecar};
-pub use server::{ServeError, bind, grpc, serve, serve_sidecar};
+pub use server::{ServeError, bind, serve_sidecar};
 pub use services::{Services, ServicesError, ServicesOptions};
--- a/src/limpetmux/node/process.rs
+++ b/src/limpetmux/node/process.rs
@@ -1,6 +1,7 @@
 //! The life of a process of either role, from its listeners to its report.
 
-use super::server::{ServeError, grpc};
+use super::server::{ServeError, sidecar_routes};
+use crate::adapters::channel::Channels;
 use crate::admin::{AdminService, StatusFn};
 use crate::core::config::Name;
 use crate::core::membership::Cause;
@@ -18,7 +19,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tonic::service::Routes;
-use tonic::transport::server::TcpIncoming;
 
 /// The time for closing connections once a drain has ended.
 const CLOSE_TIME: Duration = Duration::from_secs(1);
@@ -46,6 +46,8 @@
 pub struct ProcessParts {
     /// The services of the process.
     pub kernel: Arc<Kernel>,
+    /// Makes the server of the process.
+    pub channels: Channels,
     /// The times of its shutdown.
     pub times: ShutdownOptions,
     /// Sends outstanding records to the platform at the end.
@@ -59,6 +61,7 @@
     /// Orders the drain.
     pub shutdown: ShutdownPort,
     service: ShutdownService,
+    channels: Channels,
     routes: Routes,
 }
 
@@ -76,12 +79,9 @@
             flush: parts.flush,
         };
         let (service, shutdown) = register(&parts.kernel, parts.times, hooks)?;
-        let mut routes = Routes::new(sidecar.service());
-        if let Some(once) = sidecar.once_service() {
-            routes = routes.add_service(once);
-        }
-        let routes = routes.add_service(AdminService::server(shutdown.clone(), parts.status));
-        Ok(Self { shutdown, service, routes })
+        let admin = AdminService::server(shutdown.clone(), parts.status);
+        let routes = sidecar_routes(sidecar).add_service(admin);
+        Ok(Self { shutdown, service, channels: parts.channels, routes })
     }
 
     /// Prepares the process of an entry.
@@ -99,7 +99,7 @@
         };
         let (service, shutdown) = register(&parts.kernel, parts.times, hooks)?;
         let routes = Routes::new(AdminService::server(shutdown.clone(), parts.status));
-        Ok(Self { shutdown, service, routes })
+        Ok(Self { shutdown, service, channels: parts.channels, routes })
     }
 
     /// Adds a gRPC service of the process.
@@ -118,9 +118,7 @@
         signal: impl Future<Output = ()> + Send,
     ) -> Result<DrainReport, ServeError> {
         let (drained, ended) = oneshot::channel::<()>();
-        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-        let server = grpc().add_routes(self.routes);
-        let server = server.serve_with_incoming_shutdown(incoming, async { drop(ended.await) });
+        let server = self.channels.serve(self.routes, listener, async { drop(ended.await) });
         tokio::pin!(server);
         let report = tokio::select! {
             report = self.service.run(signal) => report,
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -7,9 +7,11 @@
 use super::server::{ServeError, local_addr};
 use super::services::{Services, ServicesError, ServicesOptions};
 use crate::adapters::backend::Backend;
+use crate::adapters::channel::Channels;
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::LogClient;
 use crate::adapters::power::{PowerClient, PowerOrder};
+use crate::adapters::tls::TlsFault;
 use crate::admin::{StatusFn, report};
 use crate::core::revision::Offset;
 use crate::core::shutdown::{DrainReport, ShutdownOptions};
@@ -54,6 +56,9 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Metrics(#[from] MetricsError),
+    /// The certificates cannot be used.
+    #[error("the certificates cannot be used")]
+    Tls(#[from] TlsFault),
     /// The HTTP client cannot be set up.
     #[error("cannot set up the HTTP client")]
     Client(#[from] reqwest::Error),
@@ -69,9 +74,13 @@
 
 fn start_services(
     settings: &Settings,
+    channels: &Channels,
     own: SocketAddr,
     plans: bool,
 ) -> Result<Services, RoleError> {
+    if !channels.is_tls() {
+        event!(EventCode::PlainText, name = settings.name);
+    }
     let client = http_client()?;
     let hosts = settings.platform.hosts.as_ref();
     let power = settings.platform.power.as_ref();
@@ -80,6 +89,7 @@
         log: LogClient::http(client.clone(), &settings.platform.log),
         hosts: hosts.map(|url| HostsClient::http(client.clone(), url)),
         own: Some(own),
+        channels: channels.clone(),
         peers: settings.peers.clone(),
         power: power.map(|url| PowerClient::http(client.clone(), url)),
         plans,
@@ -109,17 +119,20 @@
 ) -> Result<DrainReport, RoleError> {
     let http_addr = local_addr(&listeners.http)?;
     let grpc_addr = local_addr(&listeners.grpc)?;
-    let services = start_services(settings, grpc_addr, true)?;
+    let channels = settings.channels()?;
+    let services = start_services(settings, &channels, grpc_addr, true)?;
     let entry = Entry::start(EntryOptions {
         zone: settings.zone.clone(),
         ordinal: own.ordinal,
         view: services.control.view.clone(),
         members: Members(Some(services.membership.clone())),
+        channels: channels.clone(),
         limits: own.limits(),
         metrics: metrics(settings)?,
     })?;
     let parts = ProcessParts {
         kernel: Arc::clone(&services.kernel),
+        channels,
         times: ShutdownOptions { deadline: settings.grace, ..ShutdownOptions::ENTRY },
         flush: Arc::new(|| async { true }.boxed()),
         status: entry_status(settings, &services, &entry),
@@ -170,18 +183,21 @@
 ) -> Result<DrainReport, RoleError> {
     let addr = local_addr(&listener)?;
     let client = http_client()?;
-    let services = start_services(settings, addr, false)?;
+    let channels = settings.channels()?;
+    let services = start_services(settings, &channels, addr, false)?;
+    let log = LogClient::http(client.clone(), &settings.platform.log);
     let sidecar = Sidecar::start(SidecarOptions {
         host: settings.name.clone(),
         view: services.control.view.clone(),
-        backend: Backend::http(client.clone(), &own.backend),
-        once: Some(OnceLink::new(LogClient::http(client, &settings.platform.log))),
+        backend: Backend::http(client, &own.backend),
+        once: Some(OnceLink { channels: channels.clone(), ..OnceLink::new(log) }),
         metrics: metrics(settings)?,
     });
     let (name, views) = (settings.name.clone(), services.control.view.clone());
     process::follow_listing(&sidecar, name, views, &services.membership);
     let parts = ProcessParts {
         kernel: Arc::clone(&services.kernel),
+        channels,
         times: ShutdownOptions { deadline: settings.grace, ..ShutdownOptions::SIDECAR },
         flush: flush(&sidecar),
         status: sidecar_status(settings, &services, &sidecar),
--- a/src/limpetmux/node/server.rs
+++ b/src/limpetmux/node/server.rs
@@ -1,17 +1,12 @@
 //! The listeners of a process.
 
+use crate::adapters::channel::Channels;
 use crate::sidecar::Sidecar;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::TcpListener;
-use tonic::transport::Server;
-use tonic::transport::server::{Router, TcpIncoming};
-
-/// The most streams that one peer may have open on one connection.
-const MAX_STREAMS: u32 = 4_096;
-/// The most bytes of a request's headers.
-const MAX_HEADERS: u32 = 16 * 1024;
+use tonic::service::Routes;
 
 /// A failure of a process's server.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -53,25 +48,16 @@
     listener.local_addr().map_err(ServeError::Address)
 }
 
-/// Returns a gRPC server with the limits that all processes share.
-pub fn grpc() -> Server {
-    Server::builder().max_concurrent_streams(MAX_STREAMS).http2_max_header_list_size(MAX_HEADERS)
-}
-
-/// Serves gRPC on a listener until `stop` is ready, then finishes the running calls.
-///
-/// # Errors
-/// Returns [`ServeError::Grpc`] if the server fails.
-pub async fn serve(
-    router: Router,
-    listener: TcpListener,
-    stop: impl Future<Output = ()>,
-) -> Result<(), ServeError> {
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-    router.serve_with_incoming_shutdown(incoming, stop).await.map_err(ServeError::Grpc)
+/// Returns the gRPC services of a sidecar.
+pub fn sidecar_routes(sidecar: &Arc<Sidecar>) -> Routes {
+    let routes = Routes::new(sidecar.service());
+    match sidecar.once_service() {
+        Some(once) => routes.add_service(once),
+        None => routes,
+    }
 }
 
-/// Serves a sidecar without its control services, as fixtures do.
+/// Serves a sidecar in plain text and without its control services, as fixtures do.
 ///
 /// # Errors
 /// Returns [`ServeError::Grpc`] if the server fails.
@@ -80,6 +66,6 @@
     listener: TcpListener,
     stop: impl Future<Output = ()>,
 ) -> Result<(), ServeError> {
-    let router = grpc().add_service(sidecar.service()).add_optional_service(sidecar.once_service());
-    serve(router, listener, stop).await
+    let routes = sidecar_routes(&sidecar);
+    Channels::plain().serve(routes, listener, stop).await.map_err(ServeError::Grpc)
 }
--- a/src/limpetmux/node/services.rs
+++ b/src/limpetmux/node/services.rs
@@ -1,5 +1,6 @@
 //! The control services that every process runs, whatever its role.
 
+use crate::adapters::channel::Channels;
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::LogClient;
 use crate::adapters::power::PowerClient;
@@ -37,6 +38,8 @@
     pub hosts: Option<HostsClient>,
     /// The gRPC address of the process.
     pub own: Option<SocketAddr>,
+    /// Makes the connections to other processes.
+    pub channels: Channels,
     /// Peers known from the settings.
     pub peers: Vec<SocketAddr>,
     /// The platform's power switch, if hosts are woken and put to sleep.
@@ -73,7 +76,8 @@
         let log = options.log.clone();
         let control = control::start(&kernel, log, ControlOptions::new(options.name))?;
         let traffic = Arc::<PeerCounters>::default();
-        let spread = SpreadOptions::new(options.own, options.peers);
+        let channels = options.channels.clone();
+        let spread = SpreadOptions { channels, ..SpreadOptions::new(options.own, options.peers) };
         let rng = StdRng::from_os_rng();
         let spread = Spread::new(control.clone(), spread, Arc::clone(&traffic), rng);
         tokio::spawn(spread.run());
@@ -88,7 +92,7 @@
                 log: options.log,
                 power,
                 views: control.view.clone(),
-                load: planner::probe_load(),
+                load: planner::probe_load(options.channels),
                 candidate: options.plans,
             };
             tokio::spawn(planner::run(parts, publisher));
--- a/src/limpetmux/ops/admin_client.rs
+++ b/src/limpetmux/ops/admin_client.rs
@@ -1,9 +1,10 @@
 //! Calls to the admin interface of a process.
 
+use crate::adapters::channel::Channels;
 use crate::wire::admin::admin_client::AdminClient;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::Channel;
 
 /// The time allowed to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -13,7 +14,9 @@
 pub enum AdminError {
     /// The address cannot be connected to.
     #[error("cannot connect to {addr}")]
-    #[diagnostic(help("give the gRPC address of a running entry or sidecar"))]
+    #[diagnostic(help(
+        "give the gRPC address of a running entry or sidecar, and --tls if it asks for certificates"
+    ))]
     Connect {
         /// The address.
         addr: SocketAddr,
@@ -36,10 +39,13 @@
 ///
 /// # Errors
 /// Returns [`AdminError::Connect`] if no connection can be made.
-pub async fn connect(addr: SocketAddr) -> Result<AdminClient<Channel>, AdminError> {
+pub async fn connect(
+    channels: &Channels,
+    addr: SocketAddr,
+) -> Result<AdminClient<Channel>, AdminError> {
     let error = |source| AdminError::Connect { addr, source };
-    let endpoint = Endpoint::from_shared(format!("http://{addr}")).map_err(error)?;
-    let channel = endpoint.connect_timeout(CONNECT_TIMEOUT).connect().await.map_err(error)?;
+    let endpoint = channels.endpoint(addr, CONNECT_TIMEOUT).map_err(error)?;
+    let channel = endpoint.connect().await.map_err(error)?;
     Ok(AdminClient::new(channel))
 }
 
--- a/src/limpetmux/ops/drain.rs
+++ b/src/limpetmux/ops/drain.rs
@@ -1,6 +1,7 @@
 //! `limpetmux drain`: ends one process without cutting a request.
 
 use super::admin_client::{AdminError, connect, no_answer};
+use crate::adapters::channel::Channels;
 use crate::core::shutdown::DrainReport;
 use crate::wire::admin::DrainRequest;
 use std::net::SocketAddr;
@@ -26,10 +27,11 @@
 /// # Errors
 /// Returns [`AdminError`] if the process cannot be reached or exits before it answers.
 pub async fn drain(
+    channels: &Channels,
     addr: SocketAddr,
     deadline: Option<Duration>,
 ) -> Result<DrainReport, AdminError> {
-    let mut client = connect(addr).await?;
+    let mut client = connect(channels, addr).await?;
     let ms = deadline.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
     let reply = client.drain(DrainRequest { deadline_ms: ms }).await.map_err(no_answer(addr))?;
     let reply = reply.into_inner();
--- a/src/limpetmux/ops/status.rs
+++ b/src/limpetmux/ops/status.rs
@@ -4,6 +4,7 @@
 //! next. A process that does not answer is listed as such and never hides the others.
 
 use super::admin_client::{AdminError, connect, no_answer};
+use crate::adapters::channel::Channels;
 use crate::wire::admin::{StatusReply, StatusRequest};
 use futures::StreamExt;
 use serde::Serialize;
@@ -121,26 +122,27 @@
 type Answer = (SocketAddr, Option<StatusReply>);
 
 /// Asks the given processes and the sidecars that they know.
-pub async fn status(nodes: &[SocketAddr]) -> FleetStatus {
-    let mut answers = ask_all(nodes.iter().copied().collect()).await;
+pub async fn status(channels: &Channels, nodes: &[SocketAddr]) -> FleetStatus {
+    let mut answers = ask_all(channels, nodes.iter().copied().collect()).await;
     let known: BTreeSet<SocketAddr> = answers.iter().map(|(addr, _)| *addr).collect();
     let replies = answers.iter().filter_map(|(_, reply)| reply.as_ref());
     let hosts = replies.flat_map(|reply| &reply.hosts);
     let sidecars: BTreeSet<SocketAddr> = hosts.filter_map(|h| h.address.parse().ok()).collect();
-    answers.extend(ask_all(sidecars.difference(&known).copied().collect()).await);
+    let others = sidecars.difference(&known).copied().collect();
+    answers.extend(ask_all(channels, others).await);
     combine(&answers)
 }
 
-async fn ask_all(nodes: BTreeSet<SocketAddr>) -> Vec<Answer> {
+async fn ask_all(channels: &Channels, nodes: BTreeSet<SocketAddr>) -> Vec<Answer> {
     let asks = nodes.into_iter().map(|addr| async move {
-        let reply = tokio::time::timeout(TIMEOUT, ask(addr)).await;
+        let reply = tokio::time::timeout(TIMEOUT, ask(channels, addr)).await;
         (addr, reply.ok().and_then(Result::ok))
     });
     futures::stream::iter(asks).buffered(CONCURRENCY).collect().await
 }
 
-async fn ask(addr: SocketAddr) -> Result<StatusReply, AdminError> {
-    let mut client = connect(addr).await?;
+async fn ask(channels: &Channels, addr: SocketAddr) -> Result<StatusReply, AdminError> {
+    let mut client = connect(channels, addr).await?;
     Ok(client.status(StatusRequest {}).await.map_err(no_answer(addr))?.into_inner())
 }
 
--- a/src/limpetmux/settings/load.rs
+++ b/src/limpetmux/settings/load.rs
@@ -1,11 +1,13 @@
 //! Reads and checks a settings file and points at what is wrong in it.
 
-use super::{Role, Settings};
+use super::{Role, Settings, TlsSettings};
+use crate::adapters::tls::TlsFault;
 use jsonc_parser::ast::{ObjectProp, Value};
 use jsonc_parser::common::{Range, Ranged};
 use jsonc_parser::errors::ParseError;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast, parse_to_serde_value};
 use miette::{NamedSource, SourceSpan};
+use serde::de::DeserializeOwned;
 use std::path::Path;
 use std::sync::Arc;
 
@@ -66,6 +68,19 @@
         #[label("here")]
         span: SourceSpan,
     },
+    /// A certificate or a key cannot be used.
+    #[error("the certificates cannot be used")]
+    Tls {
+        /// Which file, and why not.
+        #[source]
+        fault: TlsFault,
+        /// The file's name and text.
+        #[source_code]
+        text: Arc<NamedSource<String>>,
+        /// The field that names the file.
+        #[label("here")]
+        span: SourceSpan,
+    },
     /// The part that a role needs is missing.
     #[error("a process that runs as {role} needs a `{role}` part")]
     Role {
@@ -115,25 +130,58 @@
 /// # Errors
 /// Returns [`SettingsError`] pointing at the first thing that is wrong.
 pub fn load(path: &Path) -> Result<Settings, SettingsError> {
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path)
-        .map_err(|source| SettingsError::Read { path: name.clone(), source })?;
+    let (name, text) = read(path)?;
     parse(&name, &text)
 }
 
+/// Reads and checks a file that holds nothing but a `tls` part, as operators' commands take it.
+///
+/// # Errors
+/// Returns [`SettingsError`] pointing at the first thing that is wrong.
+pub fn load_tls(path: &Path) -> Result<TlsSettings, SettingsError> {
+    let (name, text) = read(path)?;
+    let source = Source { name: &name, text: &text };
+    let tls: TlsSettings = parse_part(&source)?;
+    check_tls(&source, &tls, &[])?;
+    Ok(tls)
+}
+
+fn read(path: &Path) -> Result<(String, String), SettingsError> {
+    let name = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok((name, text)),
+        Err(source) => Err(SettingsError::Read { path: name, source }),
+    }
+}
+
 /// Checks the text of a settings file.
 ///
 /// # Errors
 /// Returns [`SettingsError`] pointing at the first thing that is wrong.
 pub fn parse(name: &str, text: &str) -> Result<Settings, SettingsError> {
     let source = Source { name, text };
-    let settings: Settings = parse_to_serde_value(text, &ParseOptions::default())
-        .map_err(|error| parse_error(&source, &error))?;
+    let settings: Settings = parse_part(&source)?;
     check_addresses(&source, &settings)?;
     check_urls(&source, &settings)?;
+    if let Some(tls) = &settings.tls {
+        check_tls(&source, tls, &["tls"])?;
+    }
     Ok(settings)
 }
 
+fn parse_part<T: DeserializeOwned>(source: &Source<'_>) -> Result<T, SettingsError> {
+    parse_to_serde_value(source.text, &ParseOptions::default())
+        .map_err(|error| parse_error(source, &error))
+}
+
+/// Checks the files that a `tls` part names, which stands under `path`.
+fn check_tls(source: &Source<'_>, tls: &TlsSettings, path: &[&str]) -> Result<(), SettingsError> {
+    let Err(fault) = tls.channels() else { return Ok(()) };
+    let field: &str = fault.field().into();
+    let span = source.span(&[path, &[field]].concat());
+    Err(SettingsError::Tls { fault, text: source.named(), span })
+}
+
 impl Settings {
     /// Checks that the settings hold the part that a role needs.
     ///
--- a/src/limpetmux/settings/mod.rs
+++ b/src/limpetmux/settings/mod.rs
@@ -7,9 +7,11 @@
 
 mod load;
 mod spec;
+mod tls;
 
-pub use load::{SettingsError, load, parse};
+pub use load::{SettingsError, load, load_tls, parse};
 pub use spec::{
     EntrySettings, LogFormat, LogSettings, MetricsSettings, PlatformSettings, Role, Settings,
     SidecarSettings,
 };
+pub use tls::TlsSettings;
--- a/src/limpetmux/settings/spec.rs
+++ b/src/limpetmux/settings/spec.rs
@@ -1,5 +1,8 @@
 //! The fields of a settings file.
 
+use super::TlsSettings;
+use crate::adapters::channel::Channels;
+use crate::adapters::tls::TlsFault;
 use crate::core::config::Name;
 use crate::entry::Limits;
 use serde::Deserialize;
@@ -30,6 +33,9 @@
     /// Other processes, asked for the configuration while the log cannot be reached.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
+    /// The certificates of the process; without them it connects in plain text.
+    #[serde(default)]
+    pub tls: Option<TlsSettings>,
     /// The time that running requests get once a shutdown began, in milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(default = "default_grace", rename = "grace_ms")]
@@ -48,6 +54,16 @@
     pub metrics: MetricsSettings,
 }
 
+impl Settings {
+    /// Returns what makes the connections to other processes.
+    ///
+    /// # Errors
+    /// Returns [`TlsFault`] naming the file that cannot be used.
+    pub fn channels(&self) -> Result<Channels, TlsFault> {
+        self.tls.as_ref().map_or_else(|| Ok(Channels::plain()), TlsSettings::channels)
+    }
+}
+
 /// What a process does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
--- /dev/null
+++ b/src/limpetmux/settings/tls.rs
@@ -0,0 +1,43 @@
+//! The certificates that a process shows to the others; see `docs/design/security.md`.
+
+use crate::adapters::channel::Channels;
+use crate::adapters::tls::{TlsFault, TlsField, TlsParts};
+use crate::core::config::Name;
+use serde::Deserialize;
+use std::path::{Path, PathBuf};
+
+/// Where the platform mounts the certificates of one process.
+///
+/// The settings name files, so that no private key stands in a text that is kept in version control
+/// or shown by a diagnostic.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    /// The name that the certificate of every process of the deployment carries.
+    pub deployment: Name,
+    /// The process's own certificate as PEM, with those between it and the authority.
+    pub certificate: PathBuf,
+    /// The private key of the certificate as PEM.
+    pub key: PathBuf,
+    /// The certificate as PEM of the authority that has signed those of all processes.
+    pub authority: PathBuf,
+}
+
+impl TlsSettings {
+    /// Reads the files and returns what makes connections with them.
+    ///
+    /// # Errors
+    /// Returns [`TlsFault`] naming the file that cannot be used.
+    pub fn channels(&self) -> Result<Channels, TlsFault> {
+        Channels::tls(&TlsParts {
+            deployment: self.deployment.clone(),
+            certificate: read(TlsField::Certificate, &self.certificate)?,
+            key: read(TlsField::Key, &self.key)?,
+            authority: read(TlsField::Authority, &self.authority)?,
+        })
+    }
+}
+
+fn read(field: TlsField, path: &Path) -> Result<String, TlsFault> {
+    std::fs::read_to_string(path).map_err(|source| TlsFault::Read { field, source })
+}
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -24,6 +24,7 @@
 
 use self::once::{OnceGate, OnceOptions, OnceService};
 use crate::adapters::backend::Backend;
+use crate::adapters::channel::Channels;
 use crate::adapters::log::LogClient;
 use crate::claims::Pace;
 use crate::core::config::Name;
@@ -56,6 +57,8 @@
 pub struct OnceLink {
     /// The platform log.
     pub log: LogClient,
+    /// Makes the connections to other hosts; plain text unless it is replaced.
+    pub channels: Channels,
     /// Times and bounds of the protocol.
     pub rules: Rules,
     /// The pace of claims.
@@ -65,7 +68,8 @@
 impl OnceLink {
     /// Uses the log with the usual rules and pace.
     pub fn new(log: LogClient) -> Self {
-        Self { log, rules: Rules::default(), pace: Pace::default() }
+        let channels = Channels::plain();
+        Self { log, channels, rules: Rules::default(), pace: Pace::default() }
     }
 }
 
@@ -88,9 +92,10 @@
         let gate = Gate::new(options.host.clone(), options.view.clone());
         let once = options.once.map(|link| {
             let (host, view) = (options.host.clone(), options.view.clone());
-            let OnceLink { log, rules, pace } = link;
+            let OnceLink { log, channels, rules, pace } = link;
             let draining = gate.draining();
-            let options = OnceOptions { host, view, log: log.clone(), rules, pace, draining };
+            let options =
+                OnceOptions { host, view, log: log.clone(), channels, rules, pace, draining };
             (OnceGate::start(options), log)
         });
         let sidecar = Arc::new(Self {
--- a/src/limpetmux/sidecar/once/mod.rs
+++ b/src/limpetmux/sidecar/once/mod.rs
@@ -16,6 +16,7 @@
 pub use run::run_once;
 pub use service::OnceService;
 
+use crate::adapters::channel::Channels;
 use crate::adapters::log::LogClient;
 use crate::claims::Pace;
 use crate::core::config::Name;
@@ -45,6 +46,8 @@
     pub view: Published<View>,
     /// The platform log.
     pub log: LogClient,
+    /// Makes the connections to other hosts.
+    pub channels: Channels,
     /// Times and bounds of the protocol.
     pub rules: Rules,
     /// The pace of claims.
@@ -138,7 +141,7 @@
             inner: Mutex::new(inner),
             due: Arc::default(),
             version: watch::Sender::new(0),
-            peers: peers::Peers::default(),
+            peers: peers::Peers::new(options.channels),
         });
         tasks::spawn(&gate, options.log, options.pace);
         gate
--- a/src/limpetmux/sidecar/once/peers.rs
+++ b/src/limpetmux/sidecar/once/peers.rs
@@ -1,5 +1,6 @@
 //! Connections to the other hosts of the service.
 
+use crate::adapters::channel::Channels;
 use crate::core::once::HostId;
 use crate::core::view::View;
 use crate::wire::once::once_client::OnceClient;
@@ -7,18 +8,24 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::Channel;
 
 /// The time allowed for a call to another host.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// One connection per address, made on first use.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Peers {
-    channels: Mutex<BTreeMap<SocketAddr, Channel>>,
+    channels: Channels,
+    known: Mutex<BTreeMap<SocketAddr, Channel>>,
 }
 
 impl Peers {
+    /// Creates the set without any connection.
+    pub fn new(channels: Channels) -> Self {
+        Self { channels, known: Mutex::default() }
+    }
+
     /// Returns a client of a host, or `None` if the view does not declare it.
     pub fn client(&self, view: &View, id: HostId) -> Option<OnceClient<Channel>> {
         let (_, row) = view.hosts.iter().find(|(_, h)| HostId::of(h.name.as_str()) == id)?;
@@ -26,14 +33,13 @@
     }
 
     fn channel(&self, addr: SocketAddr) -> Option<Channel> {
-        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(channel) = channels.get(&addr) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(channel) = known.get(&addr) {
             return Some(channel.clone());
         }
-        let endpoint = Endpoint::from_shared(format!("http://{addr}")).ok()?;
-        let endpoint = endpoint.connect_timeout(CALL_TIMEOUT).timeout(CALL_TIMEOUT);
-        let channel = endpoint.connect_lazy();
-        channels.insert(addr, channel.clone());
+        let endpoint = self.channels.endpoint(addr, CALL_TIMEOUT).ok()?;
+        let channel = endpoint.timeout(CALL_TIMEOUT).connect_lazy();
+        known.insert(addr, channel.clone());
         Some(channel)
     }
 }
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -126,6 +126,12 @@
     ProcessEnded = 701,
     /// The process listens for callers.
     ListenerReady = 702,
+    /// Processes of the system connect in plain text and do not prove who they are.
+    #[strum(props(level = "warn"))]
+    PlainText = 703,
+    /// A connection ended before its handshake: no certificate, or not one of the authority.
+    #[strum(props(level = "warn"))]
+    ConnectionRefused = 704,
 }
 
 impl EventCode {
--- a/tests/testsuite/admin.rs
+++ b/tests/testsuite/admin.rs
@@ -2,6 +2,7 @@
 
 use expect_test::expect;
 use futures::FutureExt;
+use limpetmux::adapters::channel::Channels;
 use limpetmux::admin::AdminService;
 use limpetmux::core::shutdown::ShutdownOptions;
 use limpetmux::kernel::Kernel;
@@ -97,8 +98,9 @@
     let running = Arc::new(AtomicU32::new(1));
     let (addr, process) = serve(Arc::clone(&running), sidecar_reply()).await;
 
-    let order = tokio::spawn(ops::drain::drain(addr, None));
-    while ops::status::status(&[addr]).await.nodes[0].phase != "draining" {
+    let order =
+        tokio::spawn(async move { ops::drain::drain(&Channels::plain(), addr, None).await });
+    while ops::status::status(&Channels::plain(), &[addr]).await.nodes[0].phase != "draining" {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     let waits = !order.is_finished();
@@ -114,7 +116,7 @@
     let (addr, process) = serve(Arc::default(), sidecar_reply()).await;
     let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
 
-    let fleet = ops::status::status(&[addr, closed]).await;
+    let fleet = ops::status::status(&Channels::plain(), &[addr, closed]).await;
 
     let mut roles: Vec<&str> = fleet.nodes.iter().map(|n| n.role.as_str()).collect();
     roles.sort_unstable();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod restarts;
 mod roles;
 mod routing;
+mod security;
 mod sessions;
 mod settings;
 mod sheet;
--- a/tests/testsuite/roles.rs
+++ b/tests/testsuite/roles.rs
@@ -1,5 +1,6 @@
 //! Processes that are started by their settings, with the configuration from the log.
 
+use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::log::{LogClient, Stream};
 use limpetmux::core::config::{
     Config, HostSpec, PipelineSpec, ServiceSpec, StageKind, StageSpec, WorkspaceSpec, ZoneSpec,
@@ -111,7 +112,7 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 
-    let drained = drain(addresses[0], None).await.unwrap();
+    let drained = drain(&Channels::plain(), addresses[0], None).await.unwrap();
     let mut after = Vec::new();
     for _ in 0..8 {
         after.push(ask().await.status);
--- /dev/null
+++ b/tests/testsuite/security.rs
@@ -0,0 +1,154 @@
+//! Processes of the system prove who they are to each other.
+
+use limpetmux::adapters::channel::Channels;
+use limpetmux::ops::admin_client::connect;
+use limpetmux::ops::status::status;
+use limpetmux::wire::admin::StatusRequest;
+use limpetmux_test_support::config::summary_config;
+use limpetmux_test_support::deployment::wait_for;
+use limpetmux_test_support::http::Caller;
+use limpetmux_test_support::load::expected;
+use limpetmux_test_support::processes::{Processes, ready};
+use limpetmux_test_support::tls::{Authority, DEPLOYMENT};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::path::Path;
+use tokio::net::TcpListener;
+use tonic::Code;
+use tonic::service::Routes;
+use uuid::Uuid;
+
+const WORKSPACE: &str = "exchange";
+/// Enough random keys to reach both homes.
+const FRESH_KEYS: u32 = 16;
+
+/// Serves no service at all, so that whoever gets through is told just that.
+async fn serve(channels: &Channels) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (addr, channels) = (listener.local_addr().unwrap(), channels.clone());
+    tokio::spawn(async move {
+        channels.serve(Routes::default(), listener, std::future::pending()).await.unwrap();
+    });
+    addr
+}
+
+/// Returns whether a call gets through to the server.
+async fn is_let_in(channels: &Channels, addr: SocketAddr) -> bool {
+    let Ok(mut client) = connect(channels, addr).await else { return false };
+    let answer = client.status(StatusRequest {}).await;
+    answer.is_err_and(|status| status.code() == Code::Unimplemented)
+}
+
+async fn refused(channels: &Channels, count: u64) {
+    wait_for(|| channels.refused() >= count).await;
+}
+
+#[tokio::test]
+async fn only_certificates_of_the_authority_are_let_in() {
+    let (own, other) = (Authority::new(), Authority::new());
+    let server = own.channels();
+    let addr = serve(&server).await;
+
+    let member = is_let_in(&own.channels(), addr).await;
+    let before = server.refused();
+    let stranger = is_let_in(&other.channels(), addr).await;
+    let plain = is_let_in(&Channels::plain(), addr).await;
+
+    assert_eq!((member, before), (true, 0));
+    assert_eq!((stranger, plain), (false, false));
+    refused(&server, 2).await;
+}
+
+#[tokio::test]
+async fn own_certificate_of_another_authority_is_refused() {
+    let (own, other) = (Authority::new(), Authority::new());
+    let server = own.channels();
+    let addr = serve(&server).await;
+    let mut forged = other.parts(DEPLOYMENT);
+    forged.authority = own.parts(DEPLOYMENT).authority;
+
+    let is_in = is_let_in(&Channels::tls(&forged).unwrap(), addr).await;
+
+    assert!(!is_in);
+    refused(&server, 1).await;
+}
+
+#[tokio::test]
+async fn server_of_another_deployment_is_refused_by_its_name() {
+    let authority = Authority::new();
+    let other = Channels::tls(&authority.parts("sierra-costa")).unwrap();
+    let addr = serve(&other).await;
+
+    let is_in = is_let_in(&authority.channels(), addr).await;
+
+    assert!(!is_in);
+    assert!(is_let_in(&other, addr).await);
+}
+
+#[tokio::test]
+async fn both_authorities_are_let_in_during_a_change() {
+    let (old, new) = (Authority::new(), Authority::new());
+    let mut parts = old.parts(DEPLOYMENT);
+    parts.authority += &new.parts(DEPLOYMENT).authority;
+    let both = Channels::tls(&parts).unwrap();
+    let addr = serve(&both).await;
+    let mut replaced = new.parts(DEPLOYMENT);
+    replaced.authority.clone_from(&parts.authority);
+
+    let before = is_let_in(&both, addr).await;
+    let after = is_let_in(&Channels::tls(&replaced).unwrap(), addr).await;
+
+    assert_eq!((before, after), (true, true));
+}
+
+/// Starts separate processes that show certificates of an authority.
+async fn start(test: &str, authority: Authority) -> Processes {
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
+    let binary = Path::new(env!("CARGO_BIN_EXE_limpetmux"));
+    Processes::start_with(binary, &dir, summary_config(), 1, Some(authority)).await
+}
+
+/// Sends fresh keys until so many in a row have run that both homes are among those that ran them.
+async fn run_keys(url: &str) {
+    let caller = Caller::new(url);
+    let mut answered = 0;
+    while answered < FRESH_KEYS {
+        let key = Uuid::now_v7().to_string();
+        let body = json!({ "input": { "key": key }, "deadline_ms": 2_000 });
+        let answer = caller.run_once(WORKSPACE, "port", &key, &body).await;
+        answered = if answer.status == 200 { answered + 1 } else { 0 };
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn peers_and_homes_speak_tls_while_the_log_is_down() {
+    let processes = start("tls_outage", Authority::new()).await;
+    run_keys(&processes.entries[0].url).await;
+    processes.log.faults.set_outage(true);
+
+    // A new entry can learn the configuration from peers only.
+    let entry = processes.entry(1);
+    ready(&entry.url).await;
+    // A home runs fresh keys only under the promise of its successor.
+    run_keys(&entry.url).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn whole_path_runs_over_tls() {
+    let authority = Authority::new();
+    let operator = authority.channels();
+    let processes = start("tls_path", authority).await;
+    let caller = Caller::new(&processes.entries[0].url);
+    let sidecar = processes.config.hosts.values().next().unwrap().sidecar;
+    let input = json!("summarise the night shift");
+    let body = json!({ "input": input, "deadline_ms": 20_000 });
+
+    let answer = caller.run(WORKSPACE, "call-summary", &body).await;
+    let shown = status(&operator, &[sidecar]).await;
+    let hidden = status(&Channels::plain(), &[sidecar]).await;
+
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(answer.body["output"], json!(expected(&input)));
+    assert_eq!(shown.nodes[0].role, "sidecar");
+    assert_eq!(hidden.nodes[0].role, "unreachable");
+}
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -1,7 +1,14 @@
 //! Settings files are checked with line and column.
 
-use limpetmux::settings::{Role, SettingsError, load, parse};
+use limpetmux::settings::{
+    EntrySettings, LogSettings, MetricsSettings, PlatformSettings, Role, Settings, SettingsError,
+    SidecarSettings, TlsSettings, load, parse,
+};
+use limpetmux_test_support::tls::Authority;
 use miette::{Diagnostic, SourceSpan};
+use serde::de::{DeserializeOwned, Error, Visitor};
+use serde::{Deserializer, forward_to_deserialize_any};
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 
 const ENTRY: &str = include_str!("../../examples/ph-luzon/entry.jsonc");
@@ -73,6 +80,57 @@
     assert_eq!(labels, ["\"127.0.0.1:9000\""]);
 }
 
+/// Returns the cause of the error that a `tls` part brings about, and the text that it points at.
+fn tls_error_of(tls: &serde_json::Value) -> (String, Vec<String>) {
+    let part = format!("\"tls\": {tls}, \"log\"");
+    let text = ENTRY.replace("\"log\": {", &format!("{part}: {{"));
+    let error = parse("entry.jsonc", &text).unwrap_err();
+    let under = |span: &SourceSpan| text[span.offset()..span.offset() + span.len()].to_owned();
+    let labels = error.labels().into_iter().flatten().map(|l| under(l.inner())).collect();
+    let cause = std::error::Error::source(&error).map_or(error.to_string(), ToString::to_string);
+    (cause, labels)
+}
+
+#[test]
+fn key_of_another_certificate_is_pointed_at() {
+    let (dir, authority) = (Path::new(env!("CARGO_TARGET_TMPDIR")), Authority::new());
+    let mut tls = authority.write(dir, "settings_pair");
+    let other = authority.write(dir, "settings_other");
+    tls["key"] = other["key"].clone();
+
+    let (cause, labels) = tls_error_of(&tls);
+
+    assert_eq!(cause, "the key cannot be used with the certificate");
+    assert_eq!(labels, [other["key"].to_string()]);
+}
+
+#[test]
+fn missing_and_malformed_certificates_are_pointed_at() {
+    let (dir, authority) = (Path::new(env!("CARGO_TARGET_TMPDIR")), Authority::new());
+    let good = authority.write(dir, "settings_files");
+    let garbage = dir.join("settings_garbage.pem");
+    std::fs::write(&garbage, "-----BEGIN CERTIFICATE-----\nAAAA\n-----END CERTIFICATE-----\n")
+        .unwrap();
+    let with = |field: &str, path: &Path| {
+        let mut tls = good.clone();
+        tls[field] = serde_json::json!(path);
+        (tls_error_of(&tls), vec![tls[field].to_string()])
+    };
+
+    let (absent, at_absent) = with("certificate", &dir.join("settings_nowhere.pem"));
+    let (swapped, at_swapped) = with("certificate", Path::new(good["key"].as_str().unwrap()));
+    let (malformed, at_malformed) = with("authority", &garbage);
+    let mut without = good.clone();
+    without.as_object_mut().unwrap().remove("key");
+
+    assert_eq!(absent, ("cannot read the file of `certificate`".to_owned(), at_absent));
+    let message = "the file of `certificate` holds no PEM block of a certificate";
+    assert_eq!(swapped, (message.to_owned(), at_swapped));
+    let message = "the authority's certificate cannot be used";
+    assert_eq!(malformed, (message.to_owned(), at_malformed));
+    assert_eq!(tls_error_of(&without).0, "missing field `key`");
+}
+
 #[test]
 fn role_without_its_part_is_refused() {
     let path = &examples()[0];
@@ -81,3 +139,58 @@
 
     assert!(matches!(error, SettingsError::Role { role: Role::Sidecar, .. }));
 }
+
+/// Collects the field names of a settings struct, which its `Deserialize` asks for.
+struct Fields<'a>(&'a mut Vec<&'static str>);
+
+impl<'de> Deserializer<'de> for Fields<'_> {
+    type Error = serde::de::value::Error;
+
+    fn deserialize_any<V: Visitor<'de>>(self, _: V) -> Result<V::Value, Self::Error> {
+        Err(Self::Error::custom("not a struct"))
+    }
+
+    fn deserialize_struct<V: Visitor<'de>>(
+        self,
+        _: &'static str,
+        fields: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, Self::Error> {
+        self.0.extend(fields);
+        self.deserialize_any(visitor)
+    }
+
+    forward_to_deserialize_any! {
+        bool i8 i16 i32 i64 u8 u16 u32 u64 f32 f64 char str string bytes byte_buf option unit
+        unit_struct newtype_struct seq tuple tuple_struct map enum identifier ignored_any
+    }
+}
+
+/// Returns the names of a part's fields with the part's own name before them.
+fn fields<T: DeserializeOwned>(part: &str) -> Vec<String> {
+    let mut names = Vec::new();
+    let _ = T::deserialize(Fields(&mut names));
+    names.into_iter().map(|field| format!("{part}{field}")).collect()
+}
+
+#[test]
+fn table_of_settings_equals_code() {
+    let page = include_str!("../../docs/OPERATIONS.md");
+    let part = page.split("## Settings").nth(1).unwrap().split("\n## ").next().unwrap();
+    let row = |line: &str| Some(line.strip_prefix("| `")?.split('`').next()?.to_owned());
+    let listed: BTreeSet<String> = part.lines().filter_map(row).collect();
+
+    let all = [
+        fields::<Settings>(""),
+        fields::<PlatformSettings>("platform."),
+        fields::<TlsSettings>("tls."),
+        fields::<EntrySettings>("entry."),
+        fields::<SidecarSettings>("sidecar."),
+        fields::<LogSettings>("log."),
+        fields::<MetricsSettings>("metrics."),
+    ];
+    let parts = ["platform", "tls", "entry", "sidecar", "log", "metrics"];
+    let known = all.concat().into_iter().filter(|f| !parts.contains(&f.as_str())).collect();
+
+    assert_eq!(listed, known);
+}
