--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -5,7 +5,7 @@
 //! `docs/PROTOCOLS.md`. [`channel`] makes the connections between the system's own processes.
 
 pub mod backend;
-mod backend_http;
+pub mod backend_http;
 pub mod channel;
 pub mod hosts;
 pub mod log;
