--- a/tests/testsuite/starting.rs
+++ b/tests/testsuite/starting.rs
@@ -1,6 +1,7 @@
 //! Requests that arrive while the hosts of a stage start.
 
 use limpetmux::adapters::backend::Backend;
+use limpetmux::adapters::channel::Channels;
 use limpetmux::core::config::{Config, PipelineSpec, StageSpec};
 use limpetmux::core::revision::Revision;
 use limpetmux::core::view::View;
@@ -63,6 +64,7 @@
         ordinal: 0,
         view: view.reader(),
         members: Members(None),
+        channels: Channels::plain(),
         limits: Limits::default(),
         metrics: Metrics::none(),
     })
