--- a/src/bin/limpetmux/commands/operator.rs
+++ b/src/bin/limpetmux/commands/operator.rs
@@ -14,8 +14,8 @@
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 #[error("{outcome}")]
 #[diagnostic(code(limpetmux::config::outcome))]
-struct NotInForce {
-    outcome: Outcome,
+pub struct NotInForce {
+    pub outcome: Outcome,
 }
 
 /// Returns what connects to processes, with the certificates that a file names or in plain text.
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -10,6 +10,7 @@
 pub mod hosts;
 pub mod log;
 mod log_http;
+pub mod orders;
 pub mod power;
 pub mod tls;
 mod watched;
