--- a/src/bin/limpetmux/commands/config.rs
+++ b/src/bin/limpetmux/commands/config.rs
@@ -1,6 +1,6 @@
 //! `limpetmux config`
 
-use super::operator::{NotInForce, finish, run, submission, unix_ms};
+use super::operator::{NotInForce, channels, finish, run, submission, unix_ms};
 use argh::FromArgs;
 use limpetmux::core::config::record::Activation;
 use limpetmux::core::config::{ChangeId, FORMAT, Name, Ownership};
@@ -141,6 +141,9 @@
     /// the gRPC address of an entry, once for each entry; entries name the sidecars of all hosts
     #[argh(option)]
     node: Vec<SocketAddr>,
+    /// a file with the `tls` part of the settings, if the processes ask for certificates
+    #[argh(option)]
+    tls: Option<PathBuf>,
     /// pass over processes that give no answer, such as those of hosts that are off
     #[argh(switch)]
     allow_silent: bool,
@@ -205,7 +208,8 @@
 }
 
 async fn activate(mut client: ConfigClient, args: ActivateArgs) -> miette::Result<()> {
-    let (fleet, active) = (status(&args.node).await, client.fold().format());
+    let channels = channels(args.tls.as_deref())?;
+    let (fleet, active) = (status(&channels, &args.node).await, client.fold().format());
     activate::check(args.format, (active, FORMAT), &fleet, args.allow_silent)?;
     let submission = submission(args.author, String::new(), false);
     let activation = Activation {
--- a/tests/testsuite/security.rs
+++ b/tests/testsuite/security.rs
@@ -7,7 +7,7 @@
 use limpetmux_test_support::config::summary_config;
 use limpetmux_test_support::deployment::wait_for;
 use limpetmux_test_support::http::Caller;
-use limpetmux_test_support::load::expected;
+use limpetmux_test_support::load::{Load, expected};
 use limpetmux_test_support::processes::{Processes, ready};
 use limpetmux_test_support::tls::{Authority, DEPLOYMENT};
 use serde_json::json;
@@ -133,6 +133,34 @@
     run_keys(&entry.url).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restart_brings_a_new_certificate_and_cuts_no_request() {
+    let authority = Authority::new();
+    let operator = authority.channels();
+    let mut processes = start("tls_restart", authority).await;
+    let load = Load::start(vec![processes.entries[0].url.clone()], 6, None);
+    load.answered(6).await;
+    let host = processes.config.hosts.keys().find(|h| h.as_str().starts_with("generate")).cloned();
+    let host = host.unwrap();
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR"))
+        .join("tls_restart")
+        .join(format!("{host}.certificate.pem"));
+    let before = std::fs::read_to_string(&file).unwrap();
+
+    let ended = processes.sidecars.get_mut(&host).unwrap().terminate().await;
+    processes.start_sidecar(&host);
+    let sidecar = [processes.config.hosts[&host].sidecar];
+    while status(&operator, &sidecar).await.nodes[0].role != "sidecar" {
+        tokio::task::yield_now().await;
+    }
+    load.answered(12).await;
+    let tally = load.stop().await;
+
+    assert_ne!(before, std::fs::read_to_string(&file).unwrap());
+    assert!(ended.success(), "{ended}");
+    assert_eq!(tally.faults, Vec::<String>::new());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn whole_path_runs_over_tls() {
     let authority = Authority::new();
