--- a/crates/limpetmux-test-support/src/once_fleet.rs
+++ b/crates/limpetmux-test-support/src/once_fleet.rs
@@ -2,6 +2,7 @@
 
 use futures::FutureExt;
 use limpetmux::adapters::backend::Backend;
+use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::log::LogClient;
 use limpetmux::core::config::{
     Config, Fencing, HostSpec, PipelineSpec, ServiceSpec, StageKind, StageSpec, WorkspaceSpec,
@@ -130,6 +131,7 @@
             ordinal: 0,
             view: self.view.reader(),
             members: Members(None),
+            channels: Channels::plain(),
             limits: Limits::default(),
             metrics: Metrics::none(),
         })
--- a/crates/xtask/src/inforce.rs
+++ b/crates/xtask/src/inforce.rs
@@ -6,6 +6,7 @@
 
 use argh::FromArgs;
 use futures::future::join_all;
+use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::log::LogClient;
 use limpetmux::core::config::{Change, ChangeId};
 use limpetmux::core::revision::Revision;
@@ -259,7 +260,7 @@
     node: SocketAddr,
     revision: Revision,
 ) -> Result<Instant, InforceError> {
-    let mut client = connect(node).await?;
+    let mut client = connect(&Channels::plain(), node).await?;
     loop {
         let reply = client.status(StatusRequest {}).await.map_err(Box::new)?;
         if reply.into_inner().revision >= revision.0 {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -32,6 +32,7 @@
 mod restarts;
 mod roles;
 mod routing;
+mod security;
 mod sessions;
 mod settings;
 mod sheet;
--- a/tests/testsuite/spread.rs
+++ b/tests/testsuite/spread.rs
@@ -1,5 +1,6 @@
 //! Accepted changes spread between nodes without the log, at a bounded cost per node.
 
+use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::log::Stream;
 use limpetmux::control::{
     Control, ControlOptions, PeerCounters, Spread, SpreadOptions, peer_server, prepare,
@@ -139,7 +140,7 @@
     let local = Local::start(LocalOptions { deployment: PhLuzon, port: 0 }).await.unwrap();
     let (proxy, mut counts) = count_bytes(local.hosts[0].addr).await;
 
-    let load = probe_load()(proxy).await;
+    let load = probe_load(Channels::plain())(proxy).await;
     let bytes = counts.recv().await.unwrap();
 
     let rate = bytes as f64 * PROBES_PER_ROUND as f64 / ROUND_S;
