Record sessions over TCP and hold them against all promises

Cause: the checker of promises ran over two sessions in virtual time only. Failure tests over TCP compared counts of their own, and six whole sessions were not recorded.

Change: a recorder wraps each backend server of the `Deployment` fixture and follows the revision of each node; callers that record what they send and get stand beside it. `Deployment::stop` runs the checker, so the tests in `zones` and `restarts` are held against it too. New golden sessions: ordinary request, streamed request broken and resumed, non-idempotent retry through a second entry, rolling shutdown, zone out and back, cold start under burst.

The check for lost results is stricter: an answered request needs a completed call of each stage that began. One test of the checker left out the completion of its answered call; it has it now, and expects the same breach alone. A declined call no longer counts as run.

--- /dev/null
+++ b/crates/limpetmux-test-support/src/burst.rs
@@ -0,0 +1,140 @@
+//! A burst that meets a backend server which has just restarted, in virtual time.
+
+use crate::invariants::{Fact, Journal};
+use limpetmux::core::admission::{
+    Admission, Admitted, FlowId, Limits, Offer, Outcome, Report, Ticket,
+};
+use limpetmux::core::time::Moment;
+use limpetmux::core::verdict::Refusal;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Calls that the backend server bears when cold.
+pub const COLD: u32 = 2;
+/// Calls that it runs at once when warm.
+pub const WARM: u32 = 8;
+/// When it is warm.
+const WARM_AT_MS: u64 = 500;
+/// The time of one call when cold, and when warm.
+const CALL: [Duration; 2] = [Duration::from_millis(60), Duration::from_millis(20)];
+/// The time between two reports of the backend server; each is this old on arrival.
+const REPORT_MS: u64 = 100;
+/// When the burst arrives.
+const BURST_MS: u64 = 100;
+/// The requests of the burst.
+const BURST: u64 = 24;
+/// The time that a request gets.
+const DEADLINE: Duration = Duration::from_millis(600);
+/// The time between two steps.
+const STEP_MS: usize = 10;
+/// The end of the session.
+const END_MS: u64 = 1_000;
+
+/// Runs a burst against an admission that takes the cold backend server to bear `cold` calls, and
+/// returns what happened.
+pub fn burst(cold: u32) -> Journal {
+    Burst::run(cold)
+}
+
+/// One backend server in virtual time and the admission before it.
+struct Burst {
+    admission: Admission,
+    journal: Journal,
+    now: Moment,
+    requests: BTreeMap<Ticket, u64>,
+    /// The end of each running call.
+    running: BTreeSet<(Moment, Ticket)>,
+}
+
+impl Burst {
+    fn run(cold: u32) -> Journal {
+        let warmup = Duration::from_millis(WARM_AT_MS);
+        let limits = Limits { concurrency: WARM, cold, warmup, queue: 64 };
+        let mut burst = Self {
+            admission: Admission::new(Moment::ZERO, limits),
+            journal: Journal::default(),
+            now: Moment::ZERO,
+            requests: BTreeMap::new(),
+            running: BTreeSet::new(),
+        };
+        burst.note(Fact::Cold { host: host(), bound: COLD as usize });
+        for ms in (0..=END_MS).step_by(STEP_MS) {
+            burst.now = Moment::from_millis(ms);
+            burst.step(ms);
+        }
+        burst.journal
+    }
+
+    fn note(&mut self, fact: Fact) {
+        self.journal.note(self.now, fact);
+    }
+
+    fn step(&mut self, ms: u64) {
+        if ms == WARM_AT_MS {
+            self.note(Fact::Warm { host: host() });
+        }
+        self.end_calls();
+        if ms.is_multiple_of(REPORT_MS) {
+            let age = Duration::from_millis(REPORT_MS);
+            let cold = ms < WARM_AT_MS + REPORT_MS;
+            self.admission.observe(self.now, Report { incarnation: 1, cold, age });
+        }
+        if ms == BURST_MS {
+            (1..=BURST).for_each(|request| self.offer(request));
+        }
+        let step = self.admission.next(self.now);
+        step.start.into_iter().for_each(|ticket| self.start(ticket));
+        for (ticket, refusal) in step.refused {
+            let request = self.requests[&ticket];
+            self.refuse(request, refusal);
+        }
+    }
+
+    fn offer(&mut self, request: u64) {
+        self.note(Fact::Sent { request, key: None });
+        let deadline = self.now + DEADLINE;
+        let offer = Offer { flow: FlowId(request % 2), weight: 1, priority: 0, work: 1, deadline };
+        match self.admission.offer(self.now, offer) {
+            Admitted::Start(ticket) => {
+                self.requests.insert(ticket, request);
+                self.start(ticket);
+            }
+            Admitted::Queued(ticket) => {
+                self.requests.insert(ticket, request);
+            }
+            Admitted::Refused(refusal) => self.refuse(request, refusal),
+        }
+    }
+
+    fn refuse(&mut self, request: u64, refusal: Refusal) {
+        self.note(Fact::Refused { request, execution: refusal.execution });
+    }
+
+    fn start(&mut self, ticket: Ticket) {
+        let (request, zone) = (self.requests[&ticket], "mnl-a".to_owned());
+        let fact =
+            Fact::Started { request, stage: 0, host: host(), zone, repeatable: true, key: None };
+        self.note(fact);
+        let is_warm = self.now >= Moment::from_millis(WARM_AT_MS);
+        self.running.insert((self.now + CALL[usize::from(is_warm)], ticket));
+    }
+
+    fn end_calls(&mut self) {
+        while let Some((end, ticket)) = self.running.first().copied() {
+            if end > self.now {
+                return;
+            }
+            self.running.pop_first();
+            self.admission.finish(self.now, ticket, Outcome::Done);
+            let request = self.requests[&ticket];
+            self.note(Fact::Completed { request, stage: 0, host: host() });
+            let text = format!("answer {request}");
+            self.note(Fact::Answered { request, expected: text.clone(), text });
+        }
+    }
+}
+
+fn host() -> String {
+    "generate-0".to_owned()
+}
--- a/crates/limpetmux-test-support/src/deployment.rs
+++ b/crates/limpetmux-test-support/src/deployment.rs
@@ -2,91 +2,48 @@
 //!
 //! Every node has its own control service, spread, membership and shutdown, as a process has; they
 //! share nothing but the platform's stand-ins. Nodes are drained and replaced one by one, and a
-//! node can be cut off from the log alone.
+//! node can be cut off from the log alone. What happens is recorded, and [`Deployment::stop`] checks
+//! that no promise was broken.
+
+mod node;
+mod parts;
+mod start;
+
+pub use node::Node;
+pub use parts::wait_for;
 
 use crate::changes::{change, change_record, first_change};
-use futures::future::BoxFuture;
+use crate::invariants::{FORCE_TIME, Fact, Journal, Place, Recorder, violations};
+use futures::future::join_all;
 use limpetmux::adapters::backend::Backend;
-use limpetmux::adapters::hosts::HostsClient;
-use limpetmux::adapters::log::{LogClient, LogError, Stream};
-use limpetmux::control::{
-    Control, ControlOptions, PeerCounters, Spread, SpreadOptions, peer_server, prepare,
-};
+use limpetmux::adapters::log::{LogClient, Stream};
 use limpetmux::core::config::{Change, Config, Edit, Name};
-use limpetmux::core::once::Rules;
 use limpetmux::core::revision::{Offset, Revision};
 use limpetmux::core::shutdown::{DrainReport, ShutdownOptions};
-use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
-use limpetmux::kernel::Kernel;
-use limpetmux::membership::{self, MembershipParts, Reporter};
+use limpetmux::entry::Entry;
+use limpetmux::node::deployment::{COLD, WARMUP};
 use limpetmux::node::local::StandIn;
-use limpetmux::node::process::{EntryListeners, Process, ProcessParts, follow_listing, run_entry};
-use limpetmux::shutdown::ShutdownPort;
-use limpetmux::sidecar::{OnceLink, Sidecar, SidecarOptions};
-use limpetmux::util::metrics::Metrics;
-use limpetmux::wire::admin::StatusReply;
+use limpetmux::sidecar::Sidecar;
 use limpetmux_standins::{Hosts, Log, LogOptions};
-use rand::SeedableRng;
-use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use parts::bind;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
-/// The time between two looks at a condition.
-const LOOK: Duration = Duration::from_millis(5);
-/// The time after which a condition is taken never to hold.
-const GIVE_UP: Duration = Duration::from_secs(120);
-/// Times of a test's shutdowns.
+/// The times of a test's shutdowns.
 const TIMES: ShutdownOptions = ShutdownOptions {
     notice: Duration::from_millis(1_000),
     deadline: Duration::from_secs(60),
     flush: Duration::from_secs(5),
 };
 
-/// One running process of either role.
-pub struct Node<T> {
-    /// The role.
-    pub role: Arc<T>,
-    /// The configuration as this node knows it.
-    pub control: Control,
-    /// Where operators and peers reach the node.
-    pub grpc: SocketAddr,
-    /// Where callers reach the node, if it is an entry.
-    pub url: String,
-    /// What the node knows of hosts.
-    pub members: Option<Reporter>,
-    shutdown: ShutdownPort,
-    main: JoinHandle<DrainReport>,
-    spread: JoinHandle<()>,
-    _kernel: Arc<Kernel>,
-}
+/// More than the time in which a change has to be in force and its hosts have to be left alone.
+const SETTLED: Duration = FORCE_TIME.saturating_add(Duration::from_millis(1));
 
-impl<T> Node<T> {
-    /// Drains the process and waits for its end.
-    ///
-    /// # Panics
-    /// Panics if the process fails.
-    pub async fn drain(self) -> DrainReport {
-        let _ = self.shutdown.drain(None).await;
-        self.spread.abort();
-        match self.main.await {
-            Ok(report) => report,
-            Err(e) => panic!("{e}"),
-        }
-    }
-}
-
-impl Node<Entry> {
-    /// Returns whether the entry knows that a host takes new work.
-    pub fn knows(&self, host: &Name) -> bool {
-        let view = self.control.view.load();
-        let states = self.members.as_ref().map(Reporter::states).unwrap_or_default();
-        view.host(host.as_str()).is_some_and(|key| states.is_usable(&view, key))
-    }
-}
+/// Puts a faulty backend server in the place of a correct one.
+pub type Tamper = Arc<dyn Fn(&Place, Backend) -> Backend + Send + Sync>;
 
 /// A deployment of one configuration.
 pub struct Deployment {
@@ -102,7 +59,12 @@
     pub sidecars: BTreeMap<Name, Node<Sidecar>>,
     /// The entries.
     pub entries: Vec<Node<Entry>>,
+    /// What has happened so far.
+    pub recorder: Recorder,
+    tamper: Tamper,
     cuts: BTreeMap<String, Arc<AtomicBool>>,
+    /// The availability zones that are out.
+    out: BTreeSet<String>,
     changes: u64,
     revision: Revision,
 }
@@ -112,7 +74,15 @@
     ///
     /// # Panics
     /// Panics if a part does not start.
-    pub async fn start(mut config: Config, entries: usize) -> Self {
+    pub async fn start(config: Config, entries: usize) -> Self {
+        Self::start_with(config, entries, Arc::new(|_, backend| backend)).await
+    }
+
+    /// Starts a deployment whose backend servers are tampered with.
+    ///
+    /// # Panics
+    /// Panics if a part does not start.
+    pub async fn start_with(mut config: Config, entries: usize, tamper: Tamper) -> Self {
         let mut listeners = Vec::new();
         for (name, host) in &mut config.hosts {
             let listener = bind(0).await;
@@ -132,13 +102,16 @@
             standins,
             sidecars: BTreeMap::new(),
             entries: Vec::new(),
+            recorder: Recorder::default(),
+            tamper,
             cuts: BTreeMap::new(),
+            out: BTreeSet::new(),
             changes: 0,
             revision: Revision::EMPTY,
             config,
         };
         let first = change_record(first_change(&deployment.config));
-        deployment.revision = Revision::at(deployment.append(first).await);
+        deployment.revision = deployment.append(first).await;
         for (name, listener) in listeners {
             let node = deployment.sidecar(&name, listener).await;
             deployment.sidecars.insert(name, node);
@@ -161,22 +134,58 @@
         let change = change(u128::from(self.changes), self.revision, offset, edits);
         // The small configuration has two zones, so taking one out counts as dangerous.
         let change = Change { force: true, ..change };
-        self.revision = Revision::at(self.append(change_record(change)).await);
+        self.revision = self.append(change_record(change)).await;
         self.revision
     }
 
     /// Takes an availability zone out or in.
     pub async fn set_zone(&mut self, zone: &str, serving: bool) -> Revision {
         let edit = crate::changes::zone_edit(&self.config, zone, serving);
+        if serving {
+            self.out.remove(zone);
+        } else {
+            self.out.insert(zone.to_owned());
+        }
+        self.recorder.note(Fact::Zone { zone: zone.to_owned(), serving });
         self.change(vec![edit]).await
     }
 
     /// Waits until a revision is in force on all nodes.
+    ///
+    /// If it is the last one, the zones that are out are idle then too, and the time passes in
+    /// which nodes may still act on an older revision.
     pub async fn in_force(&self, revision: Revision) {
-        let sidecars = self.sidecars.values().map(|n| &n.control);
-        for control in sidecars.chain(self.entries.iter().map(|n| &n.control)) {
-            wait_for(|| control.view.load().revision >= revision).await;
+        join_all(self.sidecars.values().map(|n| n.in_force(revision))).await;
+        join_all(self.entries.iter().map(|n| n.in_force(revision))).await;
+        if revision < self.revision {
+            return;
+        }
+        for host in self.out.iter().flat_map(|zone| self.zone_hosts(zone)) {
+            let Some(node) = self.sidecars.get(&host) else { continue };
+            wait_for(|| node.role.gate().is_idle()).await;
+        }
+        self.recorder.pass(SETTLED);
+    }
+
+    /// Restarts a backend server without warning and waits until its sidecar knows.
+    pub async fn turn_cold(&self, host: &Name) {
+        let (backend, gate) = (self.standins[host].backend(), self.sidecars[host].role.gate());
+        let warm_at = Instant::now() + WARMUP;
+        backend.turn_cold();
+        wait_for(|| gate.load().incarnation == backend.incarnation()).await;
+        self.recorder.turned_cold(host.as_str(), COLD as usize, warm_at);
+    }
+
+    /// Returns how often each key ran on all hosts together.
+    pub fn runs(&self) -> BTreeMap<String, u32> {
+        let mut runs = BTreeMap::new();
+        for standin in self.standins.values() {
+            let StandIn::Plain(plain) = standin else { continue };
+            for (key, count) in plain.keys() {
+                *runs.entry(key).or_default() += count;
+            }
         }
+        runs
     }
 
     /// Cuts a node off from the log, or reconnects it.
@@ -203,7 +212,11 @@
     pub async fn restart_sidecar(&mut self, name: &Name) -> DrainReport {
         let Some(old) = self.sidecars.remove(name) else { panic!("no sidecar {name}") };
         let port = old.grpc.port();
+        let leaves = |leaving| Fact::Leaves { host: name.to_string(), leaving };
+        self.recorder.note(leaves(true));
         let report = old.drain().await;
+        self.in_force(self.revision).await;
+        self.recorder.note(leaves(false));
         let node = self.sidecar(name, bind(port).await).await;
         self.sidecars.insert(name.clone(), node);
         for entry in &self.entries {
@@ -229,172 +242,30 @@
         drained.await.unwrap()
     }
 
-    /// Ends all nodes.
-    pub async fn stop(mut self) {
-        for entry in self.entries {
-            entry.drain().await;
-        }
-        for sidecar in self.sidecars.into_values() {
-            sidecar.drain().await;
-        }
-        self.log.stop().await;
-    }
-
-    async fn append(&self, record: Vec<u8>) -> Offset {
-        let log = LogClient::http(reqwest::Client::new(), &self.log.url());
-        (log.append)(Stream::Config, record).await.unwrap()
-    }
-
-    /// Starts the sidecar of a host.
-    async fn sidecar(&mut self, name: &Name, listener: TcpListener) -> Node<Sidecar> {
-        let grpc = listener.local_addr().unwrap();
-        let kernel = Arc::new(Kernel::new());
-        let log = self.node_log(name.as_str());
-        let control = control(name.as_str(), log.clone(), &kernel);
-        let backend = Backend::http(reqwest::Client::new(), &self.standins[name].url());
-        let view = control.view.clone();
-        // All processes share one clock.
-        let rules = Rules { margin: Duration::ZERO, ..Rules::default() };
-        let once = Some(OnceLink { rules, ..OnceLink::new(log) });
-        let role = Sidecar::start(SidecarOptions {
-            host: name.clone(),
-            view,
-            backend,
-            metrics: Metrics::none(),
-            once,
-        });
-        let members = self.members(&control, &kernel);
-        follow_listing(&role, name.clone(), control.view.clone(), &members);
-        let times = ShutdownOptions { notice: Duration::ZERO, ..TIMES };
-        let flushed = Arc::clone(&role);
-        let flush = move || -> BoxFuture<'static, bool> {
-            let role = Arc::clone(&flushed);
-            Box::pin(async move { role.flush().await })
-        };
-        let parts = ProcessParts { flush: Arc::new(flush), ..parts(&kernel, times) };
-        let process = Process::sidecar(&role, parts).unwrap();
-        let (process, spread) = self.spread(process, &control, grpc);
-        let shutdown = process.shutdown.clone();
-        let main =
-            tokio::spawn(
-                async move { process.run(listener, std::future::pending()).await.unwrap() },
-            );
-        let (url, members) = (String::new(), Some(members));
-        Node { role, control, grpc, url, members, shutdown, main, spread, _kernel: kernel }
-    }
-
-    /// Starts an entry on ports of its own.
-    pub async fn entry(&mut self, index: usize) -> Node<Entry> {
-        let listeners = EntryListeners { http: bind(0).await, grpc: bind(0).await };
-        let grpc = listeners.grpc.local_addr().unwrap();
-        let url = limpetmux::entry::base_url(listeners.http.local_addr().unwrap());
-        let kernel = Arc::new(Kernel::new());
-        let node = format!("entry-{index}");
-        let control = control(&node, self.node_log(&node), &kernel);
-        let members = self.members(&control, &kernel);
-        let zones: Vec<&Name> = self.config.zones.keys().collect();
-        let role = Entry::start(EntryOptions {
-            zone: zones[index % zones.len()].clone(),
-            ordinal: u32::try_from(index / zones.len()).unwrap(),
-            view: control.view.clone(),
-            members: Members(Some(members.clone())),
-            limits: Limits::default(),
-            metrics: Metrics::none(),
-        });
-        let role = role.unwrap();
-        let process = Process::entry(&role, parts(&kernel, TIMES)).unwrap();
-        let (process, spread) = self.spread(process, &control, grpc);
-        let shutdown = process.shutdown.clone();
-        let run = run_entry(Arc::clone(&role), process, listeners, std::future::pending());
-        let main = tokio::spawn(async move { run.await.unwrap() });
-        let members = Some(members);
-        Node { role, control, grpc, url, members, shutdown, main, spread, _kernel: kernel }
-    }
-
-    /// Starts the membership of a node.
-    fn members(&self, control: &Control, kernel: &Kernel) -> Reporter {
-        let list = HostsClient::http(reqwest::Client::new(), &self.hosts.url());
-        let parts = MembershipParts { views: control.view.clone(), hosts: Some(list) };
-        membership::start(kernel, parts).unwrap()
-    }
-
-    /// Returns a node's own access to the log.
-    fn node_log(&mut self, node: &str) -> LogClient {
-        let cut = self.cuts.entry(node.to_owned()).or_default();
-        cuttable(LogClient::http(reqwest::Client::new(), &self.log.url()), cut)
-    }
-
-    /// Adds the exchange with peers to a process.
-    fn spread(
-        &self,
-        process: Process,
-        control: &Control,
-        grpc: SocketAddr,
-    ) -> (Process, JoinHandle<()>) {
-        let counters = Arc::new(PeerCounters::default());
-        let server = peer_server(control.port.clone(), Arc::clone(&counters));
-        let seeds = self.sidecars.values().map(|n| n.grpc).collect();
-        let period = Duration::from_millis(50);
-        let options = SpreadOptions { period, ..SpreadOptions::new(Some(grpc), seeds) };
-        let rng = rand::rngs::StdRng::seed_from_u64(u64::from(grpc.port()));
-        let spread = Spread::new(control.clone(), options, counters, rng);
-        (process.with(|routes| routes.add_service(server)), tokio::spawn(spread.run()))
+    /// Ends all nodes and checks that no promise was broken.
+    ///
+    /// # Panics
+    /// Panics if a promise was broken.
+    pub async fn stop(self) {
+        let journal = self.end().await;
+        assert_eq!(violations(&journal), []);
     }
-}
 
-/// Starts the control service of a node.
-fn control(node: &str, log: LogClient, kernel: &Kernel) -> Control {
-    let retry = Duration::from_millis(50);
-    let options = ControlOptions { retry, ..ControlOptions::new(node) };
-    let (control, service) = prepare(kernel, log, options).unwrap();
-    tokio::spawn(service.run());
-    control
-}
-
-fn parts(kernel: &Arc<Kernel>, times: ShutdownOptions) -> ProcessParts {
-    ProcessParts {
-        kernel: Arc::clone(kernel),
-        times,
-        flush: Arc::new(|| Box::pin(async { true })),
-        status: Arc::new(StatusReply::default),
+    /// Ends all nodes and returns what has happened.
+    pub async fn end(mut self) -> Journal {
+        join_all(self.entries.into_iter().map(Node::drain)).await;
+        join_all(self.sidecars.into_values().map(Node::drain)).await;
+        self.log.stop().await;
+        self.recorder.journal()
     }
-}
 
-/// Wraps a client of the log so that one node can be cut off from it.
-fn cuttable(log: LogClient, cut: &Arc<AtomicBool>) -> LogClient {
-    let refused = || LogError::Refused { status: 503, retry_after: None };
-    let (read, append) = (Arc::clone(&log.read), Arc::clone(&log.append));
-    let (read_cut, append_cut) = (Arc::clone(cut), Arc::clone(cut));
-    LogClient {
-        read: Arc::new(move |stream, from, wait| {
-            let (page, cut) = (read(stream, from, wait), Arc::clone(&read_cut));
-            Box::pin(async move {
-                let page = page.await;
-                if cut.load(Ordering::SeqCst) { Err(refused()) } else { page }
-            })
-        }),
-        append: Arc::new(move |stream, data| {
-            if append_cut.load(Ordering::SeqCst) {
-                return Box::pin(async move { Err(refused()) });
-            }
-            append(stream, data)
-        }),
+    /// Appends a change, which is accepted at the log's end as nobody else appends any.
+    async fn append(&self, record: Vec<u8>) -> Revision {
+        let revision = Revision::at(Offset(self.log.end("config")));
+        self.recorder.note(Fact::Accepted { revision: revision.0 });
+        let log = LogClient::http(reqwest::Client::new(), &self.log.url());
+        let offset = (log.append)(Stream::Config, record).await.unwrap();
+        assert_eq!(Revision::at(offset), revision, "somebody else appends changes");
+        revision
     }
 }
-
-async fn bind(port: u16) -> TcpListener {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, port)).await.unwrap()
-}
-
-/// Waits until a condition holds.
-///
-/// # Panics
-/// Panics after so long a time that the test would otherwise never end.
-pub async fn wait_for(condition: impl Fn() -> bool) {
-    let look = async {
-        while !condition() {
-            tokio::time::sleep(LOOK).await;
-        }
-    };
-    assert!(tokio::time::timeout(GIVE_UP, look).await.is_ok(), "the condition never holds");
-}
--- /dev/null
+++ b/crates/limpetmux-test-support/src/deployment/start.rs
@@ -0,0 +1,135 @@
+//! How a deployment starts its processes.
+
+use super::node::{Forced, Node};
+use super::parts::{bind, control, cuttable, parts};
+use super::{Deployment, TIMES};
+use crate::invariants::Place;
+use futures::future::BoxFuture;
+use limpetmux::adapters::backend::Backend;
+use limpetmux::adapters::hosts::HostsClient;
+use limpetmux::adapters::log::LogClient;
+use limpetmux::control::{Control, PeerCounters, Spread, SpreadOptions, peer_server};
+use limpetmux::core::config::Name;
+use limpetmux::core::once::Rules;
+use limpetmux::core::shutdown::ShutdownOptions;
+use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
+use limpetmux::kernel::Kernel;
+use limpetmux::membership::{self, MembershipParts, Reporter};
+use limpetmux::node::process::{EntryListeners, Process, ProcessParts, follow_listing, run_entry};
+use limpetmux::sidecar::{OnceLink, Sidecar, SidecarOptions};
+use limpetmux::util::metrics::Metrics;
+use rand::SeedableRng;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+impl Deployment {
+    /// Returns a host's backend server, whose calls are recorded.
+    fn backend(&self, name: &Name) -> Backend {
+        let host = &self.config.hosts[name];
+        let repeatable = self.config.services[&host.service].idempotent;
+        let place = Place { host: name.to_string(), zone: host.zone.to_string(), repeatable };
+        let backend = Backend::http(reqwest::Client::new(), &self.standins[name].url());
+        (self.tamper)(&place, self.recorder.watch(backend, place.clone()))
+    }
+
+    /// Starts the sidecar of a host.
+    pub(super) async fn sidecar(&mut self, name: &Name, listener: TcpListener) -> Node<Sidecar> {
+        let grpc = listener.local_addr().unwrap();
+        let kernel = Arc::new(Kernel::new());
+        let log = self.node_log(name.as_str());
+        let control = control(name.as_str(), log.clone(), &kernel);
+        let forced = Forced::follow(name.as_str(), &control, &self.recorder);
+        let backend = self.backend(name);
+        let view = control.view.clone();
+        // All processes share one clock.
+        let rules = Rules { margin: Duration::ZERO, ..Rules::default() };
+        let once = Some(OnceLink { rules, ..OnceLink::new(log) });
+        let role = Sidecar::start(SidecarOptions {
+            host: name.clone(),
+            view,
+            backend,
+            metrics: Metrics::none(),
+            once,
+        });
+        let members = self.members(&control, &kernel);
+        follow_listing(&role, name.clone(), control.view.clone(), &members);
+        let times = ShutdownOptions { notice: Duration::ZERO, ..TIMES };
+        let flushed = Arc::clone(&role);
+        let flush = move || -> BoxFuture<'static, bool> {
+            let role = Arc::clone(&flushed);
+            Box::pin(async move { role.flush().await })
+        };
+        let parts = ProcessParts { flush: Arc::new(flush), ..parts(&kernel, times) };
+        let process = Process::sidecar(&role, parts).unwrap();
+        let (process, spread) = self.spread(process, &control, grpc);
+        let shutdown = process.shutdown.clone();
+        let main =
+            tokio::spawn(
+                async move { process.run(listener, std::future::pending()).await.unwrap() },
+            );
+        let (url, members) = (String::new(), Some(members));
+        Node { role, control, grpc, url, members, shutdown, main, spread, forced, _kernel: kernel }
+    }
+
+    /// Starts an entry on ports of its own.
+    pub async fn entry(&mut self, index: usize) -> Node<Entry> {
+        let listeners = EntryListeners { http: bind(0).await, grpc: bind(0).await };
+        let grpc = listeners.grpc.local_addr().unwrap();
+        let url = limpetmux::entry::base_url(listeners.http.local_addr().unwrap());
+        let kernel = Arc::new(Kernel::new());
+        let node = format!("entry-{index}");
+        let control = control(&node, self.node_log(&node), &kernel);
+        let forced = Forced::follow(&node, &control, &self.recorder);
+        let members = self.members(&control, &kernel);
+        let zones: Vec<&Name> = self.config.zones.keys().collect();
+        let role = Entry::start(EntryOptions {
+            zone: zones[index % zones.len()].clone(),
+            ordinal: u32::try_from(index / zones.len()).unwrap(),
+            view: control.view.clone(),
+            members: Members(Some(members.clone())),
+            limits: Limits::default(),
+            metrics: Metrics::none(),
+        });
+        let role = role.unwrap();
+        let process = Process::entry(&role, parts(&kernel, TIMES)).unwrap();
+        let (process, spread) = self.spread(process, &control, grpc);
+        let shutdown = process.shutdown.clone();
+        let run = run_entry(Arc::clone(&role), process, listeners, std::future::pending());
+        let main = tokio::spawn(async move { run.await.unwrap() });
+        let members = Some(members);
+        Node { role, control, grpc, url, members, shutdown, main, spread, forced, _kernel: kernel }
+    }
+
+    /// Starts the membership of a node.
+    fn members(&self, control: &Control, kernel: &Kernel) -> Reporter {
+        let list = HostsClient::http(reqwest::Client::new(), &self.hosts.url());
+        let parts = MembershipParts { views: control.view.clone(), hosts: Some(list) };
+        membership::start(kernel, parts).unwrap()
+    }
+
+    /// Returns a node's own access to the log.
+    fn node_log(&mut self, node: &str) -> LogClient {
+        let cut = self.cuts.entry(node.to_owned()).or_default();
+        cuttable(LogClient::http(reqwest::Client::new(), &self.log.url()), cut)
+    }
+
+    /// Adds the exchange with peers to a process.
+    fn spread(
+        &self,
+        process: Process,
+        control: &Control,
+        grpc: SocketAddr,
+    ) -> (Process, JoinHandle<()>) {
+        let counters = Arc::new(PeerCounters::default());
+        let server = peer_server(control.port.clone(), Arc::clone(&counters));
+        let seeds = self.sidecars.values().map(|n| n.grpc).collect();
+        let period = Duration::from_millis(50);
+        let options = SpreadOptions { period, ..SpreadOptions::new(Some(grpc), seeds) };
+        let rng = rand::rngs::StdRng::seed_from_u64(u64::from(grpc.port()));
+        let spread = Spread::new(control.clone(), options, counters, rng);
+        (process.with(|routes| routes.add_service(server)), tokio::spawn(spread.run()))
+    }
+}
--- a/crates/limpetmux-test-support/src/http.rs
+++ b/crates/limpetmux-test-support/src/http.rs
@@ -64,10 +64,7 @@
     pub async fn outcome(&self, workspace: &str, pipeline: &str, key: &str) -> Answer {
         let base = &self.base;
         let url = format!("{base}/v1/workspaces/{workspace}/pipelines/{pipeline}/outcomes/{key}");
-        match self.client.get(url).send().await {
-            Ok(answer) => read(answer).await,
-            Err(e) => panic!("{e}"),
-        }
+        self.fetch(url).await
     }
 
     /// Sends any bytes as a run request.
@@ -81,14 +78,28 @@
         key: Option<&str>,
         body: impl Into<reqwest::Body>,
     ) -> Answer {
+        match self.try_post(workspace, pipeline, key, body).await {
+            Ok(answer) => answer,
+            Err(e) => panic!("{e}"),
+        }
+    }
+
+    /// Sends any bytes as a run request and reads the answer to its end.
+    ///
+    /// # Errors
+    /// Returns an error if the entry cannot be reached or the connection breaks.
+    pub async fn try_post(
+        &self,
+        workspace: &str,
+        pipeline: &str,
+        key: Option<&str>,
+        body: impl Into<reqwest::Body>,
+    ) -> reqwest::Result<Answer> {
         let mut request = self.client.post(self.runs(workspace, pipeline)).body(body);
         if let Some(key) = key {
             request = request.header("idempotency-key", key);
         }
-        match request.send().await {
-            Ok(answer) => read(answer).await,
-            Err(e) => panic!("{e}"),
-        }
+        read(request.send().await?).await
     }
 
     /// Fetches a path below the base URL.
@@ -96,8 +107,13 @@
     /// # Panics
     /// Panics if the entry cannot be reached.
     pub async fn get(&self, path: &str) -> Answer {
-        match self.client.get(format!("{}{path}", self.base)).send().await {
-            Ok(answer) => read(answer).await,
+        self.fetch(format!("{}{path}", self.base)).await
+    }
+
+    async fn fetch(&self, url: String) -> Answer {
+        let read = async { read(self.client.get(url).send().await?).await };
+        match read.await {
+            Ok(answer) => answer,
             Err(e) => panic!("{e}"),
         }
     }
@@ -121,23 +137,37 @@
     /// # Panics
     /// Panics if the entry cannot be reached or the stream breaks.
     pub async fn stream(&self, workspace: &str, pipeline: &str, body: &Value) -> Vec<SseEvent> {
-        let answer = self.open(workspace, pipeline, body).await;
-        let mut events = SseEvents::default();
-        match answer.bytes().await {
-            Ok(bytes) => events.push(&bytes),
+        match self.try_stream(workspace, pipeline, body).await {
+            Ok(events) => events,
             Err(e) => panic!("{e}"),
         }
-        std::iter::from_fn(|| events.pop()).collect()
+    }
+
+    /// Runs a pipeline as a stream and reads it to its end.
+    ///
+    /// # Errors
+    /// Returns an error if the stream breaks.
+    pub async fn try_stream(
+        &self,
+        workspace: &str,
+        pipeline: &str,
+        body: &Value,
+    ) -> reqwest::Result<Vec<SseEvent>> {
+        let answer = self.open(workspace, pipeline, body).await;
+        let mut events = SseEvents::default();
+        events.push(&answer.bytes().await?);
+        Ok(std::iter::from_fn(|| events.pop()).collect())
     }
 }
 
-async fn read(answer: Response) -> Answer {
+async fn read(answer: Response) -> reqwest::Result<Answer> {
     let header = |name| answer.headers().get(name).and_then(|v| v.to_str().ok());
     let status = answer.status().as_u16();
     let kind = header("content-type").unwrap_or_default().to_owned();
     let retry = header("retry-after").and_then(|v| v.parse().ok());
-    let body = answer.json().await.unwrap_or(Value::Null);
-    Answer { status, kind, retry, body }
+    let body = answer.bytes().await?;
+    let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    Ok(Answer { status, kind, retry, body })
 }
 
 /// Splits the events of a stream into the texts of its pieces and the closing event's data.
--- a/crates/limpetmux-test-support/src/invariants/fact.rs
+++ b/crates/limpetmux-test-support/src/invariants/fact.rs
@@ -28,6 +28,17 @@
         zone: String,
         /// Whether the stage is idempotent.
         repeatable: bool,
+        /// The idempotency key that the backend server saw, if it can see it.
+        key: Option<String>,
+    },
+    /// A backend server refused a stage that it was given, and did not run it.
+    Declined {
+        /// The request.
+        request: RequestNo,
+        /// The position of the stage.
+        stage: u8,
+        /// The host.
+        host: String,
     },
     /// A backend server completed a stage.
     Completed {
@@ -68,6 +79,11 @@
         /// The request.
         request: RequestNo,
     },
+    /// The caller went before its answer came, or its entry died without a warning.
+    Left {
+        /// The request.
+        request: RequestNo,
+    },
     /// A backend server turned cold and bears this many calls at once.
     Cold {
         /// The host.
@@ -113,6 +129,28 @@
     },
 }
 
+impl Fact {
+    /// Returns the request that the fact is about.
+    pub fn request(&self) -> Option<RequestNo> {
+        self.clone().request_mut().copied()
+    }
+
+    fn request_mut(&mut self) -> Option<&mut RequestNo> {
+        match self {
+            Self::Sent { request, .. }
+            | Self::Started { request, .. }
+            | Self::Declined { request, .. }
+            | Self::Completed { request, .. }
+            | Self::Stopped { request, .. }
+            | Self::Answered { request, .. }
+            | Self::Refused { request, .. }
+            | Self::Cut { request }
+            | Self::Left { request } => Some(request),
+            _ => None,
+        }
+    }
+}
+
 impl std::fmt::Display for Fact {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
@@ -123,6 +161,9 @@
             Self::Started { request, stage, host, zone, .. } => {
                 write!(f, "request {request} stage {stage} started on {host} in {zone}")
             }
+            Self::Declined { request, stage, host } => {
+                write!(f, "request {request} stage {stage} declined by {host}")
+            }
             Self::Completed { request, stage, host } => {
                 write!(f, "request {request} stage {stage} completed on {host}")
             }
@@ -134,6 +175,7 @@
                 write!(f, "request {request} refused: {execution}")
             }
             Self::Cut { request } => write!(f, "request {request} cut"),
+            Self::Left { request } => write!(f, "request {request} left by its caller"),
             Self::Cold { host, bound } => write!(f, "{host} is cold and bears {bound}"),
             Self::Warm { host } => write!(f, "{host} is warm"),
             Self::Zone { zone, serving: true } => write!(f, "zone {zone} in"),
@@ -159,6 +201,15 @@
         self.facts.push((at, fact));
     }
 
+    /// Gives a request another number.
+    pub fn renumber(&mut self, from: RequestNo, to: RequestNo) {
+        for (_, fact) in &mut self.facts {
+            if let Some(request) = fact.request_mut().filter(|r| **r == from) {
+                *request = to;
+            }
+        }
+    }
+
     /// Returns the facts as text, one line each with its time in seconds.
     pub fn transcript(&self) -> String {
         let line =
--- /dev/null
+++ b/crates/limpetmux-test-support/src/invariants/witness.rs
@@ -0,0 +1,174 @@
+//! A caller whose requests and answers are recorded.
+
+use super::{Fact, Recorder, RequestNo};
+use crate::http::{Caller, split_events};
+use crate::load::expected;
+use futures::future::join_all;
+use limpetmux::core::verdict::Execution;
+use limpetmux::util::hash::hash_bytes;
+use serde_json::{Value, json};
+use std::time::Duration;
+use uuid::Uuid;
+
+/// The workspace that asks.
+const WORKSPACE: &str = "exchange";
+/// The pipeline whose stages are all idempotent.
+const SUMMARY: &str = "call-summary";
+/// The pipeline whose only stage may run at most once.
+const PORT: &str = "port";
+/// The time that a request gets, long enough for any machine.
+const DEADLINE_MS: u64 = 60_000;
+/// The wait before a refused request is sent again.
+const RETRY: Duration = Duration::from_millis(20);
+
+/// A caller of one entry.
+#[derive(Clone)]
+pub struct Witness {
+    caller: Caller,
+    recorder: Recorder,
+}
+
+/// The end of a request.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The request.
+    pub request: RequestNo,
+    /// The pieces of a streamed answer.
+    pub pieces: Vec<String>,
+    /// The answer's body, or the closing event of a stream; null if the connection broke.
+    pub body: Value,
+}
+
+impl Reply {
+    /// Returns whether the caller got an answer and not a refusal.
+    pub fn is_answer(&self) -> bool {
+        self.body["trailer"].is_object()
+    }
+
+    /// Returns whether nothing ran, so that the caller may ask again.
+    pub fn is_not_run(&self) -> bool {
+        self.body["execution"] == Execution::NotRun.to_string()
+    }
+
+    /// Returns each stage of the answer with the number of its attempts.
+    pub fn stages(&self) -> Vec<(String, u64)> {
+        let rows = self.body["trailer"]["stages"].as_array().cloned().unwrap_or_default();
+        let name = |row: &Value| row["stage"].as_str().unwrap_or_default().to_owned();
+        rows.iter().map(|r| (name(r), r["attempts"].as_u64().unwrap_or_default())).collect()
+    }
+
+    /// Returns the host that completed a stage.
+    pub fn host(&self, stage: usize) -> String {
+        self.body["trailer"]["stages"][stage]["host"].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+impl Witness {
+    /// Creates a caller of the entry at a base URL.
+    pub fn new(base: &str, recorder: &Recorder) -> Self {
+        Self { caller: Caller::new(base), recorder: recorder.clone() }
+    }
+
+    /// Asks for a summary and reads the whole answer.
+    pub async fn summary(&self, input: &str) -> Reply {
+        let request = self.recorder.sent(None);
+        let body = json!({ "input": input, "deadline_ms": DEADLINE_MS });
+        let answer = self.caller.try_post(WORKSPACE, SUMMARY, None, body.to_string()).await;
+        let body = answer.map(|a| a.body).unwrap_or_default();
+        let got = body["output"].as_str().unwrap_or_default().to_owned();
+        self.finish(request, Vec::new(), body, got, expected(&json!(input)))
+    }
+
+    /// Asks for a summary as a stream and reads it to its end.
+    pub async fn stream(&self, input: &str) -> Reply {
+        let request = self.recorder.sent(None);
+        let body = json!({ "input": input, "deadline_ms": DEADLINE_MS });
+        let events = self.caller.try_stream(WORKSPACE, SUMMARY, &body).await.unwrap_or_default();
+        let (pieces, body) = match events.last() {
+            Some(last) if last.kind.as_ref() == b"done" => split_events(&events),
+            Some(last) => (Vec::new(), serde_json::from_slice(&last.data).unwrap_or_default()),
+            None => Default::default(),
+        };
+        let got = checked(&pieces, &body);
+        self.finish(request, pieces, body, got, expected(&json!(input)))
+    }
+
+    /// Asks for a port under a key and reads the whole answer.
+    pub async fn port(&self, key: &str) -> Reply {
+        let request = self.recorder.sent(Some(key));
+        let body = json!({ "input": { "key": key }, "deadline_ms": DEADLINE_MS });
+        let answer = self.caller.try_post(WORKSPACE, PORT, Some(key), body.to_string()).await;
+        let body = answer.map(|a| a.body).unwrap_or_default();
+        let got = body["output"]["input"]["key"].as_str().unwrap_or_default().to_owned();
+        self.finish(request, Vec::new(), body, got, key.to_owned())
+    }
+
+    /// Asks again until the end is something else than a refusal that ran nothing.
+    pub async fn until_run<F>(&self, ask: impl Fn(Self) -> F) -> Reply
+    where
+        F: Future<Output = Reply>,
+    {
+        loop {
+            let reply = ask(self.clone()).await;
+            if !reply.is_not_run() {
+                return reply;
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+    }
+
+    /// Records how a request ended.
+    fn finish(
+        &self,
+        request: RequestNo,
+        pieces: Vec<String>,
+        body: Value,
+        text: String,
+        expected: String,
+    ) -> Reply {
+        let reply = Reply { request, pieces, body };
+        let id = &reply.body["trailer"]["request"];
+        let id = id.as_str().or(reply.body["request"].as_str());
+        self.recorder.name(request, id.unwrap_or_default());
+        let execution = reply.body["execution"].as_str().and_then(|e| e.parse::<Execution>().ok());
+        self.recorder.note(match execution {
+            Some(execution) => Fact::Refused { request, execution },
+            None if reply.is_answer() => Fact::Answered { request, text, expected },
+            None => Fact::Cut { request },
+        });
+        reply
+    }
+}
+
+/// Sends a summary, a stream and a port through each entry at once and waits for all ends.
+pub async fn ask_all(callers: &[Witness], round: &str) -> Vec<Reply> {
+    let ask = |caller: &Witness| {
+        let (caller, input) = (caller.clone(), format!("summary during {round}"));
+        async move {
+            let key = Uuid::now_v7().to_string();
+            let summary = caller.until_run(|c| {
+                let input = input.clone();
+                async move { c.summary(&input).await }
+            });
+            let stream = caller.until_run(|c| {
+                let input = input.clone();
+                async move { c.stream(&input).await }
+            });
+            let port = caller.until_run(|c| {
+                let key = key.clone();
+                async move { c.port(&key).await }
+            });
+            let (summary, stream, port) = tokio::join!(summary, stream, port);
+            [summary, stream, port]
+        }
+    };
+    join_all(callers.iter().map(ask)).await.into_iter().flatten().collect()
+}
+
+/// Returns the text of a stream, or nothing if it is not the one that the close vouches for.
+fn checked(pieces: &[String], done: &Value) -> String {
+    let text = pieces.concat();
+    let checksum = format!("{:016x}", hash_bytes(text.as_bytes()));
+    let is_whole = done["count"] == json!(pieces.len()) && done["checksum"] == json!(checksum);
+    if is_whole { text } else { String::new() }
+}
--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -8,6 +8,7 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
+pub mod burst;
 pub mod cases;
 pub mod changes;
 pub mod config;
--- a/tests/testsuite/invariants.rs
+++ b/tests/testsuite/invariants.rs
@@ -6,7 +6,7 @@
 
 fn started(request: u64, host: &str, repeatable: bool) -> Fact {
     let (host, zone) = (host.to_owned(), "mnl-a".to_owned());
-    Fact::Started { request, stage: 0, host, zone, repeatable }
+    Fact::Started { request, stage: 0, host, zone, repeatable, key: None }
 }
 
 fn completed(request: u64, host: &str) -> Fact {
@@ -75,12 +75,14 @@
 }
 
 #[test]
-fn catches_request_without_answer_and_with_two() {
+fn catches_request_without_answer_with_two_and_without_result() {
     let lost = broken(vec![(0, sent(1, None))]);
     let twice =
         broken(vec![(0, sent(1, None)), (1, answered(1, "a", "a")), (2, answered(1, "a", "a"))]);
+    let unfinished =
+        broken(vec![(0, sent(1, None)), (1, started(1, "h1", true)), (2, answered(1, "a", "a"))]);
 
-    assert_eq!((lost, twice), (vec![Promise::NoResultLost], vec![Promise::NoResultLost]));
+    assert_eq!([lost, twice, unfinished], [const { [Promise::NoResultLost] }; 3].map(Vec::from));
 }
 
 #[test]
@@ -124,7 +126,8 @@
         (2, refused(1, Execution::Unknown)),
         (3, sent(2, Some("k"))),
         (4, started(2, "h2", false)),
-        (5, answered(2, "ok", "ok")),
+        (5, completed(2, "h2")),
+        (6, answered(2, "ok", "ok")),
     ];
 
     assert_eq!(broken(facts), [Promise::AtMostOnce]);
--- /dev/null
+++ b/tests/testsuite/sessions/keys.rs
@@ -0,0 +1,54 @@
+//! A request that may run at most once, retried through a second entry.
+
+use super::{check_outline, start};
+use expect_test::expect_file;
+use limpetmux::node::local::StandIn;
+use limpetmux_standins::Plain;
+use limpetmux_test_support::Deployment;
+use limpetmux_test_support::deployment::wait_for;
+use limpetmux_test_support::invariants::Fact;
+use std::fmt::Write;
+use uuid::Uuid;
+
+/// The number of the request whose caller leaves.
+const LEFT: u64 = 5;
+/// The factor on the time of a call that makes it long enough to leave it.
+const SLOW: u32 = 100;
+
+fn services(deployment: &Deployment) -> impl Iterator<Item = &Plain> {
+    deployment.standins.values().filter_map(|s| match s {
+        StandIn::Plain(plain) => Some(plain),
+        _ => None,
+    })
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn non_idempotent_retry_through_a_second_entry() {
+    let (deployment, [first, second]) = start().await;
+    let keys = [(); 3].map(|()| Uuid::now_v7().to_string());
+
+    // An answered key, repeated.
+    first.port(&keys[0]).await;
+    second.port(&keys[0]).await;
+    // A key whose run took effect, but the service's answer was lost.
+    services(&deployment).for_each(|s| s.backend.faults.lose_next(1));
+    first.port(&keys[1]).await;
+    second.port(&keys[1]).await;
+    services(&deployment).for_each(|s| s.backend.faults.lose_next(0));
+    // A key whose caller leaves while it runs.
+    services(&deployment).for_each(|s| s.backend.set_slowdown(SLOW));
+    let (caller, key) = (first.clone(), keys[2].clone());
+    let lost = tokio::spawn(async move { caller.port(&key).await });
+    wait_for(|| deployment.runs().contains_key(&keys[2])).await;
+    lost.abort();
+    deployment.recorder.note(Fact::Left { request: LEFT });
+    second.port(&keys[2]).await;
+
+    let mut notes = String::new();
+    for (key, request) in keys.iter().zip((1..).step_by(2)) {
+        let runs = deployment.runs()[key];
+        writeln!(notes, "key of request {request}: runs {runs}").unwrap();
+    }
+    let file = expect_file!["../golden/key_retries.txt"];
+    check_outline(deployment, &notes, &[1, 2, 3, 4, 5, 6], file).await;
+}
--- /dev/null
+++ b/tests/testsuite/sessions/shutdown.rs
@@ -0,0 +1,38 @@
+//! All processes are drained and replaced in turn while callers ask.
+
+use super::{check_outline, line, start};
+use expect_test::expect_file;
+use limpetmux::core::config::Name;
+use limpetmux::core::shutdown::DrainReport;
+use limpetmux_test_support::invariants::ask_all;
+use std::fmt::Write;
+use std::sync::Mutex;
+
+fn phase(process: &str, report: DrainReport) -> String {
+    format!("{process} {}", if report.is_clean() { "drained" } else { "cut off" })
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rolling_shutdown() {
+    let (mut deployment, callers) = start().await;
+    let mut notes = String::new();
+
+    let hosts: Vec<Name> = deployment.sidecars.keys().cloned().collect();
+    for host in &hosts {
+        let (report, replies) =
+            tokio::join!(deployment.restart_sidecar(host), ask_all(&callers, host.as_str()));
+        line(&mut notes, &phase(host.as_str(), report), &replies);
+    }
+    let urls = Mutex::new(deployment.entries.iter().map(|e| e.url.clone()).collect());
+    for (index, caller) in callers.iter().enumerate() {
+        let (name, caller) = (format!("entry-{index}"), std::slice::from_ref(caller));
+        let (report, replies) =
+            tokio::join!(deployment.restart_entry(index, &urls), ask_all(caller, &name));
+        line(&mut notes, &phase(&name, report), &replies);
+    }
+
+    let (runs, keys) = (deployment.runs(), 2 * hosts.len() + callers.len());
+    let once = runs.values().filter(|n| **n == 1).count();
+    writeln!(notes, "keys {keys}, run {}, run once {once}", runs.len()).unwrap();
+    check_outline(deployment, &notes, &[], expect_file!["../golden/rolling_shutdown.txt"]).await;
+}
--- /dev/null
+++ b/tests/testsuite/sessions/zones.rs
@@ -0,0 +1,60 @@
+//! An availability zone is taken out under requests and comes back with cold backend servers.
+
+use super::{check_outline, line, start};
+use expect_test::expect_file;
+use limpetmux::core::revision::Revision;
+use limpetmux_test_support::Deployment;
+use limpetmux_test_support::invariants::{Reply, Witness, ask_all};
+use std::fmt::Write;
+
+const ZONE: &str = "mnl-a";
+
+fn started(deployment: &Deployment) -> u64 {
+    let hosts = deployment.zone_hosts(ZONE);
+    hosts.iter().map(|h| deployment.standins[h].backend().counts().started).sum()
+}
+
+/// Returns how many calls reached cold hosts of the zone that bore no more.
+fn overloads(deployment: &Deployment) -> u64 {
+    let hosts = deployment.zone_hosts(ZONE);
+    hosts.iter().map(|h| deployment.standins[h].backend().counts().overloads).sum()
+}
+
+/// Switches the zone while callers ask, and waits until every node knows.
+async fn switch(
+    deployment: &mut Deployment,
+    callers: &[Witness],
+    serving: bool,
+) -> (Revision, Vec<Reply>) {
+    let change = async {
+        let revision = deployment.set_zone(ZONE, serving).await;
+        deployment.in_force(revision).await;
+        revision
+    };
+    tokio::join!(change, ask_all(callers, "change"))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn zone_out_and_back() {
+    let (mut deployment, callers) = start().await;
+    let mut notes = String::new();
+
+    line(&mut notes, "zone in", &ask_all(&callers, "in").await);
+    let (out, replies) = switch(&mut deployment, &callers, false).await;
+    line(&mut notes, &format!("zone leaves with {out}"), &replies);
+    let before = started(&deployment);
+    line(&mut notes, "zone out", &ask_all(&callers, "out").await);
+    writeln!(notes, "calls in the zone while out: {}", started(&deployment) - before).unwrap();
+    for host in deployment.zone_hosts(ZONE) {
+        deployment.turn_cold(&host).await;
+    }
+    let (back, replies) = switch(&mut deployment, &callers, true).await;
+    line(&mut notes, &format!("zone returns cold with {back}"), &replies);
+    while started(&deployment) == before {
+        ask_all(&callers, "return").await;
+    }
+    line(&mut notes, "zone serves again", &ask_all(&callers, "end").await);
+    writeln!(notes, "calls beyond what a cold host bears: {}", overloads(&deployment)).unwrap();
+
+    check_outline(deployment, &notes, &[], expect_file!["../golden/zone_out_and_back.txt"]).await;
+}
