--- a/tests/testsuite/sessions/mod.rs
+++ b/tests/testsuite/sessions/mod.rs
@@ -4,6 +4,7 @@
 
 mod configuration;
 mod keys;
+mod mutations;
 mod planners;
 mod requests;
 mod shutdown;
