--- a/crates/limpetmux-test-support/src/invariants/witness.rs
+++ b/crates/limpetmux-test-support/src/invariants/witness.rs
@@ -85,8 +85,8 @@
         let body = json!({ "input": input, "deadline_ms": DEADLINE_MS });
         let events = self.caller.try_stream(WORKSPACE, SUMMARY, &body).await.unwrap_or_default();
         let (pieces, body) = match events.last() {
-            Some(last) if last.kind.as_ref() == b"done" => split_events(&events),
-            Some(last) => (Vec::new(), serde_json::from_slice(&last.data).unwrap_or_default()),
+            Some(last) if last.event == "done" => split_events(&events),
+            Some(last) => (Vec::new(), serde_json::from_str(&last.data).unwrap_or_default()),
             None => Default::default(),
         };
         let got = checked(&pieces, &body);
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -93,6 +93,19 @@
     local.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn caller_of_an_oversize_body_gets_its_answer_although_it_still_sends() {
+    let (local, caller) = start().await;
+    let huge = "x".repeat(12 << 20);
+
+    for _ in 0..8 {
+        let answer = caller.post("hotels", "voicemail", None, huge.clone()).await;
+
+        assert_eq!(problem(&answer), (413, "bad_request", "not_run"));
+    }
+    local.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn broken_stream_goes_on_without_losing_or_doubling_a_token() {
     let (local, caller) = start().await;
@@ -122,10 +135,10 @@
     let events = caller.stream("hotels", "voicemail", &json!({ "input": "x" })).await;
 
     let last = events.last().unwrap();
-    let body: Value = serde_json::from_slice(&last.data).unwrap();
-    assert_eq!(last.kind.as_ref(), b"error");
+    let body: Value = serde_json::from_str(&last.data).unwrap();
+    assert_eq!(last.event, "error");
     assert_eq!((&body["code"], &body["execution"]), (&json!("failed"), &json!("partly_run")));
-    assert!(events.iter().all(|e| e.kind.as_ref() != b"done"));
+    assert!(events.iter().all(|e| e.event != "done"));
     local.stop().await;
 }
 
