Record the revisions of each process and not of each node

Cause: an entry's successor starts before the old process ends, so the end of the old one removed the new one from the check of revisions.

Conclusion: a successor that lags behind is seen.

--- a/crates/limpetmux-test-support/src/deployment/node.rs
+++ b/crates/limpetmux-test-support/src/deployment/node.rs
@@ -87,7 +87,8 @@
 
 impl Forced {
     pub(super) fn follow(node: &str, control: &Control, recorder: &Recorder) -> Self {
-        let (mut views, name, notes) = (control.view.clone(), node.to_owned(), recorder.clone());
+        let node = recorder.process(node);
+        let (mut views, name, notes) = (control.view.clone(), node.clone(), recorder.clone());
         let recorded = Arc::new(AtomicU64::new(Revision::EMPTY.0));
         let last = Arc::clone(&recorded);
         let task = tokio::spawn(async move {
@@ -102,7 +103,7 @@
                 }
             }
         });
-        Self { node: node.to_owned(), recorder: recorder.clone(), recorded, task }
+        Self { node, recorder: recorder.clone(), recorded, task }
     }
 
     /// Stops the record with the process.
--- a/crates/limpetmux-test-support/src/invariants/outline.rs
+++ b/crates/limpetmux-test-support/src/invariants/outline.rs
@@ -72,6 +72,7 @@
                 nodes.entry(*revision).or_default();
             }
             Fact::InForce { node, revision } => {
+                let node = node.split('#').next().unwrap_or(node);
                 nodes.entry(*revision).or_default().insert(node);
             }
             _ => {}
--- a/crates/limpetmux-test-support/src/invariants/recorder.rs
+++ b/crates/limpetmux-test-support/src/invariants/recorder.rs
@@ -37,6 +37,8 @@
     sent: RequestNo,
     unnamed: BTreeMap<RequestId, RequestNo>,
     named: BTreeMap<RequestId, RequestNo>,
+    /// How often each node has started.
+    starts: BTreeMap<String, u32>,
     /// When each cold backend server is warm.
     warm_at: BTreeMap<String, Instant>,
 }
@@ -78,6 +80,14 @@
         inner.now = inner.now + time;
     }
 
+    /// Returns a name for the next process of a node, which may overlap with the last one.
+    pub fn process(&self, node: &str) -> String {
+        let mut inner = self.inner();
+        let start = inner.starts.entry(node.to_owned()).or_default();
+        *start += 1;
+        format!("{node}#{start}")
+    }
+
     /// Records that a caller sends a request and returns its number.
     pub fn sent(&self, key: Option<&str>) -> RequestNo {
         let mut inner = self.inner();
