--- a/src/limpetmux/ops/status.rs
+++ b/src/limpetmux/ops/status.rs
@@ -12,6 +12,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The role of a process that gave no answer.
+const UNREACHABLE: &str = "unreachable";
 /// Processes asked at the same time.
 const CONCURRENCY: usize = 16;
 /// The time allowed for one answer.
@@ -43,6 +45,15 @@
     pub limit: u32,
     /// Whether the backend server is cold.
     pub cold: bool,
+    /// The newest format of configuration records that the process knows; 0 if it did not answer.
+    pub format: u32,
+}
+
+impl NodeStatus {
+    /// Returns whether the process gave no answer.
+    pub fn is_silent(&self) -> bool {
+        self.role == UNREACHABLE
+    }
 }
 
 /// One host as the first answering entry sees it.
@@ -90,6 +101,8 @@
     pub busy_us: u64,
     /// Cost in millionths of the accounting unit.
     pub cost: u64,
+    /// Requests whose deadline passed while they were in this stage.
+    pub late: u64,
 }
 
 /// Requests of all entries since they started.
@@ -97,9 +110,9 @@
 pub struct AttainmentStatus {
     /// Answered whole within the deadline.
     pub attained: u64,
-    /// Answered whole after it.
+    /// Begun, but not answered whole when the deadline passed.
     pub late: u64,
-    /// Refused or failed.
+    /// Refused or failed before the deadline.
     pub refused: u64,
 }
 
@@ -164,6 +177,7 @@
         sum.attempts += row.attempts;
         sum.busy_us += row.busy_us;
         sum.cost += row.cost;
+        sum.late += row.late;
     }
     fleet.stages = stages.into_values().collect();
     for row in replies().filter_map(|r| r.attainment) {
@@ -176,7 +190,7 @@
 
 fn node(address: SocketAddr, reply: Option<&StatusReply>, newest: u64) -> NodeStatus {
     let lag = reply.map(|r| newest - r.revision);
-    let unreachable = StatusReply { role: "unreachable".to_owned(), ..StatusReply::default() };
+    let unreachable = StatusReply { role: UNREACHABLE.to_owned(), ..StatusReply::default() };
     let reply = reply.unwrap_or(&unreachable);
     let backend = reply.backend.unwrap_or_default();
     NodeStatus {
@@ -191,6 +205,7 @@
         queued: backend.queued,
         limit: backend.limit,
         cold: backend.cold,
+        format: reply.format,
     }
 }
 
@@ -248,10 +263,14 @@
     ];
     section(&mut text, &head, nodes.collect());
     let stages = fleet.stages.iter().map(|s| {
-        let numbers = [s.attempts, s.busy_us / 1_000, s.cost].map(|n| n.to_string());
+        let numbers = [s.attempts, s.late, s.busy_us / 1_000, s.cost].map(|n| n.to_string());
         [vec![s.pipeline.clone(), s.stage.clone()], numbers.to_vec()].concat()
     });
-    section(&mut text, &["PIPELINE", "STAGE", "ATTEMPTS", "BUSY_MS", "COST"], stages.collect());
+    section(
+        &mut text,
+        &["PIPELINE", "STAGE", "ATTEMPTS", "LATE", "BUSY_MS", "COST"],
+        stages.collect(),
+    );
     let a = fleet.attainment;
     let requests = [a.attained, a.late, a.refused].map(|n| n.to_string());
     section(&mut text, &["ATTAINED", "LATE", "REFUSED"], vec![requests.to_vec()]);
--- a/src/limpetmux/wire/gen/limpetmux.admin.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.admin.v1.rs
@@ -54,6 +54,9 @@
     pub stages: ::prost::alloc::vec::Vec<StageRow>,
     #[prost(message, optional, tag = "13")]
     pub attainment: ::core::option::Option<Attainment>,
+    /// The newest format of configuration records that the process knows.
+    #[prost(uint32, tag = "14")]
+    pub format: u32,
 }
 /// The backend server beside a sidecar.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -118,6 +121,9 @@
     /// Millionths of the accounting unit.
     #[prost(uint64, tag = "5")]
     pub cost: u64,
+    /// Requests whose deadline passed while they were in this stage.
+    #[prost(uint64, tag = "6")]
+    pub late: u64,
 }
 /// Requests since the process started.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -125,10 +131,10 @@
     /// Answered whole within the deadline.
     #[prost(uint64, tag = "1")]
     pub attained: u64,
-    /// Answered whole after the deadline.
+    /// Begun, but not answered whole when the deadline passed.
     #[prost(uint64, tag = "2")]
     pub late: u64,
-    /// Refused or failed.
+    /// Refused or failed before the deadline.
     #[prost(uint64, tag = "3")]
     pub refused: u64,
 }
--- a/tests/testsuite/planner.rs
+++ b/tests/testsuite/planner.rs
@@ -337,9 +337,10 @@
         actions.iter().filter_map(record).collect()
     }
 
-    fn loads(view: &View, hosts: u32, calls: u32) -> BTreeMap<HostKey, LoadSample> {
+    /// Returns the answers of a round in which all hosts were asked and the first few answered.
+    fn loads(view: &View, hosts: u32, calls: u32) -> BTreeMap<HostKey, Option<LoadSample>> {
         let sample = LoadSample { inflight: calls, queued: 0 };
-        view.hosts.keys().filter(|h| h.0 < hosts).map(|h| (h, sample)).collect()
+        view.hosts.keys().map(|h| (h, (h.0 < hosts).then_some(sample))).collect()
     }
 
     fn take_lease(agent: &mut Agent, now: Moment, log: &mut Vec<DutyRecord>) {
