Give the flush of a drained host in tests as long as its requests

Cause: the fixture ended the flush after 5 s of wall clock.

Change: the flush has 60 s, as running requests have. A drain must be clean as before.

--- a/crates/limpetmux-test-support/src/deployment.rs
+++ b/crates/limpetmux-test-support/src/deployment.rs
@@ -36,7 +36,7 @@
 const TIMES: ShutdownOptions = ShutdownOptions {
     notice: Duration::from_millis(1_000),
     deadline: Duration::from_secs(60),
-    flush: Duration::from_secs(5),
+    flush: Duration::from_secs(60),
 };
 
 /// How often a change is appended if it takes no effect.
