--- a/src/limpetmux/sidecar/once/service.rs
+++ b/src/limpetmux/sidecar/once/service.rs
@@ -45,8 +45,9 @@
         request: Request<once::ForwardClaimsRequest>,
     ) -> Result<Response<once::ForwardClaimsReply>, Status> {
         let record = request.into_inner().record;
-        if !matches!(Record::decode(&record), Ok(Record::Claims { .. })) {
-            return Err(Status::invalid_argument("only claims are forwarded"));
+        let decoded = Record::decode(&record);
+        if !matches!(decoded, Ok(Record::Claims { .. } | Record::Declared { .. })) {
+            return Err(Status::invalid_argument("only claims and declarations are forwarded"));
         }
         let appended = (self.log.append)(Stream::Claims, record).await.is_ok();
         Ok(Response::new(once::ForwardClaimsReply { appended }))
@@ -60,7 +61,10 @@
         let returns = request.returns;
         let table = convert::handover(request)
             .ok_or_else(|| Status::invalid_argument("the table is malformed"))?;
-        let accepted = self.gate.receive(table, returns, &self.log).await;
+        // A caller that stops waiting must not leave a takeover half done.
+        let (gate, log) = (Arc::clone(&self.gate), self.log.clone());
+        let received = tokio::spawn(async move { gate.receive(table, returns, &log).await });
+        let accepted = received.await.map_err(|e| Status::internal(e.to_string()))?;
         Ok(Response::new(once::HandOverReply { accepted }))
     }
 
