End the hosts of a test deployment without a hopeless drain

Cause: since the fixture's flush lasts 60 s, each test over Deployment took a minute longer: at its end all hosts drain at once, and none finds a host that could take its keys. Change: the fixture ends its sidecars when their requests have ended; a drain in the course of a test must be clean as before. The flush has 20 s; the rolling restart during a log outage waits for it. Conclusion: no check is changed; the time was spent on drains whose reports nobody read.

--- a/crates/limpetmux-test-support/src/deployment.rs
+++ b/crates/limpetmux-test-support/src/deployment.rs
@@ -36,7 +36,7 @@
 const TIMES: ShutdownOptions = ShutdownOptions {
     notice: Duration::from_millis(1_000),
     deadline: Duration::from_secs(60),
-    flush: Duration::from_secs(60),
+    flush: Duration::from_secs(20),
 };
 
 /// How often a change is appended if it takes no effect.
@@ -260,7 +260,7 @@
     /// Ends all nodes and returns what has happened.
     pub async fn end(mut self) -> Journal {
         join_all(self.entries.into_iter().map(Node::drain)).await;
-        join_all(self.sidecars.into_values().map(Node::drain)).await;
+        join_all(self.sidecars.into_values().map(Node::stop)).await;
         self.log.stop().await;
         self.recorder.journal()
     }
--- a/crates/limpetmux-test-support/src/deployment/node.rs
+++ b/crates/limpetmux-test-support/src/deployment/node.rs
@@ -10,6 +10,7 @@
 use limpetmux::kernel::Kernel;
 use limpetmux::membership::Reporter;
 use limpetmux::shutdown::ShutdownPort;
+use limpetmux::sidecar::Sidecar;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -67,6 +68,19 @@
     }
 }
 
+impl Node<Sidecar> {
+    /// Ends the process once its requests have ended.
+    ///
+    /// When all hosts end together none can hand its keys over, so a drain would wait in vain.
+    pub async fn stop(self) {
+        wait_for(|| self.role.running() == 0 && self.role.gate().is_idle()).await;
+        self.spread.abort();
+        self.main.abort();
+        let _ = self.main.await;
+        self.forced.end().await;
+    }
+}
+
 impl Node<Entry> {
     /// Returns whether the entry knows that a host takes new work.
     pub fn knows(&self, host: &Name) -> bool {
