Free results once they must have been fetched, and adapt room to refusals

Change: inputs of a stage are freed 60 ms after its last piece was sent, those of a model engine 150 ms after the request; room counts as taken until the free is answered; lost calls keep their room in doubt; a refusal for room bounds what is believed for a second. Late stages give up after a bounded wait, and a request that the waits of its chain would make late is refused at its arrival.

Ruled out: the heads of streams come with the first event, so they do not show the fetch.

--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -21,6 +21,7 @@
 pub mod pieces;
 pub mod placement;
 pub mod planner;
+pub mod pressure;
 pub mod revision;
 pub mod routing;
 pub mod share;
--- a/src/limpetmux/core/pieces/job.rs
+++ b/src/limpetmux/core/pieces/job.rs
@@ -46,6 +46,8 @@
     pub zone: Arc<str>,
     /// The size of one result in bytes.
     pub size: u64,
+    /// Whether nothing else needs the inputs.
+    pub frees: bool,
 }
 
 /// How a stage has ended.
@@ -95,6 +97,13 @@
     start: Moment,
 }
 
+impl Rank {
+    /// Returns whether the stage cannot end in time for its request's objective any more.
+    pub(super) fn is_late(self) -> bool {
+        self.late
+    }
+}
+
 /// A stage in the queue.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -102,6 +111,8 @@
     pub(super) entered: Moment,
     pieces: Vec<Piece>,
     sends: Vec<u32>,
+    /// When the last piece was sent, once all are.
+    all_sent: Option<Moment>,
     /// Backend servers that had a piece without making it.
     avoided: Vec<(u32, Arc<str>)>,
 }
@@ -110,7 +121,7 @@
     pub(super) fn new(now: Moment, spec: JobSpec) -> Self {
         let pieces = vec![Piece::Open; spec.pieces];
         let sends = vec![0; spec.pieces];
-        Self { spec, entered: now, pieces, sends, avoided: Vec::new() }
+        Self { spec, entered: now, pieces, sends, all_sent: None, avoided: Vec::new() }
     }
 
     pub(super) fn pieces(&self) -> usize {
@@ -143,16 +154,33 @@
         open.map(|(_, i)| i).filter(move |i| !had(*i))
     }
 
-    pub(super) fn sent(&mut self, piece: u32, server: &Arc<str>) {
+    pub(super) fn sent(&mut self, now: Moment, piece: u32, server: &Arc<str>) {
         self.pieces[piece as usize] = Piece::Sent(Arc::clone(server));
         self.sends[piece as usize] += 1;
+        self.all_sent = (self.open() == 0).then_some(now);
+    }
+
+    /// Returns the inputs once all backend servers must have fetched them, and only once.
+    pub(super) fn take_fetched(&mut self, now: Moment, after: Duration) -> Vec<Arc<str>> {
+        if !self.spec.frees || self.all_sent.is_none_or(|at| now.since(at) < after) {
+            return Vec::new();
+        }
+        self.take_inputs()
+    }
+
+    /// Returns the inputs of a stage that has been made, unless they were returned before.
+    pub(super) fn take_inputs(&mut self) -> Vec<Arc<str>> {
+        match &self.spec.source {
+            Source::Inputs(inputs) if std::mem::take(&mut self.spec.frees) => inputs.clone(),
+            Source::Inputs(_) | Source::Key(_) => Vec::new(),
+        }
     }
 
     /// Makes a piece wait again while a first call for it still runs.
     pub(super) fn reopen(&mut self, piece: u32) {
         if let Piece::Sent(server) = self.pieces[piece as usize].clone() {
             self.avoided.push((piece, server));
-            self.pieces[piece as usize] = Piece::Open;
+            self.reset(piece as usize);
         }
     }
 
@@ -180,7 +208,7 @@
             Made::Not(Unmade::Late) => Some(StageEnd::Late { retry: Duration::ZERO }),
             Made::Not(Unmade::Room | Unmade::Full) => {
                 self.sends[index] = self.sends[index].saturating_sub(1);
-                self.pieces[index] = Piece::Open;
+                self.reset(index);
                 None
             }
             Made::Not(Unmade::Failed) => self.failed(index),
@@ -200,10 +228,15 @@
             return Some(StageEnd::Failed);
         }
         self.avoided.retain(|(piece, _)| *piece as usize != index);
-        self.pieces[index] = Piece::Open;
+        self.reset(index);
         None
     }
 
+    fn reset(&mut self, index: usize) {
+        self.pieces[index] = Piece::Open;
+        self.all_sent = None;
+    }
+
     fn made(&self) -> Option<StageEnd> {
         let mut zones: BTreeMap<Arc<str>, usize> = BTreeMap::new();
         let mut results = Vec::with_capacity(self.pieces.len());
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -30,6 +30,10 @@
 const LIMIT: u32 = 4;
 /// What is added to that.
 const LIMIT_SLACK: Duration = Duration::from_millis(500);
+/// The time after which a backend server has fetched the inputs of the call that it runs.
+const FETCH_TIME: Duration = Duration::from_millis(60);
+/// How long a stage that is late for its request's objective may still wait for its turn.
+const LATE_PATIENCE: Duration = Duration::from_millis(400);
 /// How long a result of which nobody reports the end takes up room, beyond its keeping time.
 const KEEP_SLACK: Duration = Duration::from_millis(500);
 
@@ -51,6 +55,8 @@
     pub ended: Vec<(JobKey, StageEnd)>,
     /// Results that nobody waits for any more and that have to be freed.
     pub unwanted: Vec<Arc<str>>,
+    /// Results of other services that were fetched and that have to be freed.
+    pub fetched: Vec<Arc<str>>,
 }
 
 impl PieceQueue {
@@ -112,10 +118,11 @@
         }
     }
 
-    /// Returns how long a new stage without urgency waits for its turn.
+    /// Returns how long a new stage that is not late waits for its turn.
     pub fn wait(&self, now: Moment) -> Duration {
-        let pieces = self.jobs.values().map(Job::open).sum();
-        self.drain_time(now, pieces)
+        let open = self.jobs.values().filter(|j| !self.rank(now, j).is_late());
+        let busy = self.workers.values().filter(|w| w.is_good(now)).map(|w| w.busy_for(now)).min();
+        self.drain_time(now, open.map(Job::open).sum()) + busy.unwrap_or_default()
     }
 
     /// Returns whether nothing waits and nothing runs.
@@ -128,6 +135,8 @@
         let mut actions = Actions::default();
         self.end_late(now, &mut actions);
         self.reissue_overdue(now);
+        let jobs = self.jobs.values_mut();
+        actions.fetched = jobs.flat_map(|j| j.take_fetched(now, FETCH_TIME)).collect();
         for worker in self.workers.values_mut() {
             worker.forget_results(now);
         }
@@ -149,7 +158,7 @@
             worker.start(key, now, expected, keep, items.clone(), sizes);
             for item in items {
                 if let Some(job) = self.jobs.get_mut(&item.job) {
-                    job.sent(item.piece, &id);
+                    job.sent(now, item.piece, &id);
                 }
             }
             actions.calls.push(call);
@@ -181,25 +190,50 @@
     /// Removes stages that have ended; results of those that were not made are unwanted.
     fn remove_ended(&mut self, actions: &mut Actions) {
         for (key, end) in &actions.ended {
-            let Some(job) = self.jobs.remove(key) else { continue };
-            if !end.is_made() {
+            let Some(mut job) = self.jobs.remove(key) else { continue };
+            if end.is_made() {
+                actions.fetched.extend(job.take_inputs());
+            } else {
                 actions.unwanted.extend(job.results());
             }
         }
     }
 
+    /// Ends stages that cannot be made before their deadline, and late ones that would have to
+    /// wait long behind others.
     fn end_late(&mut self, now: Moment, actions: &mut Actions) {
         let least = self.call_time(1);
-        let late = |job: &Job| job.open() > 0 && now + least > job.spec.deadline;
-        let keys: Vec<JobKey> =
-            self.jobs.iter().filter(|(_, j)| late(j)).map(|(k, _)| *k).collect();
-        for key in keys {
+        let mut hopeless = Vec::new();
+        let mut ahead = 0;
+        for (rank, key) in self.order(now) {
+            let job = &self.jobs[&key];
+            let wait = self.drain_time(now, ahead);
+            let late = rank.is_late() && wait > LATE_PATIENCE;
+            if late || now + wait.min(least) + least > job.spec.deadline {
+                hopeless.push((key, wait));
+            } else {
+                ahead += job.open();
+            }
+        }
+        for (key, wait) in hopeless {
             let results = self.cancel(key);
             actions.unwanted.extend(results);
-            actions.ended.push((key, StageEnd::Late { retry: self.wait(now) }));
+            actions.ended.push((key, StageEnd::Late { retry: wait }));
         }
     }
 
+    /// Returns the stages of which pieces wait, most urgent first.
+    fn order(&self, now: Moment) -> Vec<(job::Rank, JobKey)> {
+        let waiting = self.jobs.iter().filter(|(_, j)| j.open() > 0);
+        let mut order: Vec<_> = waiting.map(|(k, j)| (self.rank(now, j), *k)).collect();
+        order.sort_unstable();
+        order
+    }
+
+    fn rank(&self, now: Moment, job: &Job) -> job::Rank {
+        job.rank(now, self.call_time(job.pieces().min(self.spec.batch)))
+    }
+
     /// Queues the pieces of overdue calls anew; the first result of each piece counts.
     fn reissue_overdue(&mut self, now: Moment) {
         let others = self.workers.values().filter(|w| w.is_good(now)).count();
@@ -217,13 +251,7 @@
 
     /// Chooses an idle backend server and the pieces of its next call.
     fn choose(&self, now: Moment) -> Option<(Arc<str>, Vec<worker::Item>)> {
-        let mut order: Vec<(job::Rank, JobKey)> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.open() > 0)
-            .map(|(k, j)| (j.rank(now, self.call_time(j.pieces().min(self.spec.batch))), *k))
-            .collect();
-        order.sort_unstable();
+        let order = self.order(now);
         let mut best: Option<(f64, Arc<str>, Vec<worker::Item>)> = None;
         for worker in self.workers.values().filter(|w| w.is_idle(now)) {
             let items = self.items_for(now, worker, &order);
@@ -246,7 +274,7 @@
         order: &[(job::Rank, JobKey)],
     ) -> Vec<worker::Item> {
         let mut items = Vec::new();
-        let mut room = self.spec.room.saturating_sub(worker.reserved());
+        let mut room = worker.room(now, self.spec.room);
         for (_, key) in order {
             let job = &self.jobs[key];
             let waits = now.since(job.entered) < ZONE_WAIT && self.has_zone(&job.spec.zone);
@@ -286,9 +314,8 @@
 
     /// Returns how long a stage waits behind what is more urgent.
     fn wait_of(&self, now: Moment, job: &Job) -> Duration {
-        let time = |j: &Job| self.call_time(j.pieces().min(self.spec.batch));
-        let rank = job.rank(now, time(job));
-        let ahead = self.jobs.values().filter(|j| j.rank(now, time(j)) < rank);
+        let rank = self.rank(now, job);
+        let ahead = self.jobs.values().filter(|j| self.rank(now, j) < rank);
         self.drain_time(now, ahead.map(Job::open).sum())
     }
 
--- a/src/limpetmux/core/pieces/worker.rs
+++ b/src/limpetmux/core/pieces/worker.rs
@@ -19,6 +19,8 @@
 const MAX_DOUBLINGS: u32 = 4;
 /// The pause after the backend server was full or had no room.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
+/// How long a backend server that had no room is believed to have no more than it gave.
+const CEILING_FOR: Duration = Duration::from_millis(1_000);
 
 /// A call to a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -105,6 +107,8 @@
     Answered(Vec<Made>),
     /// The backend server did not take the call.
     Refused,
+    /// No connection came about, so nothing was sent.
+    Unsent,
     /// Another backend server has the address.
     Elsewhere,
     /// There was no usable answer; the pieces may have been made.
@@ -127,11 +131,17 @@
 pub(super) struct Worker {
     pub(super) spec: WorkerSpec,
     pub(super) usable: bool,
+    /// Whether another backend server was found at its address.
+    pub(super) misplaced: bool,
     /// How many times longer than expected its calls take.
     pub(super) slowness: f64,
     /// Results that take up room, with their sizes and the moment at which they lapse.
     pub(super) results: BTreeMap<Arc<str>, (u64, Moment)>,
     running: Option<Running>,
+    /// Room that results of lost calls may take up, until each lapses.
+    doubtful: Vec<(u64, Moment)>,
+    /// The bytes that it held when it had no room left, believed until a moment.
+    ceiling: Option<(u64, Moment)>,
     paused: Moment,
     failures: u32,
     sampled: Moment,
@@ -142,9 +152,12 @@
         Self {
             spec,
             usable: true,
+            misplaced: false,
             slowness: 1.0,
             results: BTreeMap::new(),
             running: None,
+            doubtful: Vec::new(),
+            ceiling: None,
             paused: Moment::ZERO,
             failures: 0,
             sampled: Moment::ZERO,
@@ -161,7 +174,7 @@
 
     /// Returns whether the backend server is expected to answer its next call.
     pub(super) fn is_good(&self, now: Moment) -> bool {
-        self.usable && now >= self.paused
+        self.usable && !self.misplaced && now >= self.paused
     }
 
     /// Returns the share of a usual backend server's work that it does.
@@ -177,7 +190,20 @@
     pub(super) fn reserved(&self) -> u64 {
         let held: u64 = self.results.values().map(|(size, _)| size).sum();
         let coming: u64 = self.running.iter().flat_map(|r| &r.sizes).sum();
-        held + coming
+        let doubtful: u64 = self.doubtful.iter().map(|(size, _)| size).sum();
+        held + coming + doubtful
+    }
+
+    /// Returns the bytes of results that it has room for beside those that it holds.
+    pub(super) fn room(&self, now: Moment, declared: u64) -> u64 {
+        let ceiling = self.ceiling.filter(|(_, until)| now < *until).map(|(bytes, _)| bytes);
+        ceiling.unwrap_or(declared).min(declared).saturating_sub(self.reserved())
+    }
+
+    /// Returns the time until the running call should end.
+    pub(super) fn busy_for(&self, now: Moment) -> Duration {
+        let Some(running) = &self.running else { return Duration::ZERO };
+        now.until(running.sent + running.expected.mul_f64(self.slowness.max(1.0)))
     }
 
     pub(super) fn start(
@@ -214,15 +240,21 @@
                 made
             }
             CallEnd::Answered(_) | CallEnd::Lost => {
+                let until = now + running.keep;
+                self.doubtful.extend(running.sizes.iter().map(|size| (*size, until)));
                 self.failed(now);
                 vec![Made::Not(Unmade::Failed); running.items.len()]
             }
+            CallEnd::Unsent => {
+                self.failed(now);
+                vec![Made::Not(Unmade::Full); running.items.len()]
+            }
             CallEnd::Refused => {
                 self.paused = now + FULL_PAUSE;
                 vec![Made::Not(Unmade::Full); running.items.len()]
             }
             CallEnd::Elsewhere => {
-                self.usable = false;
+                self.misplaced = true;
                 vec![Made::Not(Unmade::Full); running.items.len()]
             }
         };
@@ -239,6 +271,7 @@
     /// Gives back the room of results that the backend server has dropped by itself.
     pub(super) fn forget_results(&mut self, now: Moment) {
         self.results.retain(|_, (_, until)| *until > now);
+        self.doubtful.retain(|(_, until)| *until > now);
         self.recover(now);
     }
 
@@ -248,10 +281,13 @@
                 Made::Result(result) => {
                     self.results.insert(Arc::clone(result), (*size, now + running.keep));
                 }
-                Made::Not(Unmade::Room) => self.paused = now + FULL_PAUSE,
                 Made::Not(_) => {}
             }
         }
+        if made.contains(&Made::Not(Unmade::Room)) {
+            self.paused = now + FULL_PAUSE;
+            self.ceiling = Some((self.reserved(), now + CEILING_FOR));
+        }
         if made.iter().any(|m| matches!(m, Made::Result(_))) {
             self.failures = 0;
             let took = now.since(running.sent).as_secs_f64();
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -97,6 +97,7 @@
         priority: u8::try_from(run.priority).unwrap_or(u8::MAX),
         zone: run.zone.into(),
         size: run.size,
+        frees: run.frees,
     }
 }
 
--- a/src/limpetmux/gates/mod.rs
+++ b/src/limpetmux/gates/mod.rs
@@ -6,10 +6,11 @@
 //! [`run`](Gates::run).
 
 use crate::core::pieces::{Actions, Call, CallEnd, JobKey, JobSpec, PieceQueue, StageEnd};
-use crate::core::pieces::{CallKey, WorkerSpec};
+use crate::core::pieces::{CallKey, Made, Unmade, WorkerSpec};
 use crate::event;
 use crate::platform::{server, stage};
 use crate::serve::node::{Shared, StoreView};
+use crate::serve::stages::free_results;
 use crate::util::clock;
 use crate::util::event::EventCode;
 use bytes::Bytes;
@@ -106,9 +107,6 @@
         if results.is_empty() {
             return;
         }
-        if let Some(queue) = self.lock().get_mut(service) {
-            queue.pieces.freed(&results);
-        }
         let mut holders: BTreeMap<SocketAddr, Vec<Arc<str>>> = BTreeMap::new();
         for result in results {
             if let Some(addr) = stage::holder(&result) {
@@ -116,7 +114,8 @@
             }
         }
         for (addr, results) in holders {
-            tokio::spawn(free(Arc::clone(self), addr, results));
+            let service = Arc::from(service);
+            tokio::spawn(free(Arc::clone(self), service, addr, results));
         }
     }
 
@@ -156,11 +155,32 @@
             drop(waiter.map(|w| w.send(end)));
         }
         self.free(service, actions.unwanted);
+        self.free_fetched(actions.fetched);
         for call in actions.calls {
             tokio::spawn(make(Arc::clone(self), Arc::clone(service), call));
         }
     }
 
+    /// Gives up results of other services by way of the nodes that queue their pieces.
+    fn free_fetched(&self, results: Vec<Arc<str>>) {
+        if results.is_empty() {
+            return;
+        }
+        let view = self.shared.view.load();
+        let mut services: BTreeMap<Arc<str>, Vec<Arc<str>>> = BTreeMap::new();
+        for result in results {
+            let holder = stage::holder(&result);
+            let server = view.listing.servers().find(|s| Some(s.addr) == holder);
+            // Results of a backend server that has left are gone with it.
+            if let Some(server) = server {
+                services.entry(Arc::clone(&server.service)).or_default().push(result);
+            }
+        }
+        for (service, results) in services {
+            free_results(&self.shared, service, results);
+        }
+    }
+
     fn finish(self: &Arc<Self>, service: &Arc<str>, call: CallKey, end: CallEnd) {
         let now = clock::boot();
         let (ended, next) = {
@@ -227,7 +247,7 @@
         Ok(sent) => sent,
         Err(error) => {
             event!(EventCode::CallFailed, server = call.server, reason = error);
-            return CallEnd::Lost;
+            return if error.is_unsent() { CallEnd::Unsent } else { CallEnd::Lost };
         }
     };
     let head = server::head("", &answer);
@@ -242,11 +262,37 @@
     if !head.closes {
         lease.keep(keep);
     }
-    stage::decode(head.status, head.not_run, &body)
+    let end = stage::decode(head.status, head.not_run, &body);
+    note_unmade(call, &end);
+    end
+}
+
+/// Logs how many pieces of a call were not made, and why.
+fn note_unmade(call: &Call, end: &CallEnd) {
+    let CallEnd::Answered(made) = end else {
+        event!(EventCode::CallRefused, server = call.server, pieces = call.items.len());
+        return;
+    };
+    let count = |why| made.iter().filter(|m| **m == Made::Not(why)).count();
+    let (room, late, gone) = (count(Unmade::Room), count(Unmade::Late), count(Unmade::Gone));
+    let failed = count(Unmade::Failed);
+    if room + late + gone + failed > 0 {
+        event!(
+            EventCode::PiecesUnmade,
+            server = call.server,
+            pieces = made.len(),
+            room = room,
+            late = late,
+            gone = gone,
+            failed = failed
+        );
+    }
 }
 
 /// Tells a backend server which of its results nothing needs any more.
-async fn free(gates: Arc<Gates>, addr: SocketAddr, results: Vec<Arc<str>>) {
+///
+/// Their room counts as taken until the backend server has answered.
+async fn free(gates: Arc<Gates>, service: Arc<str>, addr: SocketAddr, results: Vec<Arc<str>>) {
     let call = async {
         let request = stage::free(addr, &results)?;
         let (answer, lease) = gates.shared.links.send(addr, request).await?;
@@ -256,7 +302,12 @@
         Ok::<(), FreeError>(())
     };
     match timeout(FREE_TIMEOUT, call).await {
-        Ok(Ok(())) => {}
+        Ok(Ok(())) => {
+            if let Some(queue) = gates.lock().get_mut(&service) {
+                queue.pieces.freed(&results);
+            }
+            gates.step(&service);
+        }
         // The backend server drops the results by itself once their time is over.
         Ok(Err(error)) => event!(EventCode::FreeFailed, addr = addr, reason = error),
         Err(_) => event!(EventCode::FreeFailed, addr = addr, reason = "no answer in time"),
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -34,6 +34,8 @@
 const WAY: Duration = Duration::from_millis(10);
 /// When a caller should come back that no backend server took.
 const FULL_RETRY: Duration = Duration::from_millis(250);
+/// The time after which a model engine has fetched the inputs of a request.
+const FETCH_TIME: Duration = Duration::from_millis(150);
 /// The sends that did not run, after which a request is refused.
 const REFUSALS: usize = 4;
 
@@ -185,11 +187,13 @@
         let request = server::request(&plan.ask, &order, plan.body.clone())
             .map_err(|_| Failure::new(Reason::BadRequest))?;
         plan.sent.store(true, Ordering::Relaxed);
-        let (answer, lease) = match shared.links.send(server.addr, request).await {
+        let sending = shared.links.send(server.addr, request);
+        let (answer, lease) = match free_when_fetched(sending, inputs).await {
             Ok(sent) => sent,
             Err(error) => return Ok(self.unanswered(visit, &error)),
         };
         let head = server::head(&plan.ask.id, &answer);
+        visit.head = clock::boot();
         if head.not_run {
             visit.end(if head.elsewhere { PlaceEnd::Failed } else { PlaceEnd::Full });
             plan.sent.store(self.runs > 0, Ordering::Relaxed);
@@ -216,6 +220,19 @@
     }
 }
 
+/// Waits for an answer and gives the inputs up once the model engine must have fetched them.
+async fn free_when_fetched<T>(sending: impl Future<Output = T>, inputs: &mut Option<Inputs>) -> T {
+    let mut sending = std::pin::pin!(sending);
+    tokio::select! {
+        sent = sending.as_mut() => return sent,
+        () = sleep(FETCH_TIME) => {}
+    }
+    if let Some(inputs) = inputs {
+        inputs.free();
+    }
+    sending.await
+}
+
 /// How many entries there may be for each one that is known, with the spare ones.
 const SPARES: usize = 2;
 
@@ -225,13 +242,22 @@
     plan: Arc<Plan>,
     server: Arc<str>,
     began: Moment,
+    /// When the head of the answer came.
+    head: Moment,
     ended: bool,
 }
 
 impl Visit {
     fn new(shared: &Arc<Shared>, plan: &Arc<Plan>, server: &Server, began: Moment) -> Self {
         let server = Arc::clone(&server.id);
-        Self { shared: Arc::clone(shared), plan: Arc::clone(plan), server, began, ended: false }
+        Self {
+            shared: Arc::clone(shared),
+            plan: Arc::clone(plan),
+            server,
+            began,
+            head: began,
+            ended: false,
+        }
     }
 
     fn end(&mut self, end: PlaceEnd) {
@@ -262,7 +288,7 @@
         self.end(PlaceEnd::Broken);
     }
 
-    fn served(&self, status: StatusCode) {
+    fn served(&self, status: StatusCode, first: Duration) {
         let now = clock::boot();
         let view = self.shared.view.load();
         event!(
@@ -272,6 +298,8 @@
             status = status.as_u16(),
             took_ms = now.since(self.plan.arrived).as_millis(),
             server_ms = now.since(self.began).as_millis(),
+            head_ms = self.head.since(self.began).as_millis(),
+            first_ms = first.as_millis(),
             version = view.orders.version(),
             orders_age_ms = view.orders.age(now).as_millis()
         );
@@ -303,7 +331,7 @@
             return Ok(Sent::Failed(answer));
         }
         self.end(PlaceEnd::Answered(clock::boot().since(self.began)));
-        self.served(head.status);
+        self.served(head.status, clock::boot().since(self.began));
         Ok(Sent::Answer(answer))
     }
 }
@@ -361,7 +389,7 @@
     match end {
         StreamEnd::Whole => {
             visit.end(PlaceEnd::Answered(first));
-            visit.served(status);
+            visit.served(status, first);
         }
         StreamEnd::Broken => visit.failed("the stream broke off"),
         StreamEnd::Timeout => {
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -7,6 +7,7 @@
 use crate::core::nodes::{Node, Nodes};
 use crate::core::operator::Orders;
 use crate::core::placement::Placement;
+use crate::core::pressure::Pressure;
 use crate::core::share::RepeatShare;
 use crate::fleet::peers::Peers;
 use crate::kernel::{Published, Publisher};
@@ -55,6 +56,7 @@
     nodes: Mutex<Nodes>,
     placement: Mutex<Placement>,
     repeats: Mutex<RepeatShare>,
+    pressure: Mutex<Pressure>,
 }
 
 impl Shared {
@@ -74,6 +76,7 @@
             stopping: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             nodes: Mutex::new(Nodes::new(own.clone())),
+            pressure: Mutex::default(),
             own,
             placement: Mutex::new(Placement::new()),
             repeats: Mutex::new(RepeatShare::new(settings.bounds.repeat)),
@@ -107,6 +110,11 @@
         self.repeats.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what is known of the waits of stages.
+    pub fn pressure(&self) -> MutexGuard<'_, Pressure> {
+        self.pressure.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether the node has been told to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -5,6 +5,7 @@
 use super::request::Plan;
 use crate::core::chain;
 use crate::core::placement::PlaceQuery;
+use crate::core::pressure;
 use crate::event;
 use crate::util::clock;
 use crate::util::event::EventCode;
@@ -28,6 +29,8 @@
 const ENGINE_TOKENS_PER_MS: u32 = 40;
 /// When a caller should come back whose stages failed.
 const FAILED_RETRY: Duration = Duration::from_millis(300);
+/// The part of its time after which a refused caller is asked to come back at the latest.
+const RETRY_PARTS: u32 = 3;
 /// The time allowed for giving results up.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -50,16 +53,23 @@
     /// Gives all results up.
     pub fn free(&mut self) {
         for (service, results) in self.held.drain(..) {
-            free(&self.shared, service, results);
+            free_results(&self.shared, service, results);
         }
     }
 
-    /// Gives up the results of a service.
+    /// Forgets results that the node which queued the next stage has given up.
+    fn forget(&mut self, results: &[Arc<str>]) {
+        for (_, held) in &mut self.held {
+            held.retain(|r| !results.contains(r));
+        }
+    }
+
+    /// Gives up some results.
     fn free_some(&mut self, results: &[Arc<str>]) {
         for (service, held) in &mut self.held {
             let gone: Vec<Arc<str>> = held.extract_if(.., |r| results.contains(r)).collect();
             if !gone.is_empty() {
-                free(&self.shared, Arc::clone(service), gone);
+                free_results(&self.shared, Arc::clone(service), gone);
             }
         }
     }
@@ -91,8 +101,9 @@
     }
     let times = chain::stage_times(&plan.catalog, route, &pieces);
     let behind = chain::times_behind(route, &times);
-    let zone = planned_zone(shared, plan);
     let engine = engine_time(plan);
+    admit(shared, plan, &times, engine)?;
+    let zone = planned_zone(shared, plan);
     let mut results: Vec<Option<Vec<Arc<str>>>> =
         pieces.iter().map(|n| (*n == 0).then(Vec::new)).collect();
     let mut started: Vec<bool> = pieces.iter().map(|n| *n == 0).collect();
@@ -115,6 +126,7 @@
                 priority: u32::from(plan.priority()),
                 zone: if large { zone.clone() } else { String::new() },
                 size: stage.size,
+                frees: stage.after.iter().all(|a| users(route, *a) == 1),
                 ..source(plan, needs)
             };
             running.push(make_stage(shared, plan, index, run));
@@ -129,7 +141,11 @@
         inputs.held.push((Arc::clone(&stage.service), names.clone()));
         results[made.stage] = Some(names);
         for before in spent(route, &results, made.stage) {
-            inputs.free_some(results[before].as_deref().unwrap_or_default());
+            let names = results[before].as_deref().unwrap_or_default();
+            match users(route, before) {
+                1 => inputs.forget(names),
+                _ => inputs.free_some(names),
+            }
         }
     }
     for (index, _) in route.stages.iter().enumerate() {
@@ -141,6 +157,35 @@
     Ok(inputs)
 }
 
+/// Refuses a request that the waits along its chain would make late.
+fn admit(
+    shared: &Shared,
+    plan: &Plan,
+    times: &[Duration],
+    engine: Duration,
+) -> Result<(), Failure> {
+    let now = clock::boot();
+    let route = plan.route();
+    let waits: Vec<Duration> = {
+        let pressure = shared.pressure();
+        route.stages.iter().map(|s| pressure.wait(now, &s.service)).collect()
+    };
+    let needed = chain::chain_time(route, times, &waits) + engine;
+    let none = vec![Duration::ZERO; waits.len()];
+    let waited = needed.saturating_sub(chain::chain_time(route, times, &none) + engine);
+    match pressure::refuse(needed, now.until(plan.aim()), waited) {
+        None => Ok(()),
+        Some(retry) => {
+            Err(Failure::later(Reason::Overloaded, retry.min(plan.left() / RETRY_PARTS)))
+        }
+    }
+}
+
+/// Returns the number of stages that need the results of a stage.
+fn users(route: &crate::core::catalog::Route, stage: usize) -> usize {
+    route.stages.iter().filter(|s| s.after.contains(&stage)).count()
+}
+
 /// Returns the stages before one whose results nothing waits for any more.
 fn spent(
     route: &crate::core::catalog::Route,
@@ -199,7 +244,13 @@
         let left = plan.left();
         let mut run = run.clone();
         run.left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        match ask_gate(shared, addr, run, left).await {
+        let answer = ask_gate(shared, addr, run, left).await;
+        if let Ok(done) = &answer {
+            let wait = Duration::from_millis(done.wait_ms);
+            let service = &plan.route().stages[stage].service;
+            shared.pressure().note(clock::boot(), service, wait);
+        }
+        match answer {
             Ok(done) if done.outcome() == Outcome::Unavailable => {}
             Ok(done) => {
                 let done = judge(shared, plan, stage, done);
@@ -234,7 +285,7 @@
         wait_ms = done.wait_ms,
         version = shared.view.load().orders.version()
     );
-    let retry = Duration::from_millis(done.retry_ms).min(plan.left() / 3);
+    let retry = Duration::from_millis(done.retry_ms).min(plan.left() / RETRY_PARTS);
     match done.outcome() {
         Outcome::Late => Err(Failure::later(Reason::Overloaded, retry)),
         _ => Err(Failure::later(Reason::StagesFailed, FAILED_RETRY)),
@@ -259,7 +310,7 @@
 }
 
 /// Tells the node that queues a service's pieces that results are not needed any more.
-fn free(shared: &Arc<Shared>, service: Arc<str>, results: Vec<Arc<str>>) {
+pub fn free_results(shared: &Arc<Shared>, service: Arc<str>, results: Vec<Arc<str>>) {
     if results.is_empty() {
         return;
     }
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -162,6 +162,10 @@
     CallOverdue = 605,
     /// Results could not be given up; they lapse by themselves.
     FreeFailed = 606,
+    /// A backend server did not take a call for pieces of stages.
+    CallRefused = 607,
+    /// Some pieces of a call were not made.
+    PiecesUnmade = 608,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -108,6 +108,9 @@
     /// The size of one result in bytes.
     #[prost(uint64, tag = "11")]
     pub size: u64,
+    /// Whether nothing else needs the inputs, so that they are freed once they were fetched.
+    #[prost(bool, tag = "12")]
+    pub frees: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StageDone {
