Tell living nodes from former ones, plan engines ahead, make chains anew after a lost input

Pieces that failed after their inputs were freed failed the whole request.

Change: a record of the meeting topic is only a place to ask; a node that did not answer stays out until others have heard of it since; every few turns any known place is asked, so that groups that lost each other merge. The engine is chosen before the stages and large results are made near it while there is slack. A lost input makes the chain once more. A part of the room stays free.

--- a/src/limpetmux/core/nodes.rs
+++ b/src/limpetmux/core/nodes.rs
@@ -6,15 +6,17 @@
 
 use crate::core::time::Moment;
 use crate::util::hash::hash_parts;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// The time after which a node that was not heard of counts as gone.
 pub const SILENT_AFTER: Duration = Duration::from_secs(5);
-/// How long a node that did not answer is passed over.
-const SUSPECT_FOR: Duration = Duration::from_secs(3);
+/// The least time for which a node that did not answer is passed over; it doubles each time.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// The number of doublings of that time.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// A node of the deployment.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,7 +37,19 @@
 struct Known {
     node: Node,
     heard: Moment,
-    suspect: Moment,
+    /// When it last did not answer this node.
+    silent: Moment,
+    /// The calls in a row that it did not answer.
+    failures: u32,
+}
+
+impl Known {
+    /// Returns whether the node is believed to live and worth a call of this node.
+    fn is_live(&self, now: Moment) -> bool {
+        let pause = FIRST_PAUSE * (1 << self.failures.saturating_sub(1).min(MAX_DOUBLINGS));
+        let is_back = self.failures == 0 || (self.heard > self.silent && now > self.silent + pause);
+        is_back && now.since(self.heard) < SILENT_AFTER
+    }
 }
 
 /// The nodes that one node knows, itself included.
@@ -43,12 +57,14 @@
 pub struct Nodes {
     own: Node,
     known: BTreeMap<SocketAddr, Known>,
+    /// Addresses at which nodes once were; nothing says that they live.
+    candidates: BTreeSet<SocketAddr>,
 }
 
 impl Nodes {
     /// Creates the view of a node that knows only itself.
     pub fn new(own: Node) -> Self {
-        Self { own, known: BTreeMap::new() }
+        Self { own, known: BTreeMap::new(), candidates: BTreeSet::new() }
     }
 
     /// Returns the node itself.
@@ -69,31 +85,43 @@
                 known.node = node;
             }
             None => {
-                let known = Known { node, heard: at, suspect: Moment::ZERO };
+                let known = Known { node, heard: at, silent: Moment::ZERO, failures: 0 };
                 self.known.insert(known.node.addr, known);
             }
         }
     }
 
-    /// Passes a node over for a while because it did not answer.
+    /// Passes a node over because it did not answer, until others have heard of it since.
     pub fn suspect(&mut self, addr: SocketAddr, now: Moment) {
         if let Some(known) = self.known.get_mut(&addr) {
-            known.suspect = now + SUSPECT_FOR;
+            known.silent = now;
+            known.failures += 1;
+        }
+    }
+
+    /// Takes in an address at which a node once was.
+    pub fn add_candidate(&mut self, addr: SocketAddr) {
+        if addr != self.own.addr {
+            self.candidates.insert(addr);
         }
     }
 
+    /// Returns the addresses at which nodes once were.
+    pub fn candidates(&self) -> impl Iterator<Item = SocketAddr> {
+        self.candidates.iter().copied()
+    }
+
     /// Takes in that a node has answered.
     pub fn answered(&mut self, addr: SocketAddr, now: Moment) {
         if let Some(known) = self.known.get_mut(&addr) {
-            known.suspect = Moment::ZERO;
+            known.failures = 0;
             known.heard = known.heard.max(now);
         }
     }
 
     /// Returns the other nodes that live, with the moment at which each was last heard of.
     pub fn live(&self, now: Moment) -> impl Iterator<Item = (&Node, Moment)> {
-        let live = move |k: &&Known| now.since(k.heard) < SILENT_AFTER && now >= k.suspect;
-        self.known.values().filter(live).map(|k| (&k.node, k.heard))
+        self.known.values().filter(move |k| k.is_live(now)).map(|k| (&k.node, k.heard))
     }
 
     /// Forgets nodes that have been silent for long.
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -20,8 +20,10 @@
 use std::time::Duration;
 use worker::Worker;
 
-/// How long a piece waits for a backend server in the zone where its result is needed.
-const ZONE_WAIT: Duration = Duration::from_millis(150);
+/// The longest time that a piece waits for a backend server in the zone of its result's user.
+const ZONE_WAIT: Duration = Duration::from_millis(500);
+/// The time that such a piece leaves before the last moment at which it has to start.
+const ZONE_SLACK: Duration = Duration::from_millis(250);
 /// Calls that take this many times longer than expected are asked for elsewhere as well.
 const OVERDUE: u32 = 3;
 /// What is added to the expected time before a call counts as overdue.
@@ -277,8 +279,7 @@
         let mut room = worker.room(now, self.spec.room);
         for (_, key) in order {
             let job = &self.jobs[key];
-            let waits = now.since(job.entered) < ZONE_WAIT && self.has_zone(&job.spec.zone);
-            if job.wants_other(&worker.spec.zone) && waits {
+            if job.wants_other(&worker.spec.zone) && self.can_wait(now, job) {
                 continue;
             }
             for piece in job.open_pieces(&worker.spec.id) {
@@ -308,8 +309,11 @@
         (items.len() as f64 + near.count() as f64) / worker.slowness
     }
 
-    fn has_zone(&self, zone: &str) -> bool {
-        self.workers.values().any(|w| w.usable && *w.spec.zone == *zone)
+    /// Returns whether a stage has the time to wait for a backend server in its zone.
+    fn can_wait(&self, now: Moment, job: &Job) -> bool {
+        let near = |w: &Worker| w.is_good(now) && w.spec.zone == job.spec.zone;
+        let last = job.spec.due - self.call_time(job.pieces()) - ZONE_SLACK;
+        now.since(job.entered) < ZONE_WAIT && now < last && self.workers.values().any(near)
     }
 
     /// Returns how long a stage waits behind what is more urgent.
--- a/src/limpetmux/core/pieces/worker.rs
+++ b/src/limpetmux/core/pieces/worker.rs
@@ -19,6 +19,8 @@
 const MAX_DOUBLINGS: u32 = 4;
 /// The pause after the backend server was full or had no room.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
+/// One part in this many of the room is left free, as sizes of results are approximate.
+const ROOM_PARTS: u64 = 14;
 /// How long a backend server that had no room is believed to have no more than it gave.
 const CEILING_FOR: Duration = Duration::from_millis(1_000);
 
@@ -197,7 +199,8 @@
     /// Returns the bytes of results that it has room for beside those that it holds.
     pub(super) fn room(&self, now: Moment, declared: u64) -> u64 {
         let ceiling = self.ceiling.filter(|(_, until)| now < *until).map(|(bytes, _)| bytes);
-        ceiling.unwrap_or(declared).min(declared).saturating_sub(self.reserved())
+        let usable = declared / ROOM_PARTS * (ROOM_PARTS - 1);
+        ceiling.unwrap_or(usable).min(usable).saturating_sub(self.reserved())
     }
 
     /// Returns the time until the running call should end.
--- a/src/limpetmux/core/placement.rs
+++ b/src/limpetmux/core/placement.rs
@@ -36,6 +36,8 @@
     pub prefix: Option<u64>,
     /// The zone that is preferred.
     pub zone: &'a str,
+    /// The server that the request was planned for, near to which its results were made.
+    pub planned: Option<&'a str>,
     /// Backend servers that have refused or failed the request.
     pub exclude: &'a [Arc<str>],
     /// This entry's name, and how many entries there are.
@@ -117,8 +119,10 @@
             allowed.iter().copied().filter(|s| !self.is_avoided(now, s)).collect();
         let enough = good.len() * EJECTED_PARTS >= servers.len();
         let pool = if enough || (allowed.len() == good.len()) { good } else { allowed };
-        let affine = query.prefix.and_then(|p| self.affine(&pool, p));
-        affine.or_else(|| self.least_loaded(&pool, query))
+        let planned = pool.iter().copied().find(|s| Some(&*s.id) == query.planned);
+        let planned = planned.filter(|s| self.inflight(&s.id) < self.affine_bound(&pool) + 1);
+        let affine = || query.prefix.and_then(|p| self.affine(&pool, p));
+        planned.or_else(affine).or_else(|| self.least_loaded(&pool, query))
     }
 
     /// Records the end of a request that [`pick`](Self::pick) chose the server for.
@@ -180,13 +184,19 @@
 
     /// Returns the first server in the prefix's rendezvous order that is not over its share.
     fn affine<'a>(&self, pool: &[&'a Server], prefix: u64) -> Option<&'a Server> {
-        let own: u32 = pool.iter().map(|s| self.inflight(&s.id)).sum();
-        let share = f64::from(own + 1) / pool.len().max(1) as f64;
-        let bound = AFFINE_FLOOR.max((share * AFFINE_BALANCE).ceil() as u32);
+        let bound = self.affine_bound(pool);
         let fits = pool.iter().copied().filter(|s| self.inflight(&s.id) < bound);
         fits.max_by_key(|s| hash_parts(&[&prefix.to_le_bytes(), s.id.as_bytes()]))
     }
 
+    /// Returns the number of requests of this entry from which on a server gets no more for
+    /// their prefixes.
+    fn affine_bound(&self, pool: &[&Server]) -> u32 {
+        let own: u32 = pool.iter().map(|s| self.inflight(&s.id)).sum();
+        let share = f64::from(own + 1) / pool.len().max(1) as f64;
+        AFFINE_FLOOR.max((share * AFFINE_BALANCE).ceil() as u32)
+    }
+
     fn least_loaded<'a>(&self, pool: &[&'a Server], query: PlaceQuery<'_>) -> Option<&'a Server> {
         let tie = |s: &Server| hash_parts(&[query.entry.as_bytes(), s.id.as_bytes()]);
         let load = |s: &Server| {
--- a/src/limpetmux/fleet/follow.rs
+++ b/src/limpetmux/fleet/follow.rs
@@ -42,6 +42,10 @@
 const MAX_DOUBLINGS: u32 = 4;
 /// The least time between two pulls.
 const PULL_PACE: Duration = Duration::from_millis(50);
+/// The turns after which any address is asked at which a node is or was.
+const MERGE_TURNS: usize = 8;
+/// The turns after which a node that knows no other one looks for them in the store again.
+const MEET_TURNS: usize = 16;
 /// The order in which nodes read the store.
 const READERS: &str = "store readers";
 /// The topic in which nodes that know no other one find each other.
@@ -82,7 +86,7 @@
             self.note(&result);
             failures = if result.is_ok() { 0 } else { failures + 1 };
             if result.is_err() {
-                sleep(pause(failures)).await;
+                sleep(self.pause(failures)).await;
             }
         }
     }
@@ -99,7 +103,7 @@
             let result = self.read_listing(asked).await;
             self.note(&result);
             failures = if result.is_ok() { 0 } else { failures + 1 };
-            sleep(if result.is_ok() { LISTING_PACE } else { pause(failures) }).await;
+            sleep(if result.is_ok() { LISTING_PACE } else { self.pause(failures) }).await;
         }
     }
 
@@ -108,6 +112,10 @@
         age > STALE || self.is_reader()
     }
 
+    fn is_alone(&self) -> bool {
+        self.shared.nodes().live(clock::boot()).next().is_none()
+    }
+
     fn is_reader(&self) -> bool {
         let nodes = self.shared.nodes();
         let order = nodes.order(clock::boot(), READERS);
@@ -176,6 +184,7 @@
     /// Pulls from the node that reads the store, or from one with a fresh view.
     async fn follow_nodes(&self) {
         self.announce().await;
+        self.meet().await;
         let mut turn = 0;
         loop {
             let began = clock::boot();
@@ -184,22 +193,25 @@
                 sleep(IDLE_TICK).await;
             }
             for (addr, known) in sources {
-                let fresh = self.pull(addr).await;
-                if !known && !fresh {
-                    self.meet().await;
-                }
-                if fresh {
+                if self.pull(addr).await && known {
                     break;
                 }
             }
             turn += 1;
+            if turn.is_multiple_of(MEET_TURNS) && self.is_alone() {
+                self.meet().await;
+            }
             let took = clock::boot().since(began);
             sleep(PULL_PACE.saturating_sub(took).max(Duration::from_millis(1))).await;
             self.shared.nodes().forget(clock::boot());
         }
     }
 
-    /// Returns the nodes to pull from, best first; the flag tells whether they are known to live.
+    /// Returns the nodes to pull from in this turn, best first; the flag tells whether they are
+    /// known to live.
+    ///
+    /// Now and then any address is asked at which a node is or was, so that groups of nodes that
+    /// have lost each other become one again.
     fn sources(&self, turn: usize) -> Vec<(SocketAddr, bool)> {
         let now = clock::boot();
         let stale = self.look(|v| v.orders.age(now) > STALE);
@@ -207,16 +219,21 @@
         let own = nodes.own().addr;
         let order: Vec<SocketAddr> = nodes.order(now, READERS).iter().map(|n| n.addr).collect();
         let others: Vec<SocketAddr> = order.iter().copied().filter(|a| *a != own).collect();
-        if others.is_empty() {
-            let settings = self.shared.settings();
-            let seeds = settings.seeds.iter().copied().filter(|s| *s != own);
-            return seeds.map(|s| (s, false)).collect();
-        }
-        match (order.first() == Some(&own), stale) {
-            (true, false) => Vec::new(),
-            (_, true) => vec![(others[0], true), (others[turn % others.len()], true)],
-            (false, false) => vec![(others[0], true)],
+        let settings = self.shared.settings();
+        let places = settings.seeds.iter().copied().chain(nodes.candidates());
+        let places: Vec<SocketAddr> = places.filter(|s| *s != own).collect();
+        let any = places.get(turn / MERGE_TURNS % places.len().max(1)).copied();
+        let is_reader = order.first() == Some(&own);
+        let mut sources = match (is_reader, stale, others.len()) {
+            (_, _, 0) => settings.seeds.iter().copied().filter(|s| *s != own).collect(),
+            (true, false, _) => Vec::new(),
+            (_, true, n) => vec![others[0], others[turn % n]],
+            (false, false, _) => vec![others[0]],
+        };
+        if others.is_empty() || turn.is_multiple_of(MERGE_TURNS) {
+            sources.splice(0..0, any);
         }
+        sources.into_iter().map(|addr| (addr, others.contains(&addr))).collect()
     }
 
     /// Pulls from one node; returns whether its view was as fresh as this node needs.
@@ -288,13 +305,11 @@
             Ok(page) => {
                 let found: Vec<Node> =
                     page.records.iter().filter_map(|r| convert::met(&r.value)).collect();
-                let now = clock::boot();
                 let mut nodes = self.shared.nodes();
-                found.into_iter().for_each(|node| nodes.heard(node, now));
+                found.into_iter().for_each(|node| nodes.add_candidate(node.addr));
             }
             Err(error) => event!(EventCode::StoreLost, call = "meet", reason = error),
         }
-        sleep(IDLE_TICK * 5).await;
     }
 
     /// Logs when the store stops or starts to answer.
@@ -309,6 +324,13 @@
         }
     }
 
+    /// Returns the pause after some failed calls; a node that knows nothing yet asks more often.
+    fn pause(&self, failures: u32) -> Duration {
+        let is_new = self.look(|v| v.orders.declared.is_none());
+        let doublings = if is_new { 1 } else { MAX_DOUBLINGS };
+        FIRST_PAUSE * (1 << failures.min(doublings))
+    }
+
     fn look<T>(&self, look: impl FnOnce(&StoreView) -> T) -> T {
         look(&self.view.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -361,7 +383,3 @@
         event!(EventCode::StaleAnswer, end = page.end);
     }
 }
-
-fn pause(failures: u32) -> Duration {
-    FIRST_PAUSE * (1 << failures.min(MAX_DOUBLINGS))
-}
--- a/src/limpetmux/fleet/peers.rs
+++ b/src/limpetmux/fleet/peers.rs
@@ -10,8 +10,10 @@
 
 /// The time allowed for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-/// The time between two checks that an idle connection still works, and for the answer.
-const KEEP_ALIVE: Duration = Duration::from_secs(2);
+/// The time between two checks that a connection with calls still works.
+const KEEP_ALIVE: Duration = Duration::from_millis(400);
+/// The time allowed for the answer to such a check.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(700);
 /// The most connections that are kept.
 const KEPT: usize = 1_024;
 /// The largest message that is accepted.
@@ -48,7 +50,7 @@
         let endpoint = endpoint.map_err(|e| tonic::Status::unavailable(e.to_string()))?;
         let channel = endpoint
             .http2_keep_alive_interval(KEEP_ALIVE)
-            .keep_alive_timeout(KEEP_ALIVE)
+            .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
             .connect_lazy();
         if open.len() >= KEPT {
             open.clear();
--- a/src/limpetmux/serve/failure.rs
+++ b/src/limpetmux/serve/failure.rs
@@ -35,6 +35,8 @@
     Overloaded,
     /// The stages cannot be made.
     StagesFailed,
+    /// A result that a later stage needs does not exist any more.
+    InputsGone,
     /// No backend server can be sent to.
     Unavailable,
     /// All backend servers that were asked refused.
@@ -81,6 +83,7 @@
             | Reason::Stopping
             | Reason::Overloaded
             | Reason::StagesFailed
+            | Reason::InputsGone
             | Reason::Unavailable
             | Reason::AllFull
             | Reason::TooLate => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -8,7 +8,7 @@
 use super::links::{Lease, LinkError};
 use super::node::Shared;
 use super::request::{Plan, Running, authorize};
-use super::stages::Inputs;
+use super::stages::{Inputs, engine_time};
 use super::stream::{Body, Passing, PassingHooks, StreamEnd};
 use crate::core::listing::Server;
 use crate::core::placement::{PlaceEnd, PlaceQuery};
@@ -54,6 +54,8 @@
 struct Attempts<'a> {
     shared: &'a Arc<Shared>,
     plan: &'a Arc<Plan>,
+    /// The server that the results were made for.
+    planned: Option<Arc<str>>,
     excluded: Vec<Arc<str>>,
     /// Sends after which the request may have run.
     runs: u32,
@@ -69,8 +71,10 @@
     plan: &Arc<Plan>,
     inputs: Inputs,
 ) -> Result<Response<Body>, Failure> {
+    let planned = inputs.planned.clone();
     let mut inputs = Some(inputs);
-    let mut attempts = Attempts { shared, plan, excluded: Vec::new(), runs: 0, refusals: 0 };
+    let mut attempts =
+        Attempts { shared, plan, planned, excluded: Vec::new(), runs: 0, refusals: 0 };
     let mut fallback = None;
     loop {
         let server = match attempts.find().await {
@@ -137,6 +141,7 @@
         let query = PlaceQuery {
             prefix: plan.ask.prefix.filter(|_| pool.is_some_and(|p| p.engine.is_some())),
             zone: &self.shared.own.zone,
+            planned: self.planned.as_deref(),
             exclude: &self.excluded,
             entry: &self.shared.own.name,
             entries: &entries,
@@ -367,10 +372,14 @@
     let mut inputs = inputs;
     let first_at = Arc::new(std::sync::Mutex::new(None));
     let seen = Arc::clone(&first_at);
+    let (shared, plan) = (Arc::clone(&visit.shared), Arc::clone(&visit.plan));
     let first = Box::new(move || {
         if let Some(inputs) = &mut inputs {
             inputs.free();
         }
+        let now = clock::boot();
+        let wait = now.since(began).saturating_sub(engine_time(&plan));
+        shared.pressure().note(now, &plan.service, wait);
         if let Ok(mut at) = seen.lock() {
             *at = Some(clock::boot().since(began));
         }
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -4,6 +4,7 @@
 use super::node::Shared;
 use super::request::Plan;
 use crate::core::chain;
+use crate::core::listing::Server;
 use crate::core::placement::PlaceQuery;
 use crate::core::pressure;
 use crate::event;
@@ -37,8 +38,8 @@
 /// The results that a request needs, freed once they are not needed any more.
 pub struct Inputs {
     shared: Arc<Shared>,
-    /// The zone where most of the large results lie; empty without any.
-    pub zone: String,
+    /// The model engine near to which large results were made.
+    pub planned: Option<Arc<str>>,
     /// The results of the stages that no other stage follows.
     pub results: Vec<Arc<str>>,
     held: Vec<(Arc<str>, Vec<Arc<str>>)>,
@@ -47,7 +48,7 @@
 impl Inputs {
     fn new(shared: &Arc<Shared>) -> Self {
         let shared = Arc::clone(shared);
-        Self { shared, zone: String::new(), results: Vec::new(), held: Vec::new() }
+        Self { shared, planned: None, results: Vec::new(), held: Vec::new() }
     }
 
     /// Gives all results up.
@@ -91,6 +92,20 @@
 /// # Errors
 /// Returns a refusal if they cannot be made in time; nothing has run then.
 pub async fn make(shared: &Arc<Shared>, plan: &Arc<Plan>) -> Result<Inputs, Failure> {
+    let began = clock::boot();
+    match make_once(shared, plan).await {
+        Err(failure) if failure.reason == Reason::InputsGone => {
+            // What took this long once will take about as long again.
+            if clock::boot().since(began) > plan.left() {
+                return Err(failure);
+            }
+            make_once(shared, plan).await
+        }
+        result => result,
+    }
+}
+
+async fn make_once(shared: &Arc<Shared>, plan: &Arc<Plan>) -> Result<Inputs, Failure> {
     let mut inputs = Inputs::new(shared);
     let route = plan.route();
     let pieces: Vec<u32> = (0..route.stages.len())
@@ -103,7 +118,9 @@
     let behind = chain::times_behind(route, &times);
     let engine = engine_time(plan);
     admit(shared, plan, &times, engine)?;
-    let zone = planned_zone(shared, plan);
+    let planned = planned_server(shared, plan);
+    let zone = planned.as_ref().map(|s| s.zone.to_string()).unwrap_or_default();
+    inputs.planned = planned.map(|s| s.id);
     let mut results: Vec<Option<Vec<Arc<str>>>> =
         pieces.iter().map(|n| (*n == 0).then(Vec::new)).collect();
     let mut started: Vec<bool> = pieces.iter().map(|n| *n == 0).collect();
@@ -134,9 +151,6 @@
         let Some(made) = running.next().await else { break };
         let done = made.done?;
         let stage = &route.stages[made.stage];
-        if stage.size >= LARGE_RESULT {
-            inputs.zone = done.zone;
-        }
         let names: Vec<Arc<str>> = done.results.iter().map(|r| Arc::from(r.as_str())).collect();
         inputs.held.push((Arc::clone(&stage.service), names.clone()));
         results[made.stage] = Some(names);
@@ -170,7 +184,8 @@
         let pressure = shared.pressure();
         route.stages.iter().map(|s| pressure.wait(now, &s.service)).collect()
     };
-    let needed = chain::chain_time(route, times, &waits) + engine;
+    let engine_wait = shared.pressure().wait(now, &plan.service);
+    let needed = chain::chain_time(route, times, &waits) + engine + engine_wait;
     let none = vec![Duration::ZERO; waits.len()];
     let waited = needed.saturating_sub(chain::chain_time(route, times, &none) + engine);
     match pressure::refuse(needed, now.until(plan.aim()), waited) {
@@ -214,26 +229,26 @@
     if over > 0 { -over } else { ahead }
 }
 
-/// Returns the zone of the model engine that the request will probably go to.
-fn planned_zone(shared: &Shared, plan: &Plan) -> String {
+/// Returns the model engine that the request will probably go to.
+fn planned_server(shared: &Shared, plan: &Plan) -> Option<Server> {
     let view = shared.view.load();
     let servers = view.usable(&plan.service);
     let entries = shared.nodes().entries(clock::boot());
     let query = PlaceQuery {
         prefix: plan.ask.prefix,
         zone: &shared.own.zone,
+        planned: None,
         exclude: &[],
         entry: &shared.own.name,
         entries: &entries,
         cold_rate: 0.0,
         cold_for: Duration::ZERO,
     };
-    let server = shared.placement().choose(clock::boot(), &servers, query);
-    server.map(|s| s.zone.to_string()).unwrap_or_default()
+    shared.placement().choose(clock::boot(), &servers, query).cloned()
 }
 
 /// Returns the time that a model engine takes until its first event.
-fn engine_time(plan: &Plan) -> Duration {
+pub fn engine_time(plan: &Plan) -> Duration {
     ENGINE_START + Duration::from_millis(u64::from(plan.ask.tokens / ENGINE_TOKENS_PER_MS / 2))
 }
 
@@ -288,6 +303,7 @@
     let retry = Duration::from_millis(done.retry_ms).min(plan.left() / RETRY_PARTS);
     match done.outcome() {
         Outcome::Late => Err(Failure::later(Reason::Overloaded, retry)),
+        Outcome::Gone => Err(Failure::later(Reason::InputsGone, FAILED_RETRY)),
         _ => Err(Failure::later(Reason::StagesFailed, FAILED_RETRY)),
     }
 }
