Test the node on the users' platform: decisions, adapter and whole path over TCP

Cause: the path had no tests of its own.

Change: stand-ins of the store and of backend servers, tests of listing, orders, nodes, placement, queue of pieces, pressure and repeats without network, of the adapter, of the whole path over TCP, and a search of the tree for spellings of the platform outside its folder. A node starts on ports of the system's choice.

Ruled out: a fixed port for the meeting of nodes in tests.

--- a/crates/limpetmux-standins/src/lib.rs
+++ b/crates/limpetmux-standins/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod pool;
 pub mod power;
 pub mod server;
+pub mod users;
 pub mod weights;
 
 mod connection;
--- /dev/null
+++ b/crates/limpetmux-standins/src/users.rs
@@ -0,0 +1,341 @@
+//! Small stand-ins of the users' platform: its store with keyed topics, and a backend server.
+//!
+//! They speak as much of the published protocol as the adapter uses, and count what they were
+//! asked, so that tests over TCP need no other program.
+
+use poem::http::{HeaderMap, StatusCode};
+use poem::listener::{Acceptor, Listener, TcpListener};
+use poem::web::{Data, Query};
+use poem::{EndpointExt, IntoResponse, Response, Route, Server, get, handler, post};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use serde_with::{base64::Base64, serde_as};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// The time between two looks for a record that a call waits for.
+const TICK: Duration = Duration::from_millis(5);
+
+#[derive(Default)]
+struct Topic {
+    records: Vec<(String, Vec<u8>)>,
+}
+
+#[derive(Default)]
+struct Topics {
+    topics: BTreeMap<String, Topic>,
+    calls: u64,
+    down: bool,
+}
+
+/// The platform's store.
+#[derive(Clone)]
+pub struct UsersStore {
+    /// Where it answers.
+    pub addr: SocketAddr,
+    topics: Arc<Mutex<Topics>>,
+}
+
+#[derive(Deserialize)]
+struct Place {
+    topic: String,
+    #[serde(default)]
+    from: usize,
+    #[serde(default, rename = "wait-ms")]
+    wait_ms: u64,
+}
+
+#[serde_as]
+#[derive(Serialize)]
+struct Item<'a> {
+    key: &'a str,
+    #[serde_as(as = "Base64")]
+    value: &'a [u8],
+    offset: usize,
+}
+
+impl UsersStore {
+    /// Starts a store on a port of the system's choice.
+    ///
+    /// # Errors
+    /// Returns an error if no port can be bound.
+    pub async fn start() -> std::io::Result<Self> {
+        let topics: Arc<Mutex<Topics>> = Arc::default();
+        let routes = Route::new()
+            .at("/log-newest", get(newest))
+            .at("/log-read", get(read))
+            .at("/log-append", post(append))
+            .data(Arc::clone(&topics));
+        Ok(Self { addr: serve(routes).await?, topics })
+    }
+
+    /// Writes the newest record of a key, as the operator or a backend server does.
+    pub fn put(&self, topic: &str, key: &str, value: &str) {
+        let mut topics = lock(&self.topics);
+        let topic = topics.topics.entry(topic.to_owned()).or_default();
+        topic.records.push((key.to_owned(), value.as_bytes().to_vec()));
+    }
+
+    /// Makes the store refuse all calls, or serve them again.
+    pub fn set_down(&self, down: bool) {
+        lock(&self.topics).down = down;
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        lock(&self.topics).calls
+    }
+}
+
+fn lock(topics: &Mutex<Topics>) -> MutexGuard<'_, Topics> {
+    topics.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts a call; a store that is down answers 503.
+fn admit(topics: &Mutex<Topics>) -> Result<(), StatusCode> {
+    let mut topics = lock(topics);
+    topics.calls += 1;
+    if topics.down { Err(StatusCode::SERVICE_UNAVAILABLE) } else { Ok(()) }
+}
+
+#[handler]
+fn newest(Query(place): Query<Place>, topics: Data<&Arc<Mutex<Topics>>>) -> Response {
+    if let Err(status) = admit(&topics) {
+        return status.into_response();
+    }
+    let topics = lock(&topics);
+    let records = topics.topics.get(&place.topic).map_or(&[][..], |t| &t.records);
+    let mut items: BTreeMap<&str, Item<'_>> = BTreeMap::new();
+    for (offset, (key, value)) in records.iter().enumerate() {
+        items.insert(key, Item { key, value, offset });
+        if value.is_empty() {
+            items.remove(key.as_str());
+        }
+    }
+    let items: Vec<Item<'_>> = items.into_values().collect();
+    let body = json!({"items": items, "has-more": false, "end": records.len()});
+    body.to_string().into_response()
+}
+
+#[handler]
+async fn read(Query(place): Query<Place>, topics: Data<&Arc<Mutex<Topics>>>) -> Response {
+    if let Err(status) = admit(&topics) {
+        return status.into_response();
+    }
+    let until = Instant::now() + Duration::from_millis(place.wait_ms);
+    loop {
+        if let Some(body) = page(&lock(&topics), &place, Instant::now() >= until) {
+            return body.into_response();
+        }
+        sleep(TICK).await;
+    }
+}
+
+fn page(topics: &Topics, place: &Place, last: bool) -> Option<Vec<u8>> {
+    let records = topics.topics.get(&place.topic).map_or(&[][..], |t| &t.records);
+    if records.len() <= place.from && !last {
+        return None;
+    }
+    let mut body = (records.len() as u64).to_be_bytes().to_vec();
+    body.extend(0_u64.to_be_bytes());
+    for (key, value) in records.iter().skip(place.from) {
+        let mut record = vec![u8::try_from(key.len()).unwrap_or(u8::MAX)];
+        record.extend(key.as_bytes());
+        record.extend(value);
+        body.extend(u32::try_from(record.len()).unwrap_or(u32::MAX).to_be_bytes());
+        body.extend(record);
+    }
+    Some(body)
+}
+
+#[handler]
+fn append(
+    Query(place): Query<Place>,
+    body: Vec<u8>,
+    topics: Data<&Arc<Mutex<Topics>>>,
+) -> Response {
+    if let Err(status) = admit(&topics) {
+        return status.into_response();
+    }
+    let mut topics = lock(&topics);
+    let topic = topics.topics.entry(place.topic).or_default();
+    let offset = topic.records.len();
+    let mut rest = &body[..];
+    while let Some((len, data)) = rest.split_first_chunk::<4>() {
+        let (record, next) = data.split_at(u32::from_be_bytes(*len) as usize);
+        let (key, value) = record[1..].split_at(usize::from(record[0]));
+        topic.records.push((String::from_utf8_lossy(key).into_owned(), value.to_vec()));
+        rest = next;
+    }
+    json!({"offset": offset, "end": topic.records.len()}).to_string().into_response()
+}
+
+/// A request that a backend server got.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// The path.
+    pub path: String,
+    /// The headers.
+    pub headers: BTreeMap<String, String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// What a backend server does with the next requests that are not for stages.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum UsersFault {
+    /// It answers.
+    #[default]
+    None,
+    /// It refuses and states that it did not run the request.
+    Full,
+    /// It runs the request and fails.
+    Error,
+    /// It answers another request.
+    Crossed,
+    /// It answers without its signature.
+    Unsigned,
+}
+
+#[derive(Default)]
+struct ServerState {
+    id: String,
+    seen: Vec<Seen>,
+    fault: UsersFault,
+    freed: Vec<String>,
+    made: u64,
+}
+
+/// A backend server of the users: plain, streaming, or of stages.
+#[derive(Clone)]
+pub struct UsersServer {
+    /// Where it answers.
+    pub addr: SocketAddr,
+    state: Arc<Mutex<ServerState>>,
+}
+
+impl UsersServer {
+    /// Starts a backend server with an id on a port of the system's choice.
+    ///
+    /// # Errors
+    /// Returns an error if no port can be bound.
+    pub async fn start(id: &str) -> std::io::Result<Self> {
+        let state = ServerState { id: id.to_owned(), ..ServerState::default() };
+        let state = Arc::new(Mutex::new(state));
+        let routes = Route::new()
+            .at("/stage-run", post(stage_run))
+            .at("/stage-free", post(stage_free))
+            .at("/*path", get(answer).post(answer))
+            .data(Arc::clone(&state));
+        Ok(Self { addr: serve(routes).await?, state })
+    }
+
+    /// Returns the entry that it writes into the store.
+    pub fn entry(&self, service: &str, zone: &str, state: &str) -> String {
+        json!({"service": service, "address": self.addr.to_string(), "zone": zone, "version": "v1",
+            "slots": 4, "state": state, "cold-remaining-ms": 0, "sequence": 1, "born": 1})
+        .to_string()
+    }
+
+    /// Sets what it does with the next requests.
+    pub fn set_fault(&self, fault: UsersFault) {
+        self.lock().fault = fault;
+    }
+
+    /// Returns the requests that it got, calls for stages left out.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.lock().seen.clone()
+    }
+
+    /// Returns the results that it made and those that were given up.
+    pub fn results(&self) -> (u64, Vec<String>) {
+        let state = self.lock();
+        (state.made, state.freed.clone())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ServerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[handler]
+fn answer(
+    request: &poem::Request,
+    body: Vec<u8>,
+    state: Data<&Arc<Mutex<ServerState>>>,
+) -> Response {
+    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+    let seen =
+        Seen { path: request.uri().path().to_owned(), headers: texts(request.headers()), body };
+    let id = seen.headers.get("x-limpetmux-request-id").cloned().unwrap_or_default();
+    let expected = seen.headers.get("x-limpetmux-expected-instance").cloned();
+    if expected.is_some_and(|e| e != state.id) {
+        return StatusCode::MISDIRECTED_REQUEST.into_response();
+    }
+    let fault = state.fault;
+    if fault == UsersFault::Full {
+        let answer = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
+        return answer.header("x-limpetmux-not-executed", "1").finish();
+    }
+    state.seen.push(seen);
+    let status = if fault == UsersFault::Error { 500 } else { 200 };
+    let echo = if fault == UsersFault::Crossed { "another".to_owned() } else { id };
+    let answer = Response::builder()
+        .status(StatusCode::from_u16(status).unwrap_or_default())
+        .header("x-limpetmux-request-id", echo);
+    let signature = (fault != UsersFault::Unsigned).then_some("signed");
+    let answer = match signature {
+        Some(text) => answer.header("x-limpetmux-response-signature", text),
+        None => answer,
+    };
+    answer.body(format!("id: 1\ndata: from {}\n\n", state.id))
+}
+
+fn texts(headers: &HeaderMap) -> BTreeMap<String, String> {
+    let text = |v: &poem::http::HeaderValue| v.to_str().unwrap_or_default().to_owned();
+    headers.iter().map(|(n, v)| (n.as_str().to_owned(), text(v))).collect()
+}
+
+#[handler]
+fn stage_run(
+    request: &poem::Request,
+    body: Vec<u8>,
+    state: Data<&Arc<Mutex<ServerState>>>,
+) -> Response {
+    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+    let call: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let items = call["items"].as_array().cloned().unwrap_or_default();
+    let host = request.header("host").unwrap_or_default().to_owned();
+    let made: Vec<Value> = items
+        .iter()
+        .map(|_| {
+            state.made += 1;
+            json!({"handle": format!("{host}/{}-{}", state.id, state.made)})
+        })
+        .collect();
+    json!({"items": made}).to_string().into_response()
+}
+
+#[handler]
+fn stage_free(body: Vec<u8>, state: Data<&Arc<Mutex<ServerState>>>) -> Response {
+    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+    let call: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let freed = call["handles"].as_array().cloned().unwrap_or_default();
+    state.freed.extend(freed.iter().filter_map(|h| h.as_str().map(str::to_owned)));
+    StatusCode::OK.into_response()
+}
+
+async fn serve(routes: impl poem::Endpoint + 'static) -> std::io::Result<SocketAddr> {
+    let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await?;
+    let addr = acceptor.local_addr()[0].as_socket_addr().copied();
+    let addr = addr.ok_or(std::io::ErrorKind::AddrNotAvailable)?;
+    tokio::spawn(async move {
+        if let Err(error) = Server::new_with_acceptor(acceptor).run(routes).await {
+            eprintln!("a stand-in ended: {error}");
+        }
+    });
+    Ok(addr)
+}
--- a/src/limpetmux/fleet/follow.rs
+++ b/src/limpetmux/fleet/follow.rs
@@ -11,7 +11,7 @@
 use crate::core::time::Moment;
 use crate::event;
 use crate::kernel::Publisher;
-use crate::platform::store::{Page, Record, Store, StoreError};
+use crate::platform::store::{MEETING_TOPIC, Page, Record, Store, StoreError};
 use crate::platform::{orders, servers};
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
@@ -48,8 +48,6 @@
 const MEET_TURNS: usize = 16;
 /// The order in which nodes read the store.
 const READERS: &str = "store readers";
-/// The topic in which nodes that know no other one find each other.
-const MEETING_TOPIC: &str = "keyed.nodes";
 
 /// Owns the view of the process and keeps it up to date.
 pub struct Follower {
--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -18,6 +18,9 @@
 /// The most pages of one list of newest records.
 const PAGES: usize = 200;
 
+/// The system's own topic in which nodes that know no other one find each other.
+pub const MEETING_TOPIC: &str = "keyed.nodes";
+
 /// A record of a keyed topic.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Record {
--- a/src/limpetmux/serve/run.rs
+++ b/src/limpetmux/serve/run.rs
@@ -16,9 +16,11 @@
 use crate::platform::store::Store;
 use crate::util::event::EventCode;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
 use tonic::service::Routes;
@@ -53,6 +55,19 @@
     pub reloads: mpsc::Receiver<NodeSettings>,
 }
 
+/// A node that runs; dropping it ends its control thread.
+pub struct RunningNode {
+    /// Where it accepts callers, if it is an entry.
+    pub callers: Option<SocketAddr>,
+    /// Where it answers the balancer, if it is an entry.
+    pub readiness: Option<SocketAddr>,
+    /// Where it accepts calls of other nodes.
+    pub nodes: SocketAddr,
+    shared: Arc<Shared>,
+    stop: watch::Sender<bool>,
+    _control: ControlThread,
+}
+
 /// Runs a node until it has to stop and its requests have ended; returns how many were cut.
 ///
 /// # Errors
@@ -61,6 +76,19 @@
     settings: NodeSettings,
     outside: Outside<impl Future<Output = ()>>,
 ) -> Result<usize, NodeError> {
+    let node = start(settings).await?;
+    tokio::spawn(reload(Arc::clone(&node.shared), outside.reloads));
+    outside.stop.await;
+    Ok(node.drain().await)
+}
+
+/// Starts a node; ports of zero are chosen by the system.
+///
+/// # Errors
+/// Returns [`NodeError`] if a listener or the client of the store cannot be set up.
+pub async fn start(mut settings: NodeSettings) -> Result<RunningNode, NodeError> {
+    let (listener, nodes) = bind(settings.nodes).await?;
+    settings.nodes = nodes;
     let publisher = Publisher::new(StoreView::default());
     let shared = Shared::new(settings, &publisher);
     let control = ControlThread::start()?;
@@ -68,15 +96,15 @@
     let follower = Follower::new(Arc::clone(&shared), store, publisher);
     let gates = Gates::new(Arc::clone(&shared));
     let (stop, stopped) = watch::channel(false);
-    listen(&shared, &gates, &stopped).await?;
+    serve_nodes(&shared, &gates, listener);
+    let readiness = serve_readiness(&shared).await?;
+    let callers = serve_callers(&shared, &stopped).await?;
     {
         let _guard = control.enter();
         tokio::spawn(follower.run());
     }
-    tokio::spawn(Arc::clone(&gates).run_queues());
-    tokio::spawn(reload(Arc::clone(&shared), outside.reloads));
-    outside.stop.await;
-    Ok(drain(&shared, &stop).await)
+    tokio::spawn(gates.run_queues());
+    Ok(RunningNode { callers, readiness, nodes, shared, stop, _control: control })
 }
 
 async fn reload(shared: Arc<Shared>, mut reloads: mpsc::Receiver<NodeSettings>) {
@@ -86,30 +114,45 @@
     }
 }
 
-async fn listen(
-    shared: &Arc<Shared>,
-    gates: &Arc<Gates>,
-    stopped: &watch::Receiver<bool>,
-) -> Result<(), NodeError> {
-    let (nodes, _) = bind(shared.settings().nodes).await?;
+fn serve_nodes(shared: &Arc<Shared>, gates: &Arc<Gates>, listener: TcpListener) {
     let service = FleetService::server(Arc::clone(shared), Arc::clone(gates));
     let channels = shared.peers.channels().clone();
     tokio::spawn(async move {
         let forever = std::future::pending();
-        if let Err(error) = channels.serve(Routes::new(service), nodes, forever).await {
+        if let Err(error) = channels.serve(Routes::new(service), listener, forever).await {
             event!(EventCode::ConnectionRefused, reason = error);
         }
     });
-    if let Some(addr) = shared.settings().readiness {
-        let (listener, _) = bind(addr).await?;
-        tokio::spawn(front::serve_readiness(Arc::clone(shared), listener));
+}
+
+async fn serve_readiness(shared: &Arc<Shared>) -> Result<Option<SocketAddr>, NodeError> {
+    let Some(addr) = shared.settings().readiness else { return Ok(None) };
+    let (listener, addr) = bind(addr).await?;
+    tokio::spawn(front::serve_readiness(Arc::clone(shared), listener));
+    Ok(Some(addr))
+}
+
+async fn serve_callers(
+    shared: &Arc<Shared>,
+    stopped: &watch::Receiver<bool>,
+) -> Result<Option<SocketAddr>, NodeError> {
+    let Some(addr) = shared.settings().callers else { return Ok(None) };
+    let (listener, addr) = bind(addr).await?;
+    event!(EventCode::ListenerReady, addr = addr);
+    tokio::spawn(front::serve(Arc::clone(shared), listener, stopped.clone()));
+    Ok(Some(addr))
+}
+
+impl RunningNode {
+    /// Returns whether the node can serve callers.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
     }
-    if let Some(addr) = shared.settings().callers {
-        let (listener, addr) = bind(addr).await?;
-        event!(EventCode::ListenerReady, addr = addr);
-        tokio::spawn(front::serve(Arc::clone(shared), listener, stopped.clone()));
+
+    /// Stops the node; returns how many requests were cut.
+    pub async fn drain(self) -> usize {
+        drain(&self.shared, &self.stop).await
     }
-    Ok(())
 }
 
 /// Stops accepting and waits for the requests that run; returns how many are cut.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod planner;
 mod planner_fleet;
 mod planner_service;
+mod platform;
 mod processes;
 mod requests;
 mod restarts;
--- /dev/null
+++ b/tests/testsuite/platform/adapter.rs
@@ -0,0 +1,227 @@
+//! The adapter decodes what the platform writes, and names what it cannot use.
+
+use hyper::Request;
+use hyper::http::request::Parts;
+use limpetmux::core::pieces::{CallEnd, CallItem, Made, Source, Unmade};
+use limpetmux::platform::boot::{self, BootError};
+use limpetmux::platform::caller::{BadRequest, decode};
+use limpetmux::platform::store::Record;
+use limpetmux::platform::{server, servers, stage};
+use std::path::PathBuf;
+use std::time::Duration;
+
+const SETTINGS: &str = r#"{
+  "node-id": "edge-mnl-a-1", "role": "entry", "machine-class": "edge",
+  "serves": ["edge", "control_plane"], "ip": "10.1.0.41", "zone": "mnl-a", "region": "ph-luzon",
+  "listen": {"front": "10.1.0.41:8625", "readiness": "10.1.0.41:8621"},
+  "internal-ports": [7740, 7755], "seeds": ["10.2.0.25:8628"], "a-new-field": {"x": 1},
+  "limits": {"memory-mb": 260, "max-fds": 4100},
+  "bounds": {"drain-ms": 2000, "grace-s": 8, "revoke-ms": 5000, "retry-budget-ratio": 0.2,
+             "retry-budget-slack": 56, "budget-window-s": 10},
+  "platform": {"address": "10.200.1.7:8624"}
+}"#;
+
+/// Writes settings to a file of the test's own and loads them.
+fn load(name: &str, text: &str) -> Result<limpetmux::serve::settings::NodeSettings, BootError> {
+    let path: PathBuf =
+        std::env::temp_dir().join(format!("limpetmux-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    let result = boot::load(&path);
+    std::fs::remove_file(&path).unwrap();
+    result
+}
+
+fn head(headers: &[(&str, &str)]) -> Parts {
+    let mut request = Request::builder().method("POST").uri("/a/b?x=1");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(()).unwrap().into_parts().0
+}
+
+/// A proper head with further headers.
+fn proper(more: &[(&str, &str)]) -> Parts {
+    let mut headers = vec![("host", "a.example"), ("x-limpetmux-request-id", "1f")];
+    headers.extend_from_slice(more);
+    head(&headers)
+}
+
+#[test]
+fn settings_are_read_with_units_and_new_fields_passed_over() {
+    let settings = load("good", SETTINGS).unwrap();
+
+    assert_eq!(settings.callers, Some("10.1.0.41:8625".parse().unwrap()));
+    assert_eq!(settings.nodes, "10.1.0.41:7740".parse().unwrap());
+    assert_eq!(settings.seeds, ["10.2.0.25:7740".parse().unwrap()]);
+    assert_eq!(settings.bounds.grace, Duration::from_secs(8));
+    assert_eq!(settings.bounds.revoke, Duration::from_secs(5));
+}
+
+#[test]
+fn process_beside_a_backend_server_is_no_entry() {
+    let settings = load("side", &SETTINGS.replace(r#""edge", "control_plane""#, r#""side""#));
+
+    assert_eq!(settings.unwrap().callers, None);
+}
+
+#[test]
+fn broken_settings_name_file_field_and_reason() {
+    let cases = [
+        (SETTINGS.replace(r#""node-id": "edge-mnl-a-1""#, r#""node-id": """#), "node-id"),
+        (SETTINGS.replace("[7740, 7755]", "[7755, 7740]"), "internal-ports"),
+        (SETTINGS.replace(r#""front": "10.1.0.41:8625", "#, ""), "listen.front"),
+        (SETTINGS.replace(r#""revoke-ms": 5000"#, r#""revoke-ms": 0"#), "bounds.revoke-ms"),
+    ];
+
+    for (text, field) in cases {
+        let error = load("broken", &text).unwrap_err().to_string();
+        assert!(error.contains(field) && error.contains("limpetmux-"), "{field}: {error}");
+    }
+    let missing = load("missing", &SETTINGS.replace(r#""zone": "mnl-a","#, "")).unwrap_err();
+    assert!(format!("{missing:?}").contains("zone"), "{missing:?}");
+}
+
+#[test]
+fn request_is_read_once_into_fields() {
+    let ask = decode(&proper(&[
+        ("x-limpetmux-deadline-ms", "6000"),
+        ("x-limpetmux-token-usage", "1460,80"),
+        ("x-limpetmux-prompt-prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+        ("x-limpetmux-pieces", "2,0,8"),
+        ("authorization", "Bearer k1"),
+    ]))
+    .unwrap();
+
+    assert_eq!((ask.id.as_str(), ask.target.as_str()), ("1f", "/a/b?x=1"));
+    assert_eq!(ask.deadline, Duration::from_secs(6));
+    assert_eq!((ask.tokens, ask.pieces), (1_460, vec![2, 0, 8]));
+    assert_eq!(ask.key.as_deref(), Some("k1"));
+    // Requests that differ in their own last part only go to the same place.
+    let twin = proper(&[("x-limpetmux-prompt-prefix", "5c1e07a2:800,91bd3f06:410,aaaa:9")]);
+    assert_eq!(ask.prefix, decode(&twin).unwrap().prefix);
+    assert!(ask.prefix.is_some());
+}
+
+#[test]
+fn headers_that_only_the_system_sets_are_not_passed_on() {
+    let forged = [
+        "x-limpetmux-tenant-id",
+        "x-limpetmux-expected-instance",
+        "x-limpetmux-hold",
+        "x-limpetmux-pin-ms",
+        "x-limpetmux-kv-backup",
+        "kv-from",
+        "x-limpetmux-inputs",
+        "x-limpetmux-request-priority",
+        "authorization",
+        "connection",
+        "x-hop",
+    ];
+    let mut headers: Vec<(&str, &str)> = forged.iter().map(|n| (*n, "forged")).collect();
+    headers.retain(|(n, _)| *n != "connection");
+    headers.extend([("connection", "x-hop"), ("x-kept", "yes")]);
+
+    let ask = decode(&proper(&headers)).unwrap();
+
+    let passed: Vec<&str> = forged.into_iter().filter(|n| ask.headers.contains_key(*n)).collect();
+    assert_eq!(passed, Vec::<&str>::new());
+    assert!(ask.headers.contains_key("x-kept"));
+}
+
+#[test]
+fn ambiguous_requests_are_turned_down() {
+    let doubled = [("content-length", "5"), ("content-length", "5")];
+    let both = [("content-length", "5"), ("transfer-encoding", "chunked")];
+    let fault = |parts: Parts| decode(&parts).err();
+
+    assert_eq!(fault(proper(&doubled)), Some(BadRequest::Length));
+    assert_eq!(fault(proper(&both)), Some(BadRequest::Length));
+    assert_eq!(fault(head(&[("host", "a")])), Some(BadRequest::Id));
+    assert_eq!(fault(head(&[("x-limpetmux-request-id", "1")])), Some(BadRequest::Host));
+    assert_eq!(fault(proper(&[("x-limpetmux-pieces", "2,x")])), Some(BadRequest::Pieces));
+    assert_eq!(fault(proper(&[("x-limpetmux-pieces", "2,99999999")])), Some(BadRequest::Pieces));
+    assert_eq!(fault(proper(&[("x-limpetmux-deadline-ms", "soon")])), Some(BadRequest::Deadline));
+    assert_eq!(fault(proper(&[("x-limpetmux-deadline-ms", "-1")])), Some(BadRequest::Deadline));
+}
+
+#[test]
+fn answer_of_another_request_is_told_apart() {
+    let answer = |id: &str| {
+        hyper::Response::builder()
+            .header("x-limpetmux-request-id", id)
+            .header("x-limpetmux-response-signature", "s")
+            .header("keep-alive", "timeout=4, max=9")
+            .body(())
+            .unwrap()
+    };
+
+    let own = server::head("1f", &answer("1f"));
+    let other = server::head("1f", &answer("2a"));
+
+    assert!(own.own && own.signed && !own.not_run);
+    assert_eq!(own.keep, Some(Duration::from_secs(4)));
+    assert!(!other.own);
+}
+
+#[test]
+fn entry_of_a_foreign_writer_names_no_backend_server() {
+    let record =
+        |value: &str| Record { offset: 3, key: "i-1".to_owned(), value: value.to_owned().into() };
+    let good = r#"{"service":"s","address":"10.1.0.9:80","zone":"z","state":"draining","born":7}"#;
+
+    let (entry, fault) = servers::decode(record(good));
+    assert!(fault.is_none());
+    assert!(entry.server.is_some_and(|s| s.draining && s.born == 7));
+    for bad in [
+        r#"{"service":"s"}"#,
+        "\u{1}\u{2}",
+        r#"{"service":"s","address":"x","zone":"z","state":"ready"}"#,
+        r#"{"service":"s","address":"10.1.0.9:80","zone":"z","state":"resting"}"#,
+    ] {
+        let (entry, fault) = servers::decode(record(bad));
+        assert!(entry.server.is_none() && fault.is_some(), "{bad}");
+    }
+}
+
+#[test]
+fn answers_to_calls_for_pieces_are_read_item_by_item() {
+    let body = br#"{"items":[{"handle":"10.1.0.9:80/a"},{"reason":"room"},{"reason":"gone"},{"reason":"odd"},{}]}"#;
+    let ok = hyper::StatusCode::OK;
+
+    let end = stage::decode(ok, false, body);
+
+    let not = |why| Made::Not(why);
+    let made = vec![
+        Made::Result("10.1.0.9:80/a".into()),
+        not(Unmade::Room),
+        not(Unmade::Gone),
+        not(Unmade::Failed),
+        not(Unmade::Failed),
+    ];
+    assert_eq!(end, CallEnd::Answered(made));
+    assert_eq!(stage::decode(ok, false, b"{"), CallEnd::Lost);
+    assert_eq!(stage::decode(ok, true, b""), CallEnd::Refused);
+    assert_eq!(
+        stage::decode(hyper::StatusCode::MISDIRECTED_REQUEST, true, b""),
+        CallEnd::Elsewhere
+    );
+}
+
+#[test]
+fn call_for_pieces_carries_a_key_or_inputs() {
+    let item = |source| CallItem {
+        request: "1f".into(),
+        stage: 1,
+        piece: 2,
+        source,
+        left: Duration::from_millis(900),
+    };
+    let addr = "127.0.0.1:80".parse().unwrap();
+    let items = [item(Source::Key("k".into())), item(Source::Inputs(vec!["h".into()]))];
+
+    let request = stage::run("i-1", addr, &items).unwrap();
+
+    assert_eq!(request.headers()["x-limpetmux-expected-instance"], "i-1");
+    assert_eq!(stage::holder("10.1.0.9:80/a"), Some("10.1.0.9:80".parse().unwrap()));
+    assert_eq!(stage::holder("nowhere"), None);
+}
--- /dev/null
+++ b/tests/testsuite/platform/catalog.rs
@@ -0,0 +1,66 @@
+//! Requests find their route by host and longest prefix, keys their workspace.
+
+use limpetmux::core::catalog::{CallerLimits, Catalog, CatalogSpec, Repeat, Route, WorkspaceSpec};
+use std::time::Duration;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        timeout: Duration::from_secs(1),
+        aim: Duration::from_millis(100),
+        attempts: 2,
+        priority: 1,
+        targets: vec![("plain".into(), 1)],
+        stages: Vec::new(),
+        public: name == "open",
+    }
+}
+
+fn catalog() -> Catalog {
+    let limits = CallerLimits {
+        header: 16_384,
+        body: 1_000,
+        headers: Duration::from_secs(3),
+        idle: Duration::from_secs(15),
+    };
+    let workspaces =
+        vec![WorkspaceSpec { name: "w".into(), keys: vec!["k1".to_owned()], priority: Some(0) }];
+    let routes = vec![route("short", "/a/"), route("long", "/a/b/"), route("open", "/open/")];
+    Catalog::compile(CatalogSpec { version: 3, routes, pools: Vec::new(), workspaces, limits })
+}
+
+fn found(catalog: &Catalog, host: &str, path: &str) -> Option<String> {
+    catalog.route(host, path).map(|r| catalog.routes[r].name.to_string())
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let catalog = catalog();
+
+    let names = [("/a/x", "short"), ("/a/b/x", "long"), ("/a/bx", "short")];
+
+    for (path, name) in names {
+        assert_eq!(found(&catalog, "a.example", path).as_deref(), Some(name), "{path}");
+    }
+    assert_eq!(found(&catalog, "a.example", "/ab"), None);
+    assert_eq!(found(&catalog, "b.example", "/a/x"), None);
+}
+
+#[test]
+fn keys_name_their_holder_and_public_routes_need_none() {
+    let catalog = catalog();
+
+    let holder = catalog.holder("k1").cloned();
+
+    assert_eq!(holder.map(|h| (h.workspace.to_string(), h.priority)), Some(("w".into(), Some(0))));
+    assert_eq!(catalog.holder("k2"), None);
+    let needs = |path: &str| {
+        let route = catalog.route("a.example", path).expect("a route");
+        catalog.needs_key(&catalog.routes[route])
+    };
+    assert!(needs("/a/x"));
+    assert!(!needs("/open/x"));
+}
--- /dev/null
+++ b/tests/testsuite/platform/mod.rs
@@ -0,0 +1,46 @@
+//! The node on the users' platform: decisions without network, the adapter, and the whole path.
+
+mod adapter;
+mod catalog;
+mod listing;
+mod names;
+mod nodes;
+mod orders;
+mod pieces;
+mod placement;
+mod pressure;
+mod repeats;
+mod whole_path;
+
+use limpetmux::core::listing::Server;
+use limpetmux::core::time::Moment;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn at(ms: u64) -> Moment {
+    // Far from the origin, so that no subtraction in a decision reaches it.
+    Moment::from_millis(1_000_000 + ms)
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A backend server of service `plain` in a zone.
+fn server(id: &str, zone: &str) -> Server {
+    let number = id.bytes().map(u16::from).sum::<u16>();
+    Server {
+        id: id.into(),
+        born: 1,
+        service: "plain".into(),
+        addr: ([127, 0, 0, 1], 1_000 + number).into(),
+        zone: zone.into(),
+        slots: 4,
+        draining: false,
+        cold: Duration::ZERO,
+    }
+}
+
+fn arc(text: &str) -> Arc<str> {
+    text.into()
+}
--- /dev/null
+++ b/tests/testsuite/platform/repeats.rs
@@ -0,0 +1,40 @@
+//! Repeats of all entries together stay within the bound in any window.
+
+use super::{arc, at, ms};
+use limpetmux::core::share::{RepeatBound, RepeatShare};
+
+const BOUND: RepeatBound =
+    RepeatBound { ratio: 0.2, slack: 56.0, window: std::time::Duration::from_secs(10) };
+
+#[test]
+fn entries_that_all_repeat_at_once_stay_within_the_bound() {
+    // Pattern: a service fails everything while spare entries have joined.
+    let entries = 10;
+    let service = arc("plain");
+    let mut repeats = 0_u32;
+
+    for _ in 0..entries {
+        let mut share = RepeatShare::new(BOUND);
+        for tick in 0..1_000 {
+            if tick % 10 == 0 {
+                share.fresh(at(tick * 10), &service);
+            }
+            repeats += u32::from(share.repeat(at(tick * 10), &service, entries));
+        }
+    }
+
+    let fresh = 100 * u32::try_from(entries).unwrap();
+    assert!(f64::from(repeats) <= 0.2 * f64::from(fresh) + 56.0, "{repeats} of {fresh}");
+    assert!(repeats > fresh / 10, "{repeats} of {fresh}");
+}
+
+#[test]
+fn window_gives_the_share_back() {
+    let service = arc("plain");
+    let mut share = RepeatShare::new(BOUND);
+    while share.repeat(at(0), &service, 2) {}
+
+    assert!(!share.repeat(at(9_999), &service, 2));
+    assert!(share.repeat(at(10_001), &service, 2));
+    assert!(ms(1) < BOUND.window);
+}
--- /dev/null
+++ b/tests/testsuite/platform/whole_path.rs
@@ -0,0 +1,274 @@
+//! An entry and a sidecar serve requests over TCP, against stand-ins of the users' platform.
+
+use limpetmux::core::share::RepeatBound;
+use limpetmux::serve::run::{RunningNode, start};
+use limpetmux::serve::settings::{Bounds, NodeSettings, StoreSettings};
+use limpetmux_standins::users::{UsersFault, UsersServer, UsersStore};
+use reqwest::header::{AUTHORIZATION, HeaderMap, HeaderValue};
+use reqwest::{Client, RequestBuilder, Response};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const CONFIG: &str = r#"{"version":VERSION,
+ "routes":[
+  {"name":"r1","host":"a.example","path-prefix":"/once/","kind":"non_idempotent","timeout-ms":2000,
+   "target-latency-ms":200,"priority":1,"service":"plain","max-attempts":1},
+  {"name":"r2","host":"a.example","path-prefix":"/safe/","kind":"idempotent","timeout-ms":2000,
+   "target-latency-ms":200,"priority":1,"service":"plain","max-attempts":2},
+  {"name":"r3","host":"a.example","path-prefix":"/chain/","kind":"streaming","timeout-ms":4000,
+   "target-latency-ms":2000,"priority":1,"service":"engine","max-attempts":1,
+   "stages":[{"service":"first","after":[],"size-bytes":1000},
+             {"service":"second","after":[0],"size-bytes":1000}]}],
+ "services":[
+  {"name":"plain","max-connections":10,"cold-start-s":0.0,"cold-per-s":0.0},
+  {"name":"engine","max-connections":10,"cold-start-s":3.0,"cold-per-s":6.3,"engine":{"slots":64}},
+  {"name":"first","max-connections":10,"cold-start-s":0.0,"cold-per-s":0.0,"pieces":PIECES},
+  {"name":"second","max-connections":10,"cold-start-s":0.0,"cold-per-s":0.0,"pieces":PIECES}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":1000,"header-timeout-ms":3000,
+  "idle-timeout-ms":15000},
+ "tenants":[{"name":"w1","api-keys":["KEY"],"priority":1}]}"#;
+const PIECES: &str = r#"{"slots":1,"queue":2,"batch":8,"call-ms":20.0,"item-ms":1.0,
+  "headroom-mb":1.0,"handle-s":4.0,"link-mbps":10000}"#;
+
+fn config(version: u32, key: &str) -> String {
+    let text = CONFIG.replace("VERSION", &version.to_string());
+    text.replace("PIECES", PIECES).replace("KEY", key)
+}
+
+fn settings(name: &str, store: SocketAddr, entry: bool, seeds: Vec<SocketAddr>) -> NodeSettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    NodeSettings {
+        name: name.into(),
+        zone: "mnl-a".into(),
+        callers: entry.then_some(any),
+        readiness: entry.then_some(any),
+        nodes: any,
+        metrics: any,
+        seeds,
+        memory_mb: 100,
+        descriptors: 2_000,
+        bounds: Bounds {
+            drain: Duration::from_secs(2),
+            grace: Duration::from_secs(5),
+            revoke: Duration::from_secs(5),
+            repeat: RepeatBound { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
+        },
+        store: StoreSettings { address: store },
+    }
+}
+
+/// A store, two backend servers of each service, a sidecar and an entry that is ready.
+struct Scene {
+    store: UsersStore,
+    plain: [UsersServer; 2],
+    engine: UsersServer,
+    stages: [UsersServer; 2],
+    entry: RunningNode,
+    _sidecar: RunningNode,
+}
+
+async fn scene() -> Scene {
+    let store = UsersStore::start().await.unwrap();
+    let server = |id| async move { UsersServer::start(id).await.unwrap() };
+    let plain = [server("p1").await, server("p2").await];
+    let (engine, stages) = (server("e1").await, [server("s1").await, server("s2").await]);
+    store.put("keyed.op", "config", &config(1, "k1"));
+    for (server, id, service) in [
+        (&plain[0], "p1", "plain"),
+        (&plain[1], "p2", "plain"),
+        (&engine, "e1", "engine"),
+        (&stages[0], "s1", "first"),
+        (&stages[1], "s2", "second"),
+    ] {
+        store.put("keyed.servers", id, &server.entry(service, "mnl-a", "ready"));
+    }
+    let sidecar = start(settings("side", store.addr, false, Vec::new())).await.unwrap();
+    let entry = start(settings("entry", store.addr, true, vec![sidecar.nodes])).await.unwrap();
+    while !entry.is_ready() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    Scene { store, plain, engine, stages, entry, _sidecar: sidecar }
+}
+
+impl Scene {
+    fn post(&self, path: &str, id: &str) -> RequestBuilder {
+        let addr = self.entry.callers.unwrap();
+        Client::new()
+            .post(format!("http://{addr}{path}"))
+            .header("host", "a.example")
+            .header("x-limpetmux-request-id", id)
+            .header("x-limpetmux-deadline-ms", "2000")
+            .header("authorization", "Bearer k1")
+            .body("body")
+    }
+
+    async fn send(&self, path: &str, id: &str) -> Response {
+        self.post(path, id).send().await.unwrap()
+    }
+
+    /// Returns how often a request ran at the plain backend servers.
+    fn runs(&self, id: &str) -> usize {
+        let seen = self.plain.iter().flat_map(UsersServer::seen);
+        seen.filter(|s| s.headers["x-limpetmux-request-id"] == id).count()
+    }
+
+    fn set_fault(&self, fault: UsersFault) {
+        self.plain.iter().for_each(|s| s.set_fault(fault));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_reaches_a_backend_server_unchanged_but_for_what_the_system_sets() {
+    let scene = scene().await;
+
+    let answer = scene.send("/once/x?y=1", "a1").await;
+
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.headers()["x-limpetmux-response-signature"], "signed");
+    assert!(answer.text().await.unwrap().contains("from p"));
+    let seen: Vec<_> = scene.plain.iter().flat_map(UsersServer::seen).collect();
+    let headers = &seen[0].headers;
+    assert_eq!(headers["x-limpetmux-tenant-id"], "w1");
+    assert!(!headers.contains_key("authorization"));
+    assert!(headers["x-limpetmux-deadline-ms"].parse::<u32>().unwrap() <= 2_000);
+    assert_eq!((seen[0].path.as_str(), &seen[0].body[..]), ("/once/x", &b"body"[..]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_run_nothing() {
+    let scene = scene().await;
+    let status =
+        |request: RequestBuilder| async { request.send().await.unwrap().status().as_u16() };
+
+    let unknown_route = status(scene.post("/nowhere/", "b1")).await;
+    let unknown_key = scene.post("/once/", "b2").header("authorization", "Bearer k1");
+    let two_keys = status(unknown_key).await;
+    let too_large = status(scene.post("/once/", "b3").body("x".repeat(2_000))).await;
+    let bad_pieces = status(scene.post("/once/", "b4").header("x-limpetmux-pieces", "a")).await;
+
+    assert_eq!((unknown_route, two_keys, too_large, bad_pieces), (404, 401, 413, 400));
+    assert!(scene.plain.iter().all(|s| s.seen().is_empty()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_may_run_once_is_never_sent_again_after_a_doubt() {
+    let scene = scene().await;
+
+    scene.set_fault(UsersFault::Crossed);
+    let crossed = scene.send("/once/", "c1").await.status();
+    scene.set_fault(UsersFault::Unsigned);
+    let unsigned = scene.send("/once/", "c2").await.status();
+    scene.set_fault(UsersFault::Error);
+    let failed = scene.send("/once/", "c3").await.status();
+
+    assert_eq!((crossed.as_u16(), unsigned.as_u16(), failed.as_u16()), (502, 502, 500));
+    assert_eq!(["c1", "c2", "c3"].map(|id| scene.runs(id)), [1, 1, 1]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idempotent_request_is_repeated_within_its_attempts() {
+    let scene = scene().await;
+    scene.set_fault(UsersFault::Error);
+
+    let answer = scene.send("/safe/", "d1").await;
+
+    assert_eq!(answer.status(), 500);
+    assert_eq!(answer.headers()["x-limpetmux-response-signature"], "signed");
+    assert_eq!(scene.runs("d1"), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_says_not_run_and_when_to_come_back() {
+    let scene = scene().await;
+    scene.set_fault(UsersFault::Full);
+
+    let answer = scene.send("/once/", "e1").await;
+
+    assert_eq!(answer.status(), 503);
+    let retry: f64 = answer.headers()["retry-after"].to_str().unwrap().parse().unwrap();
+    assert!(retry > 0.0 && retry < 1.0, "{retry}");
+    assert_eq!(scene.runs("e1"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stages_are_made_handed_on_and_freed() {
+    let scene = scene().await;
+    let request = scene.post("/chain/", "f1").header("x-limpetmux-pieces", "2,3");
+
+    let answer = request.header("x-limpetmux-piece-key", "k").send().await.unwrap();
+
+    assert_eq!(answer.status(), 200);
+    assert!(answer.text().await.unwrap().contains("from e1"));
+    let seen = scene.engine.seen();
+    let inputs: Vec<&str> = seen[0].headers["x-limpetmux-inputs"].split(',').collect();
+    assert_eq!(inputs.len(), 3);
+    assert!(inputs.iter().all(|i| i.starts_with(&scene.stages[1].addr.to_string())));
+    while scene.stages.iter().map(|s| s.results().1.len()).sum::<usize>() < 5 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(scene.stages.each_ref().map(|s| s.results().0), [2, 3]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_and_leaving_servers_take_effect() {
+    let scene = scene().await;
+    scene.store.put("keyed.servers", "p1", &scene.plain[0].entry("plain", "mnl-a", "draining"));
+    scene.store.put("keyed.op", "config", &config(2, "k2"));
+
+    // The new version has no key `k1` any more.
+    while scene.send("/safe/", "g1").await.status() != 401 {
+        sleep(Duration::from_millis(20)).await;
+    }
+    sleep(Duration::from_millis(1_500)).await;
+    let before = scene.plain[0].seen().len();
+    for number in 0..10 {
+        let request = scene.post("/safe/", &format!("h{number}"));
+        let key = HeaderMap::from_iter([(AUTHORIZATION, HeaderValue::from_static("Bearer k2"))]);
+        let request = request.headers(key);
+        assert_eq!(request.send().await.unwrap().status(), 200);
+    }
+
+    assert_eq!(scene.plain[0].seen().len(), before, "nothing new for a leaving server");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_are_not_trusted_once_the_store_has_been_away_for_long() {
+    let scene = scene().await;
+    scene.store.set_down(true);
+    let early = scene.send("/once/", "i1").await.status();
+
+    while scene.send("/once/", "i2").await.status() == 200 {
+        sleep(Duration::from_millis(100)).await;
+    }
+    let refused = scene.send("/once/", "i3").await;
+    scene.store.set_down(false);
+    while scene.send("/once/", "i4").await.status() != 200 {
+        sleep(Duration::from_millis(100)).await;
+    }
+
+    assert_eq!(early, 200);
+    assert_eq!(refused.status(), 503);
+    assert_eq!(scene.runs("i3"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_entry_is_not_ready_but_serves_until_the_balancer_has_noticed() {
+    let scene = scene().await;
+    let readiness = format!("http://{}/ready", scene.entry.readiness.unwrap());
+    let callers = scene.entry.callers.unwrap();
+    let ready = Client::new().get(&readiness).send().await.unwrap().status();
+    let request = scene.post("/once/", "j1");
+    let Scene { entry, plain, .. } = scene;
+
+    let drain = tokio::spawn(entry.drain());
+    sleep(Duration::from_millis(200)).await;
+    let unready = Client::new().get(&readiness).send().await.unwrap().status();
+    let answer = request.send().await.unwrap();
+
+    assert_eq!((ready.as_u16(), unready.as_u16()), (200, 503));
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.headers()["connection"], "close");
+    assert_eq!(drain.await.unwrap(), 0);
+    assert!(plain.iter().any(|s| !s.seen().is_empty()) && callers.port() > 0);
+}
