Make stages where their inputs lie, as every piece fetches all of them

Change: a stage is made in the zone of its inputs or of the model engine, whichever saves more bytes; nothing is preferred below half a megabyte.

Ruled out: engines that change between plan and send (they rarely do).

--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -18,8 +18,8 @@
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
-/// Results from this size on are made where they are needed if that is possible.
-const LARGE_RESULT: u64 = 500_000;
+/// From this many bytes on a stage is made where they lie or are needed, if that is possible.
+const LARGE_FETCH: u64 = 500_000;
 /// The nodes that are asked to make one stage, one after the other.
 const GATE_TRIES: usize = 4;
 /// The pause before the next node is asked.
@@ -124,6 +124,7 @@
     let mut results: Vec<Option<Vec<Arc<str>>>> =
         pieces.iter().map(|n| (*n == 0).then(Vec::new)).collect();
     let mut started: Vec<bool> = pieces.iter().map(|n| *n == 0).collect();
+    let mut zones = vec![String::new(); pieces.len()];
     let mut running = FuturesUnordered::new();
     loop {
         for (index, stage) in route.stages.iter().enumerate() {
@@ -133,7 +134,7 @@
             }
             started[index] = true;
             let needs = stage.after.iter().filter_map(|a| results[*a].clone()).flatten().collect();
-            let large = stage.size >= LARGE_RESULT;
+            let near = nearest(route, index, &pieces, &zones, &zone);
             let run = StageRun {
                 service: stage.service.to_string(),
                 request: plan.ask.id.clone(),
@@ -141,7 +142,7 @@
                 pieces: pieces[index],
                 due_ms: signed_millis(plan, behind[index] + engine),
                 priority: u32::from(plan.priority()),
-                zone: if large { zone.clone() } else { String::new() },
+                zone: near,
                 size: stage.size,
                 frees: stage.after.iter().all(|a| users(route, *a) == 1),
                 ..source(plan, needs)
@@ -153,6 +154,7 @@
         let stage = &route.stages[made.stage];
         let names: Vec<Arc<str>> = done.results.iter().map(|r| Arc::from(r.as_str())).collect();
         inputs.held.push((Arc::clone(&stage.service), names.clone()));
+        zones[made.stage] = done.zone;
         results[made.stage] = Some(names);
         for before in spent(route, &results, made.stage) {
             let names = results[before].as_deref().unwrap_or_default();
@@ -196,6 +198,32 @@
     }
 }
 
+/// Returns the zone in which a stage is best made: that of its inputs or that of the model
+/// engine, whichever saves more bytes between zones, or none if there is little to save.
+///
+/// Every piece fetches all inputs, so that small results add up.
+fn nearest(
+    route: &crate::core::catalog::Route,
+    stage: usize,
+    pieces: &[u32],
+    zones: &[String],
+    engine: &str,
+) -> String {
+    let own = u64::from(pieces[stage]);
+    let fetched = |a: &usize| u64::from(pieces[*a]) * route.stages[*a].size * own;
+    let input = route.stages[stage].after.iter().max_by_key(|a| fetched(a));
+    let input_bytes = input.map_or(0, fetched);
+    let is_last = users(route, stage) == 0;
+    let output_bytes = if is_last { own * route.stages[stage].size } else { 0 };
+    if input_bytes.max(output_bytes) < LARGE_FETCH {
+        return String::new();
+    }
+    match input {
+        Some(input) if input_bytes >= output_bytes => zones[*input].clone(),
+        _ => engine.to_owned(),
+    }
+}
+
 /// Returns the number of stages that need the results of a stage.
 fn users(route: &crate::core::catalog::Route, stage: usize) -> usize {
     route.stages.iter().filter(|s| s.after.contains(&stage)).count()
