Keep prefixes at their engine longer and let one node read the store

Change: a prefix moves on from four requests of an entry at its engine; the age from which on a node reads for itself is above what the waits add up to, apart for orders and the listing. Waits for a zone are 300 ms at most and keep 450 ms of slack.

--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -21,9 +21,9 @@
 use worker::Worker;
 
 /// The longest time that a piece waits for a backend server in the zone of its result's user.
-const ZONE_WAIT: Duration = Duration::from_millis(500);
+const ZONE_WAIT: Duration = Duration::from_millis(300);
 /// The time that such a piece leaves before the last moment at which it has to start.
-const ZONE_SLACK: Duration = Duration::from_millis(250);
+const ZONE_SLACK: Duration = Duration::from_millis(450);
 /// Calls that take this many times longer than expected are asked for elsewhere as well.
 const OVERDUE: u32 = 3;
 /// What is added to the expected time before a call counts as overdue.
--- a/src/limpetmux/core/placement.rs
+++ b/src/limpetmux/core/placement.rs
@@ -15,9 +15,9 @@
 use std::time::Duration;
 
 /// The fewest requests of an entry that a backend server may hold for its prefixes.
-const AFFINE_FLOOR: u32 = 2;
+const AFFINE_FLOOR: u32 = 4;
 /// How many times its share of an entry's requests a backend server may hold for its prefixes.
-const AFFINE_BALANCE: f64 = 1.5;
+const AFFINE_BALANCE: f64 = 2.5;
 /// The part of a pool that may be left out for failures.
 const EJECTED_PARTS: usize = 2;
 /// How long a backend server counts as cold after its connections broke without notice.
--- a/src/limpetmux/fleet/follow.rs
+++ b/src/limpetmux/fleet/follow.rs
@@ -24,10 +24,13 @@
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
-/// The age of a view from which on a node reads the store itself.
-const STALE: Duration = Duration::from_millis(1_700);
+/// The age of the operator's orders from which on a node reads them itself; it is more than two
+/// waits at the store and one at another node add up to.
+const ORDERS_STALE: Duration = Duration::from_millis(2_300);
+/// The age of the list of backend servers from which on a node reads it itself.
+const LISTING_STALE: Duration = Duration::from_millis(1_500);
 /// How long the store may hold a call for the operator's next order.
-const ORDERS_WAIT: Duration = Duration::from_millis(700);
+const ORDERS_WAIT: Duration = Duration::from_millis(600);
 /// The time between two reads of the backend servers.
 const LISTING_PACE: Duration = Duration::from_millis(500);
 /// How long another node may hold a pull until it has something new.
@@ -75,7 +78,7 @@
         let mut failures = 0;
         loop {
             let age = self.look(|v| v.orders.age(clock::boot()));
-            if !self.has_to_read(age) {
+            if !self.has_to_read(age, ORDERS_STALE) {
                 sleep(IDLE_TICK).await;
                 continue;
             }
@@ -93,7 +96,7 @@
         let mut failures = 0;
         loop {
             let age = self.look(|v| clock::boot().since(v.listing.confirmed));
-            if !self.has_to_read(age) {
+            if !self.has_to_read(age, LISTING_STALE) {
                 sleep(IDLE_TICK).await;
                 continue;
             }
@@ -105,9 +108,10 @@
         }
     }
 
-    /// Returns whether this node reads the store itself, given the age of its view.
-    fn has_to_read(&self, age: Duration) -> bool {
-        age > STALE || self.is_reader()
+    /// Returns whether this node reads the store itself, given the age of its view and the age
+    /// from which on that is stale.
+    fn has_to_read(&self, age: Duration, stale: Duration) -> bool {
+        age > stale || self.is_reader()
     }
 
     fn is_alone(&self) -> bool {
@@ -212,7 +216,7 @@
     /// have lost each other become one again.
     fn sources(&self, turn: usize) -> Vec<(SocketAddr, bool)> {
         let now = clock::boot();
-        let stale = self.look(|v| v.orders.age(now) > STALE);
+        let stale = self.look(|v| v.orders.age(now) > ORDERS_STALE);
         let nodes = self.shared.nodes();
         let own = nodes.own().addr;
         let order: Vec<SocketAddr> = nodes.order(now, READERS).iter().map(|n| n.addr).collect();
@@ -272,7 +276,7 @@
             event!(EventCode::OrderUnreadable, source = addr, reason = error);
             return false;
         }
-        Duration::from_millis(age) < STALE
+        Duration::from_millis(age) < ORDERS_STALE
     }
 
     /// Takes in which nodes another one has heard of.
