Count work under way to later stages in admission, and ages from the sending of a reply

Change: an entry counts its own pieces under way to each service and takes them for those of every entry; with the rate that queues report, a request is refused that would meet a backlog on arrival. Replies to pulls tell how long they were held. Inputs are freed early only while more waits than one call takes.

--- a/src/limpetmux/core/chain.rs
+++ b/src/limpetmux/core/chain.rs
@@ -44,3 +44,13 @@
     }
     ends.into_iter().max().unwrap_or_default()
 }
+
+/// Returns after what time each stage starts, without waits.
+pub fn starts(route: &Route, times: &[Duration]) -> Vec<Duration> {
+    let mut starts: Vec<Duration> = Vec::with_capacity(times.len());
+    for (index, stage) in route.stages.iter().enumerate() {
+        let before = stage.after.iter().filter(|b| **b < index).map(|b| starts[*b] + times[*b]);
+        starts.push(before.max().unwrap_or_default());
+    }
+    starts
+}
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -127,6 +127,13 @@
         self.drain_time(now, open.map(Job::open).sum()) + busy.unwrap_or_default()
     }
 
+    /// Returns the pieces that the good backend servers make in a second, in full batches.
+    pub fn rate(&self, now: Moment) -> f64 {
+        let speed: f64 = self.workers.values().filter(|w| w.is_good(now)).map(Worker::speed).sum();
+        let batch = self.spec.batch.max(1);
+        speed * batch as f64 / self.call_time(batch).as_secs_f64().max(0.001)
+    }
+
     /// Returns whether nothing waits and nothing runs.
     pub fn is_idle(&self) -> bool {
         self.jobs.is_empty() && self.workers.values().all(|w| !w.is_busy())
@@ -137,8 +144,10 @@
         let mut actions = Actions::default();
         self.end_late(now, &mut actions);
         self.reissue_overdue(now);
-        let jobs = self.jobs.values_mut();
-        actions.fetched = jobs.flat_map(|j| j.take_fetched(now, FETCH_TIME)).collect();
+        if self.is_congested() {
+            let jobs = self.jobs.values_mut();
+            actions.fetched = jobs.flat_map(|j| j.take_fetched(now, FETCH_TIME)).collect();
+        }
         for worker in self.workers.values_mut() {
             worker.forget_results(now);
         }
@@ -232,6 +241,12 @@
         order
     }
 
+    /// Returns whether more waits than one call takes; the room of inputs is then better given
+    /// back early, at the risk that a piece that fails has to be made from the start.
+    fn is_congested(&self) -> bool {
+        self.jobs.values().map(Job::open).sum::<usize>() > self.spec.batch
+    }
+
     fn rank(&self, now: Moment, job: &Job) -> job::Rank {
         job.rank(now, self.call_time(job.pieces().min(self.spec.batch)))
     }
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -51,8 +51,13 @@
         || view.listing.changes(request.listing_end).next().is_some()
 }
 
-/// Answers with what the caller lacks.
-pub fn reply(now: Moment, nodes: &Nodes, view: &StoreView, request: &PullRequest) -> PullReply {
+/// Answers a call that came at `asked` with what the caller lacks.
+pub fn reply(
+    (asked, now): (Moment, Moment),
+    nodes: &Nodes,
+    view: &StoreView,
+    request: &PullRequest,
+) -> PullReply {
     let mut members = vec![member(nodes.own(), Duration::ZERO)];
     members.extend(nodes.live(now).map(|(node, heard)| member(node, now.since(heard))));
     let whole = request.listing_end == 0;
@@ -71,6 +76,7 @@
             whole,
             servers: view.listing.changes(from).map(record).collect(),
         }),
+        held_ms: millis(now.since(asked)),
     }
 }
 
@@ -88,6 +94,9 @@
 
 /// Takes a reply to a pull that began at `asked` into a view; returns whether it was current.
 ///
+/// The ages in it count from the moment at which it was sent, which is later than the time for
+/// which the call was held after `asked`.
+///
 /// # Errors
 /// Returns the reason if the configuration in it cannot be read.
 pub fn adopt(
@@ -96,15 +105,16 @@
     reply: &PullReply,
 ) -> Result<bool, orders::OrderError> {
     let mut current = false;
+    let sent = asked + Duration::from_millis(reply.held_ms);
     if let Some(operator) = &reply.operator {
         let declared = config(operator)?;
         let evacuated: BTreeSet<Arc<str>> =
             operator.evacuated.iter().map(|z| Arc::from(z.as_str())).collect();
-        let confirmed = asked - Duration::from_millis(operator.age_ms);
+        let confirmed = sent - Duration::from_millis(operator.age_ms);
         current = view.orders.replace(confirmed, operator.end, declared, evacuated);
     }
     if let Some(listing) = &reply.listing {
-        let confirmed = asked - Duration::from_millis(listing.age_ms);
+        let confirmed = sent - Duration::from_millis(listing.age_ms);
         let entries: Vec<Entry> = listing.servers.iter().map(entry).collect();
         current &= view.listing.apply(confirmed, listing.end, entries);
         view.listing.expire(asked);
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -50,6 +50,7 @@
 #[tonic::async_trait]
 impl Fleet for FleetService {
     async fn pull(&self, request: Request<PullRequest>) -> Result<Response<PullReply>, Status> {
+        let asked = clock::boot();
         let request = request.into_inner();
         if let Some(node) = request.caller.as_ref().and_then(convert::node) {
             self.shared.nodes().heard(node, clock::boot());
@@ -57,7 +58,7 @@
         self.wait_for_news(&request).await;
         let view = self.shared.view.load();
         let nodes = self.shared.nodes();
-        Ok(Response::new(convert::reply(clock::boot(), &nodes, &view, &request)))
+        Ok(Response::new(convert::reply((asked, clock::boot()), &nodes, &view, &request)))
     }
 
     async fn run(&self, request: Request<StageRun>) -> Result<Response<StageDone>, Status> {
@@ -68,7 +69,9 @@
         let service: Arc<str> = run.service.as_str().into();
         let spec = job(run);
         let end = self.gates.run(&service, spec).await;
-        Ok(Response::new(done(end, self.gates.wait(&service))))
+        let mut done = done(end, self.gates.wait(&service));
+        done.rate = self.gates.rate(&service);
+        Ok(Response::new(done))
     }
 
     async fn free(&self, request: Request<FreeResults>) -> Result<Response<Freed>, Status> {
--- a/src/limpetmux/gates/mod.rs
+++ b/src/limpetmux/gates/mod.rs
@@ -102,6 +102,11 @@
         self.lock().get(service).map_or(Duration::ZERO, |q| q.pieces.wait(clock::boot()))
     }
 
+    /// Returns the pieces that a service makes in a second.
+    pub fn rate(&self, service: &str) -> f64 {
+        self.lock().get(service).map_or(0.0, |q| q.pieces.rate(clock::boot()))
+    }
+
     /// Gives results up that nothing needs any more.
     pub fn free(self: &Arc<Self>, service: &str, results: Vec<Arc<str>>) {
         if results.is_empty() {
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -379,7 +379,7 @@
         }
         let now = clock::boot();
         let wait = now.since(began).saturating_sub(engine_time(&plan));
-        shared.pressure().note(now, &plan.service, wait);
+        shared.pressure().note(now, &plan.service, wait, 0.0);
         if let Ok(mut at) = seen.lock() {
             *at = Some(clock::boot().since(began));
         }
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -3,6 +3,7 @@
 use super::failure::{Failure, Reason};
 use super::node::Shared;
 use super::request::Plan;
+use crate::core::catalog::{Route, StageSpec};
 use crate::core::chain;
 use crate::core::listing::Server;
 use crate::core::placement::PlaceQuery;
@@ -82,6 +83,35 @@
     }
 }
 
+/// Pieces of a request that have not come to their services yet.
+struct Coming<'a> {
+    shared: &'a Shared,
+    /// The service and the pieces of each stage, zero once they have come.
+    pieces: Vec<(Arc<str>, usize)>,
+}
+
+impl<'a> Coming<'a> {
+    fn new(shared: &'a Shared, route: &Route, pieces: &[u32]) -> Self {
+        let stages = route.stages.iter().zip(pieces);
+        let pieces: Vec<(Arc<str>, usize)> =
+            stages.map(|(s, n)| (Arc::clone(&s.service), *n as usize)).collect();
+        let mut pressure = shared.pressure();
+        pieces.iter().for_each(|(service, n)| pressure.expect(service, *n));
+        Self { shared, pieces }
+    }
+
+    fn arrived(&mut self, stage: usize) {
+        let (service, pieces) = &mut self.pieces[stage];
+        self.shared.pressure().arrived(service, std::mem::take(pieces));
+    }
+}
+
+impl Drop for Coming<'_> {
+    fn drop(&mut self) {
+        (0..self.pieces.len()).for_each(|stage| self.arrived(stage));
+    }
+}
+
 struct Made {
     stage: usize,
     done: Result<StageDone, Failure>,
@@ -121,6 +151,7 @@
     let planned = planned_server(shared, plan);
     let zone = planned.as_ref().map(|s| s.zone.to_string()).unwrap_or_default();
     inputs.planned = planned.map(|s| s.id);
+    let mut coming = Coming::new(shared, route, &pieces);
     let mut results: Vec<Option<Vec<Arc<str>>>> =
         pieces.iter().map(|n| (*n == 0).then(Vec::new)).collect();
     let mut started: Vec<bool> = pieces.iter().map(|n| *n == 0).collect();
@@ -133,6 +164,7 @@
                 continue;
             }
             started[index] = true;
+            coming.arrived(index);
             let needs = stage.after.iter().filter_map(|a| results[*a].clone()).flatten().collect();
             let near = nearest(route, index, &pieces, &zones, &zone);
             let run = StageRun {
@@ -182,9 +214,14 @@
 ) -> Result<(), Failure> {
     let now = clock::boot();
     let route = plan.route();
+    let starts = chain::starts(route, times);
+    let entries = shared.nodes().entries(now).len();
     let waits: Vec<Duration> = {
         let pressure = shared.pressure();
-        route.stages.iter().map(|s| pressure.wait(now, &s.service)).collect()
+        let wait = |(s, start): (&StageSpec, &Duration)| {
+            pressure.wait_after(now, &s.service, *start, entries)
+        };
+        route.stages.iter().zip(&starts).map(wait).collect()
     };
     let engine_wait = shared.pressure().wait(now, &plan.service);
     let needed = chain::chain_time(route, times, &waits) + engine + engine_wait;
@@ -202,13 +239,7 @@
 /// engine, whichever saves more bytes between zones, or none if there is little to save.
 ///
 /// Every piece fetches all inputs, so that small results add up.
-fn nearest(
-    route: &crate::core::catalog::Route,
-    stage: usize,
-    pieces: &[u32],
-    zones: &[String],
-    engine: &str,
-) -> String {
+fn nearest(route: &Route, stage: usize, pieces: &[u32], zones: &[String], engine: &str) -> String {
     let own = u64::from(pieces[stage]);
     let fetched = |a: &usize| u64::from(pieces[*a]) * route.stages[*a].size * own;
     let input = route.stages[stage].after.iter().max_by_key(|a| fetched(a));
@@ -225,16 +256,12 @@
 }
 
 /// Returns the number of stages that need the results of a stage.
-fn users(route: &crate::core::catalog::Route, stage: usize) -> usize {
+fn users(route: &Route, stage: usize) -> usize {
     route.stages.iter().filter(|s| s.after.contains(&stage)).count()
 }
 
 /// Returns the stages before one whose results nothing waits for any more.
-fn spent(
-    route: &crate::core::catalog::Route,
-    results: &[Option<Vec<Arc<str>>>],
-    stage: usize,
-) -> Vec<usize> {
+fn spent(route: &Route, results: &[Option<Vec<Arc<str>>>], stage: usize) -> Vec<usize> {
     let is_done = |index: &usize| {
         let mut users = route.stages.iter().enumerate().filter(|(_, s)| s.after.contains(index));
         users.all(|(user, _)| results[user].is_some())
@@ -291,7 +318,7 @@
         if let Ok(done) = &answer {
             let wait = Duration::from_millis(done.wait_ms);
             let service = &plan.route().stages[stage].service;
-            shared.pressure().note(clock::boot(), service, wait);
+            shared.pressure().note(clock::boot(), service, wait, done.rate);
         }
         match answer {
             Ok(done) if done.outcome() == Outcome::Unavailable => {}
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -40,6 +40,9 @@
     pub operator: ::core::option::Option<OperatorView>,
     #[prost(message, optional, tag = "3")]
     pub listing: ::core::option::Option<ListingView>,
+    /// Milliseconds for which the call was held until there was something new.
+    #[prost(uint64, tag = "4")]
+    pub held_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OperatorView {
@@ -112,7 +115,7 @@
     #[prost(bool, tag = "12")]
     pub frees: bool,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StageDone {
     #[prost(enumeration = "Outcome", tag = "1")]
     pub outcome: i32,
@@ -128,6 +131,9 @@
     /// Milliseconds that a new stage of the service waits for its turn.
     #[prost(uint64, tag = "5")]
     pub wait_ms: u64,
+    /// The pieces that the service makes in a second.
+    #[prost(double, tag = "6")]
+    pub rate: f64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FreeResults {
--- a/tests/testsuite/platform/pieces.rs
+++ b/tests/testsuite/platform/pieces.rs
@@ -244,6 +244,9 @@
         JobSpec { source: Source::Inputs(inputs.clone()), frees: true, ..job(at(0), "r1", 2) };
     queue.submit(at(0), spec).unwrap();
     let call = queue.step(at(0)).calls.remove(0);
+    for request in ["r2", "r3"] {
+        queue.submit(at(0), job(at(0), request, 8)).unwrap();
+    }
 
     let early = queue.step(at(20)).fetched;
     let later = queue.step(at(100)).fetched;
@@ -253,6 +256,22 @@
     assert!(end.fetched.is_empty());
 }
 
+#[test]
+fn inputs_are_kept_until_the_end_while_nothing_waits() {
+    // Pattern: a calm day; a piece that fails is made again from the same inputs.
+    let mut queue = queue(&[("s1", "mnl-a")]);
+    let inputs = vec![arc("127.0.0.1:9/a")];
+    let spec =
+        JobSpec { source: Source::Inputs(inputs.clone()), frees: true, ..job(at(0), "r1", 2) };
+    queue.submit(at(0), spec).unwrap();
+    let call = queue.step(at(0)).calls.remove(0);
+
+    let during = queue.step(at(100)).fetched;
+    let end = queue.finish(at(182), call.key, made(&call));
+
+    assert_eq!((during.len(), end.fetched), (0, inputs));
+}
+
 #[test]
 fn overdue_call_is_asked_for_elsewhere_and_the_first_result_counts() {
     // Pattern: a backend server turns slow, or goes dark under a call.
