--- a/src/bin/limpetmux/commands/mod.rs
+++ b/src/bin/limpetmux/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod drain;
 pub mod entry;
+pub mod explain;
 pub mod local;
 pub mod node;
 mod operator;
--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -173,7 +173,9 @@
         let lapsed = entry.raw.is_empty() && kept.is_some();
         let server = if lapsed { kept } else { entry.server };
         let (changed, learned) = match old {
-            Some(old) if old.server == server && !lapsed => (old.changed, old.learned),
+            Some(old) if old.server == server && !lapsed && old.missing.is_none() => {
+                (old.changed, old.learned)
+            }
             _ => (entry.offset, now),
         };
         let missing = lapsed.then_some(now);
--- a/src/limpetmux/gates/mod.rs
+++ b/src/limpetmux/gates/mod.rs
@@ -13,6 +13,7 @@
 use crate::serve::stages::free_results;
 use crate::util::clock;
 use crate::util::event::EventCode;
+use crate::util::metrics::Metric;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use std::collections::BTreeMap;
@@ -237,6 +238,14 @@
             CallEnd::Lost
         }
     };
+    let outcome = match &end {
+        CallEnd::Answered(_) => "answered",
+        CallEnd::Refused => "refused",
+        CallEnd::Elsewhere => "elsewhere",
+        CallEnd::Unsent => "unsent",
+        CallEnd::Lost => "lost",
+    };
+    gates.shared.metrics.count(Metric::SidecarCalls, 1, &[("outcome", outcome)]);
     gates.finish(&service, call.key, end);
 }
 
--- a/src/limpetmux/ops/mod.rs
+++ b/src/limpetmux/ops/mod.rs
@@ -7,6 +7,7 @@
 pub mod config_client;
 pub mod config_files;
 pub mod drain;
+pub mod explain;
 pub mod sheet;
 mod sheet_error;
 pub mod sheet_plan;
--- a/src/limpetmux/serve/failure.rs
+++ b/src/limpetmux/serve/failure.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Returns whether the answer promises that the request has not run and will not.
+    pub fn is_not_run(&self) -> bool {
+        !matches!(self.reason, Reason::Lost | Reason::Timeout)
+    }
+
     /// Builds the answer.
     pub fn answer(&self) -> Response<Body> {
         let name: &'static str = self.reason.into();
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -17,6 +17,7 @@
 use crate::platform::server::{self, Order, ReplyHead};
 use crate::util::clock;
 use crate::util::event::EventCode;
+use crate::util::metrics::Metric;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -296,6 +297,10 @@
     fn served(&self, status: StatusCode, first: Duration) {
         let now = clock::boot();
         let view = self.shared.view.load();
+        let workspace = self.plan.holder.as_ref().map_or("none", |h| &*h.workspace);
+        let tags = [("workspace", workspace), ("pipeline", &*self.plan.route().name)];
+        self.shared.metrics.count(Metric::RequestsAnswered, 1, &tags);
+        self.shared.metrics.time(Metric::RequestTime, now.since(self.plan.arrived), &tags);
         event!(
             EventCode::RequestServed,
             request = self.plan.ask.id,
--- a/src/limpetmux/serve/front.rs
+++ b/src/limpetmux/serve/front.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -96,31 +97,49 @@
 
 /// Answers the balancer's question whether the node is ready.
 pub async fn serve_readiness(shared: Arc<Shared>, listener: TcpListener) {
+    serve_small(listener, move || readiness(shared.is_ready())).await;
+}
+
+/// Serves the metrics of the node as text.
+pub async fn serve_metrics(shared: Arc<Shared>, listener: TcpListener) {
+    serve_small(listener, move || text(shared.exposition.render())).await;
+}
+
+/// Answers every request on a listener alike.
+async fn serve_small(
+    listener: TcpListener,
+    answer: impl Fn() -> Response<Body> + Clone + Send + 'static,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let shared = Arc::clone(&shared);
+        let answer = answer.clone();
         let service = service_fn(move |_: Request<Incoming>| {
-            let ready = shared.is_ready();
-            async move { Ok::<_, Infallible>(readiness(ready)) }
+            let answer = answer();
+            async move { Ok::<_, Infallible>(answer) }
         });
         tokio::spawn(async move {
             let builder = http1::Builder::new();
             if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
-                log::debug!(target: "limpetmux", "connection of the balancer ended: {error}");
+                log::debug!(target: "limpetmux", "a small connection ended: {error}");
             }
         });
     }
 }
 
 fn readiness(ready: bool) -> Response<Body> {
-    let text: &'static [u8] = if ready { b"ready" } else { b"not ready" };
-    let body = Full::new(Bytes::from_static(text)).map_err(|never| match never {});
-    let mut answer = Response::new(body.boxed_unsync());
+    let mut answer = text(if ready { "ready" } else { "not ready" }.to_owned());
     if !ready {
         *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
     answer
 }
+
+fn text(text: String) -> Response<Body> {
+    let body = Full::new(Bytes::from(text)).map_err(|never| match never {});
+    let mut answer = Response::new(body.boxed_unsync());
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    answer
+}
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -12,6 +12,8 @@
 use crate::fleet::peers::Peers;
 use crate::kernel::{Published, Publisher};
 use crate::util::clock;
+use crate::util::exposition::Exposition;
+use crate::util::metrics::Metrics;
 use arc_swap::ArcSwap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -45,6 +47,10 @@
     settings: ArcSwap<NodeSettings>,
     /// The view of the store, replaced whole.
     pub view: Published<StoreView>,
+    /// Where the node counts.
+    pub metrics: Metrics,
+    /// What it has counted, as text.
+    pub exposition: Exposition,
     /// The connections to backend servers.
     pub links: Links,
     /// The connections to other nodes.
@@ -69,7 +75,10 @@
             gate: settings.callers.is_none(),
             started: clock::unix_millis(),
         };
+        let exposition = Exposition::default();
         Arc::new(Self {
+            metrics: exposition.metrics(),
+            exposition,
             view: view.reader(),
             links: Links::default(),
             peers: Peers::new(Channels::plain()),
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -11,6 +11,7 @@
 use crate::platform::caller::{self, Ask};
 use crate::util::clock;
 use crate::util::event::EventCode;
+use crate::util::metrics::Metric;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -81,6 +82,7 @@
         Ok(ask) => ask,
         Err(bad) => {
             event!(EventCode::RequestRejected, path = parts.uri.path(), reason = bad);
+            shared.metrics.count(Metric::RequestsRejected, 1, &[]);
             return Failure::new(Reason::BadRequest).answer();
         }
     };
@@ -102,6 +104,9 @@
     let now = clock::boot();
     let view = shared.view.load();
     let reason: &'static str = failure.reason.into();
+    let execution: &'static str = if failure.is_not_run() { "not_run" } else { "unknown" };
+    let tags = [("code", reason), ("execution", execution)];
+    shared.metrics.count(Metric::RequestsRefused, 1, &tags);
     event!(
         EventCode::RequestRefused,
         request = id,
--- a/src/limpetmux/serve/run.rs
+++ b/src/limpetmux/serve/run.rs
@@ -63,6 +63,8 @@
     pub readiness: Option<SocketAddr>,
     /// Where it accepts calls of other nodes.
     pub nodes: SocketAddr,
+    /// Where it serves its metrics.
+    pub metrics: SocketAddr,
     shared: Arc<Shared>,
     stop: watch::Sender<bool>,
     _control: ControlThread,
@@ -99,12 +101,14 @@
     serve_nodes(&shared, &gates, listener);
     let readiness = serve_readiness(&shared).await?;
     let callers = serve_callers(&shared, &stopped).await?;
+    let (metrics_listener, metrics) = bind(shared.settings().metrics).await?;
+    tokio::spawn(front::serve_metrics(Arc::clone(&shared), metrics_listener));
     {
         let _guard = control.enter();
         tokio::spawn(follower.run());
     }
     tokio::spawn(gates.run_queues());
-    Ok(RunningNode { callers, readiness, nodes, shared, stop, _control: control })
+    Ok(RunningNode { callers, readiness, nodes, metrics, shared, stop, _control: control })
 }
 
 async fn reload(shared: Arc<Shared>, mut reloads: mpsc::Receiver<NodeSettings>) {
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -11,6 +11,7 @@
 use crate::event;
 use crate::util::clock;
 use crate::util::event::EventCode;
+use crate::util::metrics::Metric;
 use crate::wire::fleet::{FreeResults, Outcome, StageDone, StageRun};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -309,6 +310,7 @@
 
 async fn make_stage(shared: &Arc<Shared>, plan: &Plan, stage: usize, run: StageRun) -> Made {
     let mut silent: Vec<SocketAddr> = Vec::new();
+    let began = clock::boot();
     for _ in 0..GATE_TRIES {
         let Some(addr) = gate(shared, &run.service, &silent) else { break };
         let left = plan.left();
@@ -324,6 +326,7 @@
             Ok(done) if done.outcome() == Outcome::Unavailable => {}
             Ok(done) => {
                 let done = judge(shared, plan, stage, done);
+                note_stage(shared, plan, stage, clock::boot().since(began), silent.len());
                 return Made { stage, done };
             }
             Err(status) => {
@@ -338,6 +341,13 @@
     Made { stage, done: Err(Failure::later(Reason::StagesFailed, FAILED_RETRY)) }
 }
 
+fn note_stage(shared: &Shared, plan: &Plan, stage: usize, took: Duration, silent: usize) {
+    let stage = stage.to_string();
+    let tags = [("pipeline", &*plan.route().name), ("stage", stage.as_str())];
+    shared.metrics.time(Metric::StageTime, took, &tags);
+    shared.metrics.count(Metric::StageAttempts, silent as u64 + 1, &tags);
+}
+
 fn judge(
     shared: &Shared,
     plan: &Plan,
--- /dev/null
+++ b/src/limpetmux/util/exposition.rs
@@ -0,0 +1,117 @@
+//! Counters and histograms of a process as text, for a scraper that comes from time to time.
+//!
+//! [`Exposition`] is a sink of the metrics client: it adds up what the process counts and renders
+//! it in the text format that scrapers read. The number of series is bounded; what would go beyond
+//! is added up in one series without labels.
+
+use crate::util::metrics::{Metric, Metrics};
+use cadence::MetricSink;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::{Arc, Mutex, PoisonError};
+use strum::VariantArray;
+
+/// The most series of one process.
+const MAX_SERIES: usize = 2_000;
+/// The upper bounds of the buckets of a histogram, in milliseconds.
+const BUCKETS_MS: [u64; 12] = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_000, 4_000, 8_000, 16_000];
+
+/// One counter or histogram; a counter uses only `sum`.
+#[derive(Clone, Debug, Default)]
+struct Series {
+    sum: u64,
+    count: u64,
+    buckets: [u64; BUCKETS_MS.len()],
+}
+
+/// What a process has counted since its start; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct Exposition {
+    series: Arc<Mutex<BTreeMap<(Metric, String), Series>>>,
+}
+
+impl Exposition {
+    /// Returns the metrics client that counts here.
+    pub fn metrics(&self) -> Metrics {
+        Metrics::sink(self.clone())
+    }
+
+    /// Renders all series.
+    pub fn render(&self) -> String {
+        let series = self.series.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        for metric in Metric::VARIANTS {
+            let own: Vec<_> = series.iter().filter(|((m, _), _)| m == metric).collect();
+            if own.is_empty() {
+                continue;
+            }
+            let is_timer = metric.kind() == "timer";
+            let kind = if is_timer { "histogram" } else { "counter" };
+            // Writing into a string cannot fail.
+            let _ = writeln!(text, "# TYPE limpetmux_{} {kind}", metric.name());
+            for ((_, labels), series) in own {
+                render_series(&mut text, metric.name(), labels, series, is_timer);
+            }
+        }
+        text
+    }
+
+    /// Adds one value, as the client spells it: `name:value|type|#label:value,label:value`.
+    fn add(&self, line: &str) -> Option<()> {
+        let mut parts = line.split('|');
+        let (name, value) = parts.next()?.rsplit_once(':')?;
+        let metric = find_metric(name)?;
+        let value: u64 = value.parse().ok()?;
+        let labels = parts.find_map(|p| p.strip_prefix('#')).map(labels).unwrap_or_default();
+        let mut series = self.series.lock().unwrap_or_else(PoisonError::into_inner);
+        let full = series.len() >= MAX_SERIES && !series.contains_key(&(metric, labels.clone()));
+        let key = (metric, if full { String::new() } else { labels });
+        let own = series.entry(key).or_default();
+        own.sum += value;
+        own.count += 1;
+        for (bucket, _) in own.buckets.iter_mut().zip(BUCKETS_MS).filter(|(_, b)| value <= *b) {
+            *bucket += 1;
+        }
+        Some(())
+    }
+}
+
+impl MetricSink for Exposition {
+    fn emit(&self, line: &str) -> std::io::Result<usize> {
+        match self.add(line) {
+            Some(()) => Ok(line.len()),
+            None => Err(std::io::ErrorKind::InvalidData.into()),
+        }
+    }
+}
+
+fn find_metric(name: &str) -> Option<Metric> {
+    let short = name.rsplit('.').next()?;
+    Metric::VARIANTS.iter().copied().find(|m| m.name() == short)
+}
+
+/// Spells labels as scrapers read them; quotes and line breaks are dropped.
+fn labels(text: &str) -> String {
+    let label = |pair: &str| {
+        let (key, value) = pair.split_once(':').unwrap_or((pair, ""));
+        let value = value.replace(['"', '\\', '\n'], "");
+        format!("{key}=\"{value}\"")
+    };
+    text.split(',').map(label).collect::<Vec<_>>().join(",")
+}
+
+fn render_series(text: &mut String, name: &str, labels: &str, series: &Series, is_timer: bool) {
+    let braces = if labels.is_empty() { String::new() } else { format!("{{{labels}}}") };
+    if !is_timer {
+        let _ = writeln!(text, "limpetmux_{name}{braces} {}", series.sum);
+        return;
+    }
+    let comma = if labels.is_empty() { "" } else { "," };
+    for (bound, count) in BUCKETS_MS.iter().zip(series.buckets) {
+        let _ = writeln!(text, "limpetmux_{name}_bucket{{{labels}{comma}le=\"{bound}\"}} {count}");
+    }
+    let count = series.count;
+    let _ = writeln!(text, "limpetmux_{name}_bucket{{{labels}{comma}le=\"+Inf\"}} {count}");
+    let _ = writeln!(text, "limpetmux_{name}_sum{braces} {}", series.sum);
+    let _ = writeln!(text, "limpetmux_{name}_count{braces} {count}");
+}
--- a/src/limpetmux/util/mod.rs
+++ b/src/limpetmux/util/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod event;
+pub mod exposition;
 pub mod hash;
 pub mod jsonc;
 pub mod logging;
--- a/tests/testsuite/platform/listing.rs
+++ b/tests/testsuite/platform/listing.rs
@@ -90,3 +90,34 @@
     let changed: Vec<&str> = listing.changes(10).map(|(id, _)| &**id).collect();
     assert_eq!(changed, ["b"]);
 }
+
+#[test]
+fn entry_that_is_back_after_a_lapse_reaches_the_nodes_that_heard_of_the_lapse() {
+    // Seen on a day with a silent store: only the node that read the store kept its servers.
+    let mut reader = Listing::default();
+    let mut puller = Listing::default();
+    for listing in [&mut reader, &mut puller] {
+        listing.apply(at(0), 10, vec![entry("a", 9)]);
+    }
+    let hand_on = |reader: &Listing, puller: &mut Listing, now: u64| {
+        let news = reader.changes(puller.end).map(|(id, listed)| Entry {
+            id: id.clone(),
+            offset: listed.offset,
+            server: (!listed.raw.is_empty()).then(|| server(id, "mnl-a")),
+            raw: listed.raw.clone(),
+        });
+        let news = news.collect();
+        puller.apply(at(now), reader.end, news);
+    };
+
+    reader.apply(at(5_000), 11, vec![removed("a", 10)]);
+    hand_on(&reader, &mut puller, 5_000);
+    reader.apply(at(6_000), 12, vec![entry("a", 11)]);
+    hand_on(&reader, &mut puller, 6_000);
+    for listing in [&mut reader, &mut puller] {
+        listing.expire(at(9_000));
+    }
+
+    assert_eq!(ids(&reader), ["a"]);
+    assert_eq!(ids(&puller), ["a"]);
+}
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod adapter;
 mod catalog;
+mod explain;
 mod listing;
 mod names;
 mod nodes;
--- a/tests/testsuite/platform/whole_path.rs
+++ b/tests/testsuite/platform/whole_path.rs
@@ -125,6 +125,11 @@
     let answer = scene.send("/once/x?y=1", "a1").await;
 
     assert_eq!(answer.status(), 200);
+    let metrics = Client::new().get(format!("http://{}/metrics", scene.entry.metrics));
+    let metrics = metrics.send().await.unwrap().text().await.unwrap();
+    let answered = r#"limpetmux_requests_answered{workspace="w1",pipeline="r1"} 1"#;
+    assert!(metrics.contains(answered), "{metrics}");
+    assert!(metrics.contains("limpetmux_request_time_bucket"), "{metrics}");
     assert_eq!(answer.headers()["x-limpetmux-response-signature"], "signed");
     assert!(answer.text().await.unwrap().contains("from p"));
     let seen: Vec<_> = scene.plain.iter().flat_map(UsersServer::seen).collect();
