--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -405,7 +405,10 @@
             visit.end(PlaceEnd::Answered(first));
             visit.served(status, first);
         }
-        StreamEnd::Broken => visit.failed("the stream broke off"),
+        StreamEnd::Broken => {
+            visit.failed("the stream broke off");
+            event!(EventCode::RequestFailed, request = visit.plan.ask.id, reason = "broken");
+        }
         StreamEnd::Timeout => {
             visit.end(PlaceEnd::Neutral);
             event!(EventCode::RequestFailed, request = visit.plan.ask.id, reason = "timeout");
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -228,12 +228,18 @@
     let needed = chain::chain_time(route, times, &waits) + engine + engine_wait;
     let none = vec![Duration::ZERO; waits.len()];
     let waited = needed.saturating_sub(chain::chain_time(route, times, &none) + engine);
-    match pressure::refuse(needed, now.until(plan.aim()), waited) {
-        None => Ok(()),
-        Some(retry) => {
-            Err(Failure::later(Reason::Overloaded, retry.min(plan.left() / RETRY_PARTS)))
-        }
-    }
+    let aim = now.until(plan.aim());
+    let Some(retry) = pressure::refuse(needed, aim, waited) else { return Ok(()) };
+    event!(
+        EventCode::NotAdmitted,
+        request = plan.ask.id,
+        needed_ms = needed.as_millis(),
+        aim_ms = aim.as_millis(),
+        waits_ms = waited.as_millis(),
+        engine_wait_ms = engine_wait.as_millis(),
+        version = plan.catalog.version
+    );
+    Err(Failure::later(Reason::Overloaded, retry.min(plan.left() / RETRY_PARTS)))
 }
 
 /// Returns the zone in which a stage is best made: that of its inputs or that of the model
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -87,6 +87,9 @@
     StageUnmade = 205,
     /// The caller went away before its answer was whole.
     CallerGone = 206,
+    /// A request was not admitted because the waits along its chain would make it late.
+    #[strum(props(level = "warn"))]
+    NotAdmitted = 207,
 
     // 3xx: idempotency keys.
     /// The claims stream of the platform log became reachable or unreachable.
