Merge groups of nodes without holding the pull

Cause: every eighth pull went to any known place and was held there, so that views grew older than the waits add up to and other nodes read the store too.

Change: such a pull is not held and does not replace the one from the reader.

--- a/src/limpetmux/fleet/follow.rs
+++ b/src/limpetmux/fleet/follow.rs
@@ -194,8 +194,11 @@
             if sources.is_empty() {
                 sleep(IDLE_TICK).await;
             }
-            for (addr, known) in sources {
-                if self.pull(addr).await && known {
+            if let Some(place) = self.place(turn) {
+                self.pull(place, Duration::ZERO).await;
+            }
+            for addr in sources {
+                if self.pull(addr, PULL_WAIT).await {
                     break;
                 }
             }
@@ -209,42 +212,47 @@
         }
     }
 
-    /// Returns the nodes to pull from in this turn, best first; the flag tells whether they are
-    /// known to live.
-    ///
-    /// Now and then any address is asked at which a node is or was, so that groups of nodes that
-    /// have lost each other become one again.
-    fn sources(&self, turn: usize) -> Vec<(SocketAddr, bool)> {
+    /// Returns the nodes to pull from in this turn, best first.
+    fn sources(&self, turn: usize) -> Vec<SocketAddr> {
         let now = clock::boot();
         let stale = self.look(|v| v.orders.age(now) > ORDERS_STALE);
         let nodes = self.shared.nodes();
         let own = nodes.own().addr;
         let order: Vec<SocketAddr> = nodes.order(now, READERS).iter().map(|n| n.addr).collect();
         let others: Vec<SocketAddr> = order.iter().copied().filter(|a| *a != own).collect();
-        let settings = self.shared.settings();
-        let places = settings.seeds.iter().copied().chain(nodes.candidates());
-        let places: Vec<SocketAddr> = places.filter(|s| *s != own).collect();
-        let any = places.get(turn / MERGE_TURNS % places.len().max(1)).copied();
         let is_reader = order.first() == Some(&own);
-        let mut sources = match (is_reader, stale, others.len()) {
-            (_, _, 0) => settings.seeds.iter().copied().filter(|s| *s != own).collect(),
+        match (is_reader, stale, others.len()) {
+            (_, _, 0) => {
+                let settings = self.shared.settings();
+                settings.seeds.iter().copied().filter(|s| *s != own).collect()
+            }
             (true, false, _) => Vec::new(),
             (_, true, n) => vec![others[0], others[turn % n]],
             (false, false, _) => vec![others[0]],
-        };
-        if others.is_empty() || turn.is_multiple_of(MERGE_TURNS) {
-            sources.splice(0..0, any);
         }
-        sources.into_iter().map(|addr| (addr, others.contains(&addr))).collect()
+    }
+
+    /// Returns an address, now and then, at which a node is or was, so that groups of nodes that
+    /// have lost each other become one again.
+    fn place(&self, turn: usize) -> Option<SocketAddr> {
+        if !turn.is_multiple_of(MERGE_TURNS) && !self.is_alone() {
+            return None;
+        }
+        let nodes = self.shared.nodes();
+        let own = nodes.own().addr;
+        let settings = self.shared.settings();
+        let places = settings.seeds.iter().copied().chain(nodes.candidates());
+        let places: Vec<SocketAddr> = places.filter(|s| *s != own).collect();
+        places.get(turn / MERGE_TURNS % places.len().max(1)).copied()
     }
 
     /// Pulls from one node; returns whether its view was as fresh as this node needs.
-    async fn pull(&self, addr: SocketAddr) -> bool {
+    async fn pull(&self, addr: SocketAddr, wait: Duration) -> bool {
         let asked = clock::boot();
         let request = {
             let view = self.look(Clone::clone);
             let nodes = self.shared.nodes();
-            let wait = if view.orders.end == 0 { Duration::ZERO } else { PULL_WAIT };
+            let wait = if view.orders.end == 0 { Duration::ZERO } else { wait };
             convert::request(nodes.own(), &view, wait)
         };
         let call = async { self.shared.peers.client(addr)?.pull(request).await };
