Split sends and results out of large files, and test the chain's decisions

Change: serve/visit.rs holds one send and its answer, serve/inputs.rs the results that a request holds; where a stage is best made, who needs its results and when they are spent moved to core/chain.rs with tests.

--- a/src/limpetmux/core/chain.rs
+++ b/src/limpetmux/core/chain.rs
@@ -1,8 +1,11 @@
 //! The time that the stages of a request take, and by when each has to end.
 
 use crate::core::catalog::{Catalog, Route};
+use std::sync::Arc;
 use std::time::Duration;
 
+/// From this many bytes on a stage is made where they lie or are needed, if that is possible.
+const LARGE_FETCH: u64 = 500_000;
 /// The part of a call that a stage waits for its turn on an ordinary day.
 const TURN_PARTS: u32 = 3;
 
@@ -54,3 +57,43 @@
     }
     starts
 }
+
+/// Returns the zone in which a stage is best made: that of its inputs or that of the model
+/// engine, whichever saves more bytes between zones, or none if there is little to save.
+///
+/// Every piece fetches all inputs, so that small results add up.
+pub fn nearest(
+    route: &Route,
+    stage: usize,
+    pieces: &[u32],
+    zones: &[String],
+    engine: &str,
+) -> String {
+    let own = u64::from(pieces[stage]);
+    let fetched = |a: &usize| u64::from(pieces[*a]) * route.stages[*a].size * own;
+    let input = route.stages[stage].after.iter().max_by_key(|a| fetched(a));
+    let input_bytes = input.map_or(0, fetched);
+    let is_last = users(route, stage) == 0;
+    let output_bytes = if is_last { own * route.stages[stage].size } else { 0 };
+    if input_bytes.max(output_bytes) < LARGE_FETCH {
+        return String::new();
+    }
+    match input {
+        Some(input) if input_bytes >= output_bytes => zones[*input].clone(),
+        _ => engine.to_owned(),
+    }
+}
+
+/// Returns the number of stages that need the results of a stage.
+pub fn users(route: &Route, stage: usize) -> usize {
+    route.stages.iter().filter(|s| s.after.contains(&stage)).count()
+}
+
+/// Returns the stages before one whose results nothing waits for any more.
+pub fn spent(route: &Route, results: &[Option<Vec<Arc<str>>>], stage: usize) -> Vec<usize> {
+    let is_done = |index: &usize| {
+        let mut users = route.stages.iter().enumerate().filter(|(_, s)| s.after.contains(index));
+        users.all(|(user, _)| results[user].is_some())
+    };
+    route.stages[stage].after.iter().copied().filter(is_done).collect()
+}
--- a/src/limpetmux/gates/mod.rs
+++ b/src/limpetmux/gates/mod.rs
@@ -9,8 +9,8 @@
 use crate::core::pieces::{CallKey, Made, Unmade, WorkerSpec};
 use crate::event;
 use crate::platform::{server, stage};
+use crate::serve::inputs::free_results;
 use crate::serve::node::{Shared, StoreView};
-use crate::serve::stages::free_results;
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -5,23 +5,19 @@
 //! the route's attempts and the entry's share of the repeats that the service bears.
 
 use super::failure::{Failure, Reason};
+use super::inputs::Inputs;
 use super::links::{Lease, LinkError};
 use super::node::Shared;
-use super::request::{Plan, Running, authorize};
-use super::stages::{Inputs, engine_time};
-use super::stream::{Body, Passing, PassingHooks, StreamEnd};
+use super::request::{Plan, authorize};
+use super::stream::Body;
+use super::visit::{Visit, pass_on};
 use crate::core::listing::Server;
 use crate::core::placement::{PlaceEnd, PlaceQuery};
-use crate::core::time::Moment;
-use crate::event;
 use crate::platform::server::{self, Order, ReplyHead};
 use crate::util::clock;
-use crate::util::event::EventCode;
-use crate::util::metrics::Metric;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
+use hyper::Response;
 use hyper::body::Incoming;
-use hyper::{Response, StatusCode};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -41,7 +37,7 @@
 const REFUSALS: usize = 4;
 
 /// How one send ended.
-enum Sent {
+pub enum Sent {
     /// An answer for the caller, on which the server's connection depends no more.
     Answer(Response<Body>),
     /// The request did not run there.
@@ -213,7 +209,7 @@
         if plan.route().repeat.is_stream() && head.status.is_success() {
             return Ok(Sent::Answer(pass_on(visit, answer, lease, &head, inputs.take())));
         }
-        visit.whole(answer, lease, &head).await
+        Ok(visit.whole(answer, lease, &head).await)
     }
 
     fn unanswered(&self, mut visit: Visit, error: &LinkError) -> Sent {
@@ -242,116 +238,6 @@
 /// How many entries there may be for each one that is known, with the spare ones.
 const SPARES: usize = 2;
 
-/// One request at one backend server; counts as in flight there until it ends.
-struct Visit {
-    shared: Arc<Shared>,
-    plan: Arc<Plan>,
-    server: Arc<str>,
-    began: Moment,
-    /// When the head of the answer came.
-    head: Moment,
-    ended: bool,
-}
-
-impl Visit {
-    fn new(shared: &Arc<Shared>, plan: &Arc<Plan>, server: &Server, began: Moment) -> Self {
-        let server = Arc::clone(&server.id);
-        Self {
-            shared: Arc::clone(shared),
-            plan: Arc::clone(plan),
-            server,
-            began,
-            head: began,
-            ended: false,
-        }
-    }
-
-    fn end(&mut self, end: PlaceEnd) {
-        if !std::mem::replace(&mut self.ended, true) {
-            self.shared.placement().finished(clock::boot(), &self.server, end);
-        }
-    }
-
-    fn failed(&mut self, reason: &str) {
-        event!(
-            EventCode::AttemptFailed,
-            request = self.plan.ask.id,
-            server = self.server,
-            reason = reason,
-            took_ms = clock::boot().since(self.began).as_millis()
-        );
-        self.end(PlaceEnd::Failed);
-    }
-
-    fn failed_by(&mut self, error: &LinkError) {
-        event!(
-            EventCode::AttemptFailed,
-            request = self.plan.ask.id,
-            server = self.server,
-            reason = error,
-            took_ms = clock::boot().since(self.began).as_millis()
-        );
-        self.end(PlaceEnd::Broken);
-    }
-
-    fn served(&self, status: StatusCode, first: Duration) {
-        let now = clock::boot();
-        let view = self.shared.view.load();
-        let workspace = self.plan.holder.as_ref().map_or("none", |h| &*h.workspace);
-        let tags = [("workspace", workspace), ("pipeline", &*self.plan.route().name)];
-        self.shared.metrics.count(Metric::RequestsAnswered, 1, &tags);
-        self.shared.metrics.time(Metric::RequestTime, now.since(self.plan.arrived), &tags);
-        event!(
-            EventCode::RequestServed,
-            request = self.plan.ask.id,
-            server = self.server,
-            status = status.as_u16(),
-            took_ms = now.since(self.plan.arrived).as_millis(),
-            server_ms = now.since(self.began).as_millis(),
-            head_ms = self.head.since(self.began).as_millis(),
-            first_ms = first.as_millis(),
-            version = view.orders.version(),
-            orders_age_ms = view.orders.age(now).as_millis()
-        );
-    }
-
-    /// Reads an answer to its end before the caller gets any of it.
-    async fn whole(
-        mut self,
-        answer: Response<Incoming>,
-        lease: Lease,
-        head: &ReplyHead,
-    ) -> Result<Sent, Failure> {
-        let (mut parts, body) = answer.into_parts();
-        let body: Bytes = match body.collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) => {
-                self.failed(&error.to_string());
-                return Ok(Sent::Lost);
-            }
-        };
-        if !head.closes {
-            lease.keep(head.keep);
-        }
-        server::strip(&mut parts.headers);
-        let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
-        let answer = Response::from_parts(parts, body);
-        if head.status.is_server_error() {
-            self.failed(head.status.as_str());
-            return Ok(Sent::Failed(answer));
-        }
-        self.end(PlaceEnd::Answered(clock::boot().since(self.began)));
-        self.served(head.status, clock::boot().since(self.began));
-        Ok(Sent::Answer(answer))
-    }
-}
-
-impl Drop for Visit {
-    fn drop(&mut self) {
-        self.end(PlaceEnd::Neutral);
-    }
-}
-
 /// Reads a short answer to its end so that its connection can be kept.
 async fn give_back(answer: Response<Incoming>, lease: Lease, head: &ReplyHead) {
     let whole = answer.into_body().collect().await.is_ok();
@@ -359,63 +245,3 @@
         lease.keep(head.keep);
     }
 }
-
-/// Passes a stream on as its events come.
-fn pass_on(
-    mut visit: Visit,
-    answer: Response<Incoming>,
-    lease: Lease,
-    head: &ReplyHead,
-    inputs: Option<Inputs>,
-) -> Response<Body> {
-    let (mut parts, body) = answer.into_parts();
-    server::strip(&mut parts.headers);
-    let running = Running::new(&visit.shared);
-    let left = visit.plan.left();
-    let status = head.status;
-    let began = visit.began;
-    let mut inputs = inputs;
-    let first_at = Arc::new(std::sync::Mutex::new(None));
-    let seen = Arc::clone(&first_at);
-    let (shared, plan) = (Arc::clone(&visit.shared), Arc::clone(&visit.plan));
-    let first = Box::new(move || {
-        if let Some(inputs) = &mut inputs {
-            inputs.free();
-        }
-        let now = clock::boot();
-        let wait = now.since(began).saturating_sub(engine_time(&plan));
-        shared.pressure().note(now, &plan.service, wait, 0.0);
-        if let Ok(mut at) = seen.lock() {
-            *at = Some(clock::boot().since(began));
-        }
-    });
-    let ended = Box::new(move |end: StreamEnd| {
-        let first = first_at.lock().ok().and_then(|at| *at).unwrap_or_default();
-        finish_stream(&mut visit, end, status, first);
-        drop(running);
-    });
-    let hooks = PassingHooks { first, ended };
-    let passing = Passing::new(body, lease, (head.keep, head.closes), left, hooks);
-    Response::from_parts(parts, passing.boxed_unsync())
-}
-
-fn finish_stream(visit: &mut Visit, end: StreamEnd, status: StatusCode, first: Duration) {
-    match end {
-        StreamEnd::Whole => {
-            visit.end(PlaceEnd::Answered(first));
-            visit.served(status, first);
-        }
-        StreamEnd::Broken => {
-            visit.failed("the stream broke off");
-            event!(EventCode::RequestFailed, request = visit.plan.ask.id, reason = "broken");
-        }
-        StreamEnd::Timeout => {
-            visit.end(PlaceEnd::Neutral);
-            event!(EventCode::RequestFailed, request = visit.plan.ask.id, reason = "timeout");
-        }
-        StreamEnd::CallerGone => {
-            visit.end(PlaceEnd::Neutral);
-            event!(EventCode::CallerGone, request = visit.plan.ask.id, server = visit.server);
-        }
-    }
-}
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -63,6 +63,12 @@
         own.unwrap_or(self.route().priority)
     }
 
+    /// Returns the number of pieces of each stage of the route.
+    pub fn pieces(&self) -> Vec<u32> {
+        let count = |stage| self.ask.pieces.get(stage).copied().unwrap_or_default();
+        (0..self.route().stages.len()).map(count).collect()
+    }
+
     /// Returns when an answer is on time.
     pub fn aim(&self) -> Moment {
         self.arrived + self.route().aim
--- a/src/limpetmux/serve/run.rs
+++ b/src/limpetmux/serve/run.rs
@@ -84,7 +84,7 @@
     Ok(node.drain().await)
 }
 
-/// Starts a node; ports of zero are chosen by the system.
+/// Starts a node; the system assigns ports that are given as zero.
 ///
 /// # Errors
 /// Returns [`NodeError`] if a listener or the client of the store cannot be set up.
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -1,6 +1,7 @@
 //! Has the stages of a request made by the nodes that queue their pieces.
 
 use super::failure::{Failure, Reason};
+use super::inputs::Inputs;
 use super::node::Shared;
 use super::request::Plan;
 use crate::core::catalog::{Route, StageSpec};
@@ -12,7 +13,7 @@
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
-use crate::wire::fleet::{FreeResults, Outcome, StageDone, StageRun};
+use crate::wire::fleet::{Outcome, StageDone, StageRun};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use std::net::SocketAddr;
@@ -20,8 +21,6 @@
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
-/// From this many bytes on a stage is made where they lie or are needed, if that is possible.
-const LARGE_FETCH: u64 = 500_000;
 /// The nodes that are asked to make one stage, one after the other.
 const GATE_TRIES: usize = 4;
 /// The pause before the next node is asked.
@@ -34,55 +33,6 @@
 const FAILED_RETRY: Duration = Duration::from_millis(300);
 /// The part of its time after which a refused caller is asked to come back at the latest.
 const RETRY_PARTS: u32 = 3;
-/// The time allowed for giving results up.
-const FREE_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// The results that a request needs, freed once they are not needed any more.
-pub struct Inputs {
-    shared: Arc<Shared>,
-    /// The model engine near to which large results were made.
-    pub planned: Option<Arc<str>>,
-    /// The results of the stages that no other stage follows.
-    pub results: Vec<Arc<str>>,
-    held: Vec<(Arc<str>, Vec<Arc<str>>)>,
-}
-
-impl Inputs {
-    fn new(shared: &Arc<Shared>) -> Self {
-        let shared = Arc::clone(shared);
-        Self { shared, planned: None, results: Vec::new(), held: Vec::new() }
-    }
-
-    /// Gives all results up.
-    pub fn free(&mut self) {
-        for (service, results) in self.held.drain(..) {
-            free_results(&self.shared, service, results);
-        }
-    }
-
-    /// Forgets results that the node which queued the next stage has given up.
-    fn forget(&mut self, results: &[Arc<str>]) {
-        for (_, held) in &mut self.held {
-            held.retain(|r| !results.contains(r));
-        }
-    }
-
-    /// Gives up some results.
-    fn free_some(&mut self, results: &[Arc<str>]) {
-        for (service, held) in &mut self.held {
-            let gone: Vec<Arc<str>> = held.extract_if(.., |r| results.contains(r)).collect();
-            if !gone.is_empty() {
-                free_results(&self.shared, Arc::clone(service), gone);
-            }
-        }
-    }
-}
-
-impl Drop for Inputs {
-    fn drop(&mut self) {
-        self.free();
-    }
-}
 
 /// Pieces of a request that have not come to their services yet.
 struct Coming<'a> {
@@ -139,9 +89,7 @@
 async fn make_once(shared: &Arc<Shared>, plan: &Arc<Plan>) -> Result<Inputs, Failure> {
     let mut inputs = Inputs::new(shared);
     let route = plan.route();
-    let pieces: Vec<u32> = (0..route.stages.len())
-        .map(|i| plan.ask.pieces.get(i).copied().unwrap_or_default())
-        .collect();
+    let pieces = plan.pieces();
     if pieces.iter().all(|n| *n == 0) {
         return Ok(inputs);
     }
@@ -167,7 +115,7 @@
             started[index] = true;
             coming.arrived(index);
             let needs = stage.after.iter().filter_map(|a| results[*a].clone()).flatten().collect();
-            let near = nearest(route, index, &pieces, &zones, &zone);
+            let near = chain::nearest(route, index, &pieces, &zones, &zone);
             let run = StageRun {
                 service: stage.service.to_string(),
                 request: plan.ask.id.clone(),
@@ -177,7 +125,7 @@
                 priority: u32::from(plan.priority()),
                 zone: near,
                 size: stage.size,
-                frees: stage.after.iter().all(|a| users(route, *a) == 1),
+                frees: stage.after.iter().all(|a| chain::users(route, *a) == 1),
                 ..source(plan, needs)
             };
             running.push(make_stage(shared, plan, index, run));
@@ -189,20 +137,16 @@
         inputs.held.push((Arc::clone(&stage.service), names.clone()));
         zones[made.stage] = done.zone;
         results[made.stage] = Some(names);
-        for before in spent(route, &results, made.stage) {
+        for before in chain::spent(route, &results, made.stage) {
             let names = results[before].as_deref().unwrap_or_default();
-            match users(route, before) {
+            match chain::users(route, before) {
                 1 => inputs.forget(names),
                 _ => inputs.free_some(names),
             }
         }
     }
-    for (index, _) in route.stages.iter().enumerate() {
-        let is_last = !route.stages.iter().any(|s| s.after.contains(&index));
-        if let (true, Some(names)) = (is_last, results[index].take()) {
-            inputs.results.extend(names);
-        }
-    }
+    let last = (0..route.stages.len()).filter(|index| chain::users(route, *index) == 0);
+    inputs.results = last.filter_map(|index| results[index].clone()).flatten().collect();
     Ok(inputs)
 }
 
@@ -242,40 +186,6 @@
     Err(Failure::later(Reason::Overloaded, retry.min(plan.left() / RETRY_PARTS)))
 }
 
-/// Returns the zone in which a stage is best made: that of its inputs or that of the model
-/// engine, whichever saves more bytes between zones, or none if there is little to save.
-///
-/// Every piece fetches all inputs, so that small results add up.
-fn nearest(route: &Route, stage: usize, pieces: &[u32], zones: &[String], engine: &str) -> String {
-    let own = u64::from(pieces[stage]);
-    let fetched = |a: &usize| u64::from(pieces[*a]) * route.stages[*a].size * own;
-    let input = route.stages[stage].after.iter().max_by_key(|a| fetched(a));
-    let input_bytes = input.map_or(0, fetched);
-    let is_last = users(route, stage) == 0;
-    let output_bytes = if is_last { own * route.stages[stage].size } else { 0 };
-    if input_bytes.max(output_bytes) < LARGE_FETCH {
-        return String::new();
-    }
-    match input {
-        Some(input) if input_bytes >= output_bytes => zones[*input].clone(),
-        _ => engine.to_owned(),
-    }
-}
-
-/// Returns the number of stages that need the results of a stage.
-fn users(route: &Route, stage: usize) -> usize {
-    route.stages.iter().filter(|s| s.after.contains(&stage)).count()
-}
-
-/// Returns the stages before one whose results nothing waits for any more.
-fn spent(route: &Route, results: &[Option<Vec<Arc<str>>>], stage: usize) -> Vec<usize> {
-    let is_done = |index: &usize| {
-        let mut users = route.stages.iter().enumerate().filter(|(_, s)| s.after.contains(index));
-        users.all(|(user, _)| results[user].is_some())
-    };
-    route.stages[stage].after.iter().copied().filter(is_done).collect()
-}
-
 fn source(plan: &Plan, needs: Vec<Arc<str>>) -> StageRun {
     let inputs: Vec<String> = needs.iter().map(ToString::to_string).collect();
     let key = if inputs.is_empty() { plan.ask.source.clone() } else { String::new() };
@@ -395,22 +305,3 @@
         Err(_) => Err(tonic::Status::deadline_exceeded("no answer in time")),
     }
 }
-
-/// Tells the node that queues a service's pieces that results are not needed any more.
-pub fn free_results(shared: &Arc<Shared>, service: Arc<str>, results: Vec<Arc<str>>) {
-    if results.is_empty() {
-        return;
-    }
-    let Some(addr) = gate(shared, &service, &[]) else { return };
-    let shared = Arc::clone(shared);
-    tokio::spawn(async move {
-        let results = results.iter().map(ToString::to_string).collect();
-        let message = FreeResults { service: service.to_string(), results };
-        let call = async { shared.peers.client(addr)?.free(message).await };
-        match timeout(FREE_TIMEOUT, call).await {
-            Ok(Ok(_)) => {}
-            Ok(Err(status)) => event!(EventCode::FreeFailed, addr = addr, reason = status),
-            Err(_) => event!(EventCode::FreeFailed, addr = addr, reason = "no answer in time"),
-        }
-    });
-}
--- /dev/null
+++ b/tests/testsuite/platform/chain.rs
@@ -0,0 +1,108 @@
+//! The chain of stages: what each has to leave for those behind it, and where it is best made.
+
+use super::ms;
+use limpetmux::core::catalog::{
+    CallerLimits, Catalog, CatalogSpec, PieceSpec, PoolSpec, Repeat, Route, StageSpec,
+};
+use limpetmux::core::chain;
+use std::time::Duration;
+
+fn stage(service: &str, after: &[usize], size: u64) -> StageSpec {
+    StageSpec { service: service.into(), after: after.to_vec(), size }
+}
+
+/// One stage with large results beside a chain of three with small ones.
+fn route() -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        repeat: Repeat::Stream,
+        timeout: ms(6_000),
+        aim: ms(2_000),
+        attempts: 1,
+        priority: 1,
+        targets: vec![("engine".into(), 1)],
+        stages: vec![
+            stage("s", &[], 3_000_000),
+            stage("s", &[], 8_000),
+            stage("s", &[1], 60_000),
+            stage("s", &[2], 6_000),
+        ],
+        public: true,
+    }
+}
+
+fn catalog() -> Catalog {
+    let pieces =
+        PieceSpec { slots: 1, batch: 10, call: ms(150), item: ms(10), room: 1, keep: ms(4_000) };
+    let pool = PoolSpec {
+        name: "s".into(),
+        connections: 1,
+        cold: Duration::ZERO,
+        rate: 0.0,
+        engine: None,
+        pieces: Some(pieces),
+    };
+    let limits = CallerLimits { header: 1, body: 1, headers: ms(1), idle: ms(1) };
+    let routes = vec![route()];
+    Catalog::compile(CatalogSpec {
+        version: 1,
+        routes,
+        pools: vec![pool],
+        workspaces: vec![],
+        limits,
+    })
+}
+
+#[test]
+fn early_stages_leave_time_for_those_behind_them() {
+    let route = route();
+
+    let times = chain::stage_times(&catalog(), &route, &[2, 1, 8, 16]);
+    let behind = chain::times_behind(&route, &times);
+    let starts = chain::starts(&route, &times);
+
+    // 150 ms a call, 50 ms for the turn, 10 ms a piece of one batch.
+    assert_eq!(times, [ms(220), ms(210), ms(280), ms(300)]);
+    assert_eq!(behind, [ms(0), ms(580), ms(300), ms(0)]);
+    assert_eq!(starts, [ms(0), ms(0), ms(210), ms(490)]);
+    assert_eq!(chain::chain_time(&route, &times, &[ms(0); 4]), ms(790));
+    assert_eq!(chain::chain_time(&route, &times, &[ms(900), ms(0), ms(0), ms(50)]), ms(1_120));
+}
+
+#[test]
+fn stage_left_out_takes_no_time_and_no_wait() {
+    let route = route();
+
+    let times = chain::stage_times(&catalog(), &route, &[0, 1, 8, 16]);
+
+    assert_eq!(times[0], ms(0));
+    assert_eq!(chain::chain_time(&route, &times, &[ms(5_000), ms(0), ms(0), ms(0)]), ms(790));
+}
+
+#[test]
+fn stage_is_made_where_most_bytes_would_cross() {
+    // Pattern: small results that every piece of the next stage fetches add up to megabytes.
+    let (route, pieces) = (route(), [2, 1, 8, 16]);
+    let zones = ["".into(), "a".to_owned(), "b".to_owned(), String::new()];
+    let near = |stage| chain::nearest(&route, stage, &pieces, &zones, "engine");
+
+    assert_eq!(near(0), "engine", "6 MB go to the model engine");
+    assert_eq!(near(1), "", "8 kB are not worth a wait");
+    assert_eq!(near(2), "", "8 pieces fetch 8 kB each");
+    assert_eq!(near(3), "b", "16 pieces fetch 480 kB each");
+}
+
+#[test]
+fn results_are_spent_once_all_that_need_them_are_made() {
+    let mut route = route();
+    route.stages[3].after = vec![1, 2];
+    let made = Some(Vec::new());
+
+    let first = chain::spent(&route, &[None, made.clone(), made.clone(), None], 2);
+    let second = chain::spent(&route, &[None, made.clone(), made.clone(), made], 3);
+
+    assert_eq!((chain::users(&route, 1), chain::users(&route, 3)), (2, 0));
+    assert_eq!((first, second), (vec![], vec![1, 2]));
+}
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod adapter;
 mod catalog;
+mod chain;
 mod explain;
 mod listing;
 mod names;
