Choose model engines by one board for each pool

Change: core/engines.rs keeps for each pool the prompts that all entries sent and the parts that each engine has read; one node a pool holds the board, entries ask it when a request arrives and when it is sent, report the time to the first event, and choose by themselves without an answer.

Ruled out: stages (their part of these requests' time was 0.2 to 0.8 s).

Tests follow.

--- a/src/limpetmux/core/catalog.rs
+++ b/src/limpetmux/core/catalog.rs
@@ -115,6 +115,15 @@
     pub keep: Duration,
 }
 
+/// What a model engine bears.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineSpec {
+    /// The requests that it runs at a time.
+    pub slots: u32,
+    /// The tokens that it holds in memory, of running requests and cached parts.
+    pub memory: u64,
+}
+
 /// What the operator says of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PoolSpec {
@@ -126,8 +135,8 @@
     pub cold: Duration,
     /// The requests a second that a cold backend server bears, from all nodes together.
     pub rate: f64,
-    /// The requests that a model engine runs at a time, for pools of model engines.
-    pub engine: Option<u32>,
+    /// What a model engine bears, for pools of model engines.
+    pub engine: Option<EngineSpec>,
     /// How pieces are made, for services of stages.
     pub pieces: Option<PieceSpec>,
 }
--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod chain;
 pub mod config;
 pub mod cost;
+pub mod engines;
 pub mod frames;
 pub mod keys;
 pub mod listing;
--- a/src/limpetmux/core/placement.rs
+++ b/src/limpetmux/core/placement.rs
@@ -38,6 +38,8 @@
     pub zone: &'a str,
     /// The server that the request was planned for, near to which its results were made.
     pub planned: Option<&'a str>,
+    /// The server that the board of the pool has chosen, with the work of all entries in view.
+    pub chosen: Option<&'a str>,
     /// Backend servers that have refused or failed the request.
     pub exclude: &'a [Arc<str>],
     /// This entry's name, and how many entries there are.
@@ -112,17 +114,39 @@
         servers: &[&'a Server],
         query: PlaceQuery<'_>,
     ) -> Option<&'a Server> {
+        let pool = self.pool(now, servers, query);
+        let named = |id: Option<&str>| pool.iter().copied().find(|s| Some(&*s.id) == id);
+        if let Some(chosen) = named(query.chosen) {
+            return Some(chosen);
+        }
+        let planned = named(query.planned);
+        let planned = planned.filter(|s| self.inflight(&s.id) < self.affine_bound(&pool) + 1);
+        let affine = || query.prefix.and_then(|p| self.affine(&pool, p));
+        planned.or_else(affine).or_else(|| self.least_loaded(&pool, query))
+    }
+
+    /// Returns the servers that must not be chosen for a request now.
+    pub fn unfit(&self, now: Moment, servers: &[&Server], query: PlaceQuery<'_>) -> Vec<Arc<str>> {
+        let pool = self.pool(now, servers, query);
+        let unfit = servers.iter().filter(|s| !pool.iter().any(|p| p.id == s.id));
+        unfit.map(|s| Arc::clone(&s.id)).collect()
+    }
+
+    /// Returns the servers that may be chosen: those that bear a request, without those that have
+    /// failed of late unless too few are left.
+    fn pool<'a>(
+        &self,
+        now: Moment,
+        servers: &[&'a Server],
+        query: PlaceQuery<'_>,
+    ) -> Vec<&'a Server> {
         let allowed: Vec<&Server> = (servers.iter().copied())
             .filter(|s| !query.exclude.contains(&s.id) && self.bears(now, s, query))
             .collect();
         let good: Vec<&Server> =
             allowed.iter().copied().filter(|s| !self.is_avoided(now, s)).collect();
         let enough = good.len() * EJECTED_PARTS >= servers.len();
-        let pool = if enough || (allowed.len() == good.len()) { good } else { allowed };
-        let planned = pool.iter().copied().find(|s| Some(&*s.id) == query.planned);
-        let planned = planned.filter(|s| self.inflight(&s.id) < self.affine_bound(&pool) + 1);
-        let affine = || query.prefix.and_then(|p| self.affine(&pool, p));
-        planned.or_else(affine).or_else(|| self.least_loaded(&pool, query))
+        if enough || (allowed.len() == good.len()) { good } else { allowed }
     }
 
     /// Records the end of a request that [`pick`](Self::pick) chose the server for.
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -3,11 +3,13 @@
 use super::convert;
 use crate::core::pieces::{JobSpec, Source, StageEnd};
 use crate::gates::Gates;
+use crate::gates::engines::Boards;
 use crate::serve::node::Shared;
 use crate::util::clock;
 use crate::wire::fleet::fleet_server::{Fleet, FleetServer};
 use crate::wire::fleet::{
-    FreeResults, Freed, Outcome, PullReply, PullRequest, StageDone, StageRun,
+    EnginePlaced, FreeResults, Freed, Outcome, PlaceEngine, PullReply, PullRequest, StageDone,
+    StageRun,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,12 +27,14 @@
 pub struct FleetService {
     shared: Arc<Shared>,
     gates: Arc<Gates>,
+    boards: Boards,
 }
 
 impl FleetService {
     /// Creates the service as tonic serves it.
     pub fn server(shared: Arc<Shared>, gates: Arc<Gates>) -> FleetServer<Self> {
-        FleetServer::new(Self { shared, gates })
+        let boards = Boards::new(Arc::clone(&shared));
+        FleetServer::new(Self { shared, gates, boards })
             .max_decoding_message_size(MAX_MESSAGE)
             .max_encoding_message_size(MAX_MESSAGE)
     }
@@ -74,6 +78,10 @@
         Ok(Response::new(done))
     }
 
+    async fn place(&self, request: Request<PlaceEngine>) -> Result<Response<EnginePlaced>, Status> {
+        Ok(Response::new(self.boards.place(&request.into_inner())))
+    }
+
     async fn free(&self, request: Request<FreeResults>) -> Result<Response<Freed>, Status> {
         let free = request.into_inner();
         let results = free.results.iter().map(|r| Arc::from(r.as_str())).collect();
--- /dev/null
+++ b/src/limpetmux/gates/engines.rs
@@ -0,0 +1,68 @@
+//! The boards of the pools of model engines that this node keeps.
+
+use crate::core::engines::{EngineBoard, EngineQuery, EngineReport, PromptPart};
+use crate::core::listing::Server;
+use crate::serve::node::Shared;
+use crate::util::clock;
+use crate::wire::fleet::{EnginePlaced, PlaceEngine};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// The boards of one node, one for each pool that entries have asked it about.
+pub struct Boards {
+    shared: Arc<Shared>,
+    boards: Mutex<BTreeMap<Arc<str>, EngineBoard>>,
+}
+
+impl Boards {
+    /// Creates a node's boards, none at first.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared, boards: Mutex::default() }
+    }
+
+    /// Chooses an engine for a request and takes in what its entry has seen.
+    pub fn place(&self, message: &PlaceEngine) -> EnginePlaced {
+        let now = clock::boot();
+        let view = self.shared.view.load();
+        let allowed = |s: &&Server| !message.except.iter().any(|e| **e == *s.id);
+        let servers: Vec<&Server> =
+            view.usable(&message.service).into_iter().filter(allowed).collect();
+        let declared = view.orders.declared.as_ref();
+        let pool = declared.and_then(|d| d.catalog.pool(&message.service));
+        let parts: Vec<PromptPart> =
+            message.parts.iter().map(|p| PromptPart { key: p.key, tokens: p.tokens }).collect();
+        let query = EngineQuery {
+            parts: &parts,
+            tokens: message.tokens,
+            ahead: Duration::from_millis(message.ahead_ms),
+            slack: Duration::from_millis(message.slack_ms),
+            zone: &message.zone,
+            bytes: message.bytes,
+        };
+        let mut boards = self.boards.lock().unwrap_or_else(PoisonError::into_inner);
+        let board = boards.entry(message.service.as_str().into()).or_default();
+        board.configure(pool.and_then(|p| p.engine).map_or(0, |e| e.memory));
+        for time in &message.times {
+            let report = EngineReport {
+                server: time.server.as_str().into(),
+                expected: Duration::from_millis(time.expected_ms),
+                took: Duration::from_millis(time.took_ms),
+            };
+            board.report(now, &report);
+        }
+        let choice = match message.planned {
+            true => board.plan(now, &servers, &message.request, query),
+            false => board.place(now, &servers, &message.request, query),
+        };
+        choice.map_or_else(EnginePlaced::default, |c| EnginePlaced {
+            server: c.server.to_string(),
+            wait_ms: millis(c.wait),
+            work_ms: millis(c.work),
+        })
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/limpetmux/gates/mod.rs
+++ b/src/limpetmux/gates/mod.rs
@@ -5,6 +5,8 @@
 //! request that ends takes its stage out of the queue by dropping the future of
 //! [`run`](Gates::run).
 
+pub mod engines;
+
 use crate::core::pieces::{Actions, Call, CallEnd, JobKey, JobSpec, PieceQueue, StageEnd};
 use crate::core::pieces::{CallKey, Made, Unmade, WorkerSpec};
 use crate::event;
--- a/src/limpetmux/platform/caller.rs
+++ b/src/limpetmux/platform/caller.rs
@@ -1,6 +1,8 @@
 //! Requests of callers: what their heads say, and why some are turned down.
 
 use super::names;
+use crate::core::engines::PromptPart;
+use crate::util::hash::hash_parts;
 use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
@@ -31,8 +33,8 @@
     pub deadline: Duration,
     /// The caller's key.
     pub key: Option<String>,
-    /// The hash of the part of the prompt that it shares with most others.
-    pub prefix: Option<u64>,
+    /// The parts of the prompt in order, the last of which is its own.
+    pub parts: Vec<PromptPart>,
     /// The tokens of the prompt.
     pub tokens: u32,
     /// The number of pieces of each stage.
@@ -69,6 +71,14 @@
     Path,
 }
 
+impl Ask {
+    /// Returns the hash of the longest beginning of the prompt that other requests share.
+    pub fn prefix(&self) -> Option<u64> {
+        let shared = self.parts.len().saturating_sub(2);
+        self.parts.get(shared).map(|p| p.key)
+    }
+}
+
 impl BadRequest {
     /// Returns the status of the answer.
     pub fn status(self) -> StatusCode {
@@ -89,7 +99,7 @@
     if !target.starts_with('/') {
         return Err(BadRequest::Path);
     }
-    let prefix = single(headers, &names::PREFIX).and_then(shared_part);
+    let prompt = single(headers, &names::PREFIX).map(prompt_parts).unwrap_or_default();
     let pieces = match headers.contains_key(&names::PIECES) {
         true => pieces(single(headers, &names::PIECES))?,
         false => Vec::new(),
@@ -102,7 +112,7 @@
         method: parts.method.clone(),
         deadline: deadline(headers)?,
         key: key(headers),
-        prefix,
+        parts: prompt,
         tokens: single(headers, &names::TOKENS).map_or(0, prompt_tokens),
         pieces,
         source: single(headers, &names::PIECE_KEY).unwrap_or_default().to_owned(),
@@ -137,11 +147,16 @@
     Duration::try_from_secs_f64(ms / 1_000.0).map_err(|_| BadRequest::Deadline)
 }
 
-/// Returns the hash of the last part that other requests share; the last of all is the request's.
-fn shared_part(text: &str) -> Option<u64> {
-    let ids: Vec<&str> = text.split(',').filter_map(|part| part.trim().split(':').next()).collect();
-    let shared = ids.len().saturating_sub(2);
-    ids.get(shared).map(|id| crate::util::hash::hash_bytes(id.as_bytes()))
+/// Reads the parts of a prompt; each is known by the ids of all parts up to it.
+fn prompt_parts(text: &str) -> Vec<PromptPart> {
+    let mut parts: Vec<PromptPart> = Vec::new();
+    for part in text.split(',') {
+        let (id, tokens) = part.trim().split_once(':').unwrap_or((part.trim(), ""));
+        let before = parts.last().map_or(0, |p| p.key);
+        let key = hash_parts(&[&before.to_le_bytes(), id.as_bytes()]);
+        parts.push(PromptPart { key, tokens: tokens.parse().unwrap_or_default() });
+    }
+    parts
 }
 
 fn prompt_tokens(text: &str) -> u32 {
--- a/src/limpetmux/platform/orders.rs
+++ b/src/limpetmux/platform/orders.rs
@@ -2,7 +2,7 @@
 
 use super::store::Record;
 use crate::core::catalog::{
-    CallerLimits, Catalog, CatalogSpec, PieceSpec, PoolSpec, Repeat, Route, StageSpec,
+    CallerLimits, Catalog, CatalogSpec, EngineSpec, PieceSpec, PoolSpec, Repeat, Route, StageSpec,
     WorkspaceSpec,
 };
 use crate::core::operator::{Declared, Order};
@@ -106,8 +106,12 @@
 }
 
 #[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
 struct Engine {
     slots: u32,
+    /// The tokens of running requests and of cached parts.
+    #[serde(default)]
+    kv_capacity: u64,
 }
 
 #[serde_as]
@@ -231,7 +235,7 @@
         connections: service.max_connections,
         cold: service.cold_start_s,
         rate: service.cold_per_s,
-        engine: service.engine.map(|e| e.slots),
+        engine: service.engine.map(|e| EngineSpec { slots: e.slots, memory: e.kv_capacity }),
         pieces: service.pieces.map(|p| PieceSpec {
             slots: p.slots,
             batch: p.batch,
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -4,6 +4,7 @@
 //! connection came about, or the backend server says so. What may be repeated is repeated within
 //! the route's attempts and the entry's share of the repeats that the service bears.
 
+use super::engines::{self, InputsAt, Placed};
 use super::failure::{Failure, Reason};
 use super::inputs::Inputs;
 use super::links::{Lease, LinkError};
@@ -11,6 +12,7 @@
 use super::request::{Plan, authorize};
 use super::stream::Body;
 use super::visit::{Visit, pass_on};
+use crate::core::catalog::PoolSpec;
 use crate::core::listing::Server;
 use crate::core::placement::{PlaceEnd, PlaceQuery};
 use crate::platform::server::{self, Order, ReplyHead};
@@ -53,6 +55,8 @@
     plan: &'a Arc<Plan>,
     /// The server that the results were made for.
     planned: Option<Arc<str>>,
+    /// Where its inputs lie.
+    at: InputsAt,
     excluded: Vec<Arc<str>>,
     /// Sends after which the request may have run.
     runs: u32,
@@ -68,17 +72,17 @@
     plan: &Arc<Plan>,
     inputs: Inputs,
 ) -> Result<Response<Body>, Failure> {
-    let planned = inputs.planned.clone();
+    let (planned, at) = (inputs.planned.clone(), inputs.at.clone());
     let mut inputs = Some(inputs);
     let mut attempts =
-        Attempts { shared, plan, planned, excluded: Vec::new(), runs: 0, refusals: 0 };
+        Attempts { shared, plan, planned, at, excluded: Vec::new(), runs: 0, refusals: 0 };
     let mut fallback = None;
     loop {
-        let server = match attempts.find().await {
-            Ok(server) => server,
+        let (server, placed) = match attempts.find().await {
+            Ok(found) => found,
             Err(failure) => return fallback.ok_or(attempts.truthful(failure)),
         };
-        match attempts.send_once(&server, &mut inputs).await? {
+        match attempts.send_once(&server, placed, &mut inputs).await? {
             Sent::Answer(answer) => return Ok(answer),
             Sent::NotRun(reason) => {
                 attempts.refusals += 1;
@@ -107,11 +111,13 @@
 
 impl Attempts<'_> {
     /// Looks for a backend server, for a part of the time that is left.
-    async fn find(&self) -> Result<Server, Failure> {
+    async fn find(&self) -> Result<(Server, Option<Duration>), Failure> {
         let until = clock::boot() + self.plan.left() / SEARCH_PARTS;
         loop {
-            if let Some(server) = self.pick()? {
-                return Ok(server);
+            let placed = self.place().await;
+            if let Some(server) = self.pick(placed.as_ref())? {
+                let expected = placed.filter(|p| p.server == server.id).map(|p| p.expected);
+                return Ok((server, expected));
             }
             if clock::boot() >= until || !self.excluded.is_empty() {
                 return Err(Failure::later(Reason::Unavailable, FULL_RETRY));
@@ -120,9 +126,47 @@
         }
     }
 
+    /// Has the board of a pool of model engines choose one; `None` for other pools.
+    async fn place(&self) -> Option<Placed> {
+        let except = {
+            let view = self.shared.view.load();
+            let pool = view.orders.declared.as_ref()?.catalog.pool(&self.plan.service)?;
+            pool.engine?;
+            let entries = self.shared.nodes().entries(clock::boot());
+            let servers = view.usable(&self.plan.service);
+            let query = self.query(Some(pool), &entries, None);
+            let unfit = self.shared.placement().unfit(clock::boot(), &servers, query);
+            if unfit.len() >= servers.len() {
+                return None;
+            }
+            unfit
+        };
+        engines::place(self.shared, self.plan, &self.at, &except).await
+    }
+
+    fn query<'q>(
+        &'q self,
+        pool: Option<&PoolSpec>,
+        entries: &'q [Arc<str>],
+        placed: Option<&'q Placed>,
+    ) -> PlaceQuery<'q> {
+        let is_engine = pool.is_some_and(|p| p.engine.is_some());
+        PlaceQuery {
+            prefix: self.plan.ask.prefix().filter(|_| is_engine),
+            zone: &self.shared.own.zone,
+            planned: self.planned.as_deref(),
+            chosen: placed.map(|p| &*p.server),
+            exclude: &self.excluded,
+            entry: &self.shared.own.name,
+            entries,
+            cold_rate: pool.map_or(0.0, |p| p.rate),
+            cold_for: pool.map_or(Duration::ZERO, |p| p.cold),
+        }
+    }
+
     /// Chooses a backend server by what is known now, which may have changed since the request
-    /// was accepted.
-    fn pick(&self) -> Result<Option<Server>, Failure> {
+    /// was accepted; the choice of the board holds if it is still allowed.
+    fn pick(&self, placed: Option<&Placed>) -> Result<Option<Server>, Failure> {
         let now = clock::boot();
         let view = self.shared.view.load();
         let plan = self.plan;
@@ -135,16 +179,7 @@
         authorize(self.shared, &view, catalog, &catalog.routes[route], &plan.ask)?;
         let pool = catalog.pool(&plan.service).or_else(|| plan.catalog.pool(&plan.service));
         let entries = self.shared.nodes().entries(now);
-        let query = PlaceQuery {
-            prefix: plan.ask.prefix.filter(|_| pool.is_some_and(|p| p.engine.is_some())),
-            zone: &self.shared.own.zone,
-            planned: self.planned.as_deref(),
-            exclude: &self.excluded,
-            entry: &self.shared.own.name,
-            entries: &entries,
-            cold_rate: pool.map_or(0.0, |p| p.rate),
-            cold_for: pool.map_or(Duration::ZERO, |p| p.cold),
-        };
+        let query = self.query(pool, &entries, placed);
         let servers = view.usable(&plan.service);
         Ok(self.shared.placement().pick(now, &servers, query).cloned())
     }
@@ -169,11 +204,13 @@
     async fn send_once(
         &self,
         server: &Server,
+        expected: Option<Duration>,
         inputs: &mut Option<Inputs>,
     ) -> Result<Sent, Failure> {
         let (shared, plan) = (self.shared, self.plan);
         let began = clock::boot();
         let mut visit = Visit::new(shared, plan, server, began);
+        visit.expected = expected;
         let results = inputs.as_ref().map(|i| i.results.as_slice()).unwrap_or_default();
         let order = Order {
             server: &server.id,
--- a/src/limpetmux/serve/inputs.rs
+++ b/src/limpetmux/serve/inputs.rs
@@ -1,5 +1,6 @@
 //! Results that a request holds, and the way in which they are given up.
 
+use super::engines::InputsAt;
 use super::node::Shared;
 use crate::event;
 use crate::util::clock;
@@ -19,13 +20,21 @@
     pub planned: Option<Arc<str>>,
     /// The results of the stages that no other stage follows.
     pub results: Vec<Arc<str>>,
+    /// Where they lie.
+    pub at: InputsAt,
     pub(super) held: Vec<(Arc<str>, Vec<Arc<str>>)>,
 }
 
 impl Inputs {
     pub(super) fn new(shared: &Arc<Shared>) -> Self {
         let shared = Arc::clone(shared);
-        Self { shared, planned: None, results: Vec::new(), held: Vec::new() }
+        Self {
+            shared,
+            planned: None,
+            results: Vec::new(),
+            at: InputsAt::default(),
+            held: Vec::new(),
+        }
     }
 
     /// Gives all results up.
--- a/src/limpetmux/serve/mod.rs
+++ b/src/limpetmux/serve/mod.rs
@@ -6,6 +6,7 @@
 //! itself. [`links`] keeps connections to backend servers, [`node`] is what all of them share, and
 //! [`run`] starts and stops a process. See `docs/design/platform.md`.
 
+pub mod engines;
 pub mod failure;
 pub mod forward;
 pub mod front;
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -3,6 +3,7 @@
 use super::links::Links;
 use super::settings::NodeSettings;
 use crate::adapters::channel::Channels;
+use crate::core::engines::EngineReport;
 use crate::core::listing::{Listing, Server};
 use crate::core::nodes::{Node, Nodes};
 use crate::core::operator::Orders;
@@ -22,6 +23,9 @@
 /// What is left of the bound on taken-away keys for the way of a request to a backend server.
 const REVOKE_MARGIN: Duration = Duration::from_millis(900);
 
+/// The most times of engines that are kept while nothing is asked.
+const ENGINE_TIMES: usize = 64;
+
 /// What a node knows of the platform's store.
 #[derive(Clone, Debug, Default)]
 pub struct StoreView {
@@ -63,6 +67,8 @@
     placement: Mutex<Placement>,
     repeats: Mutex<RepeatShare>,
     pressure: Mutex<Pressure>,
+    /// What was seen of engines since the keeper of their board was last asked.
+    engine_times: Mutex<Vec<EngineReport>>,
 }
 
 impl Shared {
@@ -86,6 +92,7 @@
             running: AtomicUsize::new(0),
             nodes: Mutex::new(Nodes::new(own.clone())),
             pressure: Mutex::default(),
+            engine_times: Mutex::default(),
             own,
             placement: Mutex::new(Placement::new()),
             repeats: Mutex::new(RepeatShare::new(settings.bounds.repeat)),
@@ -124,6 +131,19 @@
         self.pressure.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Keeps what was seen of an engine for the keeper of its board.
+    pub fn note_engine_time(&self, report: EngineReport) {
+        let mut times = self.engine_times.lock().unwrap_or_else(PoisonError::into_inner);
+        if times.len() < ENGINE_TIMES {
+            times.push(report);
+        }
+    }
+
+    /// Takes what was seen of engines since the last call.
+    pub fn take_engine_times(&self) -> Vec<EngineReport> {
+        std::mem::take(&mut *self.engine_times.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Returns whether the node has been told to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -1,12 +1,12 @@
 //! Has the stages of a request made by the nodes that queue their pieces.
 
+use super::engines::{self, InputsAt};
 use super::failure::{Failure, Reason};
 use super::inputs::Inputs;
 use super::node::Shared;
 use super::request::Plan;
 use crate::core::catalog::{Route, StageSpec};
 use crate::core::chain;
-use crate::core::listing::Server;
 use crate::core::placement::PlaceQuery;
 use crate::core::pressure;
 use crate::event;
@@ -96,10 +96,11 @@
     let times = chain::stage_times(&plan.catalog, route, &pieces);
     let behind = chain::times_behind(route, &times);
     let engine = engine_time(plan);
-    admit(shared, plan, &times, engine)?;
-    let planned = planned_server(shared, plan);
-    let zone = planned.as_ref().map(|s| s.zone.to_string()).unwrap_or_default();
-    inputs.planned = planned.map(|s| s.id);
+    let ahead = admit(shared, plan, &times, engine)?;
+    let planned = planned_engine(shared, plan, ahead).await;
+    let engine = planned.expected.map_or(engine, |e| e + ENGINE_START);
+    let zone = planned.zone;
+    inputs.planned = planned.server;
     let mut coming = Coming::new(shared, route, &pieces);
     let mut results: Vec<Option<Vec<Arc<str>>>> =
         pieces.iter().map(|n| (*n == 0).then(Vec::new)).collect();
@@ -146,17 +147,27 @@
         }
     }
     let last = (0..route.stages.len()).filter(|index| chain::users(route, *index) == 0);
+    inputs.at = inputs_at(route, &pieces, &zones);
     inputs.results = last.filter_map(|index| results[index].clone()).flatten().collect();
     Ok(inputs)
 }
 
-/// Refuses a request that the waits along its chain would make late.
+/// Returns where most bytes of the results lie that the model engine needs.
+fn inputs_at(route: &Route, pieces: &[u32], zones: &[String]) -> InputsAt {
+    let bytes = |index: &usize| u64::from(pieces[*index]) * route.stages[*index].size;
+    let last = (0..route.stages.len()).filter(|index| chain::users(route, *index) == 0);
+    let most = last.max_by_key(bytes);
+    most.map_or_else(InputsAt::default, |m| InputsAt { zone: zones[m].clone(), bytes: bytes(&m) })
+}
+
+/// Refuses a request that the waits along its chain would make late; returns the time that its
+/// stages take.
 fn admit(
     shared: &Shared,
     plan: &Plan,
     times: &[Duration],
     engine: Duration,
-) -> Result<(), Failure> {
+) -> Result<Duration, Failure> {
     let now = clock::boot();
     let route = plan.route();
     let starts = chain::starts(route, times);
@@ -169,11 +180,12 @@
         route.stages.iter().zip(&starts).map(wait).collect()
     };
     let engine_wait = shared.pressure().wait(now, &plan.service);
-    let needed = chain::chain_time(route, times, &waits) + engine + engine_wait;
+    let ahead = chain::chain_time(route, times, &waits);
+    let needed = ahead + engine + engine_wait;
     let none = vec![Duration::ZERO; waits.len()];
     let waited = needed.saturating_sub(chain::chain_time(route, times, &none) + engine);
     let aim = now.until(plan.aim());
-    let Some(retry) = pressure::refuse(needed, aim, waited) else { return Ok(()) };
+    let Some(retry) = pressure::refuse(needed, aim, waited) else { return Ok(ahead) };
     event!(
         EventCode::NotAdmitted,
         request = plan.ask.id,
@@ -201,22 +213,38 @@
     if over > 0 { -over } else { ahead }
 }
 
-/// Returns the model engine that the request will probably go to.
-fn planned_server(shared: &Shared, plan: &Plan) -> Option<Server> {
+/// The model engine that a request will probably go to.
+#[derive(Default)]
+struct Planned {
+    server: Option<Arc<str>>,
+    zone: String,
+    /// The time until its first event, if the keeper of the board was asked.
+    expected: Option<Duration>,
+}
+
+/// Plans where a request will go once its stages have been made.
+async fn planned_engine(shared: &Shared, plan: &Plan, ahead: Duration) -> Planned {
+    let placed = engines::plan(shared, plan, ahead).await;
     let view = shared.view.load();
     let servers = view.usable(&plan.service);
     let entries = shared.nodes().entries(clock::boot());
     let query = PlaceQuery {
-        prefix: plan.ask.prefix,
+        prefix: plan.ask.prefix(),
         zone: &shared.own.zone,
         planned: None,
+        chosen: placed.as_ref().map(|p| &*p.server),
         exclude: &[],
         entry: &shared.own.name,
         entries: &entries,
         cold_rate: 0.0,
         cold_for: Duration::ZERO,
     };
-    shared.placement().choose(clock::boot(), &servers, query).cloned()
+    let server = shared.placement().choose(clock::boot(), &servers, query).cloned();
+    server.map_or_else(Planned::default, |s| Planned {
+        zone: s.zone.to_string(),
+        expected: placed.map(|p| p.expected),
+        server: Some(s.id),
+    })
 }
 
 /// Returns the time that a model engine takes until its first event.
--- a/src/limpetmux/serve/visit.rs
+++ b/src/limpetmux/serve/visit.rs
@@ -7,6 +7,7 @@
 use super::request::{Plan, Running};
 use super::stages::engine_time;
 use super::stream::{Body, Passing, PassingHooks, StreamEnd};
+use crate::core::engines::EngineReport;
 use crate::core::listing::Server;
 use crate::core::placement::PlaceEnd;
 use crate::core::time::Moment;
@@ -30,6 +31,8 @@
     began: Moment,
     /// When the head of the answer came.
     pub head: Moment,
+    /// The time until the first event that the board of the pool expects.
+    pub expected: Option<Duration>,
     ended: bool,
 }
 
@@ -43,6 +46,7 @@
             server,
             began,
             head: began,
+            expected: None,
             ended: false,
         }
     }
@@ -94,6 +98,7 @@
             server_ms = now.since(self.began).as_millis(),
             head_ms = self.head.since(self.began).as_millis(),
             first_ms = first.as_millis(),
+            expected_ms = self.expected.unwrap_or_default().as_millis(),
             version = view.orders.version(),
             orders_age_ms = view.orders.age(now).as_millis()
         );
@@ -154,13 +159,18 @@
     let first_at = Arc::new(std::sync::Mutex::new(None));
     let seen = Arc::clone(&first_at);
     let (shared, plan) = (Arc::clone(&visit.shared), Arc::clone(&visit.plan));
+    let (server, expected) = (Arc::clone(&visit.server), visit.expected);
     let first = Box::new(move || {
         if let Some(inputs) = &mut inputs {
             inputs.free();
         }
         let now = clock::boot();
-        let wait = now.since(began).saturating_sub(engine_time(&plan));
+        let took = now.since(began);
+        let wait = took.saturating_sub(engine_time(&plan));
         shared.pressure().note(now, &plan.service, wait, 0.0);
+        if let Some(expected) = expected {
+            shared.note_engine_time(EngineReport { server, expected, took });
+        }
         if let Ok(mut at) = seen.lock() {
             *at = Some(clock::boot().since(began));
         }
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -144,6 +144,66 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Freed {}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PlaceEngine {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub request: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "3")]
+    pub parts: ::prost::alloc::vec::Vec<Part>,
+    /// All tokens of the prompt.
+    #[prost(uint32, tag = "4")]
+    pub tokens: u32,
+    /// Whether the request is sent later; otherwise it is sent to the answered engine at once.
+    #[prost(bool, tag = "5")]
+    pub planned: bool,
+    /// Milliseconds until it is sent, and from then on until its first event is late.
+    #[prost(uint64, tag = "6")]
+    pub ahead_ms: u64,
+    #[prost(uint64, tag = "7")]
+    pub slack_ms: u64,
+    /// The availability zone where its inputs lie, and their bytes.
+    #[prost(string, tag = "8")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "9")]
+    pub bytes: u64,
+    /// Engines that must not be chosen.
+    #[prost(string, repeated, tag = "10")]
+    pub except: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// What the caller has seen of engines since its last call.
+    #[prost(message, repeated, tag = "11")]
+    pub times: ::prost::alloc::vec::Vec<EngineTime>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Part {
+    /// The hash of this part of a prompt and those before it.
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    #[prost(uint32, tag = "2")]
+    pub tokens: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EngineTime {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    /// Milliseconds until the first event, as expected and as seen.
+    #[prost(uint64, tag = "2")]
+    pub expected_ms: u64,
+    #[prost(uint64, tag = "3")]
+    pub took_ms: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EnginePlaced {
+    /// Empty if there is no engine to choose.
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    /// Milliseconds that the engine spends on other prompts first, and on this one.
+    #[prost(uint64, tag = "2")]
+    pub wait_ms: u64,
+    #[prost(uint64, tag = "3")]
+    pub work_ms: u64,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
@@ -343,6 +403,28 @@
                 .insert(GrpcMethod::new("limpetmux.fleet.v1.Fleet", "Free"));
             self.inner.unary(req, path, codec).await
         }
+        /// Chooses a model engine for a request, and learns how long earlier ones took.
+        pub async fn place(
+            &mut self,
+            request: impl tonic::IntoRequest<super::PlaceEngine>,
+        ) -> std::result::Result<tonic::Response<super::EnginePlaced>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/limpetmux.fleet.v1.Fleet/Place",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("limpetmux.fleet.v1.Fleet", "Place"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -373,6 +455,11 @@
             &self,
             request: tonic::Request<super::FreeResults>,
         ) -> std::result::Result<tonic::Response<super::Freed>, tonic::Status>;
+        /// Chooses a model engine for a request, and learns how long earlier ones took.
+        async fn place(
+            &self,
+            request: tonic::Request<super::PlaceEngine>,
+        ) -> std::result::Result<tonic::Response<super::EnginePlaced>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct FleetServer<T> {
@@ -579,6 +666,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/limpetmux.fleet.v1.Fleet/Place" => {
+                    #[allow(non_camel_case_types)]
+                    struct PlaceSvc<T: Fleet>(pub Arc<T>);
+                    impl<T: Fleet> tonic::server::UnaryService<super::PlaceEngine>
+                    for PlaceSvc<T> {
+                        type Response = super::EnginePlaced;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::PlaceEngine>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Fleet>::place(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = PlaceSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/tests/testsuite/platform/adapter.rs
+++ b/tests/testsuite/platform/adapter.rs
@@ -94,12 +94,14 @@
 
     assert_eq!((ask.id.as_str(), ask.target.as_str()), ("1f", "/a/b?x=1"));
     assert_eq!(ask.deadline, Duration::from_secs(6));
-    assert_eq!((ask.tokens, ask.pieces), (1_460, vec![2, 0, 8]));
+    assert_eq!((ask.tokens, ask.pieces.clone()), (1_460, vec![2, 0, 8]));
     assert_eq!(ask.key.as_deref(), Some("k1"));
     // Requests that differ in their own last part only go to the same place.
     let twin = proper(&[("x-limpetmux-prompt-prefix", "5c1e07a2:800,91bd3f06:410,aaaa:9")]);
-    assert_eq!(ask.prefix, decode(&twin).unwrap().prefix);
-    assert!(ask.prefix.is_some());
+    assert_eq!(ask.prefix(), decode(&twin).unwrap().prefix());
+    assert!(ask.prefix().is_some());
+    let tokens: Vec<u32> = ask.parts.iter().map(|p| p.tokens).collect();
+    assert_eq!(tokens, [800, 410, 250]);
 }
 
 #[test]
--- a/tests/testsuite/platform/placement.rs
+++ b/tests/testsuite/platform/placement.rs
@@ -12,6 +12,7 @@
         prefix: None,
         zone: "mnl-a",
         planned: None,
+        chosen: None,
         exclude: &[],
         entry,
         entries,
