Hand stage work over when a sidecar stops, and make lost inputs anew alone

Change: a stopping sidecar tells all nodes, hands over the results that it knows of, and makes what it was asked for; reports of results go to the next node when one does not answer; a queue tells whether its backend servers are short of room, and only then inputs are freed early; lost inputs are made anew without the stages that are not concerned, also when the model engine finds them gone. Two tests of early frees now ask for short room in place of a long queue, with the same counts; new tests of room, hand-over, stopping nodes and of the board of engines. An engine of which nothing is known counts as no slower than usual: a test showed that one slow engine made unknown ones look slow.

Ruled out: admission (it refused as soon as waits were reported).

--- a/src/limpetmux/core/engines.rs
+++ b/src/limpetmux/core/engines.rs
@@ -247,10 +247,12 @@
         plans.map(|p| p.work).sum()
     }
 
+    /// Returns the pace of an engine that nothing is known of: that of the others, unless they are
+    /// slow.
     fn usual_pace(&self) -> f64 {
         let mut paces: Vec<f64> = self.engines.values().map(|e| e.pace).collect();
         paces.sort_unstable_by(f64::total_cmp);
-        paces.get(paces.len() / 2).copied().unwrap_or(1.0)
+        paces.get(paces.len() / 2).map_or(1.0, |p| p.min(1.0))
     }
 
     fn engine(&mut self, now: Moment, id: &Arc<str>) -> &mut Engine {
--- a/src/limpetmux/core/nodes.rs
+++ b/src/limpetmux/core/nodes.rs
@@ -59,12 +59,14 @@
     known: BTreeMap<SocketAddr, Known>,
     /// Addresses at which nodes once were; nothing says that they live.
     candidates: BTreeSet<SocketAddr>,
+    /// The starts of nodes that have said that they stop.
+    left: BTreeMap<SocketAddr, u64>,
 }
 
 impl Nodes {
     /// Creates the view of a node that knows only itself.
     pub fn new(own: Node) -> Self {
-        Self { own, known: BTreeMap::new(), candidates: BTreeSet::new() }
+        Self { own, known: BTreeMap::new(), candidates: BTreeSet::new(), left: BTreeMap::new() }
     }
 
     /// Returns the node itself.
@@ -74,7 +76,8 @@
 
     /// Takes in that a node lived at a moment.
     pub fn heard(&mut self, node: Node, at: Moment) {
-        if node.addr == self.own.addr {
+        let has_left = self.left.get(&node.addr).is_some_and(|started| node.started <= *started);
+        if node.addr == self.own.addr || has_left {
             return;
         }
         match self.known.get_mut(&node.addr) {
@@ -91,6 +94,14 @@
         }
     }
 
+    /// Forgets a node that has said that it stops; a later process at its address is another one.
+    pub fn leave(&mut self, addr: SocketAddr, started: u64) {
+        if self.known.get(&addr).is_some_and(|k| k.node.started <= started) {
+            self.known.remove(&addr);
+        }
+        self.left.insert(addr, started);
+    }
+
     /// Passes a node over because it did not answer, until others have heard of it since.
     pub fn suspect(&mut self, addr: SocketAddr, now: Moment) {
         if let Some(known) = self.known.get_mut(&addr) {
--- a/src/limpetmux/core/pieces/job.rs
+++ b/src/limpetmux/core/pieces/job.rs
@@ -48,6 +48,8 @@
     pub size: u64,
     /// Whether nothing else needs the inputs.
     pub frees: bool,
+    /// Whether the inputs take up room that others wait for.
+    pub tight: bool,
 }
 
 /// How a stage has ended.
@@ -162,7 +164,10 @@
 
     /// Returns the inputs once all backend servers must have fetched them, and only once.
     pub(super) fn take_fetched(&mut self, now: Moment, after: Duration) -> Vec<Arc<str>> {
-        if !self.spec.frees || self.all_sent.is_none_or(|at| now.since(at) < after) {
+        if !self.spec.tight
+            || !self.spec.frees
+            || self.all_sent.is_none_or(|at| now.since(at) < after)
+        {
             return Vec::new();
         }
         self.take_inputs()
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -39,6 +39,22 @@
 /// How long a result of which nobody reports the end takes up room, beyond its keeping time.
 const KEEP_SLACK: Duration = Duration::from_millis(500);
 
+/// Room counts as short once this part of it is taken: one in two.
+const TIGHT_PARTS: u64 = 2;
+
+/// A result that takes up room at a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeldResult {
+    /// The id of the backend server.
+    pub server: Arc<str>,
+    /// The name of the result.
+    pub name: Arc<str>,
+    /// Its size in bytes.
+    pub size: u64,
+    /// The time until it lapses.
+    pub left: Duration,
+}
+
 /// The pieces and backend servers of one service.
 #[derive(Debug)]
 pub struct PieceQueue {
@@ -134,6 +150,39 @@
         speed * batch as f64 / self.call_time(batch).as_secs_f64().max(0.001)
     }
 
+    /// Returns whether results take up so much room that the next ones may have to wait for it;
+    /// inputs are then better freed early, at the risk that a piece that fails needs new ones.
+    pub fn is_tight(&self, now: Moment) -> bool {
+        let good = || self.workers.values().filter(|w| w.is_good(now));
+        let held: u64 = good().map(Worker::reserved).sum();
+        let room: u64 = good().map(|_| self.spec.room).sum();
+        held * TIGHT_PARTS > room
+    }
+
+    /// Returns the results that take up room, for the node that takes this one's place.
+    pub fn held(&self, now: Moment) -> Vec<HeldResult> {
+        let of = |w: &Worker| {
+            let server = Arc::clone(&w.spec.id);
+            let held = w.results.iter().map(move |(name, (size, until))| HeldResult {
+                server: Arc::clone(&server),
+                name: Arc::clone(name),
+                size: *size,
+                left: now.until(*until),
+            });
+            held.collect::<Vec<_>>()
+        };
+        self.workers.values().flat_map(of).collect()
+    }
+
+    /// Takes in results that another node had made; those of unknown backend servers are left out.
+    pub fn adopt(&mut self, now: Moment, held: Vec<HeldResult>) {
+        for result in held {
+            if let Some(worker) = self.workers.get_mut(&result.server) {
+                worker.results.insert(result.name, (result.size, now + result.left));
+            }
+        }
+    }
+
     /// Returns whether nothing waits and nothing runs.
     pub fn is_idle(&self) -> bool {
         self.jobs.is_empty() && self.workers.values().all(|w| !w.is_busy())
@@ -144,10 +193,8 @@
         let mut actions = Actions::default();
         self.end_late(now, &mut actions);
         self.reissue_overdue(now);
-        if self.is_congested() {
-            let jobs = self.jobs.values_mut();
-            actions.fetched = jobs.flat_map(|j| j.take_fetched(now, FETCH_TIME)).collect();
-        }
+        let jobs = self.jobs.values_mut();
+        actions.fetched = jobs.flat_map(|j| j.take_fetched(now, FETCH_TIME)).collect();
         for worker in self.workers.values_mut() {
             worker.forget_results(now);
         }
@@ -241,12 +288,6 @@
         order
     }
 
-    /// Returns whether more waits than one call takes; the room of inputs is then better given
-    /// back early, at the risk that a piece that fails has to be made from the start.
-    fn is_congested(&self) -> bool {
-        self.jobs.values().map(Job::open).sum::<usize>() > self.spec.batch
-    }
-
     fn rank(&self, now: Moment, job: &Job) -> job::Rank {
         job.rank(now, self.call_time(job.pieces().min(self.spec.batch)))
     }
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -3,11 +3,14 @@
 use crate::core::listing::Entry;
 use crate::core::nodes::{Node, Nodes};
 use crate::core::operator::Declared;
+use crate::core::pieces::HeldResult;
 use crate::core::time::Moment;
 use crate::platform::{orders, servers, store::Record};
 use crate::serve::node::StoreView;
-use crate::wire::fleet::{ListingView, Member, OperatorView, PullReply, PullRequest, ServerRecord};
-use std::collections::BTreeSet;
+use crate::wire::fleet::{
+    self as wire, ListingView, Member, OperatorView, PullReply, PullRequest, ServerRecord,
+};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,6 +37,33 @@
     })
 }
 
+/// Reads results that another node hands over, by their services.
+pub fn held(results: Vec<wire::HeldResult>) -> BTreeMap<Arc<str>, Vec<HeldResult>> {
+    let mut services: BTreeMap<Arc<str>, Vec<HeldResult>> = BTreeMap::new();
+    for result in results {
+        let held = HeldResult {
+            server: result.server.into(),
+            name: result.name.into(),
+            size: result.size,
+            left: Duration::from_millis(result.left_ms),
+        };
+        services.entry(result.service.into()).or_default().push(held);
+    }
+    services
+}
+
+/// Describes results that another node becomes responsible for.
+pub fn handed_over(service: &str, held: Vec<HeldResult>) -> Vec<wire::HeldResult> {
+    let result = |held: HeldResult| wire::HeldResult {
+        service: service.to_owned(),
+        server: held.server.to_string(),
+        name: held.name.to_string(),
+        size: held.size,
+        left_ms: millis(held.left),
+    };
+    held.into_iter().map(result).collect()
+}
+
 /// Asks for what the caller lacks.
 pub fn request(own: &Node, view: &StoreView, wait: Duration) -> PullRequest {
     PullRequest {
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -2,14 +2,16 @@
 
 use super::convert;
 use crate::core::pieces::{JobSpec, Source, StageEnd};
+use crate::event;
 use crate::gates::Gates;
 use crate::gates::engines::Boards;
 use crate::serve::node::Shared;
 use crate::util::clock;
+use crate::util::event::EventCode;
 use crate::wire::fleet::fleet_server::{Fleet, FleetServer};
 use crate::wire::fleet::{
-    EnginePlaced, FreeResults, Freed, Outcome, PlaceEngine, PullReply, PullRequest, StageDone,
-    StageRun,
+    EnginePlaced, FreeResults, Freed, Left, NodeLeaving, Outcome, PlaceEngine, PullReply,
+    PullRequest, StageDone, StageRun,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,6 +41,14 @@
             .max_encoding_message_size(MAX_MESSAGE)
     }
 
+    /// Sends callers to the node that takes the place of one that stops.
+    fn refuse_if_stopping(&self) -> Result<(), Status> {
+        match self.shared.is_stopping() {
+            true => Err(Status::unavailable("the node stops")),
+            false => Ok(()),
+        }
+    }
+
     /// Waits until the view has something that the caller lacks, within the time it allows.
     async fn wait_for_news(&self, request: &PullRequest) {
         let until = Instant::now() + Duration::from_millis(request.wait_ms).min(MAX_HOLD);
@@ -70,18 +80,32 @@
         if run.pieces == 0 || run.pieces > MAX_PIECES {
             return Err(Status::invalid_argument("the number of pieces cannot be used"));
         }
+        self.refuse_if_stopping()?;
         let service: Arc<str> = run.service.as_str().into();
         let spec = job(run);
         let end = self.gates.run(&service, spec).await;
         let mut done = done(end, self.gates.wait(&service));
         done.rate = self.gates.rate(&service);
+        done.tight = self.gates.is_tight(&service);
         Ok(Response::new(done))
     }
 
     async fn place(&self, request: Request<PlaceEngine>) -> Result<Response<EnginePlaced>, Status> {
+        self.refuse_if_stopping()?;
         Ok(Response::new(self.boards.place(&request.into_inner())))
     }
 
+    async fn leave(&self, request: Request<NodeLeaving>) -> Result<Response<Left>, Status> {
+        let message = request.into_inner();
+        let node = message.node.as_ref().and_then(convert::node);
+        let node = node.ok_or(Status::invalid_argument("the node cannot be read"))?;
+        event!(EventCode::NodeLeft, node = node.addr, results = message.held.len());
+        self.shared.nodes().leave(node.addr, node.started);
+        self.shared.peers.close(node.addr);
+        self.gates.adopt(convert::held(message.held));
+        Ok(Response::new(Left {}))
+    }
+
     async fn free(&self, request: Request<FreeResults>) -> Result<Response<Freed>, Status> {
         let free = request.into_inner();
         let results = free.results.iter().map(|r| Arc::from(r.as_str())).collect();
@@ -109,6 +133,7 @@
         zone: run.zone.into(),
         size: run.size,
         frees: run.frees,
+        tight: run.tight,
     }
 }
 
--- a/src/limpetmux/platform/server.rs
+++ b/src/limpetmux/platform/server.rs
@@ -33,6 +33,8 @@
     pub not_run: bool,
     /// Whether another backend server has the address.
     pub elsewhere: bool,
+    /// Whether a result that the request needs does not exist any more.
+    pub inputs_gone: bool,
     /// Whether the answer belongs to the request that was sent.
     pub own: bool,
     /// Whether the backend server has proved the answer to be its own.
@@ -79,6 +81,8 @@
         not_run: headers.contains_key(&names::NOT_RUN)
             || answer.status() == StatusCode::MISDIRECTED_REQUEST,
         elsewhere: answer.status() == StatusCode::MISDIRECTED_REQUEST,
+        inputs_gone: headers.contains_key(&names::NOT_RUN)
+            && answer.status() == StatusCode::CONFLICT,
         own: text(&names::REQUEST_ID).is_none_or(|v| v == id),
         signed: headers.contains_key(&names::SIGNATURE),
         keep: keep_alive(headers),
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -234,9 +234,16 @@
         let head = server::head(&plan.ask.id, &answer);
         visit.head = clock::boot();
         if head.not_run {
-            visit.end(if head.elsewhere { PlaceEnd::Failed } else { PlaceEnd::Full });
+            visit.end(match head.elsewhere {
+                true => PlaceEnd::Failed,
+                false if head.inputs_gone => PlaceEnd::Neutral,
+                false => PlaceEnd::Full,
+            });
             plan.sent.store(self.runs > 0, Ordering::Relaxed);
             give_back(answer, lease, &head).await;
+            if head.inputs_gone {
+                return Err(self.truthful(Failure::later(Reason::InputsGone, FULL_RETRY)));
+            }
             return Ok(Sent::NotRun(Reason::AllFull));
         }
         if !head.own || (head.status.is_success() && !head.signed) {
--- a/src/limpetmux/serve/inputs.rs
+++ b/src/limpetmux/serve/inputs.rs
@@ -6,12 +6,15 @@
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::wire::fleet::FreeResults;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
 /// The time allowed for giving results up.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The nodes that are told, one after the other.
+const FREE_TRIES: usize = 3;
 
 /// The results that a request needs, freed once they are not needed any more.
 pub struct Inputs {
@@ -69,21 +72,38 @@
 }
 
 /// Tells the node that queues a service's pieces that results are not needed any more.
+///
+/// If it does not answer, the node that takes its place is told: room that is not given back would
+/// be missing until the results lapse.
 pub fn free_results(shared: &Arc<Shared>, service: Arc<str>, results: Vec<Arc<str>>) {
     if results.is_empty() {
         return;
     }
-    let gate = shared.nodes().gate(clock::boot(), &service, &[]).map(|n| n.addr);
-    let Some(addr) = gate else { return };
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
         let results = results.iter().map(ToString::to_string).collect();
         let message = FreeResults { service: service.to_string(), results };
-        let call = async { shared.peers.client(addr)?.free(message).await };
-        match timeout(FREE_TIMEOUT, call).await {
-            Ok(Ok(_)) => {}
-            Ok(Err(status)) => event!(EventCode::FreeFailed, addr = addr, reason = status),
-            Err(_) => event!(EventCode::FreeFailed, addr = addr, reason = "no answer in time"),
+        for _ in 0..FREE_TRIES {
+            let gate = shared.nodes().gate(clock::boot(), &service, &[]).map(|n| n.addr);
+            let Some(addr) = gate else { return };
+            match free_at(&shared, addr, message.clone()).await {
+                Ok(()) => return,
+                Err(status) => event!(EventCode::FreeFailed, addr = addr, reason = status),
+            }
+            shared.peers.close(addr);
+            shared.nodes().suspect(addr, clock::boot());
         }
     });
 }
+
+async fn free_at(
+    shared: &Shared,
+    addr: SocketAddr,
+    message: FreeResults,
+) -> Result<(), tonic::Status> {
+    let call = async { shared.peers.client(addr)?.free(message).await };
+    match timeout(FREE_TIMEOUT, call).await {
+        Ok(freed) => freed.map(drop),
+        Err(_) => Err(tonic::Status::deadline_exceeded("no answer in time")),
+    }
+}
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -201,7 +201,14 @@
     shared.repeats().fresh(clock::boot(), &plan.service);
     let work = async {
         let inputs = stages::make(shared, &plan).await?;
-        forward::send(shared, &plan, inputs).await
+        match forward::send(shared, &plan, inputs).await {
+            // A backend server that held results has gone meanwhile; nothing has run.
+            Err(failure) if failure.reason == Reason::InputsGone => {
+                let inputs = stages::make(shared, &plan).await?;
+                forward::send(shared, &plan, inputs).await
+            }
+            result => result,
+        }
     };
     let result = match timeout(plan.left(), work).await {
         Ok(result) => result,
--- a/src/limpetmux/serve/run.rs
+++ b/src/limpetmux/serve/run.rs
@@ -27,6 +27,8 @@
 
 /// How long a stopping node still accepts connections, until the balancer has noticed.
 const NOTICE: Duration = Duration::from_millis(3_200);
+/// How long a stopping node still makes the stages that it was asked for.
+const HANDOVER: Duration = Duration::from_secs(2);
 /// What is left of the grace for the end of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
 /// The time between two looks at the requests that run.
@@ -66,6 +68,7 @@
     /// Where it serves its metrics.
     pub metrics: SocketAddr,
     shared: Arc<Shared>,
+    gates: Arc<Gates>,
     stop: watch::Sender<bool>,
     _control: ControlThread,
 }
@@ -107,8 +110,8 @@
         let _guard = control.enter();
         tokio::spawn(follower.run());
     }
-    tokio::spawn(gates.run_queues());
-    Ok(RunningNode { callers, readiness, nodes, metrics, shared, stop, _control: control })
+    tokio::spawn(Arc::clone(&gates).run_queues());
+    Ok(RunningNode { callers, readiness, nodes, metrics, shared, gates, stop, _control: control })
 }
 
 async fn reload(shared: Arc<Shared>, mut reloads: mpsc::Receiver<NodeSettings>) {
@@ -155,17 +158,23 @@
 
     /// Stops the node; returns how many requests were cut.
     pub async fn drain(self) -> usize {
-        drain(&self.shared, &self.stop).await
+        drain(&self.shared, &self.gates, &self.stop).await
     }
 }
 
 /// Stops accepting and waits for the requests that run; returns how many are cut.
-async fn drain(shared: &Shared, stop: &watch::Sender<bool>) -> usize {
+async fn drain(shared: &Shared, gates: &Gates, stop: &watch::Sender<bool>) -> usize {
     let began = Instant::now();
     event!(EventCode::DrainStarted, running = shared.running.load(Ordering::Relaxed));
     shared.stopping.store(true, Ordering::Relaxed);
     if shared.settings().callers.is_some() {
         sleep(NOTICE).await;
+    } else {
+        gates.leave().await;
+        let end = began + HANDOVER;
+        while !gates.is_idle() && Instant::now() < end {
+            sleep(TICK).await;
+        }
     }
     stop.send_replace(true);
     let end = began + shared.settings().bounds.grace.saturating_sub(EXIT_MARGIN);
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -31,6 +31,8 @@
 const ENGINE_TOKENS_PER_MS: u32 = 40;
 /// When a caller should come back whose stages failed.
 const FAILED_RETRY: Duration = Duration::from_millis(300);
+/// The times that lost inputs of a request are made anew.
+const MAX_REMAKES: u32 = 2;
 /// The part of its time after which a refused caller is asked to come back at the latest.
 const RETRY_PARTS: u32 = 3;
 
@@ -68,88 +70,185 @@
     done: Result<StageDone, Failure>,
 }
 
+/// The stages of one request while they are made.
+struct Chain<'a> {
+    plan: &'a Arc<Plan>,
+    pieces: Vec<u32>,
+    /// The time from the end of each stage to the first event.
+    behind: Vec<Duration>,
+    /// The zone of the model engine.
+    engine_zone: String,
+    inputs: Inputs,
+    coming: Coming<'a>,
+    /// The results of each stage once it has been made; a stage without pieces has none.
+    results: Vec<Option<Vec<Arc<str>>>>,
+    started: Vec<bool>,
+    /// Where most results of each stage lie.
+    zones: Vec<String>,
+    /// Whether the results of each stage take up room that others wait for.
+    tight: Vec<bool>,
+    /// Whether the results of each stage may have been given up.
+    freed: Vec<bool>,
+    remakes: u32,
+}
+
 /// Makes all stages of a request.
 ///
 /// # Errors
 /// Returns a refusal if they cannot be made in time; nothing has run then.
 pub async fn make(shared: &Arc<Shared>, plan: &Arc<Plan>) -> Result<Inputs, Failure> {
-    let began = clock::boot();
-    match make_once(shared, plan).await {
-        Err(failure) if failure.reason == Reason::InputsGone => {
-            // What took this long once will take about as long again.
-            if clock::boot().since(began) > plan.left() {
-                return Err(failure);
-            }
-            make_once(shared, plan).await
-        }
-        result => result,
-    }
-}
-
-async fn make_once(shared: &Arc<Shared>, plan: &Arc<Plan>) -> Result<Inputs, Failure> {
-    let mut inputs = Inputs::new(shared);
-    let route = plan.route();
     let pieces = plan.pieces();
     if pieces.iter().all(|n| *n == 0) {
-        return Ok(inputs);
+        return Ok(Inputs::new(shared));
     }
-    let times = chain::stage_times(&plan.catalog, route, &pieces);
-    let behind = chain::times_behind(route, &times);
+    let times = chain::stage_times(&plan.catalog, plan.route(), &pieces);
     let engine = engine_time(plan);
     let ahead = admit(shared, plan, &times, engine)?;
     let planned = planned_engine(shared, plan, ahead).await;
     let engine = planned.expected.map_or(engine, |e| e + ENGINE_START);
-    let zone = planned.zone;
-    inputs.planned = planned.server;
-    let mut coming = Coming::new(shared, route, &pieces);
-    let mut results: Vec<Option<Vec<Arc<str>>>> =
-        pieces.iter().map(|n| (*n == 0).then(Vec::new)).collect();
-    let mut started: Vec<bool> = pieces.iter().map(|n| *n == 0).collect();
-    let mut zones = vec![String::new(); pieces.len()];
+    let behind = chain::times_behind(plan.route(), &times).into_iter().map(|b| b + engine);
+    let mut chain = Chain::new(shared, plan, behind.collect(), planned);
     let mut running = FuturesUnordered::new();
     loop {
-        for (index, stage) in route.stages.iter().enumerate() {
-            let ready = stage.after.iter().all(|a| results.get(*a).is_some_and(Option::is_some));
-            if started[index] || !ready {
+        for (stage, run) in chain.start() {
+            running.push(make_stage(shared, plan, stage, run));
+        }
+        let Some(made) = running.next().await else { break };
+        chain.take(made)?;
+    }
+    Ok(chain.finish())
+}
+
+impl<'a> Chain<'a> {
+    fn new(
+        shared: &'a Arc<Shared>,
+        plan: &'a Arc<Plan>,
+        behind: Vec<Duration>,
+        planned: Planned,
+    ) -> Self {
+        let pieces = plan.pieces();
+        let count = pieces.len();
+        let mut inputs = Inputs::new(shared);
+        inputs.planned = planned.server;
+        Self {
+            plan,
+            behind,
+            engine_zone: planned.zone,
+            inputs,
+            coming: Coming::new(shared, plan.route(), &pieces),
+            results: pieces.iter().map(|n| (*n == 0).then(Vec::new)).collect(),
+            started: pieces.iter().map(|n| *n == 0).collect(),
+            zones: vec![String::new(); count],
+            tight: vec![false; count],
+            freed: vec![false; count],
+            remakes: 0,
+            pieces,
+        }
+    }
+
+    /// Returns the stages that can be made now and were not started yet.
+    fn start(&mut self) -> Vec<(usize, StageRun)> {
+        let mut runs = Vec::new();
+        for (index, stage) in self.plan.route().stages.iter().enumerate() {
+            let made = |a: &usize| self.results.get(*a).is_some_and(Option::is_some);
+            if self.started[index] || !stage.after.iter().all(made) {
                 continue;
             }
-            started[index] = true;
-            coming.arrived(index);
-            let needs = stage.after.iter().filter_map(|a| results[*a].clone()).flatten().collect();
-            let near = chain::nearest(route, index, &pieces, &zones, &zone);
-            let run = StageRun {
-                service: stage.service.to_string(),
-                request: plan.ask.id.clone(),
-                stage: u32::try_from(index).unwrap_or(u32::MAX),
-                pieces: pieces[index],
-                due_ms: signed_millis(plan, behind[index] + engine),
-                priority: u32::from(plan.priority()),
-                zone: near,
-                size: stage.size,
-                frees: stage.after.iter().all(|a| chain::users(route, *a) == 1),
-                ..source(plan, needs)
-            };
-            running.push(make_stage(shared, plan, index, run));
+            self.started[index] = true;
+            self.coming.arrived(index);
+            runs.push((index, self.stage_run(index, stage)));
         }
-        let Some(made) = running.next().await else { break };
-        let done = made.done?;
-        let stage = &route.stages[made.stage];
+        runs
+    }
+
+    fn stage_run(&mut self, index: usize, stage: &StageSpec) -> StageRun {
+        let route = self.plan.route();
+        let needs = stage.after.iter().filter_map(|a| self.results[*a].clone()).flatten().collect();
+        let frees = stage.after.iter().all(|a| chain::users(route, *a) == 1);
+        let tight = stage.after.iter().any(|a| self.tight[*a]);
+        if frees && tight {
+            stage.after.iter().for_each(|a| self.freed[*a] = true);
+        }
+        StageRun {
+            service: stage.service.to_string(),
+            request: self.plan.ask.id.clone(),
+            stage: u32::try_from(index).unwrap_or(u32::MAX),
+            pieces: self.pieces[index],
+            due_ms: signed_millis(self.plan, self.behind[index]),
+            priority: u32::from(self.plan.priority()),
+            zone: chain::nearest(route, index, &self.pieces, &self.zones, &self.engine_zone),
+            size: stage.size,
+            frees,
+            tight,
+            ..source(self.plan, needs)
+        }
+    }
+
+    /// Takes in what became of a stage.
+    fn take(&mut self, made: Made) -> Result<(), Failure> {
+        let done = match made.done {
+            Ok(done) => done,
+            Err(failure) if failure.reason == Reason::InputsGone => {
+                return self.make_again(made.stage, failure);
+            }
+            Err(failure) => return Err(failure),
+        };
+        let route = self.plan.route();
         let names: Vec<Arc<str>> = done.results.iter().map(|r| Arc::from(r.as_str())).collect();
-        inputs.held.push((Arc::clone(&stage.service), names.clone()));
-        zones[made.stage] = done.zone;
-        results[made.stage] = Some(names);
-        for before in chain::spent(route, &results, made.stage) {
-            let names = results[before].as_deref().unwrap_or_default();
+        let service = Arc::clone(&route.stages[made.stage].service);
+        self.inputs.held.push((service, names.clone()));
+        self.zones[made.stage] = done.zone;
+        self.tight[made.stage] = done.tight;
+        self.results[made.stage] = Some(names);
+        for before in chain::spent(route, &self.results, made.stage) {
+            self.freed[before] = true;
+            let names = self.results[before].as_deref().unwrap_or_default();
             match chain::users(route, before) {
-                1 => inputs.forget(names),
-                _ => inputs.free_some(names),
+                1 => self.inputs.forget(names),
+                _ => self.inputs.free_some(names),
             }
         }
+        Ok(())
+    }
+
+    /// Makes the inputs of a stage anew that were lost, and then the stage, if there is time.
+    fn make_again(&mut self, stage: usize, failure: Failure) -> Result<(), Failure> {
+        self.remakes += 1;
+        if self.remakes > MAX_REMAKES || self.plan.left() < self.behind[stage] {
+            return Err(failure);
+        }
+        self.started[stage] = false;
+        self.reset_inputs(stage);
+        Ok(())
+    }
+
+    /// Gives up the inputs of a stage, and those of the stages behind them that are gone as well.
+    fn reset_inputs(&mut self, stage: usize) {
+        for before in self.plan.route().stages[stage].after.clone() {
+            if self.pieces[before] == 0 {
+                continue;
+            }
+            if let Some(names) = self.results[before].take() {
+                self.inputs.free_some(&names);
+            }
+            self.started[before] = false;
+            self.freed[before] = false;
+            let after = &self.plan.route().stages[before].after;
+            if after.iter().any(|a| self.freed[*a]) {
+                self.reset_inputs(before);
+            }
+        }
+    }
+
+    /// Returns what the model engine needs.
+    fn finish(mut self) -> Inputs {
+        let route = self.plan.route();
+        self.inputs.at = inputs_at(route, &self.pieces, &self.zones);
+        let last = (0..route.stages.len()).filter(|index| chain::users(route, *index) == 0);
+        let results = last.filter_map(|index| self.results[index].clone()).flatten();
+        self.inputs.results = results.collect();
+        self.inputs
     }
-    let last = (0..route.stages.len()).filter(|index| chain::users(route, *index) == 0);
-    inputs.at = inputs_at(route, &pieces, &zones);
-    inputs.results = last.filter_map(|index| results[index].clone()).flatten().collect();
-    Ok(inputs)
 }
 
 /// Returns where most bytes of the results lie that the model engine needs.
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -169,6 +169,8 @@
     CallRefused = 607,
     /// Some pieces of a call were not made.
     PiecesUnmade = 608,
+    /// Another node stops and has handed over what it knows.
+    NodeLeft = 609,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -114,6 +114,10 @@
     /// Whether nothing else needs the inputs, so that they are freed once they were fetched.
     #[prost(bool, tag = "12")]
     pub frees: bool,
+    /// Whether the backend servers that hold the inputs are short of room, so that the inputs are freed
+    /// as soon as they were fetched and not only once the stage is made.
+    #[prost(bool, tag = "13")]
+    pub tight: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StageDone {
@@ -134,6 +138,9 @@
     /// The pieces that the service makes in a second.
     #[prost(double, tag = "6")]
     pub rate: f64,
+    /// Whether the backend servers of the service are short of room for results.
+    #[prost(bool, tag = "7")]
+    pub tight: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FreeResults {
@@ -204,6 +211,31 @@
     #[prost(uint64, tag = "3")]
     pub work_ms: u64,
 }
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct NodeLeaving {
+    #[prost(message, optional, tag = "1")]
+    pub node: ::core::option::Option<Member>,
+    /// The results that the called node becomes responsible for.
+    #[prost(message, repeated, tag = "2")]
+    pub held: ::prost::alloc::vec::Vec<HeldResult>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HeldResult {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// The id of the backend server that holds the result.
+    #[prost(string, tag = "2")]
+    pub server: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub name: ::prost::alloc::string::String,
+    /// Its size in bytes, and the milliseconds until it lapses.
+    #[prost(uint64, tag = "4")]
+    pub size: u64,
+    #[prost(uint64, tag = "5")]
+    pub left_ms: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Left {}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
@@ -425,6 +457,28 @@
                 .insert(GrpcMethod::new("limpetmux.fleet.v1.Fleet", "Place"));
             self.inner.unary(req, path, codec).await
         }
+        /// Tells that a node stops, and hands over what it knows.
+        pub async fn leave(
+            &mut self,
+            request: impl tonic::IntoRequest<super::NodeLeaving>,
+        ) -> std::result::Result<tonic::Response<super::Left>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/limpetmux.fleet.v1.Fleet/Leave",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("limpetmux.fleet.v1.Fleet", "Leave"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -460,6 +514,11 @@
             &self,
             request: tonic::Request<super::PlaceEngine>,
         ) -> std::result::Result<tonic::Response<super::EnginePlaced>, tonic::Status>;
+        /// Tells that a node stops, and hands over what it knows.
+        async fn leave(
+            &self,
+            request: tonic::Request<super::NodeLeaving>,
+        ) -> std::result::Result<tonic::Response<super::Left>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct FleetServer<T> {
@@ -709,6 +768,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/limpetmux.fleet.v1.Fleet/Leave" => {
+                    #[allow(non_camel_case_types)]
+                    struct LeaveSvc<T: Fleet>(pub Arc<T>);
+                    impl<T: Fleet> tonic::server::UnaryService<super::NodeLeaving>
+                    for LeaveSvc<T> {
+                        type Response = super::Left;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::NodeLeaving>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Fleet>::leave(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = LeaveSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -3,6 +3,7 @@
 mod adapter;
 mod catalog;
 mod chain;
+mod engines;
 mod explain;
 mod listing;
 mod names;
--- a/tests/testsuite/platform/nodes.rs
+++ b/tests/testsuite/platform/nodes.rs
@@ -85,3 +85,19 @@
     assert_eq!(entries, ["n1", "n2"]);
     assert!(ms(1) < SILENT_AFTER);
 }
+
+#[test]
+fn node_that_stops_is_left_at_once_and_heard_again_only_after_its_next_start() {
+    // Pattern: the node that queues the pieces is stopped under load; others still tell of it.
+    let mut nodes = view(1);
+    let first = gate(&nodes, 1, "a").expect("a gate");
+    let number = first.ip().to_string().rsplit('.').next().unwrap().parse().unwrap();
+
+    nodes.leave(first, 1);
+    nodes.heard(node(number, true), at(50));
+    let second = gate(&nodes, 60, "a");
+    nodes.heard(Node { started: 2, ..node(number, true) }, at(70));
+
+    assert_ne!(second, Some(first));
+    assert_eq!(gate(&nodes, 80, "a"), Some(first));
+}
--- a/tests/testsuite/platform/pieces.rs
+++ b/tests/testsuite/platform/pieces.rs
@@ -36,6 +36,7 @@
         zone: "".into(),
         size: 1_000,
         frees: false,
+        tight: false,
     }
 }
 
@@ -238,15 +239,13 @@
 
 #[test]
 fn inputs_are_freed_once_they_were_fetched_and_only_once() {
+    // Pattern: a burst fills the room for the results of the stage before.
     let mut queue = queue(&[("s1", "mnl-a")]);
     let inputs = vec![arc("127.0.0.1:9/a"), arc("127.0.0.1:9/b")];
-    let spec =
-        JobSpec { source: Source::Inputs(inputs.clone()), frees: true, ..job(at(0), "r1", 2) };
+    let source = Source::Inputs(inputs.clone());
+    let spec = JobSpec { source, frees: true, tight: true, ..job(at(0), "r1", 2) };
     queue.submit(at(0), spec).unwrap();
     let call = queue.step(at(0)).calls.remove(0);
-    for request in ["r2", "r3"] {
-        queue.submit(at(0), job(at(0), request, 8)).unwrap();
-    }
 
     let early = queue.step(at(20)).fetched;
     let later = queue.step(at(100)).fetched;
@@ -257,14 +256,17 @@
 }
 
 #[test]
-fn inputs_are_kept_until_the_end_while_nothing_waits() {
-    // Pattern: a calm day; a piece that fails is made again from the same inputs.
+fn inputs_are_kept_until_the_end_while_there_is_room() {
+    // Pattern: many stages wait, a piece fails, and is made again from the same inputs.
     let mut queue = queue(&[("s1", "mnl-a")]);
     let inputs = vec![arc("127.0.0.1:9/a")];
     let spec =
         JobSpec { source: Source::Inputs(inputs.clone()), frees: true, ..job(at(0), "r1", 2) };
     queue.submit(at(0), spec).unwrap();
     let call = queue.step(at(0)).calls.remove(0);
+    for request in ["r2", "r3"] {
+        queue.submit(at(0), job(at(0), request, 8)).unwrap();
+    }
 
     let during = queue.step(at(100)).fetched;
     let end = queue.finish(at(182), call.key, made(&call));
@@ -272,6 +274,39 @@
     assert_eq!((during.len(), end.fetched), (0, inputs));
 }
 
+#[test]
+fn room_is_tight_once_half_of_it_is_taken() {
+    let mut queue = queue(&[("s1", "mnl-a")]);
+    queue.submit(at(0), job(at(0), "r1", 8)).unwrap();
+    let call = queue.step(at(0)).calls.remove(0);
+    let before = queue.is_tight(at(1));
+    queue.finish(at(278), call.key, made(&call));
+    queue.submit(at(300), job(at(300), "r2", 8)).unwrap();
+    queue.step(at(300));
+
+    // 8 and 16 results of 1,000 bytes in a room of 28,000.
+    assert_eq!((before, queue.is_tight(at(301))), (false, true));
+}
+
+#[test]
+fn results_that_are_handed_over_take_up_room_at_the_next_node() {
+    // Pattern: the node that queues the pieces is stopped while its backend servers are full.
+    let mut first = queue(&[("s1", "mnl-a")]);
+    for n in 0..3 {
+        first.submit(at(0), job(at(0), &format!("r{n}"), 8)).unwrap();
+        let call = first.step(at(0)).calls.remove(0);
+        first.finish(at(0), call.key, made(&call));
+    }
+    let mut next = queue(&[("s1", "mnl-a")]);
+
+    next.adopt(at(10), first.held(at(10)));
+    next.submit(at(10), job(at(10), "r9", 8)).unwrap();
+    let sent: usize = next.step(at(10)).calls.iter().map(|c| c.items.len()).sum();
+
+    // 24 of 28 places are taken, and a part of the room stays free.
+    assert!((1..=4).contains(&sent), "{sent}");
+}
+
 #[test]
 fn overdue_call_is_asked_for_elsewhere_and_the_first_result_counts() {
     // Pattern: a backend server turns slow, or goes dark under a call.
