Let starting nodes gather, engines fetch shared parts, and an address tell which server lives; fault soak

Parts of prompts were read again when their engine was busy or new; the time to a prompt's first byte made engines with long prompts count as slow.

Change: a starting node asks seeds and former addresses for members, three rounds in a fifth of a second, before stages are made; pauses after refused calls double; of two entries at one address the later start holds; a server found at another's address is left alone until its entry lapses. The board names an engine that has read more of a prompt, from which the chosen one fetches it.

Ruled out: pulls of stale views (about ten calls to the store a second after the start).

--- /dev/null
+++ b/crates/limpetmux-soak/src/callers.rs
@@ -0,0 +1,152 @@
+//! Callers: they keep connections open, send requests of all kinds, and note every answer.
+
+use crate::world::{ENTRIES, LASTING_KEY, World, lock};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use reqwest::{Client, RequestBuilder};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+/// How long a caller waits for an answer.
+pub const DEADLINE: Duration = Duration::from_millis(2_500);
+/// The longest pause of a caller between two requests.
+const PAUSE_MS: u64 = 120;
+/// The callers of each entry.
+const CALLERS: u64 = 3;
+/// The part of requests that use the key that is taken away.
+const SHORT_KEYS: f64 = 0.3;
+
+/// The kinds of requests.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::IntoStaticStr, strum::EnumIter,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Kind {
+    /// It may run at most once.
+    Once,
+    /// It may be repeated.
+    Safe,
+    /// It may be repeated, and versions move it between services.
+    Moved,
+    /// It needs two stages and is answered by a stream of events.
+    Stream,
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// A whole answer.
+    Answered {
+        /// The status.
+        status: u16,
+        /// Whether it bears a backend server's signature.
+        signed: bool,
+        /// The body.
+        body: String,
+    },
+    /// No whole answer: the connection failed, or broke off.
+    Cut,
+    /// No answer within the deadline.
+    Silent,
+}
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// Its id.
+    pub id: String,
+    /// What it is.
+    pub kind: Kind,
+    /// The entry that it was sent to.
+    pub entry: usize,
+    /// The key that it carried.
+    pub key: String,
+    /// When it was sent.
+    pub at: Instant,
+    /// When it ended.
+    pub until: Instant,
+    /// How.
+    pub end: End,
+}
+
+/// The requests of all callers.
+pub type Record = Arc<Mutex<Vec<Sent>>>;
+
+/// Starts the callers; they stop once `stop` says so.
+pub fn start(world: &Arc<World>, seed: u64, stop: &watch::Receiver<bool>) -> Record {
+    let record = Record::default();
+    for entry in 0..ENTRIES {
+        for number in 0..CALLERS {
+            let rng = Pcg64::seed_from_u64(seed * 1_000 + entry as u64 * 10 + number);
+            let caller = Caller { world: Arc::clone(world), record: Arc::clone(&record), entry };
+            tokio::spawn(caller.run(rng, number, stop.clone()));
+        }
+    }
+    record
+}
+
+struct Caller {
+    world: Arc<World>,
+    record: Record,
+    entry: usize,
+}
+
+impl Caller {
+    async fn run(self, mut rng: Pcg64, caller: u64, stop: watch::Receiver<bool>) {
+        let client = Client::new();
+        let mut number = 0;
+        while !*stop.borrow() {
+            number += 1;
+            let kind = match rng.random_range(0..8) {
+                0..3 => Kind::Once,
+                3 => Kind::Safe,
+                4..6 => Kind::Moved,
+                _ => Kind::Stream,
+            };
+            let key = match rng.random_bool(SHORT_KEYS) {
+                true => self.world.short_key(),
+                false => LASTING_KEY.to_owned(),
+            };
+            let id = format!("{}-{caller}-{number}", self.entry);
+            let request = self.request(&client, kind, &id, &key);
+            let at = Instant::now();
+            let end = timeout(DEADLINE, finish(request)).await.unwrap_or(End::Silent);
+            let until = Instant::now();
+            let entry = self.entry;
+            lock(&self.record).push(Sent { id, kind, entry, key, at, until, end });
+            sleep(Duration::from_millis(rng.random_range(1..PAUSE_MS))).await;
+        }
+    }
+
+    fn request(&self, client: &Client, kind: Kind, id: &str, key: &str) -> RequestBuilder {
+        let addr = lock(&self.world.nodes[self.entry]).spec.callers();
+        let path: &'static str = kind.into();
+        let request = client
+            .post(format!("http://{addr}/{path}/x"))
+            .header("host", "a.example")
+            .header("x-limpetmux-request-id", id)
+            .header("x-limpetmux-deadline-ms", DEADLINE.as_millis().to_string())
+            .bearer_auth(key)
+            .body("body");
+        match kind {
+            Kind::Stream => request
+                .header("x-limpetmux-pieces", "2,3")
+                .header("x-limpetmux-piece-key", id)
+                .header("x-limpetmux-token-usage", "700,40")
+                .header("x-limpetmux-prompt-prefix", format!("aa:500,{id}:200")),
+            _ => request,
+        }
+    }
+}
+
+async fn finish(request: RequestBuilder) -> End {
+    let Ok(answer) = request.send().await else { return End::Cut };
+    let status = answer.status().as_u16();
+    let signed = answer.headers().contains_key("x-limpetmux-response-signature");
+    match answer.text().await {
+        Ok(body) => End::Answered { status, signed, body },
+        Err(_) => End::Cut,
+    }
+}
--- /dev/null
+++ b/crates/limpetmux-soak/src/faults.rs
@@ -0,0 +1,113 @@
+//! The faults of a run, drawn from its seed: series of them, which overlap.
+
+use crate::proxy::Link;
+use rand::Rng;
+use rand_pcg::Pcg64;
+use std::time::Duration;
+
+/// What happens to a deployment from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A process is killed and started again after some milliseconds.
+    Kill(usize, u64),
+    /// A process is asked to stop, and started again once it has.
+    Stop(usize),
+    /// A process stands still for some milliseconds.
+    Pause(usize, u64),
+    /// A process gets other settings, with or without a signal.
+    Reload(usize, bool),
+    /// The way of a process to the store is harmed for some milliseconds.
+    StoreLink(usize, Link, u64),
+    /// The store refuses all calls for some milliseconds.
+    StoreDown(u64),
+    /// The way to a backend server is harmed for some milliseconds.
+    ServerLink(usize, Link, u64),
+    /// A backend server misbehaves for some milliseconds.
+    ServerFault(usize, usize, u64),
+    /// A backend server reports that it leaves, and comes back under another id.
+    Drain(usize),
+    /// The operator writes a new version that moves a route.
+    Declare,
+    /// The operator takes a key away, and gives it back under the next version but one.
+    Revoke,
+    /// The operator empties a zone for some milliseconds.
+    Evacuate(usize, u64),
+}
+
+/// How many things there are that faults may hit.
+#[derive(Clone, Copy, Debug)]
+pub struct Sizes {
+    /// Processes.
+    pub nodes: usize,
+    /// Backend servers.
+    pub servers: usize,
+    /// Zones.
+    pub zones: usize,
+    /// Faults of backend servers.
+    pub kinds: usize,
+}
+
+/// Draws the faults of a run and the moments at which each strikes.
+pub fn draw(rng: &mut Pcg64, sizes: Sizes, length: Duration) -> Vec<(Duration, Fault)> {
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < length {
+        let fault = one(rng, sizes);
+        // Series of the same kind of fault run through all processes or servers.
+        let repeats = if rng.random_bool(0.25) { rng.random_range(2..4) } else { 1 };
+        for step in 0..repeats {
+            let gap = Duration::from_millis(rng.random_range(50..700));
+            faults.push((at + gap * step, next(fault, step as usize, sizes)));
+        }
+        at += Duration::from_millis(rng.random_range(150..1_800));
+    }
+    faults.sort_by_key(|(at, _)| *at);
+    faults.retain(|(at, _)| *at < length);
+    faults
+}
+
+fn one(rng: &mut Pcg64, sizes: Sizes) -> Fault {
+    let node = rng.random_range(0..sizes.nodes);
+    let server = rng.random_range(0..sizes.servers);
+    let time = rng.random_range(300..3_000);
+    match rng.random_range(0..16) {
+        0 | 1 => Fault::Kill(node, time / 3),
+        2 | 3 => Fault::Stop(node),
+        4 | 5 => Fault::Pause(node, time),
+        6 => Fault::Reload(node, rng.random_bool(0.5)),
+        7 | 8 => Fault::StoreLink(node, link(rng), time * 2),
+        9 => Fault::StoreDown(time),
+        10 => Fault::ServerLink(server, link(rng), time),
+        11 => Fault::ServerFault(server, rng.random_range(0..sizes.kinds), time),
+        12 => Fault::Drain(server),
+        13 => Fault::Declare,
+        14 => Fault::Revoke,
+        _ => Fault::Evacuate(rng.random_range(0..sizes.zones), time * 2),
+    }
+}
+
+fn link(rng: &mut Pcg64) -> Link {
+    match rng.random_range(0..4) {
+        0 => Link::Delayed(rng.random_range(20..400)),
+        1 => Link::Silent,
+        2 => Link::OneWay,
+        _ => Link::Reset,
+    }
+}
+
+/// Returns the same fault at the next process or backend server.
+fn next(fault: Fault, step: usize, sizes: Sizes) -> Fault {
+    let node = |n: usize| (n + step) % sizes.nodes;
+    let server = |n: usize| (n + step) % sizes.servers;
+    match fault {
+        Fault::Kill(n, ms) => Fault::Kill(node(n), ms),
+        Fault::Stop(n) => Fault::Stop(node(n)),
+        Fault::Pause(n, ms) => Fault::Pause(node(n), ms),
+        Fault::Reload(n, signal) => Fault::Reload(node(n), signal),
+        Fault::StoreLink(n, link, ms) => Fault::StoreLink(node(n), link, ms),
+        Fault::ServerLink(n, link, ms) => Fault::ServerLink(server(n), link, ms),
+        Fault::ServerFault(n, kind, ms) => Fault::ServerFault(server(n), kind, ms),
+        Fault::Drain(n) => Fault::Drain(server(n)),
+        other => other,
+    }
+}
--- a/crates/limpetmux-standins/src/users.rs
+++ b/crates/limpetmux-standins/src/users.rs
@@ -16,6 +16,10 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
+/// The beginning of paths that are answered by a stream of events.
+pub const STREAMS: &str = "/stream";
+/// The events of a stream.
+pub const STREAM_EVENTS: u32 = 5;
 /// The time between two looks for a record that a call waits for.
 const TICK: Duration = Duration::from_millis(5);
 
@@ -182,6 +186,8 @@
     pub headers: BTreeMap<String, String>,
     /// The body.
     pub body: Vec<u8>,
+    /// When it began to run.
+    pub at: Instant,
 }
 
 /// What a backend server does with the next requests that are not for stages.
@@ -207,6 +213,8 @@
     fault: UsersFault,
     freed: Vec<String>,
     made: u64,
+    /// The time that it works on each request, or on each event of a stream.
+    work: Duration,
 }
 
 /// A backend server of the users: plain, streaming, or of stages.
@@ -218,6 +226,11 @@
 }
 
 impl UsersServer {
+    /// Takes another id, as a backend server does that is started again at its address.
+    pub fn rename(&self, id: &str) {
+        self.lock().id = id.to_owned();
+    }
+
     /// Starts a backend server with an id on a port of the system's choice.
     ///
     /// # Errors
@@ -245,6 +258,11 @@
         self.lock().fault = fault;
     }
 
+    /// Sets the time that it works on each request, or on each event of a stream.
+    pub fn set_work(&self, work: Duration) {
+        self.lock().work = work;
+    }
+
     /// Returns the requests that it got, calls for stages left out.
     pub fn seen(&self) -> Vec<Seen> {
         self.lock().seen.clone()
@@ -262,27 +280,23 @@
 }
 
 #[handler]
-fn answer(
+async fn answer(
     request: &poem::Request,
     body: Vec<u8>,
     state: Data<&Arc<Mutex<ServerState>>>,
 ) -> Response {
-    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
-    let seen =
-        Seen { path: request.uri().path().to_owned(), headers: texts(request.headers()), body };
-    let id = seen.headers.get("x-limpetmux-request-id").cloned().unwrap_or_default();
-    let expected = seen.headers.get("x-limpetmux-expected-instance").cloned();
-    if expected.is_some_and(|e| e != state.id) {
-        return StatusCode::MISDIRECTED_REQUEST.into_response();
-    }
-    let fault = state.fault;
-    if fault == UsersFault::Full {
-        let answer = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
-        return answer.header("x-limpetmux-not-executed", "1").finish();
-    }
-    state.seen.push(seen);
+    let path = request.uri().path().to_owned();
+    let headers = texts(request.headers());
+    let id = headers.get("x-limpetmux-request-id").cloned().unwrap_or_default();
+    let seen = Seen { path, headers, body, at: Instant::now() };
+    let streams = seen.path.starts_with(STREAMS);
+    let (fault, server, work) = match run(&mut lock_server(&state), seen) {
+        Ok(run) => run,
+        Err(status) => return refusal(status),
+    };
+    sleep(work).await;
     let status = if fault == UsersFault::Error { 500 } else { 200 };
-    let echo = if fault == UsersFault::Crossed { "another".to_owned() } else { id };
+    let echo = if fault == UsersFault::Crossed { "another" } else { &id };
     let answer = Response::builder()
         .status(StatusCode::from_u16(status).unwrap_or_default())
         .header("x-limpetmux-request-id", echo);
@@ -291,7 +305,55 @@
         Some(text) => answer.header("x-limpetmux-response-signature", text),
         None => answer,
     };
-    answer.body(format!("id: 1\ndata: from {}\n\n", state.id))
+    if streams && status == 200 {
+        return answer.body(poem::Body::from_bytes_stream(events(server, id, work)));
+    }
+    answer.body(event(1, &server, &id))
+}
+
+/// Takes in a request; returns how it is answered, or the status of the refusal of one that does
+/// not run.
+fn run(state: &mut ServerState, seen: Seen) -> Result<(UsersFault, String, Duration), StatusCode> {
+    let expected = seen.headers.get("x-limpetmux-expected-instance");
+    if expected.is_some_and(|e| *e != state.id) {
+        return Err(StatusCode::MISDIRECTED_REQUEST);
+    }
+    if state.fault == UsersFault::Full {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    state.seen.push(seen);
+    Ok((state.fault, state.id.clone(), state.work))
+}
+
+fn refusal(status: StatusCode) -> Response {
+    let refusal = Response::builder().status(status);
+    refusal.header("x-limpetmux-not-executed", "1").finish()
+}
+
+/// The events of a stream, one after the other; the last one says that it is.
+fn events(
+    server: String,
+    id: String,
+    work: Duration,
+) -> impl futures::Stream<Item = std::io::Result<Vec<u8>>> {
+    futures::stream::unfold(1, move |number| {
+        let (server, id) = (server.clone(), id.clone());
+        async move {
+            if number > STREAM_EVENTS {
+                return None;
+            }
+            sleep(work).await;
+            Some((Ok(event(number, &server, &id).into_bytes()), number + 1))
+        }
+    })
+}
+
+fn event(number: u32, server: &str, id: &str) -> String {
+    format!("id: {number}\ndata: from {server} for {id}\n\n")
+}
+
+fn lock_server(state: &Mutex<ServerState>) -> MutexGuard<'_, ServerState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 fn texts(headers: &HeaderMap) -> BTreeMap<String, String> {
--- a/src/limpetmux/core/engines.rs
+++ b/src/limpetmux/core/engines.rs
@@ -27,6 +27,13 @@
 const FAR_BYTES_PER_MS: f64 = 120_000.0;
 /// Costs that differ by less than this count as equal, and the hash decides.
 const COST_STEP_MS: f64 = 24.0;
+/// What fetching a token from another engine counts against reading it: it takes next to no time,
+/// but uses the links and memory of both.
+const FETCH_WEIGHT: f64 = 0.3;
+/// The tokens that an engine fetches in a millisecond.
+const FETCH_RATE: f64 = 1_500.0;
+/// The fewest tokens that are worth a fetch.
+const FETCH_LEAST: u32 = 256;
 /// The part of an engine's memory that cached parts are believed to keep beside running requests.
 const CACHE_SHARE: f64 = 0.6;
 /// How long a plan counts after the moment for which it was made.
@@ -78,6 +85,8 @@
     pub wait: Duration,
     /// The time that it spends on this prompt.
     pub work: Duration,
+    /// The engine that has read more of the prompt, from which that is to be fetched.
+    pub source: Option<Arc<str>>,
 }
 
 /// What an entry saw of a prompt that an engine was chosen for.
@@ -163,11 +172,9 @@
         query: EngineQuery<'_>,
     ) -> Option<EngineChoice> {
         self.plans.remove(request);
-        let mut choice = self.choose(now, servers, query, false)?;
+        let choice = self.choose(now, servers, query, false)?;
         let memory = self.memory;
         let engine = self.engine(now, &choice.server);
-        // What is only planned has to be read by this request.
-        choice.work = engine.work(now, query, true);
         engine.busy = engine.busy.max(now) + choice.work;
         engine.touched = now;
         engine.note(now, query.parts, true);
@@ -203,42 +210,56 @@
     ) -> Option<EngineChoice> {
         let shared = query.parts.len().saturating_sub(2);
         let hash = query.parts.get(shared).map_or(0, |p| p.key);
+        let source = self.source(servers, query);
         let rank = |s: &&&Server| {
-            let cost = self.cost(now, s, query, planning);
+            let offer = self.offer(now, s, query, source, planning);
+            let cost = offer.cost(s, query);
             let tie = hash_parts(&[&hash.to_le_bytes(), s.id.as_bytes()]);
             ((cost / COST_STEP_MS) as u64, std::cmp::Reverse(tie))
         };
         let server = servers.iter().min_by_key(rank)?;
-        let (wait, work) = self.times(now, server, query, planning);
-        Some(EngineChoice { server: Arc::clone(&server.id), wait, work })
+        let offer = self.offer(now, server, query, source, planning);
+        let source = source.filter(|_| offer.fetched > 0).map(|(s, _)| Arc::clone(&s.id));
+        let server = Arc::clone(&server.id);
+        Some(EngineChoice { server, wait: offer.wait, work: offer.work, source })
     }
 
-    /// Returns what a request costs at an engine, in milliseconds.
-    fn cost(&self, now: Moment, server: &Server, query: EngineQuery<'_>, planning: bool) -> f64 {
-        let (wait, work) = self.times(now, server, query, planning);
-        let late = (wait + work).saturating_sub(query.slack);
-        let is_far = !query.zone.is_empty() && *query.zone != *server.zone;
-        let far = if is_far { query.bytes as f64 / FAR_BYTES_PER_MS } else { 0.0 };
-        let ms = |d: Duration| d.as_secs_f64() * 1_000.0;
-        ms(work) + ms(wait) * WAIT_WEIGHT + ms(late) * LATE_WEIGHT + far
+    /// Returns the engine that has read most of a prompt, and how many tokens of it.
+    fn source<'a>(
+        &self,
+        servers: &[&'a Server],
+        query: EngineQuery<'_>,
+    ) -> Option<(&'a Server, u32)> {
+        let read = |s: &&'a Server| (*s, self.cached(&s.id, query.parts, true));
+        servers.iter().map(read).max_by_key(|(_, tokens)| *tokens)
+    }
+
+    fn cached(&self, server: &str, parts: &[PromptPart], read: bool) -> u32 {
+        self.engines.get(server).map_or(0, |e| e.cached(parts, read))
     }
 
-    /// Returns the time that an engine spends on other prompts first, and that on this one.
-    fn times(
+    /// Returns what an engine would do for a prompt.
+    fn offer(
         &self,
         now: Moment,
         server: &Server,
         query: EngineQuery<'_>,
+        source: Option<(&Server, u32)>,
         planning: bool,
-    ) -> (Duration, Duration) {
+    ) -> Offer {
         let engine = self.engines.get(&server.id);
         let sent = engine.map_or(Duration::ZERO, |e| now.until(e.busy));
         let planned = if planning { self.planned(now, &server.id) } else { Duration::ZERO };
         // What is planned comes at any time until then, on average after half of it.
         let wait = (sent + planned).saturating_sub(query.ahead / 2);
-        let unknown = || read_time(query.tokens).mul_f64(self.usual_pace());
-        let work = engine.map_or_else(unknown, |e| e.work(now, query, false));
-        (wait, work)
+        let own = self.cached(&server.id, query.parts, true);
+        let more = source.map_or(0, |(_, tokens)| tokens.saturating_sub(own));
+        let fetched = if more >= FETCH_LEAST { more } else { 0 };
+        let fetch = Duration::from_secs_f64(f64::from(fetched) / FETCH_RATE / 1_000.0);
+        let pace = engine.map_or_else(|| self.usual_pace(), |e| e.pace_at(now));
+        let work = |held: u32| read_time(query.tokens.saturating_sub(held)).mul_f64(pace) + fetch;
+        let promised = self.cached(&server.id, query.parts, false).max(own + fetched);
+        Offer { wait, work: work(own + fetched), expected: work(promised), fetched }
     }
 
     /// Returns the work of requests that will be sent to an engine.
@@ -273,13 +294,36 @@
     START + Duration::from_secs_f64(f64::from(tokens) / READ_RATE / 1_000.0)
 }
 
+/// What an engine would do for a prompt.
+struct Offer {
+    /// The time on other prompts first.
+    wait: Duration,
+    /// The time on this one.
+    work: Duration,
+    /// The same once plans have come true, which bring parts of the prompt to it anyway.
+    expected: Duration,
+    /// The tokens that it fetches from another engine.
+    fetched: u32,
+}
+
+impl Offer {
+    /// Returns what a prompt costs at an engine, in milliseconds.
+    fn cost(&self, server: &Server, query: EngineQuery<'_>) -> f64 {
+        let ms = |d: Duration| d.as_secs_f64() * 1_000.0;
+        let late = (self.wait + self.work).saturating_sub(query.slack);
+        let is_far = !query.zone.is_empty() && *query.zone != *server.zone;
+        let far = if is_far { query.bytes as f64 / FAR_BYTES_PER_MS } else { 0.0 };
+        let fetch = f64::from(self.fetched) / READ_RATE * FETCH_WEIGHT;
+        ms(self.expected) + ms(self.wait) * WAIT_WEIGHT + ms(late) * LATE_WEIGHT + far + fetch
+    }
+}
+
 impl Engine {
-    /// Returns the time that a prompt takes, with the leading parts that are cached left out; those
-    /// that are only planned count as cached unless `read` is set.
-    fn work(&self, now: Moment, query: EngineQuery<'_>, read: bool) -> Duration {
+    /// Returns the tokens of the leading parts that are cached; those that are only planned count
+    /// unless `read` is set.
+    fn cached(&self, parts: &[PromptPart], read: bool) -> u32 {
         let holds = |p: &&PromptPart| self.cached.get(&p.key).is_some_and(|c| c.read || !read);
-        let cached: u32 = query.parts.iter().take_while(holds).map(|p| p.tokens).sum();
-        read_time(query.tokens.saturating_sub(cached)).mul_f64(self.pace_at(now))
+        parts.iter().take_while(holds).map(|p| p.tokens).sum()
     }
 
     fn pace_at(&self, now: Moment) -> f64 {
--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -15,6 +15,8 @@
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 /// The time without an answer of the store after which it counts as away.
 pub const AWAY_AFTER: Duration = Duration::from_millis(2_000);
+/// The start of a backend server that does not tell it.
+const UNKNOWN_START: u64 = 0;
 /// How long the mark of a removed record is kept for nodes that have not heard of it.
 const REMOVED_KEPT: Duration = Duration::from_secs(60);
 
@@ -77,6 +79,8 @@
     /// When the view was last known to be the store's.
     pub confirmed: Moment,
     servers: BTreeMap<Arc<str>, Listed>,
+    /// The newest start that is listed for each address, where it is known.
+    starts: BTreeMap<SocketAddr, u64>,
     /// When the store came back after it had been away.
     returned: Option<Moment>,
 }
@@ -93,6 +97,7 @@
         for entry in entries {
             self.put(asked, entry);
         }
+        self.note_starts();
         self.end = end;
         self.confirmed = self.confirmed.max(asked);
         true
@@ -134,6 +139,7 @@
             }
         }
         self.servers.retain(|_, l| l.server.is_some() || now.since(l.learned) < REMOVED_KEPT);
+        self.note_starts();
     }
 
     /// Raises the time at which the view is known to be the store's.
@@ -143,9 +149,13 @@
         }
     }
 
-    /// Returns all records that are in use.
+    /// Returns all records that are in use; of two at one address only the one that started later,
+    /// as the other has ended without a word.
     pub fn servers(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter_map(|l| l.server.as_ref())
+        let is_newest = |s: &&Server| {
+            s.born == UNKNOWN_START || self.starts.get(&s.addr).is_none_or(|born| *born == s.born)
+        };
+        self.servers.values().filter_map(|l| l.server.as_ref()).filter(is_newest)
     }
 
     /// Returns the record of an id.
@@ -183,6 +193,14 @@
         self.servers.insert(entry.id, Listed { server, raw, offset, changed, learned, missing });
     }
 
+    fn note_starts(&mut self) {
+        self.starts.clear();
+        for server in self.servers.values().filter_map(|l| l.server.as_ref()) {
+            let newest = self.starts.entry(server.addr).or_default();
+            *newest = server.born.max(*newest);
+        }
+    }
+
     fn note_return(&mut self, now: Moment) {
         if now.since(self.confirmed) > AWAY_AFTER && self.confirmed > Moment::ZERO {
             self.returned = Some(now);
--- a/src/limpetmux/core/pieces/worker.rs
+++ b/src/limpetmux/core/pieces/worker.rs
@@ -17,7 +17,7 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// The number of doublings of the pause.
 const MAX_DOUBLINGS: u32 = 4;
-/// The pause after the backend server was full or had no room.
+/// The pause after the backend server was full or had no room; it doubles while it is full.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 /// One part in this many of the room is left free, as sizes of results are approximate.
 const ROOM_PARTS: u64 = 14;
@@ -146,6 +146,8 @@
     ceiling: Option<(u64, Moment)>,
     paused: Moment,
     failures: u32,
+    /// The calls in a row that it did not take.
+    refusals: u32,
     sampled: Moment,
 }
 
@@ -162,6 +164,7 @@
             ceiling: None,
             paused: Moment::ZERO,
             failures: 0,
+            refusals: 0,
             sampled: Moment::ZERO,
         }
     }
@@ -253,7 +256,8 @@
                 vec![Made::Not(Unmade::Full); running.items.len()]
             }
             CallEnd::Refused => {
-                self.paused = now + FULL_PAUSE;
+                self.paused = now + FULL_PAUSE * (1 << self.refusals.min(MAX_DOUBLINGS));
+                self.refusals += 1;
                 vec![Made::Not(Unmade::Full); running.items.len()]
             }
             CallEnd::Elsewhere => {
@@ -293,6 +297,7 @@
         }
         if made.iter().any(|m| matches!(m, Made::Result(_))) {
             self.failures = 0;
+            self.refusals = 0;
             let took = now.since(running.sent).as_secs_f64();
             let sample = (took / running.expected.as_secs_f64().max(0.001)).clamp(0.5, 20.0);
             self.slowness += (sample - self.slowness) * SLOWNESS_WEIGHT;
--- a/src/limpetmux/core/placement.rs
+++ b/src/limpetmux/core/placement.rs
@@ -22,6 +22,9 @@
 const EJECTED_PARTS: usize = 2;
 /// How long a backend server counts as cold after its connections broke without notice.
 const SUSPECT: Duration = Duration::from_millis(1_500);
+/// How long a backend server gets nothing after another one was found at its address; its entry
+/// lapses meanwhile.
+const GONE_FOR: Duration = Duration::from_secs(10);
 /// The weight of a new sample in the time to a first byte.
 const PACE_WEIGHT: f64 = 0.2;
 /// A backend server whose times are this many times the pool's is avoided.
@@ -57,8 +60,13 @@
 pub enum PlaceEnd {
     /// It answered, with its first byte after this time.
     Answered(Duration),
+    /// It answered a prompt, whose length decides on the time: that speaks for the engine, but not
+    /// about its speed.
+    Streamed,
     /// It refused as full.
     Full,
+    /// Another backend server has its address.
+    Elsewhere,
     /// It failed, or broke off.
     Failed,
     /// Its connections broke or it cannot be reached.
@@ -72,6 +80,8 @@
     inflight: u32,
     outlier: Outlier,
     avoided: Moment,
+    /// Until when it counts as gone, because another backend server was found at its address.
+    gone: Moment,
     cold: Moment,
     /// When the last request was sent, for the trickle of a cold backend server.
     sent: Moment,
@@ -157,7 +167,9 @@
         record.touched = now;
         match end {
             PlaceEnd::Answered(took) => record.answered(now, took, usual),
+            PlaceEnd::Streamed => record.outlier.succeeded(now),
             PlaceEnd::Full => record.avoided = now + Duration::from_millis(100),
+            PlaceEnd::Elsewhere => record.gone = now + GONE_FOR,
             PlaceEnd::Failed => record.failed(now),
             PlaceEnd::Broken => {
                 record.cold = now + SUSPECT;
@@ -192,6 +204,9 @@
     /// Returns whether a server bears one more request of this entry, which may be cold.
     fn bears(&self, now: Moment, server: &Server, query: PlaceQuery<'_>) -> bool {
         let record = self.records.get(&server.id);
+        if record.is_some_and(|r| now < r.gone) {
+            return false;
+        }
         let suspect = record.is_some_and(|r| now < r.cold);
         if query.cold_for.is_zero() || (server.cold.is_zero() && !suspect) {
             return true;
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -75,6 +75,17 @@
     }
 }
 
+/// Asks which nodes live, and for nothing else.
+pub fn members_only(own: &Node) -> PullRequest {
+    PullRequest {
+        caller: Some(member(own, Duration::ZERO)),
+        operator_end: u64::MAX,
+        listing_end: u64::MAX,
+        config_at: u64::MAX,
+        wait_ms: 0,
+    }
+}
+
 /// Returns whether the view has something that the caller lacks.
 pub fn has_news(view: &StoreView, request: &PullRequest) -> bool {
     view.orders.end > request.operator_end
--- a/src/limpetmux/fleet/follow.rs
+++ b/src/limpetmux/fleet/follow.rs
@@ -17,6 +17,7 @@
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::wire::fleet::PullReply;
+use rand::seq::SliceRandom;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -49,6 +50,13 @@
 const MERGE_TURNS: usize = 8;
 /// The turns after which a node that knows no other one looks for them in the store again.
 const MEET_TURNS: usize = 16;
+/// The pauses before each round of a starting node's look for others.
+const GATHER_PAUSES: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(60), Duration::from_millis(120)];
+/// The places besides the seeds that are asked in each round.
+const GATHER_PLACES: usize = 5;
+/// The time allowed for an answer in such a round.
+const GREET_TIMEOUT: Duration = Duration::from_millis(120);
 /// The order in which nodes read the store.
 const READERS: &str = "store readers";
 
@@ -88,6 +96,9 @@
             failures = if result.is_ok() { 0 } else { failures + 1 };
             if result.is_err() {
                 sleep(self.pause(failures)).await;
+            } else if self.look(|v| v.orders.end == 0) {
+                // Reads of an empty topic are not held.
+                sleep(ORDERS_WAIT).await;
             }
         }
     }
@@ -119,6 +130,9 @@
     }
 
     fn is_reader(&self) -> bool {
+        if !self.shared.is_settled() {
+            return self.look(|v| v.orders.end == 0 || v.listing.end == 0);
+        }
         let nodes = self.shared.nodes();
         let order = nodes.order(clock::boot(), READERS);
         order.first().is_some_and(|n| n.addr == nodes.own().addr)
@@ -185,8 +199,12 @@
 
     /// Pulls from the node that reads the store, or from one with a fresh view.
     async fn follow_nodes(&self) {
-        self.announce().await;
-        self.meet().await;
+        let announced = async {
+            self.announce().await;
+            self.meet().await;
+        };
+        tokio::join!(announced, self.gather());
+        self.shared.settle();
         let mut turn = 0;
         loop {
             let began = clock::boot();
@@ -246,6 +264,44 @@
         places.get(turn / MERGE_TURNS % places.len().max(1)).copied()
     }
 
+    /// Asks seeds and other places where nodes may be which nodes live, again and again for a
+    /// moment: nodes that start together then know each other before they act.
+    async fn gather(&self) {
+        for pause in GATHER_PAUSES {
+            sleep(pause).await;
+            let places = self.meeting_places();
+            futures::future::join_all(places.into_iter().map(|addr| self.greet(addr))).await;
+        }
+    }
+
+    /// Returns the seeds and some of the addresses at which nodes are or were.
+    fn meeting_places(&self) -> Vec<SocketAddr> {
+        let nodes = self.shared.nodes();
+        let own = nodes.own().addr;
+        let mut others: Vec<SocketAddr> = nodes.candidates().filter(|a| *a != own).collect();
+        others.shuffle(&mut rand::rng());
+        let settings = self.shared.settings();
+        let seeds = settings.seeds.iter().copied().filter(|s| *s != own);
+        seeds.chain(others.into_iter().take(GATHER_PLACES)).collect()
+    }
+
+    /// Exchanges members with a node, if there is one; without the store also what it knows.
+    async fn greet(&self, addr: SocketAddr) {
+        let asked = clock::boot();
+        let lacks_all = self.look(|v| v.orders.end == 0) && !self.reachable.load(Ordering::Relaxed);
+        let request = match lacks_all {
+            true => self.look(|v| convert::request(self.shared.nodes().own(), v, Duration::ZERO)),
+            false => convert::members_only(self.shared.nodes().own()),
+        };
+        let call = async { self.shared.peers.client(addr)?.pull(request).await };
+        match timeout(GREET_TIMEOUT, call).await {
+            Ok(Ok(reply)) if lacks_all => drop(self.adopt(asked, addr, &reply.into_inner())),
+            Ok(Ok(reply)) => self.heard(clock::boot(), addr, &reply.into_inner()),
+            // Nothing says that a node is there now.
+            Ok(Err(_)) | Err(_) => self.shared.peers.close(addr),
+        }
+    }
+
     /// Pulls from one node; returns whether its view was as fresh as this node needs.
     async fn pull(&self, addr: SocketAddr, wait: Duration) -> bool {
         let asked = clock::boot();
--- a/src/limpetmux/gates/engines.rs
+++ b/src/limpetmux/gates/engines.rs
@@ -59,6 +59,7 @@
             server: c.server.to_string(),
             wait_ms: millis(c.wait),
             work_ms: millis(c.work),
+            source: c.source.map(|s| s.to_string()).unwrap_or_default(),
         })
     }
 }
--- a/src/limpetmux/platform/names.rs
+++ b/src/limpetmux/platform/names.rs
@@ -24,17 +24,18 @@
 pub const PIECES: HeaderName = HeaderName::from_static("x-limpetmux-pieces");
 /// What the first stages make their pieces from.
 pub const PIECE_KEY: HeaderName = HeaderName::from_static("x-limpetmux-piece-key");
+/// The address of the model engine to fetch read parts of a prompt from.
+pub const FETCH: HeaderName = HeaderName::from_static("kv-fetch");
 /// The results that a model engine needs.
 pub const INPUTS: HeaderName = HeaderName::from_static("x-limpetmux-inputs");
 
 /// Headers that only the system may set, besides those above that it sets itself.
-const RESERVED: [&str; 7] = [
+const RESERVED: [&str; 6] = [
     "x-limpetmux-hold",
     "x-limpetmux-pin-ms",
     "x-limpetmux-kv-backup",
     "x-limpetmux-expected-version",
     "kv-from",
-    "kv-fetch",
     "wait-ms",
 ];
 
@@ -53,7 +54,7 @@
 
 /// Returns whether a caller's header is not passed on to a backend server.
 pub fn is_withheld(name: &HeaderName) -> bool {
-    let own = [&WORKSPACE, &EXPECTED, &PRIORITY, &INPUTS, &DEADLINE, &NOT_RUN];
+    let own = [&WORKSPACE, &EXPECTED, &PRIORITY, &INPUTS, &FETCH, &DEADLINE, &NOT_RUN];
     own.contains(&name)
         || *name == hyper::header::AUTHORIZATION
         || RESERVED.contains(&name.as_str())
--- a/src/limpetmux/platform/server.rs
+++ b/src/limpetmux/platform/server.rs
@@ -6,6 +6,7 @@
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
     pub priority: Option<u8>,
     /// The results that the last stages made.
     pub inputs: &'a [Arc<str>],
+    /// The model engine that it is to fetch parts of the prompt from.
+    pub fetch: Option<SocketAddr>,
 }
 
 /// What the head of an answer says.
@@ -69,6 +72,9 @@
     if !order.inputs.is_empty() {
         headers.insert(names::INPUTS, HeaderValue::from_str(&order.inputs.join(","))?);
     }
+    if let Some(addr) = order.fetch {
+        headers.insert(names::FETCH, HeaderValue::from_str(&addr.to_string())?);
+    }
     Ok(request)
 }
 
--- a/src/limpetmux/serve/engines.rs
+++ b/src/limpetmux/serve/engines.rs
@@ -32,6 +32,8 @@
     pub server: Arc<str>,
     /// The time until the first event.
     pub expected: Duration,
+    /// The engine that it is to fetch shared parts of the prompt from.
+    pub source: Option<Arc<str>>,
 }
 
 /// Chooses an engine for a request that is sent after `ahead`.
@@ -69,6 +71,9 @@
 }
 
 async fn ask(shared: &Shared, plan: &Plan, mut message: PlaceEngine) -> Option<Placed> {
+    if !shared.is_settled() {
+        return None;
+    }
     let now = clock::boot();
     let addr = shared.nodes().gate(now, &plan.service, &[]).map(|n| n.addr)?;
     message.times = shared.take_engine_times().iter().map(time).collect();
@@ -86,7 +91,8 @@
 
 fn placed(reply: EnginePlaced) -> Option<Placed> {
     let expected = Duration::from_millis(reply.wait_ms + reply.work_ms);
-    (!reply.server.is_empty()).then(|| Placed { server: reply.server.into(), expected })
+    let source = Some(reply.source).filter(|s| !s.is_empty()).map(Arc::from);
+    (!reply.server.is_empty()).then(|| Placed { server: reply.server.into(), expected, source })
 }
 
 fn time(report: &EngineReport) -> EngineTime {
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -20,6 +20,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -111,13 +112,13 @@
 
 impl Attempts<'_> {
     /// Looks for a backend server, for a part of the time that is left.
-    async fn find(&self) -> Result<(Server, Option<Duration>), Failure> {
+    async fn find(&self) -> Result<(Server, Option<Placed>), Failure> {
         let until = clock::boot() + self.plan.left() / SEARCH_PARTS;
         loop {
             let placed = self.place().await;
             if let Some(server) = self.pick(placed.as_ref())? {
-                let expected = placed.filter(|p| p.server == server.id).map(|p| p.expected);
-                return Ok((server, expected));
+                let placed = placed.filter(|p| p.server == server.id);
+                return Ok((server, placed));
             }
             if clock::boot() >= until || !self.excluded.is_empty() {
                 return Err(Failure::later(Reason::Unavailable, FULL_RETRY));
@@ -204,13 +205,13 @@
     async fn send_once(
         &self,
         server: &Server,
-        expected: Option<Duration>,
+        placed: Option<Placed>,
         inputs: &mut Option<Inputs>,
     ) -> Result<Sent, Failure> {
         let (shared, plan) = (self.shared, self.plan);
         let began = clock::boot();
         let mut visit = Visit::new(shared, plan, server, began);
-        visit.expected = expected;
+        visit.expected = placed.as_ref().map(|p| p.expected);
         let results = inputs.as_ref().map(|i| i.results.as_slice()).unwrap_or_default();
         let order = Order {
             server: &server.id,
@@ -222,6 +223,7 @@
                 .and_then(|p| p.engine)
                 .map(|_| plan.priority()),
             inputs: results,
+            fetch: placed.and_then(|p| self.address(&p.source?)),
         };
         let request = server::request(&plan.ask, &order, plan.body.clone())
             .map_err(|_| Failure::new(Reason::BadRequest))?;
@@ -235,7 +237,7 @@
         visit.head = clock::boot();
         if head.not_run {
             visit.end(match head.elsewhere {
-                true => PlaceEnd::Failed,
+                true => PlaceEnd::Elsewhere,
                 false if head.inputs_gone => PlaceEnd::Neutral,
                 false => PlaceEnd::Full,
             });
@@ -256,6 +258,13 @@
         Ok(visit.whole(answer, lease, &head).await)
     }
 
+    /// Returns where a backend server is, if it may still be used.
+    fn address(&self, id: &str) -> Option<SocketAddr> {
+        let view = self.shared.view.load();
+        let servers = view.usable(&self.plan.service);
+        servers.into_iter().find(|s| *s.id == *id).map(|s| s.addr)
+    }
+
     fn unanswered(&self, mut visit: Visit, error: &LinkError) -> Sent {
         visit.failed_by(error);
         if error.is_unsent() {
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -61,6 +61,8 @@
     pub peers: Peers,
     /// Whether the node has been told to stop.
     pub stopping: AtomicBool,
+    /// Whether the node has looked for others, so that it knows most of those that live.
+    settled: AtomicBool,
     /// Requests that run.
     pub running: AtomicUsize,
     nodes: Mutex<Nodes>,
@@ -89,6 +91,7 @@
             links: Links::default(),
             peers: Peers::new(Channels::plain()),
             stopping: AtomicBool::new(false),
+            settled: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             nodes: Mutex::new(Nodes::new(own.clone())),
             pressure: Mutex::default(),
@@ -149,6 +152,16 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the node knows most of the others that live.
+    pub fn is_settled(&self) -> bool {
+        self.settled.load(Ordering::Relaxed)
+    }
+
+    /// Takes in that the node has looked for others.
+    pub fn settle(&self) {
+        self.settled.store(true, Ordering::Relaxed);
+    }
+
     /// Returns whether the operator's orders were confirmed of late, so that keys hold.
     pub fn is_fresh(&self) -> bool {
         let age = self.view.load().orders.age(clock::boot());
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -354,6 +354,10 @@
 async fn make_stage(shared: &Arc<Shared>, plan: &Plan, stage: usize, run: StageRun) -> Made {
     let mut silent: Vec<SocketAddr> = Vec::new();
     let began = clock::boot();
+    // Before that, nodes would not agree on who queues the pieces.
+    while !shared.is_settled() {
+        sleep(GATE_PAUSE).await;
+    }
     for _ in 0..GATE_TRIES {
         let Some(addr) = gate(shared, &run.service, &silent) else { break };
         let left = plan.left();
--- a/src/limpetmux/serve/visit.rs
+++ b/src/limpetmux/serve/visit.rs
@@ -99,6 +99,8 @@
             head_ms = self.head.since(self.began).as_millis(),
             first_ms = first.as_millis(),
             expected_ms = self.expected.unwrap_or_default().as_millis(),
+            prefix = self.plan.ask.prefix().unwrap_or_default(),
+            tokens = self.plan.ask.tokens,
             version = view.orders.version(),
             orders_age_ms = view.orders.age(now).as_millis()
         );
@@ -188,7 +190,7 @@
 fn finish_stream(visit: &mut Visit, end: StreamEnd, status: StatusCode, first: Duration) {
     match end {
         StreamEnd::Whole => {
-            visit.end(PlaceEnd::Answered(first));
+            visit.end(PlaceEnd::Streamed);
             visit.served(status, first);
         }
         StreamEnd::Broken => {
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -210,6 +210,9 @@
     pub wait_ms: u64,
     #[prost(uint64, tag = "3")]
     pub work_ms: u64,
+    /// The engine whose memory the prompt's shared parts are to be fetched from; empty if none.
+    #[prost(string, tag = "4")]
+    pub source: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct NodeLeaving {
--- a/tests/testsuite/platform/engines.rs
+++ b/tests/testsuite/platform/engines.rs
@@ -173,3 +173,41 @@
     assert!(twice.iter().all(|(a, b)| a == b));
     assert!(twice.iter().map(|(a, _)| a).collect::<BTreeSet<_>>().len() >= 6);
 }
+
+#[test]
+fn busy_engine_gives_its_shared_parts_to_an_idle_one() {
+    // Pattern: the engine that has read a subject is held up by a long prompt.
+    let all = engines(4);
+    let refs: Vec<&Server> = all.iter().collect();
+    let mut board = EngineBoard::default();
+    board.configure(500_000);
+    let subject = |own| parts(1, 13_000, own);
+    let first = board.place(at(0), &refs, "r1", query(&subject(10))).expect("an engine").server;
+    let holder: Vec<&Server> = all.iter().filter(|s| s.id == first).collect();
+    board.place(at(1_000), &holder, "long", query(&parts(2, 90_000, 11)));
+
+    let moved = board.place(at(1_100), &refs, "r2", query(&subject(12))).expect("an engine");
+    let stays = board.place(at(9_000), &refs, "r3", query(&subject(13))).expect("an engine");
+
+    assert_ne!(moved.server, first);
+    assert_eq!(moved.source, Some(first));
+    // A thousand tokens are its own; what is fetched takes a few milliseconds.
+    assert!(moved.work < ms(100), "{:?}", moved.work);
+    assert_eq!(stays.source, None, "both engines have it now");
+}
+
+#[test]
+fn parts_are_fetched_from_engines_that_may_be_used_only() {
+    // Pattern: the engine that has read a subject leaves, or its zone is emptied.
+    let all = engines(3);
+    let refs: Vec<&Server> = all.iter().collect();
+    let mut board = EngineBoard::default();
+    board.configure(500_000);
+    let first = board.place(at(0), &refs, "r1", query(&parts(1, 13_000, 10))).expect("an engine");
+    let rest: Vec<&Server> = all.iter().filter(|s| s.id != first.server).collect();
+
+    let next = board.place(at(1_000), &rest, "r2", query(&parts(1, 13_000, 11))).expect("one");
+
+    assert_eq!(next.source, None);
+    assert!(next.work > ms(300), "{:?}", next.work);
+}
--- a/tests/testsuite/platform/listing.rs
+++ b/tests/testsuite/platform/listing.rs
@@ -28,6 +28,27 @@
     assert_eq!(listing.confirmed, at(0));
 }
 
+#[test]
+fn later_start_at_an_address_ends_the_earlier_one() {
+    // Pattern: all hosts lose power, and backend servers are back under new ids at once.
+    let mut listing = Listing::default();
+    let born = |id: &str, offset, born, port| {
+        let mut entry = entry(id, offset);
+        let server = entry.server.as_mut().unwrap();
+        (server.born, server.addr) = (born, ([127, 0, 0, 1], port).into());
+        entry
+    };
+    listing.apply(at(0), 10, vec![born("old", 8, 100, 1), born("other", 9, 100, 2)]);
+
+    listing.apply(at(500), 13, vec![born("new", 11, 200, 1), born("silent", 12, 0, 2)]);
+    let after = ids(&listing);
+    listing.apply(at(600), 14, vec![removed("new", 13)]);
+
+    // A start that is not told ends nothing.
+    assert_eq!(after, ["new", "other", "silent"]);
+    assert_eq!(ids(&listing), ["old", "other", "silent"]);
+}
+
 #[test]
 fn removal_holds_at_once_while_the_store_is_there() {
     let mut listing = Listing::default();
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod pressure;
 mod repeats;
+mod soak;
 mod whole_path;
 
 use limpetmux::core::listing::Server;
--- a/tests/testsuite/platform/placement.rs
+++ b/tests/testsuite/platform/placement.rs
@@ -126,3 +126,18 @@
     assert!(!at_once);
     assert!(later);
 }
+
+#[test]
+fn server_found_at_anothers_address_gets_nothing_until_its_entry_has_lapsed() {
+    let (all, entries) = (servers(2), [arc("e")]);
+    let refs: Vec<&Server> = all.iter().collect();
+    let mut placement = Placement::new();
+    let plain = PlaceQuery { cold_for: Duration::ZERO, ..query("e", &entries) };
+    let wrong = placement.pick(at(0), &refs, plain).expect("a server").id.clone();
+    placement.finished(at(0), &wrong, PlaceEnd::Elsewhere);
+
+    let during = placement.unfit(at(9_000), &refs, plain);
+    let after = placement.unfit(at(11_000), &refs, plain);
+
+    assert_eq!((during, after.len()), (vec![wrong], 0));
+}
