--- a/crates/limpetmux-soak/src/callers.rs
+++ b/crates/limpetmux-soak/src/callers.rs
@@ -9,6 +9,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
+/// The body of every request.
+pub const BODY: &[u8] = b"body";
 /// How long a caller waits for an answer.
 pub const DEADLINE: Duration = Duration::from_millis(2_500);
 /// The longest pause of a caller between two requests.
@@ -129,7 +131,7 @@
             .header("x-limpetmux-request-id", id)
             .header("x-limpetmux-deadline-ms", DEADLINE.as_millis().to_string())
             .bearer_auth(key)
-            .body("body");
+            .body(BODY);
         match kind {
             Kind::Stream => request
                 .header("x-limpetmux-pieces", "2,3")
--- a/crates/limpetmux-soak/src/checks.rs
+++ b/crates/limpetmux-soak/src/checks.rs
@@ -1,8 +1,8 @@
 //! The promises, checked against what callers and backend servers have seen.
 
-use crate::callers::{DEADLINE, End, Kind, Sent};
-use crate::fleet::{DRAIN, REVOKE};
-use crate::world::{Backend, World, lock, moved_to};
+use crate::callers::{BODY, DEADLINE, End, Kind, Sent};
+use crate::fleet::REVOKE;
+use crate::world::{Backend, Orders, WORKSPACE, World, lock, moved_to};
 use limpetmux_standins::users::{STREAM_EVENTS, Seen};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -58,88 +58,138 @@
     NotRecovered(usize, usize, &'static str),
 }
 
-struct Run<'a> {
-    backend: &'a Backend,
-    seen: Seen,
+/// One run of a request at a backend server.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The service of the backend server.
+    pub service: &'static str,
+    /// Its zone.
+    pub zone: usize,
+    /// The id under which it was sent to.
+    pub server: String,
+    /// When the store took in that this id leaves, if it did.
+    pub left: Option<Instant>,
+    /// When the run began.
+    pub at: Instant,
+    /// The workspace that it was told.
+    pub workspace: Option<String>,
+    /// Whether the caller's key was passed on.
+    pub keyed: bool,
+    /// The body that it got.
+    pub body: Vec<u8>,
 }
 
-/// Returns every promise that was broken up to `quiet`, when the last fault had ended, and in the
-/// time from `recovered` on, in which all has to be served.
-pub fn check(world: &World, sent: &[Sent], recovered: Instant) -> Vec<Broken> {
+/// All that callers, backend servers and the operator have seen of a run of the soak.
+#[derive(Clone, Debug)]
+pub struct Facts {
+    /// The runs of each request, by its id.
+    pub runs: BTreeMap<String, Vec<Run>>,
+    /// The requests of callers.
+    pub sent: Vec<Sent>,
+    /// What the operator has done.
+    pub orders: Orders,
+    /// For each process the spans in which it or its links were harmed.
+    pub harmed: Vec<(usize, Instant, Instant)>,
+    /// From when on all has to be served.
+    pub recovered: Instant,
+}
+
+impl Facts {
+    /// Collects what a world has seen.
+    pub fn collect(world: &World, sent: Vec<Sent>, recovered: Instant) -> Self {
+        let (orders, harmed) = (lock(&world.orders).clone(), lock(&world.harmed).clone());
+        let mut runs: BTreeMap<String, Vec<Run>> = BTreeMap::new();
+        for backend in &world.backends {
+            for seen in backend.server.seen() {
+                let id = seen.headers.get("x-limpetmux-request-id").cloned().unwrap_or_default();
+                runs.entry(id).or_default().push(run(backend, seen));
+            }
+        }
+        Self { runs, sent, orders, harmed, recovered }
+    }
+
+    /// Returns whether a process was left alone from [`CONTACT`] before a span to its end.
+    fn is_calm(&self, node: usize, (from, to): (Instant, Instant)) -> bool {
+        !self.harmed.iter().any(|(n, a, b)| *n == node && *a <= to && *b + CONTACT >= from)
+    }
+}
+
+fn run(backend: &Backend, seen: Seen) -> Run {
+    let server = seen.headers.get("x-limpetmux-expected-instance").cloned().unwrap_or_default();
+    let left = lock(&backend.drained).iter().find(|(_, id)| *id == server).map(|(at, _)| *at);
+    Run {
+        service: backend.service,
+        zone: backend.zone,
+        server,
+        left,
+        at: seen.at,
+        workspace: seen.headers.get("x-limpetmux-tenant-id").cloned(),
+        keyed: seen.headers.contains_key("authorization"),
+        body: seen.body,
+    }
+}
+
+/// Returns every promise that was broken.
+pub fn check(facts: &Facts) -> Vec<Broken> {
     let mut broken = Vec::new();
-    let runs = runs(world);
-    let known: BTreeMap<&str, &Sent> = sent.iter().map(|s| (s.id.as_str(), s)).collect();
-    for (id, runs) in &runs {
+    let known: BTreeMap<&str, &Sent> = facts.sent.iter().map(|s| (s.id.as_str(), s)).collect();
+    for (id, runs) in &facts.runs {
         match known.get(id.as_str()) {
-            Some(sent) => broken.extend(runs.iter().filter_map(|r| check_run(world, sent, r))),
+            Some(sent) => broken.extend(runs.iter().filter_map(|r| check_run(facts, sent, r))),
             // A caller that has just stopped has not noted its last request.
-            None if runs.iter().all(|r| r.seen.at > recovered) => {}
+            None if runs.iter().all(|r| r.at > facts.recovered) => {}
             None => broken.push(Broken::Unasked(id.clone())),
         }
     }
-    for one in sent {
-        let count = runs.get(&one.id).map_or(0, Vec::len);
-        broken.extend(check_answer(world, one, count));
+    for one in &facts.sent {
+        let count = facts.runs.get(&one.id).map_or(0, Vec::len);
+        broken.extend(check_answer(facts, one, count));
     }
-    broken.extend(check_recovery(sent, recovered));
+    broken.extend(check_recovery(&facts.sent, facts.recovered));
     broken
 }
 
-fn runs(world: &World) -> BTreeMap<String, Vec<Run<'_>>> {
-    let mut runs: BTreeMap<String, Vec<Run<'_>>> = BTreeMap::new();
-    for backend in &world.backends {
-        for seen in backend.server.seen() {
-            let id = seen.headers.get("x-limpetmux-request-id").cloned().unwrap_or_default();
-            runs.entry(id).or_default().push(Run { backend, seen });
-        }
-    }
-    runs
-}
-
 /// Checks one run of a request at a backend server.
-fn check_run(world: &World, sent: &Sent, run: &Run<'_>) -> Option<Broken> {
+fn check_run(facts: &Facts, sent: &Sent, run: &Run) -> Option<Broken> {
     let id = || sent.id.clone();
-    let headers = &run.seen.headers;
-    let tenant = headers.get("x-limpetmux-tenant-id").map(String::as_str);
-    if headers.contains_key("authorization") || tenant != Some("w1") || run.seen.body != b"body" {
+    if run.keyed || run.workspace.as_deref() != Some(WORKSPACE) || run.body != BODY {
         return Some(Broken::Unasked(id()));
     }
-    let orders = lock(&world.orders);
+    let orders = &facts.orders;
     let revoked = orders.revoked.iter().find(|(key, _)| *key == sent.key).map(|(_, at)| *at);
     if let Some(late) = revoked.and_then(|at| sent.at.checked_duration_since(at + REVOKE)) {
         return Some(Broken::Revoked(id(), late));
     }
-    let at = run.seen.at;
-    if !world.is_calm(sent.entry, (sent.at, at), CONTACT) {
+    if !facts.is_calm(sent.entry, (sent.at, run.at)) {
         return None;
     }
-    let over = |began: Instant, bound: Duration| at.checked_duration_since(began + bound + SLACK);
-    if sent.kind == Kind::Moved {
-        let newer = (1..=orders.versions.len()).filter(|v| moved_to(*v) != run.backend.service);
-        // A version that was replaced soon may never have been in force.
-        let ended = newer.filter(|v| {
-            orders.versions.get(*v).is_none_or(|next| *next > at)
-                && sent.at > orders.versions[v - 1] + APPLY + SLACK
-        });
-        if let Some(version) = ended.last() {
-            let late = sent.at.duration_since(orders.versions[version - 1]);
-            return Some(Broken::OldVersion(id(), run.backend.service, version, late));
-        }
-    }
-    let emptied = orders.evacuated.iter().filter(|(zone, ..)| *zone == run.backend.zone);
-    let inside = emptied.filter(|(_, from, to)| at > *from && to.is_none_or(|to| at < to));
-    if let Some(late) = inside.filter_map(|(_, from, _)| over(*from, EVACUATE)).next() {
+    let over = |began: Instant, bound| run.at.checked_duration_since(began + bound + SLACK);
+    let emptied = orders.evacuated.iter().filter(|(zone, ..)| *zone == run.zone);
+    let mut inside =
+        emptied.filter(|(_, from, to)| run.at > *from && to.is_none_or(|to| run.at < to));
+    if let Some(late) = inside.find_map(|(_, from, _)| over(*from, EVACUATE)) {
         return Some(Broken::Evacuated(id(), late));
     }
-    let expected = headers.get("x-limpetmux-expected-instance").cloned().unwrap_or_default();
-    let drained = lock(&run.backend.drained);
-    let left = drained.iter().find(|(_, id)| *id == expected);
-    let late = left.and_then(|(from, _)| over(*from, LEAVE.max(DRAIN)));
-    late.map(|late| Broken::Drained(id(), expected, late))
+    if let Some(late) = run.left.and_then(|from| over(from, LEAVE)) {
+        return Some(Broken::Drained(id(), run.server.clone(), late));
+    }
+    (sent.kind == Kind::Moved).then(|| check_version(orders, sent, run)).flatten()
+}
+
+/// Checks that a request of the route that every version moves went where a version in force sends
+/// it; one that was replaced before the run may never have been in force.
+fn check_version(orders: &Orders, sent: &Sent, run: &Run) -> Option<Broken> {
+    let lasting = (1..=orders.versions.len()).rfind(|version| {
+        let replaced = orders.versions.get(*version).is_some_and(|next| *next <= run.at);
+        !replaced && sent.at > orders.versions[version - 1] + APPLY + SLACK
+    })?;
+    let late = sent.at.duration_since(orders.versions[lasting - 1]);
+    let right = moved_to(lasting) == run.service;
+    (!right).then(|| Broken::OldVersion(sent.id.clone(), run.service, lasting, late))
 }
 
 /// Checks the answer to a request that ran `runs` times.
-fn check_answer(world: &World, sent: &Sent, runs: usize) -> Option<Broken> {
+fn check_answer(facts: &Facts, sent: &Sent, runs: usize) -> Option<Broken> {
     let id = || sent.id.clone();
     let at_most_once = matches!(sent.kind, Kind::Once | Kind::Stream);
     if at_most_once && runs > 1 {
@@ -155,10 +205,9 @@
             (at_most_once && runs > 0).then(|| Broken::FalseRefusal(id(), *status))
         }
         End::Cut => {
-            let alone = world.is_calm(sent.entry, (sent.at, sent.until), CONTACT);
-            let sound = world.backends.iter().all(|b| b.proxy.is_whole());
+            let alone = facts.is_calm(sent.entry, (sent.at, sent.until));
             let waited = sent.until.duration_since(sent.at);
-            let lost = runs > 0 && alone && sound && waited < DEADLINE / 2;
+            let lost = runs > 0 && alone && waited < DEADLINE / 2;
             lost.then(|| Broken::Lost(id(), sent.entry))
         }
         End::Answered { .. } | End::Silent => None,
--- a/crates/limpetmux-soak/src/lib.rs
+++ b/crates/limpetmux-soak/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod proxy;
 pub mod world;
 
-use checks::Broken;
+use checks::{Broken, Facts};
 use faults::{Fault, Sizes};
 use proxy::{Link, Proxy};
 use rand::SeedableRng;
@@ -94,8 +94,9 @@
     let is_served =
         |s: &&callers::Sent| matches!(s.end, callers::End::Answered { status: 200, .. });
     let served = sent.iter().filter(is_served).count();
-    let broken = checks::check(&world, &sent, recovered);
-    Ok(Report { faults: faults.len(), requests: (sent.len(), served), broken })
+    let requests = (sent.len(), served);
+    let broken = checks::check(&Facts::collect(&world, sent, recovered));
+    Ok(Report { faults: faults.len(), requests, broken })
 }
 
 /// Writes what will happen beside the logs.
@@ -111,10 +112,7 @@
         Fault::Kill(node, away) => kill(&world, node, ms(away)).await,
         Fault::Stop(node) => stop(&world, node).await,
         Fault::Pause(node, time) => {
-            world.harm(node, Instant::now() + ms(time));
-            lock(&world.nodes[node]).set_paused(true);
-            sleep(ms(time)).await;
-            lock(&world.nodes[node]).set_paused(false);
+            pause(&world, node, ms(time)).await;
             Ok(())
         }
         Fault::Reload(node, signal) => lock(&world.nodes[node]).reload(signal),
@@ -183,6 +181,13 @@
     lock(&world.nodes[node]).start_again()
 }
 
+async fn pause(world: &World, node: usize, time: Duration) {
+    world.harm(node, Instant::now() + time);
+    lock(&world.nodes[node]).set_paused(true);
+    sleep(time).await;
+    lock(&world.nodes[node]).set_paused(false);
+}
+
 async fn harm_link(proxy: &Proxy, link: Link, time: Duration) {
     proxy.set(link);
     sleep(time).await;
--- a/crates/limpetmux-soak/src/world.rs
+++ b/crates/limpetmux-soak/src/world.rs
@@ -16,6 +16,8 @@
 pub const ENTRIES: usize = 3;
 /// The sidecars.
 pub const SIDECARS: usize = 4;
+/// The workspace that all keys belong to.
+pub const WORKSPACE: &str = "w1";
 /// Keys that are never taken away.
 pub const LASTING_KEY: &str = "lasting";
 /// The time that a backend server works on a request or an event.
@@ -44,7 +46,7 @@
 }
 
 /// What the operator has done, for the checks.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Orders {
     /// The version in force, and when the store took each one in.
     pub versions: Vec<Instant>,
@@ -170,12 +172,6 @@
     pub fn harm(&self, node: usize, until: Instant) {
         lock(&self.harmed).push((node, Instant::now(), until));
     }
-
-    /// Returns whether a process was left alone from `margin` before a span to its end.
-    pub fn is_calm(&self, node: usize, (from, to): (Instant, Instant), margin: Duration) -> bool {
-        let harmed = lock(&self.harmed);
-        !harmed.iter().any(|(n, a, b)| *n == node && *a <= to && *b + margin >= from)
-    }
 }
 
 async fn backend(service: &'static str, number: usize) -> std::io::Result<Backend> {
@@ -240,7 +236,7 @@
         "services": SERVICES.iter().map(service).collect::<Vec<_>>(),
         "limits": {"max-header-bytes": 16_384, "max-body-bytes": 100_000,
             "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000},
-        "tenants": [{"name": "w1", "api-keys": keys, "priority": 1}]
+        "tenants": [{"name": WORKSPACE, "api-keys": keys, "priority": 1}]
     })
 }
 
--- a/crates/limpetmux-standins/src/users.rs
+++ b/crates/limpetmux-standins/src/users/mod.rs
@@ -3,12 +3,14 @@
 //! They speak as much of the published protocol as the adapter uses, and count what they were
 //! asked, so that tests over TCP need no other program.
 
+mod stages;
+
 use poem::http::{HeaderMap, StatusCode};
 use poem::listener::{Acceptor, Listener, TcpListener};
 use poem::web::{Data, Query};
 use poem::{EndpointExt, IntoResponse, Response, Route, Server, get, handler, post};
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use serde_json::json;
 use serde_with::{base64::Base64, serde_as};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -239,8 +241,8 @@
         let state = ServerState { id: id.to_owned(), ..ServerState::default() };
         let state = Arc::new(Mutex::new(state));
         let routes = Route::new()
-            .at("/stage-run", post(stage_run))
-            .at("/stage-free", post(stage_free))
+            .at("/stage-run", post(stages::stage_run))
+            .at("/stage-free", post(stages::stage_free))
             .at("/*path", get(answer).post(answer))
             .data(Arc::clone(&state));
         Ok(Self { addr: serve(routes).await?, state })
@@ -361,35 +363,6 @@
     headers.iter().map(|(n, v)| (n.as_str().to_owned(), text(v))).collect()
 }
 
-#[handler]
-fn stage_run(
-    request: &poem::Request,
-    body: Vec<u8>,
-    state: Data<&Arc<Mutex<ServerState>>>,
-) -> Response {
-    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
-    let call: Value = serde_json::from_slice(&body).unwrap_or_default();
-    let items = call["items"].as_array().cloned().unwrap_or_default();
-    let host = request.header("host").unwrap_or_default().to_owned();
-    let made: Vec<Value> = items
-        .iter()
-        .map(|_| {
-            state.made += 1;
-            json!({"handle": format!("{host}/{}-{}", state.id, state.made)})
-        })
-        .collect();
-    json!({"items": made}).to_string().into_response()
-}
-
-#[handler]
-fn stage_free(body: Vec<u8>, state: Data<&Arc<Mutex<ServerState>>>) -> Response {
-    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
-    let call: Value = serde_json::from_slice(&body).unwrap_or_default();
-    let freed = call["handles"].as_array().cloned().unwrap_or_default();
-    state.freed.extend(freed.iter().filter_map(|h| h.as_str().map(str::to_owned)));
-    StatusCode::OK.into_response()
-}
-
 async fn serve(routes: impl poem::Endpoint + 'static) -> std::io::Result<SocketAddr> {
     let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await?;
     let addr = acceptor.local_addr()[0].as_socket_addr().copied();
--- /dev/null
+++ b/src/limpetmux/core/pieces/held.rs
@@ -0,0 +1,58 @@
+//! The room that results take up at the backend servers of a service.
+
+use super::PieceQueue;
+use super::worker::Worker;
+use crate::core::time::Moment;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Room counts as short once this part of it is taken: one in two.
+const TIGHT_PARTS: u64 = 2;
+
+/// A result that takes up room at a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeldResult {
+    /// The id of the backend server.
+    pub server: Arc<str>,
+    /// The name of the result.
+    pub name: Arc<str>,
+    /// Its size in bytes.
+    pub size: u64,
+    /// The time until it lapses.
+    pub left: Duration,
+}
+
+impl PieceQueue {
+    /// Returns whether results take up so much room that the next ones may have to wait for it;
+    /// inputs are then better freed early, at the risk that a piece that fails needs new ones.
+    pub fn is_tight(&self, now: Moment) -> bool {
+        let good = || self.workers.values().filter(|w| w.is_good(now));
+        let held: u64 = good().map(Worker::reserved).sum();
+        let room: u64 = good().map(|_| self.spec.room).sum();
+        held * TIGHT_PARTS > room
+    }
+
+    /// Returns the results that take up room, for the node that takes this one's place.
+    pub fn held(&self, now: Moment) -> Vec<HeldResult> {
+        let of = |w: &Worker| {
+            let server = Arc::clone(&w.spec.id);
+            let held = w.results.iter().map(move |(name, (size, until))| HeldResult {
+                server: Arc::clone(&server),
+                name: Arc::clone(name),
+                size: *size,
+                left: now.until(*until),
+            });
+            held.collect::<Vec<_>>()
+        };
+        self.workers.values().flat_map(of).collect()
+    }
+
+    /// Takes in results that another node had made; those of unknown backend servers are left out.
+    pub fn adopt(&mut self, now: Moment, held: Vec<HeldResult>) {
+        for result in held {
+            if let Some(worker) = self.workers.get_mut(&result.server) {
+                worker.results.insert(result.name, (result.size, now + result.left));
+            }
+        }
+    }
+}
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -6,9 +6,11 @@
 //! for a result is reserved before its piece is sent and given back when the result is freed, so
 //! that no piece is refused for lack of room. See `docs/design/platform.md`.
 
+mod held;
 mod job;
 mod worker;
 
+pub use held::HeldResult;
 pub use job::{JobKey, JobSpec, Source, StageEnd};
 pub use worker::{Call, CallEnd, CallItem, CallKey, Made, Unmade, WorkerSpec};
 
@@ -39,22 +41,6 @@
 /// How long a result of which nobody reports the end takes up room, beyond its keeping time.
 const KEEP_SLACK: Duration = Duration::from_millis(500);
 
-/// Room counts as short once this part of it is taken: one in two.
-const TIGHT_PARTS: u64 = 2;
-
-/// A result that takes up room at a backend server.
-#[derive(Clone, Debug, PartialEq)]
-pub struct HeldResult {
-    /// The id of the backend server.
-    pub server: Arc<str>,
-    /// The name of the result.
-    pub name: Arc<str>,
-    /// Its size in bytes.
-    pub size: u64,
-    /// The time until it lapses.
-    pub left: Duration,
-}
-
 /// The pieces and backend servers of one service.
 #[derive(Debug)]
 pub struct PieceQueue {
@@ -150,39 +136,6 @@
         speed * batch as f64 / self.call_time(batch).as_secs_f64().max(0.001)
     }
 
-    /// Returns whether results take up so much room that the next ones may have to wait for it;
-    /// inputs are then better freed early, at the risk that a piece that fails needs new ones.
-    pub fn is_tight(&self, now: Moment) -> bool {
-        let good = || self.workers.values().filter(|w| w.is_good(now));
-        let held: u64 = good().map(Worker::reserved).sum();
-        let room: u64 = good().map(|_| self.spec.room).sum();
-        held * TIGHT_PARTS > room
-    }
-
-    /// Returns the results that take up room, for the node that takes this one's place.
-    pub fn held(&self, now: Moment) -> Vec<HeldResult> {
-        let of = |w: &Worker| {
-            let server = Arc::clone(&w.spec.id);
-            let held = w.results.iter().map(move |(name, (size, until))| HeldResult {
-                server: Arc::clone(&server),
-                name: Arc::clone(name),
-                size: *size,
-                left: now.until(*until),
-            });
-            held.collect::<Vec<_>>()
-        };
-        self.workers.values().flat_map(of).collect()
-    }
-
-    /// Takes in results that another node had made; those of unknown backend servers are left out.
-    pub fn adopt(&mut self, now: Moment, held: Vec<HeldResult>) {
-        for result in held {
-            if let Some(worker) = self.workers.get_mut(&result.server) {
-                worker.results.insert(result.name, (result.size, now + result.left));
-            }
-        }
-    }
-
     /// Returns whether nothing waits and nothing runs.
     pub fn is_idle(&self) -> bool {
         self.jobs.is_empty() && self.workers.values().all(|w| !w.is_busy())
--- /dev/null
+++ b/src/limpetmux/gates/leave.rs
@@ -0,0 +1,65 @@
+//! What a node that stops hands over to those that take its place.
+
+use super::{Gates, queue, workers};
+use crate::core::pieces::HeldResult;
+use crate::event;
+use crate::fleet::convert;
+use crate::util::clock;
+use crate::util::event::EventCode;
+use crate::wire::fleet::NodeLeaving;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// The time allowed for telling another node that this one stops.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(400);
+
+impl Gates {
+    /// Takes in results that a node which stops had made.
+    pub fn adopt(&self, held: BTreeMap<Arc<str>, Vec<HeldResult>>) {
+        let view = self.shared.view.load();
+        let mut queues = self.lock();
+        for (service, held) in held {
+            if let Some(queue) = queue(&mut queues, &view, &service) {
+                queue.pieces.workers(workers(&view, &service));
+                queue.pieces.adopt(clock::boot(), held);
+            }
+        }
+    }
+
+    /// Tells all other nodes that this one stops, and hands over the results that it knows of.
+    pub async fn leave(&self) {
+        let now = clock::boot();
+        let (own, others, homes) = {
+            let nodes = self.shared.nodes();
+            let own = convert::member(nodes.own(), Duration::ZERO);
+            let others: Vec<SocketAddr> = nodes.live(now).map(|(n, _)| n.addr).collect();
+            let next =
+                |service: &Arc<str>| nodes.gate(now, service, &[nodes.own().addr]).map(|n| n.addr);
+            let queues = self.lock();
+            let homes: BTreeMap<Arc<str>, (Option<SocketAddr>, Vec<HeldResult>)> = queues
+                .iter()
+                .map(|(s, q)| (Arc::clone(s), (next(s), q.pieces.held(now))))
+                .collect();
+            (own, others, homes)
+        };
+        let calls = others.into_iter().map(|addr| {
+            let mine = homes.iter().filter(|(_, (next, _))| *next == Some(addr));
+            let held = mine.flat_map(|(s, (_, held))| convert::handed_over(s, held.clone()));
+            let message = NodeLeaving { node: Some(own.clone()), held: held.collect() };
+            self.tell(addr, message)
+        });
+        futures::future::join_all(calls).await;
+    }
+
+    async fn tell(&self, addr: SocketAddr, message: NodeLeaving) {
+        let call = async { self.shared.peers.client(addr)?.leave(message).await };
+        match timeout(LEAVE_TIMEOUT, call).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(status)) => event!(EventCode::NodeSilent, node = addr, reason = status),
+            Err(_) => event!(EventCode::NodeSilent, node = addr, reason = "no answer in time"),
+        }
+    }
+}
--- a/src/limpetmux/gates/mod.rs
+++ b/src/limpetmux/gates/mod.rs
@@ -6,18 +6,17 @@
 //! [`run`](Gates::run).
 
 pub mod engines;
+mod leave;
 
 use crate::core::pieces::{Actions, Call, CallEnd, JobKey, JobSpec, PieceQueue, StageEnd};
-use crate::core::pieces::{CallKey, HeldResult, Made, Unmade, WorkerSpec};
+use crate::core::pieces::{CallKey, Made, Unmade, WorkerSpec};
 use crate::event;
-use crate::fleet::convert;
 use crate::platform::{server, stage};
 use crate::serve::inputs::free_results;
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
-use crate::wire::fleet::NodeLeaving;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use std::collections::BTreeMap;
@@ -29,8 +28,6 @@
 
 /// The time between two steps of queues in which something waits or runs.
 const TICK: Duration = Duration::from_millis(25);
-/// The time allowed for telling another node that this one stops.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(400);
 /// The time allowed for giving results up.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -124,52 +121,6 @@
         self.lock().values().all(|q| q.pieces.is_idle())
     }
 
-    /// Takes in results that a node which stops had made.
-    pub fn adopt(&self, held: BTreeMap<Arc<str>, Vec<HeldResult>>) {
-        let view = self.shared.view.load();
-        let mut queues = self.lock();
-        for (service, held) in held {
-            if let Some(queue) = queue(&mut queues, &view, &service) {
-                queue.pieces.workers(workers(&view, &service));
-                queue.pieces.adopt(clock::boot(), held);
-            }
-        }
-    }
-
-    /// Tells all other nodes that this one stops, and hands over the results that it knows of.
-    pub async fn leave(&self) {
-        let now = clock::boot();
-        let (own, others, homes) = {
-            let nodes = self.shared.nodes();
-            let own = convert::member(nodes.own(), Duration::ZERO);
-            let others: Vec<SocketAddr> = nodes.live(now).map(|(n, _)| n.addr).collect();
-            let next =
-                |service: &Arc<str>| nodes.gate(now, service, &[nodes.own().addr]).map(|n| n.addr);
-            let queues = self.lock();
-            let homes: BTreeMap<Arc<str>, (Option<SocketAddr>, Vec<HeldResult>)> = queues
-                .iter()
-                .map(|(s, q)| (Arc::clone(s), (next(s), q.pieces.held(now))))
-                .collect();
-            (own, others, homes)
-        };
-        let calls = others.into_iter().map(|addr| {
-            let mine = homes.iter().filter(|(_, (next, _))| *next == Some(addr));
-            let held = mine.flat_map(|(s, (_, held))| convert::handed_over(s, held.clone()));
-            let message = NodeLeaving { node: Some(own.clone()), held: held.collect() };
-            self.tell(addr, message)
-        });
-        futures::future::join_all(calls).await;
-    }
-
-    async fn tell(&self, addr: SocketAddr, message: NodeLeaving) {
-        let call = async { self.shared.peers.client(addr)?.leave(message).await };
-        match timeout(LEAVE_TIMEOUT, call).await {
-            Ok(Ok(_)) => {}
-            Ok(Err(status)) => event!(EventCode::NodeSilent, node = addr, reason = status),
-            Err(_) => event!(EventCode::NodeSilent, node = addr, reason = "no answer in time"),
-        }
-    }
-
     /// Gives results up that nothing needs any more.
     pub fn free(self: &Arc<Self>, service: &str, results: Vec<Arc<str>>) {
         if results.is_empty() {
