--- a/src/limpetmux/core/engines.rs
+++ b/src/limpetmux/core/engines.rs
@@ -102,6 +102,8 @@
 
 #[derive(Clone, Debug)]
 struct Engine {
+    /// The Unix millisecond of its start; another start under the same id knows nothing.
+    born: u64,
     /// When all prompts that were sent will have been read.
     busy: Moment,
     /// How many times longer than expected its prompts take.
@@ -150,8 +152,8 @@
         request: &str,
         query: EngineQuery<'_>,
     ) -> Option<EngineChoice> {
-        self.forget(now);
-        let choice = self.choose(now, servers, query, true)?;
+        self.forget(now, servers);
+        let (server, choice) = self.choose(now, servers, query, true)?;
         let plan = Plan {
             server: Arc::clone(&choice.server),
             work: choice.work,
@@ -159,7 +161,7 @@
         };
         self.plans.insert(request.into(), plan);
         let (_, shared) = query.parts.split_last().unwrap_or((&NO_PART, &[]));
-        self.engine(now, &choice.server).note(now, shared, false);
+        self.engine(now, server).note(now, shared, false);
         Some(choice)
     }
 
@@ -172,9 +174,10 @@
         query: EngineQuery<'_>,
     ) -> Option<EngineChoice> {
         self.plans.remove(request);
-        let choice = self.choose(now, servers, query, false)?;
+        self.forget(now, servers);
+        let (server, choice) = self.choose(now, servers, query, false)?;
         let memory = self.memory;
-        let engine = self.engine(now, &choice.server);
+        let engine = self.engine(now, server);
         engine.busy = engine.busy.max(now) + choice.work;
         engine.touched = now;
         engine.note(now, query.parts, true);
@@ -196,32 +199,32 @@
         };
     }
 
-    /// Forgets what is known of an engine that has lost its memory.
-    pub fn lost(&mut self, server: &str) {
-        self.engines.remove(server);
-    }
-
-    fn choose(
+    fn choose<'a>(
         &self,
         now: Moment,
-        servers: &[&Server],
+        servers: &[&'a Server],
         query: EngineQuery<'_>,
         planning: bool,
-    ) -> Option<EngineChoice> {
+    ) -> Option<(&'a Server, EngineChoice)> {
         let shared = query.parts.len().saturating_sub(2);
         let hash = query.parts.get(shared).map_or(0, |p| p.key);
         let source = self.source(servers, query);
+        let planned = if planning { self.planned(now) } else { BTreeMap::new() };
+        let usual = self.usual_pace();
+        let offer = |s: &Server| {
+            let planned = planned.get(&*s.id).copied().unwrap_or_default();
+            self.offer(now, s, query, source, (planned, usual))
+        };
         let rank = |s: &&&Server| {
-            let offer = self.offer(now, s, query, source, planning);
-            let cost = offer.cost(s, query);
+            let cost = offer(s).cost(s, query);
             let tie = hash_parts(&[&hash.to_le_bytes(), s.id.as_bytes()]);
             ((cost / COST_STEP_MS) as u64, std::cmp::Reverse(tie))
         };
-        let server = servers.iter().min_by_key(rank)?;
-        let offer = self.offer(now, server, query, source, planning);
+        let server = *servers.iter().min_by_key(rank)?;
+        let offer = offer(server);
         let source = source.filter(|_| offer.fetched > 0).map(|(s, _)| Arc::clone(&s.id));
-        let server = Arc::clone(&server.id);
-        Some(EngineChoice { server, wait: offer.wait, work: offer.work, source })
+        let id = Arc::clone(&server.id);
+        Some((server, EngineChoice { server: id, wait: offer.wait, work: offer.work, source }))
     }
 
     /// Returns the engine that has read most of a prompt, and how many tokens of it.
@@ -238,34 +241,37 @@
         self.engines.get(server).map_or(0, |e| e.cached(parts, read))
     }
 
-    /// Returns what an engine would do for a prompt.
+    /// Returns what an engine would do for a prompt, given the work that is planned for it and the
+    /// usual pace.
     fn offer(
         &self,
         now: Moment,
         server: &Server,
         query: EngineQuery<'_>,
         source: Option<(&Server, u32)>,
-        planning: bool,
+        (planned, usual): (Duration, f64),
     ) -> Offer {
         let engine = self.engines.get(&server.id);
         let sent = engine.map_or(Duration::ZERO, |e| now.until(e.busy));
-        let planned = if planning { self.planned(now, &server.id) } else { Duration::ZERO };
         // What is planned comes at any time until then, on average after half of it.
         let wait = (sent + planned).saturating_sub(query.ahead / 2);
         let own = self.cached(&server.id, query.parts, true);
         let more = source.map_or(0, |(_, tokens)| tokens.saturating_sub(own));
         let fetched = if more >= FETCH_LEAST { more } else { 0 };
         let fetch = Duration::from_secs_f64(f64::from(fetched) / FETCH_RATE / 1_000.0);
-        let pace = engine.map_or_else(|| self.usual_pace(), |e| e.pace_at(now));
+        let pace = engine.map_or(usual, |e| e.pace_at(now));
         let work = |held: u32| read_time(query.tokens.saturating_sub(held)).mul_f64(pace) + fetch;
         let promised = self.cached(&server.id, query.parts, false).max(own + fetched);
         Offer { wait, work: work(own + fetched), expected: work(promised), fetched }
     }
 
-    /// Returns the work of requests that will be sent to an engine.
-    fn planned(&self, now: Moment, server: &str) -> Duration {
-        let plans = self.plans.values().filter(|p| *p.server == *server && p.until > now);
-        plans.map(|p| p.work).sum()
+    /// Returns the work of requests that will be sent to each engine.
+    fn planned(&self, now: Moment) -> BTreeMap<&str, Duration> {
+        let mut planned: BTreeMap<&str, Duration> = BTreeMap::new();
+        for plan in self.plans.values().filter(|p| p.until > now) {
+            *planned.entry(&plan.server).or_default() += plan.work;
+        }
+        planned
     }
 
     /// Returns the pace of an engine that nothing is known of: that of the others, unless they are
@@ -276,16 +282,21 @@
         paces.get(paces.len() / 2).map_or(1.0, |p| p.min(1.0))
     }
 
-    fn engine(&mut self, now: Moment, id: &Arc<str>) -> &mut Engine {
-        let pace = self.usual_pace();
-        let new =
-            || Engine { busy: now, pace, sampled: now, touched: now, cached: BTreeMap::new() };
-        self.engines.entry(Arc::clone(id)).or_insert_with(new)
+    fn engine(&mut self, now: Moment, server: &Server) -> &mut Engine {
+        let (born, pace, cached) = (server.born, self.usual_pace(), BTreeMap::new());
+        let new = || Engine { born, busy: now, pace, sampled: now, touched: now, cached };
+        self.engines.entry(Arc::clone(&server.id)).or_insert_with(new)
     }
 
-    fn forget(&mut self, now: Moment) {
+    /// Forgets plans that did not come true, and engines that are not used or have started anew.
+    fn forget(&mut self, now: Moment, servers: &[&Server]) {
         self.plans.retain(|_, p| p.until > now);
         self.engines.retain(|_, e| now.since(e.touched) < FORGET_AFTER);
+        for server in servers {
+            if self.engines.get(&server.id).is_some_and(|e| e.born != server.born) {
+                self.engines.remove(&server.id);
+            }
+        }
     }
 }
 
--- a/tests/testsuite/platform/engines.rs
+++ b/tests/testsuite/platform/engines.rs
@@ -211,3 +211,20 @@
     assert_eq!(next.source, None);
     assert!(next.work > ms(300), "{:?}", next.work);
 }
+
+#[test]
+fn engine_that_starts_again_under_its_id_has_read_nothing() {
+    // Pattern: an engine crashes and is back under the id that it had.
+    let mut all = engines(1);
+    let mut board = EngineBoard::default();
+    board.configure(500_000);
+    let subject = |own| parts(1, 13_000, own);
+    let first = board.place(at(0), &[&all[0]], "r1", query(&subject(10))).expect("an engine");
+    let cached = board.place(at(5_000), &[&all[0]], "r2", query(&subject(11))).expect("one");
+
+    all[0].born += 1;
+    let again = board.place(at(10_000), &[&all[0]], "r3", query(&subject(12))).expect("one");
+
+    assert!(cached.work < first.work / 4);
+    assert_eq!(again.work, first.work);
+}
