Log how answers are framed and where their streams end

Change: the head of an answer decodes how the answer states its end (length, chunked, connection). EventScan in core follows the events of a stream byte by byte, at any split. request_served and request_failed tell framing, bytes, whole events and whether the stream ended inside an event; the counter answers_read counts answers by framing and end. No decision changes. Tests: the tail of a stream for each line ending, event counts for arbitrary splits, framing by head.

--- /dev/null
+++ b/src/limpetmux/core/event_stream.rs
@@ -0,0 +1,98 @@
+//! Follows the events of a streamed answer, to tell a whole stream from a truncated one.
+//!
+//! The bytes of an answer pass through an [`EventScan`] as they are forwarded. It finds the ends of
+//! lines and events as the format of server-sent events defines them and keeps no content.
+//! See `docs/design/requests.md`.
+
+use strum::IntoStaticStr;
+
+/// How an answer states where its body ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Framing {
+    /// By its length in bytes.
+    Length,
+    /// By the last of its chunks.
+    Chunked,
+    /// Not at all: it ends with its connection.
+    #[default]
+    Connection,
+}
+
+/// What the bytes after the last whole event of a stream are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum EventTail {
+    /// The stream has had no event yet.
+    Empty,
+    /// The stream ends after a whole event.
+    Whole,
+    /// The stream ends inside an event.
+    Partial,
+}
+
+/// The line that is being read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Empty,
+    Field,
+    Comment,
+}
+
+/// Follows the events of one stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EventScan {
+    events: u64,
+    line: Line,
+    /// Whether the current event has had a field.
+    in_event: bool,
+    /// Whether the last byte was a carriage return, which a line feed may follow.
+    after_cr: bool,
+}
+
+impl EventScan {
+    /// Reads the next bytes of the stream; they may begin and end anywhere in an event.
+    pub fn push(&mut self, bytes: &[u8]) {
+        bytes.iter().for_each(|byte| self.push_byte(*byte));
+    }
+
+    /// Returns the number of whole events.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Returns what the bytes after the last whole event are.
+    pub fn tail(&self) -> EventTail {
+        if self.in_event || self.line != Line::Empty {
+            EventTail::Partial
+        } else if self.events == 0 {
+            EventTail::Empty
+        } else {
+            EventTail::Whole
+        }
+    }
+
+    fn push_byte(&mut self, byte: u8) {
+        let after_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+        match (byte, self.line) {
+            (b'\n', _) if after_cr => {}
+            (b'\n' | b'\r', _) => self.end_line(),
+            (b':', Line::Empty) => self.line = Line::Comment,
+            (_, Line::Empty) => self.line = Line::Field,
+            _ => {}
+        }
+    }
+
+    /// A blank line ends an event; a comment belongs to none.
+    fn end_line(&mut self) {
+        match std::mem::take(&mut self.line) {
+            Line::Empty => {
+                self.events += u64::from(self.in_event);
+                self.in_event = false;
+            }
+            Line::Field => self.in_event = true,
+            Line::Comment => {}
+        }
+    }
+}
--- a/src/limpetmux/platform/server.rs
+++ b/src/limpetmux/platform/server.rs
@@ -2,9 +2,10 @@
 
 use super::caller::RequestHead;
 use super::names;
+use crate::core::event_stream::Framing;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -46,6 +47,8 @@
     pub keep_alive: Option<Duration>,
     /// Whether the backend server closes the connection.
     pub closes: bool,
+    /// How the answer states where its body ends.
+    pub framing: Framing,
 }
 
 /// Builds the request to a backend server.
@@ -93,6 +96,18 @@
         signed: headers.contains_key(&names::SIGNATURE),
         keep_alive: keep_alive(headers),
         closes: text(&CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close")),
+        framing: framing(answer.status(), headers),
+    }
+}
+
+fn framing(status: StatusCode, headers: &HeaderMap) -> Framing {
+    let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if headers.contains_key(TRANSFER_ENCODING) {
+        Framing::Chunked
+    } else if has_no_body || headers.contains_key(CONTENT_LENGTH) {
+        Framing::Length
+    } else {
+        Framing::Connection
     }
 }
 
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -6,7 +6,7 @@
 use super::node::Shared;
 use super::request::{RoutedRequest, Running};
 use super::stages::engine_time;
-use super::stream::{Body, StreamEnd, StreamHooks, StreamedBody};
+use super::stream::{Body, Received, StreamEnd, StreamHooks, StreamedBody};
 use crate::core::engines::EngineReport;
 use crate::core::listing::Server;
 use crate::core::placement::PlaceEnd;
@@ -87,11 +87,18 @@
         self.end(PlaceEnd::Broken);
     }
 
-    fn record_served(&self, status: StatusCode, first_latency: Duration) {
+    /// Counts an answer that was read up to its end, however it ended.
+    fn count_answer(&self, received: &Received, end: StreamEnd) {
+        let tags = [("framing", received.framing.into()), ("end", end.into())];
+        self.shared.metrics.count(Metric::AnswersRead, 1, &tags);
+    }
+
+    fn record_served(&self, status: StatusCode, first_latency: Duration, received: &Received) {
         let now = clock::boot();
         let view = self.shared.view.load();
         let workspace = self.routed.holder.as_ref().map_or("none", |h| &*h.workspace);
         let tags = [("workspace", workspace), ("pipeline", &*self.routed.route().name)];
+        let (framing, tail) = names(received);
         self.shared.metrics.count(Metric::RequestsAnswered, 1, &tags);
         self.shared.metrics.time(Metric::RequestTime, now.since(self.routed.arrived), &tags);
         event!(
@@ -106,6 +113,10 @@
             expected_ms = self.expected.unwrap_or_default().as_millis(),
             prefix = self.routed.head.prefix().unwrap_or_default(),
             tokens = self.routed.head.prompt_tokens,
+            framing = framing,
+            bytes = received.bytes,
+            events = received.events.events(),
+            tail = tail,
             version = view.orders.version(),
             orders_age_ms = view.orders.age(now).as_millis()
         );
@@ -119,9 +130,11 @@
         head: &ReplyHead,
     ) -> SendOutcome {
         let (mut parts, body) = answer.into_parts();
+        let mut received = Received::new(head.framing);
         let body: Bytes = match body.collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) => {
+                self.count_answer(&received, StreamEnd::Broken);
                 self.fail(&error.to_string());
                 return SendOutcome::Lost;
             }
@@ -129,6 +142,8 @@
         if !head.closes {
             connection.keep(head.keep_alive);
         }
+        received.bytes = body.len();
+        self.count_answer(&received, StreamEnd::Complete);
         server::strip(&mut parts.headers);
         let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
         let answer = Response::from_parts(parts, body);
@@ -137,7 +152,7 @@
             return SendOutcome::Failed(answer);
         }
         self.end(PlaceEnd::Answered(clock::boot().since(self.began)));
-        self.record_served(head.status, clock::boot().since(self.began));
+        self.record_served(head.status, clock::boot().since(self.began), &received);
         SendOutcome::Answer(answer)
     }
 }
@@ -184,30 +199,45 @@
             *at = Some(clock::boot().since(began));
         }
     });
-    let on_end = Box::new(move |end: StreamEnd| {
+    let on_end = Box::new(move |end: StreamEnd, received: &Received| {
         let first_latency = to_first.lock().ok().and_then(|at| *at).unwrap_or_default();
-        finish_stream(&mut attempt, end, status, first_latency);
+        attempt.count_answer(received, end);
+        finish_stream(&mut attempt, end, received, (status, first_latency));
         drop(running);
     });
     let hooks = StreamHooks { on_first, on_end };
-    let body = StreamedBody::new(body, connection, (head.keep_alive, head.closes), left, hooks);
+    let body = StreamedBody::new(body, connection, head, left, hooks);
     Response::from_parts(parts, body.boxed_unsync())
 }
 
+/// Returns the names of an answer's framing and of its tail, for log lines.
+fn names(received: &Received) -> (&'static str, &'static str) {
+    (received.framing.into(), received.events.tail().into())
+}
+
 fn finish_stream(
     attempt: &mut Attempt,
     end: StreamEnd,
-    status: StatusCode,
-    first_latency: Duration,
+    received: &Received,
+    (status, first_latency): (StatusCode, Duration),
 ) {
+    let (framing, tail) = names(received);
     match end {
         StreamEnd::Complete => {
             attempt.end(PlaceEnd::Streamed);
-            attempt.record_served(status, first_latency);
+            attempt.record_served(status, first_latency, received);
         }
         StreamEnd::Broken => {
             attempt.fail("the stream ended early");
-            event!(EventCode::RequestFailed, request = attempt.routed.head.id, reason = "broken");
+            event!(
+                EventCode::RequestFailed,
+                request = attempt.routed.head.id,
+                reason = "broken",
+                framing = framing,
+                bytes = received.bytes,
+                events = received.events.events(),
+                tail = tail
+            );
         }
         StreamEnd::Timeout => {
             attempt.end(PlaceEnd::Neutral);
--- a/src/limpetmux/serve/stream.rs
+++ b/src/limpetmux/serve/stream.rs
@@ -1,12 +1,15 @@
 //! Bodies of answers, and the forwarding of streamed ones.
 
 use super::connections::ActiveConnection;
+use crate::core::event_stream::{EventScan, Framing};
+use crate::platform::server::ReplyHead;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use strum::IntoStaticStr;
 use tokio::time::Sleep;
 
 /// The body of an answer to a caller.
@@ -24,7 +27,8 @@
 }
 
 /// How a streamed answer ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum StreamEnd {
     /// All of it was forwarded.
     Complete,
@@ -36,38 +40,69 @@
     CallerGone,
 }
 
+/// What has been read of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Received {
+    /// How the answer states where its body ends.
+    pub framing: Framing,
+    /// The bytes of the body.
+    pub bytes: usize,
+    /// The events of the body, if it is streamed.
+    pub events: EventScan,
+}
+
+impl Received {
+    /// Creates the record of an answer of which nothing has been read.
+    pub fn new(framing: Framing) -> Self {
+        Self { framing, ..Self::default() }
+    }
+}
+
 /// The body of an answer that is forwarded while a backend server produces it.
 pub struct StreamedBody {
     body: Incoming,
     connection: Option<ActiveConnection>,
     keep: Option<Duration>,
     closes: bool,
+    received: Received,
     deadline: Pin<Box<Sleep>>,
     on_first: Option<Box<dyn FnOnce() + Send>>,
-    on_end: Option<Box<dyn FnOnce(StreamEnd) + Send>>,
+    on_end: Option<EndHook>,
 }
 
+/// Gets the end of a streamed answer and what was read of it.
+pub type EndHook = Box<dyn FnOnce(StreamEnd, &Received) + Send>;
+
 /// Callbacks during a streamed answer.
 pub struct StreamHooks {
     /// Called before the first bytes are forwarded.
     pub on_first: Box<dyn FnOnce() + Send>,
     /// Called once at the end.
-    pub on_end: Box<dyn FnOnce(StreamEnd) + Send>,
+    pub on_end: EndHook,
 }
 
 impl StreamedBody {
-    /// Forwards a body for at most `left`; afterwards its connection returns to the pool for
-    /// `keep`, unless the backend server closes it.
+    /// Forwards a body for at most `left`; afterwards its connection returns to the pool for the
+    /// time that the head states, unless the backend server closes it.
     pub fn new(
         body: Incoming,
         connection: ActiveConnection,
-        (keep, closes): (Option<Duration>, bool),
+        head: &ReplyHead,
         left: Duration,
         hooks: StreamHooks,
     ) -> Self {
         let deadline = Box::pin(tokio::time::sleep(left));
         let (on_first, on_end) = (Some(hooks.on_first), Some(hooks.on_end));
-        Self { body, connection: Some(connection), keep, closes, deadline, on_first, on_end }
+        Self {
+            body,
+            connection: Some(connection),
+            keep: head.keep_alive,
+            closes: head.closes,
+            received: Received::new(head.framing),
+            deadline,
+            on_first,
+            on_end,
+        }
     }
 
     fn end(&mut self, end: StreamEnd) {
@@ -76,7 +111,7 @@
             connection.keep(self.keep);
         }
         if let Some(on_end) = self.on_end.take() {
-            on_end(end);
+            on_end(end, &self.received);
         }
     }
 }
@@ -94,6 +129,10 @@
                 if let Some(on_first) = self.on_first.take() {
                     on_first();
                 }
+                if let Some(data) = frame.data_ref() {
+                    self.received.bytes += data.len();
+                    self.received.events.push(data);
+                }
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -40,6 +40,9 @@
     /// Requests refused or failed for other reasons.
     #[strum(props(kind = "counter", tags = "code, execution"))]
     RequestsRefused,
+    /// Responses of backend servers read up to their end, by framing and by how they ended.
+    #[strum(props(kind = "counter", tags = "framing, end"))]
+    AnswersRead,
     /// Time to a complete response in milliseconds.
     #[strum(props(kind = "timer", tags = "workspace, pipeline"))]
     RequestTime,
--- /dev/null
+++ b/tests/testsuite/platform/event_stream.rs
@@ -0,0 +1,64 @@
+//! The ends of events in a streamed answer, and how an answer states its end.
+
+use arbtest::arbtest;
+use limpetmux::core::event_stream::{EventScan, EventTail, Framing};
+use limpetmux::platform::server;
+
+fn scan(parts: &[&str]) -> EventScan {
+    let mut scan = EventScan::default();
+    parts.iter().for_each(|part| scan.push(part.as_bytes()));
+    scan
+}
+
+#[test]
+fn tail_tells_whether_a_stream_ends_inside_an_event() {
+    let rows = [
+        ("", EventTail::Empty),
+        ("\n\n", EventTail::Empty),
+        (": comment\n", EventTail::Empty),
+        (": comm", EventTail::Partial),
+        ("data: a", EventTail::Partial),
+        ("data: a\n", EventTail::Partial),
+        ("data: a\nid: 1\n", EventTail::Partial),
+        ("data: a\n\n", EventTail::Whole),
+        ("data: a\r\n\r\n", EventTail::Whole),
+        ("data: a\r\n\r", EventTail::Whole),
+        ("data: a\r\r", EventTail::Whole),
+        ("data: a\r\n", EventTail::Partial),
+        ("data: a\n\n: comment\n", EventTail::Whole),
+        ("data: a\n\ni", EventTail::Partial),
+        ("data: a\n\ndata: b\n", EventTail::Partial),
+    ];
+
+    for (text, tail) in rows {
+        assert_eq!(scan(&[text]).tail(), tail, "{text:?}");
+    }
+}
+
+#[test]
+fn events_are_counted_wherever_the_parts_of_a_stream_are_split() {
+    arbtest(|u| {
+        let text = "id: 1\ndata: a\n\n: comment\n\r\nid: 2\r\ndata: b\r\n\r\ndata: c\r\rdata: d\n";
+        let (first, second) = (u.int_in_range(0..=text.len())?, u.int_in_range(0..=text.len())?);
+        let (first, second) = (first.min(second), first.max(second));
+
+        let split = scan(&[&text[..first], &text[first..second], &text[second..]]);
+
+        assert_eq!((split.events(), split.tail()), (3, EventTail::Partial), "{first} {second}");
+        Ok(())
+    });
+}
+
+#[test]
+fn framing_of_an_answer_follows_from_its_head() {
+    let framing = |status: u16, headers: &[(&str, &str)]| {
+        let answer = hyper::Response::builder().status(status);
+        let answer = headers.iter().fold(answer, |a, (name, value)| a.header(*name, *value));
+        server::head("1f", &answer.body(()).unwrap()).framing
+    };
+
+    assert_eq!(framing(200, &[("content-length", "7")]), Framing::Length);
+    assert_eq!(framing(200, &[("transfer-encoding", "chunked")]), Framing::Chunked);
+    assert_eq!(framing(200, &[("connection", "close")]), Framing::Connection);
+    assert_eq!(framing(204, &[]), Framing::Length);
+}
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -4,6 +4,7 @@
 mod catalog;
 mod chain;
 mod engines;
+mod event_stream;
 mod explain;
 mod listing;
 mod names;
