Show truncated streams passed on as complete, in tests that fail

Change: the stand-in of the users' backend server answers without length and chunks, cuts a stream inside an event or before the first one, with its connection or behind a stated end. Three tests show that the caller gets each of these streams with a proper end; a fourth shows that a whole stream without a length is passed on whole, and passes. The fixture of the node over TCP moves to a module of its own, as two modules use it now.

--- a/crates/limpetmux-standins/src/users/mod.rs
+++ b/crates/limpetmux-standins/src/users/mod.rs
@@ -5,7 +5,8 @@
 
 mod stages;
 
-use poem::http::{HeaderMap, StatusCode};
+use futures::StreamExt;
+use poem::http::{HeaderMap, StatusCode, Version};
 use poem::listener::{Acceptor, Listener, TcpListener};
 use poem::web::{Data, Query};
 use poem::{EndpointExt, IntoResponse, Response, Route, Server, get, handler, post};
@@ -22,6 +23,8 @@
 pub const STREAMS: &str = "/stream";
 /// The number of events in a stream.
 pub const STREAM_EVENTS: u32 = 5;
+/// The bytes of a stream that is cut; its first event is shorter, and its last event is longer.
+const CUT_BYTES: usize = 60;
 /// The interval at which a waiting read checks for new records.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -207,6 +210,33 @@
     WrongId,
     /// It answers without its signature.
     Unsigned,
+    /// It answers with neither a length nor chunks, so the answer ends with its connection.
+    Unframed,
+    /// It ends a stream inside an event, with its connection; other answers are as for `Unframed`.
+    CutStream,
+    /// It ends a stream inside an event, but states its end as if it were whole.
+    CutChunks,
+    /// It ends a stream before its first event, with its connection.
+    CutHead,
+}
+
+impl UsersFault {
+    /// Returns the version of its answers; those of the older one are not sent in chunks.
+    fn version(self) -> Version {
+        match self {
+            Self::Unframed | Self::CutStream | Self::CutHead => Version::HTTP_10,
+            _ => Version::HTTP_11,
+        }
+    }
+
+    /// Returns how many bytes of a stream are sent.
+    fn stream_bytes(self) -> usize {
+        match self {
+            Self::CutStream | Self::CutChunks => CUT_BYTES,
+            Self::CutHead => 0,
+            _ => usize::MAX,
+        }
+    }
 }
 
 #[derive(Default)]
@@ -302,6 +332,7 @@
     let echo = if fault == UsersFault::WrongId { "another" } else { &id };
     let answer = Response::builder()
         .status(StatusCode::from_u16(status).unwrap_or_default())
+        .version(fault.version())
         .header("x-limpetmux-request-id", echo);
     let signature = (fault != UsersFault::Unsigned).then_some("signed");
     let answer = match signature {
@@ -309,9 +340,16 @@
         None => answer,
     };
     if streams && status == 200 {
-        return answer.body(poem::Body::from_bytes_stream(events(server, id, work)));
+        let events = cut(events(server, id, work), fault.stream_bytes());
+        return answer.body(poem::Body::from_bytes_stream(events));
+    }
+    let body = event(1, &server, &id);
+    if fault.version() == Version::HTTP_10 {
+        // A body of unknown length, whose answer has no length.
+        let body = futures::stream::iter([Ok::<_, std::io::Error>(body)]);
+        return answer.body(poem::Body::from_bytes_stream(body));
     }
-    answer.body(event(1, &server, &id))
+    answer.body(body)
 }
 
 /// Records a request and returns the fault, server id and processing time of its answer, or the
@@ -354,6 +392,22 @@
     })
 }
 
+/// Ends a stream after a number of bytes.
+fn cut(
+    parts: impl futures::Stream<Item = std::io::Result<Vec<u8>>>,
+    bytes: usize,
+) -> impl futures::Stream<Item = std::io::Result<Vec<u8>>> {
+    parts.scan(bytes, |left, part| {
+        let part = part.map(|mut p| {
+            p.truncate(*left);
+            *left -= p.len();
+            p
+        });
+        let ended = part.as_ref().is_ok_and(Vec::is_empty);
+        std::future::ready((!ended).then_some(part))
+    })
+}
+
 fn event(number: u32, server: &str, id: &str) -> String {
     format!("id: {number}\ndata: from {server} for {id}\n\n")
 }
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod listing;
 mod names;
+mod node_fixture;
 mod nodes;
 mod orders;
 mod pieces;
@@ -15,6 +16,7 @@
 mod queue_waits;
 mod retry_share;
 mod soak;
+mod truncated;
 mod whole_path;
 
 use limpetmux::core::listing::Server;
--- /dev/null
+++ b/tests/testsuite/platform/truncated.rs
@@ -0,0 +1,44 @@
+//! Answers that end early are not passed on as complete.
+
+use super::node_fixture::fixture;
+use limpetmux_standins::users::{STREAM_EVENTS, UsersFault};
+
+/// Sends a request that is answered by a stream, from an engine with a fault, and reads its answer.
+async fn read_stream(fault: UsersFault) -> Result<String, reqwest::Error> {
+    let fixture = fixture().await;
+    fixture.engine.set_fault(fault);
+
+    fixture.post("/stream/x", "1f").send().await?.text().await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_cut_inside_an_event_by_its_connection_is_not_passed_on_as_complete() {
+    // Guards against a stream of a crashed run that its caller gets with a proper end (inc1).
+    let answer = read_stream(UsersFault::CutStream).await;
+
+    assert!(answer.is_err(), "passed on as complete: {answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_without_length_and_events_is_not_passed_on_as_complete() {
+    // Guards against an empty stream of a crashed run that its caller gets with a proper end (inc1).
+    let answer = read_stream(UsersFault::CutHead).await;
+
+    assert!(answer.is_err(), "passed on as complete: {answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_cut_inside_an_event_is_not_passed_on_as_complete_if_its_end_is_stated() {
+    // Guards against a stream that ends inside an event and is trusted because of its last chunk.
+    let answer = read_stream(UsersFault::CutChunks).await;
+
+    assert!(answer.is_err(), "passed on as complete: {answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_stream_that_ends_with_its_connection_is_passed_on_whole() {
+    // Guards against whole streams that are cut only because they have no length.
+    let answer = read_stream(UsersFault::Unframed).await.unwrap();
+
+    assert_eq!(answer.matches("\n\n").count(), STREAM_EVENTS as usize, "{answer}");
+}
