Frame an answer again when its backend server has an older version of HTTP

What callers saw: the answer of a backend server that speaks HTTP/1.0 reached them as HTTP/1.0, without a length or chunks and ended by its connection, so that they could not tell a cut answer from a whole one, whatever the entry knew. Cause: the entry removed the headers that concern one connection, but kept the version, by which the server side of the entry chooses the framing. Evidence: answer_of_an_older_version_is_framed_again_for_its_caller gets HTTP/1.0 before the change and HTTP/1.1, with chunks for a stream and a length for a plain answer, after it. Change: strip() takes the parts of the head and resets the version with the hop-by-hop headers. Why it works: the framing towards the caller depends on the caller's version only.

--- a/src/limpetmux/platform/server.rs
+++ b/src/limpetmux/platform/server.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
-use hyper::{Request, Response, StatusCode};
+use hyper::http::response::Parts;
+use hyper::{Request, Response, StatusCode, Version};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -111,10 +112,13 @@
     }
 }
 
-/// Removes hop-by-hop headers of an answer, except for its content length.
-pub fn strip(headers: &mut HeaderMap) {
+/// Removes what concerns only the connection to the backend server: the hop-by-hop headers, except
+/// for the content length, and the version, as an older one would frame the answer to the caller.
+pub fn strip(parts: &mut Parts) {
+    parts.version = Version::HTTP_11;
+    let headers = &mut parts.headers;
     let hop_by_hop: Vec<_> = headers.keys().filter(|n| names::is_hop_by_hop(n)).cloned().collect();
-    for name in hop_by_hop.iter().filter(|n| **n != hyper::header::CONTENT_LENGTH) {
+    for name in hop_by_hop.iter().filter(|n| **n != CONTENT_LENGTH) {
         headers.remove(name);
     }
 }
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -144,7 +144,7 @@
         }
         received.bytes = body.len();
         self.count_answer(&received, StreamEnd::Complete);
-        server::strip(&mut parts.headers);
+        server::strip(&mut parts);
         let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
         let answer = Response::from_parts(parts, body);
         if head.status.is_server_error() {
@@ -174,7 +174,7 @@
     inputs: Option<Inputs>,
 ) -> Response<Body> {
     let (mut parts, body) = answer.into_parts();
-    server::strip(&mut parts.headers);
+    server::strip(&mut parts);
     let running = Running::new(&attempt.shared);
     let left = attempt.routed.time_left();
     let status = head.status;
--- a/tests/testsuite/platform/truncated.rs
+++ b/tests/testsuite/platform/truncated.rs
@@ -2,6 +2,7 @@
 
 use super::node_fixture::fixture;
 use limpetmux_standins::users::{STREAM_EVENTS, UsersFault};
+use reqwest::Version;
 
 /// Sends a request that is answered by a stream, from an engine with a fault, and reads its answer.
 async fn read_stream(fault: UsersFault) -> Result<String, reqwest::Error> {
@@ -42,3 +43,19 @@
 
     assert_eq!(answer.matches("\n\n").count(), STREAM_EVENTS as usize, "{answer}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_an_older_version_is_framed_again_for_its_caller() {
+    // Guards against an answer whose caller cannot see its end because the backend server has an
+    // older version of HTTP (found while inc1 was traced).
+    let fixture = fixture().await;
+    fixture.engine.set_fault(UsersFault::Unframed);
+    fixture.set_fault(UsersFault::Unframed);
+
+    let stream = fixture.send("/stream/x", "1f").await;
+    let plain = fixture.send("/once/x", "2f").await;
+
+    assert_eq!((stream.version(), plain.version()), (Version::HTTP_11, Version::HTTP_11));
+    assert_eq!(stream.headers()["transfer-encoding"], "chunked");
+    assert!(plain.content_length().is_some());
+}
