Pass a stream on as complete only if it ends after a whole event

Cause: the end of a body was taken for the end of the answer. A stream with neither a length nor chunks ends with its connection, so an orderly close after a crash and the end of a whole stream are the same end of file. The entry then wrote the last chunk of its own framing, which told the caller that the answer was complete. Class: completeness concluded from the transport where only the content shows it. Change: EventScan decides in core whether a stream that ended without an error is complete: after a whole event always, inside an event never, without an event only if the framing stated the end. The body fails otherwise, so that the caller's connection closes without the last chunk, and the attempt counts as failed at its backend server. The length of the backend server's answer is not forwarded for streams: with it, the caller would take the last byte for the end before the entry could object. Why it works: the caller's end is now written by the entry alone, after the check, for all framings.

--- a/src/limpetmux/core/event_stream.rs
+++ b/src/limpetmux/core/event_stream.rs
@@ -62,6 +62,18 @@
         self.events
     }
 
+    /// Returns whether a stream that ended here without an error is complete.
+    ///
+    /// A stream inside an event is not, whatever its framing states. One that has had no event is
+    /// complete only if its framing states its end, as the end of a connection proves nothing.
+    pub fn is_complete(&self, framing: Framing) -> bool {
+        match self.tail() {
+            EventTail::Whole => true,
+            EventTail::Empty => framing != Framing::Connection,
+            EventTail::Partial => false,
+        }
+    }
+
     /// Returns what the bytes after the last whole event are.
     pub fn tail(&self) -> EventTail {
         if self.in_event || self.line != Line::Empty {
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -19,6 +19,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
@@ -175,6 +176,7 @@
 ) -> Response<Body> {
     let (mut parts, body) = answer.into_parts();
     server::strip(&mut parts);
+    parts.headers.remove(CONTENT_LENGTH);
     let running = Running::new(&attempt.shared);
     let left = attempt.routed.time_left();
     let status = head.status;
@@ -227,12 +229,12 @@
             attempt.end(PlaceEnd::Streamed);
             attempt.record_served(status, first_latency, received);
         }
-        StreamEnd::Broken => {
+        StreamEnd::Broken | StreamEnd::Truncated => {
             attempt.fail("the stream ended early");
             event!(
                 EventCode::RequestFailed,
                 request = attempt.routed.head.id,
-                reason = "broken",
+                reason = <&str>::from(end),
                 framing = framing,
                 bytes = received.bytes,
                 events = received.events.events(),
--- a/src/limpetmux/serve/stream.rs
+++ b/src/limpetmux/serve/stream.rs
@@ -21,6 +21,9 @@
     /// The backend server ended the answer early.
     #[error("the backend server ended the answer early")]
     Broken(#[from] hyper::Error),
+    /// The stream ended inside an event, or with its connection before the first one.
+    #[error("the stream ended before its last event")]
+    Truncated,
     /// The request exceeded its deadline.
     #[error("the request exceeded its deadline")]
     Timeout,
@@ -32,8 +35,10 @@
 pub enum StreamEnd {
     /// All of it was forwarded.
     Complete,
-    /// The backend server ended it early.
+    /// The connection to the backend server failed.
     Broken,
+    /// The backend server ended it before its last event.
+    Truncated,
     /// The request exceeded its deadline.
     Timeout,
     /// The caller closed the connection.
@@ -56,9 +61,16 @@
     pub fn new(framing: Framing) -> Self {
         Self { framing, ..Self::default() }
     }
+
+    /// Returns whether a streamed body that ended without an error is complete.
+    pub fn is_complete_stream(&self) -> bool {
+        self.events.is_complete(self.framing)
+    }
 }
 
 /// The body of an answer that is forwarded while a backend server produces it.
+///
+/// It states its own end to the caller, and only if the events are complete.
 pub struct StreamedBody {
     body: Incoming,
     connection: Option<ActiveConnection>,
@@ -139,10 +151,14 @@
                 self.end(StreamEnd::Broken);
                 Poll::Ready(Some(Err(error.into())))
             }
-            Poll::Ready(None) => {
+            Poll::Ready(None) if self.received.is_complete_stream() => {
                 self.end(StreamEnd::Complete);
                 Poll::Ready(None)
             }
+            Poll::Ready(None) => {
+                self.end(StreamEnd::Truncated);
+                Poll::Ready(Some(Err(BodyError::Truncated)))
+            }
             Poll::Pending => match self.deadline.as_mut().poll(cx) {
                 Poll::Ready(()) => {
                     self.end(StreamEnd::Timeout);
@@ -159,14 +175,14 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        // With a length from the backend server, the caller would take its last byte for the end.
+        SizeHint::default()
     }
 }
 
 impl Drop for StreamedBody {
     fn drop(&mut self) {
-        // hyper does not poll an answer with a content length after its last byte.
-        let complete = self.body.is_end_stream();
-        self.end(if complete { StreamEnd::Complete } else { StreamEnd::CallerGone });
+        // An answer that was passed on to its end has ended before.
+        self.end(StreamEnd::CallerGone);
     }
 }
--- a/tests/testsuite/platform/event_stream.rs
+++ b/tests/testsuite/platform/event_stream.rs
@@ -62,3 +62,17 @@
     assert_eq!(framing(200, &[("connection", "close")]), Framing::Connection);
     assert_eq!(framing(204, &[]), Framing::Length);
 }
+
+#[test]
+fn stream_is_complete_after_a_whole_event_or_if_its_framing_states_that_it_is_empty() {
+    // Guards against truncated streams that are taken for complete (inc1).
+    let is_complete = |text: &str| {
+        [Framing::Length, Framing::Chunked, Framing::Connection]
+            .map(|f| scan(&[text]).is_complete(f))
+    };
+
+    assert_eq!(is_complete("data: a\n\n"), [true, true, true]);
+    assert_eq!(is_complete("data: a\n\ndata: b\n"), [false, false, false]);
+    assert_eq!(is_complete("data: a"), [false, false, false]);
+    assert_eq!(is_complete(""), [true, true, false]);
+}
