Reset a cut answer to a caller that finds its end only by the connection

What callers saw: a caller of HTTP/1.0, to which a stream has neither chunks nor a length, got a stream that the entry had recognized as cut, closed in order: to that caller it was complete. Cause: the entry shows a cut answer by closing the connection without the last chunk; where there are no chunks, this close is the end of a whole answer. Change: a connection whose last request had an older version is closed with a reset if serving it failed; a reset that cannot be made is logged as event 208. Why it works: for an answer without a length, an orderly close and a reset are the only two ends that such a caller can tell apart.

--- a/src/limpetmux/serve/front.rs
+++ b/src/limpetmux/serve/front.rs
@@ -12,10 +12,11 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -75,25 +76,36 @@
     let head = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.max_header);
     // hyper's timeout for reading a head also runs while a connection waits for its next request.
     let idle = limits.map_or(DEFAULT_IDLE, |l| l.idle_timeout);
-    let service = service_fn(move |request: Request<Incoming>| {
+    let knows_chunks = AtomicBool::new(true);
+    let service = service_fn(|request: Request<Incoming>| {
+        knows_chunks.store(request.version() > Version::HTTP_10, Ordering::Relaxed);
         let shared = Arc::clone(&shared);
         async move { Ok::<Response<Body>, Infallible>(request::handle(shared, request).await) }
     });
-    let serving = http1::Builder::new()
+    let mut serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(head.max(8_192))
         .serve_connection(TokioIo::new(stream), service);
-    let mut serving = std::pin::pin!(serving);
     let ended = tokio::select! {
-        ended = serving.as_mut() => ended,
+        ended = &mut serving => ended,
         () = stopped(&mut stop) => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
+            Pin::new(&mut serving).graceful_shutdown();
+            (&mut serving).await
         }
     };
-    if let Err(error) = ended {
-        log::debug!(target: "limpetmux", "connection of a caller closed with an error: {error}");
+    let Err(error) = ended else { return };
+    log::debug!(target: "limpetmux", "connection of a caller closed with an error: {error}");
+    if !knows_chunks.load(Ordering::Relaxed) {
+        reset(serving.into_parts().io.inner());
+    }
+}
+
+/// Makes the close of a connection a reset: a caller that finds the end of its answer only by an
+/// orderly close would take a cut answer for a complete one.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        event!(EventCode::ResetFailed, reason = error);
     }
 }
 
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -90,6 +90,9 @@
     /// A request was not admitted because the queue waits of its stages would make it late.
     #[strum(props(level = "warn"))]
     NotAdmitted = 207,
+    /// The connection of a caller could not be reset, so its cut response may look complete.
+    #[strum(props(level = "error"))]
+    ResetFailed = 208,
 
     // 3xx: idempotency keys.
     /// The claims stream of the platform log became reachable or unreachable.
--- a/tests/testsuite/platform/truncated.rs
+++ b/tests/testsuite/platform/truncated.rs
@@ -3,6 +3,8 @@
 use super::node_fixture::fixture;
 use limpetmux_standins::users::{STREAM_EVENTS, UsersFault};
 use reqwest::Version;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Sends a request that is answered by a stream, from an engine with a fault, and reads its answer.
 async fn read_stream(fault: UsersFault) -> Result<String, reqwest::Error> {
@@ -59,3 +61,28 @@
     assert_eq!(stream.headers()["transfer-encoding"], "chunked");
     assert!(plain.content_length().is_some());
 }
+
+/// Reads the answer to a caller that speaks HTTP/1.0 and so knows its end only by the connection.
+async fn read_stream_of_old_caller(fault: UsersFault) -> std::io::Result<String> {
+    let fixture = fixture().await;
+    fixture.engine.set_fault(fault);
+    let mut caller = TcpStream::connect(fixture.entry.caller_addr.unwrap()).await?;
+    let head = "POST /stream/x HTTP/1.0\r\nhost: a.example\r\nx-limpetmux-request-id: 1f\r\n\
+        x-limpetmux-deadline-ms: 2000\r\nauthorization: Bearer k1\r\ncontent-length: 4\r\n\r\nbody";
+    caller.write_all(head.as_bytes()).await?;
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_stream_is_reset_for_a_caller_that_knows_its_end_only_by_the_connection() {
+    // Guards against a cut stream that a caller without chunks takes for complete (found while inc1
+    // was traced).
+    let whole = read_stream_of_old_caller(UsersFault::None).await.unwrap();
+    let cut = read_stream_of_old_caller(UsersFault::CutStream).await;
+
+    assert!(whole.ends_with("id: 5\ndata: from e1 for 1f\n\n"), "{whole}");
+    let error = cut.expect_err("the connection was closed in order");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
