Take a log read that lacks its records for an error

What callers could have seen: requests with a revoked key, or to an evacuated zone or a leaving backend server, served on by an entry that believes its view to be fresh. Cause: the answer to a read names the end of the log before its records. If it ended with its connection right after that, or lost its records in another way, the read was taken for the news that there are no records up to that end; the next read began there, and the view counted as confirmed. Evidence: records_that_an_answer_lacks_are_not_skipped gets (no records, end 9) for a read from 4 before, and an error after the change. Change: a read without records is complete only if the log ends where it began; empty records count as records, so the next read begins behind them and not at the end of the log. Why it works: records have consecutive offsets, so an answer that names a later end than its start and has no record is never whole.

--- a/crates/limpetmux-standins/src/lib.rs
+++ b/crates/limpetmux-standins/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod plain;
 pub mod pool;
 pub mod power;
+pub mod raw;
 pub mod server;
 pub mod users;
 pub mod weights;
--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -53,8 +53,8 @@
     /// The requested records were deleted.
     #[error("the requested records were deleted")]
     Trimmed,
-    /// The answer is truncated.
-    #[error("the answer ends within a record")]
+    /// The answer lacks records that it states to exist.
+    #[error("the answer ends before its last record")]
     Truncated,
 }
 
@@ -186,7 +186,8 @@
     }
     let end = body.get_u64();
     let first = body.get_u64();
-    let mut offset = from.max(first);
+    let start = from.max(first);
+    let mut offset = start;
     let mut records = Vec::new();
     while body.has_remaining() {
         let len = split(&mut body, 4).map(|mut b| b.get_u32() as usize)?;
@@ -201,8 +202,14 @@
         records.push(Record { offset, key, value: data });
         offset += 1;
     }
-    // An answer may not reach the end of the log; the next read continues after its last record.
-    Ok(Page { end: if records.is_empty() { end } else { offset }, records })
+    // An answer may not reach the end of the log, but has a record if there is one.
+    if offset > start {
+        return Ok(Page { end: offset, records });
+    }
+    if end > start {
+        return Err(StoreError::Truncated);
+    }
+    Ok(Page { end, records })
 }
 
 fn split(body: &mut Bytes, len: usize) -> Result<Bytes, StoreError> {
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -16,6 +16,7 @@
 mod queue_waits;
 mod retry_share;
 mod soak;
+mod store_answers;
 mod truncated;
 mod whole_path;
 
--- /dev/null
+++ b/tests/testsuite/platform/store_answers.rs
@@ -0,0 +1,35 @@
+//! Answers of the store that end early are errors, not shorter answers.
+
+use limpetmux::platform::store::{Page, Store, StoreError};
+use limpetmux_standins::raw::{serve_bytes, unframed};
+use std::time::Duration;
+
+/// Returns a log answer: the end of the log, its first offset, and some records of one key.
+fn log_page(end: u64, records: u64) -> Vec<u8> {
+    let mut body = end.to_be_bytes().to_vec();
+    body.extend(0_u64.to_be_bytes());
+    for _ in 0..records {
+        body.extend([0, 0, 0, 3, 1, b'k', b'v']);
+    }
+    body
+}
+
+async fn read(body: &[u8], from: u64) -> Result<Page, StoreError> {
+    let store = Store::new(serve_bytes(unframed(body)).await.unwrap()).unwrap();
+    store.read("keyed.op", from, Duration::ZERO).await
+}
+
+#[tokio::test]
+async fn records_that_an_answer_lacks_are_not_skipped() {
+    // Guards against a read that ends with its connection before its records and is taken for the
+    // news that there are none, which skips a revoked key (found while inc1 was traced).
+    let cut = read(&log_page(9, 0), 4).await;
+    let behind_empty_records = read(&[log_page(9, 0), vec![0; 8]].concat(), 4).await.unwrap();
+    let part = read(&log_page(9, 2), 4).await.unwrap();
+    let none = read(&log_page(9, 0), 9).await.unwrap();
+
+    assert!(matches!(cut, Err(StoreError::Truncated)), "{cut:?}");
+    assert_eq!((behind_empty_records.records.len(), behind_empty_records.end), (0, 6));
+    assert_eq!((part.records.len(), part.end), (2, 6));
+    assert_eq!((none.records.len(), none.end), (0, 9));
+}
