Take a list of newest records without its last pages for an error

What callers could have seen: refusals, as backend servers or routes that stand on the missing pages are taken for removed. Cause: a page that has no record but says that more follow, and a list longer than the most pages that are read, ended the list as if it were whole. Evidence: list_of_newest_records_without_its_last_pages_is_an_error got both lists as complete before. Change: a list is returned only after a page that says that none follows; otherwise it is an error, and the view that is in force stays.

--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -108,21 +108,24 @@
     /// Returns [`StoreError`] if one of the pages cannot be read.
     pub async fn newest(&self, topic: &str) -> Result<Page, StoreError> {
         let mut after: Option<String> = None;
-        let mut end = None;
+        let mut first_end = None;
         let mut records = Vec::new();
         for _ in 0..MAX_PAGES {
             let mut query = vec![("topic", topic.to_owned()), ("part", "0".to_owned())];
             query.extend(after.take().map(|key| ("after", key)));
             let call = self.get("log-newest", &query).timeout(ANSWER_TIMEOUT);
             let page: Newest = send(call).await?.json().await?;
-            end.get_or_insert(page.end);
+            let end = *first_end.get_or_insert(page.end);
             after = page.items.last().map(|i| i.key.clone());
             records.extend(page.items.into_iter().map(record));
-            if !page.has_more || after.is_none() {
+            if !page.has_more {
+                return Ok(Page { end, records });
+            }
+            if after.is_none() {
                 break;
             }
         }
-        Ok(Page { end: end.unwrap_or_default(), records })
+        Err(StoreError::Truncated)
     }
 
     /// Reads records of a keyed topic from an offset on; the store holds the call for up to `wait`
--- a/tests/testsuite/platform/store_answers.rs
+++ b/tests/testsuite/platform/store_answers.rs
@@ -19,6 +19,11 @@
     store.read("keyed.op", from, Duration::ZERO).await
 }
 
+async fn newest(body: &str) -> Result<Page, StoreError> {
+    let store = Store::new(serve_bytes(unframed(body.as_bytes())).await.unwrap()).unwrap();
+    store.newest("keyed.op").await
+}
+
 #[tokio::test]
 async fn records_that_an_answer_lacks_are_not_skipped() {
     // Guards against a read that ends with its connection before its records and is taken for the
@@ -33,3 +38,17 @@
     assert_eq!((part.records.len(), part.end), (2, 6));
     assert_eq!((none.records.len(), none.end), (0, 9));
 }
+
+#[tokio::test]
+async fn list_of_newest_records_without_its_last_pages_is_an_error() {
+    // Guards against a list that ends early and is taken for all records, which drops the others
+    // (found while inc1 was traced).
+    let item = r#"{"key":"k","value":"dg==","offset":3}"#;
+    let empty_page = newest(r#"{"items":[],"has-more":true,"end":9}"#).await;
+    let endless = newest(&format!(r#"{{"items":[{item}],"has-more":true,"end":9}}"#)).await;
+    let whole = newest(&format!(r#"{{"items":[{item}],"has-more":false,"end":9}}"#)).await.unwrap();
+
+    assert!(matches!(empty_page, Err(StoreError::Truncated)), "{empty_page:?}");
+    assert!(matches!(endless, Err(StoreError::Truncated)), "{endless:?}");
+    assert_eq!((whole.records.len(), whole.end), (1, 9));
+}
