Take a JSON answer that is cut for an error, also without a length

What callers could have seen, on the product's own interface: half a JSON value as the data of a streamed answer, followed by done with a count and a checksum that match the half; or a later stage that fails on it. A whole answer was refused by the entry, but a number that had lost digits passed everywhere. Cause: the sidecar took the end of the body for the end of the value; a body with neither a length nor chunks ends with its connection. Evidence: json_answer_cut_by_its_connection_is_not_passed_on_as_complete got six cut values as complete before the change. completion_cut_inside_its_last_event_is_not_passed_on_as_complete passed before: the reader of completions already asks for the finish reason and [DONE]. Change: the client of backend servers checks that a body is one JSON value, as PROTOCOLS.md says; a number must come with a length or chunks, as each prefix of it is a number.

--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -107,7 +107,10 @@
         }
     }
     let response = send(request.json(&InputBody { input })).await?;
+    let ends_with_connection = response.content_length().is_none()
+        && !response.headers().contains_key(reqwest::header::TRANSFER_ENCODING);
     let payload = read_body(response).await?;
+    check_json(&payload, ends_with_connection)?;
     Ok(stream::once(async move { Ok(Chunk { payload, tokens: 0 }) }).boxed())
 }
 
@@ -127,6 +130,23 @@
     Ok(body.into())
 }
 
+/// Checks that a body is one whole JSON value.
+///
+/// A body that ends with its connection may be cut anywhere, and a number that is cut is another
+/// number.
+fn check_json(body: &[u8], ends_with_connection: bool) -> Result<(), BackendError> {
+    match serde_json::from_slice::<&RawValue>(body) {
+        Ok(value) if ends_with_connection && is_number(value) => Err(BackendError::Truncated),
+        Ok(_) => Ok(()),
+        Err(error) if error.is_eof() => Err(BackendError::Truncated),
+        Err(error) => Err(BackendError::Malformed(error)),
+    }
+}
+
+fn is_number(value: &RawValue) -> bool {
+    value.get().starts_with(|c: char| c == '-' || c.is_ascii_digit())
+}
+
 async fn generate(client: &Client, base: &str, job: &Job) -> Result<ChunkStream, BackendError> {
     let text = std::str::from_utf8(&job.input).unwrap_or_default();
     let prompt: String = serde_json::from_str(text).unwrap_or_else(|_| text.to_owned());
--- /dev/null
+++ b/tests/testsuite/backend_answers.rs
@@ -0,0 +1,76 @@
+//! Answers of backend servers, on the product's own interface, that end early.
+
+use bytes::Bytes;
+use futures::TryStreamExt;
+use limpetmux::adapters::backend::{Backend, BackendError, Job};
+use limpetmux::core::config::StageKind;
+use limpetmux::core::frames::{AttemptKey, RequestId};
+use limpetmux::core::keys::StageIndex;
+use limpetmux_standins::raw::{serve_bytes, unframed};
+use uuid::Uuid;
+
+/// Runs a call at a backend server that answers with `answer`; returns the payloads joined.
+async fn run(kind: StageKind, answer: Vec<u8>) -> Result<Bytes, BackendError> {
+    let url = format!("http://{}", serve_bytes(answer).await.unwrap());
+    let backend = Backend::http(reqwest::Client::new(), &url);
+    let job = Job {
+        key: AttemptKey { request: RequestId(Uuid::nil()), stage: StageIndex(0), attempt: 0 },
+        kind,
+        model: None,
+        input: Bytes::from_static(b"1"),
+        prefix: Vec::new(),
+        max_tokens: 8,
+        priority: 0,
+        fence: None,
+    };
+    let chunks: Vec<_> = (backend.run)(job).await?.try_collect().await?;
+    Ok(chunks.into_iter().flat_map(|c| c.payload).collect())
+}
+
+fn framed(body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into()
+}
+
+#[tokio::test]
+async fn json_answer_cut_by_its_connection_is_not_passed_on_as_complete() {
+    // Guards against half a JSON value that the next stage, or a caller of a streamed answer with a
+    // `done` event, gets as complete (found while inc1 was traced).
+    for cut in [&b"{\"documents\":[{\"id\":\"a\""[..], b"", b"[1,2", b"\"text", b"tru", b"12"] {
+        let answer = run(StageKind::Plain, unframed(cut)).await;
+
+        assert!(matches!(answer, Err(BackendError::Truncated)), "{cut:?}: {answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn whole_json_answers_are_passed_on_however_they_are_framed() {
+    // Guards against whole answers that are refused only because they have no length.
+    for whole in ["{\"documents\":[]}", "[1,2]", "\"te\\\"xt\"", "true", " {} \n"] {
+        assert_eq!(run(StageKind::Retrieve, unframed(whole.as_bytes())).await.unwrap(), whole);
+        assert_eq!(run(StageKind::Plain, framed(whole)).await.unwrap(), whole);
+    }
+    assert_eq!(run(StageKind::Plain, framed("12")).await.unwrap(), "12");
+}
+
+#[tokio::test]
+async fn answer_that_is_no_json_value_is_malformed() {
+    for bad in ["<html></html>", "{} {}", "{\"a\":}"] {
+        let answer = run(StageKind::Plain, framed(bad)).await;
+
+        assert!(matches!(answer, Err(BackendError::Malformed(_))), "{bad}: {answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn completion_cut_inside_its_last_event_is_not_passed_on_as_complete() {
+    // Guards against a generation whose last event ends with its connection (as in inc1).
+    let token = "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\n";
+
+    let whole = run(StageKind::Generate, unframed(format!("{token}data: [DONE]\n\n").as_bytes()));
+    let cut = run(StageKind::Generate, unframed(format!("{token}data: [DONE]").as_bytes())).await;
+    let cut_before = run(StageKind::Generate, unframed(token.as_bytes())).await;
+
+    assert_eq!(whole.await.unwrap(), "a");
+    assert!(matches!(cut, Err(BackendError::Truncated)), "{cut:?}");
+    assert!(matches!(cut_before, Err(BackendError::Truncated)), "{cut_before:?}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod admin;
 mod admission;
+mod backend_answers;
 mod budget;
 mod catalogue;
 mod config_fold;
