Let the soak's backend servers end their answers in every way

Change: a second series of faults, drawn after the first so that the faults of known seeds stay, makes backend servers answer without length and chunks, or cut their streams with the connection, behind a stated end, or before the first event. A run records whether its backend server cut the stream; only such a stream may be cut for its caller at an undisturbed entry. Test: stream_that_its_backend_server_cut_is_found_if_its_caller_got_it_as_complete.

--- a/crates/limpetmux-soak/src/checks.rs
+++ b/crates/limpetmux-soak/src/checks.rs
@@ -2,7 +2,7 @@
 
 use crate::callers::{BODY, DEADLINE, Kind, Outcome, SentRequest};
 use crate::fleet::REVOKE_BOUND;
-use crate::world::{Backend, OperatorActions, WORKSPACE, World, lock, service_of};
+use crate::world::{Backend, ENGINE_SERVICE, OperatorActions, WORKSPACE, World, lock, service_of};
 use limpetmux_standins::users::{ReceivedRequest, STREAM_EVENTS};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -81,6 +81,8 @@
     pub keyed: bool,
     /// The body of the request.
     pub body: Vec<u8>,
+    /// Whether the backend server cut its stream.
+    pub cut: bool,
 }
 
 /// What callers, backend servers and the operator observed during one run of the soak.
@@ -134,6 +136,7 @@
         workspace: request.headers.get("x-limpetmux-tenant-id").cloned(),
         keyed: request.headers.contains_key("authorization"),
         body: request.body,
+        cut: backend.service == ENGINE_SERVICE && request.fault.cuts_streams(),
     }
 }
 
@@ -151,8 +154,8 @@
         }
     }
     for sent in &facts.sent {
-        let count = facts.runs.get(&sent.id).map_or(0, Vec::len);
-        violations.extend(check_answer(facts, sent, count));
+        let runs = facts.runs.get(&sent.id).map_or(&[][..], Vec::as_slice);
+        violations.extend(check_answer(facts, sent, runs));
     }
     violations.extend(check_recovery(&facts.sent, facts.recovered));
     violations
@@ -198,9 +201,13 @@
     (!correct).then(|| Violation::OldVersion(sent.id.clone(), run.service, expected, age))
 }
 
-/// Checks the answer to a request that ran `runs` times.
-fn check_answer(facts: &Facts, sent: &SentRequest, runs: usize) -> Option<Violation> {
+/// Checks the answer to a request, given its runs.
+///
+/// A stream that its backend server cut has to be cut for its caller as well.
+fn check_answer(facts: &Facts, sent: &SentRequest, runs: &[Run]) -> Option<Violation> {
     let id = || sent.id.clone();
+    let was_cut = runs.iter().any(|run| run.cut);
+    let runs = runs.len();
     let at_most_once = matches!(sent.kind, Kind::Once | Kind::Stream);
     if at_most_once && runs > 1 {
         return Some(Violation::MultipleRuns(id(), runs));
@@ -219,7 +226,7 @@
         Outcome::Cut => {
             let undisturbed = facts.is_undisturbed(sent.entry, (sent.at, sent.until));
             let waited = sent.until.duration_since(sent.at);
-            let lost = runs > 0 && undisturbed && waited < DEADLINE / 2;
+            let lost = runs > 0 && !was_cut && undisturbed && waited < DEADLINE / 2;
             lost.then(|| Violation::CutRequest(id(), sent.entry))
         }
         Outcome::Answered { .. } | Outcome::TimedOut => None,
--- a/crates/limpetmux-soak/src/faults.rs
+++ b/crates/limpetmux-soak/src/faults.rs
@@ -24,6 +24,8 @@
     ServerLink(usize, Link, u64),
     /// A backend server has a fault of some kind for some milliseconds.
     ServerFault(usize, usize, u64),
+    /// A backend server ends its answers in some way for some milliseconds.
+    AnswerEnd(usize, usize, u64),
     /// A backend server drains, and is listed again under a new id.
     Drain(usize),
     /// The operator writes a new configuration version, which moves a route.
@@ -45,6 +47,8 @@
     pub zones: usize,
     /// Kinds of faults of backend servers.
     pub kinds: usize,
+    /// Ways in which backend servers end their answers.
+    pub ends: usize,
 }
 
 /// Draws the faults of a run, each with the time at which it starts.
@@ -61,11 +65,24 @@
         }
         at += Duration::from_millis(rng.random_range(150..1_800));
     }
+    faults.extend(draw_answer_ends(rng, sizes, length));
     faults.sort_by_key(|(at, _)| *at);
     faults.retain(|(at, _)| *at < length);
     faults
 }
 
+/// Draws a series of its own, so that answers end in unusual ways throughout a run.
+fn draw_answer_ends(rng: &mut Pcg64, sizes: Sizes, length: Duration) -> Vec<(Duration, Fault)> {
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < length {
+        let (server, end) = (rng.random_range(0..sizes.servers), rng.random_range(0..sizes.ends));
+        faults.push((at, Fault::AnswerEnd(server, end, rng.random_range(300..3_000))));
+        at += Duration::from_millis(rng.random_range(100..1_000));
+    }
+    faults
+}
+
 fn draw_one(rng: &mut Pcg64, sizes: Sizes) -> Fault {
     let node = rng.random_range(0..sizes.nodes);
     let server = rng.random_range(0..sizes.servers);
--- a/crates/limpetmux-soak/src/lib.rs
+++ b/crates/limpetmux-soak/src/lib.rs
@@ -15,6 +15,7 @@
 
 use checks::{Facts, Violation};
 use faults::{Fault, Sizes};
+use limpetmux_standins::users::{UsersFault, UsersServer};
 use proxy::{Link, Proxy};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -23,7 +24,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
-use world::{SERVER_FAULTS, World, ZONES, lock};
+use world::{ANSWER_ENDS, SERVER_FAULTS, World, ZONES, lock};
 
 /// The time from the start of the processes to the first fault.
 const START_TIME: Duration = Duration::from_secs(3);
@@ -75,6 +76,7 @@
         servers: world.backends.len(),
         zones: ZONES.len(),
         kinds: SERVER_FAULTS.len(),
+        ends: ANSWER_ENDS.len(),
     };
     let faults = faults::draw(&mut Pcg64::seed_from_u64(options.seed), sizes, options.length);
     write_plan(&options.dir, &faults)?;
@@ -137,10 +139,11 @@
             Ok(())
         }
         Fault::ServerFault(server, kind, time) => {
-            let server = &w.backends[server].server;
-            server.set_fault(SERVER_FAULTS[kind]);
-            sleep(ms(time)).await;
-            server.set_fault(limpetmux_standins::users::UsersFault::None);
+            disturb_server(&w.backends[server].server, SERVER_FAULTS[kind], ms(time)).await;
+            Ok(())
+        }
+        Fault::AnswerEnd(server, end, time) => {
+            disturb_server(&w.backends[server].server, ANSWER_ENDS[end], ms(time)).await;
             Ok(())
         }
         Fault::Drain(server) => {
@@ -190,6 +193,12 @@
     lock(&world.nodes[node]).set_paused(false);
 }
 
+async fn disturb_server(server: &UsersServer, fault: UsersFault, time: Duration) {
+    server.set_fault(fault);
+    sleep(time).await;
+    server.set_fault(UsersFault::None);
+}
+
 async fn disturb_link(proxy: &Proxy, link: Link, time: Duration) {
     proxy.set(link);
     sleep(time).await;
--- a/crates/limpetmux-soak/src/world.rs
+++ b/crates/limpetmux-soak/src/world.rs
@@ -22,12 +22,17 @@
 pub const PERMANENT_KEY: &str = "lasting";
 /// The processing time of a request or an event at a backend server.
 const WORK_TIME: Duration = Duration::from_millis(15);
+/// The service that answers with streams.
+pub const ENGINE_SERVICE: &str = "engine";
 /// The services, each with its number of backend servers.
 const SERVICES: [(&str, usize); 6] =
-    [("plain", 4), ("green", 2), ("blue", 2), ("engine", 4), ("first", 2), ("second", 2)];
+    [("plain", 4), ("green", 2), ("blue", 2), (ENGINE_SERVICE, 4), ("first", 2), ("second", 2)];
 /// The faults that a run injects into backend servers.
 pub const SERVER_FAULTS: [UsersFault; 4] =
     [UsersFault::Refused, UsersFault::Error, UsersFault::WrongId, UsersFault::Unsigned];
+/// The ways in which a run lets backend servers end their answers, besides those faults.
+pub const ANSWER_ENDS: [UsersFault; 4] =
+    [UsersFault::Unframed, UsersFault::CutStream, UsersFault::CutChunks, UsersFault::CutHead];
 
 /// A backend server and the proxy through which the deployment reaches it.
 pub struct Backend {
--- a/crates/limpetmux-soak/tests/checks.rs
+++ b/crates/limpetmux-soak/tests/checks.rs
@@ -29,6 +29,7 @@
         workspace: Some(WORKSPACE.into()),
         keyed: false,
         body: BODY.to_vec(),
+        cut: false,
     }
 }
 
@@ -163,6 +164,20 @@
     assert_eq!(check(&facts), []);
 }
 
+#[test]
+fn stream_that_its_backend_server_cut_is_found_if_its_caller_got_it_as_complete() {
+    // Guards against a soak that misses truncated streams with a proper end (inc1).
+    let (mut facts, _) = facts(Kind::Stream);
+    first_run(&mut facts).cut = true;
+    request(&mut facts).outcome = Outcome::Cut;
+    let passed_on_as_cut = check(&facts);
+    let truncated = "id: 1\ndata: from s for r\n\nid: 2\nda";
+    request(&mut facts).outcome = answered(200, truncated);
+
+    assert_eq!(passed_on_as_cut, []);
+    assert_eq!(check(&facts), [Violation::WrongAnswer("r".into(), truncated.into())]);
+}
+
 #[test]
 fn kind_that_is_not_served_after_the_faults_is_found() {
     let (mut facts, _) = facts(Kind::Safe);
--- a/crates/limpetmux-standins/src/users/mod.rs
+++ b/crates/limpetmux-standins/src/users/mod.rs
@@ -194,6 +194,8 @@
     pub body: Vec<u8>,
     /// When it started to run.
     pub at: Instant,
+    /// The fault of the backend server at that time.
+    pub fault: UsersFault,
 }
 
 /// How a backend server handles the next requests other than stage calls.
@@ -229,6 +231,11 @@
         }
     }
 
+    /// Returns whether it cuts streams.
+    pub fn cuts_streams(self) -> bool {
+        self.stream_bytes() < usize::MAX
+    }
+
     /// Returns how many bytes of a stream are sent.
     fn stream_bytes(self) -> usize {
         match self {
@@ -321,7 +328,8 @@
     let path = request.uri().path().to_owned();
     let headers = header_texts(request.headers());
     let id = headers.get("x-limpetmux-request-id").cloned().unwrap_or_default();
-    let received = ReceivedRequest { path, headers, body, at: Instant::now() };
+    let (at, fault) = (Instant::now(), UsersFault::None);
+    let received = ReceivedRequest { path, headers, body, at, fault };
     let streams = received.path.starts_with(STREAMS);
     let (fault, server, work) = match run(&mut lock_server(&state), received) {
         Ok(run) => run,
@@ -365,7 +373,7 @@
     if state.fault == UsersFault::Refused {
         return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
-    state.requests.push(request);
+    state.requests.push(ReceivedRequest { fault: state.fault, ..request });
     Ok((state.fault, state.id.clone(), state.work))
 }
 
