--- a/crates/limpetmux-standins/src/users/stages.rs
+++ b/crates/limpetmux-standins/src/users/stages.rs
@@ -1,6 +1,6 @@
 //! The stage endpoints of the users' backend server: running pieces and freeing their results.
 
-use super::ServerState;
+use super::server::ServerState;
 use poem::http::StatusCode;
 use poem::web::Data;
 use poem::{IntoResponse, Response, handler};
--- /dev/null
+++ b/crates/limpetmux-standins/src/users/store.rs
@@ -0,0 +1,172 @@
+//! The platform's store: keyed topics, which the operator and backend servers write.
+
+use super::serve;
+use poem::http::StatusCode;
+use poem::web::{Data, Query};
+use poem::{EndpointExt, IntoResponse, Response, Route, get, handler, post};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use serde_with::{base64::Base64, serde_as};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// The interval at which a waiting read checks for new records.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+#[derive(Default)]
+struct Topic {
+    records: Vec<(String, Vec<u8>)>,
+}
+
+#[derive(Default)]
+struct Topics {
+    topics: BTreeMap<String, Topic>,
+    calls: u64,
+    down: bool,
+}
+
+/// The platform's store.
+#[derive(Clone)]
+pub struct UsersStore {
+    /// The address it listens on.
+    pub addr: SocketAddr,
+    topics: Arc<Mutex<Topics>>,
+}
+
+#[derive(Deserialize)]
+struct TopicQuery {
+    topic: String,
+    #[serde(default)]
+    from: usize,
+    #[serde(default, rename = "wait-ms")]
+    wait_ms: u64,
+}
+
+#[serde_as]
+#[derive(Serialize)]
+struct Item<'a> {
+    key: &'a str,
+    #[serde_as(as = "Base64")]
+    value: &'a [u8],
+    offset: usize,
+}
+
+impl UsersStore {
+    /// Starts a store on a port that the system chooses.
+    ///
+    /// # Errors
+    /// Returns an error if no port can be bound.
+    pub async fn start() -> std::io::Result<Self> {
+        let topics: Arc<Mutex<Topics>> = Arc::default();
+        let routes = Route::new()
+            .at("/log-newest", get(newest))
+            .at("/log-read", get(read))
+            .at("/log-append", post(append))
+            .data(Arc::clone(&topics));
+        Ok(Self { addr: serve(routes).await?, topics })
+    }
+
+    /// Writes the newest record of a key, as the operator or a backend server does.
+    pub fn put(&self, topic: &str, key: &str, value: &str) {
+        let mut topics = lock(&self.topics);
+        let topic = topics.topics.entry(topic.to_owned()).or_default();
+        topic.records.push((key.to_owned(), value.as_bytes().to_vec()));
+    }
+
+    /// Makes the store refuse all calls, or serve them again.
+    pub fn set_down(&self, down: bool) {
+        lock(&self.topics).down = down;
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        lock(&self.topics).calls
+    }
+}
+
+fn lock(topics: &Mutex<Topics>) -> MutexGuard<'_, Topics> {
+    topics.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts a call; returns the 503 status if the store is down.
+fn count_call(topics: &Mutex<Topics>) -> Result<(), StatusCode> {
+    let mut topics = lock(topics);
+    topics.calls += 1;
+    if topics.down { Err(StatusCode::SERVICE_UNAVAILABLE) } else { Ok(()) }
+}
+
+#[handler]
+fn newest(Query(query): Query<TopicQuery>, topics: Data<&Arc<Mutex<Topics>>>) -> Response {
+    if let Err(status) = count_call(&topics) {
+        return status.into_response();
+    }
+    let topics = lock(&topics);
+    let records = topics.topics.get(&query.topic).map_or(&[][..], |t| &t.records);
+    let mut items: BTreeMap<&str, Item<'_>> = BTreeMap::new();
+    for (offset, (key, value)) in records.iter().enumerate() {
+        items.insert(key, Item { key, value, offset });
+        if value.is_empty() {
+            items.remove(key.as_str());
+        }
+    }
+    let items: Vec<Item<'_>> = items.into_values().collect();
+    let body = json!({"items": items, "has-more": false, "end": records.len()});
+    body.to_string().into_response()
+}
+
+#[handler]
+async fn read(Query(query): Query<TopicQuery>, topics: Data<&Arc<Mutex<Topics>>>) -> Response {
+    if let Err(status) = count_call(&topics) {
+        return status.into_response();
+    }
+    let deadline = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        if let Some(body) = page(&lock(&topics), &query, Instant::now() >= deadline) {
+            return body.into_response();
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Encodes the records from an offset on; returns `None` to wait for records until `timed_out`.
+fn page(topics: &Topics, query: &TopicQuery, timed_out: bool) -> Option<Vec<u8>> {
+    let records = topics.topics.get(&query.topic).map_or(&[][..], |t| &t.records);
+    if records.len() <= query.from && !timed_out {
+        return None;
+    }
+    let mut body = (records.len() as u64).to_be_bytes().to_vec();
+    body.extend(0_u64.to_be_bytes());
+    for (key, value) in records.iter().skip(query.from) {
+        let mut record = vec![u8::try_from(key.len()).unwrap_or(u8::MAX)];
+        record.extend(key.as_bytes());
+        record.extend(value);
+        body.extend(u32::try_from(record.len()).unwrap_or(u32::MAX).to_be_bytes());
+        body.extend(record);
+    }
+    Some(body)
+}
+
+#[handler]
+fn append(
+    Query(query): Query<TopicQuery>,
+    body: Vec<u8>,
+    topics: Data<&Arc<Mutex<Topics>>>,
+) -> Response {
+    if let Err(status) = count_call(&topics) {
+        return status.into_response();
+    }
+    let mut topics = lock(&topics);
+    let topic = topics.topics.entry(query.topic).or_default();
+    let offset = topic.records.len();
+    let mut rest = &body[..];
+    while let Some((len, data)) = rest.split_first_chunk::<4>() {
+        let (record, next) = data.split_at(u32::from_be_bytes(*len) as usize);
+        let (key, value) = record[1..].split_at(usize::from(record[0]));
+        topic.records.push((String::from_utf8_lossy(key).into_owned(), value.to_vec()));
+        rest = next;
+    }
+    json!({"offset": offset, "end": topic.records.len()}).to_string().into_response()
+}
