Draw the faults of the soak's backend servers as such, not as indices

Change: one kind carries the fault of the backend server; the lists are where the faults are drawn. The same seed draws the same faults as before, as each index was drawn with the same range.

--- a/crates/limpetmux-soak/src/faults.rs
+++ b/crates/limpetmux-soak/src/faults.rs
@@ -1,10 +1,18 @@
 //! The faults of a run, drawn from its seed as series that may overlap.
 
 use crate::proxy::Link;
+use limpetmux_standins::users::UsersFault;
 use rand::Rng;
 use rand_pcg::Pcg64;
 use std::time::Duration;
 
+/// The faults that a run injects into backend servers.
+const SERVER_FAULTS: [UsersFault; 4] =
+    [UsersFault::Refused, UsersFault::Error, UsersFault::WrongId, UsersFault::Unsigned];
+/// The ways in which a run lets backend servers end their answers, besides those faults.
+const ANSWER_ENDS: [UsersFault; 4] =
+    [UsersFault::Unframed, UsersFault::CutStream, UsersFault::CutChunks, UsersFault::CutHead];
+
 /// An external fault or operator action.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -22,10 +30,8 @@
     StoreDown(u64),
     /// The link to a backend server is disturbed for some milliseconds.
     ServerLink(usize, Link, u64),
-    /// A backend server has a fault of some kind for some milliseconds.
-    ServerFault(usize, usize, u64),
-    /// A backend server ends its answers in some way for some milliseconds.
-    AnswerEnd(usize, usize, u64),
+    /// A backend server has a fault for some milliseconds.
+    ServerFault(usize, UsersFault, u64),
     /// A backend server drains, and is listed again under a new id.
     Drain(usize),
     /// The operator writes a new configuration version, which moves a route.
@@ -45,10 +51,6 @@
     pub servers: usize,
     /// Zones.
     pub zones: usize,
-    /// Kinds of faults of backend servers.
-    pub kinds: usize,
-    /// Ways in which backend servers end their answers.
-    pub ends: usize,
 }
 
 /// Draws the faults of a run, each with the time at which it starts.
@@ -76,13 +78,17 @@
     let mut faults = Vec::new();
     let mut at = Duration::ZERO;
     while at < length {
-        let (server, end) = (rng.random_range(0..sizes.servers), rng.random_range(0..sizes.ends));
-        faults.push((at, Fault::AnswerEnd(server, end, rng.random_range(300..3_000))));
+        let (server, end) = (rng.random_range(0..sizes.servers), pick(rng, &ANSWER_ENDS));
+        faults.push((at, Fault::ServerFault(server, end, rng.random_range(300..3_000))));
         at += Duration::from_millis(rng.random_range(100..1_000));
     }
     faults
 }
 
+fn pick(rng: &mut Pcg64, faults: &[UsersFault]) -> UsersFault {
+    faults[rng.random_range(0..faults.len())]
+}
+
 fn draw_one(rng: &mut Pcg64, sizes: Sizes) -> Fault {
     let node = rng.random_range(0..sizes.nodes);
     let server = rng.random_range(0..sizes.servers);
@@ -95,7 +101,7 @@
         7 | 8 => Fault::StoreLink(node, draw_link(rng), time * 2),
         9 => Fault::StoreDown(time),
         10 => Fault::ServerLink(server, draw_link(rng), time),
-        11 => Fault::ServerFault(server, rng.random_range(0..sizes.kinds), time),
+        11 => Fault::ServerFault(server, pick(rng, &SERVER_FAULTS), time),
         12 => Fault::Drain(server),
         13 => Fault::Declare,
         14 => Fault::Revoke,
--- a/crates/limpetmux-soak/src/lib.rs
+++ b/crates/limpetmux-soak/src/lib.rs
@@ -24,7 +24,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
-use world::{ANSWER_ENDS, SERVER_FAULTS, World, ZONES, lock};
+use world::{World, ZONES, lock};
 
 /// The time from the start of the processes to the first fault.
 const START_TIME: Duration = Duration::from_secs(3);
@@ -71,13 +71,8 @@
     sleep(START_TIME).await;
     let (stop, stopped) = watch::channel(false);
     let log = callers::start(&world, options.seed, &stopped);
-    let sizes = Sizes {
-        nodes: world.nodes.len(),
-        servers: world.backends.len(),
-        zones: ZONES.len(),
-        kinds: SERVER_FAULTS.len(),
-        ends: ANSWER_ENDS.len(),
-    };
+    let sizes =
+        Sizes { nodes: world.nodes.len(), servers: world.backends.len(), zones: ZONES.len() };
     let faults = faults::draw(&mut Pcg64::seed_from_u64(options.seed), sizes, options.length);
     write_plan(&options.dir, &faults)?;
     let began = Instant::now();
@@ -138,12 +133,8 @@
             disturb_link(&w.backends[server].proxy, link, ms(time)).await;
             Ok(())
         }
-        Fault::ServerFault(server, kind, time) => {
-            disturb_server(&w.backends[server].server, SERVER_FAULTS[kind], ms(time)).await;
-            Ok(())
-        }
-        Fault::AnswerEnd(server, end, time) => {
-            disturb_server(&w.backends[server].server, ANSWER_ENDS[end], ms(time)).await;
+        Fault::ServerFault(server, fault, time) => {
+            disturb_server(&w.backends[server].server, fault, ms(time)).await;
             Ok(())
         }
         Fault::Drain(server) => {
--- a/crates/limpetmux-soak/src/world.rs
+++ b/crates/limpetmux-soak/src/world.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::{NodeProcess, NodeSpec};
 use crate::proxy::Proxy;
-use limpetmux_standins::users::{UsersFault, UsersServer, UsersStore};
+use limpetmux_standins::users::{UsersServer, UsersStore};
 use serde_json::{Value, json};
 use std::net::Ipv4Addr;
 use std::path::Path;
@@ -27,13 +27,6 @@
 /// The services, each with its number of backend servers.
 const SERVICES: [(&str, usize); 6] =
     [("plain", 4), ("green", 2), ("blue", 2), (ENGINE_SERVICE, 4), ("first", 2), ("second", 2)];
-/// The faults that a run injects into backend servers.
-pub const SERVER_FAULTS: [UsersFault; 4] =
-    [UsersFault::Refused, UsersFault::Error, UsersFault::WrongId, UsersFault::Unsigned];
-/// The ways in which a run lets backend servers end their answers, besides those faults.
-pub const ANSWER_ENDS: [UsersFault; 4] =
-    [UsersFault::Unframed, UsersFault::CutStream, UsersFault::CutChunks, UsersFault::CutHead];
-
 /// A backend server and the proxy through which the deployment reaches it.
 pub struct Backend {
     /// The stand-in.
