Let overlapping stops in the soak leave the next process alone

Two stops of one process overlapped: the first waited for its end and started the next one, the second saw a running process, waited on and killed it after the grace period. Ruled out: the node. The process before had ended with no request unfinished. Change: a stop waits for the process that it signalled, by its id. The check is as strict as before.

--- a/crates/limpetmux-soak/src/fleet.rs
+++ b/crates/limpetmux-soak/src/fleet.rs
@@ -125,9 +125,10 @@
         if self.is_running() { Ok(()) } else { self.spawn() }
     }
 
-    /// Asks the process to stop by a `SIGTERM`.
-    pub fn terminate(&mut self) {
+    /// Asks the process to stop by a `SIGTERM`; returns its id, if it runs.
+    pub fn terminate(&mut self) -> Option<u32> {
         self.signal(Signal::TERM);
+        self.running_id()
     }
 
     /// Suspends or resumes the process.
@@ -137,7 +138,13 @@
 
     /// Returns whether the process runs.
     pub fn is_running(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+        self.running_id().is_some()
+    }
+
+    /// Returns the id of the process, if it runs.
+    fn running_id(&mut self) -> Option<u32> {
+        let child = self.child.as_mut()?;
+        matches!(child.try_wait(), Ok(None)).then(|| child.id())
     }
 
     fn settings_path(&self) -> PathBuf {
@@ -165,13 +172,16 @@
     }
 }
 
-/// Waits until a stopping process exits; kills it after the grace period.
-pub async fn wait_for_exit(node: &std::sync::Mutex<NodeProcess>) {
+/// Waits until the process with an id exits; kills it after the grace period.
+///
+/// Another stop that overlaps may have started the next process of the node meanwhile, which is
+/// left alone.
+pub async fn wait_for_exit(node: &std::sync::Mutex<NodeProcess>, id: u32) {
     let deadline = tokio::time::Instant::now() + GRACE_PERIOD;
     loop {
         {
             let mut node = node.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-            if !node.is_running() {
+            if node.running_id() != Some(id) {
                 return;
             }
             if tokio::time::Instant::now() >= deadline {
--- a/crates/limpetmux-soak/src/lib.rs
+++ b/crates/limpetmux-soak/src/lib.rs
@@ -172,8 +172,10 @@
 }
 
 async fn stop(world: &World, node: usize) -> std::io::Result<()> {
-    lock(&world.nodes[node]).terminate();
-    fleet::wait_for_exit(&world.nodes[node]).await;
+    let stopping = lock(&world.nodes[node]).terminate();
+    if let Some(id) = stopping {
+        fleet::wait_for_exit(&world.nodes[node], id).await;
+    }
     lock(&world.nodes[node]).ensure_running()
 }
 
