Log each send that counts as not run, and what shows it

Change: event attempt_not_run (209) with status, the header's statement, whose id the answer carries, its signature and the number of earlier requests on the connection; attempt_failed tells the same of an answer that cannot be used; connection_replaced (210) when an idle connection closed before a request left. No decision is changed: an answer without an id still counts as the request's.

--- a/src/limpetmux/platform/server.rs
+++ b/src/limpetmux/platform/server.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use strum::IntoStaticStr;
 
 /// The headers that the node adds to a caller's request.
 #[derive(Clone, Debug)]
@@ -29,6 +30,18 @@
     pub fetch_from: Option<SocketAddr>,
 }
 
+/// Which request an answer belongs to, by the id that it carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum AnswerOwner {
+    /// The request that was sent.
+    Sent,
+    /// Another request.
+    Another,
+    /// The answer carries no id.
+    Unnamed,
+}
+
 /// The parsed head of an answer.
 #[derive(Clone, Debug)]
 pub struct ReplyHead {
@@ -40,8 +53,10 @@
     pub wrong_server: bool,
     /// Whether a result that the request needs was lost.
     pub inputs_missing: bool,
-    /// Whether the answer belongs to the request that was sent, by its request id.
-    pub for_request: bool,
+    /// Which request the answer belongs to.
+    pub owner: AnswerOwner,
+    /// Whether the answer states in a header that the request did not run.
+    pub states_unrun: bool,
     /// Whether the answer carries the signature of the backend server.
     pub signed: bool,
     /// How long the backend server keeps an idle connection open, if it states that.
@@ -93,7 +108,12 @@
         wrong_server: answer.status() == StatusCode::MISDIRECTED_REQUEST,
         inputs_missing: headers.contains_key(&names::NOT_RUN)
             && answer.status() == StatusCode::CONFLICT,
-        for_request: text(&names::REQUEST_ID).is_none_or(|v| v == id),
+        owner: match text(&names::REQUEST_ID) {
+            Some(named) if named == id => AnswerOwner::Sent,
+            Some(_) => AnswerOwner::Another,
+            None => AnswerOwner::Unnamed,
+        },
+        states_unrun: headers.contains_key(&names::NOT_RUN),
         signed: headers.contains_key(&names::SIGNATURE),
         keep_alive: keep_alive(headers),
         closes: text(&CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close")),
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -76,6 +76,23 @@
         self.end(PlaceEnd::Failed);
     }
 
+    /// Ends the attempt as failed because its answer cannot be used.
+    pub fn fail_answer(&mut self, reason: &str, head: &ReplyHead) {
+        let owner: &'static str = head.owner.into();
+        event!(
+            EventCode::AttemptFailed,
+            request = self.routed.head.id,
+            server = self.server,
+            reason = reason,
+            status = head.status.as_u16(),
+            stated = head.states_unrun,
+            owner = owner,
+            signed = head.signed,
+            took_ms = clock::boot().since(self.began).as_millis()
+        );
+        self.end(PlaceEnd::Failed);
+    }
+
     /// Ends the attempt because the connection failed.
     pub fn fail_connection(&mut self, error: &ConnectionError) {
         event!(
@@ -88,6 +105,23 @@
         self.end(PlaceEnd::Broken);
     }
 
+    /// Logs what shows that the backend server did not run the request; `earlier` requests were
+    /// answered on the connection before.
+    pub fn record_not_run(&self, head: &ReplyHead, earlier: u32) {
+        let owner: &'static str = head.owner.into();
+        event!(
+            EventCode::AttemptNotRun,
+            request = self.routed.head.id,
+            server = self.server,
+            status = head.status.as_u16(),
+            stated = head.states_unrun,
+            owner = owner,
+            signed = head.signed,
+            earlier = earlier,
+            took_ms = clock::boot().since(self.began).as_millis()
+        );
+    }
+
     /// Counts an answer that was read up to its end, however it ended.
     fn count_answer(&self, received: &Received, end: StreamEnd) {
         let tags = [("framing", received.framing.into()), ("end", end.into())];
@@ -149,7 +183,7 @@
         let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
         let answer = Response::from_parts(parts, body);
         if head.status.is_server_error() {
-            self.fail(head.status.as_str());
+            self.fail_answer(head.status.as_str(), head);
             return SendOutcome::Failed(answer);
         }
         self.end(PlaceEnd::Answered(clock::boot().since(self.began)));
--- a/src/limpetmux/serve/connections.rs
+++ b/src/limpetmux/serve/connections.rs
@@ -4,6 +4,8 @@
 //! answer to its request and is closed in every other case, so that late bytes cannot be taken for
 //! the answer to another request. Errors state whether the request was sent.
 
+use crate::event;
+use crate::util::event::EventCode;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -58,6 +60,8 @@
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     expires: Instant,
+    /// The requests that were answered on it before.
+    earlier: u32,
 }
 
 impl Drop for Connection {
@@ -97,7 +101,11 @@
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => return Ok((answer, self.active(addr, connection))),
                 Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
+                    Some(unsent) => {
+                        let earlier = connection.earlier;
+                        event!(EventCode::ConnectionReplaced, addr = addr, earlier = earlier);
+                        request = unsent;
+                    }
                     None => return Err(ConnectionError::Broken(error.into_error())),
                 },
             }
@@ -144,6 +152,11 @@
 }
 
 impl ActiveConnection {
+    /// Returns how many requests were answered on the connection before this one.
+    pub fn earlier(&self) -> u32 {
+        self.connection.earlier
+    }
+
     /// Returns the connection to the pool after its answer was read to the end.
     ///
     /// `keep` is how long the backend server keeps an idle connection, if it states that.
@@ -153,6 +166,7 @@
             return;
         }
         self.connection.expires = Instant::now() + idle;
+        self.connection.earlier += 1;
         let Self { connection, addr, pool } = self;
         let mut idle_by_addr = pool.lock();
         let kept = idle_by_addr.entry(addr).or_default();
@@ -176,7 +190,7 @@
             log::debug!(target: "limpetmux", "connection to {addr} closed: {error}");
         }
     });
-    Ok(Connection { sender, driver, expires: Instant::now() })
+    Ok(Connection { sender, driver, expires: Instant::now(), earlier: 0 })
 }
 
 /// Sets socket options that close a connection whose peer does not answer any more.
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -16,7 +16,7 @@
 use crate::core::catalog::PoolSpec;
 use crate::core::listing::Server;
 use crate::core::placement::{PlaceEnd, PlaceQuery};
-use crate::platform::server::{self, AddedHeaders, ReplyHead};
+use crate::platform::server::{self, AddedHeaders, AnswerOwner, ReplyHead};
 use crate::util::clock;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -243,6 +243,7 @@
         let head = server::head(&routed.head.id, &answer);
         attempt.head_at = clock::boot();
         if head.not_run {
+            attempt.record_not_run(&head, conn.earlier());
             attempt.end(match head.wrong_server {
                 true => PlaceEnd::WrongServer,
                 false if head.inputs_missing => PlaceEnd::Neutral,
@@ -257,8 +258,8 @@
             }
             return Ok(SendOutcome::NotRun(Reason::AllFull));
         }
-        if !head.for_request || (head.status.is_success() && !head.signed) {
-            attempt.fail("the answer belongs to another request or is not signed");
+        if head.owner == AnswerOwner::Another || (head.status.is_success() && !head.signed) {
+            attempt.fail_answer("the answer belongs to another request or is not signed", &head);
             return Ok(SendOutcome::Lost);
         }
         if routed.route().retry_class.is_stream() && head.status.is_success() {
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -93,6 +93,10 @@
     /// The connection of a caller could not be reset, so its cut response may look complete.
     #[strum(props(level = "error"))]
     ResetFailed = 208,
+    /// An attempt ended in a way that shows that the backend server did not run the request.
+    AttemptNotRun = 209,
+    /// An idle connection closed before a request was sent on it, and another one is used.
+    ConnectionReplaced = 210,
 
     // 3xx: idempotency keys.
     /// The claims stream of the platform log became reachable or unreachable.
--- a/tests/testsuite/platform/adapter.rs
+++ b/tests/testsuite/platform/adapter.rs
@@ -6,6 +6,7 @@
 use limpetmux::core::pieces::{CallEnd, CallItem, PieceError, PieceOutcome, Source};
 use limpetmux::platform::boot::{self, BootError};
 use limpetmux::platform::caller::{BadRequest, decode};
+use limpetmux::platform::server::AnswerOwner;
 use limpetmux::platform::store::Record;
 use limpetmux::platform::{server, servers, stage};
 use std::path::PathBuf;
@@ -168,9 +169,9 @@
     let own = server::head("1f", &answer("1f"));
     let other = server::head("1f", &answer("2a"));
 
-    assert!(own.for_request && own.signed && !own.not_run);
+    assert!(own.owner == AnswerOwner::Sent && own.signed && !own.not_run);
     assert_eq!(own.keep_alive, Some(Duration::from_secs(4)));
-    assert!(!other.for_request);
+    assert_eq!(other.owner, AnswerOwner::Another);
 }
 
 #[test]
