Show requests that run although they were refused, in tests that fail

Change: a stand-in that answers each request of a connection with given bytes; tests for a refusal under another request's id, for the connection on which it arrived, and for runs that fail with 408, 429 or 503; one test that a refusal of the request's own still counts, which passes.

--- a/crates/limpetmux-standins/src/raw.rs
+++ b/crates/limpetmux-standins/src/raw.rs
@@ -1,4 +1,4 @@
-//! A server that answers with given bytes, for answers that no well-behaved HTTP server sends.
+//! Servers that answer with given bytes, for answers that no well-behaved HTTP server sends.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,13 +33,73 @@
     [b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", body].concat()
 }
 
+/// A request that a raw server received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RawRequest {
+    /// The request line and the headers, in lower case.
+    pub head: String,
+    /// The number of requests on the same connection before it.
+    pub earlier: usize,
+}
+
+impl RawRequest {
+    /// Returns the value of a header, whose name is given in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut fields = self.head.lines().filter_map(|line| line.split_once(':'));
+        fields.find(|(field, _)| *field == name).map(|(_, value)| value.trim())
+    }
+}
+
+/// Answers every request with the bytes that `answer` returns and keeps its connection open.
+///
+/// Returns its address; it runs until the runtime ends.
+///
+/// # Errors
+/// Returns an error if no port can be bound.
+pub async fn serve_requests(
+    answer: impl Fn(&RawRequest) -> Vec<u8> + Send + Sync + 'static,
+) -> std::io::Result<SocketAddr> {
+    let answer = Arc::new(answer);
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = Arc::clone(&answer);
+            tokio::spawn(async move { serve_connection(stream, &*answer).await });
+        }
+    });
+    Ok(addr)
+}
+
+/// Serves one connection until its other side closes it.
+async fn serve_connection(stream: TcpStream, answer: &(dyn Fn(&RawRequest) -> Vec<u8> + Sync)) {
+    let mut stream = BufReader::new(stream);
+    for earlier in 0.. {
+        let Ok(head) = read_request(&mut stream).await else { return };
+        let sent = stream.write_all(&answer(&RawRequest { head, earlier })).await;
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
 /// Reads one request, as a close with unread bytes would be a reset, and answers it.
 async fn serve_one(stream: TcpStream, answer: &[u8]) -> std::io::Result<()> {
     let mut stream = BufReader::new(stream);
+    read_request(&mut stream).await?;
+    stream.write_all(answer).await?;
+    stream.shutdown().await
+}
+
+/// Reads a request and returns its head in lower case.
+async fn read_request(stream: &mut BufReader<TcpStream>) -> std::io::Result<String> {
+    let mut head = String::new();
     let mut body_len = 0;
     loop {
         let mut line = String::new();
-        stream.read_line(&mut line).await?;
+        if stream.read_line(&mut line).await? == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
         let line = line.trim().to_ascii_lowercase();
         if line.is_empty() {
             break;
@@ -47,8 +107,9 @@
         if let Some(len) = line.strip_prefix("content-length:") {
             body_len = len.trim().parse().unwrap_or_default();
         }
+        head.push_str(&line);
+        head.push('\n');
     }
     stream.read_exact(&mut vec![0; body_len]).await?;
-    stream.write_all(answer).await?;
-    stream.shutdown().await
+    Ok(head)
 }
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -11,6 +11,7 @@
 mod names;
 mod node_fixture;
 mod nodes;
+mod not_run;
 mod orders;
 mod pieces;
 mod placement;
--- a/tests/testsuite/platform/node_fixture.rs
+++ b/tests/testsuite/platform/node_fixture.rs
@@ -75,6 +75,27 @@
 }
 
 pub(super) async fn fixture() -> Fixture {
+    fixture_with(&[]).await
+}
+
+/// A backend server that a test runs itself; it replaces all others of its service.
+pub(super) struct OwnServer {
+    pub(super) id: &'static str,
+    pub(super) service: &'static str,
+    pub(super) addr: SocketAddr,
+}
+
+impl OwnServer {
+    fn entry(&self) -> String {
+        format!(
+            r#"{{"service":"{}","address":"{}","zone":"mnl-a","slots":4,"state":"ready","born":1}}"#,
+            self.service, self.addr
+        )
+    }
+}
+
+/// The fixture with backend servers of the test in place of some of its own.
+pub(super) async fn fixture_with(own: &[OwnServer]) -> Fixture {
     let store = UsersStore::start().await.unwrap();
     let server = |id| async move { UsersServer::start(id).await.unwrap() };
     let plain = [server("p1").await, server("p2").await];
@@ -87,7 +108,12 @@
         (&stages[0], "s1", "first"),
         (&stages[1], "s2", "second"),
     ] {
-        store.put("keyed.servers", id, &server.entry(service, "mnl-a", "ready"));
+        if own.iter().all(|o| o.service != service) {
+            store.put("keyed.servers", id, &server.entry(service, "mnl-a", "ready"));
+        }
+    }
+    for server in own {
+        store.put("keyed.servers", server.id, &server.entry());
     }
     let sidecar = start(settings("side", store.addr, false, Vec::new())).await.unwrap();
     let entry = start(settings("entry", store.addr, true, vec![sidecar.node_addr])).await.unwrap();
