Take a refusal for a request's own only if it carries its id

Cause: send_once looked at the statement "not run" before it looked at the request id, and took an answer without an id for the request's own. A refusal that belonged to an earlier request on a kept connection, and arrived where the next answer was due, counted for the request that had just been sent. That request ran, and was sent to another backend server or refused as well; the connection stayed in use, one answer behind. What callers saw: 503 for requests that ran, and requests that ran twice. Change: core/answer_proof.rs decides what the head of an answer proves. Only an answer with the request's own id, once, proves anything; a success that also states "not run" proves nothing. Such an answer fails the attempt as "may have run", and its connection is closed. Conclusion: the fix needs no assumption about what an additional answer is.

--- a/crates/limpetmux-standins/src/users/server.rs
+++ b/crates/limpetmux-standins/src/users/server.rs
@@ -119,7 +119,7 @@
     let streams = received.path.starts_with(STREAMS);
     let (fault, server, work) = match run(&mut lock_server(&state), received) {
         Ok(run) => run,
-        Err(status) => return refusal(status),
+        Err(status) => return refusal(status, &id),
     };
     sleep(work).await;
     let status = if fault == UsersFault::Error { 500 } else { 200 };
@@ -163,8 +163,8 @@
     Ok((state.fault, state.id.clone(), state.work))
 }
 
-fn refusal(status: StatusCode) -> Response {
-    let refusal = Response::builder().status(status);
+fn refusal(status: StatusCode, id: &str) -> Response {
+    let refusal = Response::builder().status(status).header("x-limpetmux-request-id", id);
     refusal.header("x-limpetmux-not-executed", "1").finish()
 }
 
--- a/src/limpetmux/platform/server.rs
+++ b/src/limpetmux/platform/server.rs
@@ -2,6 +2,7 @@
 
 use super::caller::RequestHead;
 use super::names;
+use crate::core::answer_proof::{AnswerClaims, AnswerOwner, StatusClass};
 use crate::core::event_stream::Framing;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -11,7 +12,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use strum::IntoStaticStr;
 
 /// The headers that the node adds to a caller's request.
 #[derive(Clone, Debug)]
@@ -30,18 +30,6 @@
     pub fetch_from: Option<SocketAddr>,
 }
 
-/// Which request an answer belongs to, by the id that it carries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum AnswerOwner {
-    /// The request that was sent.
-    Sent,
-    /// Another request.
-    Another,
-    /// The answer carries no id.
-    Unnamed,
-}
-
 /// The parsed head of an answer.
 #[derive(Clone, Debug)]
 pub struct ReplyHead {
@@ -108,11 +96,7 @@
         wrong_server: answer.status() == StatusCode::MISDIRECTED_REQUEST,
         inputs_missing: headers.contains_key(&names::NOT_RUN)
             && answer.status() == StatusCode::CONFLICT,
-        owner: match text(&names::REQUEST_ID) {
-            Some(named) if named == id => AnswerOwner::Sent,
-            Some(_) => AnswerOwner::Another,
-            None => AnswerOwner::Unnamed,
-        },
+        owner: owner(id, headers),
         states_unrun: headers.contains_key(&names::NOT_RUN),
         signed: headers.contains_key(&names::SIGNATURE),
         keep_alive: keep_alive(headers),
@@ -121,6 +105,38 @@
     }
 }
 
+impl ReplyHead {
+    /// Returns what the head states about the request.
+    pub fn claims(&self) -> AnswerClaims {
+        AnswerClaims {
+            owner: self.owner,
+            status: status_class(self.status),
+            unrun: self.not_run,
+            signed: self.signed,
+        }
+    }
+}
+
+fn owner(id: &str, headers: &HeaderMap) -> AnswerOwner {
+    let mut named = headers.get_all(names::REQUEST_ID).iter();
+    match (named.next(), named.next()) {
+        (Some(named), None) if named == id => AnswerOwner::Sent,
+        (Some(_), None) => AnswerOwner::Another,
+        (None, _) | (Some(_), Some(_)) => AnswerOwner::Unnamed,
+    }
+}
+
+fn status_class(status: StatusCode) -> StatusClass {
+    match status {
+        status if status.is_success() => StatusClass::Success,
+        StatusCode::REQUEST_TIMEOUT
+        | StatusCode::MISDIRECTED_REQUEST
+        | StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::SERVICE_UNAVAILABLE => StatusClass::Guarantee,
+        _ => StatusClass::Other,
+    }
+}
+
 fn framing(status: StatusCode, headers: &HeaderMap) -> Framing {
     let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     if headers.contains_key(TRANSFER_ENCODING) {
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -1,9 +1,9 @@
 //! Sends a request to a backend server and retries it where that is safe.
 //!
 //! A request that may run at most once is sent again only if it certainly did not run: no
-//! connection was established, or the backend server states that it did not run the request. A
-//! request that is safe to repeat is retried within the route's attempts and the entry's share of
-//! the service's retry budget.
+//! connection was established, or the backend server states in an answer to this very request that
+//! it did not run it. A request that is safe to repeat is retried within the route's attempts and
+//! the entry's share of the service's retry budget.
 
 use super::attempt::{Attempt, stream};
 use super::connections::{ActiveConnection, ConnectionError};
@@ -13,10 +13,11 @@
 use super::node::Shared;
 use super::request::{RoutedRequest, authorize};
 use super::stream::Body;
+use crate::core::answer_proof::{self, Proof};
 use crate::core::catalog::PoolSpec;
 use crate::core::listing::Server;
 use crate::core::placement::{PlaceEnd, PlaceQuery};
-use crate::platform::server::{self, AddedHeaders, AnswerOwner, ReplyHead};
+use crate::platform::server::{self, AddedHeaders, ReplyHead};
 use crate::util::clock;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -242,25 +243,13 @@
         };
         let head = server::head(&routed.head.id, &answer);
         attempt.head_at = clock::boot();
-        if head.not_run {
-            attempt.record_not_run(&head, conn.earlier());
-            attempt.end(match head.wrong_server {
-                true => PlaceEnd::WrongServer,
-                false if head.inputs_missing => PlaceEnd::Neutral,
-                false => PlaceEnd::Full,
-            });
-            routed.maybe_ran.store(self.runs > 0, Ordering::Relaxed);
-            recycle(answer, conn, &head).await;
-            if head.inputs_missing {
-                return Err(
-                    self.lost_if_run(Failure::with_retry(Reason::InputsGone, FULL_RETRY_DELAY))
-                );
+        match answer_proof::proof(head.claims()) {
+            Proof::Answered => {}
+            Proof::NotRun => return self.not_run(attempt, (answer, conn), &head).await,
+            Proof::Nothing(unusable) => {
+                attempt.fail_answer(&unusable.to_string(), &head);
+                return Ok(SendOutcome::Lost);
             }
-            return Ok(SendOutcome::NotRun(Reason::AllFull));
-        }
-        if head.owner == AnswerOwner::Another || (head.status.is_success() && !head.signed) {
-            attempt.fail_answer("the answer belongs to another request or is not signed", &head);
-            return Ok(SendOutcome::Lost);
         }
         if routed.route().retry_class.is_stream() && head.status.is_success() {
             return Ok(SendOutcome::Answer(stream(attempt, answer, conn, &head, inputs.take())));
@@ -268,6 +257,28 @@
         Ok(attempt.read_to_end(answer, conn, &head).await)
     }
 
+    /// Ends an attempt whose answer proves that the backend server did not run the request.
+    async fn not_run(
+        &self,
+        mut attempt: Attempt,
+        (answer, connection): (Response<Incoming>, ActiveConnection),
+        head: &ReplyHead,
+    ) -> Result<SendOutcome, Failure> {
+        attempt.record_not_run(head, connection.earlier());
+        attempt.end(match head.wrong_server {
+            true => PlaceEnd::WrongServer,
+            false if head.inputs_missing => PlaceEnd::Neutral,
+            false => PlaceEnd::Full,
+        });
+        self.routed.maybe_ran.store(self.runs > 0, Ordering::Relaxed);
+        recycle(answer, connection, head).await;
+        if head.inputs_missing {
+            let failure = Failure::with_retry(Reason::InputsGone, FULL_RETRY_DELAY);
+            return Err(self.lost_if_run(failure));
+        }
+        Ok(SendOutcome::NotRun(Reason::AllFull))
+    }
+
     /// Returns the address of a backend server, if it is still usable.
     fn address(&self, id: &str) -> Option<SocketAddr> {
         let view = self.shared.view.load();
--- a/tests/testsuite/platform/adapter.rs
+++ b/tests/testsuite/platform/adapter.rs
@@ -3,10 +3,10 @@
 
 use hyper::Request;
 use hyper::http::request::Parts;
+use limpetmux::core::answer_proof::AnswerOwner;
 use limpetmux::core::pieces::{CallEnd, CallItem, PieceError, PieceOutcome, Source};
 use limpetmux::platform::boot::{self, BootError};
 use limpetmux::platform::caller::{BadRequest, decode};
-use limpetmux::platform::server::AnswerOwner;
 use limpetmux::platform::store::Record;
 use limpetmux::platform::{server, servers, stage};
 use std::path::PathBuf;
--- a/tests/testsuite/platform/not_run.rs
+++ b/tests/testsuite/platform/not_run.rs
@@ -115,6 +115,23 @@
     assert!(received.iter().all(|r| r.earlier == 0), "reused: {received:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_without_an_id_proves_nothing() {
+    // Guards against bytes that belong to no request and are taken for a refusal (hypothesis 3 of the
+    // incident REFUSED and TWICE).
+    let twice = "x-limpetmux-request-id: 1f\r\nx-limpetmux-request-id: 1f\r\n";
+    for (path, ids) in [("/once/x", ""), ("/stream/x", ""), ("/once/x", twice)] {
+        let servers =
+            raw_servers(move |_| answer(503, &format!("{ids}x-limpetmux-not-executed: 1\r\n")))
+                .await;
+
+        let status = servers.status(path, "1f").await;
+
+        assert_eq!(status, 502, "{path} {ids}");
+        assert_eq!(servers.arrivals("1f"), 1);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn failure_of_a_run_is_not_passed_on_as_a_refusal() {
     // Guards against the status of a run that failed, which its caller reads as a guarantee that
