Never pass on the status of a refusal from a run that failed

Cause: an answer with 408, 429 or 503 that does not state "not run" was passed on with its signature. Its caller reads a guarantee in the status, and sends a request that may run only once again. What callers saw: a refusal of a request that had run (REFUSED). Change: such an answer proves nothing (Unusable::Misleading). Conclusion: statuses that guarantee something are created by the node alone.

--- a/src/limpetmux/core/answer_proof.rs
+++ b/src/limpetmux/core/answer_proof.rs
@@ -1,7 +1,8 @@
 //! Decides what the head of an answer proves about the request that was sent.
 //!
 //! An answer that belongs to another request can arrive where the answer to this one is due, with
-//! any status, so nothing that it states counts for this request. See `docs/design/not-run.md`.
+//! any status, so nothing that it states counts for this request. Nor does a status alone state
+//! that nothing ran: a run may fail with any status. See `docs/design/not-run.md`.
 
 use strum::IntoStaticStr;
 
@@ -65,6 +66,9 @@
     /// It is a success and states that the request did not run.
     #[error("the answer states both a success and that nothing ran")]
     Contradictory,
+    /// Its status tells callers that the request did not run, but the answer does not state that.
+    #[error("the run failed with the status of a refusal")]
+    Misleading,
 }
 
 /// Returns what an answer proves about the request that was sent.
@@ -76,6 +80,7 @@
         (StatusClass::Success, true) => Proof::Nothing(Unusable::Contradictory),
         (StatusClass::Success, false) if !claims.signed => Proof::Nothing(Unusable::Unsigned),
         (StatusClass::Guarantee | StatusClass::Other, true) => Proof::NotRun,
-        (_, false) => Proof::Answered,
+        (StatusClass::Guarantee, false) => Proof::Nothing(Unusable::Misleading),
+        (StatusClass::Success | StatusClass::Other, false) => Proof::Answered,
     }
 }
--- a/tests/testsuite/platform/answer_proof.rs
+++ b/tests/testsuite/platform/answer_proof.rs
@@ -39,3 +39,16 @@
         assert_eq!(proof(claims) == Proof::NotRun, expected, "{claims:?}");
     }
 }
+
+#[test]
+fn callers_get_no_answer_whose_status_guarantees_that_nothing_ran() {
+    // Guards against the status of a run that failed, which its caller reads as a refusal (incident
+    // REFUSED and TWICE).
+    for claims in all_claims() {
+        let failed = claims.status == StatusClass::Other;
+        let served = claims.status == StatusClass::Success && claims.signed;
+        let own = claims.owner == AnswerOwner::Sent && !claims.unrun;
+
+        assert_eq!(proof(claims) == Proof::Answered, own && (served || failed), "{claims:?}");
+    }
+}
