Count what backend servers read of sends that failed

Callers would see a refusal, or a second run, of a request that ran. Change: tests only. A stand-in that ends its connections at a chosen point and lists what it read; sends that end before a byte, inside the request, after it, inside the head of the answer, in order and by a reset, on new and on kept connections; idle connections that close at the moment of the next send. Ruled out: the pool sends again only if its library returns the request, which it does only while the request still waits to be taken for writing.

--- a/crates/limpetmux-standins/src/lib.rs
+++ b/crates/limpetmux-standins/src/lib.rs
@@ -23,6 +23,7 @@
 }
 
 pub mod backend;
+pub mod cut;
 pub mod engine;
 pub mod hosts;
 pub mod log;
--- a/crates/limpetmux-standins/src/raw.rs
+++ b/crates/limpetmux-standins/src/raw.rs
@@ -38,6 +38,8 @@
 pub struct RawRequest {
     /// The request line and the headers, in lower case.
     pub head: String,
+    /// The body.
+    pub body: Vec<u8>,
     /// The number of requests on the same connection before it.
     pub earlier: usize,
 }
@@ -75,8 +77,8 @@
 async fn serve_connection(stream: TcpStream, answer: &(dyn Fn(&RawRequest) -> Vec<u8> + Sync)) {
     let mut stream = BufReader::new(stream);
     for earlier in 0.. {
-        let Ok(head) = read_request(&mut stream).await else { return };
-        let sent = stream.write_all(&answer(&RawRequest { head, earlier })).await;
+        let Ok((head, body)) = read_request(&mut stream).await else { return };
+        let sent = stream.write_all(&answer(&RawRequest { head, body, earlier })).await;
         if sent.is_err() {
             return;
         }
@@ -91,8 +93,10 @@
     stream.shutdown().await
 }
 
-/// Reads a request and returns its head in lower case.
-async fn read_request(stream: &mut BufReader<TcpStream>) -> std::io::Result<String> {
+/// Reads a request and returns its head in lower case, and its body.
+pub(crate) async fn read_request(
+    stream: &mut BufReader<TcpStream>,
+) -> std::io::Result<(String, Vec<u8>)> {
     let mut head = String::new();
     let mut body_len = 0;
     loop {
@@ -110,6 +114,7 @@
         head.push_str(&line);
         head.push('\n');
     }
-    stream.read_exact(&mut vec![0; body_len]).await?;
-    Ok(head)
+    let mut body = vec![0; body_len];
+    stream.read_exact(&mut body).await?;
+    Ok((head, body))
 }
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -20,6 +20,7 @@
 mod soak;
 mod store_answers;
 mod truncated;
+mod unsent;
 mod whole_path;
 
 use limpetmux::core::listing::Server;
