Send a request again to a backend server on a new connection only

Callers would see: a request refused (503, inputs_gone or all_full) that ran. Cause: after a refusal because an input was lost, the stages run again and the same request, under the same id, may go to the same backend server on the connection that was kept. A copy of the first refusal that arrives there late carries that id and was taken for the refusal of the second send, which ran. Change: a request remembers the addresses that it was sent to; a further send to one of them uses a new connection, on which no earlier answer to it can arrive. The pool is told by the caller whether it may reuse a connection. In forward.rs only the argument of the send is new. Ruled out: a proof by id, as both sends carry the same; closing connections after each refusal, which would cost new connections for every full backend server. Conclusion: a refusal now concerns this send, not only this request.

--- a/src/limpetmux/serve/connections.rs
+++ b/src/limpetmux/serve/connections.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection carries at most one request at a time. It returns to the pool only after a complete
 //! answer to its request and is closed in every other case, so that late bytes cannot be taken for
-//! the answer to another request. Errors state whether the request was sent.
+//! the answer to another request. A request that was sent before goes out on a new connection, where
+//! no copy of an earlier answer to it can arrive. Errors state whether the request was sent.
 
 use crate::event;
 use crate::util::event::EventCode;
@@ -55,6 +56,15 @@
     }
 }
 
+/// Whether a request may go out on a connection that has carried others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any connection may be used.
+    Allowed,
+    /// Only a new connection may be used.
+    Forbidden,
+}
+
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -95,9 +105,11 @@
         &self,
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
+        reuse: Reuse,
     ) -> Result<(Response<Incoming>, ActiveConnection), ConnectionError> {
         let mut request = request;
-        while let Some(mut connection) = self.take_idle(addr) {
+        let idle = || (reuse == Reuse::Allowed).then(|| self.take_idle(addr)).flatten();
+        while let Some(mut connection) = idle() {
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => return Ok((answer, self.active(addr, connection))),
                 Err(mut error) => match error.take_message() {
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -235,7 +235,7 @@
         let request = server::request(&routed.head, &added, routed.body.clone())
             .map_err(|_| Failure::new(Reason::BadRequest))?;
         routed.maybe_ran.store(true, Ordering::Relaxed);
-        let sending = shared.connections.send(server.addr, request);
+        let sending = shared.connections.send(server.addr, request, routed.count_send(server.addr));
         let (answer, conn) = match free_when_fetched(sending, inputs).await {
             Ok(sent) => sent,
             Err(error) => return Ok(self.connection_failed(attempt, &error)),
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -1,5 +1,6 @@
 //! Handles one request of a caller, from its head to its answer.
 
+use super::connections::Reuse;
 use super::failure::{Failure, Reason};
 use super::forward;
 use super::node::{Shared, StoreView};
@@ -17,8 +18,10 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
-use std::sync::Arc;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -50,6 +53,8 @@
     pub deadline: Moment,
     /// Whether a backend server may have received and run it.
     pub maybe_ran: AtomicBool,
+    /// The addresses that it was sent to.
+    sent_to: Mutex<BTreeSet<SocketAddr>>,
 }
 
 impl RoutedRequest {
@@ -75,6 +80,15 @@
         self.arrived + self.route().target_latency
     }
 
+    /// Counts a send to an address and returns which connections it may use.
+    ///
+    /// A copy of the answer to an earlier send may still arrive on the connection of that send, and
+    /// it carries the id of the request like the answer to this one.
+    pub fn count_send(&self, addr: SocketAddr) -> Reuse {
+        let mut sent_to = self.sent_to.lock().unwrap_or_else(PoisonError::into_inner);
+        if sent_to.insert(addr) { Reuse::Allowed } else { Reuse::Forbidden }
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self) -> Duration {
         clock::boot().until(self.deadline)
@@ -146,8 +160,19 @@
     let service = choose_service(&catalog.routes[route]).ok_or(Failure::new(Reason::NoRoute))?;
     let allowed = head.deadline.min(catalog.routes[route].timeout).saturating_sub(ANSWER_MARGIN);
     let deadline = arrived + allowed;
-    let maybe_ran = AtomicBool::new(false);
-    Ok(RoutedRequest { head, body, catalog, route, service, holder, arrived, deadline, maybe_ran })
+    let (maybe_ran, sent_to) = (AtomicBool::new(false), Mutex::default());
+    Ok(RoutedRequest {
+        head,
+        body,
+        catalog,
+        route,
+        service,
+        holder,
+        arrived,
+        deadline,
+        maybe_ran,
+        sent_to,
+    })
 }
 
 /// Returns the holder of the caller's key, or `None` if the route needs no key.
--- a/src/limpetmux/stage_queues/mod.rs
+++ b/src/limpetmux/stage_queues/mod.rs
@@ -12,6 +12,7 @@
 use crate::core::pieces::{CallKey, PieceError, PieceOutcome, WorkerSpec};
 use crate::event;
 use crate::platform::{server, stage};
+use crate::serve::connections::Reuse;
 use crate::serve::inputs::free_results;
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
@@ -271,13 +272,14 @@
             return CallEnd::Lost;
         }
     };
-    let (answer, connection) = match shared.connections.send(call.addr, request).await {
-        Ok(sent) => sent,
-        Err(error) => {
-            event!(EventCode::CallFailed, server = call.server, reason = error);
-            return if error.is_unsent() { CallEnd::Unsent } else { CallEnd::Lost };
-        }
-    };
+    let (answer, connection) =
+        match shared.connections.send(call.addr, request, Reuse::Allowed).await {
+            Ok(sent) => sent,
+            Err(error) => {
+                event!(EventCode::CallFailed, server = call.server, reason = error);
+                return if error.is_unsent() { CallEnd::Unsent } else { CallEnd::Lost };
+            }
+        };
     let head = server::head("", &answer);
     let keep = server::keep_alive(answer.headers());
     let body: Bytes = match answer.into_body().collect().await {
@@ -329,7 +331,8 @@
 ) {
     let call = async {
         let request = stage::free(addr, &results)?;
-        let (answer, connection) = queues.shared.connections.send(addr, request).await?;
+        let (answer, connection) =
+            queues.shared.connections.send(addr, request, Reuse::Allowed).await?;
         let keep = server::keep_alive(answer.headers());
         answer.into_body().collect().await?;
         connection.keep(keep);
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -16,6 +16,7 @@
 mod pieces;
 mod placement;
 mod queue_waits;
+mod resent;
 mod retry_share;
 mod soak;
 mod store_answers;
--- a/tests/testsuite/platform/unsent.rs
+++ b/tests/testsuite/platform/unsent.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
-use limpetmux::serve::connections::{ConnectionError, ConnectionPool};
+use limpetmux::serve::connections::{ConnectionError, ConnectionPool, Reuse};
 use limpetmux_standins::cut::{Cut, CutPoint, CutServer};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -25,7 +25,7 @@
 
 /// Sends a request, reads its answer to the end and keeps the connection.
 async fn send(pool: &ConnectionPool, addr: SocketAddr, id: &str) -> Result<u32, ConnectionError> {
-    let sending = timeout(LIMIT, pool.send(addr, request(id)));
+    let sending = timeout(LIMIT, pool.send(addr, request(id), Reuse::Allowed));
     let (answer, connection) = sending.await.expect("an end in time")?;
     let earlier = connection.earlier();
     if answer.into_body().collect().await.is_ok() {
