Use an answer to a call for pieces only for that call

Callers would see: a request whose model engine gets the results of another request; and pieces that run although their call counts as refused, with their room not counted. Cause: calls for pieces and calls that free results carry no id, and any answer on their connection was taken for theirs. If a backend server repeats an answer, the next call gets the results of the one before, and the connection stays one answer behind. Change: results have unique names, so an answer that names results equals no other. A connection is kept only after such an answer with an outcome for each piece; it remembers their bodies. An answer that equals one of them, or that carries the id of a request, is not used: the call is lost and its connection closes. Conclusion: on a kept connection only results came before, and a repeat of those is recognized.

--- a/crates/limpetmux-standins/src/raw.rs
+++ b/crates/limpetmux-standins/src/raw.rs
@@ -42,6 +42,8 @@
     pub body: Vec<u8>,
     /// The number of requests on the same connection before it.
     pub earlier: usize,
+    /// The address of the other side, which tells connections apart.
+    pub peer: SocketAddr,
 }
 
 impl RawRequest {
@@ -75,10 +77,11 @@
 
 /// Serves one connection until its other side closes it.
 async fn serve_connection(stream: TcpStream, answer: &(dyn Fn(&RawRequest) -> Vec<u8> + Sync)) {
+    let Ok(peer) = stream.peer_addr() else { return };
     let mut stream = BufReader::new(stream);
     for earlier in 0.. {
         let Ok((head, body)) = read_request(&mut stream).await else { return };
-        let sent = stream.write_all(&answer(&RawRequest { head, body, earlier })).await;
+        let sent = stream.write_all(&answer(&RawRequest { head, body, earlier, peer })).await;
         if sent.is_err() {
             return;
         }
--- /dev/null
+++ b/src/limpetmux/stage_queues/exchange.rs
@@ -0,0 +1,70 @@
+//! Sends a call of a stage queue and returns its answer if that certainly belongs to the call.
+//!
+//! Calls and their answers carry no id, but a backend server may repeat an answer where the one to
+//! the next call on the connection is due. What tells the two apart is that results have unique
+//! names. A connection is therefore kept only after an answer that names results, and an answer
+//! that equals an earlier one on its connection, or that carries the id of a request, is not used.
+
+use crate::platform::server::{self, AnswerOwner, ReplyHead};
+use crate::serve::connections::{ActiveConnection, ConnectionError, ConnectionPool, Reuse};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use std::net::SocketAddr;
+
+/// Why a call has no answer that can be used.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ExchangeError {
+    /// The connection failed before the head of an answer.
+    #[error(transparent)]
+    Connection(#[from] ConnectionError),
+    /// The answer ended early.
+    #[error("the answer ended early")]
+    Answer(#[from] hyper::Error),
+    /// The answer belongs to another call or request.
+    #[error("the answer belongs to another call")]
+    OtherCall,
+}
+
+impl ExchangeError {
+    /// Returns whether the backend server cannot have received the call.
+    pub(super) fn is_unsent(&self) -> bool {
+        matches!(self, Self::Connection(error) if error.is_unsent())
+    }
+}
+
+/// A whole answer to a call; dropping it closes its connection.
+pub(super) struct CallAnswer {
+    /// The head.
+    pub(super) head: ReplyHead,
+    /// The body.
+    pub(super) body: Bytes,
+    connection: ActiveConnection,
+}
+
+impl CallAnswer {
+    /// Keeps the connection after an answer that no answer to another call can equal.
+    pub(super) fn keep(self) {
+        if !self.head.closes {
+            self.connection.keep_after(&self.body, self.head.keep_alive);
+        }
+    }
+}
+
+/// Sends a call and reads its answer to the end.
+pub(super) async fn exchange(
+    connections: &ConnectionPool,
+    addr: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<CallAnswer, ExchangeError> {
+    let (answer, connection) = connections.send(addr, request, Reuse::Allowed).await?;
+    let head = server::head("", &answer);
+    if head.owner != AnswerOwner::Unnamed {
+        return Err(ExchangeError::OtherCall);
+    }
+    let body = answer.into_body().collect().await?.to_bytes();
+    if connection.is_repeat(&body) {
+        return Err(ExchangeError::OtherCall);
+    }
+    Ok(CallAnswer { head, body, connection })
+}
--- a/src/limpetmux/stage_queues/mod.rs
+++ b/src/limpetmux/stage_queues/mod.rs
@@ -6,20 +6,19 @@
 //! the future of [`run`](StageQueues::run).
 
 pub mod engines;
+mod exchange;
 mod leave;
 
 use crate::core::pieces::{Actions, Call, CallEnd, JobKey, JobSpec, PieceQueue, StageEnd};
 use crate::core::pieces::{CallKey, PieceError, PieceOutcome, WorkerSpec};
 use crate::event;
-use crate::platform::{server, stage};
-use crate::serve::connections::Reuse;
+use crate::platform::stage;
 use crate::serve::inputs::free_results;
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
-use bytes::Bytes;
-use http_body_util::BodyExt;
+use exchange::{ExchangeError, exchange};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -272,28 +271,18 @@
             return CallEnd::Lost;
         }
     };
-    let (answer, connection) =
-        match shared.connections.send(call.addr, request, Reuse::Allowed).await {
-            Ok(sent) => sent,
-            Err(error) => {
-                event!(EventCode::CallFailed, server = call.server, reason = error);
-                return if error.is_unsent() { CallEnd::Unsent } else { CallEnd::Lost };
-            }
-        };
-    let head = server::head("", &answer);
-    let keep = server::keep_alive(answer.headers());
-    let body: Bytes = match answer.into_body().collect().await {
-        Ok(body) => body.to_bytes(),
+    let answer = match exchange(&shared.connections, call.addr, request).await {
+        Ok(answer) => answer,
         Err(error) => {
             event!(EventCode::CallFailed, server = call.server, reason = error);
-            return CallEnd::Lost;
+            return if error.is_unsent() { CallEnd::Unsent } else { CallEnd::Lost };
         }
     };
-    if !head.closes {
-        connection.keep(keep);
-    }
-    let end = stage::decode(head.status, head.not_run, &body);
+    let end = stage::decode(answer.head.status, answer.head.not_run, &answer.body);
     log_missing(call, &end);
+    if end.is_distinct(call.items.len()) {
+        answer.keep();
+    }
     end
 }
 
@@ -322,7 +311,7 @@
 
 /// Asks a backend server to free results that are not needed any more.
 ///
-/// Their memory counts as used until the backend server has answered.
+/// Their memory counts as used until the backend server has answered this very call.
 async fn free(
     queues: Arc<StageQueues>,
     service: Arc<str>,
@@ -331,11 +320,7 @@
 ) {
     let call = async {
         let request = stage::free(addr, &results)?;
-        let (answer, connection) =
-            queues.shared.connections.send(addr, request, Reuse::Allowed).await?;
-        let keep = server::keep_alive(answer.headers());
-        answer.into_body().collect().await?;
-        connection.keep(keep);
+        exchange(&queues.shared.connections, addr, request).await?;
         Ok::<(), FreeError>(())
     };
     match timeout(FREE_TIMEOUT, call).await {
@@ -356,7 +341,5 @@
     #[error("the call cannot be built")]
     Call(#[from] stage::CallError),
     #[error(transparent)]
-    Connection(#[from] crate::serve::connections::ConnectionError),
-    #[error("the answer ended early")]
-    Answer(#[from] hyper::Error),
+    Exchange(#[from] ExchangeError),
 }
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -19,6 +19,7 @@
 mod resent;
 mod retry_share;
 mod soak;
+mod stage_calls;
 mod store_answers;
 mod truncated;
 mod unsent;
--- /dev/null
+++ b/tests/testsuite/platform/stage_calls.rs
@@ -0,0 +1,209 @@
+//! The answer to a call for pieces, or to one that frees results, is used only for that call.
+
+use super::node_fixture::{Fixture, OwnServer, fixture_with};
+use limpetmux_standins::raw::{RawRequest, serve_requests};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// The requests of one test.
+const IDS: [&str; 5] = ["1f", "2f", "3f", "4f", "5f"];
+
+/// What the stage servers of a test have done.
+#[derive(Default)]
+struct Made {
+    /// The request and the stage of each result.
+    results: BTreeMap<String, (String, u64)>,
+    /// The inputs of each call with an id.
+    inputs: Vec<(String, Value)>,
+    /// The last answer of each server to a call for pieces.
+    last: BTreeMap<String, Vec<u8>>,
+    /// The number of calls on connections that carried others before.
+    reused: usize,
+    /// The number of calls on connections on which an answer without results arrived before.
+    after_nameless: usize,
+    nameless: BTreeSet<SocketAddr>,
+    /// The number of calls whose answers were not the right ones.
+    faults: usize,
+}
+
+/// Returns what an answer consists of, given the right answer and the one before.
+type Fault = fn(&RawRequest, Vec<u8>, &[u8]) -> Vec<u8>;
+
+struct StageServers {
+    fixture: Fixture,
+    made: Arc<Mutex<Made>>,
+}
+
+fn lock(made: &Mutex<Made>) -> MutexGuard<'_, Made> {
+    made.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn stage_servers(fault: Fault) -> StageServers {
+    let made: Arc<Mutex<Made>> = Arc::default();
+    let mut own = Vec::new();
+    for (id, service) in [("s1", "first"), ("s2", "second")] {
+        let made = Arc::clone(&made);
+        let addr = serve_requests(move |request| respond(&mut lock(&made), request, id, fault));
+        own.push(OwnServer { id, service, addr: addr.await.unwrap() });
+    }
+    StageServers { fixture: fixture_with(&own).await, made }
+}
+
+fn respond(made: &mut Made, request: &RawRequest, server: &str, fault: Fault) -> Vec<u8> {
+    made.reused += usize::from(request.earlier > 0);
+    made.after_nameless += usize::from(made.nameless.contains(&request.peer));
+    let call: Value = serde_json::from_slice(&request.body).unwrap();
+    let body = match call["items"].as_array() {
+        Some(items) => json!({"items": run(made, request, server, items)}).to_string(),
+        None => String::new(),
+    };
+    let right = answer(200, "", &body);
+    let last = made.last.get(server).cloned().unwrap_or_default();
+    let sent = fault(request, right.clone(), &last);
+    made.faults += usize::from(sent != right);
+    if !String::from_utf8_lossy(&sent).contains("handle") {
+        made.nameless.insert(request.peer);
+    }
+    if call["items"].is_array() {
+        made.last.insert(server.to_owned(), right);
+    }
+    sent
+}
+
+fn run(made: &mut Made, request: &RawRequest, server: &str, items: &[Value]) -> Vec<Value> {
+    let host = request.header("host").unwrap().to_owned();
+    let results = items.iter().map(|item| {
+        let name = format!("{host}/{server}-{}", made.results.len());
+        let id = item["id"].as_str().unwrap().to_owned();
+        made.inputs.push((id.clone(), item["inputs"].clone()));
+        made.results.insert(name.clone(), (id, item["stage"].as_u64().unwrap()));
+        json!({"handle": name})
+    });
+    results.collect()
+}
+
+/// Returns an answer that carries an id, unless that is empty.
+fn answer(status: u16, id: &str, body: &str) -> Vec<u8> {
+    let id = match id {
+        "" => String::new(),
+        id => format!("x-limpetmux-request-id: {id}\r\n"),
+    };
+    let length = body.len();
+    format!("HTTP/1.1 {status} Text\r\n{id}content-length: {length}\r\n\r\n{body}").into()
+}
+
+fn refusal(id: &str) -> Vec<u8> {
+    let refusal = String::from_utf8(answer(503, id, "")).unwrap();
+    refusal.replacen("\r\n", "\r\nx-limpetmux-not-executed: 1\r\n", 1).into()
+}
+
+impl StageServers {
+    /// Sends a request with stages and returns the status of its answer.
+    async fn status(&self, id: &str, pieces: &str) -> u16 {
+        let request = self.fixture.post("/chain/x", id).header("x-limpetmux-pieces", pieces);
+        let request = request.header("x-limpetmux-piece-key", "k");
+        request.send().await.unwrap().status().as_u16()
+    }
+
+    /// Checks that each request and each piece got the results of its own stages, each once.
+    fn check_inputs(&self) {
+        let made = lock(&self.made);
+        for request in self.fixture.engine.requests() {
+            let id = &request.headers["x-limpetmux-request-id"];
+            let inputs: Vec<&str> = request.headers["x-limpetmux-inputs"].split(',').collect();
+            check(&made, id, 1, &inputs, 2);
+        }
+        for (id, inputs) in &made.inputs {
+            let inputs = inputs.as_array().into_iter().flatten();
+            let inputs: Vec<&str> = inputs.map(|i| i.as_str().unwrap()).collect();
+            if !inputs.is_empty() {
+                check(&made, id, 0, &inputs, 16);
+            }
+        }
+    }
+}
+
+/// Checks that inputs are the results of one stage of one request, and all of them.
+fn check(made: &Made, id: &str, stage: u64, inputs: &[&str], count: usize) {
+    for input in inputs {
+        assert_eq!(made.results[*input], (id.to_owned(), stage), "{input}");
+    }
+    let names: BTreeSet<&&str> = inputs.iter().collect();
+    assert_eq!((inputs.len(), names.len()), (count, count), "{id}: {inputs:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn additional_answer_is_not_taken_for_that_of_the_next_call() {
+    // Guards against results of one request that are handed to another, and against pieces that run
+    // although their call counts as refused (incident REFUSED and TWICE).
+    let faults: [(&str, Fault); 4] = [
+        ("copy of the answer before", |request, right, last| match is_reused_run(request) {
+            true => [last, &right].concat(),
+            false => right,
+        }),
+        ("one answer behind", |request, right, last| match is_reused_run(request) {
+            true => last.to_vec(),
+            false => right,
+        }),
+        ("refusal of a request", |request, right, _| match is_reused_run(request) {
+            true => [refusal("another"), right].concat(),
+            false => right,
+        }),
+        ("copy of the answer that freed results", |request, right, _| {
+            match is_reused_run(request) {
+                true => [answer(200, "", ""), right].concat(),
+                false => right,
+            }
+        }),
+    ];
+    for (name, fault) in faults {
+        let servers = stage_servers(fault).await;
+        let mut statuses = Vec::new();
+        for id in IDS {
+            statuses.push(servers.status(id, "16,2").await);
+        }
+
+        println!("{name}: {statuses:?}, {} faults", lock(&servers.made).faults);
+        assert!(lock(&servers.made).faults > 0, "{name}: no fault was met");
+        servers.check_inputs();
+        assert_eq!(statuses, [200; 5], "{name}");
+    }
+}
+
+/// Returns whether a call for pieces came on a connection that carried others before.
+fn is_reused_run(request: &RawRequest) -> bool {
+    request.earlier > 0 && request.head.starts_with("post /stage-run ")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_is_kept_only_after_an_answer_that_names_results() {
+    // Guards against a late copy of a refusal, which nothing tells from the refusal of the next call,
+    // so that pieces run although their call counts as refused.
+    let servers = stage_servers(|request, right, _| match is_reused_run(request) {
+        true => refusal(""),
+        false => right,
+    })
+    .await;
+    for id in IDS {
+        assert_eq!(servers.status(id, "16,2").await, 200);
+    }
+
+    let made = lock(&servers.made);
+    assert!(made.faults > 0, "no fault was met");
+    assert_eq!(made.after_nameless, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_share_a_connection_while_their_answers_name_results() {
+    // Guards against a new connection for each call, which has a price.
+    let servers = stage_servers(|_, right, _| right).await;
+    for id in IDS {
+        assert_eq!(servers.status(id, "16,2").await, 200);
+    }
+
+    let made = lock(&servers.made);
+    assert!(made.reused >= 5, "{}", made.reused);
+    assert_eq!(made.after_nameless, 0);
+}
