Release room only after a successful answer to the call that frees it

Callers would see: stages that end late, as pieces go to backend servers without room for their results. Cause: a call that frees results took any answer for success: a refusal, a failure, or a repeat of the answer before. Its room counted as free while the backend server still held the results. Ruled out: freeing again at once, as a backend server that is full or failing would get more calls; results expire by themselves. Conclusion: room is released only by an answer that confirms this very call.

--- a/src/limpetmux/stage_queues/mod.rs
+++ b/src/limpetmux/stage_queues/mod.rs
@@ -19,6 +19,7 @@
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
 use exchange::{ExchangeError, exchange};
+use hyper::StatusCode;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -311,7 +312,7 @@
 
 /// Asks a backend server to free results that are not needed any more.
 ///
-/// Their memory counts as used until the backend server has answered this very call.
+/// Their memory counts as used until the backend server has confirmed this very call.
 async fn free(
     queues: Arc<StageQueues>,
     service: Arc<str>,
@@ -320,8 +321,11 @@
 ) {
     let call = async {
         let request = stage::free(addr, &results)?;
-        exchange(&queues.shared.connections, addr, request).await?;
-        Ok::<(), FreeError>(())
+        let answer = exchange(&queues.shared.connections, addr, request).await?;
+        match answer.head.status {
+            status if status.is_success() => Ok(()),
+            status => Err(FreeError::Status(status)),
+        }
     };
     match timeout(FREE_TIMEOUT, call).await {
         Ok(Ok(())) => {
@@ -342,4 +346,6 @@
     Call(#[from] stage::CallError),
     #[error(transparent)]
     Exchange(#[from] ExchangeError),
+    #[error("the answer has status {0}")]
+    Status(StatusCode),
 }
--- a/tests/testsuite/platform/stage_calls.rs
+++ b/tests/testsuite/platform/stage_calls.rs
@@ -1,11 +1,13 @@
 //! The answer to a call for pieces, or to one that frees results, is used only for that call.
 
-use super::node_fixture::{Fixture, OwnServer, fixture_with};
+use super::node_fixture::{Fixture, OwnServer, config, fixture_with};
 use limpetmux_standins::raw::{RawRequest, serve_requests};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::sleep;
 
 /// The requests of one test.
 const IDS: [&str; 5] = ["1f", "2f", "3f", "4f", "5f"];
@@ -17,6 +19,9 @@
     results: BTreeMap<String, (String, u64)>,
     /// The inputs of each call with an id.
     inputs: Vec<(String, Value)>,
+    freed: BTreeSet<String>,
+    /// The most results that one of them held at a time.
+    most_held: usize,
     /// The last answer of each server to a call for pieces.
     last: BTreeMap<String, Vec<u8>>,
     /// The number of calls on connections that carried others before.
@@ -68,6 +73,9 @@
     }
     if call["items"].is_array() {
         made.last.insert(server.to_owned(), right);
+    } else if sent == right {
+        let names = call["handles"].as_array().unwrap().iter();
+        made.freed.extend(names.map(|h| h.as_str().unwrap().to_owned()));
     }
     sent
 }
@@ -81,7 +89,10 @@
         made.results.insert(name.clone(), (id, item["stage"].as_u64().unwrap()));
         json!({"handle": name})
     });
-    results.collect()
+    let results: Vec<Value> = results.collect();
+    let held = made.results.keys().filter(|n| n.starts_with(&host) && !made.freed.contains(*n));
+    made.most_held = made.most_held.max(held.count());
+    results
 }
 
 /// Returns an answer that carries an id, unless that is empty.
@@ -207,3 +218,35 @@
     assert!(made.reused >= 5, "{}", made.reused);
     assert_eq!(made.after_nameless, 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn room_is_taken_until_the_call_that_frees_it_succeeds() {
+    // Guards against calls without room: any answer to a call that frees results counted as success.
+    let faults: [Fault; 2] = [
+        |request, right, _| match request.head.starts_with("post /stage-free ") {
+            true => answer(503, "", ""),
+            false => right,
+        },
+        |request, right, last| match request.head.starts_with("post /stage-free ") {
+            true if request.earlier > 0 => [last, &answer(503, "", "")].concat(),
+            true => answer(503, "", ""),
+            false => right,
+        },
+    ];
+    for fault in faults {
+        let servers = stage_servers(fault).await;
+        // Results of 100 kB take up a room of 1 MB, of which a fourteenth stays free.
+        let large = config(2, "k1").replace(r#""size-bytes":1000"#, r#""size-bytes":100000"#);
+        servers.fixture.store.put("keyed.op", "config", &large);
+        sleep(Duration::from_millis(1_000)).await;
+
+        let mut statuses = Vec::new();
+        for id in IDS {
+            statuses.push(servers.status(id, "2,2").await);
+        }
+
+        let made = lock(&servers.made);
+        println!("{statuses:?}, {} held", made.most_held);
+        assert!(made.most_held <= 9, "{} results in the room for 9: {statuses:?}", made.most_held);
+    }
+}
