Test what a deadline promises at each step of a request

Change: tests only, for the deadline during the stages, while a backend server holds the request, inside the body of a refusal, during a second send after a refusal and after a failed run, and while the stages run again; for a caller that leaves; and for the statuses of all failures that the node creates. Ruled out: the state is set before each send and taken back only after a refusal or a connection that never came about, with the earlier runs counted.

--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod engines;
 mod event_stream;
+mod expiry;
 mod explain;
 mod listing;
 mod names;
