--- a/src/limpetmux/stage_queues/mod.rs
+++ b/src/limpetmux/stage_queues/mod.rs
@@ -6,19 +6,20 @@
 //! the future of [`run`](StageQueues::run).
 
 pub mod engines;
+mod exchange;
 mod leave;
 
 use crate::core::pieces::{Actions, Call, CallEnd, JobKey, JobSpec, PieceQueue, StageEnd};
 use crate::core::pieces::{CallKey, PieceError, PieceOutcome, WorkerSpec};
 use crate::event;
-use crate::platform::{server, stage};
+use crate::platform::stage;
 use crate::serve::inputs::free_results;
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
-use bytes::Bytes;
-use http_body_util::BodyExt;
+use exchange::{ExchangeError, exchange};
+use hyper::StatusCode;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -271,27 +272,18 @@
             return CallEnd::Lost;
         }
     };
-    let (answer, connection) = match shared.connections.send(call.addr, request).await {
-        Ok(sent) => sent,
+    let answer = match exchange(&shared.connections, call.addr, request).await {
+        Ok(answer) => answer,
         Err(error) => {
             event!(EventCode::CallFailed, server = call.server, reason = error);
             return if error.is_unsent() { CallEnd::Unsent } else { CallEnd::Lost };
         }
     };
-    let head = server::head("", &answer);
-    let keep = server::keep_alive(answer.headers());
-    let body: Bytes = match answer.into_body().collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            event!(EventCode::CallFailed, server = call.server, reason = error);
-            return CallEnd::Lost;
-        }
-    };
-    if !head.closes {
-        connection.keep(keep);
-    }
-    let end = stage::decode(head.status, head.not_run, &body);
+    let end = stage::decode(answer.head.status, answer.head.not_run, &answer.body);
     log_missing(call, &end);
+    if end.is_distinct(call.items.len()) {
+        answer.keep();
+    }
     end
 }
 
@@ -320,7 +312,7 @@
 
 /// Asks a backend server to free results that are not needed any more.
 ///
-/// Their memory counts as used until the backend server has answered.
+/// Their memory counts as used until the backend server has confirmed this very call.
 async fn free(
     queues: Arc<StageQueues>,
     service: Arc<str>,
@@ -329,11 +321,11 @@
 ) {
     let call = async {
         let request = stage::free(addr, &results)?;
-        let (answer, connection) = queues.shared.connections.send(addr, request).await?;
-        let keep = server::keep_alive(answer.headers());
-        answer.into_body().collect().await?;
-        connection.keep(keep);
-        Ok::<(), FreeError>(())
+        let answer = exchange(&queues.shared.connections, addr, request).await?;
+        match answer.head.status {
+            status if status.is_success() => Ok(()),
+            status => Err(FreeError::Status(status)),
+        }
     };
     match timeout(FREE_TIMEOUT, call).await {
         Ok(Ok(())) => {
@@ -353,7 +345,7 @@
     #[error("the call cannot be built")]
     Call(#[from] stage::CallError),
     #[error(transparent)]
-    Connection(#[from] crate::serve::connections::ConnectionError),
-    #[error("the answer ended early")]
-    Answer(#[from] hyper::Error),
+    Exchange(#[from] ExchangeError),
+    #[error("the answer has status {0}")]
+    Status(StatusCode),
 }
