Let calls that free results share connections among themselves

Cause: since the answers to these calls are all alike, each of them closed its connection, so that no copy of an answer is taken for that of a call for pieces. Change: they use connections of their own and keep them after a success, so a copy can only count for another call that frees results. An answer with more than one request id belongs to another request, not to none: a call for pieces must not accept it. Conclusion: the proof for calls for pieces is as strict as before.

--- a/src/limpetmux/core/answer_proof.rs
+++ b/src/limpetmux/core/answer_proof.rs
@@ -12,9 +12,9 @@
 pub enum AnswerOwner {
     /// The request that was sent.
     Sent,
-    /// Another request.
+    /// Another request, or more than one.
     Another,
-    /// The answer carries no id, or more than one.
+    /// The answer carries no id.
     Unnamed,
 }
 
--- a/src/limpetmux/platform/server.rs
+++ b/src/limpetmux/platform/server.rs
@@ -121,8 +121,8 @@
     let mut named = headers.get_all(names::REQUEST_ID).iter();
     match (named.next(), named.next()) {
         (Some(named), None) if named == id => AnswerOwner::Sent,
-        (Some(_), None) => AnswerOwner::Another,
-        (None, _) | (Some(_), Some(_)) => AnswerOwner::Unnamed,
+        (Some(_), _) => AnswerOwner::Another,
+        (None, _) => AnswerOwner::Unnamed,
     }
 }
 
--- a/src/limpetmux/stage_queues/exchange.rs
+++ b/src/limpetmux/stage_queues/exchange.rs
@@ -2,10 +2,12 @@
 //!
 //! Calls and their answers carry no id, but a backend server may repeat an answer where the one to
 //! the next call on the connection is due. What tells the two apart is that results have unique
-//! names. A connection is therefore kept only after an answer that names results, and an answer
-//! that equals an earlier one on its connection, or that carries the id of a request, is not used.
+//! names. A connection for calls for pieces is therefore kept only after an answer that names
+//! results, and an answer that equals an earlier one on it, or that carries the id of a request, is
+//! not used. Calls that free results have connections of their own, as their answers are all alike.
 
-use crate::platform::server::{self, AnswerOwner, ReplyHead};
+use crate::core::answer_proof::AnswerOwner;
+use crate::platform::server::{self, ReplyHead};
 use crate::serve::connections::{ActiveConnection, ConnectionError, ConnectionPool, Reuse};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -43,8 +45,20 @@
 }
 
 impl CallAnswer {
-    /// Keeps the connection after an answer that no answer to another call can equal.
+    /// Returns whether an answer with the same body was received on the connection before.
+    pub(super) fn is_repeat(&self) -> bool {
+        self.connection.is_repeat(&self.body)
+    }
+
+    /// Keeps the connection for calls whose answers name no results.
     pub(super) fn keep(self) {
+        if !self.head.closes {
+            self.connection.keep(self.head.keep_alive);
+        }
+    }
+
+    /// Keeps the connection after an answer that no answer to another call can equal.
+    pub(super) fn keep_known(self) {
         if !self.head.closes {
             self.connection.keep_after(&self.body, self.head.keep_alive);
         }
@@ -63,8 +77,5 @@
         return Err(ExchangeError::OtherCall);
     }
     let body = answer.into_body().collect().await?.to_bytes();
-    if connection.is_repeat(&body) {
-        return Err(ExchangeError::OtherCall);
-    }
     Ok(CallAnswer { head, body, connection })
 }
--- a/src/limpetmux/stage_queues/mod.rs
+++ b/src/limpetmux/stage_queues/mod.rs
@@ -13,6 +13,7 @@
 use crate::core::pieces::{CallKey, PieceError, PieceOutcome, WorkerSpec};
 use crate::event;
 use crate::platform::stage;
+use crate::serve::connections::ConnectionPool;
 use crate::serve::inputs::free_results;
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
@@ -40,6 +41,8 @@
 /// The queues of one node.
 pub struct StageQueues {
     shared: Arc<Shared>,
+    /// Connections that carry only calls that free results, whose answers name none.
+    freeing: ConnectionPool,
     queues: Mutex<BTreeMap<Arc<str>, Queue>>,
 }
 
@@ -67,7 +70,7 @@
 impl StageQueues {
     /// Creates the queues of a node; there are none at first.
     pub fn new(shared: Arc<Shared>) -> Arc<Self> {
-        Arc::new(Self { shared, queues: Mutex::default() })
+        Arc::new(Self { shared, freeing: ConnectionPool::default(), queues: Mutex::default() })
     }
 
     /// Queues a stage and returns its outcome once it has ended.
@@ -148,6 +151,7 @@
                 self.step(&service);
             }
             self.shared.connections.close_idle();
+            self.freeing.close_idle();
         }
     }
 
@@ -279,10 +283,14 @@
             return if error.is_unsent() { CallEnd::Unsent } else { CallEnd::Lost };
         }
     };
+    if answer.is_repeat() {
+        event!(EventCode::CallFailed, server = call.server, reason = ExchangeError::OtherCall);
+        return CallEnd::Lost;
+    }
     let end = stage::decode(answer.head.status, answer.head.not_run, &answer.body);
     log_missing(call, &end);
     if end.is_distinct(call.items.len()) {
-        answer.keep();
+        answer.keep_known();
     }
     end
 }
@@ -321,9 +329,12 @@
 ) {
     let call = async {
         let request = stage::free(addr, &results)?;
-        let answer = exchange(&queues.shared.connections, addr, request).await?;
+        let answer = exchange(&queues.freeing, addr, request).await?;
         match answer.head.status {
-            status if status.is_success() => Ok(()),
+            status if status.is_success() => {
+                answer.keep();
+                Ok(())
+            }
             status => Err(FreeError::Status(status)),
         }
     };
