Test answers that only resemble a refusal of this send

Change: tests only. Refusals with the id or the statement in a trailer, in an interim answer, with an id that differs by a character or is given twice, on an idle connection and behind another refusal; and proper refusals in unusual forms (split, HTTP/1.0, without a length, cut body, interim answer before). Conclusion: the id names the request, not the send.

--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -13,6 +13,7 @@
 mod node_fixture;
 mod nodes;
 mod not_run;
+mod not_run_review;
 mod orders;
 mod pieces;
 mod placement;
