Bound what is read of the body of a refusal

Callers would see: 503 at the deadline for a request that another backend server would have served, and a node whose memory grows meanwhile. Cause: after an answer that proves that a request did not run, the rest of its body was read without a bound, only so that its connection can be kept. A body without end held the request until its deadline. Change: at most 16 KiB are read, in at most 50 ms; a longer body closes its connection, and the request goes on to the next backend server. Ruled out: a false refusal; the head has proved that the request did not run. Conclusion: the body of a refusal decides nothing, so it must not hold a request. The body of an answer that is not streamed is still read without a bound (Attempt::read_to_end).

--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -19,14 +19,14 @@
 use crate::core::placement::{PlaceEnd, PlaceQuery};
 use crate::platform::server::{self, AddedHeaders, ReplyHead};
 use crate::util::clock;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// The pause between two searches for a backend server.
 const SEARCH_PAUSE: Duration = Duration::from_millis(40);
@@ -38,6 +38,10 @@
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The time after which a model engine has fetched the inputs of a request.
 const INPUT_FETCH_TIME: Duration = Duration::from_millis(150);
+/// The most bytes that are read of the body of a refusal.
+const MAX_REFUSAL_BYTES: usize = 16 * 1024;
+/// The time in which the body of a refusal is read.
+const REFUSAL_READ_TIME: Duration = Duration::from_millis(50);
 /// How many sends may end without running before the request is refused.
 const MAX_REFUSALS: usize = 4;
 
@@ -313,9 +317,10 @@
 /// may join.
 const SPARE_ENTRY_FACTOR: usize = 2;
 
-/// Reads a short answer to its end so that its connection can be reused.
+/// Reads a short answer to its end so that its connection can be reused; a longer one closes it.
 async fn recycle(answer: Response<Incoming>, connection: ActiveConnection, head: &ReplyHead) {
-    let complete = answer.into_body().collect().await.is_ok();
+    let reading = Limited::new(answer.into_body(), MAX_REFUSAL_BYTES).collect();
+    let complete = timeout(REFUSAL_READ_TIME, reading).await.is_ok_and(|body| body.is_ok());
     if complete && !head.closes && !head.wrong_server {
         connection.keep(head.keep_alive);
     }
--- a/tests/testsuite/platform/not_run_review.rs
+++ b/tests/testsuite/platform/not_run_review.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// The pause between two parts of an answer that arrive one after the other.
 const PAUSE: Duration = Duration::from_millis(30);
@@ -16,6 +16,8 @@
 enum Part {
     Bytes(String),
     Pause,
+    /// Sends chunks of a body until the other side closes the connection.
+    Endless,
     Close,
 }
 
@@ -100,6 +102,10 @@
             match part {
                 Part::Bytes(bytes) => stream.write_all(bytes.as_bytes()).await?,
                 Part::Pause => sleep(PAUSE).await,
+                Part::Endless => loop {
+                    stream.write_all(b"4\r\nmore\r\n").await?;
+                    sleep(Duration::from_millis(1)).await;
+                },
                 Part::Close => return stream.shutdown().await,
             }
         }
@@ -307,3 +313,27 @@
         assert_eq!((status, arrivals.len()), (200, 1), "{path} {arrivals:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_without_an_end_does_not_hold_its_request_until_the_deadline() {
+    // Guards against a body without end behind a refusal, which holds a request that another backend
+    // server would serve, and fills the memory.
+    for path in ["/once/x", "/stream/x"] {
+        let head = "transfer-encoding: chunked\r\n\r\n";
+        let servers = part_servers(&TWO_EACH, move |arrival| match arrival.repeats {
+            0 => {
+                let named = named(&arrival.id);
+                let head = format!("HTTP/1.1 503 Text\r\n{named}{STATEMENT}{head}");
+                vec![Part::Bytes(head), Part::Endless]
+            }
+            _ => bytes(served(&arrival.id)),
+        })
+        .await;
+        let began = Instant::now();
+
+        let status = servers.status(path, "1f").await;
+
+        assert_eq!(status, 200, "{path} after {:?}", began.elapsed());
+        assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+    }
+}
