Send each call to a backend server on a connection of its own

What callers saw: a request refused as not run, or sent to another host, although it ran; also the answer of another request as its own. Cause: nothing in a backend server's answer names the call, and the sidecar kept connections. An additional answer to an earlier call arrives where the answer to the next one is due: 503, 429 or 409 were taken for this call's refusal, which released its idempotency key, and 200 for its answer. Orders to load a model were taken for applied or fenced in the same way and not sent again. Ruled out: hyper discards bytes on an idle connection, but not those that arrive after the next call is sent. An id that the backend server echoes would prove the same, but needs a change of every backend server. Change: adapters::backend_client::BackendClient keeps no idle connection, follows no redirect and never retries. Calls, cancellations, load reports and orders use it; constructors take it in place of any reqwest client, so that no caller can pass one that pools. Conclusion: on a connection that carries one call no other answer can arrive, so its answer is proof about this call and this send. Tests changed: those that passed a reqwest client pass a BackendClient; no check was altered.

--- a/crates/limpetmux-test-support/src/deployment/start.rs
+++ b/crates/limpetmux-test-support/src/deployment/start.rs
@@ -6,6 +6,7 @@
 use crate::invariants::BackendInfo;
 use futures::future::BoxFuture;
 use limpetmux::adapters::backend::Backend;
+use limpetmux::adapters::backend_client::BackendClient;
 use limpetmux::adapters::hosts::HostsClient;
 use limpetmux::adapters::log::LogClient;
 use limpetmux::control::{Control, Gossip, GossipOptions, PeerCounters, peer_server};
@@ -33,7 +34,7 @@
         let host = &self.config.hosts[name];
         let idempotent = self.config.services[&host.service].idempotent;
         let info = BackendInfo { host: name.to_string(), zone: host.zone.to_string(), idempotent };
-        let backend = Backend::http(reqwest::Client::new(), &self.standins[name].url());
+        let backend = Backend::http(BackendClient::new().unwrap(), &self.standins[name].url());
         (self.wrapper)(&info, self.recorder.wrap_backend(backend, info.clone()))
     }
 
--- a/crates/limpetmux-test-support/src/once_fleet.rs
+++ b/crates/limpetmux-test-support/src/once_fleet.rs
@@ -3,6 +3,7 @@
 
 use futures::FutureExt;
 use limpetmux::adapters::backend::Backend;
+use limpetmux::adapters::backend_client::BackendClient;
 use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::log::LogClient;
 use limpetmux::core::config::{
@@ -147,7 +148,7 @@
         let log = LogClient::http(self.client.clone(), &self.log.url());
         let plain =
             self.hosts.first().map(|h| &h.plain).filter(|_| self.shares_backend).unwrap_or(plain);
-        let backend = Backend::http(self.client.clone(), &plain.url());
+        let backend = Backend::http(BackendClient::new().unwrap(), &plain.url());
         Sidecar::start(SidecarOptions {
             host: name(HOSTS[host].0),
             view: self.view.reader(),
--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -1,12 +1,13 @@
 //! HTTP client for model engines, pools and plain services.
 
 use super::backend::{Backend, BackendError, Chunk, ChunkStream, Job, LoadReport};
+use super::backend_client::BackendClient;
 use crate::core::config::{Fencing, StageKind};
 use crate::core::frames::AttemptKey;
 use bytes::Bytes;
 use eventsource_stream::{Event, EventStreamError, Eventsource};
 use futures::{FutureExt, Stream, StreamExt, TryStreamExt, future::BoxFuture, stream};
-use reqwest::{Client, RequestBuilder, Response, StatusCode};
+use reqwest::{RequestBuilder, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::collections::VecDeque;
@@ -22,7 +23,7 @@
 
 impl Backend {
     /// Creates a client of the protocols in `docs/PROTOCOLS.md`; `base` is the server's URL.
-    pub fn http(client: Client, base: &str) -> Self {
+    pub fn http(client: BackendClient, base: &str) -> Self {
         let base: Arc<str> = base.trim_end_matches('/').into();
         let (run_client, run_base) = (client.clone(), Arc::clone(&base));
         let (cancel_client, cancel_base) = (client.clone(), Arc::clone(&base));
@@ -74,7 +75,7 @@
 }
 
 fn run(
-    client: Client,
+    client: BackendClient,
     base: Arc<str>,
     job: Job,
 ) -> BoxFuture<'static, Result<ChunkStream, BackendError>> {
@@ -97,7 +98,7 @@
     }
 }
 
-async fn call(client: &Client, base: &str, job: &Job) -> Result<ChunkStream, BackendError> {
+async fn call(client: &BackendClient, base: &str, job: &Job) -> Result<ChunkStream, BackendError> {
     let input: &RawValue = serde_json::from_slice(&job.input).map_err(BackendError::Malformed)?;
     let mut request = client.post(format!("{base}{}", path_of(job.kind)));
     if job.kind == StageKind::Plain {
@@ -147,7 +148,11 @@
     value.get().starts_with(|c: char| c == '-' || c.is_ascii_digit())
 }
 
-async fn generate(client: &Client, base: &str, job: &Job) -> Result<ChunkStream, BackendError> {
+async fn generate(
+    client: &BackendClient,
+    base: &str,
+    job: &Job,
+) -> Result<ChunkStream, BackendError> {
     let text = std::str::from_utf8(&job.input).unwrap_or_default();
     let prompt: String = serde_json::from_str(text).unwrap_or_else(|_| text.to_owned());
     let body = CompletionBody {
@@ -249,14 +254,18 @@
     Ok(())
 }
 
-async fn cancel(client: Client, base: Arc<str>, key: AttemptKey) -> Result<bool, BackendError> {
+async fn cancel(
+    client: BackendClient,
+    base: Arc<str>,
+    key: AttemptKey,
+) -> Result<bool, BackendError> {
     let body = CancelBody { request_id: key.to_string() };
     let response = send(client.post(format!("{base}/v1/cancel")).json(&body)).await?;
     let response: CancelResponse = response.json().await.map_err(BackendError::ResponseLost)?;
     Ok(response.cancelled)
 }
 
-async fn load(client: Client, base: Arc<str>) -> Result<LoadReport, BackendError> {
+async fn load(client: BackendClient, base: Arc<str>) -> Result<LoadReport, BackendError> {
     let request = client.get(format!("{base}/v1/load")).timeout(LOAD_TIMEOUT);
     send(request).await?.json().await.map_err(BackendError::ResponseLost)
 }
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -5,6 +5,7 @@
 //! protocols. [`channel`] creates the connections between the system's own processes.
 
 pub mod backend;
+pub mod backend_client;
 pub mod backend_http;
 pub mod channel;
 mod handshake;
--- a/src/limpetmux/adapters/orders.rs
+++ b/src/limpetmux/adapters/orders.rs
@@ -1,5 +1,6 @@
 //! The client for orders to load a model, which a sidecar sends to its backend server.
 
+use super::backend_client::BackendClient;
 use crate::core::config::Name;
 use crate::core::revision::Offset;
 use futures::future::BoxFuture;
@@ -58,11 +59,11 @@
 
 impl OrdersClient {
     /// Creates a client of the protocol in `docs/PROTOCOLS.md`; `base` is the backend server's URL.
-    pub fn http(http: reqwest::Client, base: &str) -> Self {
+    pub fn http(client: BackendClient, base: &str) -> Self {
         let url = format!("{}/v1/orders", base.trim_end_matches('/'));
         let send = move |order: ModelOrder| {
             let body = OrderBody { kind: OrderKind::Load, model: order.model, fence: order.fence };
-            let request = http.post(&url).timeout(TIMEOUT).json(&body);
+            let request = client.post(url.clone()).timeout(TIMEOUT).json(&body);
             let result: BoxFuture<'static, Result<(), OrderError>> = Box::pin(async move {
                 match request.send().await?.status() {
                     status if status.is_success() => Ok(()),
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -5,6 +5,7 @@
 use super::server::{ServeError, bind, sidecar_routes};
 use super::services::{Services, ServicesError, ServicesOptions};
 use crate::adapters::backend::Backend;
+use crate::adapters::backend_client::BackendClient;
 use crate::adapters::channel::Channels;
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::{LogClient, LogError, Stream};
@@ -194,7 +195,7 @@
         }
         let addresses = planned.iter().map(|(plan, addr, _)| (plan.clone(), *addr));
         let config = options.deployment.config(addresses)?;
-        let client = http_client()?;
+        let (client, backend_client) = (http_client()?, BackendClient::new()?);
         let platform = Platform::start(&planned.iter().map(|p| &p.0).collect::<Vec<_>>()).await?;
         let services = start_services(&platform, &client, &config).await?;
         // All processes share one clock.
@@ -210,7 +211,7 @@
             let sidecar = Sidecar::start(SidecarOptions {
                 host: plan.name.clone(),
                 view: services.control.view.clone(),
-                backend: Backend::http(client.clone(), &standin.url()),
+                backend: Backend::http(backend_client.clone(), &standin.url()),
                 once: Some(once.clone()),
                 metrics: Metrics::none(),
             });
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -7,6 +7,7 @@
 use super::server::{ServeError, local_addr};
 use super::services::{Services, ServicesError, ServicesOptions};
 use crate::adapters::backend::Backend;
+use crate::adapters::backend_client::BackendClient;
 use crate::adapters::channel::Channels;
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::LogClient;
@@ -69,7 +70,7 @@
     Kernel(#[from] KernelError),
 }
 
-/// Returns the HTTP client for the platform's services and backend servers.
+/// Returns the HTTP client for the platform's services.
 pub(super) fn http_client() -> Result<reqwest::Client, reqwest::Error> {
     reqwest::Client::builder().no_proxy().redirect(reqwest::redirect::Policy::none()).build()
 }
@@ -189,11 +190,11 @@
     let client = http_client()?;
     let channels = settings.channels()?;
     let services = start_services(settings, &channels, addr, false)?;
-    let log = LogClient::http(client.clone(), &settings.platform.log);
+    let log = LogClient::http(client, &settings.platform.log);
     let sidecar = Sidecar::start(SidecarOptions {
         host: settings.name.clone(),
         view: services.control.view.clone(),
-        backend: Backend::http(client, &sidecar_settings.backend),
+        backend: Backend::http(BackendClient::new()?, &sidecar_settings.backend),
         once: Some(OnceSettings { channels: channels.clone(), ..OnceSettings::new(log) }),
         metrics: metrics(settings)?,
     });
@@ -256,7 +257,7 @@
         host: settings.name.clone(),
         views: services.control.view.clone(),
         power,
-        orders: OrdersClient::http(http_client()?, &sidecar_settings.backend),
+        orders: OrdersClient::http(BackendClient::new()?, &sidecar_settings.backend),
         incarnation: Arc::new(move || sidecar.gate().load().incarnation),
     };
     Ok(follow_model(parts).boxed())
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod admin;
 mod admission;
 mod backend_answers;
+mod backend_not_run;
 mod budget;
 mod catalogue;
 mod config_fold;
--- a/tests/testsuite/planner_service.rs
+++ b/tests/testsuite/planner_service.rs
@@ -1,6 +1,7 @@
 //! The planner service with an in-memory log, on paused time, and its plans on running processes.
 
 use futures::FutureExt;
+use limpetmux::adapters::backend_client::BackendClient;
 use limpetmux::adapters::log::{LogClient, Stream};
 use limpetmux::adapters::power::{PowerClient, PowerError, PowerOrder};
 use limpetmux::core::planner::{AgentOptions, DutyFold, DutyRecord, LoadSample, PlanDelta};
@@ -312,7 +313,7 @@
         let backend = BackendOptions { checks_fence, ..BackendOptions::default() };
         let engine = Engine::start(EngineOptions { backend, ..EngineOptions::default() }).await;
         let engine = engine.unwrap();
-        let orders = OrdersClient::http(reqwest::Client::new(), &engine.server.url());
+        let orders = OrdersClient::http(BackendClient::new().unwrap(), &engine.server.url());
         let mut fenced = Vec::new();
         for fence in [5, 3].map(Offset) {
             let result = (orders.send)(ModelOrder { model: name("dispatch-7b"), fence }).await;
--- a/tests/testsuite/starting.rs
+++ b/tests/testsuite/starting.rs
@@ -1,6 +1,7 @@
 //! Requests that arrive while the hosts of a stage start.
 
 use limpetmux::adapters::backend::Backend;
+use limpetmux::adapters::backend_client::BackendClient;
 use limpetmux::adapters::channel::Channels;
 use limpetmux::core::config::{Config, PipelineSpec, StageSpec};
 use limpetmux::core::revision::Revision;
@@ -49,7 +50,7 @@
         let sidecar = Sidecar::start(SidecarOptions {
             host: host.clone(),
             view: sidecar_views.reader(),
-            backend: Backend::http(reqwest::Client::new(), &pool.url()),
+            backend: Backend::http(BackendClient::new().unwrap(), &pool.url()),
             once: None,
             metrics: Metrics::none(),
         });
