Take a status for "not run" only where its protocol promises that

What callers saw: a request refused as not_run, or its key released for another run, although a plain service had run it and failed with 503, 429 or 409. Cause: the adapter read these three statuses as refusals on every call. Only a model engine promises 503 "when saturated or cold", and a plain service promises 409 for an old fencing number, which it may not even have been sent. Change: Promises::of(job) states which statuses refuse the call: 503 of a completion, 409 of a call sent with X-Fence. 503 and 429 elsewhere are BackendError::Overloaded, which reduces the load as before and leaves the outcome unknown; 409 elsewhere is a failure. A pool or plain service without such a promise thereby loses a true "not run": a plain service that sends 503 before the run leaves its key unknown, a pool makes the request partly_run. Conclusion: what is not promised proves nothing.

--- a/src/limpetmux/adapters/backend.rs
+++ b/src/limpetmux/adapters/backend.rs
@@ -65,7 +65,7 @@
     /// The call did not reach the backend server.
     #[error("the backend server cannot be reached")]
     Unreachable(#[source] reqwest::Error),
-    /// The backend server refused the call before running it.
+    /// The backend server refused the call before running it, as its protocol promises.
     #[error("the backend server refused the call with status {status}")]
     Refused {
         /// The HTTP status.
@@ -73,7 +73,15 @@
         /// The retry delay that the backend server requests.
         retry_after: Option<Duration>,
     },
-    /// The backend server refused an old fencing number.
+    /// The backend server has no room, but its protocol does not promise that it ran nothing.
+    #[error("the backend server has no room, with status {status}")]
+    Overloaded {
+        /// The HTTP status.
+        status: u16,
+        /// The retry delay that the backend server requests.
+        retry_after: Option<Duration>,
+    },
+    /// The backend server refused the fencing number that the call was sent with.
     #[error("the backend server refused an old fencing number")]
     Fenced,
     /// The backend server failed while it ran the call.
--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -103,11 +103,11 @@
     let mut request = client.post(format!("{base}{}", path_of(job.kind)));
     if job.kind == StageKind::Plain {
         request = request.header("x-attempt-id", job.key.to_string());
-        if let Some((fence, Fencing::Checked)) = job.fence {
+        if let Some(fence) = checked_fence(job) {
             request = request.header("x-fence", fence);
         }
     }
-    let response = send(request.json(&InputBody { input })).await?;
+    let response = send(request.json(&InputBody { input }), Promises::of(job)).await?;
     let ends_with_connection = response.content_length().is_none()
         && !response.headers().contains_key(reqwest::header::TRANSFER_ENCODING);
     let payload = read_body(response).await?;
@@ -165,7 +165,7 @@
         prefix: &job.prefix,
     };
     let request = client.post(format!("{base}{}", path_of(job.kind)));
-    let response = send(request.json(&body)).await?;
+    let response = send(request.json(&body), Promises::of(job)).await?;
     let body = response.bytes_stream().map_err(BackendError::ResponseLost);
     Ok(token_stream(body, !job.prefix.is_empty()))
 }
@@ -260,17 +260,44 @@
     key: AttemptKey,
 ) -> Result<bool, BackendError> {
     let body = CancelBody { request_id: key.to_string() };
-    let response = send(client.post(format!("{base}/v1/cancel")).json(&body)).await?;
+    let request = client.post(format!("{base}/v1/cancel")).json(&body);
+    let response = send(request, Promises::default()).await?;
     let response: CancelResponse = response.json().await.map_err(BackendError::ResponseLost)?;
     Ok(response.cancelled)
 }
 
 async fn load(client: BackendClient, base: Arc<str>) -> Result<LoadReport, BackendError> {
     let request = client.get(format!("{base}/v1/load")).timeout(LOAD_TIMEOUT);
-    send(request).await?.json().await.map_err(BackendError::ResponseLost)
+    send(request, Promises::default()).await?.json().await.map_err(BackendError::ResponseLost)
 }
 
-async fn send(request: RequestBuilder) -> Result<Response, BackendError> {
+/// Returns the fencing number that the backend server checks before it runs a call.
+fn checked_fence(job: &Job) -> Option<u64> {
+    match job.fence {
+        Some((fence, Fencing::Checked)) if job.kind == StageKind::Plain => Some(fence),
+        _ => None,
+    }
+}
+
+/// Which statuses the protocol of a call promises to mean that it did not run.
+///
+/// Any other call may answer the same status when its run has failed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Promises {
+    /// Whether 503 refuses the call.
+    refuses: bool,
+    /// Whether 409 refuses the call's fencing number.
+    fences: bool,
+}
+
+impl Promises {
+    fn of(job: &Job) -> Self {
+        let refuses = job.kind == StageKind::Generate;
+        Self { refuses, fences: checked_fence(job).is_some() }
+    }
+}
+
+async fn send(request: RequestBuilder, promises: Promises) -> Result<Response, BackendError> {
     let response = request.send().await.map_err(|error| {
         if error.is_connect() {
             BackendError::Unreachable(error)
@@ -285,10 +312,13 @@
     let retry_after = retry_after(&response);
     let status_code = status.as_u16();
     Err(match status {
-        StatusCode::CONFLICT => BackendError::Fenced,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+        StatusCode::CONFLICT if promises.fences => BackendError::Fenced,
+        StatusCode::SERVICE_UNAVAILABLE if promises.refuses => {
             BackendError::Refused { status: status_code, retry_after }
         }
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            BackendError::Overloaded { status: status_code, retry_after }
+        }
         _ => BackendError::Failed { status: status_code },
     })
 }
--- a/src/limpetmux/sidecar/run.rs
+++ b/src/limpetmux/sidecar/run.rs
@@ -123,7 +123,8 @@
 fn refusal_of(error: &BackendError) -> Refusal {
     let execution = if error.is_not_run() { Execution::NotRun } else { Execution::Unknown };
     let (code, retry_after) = match error {
-        BackendError::Refused { retry_after, .. } => (RefusalCode::Overloaded, *retry_after),
+        BackendError::Refused { retry_after, .. }
+        | BackendError::Overloaded { retry_after, .. } => (RefusalCode::Overloaded, *retry_after),
         BackendError::Fenced => (RefusalCode::Stale, None),
         BackendError::Unreachable(_) => (RefusalCode::Unavailable, None),
         _ => (RefusalCode::Failed, None),
--- a/tests/testsuite/backend_not_run.rs
+++ b/tests/testsuite/backend_not_run.rs
@@ -129,6 +129,40 @@
     }
 }
 
+#[tokio::test]
+async fn status_counts_as_not_run_only_where_the_protocol_promises_it() {
+    // Guards against the status of a run that failed, which was taken for a refusal: only a model
+    // engine promises that 503 refuses a call, and 409 refuses only a number that was sent.
+    let (checked, ignored) = (Some(Fencing::Checked), Some(Fencing::Ignored));
+    let rows = [
+        (StageKind::Generate, None, 503, true),
+        (StageKind::Plain, checked, 409, true),
+        (StageKind::Generate, None, 409, false),
+        (StageKind::Generate, None, 429, false),
+        (StageKind::Generate, None, 500, false),
+        (StageKind::Plain, None, 409, false),
+        (StageKind::Plain, ignored, 409, false),
+        (StageKind::Plain, checked, 429, false),
+        (StageKind::Plain, checked, 503, false),
+        (StageKind::Encode, None, 409, false),
+        (StageKind::Retrieve, None, 503, false),
+        (StageKind::Rerank, None, 429, false),
+    ];
+    let mut wrong = Vec::new();
+
+    for (kind, fencing, status, not_run) in rows {
+        let server = RawBackend::start(move |_| answer(status, "")).await;
+
+        let error = server.run(job(kind, fencing)).await.unwrap_err();
+
+        if error.is_not_run() != not_run {
+            wrong.push(format!("{kind:?} {fencing:?} {status}: {error}"));
+        }
+    }
+
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 #[tokio::test]
 async fn call_that_the_backend_server_received_never_counts_as_unsent() {
     // Guards against a connection that closes after the call arrived, on a new or a kept
