Refuse an attempt that arrived before as unknown, not as not run

What callers saw: not seen; no process of ours sends one attempt twice. If one did, or a proxy between entry and sidecar, a run would have been refused as not_run and the stage sent to another host. Cause: Attempts::begin returned the same error for a tombstone, which proves that the attempt never runs, and for an attempt that waits, runs or has ended. A host that drained answered "not run" even before it looked at the table. Change: BeginError tells the two apart, and the table is asked before the gate's checks, so that their "not run" is about an attempt that is new here. Ruled out: another attempt's refusal; frames name their attempt and arrive on the HTTP/2 stream of this call. Conclusion: "not run" now needs a first arrival or a tombstone.

--- a/src/limpetmux/sidecar/attempts.rs
+++ b/src/limpetmux/sidecar/attempts.rs
@@ -14,6 +14,27 @@
 #[error("the attempt was cancelled before it ran")]
 pub struct Cancelled;
 
+/// Why an attempt may not start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BeginError {
+    /// The attempt was cancelled before it ran, so it never runs.
+    #[error(transparent)]
+    Cancelled(#[from] Cancelled),
+    /// The attempt arrived before, so it may have run.
+    #[error("the attempt arrived before")]
+    Repeated,
+}
+
+impl BeginError {
+    /// Returns how much of the attempt may have run.
+    pub fn execution(self) -> Execution {
+        match self {
+            Self::Cancelled(_) => Execution::NotRun,
+            Self::Repeated => Execution::Unknown,
+        }
+    }
+}
+
 #[derive(Debug)]
 enum State {
     Waiting(oneshot::Sender<()>),
@@ -49,14 +70,16 @@
     /// Registers an attempt and returns the channel that signals its cancellation.
     ///
     /// # Errors
-    /// Returns [`Cancelled`] if the attempt was cancelled before or is already known.
+    /// Returns [`BeginError`] if the attempt was cancelled before or is already known.
     pub fn begin(
         &self,
         key: AttemptKey,
-    ) -> Result<(Registration, oneshot::Receiver<()>), Cancelled> {
+    ) -> Result<(Registration, oneshot::Receiver<()>), BeginError> {
         let mut table = lock(&self.table);
-        if table.states.contains_key(&key) {
-            return Err(Cancelled);
+        match table.states.get(&key) {
+            None => {}
+            Some(State::Tombstone) => return Err(Cancelled.into()),
+            Some(_) => return Err(BeginError::Repeated),
         }
         let (sender, receiver) = oneshot::channel();
         table.states.insert(key, State::Waiting(sender));
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -16,7 +16,7 @@
 mod service;
 
 pub use admit::Permit;
-pub use attempts::{Attempts, Cancelled};
+pub use attempts::{Attempts, BeginError, Cancelled};
 pub use gate::{AttemptInfo, CheckedAttempt, Gate};
 pub use output::{Disconnected, FrameWriter, Output};
 pub use run::{Attempt, Usage, run_attempt};
--- a/src/limpetmux/sidecar/service.rs
+++ b/src/limpetmux/sidecar/service.rs
@@ -2,7 +2,10 @@
 
 use super::once::run_once;
 use super::output::FrameResult;
-use super::{Attempt, AttemptInfo, FrameWriter, Output, RunningGuard, Sidecar, Usage, run_attempt};
+use super::{
+    Attempt, AttemptInfo, BeginError, FrameWriter, Output, RunningGuard, Sidecar, Usage,
+    run_attempt,
+};
 use crate::adapters::backend::Job;
 use crate::core::frames::AttemptKey;
 use crate::core::refusal::{Refusal, RefusalCode};
@@ -103,9 +106,12 @@
         priority: request.priority,
         max_tokens: request.max_tokens,
     };
+    let refused = |e: BeginError| Refusal {
+        execution: e.execution(),
+        ..Refusal::unknown(RefusalCode::Cancelled)
+    };
+    let (registration, cancel) = sidecar.attempts.begin(key).map_err(refused)?;
     let checked = sidecar.gate.check(info)?;
-    let cancelled = |_| Refusal::not_run(RefusalCode::Cancelled);
-    let (registration, cancel) = sidecar.attempts.begin(key).map_err(cancelled)?;
     let deadline = arrived + Duration::from_micros(request.remaining_us);
     let job = Job {
         key,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod admin;
 mod admission;
+mod attempt_not_run;
 mod backend_answers;
 mod backend_not_run;
 mod budget;
