Believe "not run" only in the first frame of an attempt

What callers saw: not seen; a stage whose first frames had arrived, or were lost, would have been reported as not run and sent to another host. Cause: Assembler::refused looked at the attempt of a refusal but not at its sequence, and the entry took its statement whatever frames came before. Change: a refusal must carry the next sequence, as every other frame; one after data frames is read as unknown. Ruled out: refusals of another request, stage or attempt, which are dropped, and an execution that is no known word, which is read as unknown (tests of both). Evidence: refusal_counts_as_not_run_only_as_the_first_frame_of_its_own_attempt fails on the code before for "after data" and "after a gap" (not_run) and passes after; refusal_with_an_unknown_statement_does_not_count_as_not_run passes before and after. Conclusion: the frames now have to agree with the statement. Tests changed: frames.rs passes a sequence to Assembler::refused and expects FrameAction::Drop where it expected Some(Dropped); the same cases are checked.

--- a/src/limpetmux/core/frames.rs
+++ b/src/limpetmux/core/frames.rs
@@ -152,11 +152,19 @@
         FrameAction::Complete
     }
 
-    /// Checks a refusal: one of this attempt ends it; any other is dropped for the returned reason.
-    pub fn refused(&mut self, key: AttemptKey) -> Option<Dropped> {
-        let dropped = self.check_attempt(key);
-        self.ended |= dropped.is_none();
-        dropped
+    /// Checks a refusal, whose sequence follows that of the last data frame.
+    ///
+    /// One of this attempt completes it, but proves that nothing ran only if no data frame was
+    /// [`delivered`](Self::delivered) before.
+    pub fn refused(&mut self, key: AttemptKey, sequence: u64) -> FrameAction {
+        if let Some(dropped) = self.check_attempt(key) {
+            return FrameAction::Drop(dropped);
+        }
+        if sequence != self.next_sequence {
+            return self.fail(FrameFault::Gap { expected: self.next_sequence, got: sequence });
+        }
+        self.ended = true;
+        FrameAction::Complete
     }
 
     /// Ends the stream; returns a fault if the attempt has not ended before.
--- a/src/limpetmux/entry/attempt.rs
+++ b/src/limpetmux/entry/attempt.rs
@@ -112,9 +112,9 @@
             let load = done.load;
             (Ok(done), load)
         }
-        Ok(FrameOutcome::Refused(refused)) => {
+        Ok(FrameOutcome::Refused(refusal, load)) => {
             guard.client = None;
-            (Err(AttemptError::Refused(convert::refusal(&refused))), refused.load)
+            (Err(AttemptError::Refused(refusal)), load)
         }
         Ok(FrameOutcome::Invalid(fault)) => (Err(fault.into()), None),
         Ok(FrameOutcome::Deliver(_) | FrameOutcome::Ignore) => {
@@ -154,7 +154,7 @@
     Deliver(Bytes),
     Ignore,
     Done(stage::Done),
-    Refused(stage::Refused),
+    Refused(Refusal, Option<stage::Load>),
     Invalid(FrameFault),
 }
 
@@ -171,14 +171,26 @@
             FrameAction::Fail(fault) => FrameOutcome::Invalid(fault),
             FrameAction::Drop(_) | FrameAction::Deliver => FrameOutcome::Ignore,
         },
-        Some(Kind::Refused(refused)) => match assembler.refused(key) {
-            None => FrameOutcome::Refused(refused),
-            Some(_) => FrameOutcome::Ignore,
+        Some(Kind::Refused(refused)) => match assembler.refused(key, frame.sequence) {
+            FrameAction::Complete => {
+                FrameOutcome::Refused(read_refusal(assembler, &refused), refused.load)
+            }
+            FrameAction::Fail(fault) => FrameOutcome::Invalid(fault),
+            FrameAction::Drop(_) | FrameAction::Deliver => FrameOutcome::Ignore,
         },
         None => FrameOutcome::Ignore,
     }
 }
 
+/// Reads a refusal; one after data frames cannot state that nothing ran.
+fn read_refusal(assembler: &Assembler, refused: &stage::Refused) -> Refusal {
+    let refusal = convert::refusal(refused);
+    match refusal.execution {
+        Execution::NotRun if assembler.delivered() > 0 => Refusal::unknown(refusal.code),
+        _ => refusal,
+    }
+}
+
 /// Returns whether a stage may be attempted again after a refusal.
 ///
 /// The refusal must be transient and, if the stage is not idempotent, prove that nothing ran.
--- /dev/null
+++ b/tests/testsuite/entry_not_run.rs
@@ -0,0 +1,200 @@
+//! An entry says "not run" only if the replies of hosts prove it for this very request.
+
+use limpetmux::adapters::channel::Channels;
+use limpetmux::core::frames::AttemptKey;
+use limpetmux::core::refusal::{Refusal, RefusalCode};
+use limpetmux::core::revision::Revision;
+use limpetmux::core::view::View;
+use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
+use limpetmux::kernel::Publisher;
+use limpetmux::util::metrics::Metrics;
+use limpetmux::wire::once::once_server::{Once, OnceServer};
+use limpetmux::wire::stage::frame::Kind;
+use limpetmux::wire::stage::stage_server::{Stage, StageServer};
+use limpetmux::wire::{convert, once, stage};
+use limpetmux_test_support::config::{name, summary_config};
+use limpetmux_test_support::http::Caller;
+use serde_json::json;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio_stream::Iter;
+use tonic::service::Routes;
+use tonic::{Request, Response, Status};
+use uuid::Uuid;
+
+const WORKSPACE: &str = "exchange";
+/// A pipeline whose only stage may run at most once, on one of two hosts.
+const PIPELINE: &str = "port";
+
+/// The frames that a host answers an attempt with.
+type AnswerFn = dyn Fn(AttemptKey) -> Vec<stage::Frame> + Send + Sync;
+
+/// A host that answers with given frames and look-ups.
+struct FakeHost {
+    frames: Arc<AnswerFn>,
+    arrivals: Arc<AtomicU32>,
+    state: Arc<Mutex<&'static str>>,
+}
+
+#[tonic::async_trait]
+impl Stage for FakeHost {
+    type RunStream = Iter<std::vec::IntoIter<Result<stage::Frame, Status>>>;
+
+    async fn run(
+        &self,
+        request: Request<stage::RunRequest>,
+    ) -> Result<Response<Self::RunStream>, Status> {
+        self.arrivals.fetch_add(1, Ordering::SeqCst);
+        let key = convert::attempt(request.into_inner().id.as_ref()).unwrap();
+        let frames: Vec<_> = (self.frames)(key).into_iter().map(Ok).collect();
+        Ok(Response::new(tokio_stream::iter(frames)))
+    }
+
+    async fn cancel(
+        &self,
+        _: Request<stage::CancelRequest>,
+    ) -> Result<Response<stage::CancelReply>, Status> {
+        Err(Status::unimplemented("no cancellation"))
+    }
+
+    async fn probe(
+        &self,
+        _: Request<stage::ProbeRequest>,
+    ) -> Result<Response<stage::Load>, Status> {
+        Err(Status::unimplemented("no probe"))
+    }
+}
+
+#[tonic::async_trait]
+impl Once for FakeHost {
+    async fn promise(
+        &self,
+        _: Request<once::PromiseRequest>,
+    ) -> Result<Response<once::PromiseReply>, Status> {
+        Err(Status::unimplemented("no promise"))
+    }
+
+    async fn forward_claims(
+        &self,
+        _: Request<once::ForwardClaimsRequest>,
+    ) -> Result<Response<once::ForwardClaimsReply>, Status> {
+        Err(Status::unimplemented("no claims"))
+    }
+
+    async fn hand_over(
+        &self,
+        _: Request<once::HandOverRequest>,
+    ) -> Result<Response<once::HandOverReply>, Status> {
+        Err(Status::unimplemented("no handover"))
+    }
+
+    async fn look_up(
+        &self,
+        _: Request<once::LookUpRequest>,
+    ) -> Result<Response<once::LookUpReply>, Status> {
+        let state = *self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let state = state.to_owned();
+        Ok(Response::new(once::LookUpReply { state, ..once::LookUpReply::default() }))
+    }
+}
+
+/// An entry in front of hosts that answer as given.
+struct Fixture {
+    caller: Caller,
+    arrivals: Arc<AtomicU32>,
+    _view: Publisher<View>,
+}
+
+impl Fixture {
+    async fn start(
+        frames: impl Fn(AttemptKey) -> Vec<stage::Frame> + Send + Sync + 'static,
+    ) -> Self {
+        let frames: Arc<AnswerFn> = Arc::new(frames);
+        let mut config = summary_config();
+        let arrivals = Arc::<AtomicU32>::default();
+        for host in config.hosts.values_mut().filter(|h| h.service == name("provisioning")) {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            host.sidecar = listener.local_addr().unwrap();
+            let state = Arc::new(Mutex::new("unknown"));
+            let (frames, arrivals) = (Arc::clone(&frames), Arc::clone(&arrivals));
+            let fake = Arc::new(FakeHost { frames, arrivals, state });
+            let routes = Routes::new(StageServer::from_arc(Arc::clone(&fake)));
+            let routes = routes.add_service(OnceServer::from_arc(fake));
+            tokio::spawn(async move {
+                Channels::plain().serve(routes, listener, std::future::pending()).await
+            });
+        }
+        let view = Publisher::new(View::compile(Revision(1), &config));
+        let entry = Entry::start(EntryOptions {
+            zone: config.zones.keys().next().unwrap().clone(),
+            ordinal: 0,
+            view: view.reader(),
+            members: Members(None),
+            channels: Channels::plain(),
+            limits: Limits::default(),
+            metrics: Metrics::none(),
+        });
+        let (entry, listener) = (entry.unwrap(), TcpListener::bind("127.0.0.1:0").await.unwrap());
+        let caller = Caller::new(&limpetmux::entry::base_url(listener.local_addr().unwrap()));
+        let stop = std::future::pending();
+        tokio::spawn(async move { entry.serve(listener, stop, Duration::ZERO).await });
+        Self { caller, arrivals, _view: view }
+    }
+
+    /// Sends a request and returns what its refusal states, and how often it arrived at a host.
+    async fn refusal(&self) -> (String, u32) {
+        let key = Uuid::now_v7().to_string();
+        let body = json!({ "input": 1, "deadline_ms": 3_000 });
+        let answer = self.caller.run_once(WORKSPACE, PIPELINE, &key, &body).await;
+        let execution = answer.body["execution"].as_str().unwrap_or_default().to_owned();
+        (execution, self.arrivals.swap(0, Ordering::SeqCst))
+    }
+}
+
+fn data(key: AttemptKey, sequence: u64) -> stage::Frame {
+    let data = stage::Data { payload: "1".into(), tokens: 0 };
+    stage::Frame { id: Some(key.into()), sequence, kind: Some(Kind::Data(data)) }
+}
+
+fn not_run(key: AttemptKey, sequence: u64) -> stage::Frame {
+    let refused = convert::refused(Refusal::not_run(RefusalCode::Overloaded), None);
+    stage::Frame { id: Some(key.into()), sequence, kind: Some(Kind::Refused(refused)) }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusal_counts_as_not_run_only_as_the_first_frame_of_its_own_attempt() {
+    // Guards against a stage that began to answer, or whose first frames are lost, and that counts
+    // as not run because of a later refusal or one of another attempt.
+    type Frames = fn(AttemptKey) -> Vec<stage::Frame>;
+    let rows: [(&str, Frames, &str); 4] = [
+        ("own", |key| vec![not_run(key, 0)], "not_run"),
+        ("after data", |key| vec![data(key, 0), not_run(key, 1)], "unknown"),
+        ("after a gap", |key| vec![not_run(key, 1)], "unknown"),
+        ("other attempt", |key| vec![not_run(AttemptKey { attempt: 9, ..key }, 0)], "unknown"),
+    ];
+    let mut wrong = Vec::new();
+
+    for (case, frames, expected) in rows {
+        let refusal = Fixture::start(frames).await.refusal().await;
+
+        if refusal != (expected.to_owned(), 1) {
+            wrong.push((case, refusal));
+        }
+    }
+
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusal_with_an_unknown_statement_does_not_count_as_not_run() {
+    let fixture = Fixture::start(|key| {
+        let refused = stage::Refused { execution: "never".into(), ..Default::default() };
+        vec![stage::Frame { id: Some(key.into()), sequence: 0, kind: Some(Kind::Refused(refused)) }]
+    });
+
+    let refusal = fixture.await.refusal().await;
+
+    assert_eq!(refusal, ("unknown".to_owned(), 1));
+}
--- a/tests/testsuite/frames.rs
+++ b/tests/testsuite/frames.rs
@@ -43,7 +43,7 @@
 
         assert_eq!(assembler.data(other, 1, b"x"), FrameAction::Drop(Dropped::Crossed));
         assert_eq!(assembler.close(other, close(1, "a")), FrameAction::Drop(Dropped::Crossed));
-        assert_eq!(assembler.refused(other), Some(Dropped::Crossed));
+        assert_eq!(assembler.refused(other, 1), FrameAction::Drop(Dropped::Crossed));
         assert_eq!(assembler.close(OWN, close(1, "a")), FrameAction::Complete);
     }
 }
@@ -64,7 +64,7 @@
 
     assert_eq!(assembler.data(OWN, 1, b"b"), FrameAction::Drop(Dropped::Late));
     assert_eq!(assembler.close(OWN, close(1, "a")), FrameAction::Drop(Dropped::Late));
-    assert_eq!(assembler.refused(OWN), Some(Dropped::Late));
+    assert_eq!(assembler.refused(OWN, 1), FrameAction::Drop(Dropped::Late));
 }
 
 #[test]
@@ -77,6 +77,17 @@
     assert_eq!(assembler.data(OWN, 1, b"b"), FrameAction::Drop(Dropped::Late));
 }
 
+#[test]
+fn refusal_that_does_not_follow_the_last_data_frame_fails_the_attempt() {
+    // Guards against a refusal that is believed although data frames before it are missing.
+    for (sequence, expected) in [(0, 1), (2, 1)] {
+        let action = assembler_after(&["a"]).refused(OWN, sequence);
+
+        assert_eq!(action, FrameAction::Fail(FrameFault::Gap { expected, got: sequence }));
+    }
+    assert_eq!(assembler_after(&["a"]).refused(OWN, 1), FrameAction::Complete);
+}
+
 #[test]
 fn truncated_answer_fails_the_attempt() {
     assert_eq!(assembler_after(&["a"]).end(), Some(FrameFault::Truncated { got: 1 }));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod config_replicas;
 mod control;
 mod cost;
+mod entry_not_run;
 mod frames;
 mod fuzz;
 mod gossip;
