Let no lagging host deny a run that may have taken effect

What callers saw: not seen; GET .../outcomes/{key} could answer "not_run" or "absent" although the key's other host had run it without knowing its outcome. Its caller may then send the request under a new key, which runs it twice. Cause: the entry asks home and successor and took the "most certain" state, where "unknown" came last. One word stood for two states: "a run here may have taken effect" and "I do not hold this key". A host that has not read a takeover yet says "absent" or "not_run" while the holder's run has ended unknown. Change: hosts report "may_have_run" for the first; it decides before "not_run" and "absent", and callers are told "unknown" as before. KeyStatus moves to table.rs. Ruled out: the entry's own look-ups after a lost answer. They only send the request under its key again, which the hosts decide on, and no final refusal says "not run" afterwards. Conclusion: "not_run" needs that neither host has a run that may have taken effect.

--- a/src/limpetmux/core/once/node.rs
+++ b/src/limpetmux/core/once/node.rs
@@ -4,8 +4,8 @@
 use super::successor::HomeState;
 use super::table::{Entry, State};
 use super::{
-    Answer, Guard, Guards, Handover, HostId, Incarnation, KeyId, KeyTime, Outcome, Record, Role,
-    Rules, Table,
+    Answer, Guard, Guards, Handover, HostId, Incarnation, KeyId, KeyStatus, KeyTime, Outcome,
+    Record, Role, Rules, Table,
 };
 use crate::core::refusal::{Refusal, RefusalCode};
 use crate::core::revision::Offset;
@@ -57,21 +57,6 @@
     Refuse(KeyId, Refusal),
 }
 
-/// The result of looking up the outcome of a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum KeyStatus {
-    /// The stage answered.
-    Answered(Answer),
-    /// The stage is running or will run once its claim is read back.
-    Running,
-    /// The key was accepted, but the stage certainly did not run.
-    NotRun,
-    /// Certainly no request with the key was accepted.
-    Absent,
-    /// The stage may have run.
-    Unknown,
-}
-
 /// The protocol state of one host: its table, promises and takeovers.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Node {
@@ -195,7 +180,8 @@
             Some(State::Answered(a)) => KeyStatus::Answered(a.clone()),
             Some(State::Claiming | State::Running) => KeyStatus::Running,
             Some(State::Released) => KeyStatus::NotRun,
-            Some(State::Open | State::Claimed | State::Unknown) => KeyStatus::Unknown,
+            Some(State::Unknown) => KeyStatus::MayHaveRun,
+            Some(State::Open | State::Claimed) => KeyStatus::Unknown,
             None if self.check_not_run(key, role, time).is_ok() => KeyStatus::Absent,
             None => KeyStatus::Unknown,
         }
--- a/src/limpetmux/core/once/table.rs
+++ b/src/limpetmux/core/once/table.rs
@@ -24,6 +24,23 @@
     Unknown,
 }
 
+/// The result of looking up the outcome of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyStatus {
+    /// The stage answered.
+    Answered(Answer),
+    /// The stage is running or will run once its claim is read back.
+    Running,
+    /// The key was accepted, but the stage certainly did not run.
+    NotRun,
+    /// Certainly no request with the key was accepted.
+    Absent,
+    /// A run of the stage on this host, or on one that handed its table to it, may have run.
+    MayHaveRun,
+    /// The host does not know whether the stage ran.
+    Unknown,
+}
+
 /// The role of a host for a key, which depends on the key's home and successor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Role {
--- a/src/limpetmux/entry/outcome.rs
+++ b/src/limpetmux/entry/outcome.rs
@@ -9,8 +9,17 @@
 use serde::Serialize;
 use serde_json::value::RawValue;
 
-/// The states of a run, the most certain first.
-const STATES: [&str; 4] = ["answered", "running", "not_run", "absent"];
+/// The states that hosts report, the one that decides first, and what the caller is told.
+///
+/// A run that may have taken effect on one host is not denied by the other host, which may lag
+/// behind and still hold the state from before the key moved.
+const STATES: [(&str, &str); 5] = [
+    ("answered", "answered"),
+    ("running", "running"),
+    ("may_have_run", UNKNOWN),
+    ("not_run", "not_run"),
+    ("absent", "absent"),
+];
 const UNKNOWN: &str = "unknown";
 
 /// The outcomes of the stages that may run at most once.
@@ -47,7 +56,7 @@
             continue;
         }
         let replies = look_up_stage(fleet, workspace, pipeline, StageIndex(position), key).await;
-        stages.push(most_certain(row.name.to_string(), replies));
+        stages.push(combine(row.name.to_string(), replies));
     }
     Ok(Outcome { stages })
 }
@@ -78,11 +87,11 @@
     replies
 }
 
-/// Combines the replies about one stage into the most certain state.
-fn most_certain(stage: String, replies: Vec<LookUpReply>) -> StageOutcome {
-    let state = STATES.into_iter().find(|s| replies.iter().any(|r| r.state == *s));
+/// Combines the replies about one stage into the state that decides.
+fn combine(stage: String, replies: Vec<LookUpReply>) -> StageOutcome {
+    let state = STATES.into_iter().find(|(s, _)| replies.iter().any(|r| r.state == *s));
     let answer = replies.into_iter().find_map(|r| r.answer);
     let text = answer.and_then(|a| String::from_utf8(a.payload).ok());
     let output = text.and_then(|t| RawValue::from_string(t).ok());
-    StageOutcome { stage, state: state.unwrap_or(UNKNOWN), output }
+    StageOutcome { stage, state: state.map_or(UNKNOWN, |(_, told)| told), output }
 }
--- a/src/limpetmux/sidecar/once/convert.rs
+++ b/src/limpetmux/sidecar/once/convert.rs
@@ -22,6 +22,7 @@
         Some(KeyStatus::Running) => "running",
         Some(KeyStatus::NotRun) => "not_run",
         Some(KeyStatus::Absent) => "absent",
+        Some(KeyStatus::MayHaveRun) => "may_have_run",
         Some(KeyStatus::Unknown) => "unknown",
         None => "not_home",
     };
--- a/tests/testsuite/entry_not_run.rs
+++ b/tests/testsuite/entry_not_run.rs
@@ -104,6 +104,7 @@
 struct Fixture {
     caller: Caller,
     arrivals: Arc<AtomicU32>,
+    states: Vec<Arc<Mutex<&'static str>>>,
     _view: Publisher<View>,
 }
 
@@ -114,10 +115,12 @@
         let frames: Arc<AnswerFn> = Arc::new(frames);
         let mut config = summary_config();
         let arrivals = Arc::<AtomicU32>::default();
+        let mut states = Vec::new();
         for host in config.hosts.values_mut().filter(|h| h.service == name("provisioning")) {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             host.sidecar = listener.local_addr().unwrap();
             let state = Arc::new(Mutex::new("unknown"));
+            states.push(Arc::clone(&state));
             let (frames, arrivals) = (Arc::clone(&frames), Arc::clone(&arrivals));
             let fake = Arc::new(FakeHost { frames, arrivals, state });
             let routes = Routes::new(StageServer::from_arc(Arc::clone(&fake)));
@@ -140,7 +143,7 @@
         let caller = Caller::new(&limpetmux::entry::base_url(listener.local_addr().unwrap()));
         let stop = std::future::pending();
         tokio::spawn(async move { entry.serve(listener, stop, Duration::ZERO).await });
-        Self { caller, arrivals, _view: view }
+        Self { caller, arrivals, states, _view: view }
     }
 
     /// Sends a request and returns what its refusal states, and how often it arrived at a host.
@@ -187,6 +190,39 @@
     assert!(wrong.is_empty(), "{wrong:?}");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn outcome_is_unknown_if_either_host_reports_a_run_that_may_have_taken_effect() {
+    // Guards against "not_run" or "absent" from a host that lags behind a move of the key, while the
+    // other host ran it with an unknown outcome: its caller would run it again under a new key.
+    let fixture = Fixture::start(|key| vec![not_run(key, 0)]).await;
+    let rows = [
+        (["not_run", "may_have_run"], "unknown"),
+        (["may_have_run", "absent"], "unknown"),
+        (["unknown", "may_have_run"], "unknown"),
+        (["answered", "may_have_run"], "answered"),
+        (["unknown", "absent"], "absent"),
+        (["unknown", "not_run"], "not_run"),
+    ];
+    let mut wrong = Vec::new();
+
+    for (replies, expected) in rows {
+        for order in [[0, 1], [1, 0]] {
+            for (state, i) in fixture.states.iter().zip(order) {
+                *state.lock().unwrap_or_else(PoisonError::into_inner) = replies[i];
+            }
+            let key = Uuid::now_v7().to_string();
+
+            let answer = fixture.caller.outcome(WORKSPACE, PIPELINE, &key).await;
+
+            if answer.body["stages"][0]["state"] != expected {
+                wrong.push((replies, answer.body["stages"][0]["state"].to_string()));
+            }
+        }
+    }
+
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn refusal_with_an_unknown_statement_does_not_count_as_not_run() {
     let fixture = Fixture::start(|key| {
--- a/tests/testsuite/once.rs
+++ b/tests/testsuite/once.rs
@@ -122,6 +122,27 @@
     assert_eq!(claim(&mut node, failed, at(10_000)), [Action::Run(failed)]);
 }
 
+#[test]
+fn holder_reports_a_run_with_an_unknown_outcome_while_its_home_lags_behind() {
+    // Guards against the look-up of a run that may have taken effect and cannot be told from that of
+    // a host that knows nothing, so that the lagging home's "absent" would decide.
+    let lagging_home = node(Rules::default());
+    let mut holder =
+        Node::new(SUCCESSOR, Incarnation(5), Rules::default(), Guards::default(), at(0));
+    holder.set_log_reachable(true);
+    holder.mark_caught_up();
+    let takeover = holder.take_over(HOME, at(10_000).now).unwrap();
+    holder.observe(Offset(0), &takeover, at(10_000));
+    let (moved, role) = (key(1, 20_000), Role::Successor { home: HOME });
+    let begun = holder.begin(KeyedRequest { role, ..request(moved) }, at(20_000));
+
+    holder.finish(moved, Outcome::Unknown);
+
+    assert_eq!(begun, RunDecision::Run);
+    assert_eq!(holder.look_up(moved, role, at(20_000)), KeyStatus::MayHaveRun);
+    assert_eq!(lagging_home.look_up(moved, ROLE, at(20_000)), KeyStatus::Absent);
+}
+
 #[test]
 fn keys_outside_the_retention_window_are_refused() {
     let rules = Rules::default();
