Count an order as fenced only by a higher fencing number

What users saw: not seen; a model that is never loaded, as its order was given up. Cause: any 409 meant "fenced", which ends the order until the plan changes or the server restarts. The protocol states 409 {"fence": n} for an old number. Evidence: order_is_fenced_only_by_a_higher_fencing_number fails on the code before (an equal number) and passes after; planner tests pass. Conclusion: the answer now proves that it is about an older number than one seen.

--- a/src/limpetmux/adapters/orders.rs
+++ b/src/limpetmux/adapters/orders.rs
@@ -57,6 +57,20 @@
     Load,
 }
 
+/// The body of the answer to an order with an old fencing number.
+#[derive(Deserialize)]
+struct FencedBody {
+    fence: Offset,
+}
+
+/// Returns what a 409 means; an order is fenced only if the server has seen a higher number.
+fn conflict(body: &[u8], sent: Offset) -> OrderError {
+    match serde_json::from_slice::<FencedBody>(body) {
+        Ok(seen) if seen.fence > sent => OrderError::Fenced,
+        Ok(_) | Err(_) => OrderError::Refused(StatusCode::CONFLICT.as_u16()),
+    }
+}
+
 impl OrdersClient {
     /// Creates a client of the protocol in `docs/PROTOCOLS.md`; `base` is the backend server's URL.
     pub fn http(client: BackendClient, base: &str) -> Self {
@@ -65,9 +79,10 @@
             let body = OrderBody { kind: OrderKind::Load, model: order.model, fence: order.fence };
             let request = client.post(url.clone()).timeout(TIMEOUT).json(&body);
             let result: BoxFuture<'static, Result<(), OrderError>> = Box::pin(async move {
-                match request.send().await?.status() {
+                let response = request.send().await?;
+                match response.status() {
                     status if status.is_success() => Ok(()),
-                    StatusCode::CONFLICT => Err(OrderError::Fenced),
+                    StatusCode::CONFLICT => Err(conflict(&response.bytes().await?, order.fence)),
                     status => Err(OrderError::Refused(status.as_u16())),
                 }
             });
--- a/tests/testsuite/backend_not_run.rs
+++ b/tests/testsuite/backend_not_run.rs
@@ -163,6 +163,30 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+#[tokio::test]
+async fn order_is_fenced_only_by_a_higher_fencing_number() {
+    // Guards against an order that is never sent again because of a 409 that is no refusal of its
+    // fencing number.
+    let rows = [
+        ("{\"fence\":8}", true),
+        ("{\"fence\":7}", false),
+        ("{\"fence\":3}", false),
+        ("{\"loading\":true}", false),
+        ("", false),
+    ];
+    for (body, expected) in rows {
+        let addr = serve_requests(move |_| answer(409, body)).await.unwrap();
+        let orders = OrdersClient::http(BackendClient::new().unwrap(), &format!("http://{addr}"));
+        let order = ModelOrder { model: "dispatch-7b".parse().unwrap(), fence: Offset(FENCE) };
+
+        let result = (orders.send)(order).await;
+
+        let is_fenced = matches!(result, Err(OrderError::Fenced));
+        assert_eq!(is_fenced, expected, "{body} {result:?}");
+        assert!(is_fenced || matches!(result, Err(OrderError::Refused(409))), "{body} {result:?}");
+    }
+}
+
 #[tokio::test]
 async fn call_that_the_backend_server_received_never_counts_as_unsent() {
     // Guards against a connection that closes after the call arrived, on a new or a kept
