Never refuse a call as not run after its answer began

What callers saw: not seen; a call whose answer ends with an error that reads as a refusal would have been reported as not run, and its key released. Cause: the sidecar took the statement of any error for the whole call, also of an error inside the stream of its answer. The HTTP adapter returns none that says "not run" there; nothing but that kept the statement true. Change: an error inside the stream leaves the outcome unknown. Evidence: answer_that_began_is_never_refused_as_not_run fails on the code before (not_run) and passes after. Two tests of places that were sound pass before and after: lost_attempt_keeps_a_later_refusal_from_counting_as_not_run, idempotent_stage_that_may_have_run_keeps_a_later_refusal_from_counting_as_not_run. Conclusion: "not run" needs an error instead of an answer.

--- a/src/limpetmux/sidecar/run.rs
+++ b/src/limpetmux/sidecar/run.rs
@@ -111,7 +111,9 @@
             () = output.closed() => return Err(Refusal::unknown(RefusalCode::Cancelled)),
         };
         let Some(chunk) = chunk else { return Ok(()) };
-        let chunk = chunk.map_err(|e| refusal_of(&e))?;
+        // An answer that began proves that the call ran, whatever ends it.
+        let chunk =
+            chunk.map_err(|e| Refusal { execution: Execution::Unknown, ..refusal_of(&e) })?;
         if std::mem::take(&mut is_first) {
             permit.first_output();
         }
--- a/tests/testsuite/attempt_not_run.rs
+++ b/tests/testsuite/attempt_not_run.rs
@@ -30,12 +30,18 @@
     _views: Publisher<View>,
 }
 
-fn counting_backend(runs: Arc<AtomicU32>) -> Backend {
+/// The items of the stream that a backend server answers with.
+type AnswerFn = fn() -> Vec<Result<Chunk, BackendError>>;
+
+fn chunk() -> Result<Chunk, BackendError> {
+    Ok(Chunk { payload: "{}".into(), tokens: 0 })
+}
+
+fn counting_backend(runs: Arc<AtomicU32>, answer: AnswerFn) -> Backend {
     Backend {
         run: Arc::new(move |_| {
             runs.fetch_add(1, Ordering::SeqCst);
-            let chunk = Ok::<_, BackendError>(Chunk { payload: "{}".into(), tokens: 0 });
-            async { Ok(stream::iter([chunk]).boxed()) }.boxed()
+            async move { Ok(stream::iter(answer()).boxed()) }.boxed()
         }),
         cancel: Arc::new(|_| async { Ok(false) }.boxed()),
         load: Arc::new(|| async { Ok(LoadReport::default()) }.boxed()),
@@ -43,7 +49,7 @@
 }
 
 impl Node {
-    async fn start() -> Self {
+    async fn start(answer: AnswerFn) -> Self {
         let config = summary_config();
         let mut hosts = config.hosts.iter();
         let (host, _) = hosts.find(|(_, h)| h.service == name("encode")).unwrap();
@@ -52,7 +58,7 @@
         let sidecar = Sidecar::start(SidecarOptions {
             host: host.clone(),
             view: views.reader(),
-            backend: counting_backend(Arc::clone(&runs)),
+            backend: counting_backend(Arc::clone(&runs), answer),
             once: None,
             metrics: Metrics::none(),
         });
@@ -94,7 +100,7 @@
 async fn attempt_that_ran_is_not_refused_as_not_run_when_it_arrives_again() {
     // Guards against an attempt that ran and whose second arrival is refused as not run, by the
     // table of attempts or by the checks of a host that drains.
-    let node = Node::start().await;
+    let node = Node::start(|| vec![chunk()]).await;
     assert_eq!(node.run(key(0)).await, None);
 
     let again = node.run(key(0)).await;
@@ -110,7 +116,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn attempt_cancelled_before_it_arrived_is_refused_as_not_run() {
-    let node = Node::start().await;
+    let node = Node::start(|| vec![chunk()]).await;
     let request = CancelRequest { id: Some(key(0).into()) };
     let reply = node.client.clone().cancel(request).await.unwrap().into_inner();
 
@@ -119,3 +125,20 @@
     assert_eq!((reply.execution.as_str(), refused), ("not_run", Some(Execution::NotRun)));
     assert_eq!(node.runs.load(Ordering::SeqCst), 0);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_that_began_is_never_refused_as_not_run() {
+    // Guards against a call whose answer had begun and that a later error releases for another run.
+    let answers: [AnswerFn; 2] = [
+        || vec![chunk(), Err(BackendError::Refused { status: 503, retry_after: None })],
+        || vec![Err(BackendError::Fenced)],
+    ];
+    for answer in answers {
+        let node = Node::start(answer).await;
+
+        let refused = node.run(key(0)).await;
+
+        assert_eq!(refused, Some(Execution::Unknown));
+        assert_eq!(node.runs.load(Ordering::SeqCst), 1);
+    }
+}
--- a/tests/testsuite/entry_not_run.rs
+++ b/tests/testsuite/entry_not_run.rs
@@ -1,6 +1,7 @@
 //! An entry says "not run" only if the replies of hosts prove it for this very request.
 
 use limpetmux::adapters::channel::Channels;
+use limpetmux::core::config::Name;
 use limpetmux::core::frames::AttemptKey;
 use limpetmux::core::refusal::{Refusal, RefusalCode};
 use limpetmux::core::revision::Revision;
@@ -12,7 +13,7 @@
 use limpetmux::wire::stage::frame::Kind;
 use limpetmux::wire::stage::stage_server::{Stage, StageServer};
 use limpetmux::wire::{convert, once, stage};
-use limpetmux_test_support::config::{name, summary_config};
+use limpetmux_test_support::config::summary_config;
 use limpetmux_test_support::http::Caller;
 use serde_json::json;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -116,11 +117,14 @@
         let mut config = summary_config();
         let arrivals = Arc::<AtomicU32>::default();
         let mut states = Vec::new();
-        for host in config.hosts.values_mut().filter(|h| h.service == name("provisioning")) {
+        let is_faked = |service: &Name| ["provisioning", "encode"].contains(&service.as_str());
+        for host in config.hosts.values_mut().filter(|h| is_faked(&h.service)) {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             host.sidecar = listener.local_addr().unwrap();
             let state = Arc::new(Mutex::new("unknown"));
-            states.push(Arc::clone(&state));
+            if host.service.as_str() == "provisioning" {
+                states.push(Arc::clone(&state));
+            }
             let (frames, arrivals) = (Arc::clone(&frames), Arc::clone(&arrivals));
             let fake = Arc::new(FakeHost { frames, arrivals, state });
             let routes = Routes::new(StageServer::from_arc(Arc::clone(&fake)));
@@ -223,6 +227,43 @@
     assert!(wrong.is_empty(), "{wrong:?}");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_attempt_keeps_a_later_refusal_from_counting_as_not_run() {
+    // Guards against a lost call that is still under way when its host reports that it has not run,
+    // so that the refusal of the next attempt would tell its caller that nothing runs.
+    let rows = [("absent", 2), ("not_run", 2), ("may_have_run", 1), ("unknown", 1)];
+    for (state, arrivals) in rows {
+        let fixture = Fixture::start(|key| match key.attempt {
+            0 => Vec::new(),
+            _ => vec![not_run(key, 0)],
+        });
+        let fixture = fixture.await;
+        for reply in &fixture.states {
+            *reply.lock().unwrap_or_else(PoisonError::into_inner) = state;
+        }
+
+        let refusal = fixture.refusal().await;
+
+        assert_eq!(refusal, ("unknown".to_owned(), arrivals), "{state}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idempotent_stage_that_may_have_run_keeps_a_later_refusal_from_counting_as_not_run() {
+    // Guards against the statement of the last attempt of a stage that hides an earlier one's.
+    let fixture = Fixture::start(|key| match key.attempt {
+        0 => vec![data(key, 0)],
+        _ => vec![not_run(key, 0)],
+    });
+    let fixture = fixture.await;
+    let body = json!({ "input": 1, "deadline_ms": 3_000 });
+
+    let answer = fixture.caller.run(WORKSPACE, "call-summary", &body).await;
+
+    assert_eq!(answer.body["execution"], "partly_run", "{}", answer.body);
+    assert_eq!(fixture.arrivals.load(Ordering::SeqCst), 2);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn refusal_with_an_unknown_statement_does_not_count_as_not_run() {
     let fixture = Fixture::start(|key| {
