Refuse a late request as not run only if its claim can be abandoned

What callers saw: not seen. A request that waits for its claim until its deadline was always refused as not_run, even if another request with the same key had claimed it again, after a handover that failed, and was running it. Cause: the gate ignored what Node::abandon returns, which says whether the stage certainly will not run for the claim; a decision to refuse was dropped as well. Change: unknown unless the claim was abandoned or its decision to run is returned unused; a refusal that was decided is passed on. Ruled out: an abandoned claim that is read back later; it does not run (once:: key_that_did_not_run_may_run_again_and_an_abandoned_claim_never_runs). Evidence: by reading. Conclusion: the gate now says only what the protocol has proved.

--- a/src/limpetmux/sidecar/once/mod.rs
+++ b/src/limpetmux/sidecar/once/mod.rs
@@ -253,15 +253,21 @@
         if !owner {
             return Decision::Refuse(Refusal::unknown(RefusalCode::Deadline));
         }
-        let may_run = matches!(inner.decided.remove(&key), Some(Decision::Run(_)));
-        if may_run {
-            inner.node.finish(key, Outcome::NotRun);
-        } else {
-            inner.node.abandon(key);
-        }
+        let is_unrun = match inner.decided.remove(&key) {
+            Some(Decision::Run(_)) => {
+                inner.node.finish(key, Outcome::NotRun);
+                true
+            }
+            Some(decision) => return decision,
+            // Another request with the key may run it by now, after a claim of its own.
+            None => inner.node.abandon(key),
+        };
         drop(inner);
         self.wake();
-        Decision::Refuse(Refusal::not_run(RefusalCode::Deadline))
+        Decision::Refuse(match is_unrun {
+            true => Refusal::not_run(RefusalCode::Deadline),
+            false => Refusal::unknown(RefusalCode::Deadline),
+        })
     }
 
     /// Stores the decisions that follow from the log for their waiting requests.
--- a/tests/testsuite/once.rs
+++ b/tests/testsuite/once.rs
@@ -122,6 +122,24 @@
     assert_eq!(claim(&mut node, failed, at(10_000)), [Action::Run(failed)]);
 }
 
+#[test]
+fn claim_that_another_request_has_taken_over_cannot_be_abandoned() {
+    // Guards against a request that waits for its claim until its deadline and is then refused as
+    // not run, while another request with its key runs.
+    let mut node = node(Rules::default());
+    let (running, answered, unknown) = (key(1, 10_000), key(2, 10_000), key(3, 10_000));
+    for key in [running, answered, unknown] {
+        claim(&mut node, key, at(10_000));
+    }
+    node.finish(answered, answer(3));
+    node.finish(unknown, Outcome::Unknown);
+
+    let abandoned = [running, answered, unknown].map(|key| node.abandon(key));
+
+    assert_eq!(abandoned, [false; 3]);
+    assert_eq!(node.look_up(running, ROLE, at(10_000)), KeyStatus::Running);
+}
+
 #[test]
 fn holder_reports_a_run_with_an_unknown_outcome_while_its_home_lags_behind() {
     // Guards against the look-up of a run that may have taken effect and cannot be told from that of
