Test that a call which reached a host never counts as unsent

Change: a test with hosts that accept two streams per connection, so that further calls wait inside the entry, and whose connections all close at once.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod backend_not_run;
 mod budget;
 mod catalogue;
+mod channel_not_run;
 mod config_fold;
 mod config_ops;
 mod config_replicas;
