Send each call to the platform on a connection of its own

What callers saw: not seen; a request with an idempotency key could run on two hosts at once. Cause: as with backend servers, an answer of the log names no call. An additional 503 or 429 on a kept connection was taken for the refusal of a takeover or of a return of keys that was in the log: the host forgot its takeover, or held keys on that their home ran again. A 201 was taken for a claim that was not in the log. Power orders were taken for done. Change: the clients of log, power and host list use the client of the backend servers, renamed OneCallClient; the pooled client of the process is gone. Ruled out: records of another read cannot be believed either way, as each read has its own connection now. Evidence: answer_to_an_earlier_append_is_not_taken_for_one_to_the_next fails on kept connections (Refused 503) and passes after. What a wrong answer did to keys is by reading of once/moves.rs; no run shows a key that ran twice. Conclusion: one client without kept connections for all HTTP calls of the product. Tests changed: those that passed a reqwest client pass a OneCallClient.

--- a/crates/limpetmux-test-support/src/deployment.rs
+++ b/crates/limpetmux-test-support/src/deployment.rs
@@ -17,6 +17,7 @@
 use futures::future::join_all;
 use limpetmux::adapters::backend::Backend;
 use limpetmux::adapters::log::{LogClient, Stream};
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::config::{Change, Config, Edit, Name};
 use limpetmux::core::revision::{Offset, Revision};
 use limpetmux::core::shutdown::{DrainReport, ShutdownOptions};
@@ -275,7 +276,7 @@
         let end = self.log.end("config");
         let revision = Revision::at(Offset(end));
         self.recorder.record(Fact::Accepted { revision: revision.0 });
-        let log = LogClient::http(reqwest::Client::new(), &self.log.url());
+        let log = LogClient::http(OneCallClient::new().unwrap(), &self.log.url());
         let mut error = None;
         for _ in 0..MAX_APPENDS {
             error = (log.append)(Stream::Config, record.clone()).await.err();
--- a/crates/limpetmux-test-support/src/deployment/start.rs
+++ b/crates/limpetmux-test-support/src/deployment/start.rs
@@ -6,9 +6,9 @@
 use crate::invariants::BackendInfo;
 use futures::future::BoxFuture;
 use limpetmux::adapters::backend::Backend;
-use limpetmux::adapters::backend_client::BackendClient;
 use limpetmux::adapters::hosts::HostsClient;
 use limpetmux::adapters::log::LogClient;
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::control::{Control, Gossip, GossipOptions, PeerCounters, peer_server};
 use limpetmux::core::config::Name;
 use limpetmux::core::once::Rules;
@@ -34,7 +34,7 @@
         let host = &self.config.hosts[name];
         let idempotent = self.config.services[&host.service].idempotent;
         let info = BackendInfo { host: name.to_string(), zone: host.zone.to_string(), idempotent };
-        let backend = Backend::http(BackendClient::new().unwrap(), &self.standins[name].url());
+        let backend = Backend::http(OneCallClient::new().unwrap(), &self.standins[name].url());
         (self.wrapper)(&info, self.recorder.wrap_backend(backend, info.clone()))
     }
 
@@ -135,7 +135,7 @@
 
     /// Starts the membership of a node.
     fn members(&self, control: &Control, kernel: &Kernel) -> Reporter {
-        let list = HostsClient::http(reqwest::Client::new(), &self.hosts.url());
+        let list = HostsClient::http(OneCallClient::new().unwrap(), &self.hosts.url());
         let parts = MembershipParts { views: control.view.clone(), hosts: Some(list) };
         membership::start(kernel, parts).unwrap()
     }
@@ -143,7 +143,7 @@
     /// Returns a log client for a node, which can be cut off from the log.
     fn node_log(&mut self, node: &str) -> LogClient {
         let is_cut = self.log_cuts.entry(node.to_owned()).or_default();
-        cuttable(LogClient::http(reqwest::Client::new(), &self.log.url()), is_cut)
+        cuttable(LogClient::http(OneCallClient::new().unwrap(), &self.log.url()), is_cut)
     }
 
     /// Adds the peer service to a process and starts its gossip.
--- a/crates/limpetmux-test-support/src/once_fleet.rs
+++ b/crates/limpetmux-test-support/src/once_fleet.rs
@@ -3,9 +3,9 @@
 
 use futures::FutureExt;
 use limpetmux::adapters::backend::Backend;
-use limpetmux::adapters::backend_client::BackendClient;
 use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::log::LogClient;
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::config::{
     Config, Fencing, HostSpec, PipelineSpec, ServiceSpec, StageKind, StageSpec, WorkspaceSpec,
     ZoneSpec,
@@ -61,7 +61,6 @@
     entries: Vec<JoinHandle<()>>,
     view: Publisher<View>,
     config: Config,
-    client: reqwest::Client,
     rules: Rules,
     /// Whether all sidecars use the first host's backend server.
     shares_backend: bool,
@@ -82,7 +81,6 @@
 
     async fn start_with(options: BackendOptions, shares_backend: bool) -> Self {
         let log = Log::start(LogOptions::default()).await.unwrap();
-        let client = reqwest::Client::builder().no_proxy().build().unwrap();
         let mut listeners = Vec::new();
         for _ in HOSTS {
             listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
@@ -107,7 +105,6 @@
             entries,
             view,
             config,
-            client,
             rules,
             shares_backend,
             paused,
@@ -145,10 +142,10 @@
     }
 
     fn sidecar(&self, host: usize, plain: &Plain) -> Arc<Sidecar> {
-        let log = LogClient::http(self.client.clone(), &self.log.url());
+        let log = LogClient::http(OneCallClient::new().unwrap(), &self.log.url());
         let plain =
             self.hosts.first().map(|h| &h.plain).filter(|_| self.shares_backend).unwrap_or(plain);
-        let backend = Backend::http(BackendClient::new().unwrap(), &plain.url());
+        let backend = Backend::http(OneCallClient::new().unwrap(), &plain.url());
         Sidecar::start(SidecarOptions {
             host: name(HOSTS[host].0),
             view: self.view.reader(),
--- a/crates/limpetmux-test-support/src/processes.rs
+++ b/crates/limpetmux-test-support/src/processes.rs
@@ -7,6 +7,7 @@
 use crate::changes::{change_record, first_change};
 use crate::tls::Authority;
 use limpetmux::adapters::log::{LogClient, Stream};
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::config::{Config, Name};
 use limpetmux::entry::base_url;
 use limpetmux::node::local::StandIn;
@@ -151,7 +152,7 @@
             authority,
         };
         std::fs::create_dir_all(dir).unwrap();
-        let log = LogClient::http(reqwest::Client::new(), &processes.log.url());
+        let log = LogClient::http(OneCallClient::new().unwrap(), &processes.log.url());
         let first = change_record(first_change(&processes.config));
         (log.append)(Stream::Config, first).await.unwrap();
         let names: Vec<Name> = processes.config.hosts.keys().cloned().collect();
--- a/crates/xtask/src/inforce.rs
+++ b/crates/xtask/src/inforce.rs
@@ -8,6 +8,7 @@
 use futures::future::join_all;
 use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::log::LogClient;
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::config::{Change, ChangeId};
 use limpetmux::core::revision::Revision;
 use limpetmux::ops::admin_client::{AdminError, connect};
@@ -53,6 +54,9 @@
 /// A failure of the measurement.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum InforceError {
+    /// The HTTP client cannot be set up.
+    #[error("cannot set up the HTTP client")]
+    Http(#[from] reqwest::Error),
     /// A number of hosts cannot be parsed.
     #[error("`{0}` is not a number of hosts")]
     Hosts(String),
@@ -168,8 +172,7 @@
         for index in 0..args.entries {
             nodes.push(entry_address(dir, index)?);
         }
-        let http = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
-        let log = LogClient::http(http, &fleet.log.url());
+        let log = LogClient::http(OneCallClient::new()?, &fleet.log.url());
         let client = ConfigClient::connect(log).await?;
         tokio::time::sleep(START_DELAY).await;
         Ok(Self { fleet, nodes, client, weight: 1 })
--- a/src/bin/limpetmux/commands/operator.rs
+++ b/src/bin/limpetmux/commands/operator.rs
@@ -2,6 +2,7 @@
 
 use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::log::LogClient;
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::config::{ChangeId, Name};
 use limpetmux::ops::config::{Plan, Submission};
 use limpetmux::ops::config_client::{ConfigClient, Outcome};
@@ -31,7 +32,7 @@
 {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     runtime.into_diagnostic()?.block_on(async {
-        let client = reqwest::Client::builder().no_proxy().build().into_diagnostic()?;
+        let client = OneCallClient::new().into_diagnostic()?;
         action(ConfigClient::connect(LogClient::http(client, url)).await?).await
     })
 }
--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -1,7 +1,7 @@
 //! HTTP client for model engines, pools and plain services.
 
 use super::backend::{Backend, BackendError, Chunk, ChunkStream, Job, LoadReport};
-use super::backend_client::BackendClient;
+use super::one_call::OneCallClient;
 use crate::core::config::{Fencing, StageKind};
 use crate::core::frames::AttemptKey;
 use bytes::Bytes;
@@ -23,7 +23,7 @@
 
 impl Backend {
     /// Creates a client of the protocols in `docs/PROTOCOLS.md`; `base` is the server's URL.
-    pub fn http(client: BackendClient, base: &str) -> Self {
+    pub fn http(client: OneCallClient, base: &str) -> Self {
         let base: Arc<str> = base.trim_end_matches('/').into();
         let (run_client, run_base) = (client.clone(), Arc::clone(&base));
         let (cancel_client, cancel_base) = (client.clone(), Arc::clone(&base));
@@ -75,7 +75,7 @@
 }
 
 fn run(
-    client: BackendClient,
+    client: OneCallClient,
     base: Arc<str>,
     job: Job,
 ) -> BoxFuture<'static, Result<ChunkStream, BackendError>> {
@@ -98,7 +98,7 @@
     }
 }
 
-async fn call(client: &BackendClient, base: &str, job: &Job) -> Result<ChunkStream, BackendError> {
+async fn call(client: &OneCallClient, base: &str, job: &Job) -> Result<ChunkStream, BackendError> {
     let input: &RawValue = serde_json::from_slice(&job.input).map_err(BackendError::Malformed)?;
     let mut request = client.post(format!("{base}{}", path_of(job.kind)));
     if job.kind == StageKind::Plain {
@@ -149,7 +149,7 @@
 }
 
 async fn generate(
-    client: &BackendClient,
+    client: &OneCallClient,
     base: &str,
     job: &Job,
 ) -> Result<ChunkStream, BackendError> {
@@ -255,7 +255,7 @@
 }
 
 async fn cancel(
-    client: BackendClient,
+    client: OneCallClient,
     base: Arc<str>,
     key: AttemptKey,
 ) -> Result<bool, BackendError> {
@@ -266,7 +266,7 @@
     Ok(response.cancelled)
 }
 
-async fn load(client: BackendClient, base: Arc<str>) -> Result<LoadReport, BackendError> {
+async fn load(client: OneCallClient, base: Arc<str>) -> Result<LoadReport, BackendError> {
     let request = client.get(format!("{base}/v1/load")).timeout(LOAD_TIMEOUT);
     send(request, Promises::default()).await?.json().await.map_err(BackendError::ResponseLost)
 }
--- a/src/limpetmux/adapters/hosts.rs
+++ b/src/limpetmux/adapters/hosts.rs
@@ -1,9 +1,9 @@
 //! The client of the platform's host list.
 
+use super::one_call::OneCallClient;
 use crate::core::membership::ListedHost;
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use reqwest::Client;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,14 +32,14 @@
 
 impl HostsClient {
     /// Creates a client of the protocol in `docs/PROTOCOLS.md`; `base` is the platform's URL.
-    pub fn http(client: Client, base: &str) -> Self {
+    pub fn http(client: OneCallClient, base: &str) -> Self {
         let url: Arc<str> = format!("{}/v1/hosts", base.trim_end_matches('/')).into();
         Self { list: Arc::new(move || list(client.clone(), Arc::clone(&url)).boxed()) }
     }
 }
 
-async fn list(client: Client, url: Arc<str>) -> Result<Vec<ListedHost>, HostsError> {
-    let response = client.get(&*url).timeout(TIMEOUT).send().await?;
+async fn list(client: OneCallClient, url: Arc<str>) -> Result<Vec<ListedHost>, HostsError> {
+    let response = client.get(url.to_string()).timeout(TIMEOUT).send().await?;
     let status = response.status();
     if !status.is_success() {
         return Err(HostsError::Refused(status.as_u16()));
--- a/src/limpetmux/adapters/log_http.rs
+++ b/src/limpetmux/adapters/log_http.rs
@@ -2,9 +2,10 @@
 
 use super::backend_http::retry_after;
 use super::log::{LogClient, LogError, LogPage, LogRecord, Stream};
+use super::one_call::OneCallClient;
 use crate::core::revision::Offset;
 use futures::FutureExt;
-use reqwest::{Client, RequestBuilder, Response};
+use reqwest::{RequestBuilder, Response};
 use serde::Deserialize;
 use serde_with::{base64::Base64, serde_as};
 use std::sync::Arc;
@@ -39,7 +40,7 @@
 
 impl LogClient {
     /// Creates a client of the protocol in `docs/PROTOCOLS.md`; `base` is the log's URL.
-    pub fn http(client: Client, base: &str) -> Self {
+    pub fn http(client: OneCallClient, base: &str) -> Self {
         let base: Arc<str> = base.trim_end_matches('/').into();
         let (append_client, append_base) = (client.clone(), Arc::clone(&base));
         Self {
@@ -54,7 +55,7 @@
 }
 
 async fn append(
-    client: Client,
+    client: OneCallClient,
     base: Arc<str>,
     stream: Stream,
     data: Vec<u8>,
@@ -66,7 +67,7 @@
 }
 
 async fn read(
-    client: Client,
+    client: OneCallClient,
     base: Arc<str>,
     stream: Stream,
     from: Offset,
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -5,13 +5,13 @@
 //! protocols. [`channel`] creates the connections between the system's own processes.
 
 pub mod backend;
-pub mod backend_client;
 pub mod backend_http;
 pub mod channel;
 mod handshake;
 pub mod hosts;
 pub mod log;
 mod log_http;
+pub mod one_call;
 pub mod orders;
 pub mod power;
 pub mod tls;
--- a/src/limpetmux/adapters/backend_client.rs
+++ b/src/limpetmux/adapters/one_call.rs
@@ -1,17 +1,17 @@
-//! The HTTP client for backend servers, which sends each call on a connection of its own.
+//! The HTTP client that sends each call on a connection of its own.
 //!
-//! Nothing in an answer of a backend server names the call that it belongs to. On a kept connection
-//! an additional or late answer to an earlier call arrives where the answer to the next one is due.
-//! A connection that carries one call only has no other answer on it. The client also sends a call
-//! only once, whatever the answer: it neither follows redirects nor retries.
+//! Nothing in an answer of a backend server or of the platform names the call that it belongs to. On
+//! a kept connection an additional or late answer to an earlier call arrives where the answer to the
+//! next one is due. A connection that carries one call only has no other answer on it. The client
+//! also sends a call only once, whatever the answer: it neither follows redirects nor retries.
 
 use reqwest::redirect::Policy;
 
-/// Sends calls to backend servers; cheap to clone.
+/// Sends each call on a connection of its own; cheap to clone.
 #[derive(Clone, Debug)]
-pub struct BackendClient(reqwest::Client);
+pub struct OneCallClient(reqwest::Client);
 
-impl BackendClient {
+impl OneCallClient {
     /// Creates a client.
     ///
     /// # Errors
--- a/src/limpetmux/adapters/orders.rs
+++ b/src/limpetmux/adapters/orders.rs
@@ -1,6 +1,6 @@
 //! The client for orders to load a model, which a sidecar sends to its backend server.
 
-use super::backend_client::BackendClient;
+use super::one_call::OneCallClient;
 use crate::core::config::Name;
 use crate::core::revision::Offset;
 use futures::future::BoxFuture;
@@ -73,7 +73,7 @@
 
 impl OrdersClient {
     /// Creates a client of the protocol in `docs/PROTOCOLS.md`; `base` is the backend server's URL.
-    pub fn http(client: BackendClient, base: &str) -> Self {
+    pub fn http(client: OneCallClient, base: &str) -> Self {
         let url = format!("{}/v1/orders", base.trim_end_matches('/'));
         let send = move |order: ModelOrder| {
             let body = OrderBody { kind: OrderKind::Load, model: order.model, fence: order.fence };
--- a/src/limpetmux/adapters/power.rs
+++ b/src/limpetmux/adapters/power.rs
@@ -1,5 +1,6 @@
 //! The client of the platform's power switch for hosts.
 
+use super::one_call::OneCallClient;
 use crate::core::revision::Offset;
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
@@ -48,12 +49,12 @@
 
 impl PowerClient {
     /// Creates a client of the protocol in `docs/PROTOCOLS.md`; `base` is the platform's URL.
-    pub fn http(http: reqwest::Client, base: &str) -> Self {
+    pub fn http(client: OneCallClient, base: &str) -> Self {
         let base = base.trim_end_matches('/').to_owned();
         let set = move |order: PowerOrder| {
             let url = format!("{base}/v1/hosts/{}/power", order.host);
             let body = PowerBody { on: order.on, fence: order.fence };
-            let request = http.post(url).timeout(TIMEOUT).json(&body);
+            let request = client.post(url).timeout(TIMEOUT).json(&body);
             let result: BoxFuture<'static, Result<(), PowerError>> = Box::pin(async move {
                 let status = request.send().await?.status();
                 if status.is_success() { Ok(()) } else { Err(PowerError::Refused(status.as_u16())) }
--- a/src/limpetmux/node/local.rs
+++ b/src/limpetmux/node/local.rs
@@ -1,14 +1,14 @@
 //! Runs a small deployment in one process: stand-ins, sidecars and an entry on loopback.
 
 use super::deployment::{COLD_CONCURRENCY, CONCURRENCY, Deployment, PlannedHost, WARMUP};
-use super::role::{http_client, stopped};
+use super::role::stopped;
 use super::server::{ServeError, bind, sidecar_routes};
 use super::services::{Services, ServicesError, ServicesOptions};
 use crate::adapters::backend::Backend;
-use crate::adapters::backend_client::BackendClient;
 use crate::adapters::channel::Channels;
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::{LogClient, LogError, Stream};
+use crate::adapters::one_call::OneCallClient;
 use crate::core::config::record::{self, Body, RecordError};
 use crate::core::config::{
     Change, ChangeId, Config, FORMAT, Name, NameError, Ownership, StageKind, diff,
@@ -195,7 +195,7 @@
         }
         let addresses = planned.iter().map(|(plan, addr, _)| (plan.clone(), *addr));
         let config = options.deployment.config(addresses)?;
-        let (client, backend_client) = (http_client()?, BackendClient::new()?);
+        let client = OneCallClient::new()?;
         let platform = Platform::start(&planned.iter().map(|p| &p.0).collect::<Vec<_>>()).await?;
         let services = start_services(&platform, &client, &config).await?;
         // All processes share one clock.
@@ -211,7 +211,7 @@
             let sidecar = Sidecar::start(SidecarOptions {
                 host: plan.name.clone(),
                 view: services.control.view.clone(),
-                backend: Backend::http(backend_client.clone(), &standin.url()),
+                backend: Backend::http(client.clone(), &standin.url()),
                 once: Some(once.clone()),
                 metrics: Metrics::none(),
             });
@@ -250,7 +250,7 @@
 /// Starts the control services and waits until the declared configuration is in force.
 async fn start_services(
     platform: &Platform,
-    client: &reqwest::Client,
+    client: &OneCallClient,
     config: &Config,
 ) -> Result<Services, LocalError> {
     let log = LogClient::http(client.clone(), &platform.log.url());
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -7,10 +7,10 @@
 use super::server::{ServeError, local_addr};
 use super::services::{Services, ServicesError, ServicesOptions};
 use crate::adapters::backend::Backend;
-use crate::adapters::backend_client::BackendClient;
 use crate::adapters::channel::Channels;
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::LogClient;
+use crate::adapters::one_call::OneCallClient;
 use crate::adapters::orders::OrdersClient;
 use crate::adapters::power::{PowerClient, PowerOrder};
 use crate::adapters::tls::TlsError;
@@ -70,11 +70,6 @@
     Kernel(#[from] KernelError),
 }
 
-/// Returns the HTTP client for the platform's services.
-pub(super) fn http_client() -> Result<reqwest::Client, reqwest::Error> {
-    reqwest::Client::builder().no_proxy().redirect(reqwest::redirect::Policy::none()).build()
-}
-
 fn start_services(
     settings: &Settings,
     channels: &Channels,
@@ -84,7 +79,7 @@
     if !channels.is_tls() {
         event!(EventCode::PlainText, name = settings.name);
     }
-    let client = http_client()?;
+    let client = OneCallClient::new()?;
     let hosts = settings.platform.hosts.as_ref();
     let power = settings.platform.power.as_ref();
     let services = Services::start(ServicesOptions {
@@ -187,14 +182,14 @@
     signal: impl Future<Output = ()> + Send,
 ) -> Result<DrainReport, RoleError> {
     let addr = local_addr(&listener)?;
-    let client = http_client()?;
+    let client = OneCallClient::new()?;
     let channels = settings.channels()?;
     let services = start_services(settings, &channels, addr, false)?;
-    let log = LogClient::http(client, &settings.platform.log);
+    let log = LogClient::http(client.clone(), &settings.platform.log);
     let sidecar = Sidecar::start(SidecarOptions {
         host: settings.name.clone(),
         view: services.control.view.clone(),
-        backend: Backend::http(BackendClient::new()?, &sidecar_settings.backend),
+        backend: Backend::http(client, &sidecar_settings.backend),
         once: Some(OnceSettings { channels: channels.clone(), ..OnceSettings::new(log) }),
         metrics: metrics(settings)?,
     });
@@ -257,7 +252,7 @@
         host: settings.name.clone(),
         views: services.control.view.clone(),
         power,
-        orders: OrdersClient::http(BackendClient::new()?, &sidecar_settings.backend),
+        orders: OrdersClient::http(OneCallClient::new()?, &sidecar_settings.backend),
         incarnation: Arc::new(move || sidecar.gate().load().incarnation),
     };
     Ok(follow_model(parts).boxed())
@@ -268,7 +263,7 @@
 /// A host with unfinished work stays on; the planner observes this and makes a new plan.
 async fn switch_off(settings: &Settings, report: &DrainReport, fence: Offset) {
     let (Some(url), true) = (&settings.platform.power, report.is_clean()) else { return };
-    let Ok(client) = http_client() else { return };
+    let Ok(client) = OneCallClient::new() else { return };
     let order = PowerOrder { host: settings.name.to_string(), on: false, fence };
     match (PowerClient::http(client, url).set)(order).await {
         Ok(()) => event!(EventCode::HostSleeping, host = settings.name, fence = fence),
--- a/tests/testsuite/backend_answers.rs
+++ b/tests/testsuite/backend_answers.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use futures::TryStreamExt;
 use limpetmux::adapters::backend::{Backend, BackendError, Job};
-use limpetmux::adapters::backend_client::BackendClient;
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::config::StageKind;
 use limpetmux::core::frames::{AttemptKey, RequestId};
 use limpetmux::core::keys::StageIndex;
@@ -13,7 +13,7 @@
 /// Runs a call at a backend server that answers with `answer`; returns the payloads joined.
 async fn run(kind: StageKind, answer: Vec<u8>) -> Result<Bytes, BackendError> {
     let url = format!("http://{}", serve_bytes(answer).await.unwrap());
-    let backend = Backend::http(BackendClient::new().unwrap(), &url);
+    let backend = Backend::http(OneCallClient::new().unwrap(), &url);
     let job = Job {
         key: AttemptKey { request: RequestId(Uuid::nil()), stage: StageIndex(0), attempt: 0 },
         kind,
--- a/tests/testsuite/backend_not_run.rs
+++ b/tests/testsuite/backend_not_run.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use futures::TryStreamExt;
 use limpetmux::adapters::backend::{Backend, BackendError, Job};
-use limpetmux::adapters::backend_client::BackendClient;
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::adapters::orders::{ModelOrder, OrderError, OrdersClient};
 use limpetmux::core::config::{Fencing, StageKind};
 use limpetmux::core::frames::{AttemptKey, RequestId};
@@ -49,7 +49,7 @@
 }
 
 fn client(url: &str) -> Backend {
-    Backend::http(BackendClient::new().unwrap(), url)
+    Backend::http(OneCallClient::new().unwrap(), url)
 }
 
 fn job(kind: StageKind, fencing: Option<Fencing>) -> Job {
@@ -118,7 +118,7 @@
             _ => [answer(status, "{\"fence\":99}"), answer(503, "")].concat(),
         });
         let url = format!("http://{}", addr.await.unwrap());
-        let orders = OrdersClient::http(BackendClient::new().unwrap(), &url);
+        let orders = OrdersClient::http(OneCallClient::new().unwrap(), &url);
 
         for fence in (0..u64::from(CALLS)).map(Offset) {
             let order = ModelOrder { model: "dispatch-7b".parse().unwrap(), fence };
@@ -176,7 +176,7 @@
     ];
     for (body, expected) in rows {
         let addr = serve_requests(move |_| answer(409, body)).await.unwrap();
-        let orders = OrdersClient::http(BackendClient::new().unwrap(), &format!("http://{addr}"));
+        let orders = OrdersClient::http(OneCallClient::new().unwrap(), &format!("http://{addr}"));
         let order = ModelOrder { model: "dispatch-7b".parse().unwrap(), fence: Offset(FENCE) };
 
         let result = (orders.send)(order).await;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod gossip;
 mod invariants;
 mod kernel;
+mod log_not_appended;
 mod lost_answers;
 mod membership;
 mod once;
--- a/tests/testsuite/planner_service.rs
+++ b/tests/testsuite/planner_service.rs
@@ -1,8 +1,8 @@
 //! The planner service with an in-memory log, on paused time, and its plans on running processes.
 
 use futures::FutureExt;
-use limpetmux::adapters::backend_client::BackendClient;
 use limpetmux::adapters::log::{LogClient, Stream};
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::adapters::power::{PowerClient, PowerError, PowerOrder};
 use limpetmux::core::planner::{AgentOptions, DutyFold, DutyRecord, LoadSample, PlanDelta};
 use limpetmux::kernel::{Published, Publisher};
@@ -174,7 +174,7 @@
     let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join("sleep");
     let binary = Path::new(env!("CARGO_BIN_EXE_limpetmux"));
     let mut processes = Processes::start(binary, &dir, summary_config(), 1).await;
-    let log = LogClient::http(reqwest::Client::new(), &processes.log.url());
+    let log = LogClient::http(OneCallClient::new().unwrap(), &processes.log.url());
     let load = Load::start(vec![processes.entries[0].url.clone()], 6, None);
     load.wait_for_answers(12).await;
     let (host, kept) = (name("encode-0"), name("encode-1"));
@@ -313,7 +313,7 @@
         let backend = BackendOptions { checks_fence, ..BackendOptions::default() };
         let engine = Engine::start(EngineOptions { backend, ..EngineOptions::default() }).await;
         let engine = engine.unwrap();
-        let orders = OrdersClient::http(BackendClient::new().unwrap(), &engine.server.url());
+        let orders = OrdersClient::http(OneCallClient::new().unwrap(), &engine.server.url());
         let mut fenced = Vec::new();
         for fence in [5, 3].map(Offset) {
             let result = (orders.send)(ModelOrder { model: name("dispatch-7b"), fence }).await;
--- a/tests/testsuite/roles.rs
+++ b/tests/testsuite/roles.rs
@@ -2,6 +2,7 @@
 
 use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::log::{LogClient, Stream};
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::config::{
     Config, HostSpec, PipelineSpec, ServiceSpec, StageKind, StageSpec, WorkspaceSpec, ZoneSpec,
 };
@@ -92,7 +93,7 @@
         plains.push(plain);
         addresses.push(addr);
     }
-    let client = LogClient::http(reqwest::Client::new(), &log.url());
+    let client = LogClient::http(OneCallClient::new().unwrap(), &log.url());
     let record = change_record(first_change(&config(&addresses)));
     (client.append)(Stream::Config, record).await.unwrap();
     let ((http, http_addr), (grpc, _)) = (listen().await, listen().await);
--- a/tests/testsuite/starting.rs
+++ b/tests/testsuite/starting.rs
@@ -1,8 +1,8 @@
 //! Requests that arrive while the hosts of a stage start.
 
 use limpetmux::adapters::backend::Backend;
-use limpetmux::adapters::backend_client::BackendClient;
 use limpetmux::adapters::channel::Channels;
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::config::{Config, PipelineSpec, StageSpec};
 use limpetmux::core::revision::Revision;
 use limpetmux::core::view::View;
@@ -50,7 +50,7 @@
         let sidecar = Sidecar::start(SidecarOptions {
             host: host.clone(),
             view: sidecar_views.reader(),
-            backend: Backend::http(BackendClient::new().unwrap(), &pool.url()),
+            backend: Backend::http(OneCallClient::new().unwrap(), &pool.url()),
             once: None,
             metrics: Metrics::none(),
         });
