Count an append as refused only after 503 or 429

Cause: any status but success counted as "nothing was appended". The log promises that for 503 and 429 only; a 500 or 504 may follow an append that took effect. Change: LogError::may_have_appended is true for every other status, so takeovers and returns stay pending until the log is read, and a configuration change is looked for before it is reported as not appended. Evidence: only_statuses_that_the_protocol_promises_prove_that_nothing_was_appended fails on the code before (500) and passes after. Conclusion: what is not promised proves nothing, as with backend servers.

--- a/src/limpetmux/adapters/log.rs
+++ b/src/limpetmux/adapters/log.rs
@@ -38,7 +38,7 @@
     /// The request was sent but no complete response arrived; an append may have taken effect.
     #[error("the platform log did not respond")]
     NoAnswer(#[source] reqwest::Error),
-    /// The log refused the request, so nothing was appended.
+    /// The log answered with another status; nothing was appended if the protocol promises that.
     #[error("the platform log refused the request with status {status}")]
     Refused {
         /// The HTTP status.
@@ -53,8 +53,13 @@
 
 impl LogError {
     /// Returns whether an append that failed this way may have taken effect.
+    ///
+    /// The protocol promises only of 503 and 429 that the log did nothing.
     pub fn may_have_appended(&self) -> bool {
-        matches!(self, Self::NoAnswer(_) | Self::Malformed(_))
+        match self {
+            Self::Unreachable(_) | Self::Refused { status: 429 | 503, .. } => false,
+            Self::NoAnswer(_) | Self::Refused { .. } | Self::Malformed(_) => true,
+        }
     }
 }
 
--- a/tests/testsuite/log_not_appended.rs
+++ b/tests/testsuite/log_not_appended.rs
@@ -1,6 +1,6 @@
 //! A record counts as not appended only if the answer to this very append proves it.
 
-use limpetmux::adapters::log::{LogClient, Stream};
+use limpetmux::adapters::log::{LogClient, LogError, Stream};
 use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::revision::Offset;
 use limpetmux_standins::raw::serve_requests;
@@ -35,3 +35,17 @@
         }
     }
 }
+
+#[tokio::test]
+async fn only_statuses_that_the_protocol_promises_prove_that_nothing_was_appended() {
+    // Guards against a record that is in the log although the log failed after it was appended.
+    for (status, may_have_appended) in [(429, false), (503, false), (500, true), (504, true)] {
+        let addr = serve_requests(move |_| answer(status, "")).await.unwrap();
+        let log = client(&format!("http://{addr}"));
+
+        let error = (log.append)(Stream::Claims, vec![1]).await.unwrap_err();
+
+        assert!(matches!(error, LogError::Refused { .. }), "{error:?}");
+        assert_eq!(error.may_have_appended(), may_have_appended, "{status}");
+    }
+}
