--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -1,12 +1,13 @@
 //! HTTP client for model engines, pools and plain services.
 
 use super::backend::{Backend, BackendError, Chunk, ChunkStream, Job, LoadReport};
+use super::one_call::OneCallClient;
 use crate::core::config::{Fencing, StageKind};
 use crate::core::frames::AttemptKey;
 use bytes::Bytes;
 use eventsource_stream::{Event, EventStreamError, Eventsource};
 use futures::{FutureExt, Stream, StreamExt, TryStreamExt, future::BoxFuture, stream};
-use reqwest::{Client, RequestBuilder, Response, StatusCode};
+use reqwest::{RequestBuilder, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::collections::VecDeque;
@@ -22,7 +23,7 @@
 
 impl Backend {
     /// Creates a client of the protocols in `docs/PROTOCOLS.md`; `base` is the server's URL.
-    pub fn http(client: Client, base: &str) -> Self {
+    pub fn http(client: OneCallClient, base: &str) -> Self {
         let base: Arc<str> = base.trim_end_matches('/').into();
         let (run_client, run_base) = (client.clone(), Arc::clone(&base));
         let (cancel_client, cancel_base) = (client.clone(), Arc::clone(&base));
@@ -74,7 +75,7 @@
 }
 
 fn run(
-    client: Client,
+    client: OneCallClient,
     base: Arc<str>,
     job: Job,
 ) -> BoxFuture<'static, Result<ChunkStream, BackendError>> {
@@ -97,16 +98,16 @@
     }
 }
 
-async fn call(client: &Client, base: &str, job: &Job) -> Result<ChunkStream, BackendError> {
+async fn call(client: &OneCallClient, base: &str, job: &Job) -> Result<ChunkStream, BackendError> {
     let input: &RawValue = serde_json::from_slice(&job.input).map_err(BackendError::Malformed)?;
     let mut request = client.post(format!("{base}{}", path_of(job.kind)));
     if job.kind == StageKind::Plain {
         request = request.header("x-attempt-id", job.key.to_string());
-        if let Some((fence, Fencing::Checked)) = job.fence {
+        if let Some(fence) = checked_fence(job) {
             request = request.header("x-fence", fence);
         }
     }
-    let response = send(request.json(&InputBody { input })).await?;
+    let response = send(request.json(&InputBody { input }), Promises::of(job)).await?;
     let ends_with_connection = response.content_length().is_none()
         && !response.headers().contains_key(reqwest::header::TRANSFER_ENCODING);
     let payload = read_body(response).await?;
@@ -147,7 +148,11 @@
     value.get().starts_with(|c: char| c == '-' || c.is_ascii_digit())
 }
 
-async fn generate(client: &Client, base: &str, job: &Job) -> Result<ChunkStream, BackendError> {
+async fn generate(
+    client: &OneCallClient,
+    base: &str,
+    job: &Job,
+) -> Result<ChunkStream, BackendError> {
     let text = std::str::from_utf8(&job.input).unwrap_or_default();
     let prompt: String = serde_json::from_str(text).unwrap_or_else(|_| text.to_owned());
     let body = CompletionBody {
@@ -160,7 +165,7 @@
         prefix: &job.prefix,
     };
     let request = client.post(format!("{base}{}", path_of(job.kind)));
-    let response = send(request.json(&body)).await?;
+    let response = send(request.json(&body), Promises::of(job)).await?;
     let body = response.bytes_stream().map_err(BackendError::ResponseLost);
     Ok(token_stream(body, !job.prefix.is_empty()))
 }
@@ -249,19 +254,50 @@
     Ok(())
 }
 
-async fn cancel(client: Client, base: Arc<str>, key: AttemptKey) -> Result<bool, BackendError> {
+async fn cancel(
+    client: OneCallClient,
+    base: Arc<str>,
+    key: AttemptKey,
+) -> Result<bool, BackendError> {
     let body = CancelBody { request_id: key.to_string() };
-    let response = send(client.post(format!("{base}/v1/cancel")).json(&body)).await?;
+    let request = client.post(format!("{base}/v1/cancel")).json(&body);
+    let response = send(request, Promises::default()).await?;
     let response: CancelResponse = response.json().await.map_err(BackendError::ResponseLost)?;
     Ok(response.cancelled)
 }
 
-async fn load(client: Client, base: Arc<str>) -> Result<LoadReport, BackendError> {
+async fn load(client: OneCallClient, base: Arc<str>) -> Result<LoadReport, BackendError> {
     let request = client.get(format!("{base}/v1/load")).timeout(LOAD_TIMEOUT);
-    send(request).await?.json().await.map_err(BackendError::ResponseLost)
+    send(request, Promises::default()).await?.json().await.map_err(BackendError::ResponseLost)
+}
+
+/// Returns the fencing number that the backend server checks before it runs a call.
+fn checked_fence(job: &Job) -> Option<u64> {
+    match job.fence {
+        Some((fence, Fencing::Checked)) if job.kind == StageKind::Plain => Some(fence),
+        _ => None,
+    }
+}
+
+/// Which statuses the protocol of a call promises to mean that it did not run.
+///
+/// Any other call may answer the same status when its run has failed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Promises {
+    /// Whether 503 refuses the call.
+    refuses: bool,
+    /// Whether 409 refuses the call's fencing number.
+    fences: bool,
 }
 
-async fn send(request: RequestBuilder) -> Result<Response, BackendError> {
+impl Promises {
+    fn of(job: &Job) -> Self {
+        let refuses = job.kind == StageKind::Generate;
+        Self { refuses, fences: checked_fence(job).is_some() }
+    }
+}
+
+async fn send(request: RequestBuilder, promises: Promises) -> Result<Response, BackendError> {
     let response = request.send().await.map_err(|error| {
         if error.is_connect() {
             BackendError::Unreachable(error)
@@ -276,10 +312,13 @@
     let retry_after = retry_after(&response);
     let status_code = status.as_u16();
     Err(match status {
-        StatusCode::CONFLICT => BackendError::Fenced,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+        StatusCode::CONFLICT if promises.fences => BackendError::Fenced,
+        StatusCode::SERVICE_UNAVAILABLE if promises.refuses => {
             BackendError::Refused { status: status_code, retry_after }
         }
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            BackendError::Overloaded { status: status_code, retry_after }
+        }
         _ => BackendError::Failed { status: status_code },
     })
 }
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -11,6 +11,7 @@
 pub mod hosts;
 pub mod log;
 mod log_http;
+pub mod one_call;
 pub mod orders;
 pub mod power;
 pub mod tls;
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -10,6 +10,7 @@
 use crate::adapters::channel::Channels;
 use crate::adapters::hosts::HostsClient;
 use crate::adapters::log::LogClient;
+use crate::adapters::one_call::OneCallClient;
 use crate::adapters::orders::OrdersClient;
 use crate::adapters::power::{PowerClient, PowerOrder};
 use crate::adapters::tls::TlsError;
@@ -69,11 +70,6 @@
     Kernel(#[from] KernelError),
 }
 
-/// Returns the HTTP client for the platform's services and backend servers.
-pub(super) fn http_client() -> Result<reqwest::Client, reqwest::Error> {
-    reqwest::Client::builder().no_proxy().redirect(reqwest::redirect::Policy::none()).build()
-}
-
 fn start_services(
     settings: &Settings,
     channels: &Channels,
@@ -83,7 +79,7 @@
     if !channels.is_tls() {
         event!(EventCode::PlainText, name = settings.name);
     }
-    let client = http_client()?;
+    let client = OneCallClient::new()?;
     let hosts = settings.platform.hosts.as_ref();
     let power = settings.platform.power.as_ref();
     let services = Services::start(ServicesOptions {
@@ -186,7 +182,7 @@
     signal: impl Future<Output = ()> + Send,
 ) -> Result<DrainReport, RoleError> {
     let addr = local_addr(&listener)?;
-    let client = http_client()?;
+    let client = OneCallClient::new()?;
     let channels = settings.channels()?;
     let services = start_services(settings, &channels, addr, false)?;
     let log = LogClient::http(client.clone(), &settings.platform.log);
@@ -256,7 +252,7 @@
         host: settings.name.clone(),
         views: services.control.view.clone(),
         power,
-        orders: OrdersClient::http(http_client()?, &sidecar_settings.backend),
+        orders: OrdersClient::http(OneCallClient::new()?, &sidecar_settings.backend),
         incarnation: Arc::new(move || sidecar.gate().load().incarnation),
     };
     Ok(follow_model(parts).boxed())
@@ -267,7 +263,7 @@
 /// A host with unfinished work stays on; the planner observes this and makes a new plan.
 async fn switch_off(settings: &Settings, report: &DrainReport, fence: Offset) {
     let (Some(url), true) = (&settings.platform.power, report.is_clean()) else { return };
-    let Ok(client) = http_client() else { return };
+    let Ok(client) = OneCallClient::new() else { return };
     let order = PowerOrder { host: settings.name.to_string(), on: false, fence };
     match (PowerClient::http(client, url).set)(order).await {
         Ok(()) => event!(EventCode::HostSleeping, host = settings.name, fence = fence),
--- a/src/limpetmux/sidecar/run.rs
+++ b/src/limpetmux/sidecar/run.rs
@@ -111,7 +111,9 @@
             () = output.closed() => return Err(Refusal::unknown(RefusalCode::Cancelled)),
         };
         let Some(chunk) = chunk else { return Ok(()) };
-        let chunk = chunk.map_err(|e| refusal_of(&e))?;
+        // An answer that began proves that the call ran, whatever ends it.
+        let chunk =
+            chunk.map_err(|e| Refusal { execution: Execution::Unknown, ..refusal_of(&e) })?;
         if std::mem::take(&mut is_first) {
             permit.first_output();
         }
@@ -123,7 +125,8 @@
 fn refusal_of(error: &BackendError) -> Refusal {
     let execution = if error.is_not_run() { Execution::NotRun } else { Execution::Unknown };
     let (code, retry_after) = match error {
-        BackendError::Refused { retry_after, .. } => (RefusalCode::Overloaded, *retry_after),
+        BackendError::Refused { retry_after, .. }
+        | BackendError::Overloaded { retry_after, .. } => (RefusalCode::Overloaded, *retry_after),
         BackendError::Fenced => (RefusalCode::Stale, None),
         BackendError::Unreachable(_) => (RefusalCode::Unavailable, None),
         _ => (RefusalCode::Failed, None),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,19 +4,24 @@
 
 mod admin;
 mod admission;
+mod attempt_not_run;
 mod backend_answers;
+mod backend_not_run;
 mod budget;
 mod catalogue;
+mod channel_not_run;
 mod config_fold;
 mod config_ops;
 mod config_replicas;
 mod control;
 mod cost;
+mod entry_not_run;
 mod frames;
 mod fuzz;
 mod gossip;
 mod invariants;
 mod kernel;
+mod log_not_appended;
 mod lost_answers;
 mod membership;
 mod once;
--- a/tests/testsuite/starting.rs
+++ b/tests/testsuite/starting.rs
@@ -2,6 +2,7 @@
 
 use limpetmux::adapters::backend::Backend;
 use limpetmux::adapters::channel::Channels;
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::config::{Config, PipelineSpec, StageSpec};
 use limpetmux::core::revision::Revision;
 use limpetmux::core::view::View;
@@ -49,7 +50,7 @@
         let sidecar = Sidecar::start(SidecarOptions {
             host: host.clone(),
             view: sidecar_views.reader(),
-            backend: Backend::http(reqwest::Client::new(), &pool.url()),
+            backend: Backend::http(OneCallClient::new().unwrap(), &pool.url()),
             once: None,
             metrics: Metrics::none(),
         });
