Play answers of other requests and false refusals in the soak

The stand-in backend server answered through an HTTP server, which cannot send the former, and its only failure was 500. So the soak could not find requests that ran although they were refused, or twice.

Change: the stand-in serves its connections from TCP. It sends further answers to an earlier request (with or without its id, refused, failed or successful, at three times), also to calls for pieces; it refuses without an id and with a success status, fails runs with 503, 429 and 408, answers without an id, and resets connections during a run and inside a head. Refusals echo the request id. The soak draws these faults in a series of its own in every run. New checks: no answer carries the id of another request; the inputs of a run were computed for its request, each once. A test shows that FalseRefusal covers runs that begin after the refusal and refusals with a signature. Each run keeps its violations in violations.txt beside the logs.

Changed checks: the fixture of tests/checks.rs got the new fields of Run, SentRequest and Facts; no assertion changed. Refused and resets of the stand-in now affect stage calls too, which only the soak uses.

--- a/crates/limpetmux-soak/src/callers.rs
+++ b/crates/limpetmux-soak/src/callers.rs
@@ -15,6 +15,8 @@
 pub const DEADLINE: Duration = Duration::from_millis(2_500);
 /// The longest pause of a caller between two requests.
 const MAX_PAUSE_MS: u64 = 120;
+/// The number of pieces of each stage of a stream.
+pub const PIECES: [u64; 2] = [2, 3];
 /// The number of callers per entry.
 const CALLERS_PER_ENTRY: u64 = 3;
 /// The fraction of requests that use the key that faults revoke.
@@ -72,6 +74,8 @@
     pub until: Instant,
     /// How it ended.
     pub outcome: Outcome,
+    /// The request id that its answer carried.
+    pub answered_id: Option<String>,
 }
 
 /// The requests of all callers.
@@ -115,10 +119,12 @@
             let id = format!("{}-{caller}-{number}", self.entry);
             let request = self.request(&client, kind, &id, &key);
             let at = Instant::now();
-            let outcome = timeout(DEADLINE, send(request)).await.unwrap_or(Outcome::TimedOut);
+            let sent = timeout(DEADLINE, send(request)).await;
+            let (outcome, answered_id) = sent.unwrap_or((Outcome::TimedOut, None));
             let until = Instant::now();
             let entry = self.entry;
-            lock(&self.log).push(SentRequest { id, kind, entry, key, at, until, outcome });
+            let sent = SentRequest { id, kind, entry, key, at, until, outcome, answered_id };
+            lock(&self.log).push(sent);
             sleep(Duration::from_millis(rng.random_range(1..MAX_PAUSE_MS))).await;
         }
     }
@@ -135,7 +141,7 @@
             .body(BODY);
         match kind {
             Kind::Stream => request
-                .header("x-limpetmux-pieces", "2,3")
+                .header("x-limpetmux-pieces", PIECES.map(|n| n.to_string()).join(","))
                 .header("x-limpetmux-piece-key", id)
                 .header("x-limpetmux-token-usage", "700,40")
                 .header("x-limpetmux-prompt-prefix", format!("aa:500,{id}:200")),
@@ -144,13 +150,16 @@
     }
 }
 
-/// Sends a request and reads the whole answer.
-async fn send(request: RequestBuilder) -> Outcome {
-    let Ok(answer) = request.send().await else { return Outcome::Cut };
+/// Sends a request and reads the whole answer; returns its end and the request id that it carries.
+async fn send(request: RequestBuilder) -> (Outcome, Option<String>) {
+    let Ok(answer) = request.send().await else { return (Outcome::Cut, None) };
     let status = answer.status().as_u16();
     let signed = answer.headers().contains_key("x-limpetmux-response-signature");
-    match answer.text().await {
+    let id = answer.headers().get("x-limpetmux-request-id");
+    let id = id.map(|id| String::from_utf8_lossy(id.as_bytes()).into_owned());
+    let outcome = match answer.text().await {
         Ok(body) => Outcome::Answered { status, signed, body },
         Err(_) => Outcome::Cut,
-    }
+    };
+    (outcome, id)
 }
--- a/crates/limpetmux-soak/src/checks.rs
+++ b/crates/limpetmux-soak/src/checks.rs
@@ -1,9 +1,9 @@
 //! Checks of the product's guarantees against what callers and backend servers observed.
 
-use crate::callers::{BODY, DEADLINE, Kind, Outcome, SentRequest};
+use crate::callers::{BODY, DEADLINE, Kind, Outcome, PIECES, SentRequest};
 use crate::fleet::REVOKE_BOUND;
 use crate::world::{Backend, ENGINE_SERVICE, OperatorActions, WORKSPACE, World, lock, service_of};
-use limpetmux_standins::users::{ReceivedRequest, STREAM_EVENTS};
+use limpetmux_standins::users::{ReceivedRequest, STREAM_EVENTS, StageResult};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use strum::IntoEnumIterator;
@@ -34,6 +34,12 @@
     /// A caller got an answer to another request, or an incomplete answer.
     #[error("request {0} got a wrong or incomplete answer: {1:?}")]
     WrongAnswer(String, String),
+    /// A caller got an answer that carries the id of another request.
+    #[error("request {0} got an answer with status {2} to request {1}")]
+    ForeignAnswer(String, String, u16),
+    /// A request ran with other inputs than the results that were computed for it, each once.
+    #[error("request {0} ran with other inputs than its own: {1}")]
+    ForeignInputs(String, String),
     /// A successful answer had no signature.
     #[error("request {0} got a successful answer without a signature")]
     Unsigned(String),
@@ -83,6 +89,8 @@
     pub body: Vec<u8>,
     /// Whether the backend server cut its stream.
     pub cut: bool,
+    /// The handles of the results that it ran with.
+    pub inputs: Vec<String>,
 }
 
 /// What callers, backend servers and the operator observed during one run of the soak.
@@ -90,6 +98,8 @@
 pub struct Facts {
     /// The runs of each request, by its id.
     pub runs: BTreeMap<String, Vec<Run>>,
+    /// The results of pieces of stages, by their handles.
+    pub results: BTreeMap<String, StageResult>,
     /// The requests of callers.
     pub sent: Vec<SentRequest>,
     /// The operator's actions.
@@ -106,13 +116,15 @@
         let (actions, disturbances) =
             (lock(&world.actions).clone(), lock(&world.disturbances).clone());
         let mut runs: BTreeMap<String, Vec<Run>> = BTreeMap::new();
+        let mut results = BTreeMap::new();
         for backend in &world.backends {
+            results.extend(backend.server.stage_results());
             for request in backend.server.requests() {
                 let id = request.headers.get("x-limpetmux-request-id").cloned().unwrap_or_default();
                 runs.entry(id).or_default().push(run(backend, request));
             }
         }
-        Self { runs, sent, actions, disturbances, recovered }
+        Self { runs, results, sent, actions, disturbances, recovered }
     }
 
     /// Returns whether a process was undisturbed from [`SETTLE_TIME`] before a span to its end.
@@ -127,6 +139,7 @@
 fn run(backend: &Backend, request: ReceivedRequest) -> Run {
     let server = request.headers.get("x-limpetmux-expected-instance").cloned().unwrap_or_default();
     let drained_at = lock(&backend.drained).iter().find(|(_, id)| *id == server).map(|(at, _)| *at);
+    let inputs = request.headers.get("x-limpetmux-inputs").map_or("", String::as_str);
     Run {
         service: backend.service,
         zone: backend.zone,
@@ -137,6 +150,7 @@
         keyed: request.headers.contains_key("authorization"),
         body: request.body,
         cut: backend.service == ENGINE_SERVICE && request.fault.cuts_streams(),
+        inputs: inputs.split(',').filter(|i| !i.is_empty()).map(str::to_owned).collect(),
     }
 }
 
@@ -167,6 +181,9 @@
     if run.keyed || run.workspace.as_deref() != Some(WORKSPACE) || run.body != BODY {
         return Some(Violation::UnexpectedRun(id()));
     }
+    if sent.kind == Kind::Stream && !are_own_inputs(&facts.results, sent, &run.inputs) {
+        return Some(Violation::ForeignInputs(id(), run.inputs.join(",")));
+    }
     let actions = &facts.actions;
     let revoked = actions.revoked.iter().find(|(key, _)| *key == sent.key).map(|(_, at)| *at);
     if let Some(excess) = revoked.and_then(|at| sent.at.checked_duration_since(at + REVOKE_BOUND)) {
@@ -189,6 +206,26 @@
     (sent.kind == Kind::Moved).then(|| check_version(actions, sent, run)).flatten()
 }
 
+/// Returns whether a stream's inputs are the results of its last stage, each computed for this
+/// request from the results of its first stage, and each of them once.
+fn are_own_inputs(
+    results: &BTreeMap<String, StageResult>,
+    sent: &SentRequest,
+    inputs: &[String],
+) -> bool {
+    let are_pieces = |handles: &[String], stage: u64| {
+        let mut pieces: Vec<Option<u64>> = handles
+            .iter()
+            .map(|handle| results.get(handle))
+            .map(|r| r.filter(|r| r.request == sent.id && r.stage == stage).map(|r| r.piece))
+            .collect();
+        pieces.sort_unstable();
+        pieces.into_iter().eq((0..PIECES[stage as usize]).map(Some))
+    };
+    let made_from = |handle: &String| results.get(handle).map_or(&[][..], |r| &r.inputs);
+    are_pieces(inputs, 1) && inputs.iter().all(|handle| are_pieces(made_from(handle), 0))
+}
+
 /// Checks that a request of the route that every version moves ran where a version in force sends
 /// it; a version that was replaced before the run may never have been in force.
 fn check_version(actions: &OperatorActions, sent: &SentRequest, run: &Run) -> Option<Violation> {
@@ -212,6 +249,11 @@
     if at_most_once && runs > 1 {
         return Some(Violation::MultipleRuns(id(), runs));
     }
+    if let (Outcome::Answered { status, .. }, Some(other)) = (&sent.outcome, &sent.answered_id)
+        && *other != sent.id
+    {
+        return Some(Violation::ForeignAnswer(id(), other.clone(), *status));
+    }
     match &sent.outcome {
         Outcome::Answered { status: 200..=299, signed: false, .. } => {
             Some(Violation::Unsigned(id()))
--- a/crates/limpetmux-soak/src/faults.rs
+++ b/crates/limpetmux-soak/src/faults.rs
@@ -1,7 +1,7 @@
 //! The faults of a run, drawn from its seed as series that may overlap.
 
 use crate::proxy::Link;
-use limpetmux_standins::users::UsersFault;
+use limpetmux_standins::users::{FurtherAnswer, FurtherTime, UsersFault};
 use rand::Rng;
 use rand_pcg::Pcg64;
 use std::time::Duration;
@@ -12,6 +12,30 @@
 /// The ways in which a run lets backend servers end their answers, besides those faults.
 const ANSWER_ENDS: [UsersFault; 4] =
     [UsersFault::Unframed, UsersFault::CutStream, UsersFault::CutChunks, UsersFault::CutHead];
+/// The statuses of further answers: refusals, a failure and a success.
+const FURTHER_STATUSES: [u16; 7] = [503, 429, 421, 409, 400, 500, 200];
+/// When further answers are sent.
+const FURTHER_TIMES: [FurtherTime; 3] =
+    [FurtherTime::WithAnswer, FurtherTime::Late, FurtherTime::BeforeNext];
+/// The fraction of further answers that carry the id of the request that they belong to.
+const NAMED_RATIO: f64 = 0.8;
+/// The fraction of faults of false answers that send further answers.
+const FURTHER_RATIO: f64 = 0.5;
+/// True refusals, and answers that may be taken for refusals or for answers to other requests.
+const FALSE_ANSWERS: [UsersFault; 12] = [
+    UsersFault::Refused,
+    UsersFault::Refused,
+    UsersFault::UnnamedRefusal,
+    UsersFault::RefusedAsSuccess,
+    UsersFault::Failed(503),
+    UsersFault::Failed(429),
+    UsersFault::Failed(408),
+    UsersFault::WrongId,
+    UsersFault::Unnamed,
+    UsersFault::Unsigned,
+    UsersFault::ResetRun,
+    UsersFault::ResetHead,
+];
 
 /// An external fault or operator action.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,6 +92,7 @@
         at += Duration::from_millis(rng.random_range(150..1_800));
     }
     faults.extend(draw_answer_ends(rng, sizes, length));
+    faults.extend(draw_false_answers(rng, sizes, length));
     faults.sort_by_key(|(at, _)| *at);
     faults.retain(|(at, _)| *at < length);
     faults
@@ -85,8 +110,29 @@
     faults
 }
 
-fn pick(rng: &mut Pcg64, faults: &[UsersFault]) -> UsersFault {
-    faults[rng.random_range(0..faults.len())]
+/// Draws a series of its own, so that throughout a run some backend servers refuse requests, fail
+/// with the status of a refusal, or send answers that belong to other requests.
+fn draw_false_answers(rng: &mut Pcg64, sizes: Sizes, length: Duration) -> Vec<(Duration, Fault)> {
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < length {
+        let server = rng.random_range(0..sizes.servers);
+        let fault = match rng.random_bool(FURTHER_RATIO) {
+            true => UsersFault::Further(FurtherAnswer {
+                status: pick(rng, &FURTHER_STATUSES),
+                named: rng.random_bool(NAMED_RATIO),
+                time: pick(rng, &FURTHER_TIMES),
+            }),
+            false => pick(rng, &FALSE_ANSWERS),
+        };
+        faults.push((at, Fault::ServerFault(server, fault, rng.random_range(300..2_000))));
+        at += Duration::from_millis(rng.random_range(50..400));
+    }
+    faults
+}
+
+fn pick<T: Copy>(rng: &mut Pcg64, choices: &[T]) -> T {
+    choices[rng.random_range(0..choices.len())]
 }
 
 fn draw_one(rng: &mut Pcg64, sizes: Sizes) -> Fault {
--- a/crates/limpetmux-soak/src/lib.rs
+++ b/crates/limpetmux-soak/src/lib.rs
@@ -74,7 +74,8 @@
     let sizes =
         Sizes { nodes: world.nodes.len(), servers: world.backends.len(), zones: ZONES.len() };
     let faults = faults::draw(&mut Pcg64::seed_from_u64(options.seed), sizes, options.length);
-    write_plan(&options.dir, &faults)?;
+    let plan = faults.iter().map(|(at, fault)| format!("{:>6} ms {fault:?}", at.as_millis()));
+    write_lines(&options.dir.join("faults.txt"), plan)?;
     let began = Instant::now();
     let mut injections = Vec::new();
     for (at, fault) in &faults {
@@ -95,13 +96,13 @@
     let served = sent.iter().filter(is_served).count();
     let requests = (sent.len(), served);
     let violations = checks::check(&Facts::collect(&world, sent, recovered));
+    write_lines(&options.dir.join("violations.txt"), violations.iter().map(Violation::to_string))?;
     Ok(Report { faults: faults.len(), requests, violations })
 }
 
-/// Writes the drawn faults to a file beside the logs.
-fn write_plan(dir: &Path, faults: &[(Duration, Fault)]) -> std::io::Result<()> {
-    let line = |(at, fault): &(Duration, Fault)| format!("{:>6} ms {fault:?}\n", at.as_millis());
-    std::fs::write(dir.join("faults.txt"), faults.iter().map(line).collect::<String>())
+/// Writes lines to a file beside the logs.
+fn write_lines(path: &Path, lines: impl Iterator<Item = String>) -> std::io::Result<()> {
+    std::fs::write(path, lines.map(|line| line + "\n").collect::<String>())
 }
 
 /// Injects a fault and waits until it is over.
--- a/crates/limpetmux-soak/tests/checks.rs
+++ b/crates/limpetmux-soak/tests/checks.rs
@@ -1,8 +1,9 @@
 //! Each check reports facts that violate its guarantee, and no others.
 
-use limpetmux_soak::callers::{BODY, Kind, Outcome, SentRequest};
+use limpetmux_soak::callers::{BODY, Kind, Outcome, PIECES, SentRequest};
 use limpetmux_soak::checks::{Facts, Run, Violation, check};
 use limpetmux_soak::world::{OperatorActions, PERMANENT_KEY, WORKSPACE, service_of};
+use limpetmux_standins::users::StageResult;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use strum::IntoEnumIterator;
@@ -16,7 +17,8 @@
     let body = (1..=events).map(event).collect();
     let outcome = Outcome::Answered { status: 200, signed: true, body };
     let (id, key) = (id.to_owned(), PERMANENT_KEY.to_owned());
-    SentRequest { id, kind, entry: 0, key, at, until: at + SECOND / 10, outcome }
+    let answered_id = Some(id.clone());
+    SentRequest { id, kind, entry: 0, key, at, until: at + SECOND / 10, outcome, answered_id }
 }
 
 fn run(service: &'static str, at: Instant) -> Run {
@@ -30,9 +32,30 @@
         keyed: false,
         body: BODY.to_vec(),
         cut: false,
+        inputs: handles("r", 1),
     }
 }
 
+fn handle(request: &str, stage: u64, piece: u64) -> String {
+    format!("{request}-{stage}-{piece}")
+}
+
+/// Returns the handles of the results of a stage that were computed for a request.
+fn handles(request: &str, stage: u64) -> Vec<String> {
+    (0..PIECES[stage as usize]).map(|piece| handle(request, stage, piece)).collect()
+}
+
+/// Returns the results that were computed for a request, by their handles.
+fn results(request: &str) -> BTreeMap<String, StageResult> {
+    let result = |stage, piece| {
+        let inputs = if stage == 0 { Vec::new() } else { handles(request, 0) };
+        let result = StageResult { request: request.to_owned(), stage, piece, inputs };
+        (handle(request, stage, piece), result)
+    };
+    let pieces = (0..2).flat_map(|stage| (0..PIECES[stage as usize]).map(move |p| (stage, p)));
+    pieces.map(|(stage, piece)| result(stage, piece)).collect()
+}
+
 /// Returns facts without violations, and when the request `r` was sent.
 ///
 /// `r` is of the given kind and ran once, before the faults ended and long after the second of two
@@ -47,7 +70,8 @@
     all.push(sent("r", kind, at));
     let service = if kind == Kind::Moved { service_of(2) } else { "plain" };
     let runs = BTreeMap::from([("r".to_owned(), vec![run(service, at + SECOND / 100)])]);
-    (Facts { runs, sent: all, actions, disturbances: Vec::new(), recovered }, at)
+    let (results, disturbances) = (results("r"), Vec::new());
+    (Facts { runs, results, sent: all, actions, disturbances, recovered }, at)
 }
 
 fn request(facts: &mut Facts) -> &mut SentRequest {
@@ -90,6 +114,61 @@
     assert_eq!(check(&facts), [Violation::FalseRefusal("r".into(), 503)]);
 }
 
+#[test]
+fn refusal_before_a_run_and_refusal_with_a_signature_are_found() {
+    // Guards against a soak that misses requests which run after their refusal, or whose run failed
+    // with the status of a refusal (incident REFUSED and TWICE).
+    for kind in [Kind::Once, Kind::Stream] {
+        for status in [408, 421, 429, 503] {
+            for (signed, run_delay) in [(true, SECOND / 100), (false, SECOND * 3)] {
+                let (mut facts, at) = facts(kind);
+                let body = String::new();
+                request(&mut facts).outcome = Outcome::Answered { status, signed, body };
+                first_run(&mut facts).at = at + run_delay;
+
+                assert_eq!(check(&facts), [Violation::FalseRefusal("r".into(), status)]);
+            }
+        }
+    }
+}
+
+#[test]
+fn answer_to_another_request_is_found_whatever_its_status() {
+    // Guards against a soak that misses failures of other requests (incident REFUSED and TWICE).
+    for status in [200, 400, 500, 503] {
+        let (mut facts, _) = facts(Kind::Safe);
+        let body = "id: 1\ndata: from s for r\n\n";
+        request(&mut facts).outcome = answered(status, body);
+        request(&mut facts).answered_id = Some("other".into());
+
+        assert_eq!(check(&facts), [Violation::ForeignAnswer("r".into(), "other".into(), status)]);
+    }
+}
+
+#[test]
+fn inputs_that_are_missing_repeated_or_of_another_request_are_found() {
+    // Guards against a soak that misses results which a further answer of a stage's server brought
+    // to another request (incident REFUSED and TWICE).
+    let changes: [fn(&mut Facts); 6] = [
+        |facts| first_run(facts).inputs.truncate(1),
+        |facts| first_run(facts).inputs = handles("r", 0),
+        |facts| first_run(facts).inputs[0] = handle("r", 1, 1),
+        |facts| first_run(facts).inputs[0] = handle("other", 1, 0),
+        |facts| facts.results.get_mut("r-1-2").expect("a result").inputs.truncate(1),
+        |facts| {
+            facts.results.get_mut("r-1-2").expect("a result").inputs[0] = handle("other", 0, 0);
+        },
+    ];
+    for change in changes {
+        let (mut facts, _) = facts(Kind::Stream);
+        facts.results.extend(results("other"));
+        assert_eq!(check(&facts), []);
+        change(&mut facts);
+
+        assert!(matches!(check(&facts)[..], [Violation::ForeignInputs(..)]));
+    }
+}
+
 #[test]
 fn wrong_incomplete_and_unsigned_answers_are_found() {
     let wrong = "id: 1\ndata: from s for another\n\n";
--- a/crates/limpetmux-standins/src/raw.rs
+++ b/crates/limpetmux-standins/src/raw.rs
@@ -75,7 +75,8 @@
 async fn serve_connection(stream: TcpStream, answer: &(dyn Fn(&RawRequest) -> Vec<u8> + Sync)) {
     let mut stream = BufReader::new(stream);
     for earlier in 0.. {
-        let Ok(head) = read_request(&mut stream).await else { return };
+        let Ok(request) = read_request(&mut stream).await else { return };
+        let head = request.head.to_ascii_lowercase();
         let sent = stream.write_all(&answer(&RawRequest { head, earlier })).await;
         if sent.is_err() {
             return;
@@ -91,8 +92,16 @@
     stream.shutdown().await
 }
 
-/// Reads a request and returns its head in lower case.
-async fn read_request(stream: &mut BufReader<TcpStream>) -> std::io::Result<String> {
+/// A request as it was sent.
+pub(crate) struct Message {
+    /// The request line and the headers.
+    pub(crate) head: String,
+    /// The body.
+    pub(crate) body: Vec<u8>,
+}
+
+/// Reads a request, whose body has a length.
+pub(crate) async fn read_request(stream: &mut BufReader<TcpStream>) -> std::io::Result<Message> {
     let mut head = String::new();
     let mut body_len = 0;
     loop {
@@ -100,16 +109,17 @@
         if stream.read_line(&mut line).await? == 0 {
             return Err(std::io::ErrorKind::UnexpectedEof.into());
         }
-        let line = line.trim().to_ascii_lowercase();
+        let line = line.trim();
         if line.is_empty() {
             break;
         }
-        if let Some(len) = line.strip_prefix("content-length:") {
+        if let Some(len) = line.to_ascii_lowercase().strip_prefix("content-length:") {
             body_len = len.trim().parse().unwrap_or_default();
         }
-        head.push_str(&line);
+        head.push_str(line);
         head.push('\n');
     }
-    stream.read_exact(&mut vec![0; body_len]).await?;
-    Ok(head)
+    let mut body = vec![0; body_len];
+    stream.read_exact(&mut body).await?;
+    Ok(Message { head, body })
 }
--- /dev/null
+++ b/crates/limpetmux-standins/src/users/connection.rs
@@ -0,0 +1,129 @@
+//! The connections of a backend server, served from TCP so that it can send what no HTTP server
+//! sends: answers without a request, and parts of answers.
+
+use super::fault::{FurtherTime, UsersFault};
+use super::reply::{Content, Reply, event};
+use super::server::{STREAM_EVENTS, SharedState, reply};
+use crate::raw::read_request;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// How long after the correct answer a late further answer is sent.
+const LATE_DELAY: Duration = Duration::from_millis(10);
+
+/// What happens to a connection after an answer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Next {
+    /// It is kept open.
+    Keep,
+    /// It ends in order.
+    Close,
+    /// It is reset.
+    Reset,
+}
+
+/// Serves the connections to a port that the system chooses, until the runtime ends.
+pub(super) async fn serve(state: SharedState) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let state = Arc::clone(&state);
+            tokio::spawn(async move {
+                match serve_connection(stream, &state).await {
+                    Err(error) if !is_closed_by_caller(error.kind()) => {
+                        eprintln!("stand-in server failed: {error}");
+                    }
+                    _ => {}
+                }
+            });
+        }
+    });
+    Ok(addr)
+}
+
+/// Returns whether an error only shows that the other side has closed its connection.
+fn is_closed_by_caller(error: ErrorKind) -> bool {
+    matches!(error, ErrorKind::UnexpectedEof | ErrorKind::ConnectionReset | ErrorKind::BrokenPipe)
+}
+
+async fn serve_connection(stream: TcpStream, state: &SharedState) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut stream = BufReader::new(stream);
+    let mut further = Vec::new();
+    loop {
+        let request = read_request(&mut stream).await?;
+        let reply = reply(state, request);
+        // The further answer to the request before is sent where this one's answer is due.
+        stream.write_all(&std::mem::take(&mut further)).await?;
+        let next = send(&mut stream, &reply).await?;
+        match next {
+            Next::Keep => {}
+            Next::Close => return stream.shutdown().await,
+            Next::Reset => return stream.get_ref().set_zero_linger(),
+        }
+        match reply.fault {
+            UsersFault::Further(answer) if answer.time == FurtherTime::Late => {
+                sleep(LATE_DELAY).await;
+                stream.write_all(&reply.further).await?;
+            }
+            UsersFault::Further(answer) if answer.time == FurtherTime::BeforeNext => {
+                further = reply.further;
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Runs a request and sends its answer, or as much of it as its fault allows.
+async fn send(stream: &mut BufReader<TcpStream>, reply: &Reply) -> std::io::Result<Next> {
+    sleep(reply.work).await;
+    let mut head = reply.head();
+    let ran = !reply.unrun;
+    match reply.fault {
+        UsersFault::ResetRun if ran => return Ok(Next::Reset),
+        UsersFault::ResetHead if ran => {
+            head.truncate(head.len() / 2);
+            stream.write_all(&head).await?;
+            // The bytes are to arrive before the reset discards what is not acknowledged.
+            sleep(LATE_DELAY).await;
+            return Ok(Next::Reset);
+        }
+        _ => {}
+    }
+    let mut last = match &reply.content {
+        Content::Whole(body) => [&head[..], body].concat(),
+        Content::Events => {
+            stream.write_all(&head).await?;
+            send_events(stream, reply).await?
+        }
+    };
+    if let UsersFault::Further(answer) = reply.fault
+        && answer.time == FurtherTime::WithAnswer
+    {
+        last.extend(&reply.further);
+    }
+    stream.write_all(&last).await?;
+    Ok(if ran && reply.fault.is_unframed() { Next::Close } else { Next::Keep })
+}
+
+/// Sends the events of a stream and returns the bytes that state its end.
+async fn send_events(stream: &mut BufReader<TcpStream>, reply: &Reply) -> std::io::Result<Vec<u8>> {
+    let unframed = reply.fault.is_unframed();
+    for number in 1..=STREAM_EVENTS {
+        sleep(reply.work).await;
+        let event = event(number, &reply.server, &reply.id);
+        let Some(sent) = reply.fault.sent_part(number, event) else { break };
+        let bytes = match unframed {
+            true => sent,
+            false => format!("{:x}\r\n{sent}\r\n", sent.len()),
+        };
+        stream.write_all(bytes.as_bytes()).await?;
+    }
+    Ok(if unframed { Vec::new() } else { b"0\r\n\r\n".to_vec() })
+}
--- a/crates/limpetmux-standins/src/users/fault.rs
+++ b/crates/limpetmux-standins/src/users/fault.rs
@@ -1,11 +1,11 @@
 //! The faults of a backend server, and what they do to its answers.
 
-use poem::http::Version;
-
 /// The event inside which streams are cut, counted from one.
 const CUT_EVENT: u32 = 3;
 
-/// How a backend server handles the next requests other than stage calls.
+/// How a backend server handles the next requests.
+///
+/// Of these, only refusals, further answers and resets affect stage calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum UsersFault {
     /// It answers correctly.
@@ -13,8 +13,16 @@
     None,
     /// It refuses the request and states that it did not run it.
     Refused,
+    /// It refuses the request as for `Refused`, in an answer without a request id.
+    UnnamedRefusal,
+    /// It refuses the request and states that it did not run it, with a success status.
+    RefusedAsSuccess,
     /// It runs the request and fails.
     Error,
+    /// It runs the request and fails with a status, without stating that it did not run it.
+    Failed(u16),
+    /// It answers without a request id.
+    Unnamed,
     /// It answers under the id of another request.
     WrongId,
     /// It answers without its signature.
@@ -27,14 +35,73 @@
     CutChunks,
     /// It ends a stream before its first event, with its connection.
     CutHead,
+    /// It resets the connection while the request runs.
+    ResetRun,
+    /// It resets the connection inside the head of the answer.
+    ResetHead,
+    /// It sends a further answer to each request of a connection; all requests run.
+    Further(FurtherAnswer),
+}
+
+/// An answer that a backend server sends to a request that it also answers correctly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FurtherAnswer {
+    /// Its status; of a refusal, it states as well that the request did not run.
+    pub status: u16,
+    /// Whether it carries the id of that request.
+    pub named: bool,
+    /// When it is sent.
+    pub time: FurtherTime,
+}
+
+/// When a further answer is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FurtherTime {
+    /// Together with the correct answer.
+    WithAnswer,
+    /// Shortly after the correct answer, whether or not the next request has arrived.
+    Late,
+    /// Once the next request on the connection has arrived, before it is answered.
+    BeforeNext,
+}
+
+impl FurtherAnswer {
+    /// Returns whether it states that the request did not run.
+    pub(super) fn is_refusal(self) -> bool {
+        matches!(self.status, 400 | 409 | 421 | 429 | 503)
+    }
 }
 
 impl UsersFault {
-    /// Returns the version of its answers; those of the older one are not sent in chunks.
-    pub(super) fn version(self) -> Version {
+    /// Returns whether its answers have neither a length nor chunks.
+    pub(super) fn is_unframed(self) -> bool {
+        matches!(self, Self::Unframed | Self::CutStream | Self::CutHead)
+    }
+
+    /// Returns the status of its refusals, if it refuses requests.
+    pub(super) fn refusal(self) -> Option<u16> {
+        match self {
+            Self::Refused | Self::UnnamedRefusal => Some(503),
+            Self::RefusedAsSuccess => Some(200),
+            _ => None,
+        }
+    }
+
+    /// Returns the status of the answer to a request that it ran.
+    pub(super) fn run_status(self) -> u16 {
+        match self {
+            Self::Error => 500,
+            Self::Failed(status) => status,
+            _ => 200,
+        }
+    }
+
+    /// Returns the id that an answer to the request with an id carries.
+    pub(super) fn echo(self, id: &str) -> Option<&str> {
         match self {
-            Self::Unframed | Self::CutStream | Self::CutHead => Version::HTTP_10,
-            _ => Version::HTTP_11,
+            Self::WrongId => Some("another"),
+            Self::Unnamed | Self::UnnamedRefusal => None,
+            _ => Some(id).filter(|id| !id.is_empty()),
         }
     }
 
--- a/crates/limpetmux-standins/src/users/mod.rs
+++ b/crates/limpetmux-standins/src/users/mod.rs
@@ -3,13 +3,16 @@
 //! They implement the part of the published protocol that the adapter uses and count the requests
 //! they receive, so that tests over TCP need no other program.
 
+mod connection;
 mod fault;
+mod reply;
 mod server;
 mod stages;
 mod store;
 
-pub use fault::UsersFault;
+pub use fault::{FurtherAnswer, FurtherTime, UsersFault};
 pub use server::{ReceivedRequest, STREAM_EVENTS, STREAMS, UsersServer};
+pub use stages::StageResult;
 pub use store::UsersStore;
 
 use poem::Server;
--- /dev/null
+++ b/crates/limpetmux-standins/src/users/reply.rs
@@ -0,0 +1,104 @@
+//! The answers of a backend server in the bytes in which they are sent.
+
+use super::fault::{FurtherAnswer, UsersFault};
+use super::server::STREAM_EVENTS;
+use std::time::Duration;
+
+/// The body of an answer.
+pub(super) enum Content {
+    /// Bytes that are sent at once.
+    Whole(Vec<u8>),
+    /// A stream of events.
+    Events,
+}
+
+/// An answer to one request.
+pub(super) struct Reply {
+    /// The fault that it is sent with.
+    pub(super) fault: UsersFault,
+    /// The processing time of the request, or of each event.
+    pub(super) work: Duration,
+    /// The body.
+    pub(super) content: Content,
+    /// The id of the backend server.
+    pub(super) server: String,
+    /// The id of the request.
+    pub(super) id: String,
+    /// The status.
+    pub(super) status: u16,
+    /// Whether it is signed, unless the fault prevents it.
+    pub(super) signed: bool,
+    /// Whether it states that the request did not run.
+    pub(super) unrun: bool,
+    /// The further answer to the same request, if the fault sends one.
+    pub(super) further: Vec<u8>,
+}
+
+impl Reply {
+    /// Returns a refusal of a request, which states that it did not run.
+    pub(super) fn refusal(status: u16, id: &str, fault: UsersFault) -> Self {
+        Self {
+            fault,
+            work: Duration::ZERO,
+            content: Content::Whole(Vec::new()),
+            server: String::new(),
+            id: id.to_owned(),
+            status,
+            signed: false,
+            unrun: true,
+            further: Vec::new(),
+        }
+    }
+
+    /// Encodes the head, with the header that states where the body ends.
+    pub(super) fn head(&self) -> Vec<u8> {
+        let unframed = self.fault.is_unframed() && !self.unrun;
+        let version = if unframed { "HTTP/1.0" } else { "HTTP/1.1" };
+        let mut head = format!("{version} {} Status\r\n", self.status);
+        let signed = self.signed && self.fault != UsersFault::Unsigned;
+        head.push_str(&fields(self.fault.echo(&self.id), signed, self.unrun));
+        match &self.content {
+            _ if unframed => {}
+            Content::Events => head.push_str("transfer-encoding: chunked\r\n"),
+            Content::Whole(body) => head.push_str(&format!("content-length: {}\r\n", body.len())),
+        }
+        head.push_str("\r\n");
+        head.into_bytes()
+    }
+}
+
+/// Encodes a further answer to the request with an id.
+pub(super) fn further(answer: FurtherAnswer, id: &str, body: &[u8]) -> Vec<u8> {
+    let unrun = answer.is_refusal();
+    let echo = Some(id).filter(|id| answer.named && !id.is_empty());
+    let fields = fields(echo, !unrun, unrun);
+    let body = if unrun { &[] } else { body };
+    let length = body.len();
+    let head =
+        format!("HTTP/1.1 {} Status\r\n{fields}content-length: {length}\r\n\r\n", answer.status);
+    [head.as_bytes(), body].concat()
+}
+
+/// Returns an event of the answer to a request.
+pub(super) fn event(number: u32, server: &str, id: &str) -> String {
+    format!("id: {number}\ndata: from {server} for {id}\n\n")
+}
+
+/// Returns all events of the answer to a request.
+pub(super) fn all_events(server: &str, id: &str) -> String {
+    (1..=STREAM_EVENTS).map(|number| event(number, server, id)).collect()
+}
+
+fn fields(id: Option<&str>, signed: bool, unrun: bool) -> String {
+    let mut fields = String::new();
+    if let Some(id) = id {
+        fields.push_str(&format!("x-limpetmux-request-id: {id}\r\n"));
+    }
+    if signed {
+        fields.push_str("x-limpetmux-response-signature: signed\r\n");
+    }
+    if unrun {
+        fields.push_str("x-limpetmux-not-executed: 1\r\n");
+    }
+    fields
+}
--- a/crates/limpetmux-standins/src/users/server.rs
+++ b/crates/limpetmux-standins/src/users/server.rs
@@ -1,16 +1,16 @@
 //! A backend server, which answers plain requests, streams and calls for pieces of stages.
 
+use super::connection;
 use super::fault::UsersFault;
-use super::{serve, stages};
-use poem::http::{HeaderMap, StatusCode, Version};
-use poem::web::Data;
-use poem::{EndpointExt, Response, Route, get, handler, post};
+use super::reply::{Content, Reply, all_events, event, further};
+use super::stages::{StageResult, stage_free, stage_run};
+use crate::raw::Message;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 /// The prefix of paths that are answered by a stream of events.
 pub const STREAMS: &str = "/stream";
@@ -32,13 +32,24 @@
     pub fault: UsersFault,
 }
 
+impl ReceivedRequest {
+    /// Returns the value of a header, whose name is given in lower case; empty if it is absent.
+    pub(super) fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+}
+
+/// The state of a backend server, which all its connections share.
+pub(super) type SharedState = Arc<Mutex<ServerState>>;
+
 #[derive(Default)]
 pub(super) struct ServerState {
     pub(super) id: String,
     requests: Vec<ReceivedRequest>,
-    fault: UsersFault,
+    pub(super) fault: UsersFault,
     pub(super) freed: Vec<String>,
     pub(super) result_count: u64,
+    pub(super) results: BTreeMap<String, StageResult>,
     /// The processing time of each request, or of each event of a stream.
     work: Duration,
 }
@@ -48,7 +59,7 @@
 pub struct UsersServer {
     /// The address it listens on.
     pub addr: SocketAddr,
-    state: Arc<Mutex<ServerState>>,
+    state: SharedState,
 }
 
 impl UsersServer {
@@ -64,12 +75,7 @@
     pub async fn start(id: &str) -> std::io::Result<Self> {
         let state = ServerState { id: id.to_owned(), ..ServerState::default() };
         let state = Arc::new(Mutex::new(state));
-        let routes = Route::new()
-            .at("/stage-run", post(stages::stage_run))
-            .at("/stage-free", post(stages::stage_free))
-            .at("/*path", get(answer).post(answer))
-            .data(Arc::clone(&state));
-        Ok(Self { addr: serve(routes).await?, state })
+        Ok(Self { addr: connection::serve(Arc::clone(&state)).await?, state })
     }
 
     /// Returns the record that lists it in the store.
@@ -100,103 +106,63 @@
         (state.result_count, state.freed.clone())
     }
 
+    /// Returns the results of the pieces that it computed, by their handles.
+    pub fn stage_results(&self) -> BTreeMap<String, StageResult> {
+        self.lock().results.clone()
+    }
+
     fn lock(&self) -> MutexGuard<'_, ServerState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
-#[handler]
-async fn answer(
-    request: &poem::Request,
-    body: Vec<u8>,
-    state: Data<&Arc<Mutex<ServerState>>>,
-) -> Response {
-    let path = request.uri().path().to_owned();
-    let headers = header_texts(request.headers());
-    let id = headers.get("x-limpetmux-request-id").cloned().unwrap_or_default();
-    let (at, fault) = (Instant::now(), UsersFault::None);
-    let received = ReceivedRequest { path, headers, body, at, fault };
-    let streams = received.path.starts_with(STREAMS);
-    let (fault, server, work) = match run(&mut lock_server(&state), received) {
-        Ok(run) => run,
-        Err(status) => return refusal(status),
-    };
-    sleep(work).await;
-    let status = if fault == UsersFault::Error { 500 } else { 200 };
-    let echo = if fault == UsersFault::WrongId { "another" } else { &id };
-    let answer = Response::builder()
-        .status(StatusCode::from_u16(status).unwrap_or_default())
-        .version(fault.version())
-        .header("x-limpetmux-request-id", echo);
-    let signature = (fault != UsersFault::Unsigned).then_some("signed");
-    let answer = match signature {
-        Some(text) => answer.header("x-limpetmux-response-signature", text),
-        None => answer,
-    };
-    if streams && status == 200 {
-        let events = events(server, id, work, fault);
-        return answer.body(poem::Body::from_bytes_stream(events));
-    }
-    let body = event(1, &server, &id);
-    if fault.version() == Version::HTTP_10 {
-        // A body of unknown length, whose answer has no length.
-        let body = futures::stream::iter([Ok::<_, std::io::Error>(body)]);
-        return answer.body(poem::Body::from_bytes_stream(body));
+/// Runs or refuses a request and returns its answer.
+pub(super) fn reply(state: &SharedState, message: Message) -> Reply {
+    let state = &mut *lock(state);
+    let request = received(message, state.fault);
+    match request.path.as_str() {
+        "/stage-run" => stage_run(state, &request),
+        "/stage-free" => stage_free(state, &request),
+        _ => run(state, request),
     }
-    answer.body(body)
 }
 
-/// Records a request and returns the fault, server id and processing time of its answer, or the
-/// status of its refusal if it does not run.
-fn run(
-    state: &mut ServerState,
-    request: ReceivedRequest,
-) -> Result<(UsersFault, String, Duration), StatusCode> {
+/// Records a request as a run and returns its answer, or a refusal if it does not run.
+fn run(state: &mut ServerState, request: ReceivedRequest) -> Reply {
+    let id = request.header("x-limpetmux-request-id").to_owned();
     let expected = request.headers.get("x-limpetmux-expected-instance");
     if expected.is_some_and(|e| *e != state.id) {
-        return Err(StatusCode::MISDIRECTED_REQUEST);
+        return Reply::refusal(421, &id, UsersFault::None);
     }
-    if state.fault == UsersFault::Refused {
-        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    let (fault, server) = (state.fault, state.id.clone());
+    if let Some(status) = fault.refusal() {
+        return Reply::refusal(status, &id, fault);
     }
-    state.requests.push(ReceivedRequest { fault: state.fault, ..request });
-    Ok((state.fault, state.id.clone(), state.work))
-}
-
-fn refusal(status: StatusCode) -> Response {
-    let refusal = Response::builder().status(status);
-    refusal.header("x-limpetmux-not-executed", "1").finish()
-}
-
-/// Returns the events of a stream, each delayed by the processing time `work`.
-fn events(
-    server: String,
-    id: String,
-    work: Duration,
-    fault: UsersFault,
-) -> impl futures::Stream<Item = std::io::Result<Vec<u8>>> {
-    futures::stream::unfold(1, move |number| {
-        let (server, id) = (server.clone(), id.clone());
-        async move {
-            if number > STREAM_EVENTS {
-                return None;
-            }
-            sleep(work).await;
-            let sent = fault.sent_part(number, event(number, &server, &id))?;
-            Some((Ok(sent.into_bytes()), number + 1))
+    let status = fault.run_status();
+    let streams = request.path.starts_with(STREAMS) && status == 200;
+    state.requests.push(request);
+    let body = event(1, &server, &id).into_bytes();
+    let further = match fault {
+        UsersFault::Further(answer) if streams => {
+            further(answer, &id, all_events(&server, &id).as_bytes())
         }
-    })
+        UsersFault::Further(answer) => further(answer, &id, &body),
+        _ => Vec::new(),
+    };
+    let content = if streams { Content::Events } else { Content::Whole(body) };
+    let work = state.work;
+    Reply { fault, work, content, server, id, status, signed: true, unrun: false, further }
 }
 
-fn event(number: u32, server: &str, id: &str) -> String {
-    format!("id: {number}\ndata: from {server} for {id}\n\n")
+fn received(message: Message, fault: UsersFault) -> ReceivedRequest {
+    let mut lines = message.head.lines();
+    let target = lines.next().and_then(|line| line.split(' ').nth(1)).unwrap_or_default();
+    let path = target.split('?').next().unwrap_or_default().to_owned();
+    let headers = lines.filter_map(|line| line.split_once(':'));
+    let headers = headers.map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_owned())).collect();
+    ReceivedRequest { path, headers, body: message.body, at: Instant::now(), fault }
 }
 
-fn lock_server(state: &Mutex<ServerState>) -> MutexGuard<'_, ServerState> {
+fn lock(state: &SharedState) -> MutexGuard<'_, ServerState> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-fn header_texts(headers: &HeaderMap) -> BTreeMap<String, String> {
-    let text = |v: &poem::http::HeaderValue| v.to_str().unwrap_or_default().to_owned();
-    headers.iter().map(|(n, v)| (n.as_str().to_owned(), text(v))).collect()
-}
--- a/crates/limpetmux-standins/src/users/stages.rs
+++ b/crates/limpetmux-standins/src/users/stages.rs
@@ -1,37 +1,87 @@
 //! The stage endpoints of the users' backend server: running pieces and freeing their results.
 
-use super::server::ServerState;
-use poem::http::StatusCode;
-use poem::web::Data;
-use poem::{IntoResponse, Response, handler};
+use super::fault::UsersFault;
+use super::reply::{Content, Reply, further};
+use super::server::{ReceivedRequest, ServerState};
 use serde_json::{Value, json};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
-#[handler]
-pub(super) fn stage_run(
-    request: &poem::Request,
-    body: Vec<u8>,
-    state: Data<&Arc<Mutex<ServerState>>>,
-) -> Response {
-    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
-    let call: Value = serde_json::from_slice(&body).unwrap_or_default();
+/// The result of a piece that a backend server computed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StageResult {
+    /// The request that it was computed for.
+    pub request: String,
+    /// The stage.
+    pub stage: u64,
+    /// The piece of the stage.
+    pub piece: u64,
+    /// The results that it was computed from.
+    pub inputs: Vec<String>,
+}
+
+/// Computes the pieces of a call.
+pub(super) fn stage_run(state: &mut ServerState, request: &ReceivedRequest) -> Reply {
+    let id = request.header("x-limpetmux-request-id");
+    let fault = state.fault;
+    if let Some(status) = fault.refusal() {
+        return Reply::refusal(status, id, fault);
+    }
+    let further = match fault {
+        // The calls are computed again, so the results of the further answer are other ones.
+        UsersFault::Further(answer) => further(answer, id, &results(state, request)),
+        _ => Vec::new(),
+    };
+    Reply { further, ..reply(results(state, request), id, fault) }
+}
+
+/// Frees the results that a call names.
+pub(super) fn stage_free(state: &mut ServerState, request: &ReceivedRequest) -> Reply {
+    let call: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let freed = call["handles"].as_array().cloned().unwrap_or_default();
+    state.freed.extend(freed.iter().filter_map(|h| h.as_str().map(str::to_owned)));
+    reply(Vec::new(), request.header("x-limpetmux-request-id"), UsersFault::None)
+}
+
+/// Computes the results of a call and returns the body that names them.
+fn results(state: &mut ServerState, request: &ReceivedRequest) -> Vec<u8> {
+    let call: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let items = call["items"].as_array().cloned().unwrap_or_default();
-    let host = request.header("host").unwrap_or_default().to_owned();
+    let host = request.header("host");
     let results: Vec<Value> = items
         .iter()
-        .map(|_| {
+        .map(|item| {
             state.result_count += 1;
-            json!({"handle": format!("{host}/{}-{}", state.id, state.result_count)})
+            let handle = format!("{host}/{}-{}", state.id, state.result_count);
+            state.results.insert(handle.clone(), result(item));
+            json!({"handle": handle})
         })
         .collect();
-    json!({"items": results}).to_string().into_response()
+    json!({"items": results}).to_string().into_bytes()
 }
 
-#[handler]
-pub(super) fn stage_free(body: Vec<u8>, state: Data<&Arc<Mutex<ServerState>>>) -> Response {
-    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
-    let call: Value = serde_json::from_slice(&body).unwrap_or_default();
-    let freed = call["handles"].as_array().cloned().unwrap_or_default();
-    state.freed.extend(freed.iter().filter_map(|h| h.as_str().map(str::to_owned)));
-    StatusCode::OK.into_response()
+fn result(item: &Value) -> StageResult {
+    let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+    StageResult {
+        request: text(&item["id"]),
+        stage: item["stage"].as_u64().unwrap_or_default(),
+        piece: item["piece"].as_u64().unwrap_or_default(),
+        inputs: item["inputs"].as_array().into_iter().flatten().map(text).collect(),
+    }
+}
+
+/// Returns an answer with 200; faults other than resets and further answers do not affect it.
+fn reply(body: Vec<u8>, id: &str, fault: UsersFault) -> Reply {
+    let affects =
+        matches!(fault, UsersFault::Further(_) | UsersFault::ResetRun | UsersFault::ResetHead);
+    Reply {
+        fault: if affects { fault } else { UsersFault::None },
+        work: Duration::ZERO,
+        content: Content::Whole(body),
+        server: String::new(),
+        id: id.to_owned(),
+        status: 200,
+        signed: false,
+        unrun: false,
+        further: Vec::new(),
+    }
 }
