--- a/crates/limpetmux-soak/src/proxy.rs
+++ b/crates/limpetmux-soak/src/proxy.rs
@@ -1,5 +1,6 @@
 //! A loopback proxy that delays, blocks or resets the connections through it.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -110,7 +111,15 @@
 ) -> std::io::Result<()> {
     let mut buffer = vec![0; CHUNK_BYTES];
     loop {
-        let read = from.read(&mut buffer).await?;
+        let read = match from.read(&mut buffer).await {
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => {
+                // Dropping the write half would end the connection in order before it is reset.
+                to.as_ref().set_zero_linger()?;
+                to.forget();
+                return Err(error);
+            }
+            read => read?,
+        };
         let is_open =
             |l: &Link| !matches!((l, from_server), (Link::Silent, _) | (Link::OneWay, true));
         if link.wait_for(is_open).await.is_err() {
