Say whose results a request or piece got in the soak

Cause: the check of inputs printed handles only, and missed pieces that got the results of another request if the request did not run afterwards.

Change: the check names request, stage and piece of each wrong result, and a check of its own covers the inputs of pieces. A new test breaks just that; the cases of the older test moved there and compare the whole violation.

--- a/crates/limpetmux-soak/src/checks.rs
+++ b/crates/limpetmux-soak/src/checks.rs
@@ -38,8 +38,11 @@
     #[error("request {0} got an answer with status {2} to request {1}")]
     ForeignAnswer(String, String, u16),
     /// A request ran with other inputs than the results that were computed for it, each once.
-    #[error("request {0} ran with other inputs than its own: {1}")]
+    #[error("request {0} ran with other inputs than its own, request/stage/piece: {1}")]
     ForeignInputs(String, String),
+    /// A piece was computed from other results than those that were computed for its request.
+    #[error("request {0}: piece {1} got other inputs than its own, request/stage/piece: {2}")]
+    ForeignPiece(String, u64, String),
     /// A successful answer had no signature.
     #[error("request {0} got a successful answer without a signature")]
     Unsigned(String),
@@ -171,6 +174,7 @@
         let runs = facts.runs.get(&sent.id).map_or(&[][..], Vec::as_slice);
         violations.extend(check_answer(facts, sent, runs));
     }
+    violations.extend(check_pieces(&facts.results));
     violations.extend(check_recovery(&facts.sent, facts.recovered));
     violations
 }
@@ -181,8 +185,11 @@
     if run.keyed || run.workspace.as_deref() != Some(WORKSPACE) || run.body != BODY {
         return Some(Violation::UnexpectedRun(id()));
     }
-    if sent.kind == Kind::Stream && !are_own_inputs(&facts.results, sent, &run.inputs) {
-        return Some(Violation::ForeignInputs(id(), run.inputs.join(",")));
+    let wrong = (sent.kind == Kind::Stream)
+        .then(|| wrong_results(&facts.results, &run.inputs, &sent.id, 1))
+        .flatten();
+    if let Some(wrong) = wrong {
+        return Some(Violation::ForeignInputs(id(), wrong));
     }
     let actions = &facts.actions;
     let revoked = actions.revoked.iter().find(|(key, _)| *key == sent.key).map(|(_, at)| *at);
@@ -206,24 +213,31 @@
     (sent.kind == Kind::Moved).then(|| check_version(actions, sent, run)).flatten()
 }
 
-/// Returns whether a stream's inputs are the results of its last stage, each computed for this
-/// request from the results of its first stage, and each of them once.
-fn are_own_inputs(
+/// Checks that the pieces of the second stage were computed from the results of the first one.
+fn check_pieces(results: &BTreeMap<String, StageResult>) -> Vec<Violation> {
+    let check_piece = |result: &StageResult| {
+        let wrong = wrong_results(results, &result.inputs, &result.request, 0)?;
+        Some(Violation::ForeignPiece(result.request.clone(), result.piece, wrong))
+    };
+    results.values().filter(|r| r.stage == 1).filter_map(check_piece).collect()
+}
+
+/// Returns what the results with some handles are, unless they are those of all pieces of a stage
+/// of a request, each once.
+fn wrong_results(
     results: &BTreeMap<String, StageResult>,
-    sent: &SentRequest,
-    inputs: &[String],
-) -> bool {
-    let are_pieces = |handles: &[String], stage: u64| {
-        let mut pieces: Vec<Option<u64>> = handles
-            .iter()
-            .map(|handle| results.get(handle))
-            .map(|r| r.filter(|r| r.request == sent.id && r.stage == stage).map(|r| r.piece))
-            .collect();
-        pieces.sort_unstable();
-        pieces.into_iter().eq((0..PIECES[stage as usize]).map(Some))
+    handles: &[String],
+    request: &str,
+    stage: usize,
+) -> Option<String> {
+    let name = |handle: &String| match results.get(handle) {
+        Some(result) => format!("{}/{}/{}", result.request, result.stage, result.piece),
+        None => format!("unknown {handle}"),
     };
-    let made_from = |handle: &String| results.get(handle).map_or(&[][..], |r| &r.inputs);
-    are_pieces(inputs, 1) && inputs.iter().all(|handle| are_pieces(made_from(handle), 0))
+    let mut names: Vec<String> = handles.iter().map(name).collect();
+    names.sort_unstable();
+    let expected = (0..PIECES[stage]).map(|piece| format!("{request}/{stage}/{piece}"));
+    (!expected.eq(names.iter().cloned())).then(|| names.join(","))
 }
 
 /// Checks that a request of the route that every version moves ran where a version in force sends
--- a/crates/limpetmux-soak/tests/checks.rs
+++ b/crates/limpetmux-soak/tests/checks.rs
@@ -149,23 +149,38 @@
 fn inputs_that_are_missing_repeated_or_of_another_request_are_found() {
     // Guards against a soak that misses results which a further answer of a stage's server brought
     // to another request (incident REFUSED and TWICE).
-    let changes: [fn(&mut Facts); 6] = [
-        |facts| first_run(facts).inputs.truncate(1),
-        |facts| first_run(facts).inputs = handles("r", 0),
-        |facts| first_run(facts).inputs[0] = handle("r", 1, 1),
-        |facts| first_run(facts).inputs[0] = handle("other", 1, 0),
-        |facts| facts.results.get_mut("r-1-2").expect("a result").inputs.truncate(1),
-        |facts| {
-            facts.results.get_mut("r-1-2").expect("a result").inputs[0] = handle("other", 0, 0);
-        },
+    let changes: [(fn(&mut Facts), &str); 4] = [
+        (|facts| first_run(facts).inputs.truncate(1), "r/1/0"),
+        (|facts| first_run(facts).inputs = handles("r", 0), "r/0/0,r/0/1"),
+        (|facts| first_run(facts).inputs[0] = handle("r", 1, 1), "r/1/1,r/1/1,r/1/2"),
+        (|facts| first_run(facts).inputs[0] = handle("other", 1, 0), "other/1/0,r/1/1,r/1/2"),
     ];
-    for change in changes {
+    for (change, inputs) in changes {
         let (mut facts, _) = facts(Kind::Stream);
         facts.results.extend(results("other"));
         assert_eq!(check(&facts), []);
         change(&mut facts);
 
-        assert!(matches!(check(&facts)[..], [Violation::ForeignInputs(..)]));
+        assert_eq!(check(&facts), [Violation::ForeignInputs("r".into(), inputs.into())]);
+    }
+}
+
+#[test]
+fn piece_that_got_missing_inputs_or_those_of_another_request_is_found() {
+    // Guards against a soak that misses them if the request itself does not run afterwards (incident
+    // REFUSED and TWICE).
+    let changes: [(fn(&mut Vec<String>), &str); 4] = [
+        (Vec::clear, ""),
+        (|inputs| inputs.truncate(1), "r/0/0"),
+        (|inputs| inputs[0] = handle("r", 0, 1), "r/0/1,r/0/1"),
+        (|inputs| inputs[0] = handle("other", 0, 0), "other/0/0,r/0/1"),
+    ];
+    for (change, inputs) in changes {
+        let (mut facts, _) = facts(Kind::Safe);
+        facts.results.extend(results("other"));
+        change(&mut facts.results.get_mut("r-1-2").expect("a result").inputs);
+
+        assert_eq!(check(&facts), [Violation::ForeignPiece("r".into(), 2, inputs.into())]);
     }
 }
 
