--- a/crates/limpetmux-standins/src/cut.rs
+++ b/crates/limpetmux-standins/src/cut.rs
@@ -87,8 +87,8 @@
     let mut stream = BufReader::new(stream);
     for _ in 0..cut.answered {
         // The other side may close a connection that it does not use any more.
-        let Ok((head, _)) = read_request(&mut stream).await else { return Ok(()) };
-        record(log, head);
+        let Ok(request) = read_request(&mut stream).await else { return Ok(()) };
+        record(log, request.head.to_ascii_lowercase());
         stream.write_all(ANSWER.as_bytes()).await?;
     }
     match cut.point {
@@ -100,8 +100,8 @@
             record(log, String::from_utf8_lossy(&part).to_ascii_lowercase());
         }
         CutPoint::WholeRead | CutPoint::HeadBegun | CutPoint::BodyBegun => {
-            let Ok((head, _)) = read_request(&mut stream).await else { return Ok(()) };
-            record(log, head);
+            let Ok(request) = read_request(&mut stream).await else { return Ok(()) };
+            record(log, request.head.to_ascii_lowercase());
             stream.write_all(answer_part(cut.point)).await?;
         }
     }
--- a/crates/limpetmux-standins/src/raw.rs
+++ b/crates/limpetmux-standins/src/raw.rs
@@ -80,7 +80,8 @@
     let Ok(peer) = stream.peer_addr() else { return };
     let mut stream = BufReader::new(stream);
     for earlier in 0.. {
-        let Ok((head, body)) = read_request(&mut stream).await else { return };
+        let Ok(Message { head, body }) = read_request(&mut stream).await else { return };
+        let head = head.to_ascii_lowercase();
         let sent = stream.write_all(&answer(&RawRequest { head, body, earlier, peer })).await;
         if sent.is_err() {
             return;
@@ -96,10 +97,16 @@
     stream.shutdown().await
 }
 
-/// Reads a request and returns its head in lower case, and its body.
-pub(crate) async fn read_request(
-    stream: &mut BufReader<TcpStream>,
-) -> std::io::Result<(String, Vec<u8>)> {
+/// A request as it was sent.
+pub(crate) struct Message {
+    /// The request line and the headers.
+    pub(crate) head: String,
+    /// The body.
+    pub(crate) body: Vec<u8>,
+}
+
+/// Reads a request, whose body has a length.
+pub(crate) async fn read_request(stream: &mut BufReader<TcpStream>) -> std::io::Result<Message> {
     let mut head = String::new();
     let mut body_len = 0;
     loop {
@@ -107,17 +114,17 @@
         if stream.read_line(&mut line).await? == 0 {
             return Err(std::io::ErrorKind::UnexpectedEof.into());
         }
-        let line = line.trim().to_ascii_lowercase();
+        let line = line.trim();
         if line.is_empty() {
             break;
         }
-        if let Some(len) = line.strip_prefix("content-length:") {
+        if let Some(len) = line.to_ascii_lowercase().strip_prefix("content-length:") {
             body_len = len.trim().parse().unwrap_or_default();
         }
-        head.push_str(&line);
+        head.push_str(line);
         head.push('\n');
     }
     let mut body = vec![0; body_len];
     stream.read_exact(&mut body).await?;
-    Ok((head, body))
+    Ok(Message { head, body })
 }
