--- a/tests/testsuite/platform/pieces.rs
+++ b/tests/testsuite/platform/pieces.rs
@@ -376,3 +376,24 @@
     assert_eq!(actions.ended, [(key, StageEnd::InputMissing)]);
     assert_eq!(actions.unneeded_results.len(), 1);
 }
+
+#[test]
+fn answer_with_another_number_of_outcomes_counts_as_lost() {
+    // Guards against results of another call, and against room that is released although the pieces
+    // may have run.
+    for outcomes in [0, 7, 9] {
+        let mut queue = queue(&[("s1", "mnl-a")]);
+        queue.submit(at(0), job(at(0), "r1", 8)).unwrap();
+        let call = queue.step(at(0)).calls.remove(0);
+        let name = |n| PieceOutcome::Completed(format!("127.0.0.1:1/{n}").into());
+        let end = CallEnd::Answered((0..outcomes).map(name).collect());
+        assert!(!end.is_distinct(call.items.len()), "{outcomes}");
+
+        let actions = queue.finish(at(278), call.key, end);
+
+        assert!(actions.ended.is_empty() && queue.held_results(at(278)).is_empty(), "{outcomes}");
+        let next = queue.step(at(600)).calls.remove(0);
+        assert_eq!(requests(&next), ["r1"; 8], "{outcomes}");
+        assert!(queue.is_room_short(at(600)), "{outcomes}");
+    }
+}
