Record when the soak itself stands still

The processes of all three seeds that ran at the same time lost the store for 1 to 2 s, with no fault of theirs in effect; nothing showed whether the soak's process, which serves the store, had stood still.

Change: each run writes the times by which its timers fired late to stalls.txt and prints the longest one. A stall excuses no violation.

--- a/crates/limpetmux-soak/src/lib.rs
+++ b/crates/limpetmux-soak/src/lib.rs
@@ -20,8 +20,8 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 use world::{World, ZONES, lock};
@@ -35,6 +35,11 @@
 /// The time after which a draining backend server is listed again under a new id.
 const RELIST_DELAY: Duration = Duration::from_secs(9);
 
+/// The interval at which the soak measures whether it stands still.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// The shortest stall that is recorded.
+const MIN_STALL: Duration = Duration::from_millis(100);
+
 /// The options of one run of the soak.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -59,6 +64,8 @@
     pub requests: (usize, usize),
     /// The violated guarantees.
     pub violations: Vec<Violation>,
+    /// The longest time for which the soak itself, and so the store and all callers, stood still.
+    pub longest_stall: Duration,
 }
 
 /// Runs one seed.
@@ -68,6 +75,8 @@
 pub async fn run(options: &Options) -> std::io::Result<Report> {
     std::fs::create_dir_all(&options.dir)?;
     let world = World::start(&options.binary, &options.dir, options.net).await?;
+    let stalls = Arc::new(Mutex::new(Vec::new()));
+    let measuring = tokio::spawn(record_stalls(Arc::clone(&stalls)));
     sleep(START_TIME).await;
     let (stop, stopped) = watch::channel(false);
     let log = callers::start(&world, options.seed, &stopped);
@@ -97,7 +106,27 @@
     let requests = (sent.len(), served);
     let violations = checks::check(&Facts::collect(&world, sent, recovered));
     write_lines(&options.dir.join("violations.txt"), violations.iter().map(Violation::to_string))?;
-    Ok(Report { faults: faults.len(), requests, violations })
+    measuring.abort();
+    let stalls = lock(&stalls).clone();
+    let line = |(time, stall): &(SystemTime, Duration)| {
+        let time = time.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        format!("{} ms until {} s", stall.as_millis(), time.as_secs_f64())
+    };
+    write_lines(&options.dir.join("stalls.txt"), stalls.iter().map(line))?;
+    let longest_stall = stalls.iter().map(|(_, stall)| *stall).max().unwrap_or_default();
+    Ok(Report { faults: faults.len(), requests, violations, longest_stall })
+}
+
+/// Records by how much timers of the soak fire late, each time with the time of day.
+async fn record_stalls(stalls: Arc<Mutex<Vec<(SystemTime, Duration)>>>) {
+    loop {
+        let due = Instant::now() + STALL_CHECK_INTERVAL;
+        sleep_until(due).await;
+        let late = due.elapsed();
+        if late >= MIN_STALL {
+            lock(&stalls).push((SystemTime::now(), late));
+        }
+    }
 }
 
 /// Writes lines to a file beside the logs.
--- a/crates/limpetmux-soak/src/main.rs
+++ b/crates/limpetmux-soak/src/main.rs
@@ -66,7 +66,8 @@
 
 fn print(seed: u64, report: &Report) {
     let (sent, served) = report.requests;
-    println!("seed {seed}: {} faults, {served} of {sent} requests served", report.faults);
+    let (faults, stall) = (report.faults, report.longest_stall.as_millis());
+    println!("seed {seed}: {faults} faults, {served} of {sent} requests served, stall {stall} ms");
     for violation in report.violations.iter().take(MAX_PRINTED) {
         println!("  {violation}");
     }
--- a/crates/limpetmux-soak/tests/checks.rs
+++ b/crates/limpetmux-soak/tests/checks.rs
@@ -9,6 +9,9 @@
 use strum::IntoEnumIterator;
 use tokio::time::Instant;
 
+/// A change that breaks a guarantee, and what the violation shows.
+type Change<T> = (fn(&mut T), &'static str);
+
 const SECOND: Duration = Duration::from_secs(1);
 
 fn sent(id: &str, kind: Kind, at: Instant) -> SentRequest {
@@ -149,7 +152,7 @@
 fn inputs_that_are_missing_repeated_or_of_another_request_are_found() {
     // Guards against a soak that misses results which a further answer of a stage's server brought
     // to another request (incident REFUSED and TWICE).
-    let changes: [(fn(&mut Facts), &str); 4] = [
+    let changes: [Change<Facts>; 4] = [
         (|facts| first_run(facts).inputs.truncate(1), "r/1/0"),
         (|facts| first_run(facts).inputs = handles("r", 0), "r/0/0,r/0/1"),
         (|facts| first_run(facts).inputs[0] = handle("r", 1, 1), "r/1/1,r/1/1,r/1/2"),
@@ -169,7 +172,7 @@
 fn piece_that_got_missing_inputs_or_those_of_another_request_is_found() {
     // Guards against a soak that misses them if the request itself does not run afterwards (incident
     // REFUSED and TWICE).
-    let changes: [(fn(&mut Vec<String>), &str); 4] = [
+    let changes: [Change<Vec<String>>; 4] = [
         (Vec::clear, ""),
         (|inputs| inputs.truncate(1), "r/0/0"),
         (|inputs| inputs[0] = handle("r", 0, 1), "r/0/1,r/0/1"),
