--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -238,7 +238,7 @@
             fetch_from: choice.and_then(|c| self.address(&c.source?)),
         };
         let request = server::request(&routed.head, &added, routed.body.clone())
-            .map_err(|_| Failure::new(Reason::BadRequest))?;
+            .map_err(|_| self.lost_if_run(Failure::new(Reason::BadRequest)))?;
         routed.maybe_ran.store(true, Ordering::Relaxed);
         let sending = shared.connections.send(server.addr, request, routed.count_send(server.addr));
         let (answer, conn) = match free_when_fetched(sending, inputs).await {
