Give concurrent processes of the soak different networks

Change: the network follows from the process id, in the test and in the program. The test's checks, seed and length are as before.

--- a/crates/limpetmux-soak/src/lib.rs
+++ b/crates/limpetmux-soak/src/lib.rs
@@ -55,6 +55,13 @@
     pub net: [u8; 2],
 }
 
+/// Returns a loopback network for one of the concurrent runs of this process, which other processes
+/// on the same machine are unlikely to use.
+pub fn network(first: u8, slot: usize) -> [u8; 2] {
+    let number = (std::process::id() as usize + slot) % 250;
+    [first, u8::try_from(number).unwrap_or_default()]
+}
+
 /// The result of a run.
 #[derive(Debug)]
 pub struct Report {
--- a/crates/limpetmux-soak/src/main.rs
+++ b/crates/limpetmux-soak/src/main.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 use futures::StreamExt;
-use limpetmux_soak::{Options, Report, run};
+use limpetmux_soak::{Options, Report, network, run};
 use miette::IntoDiagnostic;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -48,7 +48,7 @@
             dir: args.dir.join(format!("seed-{seed}")),
             seed,
             length: Duration::from_secs(args.seconds),
-            net: [96, u8::try_from(slot % 250).unwrap_or_default()],
+            net: network(96, slot),
         };
         async move { (seed, run(&options).await) }
     });
--- a/tests/testsuite/platform/soak.rs
+++ b/tests/testsuite/platform/soak.rs
@@ -1,6 +1,6 @@
 //! A short run of the fault soak over real processes; `docs/design/soak.md` describes long ones.
 
-use limpetmux_soak::{Options, run};
+use limpetmux_soak::{Options, network, run};
 use std::path::Path;
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
         dir: Path::new(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         seed: 3,
         length: Duration::from_secs(6),
-        net: [97, 1],
+        net: network(97, 0),
     };
 
     let report = run(&options).await.unwrap();
