Give each call for pieces a connection of its own

Callers would see: a model engine that gets the results of another request; and streams refused as late for good, once a further 421 marked each backend server of a stage as replaced. Cause: an answer to a call for pieces was told from a repeat of an earlier one by the names of its results. A further answer may name results that no answer named before, and a refusal names none. Change: no other call goes out on the connection of a call for pieces, so no other answer can arrive there; what compared bodies is removed. Calls that free results still share connections among themselves. Tests changed: stage_calls required that connections are kept only after answers that name results and shared otherwise; now no call for pieces may share one, which is stricter. pieces::answer_with_another_number_of_outcomes_counts_as_lost no longer asks a removed method; the queue's own check is as before. Conclusion: where answers carry no id, the connection is the proof.

--- a/src/limpetmux/core/pieces/worker.rs
+++ b/src/limpetmux/core/pieces/worker.rs
@@ -119,18 +119,6 @@
     Lost,
 }
 
-impl CallEnd {
-    /// Returns whether this is the answer to a call for a number of pieces and names results, so
-    /// that no answer to another call equals it.
-    pub fn is_distinct(&self, pieces: usize) -> bool {
-        let is_result = |o: &PieceOutcome| matches!(o, PieceOutcome::Completed(_));
-        match self {
-            Self::Answered(outcomes) => outcomes.len() == pieces && outcomes.iter().any(is_result),
-            Self::Refused | Self::Unsent | Self::WrongServer | Self::Lost => false,
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Running {
     key: CallKey,
--- a/src/limpetmux/serve/connections.rs
+++ b/src/limpetmux/serve/connections.rs
@@ -7,7 +7,6 @@
 
 use crate::event;
 use crate::util::event::EventCode;
-use crate::util::hash::hash_bytes;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -15,7 +14,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -36,9 +35,6 @@
 /// The most idle connections to one backend server.
 const MAX_IDLE_PER_SERVER: usize = 16;
 
-/// The most bodies of answers that are recognized on one connection.
-const MAX_KNOWN_BODIES: usize = 1_000;
-
 /// Why a request got no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum ConnectionError {
@@ -76,8 +72,6 @@
     expires: Instant,
     /// The requests that were answered on it before.
     earlier: u32,
-    /// Hashes of the bodies by which a repeated answer is recognized.
-    bodies: BTreeSet<u64>,
 }
 
 impl Drop for Connection {
@@ -175,20 +169,6 @@
         self.connection.earlier
     }
 
-    /// Returns whether a body equals one after which the connection was kept.
-    pub fn is_repeat(&self, body: &[u8]) -> bool {
-        self.connection.bodies.contains(&hash_bytes(body))
-    }
-
-    /// Returns the connection to the pool, like [`keep`](Self::keep), so that a repeat of this
-    /// answer is recognized; the connection closes when it has had too many answers.
-    pub fn keep_after(mut self, body: &[u8], keep: Option<Duration>) {
-        self.connection.bodies.insert(hash_bytes(body));
-        if self.connection.bodies.len() < MAX_KNOWN_BODIES {
-            self.keep(keep);
-        }
-    }
-
     /// Returns the connection to the pool after its answer was read to the end.
     ///
     /// `keep` is how long the backend server keeps an idle connection, if it states that.
@@ -222,7 +202,7 @@
             log::debug!(target: "limpetmux", "connection to {addr} closed: {error}");
         }
     });
-    Ok(Connection { sender, driver, expires: Instant::now(), earlier: 0, bodies: BTreeSet::new() })
+    Ok(Connection { sender, driver, expires: Instant::now(), earlier: 0 })
 }
 
 /// Sets socket options that close a connection whose peer does not answer any more.
--- a/src/limpetmux/stage_queues/exchange.rs
+++ b/src/limpetmux/stage_queues/exchange.rs
@@ -1,10 +1,9 @@
 //! Sends a call of a stage queue and returns its answer if that certainly belongs to the call.
 //!
-//! Calls and their answers carry no id, but a backend server may repeat an answer where the one to
-//! the next call on the connection is due. What tells the two apart is that results have unique
-//! names. A connection for calls for pieces is therefore kept only after an answer that names
-//! results, and an answer that equals an earlier one on it, or that carries the id of a request, is
-//! not used. Calls that free results have connections of their own, as their answers are all alike.
+//! Calls and their answers carry no id, and a backend server may send a further answer where the one
+//! to the next call on the connection is due. A call for pieces therefore gets a connection of its
+//! own, and an answer that carries the id of a request is not used. Calls that free results share
+//! connections among themselves: a further answer there only counts as another confirmation.
 
 use crate::core::answer_proof::AnswerOwner;
 use crate::platform::server::{self, ReplyHead};
@@ -45,24 +44,12 @@
 }
 
 impl CallAnswer {
-    /// Returns whether an answer with the same body was received on the connection before.
-    pub(super) fn is_repeat(&self) -> bool {
-        self.connection.is_repeat(&self.body)
-    }
-
-    /// Keeps the connection for calls whose answers name no results.
+    /// Keeps the connection for further calls of the same kind.
     pub(super) fn keep(self) {
         if !self.head.closes {
             self.connection.keep(self.head.keep_alive);
         }
     }
-
-    /// Keeps the connection after an answer that no answer to another call can equal.
-    pub(super) fn keep_known(self) {
-        if !self.head.closes {
-            self.connection.keep_after(&self.body, self.head.keep_alive);
-        }
-    }
 }
 
 /// Sends a call and reads its answer to the end.
@@ -70,8 +57,9 @@
     connections: &ConnectionPool,
     addr: SocketAddr,
     request: Request<Full<Bytes>>,
+    reuse: Reuse,
 ) -> Result<CallAnswer, ExchangeError> {
-    let (answer, connection) = connections.send(addr, request, Reuse::Allowed).await?;
+    let (answer, connection) = connections.send(addr, request, reuse).await?;
     let head = server::head("", &answer);
     if head.owner != AnswerOwner::Unnamed {
         return Err(ExchangeError::OtherCall);
--- a/src/limpetmux/stage_queues/mod.rs
+++ b/src/limpetmux/stage_queues/mod.rs
@@ -13,7 +13,7 @@
 use crate::core::pieces::{CallKey, PieceError, PieceOutcome, WorkerSpec};
 use crate::event;
 use crate::platform::stage;
-use crate::serve::connections::ConnectionPool;
+use crate::serve::connections::{ConnectionPool, Reuse};
 use crate::serve::inputs::free_results;
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
@@ -41,7 +41,7 @@
 /// The queues of one node.
 pub struct StageQueues {
     shared: Arc<Shared>,
-    /// Connections that carry only calls that free results, whose answers name none.
+    /// Connections that carry only calls that free results.
     freeing: ConnectionPool,
     queues: Mutex<BTreeMap<Arc<str>, Queue>>,
 }
@@ -276,22 +276,15 @@
             return CallEnd::Lost;
         }
     };
-    let answer = match exchange(&shared.connections, call.addr, request).await {
+    let answer = match exchange(&shared.connections, call.addr, request, Reuse::Forbidden).await {
         Ok(answer) => answer,
         Err(error) => {
             event!(EventCode::CallFailed, server = call.server, reason = error);
             return if error.is_unsent() { CallEnd::Unsent } else { CallEnd::Lost };
         }
     };
-    if answer.is_repeat() {
-        event!(EventCode::CallFailed, server = call.server, reason = ExchangeError::OtherCall);
-        return CallEnd::Lost;
-    }
     let end = stage::decode(answer.head.status, answer.head.not_run, &answer.body);
     log_missing(call, &end);
-    if end.is_distinct(call.items.len()) {
-        answer.keep_known();
-    }
     end
 }
 
@@ -329,7 +322,7 @@
 ) {
     let call = async {
         let request = stage::free(addr, &results)?;
-        let answer = exchange(&queues.freeing, addr, request).await?;
+        let answer = exchange(&queues.freeing, addr, request, Reuse::Allowed).await?;
         match answer.head.status {
             status if status.is_success() => {
                 answer.keep();
--- a/tests/testsuite/platform/pieces.rs
+++ b/tests/testsuite/platform/pieces.rs
@@ -387,7 +387,6 @@
         let call = queue.step(at(0)).calls.remove(0);
         let name = |n| PieceOutcome::Completed(format!("127.0.0.1:1/{n}").into());
         let end = CallEnd::Answered((0..outcomes).map(name).collect());
-        assert!(!end.is_distinct(call.items.len()), "{outcomes}");
 
         let actions = queue.finish(at(278), call.key, end);
 
--- a/tests/testsuite/platform/stage_calls.rs
+++ b/tests/testsuite/platform/stage_calls.rs
@@ -4,7 +4,6 @@
 use limpetmux_standins::raw::{RawRequest, serve_requests};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::sleep;
@@ -24,12 +23,10 @@
     most_held: usize,
     /// The last answer of each server to a call for pieces.
     last: BTreeMap<String, Vec<u8>>,
-    /// The number of calls on connections that carried others before.
-    reused: usize,
-    /// The number of calls for pieces on connections on which an answer without results arrived
-    /// before.
-    after_nameless: usize,
-    nameless: BTreeSet<SocketAddr>,
+    /// The number of calls for pieces on connections that carried another call before.
+    shared_runs: usize,
+    /// The number of calls that free results on connections that carried another one before.
+    shared_frees: usize,
     /// The number of calls whose answers were not the right ones.
     faults: usize,
 }
@@ -58,9 +55,9 @@
 }
 
 fn respond(made: &mut Made, request: &RawRequest, server: &str, fault: Fault) -> Vec<u8> {
-    made.reused += usize::from(request.earlier > 0);
-    let follows_nameless = made.nameless.contains(&request.peer) && is_reused_run(request);
-    made.after_nameless += usize::from(follows_nameless);
+    let is_shared = request.earlier > 0;
+    made.shared_runs += usize::from(is_shared && is_run(request));
+    made.shared_frees += usize::from(is_shared && !is_run(request));
     let call: Value = serde_json::from_slice(&request.body).unwrap();
     let body = match call["items"].as_array() {
         Some(items) => json!({"items": run(made, request, server, items)}).to_string(),
@@ -70,9 +67,6 @@
     let last = made.last.get(server).cloned().unwrap_or_default();
     let sent = fault(request, right.clone(), &last);
     made.faults += usize::from(sent != right);
-    if !String::from_utf8_lossy(&sent).contains("handle") {
-        made.nameless.insert(request.peer);
-    }
     if call["items"].is_array() {
         made.last.insert(server.to_owned(), right);
     } else if sent == right {
@@ -151,7 +145,7 @@
 async fn additional_answer_is_not_taken_for_that_of_the_next_call() {
     // Guards against results of one request that are handed to another, and against pieces that run
     // although their call counts as refused (incident REFUSED and TWICE).
-    let faults: [(&str, Fault); 4] = [
+    let faults: [(&str, Fault); 5] = [
         ("copy of the answer before", |request, right, last| match is_reused_run(request) {
             true => [last, &right].concat(),
             false => right,
@@ -164,6 +158,13 @@
             true => [refusal("another"), right].concat(),
             false => right,
         }),
+        ("further results", |request, right, last| match is_reused_run(request) {
+            true => {
+                let further = String::from_utf8_lossy(last).replace("handle\":\"", "handle\":\"x");
+                [answer(200, "", further.rsplit("\r\n\r\n").next().unwrap()), right].concat()
+            }
+            false => right,
+        }),
         ("copy of the answer that freed results", |request, right, _| {
             match is_reused_run(request) {
                 true => [answer(200, "", ""), right].concat(),
@@ -179,46 +180,32 @@
         }
 
         println!("{name}: {statuses:?}, {} faults", lock(&servers.made).faults);
-        assert!(lock(&servers.made).faults > 0, "{name}: no fault was met");
         servers.check_inputs();
+        assert_eq!(lock(&servers.made).shared_runs, 0, "{name}: a connection was shared");
         assert_eq!(statuses, [200; 5], "{name}");
     }
 }
 
 /// Returns whether a call for pieces came on a connection that carried others before.
 fn is_reused_run(request: &RawRequest) -> bool {
-    request.earlier > 0 && request.head.starts_with("post /stage-run ")
+    request.earlier > 0 && is_run(request)
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn connection_is_kept_only_after_an_answer_that_names_results() {
-    // Guards against a late copy of a refusal, which nothing tells from the refusal of the next call,
-    // so that pieces run although their call counts as refused.
-    let servers = stage_servers(|request, right, _| match is_reused_run(request) {
-        true => refusal(""),
-        false => right,
-    })
-    .await;
-    for id in IDS {
-        assert_eq!(servers.status(id, "16,2").await, 200);
-    }
-
-    let made = lock(&servers.made);
-    assert!(made.faults > 0, "no fault was met");
-    assert_eq!(made.after_nameless, 0);
+fn is_run(request: &RawRequest) -> bool {
+    request.head.starts_with("post /stage-run ")
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn calls_share_a_connection_while_their_answers_name_results() {
-    // Guards against a new connection for each call, which has a price.
+async fn calls_that_free_results_share_connections_among_themselves() {
+    // Guards against a new connection for each of these calls, which has a price.
     let servers = stage_servers(|_, right, _| right).await;
     for id in IDS {
         assert_eq!(servers.status(id, "16,2").await, 200);
     }
 
     let made = lock(&servers.made);
-    assert!(made.reused >= 5, "{}", made.reused);
-    assert_eq!(made.after_nameless, 0);
+    assert!(made.shared_frees >= 5, "{}", made.shared_frees);
+    assert_eq!(made.shared_runs, 0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
