Name the bounds on reads from peers

Change: `core/read_limits.rs` names the peers, the bounds and what was exceeded; `util/read_stop.rs` logs and counts a stopped read (event 610, counter reads_stopped); docs/design/reads.md will list all reads. Nothing reads differently yet.

--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -25,6 +25,7 @@
 pub mod placement;
 pub mod planner;
 pub mod queue_waits;
+pub mod read_limits;
 pub mod refusal;
 pub mod retry_share;
 pub mod revision;
--- /dev/null
+++ b/src/limpetmux/core/read_limits.rs
@@ -0,0 +1,64 @@
+//! The bounds on what a process reads from a peer.
+//!
+//! A peer may send bytes without end, or one byte a second, on purpose or because it is broken. Every
+//! read therefore has a bound in bytes and one in time; `docs/design/reads.md` lists all of them.
+//! The code that reads compares with the constants here, and reports what it met as an [`Exceeded`].
+
+use strum::{IntoStaticStr, VariantArray};
+
+/// The most bytes of an answer's head.
+pub const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// The most headers of an answer's head.
+pub const MAX_HEADERS: usize = 100;
+
+/// What a process reads from.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr, VariantArray, strum::Display,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Peer {
+    /// A backend server that answers requests.
+    BackendServer,
+    /// A backend server that runs pieces of stages.
+    StageServer,
+    /// The platform's store.
+    Store,
+    /// The platform's log, host list or power service of the product's own interface.
+    Platform,
+    /// Another process of the system.
+    Node,
+    /// A caller.
+    Caller,
+    /// An operator.
+    Operator,
+}
+
+/// What is bounded.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr, VariantArray, strum::Display,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Bound {
+    /// The bytes or the number of the headers.
+    Head,
+    /// The bytes of the body.
+    Body,
+    /// The bytes of one event of a stream.
+    Event,
+    /// The number of records, items or events.
+    Count,
+    /// The time for the head and the body together.
+    Time,
+}
+
+/// Reading from a peer stopped at a bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the {bound} of a {peer} exceeds {limit}")]
+pub struct Exceeded {
+    /// What was read from.
+    pub peer: Peer,
+    /// What was bounded.
+    pub bound: Bound,
+    /// The limit, in bytes, in pieces or in milliseconds, as the bound requires.
+    pub limit: u64,
+}
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -178,6 +178,9 @@
     PiecesUnmade = 608,
     /// Another node is stopping and has handed over its state.
     NodeLeft = 609,
+    /// Reading from a peer was stopped because it exceeded a limit of bytes or of time.
+    #[strum(props(level = "warn"))]
+    ReadStopped = 610,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -43,6 +43,9 @@
     /// Responses of backend servers read up to their end, by framing and by how they ended.
     #[strum(props(kind = "counter", tags = "framing, end"))]
     AnswersRead,
+    /// Reads from a peer that were stopped at a limit of bytes or of time.
+    #[strum(props(kind = "counter", tags = "peer, bound"))]
+    ReadsStopped,
     /// Time to a complete response in milliseconds.
     #[strum(props(kind = "timer", tags = "workspace, pipeline"))]
     RequestTime,
--- a/src/limpetmux/util/mod.rs
+++ b/src/limpetmux/util/mod.rs
@@ -7,4 +7,5 @@
 pub mod jsonc;
 pub mod logging;
 pub mod metrics;
+pub mod read_stop;
 pub mod throttle;
--- /dev/null
+++ b/src/limpetmux/util/read_stop.rs
@@ -0,0 +1,20 @@
+//! Records that reading from a peer stopped at a bound of [`crate::core::read_limits`].
+
+use super::event::EventCode;
+use super::metrics::{Metric, Metrics};
+use crate::core::read_limits::Exceeded;
+use crate::event;
+use std::fmt::Display;
+
+/// Logs and counts a stopped read; `subject` is the peer's id or address, or the request read for.
+pub fn record(metrics: &Metrics, exceeded: Exceeded, subject: impl Display) {
+    let (peer, bound) = (exceeded.peer.into(), exceeded.bound.into());
+    metrics.count(Metric::ReadsStopped, 1, &[("peer", peer), ("bound", bound)]);
+    event!(
+        EventCode::ReadStopped,
+        peer = exceeded.peer,
+        bound = exceeded.bound,
+        limit = exceeded.limit,
+        subject = subject
+    );
+}
