Send a lost attempt again only if neither host of its key reports a run

Cause: after a lost answer the entry asked the key's two hosts in turn and took the first "absent" or "not_run" as a release, also when the other one reported a run, or a run with an unknown outcome. A host that lags behind a move of the key still holds the earlier state. Only the key protocol of the second host held the second run back.

Change: before such a report counts, the key's other host is asked, for at most 200 ms. A host that does not answer is no contradiction, as before.

Before: the new test fails in all six rows in which the other host reports a run (2 arrivals instead of 1). After: it passes; a key whose other host does not know it is still sent again.

The final refusal was "unknown" before, too, so no caller was told a false "not run" here.

--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -21,7 +21,7 @@
 const MOVE_TIMEOUT: Duration = Duration::from_secs(15);
 /// The pause after both hosts were tried, during which a move of the key may finish.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
-/// The timeout for the check of a key before the first stage.
+/// The timeout for asking one host about a key where no reply is no obstacle.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 /// The `Retry-After` time while the key moves between its hosts.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -180,14 +180,35 @@
             tokio::time::sleep(ROUND_PAUSE).await;
         }
         for host in &hosts {
-            if let Some(recovered) = look_up_lost(ctx, attempt, *host).await {
-                return recovered;
+            match look_up_lost(ctx, attempt, *host).await {
+                Some(Recovered::NotRun) if is_contradicted(ctx, &hosts, *host).await => {}
+                Some(recovered) => return recovered,
+                None => {}
             }
         }
     }
     unknown
 }
 
+/// Returns whether the key's other host reports a run, while `host` reports none: `host` may lag
+/// behind a move of the key.
+async fn is_contradicted(ctx: &StageContext<'_>, hosts: &[HostKey], host: HostKey) -> bool {
+    for other in hosts.iter().filter(|h| **h != host) {
+        let request = look_up_request(ctx, Duration::ZERO);
+        let answer = look_up(&ctx.run.fleet.connections[*other], request);
+        let reply = tokio::time::timeout(CHECK_TIMEOUT, answer).await.ok().flatten();
+        if reply.is_some_and(|r| reports_run(&r)) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Returns whether a host reports that a key ran, runs or may have run.
+fn reports_run(reply: &once::LookUpReply) -> bool {
+    matches!(reply.state.as_str(), "answered" | "running" | "may_have_run")
+}
+
 /// Looks up a lost run on one host; returns `None` if the host cannot determine the outcome.
 ///
 /// A state of `absent` also means "not run": the host is responsible for the key and has no row.
--- a/tests/testsuite/entry_not_run.rs
+++ b/tests/testsuite/entry_not_run.rs
@@ -150,6 +150,13 @@
         Self { caller, arrivals, states, _view: view }
     }
 
+    /// Sets what the two hosts of the stage that may run once report about any key.
+    fn set_states(&self, states: [&'static str; 2]) {
+        for (state, set) in self.states.iter().zip(states) {
+            *state.lock().unwrap_or_else(PoisonError::into_inner) = set;
+        }
+    }
+
     /// Sends a request and returns what its refusal states, and how often it arrived at a host.
     async fn refusal(&self) -> (String, u32) {
         let key = Uuid::now_v7().to_string();
@@ -211,9 +218,7 @@
 
     for (replies, expected) in rows {
         for order in [[0, 1], [1, 0]] {
-            for (state, i) in fixture.states.iter().zip(order) {
-                *state.lock().unwrap_or_else(PoisonError::into_inner) = replies[i];
-            }
+            fixture.set_states(order.map(|i| replies[i]));
             let key = Uuid::now_v7().to_string();
 
             let answer = fixture.caller.outcome(WORKSPACE, PIPELINE, &key).await;
@@ -238,9 +243,7 @@
             _ => vec![not_run(key, 0)],
         });
         let fixture = fixture.await;
-        for reply in &fixture.states {
-            *reply.lock().unwrap_or_else(PoisonError::into_inner) = state;
-        }
+        fixture.set_states([state, state]);
 
         let refusal = fixture.refusal().await;
 
@@ -248,6 +251,39 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_attempt_is_not_sent_again_while_either_host_reports_a_run() {
+    // Guards against "absent" or "not_run" from a host that lags behind a move of the key, which
+    // released it for a second send although the other host reports a run.
+    let rows = [
+        (["may_have_run", "absent"], 1),
+        (["may_have_run", "not_run"], 1),
+        (["running", "absent"], 1),
+        (["unknown", "absent"], 2),
+        (["not_home", "not_run"], 2),
+    ];
+    let mut wrong = Vec::new();
+
+    for (states, arrivals) in rows {
+        for order in [[0, 1], [1, 0]] {
+            let fixture = Fixture::start(|key| match key.attempt {
+                0 => Vec::new(),
+                _ => vec![not_run(key, 0)],
+            });
+            let fixture = fixture.await;
+            fixture.set_states(order.map(|i| states[i]));
+
+            let refusal = fixture.refusal().await;
+
+            if refusal != ("unknown".to_owned(), arrivals) {
+                wrong.push((states, order, refusal));
+            }
+        }
+    }
+
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn idempotent_stage_that_may_have_run_keeps_a_later_refusal_from_counting_as_not_run() {
     // Guards against the statement of the last attempt of a stage that hides an earlier one's.
