Let a deadline strike inside the body of a refusal again

Cause: since the body of a refusal is read for 50 ms at most, expiry::deadline_inside_the_body_of_a_ refusal_refuses, whose deadline was 400 ms, ended at that bound ("all_full") and tested nothing inside the body.

Change: its backend server begins the refusal 15 ms before the deadline that it is told. The test asks for the reason "too_late" after exactly one send, which only a deadline inside the body leads to; a head that comes too late on a busy machine ends in 504, and then the next one is tried, 20 at most.

Conclusion: the test guards again what its name says.

--- a/tests/testsuite/platform/expiry.rs
+++ b/tests/testsuite/platform/expiry.rs
@@ -1,10 +1,11 @@
 //! A request whose deadline passes is refused only if no backend server can have run it.
 
-use super::node_fixture::{OwnServer, fixture, fixture_with};
+use super::node_fixture::{Fixture, OwnServer, fixture, fixture_with};
 use hyper::StatusCode;
 use limpetmux::serve::failure::{Failure, Reason};
 use limpetmux_standins::raw::serve_requests;
 use limpetmux_standins::users::UsersFault;
+use reqwest::Response;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -14,6 +15,10 @@
 
 /// A time after the deadline at which a request that is sent late would have arrived.
 const LATER: Duration = Duration::from_millis(700);
+/// How long before the deadline that it is told a backend server begins a late refusal.
+const LATE_REFUSAL_LEAD: Duration = Duration::from_millis(15);
+/// The late refusals that are tried, of which one has to meet its deadline inside the body.
+const MAX_LATE_REFUSALS: u32 = 20;
 
 #[test]
 fn statuses_that_guarantee_that_nothing_ran_are_those_of_reasons_that_do() {
@@ -48,6 +53,15 @@
     }
 }
 
+/// Sends a request with a deadline.
+async fn send_before(fixture: &Fixture, path: &str, deadline_ms: u64) -> Response {
+    let request = fixture.post(path, "1f").header("x-limpetmux-pieces", "1,1");
+    let request = request.header("x-limpetmux-piece-key", "k");
+    let mut request = request.build().unwrap();
+    request.headers_mut().insert("x-limpetmux-deadline-ms", deadline_ms.into());
+    reqwest::Client::new().execute(request).await.unwrap()
+}
+
 /// Sends a request that may run once to backend servers with an address and a deadline.
 async fn status(addr: SocketAddr, path: &str, deadline_ms: u64) -> u16 {
     let own = ["p1", "e1"].map(|id| {
@@ -55,11 +69,7 @@
         OwnServer { id, service, addr }
     });
     let fixture = fixture_with(&own).await;
-    let request = fixture.post(path, "1f").header("x-limpetmux-pieces", "1,1");
-    let request = request.header("x-limpetmux-piece-key", "k");
-    let mut request = request.build().unwrap();
-    request.headers_mut().insert("x-limpetmux-deadline-ms", deadline_ms.into());
-    let answer = reqwest::Client::new().execute(request).await.unwrap();
+    let answer = send_before(&fixture, path, deadline_ms).await;
     sleep(LATER).await;
     answer.status().as_u16()
 }
@@ -146,13 +156,43 @@
     }
 }
 
+/// Starts a server that begins a refusal shortly before the deadline that it is told, and never ends
+/// it; also returns how many requests it read.
+async fn late_refusals() -> (SocketAddr, Arc<AtomicUsize>) {
+    let sends = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&sends);
+    let server = serve_requests(move |request| {
+        counter.fetch_add(1, Ordering::Relaxed);
+        let left = request.header("x-limpetmux-deadline-ms").unwrap().parse().unwrap();
+        let wait = Duration::from_millis(left).saturating_sub(LATE_REFUSAL_LEAD);
+        tokio::task::block_in_place(|| std::thread::sleep(wait));
+        format!("{REFUSAL}content-length: 5\r\n\r\n").into()
+    });
+    (server.await.unwrap(), sends)
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn deadline_inside_the_body_of_a_refusal_refuses() {
-    let (addr, sends) = first_only(format!("{REFUSAL}content-length: 5\r\n\r\n")).await;
+    // Guards against a refused request that counts as run while the body of its refusal is read.
+    // A head that comes too late for its deadline promises nothing, so that several are tried.
+    let (addr, sends) = late_refusals().await;
+    let own = [OwnServer { id: "p1", service: "plain", addr }];
+    let mut answers = Vec::new();
+    for _ in 0..MAX_LATE_REFUSALS {
+        let fixture = fixture_with(&own).await;
+        sends.store(0, Ordering::Relaxed);
 
-    let status = status(addr, "/once/1f", 400).await;
+        let answer = send_before(&fixture, "/once/1f", 400).await;
 
-    assert_eq!((status, sends.load(Ordering::Relaxed)), (503, 1));
+        let (status, reason) = (answer.status().as_u16(), answer.text().await.unwrap());
+        assert!(matches!(status, 503 | 504), "{status}: {reason}");
+        let is_inside = reason == "too_late" && sends.load(Ordering::Relaxed) == 1;
+        answers.push(reason);
+        if is_inside {
+            return;
+        }
+    }
+    panic!("no deadline inside a body: {answers:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
