Test further answers that follow each answer of a stage's backend server

Cause: the faults of stage_calls::additional_answer_is_not_taken_for_that_of_the_next_call strike only on connections that carried a call before. Since each call has a connection of its own none of them strikes, and the test's check that a fault was met had been replaced by one that no connection is shared.

Change: a second test, whose backend servers add a copy, a refusal or half an answer behind each right answer, on whatever connection; it asks that these were sent, at least two for each request.

--- a/tests/testsuite/platform/stage_calls.rs
+++ b/tests/testsuite/platform/stage_calls.rs
@@ -195,6 +195,38 @@
     request.head.starts_with("post /stage-run ")
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_follows_the_right_one_is_not_taken_for_that_of_the_next_call() {
+    // Guards against the same with further answers that a backend server sends to every call for
+    // pieces, so that they strike whichever connection the next call uses.
+    let faults: [(&str, Fault); 3] = [
+        ("copy of the answer", |request, right, _| match is_run(request) {
+            true => [&right[..], &right[..]].concat(),
+            false => right,
+        }),
+        ("refusal of a request", |request, right, _| match is_run(request) {
+            true => [right, refusal("another")].concat(),
+            false => right,
+        }),
+        ("half an answer", |request, right, _| match is_run(request) {
+            true => [&right[..], &right[..right.len() / 2]].concat(),
+            false => right,
+        }),
+    ];
+    for (name, fault) in faults {
+        let servers = stage_servers(fault).await;
+        let mut statuses = Vec::new();
+        for id in IDS {
+            statuses.push(servers.status(id, "16,2").await);
+        }
+
+        servers.check_inputs();
+        let made = lock(&servers.made);
+        assert!(made.faults >= 2 * IDS.len(), "{name}: {} faults", made.faults);
+        assert_eq!((statuses, made.shared_runs), (vec![200; 5], 0), "{name}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_that_free_results_share_connections_among_themselves() {
     // Guards against a new connection for each of these calls, which has a price.
