Share the lone entry and the fake host of three tests

Change: `lone_entry` in limpetmux-test-support starts the entry and holds the host; the tests state only how the host answers. No assertion changes.

Conclusion: one fixture for tests of an entry with hosts of their own.

--- a/crates/limpetmux-test-support/src/lib.rs
+++ b/crates/limpetmux-test-support/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod http;
 pub mod invariants;
 pub mod load;
+pub mod lone_entry;
 pub mod once;
 pub mod once_fleet;
 pub mod policy;
--- a/tests/testsuite/channel_not_run.rs
+++ b/tests/testsuite/channel_not_run.rs
@@ -1,16 +1,10 @@
 //! A call counts as unsent only if its connection carried nothing of it to the host.
 
-use limpetmux::adapters::channel::Channels;
 use limpetmux::core::config::Config;
-use limpetmux::core::revision::Revision;
-use limpetmux::core::view::View;
-use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
-use limpetmux::kernel::Publisher;
-use limpetmux::util::metrics::Metrics;
-use limpetmux::wire::stage::stage_server::{Stage, StageServer};
-use limpetmux::wire::{convert, stage};
+use limpetmux::wire::stage::stage_server::StageServer;
 use limpetmux_test_support::config::{name, summary_config};
-use limpetmux_test_support::http::{Answer, Caller};
+use limpetmux_test_support::http::Answer;
+use limpetmux_test_support::lone_entry::{self, FakeStage};
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -19,10 +13,8 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::task::JoinSet;
-use tokio_stream::Pending;
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
-use tonic::{Request, Response, Status};
 
 /// The requests that are sent, more than the connection to the host carries.
 const REQUESTS: usize = 12;
@@ -42,39 +34,17 @@
 }
 
 /// A host that records the requests that arrive and answers none.
-struct SilentHost(Arrived);
-
-#[tonic::async_trait]
-impl Stage for SilentHost {
-    type RunStream = Pending<Result<stage::Frame, Status>>;
-
-    async fn run(
-        &self,
-        request: Request<stage::RunRequest>,
-    ) -> Result<Response<Self::RunStream>, Status> {
-        let key = convert::attempt(request.into_inner().id.as_ref()).unwrap();
-        lock(&self.0).insert(key.request.to_string());
-        std::future::pending().await
-    }
-
-    async fn cancel(
-        &self,
-        _: Request<stage::CancelRequest>,
-    ) -> Result<Response<stage::CancelReply>, Status> {
-        Err(Status::unimplemented("no cancellation"))
-    }
-
-    async fn probe(
-        &self,
-        _: Request<stage::ProbeRequest>,
-    ) -> Result<Response<stage::Load>, Status> {
-        Err(Status::unimplemented("no probe"))
-    }
+fn silent_host(arrived: &Arrived) -> FakeStage {
+    let arrived = Arc::clone(arrived);
+    FakeStage::new(move |key| {
+        lock(&arrived).insert(key.request.to_string());
+        None
+    })
 }
 
 /// Serves a host on a runtime, whose end closes all connections at once.
 fn serve(runtime: &Runtime, arrived: &Arrived) -> SocketAddr {
-    let host = StageServer::new(SilentHost(Arc::clone(arrived)));
+    let host = StageServer::new(silent_host(arrived));
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     listener.set_nonblocking(true).unwrap();
     let addr = listener.local_addr().unwrap();
@@ -109,31 +79,13 @@
     }
 }
 
-async fn start_entry(view: &Publisher<View>) -> Caller {
-    let entry = Entry::start(EntryOptions {
-        zone: name("mnl-a"),
-        ordinal: 0,
-        view: view.reader(),
-        members: Members(None),
-        channels: Channels::plain(),
-        limits: Limits::default(),
-        metrics: Metrics::none(),
-    });
-    let (entry, listener) = (entry.unwrap(), TcpListener::bind("127.0.0.1:0").await.unwrap());
-    let caller = Caller::new(&limpetmux::entry::base_url(listener.local_addr().unwrap()));
-    let stop = std::future::pending();
-    tokio::spawn(async move { entry.serve(listener, stop, Duration::ZERO).await });
-    caller
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn request_that_reached_a_host_is_not_unsent_when_its_connection_closes() {
     // Guards against a call that counts as never sent although it arrived, because its connection
     // closed while other calls still waited to be sent on it.
     let arrived = Arrived::default();
     let runtime = Runtime::new().unwrap();
-    let view = Publisher::new(View::compile(Revision(1), &one_host(serve(&runtime, &arrived))));
-    let caller = start_entry(&view).await;
+    let caller = lone_entry::start(&one_host(serve(&runtime, &arrived))).await;
     let mut requests = JoinSet::new();
     let send = |requests: &mut JoinSet<Answer>| {
         let caller = caller.clone();
--- a/tests/testsuite/entry_not_run.rs
+++ b/tests/testsuite/entry_not_run.rs
@@ -4,23 +4,17 @@
 use limpetmux::core::config::Name;
 use limpetmux::core::frames::AttemptKey;
 use limpetmux::core::refusal::{Refusal, RefusalCode};
-use limpetmux::core::revision::Revision;
-use limpetmux::core::view::View;
-use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
-use limpetmux::kernel::Publisher;
-use limpetmux::util::metrics::Metrics;
 use limpetmux::wire::once::once_server::{Once, OnceServer};
 use limpetmux::wire::stage::frame::Kind;
-use limpetmux::wire::stage::stage_server::{Stage, StageServer};
+use limpetmux::wire::stage::stage_server::StageServer;
 use limpetmux::wire::{convert, once, stage};
 use limpetmux_test_support::config::summary_config;
 use limpetmux_test_support::http::Caller;
+use limpetmux_test_support::lone_entry::{self, FakeStage};
 use serde_json::json;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio_stream::Iter;
 use tonic::service::Routes;
 use tonic::{Request, Response, Status};
 use uuid::Uuid;
@@ -32,44 +26,13 @@
 /// The frames that a host answers an attempt with.
 type AnswerFn = dyn Fn(AttemptKey) -> Vec<stage::Frame> + Send + Sync;
 
-/// A host that answers with given frames and look-ups.
-struct FakeHost {
-    frames: Arc<AnswerFn>,
-    arrivals: Arc<AtomicU32>,
+/// A host that answers look-ups with a given state.
+struct FakeOnce {
     state: Arc<Mutex<&'static str>>,
 }
 
 #[tonic::async_trait]
-impl Stage for FakeHost {
-    type RunStream = Iter<std::vec::IntoIter<Result<stage::Frame, Status>>>;
-
-    async fn run(
-        &self,
-        request: Request<stage::RunRequest>,
-    ) -> Result<Response<Self::RunStream>, Status> {
-        self.arrivals.fetch_add(1, Ordering::SeqCst);
-        let key = convert::attempt(request.into_inner().id.as_ref()).unwrap();
-        let frames: Vec<_> = (self.frames)(key).into_iter().map(Ok).collect();
-        Ok(Response::new(tokio_stream::iter(frames)))
-    }
-
-    async fn cancel(
-        &self,
-        _: Request<stage::CancelRequest>,
-    ) -> Result<Response<stage::CancelReply>, Status> {
-        Err(Status::unimplemented("no cancellation"))
-    }
-
-    async fn probe(
-        &self,
-        _: Request<stage::ProbeRequest>,
-    ) -> Result<Response<stage::Load>, Status> {
-        Err(Status::unimplemented("no probe"))
-    }
-}
-
-#[tonic::async_trait]
-impl Once for FakeHost {
+impl Once for FakeOnce {
     async fn promise(
         &self,
         _: Request<once::PromiseRequest>,
@@ -106,7 +69,6 @@
     caller: Caller,
     arrivals: Arc<AtomicU32>,
     states: Vec<Arc<Mutex<&'static str>>>,
-    _view: Publisher<View>,
 }
 
 impl Fixture {
@@ -126,28 +88,18 @@
                 states.push(Arc::clone(&state));
             }
             let (frames, arrivals) = (Arc::clone(&frames), Arc::clone(&arrivals));
-            let fake = Arc::new(FakeHost { frames, arrivals, state });
-            let routes = Routes::new(StageServer::from_arc(Arc::clone(&fake)));
-            let routes = routes.add_service(OnceServer::from_arc(fake));
+            let fake = FakeStage::new(move |key| {
+                arrivals.fetch_add(1, Ordering::SeqCst);
+                Some(frames(key))
+            });
+            let routes = Routes::new(StageServer::new(fake));
+            let routes = routes.add_service(OnceServer::new(FakeOnce { state }));
             tokio::spawn(async move {
                 Channels::plain().serve(routes, listener, std::future::pending()).await
             });
         }
-        let view = Publisher::new(View::compile(Revision(1), &config));
-        let entry = Entry::start(EntryOptions {
-            zone: config.zones.keys().next().unwrap().clone(),
-            ordinal: 0,
-            view: view.reader(),
-            members: Members(None),
-            channels: Channels::plain(),
-            limits: Limits::default(),
-            metrics: Metrics::none(),
-        });
-        let (entry, listener) = (entry.unwrap(), TcpListener::bind("127.0.0.1:0").await.unwrap());
-        let caller = Caller::new(&limpetmux::entry::base_url(listener.local_addr().unwrap()));
-        let stop = std::future::pending();
-        tokio::spawn(async move { entry.serve(listener, stop, Duration::ZERO).await });
-        Self { caller, arrivals, states, _view: view }
+        let caller = lone_entry::start(&config).await;
+        Self { caller, arrivals, states }
     }
 
     /// Sets what the two hosts of the stage that may run once report about any key.
--- a/tests/testsuite/starting.rs
+++ b/tests/testsuite/starting.rs
@@ -1,12 +1,10 @@
 //! Requests that arrive while the hosts of a stage start.
 
 use limpetmux::adapters::backend::Backend;
-use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::config::{Config, PipelineSpec, StageSpec};
 use limpetmux::core::revision::Revision;
 use limpetmux::core::view::View;
-use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
 use limpetmux::kernel::Publisher;
 use limpetmux::node::serve_sidecar;
 use limpetmux::sidecar::{Sidecar, SidecarOptions};
@@ -14,6 +12,7 @@
 use limpetmux_standins::{BackendOptions, Pool, PoolKind};
 use limpetmux_test_support::config::{name, summary_config};
 use limpetmux_test_support::http::Caller;
+use limpetmux_test_support::lone_entry;
 use serde_json::json;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -59,23 +58,7 @@
             serve_sidecar(sidecar, listener, std::future::pending()).await
         });
     }
-    let view = Publisher::new(View::compile(Revision(1), &config));
-    let entry = Entry::start(EntryOptions {
-        zone: config.zones.keys().next().unwrap().clone(),
-        ordinal: 0,
-        view: view.reader(),
-        members: Members(None),
-        channels: Channels::plain(),
-        limits: Limits::default(),
-        metrics: Metrics::none(),
-    })
-    .unwrap();
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let caller = Caller::new(&limpetmux::entry::base_url(listener.local_addr().unwrap()));
-    tokio::spawn(async move {
-        let _view = view;
-        entry.serve(listener, std::future::pending(), Duration::ZERO).await
-    });
+    let caller = lone_entry::start(&config).await;
     Nodes { config, sidecar_views, caller }
 }
 
