--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -254,6 +254,10 @@
         let head = server::head(&routed.head.id, &answer);
         attempt.head_at = clock::boot();
         match answer_proof::proof(head.claims()) {
+            Proof::Answered if head.status.is_informational() => {
+                attempt.fail_answer("the answer is informational", &head);
+                return Ok(SendOutcome::Lost);
+            }
             Proof::Answered => {}
             Proof::NotRun => return self.not_run(attempt, (answer, conn), &head).await,
             Proof::Nothing(unusable) => {
--- a/src/limpetmux/serve/plain.rs
+++ b/src/limpetmux/serve/plain.rs
@@ -120,7 +120,10 @@
             attempt.end(PlaceEnd::Answered(first_latency));
             attempt.record_served(status, first_latency, received);
         }
-        finish_cut(&mut attempt, end, received);
+        // The answer of a failed run is also dropped where the request is served by another send.
+        if !(is_failed && end == StreamEnd::CallerGone) {
+            finish_cut(&mut attempt, end, received);
+        }
         drop(running);
     });
     let hooks = StreamHooks { on_first: Box::new(|| {}), on_end };
--- a/tests/testsuite/platform/endless_answers.rs
+++ b/tests/testsuite/platform/endless_answers.rs
@@ -266,3 +266,41 @@
         assert!(servers.stops(bound).await >= 1, "{bound}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn informational_answer_that_ends_an_exchange_is_not_passed_on() {
+    // Guards against a caller that gets a status after which it waits for the answer.
+    let servers = servers_with_long_timeouts(|asked| {
+        let head = "HTTP/1.1 101 Switching Protocols\r\n".to_owned();
+        vec![once(head + &asked.signed() + "\r\n"), Part::Silence]
+    })
+    .await;
+
+    let sent = servers.post("/once/x", "1f", 4_000).send();
+    let answer = timeout(END_LIMIT, sent).await.unwrap().unwrap();
+
+    assert_eq!(answer.status(), 502);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_whose_caller_does_not_read_ends() {
+    // Guards against a backend server whose place and connection stay taken while a caller reads
+    // nothing of an answer.
+    for (path, bytes) in [("/once/x", vec![b'a'; 4_096]), ("/stream/x", b"data: x\n\n".repeat(500))]
+    {
+        let part = Part::Endless(chunk(&bytes));
+        let servers =
+            servers_with_long_timeouts(move |asked| vec![asked.chunked_head(), part.clone()]).await;
+        let before = servers.closed();
+
+        let answer = servers.post(path, "1f", 1_000).send().await.unwrap();
+        let closing = async {
+            while servers.closed() == before {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let closed = timeout(END_LIMIT, closing).await;
+
+        assert!(closed.is_ok(), "{path}: {}", answer.status());
+    }
+}
--- a/tests/testsuite/platform/endless_server.rs
+++ b/tests/testsuite/platform/endless_server.rs
@@ -4,6 +4,7 @@
 use reqwest::header::{HeaderMap, HeaderValue};
 use reqwest::{Client, RequestBuilder};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -77,6 +78,7 @@
 pub(super) struct EndlessServers {
     pub(super) fixture: Fixture,
     asked: Arc<Mutex<Vec<Asked>>>,
+    closed: Arc<AtomicUsize>,
 }
 
 type Script = Arc<dyn Fn(&Asked) -> Vec<Part> + Send + Sync>;
@@ -84,13 +86,14 @@
 pub(super) async fn endless_servers(
     script: impl Fn(&Asked) -> Vec<Part> + Send + Sync + 'static,
 ) -> EndlessServers {
-    let (script, asked): (Script, _) = (Arc::new(script), Arc::default());
+    let (script, asked): (Script, Arc<Mutex<_>>) = (Arc::new(script), Arc::default());
+    let closed = Arc::new(AtomicUsize::new(0));
     let mut own = Vec::new();
     for (id, service) in [("p1", "plain"), ("p2", "plain"), ("e1", "engine"), ("e2", "engine")] {
-        let addr = listen(id, Arc::clone(&script), Arc::clone(&asked)).await;
+        let addr = listen(id, &script, &asked, &closed).await;
         own.push(OwnServer { id, service, addr });
     }
-    EndlessServers { fixture: fixture_with(&own).await, asked }
+    EndlessServers { fixture: fixture_with(&own).await, asked, closed }
 }
 
 impl EndlessServers {
@@ -104,6 +107,11 @@
         self.asked().iter().filter(|a| a.id == id).count()
     }
 
+    /// Returns how many connections to backend servers have closed.
+    pub(super) fn closed(&self) -> usize {
+        self.closed.load(Ordering::Relaxed)
+    }
+
     /// A request with a deadline in milliseconds.
     pub(super) fn post(&self, path: &str, id: &str, deadline_ms: u64) -> RequestBuilder {
         let deadline = ("x-limpetmux-deadline-ms", HeaderValue::from(deadline_ms));
@@ -140,15 +148,23 @@
     }
 }
 
-async fn listen(server: &'static str, script: Script, log: Arc<Mutex<Vec<Asked>>>) -> SocketAddr {
+async fn listen(
+    server: &'static str,
+    script: &Script,
+    log: &Arc<Mutex<Vec<Asked>>>,
+    closed: &Arc<AtomicUsize>,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
+    let (script, log, closed) = (Arc::clone(script), Arc::clone(log), Arc::clone(closed));
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let (script, log) = (Arc::clone(&script), Arc::clone(&log));
+            let (script, log, closed) =
+                (Arc::clone(&script), Arc::clone(&log), Arc::clone(&closed));
             tokio::spawn(async move {
                 // An error is the close of a connection by the entry.
                 drop(serve(server, stream, &script, &log).await);
+                closed.fetch_add(1, Ordering::Relaxed);
             });
         }
     });
