Show that a caller that reads late is not held against a backend server

Cause: no test showed why a stream whose bytes waited for its caller is not a failure of its backend server at the deadline.

Conclusion: a caller cannot make a sound backend server count as failing by reading late. The guard for a process that did not run has no test.

--- a/tests/testsuite/platform/endless_answers.rs
+++ b/tests/testsuite/platform/endless_answers.rs
@@ -304,3 +304,21 @@
         assert!(closed.is_ok(), "{path}: {}", answer.status());
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn backend_server_is_not_at_fault_for_bytes_that_waited_for_a_caller() {
+    // Guards against a caller that makes a sound backend server count as failing by reading late.
+    let events = chunk(&b"data: x\n\n".repeat(2_000));
+    let servers = servers_with_long_timeouts(move |asked| {
+        vec![asked.chunked_head(), Part::Endless(events.clone())]
+    })
+    .await;
+
+    // The caller reads on shortly after the deadline; much later, the end would be no evidence anyway.
+    let answer = servers.post("/stream/x", "1f", 1_800).send().await.unwrap();
+    tokio::time::sleep(Duration::from_millis(1_850)).await;
+    let (length, complete) = drain(answer, Duration::ZERO).await;
+
+    assert!(!complete, "complete after {length} bytes");
+    assert_eq!(servers.stops("time").await, 0);
+}
