Show that a stream of whole events ends at its limit

Cause: the bound on the bytes of a stream was stated "by reading", and two rows of the table named tests that show only a part of them.

Trial: without the bound (raised a thousandfold) the test fails, as more than 400 MiB are passed on. With it, the test takes 4.7 s alone and 6.2 s at most in 4 runs at once.

Conclusion: of the bounds in bytes only those of connections that carry no answer are without a test.

--- a/tests/testsuite/platform/endless_answers.rs
+++ b/tests/testsuite/platform/endless_answers.rs
@@ -4,7 +4,7 @@
 use super::endless_server::{Asked, EndlessServers, Part, chunk, endless_servers, once};
 use http_body_util::Full;
 use hyper::Request;
-use limpetmux::core::read_limits::MAX_HEADERS;
+use limpetmux::core::read_limits::{MAX_HEADERS, MAX_STREAM_BYTES};
 use limpetmux::serve::connections::{ConnectionError, ConnectionPool, Reuse};
 use limpetmux_standins::raw::serve_requests;
 use reqwest::Response;
@@ -322,3 +322,20 @@
     assert!(!complete, "complete after {length} bytes");
     assert_eq!(servers.stops("time").await, 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_stream_of_whole_events_is_cut_at_its_limit() {
+    // Guards against a stream whose events are short and whose number has no bound.
+    let events = chunk(&b"data: x\n\n".repeat(3_000));
+    let servers = servers_with_long_timeouts(move |asked| {
+        vec![asked.chunked_head(), Part::Endless(events.clone())]
+    })
+    .await;
+
+    let answer = servers.post("/stream/x", "1f", 55_000).send().await.unwrap();
+    assert_eq!(answer.status(), 200);
+    let (length, complete) = drain(answer, Duration::ZERO).await;
+
+    assert!(!complete && length <= MAX_STREAM_BYTES, "{length} bytes, complete: {complete}");
+    assert_eq!(servers.stops("body").await, 1);
+}
