Bound what is read of the platform's and the model engines' answers

Cause: answers of the host list, the log, and refusals of orders were read whole, with a bound in time only, so that a peer that sends without end filled the memory. A status in a head of any size counted, also a 503 that proves that nothing was appended.

An append that ends so may have been applied; an order that ends so is neither applied nor fenced. If records exceed a page together, the log is read one record at a time, so that large records of a sound log do not stop its readers. The constants are in core/read_limits.rs. An answer that drips was bounded before, by the timeout of its request.

--- a/src/limpetmux/adapters/hosts.rs
+++ b/src/limpetmux/adapters/hosts.rs
@@ -1,7 +1,9 @@
 //! The client of the platform's host list.
 
+use super::answer::{self, AnswerError};
 use super::one_call::OneCallClient;
 use crate::core::membership::ListedHost;
+use crate::core::read_limits::{MAX_HOST_LIST_BYTES, Peer};
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use std::sync::Arc;
@@ -15,7 +17,7 @@
 pub enum HostsError {
     /// The platform returned no usable response.
     #[error("the platform returned no usable host list")]
-    NoAnswer(#[from] reqwest::Error),
+    NoAnswer(#[from] AnswerError),
     /// The platform refused the request.
     #[error("the platform refused the request for the host list with status {0}")]
     Refused(u16),
@@ -39,10 +41,19 @@
 }
 
 async fn list(client: OneCallClient, url: Arc<str>) -> Result<Vec<ListedHost>, HostsError> {
-    let response = client.get(url.to_string()).timeout(TIMEOUT).send().await?;
+    let result = request_list(client, &url).await;
+    result.map_err(|error| match error {
+        HostsError::NoAnswer(e) => e.logged(Peer::Platform, TIMEOUT, url).into(),
+        HostsError::Refused(_) => error,
+    })
+}
+
+async fn request_list(client: OneCallClient, url: &str) -> Result<Vec<ListedHost>, HostsError> {
+    let request = client.get(url.to_owned()).timeout(TIMEOUT);
+    let response = answer::send(request, Peer::Platform).await?;
     let status = response.status();
     if !status.is_success() {
         return Err(HostsError::Refused(status.as_u16()));
     }
-    Ok(response.json().await?)
+    Ok(answer::read_json(response, Peer::Platform, MAX_HOST_LIST_BYTES).await?)
 }
--- a/src/limpetmux/adapters/log.rs
+++ b/src/limpetmux/adapters/log.rs
@@ -1,5 +1,7 @@
 //! The client of the platform's append-only log.
 
+use super::answer::AnswerError;
+use crate::core::read_limits::Exceeded;
 use crate::core::revision::Offset;
 use futures::future::BoxFuture;
 use std::time::Duration;
@@ -48,7 +50,21 @@
     },
     /// The response does not follow the protocol; an append may have taken effect.
     #[error("the platform log returned a response that cannot be parsed")]
-    Malformed(#[source] reqwest::Error),
+    Malformed(#[source] serde_json::Error),
+    /// Reading the response stopped at a bound; an append may have taken effect.
+    #[error("reading a response of the platform log stopped at a bound")]
+    Exceeded(#[source] Exceeded),
+}
+
+impl From<AnswerError> for LogError {
+    fn from(error: AnswerError) -> Self {
+        match error {
+            AnswerError::Lost(error) if error.is_connect() => Self::Unreachable(error),
+            AnswerError::Lost(error) => Self::NoAnswer(error),
+            AnswerError::Exceeded(exceeded) => Self::Exceeded(exceeded),
+            AnswerError::Malformed(error) => Self::Malformed(error),
+        }
+    }
 }
 
 impl LogError {
@@ -58,7 +74,9 @@
     pub fn may_have_appended(&self) -> bool {
         match self {
             Self::Unreachable(_) | Self::Refused { status: 429 | 503, .. } => false,
-            Self::NoAnswer(_) | Self::Refused { .. } | Self::Malformed(_) => true,
+            Self::NoAnswer(_) | Self::Refused { .. } | Self::Malformed(_) | Self::Exceeded(_) => {
+                true
+            }
         }
     }
 }
--- a/src/limpetmux/adapters/log_http.rs
+++ b/src/limpetmux/adapters/log_http.rs
@@ -1,12 +1,15 @@
 //! HTTP client for the platform log.
 
+use super::answer::{self, AnswerError};
 use super::backend_http::retry_after;
 use super::log::{LogClient, LogError, LogPage, LogRecord, Stream};
 use super::one_call::OneCallClient;
+use crate::core::read_limits::{Bound, Exceeded, MAX_NOTE_BYTES, MAX_PAGE_BYTES, Peer};
 use crate::core::revision::Offset;
 use futures::FutureExt;
-use reqwest::{RequestBuilder, Response};
+use reqwest::RequestBuilder;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_with::{base64::Base64, serde_as};
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,8 +64,8 @@
     data: Vec<u8>,
 ) -> Result<Offset, LogError> {
     let url = format!("{base}/v1/streams/{stream}/records");
-    let response = send(client.post(url).timeout(TIMEOUT).body(data)).await?;
-    let appended: Appended = response.json().await.map_err(body_error)?;
+    let request = client.post(url).body(data);
+    let appended: Appended = call(request, TIMEOUT, MAX_NOTE_BYTES, stream).await?;
     Ok(appended.offset)
 }
 
@@ -73,27 +76,45 @@
     from: Offset,
     wait: Duration,
 ) -> Result<LogPage, LogError> {
-    let wait_ms = wait.as_millis();
     let max = if stream == Stream::Config { CONFIG_PAGE_RECORDS } else { PAGE_RECORDS };
+    match read_page(&client, &base, stream, from, max, wait).await {
+        // Large records may exceed a page together, so they are read one by one.
+        Err(LogError::Exceeded(Exceeded { bound: Bound::Body, .. })) => {
+            read_page(&client, &base, stream, from, 1, wait).await
+        }
+        result => result,
+    }
+}
+
+async fn read_page(
+    client: &OneCallClient,
+    base: &str,
+    stream: Stream,
+    from: Offset,
+    max: u64,
+    wait: Duration,
+) -> Result<LogPage, LogError> {
+    let wait_ms = wait.as_millis();
     let url = format!("{base}/v1/streams/{stream}/records?from={from}&max={max}&wait_ms={wait_ms}");
-    let response = send(client.get(url).timeout(wait + TIMEOUT)).await?;
-    let page: Page = response.json().await.map_err(body_error)?;
+    let page: Page = call(client.get(url), wait + TIMEOUT, MAX_PAGE_BYTES, stream).await?;
     let record = |r: Record| LogRecord { offset: r.offset, data: r.data };
     let records = page.records.into_iter().map(record).collect();
     Ok(LogPage { first: page.first, end: page.end, records })
 }
 
-async fn send(request: RequestBuilder) -> Result<Response, LogError> {
-    let response = request.send().await.map_err(|error| {
-        if error.is_connect() { LogError::Unreachable(error) } else { LogError::NoAnswer(error) }
-    })?;
+/// Sends a request and reads its answer, of at most `limit` bytes, within `time`.
+async fn call<T: DeserializeOwned>(
+    request: RequestBuilder,
+    time: Duration,
+    limit: usize,
+    stream: Stream,
+) -> Result<T, LogError> {
+    let logged = |error: AnswerError| error.logged(Peer::Platform, time, stream);
+    let response = answer::send(request.timeout(time), Peer::Platform).await.map_err(logged)?;
     let status = response.status();
-    if status.is_success() {
-        return Ok(response);
+    if !status.is_success() {
+        let retry_after = retry_after(&response);
+        return Err(LogError::Refused { status: status.as_u16(), retry_after });
     }
-    Err(LogError::Refused { status: status.as_u16(), retry_after: retry_after(&response) })
-}
-
-fn body_error(error: reqwest::Error) -> LogError {
-    if error.is_decode() { LogError::Malformed(error) } else { LogError::NoAnswer(error) }
+    Ok(answer::read_json(response, Peer::Platform, limit).await.map_err(logged)?)
 }
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -4,6 +4,7 @@
 //! constructor and no protocol type reaches `core`. `docs/PROTOCOLS.md` specifies the default
 //! protocols. [`channel`] creates the connections between the system's own processes.
 
+pub mod answer;
 pub mod backend;
 pub mod backend_http;
 pub mod channel;
--- a/src/limpetmux/adapters/orders.rs
+++ b/src/limpetmux/adapters/orders.rs
@@ -1,10 +1,12 @@
 //! The client for orders to load a model, which a sidecar sends to its backend server.
 
+use super::answer::{self, AnswerError};
 use super::one_call::OneCallClient;
 use crate::core::config::Name;
+use crate::core::read_limits::{MAX_NOTE_BYTES, Peer};
 use crate::core::revision::Offset;
 use futures::future::BoxFuture;
-use reqwest::StatusCode;
+use reqwest::{RequestBuilder, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,9 +26,9 @@
 /// An order that was not applied.
 #[derive(Debug, thiserror::Error)]
 pub enum OrderError {
-    /// No response arrived; the backend server may have applied the order.
+    /// No complete response arrived within its bounds; the backend server may have applied the order.
     #[error("the backend server did not respond to an order")]
-    NoAnswer(#[from] reqwest::Error),
+    NoAnswer(#[from] AnswerError),
     /// The backend server has seen a higher fencing number.
     #[error("the backend server refused an old fencing number")]
     Fenced,
@@ -78,16 +80,27 @@
         let send = move |order: ModelOrder| {
             let body = OrderBody { kind: OrderKind::Load, model: order.model, fence: order.fence };
             let request = client.post(url.clone()).timeout(TIMEOUT).json(&body);
+            let url = url.clone();
             let result: BoxFuture<'static, Result<(), OrderError>> = Box::pin(async move {
-                let response = request.send().await?;
-                match response.status() {
-                    status if status.is_success() => Ok(()),
-                    StatusCode::CONFLICT => Err(conflict(&response.bytes().await?, order.fence)),
-                    status => Err(OrderError::Refused(status.as_u16())),
-                }
+                send_order(request, order.fence).await.map_err(|error| match error {
+                    OrderError::NoAnswer(e) => e.logged(Peer::BackendServer, TIMEOUT, url).into(),
+                    OrderError::Fenced | OrderError::Refused(_) => error,
+                })
             });
             result
         };
         Self { send: Arc::new(send) }
     }
 }
+
+async fn send_order(request: RequestBuilder, fence: Offset) -> Result<(), OrderError> {
+    let response = answer::send(request, Peer::BackendServer).await?;
+    match response.status() {
+        status if status.is_success() => Ok(()),
+        StatusCode::CONFLICT => {
+            let body = answer::read_body(response, Peer::BackendServer, MAX_NOTE_BYTES).await?;
+            Err(conflict(&body, fence))
+        }
+        status => Err(OrderError::Refused(status.as_u16())),
+    }
+}
--- a/src/limpetmux/adapters/power.rs
+++ b/src/limpetmux/adapters/power.rs
@@ -1,13 +1,15 @@
 //! The client of the platform's power switch for hosts.
 
+use super::answer::{self, AnswerError};
 use super::one_call::OneCallClient;
+use crate::core::read_limits::Peer;
 use crate::core::revision::Offset;
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The timeout of a request.
+/// The timeout of a request; the body of its answer is not read.
 const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A power order that failed; orders are idempotent and may be retried.
@@ -15,7 +17,7 @@
 pub enum PowerError {
     /// No response arrived; the platform may have applied the order.
     #[error("the platform did not respond to a power order")]
-    NoAnswer(#[from] reqwest::Error),
+    NoAnswer(#[from] AnswerError),
     /// The platform refused the order.
     #[error("the platform refused a power order with status {0}")]
     Refused(u16),
@@ -54,9 +56,11 @@
         let set = move |order: PowerOrder| {
             let url = format!("{base}/v1/hosts/{}/power", order.host);
             let body = PowerBody { on: order.on, fence: order.fence };
-            let request = client.post(url).timeout(TIMEOUT).json(&body);
+            let request = client.post(url.clone()).timeout(TIMEOUT).json(&body);
             let result: BoxFuture<'static, Result<(), PowerError>> = Box::pin(async move {
-                let status = request.send().await?.status();
+                let response = answer::send(request, Peer::Platform).await;
+                let response = response.map_err(|e| e.logged(Peer::Platform, TIMEOUT, url))?;
+                let status = response.status();
                 if status.is_success() { Ok(()) } else { Err(PowerError::Refused(status.as_u16())) }
             });
             result
--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -10,6 +10,22 @@
 pub const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// The most headers of an answer's head.
 pub const MAX_HEADERS: usize = 100;
+/// The most bytes of an answer that only states a few values: a load report, an offset, a refusal.
+pub const MAX_NOTE_BYTES: usize = 64 * 1024;
+/// The most bytes of an answer that is one JSON value, of a backend server.
+pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// The most bytes of a streamed answer, with the framing of its events.
+pub const MAX_STREAM_BYTES: usize = 16 * 1024 * 1024;
+/// The most bytes of one event of a streamed answer, comments included.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// The most pieces of one answer.
+pub const MAX_PIECES: u64 = 65_536;
+/// The most bytes of the host list.
+pub const MAX_HOST_LIST_BYTES: usize = 4 * 1024 * 1024;
+/// The most bytes of a page of the log; a page of one record is smaller.
+pub const MAX_PAGE_BYTES: usize = 8 * 1024 * 1024;
+/// The most bytes of one message between processes of the system, in either direction.
+pub const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 
 /// What a process reads from.
 #[derive(
--- a/src/limpetmux/util/read_stop.rs
+++ b/src/limpetmux/util/read_stop.rs
@@ -10,6 +10,11 @@
 pub fn record(metrics: &Metrics, exceeded: Exceeded, subject: impl Display) {
     let (peer, bound) = (exceeded.peer.into(), exceeded.bound.into());
     metrics.count(Metric::ReadsStopped, 1, &[("peer", peer), ("bound", bound)]);
+    log(exceeded, subject);
+}
+
+/// Logs a stopped read where no metrics are at hand.
+pub fn log(exceeded: Exceeded, subject: impl Display) {
     event!(
         EventCode::ReadStopped,
         peer = exceeded.peer,
