Bound events, pieces, notes and heads of backend servers' answers

Cause: a load report and the answer to a cancellation were read whole, the latter without a bound in time; one event could be as long as a whole stream, which the parser scans again with each part; an answer of 16 MiB could hold more than a million pieces; a plain answer was measured only from its third part on; a status in a head of any size counted.

Change: notes end at 64 KiB and after 1 s, events at 256 KiB, answers at 65,536 pieces, heads at 32 KiB; plain answers are measured from the first part on. The sidecar counts and logs each stop, also the end of an attempt's time. Every such end is unknown, none is "not run".

--- a/src/limpetmux/adapters/backend.rs
+++ b/src/limpetmux/adapters/backend.rs
@@ -3,8 +3,10 @@
 //! A sidecar builds a [`Job`] from an admitted stage, passes it to [`Backend::run`] and forwards
 //! the returned [`Chunk`]s. Dropping the stream cancels the job on the backend server.
 
+use super::answer::AnswerError;
 use crate::core::config::{Fencing, Name, StageKind};
 use crate::core::frames::AttemptKey;
+use crate::core::read_limits::Exceeded;
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use futures::stream::BoxStream;
@@ -102,12 +104,20 @@
     /// The answer is not a valid event stream.
     #[error("the backend server's answer is not a valid event stream")]
     NotEventStream,
-    /// The answer exceeds the size limit.
-    #[error("the backend server's answer exceeds {limit} bytes")]
-    TooLarge {
-        /// The limit in bytes.
-        limit: usize,
-    },
+    /// Reading the answer stopped at a bound, so the call may have run.
+    #[error("reading the backend server's answer stopped at a bound")]
+    Exceeded(#[from] Exceeded),
+}
+
+impl From<AnswerError> for BackendError {
+    fn from(error: AnswerError) -> Self {
+        match error {
+            AnswerError::Lost(error) if error.is_connect() => Self::Unreachable(error),
+            AnswerError::Lost(error) => Self::ResponseLost(error),
+            AnswerError::Exceeded(exceeded) => Self::Exceeded(exceeded),
+            AnswerError::Malformed(error) => Self::Malformed(error),
+        }
+    }
 }
 
 impl BackendError {
--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -1,9 +1,15 @@
 //! HTTP client for model engines, pools and plain services.
 
+use super::answer;
 use super::backend::{Backend, BackendError, Chunk, ChunkStream, Job, LoadReport};
 use super::one_call::OneCallClient;
 use crate::core::config::{Fencing, StageKind};
+use crate::core::event_size::EventSize;
 use crate::core::frames::AttemptKey;
+use crate::core::read_limits::{
+    Bound, Exceeded, MAX_ANSWER_BYTES, MAX_EVENT_BYTES, MAX_NOTE_BYTES, MAX_PIECES,
+    MAX_STREAM_BYTES, Peer,
+};
 use bytes::Bytes;
 use eventsource_stream::{Event, EventStreamError, Eventsource};
 use futures::{FutureExt, Stream, StreamExt, TryStreamExt, future::BoxFuture, stream};
@@ -14,12 +20,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The maximum size of an answer that is not streamed, in bytes.
-const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-/// The maximum size of a streamed answer, including the framing of its events, in bytes.
-const MAX_STREAM_BYTES: usize = 16 * 1024 * 1024;
-/// The timeout of a load report.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// The timeout of a load report and of a cancellation, including the body of its answer.
+const NOTE_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl Backend {
     /// Creates a client of the protocols in `docs/PROTOCOLS.md`; `base` is the server's URL.
@@ -110,25 +112,9 @@
     let response = send(request.json(&InputBody { input }), Promises::of(job)).await?;
     let ends_with_connection = response.content_length().is_none()
         && !response.headers().contains_key(reqwest::header::TRANSFER_ENCODING);
-    let payload = read_body(response).await?;
+    let payload = answer::read_body(response, Peer::BackendServer, MAX_ANSWER_BYTES).await?;
     check_json(&payload, ends_with_connection)?;
-    Ok(stream::once(async move { Ok(Chunk { payload, tokens: 0 }) }).boxed())
-}
-
-async fn read_body(mut response: Response) -> Result<Bytes, BackendError> {
-    let first = response.chunk().await.map_err(BackendError::ResponseLost)?.unwrap_or_default();
-    let Some(second) = response.chunk().await.map_err(BackendError::ResponseLost)? else {
-        return Ok(first);
-    };
-    let mut body = Vec::from(first);
-    body.extend_from_slice(&second);
-    while let Some(next) = response.chunk().await.map_err(BackendError::ResponseLost)? {
-        body.extend_from_slice(&next);
-        if body.len() > MAX_ANSWER_BYTES {
-            return Err(BackendError::TooLarge { limit: MAX_ANSWER_BYTES });
-        }
-    }
-    Ok(body.into())
+    Ok(stream::once(async move { Ok(Chunk { payload: payload.into(), tokens: 0 }) }).boxed())
 }
 
 /// Checks that a body is one whole JSON value.
@@ -174,6 +160,8 @@
 struct CompletionState<S> {
     events: S,
     ready: VecDeque<Chunk>,
+    /// The number of chunks so far.
+    chunks: u64,
     /// Whether the last choice had a finish reason.
     finished: bool,
     ended: bool,
@@ -185,14 +173,14 @@
 ///
 /// # Errors
 /// The stream ends with a [`BackendError`] if the body ends early, is not an event stream or
-/// exceeds the size limit.
+/// exceeds a bound.
 pub fn token_stream(
     body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
     is_resumed: bool,
 ) -> ChunkStream {
     let events = Box::pin(limit_size(body).eventsource());
-    let state =
-        CompletionState { events, ready: VecDeque::new(), finished: is_resumed, ended: false };
+    let ready = VecDeque::new();
+    let state = CompletionState { events, ready, chunks: 0, finished: is_resumed, ended: false };
     stream::unfold(state, |mut state| async move {
         let item = next_token(&mut state).await?;
         state.ended |= item.is_err();
@@ -201,21 +189,28 @@
     .boxed()
 }
 
-/// Fails a body once it exceeds [`MAX_STREAM_BYTES`].
+/// Fails a body once it exceeds [`MAX_STREAM_BYTES`], or one event of it [`MAX_EVENT_BYTES`].
 fn limit_size(
     body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
 ) -> impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static {
-    let mut size = 0;
+    let (mut size, mut event) = (0, EventSize::default());
     body.map(move |part| {
         let part = part?;
         size += part.len();
         if size > MAX_STREAM_BYTES {
-            return Err(BackendError::TooLarge { limit: MAX_STREAM_BYTES });
+            return Err(exceeded(Bound::Body, MAX_STREAM_BYTES as u64).into());
+        }
+        if event.push(&part) > MAX_EVENT_BYTES {
+            return Err(exceeded(Bound::Event, MAX_EVENT_BYTES as u64).into());
         }
         Ok(part)
     })
 }
 
+fn exceeded(bound: Bound, limit: u64) -> Exceeded {
+    Exceeded { peer: Peer::BackendServer, bound, limit }
+}
+
 async fn next_token<S>(state: &mut CompletionState<S>) -> Option<Result<Chunk, BackendError>>
 where
     S: Stream<Item = Result<Event, EventStreamError<BackendError>>> + Unpin,
@@ -248,6 +243,10 @@
     for choice in event.choices {
         state.finished = choice.finish_reason.is_some();
         if !choice.text.is_empty() {
+            state.chunks += 1;
+            if state.chunks > MAX_PIECES {
+                return Err(exceeded(Bound::Count, MAX_PIECES).into());
+            }
             state.ready.push_back(Chunk { payload: choice.text.into(), tokens: 1 });
         }
     }
@@ -260,15 +259,17 @@
     key: AttemptKey,
 ) -> Result<bool, BackendError> {
     let body = CancelBody { request_id: key.to_string() };
-    let request = client.post(format!("{base}/v1/cancel")).json(&body);
+    let request = client.post(format!("{base}/v1/cancel")).timeout(NOTE_TIMEOUT).json(&body);
     let response = send(request, Promises::default()).await?;
-    let response: CancelResponse = response.json().await.map_err(BackendError::ResponseLost)?;
+    let response: CancelResponse =
+        answer::read_json(response, Peer::BackendServer, MAX_NOTE_BYTES).await?;
     Ok(response.cancelled)
 }
 
 async fn load(client: OneCallClient, base: Arc<str>) -> Result<LoadReport, BackendError> {
-    let request = client.get(format!("{base}/v1/load")).timeout(LOAD_TIMEOUT);
-    send(request, Promises::default()).await?.json().await.map_err(BackendError::ResponseLost)
+    let request = client.get(format!("{base}/v1/load")).timeout(NOTE_TIMEOUT);
+    let response = send(request, Promises::default()).await?;
+    Ok(answer::read_json(response, Peer::BackendServer, MAX_NOTE_BYTES).await?)
 }
 
 /// Returns the fencing number that the backend server checks before it runs a call.
@@ -298,13 +299,7 @@
 }
 
 async fn send(request: RequestBuilder, promises: Promises) -> Result<Response, BackendError> {
-    let response = request.send().await.map_err(|error| {
-        if error.is_connect() {
-            BackendError::Unreachable(error)
-        } else {
-            BackendError::ResponseLost(error)
-        }
-    })?;
+    let response = answer::send(request, Peer::BackendServer).await?;
     let status = response.status();
     if status.is_success() {
         return Ok(response);
--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod cost;
 pub mod engines;
+pub mod event_size;
 pub mod event_stream;
 pub mod frames;
 pub mod keys;
--- a/src/limpetmux/sidecar/probe.rs
+++ b/src/limpetmux/sidecar/probe.rs
@@ -1,6 +1,8 @@
 //! Polls the load and the incarnation of the backend server.
 
 use super::Sidecar;
+use crate::adapters::backend::BackendError;
+use crate::util::read_stop;
 use std::sync::Weak;
 use std::time::Duration;
 
@@ -14,8 +16,13 @@
     loop {
         ticks.tick().await;
         let Some(sidecar) = sidecar.upgrade() else { return };
-        if let Ok(report) = (sidecar.backend.load)().await {
-            sidecar.gate.observe(report);
+        match (sidecar.backend.load)().await {
+            Ok(report) => sidecar.gate.observe(report),
+            Err(BackendError::Exceeded(exceeded)) => {
+                read_stop::record(&sidecar.metrics, exceeded, "load report");
+            }
+            // A report that is missing is not replaced; its age is what the gate sees.
+            Err(_) => {}
         }
     }
 }
--- a/src/limpetmux/sidecar/run.rs
+++ b/src/limpetmux/sidecar/run.rs
@@ -4,8 +4,10 @@
 use super::{CheckedAttempt, Disconnected, Output, Permit, Sidecar};
 use crate::adapters::backend::{BackendError, Job};
 use crate::core::admission::Outcome;
+use crate::core::read_limits::{Bound, Exceeded, Peer};
 use crate::core::refusal::{Execution, Refusal, RefusalCode};
 use crate::util::metrics::Metric;
+use crate::util::read_stop;
 use futures::StreamExt;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -56,11 +58,15 @@
         () = output.closed() => return Err(Refusal::not_run(RefusalCode::Cancelled)),
     };
     registration.dispatch().map_err(|_| Refusal::not_run(RefusalCode::Cancelled))?;
-    let started = Instant::now();
+    let (started, key) = (Instant::now(), attempt.job.key);
+    let end = attempt.deadline + attempt.grace;
     let result = tokio::select! {
         result = call(sidecar, attempt.job, &permit, output) => result,
         _ = &mut cancel => Err(Refusal::unknown(RefusalCode::Cancelled)),
-        () = tokio::time::sleep_until(attempt.deadline + attempt.grace) => {
+        () = tokio::time::sleep_until(end) => {
+            let limit = millis(end.saturating_duration_since(started));
+            let exceeded = Exceeded { peer: Peer::BackendServer, bound: Bound::Time, limit };
+            read_stop::record(&sidecar.metrics, exceeded, key);
             Err(Refusal::unknown(RefusalCode::Deadline))
         }
     };
@@ -75,6 +81,10 @@
     Ok(Usage { queued, busy, cost })
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn outcome_of(result: &Result<(), Refusal>) -> Outcome {
     match result {
         Ok(()) => Outcome::Done,
@@ -103,7 +113,14 @@
     permit: &Permit,
     output: &mut Output,
 ) -> Result<(), Refusal> {
-    let mut chunks = (sidecar.backend.run)(job).await.map_err(|e| refusal_of(&e))?;
+    let key = job.key;
+    let refusal_of = |error: BackendError| {
+        if let BackendError::Exceeded(exceeded) = &error {
+            read_stop::record(&sidecar.metrics, *exceeded, key);
+        }
+        refusal_of(&error)
+    };
+    let mut chunks = (sidecar.backend.run)(job).await.map_err(refusal_of)?;
     let mut is_first = true;
     loop {
         let chunk = tokio::select! {
@@ -113,7 +130,7 @@
         let Some(chunk) = chunk else { return Ok(()) };
         // An answer that began proves that the call ran, whatever ends it.
         let chunk =
-            chunk.map_err(|e| Refusal { execution: Execution::Unknown, ..refusal_of(&e) })?;
+            chunk.map_err(|e| Refusal { execution: Execution::Unknown, ..refusal_of(e) })?;
         if std::mem::take(&mut is_first) {
             permit.first_output();
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod config_replicas;
 mod control;
 mod cost;
+mod endless_backend;
 mod endless_platform;
 mod entry_not_run;
 mod frames;
