Bound what processes read of each other and of callers

Cause: an entry kept any number of frames and bytes of an attempt; a look-up and a cancellation had no time of their own, so that the outcomes page waited for ever for a process that stood still; a peer that connected and sent nothing was kept for ever; a caller that sent one byte at a time kept its connection, and in a body also its place among the requests in progress.

Change: core/frames.rs counts the frames that arrive, 65,536 pieces and 16 MiB per attempt, and fails the attempt as unknown beyond that; look-ups end 2 s after the time that the host was asked to wait, cancellations after 2 s; messages have 8 MiB in both directions, tables of keys 32 MiB, which a full table fits; incoming connections send their preface within 5 s, answer pings within 20 s, and a call has at most an hour up to the head of its answer; operators' calls likewise. A caller sends a head within 20 s (entry/receive.rs) and a body within 20 s (408). A body that ends so was never started, so its "not run" is proven by the entry itself.

--- a/src/limpetmux/adapters/channel.rs
+++ b/src/limpetmux/adapters/channel.rs
@@ -21,7 +21,13 @@
 /// The maximum size of a request's headers in bytes.
 const MAX_HEADER_BYTES: u32 = 16 * 1024;
 /// The timeout of an incoming connection's handshake.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+pub(super) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time between keep-alive pings on an incoming connection.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(30);
+/// The time after which an unanswered ping closes an incoming connection.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(20);
+/// The most time for a call up to the head of its answer, also if its message never ends.
+const CALL_TIMEOUT: Duration = Duration::from_secs(60 * 60);
 
 /// The connection settings of one process in both directions; cheap to clone.
 #[derive(Clone, Debug, Default)]
@@ -103,7 +109,10 @@
     fn server(&self) -> Result<Server, Error> {
         let server = Server::builder()
             .max_concurrent_streams(MAX_STREAMS)
-            .http2_max_header_list_size(MAX_HEADER_BYTES);
+            .http2_max_header_list_size(MAX_HEADER_BYTES)
+            .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
+            .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
+            .timeout(CALL_TIMEOUT);
         match &self.tls {
             Some(tls) => server.tls_config(tls.server.clone()),
             None => Ok(server),
--- a/src/limpetmux/adapters/handshake.rs
+++ b/src/limpetmux/adapters/handshake.rs
@@ -4,20 +4,28 @@
 //! calls [`Connected::connect_info`] after the handshake. [`Incoming`] uses this to tell failed
 //! handshakes from complete ones.
 
+use super::channel::HANDSHAKE_TIMEOUT;
+use crate::core::read_limits::{Bound, Exceeded, Peer};
 use crate::event;
 use crate::util::clock;
 use crate::util::event::EventCode;
+use crate::util::read_stop;
 use crate::util::throttle::Throttle;
-use std::io::{IoSlice, Result};
+use std::future::Future;
+use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 use tonic::transport::server::{Connected, TcpConnectInfo};
 
+/// The bytes that a client sends before anything else, over HTTP/2 and at least over TLS.
+const PREFACE_BYTES: usize = 24;
+
 /// Counts and logs connections that ended before their handshake was complete.
 #[derive(Debug, Default)]
 pub(super) struct HandshakeFailures {
@@ -46,13 +54,32 @@
     failures: Arc<HandshakeFailures>,
     /// Whether the server has accepted the connection, which it does after the handshake.
     accepted: AtomicBool,
+    /// The end of the time for the preface, until it has arrived.
+    end: Option<Pin<Box<Sleep>>>,
+    /// The bytes of the preface that have arrived.
+    preface: usize,
 }
 
 impl Incoming {
     /// Wraps a TCP connection from a listener.
     pub fn new(stream: TcpStream, failures: &Arc<HandshakeFailures>) -> Self {
         let (peer, failures) = (stream.peer_addr().ok(), Arc::clone(failures));
-        Self { stream, peer, failures, accepted: AtomicBool::new(false) }
+        let end = Some(Box::pin(tokio::time::sleep(HANDSHAKE_TIMEOUT)));
+        Self { stream, peer, failures, accepted: AtomicBool::new(false), end, preface: 0 }
+    }
+
+    /// Returns an error if the peer has not sent its preface in time.
+    fn check_time(&mut self, cx: &mut Context<'_>) -> Result<()> {
+        let Some(end) = &mut self.end else { return Ok(()) };
+        if end.as_mut().poll(cx).is_pending() {
+            return Ok(());
+        }
+        let limit = u64::try_from(HANDSHAKE_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
+        let exceeded = Exceeded { peer: Peer::Node, bound: Bound::Time, limit };
+        if self.failures.throttle.permits(clock::now()) {
+            read_stop::log(exceeded, self.peer.map(|p| p.to_string()).unwrap_or_default());
+        }
+        Err(Error::new(ErrorKind::TimedOut, exceeded))
     }
 }
 
@@ -80,7 +107,14 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        self.check_time(cx)?;
+        let start = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if self.end.is_some() {
+            self.preface += buffer.filled().len() - start;
+            self.end = self.end.take().filter(|_| self.preface < PREFACE_BYTES);
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/src/limpetmux/core/frames.rs
+++ b/src/limpetmux/core/frames.rs
@@ -7,6 +7,7 @@
 //! truncated answer is never taken for a complete one. See `docs/design/requests.md`.
 
 use crate::core::keys::StageIndex;
+use crate::core::read_limits::{Bound, Exceeded, MAX_PIECES, MAX_STREAM_BYTES, Peer};
 use crate::util::hash::StreamHash;
 use uuid::Uuid;
 
@@ -58,6 +59,9 @@
     Late,
 }
 
+/// The number of frames after the data frames of an answer.
+const FINAL_FRAMES: u64 = 1;
+
 /// Why an attempt's frames do not form a complete answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FrameFault {
@@ -80,6 +84,9 @@
     /// The payloads differ from those that were sent.
     #[error("the checksum of the payloads does not match")]
     Checksum,
+    /// The frames exceed a bound.
+    #[error(transparent)]
+    Exceeded(#[from] Exceeded),
     /// The stream ended without a close frame or a refusal.
     #[error("the stream ended after {got} frames without a final frame")]
     Truncated {
@@ -108,12 +115,35 @@
     next_sequence: u64,
     hash: StreamHash,
     ended: bool,
+    /// The number of frames that arrived, whether they were delivered or not.
+    frames: u64,
+    /// The bytes of their payloads.
+    bytes: usize,
 }
 
 impl Assembler {
     /// Creates an assembler that expects the first frame of an attempt.
     pub fn new(key: AttemptKey) -> Self {
-        Self { key, next_sequence: 0, hash: StreamHash::default(), ended: false }
+        let hash = StreamHash::default();
+        Self { key, next_sequence: 0, hash, ended: false, frames: 0, bytes: 0 }
+    }
+
+    /// Counts a frame that arrived, before it is checked.
+    ///
+    /// # Errors
+    /// Returns a fault if the frames exceed a bound; the attempt has failed then.
+    pub fn admit(&mut self, payload: usize) -> Result<(), FrameFault> {
+        self.frames += 1;
+        self.bytes += payload;
+        let (bound, limit) = if self.frames > MAX_PIECES + FINAL_FRAMES {
+            (Bound::Count, MAX_PIECES)
+        } else if self.bytes > MAX_STREAM_BYTES {
+            (Bound::Body, MAX_STREAM_BYTES as u64)
+        } else {
+            return Ok(());
+        };
+        self.ended = true;
+        Err(Exceeded { peer: Peer::Node, bound, limit }.into())
     }
 
     /// Returns the number of data frames delivered.
--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -26,6 +26,8 @@
 pub const MAX_PAGE_BYTES: usize = 8 * 1024 * 1024;
 /// The most bytes of one message between processes of the system, in either direction.
 pub const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
+/// The most bytes of a message with a host's table of idempotency keys and its answers.
+pub const MAX_TABLE_BYTES: usize = 32 * 1024 * 1024;
 
 /// What a process reads from.
 #[derive(
--- a/src/limpetmux/entry/attempt.rs
+++ b/src/limpetmux/entry/attempt.rs
@@ -8,9 +8,13 @@
 use crate::wire::{convert, stage};
 use bytes::Bytes;
 use std::error::Error;
+use std::time::Duration;
 use tonic::Status;
 use tonic::transport::Channel;
 
+/// The timeout of a cancellation, whose answer nobody reads.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why an attempt returned no complete answer.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum AttemptError {
@@ -87,7 +91,8 @@
         let Some(mut client) = self.client.take() else { return };
         let id = Some(self.key.into());
         if let Ok(runtime) = tokio::runtime::Handle::try_current() {
-            runtime.spawn(async move { client.cancel(stage::CancelRequest { id }).await });
+            let cancel = async move { client.cancel(stage::CancelRequest { id }).await };
+            runtime.spawn(tokio::time::timeout(CANCEL_TIMEOUT, cancel));
         }
     }
 }
@@ -159,6 +164,13 @@
 }
 
 fn process_frame(assembler: &mut Assembler, frame: stage::Frame) -> FrameOutcome {
+    let payload = match &frame.kind {
+        Some(Kind::Data(data)) => data.payload.len(),
+        _ => 0,
+    };
+    if let Err(fault) = assembler.admit(payload) {
+        return FrameOutcome::Invalid(fault);
+    }
     let Ok(key) = convert::attempt(frame.id.as_ref()) else { return FrameOutcome::Ignore };
     match frame.kind {
         Some(Kind::Data(data)) => match assembler.data(key, frame.sequence, &data.payload) {
--- a/src/limpetmux/entry/connection.rs
+++ b/src/limpetmux/entry/connection.rs
@@ -1,6 +1,7 @@
 //! The connection to one sidecar.
 
 use crate::adapters::channel::Channels;
+use crate::core::read_limits::MAX_MESSAGE_BYTES;
 use crate::wire::once::once_client::OnceClient;
 use crate::wire::stage::stage_client::StageClient;
 use std::net::SocketAddr;
@@ -40,11 +41,15 @@
 
     /// Returns a client for stages that shares this connection.
     pub fn client(&self) -> Option<StageClient<Channel>> {
-        self.channel.clone().map(StageClient::new)
+        let client = self.channel.clone().map(StageClient::new)?;
+        let client = client.max_decoding_message_size(MAX_MESSAGE_BYTES);
+        Some(client.max_encoding_message_size(MAX_MESSAGE_BYTES))
     }
 
     /// Returns a client for idempotency keys that shares this connection.
     pub fn once_client(&self) -> Option<OnceClient<Channel>> {
-        self.channel.clone().map(OnceClient::new)
+        let client = self.channel.clone().map(OnceClient::new)?;
+        let client = client.max_decoding_message_size(MAX_MESSAGE_BYTES);
+        Some(client.max_encoding_message_size(MAX_MESSAGE_BYTES))
     }
 }
--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -3,6 +3,7 @@
 use super::outcome::find_outcome;
 use super::pipeline::{self, Answer, is_late};
 use super::problem::Problem;
+use super::receive::TimedAcceptor;
 use super::request::RequestParts;
 use super::{Entry, Fleet, InFlight, PipelineRequest, RequestError, Trailer, stream};
 use crate::core::frames::RequestId;
@@ -11,6 +12,7 @@
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
+use crate::util::read_stop;
 use bytes::Bytes;
 use poem::http::{StatusCode, header};
 use poem::listener::TcpAcceptor;
@@ -33,6 +35,8 @@
 const MAX_DISCARD_BYTES: u64 = 16 * 1024 * 1024;
 /// The maximum time spent on reading and discarding such a body.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
+/// The maximum time in which a caller sends the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// The time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
 /// The `Retry-After` time when the entry has too many requests in progress.
@@ -80,6 +84,7 @@
     grace: Duration,
 ) -> std::io::Result<()> {
     let acceptor = TcpAcceptor::from_tokio(listener)?;
+    let acceptor = TimedAcceptor::new(acceptor, entry.limits.max_deadline);
     Server::new_with_acceptor(acceptor)
         .idle_timeout(IDLE_TIMEOUT)
         .http2_max_header_list_size(MAX_HEADER_BYTES as u32)
@@ -140,6 +145,9 @@
 fn reject(entry: &Entry, error: &RequestError) -> Response {
     entry.counters.rejected.fetch_add(1, Ordering::Relaxed);
     entry.metrics.count(Metric::RequestsRejected, 1, &[]);
+    if let Some(exceeded) = error.exceeded() {
+        read_stop::record(&entry.metrics, exceeded, "request");
+    }
     if entry.log_throttle.permits(clock::now()) {
         event!(EventCode::RequestRejected, error = error);
     }
@@ -220,7 +228,11 @@
     }
     let mut bytes = Vec::with_capacity(content_length.unwrap_or_default());
     let mut limited = (&mut reader).take(limit as u64 + 1);
-    limited.read_to_end(&mut bytes).await.map_err(|_| RequestError::BodyUnreadable)?;
+    let read = limited.read_to_end(&mut bytes);
+    let Ok(read) = tokio::time::timeout(BODY_TIMEOUT, read).await else {
+        return Err(RequestError::BodyTimeout { limit_ms: BODY_TIMEOUT.as_millis() });
+    };
+    read.map_err(|_| RequestError::BodyUnreadable)?;
     if bytes.len() > limit {
         discard(reader);
         return Err(RequestError::BodyTooLarge { limit });
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -19,6 +19,7 @@
 mod probe;
 mod problem;
 mod progress;
+mod receive;
 mod request;
 mod stage;
 mod stream;
--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -10,8 +10,9 @@
 use crate::core::frames::AttemptKey;
 use crate::core::keys::HostKey;
 use crate::core::once::{KeyId, homes};
+use crate::core::read_limits::{Bound, Exceeded, Peer};
 use crate::core::refusal::{Execution, Refusal, RefusalCode};
-use crate::util::clock;
+use crate::util::{clock, read_stop};
 use crate::wire::{convert, once, stage};
 use bytes::Bytes;
 use std::time::Duration;
@@ -25,6 +26,8 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 /// The `Retry-After` time while the key moves between its hosts.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The time for the answer to a look-up, in addition to the time that the host was asked to wait.
+const LOOK_UP_TIMEOUT: Duration = Duration::from_secs(2);
 /// How often both hosts are queried for a lost answer, in case a move of the key is in progress.
 const LOOK_UP_ROUNDS: u32 = 3;
 /// The part of a stage's remaining time that is reserved for the reply to a look-up.
@@ -239,10 +242,18 @@
     }
 }
 
-/// Looks up an outcome on one host; returns `None` if the host does not answer.
+/// Looks up an outcome on one host; returns `None` if the host does not answer in time.
 pub(super) async fn look_up(
     connection: &SidecarConnection,
     request: once::LookUpRequest,
 ) -> Option<once::LookUpReply> {
-    connection.once_client()?.look_up(request).await.ok().map(|reply| reply.into_inner())
+    let mut client = connection.once_client()?;
+    let time = Duration::from_micros(request.wait_us).saturating_add(LOOK_UP_TIMEOUT);
+    let Ok(reply) = tokio::time::timeout(time, client.look_up(request)).await else {
+        let limit = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let exceeded = Exceeded { peer: Peer::Node, bound: Bound::Time, limit };
+        read_stop::log(exceeded, connection.addr());
+        return None;
+    };
+    reply.ok().map(|reply| reply.into_inner())
 }
--- /dev/null
+++ b/src/limpetmux/entry/receive.rs
@@ -0,0 +1,190 @@
+//! Bounds the time in which a caller sends the head of a request.
+//!
+//! The HTTP server bounds a head in bytes only, and an idle connection only while no byte arrives.
+//! [`TimedStream`] follows the bytes of a connection in both directions and fails its read if a head
+//! that began does not end in time. The body is bounded where it is read.
+
+use crate::core::read_limits::{Bound, Exceeded, Peer};
+use crate::util::read_stop;
+use poem::listener::{Acceptor, TcpAcceptor};
+use poem::web::{LocalAddr, RemoteAddr};
+use std::future::Future;
+use std::io::{Error, ErrorKind, IoSlice, Result};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
+
+/// The time from the first byte of a head to its last.
+pub(super) const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The first bytes of an HTTP/2 connection.
+const HTTP2_PREFACE: &[u8] = b"PRI ";
+/// The first bytes of an answer after which the body of the same request follows.
+const CONTINUE: &[u8] = b"HTTP/1.1 100";
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// Accepts connections whose heads are bounded in time.
+pub(super) struct TimedAcceptor {
+    inner: TcpAcceptor,
+    /// The most time that a request may run.
+    max_deadline: Duration,
+}
+
+impl TimedAcceptor {
+    pub(super) fn new(inner: TcpAcceptor, max_deadline: Duration) -> Self {
+        Self { inner, max_deadline }
+    }
+}
+
+impl Acceptor for TimedAcceptor {
+    type Io = TimedStream;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        self.inner.local_addr()
+    }
+
+    async fn accept(
+        &mut self,
+    ) -> Result<(Self::Io, LocalAddr, RemoteAddr, poem::http::uri::Scheme)> {
+        let (stream, local, remote, scheme) = self.inner.accept().await?;
+        Ok((TimedStream::new(stream, self.max_deadline), local, remote, scheme))
+    }
+}
+
+/// Follows the bytes of a connection to find the heads of its requests.
+#[derive(Debug, Default)]
+struct HeadScan {
+    /// The last bytes that arrived, at most as many as end a head.
+    tail: Vec<u8>,
+    /// Whether bytes arrived since the last answer, without a head that ended.
+    in_head: bool,
+    /// Whether a head ended since the last answer.
+    has_head: bool,
+    is_http2: bool,
+    is_known: bool,
+}
+
+impl HeadScan {
+    /// Reads bytes that arrived; returns whether they begin a head.
+    fn receive(&mut self, bytes: &[u8]) -> bool {
+        if self.has_head && self.is_known {
+            return false;
+        }
+        let mut seen = std::mem::take(&mut self.tail);
+        seen.extend_from_slice(bytes);
+        if !self.is_known {
+            self.is_http2 = seen.starts_with(HTTP2_PREFACE);
+            self.is_known = seen.len() >= HTTP2_PREFACE.len();
+        }
+        let is_first = !self.in_head && !self.has_head;
+        let ends = !self.is_http2 && seen.windows(HEAD_END.len()).any(|w| w == HEAD_END);
+        self.has_head |= ends;
+        self.in_head = !self.has_head;
+        self.tail = seen.split_off(seen.len().saturating_sub(HEAD_END.len() - 1));
+        is_first
+    }
+
+    /// Reads bytes of an answer, after which another head may follow.
+    fn answer(&mut self, bytes: &[u8]) {
+        if !bytes.starts_with(CONTINUE) {
+            (self.in_head, self.has_head) = (false, false);
+            self.tail.clear();
+        }
+    }
+}
+
+/// A connection whose read fails if a head takes too long.
+pub(super) struct TimedStream {
+    stream: TcpStream,
+    scan: HeadScan,
+    end: Pin<Box<Sleep>>,
+    max_deadline: Duration,
+}
+
+impl TimedStream {
+    fn new(stream: TcpStream, max_deadline: Duration) -> Self {
+        let end = Box::pin(tokio::time::sleep(HEAD_TIMEOUT));
+        Self { stream, scan: HeadScan::default(), end, max_deadline }
+    }
+
+    /// Returns the time for a head. Over HTTP/2 a head is not told apart from other bytes, and an
+    /// answer may take as long as a request may run.
+    fn limit(&self) -> Duration {
+        match self.scan.is_http2 {
+            true => HEAD_TIMEOUT + self.max_deadline,
+            false => HEAD_TIMEOUT,
+        }
+    }
+
+    fn receive(&mut self, bytes: &[u8]) {
+        let was_http2 = self.scan.is_http2;
+        let begins = !bytes.is_empty() && self.scan.receive(bytes);
+        if begins || self.scan.is_http2 != was_http2 {
+            let end = Instant::now() + self.limit();
+            self.end.as_mut().reset(end);
+        }
+    }
+
+    /// Returns an error if the head that is being read has taken too long.
+    fn check_time(&mut self, cx: &mut Context<'_>) -> Result<()> {
+        if !self.scan.in_head || self.end.as_mut().poll(cx).is_pending() {
+            return Ok(());
+        }
+        let limit = u64::try_from(self.limit().as_millis()).unwrap_or(u64::MAX);
+        let exceeded = Exceeded { peer: Peer::Caller, bound: Bound::Time, limit };
+        let peer = self.stream.peer_addr().map(|a| a.to_string()).unwrap_or_default();
+        read_stop::log(exceeded, peer);
+        Err(Error::new(ErrorKind::TimedOut, exceeded))
+    }
+}
+
+impl AsyncRead for TimedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        self.check_time(cx)?;
+        let start = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        self.receive(&buffer.filled()[start..]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for TimedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<Result<usize>> {
+        self.scan.answer(data);
+        Pin::new(&mut self.stream).poll_write(cx, data)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        if let Some(first) = data.iter().find(|slice| !slice.is_empty()) {
+            self.scan.answer(first);
+        }
+        Pin::new(&mut self.stream).poll_write_vectored(cx, data)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/limpetmux/entry/request.rs
+++ b/src/limpetmux/entry/request.rs
@@ -3,6 +3,7 @@
 use super::Fleet;
 use crate::core::frames::RequestId;
 use crate::core::keys::{PipelineKey, WorkspaceKey};
+use crate::core::read_limits::{Bound, Exceeded, Peer};
 use crate::core::view::View;
 use crate::util::hash::hash_bytes;
 use bytes::Bytes;
@@ -47,6 +48,12 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// The body did not arrive in time.
+    #[error("the body did not arrive within {limit_ms} ms")]
+    BodyTimeout {
+        /// The limit in milliseconds.
+        limit_ms: u128,
+    },
     /// The headers are too large.
     #[error("the headers exceed {limit} bytes")]
     HeadersTooLarge {
@@ -94,12 +101,25 @@
     /// Returns the HTTP status of the error.
     pub fn status(&self) -> u16 {
         match self {
+            Self::BodyTimeout { .. } => 408,
             Self::BodyTooLarge { .. } => 413,
             Self::HeadersTooLarge { .. } => 431,
             Self::Workspace { .. } | Self::Pipeline { .. } => 404,
             _ => 400,
         }
     }
+
+    /// Returns the bound at which reading the request stopped, if one did.
+    pub fn exceeded(&self) -> Option<Exceeded> {
+        let (bound, limit) = match self {
+            Self::BodyTimeout { limit_ms } => (Bound::Time, *limit_ms),
+            Self::BodyTooLarge { limit } => (Bound::Body, *limit as u128),
+            Self::HeadersTooLarge { limit } => (Bound::Head, *limit as u128),
+            _ => return None,
+        };
+        let limit = u64::try_from(limit).unwrap_or(u64::MAX);
+        Some(Exceeded { peer: Peer::Caller, bound, limit })
+    }
 }
 
 /// The highest priority of a request.
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -12,7 +12,7 @@
 use crate::core::admission::FlowId;
 use crate::core::budget::StageId;
 use crate::core::config::{ServiceSpec, StageKind};
-use crate::core::frames::AttemptKey;
+use crate::core::frames::{AttemptKey, FrameFault};
 use crate::core::keys::{HostKey, StageIndex};
 use crate::core::refusal::{Execution, Refusal, RefusalCode};
 use crate::core::routing::Query;
@@ -21,6 +21,7 @@
 use crate::event;
 use crate::util::clock;
 use crate::util::event::EventCode;
+use crate::util::read_stop;
 use crate::wire::{convert, stage};
 use bytes::Bytes;
 use std::pin::pin;
@@ -106,6 +107,9 @@
         if error.is_unreachable() {
             fleet.members.report_unreachable(&fleet.view, host);
         }
+        if let AttemptError::InvalidFrames(FrameFault::Exceeded(exceeded)) = error {
+            read_stop::record(&self.run.entry.metrics, *exceeded, key);
+        }
         if self.run.entry.log_throttle.permits(clock::now()) {
             event!(
                 EventCode::AttemptFailed,
--- a/src/limpetmux/ops/admin_client.rs
+++ b/src/limpetmux/ops/admin_client.rs
@@ -8,6 +8,12 @@
 
 /// The time limit for connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time limit for the answer to a call; a drain is answered when it has ended.
+const CALL_TIMEOUT: Duration = Duration::from_secs(60 * 60);
+/// The time between keep-alive pings while a call runs.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+/// The time after which an unanswered ping ends the call.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A failed call to the admin interface.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -45,6 +51,8 @@
 ) -> Result<AdminClient<Channel>, AdminError> {
     let error = |source| AdminError::Connect { addr, source };
     let endpoint = channels.endpoint(addr, CONNECT_TIMEOUT).map_err(error)?;
+    let endpoint = endpoint.timeout(CALL_TIMEOUT).keep_alive_timeout(KEEPALIVE_TIMEOUT);
+    let endpoint = endpoint.http2_keep_alive_interval(KEEPALIVE_INTERVAL);
     let channel = endpoint.connect().await.map_err(error)?;
     Ok(AdminClient::new(channel))
 }
--- a/src/limpetmux/sidecar/mod.rs
+++ b/src/limpetmux/sidecar/mod.rs
@@ -30,6 +30,7 @@
 use crate::core::config::Name;
 use crate::core::membership::ProcessId;
 use crate::core::once::Rules;
+use crate::core::read_limits::{MAX_MESSAGE_BYTES, MAX_TABLE_BYTES};
 use crate::core::view::View;
 use crate::kernel::Published;
 use crate::util::metrics::Metrics;
@@ -122,6 +123,8 @@
     /// Returns the gRPC service that entries call.
     pub fn service(self: &Arc<Self>) -> stage::stage_server::StageServer<StageService> {
         stage::stage_server::StageServer::new(StageService::new(Arc::clone(self)))
+            .max_decoding_message_size(MAX_MESSAGE_BYTES)
+            .max_encoding_message_size(MAX_MESSAGE_BYTES)
     }
 
     /// Returns the id of this process, drawn at random at each start.
@@ -142,7 +145,9 @@
     /// Returns the gRPC service of idempotency keys, if the sidecar handles them.
     pub fn once_service(&self) -> Option<OnceServer<OnceService>> {
         let (gate, log) = self.once.as_ref()?;
-        Some(OnceServer::new(OnceService::new(Arc::clone(gate), log.clone())))
+        let server = OnceServer::new(OnceService::new(Arc::clone(gate), log.clone()));
+        let server = server.max_decoding_message_size(MAX_TABLE_BYTES);
+        Some(server.max_encoding_message_size(MAX_MESSAGE_BYTES))
     }
 
     /// Waits until claims are in the log and successors have received this host's tables.
--- a/src/limpetmux/sidecar/once/peers.rs
+++ b/src/limpetmux/sidecar/once/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::adapters::channel::Channels;
 use crate::core::once::HostId;
+use crate::core::read_limits::{MAX_MESSAGE_BYTES, MAX_TABLE_BYTES};
 use crate::core::view::View;
 use crate::wire::once::once_client::OnceClient;
 use std::collections::BTreeMap;
@@ -29,7 +30,9 @@
     /// Returns a client of a host, or `None` if the view does not declare the host.
     pub fn client(&self, view: &View, id: HostId) -> Option<OnceClient<Channel>> {
         let (_, row) = view.hosts.iter().find(|(_, h)| HostId::of(h.name.as_str()) == id)?;
-        self.channel(row.sidecar).map(OnceClient::new)
+        let client = self.channel(row.sidecar).map(OnceClient::new)?;
+        let client = client.max_decoding_message_size(MAX_MESSAGE_BYTES);
+        Some(client.max_encoding_message_size(MAX_TABLE_BYTES))
     }
 
     fn channel(&self, addr: SocketAddr) -> Option<Channel> {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod control;
 mod cost;
 mod endless_backend;
+mod endless_entry;
 mod endless_platform;
 mod entry_not_run;
 mod frames;
