Receive full tables of keys, and bound what local reads

Cause: messages with a table of keys had the library's default limit of 4 MiB, while the answers in a table may have 16 MiB, so that a leaving host with many answers could not hand its keys over. limpetmux local read answers whole and without a time limit.

--- a/src/bin/limpetmux/commands/local.rs
+++ b/src/bin/limpetmux/commands/local.rs
@@ -3,11 +3,16 @@
 use argh::FromArgs;
 use eventsource_stream::{Event, Eventsource};
 use futures::StreamExt;
+use limpetmux::core::read_limits::MAX_STREAM_BYTES;
 use limpetmux::node::deployment::{Deployment, SampleRequest};
 use limpetmux::node::local::{Local, LocalOptions};
 use miette::IntoDiagnostic;
 use serde::Deserialize;
 use std::io::Write;
+use std::time::Duration;
+
+/// The time for a whole answer, above the longest deadline of a request.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(330);
 
 /// Run a complete small deployment in this process, on the loopback interface.
 ///
@@ -32,6 +37,12 @@
     /// The entry refused the request, or the request failed.
     #[error("the request was refused or failed: {body}")]
     Refused { body: String },
+    /// The connection failed, or the time was over.
+    #[error("the answer did not arrive")]
+    Lost(#[from] reqwest::Error),
+    /// The answer exceeds the bound of a streamed answer.
+    #[error("the answer exceeds {MAX_STREAM_BYTES} bytes")]
+    TooLarge,
     /// The stream ended before its last event.
     #[error("the answer ended early")]
     Truncated,
@@ -106,14 +117,26 @@
 }
 
 async fn request(url: &str, sample: SampleRequest) -> miette::Result<()> {
-    let client = reqwest::Client::builder().no_proxy().build().into_diagnostic()?;
+    let client = reqwest::Client::builder().no_proxy().timeout(ANSWER_TIMEOUT).build();
+    let client = client.into_diagnostic()?;
     let body = format!("{{\"input\": {}, \"stream\": true}}", sample.input);
     let answer = client.post(url).body(body).send().await.into_diagnostic()?;
-    if !answer.status().is_success() {
-        let body = answer.text().await.into_diagnostic()?;
+    let is_success = answer.status().is_success();
+    let mut size = 0;
+    let mut parts = answer.bytes_stream().map(move |part| {
+        let part = part?;
+        size += part.len();
+        if size > MAX_STREAM_BYTES { Err(AnswerError::TooLarge) } else { Ok(part) }
+    });
+    if !is_success {
+        let mut body = Vec::new();
+        while let Some(part) = parts.next().await {
+            body.extend_from_slice(&part?);
+        }
+        let body = String::from_utf8_lossy(&body).into_owned();
         return Err(AnswerError::Refused { body }.into());
     }
-    let mut events = answer.bytes_stream().eventsource();
+    let mut events = parts.eventsource();
     while let Some(event) = events.next().await {
         if print_event(&event.into_diagnostic()?)? {
             return Ok(());
--- a/tests/testsuite/endless_entry.rs
+++ b/tests/testsuite/endless_entry.rs
@@ -1,19 +1,25 @@
 //! Other processes and callers that send without end, one byte at a time, or do not answer at all.
 
+use limpetmux::adapters::backend::Backend;
 use limpetmux::adapters::channel::Channels;
+use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::config::Name;
 use limpetmux::core::frames::AttemptKey;
 use limpetmux::core::revision::Revision;
 use limpetmux::core::view::View;
 use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
 use limpetmux::kernel::Publisher;
+use limpetmux::node::serve_sidecar;
+use limpetmux::sidecar::{OnceSettings, Sidecar, SidecarOptions};
 use limpetmux::util::hash::StreamHash;
 use limpetmux::util::metrics::Metrics;
+use limpetmux::wire::once::once_client::OnceClient;
 use limpetmux::wire::once::once_server::{Once, OnceServer};
 use limpetmux::wire::stage::frame::Kind;
 use limpetmux::wire::stage::stage_server::{Stage, StageServer};
 use limpetmux::wire::{convert, once, stage};
 use limpetmux_test_support::config::summary_config;
+use limpetmux_test_support::fake_log::FakeLog;
 use limpetmux_test_support::http::{Answer, Caller};
 use serde_json::json;
 use std::net::SocketAddr;
@@ -216,6 +222,42 @@
     assert_eq!((answer.status, &answer.body["output"]), (200, &json!(1)), "{}", answer.body);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn table_of_keys_with_many_answers_is_received() {
+    // Guards against a bound on messages that the table of a leaving host meets: its keys would not
+    // be handed over.
+    let config = summary_config();
+    let mut hosts = config.hosts.iter();
+    let (host, _) = hosts.find(|(_, h)| h.service.as_str() == "provisioning").unwrap();
+    let views = Publisher::new(View::compile(Revision(1), &config));
+    let backend = Backend::http(OneCallClient::new().unwrap(), "http://127.0.0.1:9");
+    let sidecar = Sidecar::start(SidecarOptions {
+        host: host.clone(),
+        view: views.reader(),
+        backend,
+        once: Some(OnceSettings::new(FakeLog::new().client())),
+        metrics: Metrics::none(),
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    tokio::spawn(serve_sidecar(sidecar, listener, std::future::pending()));
+    let answer = once::Stored { payload: vec![b' '; 64 << 10], cost: 0 };
+    let row = |n: u128| once::Row {
+        digest: n.to_be_bytes().to_vec(),
+        answer: Some(answer.clone()),
+        ..once::Row::default()
+    };
+    let request = once::HandOverRequest {
+        from: Some(once::Process { host: 1, incarnation: 1 }),
+        rows: (0..250).map(row).collect(),
+        ..once::HandOverRequest::default()
+    };
+
+    let reply = OnceClient::connect(url).await.unwrap().hand_over(request).await;
+
+    assert!(reply.is_ok(), "{reply:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn outcome_of_a_key_is_told_although_no_host_answers() {
     // Guards against an outcomes page that waits for ever for a process that stands still.
