Test that stopped reads are counted and that long requests are not stopped

Cause: nothing showed that a sidecar counts a stopped read, nor that the time for a caller's head does not end a request that runs longer, whose connection is silent while it runs.

Change: endless_backend checks the counter for head, body and time; endless_entry runs a request of 22 s, above the 20 s of a head, with and without "expect: 100-continue".

--- a/tests/testsuite/endless_backend.rs
+++ b/tests/testsuite/endless_backend.rs
@@ -13,7 +13,7 @@
 use limpetmux::kernel::Publisher;
 use limpetmux::node::serve_sidecar;
 use limpetmux::sidecar::{Sidecar, SidecarOptions};
-use limpetmux::util::metrics::Metrics;
+use limpetmux::util::exposition::Exposition;
 use limpetmux::wire::convert;
 use limpetmux::wire::stage::RunRequest;
 use limpetmux::wire::stage::frame::Kind;
@@ -225,14 +225,41 @@
     for (head, part) in rows {
         let server = Endless::start(head, part, Duration::from_millis(20)).await;
 
-        let refused = tokio::time::timeout(PATIENCE, run_attempt(server.backend())).await;
+        let attempt = run_attempt(server.backend(), Duration::from_secs(1));
+        let (refused, counters) = tokio::time::timeout(PATIENCE, attempt).await.unwrap();
 
-        assert_eq!(refused, Ok(Some(Execution::Unknown)), "{head:?}");
+        assert_eq!(refused, Some(Execution::Unknown), "{head:?}");
+        assert!(counters.contains(&stopped("time")), "{head:?} {counters}");
     }
 }
 
-/// Runs an attempt with a deadline on a sidecar; returns what its refusal states, if any.
-async fn run_attempt(backend: Backend) -> Option<Execution> {
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_beyond_a_bound_ends_its_attempt_as_unknown_and_is_counted() {
+    // Guards against stopped reads that operators do not see.
+    let field = format!("x-field: {}\r\n", "a".repeat(64 << 10));
+    let rows = [
+        ("head", format!("HTTP/1.1 503 Text\r\n{field}content-length: 0\r\n\r\n")),
+        ("body", "HTTP/1.1 200 OK\r\ncontent-length: 99999999\r\n\r\n".to_owned()),
+    ];
+    for (bound, answer) in rows {
+        let url = format!("http://{}", serve_bytes(answer).await.unwrap());
+
+        let (refused, counters) = run_attempt(backend(&url), PATIENCE).await;
+
+        assert_eq!(refused, Some(Execution::Unknown), "{bound}");
+        assert!(counters.contains(&stopped(bound)), "{counters}");
+    }
+}
+
+/// Returns the line that counts one stopped read of a backend server.
+fn stopped(bound: &str) -> String {
+    format!("limpetmux_reads_stopped{{peer=\"backend_server\",bound=\"{bound}\"}} 1\n")
+}
+
+/// Runs an attempt with a deadline on a sidecar; returns what its refusal states, if any, and the
+/// sidecar's counters.
+async fn run_attempt(backend: Backend, deadline: Duration) -> (Option<Execution>, String) {
+    let exposition = Exposition::default();
     let config = summary_config();
     let mut hosts = config.hosts.iter();
     let (host, _) = hosts.find(|(_, h)| h.service == name("encode")).unwrap();
@@ -243,7 +270,7 @@
         view: views.reader(),
         backend: Backend { load, ..backend },
         once: None,
-        metrics: Metrics::none(),
+        metrics: exposition.metrics(),
     });
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let url = format!("http://{}", listener.local_addr().unwrap());
@@ -253,7 +280,7 @@
         id: Some(KEY.into()),
         workspace: workspace.to_string(),
         pipeline: spec.pipelines[0].to_string(),
-        remaining_us: 1_000_000,
+        remaining_us: convert::micros(deadline),
         input: "1".into(),
         ..RunRequest::default()
     };
@@ -265,5 +292,5 @@
             refused = Some(convert::refusal(&message).execution);
         }
     }
-    refused
+    (refused, exposition.render())
 }
--- a/tests/testsuite/endless_entry.rs
+++ b/tests/testsuite/endless_entry.rs
@@ -51,8 +51,11 @@
     bytes: usize,
 }
 
-/// A host that answers attempts with pieces, and look-ups not at all.
-struct FakeHost(Pieces);
+/// A host that answers attempts with pieces after a wait, and look-ups not at all.
+struct FakeHost {
+    pieces: Pieces,
+    wait: Duration,
+}
 
 #[tonic::async_trait]
 impl Stage for FakeHost {
@@ -63,7 +66,8 @@
         request: Request<stage::RunRequest>,
     ) -> Result<Response<Self::RunStream>, Status> {
         let key = convert::attempt(request.into_inner().id.as_ref()).unwrap();
-        let frames: Box<dyn Iterator<Item = _> + Send> = Box::new(frames(key, self.0).map(Ok));
+        tokio::time::sleep(self.wait).await;
+        let frames: Box<dyn Iterator<Item = _> + Send> = Box::new(frames(key, self.pieces).map(Ok));
         Ok(Response::new(tokio_stream::iter(frames)))
     }
 
@@ -139,12 +143,17 @@
 
 impl Fixture {
     async fn start(pieces: Pieces) -> Self {
+        Self::start_slow(pieces, Duration::ZERO).await
+    }
+
+    /// Starts hosts that wait before they answer an attempt.
+    async fn start_slow(pieces: Pieces, wait: Duration) -> Self {
         let mut config = summary_config();
         let is_faked = |service: &Name| ["provisioning", "encode"].contains(&service.as_str());
         for host in config.hosts.values_mut().filter(|h| is_faked(&h.service)) {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             host.sidecar = listener.local_addr().unwrap();
-            let fake = Arc::new(FakeHost(pieces));
+            let fake = Arc::new(FakeHost { pieces, wait });
             let routes = Routes::new(StageServer::from_arc(Arc::clone(&fake)));
             let routes = routes.add_service(OnceServer::from_arc(fake));
             tokio::spawn(async move {
@@ -287,6 +296,37 @@
     assert_eq!(head, "");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_may_run_longer_than_its_head_may_take() {
+    // Guards against a bound on heads that ends sound requests, whose connection is silent while
+    // they run, also where the entry has asked for the body with an interim answer.
+    let wait = Duration::from_secs(22);
+    let fixture = Fixture::start_slow(Pieces { count: 0, bytes: 0 }, wait).await;
+    let body = json!({ "input": 1, "deadline_ms": 60_000 }).to_string();
+    let fields = format!("connection: close\r\ncontent-length: {}\r\n", body.len());
+    let keys = [Uuid::now_v7(), Uuid::now_v7()].map(|key| format!("idempotency-key: {key}\r\n"));
+    let plain = format!("{RUN}{fields}{}\r\n", keys[0]);
+    let expecting = format!("{RUN}{fields}expect: 100-continue\r\n{}\r\n", keys[1]);
+
+    let (plain, expecting) =
+        tokio::join!(send(fixture.addr, &plain, &body), send(fixture.addr, &expecting, &body));
+
+    assert!(plain.starts_with("HTTP/1.1 200"), "{plain}");
+    assert!(expecting.starts_with("HTTP/1.1 100"), "{expecting}");
+    assert!(expecting.contains("HTTP/1.1 200"), "{expecting}");
+}
+
+/// Sends a head, then a body after a moment; returns all that the entry answers.
+async fn send(addr: SocketAddr, head: &str, body: &str) -> String {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    stream.write_all(body.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.unwrap();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn head_of_a_caller_without_end_is_not_read_whole() {
     let fixture = Fixture::start(Pieces { count: 0, bytes: 0 }).await;
@@ -307,7 +347,8 @@
     // Guards against connections of peers that never send a request and are kept for ever.
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
-    let service = StageServer::new(FakeHost(Pieces { count: 0, bytes: 0 }));
+    let service =
+        StageServer::new(FakeHost { pieces: Pieces { count: 0, bytes: 0 }, wait: Duration::ZERO });
     let serve = Channels::plain();
     tokio::spawn(async move {
         serve.serve(Routes::new(service), listener, std::future::pending()).await
