Keep callers from filling the log with stopped reads, and count all of them

Cause: each 408, 413 and 431 and each head that took too long wrote its own line read_stopped, past the entry's throttle; the latter was not counted.

Change: the entry counts each stop and logs it only if its throttle permits.

--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -7,6 +7,7 @@
 use super::request::RequestParts;
 use super::{Entry, Fleet, InFlight, PipelineRequest, RequestError, Trailer, stream};
 use crate::core::frames::RequestId;
+use crate::core::read_limits::Exceeded;
 use crate::core::refusal::{Refusal, RefusalCode};
 use crate::event;
 use crate::util::clock;
@@ -21,6 +22,7 @@
 use poem::{Body, EndpointExt, Request, Response, Route, Server, get, handler, post};
 use serde::Serialize;
 use serde_json::value::RawValue;
+use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -84,7 +86,7 @@
     grace: Duration,
 ) -> std::io::Result<()> {
     let acceptor = TcpAcceptor::from_tokio(listener)?;
-    let acceptor = TimedAcceptor::new(acceptor, entry.limits.max_deadline);
+    let acceptor = TimedAcceptor::new(acceptor, Arc::clone(&entry));
     Server::new_with_acceptor(acceptor)
         .idle_timeout(IDLE_TIMEOUT)
         .http2_max_header_list_size(MAX_HEADER_BYTES as u32)
@@ -146,7 +148,7 @@
     entry.counters.rejected.fetch_add(1, Ordering::Relaxed);
     entry.metrics.count(Metric::RequestsRejected, 1, &[]);
     if let Some(exceeded) = error.exceeded() {
-        read_stop::record(&entry.metrics, exceeded, "request");
+        record_stop(entry, exceeded, "request");
     }
     if entry.log_throttle.permits(clock::now()) {
         event!(EventCode::RequestRejected, error = error);
@@ -154,6 +156,14 @@
     Problem::of_request_error(error).into_response()
 }
 
+/// Counts a stopped read of a caller and logs it, unless callers cause too many log lines.
+pub(super) fn record_stop(entry: &Entry, exceeded: Exceeded, subject: impl Display) {
+    read_stop::count(&entry.metrics, exceeded);
+    if entry.log_throttle.permits(clock::now()) {
+        read_stop::log(exceeded, subject);
+    }
+}
+
 fn refuse(entry: &Entry, refusal: Refusal, request: Option<RequestId>) -> Response {
     record_refusal(entry, refusal, request);
     Problem::of_refusal(refusal, request).into_response()
--- a/src/limpetmux/entry/receive.rs
+++ b/src/limpetmux/entry/receive.rs
@@ -4,13 +4,15 @@
 //! [`TimedStream`] follows the bytes of a connection in both directions and fails its read if a head
 //! that began does not end in time. The body is bounded where it is read.
 
+use super::Entry;
+use super::http::record_stop;
 use crate::core::read_limits::{Bound, Exceeded, Peer};
-use crate::util::read_stop;
 use poem::listener::{Acceptor, TcpAcceptor};
 use poem::web::{LocalAddr, RemoteAddr};
 use std::future::Future;
 use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -29,13 +31,12 @@
 /// Accepts connections whose heads are bounded in time.
 pub(super) struct TimedAcceptor {
     inner: TcpAcceptor,
-    /// The most time that a request may run.
-    max_deadline: Duration,
+    entry: Arc<Entry>,
 }
 
 impl TimedAcceptor {
-    pub(super) fn new(inner: TcpAcceptor, max_deadline: Duration) -> Self {
-        Self { inner, max_deadline }
+    pub(super) fn new(inner: TcpAcceptor, entry: Arc<Entry>) -> Self {
+        Self { inner, entry }
     }
 }
 
@@ -50,7 +51,7 @@
         &mut self,
     ) -> Result<(Self::Io, LocalAddr, RemoteAddr, poem::http::uri::Scheme)> {
         let (stream, local, remote, scheme) = self.inner.accept().await?;
-        Ok((TimedStream::new(stream, self.max_deadline), local, remote, scheme))
+        Ok((TimedStream::new(stream, Arc::clone(&self.entry)), local, remote, scheme))
     }
 }
 
@@ -101,20 +102,20 @@
     stream: TcpStream,
     scan: HeadScan,
     end: Pin<Box<Sleep>>,
-    max_deadline: Duration,
+    entry: Arc<Entry>,
 }
 
 impl TimedStream {
-    fn new(stream: TcpStream, max_deadline: Duration) -> Self {
+    fn new(stream: TcpStream, entry: Arc<Entry>) -> Self {
         let end = Box::pin(tokio::time::sleep(HEAD_TIMEOUT));
-        Self { stream, scan: HeadScan::default(), end, max_deadline }
+        Self { stream, scan: HeadScan::default(), end, entry }
     }
 
     /// Returns the time for a head. Over HTTP/2 a head is not told apart from other bytes, and an
     /// answer may take as long as a request may run.
     fn limit(&self) -> Duration {
         match self.scan.is_http2 {
-            true => HEAD_TIMEOUT + self.max_deadline,
+            true => HEAD_TIMEOUT + self.entry.limits.max_deadline,
             false => HEAD_TIMEOUT,
         }
     }
@@ -136,7 +137,7 @@
         let limit = u64::try_from(self.limit().as_millis()).unwrap_or(u64::MAX);
         let exceeded = Exceeded { peer: Peer::Caller, bound: Bound::Time, limit };
         let peer = self.stream.peer_addr().map(|a| a.to_string()).unwrap_or_default();
-        read_stop::log(exceeded, peer);
+        record_stop(&self.entry, exceeded, peer);
         Err(Error::new(ErrorKind::TimedOut, exceeded))
     }
 }
--- a/tests/testsuite/endless_entry.rs
+++ b/tests/testsuite/endless_entry.rs
@@ -11,6 +11,7 @@
 use limpetmux::kernel::Publisher;
 use limpetmux::node::serve_sidecar;
 use limpetmux::sidecar::{OnceSettings, Sidecar, SidecarOptions};
+use limpetmux::util::exposition::Exposition;
 use limpetmux::util::hash::StreamHash;
 use limpetmux::util::metrics::Metrics;
 use limpetmux::wire::once::once_client::OnceClient;
@@ -138,6 +139,7 @@
 struct Fixture {
     caller: Caller,
     addr: SocketAddr,
+    counters: Exposition,
     _view: Publisher<View>,
 }
 
@@ -161,6 +163,7 @@
             });
         }
         let view = Publisher::new(View::compile(Revision(1), &config));
+        let counters = Exposition::default();
         let entry = Entry::start(EntryOptions {
             zone: config.zones.keys().next().unwrap().clone(),
             ordinal: 0,
@@ -168,14 +171,14 @@
             members: Members(None),
             channels: Channels::plain(),
             limits: Limits::default(),
-            metrics: Metrics::none(),
+            metrics: counters.metrics(),
         });
         let (entry, listener) = (entry.unwrap(), TcpListener::bind("127.0.0.1:0").await.unwrap());
         let addr = listener.local_addr().unwrap();
         let caller = Caller::new(&limpetmux::entry::base_url(addr));
         let stop = std::future::pending();
         tokio::spawn(async move { entry.serve(listener, stop, Duration::ZERO).await });
-        Self { caller, addr, _view: view }
+        Self { caller, addr, counters, _view: view }
     }
 
     async fn run_once(&self) -> Answer {
@@ -294,6 +297,11 @@
     assert!(body.starts_with("HTTP/1.1 408"), "{body}");
     assert!(chunked.starts_with("HTTP/1.1 408"), "{chunked}");
     assert_eq!(head, "");
+    let stopped = "limpetmux_reads_stopped{peer=\"caller\",bound=\"time\"}";
+    let counters = fixture.counters.render();
+    let count = counters.lines().find_map(|line| line.strip_prefix(stopped));
+    let count = count.and_then(|c| c.trim().parse().ok()).unwrap_or(0);
+    assert!(count >= 3, "{counters}");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
