--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -23,6 +23,23 @@
 /// The most bytes of one event of a streamed answer, with the lines before it that belong to none.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// The most bytes of an answer that only states a few values: a load report, an offset, a refusal.
+pub const MAX_NOTE_BYTES: usize = 64 * 1024;
+/// The most bytes of an answer that is one JSON value, of a backend server.
+pub const MAX_JSON_BYTES: usize = 4 * 1024 * 1024;
+/// The most bytes of a model engine's streamed answer, with the framing of its events.
+pub const MAX_TOKENS_BYTES: usize = 16 * 1024 * 1024;
+/// The most pieces of one answer.
+pub const MAX_PIECES: u64 = 65_536;
+/// The most bytes of the host list.
+pub const MAX_HOST_LIST_BYTES: usize = 4 * 1024 * 1024;
+/// The most bytes of a page of the log; a page of one record is smaller.
+pub const MAX_LOG_PAGE_BYTES: usize = 8 * 1024 * 1024;
+/// The most bytes of one message between processes of the system, in either direction.
+pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
+/// The most bytes of a message with a host's table of idempotency keys and its answers.
+pub const MAX_TABLE_BYTES: usize = 32 * 1024 * 1024;
+
 /// What a process reads from.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr, VariantArray, strum::Display,
