Bound each answer of the store in bytes, records and time

Cause: bodies of reads, lists and appends were collected whole, informational answers were skipped without end, and a list could take 200 pages of 1.5 s each. An offset without a successor overflowed.

Bodies have bounds by call (core/read_limits.rs), records a bound in number, and a list 6 s and 32 MiB in all. At a bound the connection closes, the call ends as `Exceeded`, which says that it may have been executed, and the follower records the stop.

--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -4,6 +4,7 @@
 //! read therefore has a bound in bytes and one in time; `docs/design/reads.md` lists all of them.
 //! The code that reads compares with the constants here, and reports what it met as an [`Exceeded`].
 
+use std::time::Duration;
 use strum::{IntoStaticStr, VariantArray};
 
 /// The most bytes of an answer's head.
@@ -11,6 +12,22 @@
 /// The most headers of an answer's head.
 pub const MAX_HEADERS: usize = 100;
 
+/// The most bytes of the store's answer to a read of a log: a mebibyte of records, which is what a
+/// read asks for, and the largest record in addition.
+pub const MAX_LOG_BYTES: usize = 2 * 1024 * 1024;
+/// The most records of the store's answer to a read of a log. A mebibyte of records with keys of
+/// three bytes has fewer.
+pub const MAX_LOG_RECORDS: usize = 256 * 1024;
+/// The most bytes of one page of the newest records: a megabyte of values in base64, the largest
+/// record in addition, and room for the names and keys.
+pub const MAX_PAGE_BYTES: usize = 4 * 1024 * 1024;
+/// The most records of one page of the newest records.
+pub const MAX_PAGE_RECORDS: usize = 1_000;
+/// The most bytes of all pages of one list of newest records.
+pub const MAX_LIST_BYTES: usize = 32 * 1024 * 1024;
+/// The most bytes of the store's answer to an append.
+pub const MAX_APPEND_ANSWER_BYTES: usize = 16 * 1024;
+
 /// What a process reads from.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr, VariantArray, strum::Display,
@@ -62,3 +79,16 @@
     /// The limit, in bytes, in pieces or in milliseconds, as the bound requires.
     pub limit: u64,
 }
+
+impl Exceeded {
+    /// Creates a stop at a number of bytes or pieces.
+    pub fn count(peer: Peer, bound: Bound, limit: usize) -> Self {
+        Self { peer, bound, limit: u64::try_from(limit).unwrap_or(u64::MAX) }
+    }
+
+    /// Creates a stop at a time.
+    pub fn time(peer: Peer, limit: Duration) -> Self {
+        let limit = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+        Self { peer, bound: Bound::Time, limit }
+    }
+}
--- a/src/limpetmux/fleet/follow/discover.rs
+++ b/src/limpetmux/fleet/follow/discover.rs
@@ -69,6 +69,7 @@
         let local = self.shared.nodes().local().clone();
         let value = convert::encode_node_record(&local);
         let result = self.store.put(NODES_TOPIC, &local.addr.to_string(), &value).await;
+        self.record_stop(NODES_TOPIC, &result);
         if let Err(error) = result {
             event!(EventCode::StoreLost, call = "announce", reason = error);
         }
@@ -76,7 +77,9 @@
 
     /// Reads the addresses of other nodes from the store.
     pub(super) async fn read_candidates(&self) {
-        match self.store.newest(NODES_TOPIC).await {
+        let result = self.store.newest(NODES_TOPIC).await;
+        self.record_stop(NODES_TOPIC, &result);
+        match result {
             Ok(page) => {
                 let found: Vec<Node> = page
                     .records
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -17,6 +17,7 @@
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
 use crate::util::event::EventCode;
+use crate::util::read_stop;
 use crate::wire::fleet::PullReply;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -87,6 +88,7 @@
             }
             let requested_at = clock::boot();
             let result = self.read_orders(requested_at).await;
+            self.record_stop(orders::TOPIC, &result);
             self.log_reachability(&result);
             failures = if result.is_ok() { 0 } else { failures + 1 };
             if result.is_err() {
@@ -108,6 +110,7 @@
             }
             let requested_at = clock::boot();
             let result = self.read_listing(requested_at).await;
+            self.record_stop(servers::TOPIC, &result);
             self.log_reachability(&result);
             failures = if result.is_ok() { 0 } else { failures + 1 };
             sleep(if result.is_ok() { LISTING_INTERVAL } else { self.backoff(failures) }).await;
@@ -313,6 +316,13 @@
         nodes.record_answer(addr, now);
     }
 
+    /// Logs and counts a call to the store whose answer exceeded a bound.
+    fn record_stop<T>(&self, topic: &str, result: &Result<T, StoreError>) {
+        if let Err(StoreError::Exceeded(exceeded)) = result {
+            read_stop::record(&self.shared.metrics, *exceeded, topic);
+        }
+    }
+
     /// Logs when the store stops answering or answers again.
     fn log_reachability(&self, result: &Result<(), StoreError>) {
         let reachable = result.is_ok();
--- a/src/limpetmux/platform/mod.rs
+++ b/src/limpetmux/platform/mod.rs
@@ -15,3 +15,4 @@
 pub mod servers;
 pub mod stage;
 pub mod store;
+mod store_call;
--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -1,22 +1,26 @@
 //! A client of the platform's store, a log with keyed topics.
 
+use super::store_call::{CallError, Connections};
+use crate::core::read_limits::{
+    Bound, Exceeded, MAX_APPEND_ANSWER_BYTES, MAX_LIST_BYTES, MAX_LOG_BYTES, MAX_LOG_RECORDS,
+    MAX_PAGE_BYTES, MAX_PAGE_RECORDS, Peer,
+};
 use bytes::{Buf, Bytes};
-use reqwest::{Client, RequestBuilder, Response, StatusCode};
+use http_body_util::Full;
+use hyper::header::HOST;
+use hyper::{Method, Request, StatusCode};
 use serde::Deserialize;
 use serde_with::{base64::Base64, serde_as};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::timeout;
 
-/// The time allowed for an answer, in addition to the time that the store may hold the call.
+/// The time allowed for a whole answer, in addition to the time that the store may hold the call.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The time allowed for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
-/// The time after which unacknowledged bytes close a connection.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How long an idle connection is kept.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// The most pages that one list of newest records may have.
 const MAX_PAGES: usize = 200;
+/// The time allowed for all pages of one list of newest records.
+const LIST_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// The product's own topic, through which nodes that know no other node discover each other.
 pub const NODES_TOPIC: &str = "keyed.nodes";
@@ -44,9 +48,18 @@
 /// Why a call to the store failed.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
-    /// The store cannot be reached or did not answer in time, or its answer could not be read.
+    /// The call cannot be built.
+    #[error("the call cannot be built")]
+    Call(#[from] hyper::http::Error),
+    /// The store cannot be reached, or its answer broke off; the call may have been executed.
     #[error("the store does not answer")]
-    NoAnswer(#[from] reqwest::Error),
+    NoAnswer(#[source] CallError),
+    /// The answer exceeds a bound; the call may have been executed.
+    #[error(transparent)]
+    Exceeded(#[from] Exceeded),
+    /// The answer cannot be decoded.
+    #[error("the answer cannot be decoded")]
+    Decode(#[from] serde_json::Error),
     /// The store rejected the call.
     #[error("the store answered with status {0}")]
     Status(StatusCode),
@@ -56,6 +69,18 @@
     /// The answer lacks records that it states to exist.
     #[error("the answer ends before its last record")]
     Truncated,
+    /// The answer states an offset that has no successor.
+    #[error("the answer states an offset that no record can have")]
+    Offset,
+}
+
+impl From<CallError> for StoreError {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::Exceeded(exceeded) => Self::Exceeded(exceeded),
+            error => Self::NoAnswer(error),
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -79,24 +104,14 @@
 /// A client of the store; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Store {
-    client: Client,
-    base: String,
+    connections: Connections,
+    host: String,
 }
 
 impl Store {
     /// Creates a client for the store at an address.
-    ///
-    /// # Errors
-    /// Returns an error if the HTTP client cannot be set up.
-    pub fn new(address: SocketAddr) -> Result<Self, reqwest::Error> {
-        let client = Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_user_timeout(UNACKED_TIMEOUT)
-            .tcp_nodelay(true)
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .no_proxy()
-            .build()?;
-        Ok(Self { client, base: format!("http://{address}") })
+    pub fn new(address: SocketAddr) -> Self {
+        Self { connections: Connections::new(address), host: address.to_string() }
     }
 
     /// Reads the newest record of every key.
@@ -107,14 +122,23 @@
     /// # Errors
     /// Returns [`StoreError`] if one of the pages cannot be read.
     pub async fn newest(&self, topic: &str) -> Result<Page, StoreError> {
+        let late = |_| StoreError::Exceeded(Exceeded::time(Peer::Store, LIST_TIMEOUT));
+        timeout(LIST_TIMEOUT, self.pages(topic)).await.map_err(late)?
+    }
+
+    async fn pages(&self, topic: &str) -> Result<Page, StoreError> {
+        let mut bytes = 0;
         let mut after: Option<String> = None;
         let mut first_end = None;
         let mut records = Vec::new();
         for _ in 0..MAX_PAGES {
             let mut query = vec![("topic", topic.to_owned()), ("part", "0".to_owned())];
             query.extend(after.take().map(|key| ("after", key)));
-            let call = self.get("log-newest", &query).timeout(ANSWER_TIMEOUT);
-            let page: Newest = send(call).await?.json().await?;
+            let call = self.call(Method::GET, "/log-newest", &query, Bytes::new())?;
+            let body = self.send(call, ANSWER_TIMEOUT, MAX_PAGE_BYTES).await?;
+            bytes += body.len();
+            let page = decode_newest(&body)?;
+            check(Bound::Body, bytes, MAX_LIST_BYTES)?;
             let end = *first_end.get_or_insert(page.end);
             after = page.items.last().map(|i| i.key.clone());
             records.extend(page.items.into_iter().map(record));
@@ -141,8 +165,8 @@
             ("from", from.to_string()),
             ("wait-ms", wait.as_millis().to_string()),
         ];
-        let call = self.get("log-read", &query).timeout(wait + ANSWER_TIMEOUT);
-        let body = send(call).await?.bytes().await?;
+        let call = self.call(Method::GET, "/log-read", &query, Bytes::new())?;
+        let body = self.send(call, wait + ANSWER_TIMEOUT, MAX_LOG_BYTES).await?;
         page(from, body)
     }
 
@@ -157,27 +181,66 @@
         record.extend_from_slice(value);
         let mut body = u32::try_from(record.len()).unwrap_or(u32::MAX).to_be_bytes().to_vec();
         body.extend(record);
-        let url = format!("{}/log-append", self.base);
-        let query = [("topic", topic), ("part", "0")];
-        let call = self.client.post(url).query(&query).timeout(ANSWER_TIMEOUT).body(body);
-        send(call).await?.bytes().await?;
+        let query = [("topic", topic.to_owned()), ("part", "0".to_owned())];
+        let call = self.call(Method::POST, "/log-append", &query, body.into())?;
+        self.send(call, ANSWER_TIMEOUT, MAX_APPEND_ANSWER_BYTES).await?;
         Ok(())
     }
 
-    fn get(&self, call: &str, query: &[(&str, String)]) -> RequestBuilder {
-        self.client.get(format!("{}/{call}", self.base)).query(query)
+    fn call(
+        &self,
+        method: Method,
+        path: &str,
+        query: &[(&str, String)],
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+        let pairs: Vec<String> = query.iter().map(|(k, v)| format!("{k}={}", encode(v))).collect();
+        let target = format!("{path}?{}", pairs.join("&"));
+        Request::builder().method(method).uri(target).header(HOST, &self.host).body(Full::new(body))
     }
+
+    /// Sends a call and reads its whole answer; at a bound its connection closes.
+    async fn send(
+        &self,
+        call: Request<Full<Bytes>>,
+        time: Duration,
+        limit: usize,
+    ) -> Result<Bytes, StoreError> {
+        let late = |_| StoreError::Exceeded(Exceeded::time(Peer::Store, time));
+        match timeout(time, self.connections.call(call, limit)).await.map_err(late)?? {
+            (status, body) if status.is_success() => Ok(body),
+            (StatusCode::GONE, _) => Err(StoreError::Trimmed),
+            (status, _) => Err(StoreError::Status(status)),
+        }
+    }
+}
+
+/// Encodes a value for a query.
+fn encode(value: &str) -> String {
+    let mut encoded = String::new();
+    for byte in value.bytes() {
+        match byte {
+            b'-' | b'.' | b'_' | b'~' => encoded.push(char::from(byte)),
+            byte if byte.is_ascii_alphanumeric() => encoded.push(char::from(byte)),
+            byte => encoded.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    encoded
 }
 
-async fn send(call: RequestBuilder) -> Result<Response, StoreError> {
-    let answer = call.send().await?;
-    match answer.status() {
-        status if status.is_success() => Ok(answer),
-        StatusCode::GONE => Err(StoreError::Trimmed),
-        status => Err(StoreError::Status(status)),
+fn check(bound: Bound, count: usize, limit: usize) -> Result<(), Exceeded> {
+    match count > limit {
+        true => Err(Exceeded::count(Peer::Store, bound, limit)),
+        false => Ok(()),
     }
 }
 
+fn decode_newest(body: &[u8]) -> Result<Newest, StoreError> {
+    let page: Newest = serde_json::from_slice(body)?;
+    check(Bound::Count, page.items.len(), MAX_PAGE_RECORDS)?;
+    Ok(page)
+}
+
 fn record(item: Item) -> Record {
     Record { offset: item.offset, key: item.key, value: item.value.into() }
 }
@@ -195,15 +258,17 @@
     while body.has_remaining() {
         let len = split(&mut body, 4).map(|mut b| b.get_u32() as usize)?;
         let mut data = split(&mut body, len)?;
+        let next = offset.checked_add(1).ok_or(StoreError::Offset)?;
         if data.is_empty() {
-            offset += 1;
+            offset = next;
             continue;
         }
         let key_len = usize::from(data.get_u8());
         let key = split(&mut data, key_len)?;
         let key = String::from_utf8_lossy(&key).into_owned();
         records.push(Record { offset, key, value: data });
-        offset += 1;
+        check(Bound::Count, records.len(), MAX_LOG_RECORDS)?;
+        offset = next;
     }
     // An answer may not reach the end of the log, but has a record if there is one.
     if offset > start {
--- a/src/limpetmux/serve/run.rs
+++ b/src/limpetmux/serve/run.rs
@@ -44,9 +44,6 @@
     /// The control thread cannot be started.
     #[error(transparent)]
     Control(#[from] ThreadError),
-    /// The client of the store cannot be set up.
-    #[error("cannot set up the client of the platform's store")]
-    Store(#[from] reqwest::Error),
 }
 
 /// Events from outside that a running node reacts to.
@@ -90,14 +87,14 @@
 /// Starts a node; the system assigns ports that are given as zero.
 ///
 /// # Errors
-/// Returns [`NodeError`] if a listener or the client of the store cannot be set up.
+/// Returns [`NodeError`] if a listener or the control thread cannot be set up.
 pub async fn start(mut settings: NodeSettings) -> Result<RunningNode, NodeError> {
     let (listener, node_addr) = bind(settings.node_addr).await?;
     settings.node_addr = node_addr;
     let publisher = Publisher::new(StoreView::default());
     let shared = Shared::new(settings, &publisher);
     let control = ControlThread::start()?;
-    let store = Store::new(shared.settings().store.address)?;
+    let store = Store::new(shared.settings().store.address);
     let follower = Follower::new(Arc::clone(&shared), store, publisher);
     let queues = StageQueues::new(Arc::clone(&shared));
     let (stop, stopped) = watch::channel(false);
--- a/tests/testsuite/platform/node_fixture.rs
+++ b/tests/testsuite/platform/node_fixture.rs
@@ -37,7 +37,12 @@
     text.replace("PIECES", PIECES).replace("KEY", key)
 }
 
-fn settings(name: &str, store: SocketAddr, entry: bool, seeds: Vec<SocketAddr>) -> NodeSettings {
+pub(super) fn settings(
+    name: &str,
+    store: SocketAddr,
+    entry: bool,
+    seeds: Vec<SocketAddr>,
+) -> NodeSettings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     NodeSettings {
         name: name.into(),
--- a/tests/testsuite/platform/store_answers.rs
+++ b/tests/testsuite/platform/store_answers.rs
@@ -15,12 +15,12 @@
 }
 
 async fn read(body: &[u8], from: u64) -> Result<Page, StoreError> {
-    let store = Store::new(serve_bytes(unframed(body)).await.unwrap()).unwrap();
+    let store = Store::new(serve_bytes(unframed(body)).await.unwrap());
     store.read("keyed.op", from, Duration::ZERO).await
 }
 
 async fn newest(body: &str) -> Result<Page, StoreError> {
-    let store = Store::new(serve_bytes(unframed(body.as_bytes())).await.unwrap()).unwrap();
+    let store = Store::new(serve_bytes(unframed(body.as_bytes())).await.unwrap());
     store.newest("keyed.op").await
 }
 
