Bound heads, bodies and probes of callers in time

Cause: the head of a request could take as long as a connection may be idle, a body had no bound in time, and the listeners for readiness and metrics had no limits in time or number of connections. Stops in bytes were not recorded.

Change: HeadTimer ends a head header-timeout-ms after its first byte; before that byte, idle-timeout-ms holds as before. A body ends at the earlier of the caller's deadline and the route's timeout with 503: the request has been sent nowhere, and the connection closes. Probes get 10 s, 8 KiB of head and 128 connections for each listener. Stops of callers and probes are recorded, an idle end is not.

--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -34,6 +34,23 @@
 /// most bytes of the answer to a call that frees results.
 pub const MAX_CALL_ANSWER_BYTES: usize = 4 * 1024;
 
+/// The most bytes of the head of a caller's request until a configuration sets it.
+pub const DEFAULT_CALLER_HEAD_BYTES: usize = 16 * 1024;
+/// The least limit on the head of a caller's request that the HTTP server supports, in bytes.
+pub const MIN_CALLER_HEAD_BYTES: usize = 8 * 1024;
+/// The time for the head of a caller's request until a configuration sets it.
+pub const DEFAULT_CALLER_HEAD_TIME: Duration = Duration::from_secs(5);
+/// The longest idle time of a caller's connection until a configuration sets it.
+pub const DEFAULT_CALLER_IDLE_TIME: Duration = Duration::from_secs(15);
+
+/// The most bytes of the head of a readiness check or of a request for metrics.
+pub const MAX_PROBE_HEAD_BYTES: usize = 8 * 1024;
+/// The time for the head of a readiness check or of a request for metrics, and the longest idle time
+/// before it.
+pub const MAX_PROBE_TIME: Duration = Duration::from_secs(10);
+/// The most connections of one listener for readiness checks or metrics.
+pub const MAX_PROBE_CONNECTIONS: usize = 128;
+
 /// What a process reads from.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr, VariantArray, strum::Display,
--- a/src/limpetmux/serve/front.rs
+++ b/src/limpetmux/serve/front.rs
@@ -1,11 +1,18 @@
 //! Accepts connections of callers, of the balancer and of metrics scrapers.
 
 use super::connections::set_timeouts;
+use super::head_time::{HeadStart, HeadTimer, TimedStream};
 use super::node::Shared;
 use super::request;
 use super::stream::Body;
+use crate::core::catalog::CallerLimits;
+use crate::core::read_limits::{
+    Bound, DEFAULT_CALLER_HEAD_BYTES, DEFAULT_CALLER_HEAD_TIME, DEFAULT_CALLER_IDLE_TIME, Exceeded,
+    MAX_PROBE_CONNECTIONS, MAX_PROBE_HEAD_BYTES, MAX_PROBE_TIME, MIN_CALLER_HEAD_BYTES, Peer,
+};
 use crate::event;
 use crate::util::event::EventCode;
+use crate::util::read_stop;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -22,10 +29,6 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-/// The largest request head in bytes until a configuration sets it.
-const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
-/// The longest idle time of a connection until a configuration sets it.
-const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 /// File descriptors that are not available for connections of callers.
 const RESERVED_DESCRIPTORS: usize = 1_000;
 /// The pause after a failure to accept a connection.
@@ -72,20 +75,22 @@
         event!(EventCode::ConnectionRefused, reason = error);
         return;
     }
-    let limits = shared.view.load().orders.config.as_ref().map(|d| d.catalog.limits);
-    let head = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.max_header);
-    // hyper's timeout for reading a head also runs while a connection waits for its next request.
-    let idle = limits.map_or(DEFAULT_IDLE, |l| l.idle_timeout);
+    let peer = stream.peer_addr().map_or_else(|_| "unknown".to_owned(), |a| a.to_string());
+    let limits = limits(&shared);
+    let start = HeadStart::default();
+    let timer = HeadTimer { start: start.clone(), head: limits.header_timeout };
+    let stream = TimedStream { stream, start: start.clone() };
+    let handled = Arc::clone(&shared);
     let knows_chunks = AtomicBool::new(true);
     let service = service_fn(|request: Request<Incoming>| {
         knows_chunks.store(request.version() > Version::HTTP_10, Ordering::Relaxed);
-        let shared = Arc::clone(&shared);
+        let shared = Arc::clone(&handled);
         async move { Ok::<Response<Body>, Infallible>(request::handle(shared, request).await) }
     });
     let mut serving = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(head.max(8_192))
+        .timer(timer)
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.max_header)
         .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
         ended = &mut serving => ended,
@@ -96,9 +101,34 @@
     };
     let Err(error) = ended else { return };
     log::debug!(target: "limpetmux", "connection of a caller closed with an error: {error}");
+    if let Some(exceeded) = exceeded(&error, &start, limits) {
+        read_stop::record(&shared.metrics, exceeded, peer);
+    }
     if !knows_chunks.load(Ordering::Relaxed) {
-        reset(serving.into_parts().io.inner());
+        reset(&serving.into_parts().io.inner().stream);
+    }
+}
+
+/// Returns the operator's limits, or those that hold until there is a configuration.
+fn limits(shared: &Shared) -> CallerLimits {
+    let default = CallerLimits {
+        max_header: DEFAULT_CALLER_HEAD_BYTES,
+        max_body: 0,
+        header_timeout: DEFAULT_CALLER_HEAD_TIME,
+        idle_timeout: DEFAULT_CALLER_IDLE_TIME,
+    };
+    let view = shared.view.load();
+    let limits = view.orders.config.as_ref().map_or(default, |d| d.catalog.limits);
+    CallerLimits { max_header: limits.max_header.max(MIN_CALLER_HEAD_BYTES), ..limits }
+}
+
+/// Returns the bound at which a connection closed; an idle connection exceeds none.
+fn exceeded(error: &hyper::Error, start: &HeadStart, limits: CallerLimits) -> Option<Exceeded> {
+    if error.is_parse_too_large() {
+        return Some(Exceeded::count(Peer::Caller, Bound::Head, limits.max_header));
     }
+    let is_late = error.is_timeout() && start.is_known();
+    is_late.then(|| Exceeded::time(Peer::Caller, limits.header_timeout))
 }
 
 /// Makes the close of a connection a reset: a caller that finds the end of its answer only by an
@@ -111,38 +141,72 @@
 
 /// Answers the readiness checks of the balancer.
 pub async fn serve_readiness(shared: Arc<Shared>, listener: TcpListener) {
-    serve_fixed(listener, move || readiness(shared.is_ready())).await;
+    let ready = Arc::clone(&shared);
+    serve_fixed(&shared, listener, move || readiness(ready.is_ready())).await;
 }
 
 /// Serves the metrics of the node as text.
 pub async fn serve_metrics(shared: Arc<Shared>, listener: TcpListener) {
-    serve_fixed(listener, move || text(shared.exposition.render())).await;
+    let rendered = Arc::clone(&shared);
+    serve_fixed(&shared, listener, move || text(rendered.exposition.render())).await;
 }
 
 /// Answers every request on a listener by calling `answer`.
 async fn serve_fixed(
+    shared: &Arc<Shared>,
     listener: TcpListener,
     answer: impl Fn() -> Response<Body> + Clone + Send + 'static,
 ) {
+    let permits = Arc::new(tokio::sync::Semaphore::new(MAX_PROBE_CONNECTIONS));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let answer = answer.clone();
-        let service = service_fn(move |_: Request<Incoming>| {
-            let answer = answer();
-            async move { Ok::<_, Infallible>(answer) }
-        });
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            event!(EventCode::ConnectionRefused, reason = "too many connections");
+            continue;
+        };
+        let (shared, answer) = (Arc::clone(shared), answer.clone());
         tokio::spawn(async move {
-            let builder = http1::Builder::new();
-            if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+            if let Err(error) = serve_probe(stream, answer).await {
                 log::debug!(target: "limpetmux", "readiness or metrics connection failed: {error}");
+                if let Some(exceeded) = probe_exceeded(&error) {
+                    read_stop::record(&shared.metrics, exceeded, peer);
+                }
             }
+            drop(permit);
         });
     }
 }
 
+async fn serve_probe(
+    stream: TcpStream,
+    answer: impl Fn() -> Response<Body>,
+) -> Result<(), hyper::Error> {
+    if let Err(error) = set_timeouts(&stream) {
+        event!(EventCode::ConnectionRefused, reason = error);
+        return Ok(());
+    }
+    let service = service_fn(move |_: Request<Incoming>| {
+        let answer = answer();
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(MAX_PROBE_TIME)
+        .max_buf_size(MAX_PROBE_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service)
+        .await
+}
+
+fn probe_exceeded(error: &hyper::Error) -> Option<Exceeded> {
+    if error.is_parse_too_large() {
+        return Some(Exceeded::count(Peer::Operator, Bound::Head, MAX_PROBE_HEAD_BYTES));
+    }
+    error.is_timeout().then(|| Exceeded::time(Peer::Operator, MAX_PROBE_TIME))
+}
+
 fn readiness(ready: bool) -> Response<Body> {
     let mut answer = text(if ready { "ready" } else { "not ready" }.to_owned());
     if !ready {
--- a/src/limpetmux/serve/mod.rs
+++ b/src/limpetmux/serve/mod.rs
@@ -15,6 +15,7 @@
 pub mod failure;
 pub mod forward;
 pub mod front;
+mod head_time;
 pub mod inputs;
 pub mod node;
 pub mod request;
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -7,12 +7,14 @@
 use super::stages;
 use super::stream::Body;
 use crate::core::catalog::{Catalog, KeyHolder, Route, RouteKey};
+use crate::core::read_limits::{Bound, Exceeded, Peer};
 use crate::core::time::Moment;
 use crate::event;
 use crate::platform::caller::{self, RequestHead};
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
+use crate::util::read_stop;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -107,11 +109,15 @@
             return Failure::new(Reason::BadRequest).answer();
         }
     };
-    let closes = head.chunked || shared.is_stopping();
+    let mut closes = head.chunked || shared.is_stopping();
     let id = head.id.clone();
     let mut answer = match accept(&shared, head, body, arrived).await {
         Ok(routed) => run(&shared, routed).await,
-        Err(failure) => refuse(&shared, &id, arrived, failure),
+        Err(failure) => {
+            // The rest of the body may still arrive.
+            closes |= failure.reason == Reason::TooLate;
+            refuse(&shared, &id, arrived, failure)
+        }
     };
     // A chunked body may hide a second request (request smuggling), so the connection closes.
     if closes || shared.is_stopping() {
@@ -156,9 +162,9 @@
     let catalog = Arc::clone(&config.catalog);
     let route = catalog.route(&head.host, &head.path).ok_or(Failure::new(Reason::NoRoute))?;
     let holder = authorize(shared, &view, &catalog, &catalog.routes[route], &head)?;
-    let body = read_body(body, catalog.limits.max_body).await?;
-    let service = choose_service(&catalog.routes[route]).ok_or(Failure::new(Reason::NoRoute))?;
     let allowed = head.deadline.min(catalog.routes[route].timeout).saturating_sub(ANSWER_MARGIN);
+    let body = read_body(shared, &head.id, body, catalog.limits.max_body, allowed).await?;
+    let service = choose_service(&catalog.routes[route]).ok_or(Failure::new(Reason::NoRoute))?;
     let deadline = arrived + allowed;
     let (maybe_ran, sent_to) = (AtomicBool::new(false), Mutex::default());
     Ok(RoutedRequest {
@@ -198,11 +204,26 @@
     holder.cloned().map(Some).ok_or(Failure::new(Reason::UnknownKey))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Failure> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Failure::new(Reason::BodyTooLarge)),
-        Err(_) => Err(Failure::new(Reason::BodyCut)),
+/// Reads a body within the operator's limit and the time that the request has.
+async fn read_body(
+    shared: &Shared,
+    id: &str,
+    body: Incoming,
+    limit: usize,
+    time: Duration,
+) -> Result<Bytes, Failure> {
+    let stop = |exceeded, reason| {
+        read_stop::record(&shared.metrics, exceeded, id);
+        Err(Failure::new(reason))
+    };
+    match timeout(time, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            stop(Exceeded::count(Peer::Caller, Bound::Body, limit), Reason::BodyTooLarge)
+        }
+        Ok(Err(_)) => Err(Failure::new(Reason::BodyCut)),
+        // The request has been sent nowhere.
+        Err(_) => stop(Exceeded::time(Peer::Caller, time), Reason::TooLate),
     }
 }
 
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -5,6 +5,7 @@
 mod catalog;
 mod chain;
 mod drain;
+mod endless_callers;
 mod endless_calls;
 mod endless_store;
 mod engines;
