Bound the time for the messages of other nodes

Cause: the service reads a whole message before it handles a call, without a bound in time, so a message that drips held its stream until its connection ended. A pull that took too long was logged, but not counted as a stopped read.

Change: TimedMessages ends a message that has not arrived within 5 s with the status for an exceeded deadline, and records it; the size limit of messages is one constant for both directions. Late pulls are recorded; what records stops of the follower is in follow/stops.rs.

--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -51,6 +51,11 @@
 /// The most connections of one listener for readiness checks or metrics.
 pub const MAX_PROBE_CONNECTIONS: usize = 128;
 
+/// The most bytes of a message between nodes, in both directions.
+pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
+/// The time for the message of a call from another node.
+pub const MAX_MESSAGE_TIME: Duration = Duration::from_secs(5);
+
 /// What a process reads from.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr, VariantArray, strum::Display,
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -5,6 +5,7 @@
 //! traffic threads read.
 
 mod discover;
+mod stops;
 
 use super::convert;
 use crate::core::listing::ListRecord;
@@ -17,7 +18,6 @@
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
 use crate::util::event::EventCode;
-use crate::util::read_stop;
 use crate::wire::fleet::PullReply;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -280,6 +280,7 @@
                 false
             }
             Err(_) => {
+                self.record_late_pull(addr, PULL_WAIT + PULL_TIMEOUT);
                 self.mark_unresponsive(addr, "no answer in time");
                 false
             }
@@ -316,13 +317,6 @@
         nodes.record_answer(addr, now);
     }
 
-    /// Logs and counts a call to the store whose answer exceeded a bound.
-    fn record_stop<T>(&self, topic: &str, result: &Result<T, StoreError>) {
-        if let Err(StoreError::Exceeded(exceeded)) = result {
-            read_stop::record(&self.shared.metrics, *exceeded, topic);
-        }
-    }
-
     /// Logs when the store stops answering or answers again.
     fn log_reachability(&self, result: &Result<(), StoreError>) {
         let reachable = result.is_ok();
--- a/src/limpetmux/fleet/mod.rs
+++ b/src/limpetmux/fleet/mod.rs
@@ -11,5 +11,6 @@
 
 pub mod convert;
 pub mod follow;
+pub mod message_time;
 pub mod peers;
 pub mod service;
--- a/src/limpetmux/fleet/peers.rs
+++ b/src/limpetmux/fleet/peers.rs
@@ -1,6 +1,7 @@
 //! Connections to other nodes, opened on first use.
 
 use crate::adapters::channel::Channels;
+use crate::core::read_limits::MAX_MESSAGE_BYTES;
 use crate::wire::fleet::fleet_client::FleetClient;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,8 +17,6 @@
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(700);
 /// The most connections that are kept; all are dropped when one more is needed.
 const MAX_CONNECTIONS: usize = 1_024;
-/// The largest message in bytes that is accepted.
-const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
 /// The connections of one node to others; cheap to clone.
 #[derive(Clone, Debug)]
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -1,7 +1,9 @@
 //! The gRPC service for other nodes: pulls of the view, stages to run, and results to free.
 
 use super::convert;
+use super::message_time::TimedMessages;
 use crate::core::pieces::{JobSpec, Source, StageEnd};
+use crate::core::read_limits::MAX_MESSAGE_BYTES;
 use crate::event;
 use crate::serve::node::Shared;
 use crate::stage_queues::StageQueues;
@@ -20,8 +22,6 @@
 
 /// The longest time for which a pull is held until there are changes.
 const MAX_HOLD: Duration = Duration::from_secs(2);
-/// The largest message in bytes that is accepted.
-const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 /// The most pieces of one stage.
 const MAX_PIECES: u32 = 10_000;
 
@@ -34,11 +34,16 @@
 
 impl FleetService {
     /// Creates the tonic server of the service.
-    pub fn server(shared: Arc<Shared>, queues: Arc<StageQueues>) -> FleetServer<Self> {
+    pub fn server(
+        shared: Arc<Shared>,
+        queues: Arc<StageQueues>,
+    ) -> TimedMessages<FleetServer<Self>> {
+        let metrics = shared.metrics.clone();
         let pools = EnginePools::new(Arc::clone(&shared));
-        FleetServer::new(Self { shared, queues, pools })
+        let server = FleetServer::new(Self { shared, queues, pools })
             .max_decoding_message_size(MAX_MESSAGE_BYTES)
-            .max_encoding_message_size(MAX_MESSAGE_BYTES)
+            .max_encoding_message_size(MAX_MESSAGE_BYTES);
+        TimedMessages::new(server, metrics)
     }
 
     /// Rejects a call on a stopping node, so that the caller tries the node that replaces it.
--- a/tests/testsuite/platform/endless_calls.rs
+++ b/tests/testsuite/platform/endless_calls.rs
@@ -1,18 +1,28 @@
 //! Answers to calls for pieces without end, or a byte at a time, end at a bound and count as lost.
 
 use super::endless_store::{Done, Endless, serve_endless, wait_stopped};
+use super::node_fixture::fixture as node_fixture;
 use super::node_fixture::{Fixture, OwnServer, config, fixture_with};
 use super::stage_calls::{answer, lock, stage_servers};
+use bytes::Bytes;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use limpetmux::core::pieces::CallEnd;
 use limpetmux::core::read_limits::MAX_CALL_ANSWER_BYTES;
 use limpetmux::platform::stage;
 use limpetmux_standins::raw::serve_requests;
 use reqwest::StatusCode;
 use serde_json::{Value, json};
+use std::future::poll_fn;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::sleep;
+use tokio::time::timeout;
+use tonic::body::Body;
+use tonic::codegen::{Service, http};
+use tonic::transport::Endpoint;
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
 /// A head that states that the call did not run.
@@ -148,3 +158,39 @@
         }
     }
 }
+
+/// The begin of a message of 64 KiB between nodes, and of one of 32 MiB.
+const MESSAGES: [[u8; 5]; 2] = [[0, 0, 1, 0, 0], [0, 2, 0, 0, 0]];
+
+/// Sends a node the begin of a message and then a byte at a time; returns the status of the answer.
+async fn dripped_message(node: SocketAddr, begin: [u8; 5]) -> String {
+    let endpoint = Endpoint::from_shared(format!("http://{node}")).unwrap();
+    let mut channel = endpoint.connect().await.unwrap();
+    let bytes = futures::stream::unfold(Bytes::copy_from_slice(&begin), |bytes| async {
+        sleep(Duration::from_millis(100)).await;
+        Some((Ok::<_, tonic::Status>(Frame::data(bytes)), Bytes::from_static(&[0])))
+    });
+    let request = http::Request::builder()
+        .method("POST")
+        .uri(format!("http://{node}/limpetmux.fleet.v1.Fleet/Pull"))
+        .header("content-type", "application/grpc")
+        .header("te", "trailers")
+        .body(Body::new(StreamBody::new(bytes)))
+        .unwrap();
+    poll_fn(|cx| channel.poll_ready(cx)).await.unwrap();
+    let answer = timeout(Duration::from_secs(40), channel.call(request)).await.expect("no answer");
+    answer.unwrap().headers()["grpc-status"].to_str().unwrap().to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn dripped_message_of_another_node_ends_in_time() {
+    // Guards against messages that hold their streams and bytes until their connections end.
+    let fixture = node_fixture().await;
+
+    let statuses = MESSAGES.map(|begin| dripped_message(fixture.entry.node_addr, begin));
+    let statuses = futures::future::join_all(statuses).await;
+
+    // The time exceeded, and a message that is too large by its stated length.
+    assert_eq!(statuses, ["4", "11"]);
+    wait_stopped(&fixture.entry, "node", "time", 1).await;
+}
