--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -4,6 +4,7 @@
 //! read therefore has a bound in bytes and one in time; `docs/design/reads.md` lists all of them.
 //! The code that reads compares with the constants here, and reports what it met as an [`Exceeded`].
 
+use std::time::Duration;
 use strum::{IntoStaticStr, VariantArray};
 
 /// The most bytes of an answer's head.
@@ -40,6 +41,48 @@
 /// The most bytes of a message with a host's table of idempotency keys and its answers.
 pub const MAX_TABLE_BYTES: usize = 32 * 1024 * 1024;
 
+/// The most bytes of the store's answer to a read of a log: a mebibyte of records, which is what a
+/// read asks for, and the largest record in addition.
+pub const MAX_LOG_BYTES: usize = 2 * 1024 * 1024;
+/// The most records of the store's answer to a read of a log. A mebibyte of records with keys of
+/// three bytes has fewer.
+pub const MAX_LOG_RECORDS: usize = 256 * 1024;
+/// The most bytes of one page of the newest records: a megabyte of values in base64, the largest
+/// record in addition, and room for the names and keys.
+pub const MAX_PAGE_BYTES: usize = 4 * 1024 * 1024;
+/// The most records of one page of the newest records.
+pub const MAX_PAGE_RECORDS: usize = 1_000;
+/// The most bytes of all pages of one list of newest records.
+pub const MAX_LIST_BYTES: usize = 32 * 1024 * 1024;
+/// The most bytes of the store's answer to an append.
+pub const MAX_APPEND_ANSWER_BYTES: usize = 16 * 1024;
+
+/// The most bytes of the answer to a call for pieces, for each piece: the name of its result.
+pub const MAX_PIECE_ANSWER_BYTES: usize = 512;
+/// The most bytes of the answer to a call for pieces in addition to those for each piece, and the
+/// most bytes of the answer to a call that frees results.
+pub const MAX_CALL_ANSWER_BYTES: usize = 4 * 1024;
+
+/// The most bytes of the head of a caller's request until a configuration sets it.
+pub const DEFAULT_CALLER_HEAD_BYTES: usize = 16 * 1024;
+/// The least limit on the head of a caller's request that the HTTP server supports, in bytes.
+pub const MIN_CALLER_HEAD_BYTES: usize = 8 * 1024;
+/// The time for the head of a caller's request until a configuration sets it.
+pub const DEFAULT_CALLER_HEAD_TIME: Duration = Duration::from_secs(5);
+/// The longest idle time of a caller's connection until a configuration sets it.
+pub const DEFAULT_CALLER_IDLE_TIME: Duration = Duration::from_secs(15);
+
+/// The most bytes of the head of a readiness check or of a request for metrics.
+pub const MAX_PROBE_HEAD_BYTES: usize = 8 * 1024;
+/// The time for the head of a readiness check or of a request for metrics, and the longest idle time
+/// before it.
+pub const MAX_PROBE_TIME: Duration = Duration::from_secs(10);
+/// The most connections of one listener for readiness checks or metrics.
+pub const MAX_PROBE_CONNECTIONS: usize = 128;
+
+/// The time for the message of a call from another node.
+pub const MAX_MESSAGE_TIME: Duration = Duration::from_secs(5);
+
 /// What a process reads from.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr, VariantArray, strum::Display,
@@ -91,3 +134,16 @@
     /// The limit, in bytes, in pieces or in milliseconds, as the bound requires.
     pub limit: u64,
 }
+
+impl Exceeded {
+    /// Creates a stop at a number of bytes or pieces.
+    pub fn count(peer: Peer, bound: Bound, limit: usize) -> Self {
+        Self { peer, bound, limit: u64::try_from(limit).unwrap_or(u64::MAX) }
+    }
+
+    /// Creates a stop at a time.
+    pub fn time(peer: Peer, limit: Duration) -> Self {
+        let limit = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+        Self { peer, bound: Bound::Time, limit }
+    }
+}
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -5,6 +5,7 @@
 //! traffic threads read.
 
 mod discover;
+mod stops;
 
 use super::convert;
 use crate::core::listing::ListRecord;
@@ -87,6 +88,7 @@
             }
             let requested_at = clock::boot();
             let result = self.read_orders(requested_at).await;
+            self.record_stop(orders::TOPIC, &result);
             self.log_reachability(&result);
             failures = if result.is_ok() { 0 } else { failures + 1 };
             if result.is_err() {
@@ -108,6 +110,7 @@
             }
             let requested_at = clock::boot();
             let result = self.read_listing(requested_at).await;
+            self.record_stop(servers::TOPIC, &result);
             self.log_reachability(&result);
             failures = if result.is_ok() { 0 } else { failures + 1 };
             sleep(if result.is_ok() { LISTING_INTERVAL } else { self.backoff(failures) }).await;
@@ -277,6 +280,7 @@
                 false
             }
             Err(_) => {
+                self.record_late_pull(addr, PULL_WAIT + PULL_TIMEOUT);
                 self.mark_unresponsive(addr, "no answer in time");
                 false
             }
--- a/src/limpetmux/serve/mod.rs
+++ b/src/limpetmux/serve/mod.rs
@@ -16,6 +16,7 @@
 pub mod failure;
 pub mod forward;
 pub mod front;
+mod head_time;
 pub mod head_watch;
 pub mod inputs;
 pub mod node;
