Play answers without end, byte by byte and with other bytes

Change: `BadBytes` names eleven such answers: a head as a line or as headers without end, 1xx answers without end, a body without end (without a length, in chunks, with a wrong huge length), an event without end, a head and a body of one byte a second, other bytes before the status line and after an answer. Backend servers play them as a fault, also in answers to calls for pieces, and the store by `set_bytes`. A request that such an answer belongs to counts as run. An endless answer repeats parts of 32 KiB with pauses of 10 ms, waits for the close of its caller meanwhile, and counts as active until then. The store serves its connections from TCP, as the backend server does, because no HTTP server sends such answers; its routes are unchanged.

--- a/crates/limpetmux-standins/src/users/connection.rs
+++ b/crates/limpetmux-standins/src/users/connection.rs
@@ -1,9 +1,10 @@
 //! The connections of a backend server, served from TCP so that it can send what no HTTP server
 //! sends: answers without a request, and parts of answers.
 
+use super::bytes;
 use super::fault::{FurtherTime, UsersFault};
 use super::reply::{Content, Reply, event};
-use super::server::{STREAM_EVENTS, SharedState, reply};
+use super::server::{STREAM_EVENTS, SharedState, lock, reply};
 use crate::raw::read_request;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -29,13 +30,27 @@
 
 /// Serves the connections to a port that the system chooses, until the runtime ends.
 pub(super) async fn serve(state: SharedState) -> std::io::Result<SocketAddr> {
+    listen(move |stream| {
+        let state = Arc::clone(&state);
+        async move { serve_connection(stream, &state).await }
+    })
+    .await
+}
+
+/// Serves the connections to a port that the system chooses, until the runtime ends.
+pub(super) async fn listen<F>(
+    serve: impl Fn(TcpStream) -> F + Send + 'static,
+) -> std::io::Result<SocketAddr>
+where
+    F: Future<Output = std::io::Result<()>> + Send + 'static,
+{
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let addr = listener.local_addr()?;
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let state = Arc::clone(&state);
+            let served = serve(stream);
             tokio::spawn(async move {
-                match serve_connection(stream, &state).await {
+                match served.await {
                     Err(error) if !is_closed_by_caller(error.kind()) => {
                         eprintln!("stand-in server failed: {error}");
                     }
@@ -61,7 +76,7 @@
         let reply = reply(state, request);
         // The further answer to the request before is sent where this one's answer is due.
         stream.write_all(&std::mem::take(&mut further)).await?;
-        let next = send(&mut stream, &reply).await?;
+        let next = send(&mut stream, &reply, state).await?;
         match next {
             Next::Keep => {}
             Next::Close => return stream.shutdown().await,
@@ -81,7 +96,11 @@
 }
 
 /// Runs a request and sends its answer, or as much of it as its fault allows.
-async fn send(stream: &mut BufReader<TcpStream>, reply: &Reply) -> std::io::Result<Next> {
+async fn send(
+    stream: &mut BufReader<TcpStream>,
+    reply: &Reply,
+    state: &SharedState,
+) -> std::io::Result<Next> {
     sleep(reply.work).await;
     let mut head = reply.head();
     let ran = !reply.unrun;
@@ -96,6 +115,14 @@
         }
         _ => {}
     }
+    let bad = reply.fault.bytes();
+    if let Some(bytes) = bad.filter(|bytes| !bytes.is_junk()) {
+        let counts = Arc::clone(&lock(state).played);
+        let body = reply.first_bytes();
+        bytes::play(stream.get_ref(), bytes, &reply.fields(), &body, &counts).await?;
+        return Ok(Next::Close);
+    }
+    stream.write_all(bad.map_or(&[], |bytes| bytes.before())).await?;
     let mut last = match &reply.content {
         Content::Whole(body) => [&head[..], body].concat(),
         Content::Events => {
@@ -108,6 +135,7 @@
     {
         last.extend(&reply.further);
     }
+    last.extend(bad.map_or(&[][..], |bytes| bytes.after()));
     stream.write_all(&last).await?;
     Ok(if ran && reply.fault.is_unframed() { Next::Close } else { Next::Keep })
 }
--- a/crates/limpetmux-standins/src/users/fault.rs
+++ b/crates/limpetmux-standins/src/users/fault.rs
@@ -1,11 +1,13 @@
 //! The faults of a backend server, and what they do to its answers.
 
+use super::bytes::BadBytes;
+
 /// The event inside which streams are cut, counted from one.
 const CUT_EVENT: u32 = 3;
 
 /// How a backend server handles the next requests.
 ///
-/// Of these, only refusals, further answers and resets affect stage calls.
+/// Of these, only refusals, further answers, resets and bad bytes affect stage calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum UsersFault {
     /// It answers correctly.
@@ -41,6 +43,8 @@
     ResetHead,
     /// It sends a further answer to each request of a connection; all requests run.
     Further(FurtherAnswer),
+    /// It runs the request, and the bytes of its answer break the protocol.
+    Bytes(BadBytes),
 }
 
 /// An answer that a backend server sends to a request that it also answers correctly.
@@ -110,6 +114,14 @@
         matches!(self, Self::CutStream | Self::CutChunks | Self::CutHead)
     }
 
+    /// Returns how the bytes of its answers break the protocol, if they do.
+    pub fn bytes(self) -> Option<BadBytes> {
+        match self {
+            Self::Bytes(bytes) => Some(bytes),
+            _ => None,
+        }
+    }
+
     /// Returns what is sent of an event of a stream, whose number counts from one; `None` ends the
     /// stream.
     pub(super) fn sent_part(self, number: u32, mut event: String) -> Option<String> {
--- a/crates/limpetmux-standins/src/users/reply.rs
+++ b/crates/limpetmux-standins/src/users/reply.rs
@@ -50,13 +50,25 @@
         }
     }
 
+    /// Encodes the headers except that which states where the body ends.
+    pub(super) fn fields(&self) -> String {
+        let signed = self.signed && self.fault != UsersFault::Unsigned;
+        fields(self.fault.echo(&self.id), signed, self.unrun)
+    }
+
+    /// Returns the first bytes of the body.
+    pub(super) fn first_bytes(&self) -> Vec<u8> {
+        match &self.content {
+            Content::Whole(body) => body.clone(),
+            Content::Events => event(1, &self.server, &self.id).into_bytes(),
+        }
+    }
+
     /// Encodes the head, with the header that states where the body ends.
     pub(super) fn head(&self) -> Vec<u8> {
         let unframed = self.fault.is_unframed() && !self.unrun;
         let version = if unframed { "HTTP/1.0" } else { "HTTP/1.1" };
-        let mut head = format!("{version} {} Status\r\n", self.status);
-        let signed = self.signed && self.fault != UsersFault::Unsigned;
-        head.push_str(&fields(self.fault.echo(&self.id), signed, self.unrun));
+        let mut head = format!("{version} {} Status\r\n{}", self.status, self.fields());
         match &self.content {
             _ if unframed => {}
             Content::Events => head.push_str("transfer-encoding: chunked\r\n"),
--- a/crates/limpetmux-standins/src/users/server.rs
+++ b/crates/limpetmux-standins/src/users/server.rs
@@ -1,5 +1,6 @@
 //! A backend server, which answers plain requests, streams and calls for pieces of stages.
 
+use super::bytes::{Counts, Played};
 use super::connection;
 use super::fault::UsersFault;
 use super::reply::{Content, Reply, all_events, event, further};
@@ -50,6 +51,8 @@
     pub(super) freed: Vec<String>,
     pub(super) result_count: u64,
     pub(super) results: BTreeMap<String, StageResult>,
+    /// The answers that were endless or arrived byte by byte.
+    pub(super) played: Counts,
     /// The processing time of each request, or of each event of a stream.
     work: Duration,
 }
@@ -100,6 +103,11 @@
         self.lock().requests.clone()
     }
 
+    /// Returns the number of its answers that were endless or arrived byte by byte.
+    pub fn played(&self) -> Played {
+        *self.lock().played.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the number of stage results and the handles of those that were freed.
     pub fn results(&self) -> (u64, Vec<String>) {
         let state = self.lock();
@@ -163,6 +171,6 @@
     ReceivedRequest { path, headers, body: message.body, at: Instant::now(), fault }
 }
 
-fn lock(state: &SharedState) -> MutexGuard<'_, ServerState> {
+pub(super) fn lock(state: &SharedState) -> MutexGuard<'_, ServerState> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/limpetmux-standins/src/users/stages.rs
+++ b/crates/limpetmux-standins/src/users/stages.rs
@@ -69,10 +69,10 @@
     }
 }
 
-/// Returns an answer with 200; faults other than resets and further answers do not affect it.
+/// Returns an answer with 200, which only resets, further answers and bad bytes affect.
 fn reply(body: Vec<u8>, id: &str, fault: UsersFault) -> Reply {
-    let affects =
-        matches!(fault, UsersFault::Further(_) | UsersFault::ResetRun | UsersFault::ResetHead);
+    use UsersFault as F;
+    let affects = matches!(fault, F::Further(_) | F::ResetRun | F::ResetHead | F::Bytes(_));
     Reply {
         fault: if affects { fault } else { UsersFault::None },
         work: Duration::ZERO,
--- a/crates/limpetmux-standins/src/users/store.rs
+++ b/crates/limpetmux-standins/src/users/store.rs
@@ -1,9 +1,12 @@
 //! The platform's store: keyed topics, which the operator and backend servers write.
 
-use super::serve;
-use poem::http::StatusCode;
+use super::bytes::{self, BadBytes, Counts, Played};
+use super::connection::listen;
+use crate::raw::{Message, read_request};
+use poem::endpoint::BoxEndpoint;
+use poem::http::{Method, StatusCode};
 use poem::web::{Data, Query};
-use poem::{EndpointExt, IntoResponse, Response, Route, get, handler, post};
+use poem::{Endpoint, EndpointExt, IntoResponse, Request, Response, Route, get, handler, post};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use serde_with::{base64::Base64, serde_as};
@@ -11,6 +14,8 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
 /// The interval at which a waiting read checks for new records.
@@ -26,6 +31,8 @@
     topics: BTreeMap<String, Topic>,
     calls: u64,
     down: bool,
+    bytes: Option<BadBytes>,
+    played: Counts,
 }
 
 /// The platform's store.
@@ -65,8 +72,14 @@
             .at("/log-newest", get(newest))
             .at("/log-read", get(read))
             .at("/log-append", post(append))
-            .data(Arc::clone(&topics));
-        Ok(Self { addr: serve(routes).await?, topics })
+            .data(Arc::clone(&topics))
+            .boxed();
+        let (routes, shared) = (Arc::new(routes), Arc::clone(&topics));
+        let serve = move |stream| {
+            let (routes, topics) = (Arc::clone(&routes), Arc::clone(&shared));
+            async move { serve_connection(stream, &routes, &topics).await }
+        };
+        Ok(Self { addr: listen(serve).await?, topics })
     }
 
     /// Writes the newest record of a key, as the operator or a backend server does.
@@ -81,6 +94,16 @@
         lock(&self.topics).down = down;
     }
 
+    /// Makes the bytes of the next answers break the protocol, or correct again.
+    pub fn set_bytes(&self, bytes: Option<BadBytes>) {
+        lock(&self.topics).bytes = bytes;
+    }
+
+    /// Returns the number of its answers that were endless or arrived byte by byte.
+    pub fn played(&self) -> Played {
+        *lock(&self.topics).played.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the number of calls so far.
     pub fn calls(&self) -> u64 {
         lock(&self.topics).calls
@@ -91,6 +114,41 @@
     topics.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Serves a connection from TCP, as no HTTP server sends answers without end.
+async fn serve_connection(
+    stream: TcpStream,
+    routes: &BoxEndpoint<'static, Response>,
+    topics: &Mutex<Topics>,
+) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut stream = BufReader::new(stream);
+    loop {
+        let message = read_request(&mut stream).await?;
+        let answer = routes.get_response(request(message)?).await;
+        let status = answer.status().as_u16();
+        let body = answer.into_body().into_bytes().await.map_err(std::io::Error::other)?;
+        let (bytes, counts) = {
+            let topics = lock(topics);
+            (topics.bytes, Arc::clone(&topics.played))
+        };
+        if let Some(bytes) = bytes {
+            bytes::play(stream.get_ref(), bytes, "", &body, &counts).await?;
+            continue;
+        }
+        let head = format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n\r\n", body.len());
+        stream.write_all(&[head.as_bytes(), &body].concat()).await?;
+    }
+}
+
+fn request(message: Message) -> std::io::Result<Request> {
+    let mut words = message.head.split_whitespace();
+    let method = words.next().unwrap_or_default().parse::<Method>();
+    let uri = words.next().unwrap_or_default();
+    let request = Request::builder().method(method.map_err(std::io::Error::other)?);
+    let request = request.uri_str(uri).body(message.body);
+    Ok(request)
+}
+
 /// Counts a call; returns the 503 status if the store is down.
 fn count_call(topics: &Mutex<Topics>) -> Result<(), StatusCode> {
     let mut topics = lock(topics);
