Draw endless answers in every soak and check memory, sockets and reads

Change: a fourth series of faults plays all kinds of `BadBytes` at backend servers, stages and the store, and twice a run 200 requests reach one entry while all backend servers that may serve them answer without end. Each process is measured every 50 ms from /proc: its memory (VmRSS, VmHWM) stays below `memory-mb`, its sockets below `max-fds` less the 200 for files. An endless answer to a request is read no longer than its route's timeout unless its entry was disturbed, and none is read any more at the end. Request that got an endless body may be cut; all else is checked as before. `--endless N` measures memory and the latency of a sound pool beside N endless answers. The stand-ins record when each such answer began and ended.

--- a/crates/limpetmux-soak/src/callers.rs
+++ b/crates/limpetmux-soak/src/callers.rs
@@ -19,6 +19,8 @@
 pub const PIECES: [u64; 2] = [2, 3];
 /// The number of callers per entry.
 const CALLERS_PER_ENTRY: u64 = 3;
+/// The number of requests of a burst.
+pub const BURST_REQUESTS: u64 = 200;
 /// The fraction of requests that use the key that faults revoke.
 const REVOCABLE_KEY_RATIO: f64 = 0.3;
 
@@ -94,6 +96,15 @@
     log
 }
 
+/// Sends a burst of requests of a kind to one entry and waits until all have ended.
+pub async fn burst(world: &Arc<World>, log: &SentLog, entry: usize, kind: Kind) {
+    let (client, began) = (Client::new(), lock(log).len());
+    let caller = Caller { world: Arc::clone(world), log: Arc::clone(log), entry };
+    let ids = (0..BURST_REQUESTS).map(|number| format!("{entry}-burst-{began}-{number}"));
+    let sent = ids.map(|id| caller.send(&client, kind, id, PERMANENT_KEY.to_owned()));
+    futures::future::join_all(sent).await;
+}
+
 struct Caller {
     world: Arc<World>,
     log: SentLog,
@@ -117,36 +128,49 @@
                 false => PERMANENT_KEY.to_owned(),
             };
             let id = format!("{}-{caller}-{number}", self.entry);
-            let request = self.request(&client, kind, &id, &key);
-            let at = Instant::now();
-            let sent = timeout(DEADLINE, send(request)).await;
-            let (outcome, answered_id) = sent.unwrap_or((Outcome::TimedOut, None));
-            let until = Instant::now();
-            let entry = self.entry;
-            let sent = SentRequest { id, kind, entry, key, at, until, outcome, answered_id };
-            lock(&self.log).push(sent);
+            self.send(&client, kind, id, key).await;
             sleep(Duration::from_millis(rng.random_range(1..MAX_PAUSE_MS))).await;
         }
     }
 
-    fn request(&self, client: &Client, kind: Kind, id: &str, key: &str) -> RequestBuilder {
-        let addr = lock(&self.world.nodes[self.entry]).spec.caller_addr();
-        let path: &'static str = kind.into();
-        let request = client
-            .post(format!("http://{addr}/{path}/x"))
-            .header("host", "a.example")
-            .header("x-limpetmux-request-id", id)
-            .header("x-limpetmux-deadline-ms", DEADLINE.as_millis().to_string())
-            .bearer_auth(key)
-            .body(BODY);
-        match kind {
-            Kind::Stream => request
-                .header("x-limpetmux-pieces", PIECES.map(|n| n.to_string()).join(","))
-                .header("x-limpetmux-piece-key", id)
-                .header("x-limpetmux-token-usage", "700,40")
-                .header("x-limpetmux-prompt-prefix", format!("aa:500,{id}:200")),
-            _ => request,
-        }
+    /// Sends a request and records how it ended.
+    async fn send(&self, client: &Client, kind: Kind, id: String, key: String) {
+        let request = request(&self.world, self.entry, client, kind, &id, &key);
+        let at = Instant::now();
+        let sent = timeout(DEADLINE, send(request)).await;
+        let (outcome, answered_id) = sent.unwrap_or((Outcome::TimedOut, None));
+        let until = Instant::now();
+        let entry = self.entry;
+        let sent = SentRequest { id, kind, entry, key, at, until, outcome, answered_id };
+        lock(&self.log).push(sent);
+    }
+}
+
+/// Returns a request of a kind to an entry.
+pub fn request(
+    world: &World,
+    entry: usize,
+    client: &Client,
+    kind: Kind,
+    id: &str,
+    key: &str,
+) -> RequestBuilder {
+    let addr = lock(&world.nodes[entry]).spec.caller_addr();
+    let path: &'static str = kind.into();
+    let request = client
+        .post(format!("http://{addr}/{path}/x"))
+        .header("host", "a.example")
+        .header("x-limpetmux-request-id", id)
+        .header("x-limpetmux-deadline-ms", DEADLINE.as_millis().to_string())
+        .bearer_auth(key)
+        .body(BODY);
+    match kind {
+        Kind::Stream => request
+            .header("x-limpetmux-pieces", PIECES.map(|n| n.to_string()).join(","))
+            .header("x-limpetmux-piece-key", id)
+            .header("x-limpetmux-token-usage", "700,40")
+            .header("x-limpetmux-prompt-prefix", format!("aa:500,{id}:200")),
+        _ => request,
     }
 }
 
--- a/crates/limpetmux-soak/src/checks.rs
+++ b/crates/limpetmux-soak/src/checks.rs
@@ -2,8 +2,13 @@
 
 use crate::callers::{BODY, DEADLINE, Kind, Outcome, PIECES, SentRequest};
 use crate::fleet::REVOKE_BOUND;
-use crate::world::{Backend, ENGINE_SERVICE, OperatorActions, WORKSPACE, World, lock, service_of};
-use limpetmux_standins::users::{ReceivedRequest, STREAM_EVENTS, StageResult};
+use crate::usage::{MAX_MEMORY_KB, MAX_SOCKETS, Usage};
+use crate::world::{
+    Backend, ENGINE_SERVICE, OperatorActions, ROUTE_TIMEOUT, WORKSPACE, World, lock, service_of,
+};
+use limpetmux_standins::users::{
+    BadBytes, EndedAnswer, ReceivedRequest, STREAM_EVENTS, StageResult,
+};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use strum::IntoEnumIterator;
@@ -66,6 +71,21 @@
     /// A process cut a request without a disturbance that excuses it.
     #[error("request {0} ran and was cut by entry {1}, which no fault but a planned stop affected")]
     CutRequest(String, usize),
+    /// A process used more memory than its settings allow.
+    #[error("process {0} used {1} kB of memory, of {MAX_MEMORY_KB} kB")]
+    Memory(usize, u64),
+    /// A process had more sockets than its settings allow.
+    #[error("process {0} had {1} sockets, of {MAX_SOCKETS}")]
+    Sockets(usize, usize),
+    /// A process was never measured.
+    #[error("process {0} was never measured")]
+    Unmeasured(usize),
+    /// An endless answer was read after the time that its route allows.
+    #[error("request {0} got an endless answer, which was read for {1:?}")]
+    LongRead(String, Duration),
+    /// Endless answers were still read long after the faults.
+    #[error("{1} endless answers of {0} were still read after the faults")]
+    StillRead(String, usize),
     /// Requests were not served again after the faults.
     #[error("{0} of {1} requests of kind {2} were served after the faults")]
     NotRecovered(usize, usize, &'static str),
@@ -90,7 +110,7 @@
     pub keyed: bool,
     /// The body of the request.
     pub body: Vec<u8>,
-    /// Whether the backend server cut its stream.
+    /// Whether the backend server cut its stream, or sent a body that was not whole in time.
     pub cut: bool,
     /// The handles of the results that it ran with.
     pub inputs: Vec<String>,
@@ -109,13 +129,24 @@
     pub actions: OperatorActions,
     /// The spans in which a process or its links were disturbed: process, start and end.
     pub disturbances: Vec<(usize, Instant, Instant)>,
+    /// What each process used.
+    pub usage: Vec<Usage>,
+    /// The endless answers that ended.
+    pub ended: Vec<EndedAnswer>,
+    /// The endless answers that are still read, with the name of the server that sends them.
+    pub endless: Vec<(String, usize)>,
     /// The time from which requests of all kinds have to be served.
     pub recovered: Instant,
 }
 
 impl Facts {
     /// Collects the observations of a world.
-    pub fn collect(world: &World, sent: Vec<SentRequest>, recovered: Instant) -> Self {
+    pub fn collect(
+        world: &World,
+        sent: Vec<SentRequest>,
+        usage: Vec<Usage>,
+        recovered: Instant,
+    ) -> Self {
         let (actions, disturbances) =
             (lock(&world.actions).clone(), lock(&world.disturbances).clone());
         let mut runs: BTreeMap<String, Vec<Run>> = BTreeMap::new();
@@ -127,7 +158,10 @@
                 runs.entry(id).or_default().push(run(backend, request));
             }
         }
-        Self { runs, results, sent, actions, disturbances, recovered }
+        let ended = world.backends.iter().flat_map(|b| b.server.ended_answers()).collect();
+        let endless = world.played().into_iter().map(|(name, played)| (name, played.active));
+        let endless = endless.collect();
+        Self { runs, results, sent, actions, disturbances, usage, ended, endless, recovered }
     }
 
     /// Returns whether a process was undisturbed from [`SETTLE_TIME`] before a span to its end.
@@ -152,7 +186,8 @@
         workspace: request.headers.get("x-limpetmux-tenant-id").cloned(),
         keyed: request.headers.contains_key("authorization"),
         body: request.body,
-        cut: backend.service == ENGINE_SERVICE && request.fault.cuts_streams(),
+        cut: request.fault.bytes().is_some_and(BadBytes::breaks_body)
+            || backend.service == ENGINE_SERVICE && request.fault.cuts_streams(),
         inputs: inputs.split(',').filter(|i| !i.is_empty()).map(str::to_owned).collect(),
     }
 }
@@ -175,6 +210,8 @@
         violations.extend(check_answer(facts, sent, runs));
     }
     violations.extend(check_pieces(&facts.results));
+    violations.extend(facts.ended.iter().filter_map(|e| check_read(facts, &known, e)));
+    violations.extend(check_usage(facts));
     violations.extend(check_recovery(&facts.sent, facts.recovered));
     violations
 }
@@ -298,6 +335,38 @@
     events.len() == count as usize && events.iter().zip(1..).all(matches)
 }
 
+/// Checks that a process stopped to read an endless answer in the time that its route allows.
+fn check_read(
+    facts: &Facts,
+    known: &BTreeMap<&str, &SentRequest>,
+    ended: &EndedAnswer,
+) -> Option<Violation> {
+    let sent = known.get(ended.id.as_str())?;
+    let time = ended.until.duration_since(ended.from);
+    let undisturbed = facts.is_undisturbed(sent.entry, (ended.from, ended.until));
+    (undisturbed && time > ROUTE_TIMEOUT + TIMING_MARGIN)
+        .then(|| Violation::LongRead(ended.id.clone(), time))
+}
+
+/// Checks what the processes used, and that they no longer read any endless answer.
+fn check_usage(facts: &Facts) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (node, usage) in facts.usage.iter().enumerate() {
+        if usage.measured == 0 {
+            violations.push(Violation::Unmeasured(node));
+        }
+        if usage.memory_kb > MAX_MEMORY_KB {
+            violations.push(Violation::Memory(node, usage.memory_kb));
+        }
+        if usage.sockets > MAX_SOCKETS {
+            violations.push(Violation::Sockets(node, usage.sockets));
+        }
+    }
+    let still_read = facts.endless.iter().filter(|(_, active)| *active > 0);
+    violations.extend(still_read.map(|(name, active)| Violation::StillRead(name.clone(), *active)));
+    violations
+}
+
 /// Checks that at least 95% of the requests of each kind were served after the faults.
 fn check_recovery(sent: &[SentRequest], recovered: Instant) -> Vec<Violation> {
     let mut violations = Vec::new();
--- a/crates/limpetmux-soak/src/faults.rs
+++ b/crates/limpetmux-soak/src/faults.rs
@@ -1,8 +1,9 @@
 //! The faults of a run, drawn from its seed as series that may overlap.
 
 use crate::proxy::Link;
-use limpetmux_standins::users::{FurtherAnswer, FurtherTime, UsersFault};
+use limpetmux_standins::users::{BadBytes, FurtherAnswer, FurtherTime, UsersFault};
 use rand::Rng;
+use rand::seq::SliceRandom;
 use rand_pcg::Pcg64;
 use std::time::Duration;
 
@@ -37,6 +38,11 @@
     UsersFault::ResetHead,
 ];
 
+/// The fraction of faults of bad bytes that affect the store.
+const STORE_RATIO: f64 = 0.2;
+/// The number of bursts of requests whose answers do not end.
+const BURSTS: u32 = 2;
+
 /// An external fault or operator action.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -56,6 +62,10 @@
     ServerLink(usize, Link, u64),
     /// A backend server has a fault for some milliseconds.
     ServerFault(usize, UsersFault, u64),
+    /// The bytes of the store's answers break the protocol for some milliseconds.
+    StoreBytes(BadBytes, u64),
+    /// An entry gets many requests at once, and backend servers answer them without end.
+    Burst(usize, BadBytes),
     /// A backend server drains, and is listed again under a new id.
     Drain(usize),
     /// The operator writes a new configuration version, which moves a route.
@@ -71,6 +81,8 @@
 pub struct Sizes {
     /// Processes.
     pub nodes: usize,
+    /// Entries, which are the first processes.
+    pub entries: usize,
     /// Backend servers.
     pub servers: usize,
     /// Zones.
@@ -93,6 +105,7 @@
     }
     faults.extend(draw_answer_ends(rng, sizes, length));
     faults.extend(draw_false_answers(rng, sizes, length));
+    faults.extend(draw_bad_bytes(rng, sizes, length));
     faults.sort_by_key(|(at, _)| *at);
     faults.retain(|(at, _)| *at < length);
     faults
@@ -131,6 +144,37 @@
     faults
 }
 
+/// Draws a series of its own, so that answers without end, byte by byte or with other bytes occur
+/// throughout a run, all kinds of them equally often.
+fn draw_bad_bytes(rng: &mut Pcg64, sizes: Sizes, length: Duration) -> Vec<(Duration, Fault)> {
+    let mut faults = Vec::new();
+    let mut kinds = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < length {
+        if kinds.is_empty() {
+            kinds = BadBytes::ALL.to_vec();
+            kinds.shuffle(rng);
+        }
+        let Some(bytes) = kinds.pop() else { break };
+        let fault = match rng.random_bool(STORE_RATIO) {
+            true => Fault::StoreBytes(bytes, rng.random_range(100..800)),
+            false => {
+                let server = rng.random_range(0..sizes.servers);
+                Fault::ServerFault(server, UsersFault::Bytes(bytes), rng.random_range(300..2_000))
+            }
+        };
+        faults.push((at, fault));
+        at += Duration::from_millis(rng.random_range(50..500));
+    }
+    let endless: Vec<BadBytes> = BadBytes::ALL.into_iter().filter(|b| !b.is_junk()).collect();
+    for number in 1..=BURSTS {
+        let bytes = pick(rng, &endless);
+        let entry = rng.random_range(0..sizes.entries);
+        faults.push((length * number / (BURSTS + 1), Fault::Burst(entry, bytes)));
+    }
+    faults
+}
+
 fn pick<T: Copy>(rng: &mut Pcg64, choices: &[T]) -> T {
     choices[rng.random_range(0..choices.len())]
 }
--- a/crates/limpetmux-soak/src/fleet.rs
+++ b/crates/limpetmux-soak/src/fleet.rs
@@ -13,6 +13,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The time after which a stopping process is killed, as the platform does.
 const GRACE_PERIOD: Duration = Duration::from_secs(8);
+/// The most memory of a process in its first settings, in MB.
+pub const MEMORY_MB: u64 = 200;
+/// The most descriptors of a process in the settings.
+pub const MAX_FDS: usize = 2_000;
 /// The bound on revocation in the settings.
 pub const REVOKE_BOUND: Duration = Duration::from_secs(5);
 /// The drain time of backend servers in the settings.
@@ -62,7 +66,7 @@
             "listen": {"front": format!("{}:{front}", self.ip),
                 "readiness": format!("{}:{readiness}", self.ip)},
             "internal-ports": [internal, internal + 1], "seeds": self.seeds,
-            "limits": {"memory-mb": 200 + reloads, "max-fds": 2_000},
+            "limits": {"memory-mb": MEMORY_MB + u64::from(reloads), "max-fds": MAX_FDS},
             "bounds": {"drain-ms": DRAIN_TIME.as_millis() as u64, "grace-s": GRACE_PERIOD.as_secs(),
                 "revoke-ms": REVOKE_BOUND.as_millis() as u64, "retry-budget-ratio": 0.2,
                 "budget-window-s": 10, "retry-budget-slack": 56},
@@ -142,7 +146,7 @@
     }
 
     /// Returns the id of the process, if it runs.
-    fn running_id(&mut self) -> Option<u32> {
+    pub fn running_id(&mut self) -> Option<u32> {
         let child = self.child.as_mut()?;
         matches!(child.try_wait(), Ok(None)).then(|| child.id())
     }
--- a/crates/limpetmux-soak/src/lib.rs
+++ b/crates/limpetmux-soak/src/lib.rs
@@ -1,21 +1,24 @@
 //! Runs a small deployment as separate processes under random faults, drawn from a seed.
 //!
 //! [`world`] holds the environment of the processes, [`fleet`] the processes, and [`proxy`] the
-//! connections between them. [`faults`] draws the faults, [`callers`] send requests meanwhile, and
-//! [`checks`] compares the observations of callers and backend servers with the guarantees of the
-//! product. The same seed draws the same faults; their effects still depend on the machine. See
-//! `docs/design/soak.md`.
+//! connections between them. [`faults`] draws the faults, [`callers`] send requests and [`usage`]
+//! measures the processes meanwhile, and [`checks`] compares what was observed with the guarantees of
+//! the product. The same seed draws the same faults; their effects still depend on the machine.
+//! [`measure`] measures what endless answers cost other requests. See `docs/design/soak.md`.
 
 pub mod callers;
 pub mod checks;
 pub mod faults;
 pub mod fleet;
+pub mod measure;
 pub mod proxy;
+pub mod usage;
 pub mod world;
 
+use callers::{Kind, SentLog};
 use checks::{Facts, Violation};
 use faults::{Fault, Sizes};
-use limpetmux_standins::users::{UsersFault, UsersServer};
+use limpetmux_standins::users::{BadBytes, UsersFault, UsersServer};
 use proxy::{Link, Proxy};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -24,7 +27,8 @@
 use std::time::{Duration, SystemTime};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
-use world::{World, ZONES, lock};
+use usage::Peaks;
+use world::{Layout, World, ZONES, lock};
 
 /// The time from the start of the processes to the first fault.
 const START_TIME: Duration = Duration::from_secs(3);
@@ -34,6 +38,8 @@
 const RECOVERY_CHECK_TIME: Duration = Duration::from_secs(4);
 /// The time after which a draining backend server is listed again under a new id.
 const RELIST_DELAY: Duration = Duration::from_secs(9);
+/// The time within which a read of the store ends after its fault.
+const STORE_READ_TIME: Duration = Duration::from_secs(3);
 
 /// The interval at which the soak measures whether it stands still.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -71,6 +77,8 @@
     pub requests: (usize, usize),
     /// The violated guarantees.
     pub violations: Vec<Violation>,
+    /// The most that was measured.
+    pub peaks: Peaks,
     /// The longest time for which the soak itself, and so the store and all callers, stood still.
     pub longest_stall: Duration,
 }
@@ -81,14 +89,20 @@
 /// Returns an error if the deployment cannot be started.
 pub async fn run(options: &Options) -> std::io::Result<Report> {
     std::fs::create_dir_all(&options.dir)?;
-    let world = World::start(&options.binary, &options.dir, options.net).await?;
+    let world = World::start(&options.binary, &options.dir, options.net, Layout::SOAK).await?;
+    let peaks = Arc::new(Mutex::new(Peaks::default()));
+    let recording = tokio::spawn(usage::record(Arc::clone(&world), Arc::clone(&peaks)));
     let stalls = Arc::new(Mutex::new(Vec::new()));
     let measuring = tokio::spawn(record_stalls(Arc::clone(&stalls)));
     sleep(START_TIME).await;
     let (stop, stopped) = watch::channel(false);
     let log = callers::start(&world, options.seed, &stopped);
-    let sizes =
-        Sizes { nodes: world.nodes.len(), servers: world.backends.len(), zones: ZONES.len() };
+    let sizes = Sizes {
+        nodes: world.nodes.len(),
+        entries: world::ENTRIES,
+        servers: world.backends.len(),
+        zones: ZONES.len(),
+    };
     let faults = faults::draw(&mut Pcg64::seed_from_u64(options.seed), sizes, options.length);
     let plan = faults.iter().map(|(at, fault)| format!("{:>6} ms {fault:?}", at.as_millis()));
     write_lines(&options.dir.join("faults.txt"), plan)?;
@@ -96,7 +110,7 @@
     let mut injections = Vec::new();
     for (at, fault) in &faults {
         sleep_until(began + *at).await;
-        injections.push(tokio::spawn(inject(Arc::clone(&world), *fault)));
+        injections.push(tokio::spawn(inject(Arc::clone(&world), Arc::clone(&log), *fault)));
     }
     futures::future::join_all(injections).await;
     clear_faults(&world);
@@ -111,7 +125,10 @@
     };
     let served = sent.iter().filter(is_served).count();
     let requests = (sent.len(), served);
-    let violations = checks::check(&Facts::collect(&world, sent, recovered));
+    recording.abort();
+    let peaks = lock(&peaks).clone();
+    let facts = Facts::collect(&world, sent, peaks.nodes.clone(), recovered);
+    let violations = checks::check(&facts);
     write_lines(&options.dir.join("violations.txt"), violations.iter().map(Violation::to_string))?;
     measuring.abort();
     let stalls = lock(&stalls).clone();
@@ -121,7 +138,7 @@
     };
     write_lines(&options.dir.join("stalls.txt"), stalls.iter().map(line))?;
     let longest_stall = stalls.iter().map(|(_, stall)| *stall).max().unwrap_or_default();
-    Ok(Report { faults: faults.len(), requests, violations, longest_stall })
+    Ok(Report { faults: faults.len(), requests, violations, peaks, longest_stall })
 }
 
 /// Records by how much timers of the soak fire late, each time with the time of day.
@@ -142,7 +159,7 @@
 }
 
 /// Injects a fault and waits until it is over.
-async fn inject(w: Arc<World>, fault: Fault) {
+async fn inject(w: Arc<World>, log: SentLog, fault: Fault) {
     let ms = Duration::from_millis;
     let outcome = match fault {
         Fault::Kill(node, downtime) => kill(&w, node, ms(downtime)).await,
@@ -165,6 +182,18 @@
             w.store.set_down(false);
             Ok(())
         }
+        Fault::StoreBytes(bytes, time) => {
+            let until = Instant::now() + ms(time) + STORE_READ_TIME;
+            (0..w.nodes.len()).for_each(|n| w.record_disturbance(n, until));
+            w.store.set_bytes(Some(bytes));
+            sleep(ms(time)).await;
+            w.store.set_bytes(None);
+            Ok(())
+        }
+        Fault::Burst(entry, bytes) => {
+            burst(&w, &log, entry, bytes).await;
+            Ok(())
+        }
         Fault::ServerLink(server, link, time) => {
             (0..world::ENTRIES).for_each(|n| w.record_disturbance(n, Instant::now() + ms(time)));
             disturb_link(&w.backends[server].proxy, link, ms(time)).await;
@@ -223,6 +252,18 @@
     lock(&world.nodes[node]).set_paused(false);
 }
 
+/// Sends many requests at once to one entry while all backend servers that may answer them have a
+/// fault.
+async fn burst(w: &Arc<World>, log: &SentLog, entry: usize, bytes: BadBytes) {
+    let kind = if bytes == BadBytes::EndlessEvent { Kind::Stream } else { Kind::Once };
+    let service = if kind == Kind::Stream { world::ENGINE_SERVICE } else { "plain" };
+    let servers = w.backends.iter().filter(|b| b.service == service);
+    let time = callers::DEADLINE / 2;
+    let faults = servers.map(|b| disturb_server(&b.server, UsersFault::Bytes(bytes), time));
+    let faults = futures::future::join_all(faults);
+    futures::future::join(faults, callers::burst(w, log, entry, kind)).await;
+}
+
 async fn disturb_server(server: &UsersServer, fault: UsersFault, time: Duration) {
     server.set_fault(fault);
     sleep(time).await;
@@ -247,4 +288,5 @@
     }
     world.backends.iter().for_each(|b| b.proxy.set(Link::Whole));
     world.store.set_down(false);
+    world.store.set_bytes(None);
 }
--- a/crates/limpetmux-soak/src/main.rs
+++ b/crates/limpetmux-soak/src/main.rs
@@ -2,6 +2,8 @@
 
 use argh::FromArgs;
 use futures::StreamExt;
+use limpetmux_soak::callers::Kind;
+use limpetmux_soak::measure::{Measurement, measure};
 use limpetmux_soak::{Options, Report, network, run};
 use miette::IntoDiagnostic;
 use std::path::PathBuf;
@@ -29,6 +31,9 @@
     /// the directory for settings and logs
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     dir: PathBuf,
+    /// measure instead what this many answers without end cost other requests
+    #[argh(option)]
+    endless: Option<usize>,
 }
 
 /// The number of violations that are printed per seed.
@@ -42,6 +47,15 @@
 #[tokio::main]
 async fn main() -> miette::Result<()> {
     let args: Args = argh::from_env();
+    if let Some(endless) = args.endless {
+        let loads = [(Kind::Once, 0), (Kind::Once, endless), (Kind::Stream, endless)];
+        for (slot, load) in loads.into_iter().enumerate() {
+            let dir = args.dir.join(format!("endless-{slot}"));
+            let measured = measure(&args.binary, &dir, network(96, slot), load).await;
+            print_measured(load, &measured.into_diagnostic()?);
+        }
+        return Ok(());
+    }
     let runs = (args.seed..args.seed + args.seeds).enumerate().map(|(slot, seed)| {
         let options = Options {
             binary: args.binary.clone(),
@@ -68,6 +82,9 @@
     let (sent, served) = report.requests;
     let (faults, stall) = (report.faults, report.longest_stall.as_millis());
     println!("seed {seed}: {faults} faults, {served} of {sent} requests served, stall {stall} ms");
+    let (memory, sockets) = report.peaks.most();
+    let endless = report.peaks.endless;
+    println!("  peaks: {memory} kB, {sockets} sockets, {endless} endless answers at once");
     for violation in report.violations.iter().take(MAX_PRINTED) {
         println!("  {violation}");
     }
@@ -76,3 +93,13 @@
         println!("  and {more} more");
     }
 }
+
+fn print_measured((kind, callers): (Kind, usize), m: &Measurement) {
+    let ms = |share| m.latency(share).as_secs_f64() * 1_000.0;
+    let kind: &str = kind.into();
+    println!("{callers} callers of kind {kind}, {} endless answers at once", m.endless);
+    println!("  peak memory: entry {} kB, sidecar {} kB", m.entry.memory_kb, m.sidecar.memory_kb);
+    println!("  most sockets: entry {}, sidecar {}", m.entry.sockets, m.sidecar.sockets);
+    print!("  sound pool: p50 {:.1} ms, p99 {:.1} ms, ", ms(0.5), ms(0.99));
+    println!("{} served, {} failed", m.latencies.len(), m.failed);
+}
--- a/crates/limpetmux-standins/src/users/connection.rs
+++ b/crates/limpetmux-standins/src/users/connection.rs
@@ -117,9 +117,9 @@
     }
     let bad = reply.fault.bytes();
     if let Some(bytes) = bad.filter(|bytes| !bytes.is_junk()) {
-        let counts = Arc::clone(&lock(state).played);
+        let answers = Arc::clone(&lock(state).answers);
         let body = reply.first_bytes();
-        bytes::play(stream.get_ref(), bytes, &reply.fields(), &body, &counts).await?;
+        bytes::play(stream.get_ref(), bytes, &reply.id, &reply.fields(), &body, &answers).await?;
         return Ok(Next::Close);
     }
     stream.write_all(bad.map_or(&[], |bytes| bytes.before())).await?;
--- a/crates/limpetmux-standins/src/users/mod.rs
+++ b/crates/limpetmux-standins/src/users/mod.rs
@@ -11,7 +11,7 @@
 mod stages;
 mod store;
 
-pub use bytes::{BadBytes, Played};
+pub use bytes::{BadBytes, EndedAnswer, Played};
 pub use fault::{FurtherAnswer, FurtherTime, UsersFault};
 pub use server::{ReceivedRequest, STREAM_EVENTS, STREAMS, UsersServer};
 pub use stages::StageResult;
--- a/crates/limpetmux-standins/src/users/server.rs
+++ b/crates/limpetmux-standins/src/users/server.rs
@@ -1,6 +1,6 @@
 //! A backend server, which answers plain requests, streams and calls for pieces of stages.
 
-use super::bytes::{Counts, Played};
+use super::bytes::{EndedAnswer, Played, SharedAnswers, lock_answers};
 use super::connection;
 use super::fault::UsersFault;
 use super::reply::{Content, Reply, all_events, event, further};
@@ -52,7 +52,7 @@
     pub(super) result_count: u64,
     pub(super) results: BTreeMap<String, StageResult>,
     /// The answers that were endless or arrived byte by byte.
-    pub(super) played: Counts,
+    pub(super) answers: SharedAnswers,
     /// The processing time of each request, or of each event of a stream.
     work: Duration,
 }
@@ -105,7 +105,12 @@
 
     /// Returns the number of its answers that were endless or arrived byte by byte.
     pub fn played(&self) -> Played {
-        *self.lock().played.lock().unwrap_or_else(PoisonError::into_inner)
+        lock_answers(&self.lock().answers).played
+    }
+
+    /// Returns those of them that have ended.
+    pub fn ended_answers(&self) -> Vec<EndedAnswer> {
+        lock_answers(&self.lock().answers).ended.clone()
     }
 
     /// Returns the number of stage results and the handles of those that were freed.
--- a/crates/limpetmux-standins/src/users/store.rs
+++ b/crates/limpetmux-standins/src/users/store.rs
@@ -1,6 +1,6 @@
 //! The platform's store: keyed topics, which the operator and backend servers write.
 
-use super::bytes::{self, BadBytes, Counts, Played};
+use super::bytes::{self, BadBytes, Played, SharedAnswers, lock_answers};
 use super::connection::listen;
 use crate::raw::{Message, read_request};
 use poem::endpoint::BoxEndpoint;
@@ -32,7 +32,7 @@
     calls: u64,
     down: bool,
     bytes: Option<BadBytes>,
-    played: Counts,
+    answers: SharedAnswers,
 }
 
 /// The platform's store.
@@ -101,7 +101,7 @@
 
     /// Returns the number of its answers that were endless or arrived byte by byte.
     pub fn played(&self) -> Played {
-        *lock(&self.topics).played.lock().unwrap_or_else(PoisonError::into_inner)
+        lock_answers(&lock(&self.topics).answers).played
     }
 
     /// Returns the number of calls so far.
@@ -127,12 +127,12 @@
         let answer = routes.get_response(request(message)?).await;
         let status = answer.status().as_u16();
         let body = answer.into_body().into_bytes().await.map_err(std::io::Error::other)?;
-        let (bytes, counts) = {
+        let (bytes, answers) = {
             let topics = lock(topics);
-            (topics.bytes, Arc::clone(&topics.played))
+            (topics.bytes, Arc::clone(&topics.answers))
         };
         if let Some(bytes) = bytes {
-            bytes::play(stream.get_ref(), bytes, "", &body, &counts).await?;
+            bytes::play(stream.get_ref(), bytes, "", "", &body, &answers).await?;
             continue;
         }
         let head = format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n\r\n", body.len());
--- a/crates/limpetmux-standins/tests/users_bytes.rs
+++ b/crates/limpetmux-standins/tests/users_bytes.rs
@@ -83,6 +83,7 @@
             assert!(received.starts_with(beginning), "{bytes:?}: {:?}", &received[..80]);
             assert!(received.contains(repeated), "{bytes:?}: {:?}", &received[..400]);
             assert_eq!(active, 1, "{bytes:?} {path}");
+            assert_eq!(server.ended_answers()[0].id, "1f", "{bytes:?} {path}");
             let runs = server.requests().len() + server.stage_results().len();
             assert_eq!(runs, 1, "{bytes:?} {path}");
         }
