--- a/crates/limpetmux-standins/src/users/server.rs
+++ b/crates/limpetmux-standins/src/users/server.rs
@@ -1,5 +1,6 @@
 //! A backend server, which answers plain requests, streams and calls for pieces of stages.
 
+use super::bytes::{EndedAnswer, Played, SharedAnswers, lock_answers};
 use super::connection;
 use super::fault::UsersFault;
 use super::reply::{Content, Reply, all_events, event, further};
@@ -50,6 +51,8 @@
     pub(super) freed: Vec<String>,
     pub(super) result_count: u64,
     pub(super) results: BTreeMap<String, StageResult>,
+    /// The answers that were endless or arrived byte by byte.
+    pub(super) answers: SharedAnswers,
     /// The processing time of each request, or of each event of a stream.
     work: Duration,
 }
@@ -100,6 +103,16 @@
         self.lock().requests.clone()
     }
 
+    /// Returns the number of its answers that were endless or arrived byte by byte.
+    pub fn played(&self) -> Played {
+        lock_answers(&self.lock().answers).played
+    }
+
+    /// Returns those of them that have ended.
+    pub fn ended_answers(&self) -> Vec<EndedAnswer> {
+        lock_answers(&self.lock().answers).ended.clone()
+    }
+
     /// Returns the number of stage results and the handles of those that were freed.
     pub fn results(&self) -> (u64, Vec<String>) {
         let state = self.lock();
@@ -163,6 +176,6 @@
     ReceivedRequest { path, headers, body: message.body, at: Instant::now(), fault }
 }
 
-fn lock(state: &SharedState) -> MutexGuard<'_, ServerState> {
+pub(super) fn lock(state: &SharedState) -> MutexGuard<'_, ServerState> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
