Test the decoders of the users' platform with damaged bytes

Change: tests/testsuite/decoders checks properties on arbitrary bytes and on valid inputs with bytes changed, cut, doubled, nested, with other lengths and other numbers. Covered so far: answers of backend servers and requests of callers as bytes on a connection, read in parts and whole; their heads; event streams; lists of the store, and records there and back; records of backend servers; answers to calls for pieces; the settings file. The n-th case is the same on every machine, and each property has a budget in time. A corpus holds inputs that are hard to decode. The settings of the platform can be parsed from a text, as those of the product can.

Before: none of these had a property test, except the split of one event stream.

--- a/src/limpetmux/platform/boot.rs
+++ b/src/limpetmux/platform/boot.rs
@@ -112,8 +112,16 @@
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path)
         .map_err(|source| BootError::Read { path: name.clone(), source })?;
-    let file: File = jsonc::parse(&name, &text, "settings of the platform")?;
-    check(&name, &file)?;
+    parse(&name, &text)
+}
+
+/// Parses and checks the text of a settings file.
+///
+/// # Errors
+/// Returns [`BootError`] with the file, the field and the reason.
+pub fn parse(name: &str, text: &str) -> Result<NodeSettings, BootError> {
+    let file: File = jsonc::parse(name, text, "settings of the platform")?;
+    check(name, &file)?;
     Ok(settings(file))
 }
 
--- /dev/null
+++ b/tests/testsuite/decoders/corpus.rs
@@ -0,0 +1,47 @@
+//! Inputs that failed once, and inputs that are hard to decode, are decoded or refused.
+//!
+//! `corpus/` has a folder for each decoder; each file is one input. An input that a property finds
+//! is added there with the change that mends the decoder.
+
+use super::{answers, callers, platform_records, store};
+use hyper::StatusCode;
+use std::path::{Path, PathBuf};
+
+/// Returns the files of a folder with their content, in the order of their names.
+fn inputs(folder: &Path) -> Vec<(PathBuf, Vec<u8>)> {
+    let files = std::fs::read_dir(folder).unwrap().map(|f| f.unwrap().path());
+    let mut inputs: Vec<_> = files.map(|f| (f.clone(), std::fs::read(f).unwrap())).collect();
+    inputs.sort();
+    inputs
+}
+
+/// Decodes an input with the decoder of its folder.
+fn decode(decoder: &str, bytes: &[u8]) {
+    let text = String::from_utf8_lossy(bytes);
+    let single = || bytes.iter().map(|b| vec![*b]).collect::<Vec<_>>();
+    match decoder {
+        "answers" => answers::check_answer(bytes, single()),
+        "callers" => callers::check_requests(bytes, single()),
+        "events" => answers::check_events(bytes, &single()),
+        "pieces" => platform_records::check_pieces(StatusCode::OK, false, bytes),
+        "platform_settings" => platform_records::check_settings(&text),
+        "servers" => platform_records::check_server(u64::MAX, "i-1", bytes),
+        "store_lists" => store::fixture().check_newest(bytes),
+        other => panic!("no decoder reads {other}"),
+    }
+}
+
+#[test]
+fn known_inputs_are_decoded_or_refused() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/testsuite/decoders/corpus");
+    let mut count = 0;
+    for folder in std::fs::read_dir(root).unwrap().map(|f| f.unwrap()) {
+        let decoder = folder.file_name().into_string().unwrap();
+        for (path, bytes) in inputs(&folder.path()) {
+            println!("{}", path.display());
+            decode(&decoder, &bytes);
+            count += 1;
+        }
+    }
+    assert!(count > 0, "the corpus is found");
+}
--- /dev/null
+++ b/tests/testsuite/decoders/store.rs
@@ -0,0 +1,98 @@
+//! Answers of the users' platform's store: pages of the log and lists of newest records.
+
+use super::check;
+use super::damage::draw;
+use arbtest::arbitrary::{Result, Unstructured};
+use limpetmux::platform::store::{Page, Store, StoreError};
+use limpetmux_standins::raw::{RawRequest, serve_requests};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::runtime::Runtime;
+
+const TOPIC: &str = "keyed.op";
+const NEWEST: &[u8] = br#"{"items": [{"key": "a", "value": "dg==", "offset": 3},
+  {"key": "b", "offset": 18446744073709551615}], "has-more": false, "end": 9}"#;
+
+/// A store that gives the same answer to each call until the answer is replaced.
+pub(super) struct Fixture {
+    runtime: Runtime,
+    store: Store,
+    answer: Arc<Mutex<Vec<u8>>>,
+    /// The body of the last call.
+    received: Arc<Mutex<Vec<u8>>>,
+}
+
+pub(super) fn fixture() -> Fixture {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let (answer, received) = (Arc::<Mutex<Vec<u8>>>::default(), Arc::<Mutex<Vec<u8>>>::default());
+    let (body, last) = (Arc::clone(&answer), Arc::clone(&received));
+    let respond = move |request: &RawRequest| {
+        last.lock().unwrap().clone_from(&request.body);
+        let body = body.lock().unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        [head.as_bytes(), &body].concat()
+    };
+    let addr = runtime.block_on(serve_requests(respond)).unwrap();
+    Fixture { runtime, store: Store::new(addr).unwrap(), answer, received }
+}
+
+impl Fixture {
+    fn read(&self, from: u64, body: &[u8]) -> std::result::Result<Page, StoreError> {
+        *self.answer.lock().unwrap() = body.to_vec();
+        self.runtime.block_on(self.store.read(TOPIC, from, Duration::ZERO))
+    }
+
+    /// Reads a list and checks that it holds no more than its bytes.
+    pub(super) fn check_newest(&self, body: &[u8]) {
+        let Ok(list) = self.newest(body) else { return };
+        let bytes: usize = list.records.iter().map(|r| r.key.len() + r.value.len()).sum();
+        assert!(bytes <= body.len());
+    }
+
+    fn newest(&self, body: &[u8]) -> std::result::Result<Page, StoreError> {
+        *self.answer.lock().unwrap() = body.to_vec();
+        self.runtime.block_on(self.store.newest(TOPIC))
+    }
+}
+
+/// Encodes an answer: the end of the log, its first offset, and records with a key and a value.
+fn log_page(end: u64, first: u64, records: &[(&str, &[u8])]) -> Vec<u8> {
+    let mut body = [end.to_be_bytes(), first.to_be_bytes()].concat();
+    for (key, value) in records {
+        let len = 1 + key.len() + value.len();
+        body.extend(u32::try_from(len).unwrap().to_be_bytes());
+        body.push(u8::try_from(key.len()).unwrap());
+        body.extend([key.as_bytes(), value].concat());
+    }
+    body
+}
+
+#[test]
+fn appended_record_is_read_back() {
+    let fixture = fixture();
+    check("records of the store there and back", |u| {
+        let len = u.int_in_range(0..=255)?;
+        let letter = |u: &mut Unstructured<'_>| Ok(char::from(u.int_in_range(b'!'..=b'~')?));
+        let key = (0..len).map(|_| letter(u)).collect::<Result<String>>()?;
+        let value: Vec<u8> = u.arbitrary()?;
+        fixture.runtime.block_on(fixture.store.put(TOPIC, &key, &value)).unwrap();
+        let record = fixture.received.lock().unwrap().clone();
+
+        let page = fixture.read(4, &[log_page(5, 0, &[]), record].concat()).unwrap();
+
+        let read = &page.records[0];
+        assert_eq!((read.offset, &read.key, &*read.value), (4, &key, value.as_slice()));
+        assert_eq!((page.records.len(), page.end), (1, 5));
+        Ok(())
+    });
+}
+
+#[test]
+fn lists_of_newest_records_are_decoded_or_refused() {
+    let fixture = fixture();
+    assert_eq!(fixture.newest(NEWEST).unwrap().records.len(), 2);
+    check("lists of the store", |u| {
+        fixture.check_newest(&draw(u, NEWEST)?);
+        Ok(())
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod config_replicas;
 mod control;
 mod cost;
+mod decoders;
 mod entry_not_run;
 mod frames;
 mod fuzz;
