Refuse a page of the store whose offsets are out of range

Cause: the reader of a page counts the offsets of its records from the first one that the answer states. An answer that states and has a record made the count overflow: a panic in a debug build; a release build would have counted on from zero. Found by a new property on damaged pages, in case 4; the smallest input has 20 bytes.

Change: such an answer is an error, as one that ends early is.

Conclusion: a fault that only a broken store can show.

--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -56,6 +56,9 @@
     /// The answer lacks records that it states to exist.
     #[error("the answer ends before its last record")]
     Truncated,
+    /// The answer states offsets that no log reaches.
+    #[error("the offsets of the answer are out of range")]
+    Offset,
 }
 
 #[derive(Deserialize)]
@@ -196,14 +199,14 @@
         let len = split(&mut body, 4).map(|mut b| b.get_u32() as usize)?;
         let mut data = split(&mut body, len)?;
         if data.is_empty() {
-            offset += 1;
+            offset = next(offset)?;
             continue;
         }
         let key_len = usize::from(data.get_u8());
         let key = split(&mut data, key_len)?;
         let key = String::from_utf8_lossy(&key).into_owned();
         records.push(Record { offset, key, value: data });
-        offset += 1;
+        offset = next(offset)?;
     }
     // An answer may not reach the end of the log, but has a record if there is one.
     if offset > start {
@@ -215,6 +218,10 @@
     Ok(Page { end, records })
 }
 
+fn next(offset: u64) -> Result<u64, StoreError> {
+    offset.checked_add(1).ok_or(StoreError::Offset)
+}
+
 fn split(body: &mut Bytes, len: usize) -> Result<Bytes, StoreError> {
     if body.len() < len {
         return Err(StoreError::Truncated);
--- a/tests/testsuite/decoders/corpus.rs
+++ b/tests/testsuite/decoders/corpus.rs
@@ -27,6 +27,7 @@
         "platform_settings" => platform_records::check_settings(&text),
         "servers" => platform_records::check_server(u64::MAX, "i-1", bytes),
         "store_lists" => store::fixture().check_newest(bytes),
+        "store_pages" => store::fixture().check_page(0, bytes),
         other => panic!("no decoder reads {other}"),
     }
 }
--- a/tests/testsuite/decoders/store.rs
+++ b/tests/testsuite/decoders/store.rs
@@ -42,6 +42,16 @@
         self.runtime.block_on(self.store.read(TOPIC, from, Duration::ZERO))
     }
 
+    /// Reads a page and checks that it holds no more than its bytes.
+    pub(super) fn check_page(&self, from: u64, body: &[u8]) {
+        let Ok(page) = self.read(from, body) else { return };
+        let offsets: Vec<u64> = page.records.iter().map(|r| r.offset).collect();
+        assert!(offsets.windows(2).all(|w| w[0] < w[1]), "{offsets:?}");
+        assert!(offsets.iter().all(|o| *o >= from && *o < page.end), "{page:?}");
+        let values: usize = page.records.iter().map(|r| r.value.len()).sum();
+        assert!(values + page.records.len() * 5 + 16 <= body.len());
+    }
+
     /// Reads a list and checks that it holds no more than its bytes.
     pub(super) fn check_newest(&self, body: &[u8]) {
         let Ok(list) = self.newest(body) else { return };
@@ -67,6 +77,27 @@
     body
 }
 
+fn draw_offset(u: &mut Unstructured<'_>) -> Result<u64> {
+    Ok(match u.int_in_range(0..=3)? {
+        0 => u64::MAX - u.int_in_range(0..=3)?,
+        1 => u.arbitrary()?,
+        _ => u.int_in_range(0..=9)?,
+    })
+}
+
+#[test]
+fn pages_hold_no_more_than_their_bytes() {
+    let fixture = fixture();
+    check("pages of the store", |u| {
+        let records: &[(&str, &[u8])] = &[("config", b"{}"), ("", b""), ("evacuate/z", b"v")];
+        let valid = log_page(draw_offset(u)?, draw_offset(u)?, records);
+        let (body, from) = (draw(u, &valid)?, draw_offset(u)?);
+
+        fixture.check_page(from, &body);
+        Ok(())
+    });
+}
+
 #[test]
 fn appended_record_is_read_back() {
     let fixture = fixture();
