Compute with any configuration of the operator that was decoded

Cause: some configurations that the decoder accepts stopped each request of their route with a panic. A stage may name a stage that its route lacks, whose number was used as an index; a time may be so long that a multiple of it is out of range; a size may be so large that the bytes of all results overflow (in a debug build; a release build would have computed a wrong number).

Change: a stage does not wait for stages that do not exist; a time of more than a year counts as a year; sizes saturate. The configuration stays in force otherwise, so that its other routes and the revoked keys in it apply.

Before: the property fails with "index out of bounds: the len is 3 but the index is", the corpus with "attempt to multiply with overflow" and, when only the bound on times is left out, with "overflow when multiplying duration by scalar".

Conclusion: only an operator's mistake shows these. The sum of the weights of a split route can still overflow in serve/request.rs; it is not changed here.

--- a/src/limpetmux/core/chain.rs
+++ b/src/limpetmux/core/chain.rs
@@ -74,11 +74,12 @@
     engine_zone: &str,
 ) -> String {
     let own_pieces = u64::from(pieces[stage]);
-    let fetched = |a: &usize| u64::from(pieces[*a]) * route.stages[*a].size * own_pieces;
+    let bytes = |s: usize| u64::from(pieces[s]).saturating_mul(route.stages[s].size);
+    let fetched = |a: &usize| bytes(*a).saturating_mul(own_pieces);
     let input = route.stages[stage].after.iter().max_by_key(|a| fetched(a));
     let input_bytes = input.map_or(0, fetched);
     let is_last = dependent_count(route, stage) == 0;
-    let output_bytes = if is_last { own_pieces * route.stages[stage].size } else { 0 };
+    let output_bytes = if is_last { bytes(stage) } else { 0 };
     if input_bytes.max(output_bytes) < LARGE_TRANSFER_BYTES {
         return String::new();
     }
--- a/src/limpetmux/platform/orders.rs
+++ b/src/limpetmux/platform/orders.rs
@@ -17,6 +17,9 @@
 const CONFIG_KEY: &str = "config";
 /// The prefix of the keys of evacuated zones.
 const EVACUATE_PREFIX: &str = "evacuate/";
+/// The longest time that a configuration can declare. Longer ones are taken for it, so that sums of
+/// times, which are computed for each request, stay in range.
+const MAX_TIME: Duration = Duration::from_secs(365 * 24 * 3_600);
 
 /// Why a record of the operator cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -215,34 +218,40 @@
         host: route.host,
         prefix: route.path_prefix,
         retry_class,
-        timeout: route.timeout_ms,
-        target_latency: route.target_latency_ms,
+        timeout: route.timeout_ms.min(MAX_TIME),
+        target_latency: route.target_latency_ms.min(MAX_TIME),
         attempts: route.max_attempts,
         priority: route.priority,
         targets,
-        stages: route.stages.into_iter().map(stage).collect(),
+        stages: stages(route.stages),
         public: route.public,
     }
 }
 
-fn stage(stage: ConfigStage) -> StageSpec {
-    StageSpec { service: stage.service, after: stage.after, size: stage.size_bytes as u64 }
+/// Resolves the stages of a route; a stage that it lacks has no results to wait for.
+fn stages(stages: Vec<ConfigStage>) -> Vec<StageSpec> {
+    let count = stages.len();
+    let stage = |stage: ConfigStage| {
+        let after = stage.after.into_iter().filter(|a| *a < count).collect();
+        StageSpec { service: stage.service, after, size: stage.size_bytes as u64 }
+    };
+    stages.into_iter().map(stage).collect()
 }
 
 fn pool(service: ConfigService) -> PoolSpec {
     PoolSpec {
         name: service.name,
         connections: service.max_connections,
-        cold_time: service.cold_start_s,
+        cold_time: service.cold_start_s.min(MAX_TIME),
         cold_rate: service.cold_per_s,
         engine: service.engine.map(|e| EngineSpec { slots: e.slots, memory_tokens: e.kv_capacity }),
         pieces: service.pieces.map(|p| PieceSpec {
             slots: p.slots,
             batch: p.batch,
-            call_time: p.call_ms,
-            item_time: p.item_ms,
+            call_time: p.call_ms.min(MAX_TIME),
+            item_time: p.item_ms.min(MAX_TIME),
             result_room: (p.headroom_mb * BYTES_PER_MB) as u64,
-            result_ttl: p.handle_s,
+            result_ttl: p.handle_s.min(MAX_TIME),
         }),
     }
 }
--- a/tests/testsuite/decoders/corpus.rs
+++ b/tests/testsuite/decoders/corpus.rs
@@ -23,6 +23,7 @@
         "answers" => answers::check_answer(bytes, single()),
         "callers" => callers::check_requests(bytes, single()),
         "events" => answers::check_events(bytes, &single()),
+        "orders" => platform_records::check_config(bytes),
         "pieces" => platform_records::check_pieces(StatusCode::OK, false, bytes),
         "platform_settings" => platform_records::check_settings(&text),
         "servers" => platform_records::check_server(u64::MAX, "i-1", bytes),
--- a/tests/testsuite/decoders/platform_records.rs
+++ b/tests/testsuite/decoders/platform_records.rs
@@ -3,13 +3,34 @@
 use super::check;
 use super::damage::{draw, draw_text};
 use hyper::StatusCode;
+use limpetmux::core::catalog::Catalog;
+use limpetmux::core::chain;
 use limpetmux::core::listing::Listing;
 use limpetmux::core::pieces::CallEnd;
 use limpetmux::core::time::Moment;
 use limpetmux::platform::store::Record;
-use limpetmux::platform::{boot, servers, stage};
+use limpetmux::platform::{boot, orders, servers, stage};
 use std::time::Instant;
 
+const CONFIG: &str = r#"{"version": 7, "routes": [
+  {"name": "r", "host": "a.example", "path-prefix": "/a/", "kind": "non_idempotent",
+   "timeout-ms": 3000, "target-latency-ms": 900.5, "priority": 2, "service": "plain",
+   "max-attempts": 3, "public": false, "resumable": true,
+   "stages": [{"service": "first", "size-bytes": 4000}, {"service": "first", "after": [0]},
+              {"service": "first", "after": [0, 1], "size-bytes": 1e6}]},
+  {"name": "s", "host": "a.example", "path-prefix": "/", "kind": "idempotent",
+   "timeout-ms": 3000, "target-latency-ms": 900,
+   "weighted-clusters": [{"service": "plain", "weight": 9}, {"service": "first", "weight": 1}]}],
+ "services": [
+  {"name": "plain", "max-connections": 8, "cold-start-s": 4.5, "cold-per-s": 2,
+   "engine": {"slots": 4, "kv-capacity": 90000}},
+  {"name": "first", "max-connections": 8, "cold-start-s": 4.5, "cold-per-s": 2,
+   "pieces": {"slots": 2, "batch": 8, "call-ms": 30, "item-ms": 4.5, "headroom-mb": 64,
+              "handle-s": 20}}],
+ "limits": {"max-header-bytes": 8192, "max-body-bytes": 65536, "header-timeout-ms": 900,
+            "idle-timeout-ms": 5000},
+ "tenants": [{"name": "w", "api-keys": ["k1", "k2"], "priority": 3}]}"#;
+
 const SERVER: &str = r#"{"service": "plain", "address": "10.1.0.9:80", "zone": "mnl-a",
   "slots": 4, "state": "draining", "cold-remaining-ms": 800.5, "born": 1764000000000}"#;
 
@@ -31,6 +52,48 @@
     Record { offset: 3, key: key.to_owned(), value: value.to_vec().into() }
 }
 
+/// Makes the computations on a configuration that a request makes.
+fn use_catalog(catalog: &Catalog) {
+    for (_, route) in catalog.routes.iter() {
+        let pieces = vec![10_000; route.stages.len()];
+        let zones = vec![String::new(); route.stages.len()];
+        let times = chain::stage_times(catalog, route, &pieces);
+        chain::downstream_times(route, &times);
+        chain::start_times(route, &times);
+        chain::chain_time(route, &times, &times);
+        for stage in 0..route.stages.len() {
+            chain::preferred_zone(route, stage, &pieces, &zones, "");
+            chain::dependent_count(route, stage);
+            chain::finished_inputs(route, &vec![None; route.stages.len()], stage);
+        }
+        let services = route.stages.iter().filter_map(|s| catalog.pool(&s.service)?.pieces);
+        services.for_each(|p| assert!(p.result_ttl + p.call_time >= p.call_time));
+        let _ = catalog.route(&route.host, &format!("{}x", route.prefix));
+    }
+}
+
+/// Decodes a configuration and uses it if it is valid.
+pub(super) fn check_config(value: &[u8]) {
+    if let Ok(declared) = orders::decode_config(value, 3) {
+        assert_eq!(&*declared.raw, value);
+        use_catalog(&declared.catalog);
+    }
+}
+
+#[test]
+fn orders_are_decoded_or_refused_and_can_be_used() {
+    use_catalog(&orders::decode_config(CONFIG.as_bytes(), 3).unwrap().catalog);
+    check("operator's records", |u| {
+        let value = draw(u, CONFIG.as_bytes())?;
+        let key = if u.ratio(1, 8)? { draw_text(u, "evacuate/mnl-a")? } else { "config".into() };
+
+        let _ = orders::decode(&record(&key, &value));
+
+        check_config(&value);
+        Ok(())
+    });
+}
+
 /// Decodes the record of a backend server and puts it into a list that ends at an offset.
 pub(super) fn check_server(end: u64, id: &str, value: &[u8]) {
     let (now, mut listing) = (Moment::MAX, Listing::default());
