Count the offsets of the log without overflow

Cause: the offset that follows a record was computed with a plain addition. A page of the log, a message of a peer or a claim that states the offset made it overflow: a panic in a debug build; a release build would have continued at zero. Found by new properties on duty records (case 13), claim records (case 133), pages of the log (case 118) and configuration records (case 7); in the last, the offsets of a peer's records overflowed as well.

Change: the last offset follows itself, and a peer's records end at it. Inputs for each are in the corpus.

Before: four properties fail with "attempt to add with overflow". After: 20 tests of decoders pass in 6.2 s in a debug build, and those of replicas, the fold, the planner and the key protocol.

Conclusion: only a broken log or a peer with wrong state can show it.

--- a/src/limpetmux/core/config/replica.rs
+++ b/src/limpetmux/core/config/replica.rs
@@ -165,7 +165,7 @@
         match delta {
             Delta::Nothing => {}
             Delta::Records { first, records } => {
-                for (offset, data) in (first.0..).map(Offset).zip(records) {
+                for (offset, data) in (first.0..=u64::MAX).map(Offset).zip(records) {
                     self.fold_record(offset, data, &mut progress)?;
                 }
             }
--- a/src/limpetmux/core/config/tail.rs
+++ b/src/limpetmux/core/config/tail.rs
@@ -43,7 +43,7 @@
 
     /// Returns the offset after the last record.
     pub fn end(&self) -> Offset {
-        Offset(self.first.0 + self.records.len() as u64)
+        Offset(self.first.0.saturating_add(self.records.len() as u64))
     }
 
     /// Returns records from an offset on, up to a number of bytes but at least one record.
--- a/src/limpetmux/core/revision.rs
+++ b/src/limpetmux/core/revision.rs
@@ -10,9 +10,10 @@
 pub struct Offset(pub u64);
 
 impl Offset {
-    /// Returns the offset that follows this one.
+    /// Returns the offset that follows this one; the last offset, which no log reaches, follows
+    /// itself.
     pub const fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
@@ -38,7 +39,7 @@
 
     /// Returns the revision that the record at `offset` creates once accepted.
     pub const fn at(offset: Offset) -> Self {
-        Self(offset.0 + 1)
+        Self(offset.next().0)
     }
 }
 
--- a/tests/testsuite/decoders/corpus.rs
+++ b/tests/testsuite/decoders/corpus.rs
@@ -3,8 +3,9 @@
 //! `corpus/` has a folder for each decoder; each file is one input. An input that a property finds
 //! is added there with the change that mends the decoder.
 
-use super::{answers, callers, platform_records, store};
+use super::{answers, callers, platform_records, product_records, store};
 use hyper::StatusCode;
+use limpetmux::core::revision::Offset;
 use std::path::{Path, PathBuf};
 
 /// Returns the files of a folder with their content, in the order of their names.
@@ -18,14 +19,20 @@
 /// Decodes an input with the decoder of its folder.
 fn decode(decoder: &str, bytes: &[u8]) {
     let text = String::from_utf8_lossy(bytes);
+    let last = Offset(u64::MAX);
     let single = || bytes.iter().map(|b| vec![*b]).collect::<Vec<_>>();
     match decoder {
         "answers" => answers::check_answer(bytes, single()),
         "callers" => callers::check_requests(bytes, single()),
+        "claims" => product_records::check_claim(last, bytes),
+        "config_records" => product_records::check_config_record(last, bytes),
+        "duties" => product_records::check_duty(last, bytes),
         "events" => answers::check_events(bytes, &single()),
         "orders" => platform_records::check_config(bytes),
         "pieces" => platform_records::check_pieces(StatusCode::OK, false, bytes),
         "platform_settings" => platform_records::check_settings(&text),
+        "settings" => product_records::check_settings(&text),
+        "sheets" => product_records::check_sheet(&text),
         "servers" => platform_records::check_server(u64::MAX, "i-1", bytes),
         "store_lists" => store::fixture().check_newest(bytes),
         "store_pages" => store::fixture().check_page(0, bytes),
