Refuse a completion that begins with a byte order mark

Cause: the parser of event streams (eventsource-stream 0.2.3) cuts one byte from a text that begins with U+FEFF, which has three, and panics: "start byte index 1 is not a char boundary". A model engine that sends the mark thus ended the task that reads its answer with a panic instead of an error. Found by the first valid input of a new property.

Change: a stream whose first byte is that of the mark is not a valid event stream, as it is for other bytes that the parser refuses.

Before: the property fails with that panic.

Conclusion: one kind of bytes from a backend server could end a task. The parser also scans a line that does not end again with each part, and copies the rest of a part for each line in it; a bound on the length of a line is not part of this change.

--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -18,6 +18,8 @@
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 /// The maximum size of a streamed answer, including the framing of its events, in bytes.
 const MAX_STREAM_BYTES: usize = 16 * 1024 * 1024;
+/// The first byte of a byte order mark.
+const BYTE_ORDER_MARK: u8 = 0xef;
 /// The timeout of a load report.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -201,13 +203,17 @@
     .boxed()
 }
 
-/// Fails a body once it exceeds [`MAX_STREAM_BYTES`].
+/// Fails a body once it exceeds [`MAX_STREAM_BYTES`], and one that begins with a byte order mark,
+/// which no engine sends and at which the parser of events panics.
 fn limit_size(
     body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
 ) -> impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static {
     let mut size = 0;
     body.map(move |part| {
         let part = part?;
+        if size == 0 && part.first() == Some(&BYTE_ORDER_MARK) {
+            return Err(BackendError::NotEventStream);
+        }
         size += part.len();
         if size > MAX_STREAM_BYTES {
             return Err(BackendError::TooLarge { limit: MAX_STREAM_BYTES });
--- a/tests/testsuite/decoders/corpus.rs
+++ b/tests/testsuite/decoders/corpus.rs
@@ -3,7 +3,7 @@
 //! `corpus/` has a folder for each decoder; each file is one input. An input that a property finds
 //! is added there with the change that mends the decoder.
 
-use super::{answers, callers, platform_records, product_records, store};
+use super::{answers, callers, platform_records, product_answers, product_records, store};
 use hyper::StatusCode;
 use limpetmux::core::revision::Offset;
 use std::path::{Path, PathBuf};
@@ -25,11 +25,15 @@
         "answers" => answers::check_answer(bytes, single()),
         "callers" => callers::check_requests(bytes, single()),
         "claims" => product_records::check_claim(last, bytes),
+        "completions" => product_answers::check_completion(bytes, single()),
         "config_records" => product_records::check_config_record(last, bytes),
         "duties" => product_records::check_duty(last, bytes),
         "events" => answers::check_events(bytes, &single()),
+        "hosts" => product_answers::fixture().check_hosts(bytes),
+        "log_pages" => product_answers::fixture().check_log(bytes),
         "orders" => platform_records::check_config(bytes),
         "pieces" => platform_records::check_pieces(StatusCode::OK, false, bytes),
+        "plain_answers" => product_answers::fixture().check_plain(bytes),
         "platform_settings" => platform_records::check_settings(&text),
         "settings" => product_records::check_settings(&text),
         "sheets" => product_records::check_sheet(&text),
--- a/tests/testsuite/decoders/mod.rs
+++ b/tests/testsuite/decoders/mod.rs
@@ -9,6 +9,7 @@
 mod corpus;
 mod damage;
 mod platform_records;
+mod product_answers;
 mod product_records;
 mod store;
 
