Add up the tokens of a cached prompt without overflow

Cause: the tokens of the leading cached parts of a prompt were added up as 32-bit numbers. A caller states the tokens of each part, so that two parts of tokens, sent twice, made the sum overflow: a panic in a debug build; a release build would have continued with a small number.

Change: the sum saturates. New properties decode messages of other processes from bytes and use them as their receiver does: gossip, views of the store, records of nodes, frames, tables of keys and calls that place prompts; each with a round trip where there is an encoder. The conversions of gossip and of tables are public for that.

Before: the property and an input in the corpus fail with "attempt to add with overflow".

Conclusion: a caller could make the choice of an engine poor, not stop a node of a release build.

--- a/src/limpetmux/control/mod.rs
+++ b/src/limpetmux/control/mod.rs
@@ -15,7 +15,7 @@
 
 pub use gossip::{Gossip, GossipOptions};
 pub use message::{ControlMessage, PeerUpdate};
-pub use peer::{PeerService, peer_server};
+pub use peer::{PeerService, decode as decode_update, encode as encode_update, peer_server};
 pub use service::Service;
 pub use status::{ControlStatus, PeerCounters, PeerTraffic};
 
--- a/src/limpetmux/control/peer.rs
+++ b/src/limpetmux/control/peer.rs
@@ -49,7 +49,7 @@
 }
 
 /// Encodes an exchange message.
-pub(super) fn encode(update: &PeerUpdate) -> SyncMessage {
+pub fn encode(update: &PeerUpdate) -> SyncMessage {
     let Position { next, digest } = update.position;
     let mut message = SyncMessage { next: next.0, digest, ..SyncMessage::default() };
     match &update.delta {
@@ -64,7 +64,7 @@
 }
 
 /// Decodes an exchange message.
-pub(super) fn decode(message: SyncMessage) -> PeerUpdate {
+pub fn decode(message: SyncMessage) -> PeerUpdate {
     let position = Position { next: Offset(message.next), digest: message.digest };
     let delta = if !message.snapshot.is_empty() {
         Delta::Snapshot(message.snapshot.into())
--- a/src/limpetmux/core/engines.rs
+++ b/src/limpetmux/core/engines.rs
@@ -342,7 +342,7 @@
     fn cached(&self, parts: &[PromptPart], only_read: bool) -> u32 {
         let holds =
             |p: &&PromptPart| self.cached.get(&p.key).is_some_and(|c| c.is_read || !only_read);
-        parts.iter().take_while(holds).map(|p| p.tokens).sum()
+        parts.iter().take_while(holds).fold(0, |sum, p| p.tokens.saturating_add(sum))
     }
 
     fn pace_at(&self, now: Moment) -> f64 {
--- a/src/limpetmux/sidecar/once/convert.rs
+++ b/src/limpetmux/sidecar/once/convert.rs
@@ -34,7 +34,7 @@
 }
 
 /// Returns the message that hands over a table; `returns` marks a return to the home.
-pub(super) fn hand_over(table: &Handover, returns: bool) -> once::HandOverRequest {
+pub fn hand_over(table: &Handover, returns: bool) -> once::HandOverRequest {
     once::HandOverRequest {
         from: Some(process(table.from, table.incarnation)),
         since_ms: table.since.0,
@@ -60,7 +60,7 @@
 }
 
 /// Parses a table; returns `None` if it is malformed.
-pub(super) fn handover(request: once::HandOverRequest) -> Option<Handover> {
+pub fn handover(request: once::HandOverRequest) -> Option<Handover> {
     let from = request.from?;
     let rows: Option<Vec<Row>> = request.rows.into_iter().map(parse_row).collect();
     let (host, incarnation) = (HostId(from.host), Incarnation(from.incarnation));
--- a/src/limpetmux/sidecar/once/mod.rs
+++ b/src/limpetmux/sidecar/once/mod.rs
@@ -14,6 +14,7 @@
 mod service;
 mod tasks;
 
+pub use convert::{hand_over as encode_table, handover as decode_table};
 pub use run::run_once;
 pub use service::OnceService;
 
--- a/tests/testsuite/decoders/corpus.rs
+++ b/tests/testsuite/decoders/corpus.rs
@@ -3,7 +3,9 @@
 //! `corpus/` has a folder for each decoder; each file is one input. An input that a property finds
 //! is added there with the change that mends the decoder.
 
-use super::{answers, callers, platform_records, product_answers, product_records, store};
+use super::{
+    answers, callers, platform_records, product_answers, product_messages, product_records, store,
+};
 use hyper::StatusCode;
 use limpetmux::core::revision::Offset;
 use std::path::{Path, PathBuf};
@@ -29,17 +31,22 @@
         "config_records" => product_records::check_config_record(last, bytes),
         "duties" => product_records::check_duty(last, bytes),
         "events" => answers::check_events(bytes, &single()),
+        "frames" => product_messages::check_frame(bytes),
+        "gossip" => product_messages::check_sync(bytes),
         "hosts" => product_answers::fixture().check_hosts(bytes),
         "log_pages" => product_answers::fixture().check_log(bytes),
         "orders" => platform_records::check_config(bytes),
         "pieces" => platform_records::check_pieces(StatusCode::OK, false, bytes),
         "plain_answers" => product_answers::fixture().check_plain(bytes),
+        "placements" => product_messages::check_place(bytes),
         "platform_settings" => platform_records::check_settings(&text),
         "settings" => product_records::check_settings(&text),
         "sheets" => product_records::check_sheet(&text),
         "servers" => platform_records::check_server(u64::MAX, "i-1", bytes),
         "store_lists" => store::fixture().check_newest(bytes),
         "store_pages" => store::fixture().check_page(0, bytes),
+        "tables" => product_messages::check_table(bytes),
+        "views" => product_messages::check_pull(bytes),
         other => panic!("no decoder reads {other}"),
     }
 }
--- a/tests/testsuite/decoders/mod.rs
+++ b/tests/testsuite/decoders/mod.rs
@@ -10,6 +10,7 @@
 mod damage;
 mod platform_records;
 mod product_answers;
+mod product_messages;
 mod product_records;
 mod store;
 
--- a/tests/testsuite/decoders/platform_records.rs
+++ b/tests/testsuite/decoders/platform_records.rs
@@ -12,7 +12,7 @@
 use limpetmux::platform::{boot, orders, servers, stage};
 use std::time::Instant;
 
-const CONFIG: &str = r#"{"version": 7, "routes": [
+pub(super) const CONFIG: &str = r#"{"version": 7, "routes": [
   {"name": "r", "host": "a.example", "path-prefix": "/a/", "kind": "non_idempotent",
    "timeout-ms": 3000, "target-latency-ms": 900.5, "priority": 2, "service": "plain",
    "max-attempts": 3, "public": false, "resumable": true,
@@ -31,7 +31,7 @@
             "idle-timeout-ms": 5000},
  "tenants": [{"name": "w", "api-keys": ["k1", "k2"], "priority": 3}]}"#;
 
-const SERVER: &str = r#"{"service": "plain", "address": "10.1.0.9:80", "zone": "mnl-a",
+pub(super) const SERVER: &str = r#"{"service": "plain", "address": "10.1.0.9:80", "zone": "mnl-a",
   "slots": 4, "state": "draining", "cold-remaining-ms": 800.5, "born": 1764000000000}"#;
 
 const PIECES: &str = r#"{"items": [{"handle": "10.1.0.9:80/a"}, {"reason": "room"},
