Bound the waits that a piece queue reports

Cause: an entry divides the pieces that it expects by the rate that a piece queue states in its answer, and adds the waits of all stages. A rate close to zero gives more seconds than a duration holds, and a wait of ms makes sums overflow; both panic in release builds, too. Found by a new property on answers of piece queues (case 11, the sum) and an input made for the rate.

Conclusion: a node with wrong state could end the requests of other nodes with a panic, one by one.

--- a/src/limpetmux/core/queue_waits.rs
+++ b/src/limpetmux/core/queue_waits.rs
@@ -13,6 +13,8 @@
 const REPORT_EXPIRY: Duration = Duration::from_secs(2);
 /// A request is not refused if its waits add up to at most this.
 const ORDINARY_WAIT: Duration = Duration::from_millis(300);
+/// The longest wait. Longer ones are taken for it, so that sums of waits stay in range.
+const MAX_WAIT: Duration = Duration::from_secs(24 * 3_600);
 
 /// The latest report of one service.
 #[derive(Clone, Copy, Debug)]
@@ -36,7 +38,8 @@
     /// Records how long a new stage waits at a service, and how many pieces per second the service
     /// completes.
     pub fn record(&mut self, now: Moment, service: &Arc<str>, wait: Duration, rate: f64) {
-        self.reports.insert(Arc::clone(service), Report { wait, rate, received_at: now });
+        let report = Report { wait: wait.min(MAX_WAIT), rate, received_at: now };
+        self.reports.insert(Arc::clone(service), report);
     }
 
     /// Adds pieces that this entry will submit to a service.
@@ -72,7 +75,8 @@
             return self.wait(now, service);
         };
         let expected = self.expected.get(service).copied().unwrap_or_default() * entries;
-        let backlog = Duration::from_secs_f64(expected as f64 / report.rate);
+        let backlog = Duration::try_from_secs_f64(expected as f64 / report.rate);
+        let backlog = backlog.map_or(MAX_WAIT, |b| b.min(MAX_WAIT));
         (self.wait(now, service) + backlog).saturating_sub(until)
     }
 
--- a/tests/testsuite/decoders/corpus.rs
+++ b/tests/testsuite/decoders/corpus.rs
@@ -37,6 +37,7 @@
         "log_pages" => product_answers::fixture().check_log(bytes),
         "orders" => platform_records::check_config(bytes),
         "pieces" => platform_records::check_pieces(StatusCode::OK, false, bytes),
+        "piece_queues" => product_messages::check_stage_done(bytes),
         "plain_answers" => product_answers::fixture().check_plain(bytes),
         "placements" => product_messages::check_place(bytes),
         "platform_settings" => platform_records::check_settings(&text),
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -17,6 +17,7 @@
     Answer, Guards, Handover, HostId, Incarnation, KeyId, KeyTime, Node as OnceNode, Outcome, Row,
     Rules, Time,
 };
+use limpetmux::core::queue_waits::QueueWaits;
 use limpetmux::core::revision::Offset;
 use limpetmux::core::time::Moment;
 use limpetmux::fleet::convert as views;
@@ -287,3 +288,33 @@
         Ok(())
     });
 }
+
+/// Records the wait that the answer of a piece queue states, and plans with it.
+pub(super) fn check_stage_done(bytes: &[u8]) {
+    let Ok(done) = fleet::StageDone::decode(bytes) else { return };
+    assert!(done.results.len() <= bytes.len());
+    let (mut waits, service) = (QueueWaits::default(), Arc::from("first"));
+    waits.record(NOW, &service, Duration::from_millis(done.wait_ms), done.rate);
+    waits.add_expected(&service, 30_000);
+    let wait = waits.wait(NOW, &service);
+    let later = waits.wait_after(NOW, &service, Duration::ZERO, 100);
+    // The waits of all stages of a request are added up.
+    assert!((wait + later) * 1_000 >= wait);
+}
+
+#[test]
+fn answers_of_piece_queues_are_used_with_any_numbers() {
+    let rates = [0.0, 12.5, -1.0, f64::NAN, f64::INFINITY, f64::MIN_POSITIVE, f64::MAX];
+    check("answers of piece queues", |u| {
+        let done = fleet::StageDone {
+            results: vec!["10.1.0.9:80/a".into(), "10.1.0.9:80/b".into()],
+            zone: "mnl-a".into(),
+            retry_ms: draw_number(u)?,
+            wait_ms: draw_number(u)?,
+            rate: *u.choose(&rates)?,
+            ..fleet::StageDone::default()
+        };
+        check_stage_done(&draw(u, &done.encode_to_vec())?);
+        Ok(())
+    });
+}
