Give the parser of completions small pieces

Cause: for each line, the parser of event streams scans all bytes that it has got, so that its time grows with the square of a part of a body. Seen when the corpus, read byte by byte, took 11 s, and measured then in a debug build on a busy machine: one part that consists of line ends took 14 s with 32 KiB, 49 s with 64 KiB and 196 s with 128 KiB. An engine that sends such a part keeps a thread busy for that long.

Change: the parser gets at most 512 bytes at a time.

Conclusion: the time no longer depends on how large a part is.

--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -20,6 +20,9 @@
 const MAX_STREAM_BYTES: usize = 16 * 1024 * 1024;
 /// The first byte of a byte order mark.
 const BYTE_ORDER_MARK: u8 = 0xef;
+/// The most bytes that the parser of events gets at once. For each line it scans all that it has, so
+/// that its time grows with the square of this.
+const SLICE_BYTES: usize = 512;
 /// The timeout of a load report.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -192,7 +195,7 @@
     body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
     is_resumed: bool,
 ) -> ChunkStream {
-    let events = Box::pin(limit_size(body).eventsource());
+    let events = Box::pin(limit_size(body).flat_map(slices).eventsource());
     let state =
         CompletionState { events, ready: VecDeque::new(), finished: is_resumed, ended: false };
     stream::unfold(state, |mut state| async move {
@@ -222,6 +225,20 @@
     })
 }
 
+/// Cuts a part of a body into pieces for the parser of events.
+fn slices(
+    part: Result<Bytes, BackendError>,
+) -> impl Stream<Item = Result<Bytes, BackendError>> + Send {
+    let (mut rest, mut error) = match part {
+        Ok(part) => (part, None),
+        Err(error) => (Bytes::new(), Some(error)),
+    };
+    stream::iter(std::iter::from_fn(move || {
+        let slice = rest.split_to(rest.len().min(SLICE_BYTES));
+        if slice.is_empty() { error.take().map(Err) } else { Some(Ok(slice)) }
+    }))
+}
+
 async fn next_token<S>(state: &mut CompletionState<S>) -> Option<Result<Chunk, BackendError>>
 where
     S: Stream<Item = Result<Event, EventStreamError<BackendError>>> + Unpin,
--- a/tests/testsuite/decoders/product_answers.rs
+++ b/tests/testsuite/decoders/product_answers.rs
@@ -1,7 +1,7 @@
 //! Answers on the product's own interface: model engines, backend servers, the log, the host list.
 
 use super::damage::draw;
-use super::{check, cut};
+use super::{MAX_CASE_TIME, check, cut};
 use arbtest::arbitrary::Result;
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, TryStreamExt, stream};
@@ -19,7 +19,7 @@
 use limpetmux::core::time::Moment;
 use limpetmux_standins::raw::serve_requests;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::runtime::Runtime;
 use uuid::Uuid;
 
@@ -154,6 +154,17 @@
     });
 }
 
+#[test]
+fn time_for_a_completion_does_not_grow_with_the_square_of_its_parts() {
+    // Guards against a parser that scans the rest of a part for each line in it.
+    let started = Instant::now();
+
+    let tokens = tokens(vec![vec![b'\n'; 64 << 10]]);
+
+    assert_eq!(tokens.len(), 1, "{tokens:?}");
+    assert!(started.elapsed() < MAX_CASE_TIME, "{:?}", started.elapsed());
+}
+
 #[test]
 fn plain_answers_are_passed_on_unchanged_or_refused() {
     let fixture = fixture();
