--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -10,7 +10,7 @@
     Bound, Exceeded, MAX_EVENT_BYTES, MAX_JSON_BYTES, MAX_NOTE_BYTES, MAX_PIECES, MAX_TOKENS_BYTES,
     Peer,
 };
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use eventsource_stream::{Event, EventStreamError, Eventsource};
 use futures::{FutureExt, Stream, StreamExt, TryStreamExt, future::BoxFuture, stream};
 use reqwest::{RequestBuilder, Response, StatusCode};
@@ -20,6 +20,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The first byte of a byte order mark.
+const BYTE_ORDER_MARK: u8 = 0xef;
 /// The timeout of a load report and of a cancellation, including the body of its answer.
 const NOTE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -178,7 +180,7 @@
     body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
     is_resumed: bool,
 ) -> ChunkStream {
-    let events = Box::pin(limit_size(body).eventsource());
+    let events = Box::pin(lines(limit_size(body)).eventsource());
     let ready = VecDeque::new();
     let state = CompletionState { events, ready, chunks: 0, finished: is_resumed, ended: false };
     stream::unfold(state, |mut state| async move {
@@ -189,13 +191,17 @@
     .boxed()
 }
 
-/// Fails a body once it exceeds [`MAX_TOKENS_BYTES`], or one event of it [`MAX_EVENT_BYTES`].
+/// Fails a body once it exceeds [`MAX_TOKENS_BYTES`], or one event of it [`MAX_EVENT_BYTES`], and one
+/// that begins with a byte order mark, which no engine sends and at which the parser of events panics.
 fn limit_size(
     body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
 ) -> impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static {
     let (mut size, mut events) = (0, EventScan::default());
     body.map(move |part| {
         let part = part?;
+        if size == 0 && part.first() == Some(&BYTE_ORDER_MARK) {
+            return Err(BackendError::NotEventStream);
+        }
         size += part.len();
         if size > MAX_TOKENS_BYTES {
             return Err(exceeded(Bound::Body, MAX_TOKENS_BYTES as u64).into());
@@ -212,6 +218,35 @@
     Exceeded { peer: Peer::BackendServer, bound, limit }
 }
 
+/// Cuts a body into whole lines; a line that does not end is left out.
+///
+/// The parser of events scans a line that has not ended again with each part, and the rest of a part
+/// for each line in it, so that its time would grow with the square of either.
+fn lines(
+    body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
+) -> impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static {
+    let mut line = BytesMut::new();
+    body.flat_map(move |part| {
+        stream::iter(match part {
+            Ok(part) => end_lines(&mut line, &part),
+            Err(error) => vec![Err(error)],
+        })
+    })
+}
+
+/// Adds a part to an unfinished line and takes out the lines that end in it.
+fn end_lines(line: &mut BytesMut, part: &[u8]) -> Vec<Result<Bytes, BackendError>> {
+    let is_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
+    let mut ended = Vec::new();
+    for piece in part.split_inclusive(is_end) {
+        line.extend_from_slice(piece);
+        if piece.last().is_some_and(is_end) {
+            ended.push(Ok(line.split().freeze()));
+        }
+    }
+    ended
+}
+
 async fn next_token<S>(state: &mut CompletionState<S>) -> Option<Result<Chunk, BackendError>>
 where
     S: Stream<Item = Result<Event, EventStreamError<BackendError>>> + Unpin,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod config_replicas;
 mod control;
 mod cost;
+mod decoders;
 mod endless_backend;
 mod endless_entry;
 mod endless_platform;
