Read what has arrived before the time of a read is checked

Cause: the time for a caller's head and for a peer's preface was checked before the read, so that a process that itself stood still for longer would have closed connections whose bytes had arrived.

Change: the time counts only where no bytes are waiting.

--- a/src/limpetmux/adapters/handshake.rs
+++ b/src/limpetmux/adapters/handshake.rs
@@ -17,7 +17,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
@@ -107,9 +107,12 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        self.check_time(cx)?;
         let start = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if Pin::new(&mut self.stream).poll_read(cx, buffer)?.is_pending() {
+            // Bytes that have arrived are read first, however late this process gets to them.
+            self.check_time(cx)?;
+            return Poll::Pending;
+        }
         if self.end.is_some() {
             self.preface += buffer.filled().len() - start;
             self.end = self.end.take().filter(|_| self.preface < PREFACE_BYTES);
--- a/src/limpetmux/entry/receive.rs
+++ b/src/limpetmux/entry/receive.rs
@@ -13,7 +13,7 @@
 use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -148,9 +148,12 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        self.check_time(cx)?;
         let start = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if Pin::new(&mut self.stream).poll_read(cx, buffer)?.is_pending() {
+            // Bytes that have arrived are read first, however late this process gets to them.
+            self.check_time(cx)?;
+            return Poll::Pending;
+        }
         self.receive(&buffer.filled()[start..]);
         Poll::Ready(Ok(()))
     }
