Join the bounds on reads of all parts

Cause: the parts that bound reads were written side by side. Joined, two tests failed: a completion stopped at the bound on its events before the lines that had ended were passed on, so the result depended on the parts in which it arrived; and a call for pieces did not find the bound on heads, because the connection reports it in another way now. Constants, the measure of an event and the construction of stops stood twice.

Sums that could overflow in `serve/engines.rs` and in the choice of a service saturate or are wider.

--- a/src/limpetmux/adapters/answer.rs
+++ b/src/limpetmux/adapters/answer.rs
@@ -35,8 +35,7 @@
         match self {
             Self::Exceeded(exceeded) => Some(*exceeded),
             Self::Lost(error) if error.is_timeout() && !error.is_connect() => {
-                let limit = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-                Some(Exceeded { peer, bound: Bound::Time, limit })
+                Some(Exceeded::time(peer, time))
             }
             Self::Lost(_) | Self::Malformed(_) => None,
         }
@@ -65,7 +64,7 @@
     if bytes <= MAX_HEAD_BYTES {
         return Ok(());
     }
-    Err(Exceeded { peer, bound: Bound::Head, limit: MAX_HEAD_BYTES as u64 })
+    Err(Exceeded::count(peer, Bound::Head, MAX_HEAD_BYTES))
 }
 
 /// Reads a body of at most `limit` bytes; the connection closes with the rest of a longer one.
@@ -74,7 +73,7 @@
     peer: Peer,
     limit: usize,
 ) -> Result<Vec<u8>, AnswerError> {
-    let exceeded = Exceeded { peer, bound: Bound::Body, limit: limit as u64 };
+    let exceeded = Exceeded::count(peer, Bound::Body, limit);
     if response.content_length().is_some_and(|length| length > limit as u64) {
         return Err(exceeded.into());
     }
--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -2,15 +2,12 @@
 
 use super::answer;
 use super::backend::{Backend, BackendError, Chunk, ChunkStream, Job, LoadReport};
+use super::completion_lines::lines;
 use super::one_call::OneCallClient;
 use crate::core::config::{Fencing, StageKind};
-use crate::core::event_stream::EventScan;
 use crate::core::frames::AttemptKey;
-use crate::core::read_limits::{
-    Bound, Exceeded, MAX_EVENT_BYTES, MAX_JSON_BYTES, MAX_NOTE_BYTES, MAX_PIECES, MAX_TOKENS_BYTES,
-    Peer,
-};
-use bytes::{Bytes, BytesMut};
+use crate::core::read_limits::{Bound, Exceeded, MAX_JSON_BYTES, MAX_NOTE_BYTES, MAX_PIECES, Peer};
+use bytes::Bytes;
 use eventsource_stream::{Event, EventStreamError, Eventsource};
 use futures::{FutureExt, Stream, StreamExt, TryStreamExt, future::BoxFuture, stream};
 use reqwest::{RequestBuilder, Response, StatusCode};
@@ -20,8 +17,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The first byte of a byte order mark.
-const BYTE_ORDER_MARK: u8 = 0xef;
 /// The timeout of a load report and of a cancellation, including the body of its answer.
 const NOTE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -180,7 +175,7 @@
     body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
     is_resumed: bool,
 ) -> ChunkStream {
-    let events = Box::pin(lines(limit_size(body)).eventsource());
+    let events = Box::pin(lines(body).eventsource());
     let ready = VecDeque::new();
     let state = CompletionState { events, ready, chunks: 0, finished: is_resumed, ended: false };
     stream::unfold(state, |mut state| async move {
@@ -191,62 +186,6 @@
     .boxed()
 }
 
-/// Fails a body once it exceeds [`MAX_TOKENS_BYTES`], or one event of it [`MAX_EVENT_BYTES`], and one
-/// that begins with a byte order mark, which no engine sends and at which the parser of events panics.
-fn limit_size(
-    body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
-) -> impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static {
-    let (mut size, mut events) = (0, EventScan::default());
-    body.map(move |part| {
-        let part = part?;
-        if size == 0 && part.first() == Some(&BYTE_ORDER_MARK) {
-            return Err(BackendError::NotEventStream);
-        }
-        size += part.len();
-        if size > MAX_TOKENS_BYTES {
-            return Err(exceeded(Bound::Body, MAX_TOKENS_BYTES as u64).into());
-        }
-        events.push(&part);
-        if events.longest() > MAX_EVENT_BYTES {
-            return Err(exceeded(Bound::Event, MAX_EVENT_BYTES as u64).into());
-        }
-        Ok(part)
-    })
-}
-
-fn exceeded(bound: Bound, limit: u64) -> Exceeded {
-    Exceeded { peer: Peer::BackendServer, bound, limit }
-}
-
-/// Cuts a body into whole lines; a line that does not end is left out.
-///
-/// The parser of events scans a line that has not ended again with each part, and the rest of a part
-/// for each line in it, so that its time would grow with the square of either.
-fn lines(
-    body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
-) -> impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static {
-    let mut line = BytesMut::new();
-    body.flat_map(move |part| {
-        stream::iter(match part {
-            Ok(part) => end_lines(&mut line, &part),
-            Err(error) => vec![Err(error)],
-        })
-    })
-}
-
-/// Adds a part to an unfinished line and takes out the lines that end in it.
-fn end_lines(line: &mut BytesMut, part: &[u8]) -> Vec<Result<Bytes, BackendError>> {
-    let is_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
-    let mut ended = Vec::new();
-    for piece in part.split_inclusive(is_end) {
-        line.extend_from_slice(piece);
-        if piece.last().is_some_and(is_end) {
-            ended.push(Ok(line.split().freeze()));
-        }
-    }
-    ended
-}
-
 async fn next_token<S>(state: &mut CompletionState<S>) -> Option<Result<Chunk, BackendError>>
 where
     S: Stream<Item = Result<Event, EventStreamError<BackendError>>> + Unpin,
@@ -281,7 +220,8 @@
         if !choice.text.is_empty() {
             state.chunks += 1;
             if state.chunks > MAX_PIECES {
-                return Err(exceeded(Bound::Count, MAX_PIECES).into());
+                let (peer, bound) = (Peer::BackendServer, Bound::Count);
+                return Err(Exceeded { peer, bound, limit: MAX_PIECES }.into());
             }
             state.ready.push_back(Chunk { payload: choice.text.into(), tokens: 1 });
         }
--- a/src/limpetmux/adapters/handshake.rs
+++ b/src/limpetmux/adapters/handshake.rs
@@ -5,7 +5,7 @@
 //! handshakes from complete ones.
 
 use super::channel::HANDSHAKE_TIMEOUT;
-use crate::core::read_limits::{Bound, Exceeded, Peer};
+use crate::core::read_limits::{Exceeded, Peer};
 use crate::event;
 use crate::util::clock;
 use crate::util::event::EventCode;
@@ -74,8 +74,7 @@
         if end.as_mut().poll(cx).is_pending() {
             return Ok(());
         }
-        let limit = u64::try_from(HANDSHAKE_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
-        let exceeded = Exceeded { peer: Peer::Node, bound: Bound::Time, limit };
+        let exceeded = Exceeded::time(Peer::Node, HANDSHAKE_TIMEOUT);
         if self.failures.throttle.permits(clock::now()) {
             read_stop::log(exceeded, self.peer.map(|p| p.to_string()).unwrap_or_default());
         }
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -8,6 +8,7 @@
 pub mod backend;
 pub mod backend_http;
 pub mod channel;
+mod completion_lines;
 mod handshake;
 pub mod hosts;
 pub mod log;
--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -137,8 +137,8 @@
 
 impl Exceeded {
     /// Creates a stop at a number of bytes or pieces.
-    pub fn count(peer: Peer, bound: Bound, limit: usize) -> Self {
-        Self { peer, bound, limit: u64::try_from(limit).unwrap_or(u64::MAX) }
+    pub const fn count(peer: Peer, bound: Bound, limit: usize) -> Self {
+        Self { peer, bound, limit: limit as u64 }
     }
 
     /// Creates a stop at a time.
--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -10,7 +10,7 @@
 use crate::core::frames::AttemptKey;
 use crate::core::keys::HostKey;
 use crate::core::once::{KeyId, homes};
-use crate::core::read_limits::{Bound, Exceeded, Peer};
+use crate::core::read_limits::{Exceeded, Peer};
 use crate::core::refusal::{Execution, Refusal, RefusalCode};
 use crate::util::{clock, read_stop};
 use crate::wire::{convert, once, stage};
@@ -250,9 +250,7 @@
     let mut client = connection.once_client()?;
     let time = Duration::from_micros(request.wait_us).saturating_add(LOOK_UP_TIMEOUT);
     let Ok(reply) = tokio::time::timeout(time, client.look_up(request)).await else {
-        let limit = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-        let exceeded = Exceeded { peer: Peer::Node, bound: Bound::Time, limit };
-        read_stop::log(exceeded, connection.addr());
+        read_stop::log(Exceeded::time(Peer::Node, time), connection.addr());
         return None;
     };
     reply.ok().map(|reply| reply.into_inner())
--- a/src/limpetmux/entry/receive.rs
+++ b/src/limpetmux/entry/receive.rs
@@ -6,7 +6,7 @@
 
 use super::Entry;
 use super::http::record_stop;
-use crate::core::read_limits::{Bound, Exceeded, Peer};
+use crate::core::read_limits::{Exceeded, Peer};
 use poem::listener::{Acceptor, TcpAcceptor};
 use poem::web::{LocalAddr, RemoteAddr};
 use std::future::Future;
@@ -134,8 +134,7 @@
         if !self.scan.in_head || self.end.as_mut().poll(cx).is_pending() {
             return Ok(());
         }
-        let limit = u64::try_from(self.limit().as_millis()).unwrap_or(u64::MAX);
-        let exceeded = Exceeded { peer: Peer::Caller, bound: Bound::Time, limit };
+        let exceeded = Exceeded::time(Peer::Caller, self.limit());
         let peer = self.stream.peer_addr().map(|a| a.to_string()).unwrap_or_default();
         record_stop(&self.entry, exceeded, peer);
         Err(Error::new(ErrorKind::TimedOut, exceeded))
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -6,11 +6,11 @@
 use super::node::Shared;
 use super::request::{RoutedRequest, Running};
 use super::stages::engine_time;
-use super::stream::{Body, ForwardedBody, Received, StreamEnd, StreamHooks};
+use super::stream::{Body, ForwardedBody, Received, STALL_TIME, StreamEnd, StreamHooks};
 use crate::core::engines::EngineReport;
 use crate::core::listing::Server;
 use crate::core::placement::PlaceEnd;
-use crate::core::read_limits::{Bound, Exceeded, Peer};
+use crate::core::read_limits::{Exceeded, Peer};
 use crate::core::time::Moment;
 use crate::event;
 use crate::platform::server::{self, ReplyHead};
@@ -27,9 +27,6 @@
 
 /// An attempt that ends with less time than this left has reached the request's deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
-/// A process that notices a deadline later than this did not run meanwhile, so that what it had read
-/// by then is no evidence against the backend server.
-const STALL_TIME: Duration = Duration::from_millis(250);
 
 /// One attempt at a request; counts as in flight at its backend server until it ends.
 pub struct Attempt {
@@ -142,9 +139,8 @@
         let is_late = self.routed.time_left() < DEADLINE_MARGIN
             && clock::boot().since(deadline) < STALL_TIME
             && self.watch.has_begun();
-        let allowed = deadline.since(self.began).as_millis();
-        let limit = u64::try_from(allowed).unwrap_or(u64::MAX);
-        is_late.then_some(Exceeded { peer: Peer::BackendServer, bound: Bound::Time, limit })
+        let allowed = deadline.since(self.began);
+        is_late.then(|| Exceeded::time(Peer::BackendServer, allowed))
     }
 
     /// Logs what shows that the backend server did not run the request; `earlier` requests were
--- a/src/limpetmux/serve/connections.rs
+++ b/src/limpetmux/serve/connections.rs
@@ -67,11 +67,9 @@
     pub fn exceeded(&self, peer: Peer) -> Option<Exceeded> {
         match self {
             Self::Unreadable(error) if error.is_parse_too_large() => {
-                Some(Exceeded { peer, bound: Bound::Head, limit: MAX_HEAD_BYTES as u64 })
-            }
-            Self::Informational => {
-                Some(Exceeded { peer, bound: Bound::Count, limit: MAX_INFORMATIONAL as u64 })
+                Some(Exceeded::count(peer, Bound::Head, MAX_HEAD_BYTES))
             }
+            Self::Informational => Some(Exceeded::count(peer, Bound::Count, MAX_INFORMATIONAL)),
             _ => None,
         }
     }
--- a/src/limpetmux/serve/engines.rs
+++ b/src/limpetmux/serve/engines.rs
@@ -99,7 +99,7 @@
 }
 
 fn choice(reply: EnginePlaced) -> Option<PlacedEngine> {
-    let expected = Duration::from_millis(reply.wait_ms + reply.work_ms);
+    let expected = Duration::from_millis(reply.wait_ms.saturating_add(reply.work_ms));
     let source = Some(reply.source).filter(|s| !s.is_empty()).map(Arc::from);
     (!reply.server.is_empty()).then(|| PlacedEngine {
         server: reply.server.into(),
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -43,9 +43,7 @@
 /// The most bytes that are read of the body of a refusal.
 const MAX_REFUSAL_BYTES: usize = 16 * 1024;
 /// The time in which the body of a refusal is read.
-const REFUSAL_READ_TIME: Duration = Duration::from_millis(REFUSAL_READ_MS);
-/// The same in milliseconds.
-const REFUSAL_READ_MS: u64 = 50;
+const REFUSAL_READ_TIME: Duration = Duration::from_millis(50);
 /// How many sends may end without running before the request is refused.
 const MAX_REFUSALS: usize = 4;
 
@@ -338,18 +336,20 @@
     head: &ReplyHead,
 ) -> Option<Exceeded> {
     let reading = Limited::new(answer.into_body(), MAX_REFUSAL_BYTES).collect();
-    let (bound, limit) = match timeout(REFUSAL_READ_TIME, reading).await {
-        Ok(Ok(_)) if head.closes || head.wrong_server => return None,
+    let peer = Peer::BackendServer;
+    match timeout(REFUSAL_READ_TIME, reading).await {
+        Ok(Ok(_)) if head.closes || head.wrong_server => None,
         Ok(Ok(_)) => {
             connection.keep(head.keep_alive);
-            return None;
+            None
+        }
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Some(Exceeded::count(peer, Bound::Body, MAX_REFUSAL_BYTES))
         }
-        Ok(Err(error)) if error.is::<LengthLimitError>() => (Bound::Body, MAX_REFUSAL_BYTES as u64),
         Ok(Err(error)) => {
             log::debug!(target: "limpetmux", "the body of a refusal is broken: {error}");
-            return None;
+            None
         }
-        Err(_) => (Bound::Time, REFUSAL_READ_MS),
-    };
-    Some(Exceeded { peer: Peer::BackendServer, bound, limit })
+        Err(_) => Some(Exceeded::time(peer, REFUSAL_READ_TIME)),
+    }
 }
--- a/src/limpetmux/serve/plain.rs
+++ b/src/limpetmux/serve/plain.rs
@@ -61,8 +61,7 @@
 }
 
 /// What ends the reading of a plain answer that is too long.
-const TOO_LONG: Exceeded =
-    Exceeded { peer: Peer::BackendServer, bound: Bound::Body, limit: MAX_ANSWER_BYTES as u64 };
+const TOO_LONG: Exceeded = Exceeded::count(Peer::BackendServer, Bound::Body, MAX_ANSWER_BYTES);
 
 /// Reads a body to its end, or until more of it has arrived than is held.
 async fn hold(body: &mut Incoming) -> Result<Held, hyper::Error> {
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -228,13 +228,14 @@
 }
 
 fn choose_service(route: &Route) -> Option<Arc<str>> {
-    let total: u32 = route.targets.iter().map(|(_, weight)| weight).sum();
+    let weights = route.targets.iter().map(|(_, weight)| u64::from(*weight));
+    let total: u64 = weights.sum();
     if route.targets.len() == 1 || total == 0 {
         return route.targets.first().map(|(service, _)| Arc::clone(service));
     }
     let mut draw = rand::random_range(0..total);
     for (service, weight) in &route.targets {
-        match draw.checked_sub(*weight) {
+        match draw.checked_sub(u64::from(*weight)) {
             Some(left) => draw = left,
             None => return Some(Arc::clone(service)),
         }
--- a/src/limpetmux/serve/stream.rs
+++ b/src/limpetmux/serve/stream.rs
@@ -21,7 +21,7 @@
 const CALLER_PAUSE: Duration = Duration::from_secs(1);
 /// A process that notices a deadline later than this did not run meanwhile, so that what it had read
 /// by then is no evidence against the backend server.
-const STALL_TIME: Duration = Duration::from_millis(250);
+pub(super) const STALL_TIME: Duration = Duration::from_millis(250);
 /// A stream that has more bytes than this at its deadline is not merely slow.
 const LONG_STREAM_BYTES: usize = 1024 * 1024;
 
@@ -77,8 +77,7 @@
     let source = error.source()?.downcast_ref::<std::io::Error>()?;
     let is_over = source.kind() == std::io::ErrorKind::InvalidData
         && source.to_string().ends_with("over limit");
-    let limit = MAX_TRAILER_BYTES as u64;
-    is_over.then_some(Exceeded { peer: Peer::BackendServer, bound: Bound::Head, limit })
+    is_over.then(|| Exceeded::count(Peer::BackendServer, Bound::Head, MAX_TRAILER_BYTES))
 }
 
 /// What has been read of an answer.
@@ -195,8 +194,7 @@
     }
 
     /// Ends the body with an error of the backend server.
-    fn exceed(&mut self, bound: Bound, limit: u64) -> BodyError {
-        let exceeded = Exceeded { peer: Peer::BackendServer, bound, limit };
+    fn exceed(&mut self, exceeded: Exceeded) -> BodyError {
         self.end(StreamEnd::Exceeded(exceeded));
         exceeded.into()
     }
@@ -205,8 +203,7 @@
     fn end_late(&mut self, at_fault: bool) -> BodyError {
         let ran = self.deadline.deadline().elapsed() < STALL_TIME;
         if at_fault && ran {
-            return self
-                .exceed(Bound::Time, u64::try_from(self.left.as_millis()).unwrap_or(u64::MAX));
+            return self.exceed(Exceeded::time(Peer::BackendServer, self.left));
         }
         self.end(StreamEnd::Timeout);
         BodyError::Timeout
@@ -253,18 +250,13 @@
 
     fn check_bytes(&mut self) -> Result<(), BodyError> {
         let (bytes, event) = (self.received.bytes, self.received.events.longest());
-        match self.forwarding {
-            Forwarding::Plain if bytes > MAX_ANSWER_BYTES => {
-                Err(self.exceed(Bound::Body, MAX_ANSWER_BYTES as u64))
-            }
-            Forwarding::Events if bytes > MAX_STREAM_BYTES => {
-                Err(self.exceed(Bound::Body, MAX_STREAM_BYTES as u64))
-            }
-            Forwarding::Events if event > MAX_EVENT_BYTES => {
-                Err(self.exceed(Bound::Event, MAX_EVENT_BYTES as u64))
-            }
-            _ => Ok(()),
-        }
+        let (bound, limit) = match self.forwarding {
+            Forwarding::Plain if bytes > MAX_ANSWER_BYTES => (Bound::Body, MAX_ANSWER_BYTES),
+            Forwarding::Events if bytes > MAX_STREAM_BYTES => (Bound::Body, MAX_STREAM_BYTES),
+            Forwarding::Events if event > MAX_EVENT_BYTES => (Bound::Event, MAX_EVENT_BYTES),
+            _ => return Ok(()),
+        };
+        Err(self.exceed(Exceeded::count(Peer::BackendServer, bound, limit)))
     }
 }
 
--- a/src/limpetmux/sidecar/run.rs
+++ b/src/limpetmux/sidecar/run.rs
@@ -4,7 +4,7 @@
 use super::{CheckedAttempt, Disconnected, Output, Permit, Sidecar};
 use crate::adapters::backend::{BackendError, Job};
 use crate::core::admission::Outcome;
-use crate::core::read_limits::{Bound, Exceeded, Peer};
+use crate::core::read_limits::{Exceeded, Peer};
 use crate::core::refusal::{Execution, Refusal, RefusalCode};
 use crate::util::metrics::Metric;
 use crate::util::read_stop;
@@ -64,8 +64,8 @@
         result = call(sidecar, attempt.job, &permit, output) => result,
         _ = &mut cancel => Err(Refusal::unknown(RefusalCode::Cancelled)),
         () = tokio::time::sleep_until(end) => {
-            let limit = millis(end.saturating_duration_since(started));
-            let exceeded = Exceeded { peer: Peer::BackendServer, bound: Bound::Time, limit };
+            let allowed = end.saturating_duration_since(started);
+            let exceeded = Exceeded::time(Peer::BackendServer, allowed);
             read_stop::record(&sidecar.metrics, exceeded, key);
             Err(Refusal::unknown(RefusalCode::Deadline))
         }
@@ -81,10 +81,6 @@
     Ok(Usage { queued, busy, cost })
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn outcome_of(result: &Result<(), Refusal>) -> Outcome {
     match result {
         Ok(()) => Outcome::Done,
--- a/src/limpetmux/stage_queues/exchange.rs
+++ b/src/limpetmux/stage_queues/exchange.rs
@@ -6,7 +6,7 @@
 //! connections among themselves: a further answer there only counts as another confirmation.
 
 use crate::core::answer_proof::AnswerOwner;
-use crate::core::read_limits::{Bound, Exceeded, MAX_HEAD_BYTES, Peer};
+use crate::core::read_limits::{Bound, Exceeded, Peer};
 use crate::platform::server::{self, ReplyHead};
 use crate::serve::connections::{ActiveConnection, ConnectionError, ConnectionPool, Reuse};
 use bytes::{Bytes, BytesMut};
@@ -42,10 +42,8 @@
     pub(super) fn exceeded(&self) -> Option<Exceeded> {
         match self {
             Self::Exceeded(exceeded) => Some(*exceeded),
-            Self::Connection(ConnectionError::Broken(error)) if error.is_parse_too_large() => {
-                Some(Exceeded::count(Peer::StageServer, Bound::Head, MAX_HEAD_BYTES))
-            }
-            _ => None,
+            Self::Connection(error) => error.exceeded(Peer::StageServer),
+            Self::Answer(_) | Self::OtherCall => None,
         }
     }
 }
