--- a/crates/limpetmux-soak/src/lib.rs
+++ b/crates/limpetmux-soak/src/lib.rs
@@ -1,25 +1,25 @@
 //! Runs a small deployment as separate processes under random faults, drawn from a seed.
 //!
 //! [`world`] holds the environment of the processes, [`fleet`] the processes, and [`proxy`] the
-//! connections between them. [`faults`] draws the faults, [`callers`] send requests and [`usage`]
-//! measures the processes meanwhile, and [`checks`] compares what was observed with the guarantees of
-//! the product. The same seed draws the same faults; their effects still depend on the machine.
-//! [`measure`] measures what endless answers cost other requests. See `docs/design/soak.md`.
+//! connections between them. [`faults`] draws the faults and [`inject`] puts them into effect,
+//! [`callers`] send requests and [`usage`] measures the processes meanwhile, and [`checks`] compares
+//! what was observed with the guarantees of the product. The same seed draws the same faults; their
+//! effects still depend on the machine. [`measure`] measures what endless answers cost other requests.
+//! See `docs/design/soak.md`.
 
 pub mod callers;
 pub mod checks;
 pub mod faults;
 pub mod fleet;
+mod inject;
 pub mod measure;
 pub mod proxy;
 pub mod usage;
 pub mod world;
 
-use callers::{Kind, SentLog};
 use checks::{Facts, Violation};
-use faults::{Fault, Sizes};
-use limpetmux_standins::users::{BadBytes, UsersFault, UsersServer};
-use proxy::{Link, Proxy};
+use faults::Sizes;
+use proxy::Link;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use std::path::{Path, PathBuf};
@@ -36,10 +36,6 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(9);
 /// The time during which the recovery is checked.
 const RECOVERY_CHECK_TIME: Duration = Duration::from_secs(4);
-/// The time after which a draining backend server is listed again under a new id.
-const RELIST_DELAY: Duration = Duration::from_secs(9);
-/// The time within which a read of the store ends after its fault.
-const STORE_READ_TIME: Duration = Duration::from_secs(3);
 
 /// The interval at which the soak measures whether it stands still.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -110,7 +106,7 @@
     let mut injections = Vec::new();
     for (at, fault) in &faults {
         sleep_until(began + *at).await;
-        injections.push(tokio::spawn(inject(Arc::clone(&world), Arc::clone(&log), *fault)));
+        injections.push(tokio::spawn(inject::inject(Arc::clone(&world), Arc::clone(&log), *fault)));
     }
     futures::future::join_all(injections).await;
     clear_faults(&world);
@@ -158,124 +154,6 @@
     std::fs::write(path, lines.map(|line| line + "\n").collect::<String>())
 }
 
-/// Injects a fault and waits until it is over.
-async fn inject(w: Arc<World>, log: SentLog, fault: Fault) {
-    let ms = Duration::from_millis;
-    let outcome = match fault {
-        Fault::Kill(node, downtime) => kill(&w, node, ms(downtime)).await,
-        Fault::Stop(node) => stop(&w, node).await,
-        Fault::Pause(node, time) => {
-            pause(&w, node, ms(time)).await;
-            Ok(())
-        }
-        Fault::Reload(node, signal) => lock(&w.nodes[node]).reload(signal),
-        Fault::StoreLink(node, link, time) => {
-            w.record_disturbance(node, Instant::now() + ms(time));
-            let proxy = lock(&w.nodes[node]).spec.store.clone();
-            disturb_link(&proxy, link, ms(time)).await;
-            Ok(())
-        }
-        Fault::StoreDown(time) => {
-            (0..w.nodes.len()).for_each(|n| w.record_disturbance(n, Instant::now() + ms(time)));
-            w.store.set_down(true);
-            sleep(ms(time)).await;
-            w.store.set_down(false);
-            Ok(())
-        }
-        Fault::StoreBytes(bytes, time) => {
-            let until = Instant::now() + ms(time) + STORE_READ_TIME;
-            (0..w.nodes.len()).for_each(|n| w.record_disturbance(n, until));
-            w.store.set_bytes(Some(bytes));
-            sleep(ms(time)).await;
-            w.store.set_bytes(None);
-            Ok(())
-        }
-        Fault::Burst(entry, bytes) => {
-            burst(&w, &log, entry, bytes).await;
-            Ok(())
-        }
-        Fault::ServerLink(server, link, time) => {
-            (0..world::ENTRIES).for_each(|n| w.record_disturbance(n, Instant::now() + ms(time)));
-            disturb_link(&w.backends[server].proxy, link, ms(time)).await;
-            Ok(())
-        }
-        Fault::ServerFault(server, fault, time) => {
-            disturb_server(&w.backends[server].server, fault, ms(time)).await;
-            Ok(())
-        }
-        Fault::Drain(server) => {
-            let backend = Arc::clone(&w.backends[server]);
-            w.drain(&backend);
-            sleep(RELIST_DELAY).await;
-            w.relist(&backend);
-            Ok(())
-        }
-        Fault::Declare => {
-            w.write_version();
-            Ok(())
-        }
-        Fault::Revoke => {
-            w.revoke_key();
-            Ok(())
-        }
-        Fault::Evacuate(zone, time) => {
-            w.evacuate(zone, true);
-            sleep(ms(time)).await;
-            w.evacuate(zone, false);
-            Ok(())
-        }
-    };
-    if let Err(error) = outcome {
-        eprintln!("cannot inject {fault:?}: {error}");
-    }
-}
-
-async fn kill(world: &World, node: usize, downtime: Duration) -> std::io::Result<()> {
-    world.record_disturbance(node, Instant::now() + downtime + Duration::from_secs(1));
-    lock(&world.nodes[node]).kill();
-    sleep(downtime).await;
-    lock(&world.nodes[node]).ensure_running()
-}
-
-async fn stop(world: &World, node: usize) -> std::io::Result<()> {
-    let stopping = lock(&world.nodes[node]).terminate();
-    if let Some(id) = stopping {
-        fleet::wait_for_exit(&world.nodes[node], id).await;
-    }
-    lock(&world.nodes[node]).ensure_running()
-}
-
-async fn pause(world: &World, node: usize, time: Duration) {
-    world.record_disturbance(node, Instant::now() + time);
-    lock(&world.nodes[node]).set_paused(true);
-    sleep(time).await;
-    lock(&world.nodes[node]).set_paused(false);
-}
-
-/// Sends many requests at once to one entry while all backend servers that may answer them have a
-/// fault.
-async fn burst(w: &Arc<World>, log: &SentLog, entry: usize, bytes: BadBytes) {
-    let kind = if bytes == BadBytes::EndlessEvent { Kind::Stream } else { Kind::Once };
-    let service = if kind == Kind::Stream { world::ENGINE_SERVICE } else { "plain" };
-    let servers = w.backends.iter().filter(|b| b.service == service);
-    let time = callers::DEADLINE / 2;
-    let faults = servers.map(|b| disturb_server(&b.server, UsersFault::Bytes(bytes), time));
-    let faults = futures::future::join_all(faults);
-    futures::future::join(faults, callers::burst(w, log, entry, kind)).await;
-}
-
-async fn disturb_server(server: &UsersServer, fault: UsersFault, time: Duration) {
-    server.set_fault(fault);
-    sleep(time).await;
-    server.set_fault(UsersFault::None);
-}
-
-async fn disturb_link(proxy: &Proxy, link: Link, time: Duration) {
-    proxy.set(link);
-    sleep(time).await;
-    proxy.set(Link::Whole);
-}
-
 /// Ends the faults that overlapping ones may have left in effect.
 fn clear_faults(world: &World) {
     for node in &world.nodes {
