Join the streams that count what is read, and the reading of bodies

Cause: three types wrapped a TCP connection to see how many bytes were read (CountedStream, Meter, TimedStream of callers), each with the same forwarding of writes, and `read_body` stood twice.

Change: util/watched_stream.rs wraps a connection and reports each read to a closure, which may fail it; util/read_body.rs reads a body up to a bound. Entry and handshake keep their own streams, as they follow content or poll a timer. What is counted, and when a read fails, is the same; the store's connections now also write several buffers at once.

--- a/src/limpetmux/platform/store_call.rs
+++ b/src/limpetmux/platform/store_call.rs
@@ -1,12 +1,14 @@
 //! Sends calls to the store on connections that read a bounded number of bytes for each answer.
 //!
-//! A [`Meter`] between the socket and the HTTP client counts all bytes of an answer: the head,
+//! A [`Budget`] between the socket and the HTTP client counts all bytes of an answer: the head,
 //! informational answers before it, the framing of the body and trailers. At its limit the
 //! connection fails, and the call ends with an [`Exceeded`].
 
 use crate::core::read_limits::{Bound, Exceeded, MAX_HEAD_BYTES, MAX_HEADERS, Peer};
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use crate::util::read_body::read_body;
+use crate::util::watched_stream::WatchedStream;
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode};
@@ -15,12 +17,9 @@
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
@@ -96,46 +95,6 @@
     }
 }
 
-/// A stream that fails once more bytes have been read than are left.
-struct Meter {
-    stream: TcpStream,
-    budget: Arc<Budget>,
-}
-
-impl AsyncRead for Meter {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let count = buf.filled().len() - before;
-        match self.budget.take(count) {
-            Ok(()) => polled,
-            Err(exceeded) => Poll::Ready(Err(io::Error::other(exceeded))),
-        }
-    }
-}
-
-impl AsyncWrite for Meter {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -198,7 +157,7 @@
             return Ok((status, Bytes::new()));
         }
         connection.budget.begin_body(limit);
-        let body = read_body(answer.into_body(), limit).await?;
+        let body = read_body::<CallError>(answer.into_body(), Peer::Store, limit).await?;
         self.keep(connection);
         Ok((status, body))
     }
@@ -223,16 +182,12 @@
     }
 }
 
-async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, CallError> {
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else { continue };
-        if whole.len() + data.len() > limit {
-            return Err(Exceeded::count(Peer::Store, Bound::Body, limit).into());
-        }
-        whole.extend_from_slice(&data);
-    }
-    Ok(whole.freeze())
+/// Wraps a connection so that it fails once more bytes have been read than are left.
+fn metered(
+    stream: TcpStream,
+    budget: Arc<Budget>,
+) -> WatchedStream<impl FnMut(usize) -> io::Result<()>> {
+    WatchedStream::new(stream, move |count| budget.take(count).map_err(io::Error::other))
 }
 
 async fn connect(addr: SocketAddr) -> Result<Connection, CallError> {
@@ -243,10 +198,10 @@
     let socket = SockRef::from(&stream);
     socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT)).map_err(CallError::Connect)?;
     let budget = Arc::new(Budget::default());
-    let meter = Meter { stream, budget: Arc::clone(&budget) };
+    let stream = metered(stream, Arc::clone(&budget));
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
-    let (sender, connection) = builder.handshake(TokioIo::new(meter)).await?;
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
     let driver = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!(target: "limpetmux", "connection to the store closed: {error}");
--- a/src/limpetmux/serve/connections.rs
+++ b/src/limpetmux/serve/connections.rs
@@ -5,7 +5,7 @@
 //! the answer to another request. A request that was sent before goes out on a new connection, where
 //! no copy of an earlier answer to it can arrive. Errors state whether the request was sent.
 
-use super::head_watch::{BytesRead, CountedStream, HeadWatch};
+use super::head_watch::{BytesRead, HeadWatch, counted};
 use crate::core::read_limits::{Bound, Exceeded, MAX_HEAD_BYTES, MAX_INFORMATIONAL, Peer};
 use crate::event;
 use crate::util::event::EventCode;
@@ -258,7 +258,7 @@
         .map_err(ConnectionError::Connect)?;
     set_timeouts(&stream).map_err(ConnectionError::Connect)?;
     let read = BytesRead::default();
-    let stream = TokioIo::new(CountedStream::new(stream, Arc::clone(&read)));
+    let stream = TokioIo::new(counted(stream, Arc::clone(&read)));
     // hyper allows 100 headers by default; setting their number costs an allocation for each head.
     let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await;
     let (sender, connection) = handshake.map_err(ConnectionError::Unsent)?;
--- a/src/limpetmux/serve/front.rs
+++ b/src/limpetmux/serve/front.rs
@@ -1,7 +1,7 @@
 //! Accepts connections of callers, of the balancer and of metrics scrapers.
 
 use super::connections::set_timeouts;
-use super::head_time::{HeadStart, HeadTimer, TimedStream};
+use super::head_time::{HeadStart, HeadTimer, timed};
 use super::node::Shared;
 use super::request;
 use super::stream::Body;
@@ -79,7 +79,7 @@
     let limits = limits(&shared);
     let start = HeadStart::default();
     let timer = HeadTimer { start: start.clone(), head: limits.header_timeout };
-    let stream = TimedStream { stream, start: start.clone() };
+    let stream = timed(stream, start.clone());
     let handled = Arc::clone(&shared);
     let knows_chunks = AtomicBool::new(true);
     let service = service_fn(|request: Request<Incoming>| {
@@ -105,7 +105,7 @@
         read_stop::record(&shared.metrics, exceeded, peer);
     }
     if !knows_chunks.load(Ordering::Relaxed) {
-        reset(&serving.into_parts().io.inner().stream);
+        reset(serving.into_parts().io.inner().get_ref());
     }
 }
 
--- a/src/limpetmux/serve/head_time.rs
+++ b/src/limpetmux/serve/head_time.rs
@@ -2,8 +2,9 @@
 //!
 //! The HTTP server starts one timer when it begins to wait for a head. [`HeadTimer`] creates it: it
 //! ends after the idle time of the connection, or a shorter time after the first byte of the head.
-//! [`TimedStream`] tells it when bytes arrive.
+//! [`timed`] tells it when bytes arrive.
 
+use crate::util::watched_stream::WatchedStream;
 use hyper::rt::{Sleep, Timer};
 use std::future::Future;
 use std::io;
@@ -11,7 +12,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -73,54 +73,15 @@
 
 impl Sleep for HeadSleep {}
 
-/// The connection of a caller.
-#[derive(Debug)]
-pub(super) struct TimedStream {
-    pub(super) stream: TcpStream,
-    pub(super) start: HeadStart,
-}
-
-impl AsyncRead for TimedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.start.lock().get_or_insert_with(Instant::now);
+/// Wraps the connection of a caller so that `start` is known once bytes arrive.
+pub(super) fn timed(
+    stream: TcpStream,
+    start: HeadStart,
+) -> WatchedStream<impl FnMut(usize) -> io::Result<()>> {
+    WatchedStream::new(stream, move |count| {
+        if count > 0 {
+            start.lock().get_or_insert_with(Instant::now);
         }
-        polled
-    }
-}
-
-impl AsyncWrite for TimedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
+        Ok(())
+    })
 }
--- a/src/limpetmux/serve/head_watch.rs
+++ b/src/limpetmux/serve/head_watch.rs
@@ -5,12 +5,11 @@
 //! after a request was sent, which tell an answer that drips from one that has not begun.
 
 use crate::core::read_limits::MAX_INFORMATIONAL;
+use crate::util::watched_stream::WatchedStream;
 use hyper::Request;
-use std::pin::Pin;
+use std::io;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -60,59 +59,13 @@
     }
 }
 
-/// A TCP connection that counts the bytes that are read from it.
-#[derive(Debug)]
-pub(super) struct CountedStream {
+/// Wraps a connection so that the bytes that are read from it are counted.
+pub(super) fn counted(
     stream: TcpStream,
     read: BytesRead,
-}
-
-impl CountedStream {
-    pub(super) fn new(stream: TcpStream, read: BytesRead) -> Self {
-        Self { stream, read }
-    }
-}
-
-impl AsyncRead for CountedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let count = buf.filled().len() - before;
-        self.read.fetch_add(count as u64, Ordering::Relaxed);
-        polled
-    }
-}
-
-impl AsyncWrite for CountedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
+) -> WatchedStream<impl FnMut(usize) -> io::Result<()>> {
+    WatchedStream::new(stream, move |count| {
+        read.fetch_add(count as u64, Ordering::Relaxed);
+        Ok(())
+    })
 }
--- a/src/limpetmux/stage_queues/exchange.rs
+++ b/src/limpetmux/stage_queues/exchange.rs
@@ -6,13 +6,13 @@
 //! connections among themselves: a further answer there only counts as another confirmation.
 
 use crate::core::answer_proof::AnswerOwner;
-use crate::core::read_limits::{Bound, Exceeded, Peer};
+use crate::core::read_limits::{Exceeded, Peer};
 use crate::platform::server::{self, ReplyHead};
 use crate::serve::connections::{ActiveConnection, ConnectionError, ConnectionPool, Reuse};
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use crate::util::read_body::read_body;
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::Request;
-use hyper::body::Incoming;
 use std::net::SocketAddr;
 
 /// Why a call has no answer that can be used.
@@ -81,18 +81,6 @@
     if head.owner != AnswerOwner::Unnamed {
         return Err(ExchangeError::OtherCall);
     }
-    let body = read_body(answer.into_body(), limit).await?;
+    let body = read_body::<ExchangeError>(answer.into_body(), Peer::StageServer, limit).await?;
     Ok(CallAnswer { head, body, connection })
 }
-
-async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, ExchangeError> {
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else { continue };
-        if whole.len() + data.len() > limit {
-            return Err(Exceeded::count(Peer::StageServer, Bound::Body, limit).into());
-        }
-        whole.extend_from_slice(&data);
-    }
-    Ok(whole.freeze())
-}
--- a/src/limpetmux/util/mod.rs
+++ b/src/limpetmux/util/mod.rs
@@ -7,5 +7,7 @@
 pub mod jsonc;
 pub mod logging;
 pub mod metrics;
+pub mod read_body;
 pub mod read_stop;
 pub mod throttle;
+pub mod watched_stream;
