Shorten the fields of the platform's records

Cause: eleven fields of the adapter had names of three words, copied from the wire.

Change: two words at most, the wire names stated in `rename`, as the house rules ask.

Conclusion: the wire is unchanged; the tests of settings, orders and records pass.

--- a/src/limpetmux/platform/boot.rs
+++ b/src/limpetmux/platform/boot.rs
@@ -85,10 +85,13 @@
     grace_s: Duration,
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     revoke_ms: Duration,
-    retry_budget_ratio: f64,
-    retry_budget_slack: f64,
+    #[serde(rename = "retry-budget-ratio")]
+    budget_ratio: f64,
+    #[serde(rename = "retry-budget-slack")]
+    budget_slack: f64,
+    #[serde(rename = "budget-window-s")]
     #[serde_as(as = "DurationSeconds<f64>")]
-    budget_window_s: Duration,
+    budget_window: Duration,
 }
 
 #[derive(Deserialize)]
@@ -140,7 +143,7 @@
     if serves_callers && file.listen.readiness.is_none() {
         return invalid("listen.readiness", "is missing for a process that serves callers");
     }
-    let ratio = file.bounds.retry_budget_ratio;
+    let ratio = file.bounds.budget_ratio;
     if !(0.0..=10.0).contains(&ratio) {
         return invalid("bounds.retry-budget-ratio", "is not a ratio");
     }
@@ -154,9 +157,9 @@
     let [first, _] = file.internal_ports;
     let serves_callers = file.serves.iter().any(|s| s == SERVES_CALLERS);
     let retry_limit = RetryLimit {
-        ratio: file.bounds.retry_budget_ratio,
-        allowance: file.bounds.retry_budget_slack,
-        window: file.bounds.budget_window_s,
+        ratio: file.bounds.budget_ratio,
+        allowance: file.bounds.budget_slack,
+        window: file.bounds.budget_window,
     };
     NodeSettings {
         name: file.node_id.into(),
--- a/src/limpetmux/platform/orders.rs
+++ b/src/limpetmux/platform/orders.rs
@@ -52,8 +52,9 @@
     kind: Kind,
     #[serde_as(as = "DurationMilliSeconds<f64>")]
     timeout_ms: Duration,
+    #[serde(rename = "target-latency-ms")]
     #[serde_as(as = "DurationMilliSeconds<f64>")]
-    target_latency_ms: Duration,
+    target_latency: Duration,
     #[serde(default)]
     priority: u8,
     /// The service, if the route does not split its requests among several.
@@ -101,9 +102,11 @@
 struct ConfigService {
     name: Arc<str>,
     max_connections: u32,
+    #[serde(rename = "cold-start-s")]
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
-    cold_start_s: Duration,
-    cold_per_s: f64,
+    cold_time: Duration,
+    #[serde(rename = "cold-per-s")]
+    cold_rate: f64,
     engine: Option<Engine>,
     pieces: Option<Pieces>,
 }
@@ -137,12 +140,16 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct ConfigLimits {
-    max_header_bytes: usize,
-    max_body_bytes: usize,
+    #[serde(rename = "max-header-bytes")]
+    max_header: usize,
+    #[serde(rename = "max-body-bytes")]
+    max_body: usize,
+    #[serde(rename = "header-timeout-ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    header_timeout_ms: Duration,
+    header_timeout: Duration,
+    #[serde(rename = "idle-timeout-ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    idle_timeout_ms: Duration,
+    idle_timeout: Duration,
 }
 
 #[derive(Deserialize)]
@@ -190,10 +197,10 @@
 
 fn spec(config: Config) -> CatalogSpec {
     let limits = CallerLimits {
-        max_header: config.limits.max_header_bytes,
-        max_body: config.limits.max_body_bytes,
-        header_timeout: config.limits.header_timeout_ms,
-        idle_timeout: config.limits.idle_timeout_ms,
+        max_header: config.limits.max_header,
+        max_body: config.limits.max_body,
+        header_timeout: config.limits.header_timeout,
+        idle_timeout: config.limits.idle_timeout,
     };
     CatalogSpec {
         version: config.version,
@@ -219,7 +226,7 @@
         prefix: route.path_prefix,
         retry_class,
         timeout: route.timeout_ms.min(MAX_TIME),
-        target_latency: route.target_latency_ms.min(MAX_TIME),
+        target_latency: route.target_latency.min(MAX_TIME),
         attempts: route.max_attempts,
         priority: route.priority,
         targets,
@@ -242,8 +249,8 @@
     PoolSpec {
         name: service.name,
         connections: service.max_connections,
-        cold_time: service.cold_start_s.min(MAX_TIME),
-        cold_rate: service.cold_per_s,
+        cold_time: service.cold_time.min(MAX_TIME),
+        cold_rate: service.cold_rate,
         engine: service.engine.map(|e| EngineSpec { slots: e.slots, memory_tokens: e.kv_capacity }),
         pieces: service.pieces.map(|p| PieceSpec {
             slots: p.slots,
--- a/src/limpetmux/platform/servers.rs
+++ b/src/limpetmux/platform/servers.rs
@@ -22,9 +22,9 @@
     slots: u32,
     state: State,
     /// How long the backend server stays cold after the record was written.
-    #[serde(default)]
+    #[serde(default, rename = "cold-remaining-ms")]
     #[serde_as(as = "DurationMilliSeconds<f64>")]
-    cold_remaining_ms: Duration,
+    cold_left: Duration,
     /// The Unix time in milliseconds at which it started.
     #[serde(default)]
     born: u64,
@@ -63,6 +63,6 @@
         zone: record.zone,
         slots: record.slots,
         draining: record.state == State::Draining,
-        cold: record.cold_remaining_ms,
+        cold: record.cold_left,
     }
 }
