Refuse requests that a stopping entry can't finish, and answer the rest

Cause: a stopping entry accepts requests for 3.2 s, whatever their deadline, and exits 7.3 s after SIGTERM. A stream that came after 3 s to a full engine did not end by then. Requests without an answer lost their connections in the same way.

Change: core/node_stop.rs holds the times of a stop. From 2.8 s on a request is accepted only if its deadline is before the exit; 0.2 s before the exit a request that no backend server has answered gets 502, or 503 if it was sent nowhere, by the proof that the deadline uses. A request counts as running from its head on, no longer only once its body is read.

Conclusion: nothing is taken any more that can't be answered; a stream that arrived before and outlasts the grace period is still cut.

--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -18,6 +18,7 @@
 pub mod keys;
 pub mod listing;
 pub mod membership;
+pub mod node_stop;
 pub mod nodes;
 pub mod once;
 pub mod operator;
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -5,11 +5,13 @@
 use crate::adapters::channel::Channels;
 use crate::core::engines::EngineReport;
 use crate::core::listing::{Listing, Server};
+use crate::core::node_stop::NodeStop;
 use crate::core::nodes::{Node, Nodes};
 use crate::core::operator::Orders;
 use crate::core::placement::Placement;
 use crate::core::queue_waits::QueueWaits;
 use crate::core::retry_share::RetryShare;
+use crate::core::time::Moment;
 use crate::fleet::peers::Peers;
 use crate::kernel::{Published, Publisher};
 use crate::util::clock;
@@ -19,6 +21,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// The part of the bound on accepting revoked keys that is reserved for the time a request takes to
 /// reach a backend server.
@@ -60,12 +63,12 @@
     pub connections: ConnectionPool,
     /// The connections to other nodes.
     pub peers: Peers,
-    /// Whether the node is shutting down.
-    pub stopping: AtomicBool,
     /// Whether discovery has finished, so that the node knows most live nodes.
     discovered: AtomicBool,
     /// The number of requests that run.
     pub running: AtomicUsize,
+    /// The times of the stop, once the node is shutting down.
+    stop: watch::Sender<Option<NodeStop>>,
     nodes: Mutex<Nodes>,
     placement: Mutex<Placement>,
     retry_share: Mutex<RetryShare>,
@@ -91,7 +94,7 @@
             view: view.reader(),
             connections: ConnectionPool::default(),
             peers: Peers::new(Channels::plain()),
-            stopping: AtomicBool::new(false),
+            stop: watch::Sender::new(None),
             discovered: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             nodes: Mutex::new(Nodes::new(local_node.clone())),
@@ -150,7 +153,28 @@
 
     /// Returns whether the node is shutting down.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop.borrow().is_some()
+    }
+
+    /// Begins to stop and returns the times of the stop.
+    pub fn begin_stop(&self) -> NodeStop {
+        let stop = NodeStop::new(clock::boot(), self.settings().bounds.grace_period);
+        self.stop.send_replace(Some(stop));
+        stop
+    }
+
+    /// Returns whether to accept a request that arrives now and has to be answered by `deadline`.
+    pub fn accepts(&self, deadline: Moment) -> bool {
+        let stop = *self.stop.borrow();
+        stop.is_none_or(|stop| stop.accepts(clock::boot(), deadline))
+    }
+
+    /// Waits until the node has to answer all requests because it is about to exit.
+    pub async fn must_answer(&self) {
+        let mut stop = self.stop.subscribe();
+        let Ok(stop) = stop.wait_for(Option::is_some).await.map(|s| *s) else { return };
+        let time = stop.map_or(Duration::ZERO, |stop| clock::boot().until(stop.answer_at()));
+        tokio::time::sleep(time).await;
     }
 
     /// Returns whether discovery has finished, so that the node knows most live nodes.
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -34,6 +34,10 @@
 /// The retry delay for a caller while keys cannot be checked against recent records.
 const STALE_RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// The retry delay for a caller whose request would not end before the node does; another node may
+/// accept it at once.
+const STOPPING_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// A request whose route and workspace are known.
 pub struct RoutedRequest {
     /// The head of the request.
@@ -91,6 +95,13 @@
         if sent_to.insert(addr) { Reuse::Allowed } else { Reuse::Forbidden }
     }
 
+    /// Returns the failure of a request whose work ends without an answer; only one that no backend
+    /// server may have run is refused.
+    fn unanswered(&self, sent: Reason, unsent: Reason) -> Failure {
+        let maybe_ran = self.maybe_ran.load(Ordering::Relaxed);
+        Failure::new(if maybe_ran { sent } else { unsent })
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self) -> Duration {
         clock::boot().until(self.deadline)
@@ -100,6 +111,7 @@
 /// Answers a request.
 pub async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let arrived = clock::boot();
+    let _running = Running::new(&shared);
     let (parts, body) = request.into_parts();
     let head = match caller::decode(&parts) {
         Ok(head) => head,
@@ -166,6 +178,9 @@
     let body = read_body(shared, &head.id, body, catalog.limits.max_body, allowed).await?;
     let service = choose_service(&catalog.routes[route]).ok_or(Failure::new(Reason::NoRoute))?;
     let deadline = arrived + allowed;
+    if !shared.accepts(deadline) {
+        return Err(Failure::with_retry(Reason::Stopping, STOPPING_RETRY_DELAY));
+    }
     let (maybe_ran, sent_to) = (AtomicBool::new(false), Mutex::default());
     Ok(RoutedRequest {
         head,
@@ -246,7 +261,6 @@
 /// Runs the stages, sends the request and returns its answer before the deadline.
 async fn run(shared: &Arc<Shared>, routed: RoutedRequest) -> Response<Body> {
     let routed = Arc::new(routed);
-    let _running = Running::new(shared);
     shared.retry_share().count_first(clock::boot(), &routed.service);
     let work = async {
         let inputs = stages::run(shared, &routed).await?;
@@ -259,10 +273,12 @@
             result => result,
         }
     };
-    let result = match timeout(routed.time_left(), work).await {
-        Ok(result) => result,
-        Err(_) if routed.maybe_ran.load(Ordering::Relaxed) => Err(Failure::new(Reason::Timeout)),
-        Err(_) => Err(Failure::new(Reason::TooLate)),
+    let result = tokio::select! {
+        biased;
+        result = timeout(routed.time_left(), work) => {
+            result.unwrap_or_else(|_| Err(routed.unanswered(Reason::Timeout, Reason::TooLate)))
+        }
+        () = shared.must_answer() => Err(routed.unanswered(Reason::Lost, Reason::Stopping)),
     };
     match result {
         Ok(answer) => answer,
--- a/src/limpetmux/serve/run.rs
+++ b/src/limpetmux/serve/run.rs
@@ -7,6 +7,7 @@
 use super::front;
 use super::node::{Shared, StoreView};
 use super::settings::NodeSettings;
+use crate::core::node_stop::ACCEPT_TIME;
 use crate::event;
 use crate::fleet::follow::Follower;
 use crate::fleet::service::FleetService;
@@ -14,6 +15,7 @@
 use crate::node::{ServeError, bind};
 use crate::platform::store::Store;
 use crate::stage_queues::StageQueues;
+use crate::util::clock;
 use crate::util::event::EventCode;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -25,12 +27,8 @@
 use tokio::time::{Instant, sleep};
 use tonic::service::Routes;
 
-/// How long a stopping node still accepts connections, so that the balancer can stop sending.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_200);
 /// How long a stopping node still runs the stages that it has queued.
 const STAGE_DRAIN_TIME: Duration = Duration::from_secs(2);
-/// The part of the grace period that is reserved for the exit of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(700);
 /// The time between two checks for running requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -172,9 +170,9 @@
 async fn drain(shared: &Shared, queues: &StageQueues, stop: &watch::Sender<bool>) -> usize {
     let began = Instant::now();
     event!(EventCode::DrainStarted, running = shared.running.load(Ordering::Relaxed));
-    shared.stopping.store(true, Ordering::Relaxed);
+    let times = shared.begin_stop();
     if shared.settings().caller_addr.is_some() {
-        sleep(ACCEPT_AFTER_STOP).await;
+        sleep(ACCEPT_TIME).await;
     } else {
         queues.leave().await;
         let end = began + STAGE_DRAIN_TIME;
@@ -183,8 +181,7 @@
         }
     }
     stop.send_replace(true);
-    let end = began + shared.settings().bounds.grace_period.saturating_sub(EXIT_MARGIN);
-    wait_idle(&shared.running, end).await
+    wait_idle(&shared.running, Instant::now() + clock::boot().until(times.exit)).await
 }
 
 /// Waits until no request has run for a whole interval, or until `end`; returns how many run then.
--- a/tests/testsuite/platform/drain.rs
+++ b/tests/testsuite/platform/drain.rs
@@ -1,10 +1,21 @@
 //! A node that stops waits for the requests that it runs.
 
 use super::ms;
+use super::node_fixture::{Fixture, OwnServer, config, fixture_with};
+use limpetmux::core::node_stop::NodeStop;
+use limpetmux::core::time::Moment;
 use limpetmux::serve::run::wait_idle;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use tokio::time::{Instant, sleep};
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, timeout};
+
+/// The time within which each step ends, on a busy machine too.
+const PATIENCE: Duration = Duration::from_secs(40);
 
 #[tokio::test(start_paused = true)]
 async fn request_that_begins_while_an_idle_node_stops_is_not_cut() {
@@ -36,3 +47,80 @@
     assert_eq!(left, 1);
     assert!(began.elapsed() <= ms(540), "{:?}", began.elapsed());
 }
+
+#[test]
+fn request_that_comes_late_in_a_stop_is_accepted_only_if_it_ends_in_time() {
+    // Guards against a request that is taken over 3 s after SIGTERM and cut when the process exits
+    // (rule LOST, a day of aear-rayos-grown with full engines and rolling restarts).
+    let at = Moment::from_millis;
+    let stop = NodeStop::new(at(10_000), ms(8_000));
+
+    assert_eq!((stop.exit, stop.answer_at()), (at(17_300), at(17_100)));
+    for (now, deadline, accepts) in [
+        (10_000, 60_000, true),
+        (12_799, 60_000, true),
+        (12_800, 60_000, false),
+        (13_200, 60_000, false),
+        (13_200, 17_101, false),
+        (13_200, 17_100, true),
+    ] {
+        assert_eq!(stop.accepts(at(now), at(deadline)), accepts, "{now} {deadline}");
+    }
+}
+
+/// A server that answers nothing and reports each connection on which bytes arrive.
+async fn silent_server() -> (SocketAddr, mpsc::Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (asked, seen) = mpsc::channel(100);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let asked = asked.clone();
+            tokio::spawn(async move {
+                if stream.read_u8().await.is_ok() {
+                    asked.send(()).await.unwrap();
+                    tokio::io::copy(&mut stream, &mut tokio::io::sink()).await.unwrap();
+                }
+            });
+        }
+    });
+    (addr, seen)
+}
+
+/// A fixture whose routes allow a minute and in which one service has a silent server only.
+async fn slow_fixture(own: OwnServer) -> Fixture {
+    let fixture = fixture_with(&[own]).await;
+    let text = config(2, "k2").replace("\"timeout-ms\":2000", "\"timeout-ms\":60000");
+    let text = text.replace("\"timeout-ms\":4000", "\"timeout-ms\":60000");
+    fixture.store.put("keyed.op", "config", &text);
+    let in_force = async {
+        while fixture.post("/stream/x", "f").send().await.unwrap().status() != 401 {
+            sleep(ms(20)).await;
+        }
+    };
+    timeout(PATIENCE, in_force).await.unwrap();
+    fixture
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_still_waits_is_answered_before_the_node_exits() {
+    // Guards against a connection that closes without an answer when a stopping node exits.
+    let (addr, mut asked) = silent_server().await;
+    let fixture = slow_fixture(OwnServer { id: "silent", service: "plain", addr }).await;
+    let request = with_deadline(fixture.post("/once/x", "1f").build().unwrap());
+    let sent = tokio::spawn(reqwest::Client::new().execute(request));
+    timeout(PATIENCE, asked.recv()).await.expect("nothing was sent");
+
+    let left = timeout(PATIENCE, fixture.entry.drain()).await.unwrap();
+
+    let answer = timeout(PATIENCE, sent).await.unwrap().unwrap().unwrap();
+    assert_eq!((left, answer.status().as_u16()), (0, 502));
+}
+
+/// Replaces key and deadline of a request by those of [`slow_fixture`].
+fn with_deadline(mut request: reqwest::Request) -> reqwest::Request {
+    let headers = request.headers_mut();
+    headers.insert("x-limpetmux-deadline-ms", 60_000.into());
+    headers.insert("authorization", "Bearer k2".parse().unwrap());
+    request
+}
