Show what the store may send beside its answers

Cause: four rows of the store said "by reading": extensions and trailers, the body of an answer without success, bytes on an idle connection, and joins of groups.

Change: four tests in endless_store.rs; the time of an idle connection passes on tokio's clock.

--- a/tests/testsuite/platform/endless_store.rs
+++ b/tests/testsuite/platform/endless_store.rs
@@ -4,10 +4,10 @@
 use limpetmux::core::read_limits::{Bound, Exceeded, MAX_LIST_BYTES, Peer};
 use limpetmux::platform::store::{Page, Store, StoreError};
 use limpetmux::serve::run::{RunningNode, start};
-use limpetmux_standins::raw::{serve_bytes, unframed};
+use limpetmux_standins::raw::{serve_bytes, serve_requests, unframed};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -15,6 +15,8 @@
 
 /// The bytes that the sockets between two processes hold at most, and a margin.
 const SOCKET_BYTES: usize = 24 * 1024 * 1024;
+/// The time after which an idle connection is not used any more, and a margin.
+const IDLE_TIME: Duration = Duration::from_millis(20_100);
 /// The time within which each test ends, on a busy machine too.
 const PATIENCE: Duration = Duration::from_secs(40);
 
@@ -140,6 +142,81 @@
     assert_eq!(exceeded(ended).bound, Bound::Body);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn extensions_and_trailers_without_end_are_not_read_whole() {
+    // Guards against bytes of a body that are no content and so count towards no length.
+    for begin in ["1;", "0\r\nx: "] {
+        let answer = endless(&format!("{CHUNKED}{begin}"), b"x");
+        let (addr, done) = serve_endless(move |_| answer.clone()).await;
+
+        let ended = Store::new(addr).read("keyed.op", 4, Duration::ZERO).await;
+
+        done.closed().await;
+        let is_bounded = match &ended {
+            Err(StoreError::Exceeded(stop)) => stop.bound != Bound::Time,
+            ended => matches!(ended, Err(StoreError::NoAnswer(_))),
+        };
+        assert!(is_bounded, "{begin:?}: {ended:?}");
+        assert!(done.bytes.load(Ordering::Relaxed) < SOCKET_BYTES, "{begin:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_of_an_answer_without_success_is_not_read() {
+    // Guards against a failed call that waits for a body of which it needs nothing.
+    for pause in [Duration::ZERO, Duration::from_millis(100)] {
+        let answer = Endless { pause, ..endless("HTTP/1.1 500 Text\r\n\r\n", b" ") };
+        let (addr, done) = serve_endless(move |_| answer.clone()).await;
+
+        let ended = Store::new(addr).read("keyed.op", 4, Duration::ZERO).await;
+
+        done.closed().await;
+        assert!(matches!(ended, Err(StoreError::Status(_))), "{ended:?}");
+        assert!(done.bytes.load(Ordering::Relaxed) < SOCKET_BYTES);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_on_an_idle_connection_close_it() {
+    // Guards against bytes that are read without end after an answer, or taken for the next one.
+    let answer = endless("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", b"HTTP/1.1 500 Text\r\n");
+    let (addr, done) = serve_endless(move |_| answer.clone()).await;
+    let store = Store::new(addr);
+    let mut ended = Vec::new();
+    for _ in 0..2 {
+        ended.push(store.put("keyed.nodes", "k", b"v").await);
+        done.closed().await;
+    }
+
+    assert!(ended.iter().all(Result::is_ok), "{ended:?}");
+    assert_eq!(done.calls(), 2);
+    assert!(done.bytes.load(Ordering::Relaxed) < 2 * SOCKET_BYTES);
+}
+
+#[tokio::test]
+async fn connection_that_was_idle_for_long_is_not_used() {
+    // Guards against a call on a connection whose other side may be gone without notice.
+    let peers = Arc::<Mutex<Vec<SocketAddr>>>::default();
+    let seen = Arc::clone(&peers);
+    let addr = serve_requests(move |request| {
+        seen.lock().unwrap().push(request.peer);
+        b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".into()
+    });
+    let store = Store::new(addr.await.unwrap());
+    for idle in [Duration::ZERO, IDLE_TIME, Duration::ZERO] {
+        // The connection can be used again a moment after its answer.
+        sleep(Duration::from_millis(20)).await;
+        tokio::time::pause();
+        tokio::time::advance(idle).await;
+        tokio::time::resume();
+        store.put("keyed.nodes", "k", b"v").await.unwrap();
+    }
+
+    let peers = peers.lock().unwrap();
+    assert_ne!(peers[0], peers[1]);
+    assert_eq!(peers[1], peers[2]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn head_without_end_is_read_to_its_bound_only() {
     // Guards against a head that grows until a time-out, line by line or in one line.
