Show the bounds on informational answers and on calls that free results

Cause: for calls for pieces, informational answers and the time of a call that frees results were bounded "by reading".

Change: two tests in endless_calls.rs; the two on calls that free results share their check.

Conclusion: no row of calls for pieces is left to reading.

--- a/tests/testsuite/platform/endless_calls.rs
+++ b/tests/testsuite/platform/endless_calls.rs
@@ -3,7 +3,7 @@
 use super::endless_store::{Done, Endless, serve_endless, wait_stopped};
 use super::node_fixture::fixture as node_fixture;
 use super::node_fixture::{Fixture, OwnServer, config, fixture_with};
-use super::stage_calls::{answer, lock, stage_servers};
+use super::stage_calls::{Fault, answer, lock, stage_servers};
 use bytes::Bytes;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -99,6 +99,12 @@
     check(endless("HTTP/1.1 200 OK\r\n", &b"x: y\r\n".repeat(1_000)), "head").await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn informational_answers_without_end_are_not_read_whole() {
+    // Guards against answers that are skipped one after another until the call times out.
+    check(endless("", b"HTTP/1.1 103 Early\r\nx: y\r\n\r\n"), "count").await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn dripped_answer_ends_with_the_time_of_its_call_and_frees_its_place() {
     // Guards against a call that holds its pieces and its place because a byte arrives now and then.
@@ -125,15 +131,9 @@
     wait_stopped(&servers.fixture.sidecar, "stage_server", "body", 1).await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn results_are_not_freed_by_an_answer_that_exceeds_its_bound() {
-    // Guards against room that counts as free although the answer that confirms it is no proper one.
-    let servers =
-        stage_servers(|request, right, _| match request.head.starts_with("post /stage-free ") {
-            true => answer(200, "", &" ".repeat(100 * MAX_CALL_ANSWER_BYTES)),
-            false => right,
-        })
-        .await;
+/// Checks that room for results is not used again while the calls that free it end at a bound.
+async fn check_room(fault: Fault, bound: &str) {
+    let servers = stage_servers(fault).await;
     // Results of 100 kB take up a room of 1 MB, of which a fourteenth stays free.
     let large = config(2, "k1").replace(r#""size-bytes":1000"#, r#""size-bytes":100000"#);
     servers.fixture.store.put("keyed.op", "config", &large);
@@ -145,7 +145,30 @@
 
     let most_held = lock(&servers.made).most_held;
     assert!(most_held <= 9, "{most_held} results in the room for 9");
-    wait_stopped(&servers.fixture.sidecar, "stage_server", "body", 1).await;
+    wait_stopped(&servers.fixture.sidecar, "stage_server", bound, 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn results_are_not_freed_by_an_answer_that_exceeds_its_bound() {
+    // Guards against room that counts as free although the answer that confirms it is no proper one.
+    let fault: Fault = |request, right, _| match request.head.starts_with("post /stage-free ") {
+        true => answer(200, "", &" ".repeat(100 * MAX_CALL_ANSWER_BYTES)),
+        false => right,
+    };
+    check_room(fault, "body").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn results_are_not_freed_by_an_answer_that_does_not_end_in_time() {
+    // Guards against calls that free results and wait for the rest of their answers for ever.
+    let fault: Fault = |request, right, _| match request.head.starts_with("post /stage-free ") {
+        true => {
+            let whole = answer(200, "", "x");
+            whole[..whole.len() - 1].into()
+        }
+        false => right,
+    };
+    check_room(fault, "time").await;
 }
 
 #[test]
