Show the bounds on replies of other nodes

Cause: the row of a node that calls another one said "by reading".

Change: endless_nodes.rs with a node that does not reply to one kind of call, or with too many bytes, and that is asked first, since its address is chosen to come first for all purposes.

Conclusion: heads and pings are the library's; the time of `Run` is also the request's own.

--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -10,6 +10,7 @@
 mod endless_calls;
 mod endless_failures;
 mod endless_idle;
+mod endless_nodes;
 mod endless_server;
 mod endless_store;
 mod engines;
