--- a/tests/testsuite/platform/endless_callers.rs
+++ b/tests/testsuite/platform/endless_callers.rs
@@ -1,8 +1,11 @@
 //! Callers, the balancer and scrapers that send without end, or a byte at a time, are cut off.
 
+use super::endless_server::chunk;
 use super::endless_store::{stopped, wait_stopped};
-use super::node_fixture::{Fixture, config, fixture};
+use super::node_fixture::{Fixture, config, fixture, settings};
 use limpetmux::core::read_limits::MAX_PROBE_CONNECTIONS;
+use limpetmux::serve::run::start;
+use limpetmux::serve::settings::NodeSettings;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -11,6 +14,8 @@
 
 /// The time within which each step ends, on a busy machine too.
 const PATIENCE: Duration = Duration::from_secs(40);
+/// The descriptors that a node keeps for all else than connections of callers.
+const RESERVED_DESCRIPTORS: usize = 1_000;
 /// The time for a head in [`short_heads`].
 const HEAD_TIME: Duration = Duration::from_millis(600);
 
@@ -53,6 +58,12 @@
         .replace(r#""header-timeout-ms":3000"#, r#""header-timeout-ms":600"#)
         .replace(r#""idle-timeout-ms":15000"#, r#""idle-timeout-ms":600000"#);
     fixture.store.put("keyed.op", "config", &limits);
+    wait_in_force(&fixture).await;
+    fixture
+}
+
+/// Waits until a configuration without the key of the fixture is in force.
+async fn wait_in_force(fixture: &Fixture) {
     let in_force = async {
         let caller = || fixture.post("/safe/x", "1f").header("connection", "close");
         while caller().send().await.unwrap().status() != 401 {
@@ -60,7 +71,47 @@
         }
     };
     timeout(PATIENCE, in_force).await.unwrap();
-    fixture
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connection_closes_and_counts_as_no_fault() {
+    // Guards against connections that callers keep for ever.
+    let fixture = fixture().await;
+    let short = config(2, "k2").replace(r#""idle-timeout-ms":15000"#, r#""idle-timeout-ms":300"#);
+    fixture.store.put("keyed.op", "config", &short);
+    wait_in_force(&fixture).await;
+    let addr = fixture.entry.caller_addr.unwrap();
+    let served = head("/safe/x", "2f", "k2") + "content-length: 4\r\n\r\nbody";
+
+    for sent in ["", &served] {
+        let mut caller = TcpStream::connect(addr).await.unwrap();
+        caller.write_all(sent.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        let read = timeout(PATIENCE, caller.read_to_string(&mut answer));
+        read.await.expect("stays open").unwrap();
+        assert_eq!(answer.starts_with("HTTP/1.1 200"), !sent.is_empty(), "{answer}");
+    }
+
+    assert_eq!(stopped(&fixture.entry, "caller", "time").await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_of_a_request_that_its_head_refuses_is_not_read() {
+    // Guards against a refused request whose body is read on, without end or a byte at a time.
+    let fixture = fixture().await;
+    let addr = fixture.entry.caller_addr.unwrap();
+    let begin = head("/once/x", "1f", "unknown");
+    for (framing, unit, pause) in [
+        ("transfer-encoding: chunked\r\n\r\n", chunk(&[b'x'; 4_096]), Duration::ZERO),
+        ("content-length: 90000000\r\n\r\n", vec![b'x'; 4_096], Duration::ZERO),
+        ("content-length: 900\r\n\r\n", b"x".to_vec(), Duration::from_millis(100)),
+    ] {
+        let answer = send(addr, &(begin.clone() + framing), &unit, pause).await;
+
+        // A reset may overtake the answer.
+        assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 401"), "{answer}");
+    }
+    assert_eq!(fixture.runs("1f"), 0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -157,23 +208,27 @@
     wait_stopped(&fixture.entry, "operator", "time", 2).await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn connections_to_the_listener_for_readiness_are_bounded_in_number() {
-    // Guards against connections without a request that take up all descriptors of the process.
-    let fixture = fixture().await;
-    let addr = fixture.entry.readiness_addr.unwrap();
+/// Opens twice as many connections as a listener keeps; returns how many it closes of those beyond.
+async fn closed_beyond(addr: SocketAddr, limit: usize) -> usize {
     let mut open = Vec::new();
-    for _ in 0..2 * MAX_PROBE_CONNECTIONS {
+    for _ in 0..2 * limit {
         open.push(TcpStream::connect(addr).await.unwrap());
     }
-
-    let closed = open[MAX_PROBE_CONNECTIONS..].iter_mut().map(|stream| async {
+    let closed = open[limit..].iter_mut().map(|stream| async {
         // A connection that is refused ends without any byte.
         !matches!(stream.read(&mut [0]).await, Ok(1..))
     });
     let closed = timeout(PATIENCE, futures::future::join_all(closed)).await.expect("stay open");
-    let closed = closed.into_iter().filter(|c| *c).count();
-    drop(open);
+    closed.into_iter().filter(|c| *c).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_to_the_listener_for_readiness_are_bounded_in_number() {
+    // Guards against connections without a request that take up all descriptors of the process.
+    let fixture = fixture().await;
+    let addr = fixture.entry.readiness_addr.unwrap();
+
+    let closed = closed_beyond(addr, MAX_PROBE_CONNECTIONS).await;
 
     assert_eq!(closed, MAX_PROBE_CONNECTIONS);
     let answers = async {
@@ -183,3 +238,20 @@
     };
     timeout(PATIENCE, answers).await.unwrap();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_of_callers_are_bounded_in_number() {
+    // Guards against callers that take up all descriptors of the process.
+    const MAX_CALLERS: usize = 70;
+    let fixture = fixture().await;
+    let store = fixture.store.addr;
+    let limits = NodeSettings {
+        max_descriptors: RESERVED_DESCRIPTORS + MAX_CALLERS,
+        ..settings("small", store, true, Vec::new())
+    };
+    let small = start(limits).await.unwrap();
+
+    let closed = closed_beyond(small.caller_addr.unwrap(), MAX_CALLERS).await;
+
+    assert_eq!(closed, MAX_CALLERS);
+}
