Show the bounds on answers to sidecars and of the platform

Change: three tests in endless_backend.rs. answers_that_drip_end_and_prove_nothing also sends a power order, and names each call that has no end.

--- a/tests/testsuite/endless_backend.rs
+++ b/tests/testsuite/endless_backend.rs
@@ -33,6 +33,8 @@
 const TAKEN: usize = 64 << 20;
 /// The most time that a call may take, far above its own bound.
 const PATIENCE: Duration = Duration::from_secs(60);
+/// The time between two bytes of an answer that drips.
+const DRIP: Duration = Duration::from_millis(20);
 
 const KEY: AttemptKey =
     AttemptKey { request: RequestId(Uuid::nil()), stage: StageIndex(0), attempt: 0 };
@@ -143,7 +145,7 @@
     body.resize(body.len() + BLANKS, b' ');
     let url = format!("http://{}", serve_bytes(unframed(&body)).await.unwrap());
     let head = "HTTP/1.1 200 OK\r\n\r\n{";
-    let drip = Endless::start(head, b" ".to_vec(), Duration::from_millis(20)).await;
+    let drip = Endless::start(head, b" ".to_vec(), DRIP).await;
 
     let whole = (backend(&url).cancel)(KEY).await;
     let dripped = tokio::time::timeout(PATIENCE, (drip.backend().cancel)(KEY)).await;
@@ -167,6 +169,46 @@
     assert!(matches!(commented, Err(BackendError::Exceeded(_))), "{commented:?}");
 }
 
+#[tokio::test]
+async fn streamed_answer_beyond_its_bound_ends() {
+    // Guards against events that each are within their bound, and that are kept together.
+    let body = event(200 << 10).replace(",\"finish_reason\":\"stop\"", "").repeat(100);
+
+    let body = body + &event(0) + "data: [DONE]\n\n";
+    let result = run_body(StageKind::Generate, body.as_bytes()).await;
+
+    assert!(matches!(result, Err(BackendError::Exceeded(_))), "{result:?}");
+}
+
+#[tokio::test]
+async fn body_of_a_refusal_is_not_read() {
+    // Guards against a refusal that is known and still waits for a body of which it needs nothing.
+    for (part, pause) in [(vec![b' '; 4_096], Duration::ZERO), (b" ".to_vec(), DRIP)] {
+        let server = Endless::start("HTTP/1.1 503 Text\r\n\r\n", part, pause).await;
+
+        let error = run(&server.backend(), StageKind::Generate).await.unwrap_err();
+
+        assert!(error.is_not_run(), "{error:?}");
+        assert!(server.sent() < TAKEN, "{}", server.sent());
+    }
+}
+
+#[tokio::test]
+async fn nested_answers_do_not_end_the_process() {
+    // Guards against nested values that use up the stack.
+    for nested in ["[".repeat(200_000), "{\"a\":".repeat(40_000)] {
+        for begin in ["", "{\"x\":"] {
+            let plain = run_body(StageKind::Plain, format!("{begin}{nested}").as_bytes()).await;
+            assert!(matches!(plain, Err(BackendError::Truncated)), "{plain:?}");
+        }
+        for begin in ["{\"choices\":", "{\"x\":"] {
+            let body = format!("data: {begin}{nested}\n\n");
+            let streamed = run_body(StageKind::Generate, body.as_bytes()).await;
+            assert!(matches!(streamed, Err(BackendError::Malformed(_))), "{streamed:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn answer_of_too_many_tokens_ends() {
     // Guards against millions of small pieces that the sidecar and the entry keep.
@@ -226,7 +268,7 @@
         ("", informational),
     ];
     for (head, part) in rows {
-        let server = Endless::start(head, part, Duration::from_millis(20)).await;
+        let server = Endless::start(head, part, DRIP).await;
 
         let attempt = run_attempt(server.backend(), Duration::from_secs(1));
         let (refused, counters) = tokio::time::timeout(PATIENCE, attempt).await.unwrap();
--- a/tests/testsuite/endless_platform.rs
+++ b/tests/testsuite/endless_platform.rs
@@ -65,6 +65,19 @@
     ModelOrder { model: name("chat"), fence: Offset(7) }
 }
 
+fn power_order() -> PowerOrder {
+    PowerOrder { host: "h".into(), on: true, fence: Offset(7) }
+}
+
+/// Waits for the end of a call; names one that has none.
+async fn in_time<T>(name: &str, call: impl Future<Output = T>) -> Option<T> {
+    let ended = tokio::time::timeout(PATIENCE, call).await;
+    if ended.is_err() {
+        println!("{name}: no end");
+    }
+    ended.ok()
+}
+
 #[tokio::test]
 async fn host_list_beyond_its_bound_is_not_read_whole() {
     // Guards against a host list without end that fills the memory of every entry and sidecar.
@@ -133,8 +146,7 @@
 
     let appended = (LogClient::http(client(), &refusing).append)(Stream::Claims, vec![1]).await;
     let ordered = (OrdersClient::http(client(), &accepting).send)(order()).await;
-    let power = PowerOrder { host: "h".into(), on: true, fence: Offset(7) };
-    let switched = (PowerClient::http(client(), &accepting).set)(power).await;
+    let switched = (PowerClient::http(client(), &accepting).set)(power_order()).await;
 
     assert!(appended.as_ref().is_err_and(|e| e.may_have_appended()), "{appended:?}");
     assert!(ordered.is_err(), "{ordered:?}");
@@ -149,19 +161,22 @@
         let url = format!("http://{}", serve_drip(head).await);
         let (log, hosts) = (LogClient::http(client(), &url), HostsClient::http(client(), &url));
         let orders = OrdersClient::http(client(), &url);
-
-        let calls = tokio::time::timeout(PATIENCE, async {
-            tokio::join!(
-                (log.append)(Stream::Claims, vec![1]),
-                (log.read)(Stream::Claims, Offset(0), Duration::ZERO),
-                (hosts.list)(),
-                (orders.send)(order()),
-            )
-        });
-        let (appended, page, list, ordered) = calls.await.unwrap();
-
+        let power = PowerClient::http(client(), &url);
+
+        let ended = tokio::join!(
+            in_time("append", (log.append)(Stream::Claims, vec![1])),
+            in_time("page", (log.read)(Stream::Claims, Offset(0), Duration::ZERO)),
+            in_time("host list", (hosts.list)()),
+            in_time("order", (orders.send)(order())),
+            in_time("power order", (power.set)(power_order())),
+        );
+
+        let (Some(appended), Some(page), Some(list), Some(ordered), Some(switched)) = ended else {
+            panic!("a call has no end");
+        };
         assert!(appended.as_ref().is_err_and(|e| e.may_have_appended()), "{appended:?}");
         assert!(page.is_err() && list.is_err(), "{page:?} {list:?}");
         assert!(ordered.is_err() && !matches!(ordered, Err(OrderError::Fenced)), "{ordered:?}");
+        assert!(switched.is_err(), "{switched:?}");
     }
 }
