Show the bounds on silent callers and on refused bodies of the product

Cause: heads over HTTP/2, the rest of a refused body and idle connections were bounded "by reading".

Change: endless_requests.rs with four tests; long times pass on a paused clock. The fixture of endless_entry.rs serves both files.

--- a/tests/testsuite/endless_entry.rs
+++ b/tests/testsuite/endless_entry.rs
@@ -39,7 +39,8 @@
 /// A pipeline whose first stage is idempotent.
 const IDEMPOTENT: &str = "call-summary";
 /// The path that runs a pipeline.
-const RUN: &str = "POST /v1/workspaces/exchange/pipelines/port/runs HTTP/1.1\r\nhost: a\r\n";
+pub(super) const RUN: &str =
+    "POST /v1/workspaces/exchange/pipelines/port/runs HTTP/1.1\r\nhost: a\r\n";
 /// The most time that a call may take, far above its own bound.
 const PATIENCE: Duration = Duration::from_secs(90);
 /// The time between two bytes that drip.
@@ -47,11 +48,14 @@
 
 /// The pieces that a host answers each attempt with, complete and with their checksum.
 #[derive(Clone, Copy, Debug)]
-struct Pieces {
-    count: u64,
-    bytes: usize,
+pub(super) struct Pieces {
+    pub(super) count: u64,
+    pub(super) bytes: usize,
 }
 
+/// An answer without pieces.
+pub(super) const NO_PIECES: Pieces = Pieces { count: 0, bytes: 0 };
+
 /// A host that answers attempts with pieces after a wait, and look-ups not at all.
 struct FakeHost {
     pieces: Pieces,
@@ -136,15 +140,15 @@
 }
 
 /// An entry in front of hosts that answer as given.
-struct Fixture {
+pub(super) struct Fixture {
     caller: Caller,
-    addr: SocketAddr,
+    pub(super) addr: SocketAddr,
     counters: Exposition,
     _view: Publisher<View>,
 }
 
 impl Fixture {
-    async fn start(pieces: Pieces) -> Self {
+    pub(super) async fn start(pieces: Pieces) -> Self {
         Self::start_slow(pieces, Duration::ZERO).await
     }
 
@@ -273,7 +277,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn outcome_of_a_key_is_told_although_no_host_answers() {
     // Guards against an outcomes page that waits for ever for a process that stands still.
-    let fixture = Fixture::start(Pieces { count: 0, bytes: 0 }).await;
+    let fixture = Fixture::start(NO_PIECES).await;
     let key = Uuid::now_v7().to_string();
 
     let answer = fixture.caller.outcome(WORKSPACE, ONCE, &key);
@@ -285,7 +289,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn callers_that_send_one_byte_at_a_time_lose_their_connection() {
     // Guards against callers that hold connections, and places of requests, for ever.
-    let fixture = Fixture::start(Pieces { count: 0, bytes: 0 }).await;
+    let fixture = Fixture::start(NO_PIECES).await;
     let body = format!("{RUN}content-length: 100000\r\n\r\n");
     let chunked = format!("{RUN}transfer-encoding: chunked\r\n\r\n3;");
     let head = format!("{RUN}x-field: ");
@@ -309,7 +313,7 @@
     // Guards against a bound on heads that ends sound requests, whose connection is silent while
     // they run, also where the entry has asked for the body with an interim answer.
     let wait = Duration::from_secs(22);
-    let fixture = Fixture::start_slow(Pieces { count: 0, bytes: 0 }, wait).await;
+    let fixture = Fixture::start_slow(NO_PIECES, wait).await;
     let body = json!({ "input": 1, "deadline_ms": 60_000 }).to_string();
     let fields = format!("connection: close\r\ncontent-length: {}\r\n", body.len());
     let keys = [Uuid::now_v7(), Uuid::now_v7()].map(|key| format!("idempotency-key: {key}\r\n"));
@@ -337,7 +341,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn head_of_a_caller_without_end_is_not_read_whole() {
-    let fixture = Fixture::start(Pieces { count: 0, bytes: 0 }).await;
+    let fixture = Fixture::start(NO_PIECES).await;
     for part in ["a".repeat(4_096), "x-field: a\r\n".repeat(400)] {
         let mut stream = TcpStream::connect(fixture.addr).await.unwrap();
         stream.write_all(format!("{RUN}x-field: ").as_bytes()).await.unwrap();
@@ -355,8 +359,7 @@
     // Guards against connections of peers that never send a request and are kept for ever.
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
-    let service =
-        StageServer::new(FakeHost { pieces: Pieces { count: 0, bytes: 0 }, wait: Duration::ZERO });
+    let service = StageServer::new(FakeHost { pieces: NO_PIECES, wait: Duration::ZERO });
     let serve = Channels::plain();
     tokio::spawn(async move {
         serve.serve(Routes::new(service), listener, std::future::pending()).await
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod endless_backend;
 mod endless_entry;
 mod endless_platform;
+mod endless_requests;
 mod entry_not_run;
 mod frames;
 mod fuzz;
