Show the bounds on probes, on the status for operators and on heads of calls

Change: endless_operators.rs with three tests against a process whose connection is sound and that answers nothing.

Conclusion: the probe of an entry has no test.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod decoders;
 mod endless_backend;
 mod endless_entry;
+mod endless_operators;
 mod endless_platform;
 mod endless_requests;
 mod entry_not_run;
