Do not take the announced close of a connection for an answer

Cause: a head over HTTP/2 that drips may take 320 s. At 300 s the library announces the close of an idle connection (GOAWAY, with a PING), and these bytes counted as an answer, after which the time began anew. The test of the row had its upper bound taken out for it before it landed.

Change: whole PING and GOAWAY frames with at least one GOAWAY are no answer. PINGs alone still count, as a connection with a long request would otherwise lose its time.

--- a/src/limpetmux/entry/receive.rs
+++ b/src/limpetmux/entry/receive.rs
@@ -27,6 +27,11 @@
 /// The first bytes of an answer after which the body of the same request follows.
 const CONTINUE: &[u8] = b"HTTP/1.1 100";
 const HEAD_END: &[u8] = b"\r\n\r\n";
+/// The bytes of the head of an HTTP/2 frame.
+const FRAME_HEAD_BYTES: usize = 9;
+/// The type of the HTTP/2 frame that checks a connection, and of that which announces its close.
+const PING: u8 = 6;
+const GOAWAY: u8 = 7;
 
 /// Accepts connections whose heads are bounded in time.
 pub(super) struct TimedAcceptor {
@@ -90,13 +95,26 @@
 
     /// Reads bytes of an answer, after which another head may follow.
     fn answer(&mut self, bytes: &[u8]) {
-        if !bytes.starts_with(CONTINUE) {
+        if !bytes.starts_with(CONTINUE) && !(self.is_http2 && announces_close(bytes)) {
             (self.in_head, self.has_head) = (false, false);
             self.tail.clear();
         }
     }
 }
 
+/// Returns whether bytes are whole HTTP/2 frames that announce the close of the connection, which is
+/// no answer.
+fn announces_close(bytes: &[u8]) -> bool {
+    let (mut rest, mut announced) = (bytes, false);
+    while let Some((head, body)) = rest.split_at_checked(FRAME_HEAD_BYTES) {
+        let length = u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize;
+        let (Some(next), PING | GOAWAY) = (body.get(length..), head[3]) else { return false };
+        announced |= head[3] == GOAWAY;
+        rest = next;
+    }
+    announced && rest.is_empty()
+}
+
 /// A connection whose read fails if a head takes too long.
 pub(super) struct TimedStream {
     stream: TcpStream,
--- a/tests/testsuite/endless_requests.rs
+++ b/tests/testsuite/endless_requests.rs
@@ -110,7 +110,6 @@
 
     closed.await.expect("the connection stays open");
     let took = began.elapsed();
-    // The time is not checked from above: see "Open" below the table of callers in reads.md.
-    println!("closed after {took:?}");
-    assert!(took > HTTP2_HEAD_TIME / 2, "{took:?}");
+    // The orderly close of an idle connection after 300 s does not begin the time anew.
+    assert!((HTTP2_HEAD_TIME / 2..HTTP2_HEAD_TIME * 5 / 4).contains(&took), "{took:?}");
 }
