Keep keys handed over while an earlier table may be used

Cause: a home that hands its keys over sends its table every 250 ms until the successor has taken over. It ran the keys again when one of these tables was refused, although an earlier one may have been accepted, with or without a reply: the successor refuses a table for instance while it cannot read the log, but keeps the one before. It then takes over with a table that lacks what the home has run since, and runs these keys again. Class: "not taken over" concluded without a proof of each send.

Change: `Node::resume` gives the keys back only if a single table was sent; `handed_over` keeps whether there was a further one.

Conclusion: a refused table counts for itself only. Keys whose table has no known outcome wait for the successor; a home that is back in service does not send it again, which is a fault of its own.

--- a/src/limpetmux/core/once/moves.rs
+++ b/src/limpetmux/core/once/moves.rs
@@ -105,7 +105,8 @@
             return None;
         }
         if self.guards.on(Guard::StopFirst) {
-            self.handed_over.insert(successor);
+            let sent_again = self.handed_over.entry(successor).and_modify(|again| *again = true);
+            sent_again.or_insert(false);
         }
         self.promises.remove(&successor);
         // Claims not yet read back are released, so that the successor may run their keys.
@@ -122,9 +123,14 @@
         Handover { from: self.id, incarnation: self.incarnation, since, covers_untimed, rows }
     }
 
-    /// Accepts keys again after a successor has certainly refused the table.
+    /// Accepts keys again after a successor has certainly refused the only table that was sent.
+    ///
+    /// The refusal of a further table says nothing about an earlier one, with which the successor may
+    /// take over and which does not contain what this host would run from now on.
     pub fn resume(&mut self, successor: HostId) {
-        self.handed_over.remove(&successor);
+        if self.handed_over.get(&successor) == Some(&false) {
+            self.handed_over.remove(&successor);
+        }
     }
 
     /// Stores a home's table for a later takeover; returns whether the table was accepted.
--- a/src/limpetmux/core/once/node.rs
+++ b/src/limpetmux/core/once/node.rs
@@ -85,8 +85,9 @@
     pub(super) promises: BTreeMap<HostId, Moment>,
     /// The successors that have taken over, with their processes.
     pub(super) taken_over: BTreeMap<HostId, Incarnation>,
-    /// The successors to which this host handed over and whose takeover is not yet read.
-    pub(super) handed_over: BTreeSet<HostId>,
+    /// The successors to which this host handed over and whose takeover is not yet read, and whether
+    /// more than one table was sent.
+    pub(super) handed_over: BTreeMap<HostId, bool>,
     /// Per successor that returned keys, the creation time after which this host knows their runs.
     pub(super) returned_since: BTreeMap<HostId, KeyTime>,
     /// Successors that returned a table that is complete for keys without a creation time.
@@ -129,7 +130,7 @@
             unclaimed: BTreeSet::new(),
             promises: BTreeMap::new(),
             taken_over: BTreeMap::new(),
-            handed_over: BTreeSet::new(),
+            handed_over: BTreeMap::new(),
             returned_since: BTreeMap::new(),
             untimed_returns: BTreeSet::new(),
             returns: BTreeMap::new(),
@@ -364,7 +365,7 @@
 
     /// Returns whether the keys shared with a successor have been taken over or handed over.
     fn has_ceded(&self, successor: HostId) -> bool {
-        self.taken_over.contains_key(&successor) || self.handed_over.contains(&successor)
+        self.taken_over.contains_key(&successor) || self.handed_over.contains_key(&successor)
     }
 
     /// Returns since which creation time this home knows all runs of keys shared with a successor.
