Test a claim that another request runs by its deadline

Change: a test at the gate of a home, whose successor refuses its table: the claim is released, another request claims the key and runs it, and the first one is polled only after its deadline. No change of the product.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod membership;
 mod once;
 mod once_explore;
+mod once_gate;
 mod once_moves;
 mod once_path;
 mod openapi;
