Refuse tables from before the return of their keys

Cause: a table that a home sent before it went back into service can arrive after the successor has taken over with an earlier one and returned the keys. The successor accepted it and took over again with it, although the home had run keys since that it lacks, and ran them again. The explorations had one takeover only. Class: "not run" concluded from a table without a proof that it is the last.

Change: a table states how far its sender has read the claims stream (field `read` of the message), and a successor refuses one of a home that had not read the last return. It belongs to the guard `fresh_handover`. A home of an older version states nothing, so after a return its tables are refused and its keys are "unvouched" at the successor. A new exploration has two takeovers.

Conclusion: a late table counts for nothing.

--- a/crates/limpetmux-test-support/src/once/pair.rs
+++ b/crates/limpetmux-test-support/src/once/pair.rs
@@ -57,6 +57,15 @@
     pub const UNTIMED_RETURN: Self = Self { untimed: true, ..Self::RETURN };
     /// A key without a time, a handover and a return, for `cargo run -p xtask -- explore`.
     pub const UNTIMED_MOVES: Self = Self { untimed: true, ..Self::MOVES };
+    /// A handover whose table may arrive after a return of the keys, and a second takeover.
+    pub const LATE_TABLE: Self = Self {
+        reachability_changes: 0,
+        home_restarts: 0,
+        handovers: 1,
+        returns: 1,
+        takeovers: 2,
+        ..Self::HOME_RESTARTS
+    };
     /// A handover and a return in one exploration, for `cargo run -p xtask -- explore`.
     pub const MOVES: Self = Self { returns: 1, ..Self::HANDOVER };
 }
--- a/src/limpetmux/core/once/moves.rs
+++ b/src/limpetmux/core/once/moves.rs
@@ -120,7 +120,8 @@
         let since = self.covered_since(successor);
         let rows = self.table.export(Role::Home { successor: Some(successor) });
         let covers_untimed = self.covers_untimed(Role::Home { successor: Some(successor) });
-        Handover { from: self.id, incarnation: self.incarnation, since, covers_untimed, rows }
+        let (from, incarnation, read) = (self.id, self.incarnation, self.position);
+        Handover { from, incarnation, since, covers_untimed, read, rows }
     }
 
     /// Accepts keys again after a successor has certainly refused the only table that was sent.
@@ -135,11 +136,15 @@
 
     /// Stores a home's table for a later takeover; returns whether the table was accepted.
     ///
-    /// A table is stale if a later process of the home is known.
+    /// A table is stale if a later process of the home is known, or if the home had not read the last
+    /// return of its keys, since when it may have run more of them.
     pub fn receive_handover(&mut self, handover: Handover) -> bool {
         let role = Role::Successor { home: handover.from };
         let fresh = self.guards.on(Guard::FreshHandover);
         let state = self.home_states.entry(handover.from).or_default();
+        if fresh && handover.read < state.returned {
+            return false;
+        }
         if let Some(takeover) = state.takeover {
             let same_process = takeover.from == Some(handover.incarnation);
             self.table.adopt(handover.rows, role, same_process);
@@ -166,7 +171,8 @@
         state.returning = true;
         let rows = self.table.export(Role::Successor { home });
         let (since, covers_untimed) = (takeover.since, takeover.covers_untimed);
-        let handover = Handover { from: by, incarnation, since, covers_untimed, rows };
+        let read = self.position;
+        let handover = Handover { from: by, incarnation, since, covers_untimed, read, rows };
         Some((handover, Record::Return { home, by, incarnation }))
     }
 
--- a/src/limpetmux/core/once/observe.rs
+++ b/src/limpetmux/core/once/observe.rs
@@ -164,6 +164,7 @@
         if by == self.id && state.holder == Some(process) {
             *state = HomeState {
                 changed: self.position,
+                returned: self.position,
                 promised_until: state.promised_until,
                 promisee: state.promisee,
                 requested: state.requested,
--- a/src/limpetmux/core/once/successor.rs
+++ b/src/limpetmux/core/once/successor.rs
@@ -41,6 +41,8 @@
     pub since: KeyTime,
     /// Whether the table is complete for keys without a creation time.
     pub covers_untimed: bool,
+    /// The offset after the last record that the sender had read.
+    pub read: Offset,
     pub(super) rows: BTreeMap<KeyId, Entry>,
 }
 
@@ -51,10 +53,11 @@
         incarnation: Incarnation,
         since: KeyTime,
         covers_untimed: bool,
+        read: Offset,
         rows: impl IntoIterator<Item = Row>,
     ) -> Self {
         let rows = rows.into_iter().map(|r| (r.key, r.into())).collect();
-        Self { from, incarnation, since, covers_untimed, rows }
+        Self { from, incarnation, since, covers_untimed, read, rows }
     }
 
     /// Iterates over the rows in key order.
@@ -122,6 +125,8 @@
     pub requested: Option<Moment>,
     /// The offset after the last takeover or return.
     pub changed: Offset,
+    /// The offset after the last return.
+    pub returned: Offset,
     /// The process of this host that last took over, according to the log.
     pub holder: Option<Incarnation>,
     /// The takeover by this process.
--- a/src/limpetmux/sidecar/once/convert.rs
+++ b/src/limpetmux/sidecar/once/convert.rs
@@ -3,6 +3,7 @@
 use crate::core::once::{
     Answer, Handover, HostId, Incarnation, KeyId, KeyStatus, KeyTime, Outcome, Row,
 };
+use crate::core::revision::Offset;
 use crate::wire::once;
 
 /// Returns the message that identifies a process.
@@ -41,6 +42,7 @@
         rows: table.rows().map(row).collect(),
         returns,
         whole: table.covers_untimed,
+        read: table.read.0,
     }
 }
 
@@ -64,7 +66,8 @@
     let from = request.from?;
     let rows: Option<Vec<Row>> = request.rows.into_iter().map(parse_row).collect();
     let (host, incarnation) = (HostId(from.host), Incarnation(from.incarnation));
-    Some(Handover::new(host, incarnation, KeyTime(request.since_ms), request.whole, rows?))
+    let (since, read) = (KeyTime(request.since_ms), Offset(request.read));
+    Some(Handover::new(host, incarnation, since, request.whole, read, rows?))
 }
 
 fn parse_row(row: once::Row) -> Option<Row> {
--- a/src/limpetmux/wire/gen/limpetmux.once.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.once.v1.rs
@@ -50,6 +50,9 @@
     /// Whether the table is complete for keys without a creation time.
     #[prost(bool, tag = "5")]
     pub whole: bool,
+    /// The offset after the last record of the claims stream that the sender had read.
+    #[prost(uint64, tag = "6")]
+    pub read: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HandOverReply {
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -214,7 +214,8 @@
         let outcome = Outcome::Answered(Answer { payload, cost: draw_number(u)? });
         let row = Row { key, body: u.arbitrary()?, outcome, expires: KeyTime(draw_number(u)?) };
         let (from, since) = (HostId::of("b"), KeyTime(draw_number(u)?));
-        let table = Handover::new(from, Incarnation(u.arbitrary()?), since, true, [row]);
+        let (incarnation, read) = (Incarnation(u.arbitrary()?), Offset(draw_number(u)?));
+        let table = Handover::new(from, incarnation, since, true, read, [row]);
         let message = encode_table(&table, u.arbitrary()?);
         assert_eq!(decode_table(message.clone()).unwrap(), table);
         check_table(&draw(u, &message.encode_to_vec())?);
--- a/tests/testsuite/lost_answers.rs
+++ b/tests/testsuite/lost_answers.rs
@@ -44,7 +44,7 @@
     node.set_log_reachable(true);
     let (claimed, held) = (Incarnation(1), Incarnation(9));
     let row = Row { key, body: None, outcome, expires: KeyTime(u64::MAX) };
-    node.receive_return(Handover::new(holder, held, KeyTime(0), false, [row]));
+    node.receive_return(Handover::new(holder, held, KeyTime(0), false, Offset(0), [row]));
     let records = [
         Record::Claims { home, incarnation: claimed, keys: vec![key] },
         Record::Takeover { home, by: holder, incarnation: held },
--- a/tests/testsuite/once_explore.rs
+++ b/tests/testsuite/once_explore.rs
@@ -34,6 +34,11 @@
     assert_safe(Limits::MOVES);
 }
 
+#[test]
+fn runs_no_key_twice_over_a_table_that_arrives_late() {
+    assert_safe(Limits::LATE_TABLE);
+}
+
 /// An exploration of fewer states does not cover the steps that it should.
 const MIN_STATES: usize = 10_000;
 
--- a/tests/testsuite/once_moves.rs
+++ b/tests/testsuite/once_moves.rs
@@ -1,7 +1,7 @@
 //! Moves of keys between a home and its successor whose tables or replies are lost.
 
 use limpetmux::core::once::{
-    Action, Guards, HostId, Incarnation, KeyId, KeyTime, KeyedRequest, Node, Role, Rules,
+    Action, Guards, HostId, Incarnation, KeyId, KeyTime, KeyedRequest, Node, Record, Role, Rules,
     RunDecision, Time,
 };
 use limpetmux::core::refusal::RefusalCode;
@@ -81,3 +81,29 @@
 
     assert!(runs_at_home(&mut home));
 }
+
+#[test]
+fn table_that_arrives_after_the_return_of_its_keys_is_refused() {
+    // Guards against a key that runs at its home, which has its keys back, and again at the successor,
+    // which takes over with a table from before the return.
+    let (mut home, mut successor) = pair();
+    let [earlier, late] = [(); 2].map(|()| home.hand_over(SUCCESSOR).unwrap());
+    assert!(successor.receive_handover(earlier));
+    let takeover = successor.take_over(HOME, at(10_000).now).unwrap();
+    observe([&mut home, &mut successor], &takeover, at(10_000));
+    let (table, returned) = successor.return_keys(HOME).unwrap();
+    home.receive_return(table);
+    observe([&mut home, &mut successor], &returned, at(10_100));
+
+    let accepted = successor.receive_handover(late);
+
+    let runs = [runs_at_home(&mut home), runs_at_successor(&mut successor)];
+    assert_eq!((accepted, runs), (false, [true, false]));
+}
+
+/// Passes the next record of the log to both hosts.
+fn observe(hosts: [&mut Node; 2], record: &Record, time: Time) {
+    for host in hosts {
+        host.observe(host.position(), record, time);
+    }
+}
