Let a home that is back in service hand over until its keys return

Cause: a home that has handed over runs none of its keys until the successor has taken over and returned them. It sends its table only while it is out of service. If it was back before the successor had taken over, for instance because the reply to its only table was lost and the table too, nobody ran the keys any more: the successor does not take over from a home that answers.

Change: a home in service also sends the tables of handovers whose takeover it has not read.

Conclusion: the keys move on.

--- a/src/limpetmux/core/once/moves.rs
+++ b/src/limpetmux/core/once/moves.rs
@@ -134,6 +134,12 @@
         }
     }
 
+    /// Returns the successors to which this host has handed over and whose takeover it has not read.
+    pub fn open_handovers(&self) -> Vec<HostId> {
+        let handed_over = self.handed_over.keys().copied();
+        handed_over.filter(|s| !self.taken_over.contains_key(s)).collect()
+    }
+
     /// Stores a home's table for a later takeover; returns whether the table was accepted.
     ///
     /// A table is stale if a later process of the home is known, or if the home had not read the last
--- a/src/limpetmux/sidecar/once/moves.rs
+++ b/src/limpetmux/sidecar/once/moves.rs
@@ -30,6 +30,10 @@
         if gate.is_out_of_service() {
             gate.hand_over_all().await;
         } else {
+            // A successor that may have received a table has to take over and return the keys, as no
+            // host runs them otherwise.
+            let open = gate.lock().node.open_handovers();
+            gate.hand_over_to(open).await;
             gate.take_over_silent(&mut silent_rounds, &log).await;
         }
     }
@@ -88,7 +92,12 @@
     /// Hands all keys of this host over to their successors.
     async fn hand_over_all(&self) {
         self.update_successors();
-        let successors: Vec<HostId> = self.lock().successors.iter().copied().collect();
+        let successors = self.lock().successors.iter().copied().collect();
+        self.hand_over_to(successors).await;
+    }
+
+    /// Stops running the keys shared with some successors and sends their tables.
+    async fn hand_over_to(&self, successors: Vec<HostId>) {
         for successor in successors.into_iter().filter(|s| self.is_serving(*s)) {
             let table = self.lock().node.hand_over(successor);
             let Some(table) = table else { continue };
--- a/tests/testsuite/once_gate.rs
+++ b/tests/testsuite/once_gate.rs
@@ -191,3 +191,14 @@
     assert_eq!(refused, Decision::Refuse(Refusal::unknown(RefusalCode::Deadline)));
     home.gate.finish(home.scoped(&key).id(), Outcome::Unknown);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn home_that_is_back_sends_its_table_again_until_the_successor_has_it() {
+    // Guards against keys that no host runs: the reply to the only table was lost, the home is in
+    // service again, and the successor, which may not have the table, never takes over.
+    let home = Home::start(false).await;
+
+    home.leave_and_return().await;
+
+    home.wait_for_tables(2).await;
+}
