Take an unknown word about a key for a run

Cause: an entry that had lost an answer, and the outcomes page, took the other host's "absent" or "not_run" for decisive unless a host reported one of three known words. A word of a later version, which may mean a run, did not contradict. Class: "not run" concluded from a statement that was not understood.

Change: only `not_run`, `absent`, `unknown` and `not_home` do not contradict, in both places.

Conclusion: a word that is not known proves nothing.

--- a/src/limpetmux/entry/once.rs
+++ b/src/limpetmux/entry/once.rs
@@ -208,8 +208,10 @@
 }
 
 /// Returns whether a host reports that a key ran, runs or may have run.
-fn reports_run(reply: &once::LookUpReply) -> bool {
-    matches!(reply.state.as_str(), "answered" | "running" | "may_have_run")
+///
+/// A word that this version does not know, of a later one, may mean this too.
+pub(super) fn reports_run(reply: &once::LookUpReply) -> bool {
+    !matches!(reply.state.as_str(), "not_run" | "absent" | "unknown" | "not_home")
 }
 
 /// Looks up a lost run on one host; returns `None` if the host cannot determine the outcome.
--- a/src/limpetmux/entry/outcome.rs
+++ b/src/limpetmux/entry/outcome.rs
@@ -1,6 +1,6 @@
 //! Answers queries for the outcome of an idempotency key.
 
-use super::once::look_up;
+use super::once::{look_up, reports_run};
 use super::request::find_pipeline;
 use super::{Fleet, RequestError};
 use crate::core::keys::{PipelineKey, StageIndex, WorkspaceKey};
@@ -16,10 +16,11 @@
 const STATES: [(&str, &str); 5] = [
     ("answered", "answered"),
     ("running", "running"),
-    ("may_have_run", UNKNOWN),
+    (MAY_HAVE_RUN, UNKNOWN),
     ("not_run", "not_run"),
     ("absent", "absent"),
 ];
+const MAY_HAVE_RUN: &str = "may_have_run";
 const UNKNOWN: &str = "unknown";
 
 /// The outcomes of the stages that may run at most once.
@@ -89,7 +90,9 @@
 
 /// Combines the replies about one stage into the state that decides.
 fn combine(stage: String, replies: Vec<LookUpReply>) -> StageOutcome {
-    let state = STATES.into_iter().find(|(s, _)| replies.iter().any(|r| r.state == *s));
+    let reports =
+        |r: &LookUpReply, state| r.state == state || state == MAY_HAVE_RUN && reports_run(r);
+    let state = STATES.into_iter().find(|(state, _)| replies.iter().any(|r| reports(r, *state)));
     let answer = replies.into_iter().find_map(|r| r.answer);
     let text = answer.and_then(|a| String::from_utf8(a.payload).ok());
     let output = text.and_then(|t| RawValue::from_string(t).ok());
--- a/tests/testsuite/entry_not_run.rs
+++ b/tests/testsuite/entry_not_run.rs
@@ -163,7 +163,10 @@
         (["may_have_run", "absent"], "unknown"),
         (["unknown", "may_have_run"], "unknown"),
         (["answered", "may_have_run"], "answered"),
+        (["a later word", "absent"], "unknown"),
+        (["a later word", "not_run"], "unknown"),
         (["unknown", "absent"], "absent"),
+        (["not_home", "absent"], "absent"),
         (["unknown", "not_run"], "not_run"),
     ];
     let mut wrong = Vec::new();
@@ -211,6 +214,7 @@
         (["may_have_run", "absent"], 1),
         (["may_have_run", "not_run"], 1),
         (["running", "absent"], 1),
+        (["a later word", "absent"], 1),
         (["unknown", "absent"], 2),
         (["not_home", "not_run"], 2),
     ];
