Tell no outcome "not run" while a host of the key does not answer

Cause: the outcomes page combined the replies that came. With one host silent, "absent" or "not_run" of the other was told, although that one may lag behind a move of the key: a home that has not read a takeover has no row of what the successor ran. A caller that relies on it sends the request under a new key and runs it twice.

Change: without a reply of each host of the key the outcome is `unknown`, unless a reply says `answered` or `running`. While a host is down, `absent` and `not_run` are not told any more; the key itself stays usable.

Conclusion: silence does not confirm. A successor that has lost its table answers `unknown`, and a home that lags may still say `absent` beside it: listed as open.

--- a/src/limpetmux/entry/outcome.rs
+++ b/src/limpetmux/entry/outcome.rs
@@ -68,7 +68,7 @@
     pipeline: PipelineKey,
     stage: StageIndex,
     key: &str,
-) -> Vec<LookUpReply> {
+) -> Vec<Option<LookUpReply>> {
     let view = &fleet.view;
     let service = view.pipelines[pipeline].stages[usize::from(stage.0)].service;
     let names = (&view.workspaces[workspace].name, &view.pipelines[pipeline].name);
@@ -83,16 +83,23 @@
             key: key.to_owned(),
             wait_us: 0,
         };
-        replies.extend(look_up(&fleet.connections[host], request).await);
+        replies.push(look_up(&fleet.connections[host], request).await);
     }
     replies
 }
 
 /// Combines the replies about one stage into the state that decides.
-fn combine(stage: String, replies: Vec<LookUpReply>) -> StageOutcome {
-    let reports =
-        |r: &LookUpReply, state| r.state == state || state == MAY_HAVE_RUN && reports_run(r);
-    let state = STATES.into_iter().find(|(state, _)| replies.iter().any(|r| reports(r, *state)));
+///
+/// Without a reply of one host, the other one's does not prove that nothing ran.
+fn combine(stage: String, replies: Vec<Option<LookUpReply>>) -> StageOutcome {
+    let is_silent = replies.iter().any(Option::is_none);
+    let replies: Vec<LookUpReply> = replies.into_iter().flatten().collect();
+    let reports = |state| {
+        let may_have_run = state == MAY_HAVE_RUN;
+        let is_reported = |r: &LookUpReply| r.state == state || may_have_run && reports_run(r);
+        may_have_run && is_silent || replies.iter().any(is_reported)
+    };
+    let state = STATES.into_iter().find(|(state, _)| reports(*state));
     let answer = replies.into_iter().find_map(|r| r.answer);
     let text = answer.and_then(|a| String::from_utf8(a.payload).ok());
     let output = text.and_then(|t| RawValue::from_string(t).ok());
--- a/tests/testsuite/entry_not_run.rs
+++ b/tests/testsuite/entry_not_run.rs
@@ -26,6 +26,9 @@
 /// The frames that a host answers an attempt with.
 type AnswerFn = dyn Fn(AttemptKey) -> Vec<stage::Frame> + Send + Sync;
 
+/// The state of a host that does not answer look-ups.
+const SILENT: &str = "silent";
+
 /// A host that answers look-ups with a given state.
 struct FakeOnce {
     state: Arc<Mutex<&'static str>>,
@@ -59,6 +62,9 @@
         _: Request<once::LookUpRequest>,
     ) -> Result<Response<once::LookUpReply>, Status> {
         let state = *self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if state == SILENT {
+            return Err(Status::unavailable("the host does not answer"));
+        }
         let state = state.to_owned();
         Ok(Response::new(once::LookUpReply { state, ..once::LookUpReply::default() }))
     }
@@ -187,6 +193,30 @@
     assert!(wrong.is_empty(), "{wrong:?}");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn outcome_is_unknown_if_a_host_that_may_report_a_run_does_not_answer() {
+    // Guards against "not_run" or "absent" from a host that lags behind a move of the key, while the
+    // host that ran it does not answer: its caller would run it again under a new key.
+    let fixture = Fixture::start(|key| vec![not_run(key, 0)]).await;
+    let rows = [("absent", "unknown"), ("not_run", "unknown"), ("answered", "answered")];
+    let mut wrong = Vec::new();
+
+    for (state, expected) in rows {
+        for states in [[state, SILENT], [SILENT, state]] {
+            fixture.set_states(states);
+            let key = Uuid::now_v7().to_string();
+
+            let answer = fixture.caller.outcome(WORKSPACE, PIPELINE, &key).await;
+
+            if answer.body["stages"][0]["state"] != expected {
+                wrong.push((states, answer.body["stages"][0]["state"].to_string()));
+            }
+        }
+    }
+
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn lost_attempt_keeps_a_later_refusal_from_counting_as_not_run() {
     // Guards against a lost call that is still under way when its host reports that it has not run,
