Test that a signed refusal counts as a refusal

Cause: the list left open whether an answer that states "not run" under the request's own id counts as a refusal if it is signed too. The users' pages say that an answer with the statement states that the request did not run, and demand the signature of a success; nothing says that a signed answer is one of a run. They forbid that a failure carries a signature under another status than its backend server gave.

No change of the product.

Conclusion: the reading of the code holds.

--- a/tests/testsuite/platform/not_run.rs
+++ b/tests/testsuite/platform/not_run.rs
@@ -165,3 +165,22 @@
     assert_eq!(status, 503);
     assert_eq!(servers.arrivals("3f"), 2);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn signed_refusal_counts_as_not_run_and_its_signature_is_not_passed_on() {
+    // Guards against a request that counts as run because its refusal is signed, and against the
+    // signature of a refusal under the status of an answer that the entry created.
+    for status in [400, 421, 429, 503] {
+        let servers = raw_servers(move |request| {
+            let headers = format!("{}x-limpetmux-not-executed: 1\r\n", signed(id_of(request)));
+            answer(status, &headers)
+        })
+        .await;
+
+        let answer = servers.fixture.send("/once/x", "1f").await;
+
+        assert_eq!(answer.status().as_u16(), 503, "{status}");
+        assert!(!answer.headers().contains_key("x-limpetmux-response-signature"), "{status}");
+        assert_eq!(servers.arrivals("1f"), 2, "{status}");
+    }
+}
