Do not let a late table of a return replace a later one

Cause: a successor that gets no reply to the table of a return keeps the keys, runs more of them and sends a new table later. The home stored the table that arrived last. If that was the first one, the home had no row of what the successor had run since and ran it again. A table of an earlier process of the successor could be used likewise, as the return's process was not compared. Class: "not run" concluded from a table without a proof that it is the last.

Change: tables of one process are merged, and a row that may have run stays; a table of another process than the one that returns the keys is not used. A run that was open in the first table and was refused as not run since stays unknown.

--- a/src/limpetmux/core/once/moves.rs
+++ b/src/limpetmux/core/once/moves.rs
@@ -191,8 +191,13 @@
     }
 
     /// Stores a successor's table until its return is read from the log.
+    ///
+    /// The table of a return that failed may arrive after a later one.
     pub fn receive_return(&mut self, handover: Handover) {
-        self.returns.insert(handover.from, handover);
+        match self.returns.get_mut(&handover.from) {
+            Some(known) if known.incarnation == handover.incarnation => known.merge(handover),
+            _ => drop(self.returns.insert(handover.from, handover)),
+        }
     }
 
     /// Returns whether this process holds a home's keys.
--- a/src/limpetmux/core/once/observe.rs
+++ b/src/limpetmux/core/once/observe.rs
@@ -158,7 +158,7 @@
         self.fence = self.position;
         self.end_takeover(home, by, process);
         if home == self.id && self.taken_over.get(&by) == Some(&process) {
-            self.regain(by, time.wall);
+            self.regain(by, process, time.wall);
         }
         let Some(state) = self.home_states.get_mut(&home) else { return };
         if by == self.id && state.holder == Some(process) {
@@ -176,10 +176,10 @@
     }
 
     /// Makes this process the holder of the keys that a successor returned.
-    fn regain(&mut self, successor: HostId, wall: KeyTime) {
+    fn regain(&mut self, successor: HostId, process: Incarnation, wall: KeyTime) {
         self.taken_over.remove(&successor);
         self.handed_over.remove(&successor);
-        let table = self.returns.remove(&successor);
+        let table = self.returns.remove(&successor).filter(|t| t.incarnation == process);
         let since = table.as_ref().map_or(wall, |t| t.since);
         self.returned_since.insert(successor, since);
         self.untimed_returns.remove(&successor);
--- a/src/limpetmux/core/once/successor.rs
+++ b/src/limpetmux/core/once/successor.rs
@@ -1,6 +1,6 @@
 //! The state that a successor keeps for each of its homes.
 
-use super::table::Entry;
+use super::table::{Entry, State};
 use super::{HostId, Incarnation, KeyId, KeyTime, Outcome, Role};
 use crate::core::revision::Offset;
 use crate::core::time::Moment;
@@ -60,6 +60,24 @@
         Self { from, incarnation, since, covers_untimed, read, rows }
     }
 
+    /// Adds the rows of another table of the same process, of which either may be the later one; a key
+    /// that may have run according to one of them is not denied by the other.
+    pub(super) fn merge(&mut self, other: Self) {
+        self.since = self.since.max(other.since);
+        self.covers_untimed &= other.covers_untimed;
+        self.read = self.read.max(other.read);
+        for (key, entry) in other.rows {
+            let adds = match self.rows.get(&key).map(|e| &e.state) {
+                None | Some(State::Released) => true,
+                Some(State::Answered(_)) => false,
+                Some(_) => matches!(entry.state, State::Answered(_)),
+            };
+            if adds {
+                self.rows.insert(key, entry);
+            }
+        }
+    }
+
     /// Iterates over the rows in key order.
     pub fn rows(&self) -> impl Iterator<Item = Row> {
         self.rows.iter().map(|(key, entry)| Row {
--- a/tests/testsuite/once_moves.rs
+++ b/tests/testsuite/once_moves.rs
@@ -1,8 +1,8 @@
 //! Moves of keys between a home and its successor whose tables or replies are lost.
 
 use limpetmux::core::once::{
-    Action, Guards, HostId, Incarnation, KeyId, KeyTime, KeyedRequest, Node, Record, Role, Rules,
-    RunDecision, Time,
+    Action, Guards, HostId, Incarnation, KeyId, KeyTime, KeyedRequest, Node, Outcome, Record, Role,
+    Rules, RunDecision, Time,
 };
 use limpetmux::core::refusal::RefusalCode;
 use limpetmux::core::time::Moment;
@@ -107,3 +107,23 @@
         host.observe(host.position(), record, time);
     }
 }
+
+#[test]
+fn returned_table_that_arrives_after_a_later_one_does_not_replace_it() {
+    // Guards against a key that ran at the successor after its first return had failed, and runs again
+    // at its home, which received the table of that return last.
+    let (mut home, mut successor) = pair();
+    let takeover = successor.take_over(HOME, at(10_000).now).unwrap();
+    observe([&mut home, &mut successor], &takeover, at(10_000));
+    let (late, _) = successor.return_keys(HOME).unwrap();
+    successor.return_failed(HOME);
+    let begun = successor.begin(request(AT_SUCCESSOR), at(20_000));
+    successor.finish(request(AT_SUCCESSOR).key, Outcome::Unknown);
+    let (table, returned) = successor.return_keys(HOME).unwrap();
+
+    home.receive_return(table);
+    home.receive_return(late);
+
+    observe([&mut home, &mut successor], &returned, at(20_100));
+    assert_eq!((begun, runs_at_home(&mut home)), (RunDecision::Run, false));
+}
