--- a/src/limpetmux/core/once/moves.rs
+++ b/src/limpetmux/core/once/moves.rs
@@ -105,7 +105,8 @@
             return None;
         }
         if self.guards.on(Guard::StopFirst) {
-            self.handed_over.insert(successor);
+            let sent_again = self.handed_over.entry(successor).and_modify(|again| *again = true);
+            sent_again.or_insert(false);
         }
         self.promises.remove(&successor);
         // Claims not yet read back are released, so that the successor may run their keys.
@@ -119,21 +120,37 @@
         let since = self.covered_since(successor);
         let rows = self.table.export(Role::Home { successor: Some(successor) });
         let covers_untimed = self.covers_untimed(Role::Home { successor: Some(successor) });
-        Handover { from: self.id, incarnation: self.incarnation, since, covers_untimed, rows }
+        let (from, incarnation, read) = (self.id, self.incarnation, self.position);
+        Handover { from, incarnation, since, covers_untimed, read, rows }
     }
 
-    /// Accepts keys again after a successor has certainly refused the table.
+    /// Accepts keys again after a successor has certainly refused the only table that was sent.
+    ///
+    /// The refusal of a further table says nothing about an earlier one, with which the successor may
+    /// take over and which does not contain what this host would run from now on.
     pub fn resume(&mut self, successor: HostId) {
-        self.handed_over.remove(&successor);
+        if self.handed_over.get(&successor) == Some(&false) {
+            self.handed_over.remove(&successor);
+        }
+    }
+
+    /// Returns the successors to which this host has handed over and whose takeover it has not read.
+    pub fn open_handovers(&self) -> Vec<HostId> {
+        let handed_over = self.handed_over.keys().copied();
+        handed_over.filter(|s| !self.taken_over.contains_key(s)).collect()
     }
 
     /// Stores a home's table for a later takeover; returns whether the table was accepted.
     ///
-    /// A table is stale if a later process of the home is known.
+    /// A table is stale if a later process of the home is known, or if the home had not read the last
+    /// return of its keys, since when it may have run more of them.
     pub fn receive_handover(&mut self, handover: Handover) -> bool {
         let role = Role::Successor { home: handover.from };
         let fresh = self.guards.on(Guard::FreshHandover);
         let state = self.home_states.entry(handover.from).or_default();
+        if fresh && handover.read < state.returned {
+            return false;
+        }
         if let Some(takeover) = state.takeover {
             let same_process = takeover.from == Some(handover.incarnation);
             self.table.adopt(handover.rows, role, same_process);
@@ -160,7 +177,8 @@
         state.returning = true;
         let rows = self.table.export(Role::Successor { home });
         let (since, covers_untimed) = (takeover.since, takeover.covers_untimed);
-        let handover = Handover { from: by, incarnation, since, covers_untimed, rows };
+        let read = self.position;
+        let handover = Handover { from: by, incarnation, since, covers_untimed, read, rows };
         Some((handover, Record::Return { home, by, incarnation }))
     }
 
@@ -173,8 +191,13 @@
     }
 
     /// Stores a successor's table until its return is read from the log.
+    ///
+    /// The table of a return that failed may arrive after a later one.
     pub fn receive_return(&mut self, handover: Handover) {
-        self.returns.insert(handover.from, handover);
+        match self.returns.get_mut(&handover.from) {
+            Some(known) if known.incarnation == handover.incarnation => known.merge(handover),
+            _ => drop(self.returns.insert(handover.from, handover)),
+        }
     }
 
     /// Returns whether this process holds a home's keys.
--- a/src/limpetmux/core/once/successor.rs
+++ b/src/limpetmux/core/once/successor.rs
@@ -1,6 +1,6 @@
 //! The state that a successor keeps for each of its homes.
 
-use super::table::Entry;
+use super::table::{Entry, State};
 use super::{HostId, Incarnation, KeyId, KeyTime, Outcome, Role};
 use crate::core::revision::Offset;
 use crate::core::time::Moment;
@@ -41,6 +41,8 @@
     pub since: KeyTime,
     /// Whether the table is complete for keys without a creation time.
     pub covers_untimed: bool,
+    /// The offset after the last record that the sender had read.
+    pub read: Offset,
     pub(super) rows: BTreeMap<KeyId, Entry>,
 }
 
@@ -51,10 +53,29 @@
         incarnation: Incarnation,
         since: KeyTime,
         covers_untimed: bool,
+        read: Offset,
         rows: impl IntoIterator<Item = Row>,
     ) -> Self {
         let rows = rows.into_iter().map(|r| (r.key, r.into())).collect();
-        Self { from, incarnation, since, covers_untimed, rows }
+        Self { from, incarnation, since, covers_untimed, read, rows }
+    }
+
+    /// Adds the rows of another table of the same process, of which either may be the later one; a key
+    /// that may have run according to one of them is not denied by the other.
+    pub(super) fn merge(&mut self, other: Self) {
+        self.since = self.since.max(other.since);
+        self.covers_untimed &= other.covers_untimed;
+        self.read = self.read.max(other.read);
+        for (key, entry) in other.rows {
+            let adds = match self.rows.get(&key).map(|e| &e.state) {
+                None | Some(State::Released) => true,
+                Some(State::Answered(_)) => false,
+                Some(_) => matches!(entry.state, State::Answered(_)),
+            };
+            if adds {
+                self.rows.insert(key, entry);
+            }
+        }
     }
 
     /// Iterates over the rows in key order.
@@ -122,6 +143,8 @@
     pub requested: Option<Moment>,
     /// The offset after the last takeover or return.
     pub changed: Offset,
+    /// The offset after the last return.
+    pub returned: Offset,
     /// The process of this host that last took over, according to the log.
     pub holder: Option<Incarnation>,
     /// The takeover by this process.
--- a/src/limpetmux/entry/outcome.rs
+++ b/src/limpetmux/entry/outcome.rs
@@ -1,6 +1,6 @@
 //! Answers queries for the outcome of an idempotency key.
 
-use super::once::look_up;
+use super::once::{look_up, reports_run};
 use super::request::find_pipeline;
 use super::{Fleet, RequestError};
 use crate::core::keys::{PipelineKey, StageIndex, WorkspaceKey};
@@ -16,10 +16,11 @@
 const STATES: [(&str, &str); 5] = [
     ("answered", "answered"),
     ("running", "running"),
-    ("may_have_run", UNKNOWN),
+    (MAY_HAVE_RUN, UNKNOWN),
     ("not_run", "not_run"),
     ("absent", "absent"),
 ];
+const MAY_HAVE_RUN: &str = "may_have_run";
 const UNKNOWN: &str = "unknown";
 
 /// The outcomes of the stages that may run at most once.
@@ -67,7 +68,7 @@
     pipeline: PipelineKey,
     stage: StageIndex,
     key: &str,
-) -> Vec<LookUpReply> {
+) -> Vec<Option<LookUpReply>> {
     let view = &fleet.view;
     let service = view.pipelines[pipeline].stages[usize::from(stage.0)].service;
     let names = (&view.workspaces[workspace].name, &view.pipelines[pipeline].name);
@@ -82,14 +83,23 @@
             key: key.to_owned(),
             wait_us: 0,
         };
-        replies.extend(look_up(&fleet.connections[host], request).await);
+        replies.push(look_up(&fleet.connections[host], request).await);
     }
     replies
 }
 
 /// Combines the replies about one stage into the state that decides.
-fn combine(stage: String, replies: Vec<LookUpReply>) -> StageOutcome {
-    let state = STATES.into_iter().find(|(s, _)| replies.iter().any(|r| r.state == *s));
+///
+/// Without a reply of one host, the other one's does not prove that nothing ran.
+fn combine(stage: String, replies: Vec<Option<LookUpReply>>) -> StageOutcome {
+    let is_silent = replies.iter().any(Option::is_none);
+    let replies: Vec<LookUpReply> = replies.into_iter().flatten().collect();
+    let reports = |state| {
+        let may_have_run = state == MAY_HAVE_RUN;
+        let is_reported = |r: &LookUpReply| r.state == state || may_have_run && reports_run(r);
+        may_have_run && is_silent || replies.iter().any(is_reported)
+    };
+    let state = STATES.into_iter().find(|(state, _)| reports(*state));
     let answer = replies.into_iter().find_map(|r| r.answer);
     let text = answer.and_then(|a| String::from_utf8(a.payload).ok());
     let output = text.and_then(|t| RawValue::from_string(t).ok());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -32,6 +32,8 @@
 mod membership;
 mod once;
 mod once_explore;
+mod once_gate;
+mod once_moves;
 mod once_path;
 mod openapi;
 mod outages;
