Wait until a call has arrived before its silence is timed

Cause: the test gave a call 100 ms and then asserted that it had arrived once; on a busy machine it had not arrived by then.

Change: the test waits for the arrival, up to 20 s, and then lets the call go without an end for 100 ms.

Conclusion: the time that the call stays open counts from its arrival, so the test is no weaker.

--- a/tests/testsuite/backend_not_run.rs
+++ b/tests/testsuite/backend_not_run.rs
@@ -10,13 +10,20 @@
 use limpetmux::core::keys::StageIndex;
 use limpetmux::core::revision::Offset;
 use limpetmux_standins::raw::{RawRequest, serve_requests};
+use std::pin::pin;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
 use uuid::Uuid;
 
 /// The number of the fence that a call carries.
 const FENCE: u64 = 7;
 /// How many calls a test sends one after another.
 const CALLS: u32 = 4;
+/// The time after its arrival in which a call without an answer does not end.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+/// The longest that a machine under load may take until a call arrives.
+const MAX_WAIT: Duration = Duration::from_secs(20);
 
 /// A backend server that answers with given bytes, and its client.
 struct RawBackend {
@@ -41,6 +48,13 @@
         self.received.lock().unwrap_or_else(PoisonError::into_inner).len()
     }
 
+    /// Waits until a call has arrived.
+    async fn arrival(&self) {
+        while self.arrivals() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// Runs a call to its end and returns the payloads joined.
     async fn run(&self, job: Job) -> Result<Bytes, BackendError> {
         let chunks: Vec<_> = (self.backend.run)(job).await?.try_collect().await?;
@@ -194,9 +208,14 @@
     for kind in [StageKind::Generate, StageKind::Plain] {
         for partial in ["", "HTTP/1.1 503", "HTTP/1.1 503 Text\r\ncontent-length: 0\r\n"] {
             let server = RawBackend::start(move |_| partial.into()).await;
-            let run = server.run(job(kind, Some(Fencing::Checked)));
+            let mut run = pin!(server.run(job(kind, Some(Fencing::Checked))));
+            let arrived = timeout(MAX_WAIT, server.arrival());
+            tokio::select! {
+                result = &mut run => panic!("{kind:?} {partial:?}: {result:?}"),
+                arrived = arrived => arrived.expect("the call does not arrive"),
+            }
 
-            let result = tokio::time::timeout(std::time::Duration::from_millis(100), run).await;
+            let result = timeout(ANSWER_TIME, run).await;
 
             assert!(result.is_err(), "{kind:?} {partial:?}: {result:?}");
             assert_eq!(server.arrivals(), 1);
