--- a/tests/testsuite/platform/node_fixture.rs
+++ b/tests/testsuite/platform/node_fixture.rs
@@ -4,6 +4,7 @@
 use limpetmux::serve::run::{RunningNode, start};
 use limpetmux::serve::settings::{Bounds, NodeSettings, StoreSettings};
 use limpetmux_standins::users::{UsersFault, UsersServer, UsersStore};
+use reqwest::header::{HeaderMap, HeaderValue};
 use reqwest::{Client, RequestBuilder, Response};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -140,6 +141,15 @@
             .body("body")
     }
 
+    /// A request with stages and the longest deadline of its route, which a busy machine meets.
+    pub(super) fn post_chain(&self, id: &str, pieces: &str) -> RequestBuilder {
+        let mut headers = HeaderMap::new();
+        headers.insert("x-limpetmux-deadline-ms", HeaderValue::from(4_000));
+        headers.insert("x-limpetmux-piece-key", HeaderValue::from_static("k"));
+        let request = self.post("/chain/x", id).headers(headers);
+        request.header("x-limpetmux-pieces", pieces)
+    }
+
     pub(super) async fn send(&self, path: &str, id: &str) -> Response {
         self.post(path, id).send().await.unwrap()
     }
