Wait for the bytes that have to arrive in the tests of the users' stand-ins

Cause: these tests read for 200 to 500 ms and took what had arrived by then for all, also where a number of answers or 300,000 bytes have to arrive.

Change: what has to arrive is waited for, up to 20 s. What must not follow is watched for as long as before, from then on.

Conclusion: at least as strict, as the silence begins only after what was due has arrived.

--- a/crates/limpetmux-standins/tests/users_bytes.rs
+++ b/crates/limpetmux-standins/tests/users_bytes.rs
@@ -11,6 +11,10 @@
 const MANY_BYTES: usize = 300_000;
 /// The time that an answer that arrives byte by byte is read.
 const DRIP_TIME: Duration = Duration::from_millis(2_500);
+/// The longest that a machine under load may take for bytes that have to arrive.
+const MAX_WAIT: Duration = Duration::from_secs(20);
+/// The time in which bytes that must not follow an answer would arrive.
+const SILENCE: Duration = Duration::from_millis(300);
 /// The time within which a stand-in notices that its caller has closed.
 const CLOSE_BOUND: Duration = Duration::from_secs(2);
 /// The most memory in kB that callers who do not read may cost the stand-in.
@@ -40,6 +44,16 @@
     String::from_utf8_lossy(&received).into_owned()
 }
 
+/// Reads until some text has arrived and no more bytes follow.
+async fn read_past(stream: &mut TcpStream, text: &str) -> String {
+    let began = Instant::now();
+    let mut received = String::new();
+    while !received.contains(text) && began.elapsed() < MAX_WAIT {
+        received += &read(stream, 1, SILENCE).await;
+    }
+    received + &read(stream, MANY_BYTES, SILENCE).await
+}
+
 async fn wait_until_none_is_active(played: impl Fn() -> Played) {
     let began = Instant::now();
     while played().active > 0 {
@@ -74,7 +88,7 @@
             server.set_fault(UsersFault::Bytes(bytes));
 
             let mut stream = request(server.addr, path, STAGE_CALL).await.expect("a connection");
-            let received = read(&mut stream, MANY_BYTES, Duration::from_secs(5)).await;
+            let received = read(&mut stream, MANY_BYTES, MAX_WAIT).await;
             let active = server.played().active;
             drop(stream);
             wait_until_none_is_active(|| server.played()).await;
@@ -113,10 +127,11 @@
     for path in ["/once/x", "/stream/x", "/stage-run"] {
         let server = UsersServer::start("s").await.expect("a server");
         let mut answers = Vec::new();
-        for bytes in [BadBytes::JunkBefore, BadBytes::JunkAfter] {
+        for (bytes, end) in [(BadBytes::JunkBefore, "HTTP/1.1 200 "), (BadBytes::JunkAfter, "junk")]
+        {
             server.set_fault(UsersFault::Bytes(bytes));
             let mut stream = request(server.addr, path, STAGE_CALL).await.expect("a connection");
-            answers.push(read(&mut stream, MANY_BYTES, Duration::from_millis(300)).await);
+            answers.push(read_past(&mut stream, end).await);
         }
 
         let (before, after) = (&answers[0], &answers[1]);
@@ -140,14 +155,15 @@
     for bytes in BadBytes::ALL {
         store.set_bytes(Some(bytes));
         let mut stream = newest().await;
-        let received = read(&mut stream, MANY_BYTES, Duration::from_millis(500)).await;
+        let time = if shape(bytes).is_some() { MAX_WAIT } else { Duration::from_millis(500) };
+        let received = read(&mut stream, MANY_BYTES, time).await;
         drop(stream);
         wait_until_none_is_active(|| store.played()).await;
         assert_eq!(received.len() >= MANY_BYTES, shape(bytes).is_some(), "{bytes:?}: {received}");
     }
     store.set_bytes(None);
 
-    let received = read(&mut newest().await, MANY_BYTES, Duration::from_millis(300)).await;
+    let received = read_past(&mut newest().await, r#""key":"k""#).await;
 
     assert!(received.starts_with("HTTP/1.1 200 "), "{received}");
     assert!(received.contains(r#""key":"k""#), "{received}");
--- a/crates/limpetmux-standins/tests/users_faults.rs
+++ b/crates/limpetmux-standins/tests/users_faults.rs
@@ -9,6 +9,8 @@
 const NOT_RUN: &str = "x-limpetmux-not-executed: 1\r\n";
 /// The time after which a connection counts as silent.
 const SILENCE: Duration = Duration::from_millis(200);
+/// The longest that a machine under load may take for an answer that has to arrive.
+const MAX_WAIT: Duration = Duration::from_secs(20);
 
 /// A backend server with a connection that is kept open.
 struct Kept {
@@ -24,18 +26,25 @@
         Ok(Self { server, stream })
     }
 
-    /// Sends a request and returns all bytes that arrive until the connection is silent.
-    async fn send(&mut self, path: &str, id: &str, body: &str) -> std::io::Result<String> {
+    /// Sends a request and returns all bytes that arrive until a number of answers has arrived and
+    /// the connection is silent.
+    async fn send(
+        &mut self,
+        [path, id, body]: [&str; 3],
+        expected: usize,
+    ) -> std::io::Result<String> {
         let length = body.len();
         let head = format!("POST {path} HTTP/1.1\r\nhost: s\r\nx-limpetmux-request-id: {id}\r\n");
         let request = format!("{head}content-length: {length}\r\n\r\n{body}");
         self.stream.write_all(request.as_bytes()).await?;
         let mut received = Vec::new();
         let mut buffer = [0; 4096];
-        while let Ok(read) = timeout(SILENCE, self.stream.read(&mut buffer)).await {
-            match read? {
-                0 => break,
-                read => received.extend(&buffer[..read]),
+        loop {
+            let is_whole = answers(&String::from_utf8_lossy(&received)).len() >= expected;
+            let time = if is_whole { SILENCE } else { MAX_WAIT };
+            match timeout(time, self.stream.read(&mut buffer)).await {
+                Err(_) | Ok(Ok(0)) => break,
+                Ok(read) => received.extend(&buffer[..read?]),
             }
         }
         Ok(String::from_utf8_lossy(&received).into_owned())
@@ -50,6 +59,11 @@
     answers.map(|text| (status(text).unwrap_or_default(), id(text))).collect()
 }
 
+/// Returns how many answers arrive after the first and after the second request.
+fn counts(time: FurtherTime) -> (usize, usize) {
+    if time == FurtherTime::BeforeNext { (1, 2) } else { (2, 1) }
+}
+
 #[tokio::test]
 async fn further_answer_arrives_under_the_earlier_id_and_the_next_request_runs() {
     let mut cases = Vec::new();
@@ -63,9 +77,10 @@
 
     let sent = cases.iter().map(|further| async {
         let mut kept = Kept::start(UsersFault::Further(*further)).await?;
-        let first = kept.send("/once/x", "1f", "body").await?;
+        let (in_first, in_second) = counts(further.time);
+        let first = kept.send(["/once/x", "1f", "body"], in_first).await?;
         kept.server.set_fault(UsersFault::None);
-        let second = kept.send("/once/x", "2f", "body").await?;
+        let second = kept.send(["/once/x", "2f", "body"], in_second).await?;
         Ok::<_, std::io::Error>((first, second, kept.server.requests().len()))
     });
     let sent = futures::future::join_all(sent).await;
@@ -76,8 +91,7 @@
         let id = further.named.then_some("1f");
         let expected = [(200, Some("1f")), (further.status, id), (200, Some("2f"))];
         assert_eq!(answers(&all), expected, "{further:?}");
-        let in_first = if further.time == FurtherTime::BeforeNext { 1 } else { 2 };
-        assert_eq!(answers(&first).len(), in_first, "{further:?}");
+        assert_eq!(answers(&first).len(), counts(further.time).0, "{further:?}");
         let refusals = usize::from(![200, 500].contains(&further.status));
         assert_eq!(all.matches(NOT_RUN).count(), refusals, "{further:?}");
         assert_eq!(runs, 2, "{further:?}");
@@ -97,9 +111,9 @@
     ] {
         let mut kept = Kept::start(fault).await.expect("a connection");
 
-        let received = kept.send("/stream/x", "1f", "body").await.expect("an answer");
+        let received = kept.send(["/stream/x", "1f", "body"], 1).await.expect("an answer");
         kept.server.set_fault(UsersFault::None);
-        let after = kept.send("/stream/x", "2f", "body").await.expect("an answer");
+        let after = kept.send(["/stream/x", "2f", "body"], 1).await.expect("an answer");
 
         assert_eq!(answers(&received), [(status, id)], "{fault:?}");
         assert_eq!(received.contains(NOT_RUN), runs == 0, "{fault:?}");
@@ -113,7 +127,7 @@
     for fault in [UsersFault::ResetRun, UsersFault::ResetHead] {
         let mut kept = Kept::start(fault).await.expect("a connection");
 
-        let received = kept.send("/once/x", "1f", "body").await;
+        let received = kept.send(["/once/x", "1f", "body"], 1).await;
 
         let error = received.expect_err("a reset").kind();
         assert_eq!(error, std::io::ErrorKind::ConnectionReset, "{fault:?}");
@@ -128,9 +142,9 @@
     let mut kept = Kept::start(UsersFault::Further(further)).await.expect("a connection");
     let call = |id: &str| format!(r#"{{"items":[{{"id":"{id}","stage":0,"piece":1,"key":"k"}}]}}"#);
 
-    let first = kept.send("/stage-run", "", &call("1f")).await.expect("an answer");
+    let first = kept.send(["/stage-run", "", &call("1f")], 1).await.expect("an answer");
     kept.server.set_fault(UsersFault::None);
-    let second = kept.send("/stage-run", "", &call("2f")).await.expect("an answer");
+    let second = kept.send(["/stage-run", "", &call("2f")], 2).await.expect("an answer");
 
     let results = kept.server.stage_results();
     let owner = |handle: &str| results[handle].request.clone();
