--- a/src/limpetmux/entry/receive.rs
+++ b/src/limpetmux/entry/receive.rs
@@ -95,10 +95,11 @@
 
     /// Reads bytes of an answer, after which another head may follow.
     fn answer(&mut self, bytes: &[u8]) {
-        if !bytes.starts_with(CONTINUE) && !(self.is_http2 && announces_close(bytes)) {
-            (self.in_head, self.has_head) = (false, false);
-            self.tail.clear();
+        if bytes.starts_with(CONTINUE) || self.is_http2 && announces_close(bytes) {
+            return;
         }
+        (self.in_head, self.has_head) = (false, false);
+        self.tail.clear();
     }
 }
 
