Let an operator limit the answers of backend servers on the users' platform

Cause: the limits on plain answers, streams and events were constants. An operator whose answers are longer could not raise them, nobody could see them, and no start checked them. The platform writes the settings file, so the operator has no field in it.

An attempt takes its limits when it begins. A limit that is not stated is not compared with the memory, so that every settings file that could be used still can.

Conclusion: the limits are stated, configurable and checked on the users' platform; the product's own interface still has constants.

--- a/src/bin/limpetmux/commands/node.rs
+++ b/src/bin/limpetmux/commands/node.rs
@@ -1,6 +1,7 @@
 //! `limpetmux node`
 
 use argh::FromArgs;
+use limpetmux::core::answer_limits::{AnswerLimits, StatedLimits};
 use limpetmux::event;
 use limpetmux::platform::boot;
 use limpetmux::serve::run;
@@ -8,7 +9,7 @@
 use limpetmux::util::event::EventCode;
 use limpetmux::util::logging;
 use miette::IntoDiagnostic;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
@@ -27,6 +28,15 @@
     /// check the settings and exit
     #[argh(switch)]
     check: bool,
+    /// the most bytes of a plain answer of a backend server; 16 MiB by default
+    #[argh(option)]
+    answer_bytes: Option<usize>,
+    /// the most bytes of a streamed answer of a backend server; 256 MiB by default
+    #[argh(option)]
+    stream_bytes: Option<usize>,
+    /// the most bytes of one event of a streamed answer; 256 KiB by default
+    #[argh(option)]
+    event_bytes: Option<usize>,
 }
 
 /// The time between two reads of the settings file, which may change without a signal.
@@ -45,9 +55,16 @@
 /// Runs the node until SIGTERM or ctrl-c.
 pub fn exec(args: NodeArgs) -> miette::Result<()> {
     let path = boot::path(args.settings)?;
-    let settings = boot::load(&path)?;
+    let stated = StatedLimits {
+        plain: args.answer_bytes,
+        stream: args.stream_bytes,
+        event: args.event_bytes,
+    };
+    let settings = load(&path, stated)?;
     if args.check {
         println!("{}: settings of `{}` can be used", path.display(), settings.name);
+        let AnswerLimits { plain, stream, event } = settings.answers;
+        println!("answers: {plain} bytes plain, {stream} bytes streamed, {event} bytes an event");
         return Ok(());
     }
     logging::init_stdout()?;
@@ -57,7 +74,7 @@
     let runtime = builder.worker_threads(TRAFFIC_THREADS).enable_all().build().into_diagnostic()?;
     let unfinished = runtime.block_on(async {
         let (updates, reloads) = mpsc::channel(1);
-        tokio::spawn(watch_settings(path, updates));
+        tokio::spawn(watch_settings(path, stated, updates));
         let stop = async { drop(crate::signal::wait().await) };
         run::run(settings, run::ExternalEvents { stop, reloads }).await
     })?;
@@ -65,9 +82,14 @@
     if unfinished > 0 { Err(Unclean { unfinished }.into()) } else { Ok(()) }
 }
 
+/// Reads the settings file and applies the limits of the command line.
+fn load(path: &Path, stated: StatedLimits) -> miette::Result<NodeSettings> {
+    Ok(boot::load(path)?.with_limits(stated)?)
+}
+
 /// Reads the settings again on SIGHUP and every [`SETTINGS_INTERVAL`], and sends them if they
 /// changed.
-async fn watch_settings(path: PathBuf, updates: mpsc::Sender<NodeSettings>) {
+async fn watch_settings(path: PathBuf, stated: StatedLimits, updates: mpsc::Sender<NodeSettings>) {
     let Ok(mut hangups) = signal(SignalKind::hangup()) else { return };
     let mut known = std::fs::read(&path).unwrap_or_default();
     loop {
@@ -80,7 +102,7 @@
             continue;
         }
         known = text;
-        match boot::load(&path) {
+        match load(&path, stated) {
             Ok(settings) => drop(updates.send(settings).await),
             Err(error) => event!(EventCode::SettingsRejected, reason = error),
         }
--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -5,6 +5,7 @@
 //! performs the I/O and feeds the results back in.
 
 pub mod admission;
+pub mod answer_limits;
 pub mod answer_proof;
 pub mod arena;
 pub mod budget;
--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -17,11 +17,12 @@
 pub const MAX_TRAILER_BYTES: usize = 16 * 1024;
 /// The bytes of a plain answer that are held before the caller gets any of it.
 pub const HELD_ANSWER_BYTES: usize = 64 * 1024;
-/// The most bytes of a plain answer.
+/// The most bytes of a plain answer until an operator states another limit.
 pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// The most bytes of a streamed answer.
+/// The most bytes of a streamed answer until an operator states another limit.
 pub const MAX_STREAM_BYTES: usize = 256 * 1024 * 1024;
-/// The most bytes of one event of a streamed answer, with the lines before it that belong to none.
+/// The most bytes of one event of a streamed answer, with the lines before it that belong to none,
+/// until an operator states another limit.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// The most bytes of an answer that only states a few values: a load report, an offset, a refusal.
--- a/src/limpetmux/platform/boot.rs
+++ b/src/limpetmux/platform/boot.rs
@@ -1,5 +1,6 @@
 //! The settings file that the platform writes for each process.
 
+use crate::core::answer_limits::AnswerLimits;
 use crate::core::retry_share::RetryLimit;
 use crate::serve::settings::{Bounds, NodeSettings, StoreSettings};
 use crate::util::jsonc::{self, JsoncError};
@@ -174,6 +175,7 @@
             revoke_bound: file.bounds.revoke_ms,
             retry_limit,
         },
+        answers: AnswerLimits::default(),
         store: StoreSettings { address: file.platform.address },
     }
 }
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -7,6 +7,7 @@
 use super::request::{RoutedRequest, Running};
 use super::stages::engine_time;
 use super::stream::{Body, ForwardedBody, Received, STALL_TIME, StreamEnd, StreamHooks};
+use crate::core::answer_limits::AnswerLimits;
 use crate::core::engines::EngineReport;
 use crate::core::listing::Server;
 use crate::core::placement::PlaceEnd;
@@ -34,6 +35,8 @@
     pub(super) routed: Arc<RoutedRequest>,
     server: Arc<str>,
     pub(super) began: Moment,
+    /// The limits on the answer.
+    pub(super) limits: AnswerLimits,
     /// What has arrived of the answer.
     pub watch: HeadWatch,
     /// When the head of the answer arrived.
@@ -57,6 +60,7 @@
             routed: Arc::clone(routed),
             server,
             began,
+            limits: shared.settings().answers,
             watch: HeadWatch::default(),
             head_at: began,
             expected: None,
@@ -224,7 +228,7 @@
     server::strip(&mut parts);
     parts.headers.remove(CONTENT_LENGTH);
     let running = Running::new(&attempt.shared);
-    let left = attempt.routed.time_left();
+    let bounds = (attempt.routed.time_left(), attempt.limits);
     let status = head.status;
     let began = attempt.began;
     let mut inputs = inputs;
@@ -258,7 +262,7 @@
         drop(running);
     });
     let hooks = StreamHooks { on_first, on_end };
-    let body = ForwardedBody::new(body, connection, head, left, hooks);
+    let body = ForwardedBody::new(body, connection, head, bounds, hooks);
     Response::from_parts(parts, body.boxed_unsync())
 }
 
--- a/src/limpetmux/serve/plain.rs
+++ b/src/limpetmux/serve/plain.rs
@@ -7,7 +7,7 @@
 use super::request::Running;
 use super::stream::{ForwardedBody, Received, StreamEnd, StreamHooks, read_error};
 use crate::core::placement::PlaceEnd;
-use crate::core::read_limits::{Bound, Exceeded, HELD_ANSWER_BYTES, MAX_ANSWER_BYTES, Peer};
+use crate::core::read_limits::{Bound, Exceeded, HELD_ANSWER_BYTES, Peer};
 use crate::platform::server::{self, ReplyHead};
 use crate::util::clock;
 use bytes::{Bytes, BytesMut};
@@ -34,9 +34,11 @@
     let (mut parts, mut body) = answer.into_parts();
     server::strip(&mut parts);
     let mut received = Received::new(head.framing);
-    if body.size_hint().lower() > MAX_ANSWER_BYTES as u64 {
-        attempt.count_answer(&received, StreamEnd::Exceeded(TOO_LONG));
-        attempt.stop_reading(TOO_LONG);
+    let limit = attempt.limits.plain;
+    if body.size_hint().lower() > limit as u64 {
+        let too_long = Exceeded::count(Peer::BackendServer, Bound::Body, limit);
+        attempt.count_answer(&received, StreamEnd::Exceeded(too_long));
+        attempt.stop_reading(too_long);
         return SendOutcome::Lost;
     }
     match hold(&mut body).await {
@@ -60,9 +62,6 @@
     }
 }
 
-/// What ends the reading of a plain answer that is too long.
-const TOO_LONG: Exceeded = Exceeded::count(Peer::BackendServer, Bound::Body, MAX_ANSWER_BYTES);
-
 /// Reads a body to its end, or until more of it has arrived than is held.
 async fn hold(body: &mut Incoming) -> Result<Held, hyper::Error> {
     // Parts of a body are copied, as each of them may keep a whole buffer of its connection.
@@ -107,7 +106,7 @@
     head: &ReplyHead,
 ) -> SendOutcome {
     let running = Running::new(&attempt.shared);
-    let left = attempt.routed.time_left();
+    let bounds = (attempt.routed.time_left(), attempt.limits);
     let first_latency = attempt.head_at.since(attempt.began);
     let (status, is_failed) = (head.status, head.status.is_server_error());
     if is_failed {
@@ -126,7 +125,7 @@
         drop(running);
     });
     let hooks = StreamHooks { on_first: Box::new(|| {}), on_end };
-    let body = ForwardedBody::new(body, connection, head, left, hooks).after(held);
+    let body = ForwardedBody::new(body, connection, head, bounds, hooks).after(held);
     let answer = Response::from_parts(parts, body.boxed_unsync());
     if is_failed { SendOutcome::Failed(answer) } else { SendOutcome::Answer(answer) }
 }
--- a/src/limpetmux/serve/settings.rs
+++ b/src/limpetmux/serve/settings.rs
@@ -1,10 +1,14 @@
 //! The settings of a node of a deployment.
 
+use crate::core::answer_limits::{AnswerLimits, LimitError, StatedLimits};
 use crate::core::retry_share::RetryLimit;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The bytes of a megabyte of memory.
+const MEGABYTE: u64 = 1_000_000;
+
 /// The settings of a node, independent of the format of their file.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -28,10 +32,23 @@
     pub max_descriptors: usize,
     /// The bounds that the operator sets.
     pub bounds: Bounds,
+    /// The limits on answers of backend servers.
+    pub answers: AnswerLimits,
     /// How to reach the platform's store.
     pub store: StoreSettings,
 }
 
+impl NodeSettings {
+    /// Replaces the limits on answers by those that an operator states.
+    ///
+    /// # Errors
+    /// Returns [`LimitError`] if a limit cannot be used with these settings.
+    pub fn with_limits(self, stated: StatedLimits) -> Result<Self, LimitError> {
+        let answers = stated.check(self.memory_mb.saturating_mul(MEGABYTE))?;
+        Ok(Self { answers, ..self })
+    }
+}
+
 /// The bounds that the operator sets.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
--- a/src/limpetmux/serve/stream.rs
+++ b/src/limpetmux/serve/stream.rs
@@ -1,10 +1,9 @@
 //! Bodies of answers, and their forwarding while a backend server produces them.
 
 use super::connections::ActiveConnection;
+use crate::core::answer_limits::AnswerLimits;
 use crate::core::event_stream::{EventScan, EventTail, Framing};
-use crate::core::read_limits::{
-    Bound, Exceeded, MAX_ANSWER_BYTES, MAX_EVENT_BYTES, MAX_STREAM_BYTES, MAX_TRAILER_BYTES, Peer,
-};
+use crate::core::read_limits::{Bound, Exceeded, MAX_TRAILER_BYTES, Peer};
 use crate::platform::server::ReplyHead;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -126,6 +125,7 @@
     closes: bool,
     received: Received,
     left: Duration,
+    limits: AnswerLimits,
     deadline: Pin<Box<Sleep>>,
     /// When the last bytes were forwarded.
     forwarded: Instant,
@@ -146,13 +146,13 @@
 }
 
 impl ForwardedBody {
-    /// Forwards a body for at most `left`; afterwards its connection returns to the pool for the
-    /// time that the head states, unless the backend server closes it.
+    /// Forwards a body for at most `left` and within `limits`; afterwards its connection returns to
+    /// the pool for the time that the head states, unless the backend server closes it.
     pub fn new(
         body: Incoming,
         connection: ActiveConnection,
         head: &ReplyHead,
-        left: Duration,
+        (left, limits): (Duration, AnswerLimits),
         hooks: StreamHooks,
     ) -> Self {
         let deadline = Box::pin(tokio::time::sleep(left));
@@ -166,6 +166,7 @@
             closes: head.closes,
             received: Received::new(head.framing),
             left,
+            limits,
             deadline,
             forwarded: Instant::now(),
             on_first,
@@ -250,10 +251,11 @@
 
     fn check_bytes(&mut self) -> Result<(), BodyError> {
         let (bytes, event) = (self.received.bytes, self.received.events.longest());
+        let limits = self.limits;
         let (bound, limit) = match self.forwarding {
-            Forwarding::Plain if bytes > MAX_ANSWER_BYTES => (Bound::Body, MAX_ANSWER_BYTES),
-            Forwarding::Events if bytes > MAX_STREAM_BYTES => (Bound::Body, MAX_STREAM_BYTES),
-            Forwarding::Events if event > MAX_EVENT_BYTES => (Bound::Event, MAX_EVENT_BYTES),
+            Forwarding::Plain if bytes > limits.plain => (Bound::Body, limits.plain),
+            Forwarding::Events if bytes > limits.stream => (Bound::Body, limits.stream),
+            Forwarding::Events if event > limits.event => (Bound::Event, limits.event),
             _ => return Ok(()),
         };
         Err(self.exceed(Exceeded::count(Peer::BackendServer, bound, limit)))
--- a/tests/testsuite/platform/adapter.rs
+++ b/tests/testsuite/platform/adapter.rs
@@ -12,7 +12,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-const SETTINGS: &str = r#"{
+pub(super) const SETTINGS: &str = r#"{
   "node-id": "edge-mnl-a-1", "role": "entry", "machine-class": "edge",
   "serves": ["edge", "control_plane"], "ip": "10.1.0.41", "zone": "mnl-a", "region": "ph-luzon",
   "listen": {"front": "10.1.0.41:8625", "readiness": "10.1.0.41:8621"},
--- a/tests/testsuite/platform/endless_server.rs
+++ b/tests/testsuite/platform/endless_server.rs
@@ -1,6 +1,7 @@
 //! Backend servers that send bytes without end, or one at a time, and an entry that calls them.
 
-use super::node_fixture::{Fixture, OwnServer, config, fixture_with};
+use super::node_fixture::{Fixture, OwnServer, config, fixture_within};
+use limpetmux::core::answer_limits::AnswerLimits;
 use reqwest::header::{HeaderMap, HeaderValue};
 use reqwest::{Client, RequestBuilder};
 use std::net::SocketAddr;
@@ -85,6 +86,14 @@
 
 pub(super) async fn endless_servers(
     script: impl Fn(&Asked) -> Vec<Part> + Send + Sync + 'static,
+) -> EndlessServers {
+    endless_servers_within(AnswerLimits::default(), script).await
+}
+
+/// The same servers, and an entry with other limits on their answers.
+pub(super) async fn endless_servers_within(
+    limits: AnswerLimits,
+    script: impl Fn(&Asked) -> Vec<Part> + Send + Sync + 'static,
 ) -> EndlessServers {
     let (script, asked): (Script, Arc<Mutex<_>>) = (Arc::new(script), Arc::default());
     let closed = Arc::new(AtomicUsize::new(0));
@@ -93,7 +102,7 @@
         let addr = listen(id, &script, &asked, &closed).await;
         own.push(OwnServer { id, service, addr });
     }
-    EndlessServers { fixture: fixture_with(&own).await, asked, closed }
+    EndlessServers { fixture: fixture_within(limits, &own).await, asked, closed }
 }
 
 impl EndlessServers {
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -1,6 +1,7 @@
 //! The node on the users' platform: decisions without network, the adapter, and the path over TCP.
 
 mod adapter;
+mod answer_limits;
 mod answer_proof;
 mod catalog;
 mod chain;
--- a/tests/testsuite/platform/node_fixture.rs
+++ b/tests/testsuite/platform/node_fixture.rs
@@ -1,5 +1,6 @@
 //! A store, backend servers, an entry and a sidecar that run over TCP in one process.
 
+use limpetmux::core::answer_limits::AnswerLimits;
 use limpetmux::core::retry_share::RetryLimit;
 use limpetmux::serve::run::{RunningNode, start};
 use limpetmux::serve::settings::{Bounds, NodeSettings, StoreSettings};
@@ -64,6 +65,7 @@
                 window: Duration::from_secs(10),
             },
         },
+        answers: AnswerLimits::default(),
         store: StoreSettings { address: store },
     }
 }
@@ -101,6 +103,11 @@
 
 /// The fixture with backend servers of the test in place of some of its own.
 pub(super) async fn fixture_with(own: &[OwnServer]) -> Fixture {
+    fixture_within(AnswerLimits::default(), own).await
+}
+
+/// The fixture with backend servers of the test, and an entry with other limits on their answers.
+pub(super) async fn fixture_within(answers: AnswerLimits, own: &[OwnServer]) -> Fixture {
     let store = UsersStore::start().await.unwrap();
     let server = |id| async move { UsersServer::start(id).await.unwrap() };
     let plain = [server("p1").await, server("p2").await];
@@ -121,7 +128,8 @@
         store.put("keyed.servers", server.id, &server.entry());
     }
     let sidecar = start(settings("side", store.addr, false, Vec::new())).await.unwrap();
-    let entry = start(settings("entry", store.addr, true, vec![sidecar.node_addr])).await.unwrap();
+    let settings = settings("entry", store.addr, true, vec![sidecar.node_addr]);
+    let entry = start(NodeSettings { answers, ..settings }).await.unwrap();
     while !entry.is_ready() {
         sleep(Duration::from_millis(10)).await;
     }
