Let the settings of a sidecar limit the answers of its backend server

Cause: the limits on plain and streamed answers of the product's own interface were constants.

Change: fields sidecar.answer_bytes and sidecar.stream_bytes with the constants as defaults, checked when the settings are read. The highest plain answer is half a message between processes, as it travels in one message and with other inputs in the next stage's; an entry keeps no stream above the constant, so a stream's limit may only be lower. The limit on one event stays a constant there, since it bounds the parser's time.

Figures: endless_backend::answers_end_at_the_limits_of_the_settings reads bodies of 70,000 and 70,001 bytes. That a sidecar's role passes its settings on is by reading.

--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -4,9 +4,10 @@
 use super::backend::{Backend, BackendError, Chunk, ChunkStream, Job, LoadReport};
 use super::completion_lines::lines;
 use super::one_call::OneCallClient;
+use crate::core::answer_limits::AnswerLimits;
 use crate::core::config::{Fencing, StageKind};
 use crate::core::frames::AttemptKey;
-use crate::core::read_limits::{Bound, Exceeded, MAX_JSON_BYTES, MAX_NOTE_BYTES, MAX_PIECES, Peer};
+use crate::core::read_limits::{Bound, Exceeded, MAX_NOTE_BYTES, MAX_PIECES, Peer};
 use bytes::Bytes;
 use eventsource_stream::{Event, EventStreamError, Eventsource};
 use futures::{FutureExt, Stream, StreamExt, TryStreamExt, future::BoxFuture, stream};
@@ -23,11 +24,16 @@
 impl Backend {
     /// Creates a client of the protocols in `docs/PROTOCOLS.md`; `base` is the server's URL.
     pub fn http(client: OneCallClient, base: &str) -> Self {
+        Self::http_within(AnswerLimits::SIDECAR, client, base)
+    }
+
+    /// Creates a client with other limits on answers.
+    pub fn http_within(limits: AnswerLimits, client: OneCallClient, base: &str) -> Self {
         let base: Arc<str> = base.trim_end_matches('/').into();
         let (run_client, run_base) = (client.clone(), Arc::clone(&base));
         let (cancel_client, cancel_base) = (client.clone(), Arc::clone(&base));
         Self {
-            run: Arc::new(move |job| run(run_client.clone(), Arc::clone(&run_base), job)),
+            run: Arc::new(move |job| run(limits, run_client.clone(), Arc::clone(&run_base), job)),
             cancel: Arc::new(move |key| {
                 cancel(cancel_client.clone(), Arc::clone(&cancel_base), key).boxed()
             }),
@@ -74,14 +80,15 @@
 }
 
 fn run(
+    limits: AnswerLimits,
     client: OneCallClient,
     base: Arc<str>,
     job: Job,
 ) -> BoxFuture<'static, Result<ChunkStream, BackendError>> {
     async move {
         match job.kind {
-            StageKind::Generate => generate(&client, &base, &job).await,
-            _ => call(&client, &base, &job).await,
+            StageKind::Generate => generate(limits, &client, &base, &job).await,
+            _ => call(limits, &client, &base, &job).await,
         }
     }
     .boxed()
@@ -97,7 +104,12 @@
     }
 }
 
-async fn call(client: &OneCallClient, base: &str, job: &Job) -> Result<ChunkStream, BackendError> {
+async fn call(
+    limits: AnswerLimits,
+    client: &OneCallClient,
+    base: &str,
+    job: &Job,
+) -> Result<ChunkStream, BackendError> {
     let input: &RawValue = serde_json::from_slice(&job.input).map_err(BackendError::Malformed)?;
     let mut request = client.post(format!("{base}{}", path_of(job.kind)));
     if job.kind == StageKind::Plain {
@@ -109,7 +121,7 @@
     let response = send(request.json(&InputBody { input }), Promises::of(job)).await?;
     let ends_with_connection = response.content_length().is_none()
         && !response.headers().contains_key(reqwest::header::TRANSFER_ENCODING);
-    let payload = answer::read_body(response, Peer::BackendServer, MAX_JSON_BYTES).await?;
+    let payload = answer::read_body(response, Peer::BackendServer, limits.plain).await?;
     check_json(&payload, ends_with_connection)?;
     Ok(stream::once(async move { Ok(Chunk { payload: payload.into(), tokens: 0 }) }).boxed())
 }
@@ -132,6 +144,7 @@
 }
 
 async fn generate(
+    limits: AnswerLimits,
     client: &OneCallClient,
     base: &str,
     job: &Job,
@@ -150,7 +163,7 @@
     let request = client.post(format!("{base}{}", path_of(job.kind)));
     let response = send(request.json(&body), Promises::of(job)).await?;
     let body = response.bytes_stream().map_err(BackendError::ResponseLost);
-    Ok(token_stream(body, !job.prefix.is_empty()))
+    Ok(token_stream(limits, body, !job.prefix.is_empty()))
 }
 
 /// The state of reading a streamed completion.
@@ -172,10 +185,11 @@
 /// The stream ends with a [`BackendError`] if the body ends early, is not an event stream or
 /// exceeds a bound.
 pub fn token_stream(
+    limits: AnswerLimits,
     body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
     is_resumed: bool,
 ) -> ChunkStream {
-    let events = Box::pin(lines(body).eventsource());
+    let events = Box::pin(lines(limits, body).eventsource());
     let ready = VecDeque::new();
     let state = CompletionState { events, ready, chunks: 0, finished: is_resumed, ended: false };
     stream::unfold(state, |mut state| async move {
--- a/src/limpetmux/adapters/completion_lines.rs
+++ b/src/limpetmux/adapters/completion_lines.rs
@@ -5,8 +5,9 @@
 //! where a body stops at a bound does not depend on the parts in which it arrived.
 
 use super::backend::BackendError;
+use crate::core::answer_limits::AnswerLimits;
 use crate::core::event_stream::EventScan;
-use crate::core::read_limits::{Bound, Exceeded, MAX_EVENT_BYTES, MAX_TOKENS_BYTES, Peer};
+use crate::core::read_limits::{Bound, Exceeded, Peer};
 use bytes::{Bytes, BytesMut};
 use futures::{Stream, StreamExt, stream};
 
@@ -14,8 +15,9 @@
 const BYTE_ORDER_MARK: u8 = 0xef;
 
 /// What has been read of a body.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct LineCutter {
+    limits: AnswerLimits,
     line: BytesMut,
     size: usize,
     events: EventScan,
@@ -24,13 +26,13 @@
 /// Returns the whole lines of a body; a line that does not end is left out.
 ///
 /// # Errors
-/// The stream yields a [`BackendError`] once the body exceeds [`MAX_TOKENS_BYTES`] or one event of it
-/// [`MAX_EVENT_BYTES`], and if it begins with a byte order mark, which no engine sends and at which the
-/// parser of events panics.
+/// The stream yields a [`BackendError`] once the body or one event of it exceeds its limit, and if it
+/// begins with a byte order mark, which no engine sends and at which the parser of events panics.
 pub(super) fn lines(
+    limits: AnswerLimits,
     body: impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static,
 ) -> impl Stream<Item = Result<Bytes, BackendError>> + Send + 'static {
-    let mut cutter = LineCutter::default();
+    let mut cutter = LineCutter::new(limits);
     body.flat_map(move |part| {
         stream::iter(match part {
             Ok(part) => cutter.cut(&part),
@@ -40,6 +42,10 @@
 }
 
 impl LineCutter {
+    fn new(limits: AnswerLimits) -> Self {
+        Self { limits, line: BytesMut::new(), size: 0, events: EventScan::default() }
+    }
+
     /// Reads the next part and returns the lines that end in it, and the error that ends the body.
     fn cut(&mut self, part: &[u8]) -> Vec<Result<Bytes, BackendError>> {
         let is_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
@@ -64,10 +70,10 @@
         }
         self.size += piece.len();
         self.events.push(piece);
-        let (bound, limit) = if self.size > MAX_TOKENS_BYTES {
-            (Bound::Body, MAX_TOKENS_BYTES)
-        } else if self.events.longest() > MAX_EVENT_BYTES {
-            (Bound::Event, MAX_EVENT_BYTES)
+        let (bound, limit) = if self.size > self.limits.stream {
+            (Bound::Body, self.limits.stream)
+        } else if self.events.longest() > self.limits.event {
+            (Bound::Event, self.limits.event)
         } else {
             return Ok(());
         };
--- a/src/limpetmux/core/answer_limits.rs
+++ b/src/limpetmux/core/answer_limits.rs
@@ -1,10 +1,18 @@
-//! The limits on answers of backend servers, which an operator may change at the start of a node.
+//! The limits on answers of backend servers, which an operator may change at the start of a process.
 //!
 //! The defaults are constants of [`read_limits`](super::read_limits). A stated limit is checked before
-//! the node starts, so that a number of another unit is an error and not a cut answer.
+//! the process starts, so that a number of another unit is an error and not a cut answer.
 
-use super::read_limits::{HELD_ANSWER_BYTES, MAX_ANSWER_BYTES, MAX_EVENT_BYTES, MAX_STREAM_BYTES};
+use super::read_limits::{
+    HELD_ANSWER_BYTES, MAX_ANSWER_BYTES, MAX_EVENT_BYTES, MAX_JSON_BYTES, MAX_MESSAGE_BYTES,
+    MAX_STREAM_BYTES, MAX_TOKENS_BYTES,
+};
 
+/// The least limit on an answer of the product's own interface, in bytes.
+pub const MIN_SIDECAR_BYTES: usize = 64 * 1024;
+/// The highest limit on a plain answer of the product's own interface, in bytes: the answer travels in
+/// one message between processes, and with other inputs in the message to the next stage.
+pub const MAX_SIDECAR_BYTES: usize = MAX_MESSAGE_BYTES / 2;
 /// The least limit on one event that an operator may set, in bytes.
 pub const MIN_EVENT_BYTES: usize = 4 * 1024;
 
@@ -19,6 +27,12 @@
     pub event: usize,
 }
 
+impl AnswerLimits {
+    /// The defaults of a sidecar of the product's own interface.
+    pub const SIDECAR: Self =
+        Self { plain: MAX_JSON_BYTES, stream: MAX_TOKENS_BYTES, event: MAX_EVENT_BYTES };
+}
+
 impl Default for AnswerLimits {
     fn default() -> Self {
         Self { plain: MAX_ANSWER_BYTES, stream: MAX_STREAM_BYTES, event: MAX_EVENT_BYTES }
--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -27,9 +27,11 @@
 
 /// The most bytes of an answer that only states a few values: a load report, an offset, a refusal.
 pub const MAX_NOTE_BYTES: usize = 64 * 1024;
-/// The most bytes of an answer that is one JSON value, of a backend server.
+/// The most bytes of an answer that is one JSON value, of a backend server, until the settings state
+/// another limit.
 pub const MAX_JSON_BYTES: usize = 4 * 1024 * 1024;
-/// The most bytes of a model engine's streamed answer, with the framing of its events.
+/// The most bytes of a model engine's streamed answer, with the framing of its events; the settings may
+/// state less.
 pub const MAX_TOKENS_BYTES: usize = 16 * 1024 * 1024;
 /// The most pieces of one answer.
 pub const MAX_PIECES: u64 = 65_536;
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -189,7 +189,7 @@
     let sidecar = Sidecar::start(SidecarOptions {
         host: settings.name.clone(),
         view: services.control.view.clone(),
-        backend: Backend::http(client, &sidecar_settings.backend),
+        backend: Backend::http_within(sidecar_settings.limits(), client, &sidecar_settings.backend),
         once: Some(OnceSettings { channels: channels.clone(), ..OnceSettings::new(log) }),
         metrics: metrics(settings)?,
     });
--- a/src/limpetmux/settings/load.rs
+++ b/src/limpetmux/settings/load.rs
@@ -2,6 +2,8 @@
 
 use super::{Role, Settings, TlsSettings};
 use crate::adapters::tls::TlsError;
+use crate::core::answer_limits::{MAX_SIDECAR_BYTES, MIN_SIDECAR_BYTES};
+use crate::core::read_limits::MAX_TOKENS_BYTES;
 use jsonc_parser::ast::{ObjectProp, Value};
 use jsonc_parser::common::{Range, Ranged};
 use jsonc_parser::errors::ParseError;
@@ -68,6 +70,22 @@
         #[label("here")]
         span: SourceSpan,
     },
+    /// A size is out of its range.
+    #[error("{bytes} bytes are not between {least} and {most}")]
+    Size {
+        /// The value.
+        bytes: usize,
+        /// The least value that can be used.
+        least: usize,
+        /// The highest value that can be used.
+        most: usize,
+        /// The file's name and text.
+        #[source_code]
+        text: Arc<NamedSource<String>>,
+        /// The field.
+        #[label("here")]
+        span: SourceSpan,
+    },
     /// A certificate or a key cannot be used.
     #[error("the certificates cannot be used")]
     Tls {
@@ -163,6 +181,7 @@
     let settings: Settings = parse_section(&source)?;
     check_addresses(&source, &settings)?;
     check_urls(&source, &settings)?;
+    check_sizes(&source, &settings)?;
     if let Some(tls) = &settings.tls {
         check_tls(&source, tls, &["tls"])?;
     }
@@ -251,6 +270,23 @@
     Ok(())
 }
 
+/// Checks the limits on answers, whose highest values the bounds between processes give.
+fn check_sizes(source: &Source<'_>, settings: &Settings) -> Result<(), SettingsError> {
+    let Some(sidecar) = &settings.sidecar else { return Ok(()) };
+    let least = MIN_SIDECAR_BYTES;
+    let sizes = [
+        ("answer_bytes", sidecar.max_answer, MAX_SIDECAR_BYTES),
+        ("stream_bytes", sidecar.max_stream, MAX_TOKENS_BYTES),
+    ];
+    for (field, bytes, most) in sizes {
+        if !(least..=most).contains(&bytes) {
+            let (text, span) = (source.named_source(), source.span(&["sidecar", field]));
+            return Err(SettingsError::Size { bytes, least, most, text, span });
+        }
+    }
+    Ok(())
+}
+
 fn check_urls(source: &Source<'_>, settings: &Settings) -> Result<(), SettingsError> {
     let platform = &settings.platform;
     let urls = [
--- a/src/limpetmux/settings/spec.rs
+++ b/src/limpetmux/settings/spec.rs
@@ -3,6 +3,7 @@
 use super::TlsSettings;
 use crate::adapters::channel::Channels;
 use crate::adapters::tls::TlsError;
+use crate::core::answer_limits::AnswerLimits;
 use crate::core::config::Name;
 use crate::entry::Limits;
 use serde::Deserialize;
@@ -122,6 +123,12 @@
 pub struct SidecarSettings {
     /// The base URL of the backend server.
     pub backend: String,
+    /// The maximum size of a plain answer of the backend server, in bytes.
+    #[serde(default = "default_answer", rename = "answer_bytes")]
+    pub max_answer: usize,
+    /// The maximum size of a streamed answer of the backend server, in bytes.
+    #[serde(default = "default_stream", rename = "stream_bytes")]
+    pub max_stream: usize,
 }
 
 /// The format of log lines.
@@ -161,6 +168,22 @@
     }
 }
 
+impl SidecarSettings {
+    /// Returns the limits on answers of the backend server.
+    pub fn limits(&self) -> AnswerLimits {
+        let (plain, stream) = (self.max_answer, self.max_stream);
+        AnswerLimits { plain, stream, ..AnswerLimits::SIDECAR }
+    }
+}
+
+fn default_answer() -> usize {
+    AnswerLimits::SIDECAR.plain
+}
+
+fn default_stream() -> usize {
+    AnswerLimits::SIDECAR.stream
+}
+
 fn default_grace() -> Duration {
     DEFAULT_GRACE
 }
--- a/tests/testsuite/decoders/product_answers.rs
+++ b/tests/testsuite/decoders/product_answers.rs
@@ -10,6 +10,7 @@
 use limpetmux::adapters::hosts::HostsClient;
 use limpetmux::adapters::log::{LogClient, Stream};
 use limpetmux::adapters::one_call::OneCallClient;
+use limpetmux::core::answer_limits::AnswerLimits;
 use limpetmux::core::config::StageKind;
 use limpetmux::core::frames::{AttemptKey, RequestId};
 use limpetmux::core::keys::StageIndex;
@@ -131,7 +132,8 @@
 /// Reads a streamed completion that arrives in parts.
 fn tokens(parts: Vec<Vec<u8>>) -> Vec<std::result::Result<Bytes, String>> {
     let body = stream::iter(parts.into_iter().map(|part| Ok(Bytes::from(part))));
-    let tokens = token_stream(body, false).map(|t| t.map(|t| t.payload).map_err(|e| e.to_string()));
+    let tokens = token_stream(AnswerLimits::SIDECAR, body, false);
+    let tokens = tokens.map(|t| t.map(|t| t.payload).map_err(|e| e.to_string()));
     tokens.collect().now_or_never().unwrap()
 }
 
--- a/tests/testsuite/endless_backend.rs
+++ b/tests/testsuite/endless_backend.rs
@@ -4,6 +4,7 @@
 use futures::{FutureExt, TryStreamExt};
 use limpetmux::adapters::backend::{Backend, BackendError, Job};
 use limpetmux::adapters::one_call::OneCallClient;
+use limpetmux::core::answer_limits::AnswerLimits;
 use limpetmux::core::config::StageKind;
 use limpetmux::core::frames::{AttemptKey, RequestId};
 use limpetmux::core::keys::StageIndex;
@@ -179,6 +180,32 @@
     assert!(matches!(result, Err(BackendError::Exceeded(_))), "{result:?}");
 }
 
+#[tokio::test]
+async fn answers_end_at_the_limits_of_the_settings() {
+    // Guards against settings that are accepted and have no effect.
+    const MAX_BYTES: usize = 70_000;
+    let limits = AnswerLimits { plain: MAX_BYTES, stream: MAX_BYTES, ..AnswerLimits::SIDECAR };
+    let streamed = |len| event(len) + "data: [DONE]\n\n";
+    let framing = streamed(0).len() - event(0).len() + 2;
+    let plain = |len: usize| " ".repeat(len - 1) + "1";
+    let rows = [
+        (StageKind::Plain, plain(MAX_BYTES), plain(MAX_BYTES + 1)),
+        (StageKind::Generate, streamed(MAX_BYTES - framing), streamed(MAX_BYTES - framing + 1)),
+    ];
+    for (kind, within, beyond) in rows {
+        for (body, is_read) in [(within, true), (beyond, false)] {
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            let url = format!("http://{}", serve_bytes(head + &body).await.unwrap());
+            let client = OneCallClient::new().unwrap();
+
+            let result = run(&Backend::http_within(limits, client, &url), kind).await;
+
+            assert_eq!(result.is_ok(), is_read, "{kind:?} {result:?}");
+            assert!(is_read || matches!(result, Err(BackendError::Exceeded(_))), "{result:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn answer_with_a_head_beyond_its_bound_is_not_passed_on() {
     let field = format!("x-field: {}\r\n", "a".repeat(64 << 10));
--- a/tests/testsuite/fuzz.rs
+++ b/tests/testsuite/fuzz.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, stream};
 use limpetmux::adapters::backend_http::token_stream;
+use limpetmux::core::answer_limits::AnswerLimits;
 use limpetmux::core::config::{Config, Fold, record};
 use limpetmux::core::planner::{DutyFold, DutyRecord};
 use limpetmux::core::revision::Offset;
@@ -99,7 +100,8 @@
 /// Parses a completion's body that arrives in parts.
 fn parse_parts(parts: Vec<Vec<u8>>) -> Vec<Result<Bytes, String>> {
     let body = stream::iter(parts.into_iter().map(|part| Ok(Bytes::from(part))));
-    let tokens = token_stream(body, false).map(|t| t.map(|t| t.payload).map_err(|e| e.to_string()));
+    let tokens = token_stream(AnswerLimits::SIDECAR, body, false);
+    let tokens = tokens.map(|t| t.map(|t| t.payload).map_err(|e| e.to_string()));
     tokens.collect().now_or_never().unwrap()
 }
 
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -1,5 +1,6 @@
 //! Settings files are checked with line and column.
 
+use limpetmux::core::answer_limits::AnswerLimits;
 use limpetmux::settings::{
     EntrySettings, LogSettings, MetricsSettings, PlatformSettings, Role, Settings, SettingsError,
     SidecarSettings, TlsSettings, load, parse,
@@ -64,6 +65,39 @@
     assert_eq!(labels, ["\"127.0.0.1:7100\"", "\"127.0.0.1:7100\""]);
 }
 
+#[test]
+fn limit_on_answers_out_of_its_range_is_pointed_at() {
+    let sidecar = include_str!("../../examples/ph-luzon/sidecar.jsonc");
+    let cases = [
+        ("answer_bytes", 0, 8_388_608),
+        ("answer_bytes", 65_535, 8_388_608),
+        ("answer_bytes", 8_388_609, 8_388_608),
+        ("stream_bytes", 0, 16_777_216),
+        ("stream_bytes", 16_777_217, 16_777_216),
+    ];
+    for (field, bytes, most) in cases {
+        let text = sidecar.replace("\"backend\"", &format!("\"{field}\": {bytes}, \"backend\""));
+
+        let error = parse("sidecar.jsonc", &text).unwrap_err();
+
+        assert_eq!(error.to_string(), format!("{bytes} bytes are not between 65536 and {most}"));
+        let label = error.labels().unwrap().next().unwrap();
+        assert_eq!(text[label.offset()..label.offset() + label.len()], bytes.to_string());
+    }
+}
+
+#[test]
+fn limits_on_answers_have_defaults_and_can_be_set() {
+    let sidecar = include_str!("../../examples/ph-luzon/sidecar.jsonc");
+    let fields = "\"answer_bytes\": 65536, \"stream_bytes\": 70000, \"backend\"";
+    let limits = |text: &str| parse("sidecar.jsonc", text).unwrap().sidecar.unwrap().limits();
+
+    let (default, set) = (limits(sidecar), limits(&sidecar.replace("\"backend\"", fields)));
+
+    assert_eq!(default, AnswerLimits::SIDECAR);
+    assert_eq!(set, AnswerLimits { plain: 65_536, stream: 70_000, ..AnswerLimits::SIDECAR });
+}
+
 #[test]
 fn missing_zone_is_named() {
     let (message, labels) = error_of("\"zone\": \"mnl-a\",", "");
