Bound the connections of other processes in number and in idle time

Cause: the connections of other processes were bounded by descriptors only, and one that answers pings stayed open for ever.

Change: a process accepts connections up to half of its descriptors, on the users' platform of those that callers' connections leave, at least 64. A further one is closed, recorded as read_stopped with bound count and the peer's address, and counted; those that are open stay. A connection without a call for 300 s closes; a call counts as running until its answer has ended.

--- a/src/limpetmux/adapters/channel.rs
+++ b/src/limpetmux/adapters/channel.rs
@@ -2,10 +2,13 @@
 //!
 //! [`Channels`] creates the outgoing connections and the servers of one process, either all in
 //! plain text or all with mutual TLS. [`Incoming`] counts connections that end before their
-//! handshake is complete. `docs/design/security.md` describes the alternatives.
+//! handshake is complete; [`ConnectionBounds`] bounds them in number and in idle time. `docs/design/security.md` describes the alternatives.
 
-use super::handshake::{HandshakeFailures, Incoming};
+use super::activity::CountedCalls;
+use super::admission::{Admission, ConnectionBounds};
+use super::handshake::Incoming;
 use super::tls::{TlsCredentials, TlsError};
+use crate::util::metrics::Metrics;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,7 +36,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Channels {
     tls: Option<Arc<Tls>>,
-    failures: Arc<HandshakeFailures>,
+    admission: Arc<Admission>,
 }
 
 #[derive(Debug)]
@@ -63,7 +66,19 @@
             .client_ca_root(credentials.authority())
             .timeout(HANDSHAKE_TIMEOUT);
         let tls = Some(Arc::new(Tls { client, server }));
-        Ok(Self { tls, failures: Arc::default() })
+        Ok(Self { tls, admission: Arc::default() })
+    }
+
+    /// Replaces the bounds on incoming connections, which otherwise follow from the limit of the
+    /// operating system, and counts what exceeds them.
+    #[must_use]
+    pub fn bounded(self, bounds: ConnectionBounds, metrics: Metrics) -> Self {
+        Self { admission: Arc::new(Admission::new(bounds, metrics)), ..self }
+    }
+
+    /// Returns the number of incoming connections that are open.
+    pub fn open_connections(&self) -> usize {
+        self.admission.open()
     }
 
     /// Returns whether connections use mutual TLS.
@@ -73,7 +88,7 @@
 
     /// Returns the number of incoming connections that ended before their handshake was complete.
     pub fn failed_handshakes(&self) -> u64 {
-        self.failures.count()
+        self.admission.failures.count()
     }
 
     /// Returns the endpoint of another process; `timeout` covers TCP connection and handshake.
@@ -101,9 +116,12 @@
         stop: impl Future<Output = ()>,
     ) -> Result<(), Error> {
         let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-        let failures = Arc::clone(&self.failures);
-        let incoming = incoming.map(move |s| s.map(|stream| Incoming::new(stream, &failures)));
-        self.server()?.add_routes(routes).serve_with_incoming_shutdown(incoming, stop).await
+        let admission = Arc::clone(&self.admission);
+        let incoming = incoming.filter_map(move |accepted| {
+            accepted.map(|stream| Incoming::admit(stream, &admission)).transpose()
+        });
+        let service = CountedCalls(routes.prepare());
+        self.server()?.serve_with_incoming_shutdown(service, incoming, stop).await
     }
 
     fn server(&self) -> Result<Server, Error> {
--- a/src/limpetmux/adapters/handshake.rs
+++ b/src/limpetmux/adapters/handshake.rs
@@ -1,9 +1,12 @@
-//! Counts incoming connections that end before their handshake is complete.
+//! Incoming connections: counts those that end before their handshake is complete, and closes those
+//! that have no call for too long.
 //!
 //! The gRPC server drops a connection without notice if its TLS handshake fails, and otherwise
 //! calls [`Connected::connect_info`] after the handshake. [`Incoming`] uses this to tell failed
 //! handshakes from complete ones.
 
+use super::activity::Activity;
+use super::admission::Admission;
 use super::channel::HANDSHAKE_TIMEOUT;
 use crate::core::read_limits::{Exceeded, Peer};
 use crate::event;
@@ -20,8 +23,9 @@
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Sleep;
-use tonic::transport::server::{Connected, TcpConnectInfo};
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{Instant, Sleep};
+use tonic::transport::server::Connected;
 
 /// The bytes that a client sends before anything else, over HTTP/2 and at least over TLS.
 const PREFACE_BYTES: usize = 24;
@@ -51,21 +55,50 @@
 pub(super) struct Incoming {
     stream: TcpStream,
     peer: Option<SocketAddr>,
-    failures: Arc<HandshakeFailures>,
+    admission: Arc<Admission>,
     /// Whether the server has accepted the connection, which it does after the handshake.
     accepted: AtomicBool,
     /// The end of the time for the preface, until it has arrived.
     end: Option<Pin<Box<Sleep>>>,
     /// The bytes of the preface that have arrived.
     preface: usize,
+    activity: Activity,
+    /// The end of the time without a call, or an earlier moment.
+    idle: Pin<Box<Sleep>>,
+    _permit: OwnedSemaphorePermit,
 }
 
 impl Incoming {
-    /// Wraps a TCP connection from a listener.
-    pub fn new(stream: TcpStream, failures: &Arc<HandshakeFailures>) -> Self {
-        let (peer, failures) = (stream.peer_addr().ok(), Arc::clone(failures));
-        let end = Some(Box::pin(tokio::time::sleep(HANDSHAKE_TIMEOUT)));
-        Self { stream, peer, failures, accepted: AtomicBool::new(false), end, preface: 0 }
+    /// Wraps a TCP connection from a listener, unless there are too many.
+    pub fn admit(stream: TcpStream, admission: &Arc<Admission>) -> Option<Self> {
+        let peer = stream.peer_addr().ok();
+        Some(Self {
+            _permit: admission.admit(peer)?,
+            stream,
+            peer,
+            admission: Arc::clone(admission),
+            accepted: AtomicBool::new(false),
+            end: Some(Box::pin(tokio::time::sleep(HANDSHAKE_TIMEOUT))),
+            preface: 0,
+            activity: Activity::new(),
+            idle: Box::pin(tokio::time::sleep(admission.bounds.idle)),
+        })
+    }
+
+    /// Returns an error if the connection has had no call for too long.
+    ///
+    /// That is no fault of the peer, which has no call to make, and is not recorded.
+    fn check_idle(&mut self, cx: &mut Context<'_>) -> Result<()> {
+        let limit = self.admission.bounds.idle;
+        while self.idle.as_mut().poll(cx).is_ready() {
+            let now = Instant::now();
+            let end = self.activity.idle_since().unwrap_or(now) + limit;
+            if end <= now {
+                return Err(Error::new(ErrorKind::TimedOut, "the connection has no calls"));
+            }
+            self.idle.as_mut().reset(end);
+        }
+        Ok(())
     }
 
     /// Returns an error if the peer has not sent its preface in time.
@@ -75,7 +108,7 @@
             return Ok(());
         }
         let exceeded = Exceeded::time(Peer::Node, HANDSHAKE_TIMEOUT);
-        if self.failures.throttle.permits(clock::now()) {
+        if self.admission.failures.throttle.permits(clock::now()) {
             read_stop::log(exceeded, self.peer.map(|p| p.to_string()).unwrap_or_default());
         }
         Err(Error::new(ErrorKind::TimedOut, exceeded))
@@ -83,11 +116,12 @@
 }
 
 impl Connected for Incoming {
-    type ConnectInfo = TcpConnectInfo;
+    /// The calls of the connection, for the service that counts them.
+    type ConnectInfo = Activity;
 
-    fn connect_info(&self) -> TcpConnectInfo {
+    fn connect_info(&self) -> Activity {
         self.accepted.store(true, Ordering::Relaxed);
-        self.stream.connect_info()
+        self.activity.clone()
     }
 }
 
@@ -95,7 +129,7 @@
     fn drop(&mut self) {
         let is_accepted = self.accepted.load(Ordering::Relaxed);
         if let (Some(peer), false) = (self.peer, is_accepted) {
-            self.failures.record(peer);
+            self.admission.failures.record(peer);
         }
     }
 }
@@ -110,6 +144,7 @@
         if Pin::new(&mut self.stream).poll_read(cx, buffer)?.is_pending() {
             // Bytes that have arrived are read first, however late this process gets to them.
             self.check_time(cx)?;
+            self.check_idle(cx)?;
             return Poll::Pending;
         }
         if self.end.is_some() {
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -4,6 +4,8 @@
 //! constructor and no protocol type reaches `core`. `docs/PROTOCOLS.md` specifies the default
 //! protocols. [`channel`] creates the connections between the system's own processes.
 
+mod activity;
+pub mod admission;
 pub mod answer;
 pub mod backend;
 pub mod backend_http;
@@ -11,6 +13,7 @@
 mod completion_lines;
 mod handshake;
 pub mod hosts;
+pub mod kept;
 pub mod log;
 mod log_http;
 pub mod one_call;
--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -86,6 +86,22 @@
 /// The time for the message of a call from another node.
 pub const MAX_MESSAGE_TIME: Duration = Duration::from_secs(5);
 
+/// The least number of connections of other processes that a process accepts.
+pub const MIN_NODE_CONNECTIONS: usize = 64;
+/// The most connections of other processes that a process accepts, whatever its descriptors.
+pub const MAX_NODE_CONNECTIONS: usize = 65_536;
+/// How long a connection of another process may have no call.
+pub const NODE_IDLE_TIME: Duration = Duration::from_secs(300);
+/// How long a caller keeps a connection to another process without using it.
+pub const KEPT_IDLE_TIME: Duration = Duration::from_secs(100);
+
+/// Returns the most connections of other processes, of the descriptors that callers leave to them.
+///
+/// The other half is for connections to other processes and to backend servers.
+pub fn node_connections(descriptors: usize) -> usize {
+    (descriptors / 2).clamp(MIN_NODE_CONNECTIONS, MAX_NODE_CONNECTIONS)
+}
+
 /// What a process reads from.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr, VariantArray, strum::Display,
--- a/src/limpetmux/entry/connection.rs
+++ b/src/limpetmux/entry/connection.rs
@@ -1,7 +1,9 @@
 //! The connection to one sidecar.
 
 use crate::adapters::channel::Channels;
+use crate::adapters::kept::KeptChannel;
 use crate::core::read_limits::MAX_MESSAGE_BYTES;
+use crate::util::clock;
 use crate::wire::once::once_client::OnceClient;
 use crate::wire::stage::stage_client::StageClient;
 use std::net::SocketAddr;
@@ -19,19 +21,18 @@
 #[derive(Debug)]
 pub struct SidecarConnection {
     addr: SocketAddr,
-    channel: Option<Channel>,
+    kept: Option<KeptChannel>,
 }
 
 impl SidecarConnection {
     /// Creates a connection that is opened on first use.
     pub fn new(channels: &Channels, addr: SocketAddr) -> Self {
         let endpoint = channels.endpoint(addr, CONNECT_TIMEOUT).ok();
-        let channel = endpoint.map(|e| {
-            e.http2_keep_alive_interval(KEEPALIVE_INTERVAL)
-                .keep_alive_timeout(KEEPALIVE_TIMEOUT)
-                .connect_lazy()
+        let kept = endpoint.map(|e| {
+            let endpoint = e.http2_keep_alive_interval(KEEPALIVE_INTERVAL);
+            KeptChannel::new(endpoint.keep_alive_timeout(KEEPALIVE_TIMEOUT))
         });
-        Self { addr, channel }
+        Self { addr, kept }
     }
 
     /// Returns the address of the sidecar.
@@ -39,16 +40,20 @@
         self.addr
     }
 
+    fn channel(&self) -> Option<Channel> {
+        self.kept.as_ref().map(|kept| kept.channel(clock::boot()))
+    }
+
     /// Returns a client for stages that shares this connection.
     pub fn client(&self) -> Option<StageClient<Channel>> {
-        let client = self.channel.clone().map(StageClient::new)?;
+        let client = self.channel().map(StageClient::new)?;
         let client = client.max_decoding_message_size(MAX_MESSAGE_BYTES);
         Some(client.max_encoding_message_size(MAX_MESSAGE_BYTES))
     }
 
     /// Returns a client for idempotency keys that shares this connection.
     pub fn once_client(&self) -> Option<OnceClient<Channel>> {
-        let client = self.channel.clone().map(OnceClient::new)?;
+        let client = self.channel().map(OnceClient::new)?;
         let client = client.max_decoding_message_size(MAX_MESSAGE_BYTES);
         Some(client.max_encoding_message_size(MAX_MESSAGE_BYTES))
     }
--- a/src/limpetmux/fleet/peers.rs
+++ b/src/limpetmux/fleet/peers.rs
@@ -1,7 +1,9 @@
 //! Connections to other nodes, opened on first use.
 
 use crate::adapters::channel::Channels;
+use crate::adapters::kept::KeptChannel;
 use crate::core::read_limits::MAX_MESSAGE_BYTES;
+use crate::util::clock;
 use crate::wire::fleet::fleet_client::FleetClient;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,7 +24,7 @@
 #[derive(Clone, Debug)]
 pub struct Peers {
     channels: Channels,
-    open: Arc<Mutex<BTreeMap<SocketAddr, Channel>>>,
+    open: Arc<Mutex<BTreeMap<SocketAddr, KeptChannel>>>,
 }
 
 impl Peers {
@@ -42,19 +44,18 @@
     /// Returns an error if the address or the certificates cannot be used.
     pub fn client(&self, addr: SocketAddr) -> Result<FleetClient<Channel>, tonic::Status> {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(channel) = open.get(&addr) {
-            return Ok(client(channel.clone()));
+        if let Some(kept) = open.get(&addr) {
+            return Ok(client(kept.channel(clock::boot())));
         }
         let endpoint = self.channels.endpoint(addr, CONNECT_TIMEOUT);
         let endpoint = endpoint.map_err(|e| tonic::Status::unavailable(e.to_string()))?;
-        let channel = endpoint
-            .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
-            .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-            .connect_lazy();
+        let endpoint = endpoint.http2_keep_alive_interval(KEEP_ALIVE_INTERVAL);
+        let kept = KeptChannel::new(endpoint.keep_alive_timeout(KEEP_ALIVE_TIMEOUT));
+        let channel = kept.channel(clock::boot());
         if open.len() >= MAX_CONNECTIONS {
             open.clear();
         }
-        open.insert(addr, channel.clone());
+        open.insert(addr, kept);
         Ok(client(channel))
     }
 
--- a/src/limpetmux/node/role.rs
+++ b/src/limpetmux/node/role.rs
@@ -6,6 +6,7 @@
 use super::process::{self, EntryListeners, FlushFn, Process, ProcessError, ProcessParts};
 use super::server::{ServeError, local_addr};
 use super::services::{Services, ServicesError, ServicesOptions};
+use crate::adapters::admission::ConnectionBounds;
 use crate::adapters::backend::Backend;
 use crate::adapters::channel::Channels;
 use crate::adapters::hosts::HostsClient;
@@ -95,6 +96,11 @@
     Ok(services)
 }
 
+/// Returns the connections with other processes, whose bounds follow from the operating system's.
+fn channels(settings: &Settings) -> Result<Channels, RoleError> {
+    Ok(settings.channels()?.bounded(ConnectionBounds::default(), metrics(settings)?))
+}
+
 fn metrics(settings: &Settings) -> Result<Metrics, MetricsError> {
     settings.metrics.statsd.map_or(Ok(Metrics::none()), Metrics::statsd)
 }
@@ -118,7 +124,7 @@
 ) -> Result<DrainReport, RoleError> {
     let http_addr = local_addr(&listeners.http)?;
     let grpc_addr = local_addr(&listeners.grpc)?;
-    let channels = settings.channels()?;
+    let channels = channels(settings)?;
     let services = start_services(settings, &channels, grpc_addr, true)?;
     let entry = Entry::start(EntryOptions {
         zone: settings.zone.clone(),
@@ -183,7 +189,7 @@
 ) -> Result<DrainReport, RoleError> {
     let addr = local_addr(&listener)?;
     let client = OneCallClient::new()?;
-    let channels = settings.channels()?;
+    let channels = channels(settings)?;
     let services = start_services(settings, &channels, addr, false)?;
     let log = LogClient::http(client.clone(), &settings.platform.log);
     let sidecar = Sidecar::start(SidecarOptions {
--- a/src/limpetmux/serve/front.rs
+++ b/src/limpetmux/serve/front.rs
@@ -31,14 +31,20 @@
 
 /// File descriptors that are not available for connections of callers.
 const RESERVED_DESCRIPTORS: usize = 1_000;
+/// The least number of connections of callers that are accepted.
+const MIN_CALLER_CONNECTIONS: usize = 64;
 /// The pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Returns the most connections of callers.
+pub(super) fn caller_connections(descriptors: usize) -> usize {
+    descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_CALLER_CONNECTIONS)
+}
+
 /// Accepts callers until `stop` is true, then closes idle connections and finishes running
 /// requests.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-    let max_connections =
-        shared.settings().max_descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64);
+    let max_connections = caller_connections(shared.settings().max_descriptors);
     let permits = Arc::new(tokio::sync::Semaphore::new(max_connections));
     loop {
         let accepted = tokio::select! {
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -1,7 +1,9 @@
 //! State that the tasks of one node share.
 
 use super::connections::ConnectionPool;
+use super::front::caller_connections;
 use super::settings::NodeSettings;
+use crate::adapters::admission::ConnectionBounds;
 use crate::adapters::channel::Channels;
 use crate::core::engines::EngineReport;
 use crate::core::listing::{Listing, Server};
@@ -9,6 +11,7 @@
 use crate::core::operator::Orders;
 use crate::core::placement::Placement;
 use crate::core::queue_waits::QueueWaits;
+use crate::core::read_limits::{NODE_IDLE_TIME, node_connections};
 use crate::core::retry_share::RetryShare;
 use crate::fleet::peers::Peers;
 use crate::kernel::{Published, Publisher};
@@ -45,6 +48,14 @@
     }
 }
 
+/// Returns the bounds on connections of other nodes.
+fn bounds(settings: &NodeSettings) -> ConnectionBounds {
+    let descriptors = settings.max_descriptors;
+    let for_callers = settings.caller_addr.map_or(0, |_| caller_connections(descriptors));
+    let count = node_connections(descriptors.saturating_sub(for_callers));
+    ConnectionBounds { count, idle: NODE_IDLE_TIME }
+}
+
 /// State that the tasks of one node share.
 pub struct Shared {
     /// This node as the other nodes know it.
@@ -85,12 +96,13 @@
             started: clock::unix_millis(),
         };
         let exposition = Exposition::default();
+        let channels = Channels::plain().bounded(bounds(&settings), exposition.metrics());
         Arc::new(Self {
             metrics: exposition.metrics(),
             exposition,
             view: view.reader(),
             connections: ConnectionPool::default(),
-            peers: Peers::new(Channels::plain()),
+            peers: Peers::new(channels),
             stopping: AtomicBool::new(false),
             discovered: AtomicBool::new(false),
             running: AtomicUsize::new(0),
--- a/src/limpetmux/sidecar/once/peers.rs
+++ b/src/limpetmux/sidecar/once/peers.rs
@@ -1,9 +1,11 @@
 //! Connections to the other hosts of the service.
 
 use crate::adapters::channel::Channels;
+use crate::adapters::kept::KeptChannel;
 use crate::core::once::HostId;
 use crate::core::read_limits::{MAX_MESSAGE_BYTES, MAX_TABLE_BYTES};
 use crate::core::view::View;
+use crate::util::clock;
 use crate::wire::once::once_client::OnceClient;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -18,7 +20,7 @@
 #[derive(Debug)]
 pub(super) struct Peers {
     channels: Channels,
-    by_addr: Mutex<BTreeMap<SocketAddr, Channel>>,
+    by_addr: Mutex<BTreeMap<SocketAddr, KeptChannel>>,
 }
 
 impl Peers {
@@ -37,12 +39,13 @@
 
     fn channel(&self, addr: SocketAddr) -> Option<Channel> {
         let mut by_addr = self.by_addr.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(channel) = by_addr.get(&addr) {
-            return Some(channel.clone());
+        if let Some(kept) = by_addr.get(&addr) {
+            return Some(kept.channel(clock::boot()));
         }
         let endpoint = self.channels.endpoint(addr, CALL_TIMEOUT).ok()?;
-        let channel = endpoint.timeout(CALL_TIMEOUT).connect_lazy();
-        by_addr.insert(addr, channel.clone());
+        let kept = KeptChannel::new(endpoint.timeout(CALL_TIMEOUT));
+        let channel = kept.channel(clock::boot());
+        by_addr.insert(addr, kept);
         Some(channel)
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod log_not_appended;
 mod lost_answers;
 mod membership;
+mod node_connections;
 mod once;
 mod once_explore;
 mod once_path;
