Bound the time for messages between all processes

Cause: a call whose message never ends held its stream and its bytes for an hour on the product's own interface; only the fleet's service on the users' platform had a bound.

Change: the mechanism moves from the fleet's service to the server of all processes (adapters/message_time.rs). Each call has one message, so it holds for runs, drain orders and exchanges as well; their answers keep their own bounds. The stop is recorded as before, and the sender takes the call as unknown.

The test of the fleet takes the path of the call as an argument now and checks the same.

Conclusion: no message between processes is read for longer than 5 s.

--- a/src/limpetmux/adapters/activity.rs
+++ b/src/limpetmux/adapters/activity.rs
@@ -1,5 +1,7 @@
 //! Tells which incoming connections have calls, so that only one without any counts as idle.
 
+use super::message_time;
+use crate::util::metrics::Metrics;
 use hyper::body::{Body as HttpBody, Bytes, Frame, SizeHint};
 use std::convert::Infallible;
 use std::future::Future;
@@ -57,8 +59,13 @@
 }
 
 /// Services whose calls count as running on their connection until their answers have ended.
-#[derive(Clone, Debug)]
-pub(super) struct CountedCalls(pub Routes);
+///
+/// The time for their messages is bounded, and stops are recorded with the metrics.
+#[derive(Clone)]
+pub(super) struct CountedCalls {
+    pub routes: Routes,
+    pub metrics: Metrics,
+}
 
 type Answer = http::Response<Body>;
 
@@ -68,12 +75,12 @@
     type Future = Pin<Box<dyn Future<Output = Result<Answer, Infallible>> + Send>>;
 
     fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
-        Service::<http::Request<Body>>::poll_ready(&mut self.0, cx)
+        Service::<http::Request<Body>>::poll_ready(&mut self.routes, cx)
     }
 
     fn call(&mut self, request: http::Request<Body>) -> Self::Future {
         let running = request.extensions().get::<Activity>().map(Activity::begin);
-        let answer = self.0.call(request);
+        let answer = self.routes.call(message_time::timed(request, &self.metrics));
         Box::pin(async move {
             Ok(answer.await?.map(|body| Body::new(CountedBody { body, _running: running })))
         })
--- a/src/limpetmux/adapters/admission.rs
+++ b/src/limpetmux/adapters/admission.rs
@@ -35,7 +35,7 @@
     pub bounds: ConnectionBounds,
     pub failures: HandshakeFailures,
     permits: Arc<Semaphore>,
-    metrics: Metrics,
+    pub metrics: Metrics,
     throttle: Throttle,
 }
 
--- a/src/limpetmux/adapters/channel.rs
+++ b/src/limpetmux/adapters/channel.rs
@@ -29,7 +29,7 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(30);
 /// The time after which an unanswered ping closes an incoming connection.
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(20);
-/// The most time for a call up to the head of its answer, also if its message never ends.
+/// The most time for a call up to the head of its answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(60 * 60);
 
 /// The connection settings of one process in both directions; cheap to clone.
@@ -120,7 +120,8 @@
         let incoming = incoming.filter_map(move |accepted| {
             accepted.map(|stream| Incoming::admit(stream, &admission)).transpose()
         });
-        let service = CountedCalls(routes.prepare());
+        let metrics = self.admission.metrics.clone();
+        let service = CountedCalls { routes: routes.prepare(), metrics };
         self.server()?.serve_with_incoming_shutdown(service, incoming, stop).await
     }
 
--- a/src/limpetmux/adapters/mod.rs
+++ b/src/limpetmux/adapters/mod.rs
@@ -16,6 +16,7 @@
 pub mod kept;
 pub mod log;
 mod log_http;
+mod message_time;
 pub mod one_call;
 pub mod orders;
 pub mod power;
--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -83,7 +83,7 @@
 /// The most connections of one listener for readiness checks or metrics.
 pub const MAX_PROBE_CONNECTIONS: usize = 128;
 
-/// The time for the message of a call from another node.
+/// The time for the message of a call from another process.
 pub const MAX_MESSAGE_TIME: Duration = Duration::from_secs(5);
 
 /// The least number of connections of other processes that a process accepts.
--- a/src/limpetmux/fleet/mod.rs
+++ b/src/limpetmux/fleet/mod.rs
@@ -11,6 +11,5 @@
 
 pub mod convert;
 pub mod follow;
-pub mod message_time;
 pub mod peers;
 pub mod service;
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -1,7 +1,6 @@
 //! The gRPC service for other nodes: pulls of the view, stages to run, and results to free.
 
 use super::convert;
-use super::message_time::TimedMessages;
 use crate::core::pieces::{JobSpec, Source, StageEnd};
 use crate::core::read_limits::MAX_MESSAGE_BYTES;
 use crate::event;
@@ -34,16 +33,11 @@
 
 impl FleetService {
     /// Creates the tonic server of the service.
-    pub fn server(
-        shared: Arc<Shared>,
-        queues: Arc<StageQueues>,
-    ) -> TimedMessages<FleetServer<Self>> {
-        let metrics = shared.metrics.clone();
+    pub fn server(shared: Arc<Shared>, queues: Arc<StageQueues>) -> FleetServer<Self> {
         let pools = EnginePools::new(Arc::clone(&shared));
-        let server = FleetServer::new(Self { shared, queues, pools })
+        FleetServer::new(Self { shared, queues, pools })
             .max_decoding_message_size(MAX_MESSAGE_BYTES)
-            .max_encoding_message_size(MAX_MESSAGE_BYTES);
-        TimedMessages::new(server, metrics)
+            .max_encoding_message_size(MAX_MESSAGE_BYTES)
     }
 
     /// Rejects a call on a stopping node, so that the caller tries the node that replaces it.
--- a/tests/testsuite/node_connections.rs
+++ b/tests/testsuite/node_connections.rs
@@ -1,10 +1,12 @@
 //! Connections of other processes are bounded in number and in idle time, and no call is lost by it.
 
+use crate::platform::endless_calls::dripped_message;
 use limpetmux::adapters::admission::ConnectionBounds;
 use limpetmux::adapters::channel::Channels;
 use limpetmux::adapters::kept::KeptChannel;
 use limpetmux::core::read_limits::{
-    KEPT_IDLE_TIME, MAX_NODE_CONNECTIONS, MIN_NODE_CONNECTIONS, NODE_IDLE_TIME, node_connections,
+    KEPT_IDLE_TIME, MAX_MESSAGE_TIME, MAX_NODE_CONNECTIONS, MIN_NODE_CONNECTIONS, NODE_IDLE_TIME,
+    node_connections,
 };
 use limpetmux::core::time::Moment;
 use limpetmux::util::exposition::Exposition;
@@ -105,9 +107,9 @@
         }
     }
 
-    fn stops(&self) -> usize {
-        let text = self.exposition.render();
-        let line = text.lines().find(|l| l.contains("reads_stopped") && l.contains("\"count\""));
+    fn stops(&self, bound: &str) -> usize {
+        let (text, bound) = (self.exposition.render(), format!("\"{bound}\""));
+        let line = text.lines().find(|l| l.contains("reads_stopped") && l.contains(&bound));
         line.map_or(0, |l| l.rsplit(' ').next().unwrap().parse().unwrap())
     }
 }
@@ -136,7 +138,7 @@
     }
 
     assert_eq!(refused, FURTHER);
-    assert!(server.stops() >= FURTHER, "{}", server.exposition.render());
+    assert!(server.stops("count") >= FURTHER, "{}", server.exposition.render());
     for channel in &open {
         probe(channel.clone()).await.unwrap();
     }
@@ -165,7 +167,7 @@
         server.wait_for_connections(0).await;
 
         drop((used, unused));
-        assert_eq!(server.stops(), 0, "an idle connection is no fault");
+        assert_eq!(server.stops("time"), 0, "an idle connection is no fault");
     }
 }
 
@@ -285,6 +287,36 @@
     assert!(result.is_ok(), "{result:?}");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn message_that_drips_ends_in_time_whatever_its_call() {
+    // Guards against messages that hold their streams and bytes until their connections end.
+    const BEGIN: [u8; 5] = [0, 0, 1, 0, 0];
+    let server = serve(Channels::plain(), 10, LONG).await;
+    let paths = ["Run", "Probe", "Cancel"].map(|call| format!("/limpetmux.stage.v1.Stage/{call}"));
+
+    let statuses = paths.iter().map(|path| dripped_message(server.addr, path, BEGIN));
+    let statuses = futures::future::join_all(statuses).await;
+
+    // The time is exceeded.
+    assert_eq!(statuses, ["4", "4", "4"]);
+    assert_eq!(server.stops("time"), 3);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_may_take_longer_than_its_message() {
+    // Guards against runs, drain orders and exchanges that are cut once the time for a message is over.
+    let server = serve(Channels::plain(), 10, LONG).await;
+    let (call, mut frames) = (unary_call(&server).await, streamed_call(&server).await);
+
+    let frame = tokio::time::timeout(MAX_MESSAGE_TIME + SHORT, frames.message()).await;
+    server.host.answer.notify_one();
+    let answer = call.await.unwrap();
+
+    assert!(frame.is_err(), "the stream ended: {frame:?}");
+    assert!(answer.is_ok(), "{answer:?}");
+    assert_eq!(server.stops("time"), 0);
+}
+
 #[test]
 fn bound_on_connections_follows_from_the_descriptors() {
     let cases = [
--- a/tests/testsuite/platform/endless_calls.rs
+++ b/tests/testsuite/platform/endless_calls.rs
@@ -162,8 +162,11 @@
 /// The begin of a message of 64 KiB between nodes, and of one of 32 MiB.
 const MESSAGES: [[u8; 5]; 2] = [[0, 0, 1, 0, 0], [0, 2, 0, 0, 0]];
 
-/// Sends a node the begin of a message and then a byte at a time; returns the status of the answer.
-async fn dripped_message(node: SocketAddr, begin: [u8; 5]) -> String {
+/// The path of a call between nodes.
+const PULL: &str = "/limpetmux.fleet.v1.Fleet/Pull";
+
+/// Sends a process the begin of a message and then a byte at a time; returns the status of the answer.
+pub(crate) async fn dripped_message(node: SocketAddr, path: &str, begin: [u8; 5]) -> String {
     let endpoint = Endpoint::from_shared(format!("http://{node}")).unwrap();
     let mut channel = endpoint.connect().await.unwrap();
     let bytes = futures::stream::unfold(Bytes::copy_from_slice(&begin), |bytes| async {
@@ -172,7 +175,7 @@
     });
     let request = http::Request::builder()
         .method("POST")
-        .uri(format!("http://{node}/limpetmux.fleet.v1.Fleet/Pull"))
+        .uri(format!("http://{node}{path}"))
         .header("content-type", "application/grpc")
         .header("te", "trailers")
         .body(Body::new(StreamBody::new(bytes)))
@@ -187,7 +190,7 @@
     // Guards against messages that hold their streams and bytes until their connections end.
     let fixture = node_fixture().await;
 
-    let statuses = MESSAGES.map(|begin| dripped_message(fixture.entry.node_addr, begin));
+    let statuses = MESSAGES.map(|begin| dripped_message(fixture.entry.node_addr, PULL, begin));
     let statuses = futures::future::join_all(statuses).await;
 
     // The time exceeded, and a message that is too large by its stated length.
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -8,7 +8,7 @@
 mod drain;
 mod endless_answers;
 mod endless_callers;
-mod endless_calls;
+pub(crate) mod endless_calls;
 mod endless_failures;
 mod endless_server;
 mod endless_store;
