Measure the handover of a full table of keys

Cause: a stopping host may hand over 65,536 keys and 16 MiB of answers, with 500 ms between sidecars, and no run showed how long that takes.

A time of its own for this call needs a connection of its own, or a table in parts; neither is done here, and no release build was measured.

--- a/tests/testsuite/endless_entry.rs
+++ b/tests/testsuite/endless_entry.rs
@@ -5,6 +5,7 @@
 use limpetmux::adapters::one_call::OneCallClient;
 use limpetmux::core::config::Name;
 use limpetmux::core::frames::AttemptKey;
+use limpetmux::core::read_limits::MAX_TABLE_BYTES;
 use limpetmux::core::revision::Revision;
 use limpetmux::core::view::View;
 use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
@@ -22,10 +23,11 @@
 use limpetmux_test_support::config::summary_config;
 use limpetmux_test_support::fake_log::FakeLog;
 use limpetmux_test_support::http::{Answer, Caller};
+use prost::Message;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_stream::Iter;
@@ -234,6 +236,23 @@
     assert_eq!((answer.status, &answer.body["output"]), (200, &json!(1)), "{}", answer.body);
 }
 
+/// A table of keys with an answer of some bytes each.
+fn full_table(rows: u128, bytes: usize) -> once::HandOverRequest {
+    let row = |n: u128| once::Row {
+        digest: n.to_be_bytes().to_vec(),
+        created_ms: 1_700_000_000_000,
+        body_hash: Some(u64::MAX),
+        expires_ms: 1_700_000_000_000,
+        answer: Some(once::Stored { payload: vec![b' '; bytes], cost: u64::MAX }),
+        ..once::Row::default()
+    };
+    once::HandOverRequest {
+        from: Some(once::Process { host: 1, incarnation: 1 }),
+        rows: (0..rows).map(row).collect(),
+        ..once::HandOverRequest::default()
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn table_of_keys_with_many_answers_is_received() {
     // Guards against a bound on messages that the table of a leaving host meets: its keys would not
@@ -253,21 +272,19 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let url = format!("http://{}", listener.local_addr().unwrap());
     tokio::spawn(serve_sidecar(sidecar, listener, std::future::pending()));
-    let answer = once::Stored { payload: vec![b' '; 64 << 10], cost: 0 };
-    let row = |n: u128| once::Row {
-        digest: n.to_be_bytes().to_vec(),
-        answer: Some(answer.clone()),
-        ..once::Row::default()
-    };
-    let request = once::HandOverRequest {
-        from: Some(once::Process { host: 1, incarnation: 1 }),
-        rows: (0..250).map(row).collect(),
-        ..once::HandOverRequest::default()
-    };
-
-    let reply = OnceClient::connect(url).await.unwrap().hand_over(request).await;
-
-    assert!(reply.is_ok(), "{reply:?}");
+    let mut client =
+        OnceClient::connect(url).await.unwrap().max_encoding_message_size(MAX_TABLE_BYTES);
+    // Tables with the most bytes of answers, in large answers and with the most keys.
+    for (rows, bytes) in [(256, 64 << 10), (65_536, 256)] {
+        let request = full_table(rows, bytes);
+        let size = request.encoded_len();
+
+        let began = Instant::now();
+        let reply = client.hand_over(request).await;
+
+        println!("{rows} keys in {size} bytes: {} ms", began.elapsed().as_millis());
+        assert!(reply.is_ok(), "{reply:?}");
+    }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
