--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -17,18 +17,21 @@
 pub const MAX_TRAILER_BYTES: usize = 16 * 1024;
 /// The bytes of a plain answer that are held before the caller gets any of it.
 pub const HELD_ANSWER_BYTES: usize = 64 * 1024;
-/// The most bytes of a plain answer.
+/// The most bytes of a plain answer until an operator states another limit.
 pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// The most bytes of a streamed answer.
+/// The most bytes of a streamed answer until an operator states another limit.
 pub const MAX_STREAM_BYTES: usize = 256 * 1024 * 1024;
-/// The most bytes of one event of a streamed answer, with the lines before it that belong to none.
+/// The most bytes of one event of a streamed answer, with the lines before it that belong to none,
+/// until an operator states another limit.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// The most bytes of an answer that only states a few values: a load report, an offset, a refusal.
 pub const MAX_NOTE_BYTES: usize = 64 * 1024;
-/// The most bytes of an answer that is one JSON value, of a backend server.
+/// The most bytes of an answer that is one JSON value, of a backend server, until the settings state
+/// another limit.
 pub const MAX_JSON_BYTES: usize = 4 * 1024 * 1024;
-/// The most bytes of a model engine's streamed answer, with the framing of its events.
+/// The most bytes of a model engine's streamed answer, with the framing of its events; the settings may
+/// state less.
 pub const MAX_TOKENS_BYTES: usize = 16 * 1024 * 1024;
 /// The most pieces of one answer.
 pub const MAX_PIECES: u64 = 65_536;
@@ -80,9 +83,25 @@
 /// The most connections of one listener for readiness checks or metrics.
 pub const MAX_PROBE_CONNECTIONS: usize = 128;
 
-/// The time for the message of a call from another node.
+/// The time for the message of a call from another process.
 pub const MAX_MESSAGE_TIME: Duration = Duration::from_secs(5);
 
+/// The least number of connections of other processes that a process accepts.
+pub const MIN_NODE_CONNECTIONS: usize = 64;
+/// The most connections of other processes that a process accepts, whatever its descriptors.
+pub const MAX_NODE_CONNECTIONS: usize = 65_536;
+/// How long a connection of another process may have no call.
+pub const NODE_IDLE_TIME: Duration = Duration::from_secs(300);
+/// How long a caller keeps a connection to another process without using it.
+pub const KEPT_IDLE_TIME: Duration = Duration::from_secs(100);
+
+/// Returns the most connections of other processes, of the descriptors that callers leave to them.
+///
+/// The other half is for connections to other processes and to backend servers.
+pub fn node_connections(descriptors: usize) -> usize {
+    (descriptors / 2).clamp(MIN_NODE_CONNECTIONS, MAX_NODE_CONNECTIONS)
+}
+
 /// What a process reads from.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr, VariantArray, strum::Display,
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -1,13 +1,14 @@
 //! The node on the users' platform: decisions without network, the adapter, and the path over TCP.
 
 mod adapter;
+mod answer_limits;
 mod answer_proof;
 mod catalog;
 mod chain;
 mod drain;
 mod endless_answers;
 mod endless_callers;
-mod endless_calls;
+pub(crate) mod endless_calls;
 mod endless_failures;
 mod endless_idle;
 mod endless_nodes;
