Do not confirm the view by a part of the log

Cause: a read of the store's log that stops before the end that it states was applied like a read up to the end. The view counted as current although a record after it may revoke a key or evacuate a zone. Change: a page states whether the log has more records. Orders::apply_part and Listing::apply_part apply such a page without confirming the copy; the next read that reaches the end confirms it. Conclusion: the age of a view counts from a read that reached the end.

--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -88,10 +88,22 @@
 }
 
 impl Listing {
-    /// Applies records of the store's log up to `end`, requested at `requested_at`.
+    /// Applies records of the store's log up to its end, requested at `requested_at`.
     ///
     /// Returns whether the answer was current; a stale one has no effect.
     pub fn apply(&mut self, requested_at: Moment, end: u64, entries: Vec<ListRecord>) -> bool {
+        let current = self.apply_part(requested_at, end, entries);
+        if current {
+            self.confirmed_at = self.confirmed_at.max(requested_at);
+        }
+        current
+    }
+
+    /// Applies records of the store's log up to `end`, after which the log has more records, so that
+    /// the copy is not confirmed.
+    ///
+    /// Returns whether the answer was current; a stale one has no effect.
+    pub fn apply_part(&mut self, requested_at: Moment, end: u64, entries: Vec<ListRecord>) -> bool {
         if end < self.end_offset {
             return false;
         }
@@ -101,7 +113,6 @@
         }
         self.index_starts();
         self.end_offset = end;
-        self.confirmed_at = self.confirmed_at.max(requested_at);
         true
     }
 
--- a/src/limpetmux/core/operator.rs
+++ b/src/limpetmux/core/operator.rs
@@ -47,10 +47,22 @@
 }
 
 impl Orders {
-    /// Applies changes in their order up to `end`, requested at `requested_at`.
+    /// Applies changes in their order up to `end`, the end of the log, requested at `requested_at`.
     ///
     /// Returns whether the answer was current; a stale one has no effect.
     pub fn apply(&mut self, requested_at: Moment, end: u64, changes: Vec<Order>) -> bool {
+        let current = self.apply_part(end, changes);
+        if current {
+            self.confirmed_at = self.confirmed_at.max(requested_at);
+        }
+        current
+    }
+
+    /// Applies changes in their order up to `end`, after which the log has more records.
+    ///
+    /// One of those may revoke a key, so the copy is not confirmed. Returns whether the answer was
+    /// current; a stale one has no effect.
+    pub fn apply_part(&mut self, end: u64, changes: Vec<Order>) -> bool {
         if end < self.end_offset {
             return false;
         }
@@ -62,7 +74,6 @@
             }
         }
         self.end_offset = end;
-        self.confirmed_at = self.confirmed_at.max(requested_at);
         true
     }
 
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -144,7 +144,11 @@
         match self.store.read(orders::TOPIC, from, ORDERS_WAIT).await {
             Ok(page) => {
                 let changes = decode_orders(page.records.clone());
-                self.update(|v| log_stale(v.orders.apply(requested_at, page.end, changes), &page));
+                let current = self.update(|v| match page.has_more {
+                    true => v.orders.apply_part(page.end, changes),
+                    false => v.orders.apply(requested_at, page.end, changes),
+                });
+                log_stale(current, &page);
                 Ok(())
             }
             Err(StoreError::Trimmed) => self.load_orders(requested_at).await,
@@ -177,10 +181,15 @@
         match self.store.read(servers::TOPIC, from, Duration::ZERO).await {
             Ok(page) => {
                 let entries = decode_servers(page.records.clone());
-                self.update(|v| {
-                    log_stale(v.listing.apply(requested_at, page.end, entries), &page);
+                let current = self.update(|v| {
+                    let current = match page.has_more {
+                        true => v.listing.apply_part(requested_at, page.end, entries),
+                        false => v.listing.apply(requested_at, page.end, entries),
+                    };
                     v.listing.expire(requested_at);
+                    current
                 });
+                log_stale(current, &page);
                 Ok(())
             }
             Err(StoreError::Trimmed) => self.load_listing(requested_at).await,
--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -43,6 +43,8 @@
     pub end: u64,
     /// The records, ordered by offset or by key.
     pub records: Vec<Record>,
+    /// Whether the log had records after `end` when the store answered.
+    pub has_more: bool,
 }
 
 /// Why a call to the store failed.
@@ -143,7 +145,7 @@
             after = page.items.last().map(|i| i.key.clone());
             records.extend(page.items.into_iter().map(record));
             if !page.has_more {
-                return Ok(Page { end, records });
+                return Ok(Page { end, records, has_more: false });
             }
             if after.is_none() {
                 break;
@@ -272,12 +274,12 @@
     }
     // An answer may not reach the end of the log, but has a record if there is one.
     if offset > start {
-        return Ok(Page { end: offset, records });
+        return Ok(Page { end: offset, records, has_more: end > offset });
     }
     if end > start {
         return Err(StoreError::Truncated);
     }
-    Ok(Page { end, records })
+    Ok(Page { end, records, has_more: false })
 }
 
 fn split(body: &mut Bytes, len: usize) -> Result<Bytes, StoreError> {
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -15,6 +15,7 @@
 mod event_stream;
 mod expiry;
 mod explain;
+mod follow_store;
 mod listing;
 mod names;
 mod node_fixture;
--- a/tests/testsuite/platform/store_answers.rs
+++ b/tests/testsuite/platform/store_answers.rs
@@ -39,6 +39,16 @@
     assert_eq!((none.records.len(), none.end), (0, 9));
 }
 
+#[tokio::test]
+async fn read_that_does_not_reach_the_end_of_the_log_says_so() {
+    // Guards against a part of the log that is taken for all of it.
+    let part = read(&log_page(9, 2), 4).await.unwrap();
+    let whole = read(&log_page(9, 5), 4).await.unwrap();
+    let none = read(&log_page(9, 0), 9).await.unwrap();
+
+    assert_eq!([&part, &whole, &none].map(|p| p.has_more), [true, false, false]);
+}
+
 #[tokio::test]
 async fn list_of_newest_records_without_its_last_pages_is_an_error() {
     // Guards against a list that ends early and is taken for all records, which drops the others
