--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -4,6 +4,7 @@
 mod answer_proof;
 mod catalog;
 mod chain;
+mod doubt;
 mod drain;
 mod endless_answers;
 mod endless_callers;
