Count a record beyond the end of its list only once it is reached

Cause: the pages of a list of newest records are read one after another, so a record may lie beyond the end that the first one states. Until the log reached it, which never happens if the offset is false, each pull from the node found a change and returned at once. Change: Listing::has_changes counts changes below the end of the copy. Replies hold the same records as before. Conclusion: a pull from a node whose list has such a record is held again.

--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -204,6 +204,14 @@
         self.servers.iter().filter(move |(_, l)| l.changed >= from)
     }
 
+    /// Returns whether a record changed at or after an offset, below the end of the copy.
+    ///
+    /// The pages of a list of newest records are read one after another, so that a record may lie
+    /// beyond the end of the first one; it counts once the log has been read up to it.
+    pub fn has_changes(&self, from: u64) -> bool {
+        self.changes(from).any(|(_, listed)| listed.changed < self.end_offset)
+    }
+
     /// Returns whether there is neither a record nor a tombstone.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -88,8 +88,7 @@
 
 /// Returns whether the view has changes that the caller lacks.
 pub fn has_changes(view: &StoreView, request: &PullRequest) -> bool {
-    view.orders.end_offset > request.operator_end
-        || view.listing.changes(request.listing_end).next().is_some()
+    view.orders.end_offset > request.operator_end || view.listing.has_changes(request.listing_end)
 }
 
 /// Builds the reply to a pull that came in at `arrived`, with the changes that the caller lacks.
--- a/tests/testsuite/platform/listing.rs
+++ b/tests/testsuite/platform/listing.rs
@@ -2,6 +2,9 @@
 
 use super::{at, server};
 use limpetmux::core::listing::{ListRecord, Listing};
+use limpetmux::fleet::convert;
+use limpetmux::serve::node::StoreView;
+use limpetmux::wire::fleet::PullRequest;
 
 fn record(id: &str, offset: u64) -> ListRecord {
     let raw = id.as_bytes().into();
@@ -144,3 +147,19 @@
     assert_eq!(ids(&reader), ["a"]);
     assert_eq!(ids(&puller), ["a"]);
 }
+
+#[test]
+fn record_beyond_the_end_of_its_list_is_a_change_only_once_the_log_has_reached_it() {
+    // Guards against a node whose copy always has a change: each pull from it returns at once.
+    let mut view = StoreView::default();
+    view.listing.replace(at(0), 10, vec![record("a", 9), record("b", 50)]);
+    let pull = |listing_end| PullRequest { listing_end, ..PullRequest::default() };
+    let changed = |view: &StoreView| [0, 10].map(|end| convert::has_changes(view, &pull(end)));
+
+    let before = changed(&view);
+    view.listing.apply(at(500), 51, Vec::new());
+    let after = changed(&view);
+
+    assert_eq!(before, [true, false]);
+    assert_eq!(after, [true, true]);
+}
