Refuse answers of the store with offsets beyond their own bounds

Cause: a record of a list beyond the end that its page states, or a first offset beyond the one asked for, gave records false offsets. Such a record hides all later records of its key, such as that its backend server drains. Change: both end the read with StoreError::Offset; the follower reads again. A page of a list is one moment of the log, and the store answers with 410 if it has deleted the records asked for. Conclusion: a false offset of a record no longer enters the view.

--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -71,7 +71,7 @@
     /// The answer lacks records that it states to exist.
     #[error("the answer ends before its last record")]
     Truncated,
-    /// The answer states an offset that has no successor.
+    /// The answer states an offset that has no successor or lies beyond the end of the log.
     #[error("the answer states an offset that no record can have")]
     Offset,
 }
@@ -240,7 +240,12 @@
 fn decode_newest(body: &[u8]) -> Result<Newest, StoreError> {
     let page: Newest = serde_json::from_slice(body)?;
     check(Bound::Count, page.items.len(), MAX_PAGE_RECORDS)?;
-    Ok(page)
+    // A page is one moment of the log, so a record beyond its end has a false offset, which would
+    // hide all later records of its key.
+    match page.items.iter().all(|item| item.offset < page.end) {
+        true => Ok(page),
+        false => Err(StoreError::Offset),
+    }
 }
 
 fn record(item: Item) -> Record {
@@ -254,8 +259,11 @@
     }
     let end = body.get_u64();
     let first = body.get_u64();
-    let start = from.max(first);
-    let mut offset = start;
+    // The store answers with 410 if it has deleted the records, so this offset is false.
+    if first > from {
+        return Err(StoreError::Offset);
+    }
+    let mut offset = from;
     let mut records = Vec::new();
     while body.has_remaining() {
         let len = split(&mut body, 4).map(|mut b| b.get_u32() as usize)?;
@@ -273,10 +281,10 @@
         offset = next;
     }
     // An answer may not reach the end of the log, but has a record if there is one.
-    if offset > start {
+    if offset > from {
         return Ok(Page { end: offset, records, has_more: end > offset });
     }
-    if end > start {
+    if end > from {
         return Err(StoreError::Truncated);
     }
     Ok(Page { end, records, has_more: false })
--- a/tests/testsuite/platform/store_answers.rs
+++ b/tests/testsuite/platform/store_answers.rs
@@ -49,6 +49,37 @@
     assert_eq!([&part, &whole, &none].map(|p| p.has_more), [true, false, false]);
 }
 
+#[tokio::test]
+async fn records_after_a_first_offset_beyond_the_one_asked_for_are_not_used() {
+    // Guards against a first offset that is far too high: the records after it got false offsets.
+    let mut beyond = log_page(9, 2);
+    beyond[8..16].copy_from_slice(&(1_u64 << 40).to_be_bytes());
+    let mut equal = log_page(9, 2);
+    equal[8..16].copy_from_slice(&4_u64.to_be_bytes());
+
+    let beyond = read(&beyond, 4).await;
+    let equal = read(&equal, 4).await.unwrap();
+
+    assert!(matches!(beyond, Err(StoreError::Offset)), "{beyond:?}");
+    assert_eq!((equal.records.len(), equal.end), (2, 6));
+}
+
+#[tokio::test]
+async fn list_with_a_record_beyond_its_own_end_is_not_used() {
+    // Guards against a record with a false offset, which hides all later records of its key.
+    let list = |offset: u64| {
+        format!(
+            r#"{{"items":[{{"key":"k","value":"dg==","offset":{offset}}}],"has-more":false,"end":9}}"#
+        )
+    };
+
+    let beyond = newest(&list(9)).await;
+    let last = newest(&list(8)).await.unwrap();
+
+    assert!(matches!(beyond, Err(StoreError::Offset)), "{beyond:?}");
+    assert_eq!(last.records.len(), 1);
+}
+
 #[tokio::test]
 async fn list_of_newest_records_without_its_last_pages_is_an_error() {
     // Guards against a list that ends early and is taken for all records, which drops the others
