Add sizes of results from other nodes without overflow

Cause: a node that stops hands over results with their sizes. Sums of sizes, and of the room of several backend servers, overflowed: a panic where overflow is checked, elsewhere a sum that begins again at zero, so that a full backend server had room. Change: the sums end at the end of their range. Four properties check messages that had none: StageRun, NodeLeaving, RunRequest, and the look-ups, promises and forwarded records of the key protocol (decoders/stage_messages.rs). The decoding of StageRun moves to fleet/convert.rs so that it can be called with any time. Conclusion: no size that another node states can stop a queue.

--- a/src/limpetmux/core/pieces/held.rs
+++ b/src/limpetmux/core/pieces/held.rs
@@ -28,9 +28,9 @@
     /// Inputs are then freed early, although a failed piece may need them again.
     pub fn is_room_short(&self, now: Moment) -> bool {
         let available = || self.workers.values().filter(|w| w.is_available(now));
-        let reserved: u64 = available().map(Worker::reserved).sum();
-        let room: u64 = available().map(|_| self.spec.result_room).sum();
-        reserved * SHORT_ROOM_DIVISOR > room
+        let reserved = available().map(Worker::reserved).fold(0, u64::saturating_add);
+        let room = available().map(|_| self.spec.result_room).fold(0, u64::saturating_add);
+        reserved > room / SHORT_ROOM_DIVISOR
     }
 
     /// Returns the results that take up room, for the node that takes over the queue.
--- a/src/limpetmux/core/pieces/worker.rs
+++ b/src/limpetmux/core/pieces/worker.rs
@@ -196,11 +196,13 @@
     }
 
     /// Returns the bytes that results take up now or after the running call.
+    ///
+    /// Other nodes state the sizes, so the sum ends at the end of its range.
     pub(super) fn reserved(&self) -> u64 {
-        let held: u64 = self.results.values().map(|(size, _)| size).sum();
-        let pending: u64 = self.running.iter().flat_map(|r| &r.sizes).sum();
-        let unconfirmed: u64 = self.unconfirmed.iter().map(|(size, _)| size).sum();
-        held + pending + unconfirmed
+        let held = self.results.values().map(|(size, _)| size);
+        let pending = self.running.iter().flat_map(|r| &r.sizes);
+        let unconfirmed = self.unconfirmed.iter().map(|(size, _)| size);
+        held.chain(pending).chain(unconfirmed).copied().fold(0, u64::saturating_add)
     }
 
     /// Returns the bytes that are free for further results, of `declared` bytes in all.
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -3,7 +3,7 @@
 use crate::core::listing::ListRecord;
 use crate::core::nodes::{Node, Nodes};
 use crate::core::operator::DeclaredConfig;
-use crate::core::pieces::HeldResult;
+use crate::core::pieces::{HeldResult, JobSpec, Source};
 use crate::core::time::Moment;
 use crate::platform::{orders, servers, store::Record};
 use crate::serve::node::StoreView;
@@ -64,6 +64,29 @@
     held.into_iter().map(result).collect()
 }
 
+/// Decodes a stage that another node sent at `now`, whose number of pieces has been checked.
+pub fn job(now: Moment, run: wire::StageRun) -> JobSpec {
+    let source = if run.inputs.is_empty() {
+        Source::Key(run.key.into())
+    } else {
+        Source::Inputs(run.inputs.iter().map(|i| Arc::from(i.as_str())).collect())
+    };
+    let due = Duration::from_millis(run.due_ms.unsigned_abs());
+    JobSpec {
+        request: run.request.into(),
+        stage: run.stage,
+        pieces: run.pieces as usize,
+        source,
+        due: if run.due_ms < 0 { now - due } else { now + due },
+        deadline: now + Duration::from_millis(run.left_ms),
+        priority: u8::try_from(run.priority).unwrap_or(u8::MAX),
+        zone: run.zone.into(),
+        size: run.size,
+        frees_inputs: run.frees,
+        room_short: run.tight,
+    }
+}
+
 /// Builds a pull for everything that this node's view lacks.
 pub fn pull_request(local: &Node, view: &StoreView, wait: Duration) -> PullRequest {
     PullRequest {
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -2,7 +2,7 @@
 
 use super::convert;
 use super::message_time::TimedMessages;
-use crate::core::pieces::{JobSpec, Source, StageEnd};
+use crate::core::pieces::StageEnd;
 use crate::core::read_limits::MAX_MESSAGE_BYTES;
 use crate::event;
 use crate::serve::node::Shared;
@@ -87,7 +87,7 @@
         }
         self.refuse_if_stopping()?;
         let service: Arc<str> = run.service.as_str().into();
-        let spec = job(run);
+        let spec = convert::job(clock::boot(), run);
         let end = self.queues.run(&service, spec).await;
         let mut done = done(end, self.queues.stage_wait(&service));
         done.rate = self.queues.rate(&service);
@@ -119,29 +119,6 @@
     }
 }
 
-fn job(run: StageRun) -> JobSpec {
-    let now = clock::boot();
-    let source = if run.inputs.is_empty() {
-        Source::Key(run.key.into())
-    } else {
-        Source::Inputs(run.inputs.iter().map(|i| Arc::from(i.as_str())).collect())
-    };
-    let due = Duration::from_millis(run.due_ms.unsigned_abs());
-    JobSpec {
-        request: run.request.into(),
-        stage: run.stage,
-        pieces: run.pieces as usize,
-        source,
-        due: if run.due_ms < 0 { now - due } else { now + due },
-        deadline: now + Duration::from_millis(run.left_ms),
-        priority: u8::try_from(run.priority).unwrap_or(u8::MAX),
-        zone: run.zone.into(),
-        size: run.size,
-        frees_inputs: run.frees,
-        room_short: run.tight,
-    }
-}
-
 fn done(end: StageEnd, wait: Duration) -> StageDone {
     let millis = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
     let mut done = StageDone { wait_ms: millis(wait), ..StageDone::default() };
--- a/tests/testsuite/decoders/corpus.rs
+++ b/tests/testsuite/decoders/corpus.rs
@@ -4,7 +4,8 @@
 //! is added there with the change that mends the decoder.
 
 use super::{
-    answers, callers, platform_records, product_answers, product_messages, product_records, store,
+    answers, callers, platform_records, product_answers, product_messages, product_records,
+    stage_messages, store,
 };
 use hyper::StatusCode;
 use limpetmux::core::revision::Offset;
@@ -31,6 +32,10 @@
         "config_records" => product_records::check_config_record(last, bytes),
         "duties" => product_records::check_duty(last, bytes),
         "events" => answers::check_events(bytes, &single()),
+        "key_calls" => stage_messages::check_once(bytes),
+        "leaving_nodes" => stage_messages::check_leaving(bytes),
+        "stage_runs" => stage_messages::check_stage_run(bytes),
+        "run_requests" => stage_messages::check_run(bytes),
         "frames" => product_messages::check_frame(bytes),
         "gossip" => product_messages::check_sync(bytes),
         "hosts" => product_answers::fixture().check_hosts(bytes),
--- a/tests/testsuite/decoders/mod.rs
+++ b/tests/testsuite/decoders/mod.rs
@@ -12,6 +12,7 @@
 mod product_answers;
 mod product_messages;
 mod product_records;
+mod stage_messages;
 mod store;
 
 use arbtest::arbitrary::{Result, Unstructured};
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -32,9 +32,9 @@
 use uuid::Uuid;
 
 /// A time of ordinary size, at which most messages arrive.
-const NOW: Moment = Moment::from_millis(1_000_000);
+pub(super) const NOW: Moment = Moment::from_millis(1_000_000);
 
-fn draw_number(u: &mut Unstructured<'_>) -> Result<u64> {
+pub(super) fn draw_number(u: &mut Unstructured<'_>) -> Result<u64> {
     Ok(match u.int_in_range(0..=3)? {
         0 => u64::MAX - u.int_in_range(0..=2)?,
         1 => u.arbitrary()?,
@@ -42,11 +42,11 @@
     })
 }
 
-fn own_key() -> AttemptKey {
+pub(super) fn own_key() -> AttemptKey {
     AttemptKey { request: RequestId(Uuid::from_u128(7)), stage: StageIndex(1), attempt: 2 }
 }
 
-fn local_node() -> Node {
+pub(super) fn local_node() -> Node {
     Node {
         name: "n1".into(),
         addr: ([127, 0, 0, 1], 7_000).into(),
