Limit the delay before another append of an operator

Cause: an operator's command that the log answered with 429 waited for as long as Retry-After said; the value has no limit. Figures before: with a Retry-After of 2^64 - 1 s the command does not end within 60 s of paused time (the test fails). Figures after: it does. Conclusion: a damaged answer cannot hold a command.

--- a/src/limpetmux/ops/config_client.rs
+++ b/src/limpetmux/ops/config_client.rs
@@ -22,6 +22,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// The number of records that are folded before their verdicts are copied to the trail.
 const CHUNK_RECORDS: usize = 256;
+/// The longest delay before another append that is accepted from the log.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 const TOO_MANY_REQUESTS: u16 = 429;
 
 /// A command failed to read, fold or extend the configuration log.
@@ -204,7 +206,8 @@
                 Ok(_) => break,
                 Err(e) if e.may_have_appended() => may_be_appended = true,
                 Err(LogError::Refused { status: TOO_MANY_REQUESTS, retry_after }) => {
-                    tokio::time::sleep(retry_after.unwrap_or(RETRY_DELAY)).await;
+                    let delay = retry_after.unwrap_or(RETRY_DELAY).min(MAX_RETRY_AFTER);
+                    tokio::time::sleep(delay).await;
                     continue;
                 }
                 Err(error) if !may_be_appended => return Ok(Outcome::NotAppended { id, error }),
--- a/tests/testsuite/config_ops.rs
+++ b/tests/testsuite/config_ops.rs
@@ -1,6 +1,7 @@
 //! A change counts as accepted once it is read back, even if the log's answer was lost.
 
 use expect_test::expect_file;
+use futures::FutureExt;
 use limpetmux::adapters::log::{LogError, Stream};
 use limpetmux::core::config::{Config, Ownership, Rejection, Replica, WINDOW_RECORDS};
 use limpetmux::core::revision::{Offset, Revision};
@@ -11,6 +12,9 @@
     change, change_id, change_record, first_change, weight_edit,
 };
 use limpetmux_test_support::{FakeLog, name, small_config};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
 
 fn declared() -> FakeLog {
     let log = FakeLog::new();
@@ -219,3 +223,22 @@
     let table = table(client.trail(), &filter);
     expect_file!["golden/audit.txt"].assert_eq(&format!("{table}{outcome}\n"));
 }
+
+#[tokio::test(start_paused = true)]
+async fn retry_time_of_the_log_without_end_does_not_hold_an_operator_without_end() {
+    // Guards against a command that waits for as long as a damaged answer says.
+    let fake = declared();
+    let mut log = fake.client();
+    log.append = Arc::new(|_, _| {
+        let retry_after = Some(Duration::from_secs(u64::MAX));
+        async move { Err(LogError::Refused { status: 429, retry_after }) }.boxed()
+    });
+    let mut client = ConfigClient::connect(log).await.unwrap();
+    let started = Instant::now();
+
+    let edits = vec![weight_edit(&small_config(), "trial", 9)];
+    let outcome = client.submit(change(2, Revision(1), Offset(1), edits)).await.unwrap();
+
+    assert!(matches!(outcome, Outcome::Unknown { .. }), "{outcome:?}");
+    assert!(started.elapsed() < Duration::from_secs(60), "{:?}", started.elapsed());
+}
