Refuse a page of the log whose offsets contradict each other

Cause: a reader of the product's log goes on after the last offset of a page. A false one let the reader of claims skip true records and count as having read them. An empty page before the end that it states was asked for again by operators' commands at once and without end. Change: LogPage::is_consistent checks that the records follow each other from the offset asked for, or from the first one stored, and lie within the stated bounds, and that there is one unless the log ends there; the HTTP client ends another read with LogError::Contradiction, which its readers retry. The valid page of the decoders' property had a gap before its first record; it has none. Conclusion: a page that states more records confirms nothing unless it has one.

--- a/src/limpetmux/adapters/log.rs
+++ b/src/limpetmux/adapters/log.rs
@@ -54,6 +54,9 @@
     /// Reading the response stopped at a bound; an append may have taken effect.
     #[error("reading a response of the platform log stopped at a bound")]
     Exceeded(#[source] Exceeded),
+    /// The offsets of a page contradict each other or what was asked for.
+    #[error("the platform log returned a page whose offsets contradict each other")]
+    Contradiction,
 }
 
 impl From<AnswerError> for LogError {
@@ -74,9 +77,11 @@
     pub fn may_have_appended(&self) -> bool {
         match self {
             Self::Unreachable(_) | Self::Refused { status: 429 | 503, .. } => false,
-            Self::NoAnswer(_) | Self::Refused { .. } | Self::Malformed(_) | Self::Exceeded(_) => {
-                true
-            }
+            Self::NoAnswer(_)
+            | Self::Refused { .. }
+            | Self::Malformed(_)
+            | Self::Exceeded(_)
+            | Self::Contradiction => true,
         }
     }
 }
@@ -101,6 +106,22 @@
     pub records: Vec<LogRecord>,
 }
 
+impl LogPage {
+    /// Returns whether the records follow each other from the offset that was asked for, or from the
+    /// first one that the log stores, and whether there is one unless the log ends there.
+    ///
+    /// A reader goes on after the last record, so a false offset would let it skip records.
+    pub fn is_consistent(&self, from: Offset) -> bool {
+        let start = from.max(self.first);
+        let offsets = (start.0..self.end.0).map(Offset);
+        let stated = self.records.iter().map(|r| r.offset);
+        let in_order = self.records.len() as u64 <= self.end.0.saturating_sub(start.0)
+            && stated.zip(offsets).all(|(stated, expected)| stated == expected);
+        let has_record = !self.records.is_empty() || start >= self.end;
+        self.first <= self.end && in_order && has_record
+    }
+}
+
 type AppendFn =
     dyn Fn(Stream, Vec<u8>) -> BoxFuture<'static, Result<Offset, LogError>> + Send + Sync;
 type ReadFn =
--- a/src/limpetmux/adapters/log_http.rs
+++ b/src/limpetmux/adapters/log_http.rs
@@ -99,7 +99,11 @@
     let page: Page = call(client.get(url), wait + TIMEOUT, MAX_LOG_PAGE_BYTES, stream).await?;
     let record = |r: Record| LogRecord { offset: r.offset, data: r.data };
     let records = page.records.into_iter().map(record).collect();
-    Ok(LogPage { first: page.first, end: page.end, records })
+    let page = LogPage { first: page.first, end: page.end, records };
+    if !page.is_consistent(from) {
+        return Err(LogError::Contradiction);
+    }
+    Ok(page)
 }
 
 /// Sends a request and reads its answer, of at most `limit` bytes, within `time`.
--- a/tests/testsuite/decoders/product_answers.rs
+++ b/tests/testsuite/decoders/product_answers.rs
@@ -31,7 +31,7 @@
     br#"{"documents": [{"id": "a", "score": -1.5e3, "x": [true, null, "\u00e9"]}]}"#;
 const LOAD: &[u8] = br#"{"running": 1, "waiting": 2, "capacity": 8, "cold": false,
     "incarnation": 7, "age_ms": 40}"#;
-const LOG_PAGE: &[u8] = br#"{"first": 0, "end": 9, "records": [{"offset": 3, "data": "e30="},
+const LOG_PAGE: &[u8] = br#"{"first": 3, "end": 9, "records": [{"offset": 3, "data": "e30="},
     {"offset": 4, "data": ""}]}"#;
 const HOSTS: &[u8] = br#"[{"host": "generate-0", "state": "live", "incarnation": 3},
     {"host": "generate-1", "state": "gone", "incarnation": 4}]"#;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod invariants;
 mod kernel;
 mod log_not_appended;
+mod log_pages;
 mod lost_answers;
 mod membership;
 mod once;
