Revert "Gather a topic afresh once the store has refuted its offset"

A list of kinds of disruption has reads of a store that are some seconds behind; three such answers in a row and a list that is as old would refute a copy that is right, and an evacuation or a backend server that left would be forgotten until the next change.

A page whose offsets contradict each other is still refused, so a false end has to come with records that lie within it.

Conclusion: a far too high end in one damaged answer still makes later ones stale until a restart, which docs/design/reads.md states as open.

--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -85,8 +85,6 @@
     starts: BTreeMap<SocketAddr, u64>,
     /// When the store was reachable again after its latest outage.
     recovered_at: Option<Moment>,
-    /// The end that the store refuted last, which other nodes may still state.
-    refuted_end: Option<u64>,
 }
 
 impl Listing {
@@ -114,7 +112,7 @@
             self.put(requested_at, entry);
         }
         self.index_starts();
-        self.reach(end);
+        self.end_offset = end;
         true
     }
 
@@ -136,31 +134,12 @@
                 listed.missing_since.get_or_insert(requested_at);
             }
         }
-        self.reach(end);
+        self.end_offset = end;
         self.confirmed_at = self.confirmed_at.max(requested_at);
         self.expire(requested_at);
         true
     }
 
-    /// Goes back to a lower `end`, as the store has refuted `known`, so that the newest records can
-    /// replace the copy; records at or beyond `end` are dropped.
-    ///
-    /// Has no effect and returns false if the copy has changed since it reached `known`.
-    pub fn restart(&mut self, known: u64, end: u64) -> bool {
-        if self.end_offset != known || end >= known {
-            return false;
-        }
-        (self.end_offset, self.refuted_end) = (end, Some(known));
-        self.servers.retain(|_, listed| listed.offset < end);
-        true
-    }
-
-    /// Returns whether a copy that another node states to reach `end` is one that the store has
-    /// refuted.
-    pub fn is_refuted(&self, end: u64) -> bool {
-        self.refuted_end.is_some_and(|refuted| end >= refuted)
-    }
-
     /// Removes records that are still missing after the grace period, and old tombstones.
     pub fn expire(&mut self, now: Moment) {
         let recovered_at = self.recovered_at;
@@ -217,12 +196,6 @@
         self.servers.is_empty()
     }
 
-    /// Records that the copy includes the log up to `end`, which is then refuted no more.
-    fn reach(&mut self, end: u64) {
-        self.end_offset = end;
-        self.refuted_end = self.refuted_end.filter(|refuted| end < *refuted);
-    }
-
     fn put(&mut self, now: Moment, entry: ListRecord) {
         let old = self.servers.get(&entry.id);
         if old.is_some_and(|l| l.offset >= entry.offset) {
--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -12,7 +12,6 @@
 pub mod chain;
 pub mod config;
 pub mod cost;
-pub mod doubt;
 pub mod engines;
 pub mod event_stream;
 pub mod frames;
--- a/src/limpetmux/core/operator.rs
+++ b/src/limpetmux/core/operator.rs
@@ -33,8 +33,6 @@
     pub config: Option<DeclaredConfig>,
     /// The availability zones whose backend servers must get no requests.
     pub evacuated: BTreeSet<Arc<str>>,
-    /// The end that the store refuted last, which other nodes may still state.
-    refuted_end: Option<u64>,
 }
 
 /// One change of the operator's orders.
@@ -75,7 +73,7 @@
                 Order::Restore(zone) => drop(self.evacuated.remove(&zone)),
             }
         }
-        self.reach(end);
+        self.end_offset = end;
         true
     }
 
@@ -96,36 +94,11 @@
             self.declare(declared);
         }
         self.evacuated = evacuated;
-        self.reach(end);
+        self.end_offset = end;
         self.confirmed_at = self.confirmed_at.max(confirmed);
         true
     }
 
-    /// Goes back to a lower `end`, as the store has refuted `known`, so that a complete state with
-    /// `version` can replace the orders.
-    ///
-    /// Has no effect and returns false if the orders have changed since they reached `known`, or if
-    /// the version is lower than the one in force.
-    pub fn restart(&mut self, known: u64, end: u64, version: u64) -> bool {
-        if self.end_offset != known || end >= known || version < self.version() {
-            return false;
-        }
-        (self.end_offset, self.refuted_end, self.config) = (end, Some(known), None);
-        true
-    }
-
-    /// Returns whether a state that another node states to reach `end` is one that the store has
-    /// refuted.
-    pub fn is_refuted(&self, end: u64) -> bool {
-        self.refuted_end.is_some_and(|refuted| end >= refuted)
-    }
-
-    /// Records that the copy includes the log up to `end`, which is then refuted no more.
-    fn reach(&mut self, end: u64) {
-        self.end_offset = end;
-        self.refuted_end = self.refuted_end.filter(|refuted| end < *refuted);
-    }
-
     /// Returns the time since the latest confirmation.
     pub fn age(&self, now: Moment) -> Duration {
         now.since(self.confirmed_at)
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -175,14 +175,12 @@
         let evacuated: BTreeSet<Arc<str>> =
             operator.evacuated.iter().map(|z| Arc::from(z.as_str())).collect();
         let confirmed = sent - Duration::from_millis(operator.age_ms);
-        current = !view.orders.is_refuted(operator.end)
-            && view.orders.replace(confirmed, operator.end, config, evacuated);
+        current = view.orders.replace(confirmed, operator.end, config, evacuated);
     }
     if let Some(listing) = &reply.listing {
         let confirmed = sent - Duration::from_millis(listing.age_ms);
         let entries: Vec<ListRecord> = listing.servers.iter().map(entry).collect();
-        current &= !view.listing.is_refuted(listing.end)
-            && view.listing.apply(confirmed, listing.end, entries);
+        current &= view.listing.apply(confirmed, listing.end, entries);
         view.listing.expire(asked);
     }
     Ok(current)
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -5,20 +5,21 @@
 //! traffic threads read.
 
 mod discover;
-mod reads;
 mod stops;
 
 use super::convert;
-use crate::core::doubt::Doubt;
+use crate::core::listing::ListRecord;
+use crate::core::operator::Order;
 use crate::core::time::Moment;
 use crate::event;
 use crate::kernel::Publisher;
-use crate::platform::store::{Store, StoreError};
+use crate::platform::store::{Page, Record, Store, StoreError};
 use crate::platform::{orders, servers};
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::wire::fleet::PullReply;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -78,7 +79,7 @@
     }
 
     async fn follow_orders(&self) {
-        let (mut failures, mut doubt) = (0, Doubt::default());
+        let mut failures = 0;
         loop {
             let age = self.with_view(|v| v.orders.age(clock::boot()));
             if !self.has_to_read(age, ORDERS_STALE) {
@@ -86,7 +87,7 @@
                 continue;
             }
             let requested_at = clock::boot();
-            let result = self.read_orders(requested_at, &mut doubt).await;
+            let result = self.read_orders(requested_at).await;
             self.record_stop(orders::TOPIC, &result);
             self.log_reachability(&result);
             failures = if result.is_ok() { 0 } else { failures + 1 };
@@ -100,7 +101,7 @@
     }
 
     async fn follow_listing(&self) {
-        let (mut failures, mut doubt) = (0, Doubt::default());
+        let mut failures = 0;
         loop {
             let age = self.with_view(|v| clock::boot().since(v.listing.confirmed_at));
             if !self.has_to_read(age, LISTING_STALE) {
@@ -108,7 +109,7 @@
                 continue;
             }
             let requested_at = clock::boot();
-            let result = self.read_listing(requested_at, &mut doubt).await;
+            let result = self.read_listing(requested_at).await;
             self.record_stop(servers::TOPIC, &result);
             self.log_reachability(&result);
             failures = if result.is_ok() { 0 } else { failures + 1 };
@@ -135,6 +136,74 @@
         order.first().is_some_and(|n| n.addr == nodes.local().addr)
     }
 
+    async fn read_orders(&self, requested_at: Moment) -> Result<(), StoreError> {
+        let from = self.with_view(|v| v.orders.end_offset);
+        if from == 0 {
+            return self.load_orders(requested_at).await;
+        }
+        match self.store.read(orders::TOPIC, from, ORDERS_WAIT).await {
+            Ok(page) => {
+                let changes = decode_orders(page.records.clone());
+                let current = self.update(|v| match page.has_more {
+                    true => v.orders.apply_part(page.end, changes),
+                    false => v.orders.apply(requested_at, page.end, changes),
+                });
+                log_stale(current, &page);
+                Ok(())
+            }
+            Err(StoreError::Trimmed) => self.load_orders(requested_at).await,
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn load_orders(&self, requested_at: Moment) -> Result<(), StoreError> {
+        let page = self.store.newest(orders::TOPIC).await?;
+        let mut config = None;
+        let mut evacuated = BTreeSet::new();
+        for order in decode_orders(page.records.clone()) {
+            match order {
+                Order::Declare(d) => config = Some(d),
+                Order::Evacuate(zone) => drop(evacuated.insert(zone)),
+                Order::Restore(_) => {}
+            }
+        }
+        self.update(|v| {
+            log_stale(v.orders.replace(requested_at, page.end, config, evacuated), &page);
+        });
+        Ok(())
+    }
+
+    async fn read_listing(&self, requested_at: Moment) -> Result<(), StoreError> {
+        let from = self.with_view(|v| v.listing.end_offset);
+        if from == 0 {
+            return self.load_listing(requested_at).await;
+        }
+        match self.store.read(servers::TOPIC, from, Duration::ZERO).await {
+            Ok(page) => {
+                let entries = decode_servers(page.records.clone());
+                let current = self.update(|v| {
+                    let current = match page.has_more {
+                        true => v.listing.apply_part(requested_at, page.end, entries),
+                        false => v.listing.apply(requested_at, page.end, entries),
+                    };
+                    v.listing.expire(requested_at);
+                    current
+                });
+                log_stale(current, &page);
+                Ok(())
+            }
+            Err(StoreError::Trimmed) => self.load_listing(requested_at).await,
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn load_listing(&self, requested_at: Moment) -> Result<(), StoreError> {
+        let page = self.store.newest(servers::TOPIC).await?;
+        let entries = decode_servers(page.records.clone());
+        self.update(|v| log_stale(v.listing.replace(requested_at, page.end, entries), &page));
+        Ok(())
+    }
+
     /// Discovers other nodes, then pulls from the node that reads the store or, if that view is
     /// stale, from others as well.
     async fn follow_nodes(&self) {
@@ -298,3 +367,34 @@
         result
     }
 }
+
+fn decode_orders(records: Vec<Record>) -> Vec<Order> {
+    let mut decoded = Vec::new();
+    for record in records {
+        match orders::decode(&record) {
+            Ok(order) => decoded.extend(order),
+            Err(error) => {
+                event!(EventCode::OrderUnreadable, source = record.key, reason = error);
+            }
+        }
+    }
+    decoded
+}
+
+fn decode_servers(records: Vec<Record>) -> Vec<ListRecord> {
+    let mut decoded = Vec::new();
+    for record in records {
+        let (entry, error) = servers::decode(record);
+        if let Some(error) = error {
+            event!(EventCode::ServerUnreadable, server = entry.id, reason = error);
+        }
+        decoded.push(entry);
+    }
+    decoded
+}
+
+fn log_stale(current: bool, page: &Page) {
+    if !current {
+        event!(EventCode::StaleAnswer, end = page.end);
+    }
+}
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -68,9 +68,6 @@
     /// A response of the store is older than the known state and is ignored.
     #[strum(props(level = "warn"))]
     StaleAnswer = 115,
-    /// Several responses of the store contradict the known state, which was gathered afresh.
-    #[strum(props(level = "warn"))]
-    CopyRefuted = 116,
 
     // 2xx: requests.
     /// A request was refused.
