--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -88,10 +88,22 @@
 }
 
 impl Listing {
-    /// Applies records of the store's log up to `end`, requested at `requested_at`.
+    /// Applies records of the store's log up to its end, requested at `requested_at`.
     ///
     /// Returns whether the answer was current; a stale one has no effect.
     pub fn apply(&mut self, requested_at: Moment, end: u64, entries: Vec<ListRecord>) -> bool {
+        let current = self.apply_part(requested_at, end, entries);
+        if current {
+            self.confirmed_at = self.confirmed_at.max(requested_at);
+        }
+        current
+    }
+
+    /// Applies records of the store's log up to `end`, after which the log has more records, so that
+    /// the copy is not confirmed.
+    ///
+    /// Returns whether the answer was current; a stale one has no effect.
+    pub fn apply_part(&mut self, requested_at: Moment, end: u64, entries: Vec<ListRecord>) -> bool {
         if end < self.end_offset {
             return false;
         }
@@ -101,7 +113,6 @@
         }
         self.index_starts();
         self.end_offset = end;
-        self.confirmed_at = self.confirmed_at.max(requested_at);
         true
     }
 
@@ -172,6 +183,14 @@
         self.servers.iter().filter(move |(_, l)| l.changed >= from)
     }
 
+    /// Returns whether a record changed at or after an offset, below the end of the copy.
+    ///
+    /// The pages of a list of newest records are read one after another, so that a record may lie
+    /// beyond the end of the first one; it counts once the log has been read up to it.
+    pub fn has_changes(&self, from: u64) -> bool {
+        self.changes(from).any(|(_, listed)| listed.changed < self.end_offset)
+    }
+
     /// Returns whether there is neither a record nor a tombstone.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -43,6 +43,8 @@
     pub end: u64,
     /// The records, ordered by offset or by key.
     pub records: Vec<Record>,
+    /// Whether the log had records after `end` when the store answered.
+    pub has_more: bool,
 }
 
 /// Why a call to the store failed.
@@ -69,7 +71,7 @@
     /// The answer lacks records that it states to exist.
     #[error("the answer ends before its last record")]
     Truncated,
-    /// The answer states an offset that has no successor.
+    /// The answer states an offset that has no successor or lies beyond the end of the log.
     #[error("the answer states an offset that no record can have")]
     Offset,
 }
@@ -143,7 +145,7 @@
             after = page.items.last().map(|i| i.key.clone());
             records.extend(page.items.into_iter().map(record));
             if !page.has_more {
-                return Ok(Page { end, records });
+                return Ok(Page { end, records, has_more: false });
             }
             if after.is_none() {
                 break;
@@ -238,7 +240,12 @@
 fn decode_newest(body: &[u8]) -> Result<Newest, StoreError> {
     let page: Newest = serde_json::from_slice(body)?;
     check(Bound::Count, page.items.len(), MAX_PAGE_RECORDS)?;
-    Ok(page)
+    // A page is one moment of the log, so a record beyond its end has a false offset, which would
+    // hide all later records of its key.
+    match page.items.iter().all(|item| item.offset < page.end) {
+        true => Ok(page),
+        false => Err(StoreError::Offset),
+    }
 }
 
 fn record(item: Item) -> Record {
@@ -252,8 +259,11 @@
     }
     let end = body.get_u64();
     let first = body.get_u64();
-    let start = from.max(first);
-    let mut offset = start;
+    // The store answers with 410 if it has deleted the records, so this offset is false.
+    if first > from {
+        return Err(StoreError::Offset);
+    }
+    let mut offset = from;
     let mut records = Vec::new();
     while body.has_remaining() {
         let len = split(&mut body, 4).map(|mut b| b.get_u32() as usize)?;
@@ -271,13 +281,13 @@
         offset = next;
     }
     // An answer may not reach the end of the log, but has a record if there is one.
-    if offset > start {
-        return Ok(Page { end: offset, records });
+    if offset > from {
+        return Ok(Page { end: offset, records, has_more: end > offset });
     }
-    if end > start {
+    if end > from {
         return Err(StoreError::Truncated);
     }
-    Ok(Page { end, records })
+    Ok(Page { end, records, has_more: false })
 }
 
 fn split(body: &mut Bytes, len: usize) -> Result<Bytes, StoreError> {
