Bound how long adopted results take up room

Cause: a node that stops hands over its results with their remaining times, which the next node took as they were. A false time kept the room of a backend server taken for good. Found by a reader of the decoders.

Change: an adopted result stays no longer than one that was made just now.

Conclusion: no time that another node states takes room for good.

--- a/src/limpetmux/core/pieces/held.rs
+++ b/src/limpetmux/core/pieces/held.rs
@@ -49,11 +49,13 @@
     }
 
     /// Adds results recorded by the node that ran the queue before; those of unknown backend
-    /// servers are left out.
+    /// servers are left out. No result stays longer than one that was made just now.
     pub fn adopt_results(&mut self, now: Moment, held: Vec<HeldResult>) {
+        let retention = self.retention();
         for result in held {
             if let Some(worker) = self.workers.get_mut(&result.server) {
-                worker.results.insert(result.name, (result.size, now + result.remaining));
+                let until = now + result.remaining.min(retention);
+                worker.results.insert(result.name, (result.size, until));
             }
         }
     }
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -159,12 +159,12 @@
         for worker in self.workers.values_mut() {
             worker.expire_results(now);
         }
+        let retention = self.retention();
         while let Some((id, items)) = self.choose(now) {
             let expected = self.call_time(items.len());
             self.next_key += 1;
             let key = CallKey(self.next_key);
             let Some(worker) = self.workers.get_mut(&id) else { break };
-            let retention = self.spec.result_ttl + RETENTION_MARGIN;
             let call = Call {
                 key,
                 server: Arc::clone(&id),
@@ -354,6 +354,11 @@
         self.call_time(per_call).mul_f64(calls)
     }
 
+    /// Returns how long a result that is made now may take up room.
+    fn retention(&self) -> Duration {
+        self.spec.result_ttl + RETENTION_MARGIN
+    }
+
     fn call_time(&self, pieces: usize) -> Duration {
         self.spec.call_time + self.spec.item_time * u32::try_from(pieces).unwrap_or(u32::MAX)
     }
--- a/tests/testsuite/platform/pieces.rs
+++ b/tests/testsuite/platform/pieces.rs
@@ -4,11 +4,12 @@
 use super::{arc, at, ms};
 use limpetmux::core::catalog::PieceSpec;
 use limpetmux::core::pieces::{
-    Actions, Call, CallEnd, JobKey, JobSpec, PieceError, PieceOutcome, PieceQueue, Source,
-    StageEnd, WorkerSpec,
+    Actions, Call, CallEnd, HeldResult, JobKey, JobSpec, PieceError, PieceOutcome, PieceQueue,
+    Source, StageEnd, WorkerSpec,
 };
 use limpetmux::core::time::Moment;
 use std::sync::Arc;
+use std::time::Duration;
 
 fn piece_spec() -> PieceSpec {
     PieceSpec {
@@ -332,6 +333,26 @@
     assert!((1..=4).contains(&sent), "{sent}");
 }
 
+#[test]
+fn adopted_results_take_up_room_no_longer_than_new_ones() {
+    // Guards against a backend server whose room stays taken because another node stated a far too
+    // long remaining time.
+    let mut queue = queue(&[("s1", "mnl-a")]);
+    let held = (0..28).map(|n| HeldResult {
+        server: "s1".into(),
+        name: format!("r{n}").into(),
+        size: 1_000,
+        remaining: Duration::MAX,
+    });
+
+    queue.adopt_results(at(10), held.collect());
+
+    queue.submit(at(10), job(at(10), "r1", 2)).unwrap();
+    assert!(queue.step(at(10)).calls.is_empty());
+    queue.submit(at(5_000), job(at(5_000), "r2", 2)).unwrap();
+    assert!(!queue.step(at(5_000)).calls.is_empty());
+}
+
 #[test]
 fn pieces_of_an_overdue_call_are_sent_elsewhere_and_the_first_result_is_used() {
     // Guards against a stage delayed by a backend server that turns slow or stops answering.
