--- a/crates/limpetmux-soak/src/measure.rs
+++ b/crates/limpetmux-soak/src/measure.rs
@@ -10,11 +10,12 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
-/// One entry, one sidecar, a backend server of each service, and a sound pool of two.
+/// One entry, one sidecar, and a sound pool of two; a sidecar has one call for pieces at a time at each
+/// backend server of a stage, so the first stage has many.
 const LAYOUT: Layout = Layout {
     entries: 1,
     sidecars: 1,
-    services: &[("plain", 1), ("first", 1), ("second", 1), ("engine", 1), ("blue", 2)],
+    services: &[("plain", 1), ("first", 400), ("second", 1), ("engine", 1), ("blue", 2)],
     connections: 400,
     calls: 200,
     batch: 1,
