--- a/src/limpetmux/adapters/channel.rs
+++ b/src/limpetmux/adapters/channel.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Channels`] creates the outgoing connections and the servers of one process, either all in
 //! plain text or all with mutual TLS. [`Incoming`] counts connections that end before their
-//! handshake is complete; [`ConnectionBounds`] bounds them in number and in idle time. `docs/design/security.md` describes the alternatives.
+//! handshake is complete; [`ConnectionBounds`] bounds them in number and in idle time.
+//! `docs/design/security.md` describes the alternatives.
 
 use super::activity::CountedCalls;
 use super::admission::{Admission, ConnectionBounds};
--- a/src/limpetmux/adapters/message_time.rs
+++ b/src/limpetmux/adapters/message_time.rs
@@ -1,7 +1,7 @@
 //! Bounds the time for the message of a call from another process.
 //!
-//! Each call has one message, which its service reads whole before it handles the call, so a message that drips would hold
-//! its stream and its bytes until the connection ends.
+//! Each call has one message, which its service reads whole before it handles the call, so a message
+//! that drips would hold its stream and its bytes until the connection ends.
 
 use crate::core::read_limits::{Exceeded, MAX_MESSAGE_TIME, Peer};
 use crate::util::metrics::Metrics;
