Keep the backlog of an engine from adding up one delay many times

The log shows engines with 150 to 240 prompts in 4 s followed by 4 to 12 s with none. Two faults of the engine pool did this. Each report of a prompt's time moved the end of the engine's queue by what that prompt was off by; a hundred prompts that wait at the same time moved it a hundred times, so the engine counted as busy for many seconds, or as idle when they were early. And the measured pace of an engine decided between engines even where it differed by noise, so the ones that were measured when idle got all prompts. Ruled out: stages (their waits stayed within 0.3 s of the usual), entries (2% of a core), memory and fetches of engines (12 ms each).

Change: the engine pool remembers the prompts that it sent. At the first event of one of them only the later ones are left, and the backlog is set to their work. Engines are assumed to have the median pace of their pool unless they measure twice that. The message with measured times names the request.

--- /dev/null
+++ b/src/limpetmux/core/engines/engine.rs
@@ -0,0 +1,172 @@
+//! The state that an engine pool keeps of one engine: its backlog of prompts, its pace and its cache.
+
+use super::{EngineReport, PROMPT_OVERHEAD, PromptPart};
+use crate::core::time::Moment;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Weight of a new sample in the moving average of an engine's pace.
+const PACE_WEIGHT: f64 = 0.2;
+/// Range of an engine's pace and of the ratio in one sample.
+const PACE_RANGE: (f64, f64) = (0.3, 8.0);
+/// An engine counts as slow from this multiple of the usual pace of its pool on.
+const SLOW_RATIO: f64 = 2.0;
+/// Part by which the pace of a slow engine without new samples approaches the usual one every
+/// second.
+const PACE_RECOVERY: f64 = 0.1;
+/// Prompts that are remembered until a report of them or of a later one; the oldest is dropped first.
+const MAX_UNREPORTED: usize = 4_096;
+
+/// One engine of a pool.
+#[derive(Clone, Debug)]
+pub(super) struct Engine {
+    /// The Unix millisecond of its start; after a restart under the same id nothing is cached.
+    pub(super) started_ms: u64,
+    /// Moving average of the time a prompt takes divided by the time at pace 1.
+    pace: f64,
+    /// When the engine was created or last got a prompt.
+    pub(super) used_at: Moment,
+    /// When the engine will have read all prompts sent to it.
+    busy_until: Moment,
+    /// When the pace last got a sample.
+    sampled_at: Moment,
+    /// The prompts sent after the latest one that is known to be read, in the order of their sends.
+    unreported: VecDeque<SentPrompt>,
+    /// The work of all prompts sent so far.
+    total_work: Duration,
+    /// The parts that it has read, or will read for planned prompts.
+    cached: BTreeMap<u64, Cached>,
+}
+
+/// A prompt that an engine was sent.
+#[derive(Clone, Debug)]
+struct SentPrompt {
+    request: Arc<str>,
+    sent_at: Moment,
+    /// The pace that its expected time assumes.
+    pace: f64,
+    /// The work of all prompts up to this one.
+    total_work: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Cached {
+    tokens: u32,
+    used_at: Moment,
+    /// Whether a prompt with this part was sent; otherwise one is only planned.
+    is_read: bool,
+}
+
+impl Engine {
+    /// Creates an idle engine without cached parts.
+    pub(super) fn new(now: Moment, started_ms: u64, pace: f64) -> Self {
+        Self {
+            started_ms,
+            pace,
+            used_at: now,
+            busy_until: now,
+            sampled_at: now,
+            unreported: VecDeque::new(),
+            total_work: Duration::ZERO,
+            cached: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the time that the engine still spends on the prompts sent to it.
+    pub(super) fn backlog(&self, now: Moment) -> Duration {
+        now.until(self.busy_until)
+    }
+
+    /// Adds a prompt that is sent now.
+    pub(super) fn send(&mut self, now: Moment, request: &str, work: Duration, usual: f64) {
+        self.busy_until = self.busy_until.max(now) + work;
+        self.used_at = now;
+        self.total_work += work;
+        if self.unreported.len() == MAX_UNREPORTED {
+            self.unreported.pop_front();
+        }
+        let (pace, total_work) = (self.pace(now, usual), self.total_work);
+        let prompt = SentPrompt { request: request.into(), sent_at: now, pace, total_work };
+        self.unreported.push_back(prompt);
+    }
+
+    /// Records how long a prompt took, which tells the engine's pace and what is left to read.
+    ///
+    /// Prompts are read in the order of their sends, so at the first event of one of them only the
+    /// later ones are left. Many prompts that wait at the same time report the same delay; adding up
+    /// what each of them was off by would count it many times. A report of a prompt before one that
+    /// is known to be read says nothing about the backlog.
+    pub(super) fn record(&mut self, now: Moment, report: &EngineReport) {
+        let Some(index) = self.unreported.iter().position(|s| s.request == report.request) else {
+            return;
+        };
+        let Some(read) = self.unreported.drain(..=index).next_back() else { return };
+        let took = report.took.min(now.since(read.sent_at));
+        self.busy_until = read.sent_at + took + (self.total_work - read.total_work);
+        self.record_pace(now, report, read.pace);
+    }
+
+    fn record_pace(&mut self, now: Moment, report: &EngineReport, assumed: f64) {
+        let sample = report.took.as_secs_f64() / report.expected.max(PROMPT_OVERHEAD).as_secs_f64();
+        let sample = sample.clamp(PACE_RANGE.0, PACE_RANGE.1) * assumed;
+        self.pace += (sample - self.pace) * PACE_WEIGHT;
+        self.pace = self.pace.clamp(PACE_RANGE.0, PACE_RANGE.1);
+        self.sampled_at = now;
+    }
+
+    /// Returns the tokens of the leading parts that are cached; parts of planned prompts count
+    /// unless `only_read` is set.
+    pub(super) fn cached(&self, parts: &[PromptPart], only_read: bool) -> u32 {
+        let holds =
+            |p: &&PromptPart| self.cached.get(&p.key).is_some_and(|c| c.is_read || !only_read);
+        parts.iter().take_while(holds).fold(0, |sum, p| p.tokens.saturating_add(sum))
+    }
+
+    /// Returns the moving average of the pace.
+    pub(super) fn measured_pace(&self) -> f64 {
+        self.pace
+    }
+
+    /// Returns the assumed pace: the usual one of the pool, unless the engine is much slower.
+    ///
+    /// Small differences are noise of the prompts that were measured. If they decided, all prompts
+    /// would go to the few engines that were measured when idle, until these are overloaded. A slow
+    /// engine without samples is assumed to recover.
+    pub(super) fn pace(&self, now: Moment, usual: f64) -> f64 {
+        if self.pace <= usual * SLOW_RATIO {
+            return usual;
+        }
+        let idle = now.since(self.sampled_at).as_secs_f64();
+        let kept = (1.0 - PACE_RECOVERY).powf(idle);
+        usual + (self.pace - usual) * kept
+    }
+
+    /// Adds the parts of a prompt that was sent or is only planned.
+    pub(super) fn mark_cached(&mut self, now: Moment, parts: &[PromptPart], is_read: bool) {
+        for part in parts {
+            let new = Cached { tokens: part.tokens, used_at: now, is_read };
+            let cached = self.cached.entry(part.key).or_insert(new);
+            cached.used_at = now;
+            cached.is_read |= is_read;
+        }
+    }
+
+    /// Evicts the least recently used parts until the rest fits.
+    pub(super) fn evict(&mut self, max_tokens: u64) {
+        let mut held: u64 = self.cached.values().map(|c| u64::from(c.tokens)).sum();
+        if held <= max_tokens {
+            return;
+        }
+        let mut oldest: Vec<(Moment, u64, u32)> =
+            self.cached.iter().map(|(key, c)| (c.used_at, *key, c.tokens)).collect();
+        oldest.sort_unstable();
+        for (_, key, tokens) in oldest {
+            if held <= max_tokens {
+                return;
+            }
+            self.cached.remove(&key);
+            held -= u64::from(tokens);
+        }
+    }
+}
--- a/src/limpetmux/core/engines.rs
+++ b/src/limpetmux/core/engines/mod.rs
@@ -8,9 +8,12 @@
 //! another one starts with an empty pool; the hash of a prompt's shared part then selects the same
 //! engine. See `docs/design/platform.md`.
 
+mod engine;
+
 use crate::core::listing::Server;
 use crate::core::time::Moment;
 use crate::util::hash::hash_parts;
+use engine::Engine;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,12 +41,6 @@
 const CACHE_SHARE: f64 = 0.6;
 /// How long a plan is kept after the time at which its prompt should have been sent.
 const PLAN_MARGIN: Duration = Duration::from_millis(1_500);
-/// Weight of a new sample in the moving average of an engine's pace.
-const PACE_WEIGHT: f64 = 0.2;
-/// Range of an engine's pace and of the ratio in one sample.
-const PACE_RANGE: (f64, f64) = (0.3, 8.0);
-/// Part by which the pace of a slow engine without new samples approaches 1 every second.
-const PACE_RECOVERY: f64 = 0.1;
 /// An engine without prompts for this long is removed.
 const EXPIRE_AFTER: Duration = Duration::from_secs(120);
 
@@ -94,36 +91,14 @@
 pub struct EngineReport {
     /// The id of the engine.
     pub server: Arc<str>,
+    /// The id of the request with the prompt.
+    pub request: Arc<str>,
     /// The expected time until the first event.
     pub expected: Duration,
     /// The measured time until the first event.
     pub took: Duration,
 }
 
-#[derive(Clone, Debug)]
-struct Engine {
-    /// The Unix millisecond of its start; after a restart under the same id nothing is cached.
-    started_ms: u64,
-    /// When the engine will have read all prompts sent to it.
-    busy_until: Moment,
-    /// Moving average of the time a prompt takes divided by the time at pace 1.
-    pace: f64,
-    /// When the pace last got a sample.
-    sampled_at: Moment,
-    /// When the engine was created or last got a prompt.
-    used_at: Moment,
-    /// The parts that it has read, or will read for planned prompts.
-    cached: BTreeMap<u64, Cached>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Cached {
-    tokens: u32,
-    used_at: Moment,
-    /// Whether a prompt with this part was sent; otherwise one is only planned.
-    is_read: bool,
-}
-
 #[derive(Clone, Debug)]
 struct Plan {
     server: Arc<str>,
@@ -163,7 +138,8 @@
         };
         self.plans.insert(request.into(), plan);
         let (_, shared) = query.parts.split_last().unwrap_or((&NO_PART, &[]));
-        self.engine(now, server).mark_cached(now, shared, false);
+        let usual = self.usual_pace(servers);
+        self.engine(now, server, usual).mark_cached(now, shared, false);
         Some(choice)
     }
 
@@ -178,27 +154,19 @@
         self.plans.remove(request);
         self.expire(now, servers);
         let (server, choice) = self.choose(now, servers, query, false)?;
-        let memory = self.memory;
-        let engine = self.engine(now, server);
-        engine.busy_until = engine.busy_until.max(now) + choice.work;
-        engine.used_at = now;
+        let (memory, usual) = (self.memory, self.usual_pace(servers));
+        let engine = self.engine(now, server, usual);
+        engine.send(now, request, choice.work, usual);
         engine.mark_cached(now, query.parts, true);
         engine.evict((memory as f64 * CACHE_SHARE) as u64);
         Some(choice)
     }
 
-    /// Records how long a prompt took; the end of the engine's queue moves by the difference.
+    /// Records how long a prompt took.
     pub fn report(&mut self, now: Moment, report: &EngineReport) {
-        let Some(engine) = self.engines.get_mut(&report.server) else { return };
-        let sample = report.took.as_secs_f64() / report.expected.max(PROMPT_OVERHEAD).as_secs_f64();
-        let sample = sample.clamp(PACE_RANGE.0, PACE_RANGE.1) * engine.pace;
-        engine.pace += (sample - engine.pace) * PACE_WEIGHT;
-        engine.pace = engine.pace.clamp(PACE_RANGE.0, PACE_RANGE.1);
-        engine.sampled_at = now;
-        engine.busy_until = match report.took.checked_sub(report.expected) {
-            Some(excess) => engine.busy_until.max(now) + excess,
-            None => (engine.busy_until - (report.expected - report.took)).max(now),
-        };
+        if let Some(engine) = self.engines.get_mut(&report.server) {
+            engine.record(now, report);
+        }
     }
 
     fn choose<'a>(
@@ -212,7 +180,7 @@
         let hash = query.parts.get(shared).map_or(0, |p| p.key);
         let source = self.source(servers, query);
         let planned = if planning { self.planned(now) } else { BTreeMap::new() };
-        let usual = self.usual_pace();
+        let usual = self.usual_pace(servers);
         let estimate = |s: &Server| {
             let planned = planned.get(&*s.id).copied().unwrap_or_default();
             self.estimate(now, s, query, source, (planned, usual))
@@ -257,14 +225,14 @@
         (planned, usual): (Duration, f64),
     ) -> Estimate {
         let engine = self.engines.get(&server.id);
-        let sent = engine.map_or(Duration::ZERO, |e| now.until(e.busy_until));
+        let sent = engine.map_or(Duration::ZERO, |e| e.backlog(now));
         // Planned prompts arrive at any time before this one, on average after half of the delay.
         let wait = (sent + planned).saturating_sub(query.send_delay / 2);
         let held = self.cached(&server.id, query.parts, true);
         let more = source.map_or(0, |(_, tokens)| tokens.saturating_sub(held));
         let fetched = if more >= MIN_FETCH_TOKENS { more } else { 0 };
         let fetch = Duration::from_secs_f64(f64::from(fetched) / FETCH_TOKENS_PER_MS / 1_000.0);
-        let pace = engine.map_or(usual, |e| e.pace_at(now));
+        let pace = engine.map_or(usual, |e| e.pace(now, usual));
         let work =
             |cached: u32| read_time(query.tokens.saturating_sub(cached)).mul_f64(pace) + fetch;
         let planned_cached = self.cached(&server.id, query.parts, false).max(held + fetched);
@@ -280,17 +248,18 @@
         planned
     }
 
-    /// Returns the assumed pace of an unknown engine: the median of the others, but at most 1.
-    fn usual_pace(&self) -> f64 {
-        let mut paces: Vec<f64> = self.engines.values().map(|e| e.pace).collect();
+    /// Returns the pace that all engines are assumed to have which are not much slower: the median.
+    ///
+    /// Unknown engines count with pace 1.
+    fn usual_pace(&self, servers: &[&Server]) -> f64 {
+        let pace = |s: &&Server| self.engines.get(&s.id).map_or(1.0, Engine::measured_pace);
+        let mut paces: Vec<f64> = servers.iter().map(pace).collect();
         paces.sort_unstable_by(f64::total_cmp);
-        paces.get(paces.len() / 2).map_or(1.0, |p| p.min(1.0))
+        paces.get(paces.len().saturating_sub(1) / 2).copied().unwrap_or(1.0)
     }
 
-    fn engine(&mut self, now: Moment, server: &Server) -> &mut Engine {
-        let (started_ms, pace, cached) = (server.started_ms, self.usual_pace(), BTreeMap::new());
-        let new =
-            || Engine { started_ms, busy_until: now, pace, sampled_at: now, used_at: now, cached };
+    fn engine(&mut self, now: Moment, server: &Server, pace: f64) -> &mut Engine {
+        let new = || Engine::new(now, server.started_ms, pace);
         self.engines.entry(Arc::clone(&server.id)).or_insert_with(new)
     }
 
@@ -335,46 +304,3 @@
         ms(self.expected) + ms(self.wait) * WAIT_WEIGHT + ms(late) * LATE_WEIGHT + transfer + fetch
     }
 }
-
-impl Engine {
-    /// Returns the tokens of the leading parts that are cached; parts of planned prompts count
-    /// unless `only_read` is set.
-    fn cached(&self, parts: &[PromptPart], only_read: bool) -> u32 {
-        let holds =
-            |p: &&PromptPart| self.cached.get(&p.key).is_some_and(|c| c.is_read || !only_read);
-        parts.iter().take_while(holds).fold(0, |sum, p| p.tokens.saturating_add(sum))
-    }
-
-    fn pace_at(&self, now: Moment) -> f64 {
-        let idle = now.since(self.sampled_at).as_secs_f64();
-        let kept = (1.0 - PACE_RECOVERY).powf(idle);
-        if self.pace > 1.0 { 1.0 + (self.pace - 1.0) * kept } else { self.pace }
-    }
-
-    fn mark_cached(&mut self, now: Moment, parts: &[PromptPart], is_read: bool) {
-        for part in parts {
-            let new = Cached { tokens: part.tokens, used_at: now, is_read };
-            let cached = self.cached.entry(part.key).or_insert(new);
-            cached.used_at = now;
-            cached.is_read |= is_read;
-        }
-    }
-
-    /// Evicts the least recently used parts until the rest fits.
-    fn evict(&mut self, max_tokens: u64) {
-        let mut held: u64 = self.cached.values().map(|c| u64::from(c.tokens)).sum();
-        if held <= max_tokens {
-            return;
-        }
-        let mut oldest: Vec<(Moment, u64, u32)> =
-            self.cached.iter().map(|(key, c)| (c.used_at, *key, c.tokens)).collect();
-        oldest.sort_unstable();
-        for (_, key, tokens) in oldest {
-            if held <= max_tokens {
-                return;
-            }
-            self.cached.remove(&key);
-            held -= u64::from(tokens);
-        }
-    }
-}
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -245,7 +245,8 @@
         let wait = took.saturating_sub(engine_time(&routed));
         shared.queue_waits().record(now, &routed.service, wait, 0.0);
         if let Some(expected) = expected {
-            shared.record_engine_time(EngineReport { server, expected, took });
+            let request = routed.head.id.as_str().into();
+            shared.record_engine_time(EngineReport { server, request, expected, took });
         }
         if let Ok(mut at) = measured.lock() {
             *at = Some(clock::boot().since(began));
--- a/src/limpetmux/serve/engines.rs
+++ b/src/limpetmux/serve/engines.rs
@@ -111,6 +111,7 @@
 fn engine_time(report: &EngineReport) -> EngineTime {
     EngineTime {
         server: report.server.to_string(),
+        request: report.request.to_string(),
         expected_ms: millis(report.expected),
         took_ms: millis(report.took),
     }
--- a/src/limpetmux/stage_queues/engines.rs
+++ b/src/limpetmux/stage_queues/engines.rs
@@ -46,6 +46,7 @@
         for time in &message.times {
             let report = EngineReport {
                 server: time.server.as_str().into(),
+                request: time.request.as_str().into(),
                 expected: Duration::from_millis(time.expected_ms),
                 took: Duration::from_millis(time.took_ms),
             };
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -199,6 +199,9 @@
     pub expected_ms: u64,
     #[prost(uint64, tag = "3")]
     pub took_ms: u64,
+    /// The id of the request.
+    #[prost(string, tag = "4")]
+    pub request: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EnginePlaced {
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -257,7 +257,8 @@
         for time in &message.times {
             let (expected, took) = (time.expected_ms, time.took_ms);
             let [expected, took] = [expected, took].map(Duration::from_millis);
-            pool.report(NOW, &EngineReport { server: time.server.as_str().into(), expected, took });
+            let (server, request) = (time.server.as_str().into(), time.request.as_str().into());
+            pool.report(NOW, &EngineReport { server, request, expected, took });
         }
         let _ = pool.plan(NOW, &servers, "2f", query);
         assert!(pool.place(NOW, &servers, &message.request, query).is_some());
@@ -274,6 +275,7 @@
             server: "e1".into(),
             expected_ms: draw_number(u)?,
             took_ms: draw_number(u)?,
+            request: "1f".into(),
         }];
         let message = fleet::PlaceEngine {
             request: "1f".into(),
--- a/tests/testsuite/platform/engines.rs
+++ b/tests/testsuite/platform/engines.rs
@@ -152,7 +152,12 @@
     for n in 0..10 {
         let prompt = parts(n, 4_000, 100 + n);
         pool.place(at(n), &refs[..1], "r", query(&prompt));
-        let report = EngineReport { server: slow.clone(), expected: ms(150), took: ms(750) };
+        let report = EngineReport {
+            server: slow.clone(),
+            request: arc("r"),
+            expected: ms(150),
+            took: ms(750),
+        };
         pool.report(at(n), &report);
     }
 
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -14,6 +14,7 @@
 mod endless_nodes;
 mod endless_server;
 mod endless_store;
+mod engine_bursts;
 mod engines;
 mod event_stream;
 mod expiry;
