Count the wait for room in the queue waits that admission sees

Change: a queue node reports the longer of the waits for a call and for room, the latter by the size of a result and by the rate at which results are released; entries keep one report for each service and size, and count waits one and a half times.

--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -8,6 +8,7 @@
 
 mod held;
 mod job;
+mod room;
 mod worker;
 
 pub use held::HeldResult;
@@ -17,6 +18,7 @@
 use crate::core::catalog::PieceSpec;
 use crate::core::time::Moment;
 use job::Job;
+use room::ReleaseRate;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,6 +53,7 @@
     jobs: BTreeMap<JobKey, Job>,
     workers: BTreeMap<Arc<str>, Worker>,
     next_key: u64,
+    release_rate: ReleaseRate,
 }
 
 /// Actions that the caller has to perform after a step of the queue.
@@ -69,7 +72,13 @@
 impl PieceQueue {
     /// Creates a queue without backend servers.
     pub fn new(spec: PieceSpec) -> Self {
-        Self { spec, jobs: BTreeMap::new(), workers: BTreeMap::new(), next_key: 0 }
+        Self {
+            spec,
+            jobs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            next_key: 0,
+            release_rate: ReleaseRate::default(),
+        }
     }
 
     /// Applies a new declaration of the service.
@@ -127,8 +136,13 @@
         }
     }
 
-    /// Returns how long a new stage that is not late waits in the queue.
-    pub fn stage_wait(&self, now: Moment) -> Duration {
+    /// Returns how long a new stage that is not late waits, with results of `size` bytes.
+    pub fn stage_wait(&self, now: Moment, size: u64) -> Duration {
+        self.call_wait(now).max(self.room_wait(now, size))
+    }
+
+    /// Returns how long a new stage that is not late waits for a call.
+    fn call_wait(&self, now: Moment) -> Duration {
         let open = self.jobs.values().filter(|j| !self.rank(now, j).is_late());
         let busy =
             self.workers.values().filter(|w| w.is_available(now)).map(|w| w.busy_for(now)).min();
@@ -159,6 +173,7 @@
         for worker in self.workers.values_mut() {
             worker.expire_results(now);
         }
+        self.record_released(now);
         let retention = self.retention();
         while let Some((id, items)) = self.choose(now) {
             let expected = self.call_time(items.len());
--- a/src/limpetmux/core/queue_waits.rs
+++ b/src/limpetmux/core/queue_waits.rs
@@ -1,6 +1,7 @@
 //! Recent queue waits of the stage services, as reported to one entry.
 //!
-//! Every answer of a piece queue states how long a new stage would wait there. A request is refused
+//! Every answer of a piece queue states how long a new stage with results of the same size would wait
+//! there. A request is refused
 //! before its first stage if the waits along its stages make it miss its latency objective. So no
 //! service time is wasted on stages of a late request, and the caller learns at once when to retry.
 
@@ -13,10 +14,12 @@
 const REPORT_EXPIRY: Duration = Duration::from_secs(2);
 /// A request is not refused if its waits add up to at most this.
 const ORDINARY_WAIT: Duration = Duration::from_millis(300);
+/// Waits count with a margin of their length divided by this.
+const WAIT_MARGIN_DIVISOR: u32 = 2;
 /// The longest wait. Longer ones are taken for it, so that sums of waits stay in range.
 const MAX_WAIT: Duration = Duration::from_secs(24 * 3_600);
 
-/// The latest report of one service.
+/// The latest report of one service for one size of results.
 #[derive(Clone, Copy, Debug)]
 struct Report {
     /// How long a new stage waits.
@@ -29,17 +32,25 @@
 /// The reported waits, and the pieces that this entry will submit.
 #[derive(Clone, Debug, Default)]
 pub struct QueueWaits {
-    reports: BTreeMap<Arc<str>, Report>,
+    /// By service and size of a result in bytes.
+    reports: BTreeMap<(Arc<str>, u64), Report>,
     /// Pieces that this entry will submit to each service once earlier stages have ended.
     expected: BTreeMap<Arc<str>, usize>,
 }
 
 impl QueueWaits {
-    /// Records how long a new stage waits at a service, and how many pieces per second the service
-    /// completes.
-    pub fn record(&mut self, now: Moment, service: &Arc<str>, wait: Duration, rate: f64) {
+    /// Records how long a new stage with results of `size` bytes waits at a service, and how many
+    /// pieces per second the service completes.
+    pub fn record(
+        &mut self,
+        now: Moment,
+        (service, size): (&Arc<str>, u64),
+        wait: Duration,
+        rate: f64,
+    ) {
         let report = Report { wait: wait.min(MAX_WAIT), rate, received_at: now };
-        self.reports.insert(Arc::clone(service), report);
+        self.reports.retain(|_, r| now.since(r.received_at) <= REPORT_EXPIRY);
+        self.reports.insert((Arc::clone(service), size), report);
     }
 
     /// Adds pieces that this entry will submit to a service.
@@ -55,8 +66,8 @@
     }
 
     /// Returns how long a new stage waits at a service; a reported wait shrinks as time passes.
-    pub fn wait(&self, now: Moment, service: &str) -> Duration {
-        self.recent(now, service)
+    pub fn wait(&self, now: Moment, (service, size): (&Arc<str>, u64)) -> Duration {
+        self.recent(now, (service, size))
             .map_or(Duration::ZERO, |r| r.wait.saturating_sub(now.since(r.received_at)))
     }
 
@@ -67,29 +78,33 @@
     pub fn wait_after(
         &self,
         now: Moment,
-        service: &str,
+        (service, size): (&Arc<str>, u64),
         until: Duration,
         entries: usize,
     ) -> Duration {
-        let Some(report) = self.recent(now, service).filter(|r| r.rate > 0.0) else {
-            return self.wait(now, service);
+        let wait = self.wait(now, (service, size));
+        let Some(report) = self.recent(now, (service, size)).filter(|r| r.rate > 0.0) else {
+            return wait;
         };
         let expected = self.expected.get(service).copied().unwrap_or_default() * entries;
         let backlog = Duration::try_from_secs_f64(expected as f64 / report.rate);
         let backlog = backlog.map_or(MAX_WAIT, |b| b.min(MAX_WAIT));
-        (self.wait(now, service) + backlog).saturating_sub(until)
+        (wait + backlog).saturating_sub(until)
     }
 
-    fn recent(&self, now: Moment, service: &str) -> Option<&Report> {
-        self.reports.get(service).filter(|r| now.since(r.received_at) <= REPORT_EXPIRY)
+    fn recent(&self, now: Moment, (service, size): (&Arc<str>, u64)) -> Option<&Report> {
+        let report = self.reports.get(&(Arc::clone(service), size));
+        report.filter(|r| now.since(r.received_at) <= REPORT_EXPIRY)
     }
 }
 
 /// Returns the time after which a late request should be retried, or `None` if it may start.
 ///
 /// `needed` is the time of the request with all `waits`, `target` its latency objective, both from
-/// now on.
+/// now on. Waits are estimates, so they count with a margin: otherwise the queues settle at just
+/// that wait at which every second request is late.
 pub fn late_retry_delay(needed: Duration, target: Duration, waits: Duration) -> Option<Duration> {
-    let excess = needed.checked_sub(target)?;
-    (waits > ORDINARY_WAIT).then(|| excess.max(waits / 2))
+    let is_late = needed + waits / WAIT_MARGIN_DIVISOR > target;
+    let excess = needed.saturating_sub(target);
+    (is_late && waits > ORDINARY_WAIT).then(|| excess.max(waits / 2))
 }
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -33,6 +33,8 @@
 const ENGINE_START: Duration = Duration::from_millis(60);
 /// The tokens of a prompt that a model engine reads in a millisecond.
 const ENGINE_TOKENS_PER_MS: u32 = 40;
+/// The size of results for which waits at model engines are recorded, as these hold none.
+pub const NO_RESULTS: u64 = 0;
 /// The retry delay for a caller whose stages failed.
 const FAILED_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// The retry delay of a refused caller is at most its remaining time divided by this.
@@ -80,11 +82,11 @@
     let waits: Vec<Duration> = {
         let queue_waits = shared.queue_waits();
         let wait = |(s, start): (&StageSpec, &Duration)| {
-            queue_waits.wait_after(now, &s.service, *start, entries)
+            queue_waits.wait_after(now, (&s.service, s.size), *start, entries)
         };
         route.stages.iter().zip(&starts).map(wait).collect()
     };
-    let engine_wait = shared.queue_waits().wait(now, &routed.service);
+    let engine_wait = shared.queue_waits().wait(now, (&routed.service, NO_RESULTS));
     let stage_time = chain::chain_time(route, times, &waits);
     let needed = stage_time + engine + engine_wait;
     let no_waits = vec![Duration::ZERO; waits.len()];
@@ -160,8 +162,9 @@
         let answer = call_queue_node(shared, addr, run).await;
         if let Ok(done) = &answer {
             let wait = Duration::from_millis(done.wait_ms);
-            let service = &routed.route().stages[stage].service;
-            shared.queue_waits().record(clock::boot(), service, wait, done.rate);
+            let spec = &routed.route().stages[stage];
+            let key = (&spec.service, spec.size);
+            shared.queue_waits().record(clock::boot(), key, wait, done.rate);
         }
         match answer {
             Ok(done) if done.outcome() == Outcome::Unavailable => {}
