--- a/src/limpetmux/core/pieces/worker.rs
+++ b/src/limpetmux/core/pieces/worker.rs
@@ -234,8 +234,9 @@
         let Some(ceiling) = self.ceiling else { return usable };
         let time = ceiling.until.since(ceiling.at).as_secs_f64();
         let risen = (now.since(ceiling.at).as_secs_f64() / time).min(1.0);
-        let unknown = usable.saturating_sub(ceiling.held) as f64 * risen * risen;
-        usable.min(ceiling.held.saturating_add((unknown * risen) as u64))
+        // Former results are young when this node begins, so most of them expire late.
+        let rise = usable.saturating_sub(ceiling.held) as f64 * risen * risen;
+        usable.min(ceiling.held.saturating_add(rise as u64))
     }
 
     /// Returns the time until the running call should end.
