--- a/src/limpetmux/core/pieces/room.rs
+++ b/src/limpetmux/core/pieces/room.rs
@@ -18,20 +18,21 @@
 /// A moving average of the bytes that are released per second.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ReleaseRate {
-    bytes_per_s: f64,
+    /// Bytes per second.
+    rate: f64,
     updated_at: Moment,
 }
 
 impl ReleaseRate {
     /// Adds bytes that were released since the last call.
     pub(super) fn add(&mut self, now: Moment, bytes: u64) {
-        self.bytes_per_s = self.at(now) + bytes as f64 / RATE_WINDOW.as_secs_f64();
+        self.rate = self.at(now) + bytes as f64 / RATE_WINDOW.as_secs_f64();
         self.updated_at = now;
     }
 
     fn at(&self, now: Moment) -> f64 {
         let elapsed = now.since(self.updated_at).as_secs_f64();
-        self.bytes_per_s * (-elapsed / RATE_WINDOW.as_secs_f64()).exp()
+        self.rate * (-elapsed / RATE_WINDOW.as_secs_f64()).exp()
     }
 }
 
--- a/src/limpetmux/core/queue_waits.rs
+++ b/src/limpetmux/core/queue_waits.rs
@@ -1,9 +1,9 @@
 //! Recent queue waits of the stage services, as reported to one entry.
 //!
-//! Every answer of a piece queue states how long a new stage with results of the same size would wait
-//! there. A request is refused
-//! before its first stage if the waits along its stages make it miss its latency objective. So no
-//! service time is wasted on stages of a late request, and the caller learns at once when to retry.
+//! Every answer of a piece queue states how long a new stage with results of the same size would
+//! wait there. A request is refused before its first stage if the waits along its stages make it
+//! miss its latency objective. So no service time is wasted on stages of a late request, and the
+//! caller learns at once when to retry.
 
 use crate::core::time::Moment;
 use std::collections::BTreeMap;
--- a/tests/testsuite/platform/endless_server.rs
+++ b/tests/testsuite/platform/endless_server.rs
@@ -3,15 +3,18 @@
 use super::node_fixture::{Fixture, OwnServer, config, fixture_within};
 use limpetmux::core::answer_limits::AnswerLimits;
 use reqwest::header::{HeaderMap, HeaderValue};
-use reqwest::{Client, RequestBuilder};
+use reqwest::{Client, RequestBuilder, Response};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+/// The time allowed for a configuration to be in force.
+const PATIENCE: Duration = Duration::from_secs(40);
+
 /// A part of what a backend server sends.
 #[derive(Clone, Debug)]
 pub(super) enum Part {
@@ -141,15 +144,28 @@
         let text = config(2, "k1").replace("\"timeout-ms\":2000", "\"timeout-ms\":60000");
         let text = text.replace("\"timeout-ms\":4000", "\"timeout-ms\":60000");
         self.fixture.store.put("keyed.op", "config", &text);
+        let began = Instant::now();
         for n in 0_u64.. {
-            self.post("/once/x", &format!("f{n}"), 60_000).send().await.unwrap();
+            let answer = self.post("/once/x", &format!("f{n}"), 60_000).send().await.unwrap();
             if self.asked().iter().any(|a| a.deadline_ms > 10_000) {
                 return;
             }
+            if began.elapsed() > PATIENCE {
+                self.panic_with_state(answer).await;
+            }
             sleep(Duration::from_millis(20)).await;
         }
     }
 
+    /// Panics with the last answer, the requests at the backend servers and the entry's metrics.
+    async fn panic_with_state(&self, last: Response) -> ! {
+        let (status, text) = (last.status(), last.text().await);
+        let url = format!("http://{}/metrics", self.fixture.entry.metrics_addr);
+        let metrics = reqwest::get(url).await.unwrap().text().await.unwrap();
+        let asked: Vec<_> = self.asked().iter().map(|a| (a.id.clone(), a.deadline_ms)).collect();
+        panic!("the configuration is not in force: {status} {text:?} {asked:?} {metrics}");
+    }
+
     /// Returns how often the entry stopped reading from a backend server at a bound.
     pub(super) async fn stops(&self, bound: &str) -> u64 {
         let url = format!("http://{}/metrics", self.fixture.entry.metrics_addr);
