Find an address before another node's among all loopback addresses

The thread of a test in platform::endless_* used 298 s of processor time. listener_before() bound ports until one came before another node's address in four rendezvous orders at once; for some addresses there is no such port. Shown by a count over the ports that the system gives out: of 1,412 addresses 9 have none before them, and eight tests draw one each, so about one run in twenty does not end.

Change: the loopback addresses are tried in turn at one port, and bound only if they come first. The property that the tests need is the same.

Conclusion: a fault of the test; no process of the product was involved.

--- a/tests/testsuite/platform/endless_nodes.rs
+++ b/tests/testsuite/platform/endless_nodes.rs
@@ -14,7 +14,7 @@
     PullRequest, StageDone, StageRun,
 };
 use std::future::pending;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -152,25 +152,25 @@
 }
 
 /// Binds an address that comes before that of another node for all purposes.
+///
+/// Of all ports of one address none may come before a node whose hashes are high, so the loopback
+/// addresses are tried one after the other.
 async fn listener_before(other: SocketAddr) -> TcpListener {
-    loop {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = listener.local_addr().unwrap();
-        let node = |addr| Node {
-            name: "n".into(),
-            addr,
-            zone: "z".into(),
-            queues_pieces: true,
-            started: 1,
-        };
+    let node =
+        |addr| Node { name: "n".into(), addr, zone: "z".into(), queues_pieces: true, started: 1 };
+    for host in u32::from(Ipv4Addr::LOCALHOST) + 1..u32::from(Ipv4Addr::new(127, 255, 255, 255)) {
+        let addr = SocketAddr::from((Ipv4Addr::from(host), other.port()));
         let mut nodes = Nodes::new(node(other));
         nodes.observe(node(addr), Moment::ZERO);
         let first =
             |p: &&str| nodes.queue_node(Moment::ZERO, p, &[]).is_some_and(|n| n.addr == addr);
-        if PURPOSES.iter().all(first) {
+        if PURPOSES.iter().all(first)
+            && let Ok(listener) = TcpListener::bind(addr).await
+        {
             return listener;
         }
     }
+    panic!("no address comes before {other}");
 }
 
 impl Faulty {
