--- a/src/limpetmux/core/pieces/room.rs
+++ b/src/limpetmux/core/pieces/room.rs
@@ -12,6 +12,9 @@
 
 /// The time over which the rate of released bytes is averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
+/// Waits for room count this many times, as results of incomplete stages hold room as well: without
+/// a margin the queue settles at the wait at which its requests are late.
+const MARGIN: f64 = 1.5;
 /// The longest wait that is reported.
 const MAX_ROOM_WAIT: Duration = Duration::from_secs(60);
 
@@ -54,7 +57,7 @@
         let held: f64 = available().map(|w| w.reserved() as f64).sum();
         let least = held / self.retention().as_secs_f64().max(0.001);
         let rate = self.release_rate.at(now).max(least).max(1.0);
-        let wait = Duration::try_from_secs_f64(missing / rate);
+        let wait = Duration::try_from_secs_f64(missing / rate * MARGIN);
         wait.map_or(MAX_ROOM_WAIT, |w| w.min(MAX_ROOM_WAIT))
     }
 
--- a/src/limpetmux/core/queue_waits.rs
+++ b/src/limpetmux/core/queue_waits.rs
@@ -14,8 +14,6 @@
 const REPORT_EXPIRY: Duration = Duration::from_secs(2);
 /// A request is not refused if its waits add up to at most this.
 const ORDINARY_WAIT: Duration = Duration::from_millis(300);
-/// Waits count with a margin of their length divided by this.
-const WAIT_MARGIN_DIVISOR: u32 = 2;
 /// The longest wait. Longer ones are taken for it, so that sums of waits stay in range.
 const MAX_WAIT: Duration = Duration::from_secs(24 * 3_600);
 
@@ -101,10 +99,8 @@
 /// Returns the time after which a late request should be retried, or `None` if it may start.
 ///
 /// `needed` is the time of the request with all `waits`, `target` its latency objective, both from
-/// now on. Waits are estimates, so they count with a margin: otherwise the queues settle at just
-/// that wait at which every second request is late.
+/// now on.
 pub fn late_retry_delay(needed: Duration, target: Duration, waits: Duration) -> Option<Duration> {
-    let is_late = needed + waits / WAIT_MARGIN_DIVISOR > target;
-    let excess = needed.saturating_sub(target);
-    (is_late && waits > ORDINARY_WAIT).then(|| excess.max(waits / 2))
+    let excess = needed.checked_sub(target)?;
+    (waits > ORDINARY_WAIT).then(|| excess.max(waits / 2))
 }
