Take back the wait for room and the call without a timeout

The logs show two causes. Queue nodes reported waits of 60,000 ms: with no backend server available the wait for room was counted at a rate of one byte a second, and entries refused all streams by it. And an entry kept calling a queue node that reached no backend server of a stage until the end of each request, where it used to try another node after the first.

--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -8,7 +8,6 @@
 
 mod held;
 mod job;
-mod room;
 mod worker;
 
 pub use held::HeldResult;
@@ -18,7 +17,6 @@
 use crate::core::catalog::PieceSpec;
 use crate::core::time::Moment;
 use job::Job;
-use room::ReleaseRate;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,7 +51,6 @@
     jobs: BTreeMap<JobKey, Job>,
     workers: BTreeMap<Arc<str>, Worker>,
     next_key: u64,
-    release_rate: ReleaseRate,
 }
 
 /// Actions that the caller has to perform after a step of the queue.
@@ -72,13 +69,7 @@
 impl PieceQueue {
     /// Creates a queue without backend servers.
     pub fn new(spec: PieceSpec) -> Self {
-        Self {
-            spec,
-            jobs: BTreeMap::new(),
-            workers: BTreeMap::new(),
-            next_key: 0,
-            release_rate: ReleaseRate::default(),
-        }
+        Self { spec, jobs: BTreeMap::new(), workers: BTreeMap::new(), next_key: 0 }
     }
 
     /// Applies a new declaration of the service.
@@ -136,13 +127,8 @@
         }
     }
 
-    /// Returns how long a new stage that is not late waits, with results of `size` bytes.
-    pub fn stage_wait(&self, now: Moment, size: u64) -> Duration {
-        self.call_wait(now).max(self.room_wait(now, size))
-    }
-
-    /// Returns how long a new stage that is not late waits for a call.
-    fn call_wait(&self, now: Moment) -> Duration {
+    /// Returns how long a new stage that is not late waits in the queue.
+    pub fn stage_wait(&self, now: Moment) -> Duration {
         let open = self.jobs.values().filter(|j| !self.rank(now, j).is_late());
         let busy =
             self.workers.values().filter(|w| w.is_available(now)).map(|w| w.busy_for(now)).min();
@@ -173,7 +159,6 @@
         for worker in self.workers.values_mut() {
             worker.expire_results(now);
         }
-        self.record_released(now);
         let retention = self.retention();
         while let Some((id, items)) = self.choose(now) {
             let expected = self.call_time(items.len());
--- a/src/limpetmux/core/pieces/worker.rs
+++ b/src/limpetmux/core/pieces/worker.rs
@@ -23,8 +23,8 @@
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 /// One part in this many of the room is kept free, as result sizes are approximate.
 const ROOM_PARTS: u64 = 14;
-/// Shortest time for which a backend server that ran out of room counts as smaller than declared.
-const MIN_CEILING_TIME: Duration = Duration::from_millis(1_000);
+/// How long the bytes that a backend server held when it ran out of room limit its room.
+const CEILING_TIME: Duration = Duration::from_millis(1_000);
 
 /// The key of a call to a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -130,19 +130,6 @@
     reissued: bool,
 }
 
-/// The limit on the room of a backend server that ran out of it while it seemed to have some.
-///
-/// Results that the node before this one queued take up the rest. They expire within the retention
-/// time after this node's first call, so the limit rises to the declared room until then.
-#[derive(Clone, Copy, Debug)]
-struct Ceiling {
-    /// The bytes of known results that it held.
-    held: u64,
-    at: Moment,
-    /// When it has the declared room again.
-    until: Moment,
-}
-
 /// A backend server with its running call and its results.
 #[derive(Debug)]
 pub(super) struct Worker {
@@ -154,14 +141,11 @@
     pub(super) slowness: f64,
     /// Results that take up room, with their sizes in bytes and when they expire.
     pub(super) results: BTreeMap<Arc<str>, (u64, Moment)>,
-    /// When this node sent its first call to it.
-    first_call: Option<Moment>,
-    /// Bytes of results that were freed or expired since they were last taken.
-    released: u64,
     running: Option<Running>,
     /// Bytes that results of lost calls may take up, with when each expires.
     unconfirmed: Vec<(u64, Moment)>,
-    ceiling: Option<Ceiling>,
+    /// The bytes that it held when it ran out of room, and until when they limit its room.
+    ceiling: Option<(u64, Moment)>,
     paused_until: Moment,
     /// Failed calls in a row.
     failures: u32,
@@ -179,8 +163,6 @@
             replaced: false,
             slowness: 1.0,
             results: BTreeMap::new(),
-            first_call: None,
-            released: 0,
             running: None,
             unconfirmed: Vec::new(),
             ceiling: None,
@@ -225,18 +207,9 @@
 
     /// Returns the bytes that are free for further results, of `declared` bytes in all.
     pub(super) fn room(&self, now: Moment, declared: u64) -> u64 {
+        let ceiling = self.ceiling.filter(|(_, until)| now < *until).map(|(bytes, _)| bytes);
         let usable = declared / ROOM_PARTS * (ROOM_PARTS - 1);
-        self.ceiling(now, usable).saturating_sub(self.reserved())
-    }
-
-    /// Returns the bytes that it can hold, at most `usable`.
-    fn ceiling(&self, now: Moment, usable: u64) -> u64 {
-        let Some(ceiling) = self.ceiling else { return usable };
-        let time = ceiling.until.since(ceiling.at).as_secs_f64();
-        let risen = (now.since(ceiling.at).as_secs_f64() / time).min(1.0);
-        // Former results are young when this node begins, so most of them expire late.
-        let rise = usable.saturating_sub(ceiling.held) as f64 * risen * risen;
-        usable.min(ceiling.held.saturating_add(rise as u64))
+        ceiling.unwrap_or(usable).min(usable).saturating_sub(self.reserved())
     }
 
     /// Returns the time until the running call should end.
@@ -257,7 +230,6 @@
         let running =
             Running { key, items, sizes, sent: now, expected, retention, reissued: false };
         self.running = Some(running);
-        self.first_call.get_or_insert(now);
     }
 
     /// Returns the pieces of the running call, once, if the call is overdue: if it takes longer
@@ -312,23 +284,14 @@
     /// Releases the room of results that were freed.
     pub(super) fn free(&mut self, results: &[Arc<str>]) {
         for result in results {
-            if let Some((size, _)) = self.results.remove(result) {
-                self.released = self.released.saturating_add(size);
-            }
+            self.results.remove(result);
         }
     }
 
-    /// Returns the bytes of results that were freed or expired since the last call.
-    pub(super) fn take_released(&mut self) -> u64 {
-        std::mem::take(&mut self.released)
-    }
-
     /// Releases the room of results that have expired at the backend server.
     pub(super) fn expire_results(&mut self, now: Moment) {
-        let before = self.reserved();
         self.results.retain(|_, (_, until)| *until > now);
         self.unconfirmed.retain(|(_, until)| *until > now);
-        self.released = self.released.saturating_add(before - self.reserved());
         self.lower_slowness(now);
     }
 
@@ -343,9 +306,7 @@
         }
         if outcomes.contains(&PieceOutcome::Failed(PieceError::NoRoom)) {
             self.paused_until = now + FULL_PAUSE;
-            let until = self.first_call.map_or(now, |first| first + running.retention);
-            let until = until.max(now + MIN_CEILING_TIME);
-            self.ceiling = Some(Ceiling { held: self.reserved(), at: now, until });
+            self.ceiling = Some((self.reserved(), now + CEILING_TIME));
         }
         if outcomes.iter().any(|o| matches!(o, PieceOutcome::Completed(_))) {
             self.failures = 0;
--- a/src/limpetmux/core/queue_waits.rs
+++ b/src/limpetmux/core/queue_waits.rs
@@ -1,9 +1,8 @@
 //! Recent queue waits of the stage services, as reported to one entry.
 //!
-//! Every answer of a piece queue states how long a new stage with results of the same size would
-//! wait there. A request is refused before its first stage if the waits along its stages make it
-//! miss its latency objective. So no service time is wasted on stages of a late request, and the
-//! caller learns at once when to retry.
+//! Every answer of a piece queue states how long a new stage would wait there. A request is refused
+//! before its first stage if the waits along its stages make it miss its latency objective. So no
+//! service time is wasted on stages of a late request, and the caller learns at once when to retry.
 
 use crate::core::time::Moment;
 use std::collections::BTreeMap;
@@ -17,7 +16,7 @@
 /// The longest wait. Longer ones are taken for it, so that sums of waits stay in range.
 const MAX_WAIT: Duration = Duration::from_secs(24 * 3_600);
 
-/// The latest report of one service for one size of results.
+/// The latest report of one service.
 #[derive(Clone, Copy, Debug)]
 struct Report {
     /// How long a new stage waits.
@@ -30,25 +29,17 @@
 /// The reported waits, and the pieces that this entry will submit.
 #[derive(Clone, Debug, Default)]
 pub struct QueueWaits {
-    /// By service and size of a result in bytes.
-    reports: BTreeMap<(Arc<str>, u64), Report>,
+    reports: BTreeMap<Arc<str>, Report>,
     /// Pieces that this entry will submit to each service once earlier stages have ended.
     expected: BTreeMap<Arc<str>, usize>,
 }
 
 impl QueueWaits {
-    /// Records how long a new stage with results of `size` bytes waits at a service, and how many
-    /// pieces per second the service completes.
-    pub fn record(
-        &mut self,
-        now: Moment,
-        (service, size): (&Arc<str>, u64),
-        wait: Duration,
-        rate: f64,
-    ) {
+    /// Records how long a new stage waits at a service, and how many pieces per second the service
+    /// completes.
+    pub fn record(&mut self, now: Moment, service: &Arc<str>, wait: Duration, rate: f64) {
         let report = Report { wait: wait.min(MAX_WAIT), rate, received_at: now };
-        self.reports.retain(|_, r| now.since(r.received_at) <= REPORT_EXPIRY);
-        self.reports.insert((Arc::clone(service), size), report);
+        self.reports.insert(Arc::clone(service), report);
     }
 
     /// Adds pieces that this entry will submit to a service.
@@ -64,8 +55,8 @@
     }
 
     /// Returns how long a new stage waits at a service; a reported wait shrinks as time passes.
-    pub fn wait(&self, now: Moment, (service, size): (&Arc<str>, u64)) -> Duration {
-        self.recent(now, (service, size))
+    pub fn wait(&self, now: Moment, service: &str) -> Duration {
+        self.recent(now, service)
             .map_or(Duration::ZERO, |r| r.wait.saturating_sub(now.since(r.received_at)))
     }
 
@@ -76,23 +67,21 @@
     pub fn wait_after(
         &self,
         now: Moment,
-        (service, size): (&Arc<str>, u64),
+        service: &str,
         until: Duration,
         entries: usize,
     ) -> Duration {
-        let wait = self.wait(now, (service, size));
-        let Some(report) = self.recent(now, (service, size)).filter(|r| r.rate > 0.0) else {
-            return wait;
+        let Some(report) = self.recent(now, service).filter(|r| r.rate > 0.0) else {
+            return self.wait(now, service);
         };
         let expected = self.expected.get(service).copied().unwrap_or_default() * entries;
         let backlog = Duration::try_from_secs_f64(expected as f64 / report.rate);
         let backlog = backlog.map_or(MAX_WAIT, |b| b.min(MAX_WAIT));
-        (wait + backlog).saturating_sub(until)
+        (self.wait(now, service) + backlog).saturating_sub(until)
     }
 
-    fn recent(&self, now: Moment, (service, size): (&Arc<str>, u64)) -> Option<&Report> {
-        let report = self.reports.get(&(Arc::clone(service), size));
-        report.filter(|r| now.since(r.received_at) <= REPORT_EXPIRY)
+    fn recent(&self, now: Moment, service: &str) -> Option<&Report> {
+        self.reports.get(service).filter(|r| now.since(r.received_at) <= REPORT_EXPIRY)
     }
 }
 
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -82,9 +82,8 @@
         self.refuse_if_stopping()?;
         let service: Arc<str> = run.service.as_str().into();
         let spec = convert::job(clock::boot(), run);
-        let size = spec.size;
         let end = self.queues.run(&service, spec).await;
-        let mut done = done(end, self.queues.stage_wait(&service, size));
+        let mut done = done(end, self.queues.stage_wait(&service));
         done.rate = self.queues.rate(&service);
         done.tight = self.queues.is_room_short(&service);
         Ok(Response::new(done))
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -5,7 +5,7 @@
 use super::inputs::Inputs;
 use super::node::Shared;
 use super::request::{RoutedRequest, Running};
-use super::stages::{NO_RESULTS, engine_time};
+use super::stages::engine_time;
 use super::stream::{Body, ForwardedBody, Received, STALL_TIME, StreamEnd, StreamHooks};
 use crate::core::answer_limits::AnswerLimits;
 use crate::core::engines::EngineReport;
@@ -243,7 +243,7 @@
         let now = clock::boot();
         let took = now.since(began);
         let wait = took.saturating_sub(engine_time(&routed));
-        shared.queue_waits().record(now, (&routed.service, NO_RESULTS), wait, 0.0);
+        shared.queue_waits().record(now, &routed.service, wait, 0.0);
         if let Some(expected) = expected {
             let request = routed.head.id.as_str().into();
             shared.record_engine_time(EngineReport { server, request, expected, took });
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// How many queue nodes are called for one stage, one after the other.
 const MAX_QUEUE_NODE_CALLS: usize = 4;
@@ -33,8 +33,6 @@
 const ENGINE_START: Duration = Duration::from_millis(60);
 /// The tokens of a prompt that a model engine reads in a millisecond.
 const ENGINE_TOKENS_PER_MS: u32 = 40;
-/// The size of results for which waits at model engines are recorded, as these hold none.
-pub const NO_RESULTS: u64 = 0;
 /// The retry delay for a caller whose stages failed.
 const FAILED_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// The retry delay of a refused caller is at most its remaining time divided by this.
@@ -82,11 +80,11 @@
     let waits: Vec<Duration> = {
         let queue_waits = shared.queue_waits();
         let wait = |(s, start): (&StageSpec, &Duration)| {
-            queue_waits.wait_after(now, (&s.service, s.size), *start, entries)
+            queue_waits.wait_after(now, &s.service, *start, entries)
         };
         route.stages.iter().zip(&starts).map(wait).collect()
     };
-    let engine_wait = shared.queue_waits().wait(now, (&routed.service, NO_RESULTS));
+    let engine_wait = shared.queue_waits().wait(now, &routed.service);
     let stage_time = chain::chain_time(route, times, &waits);
     let needed = stage_time + engine + engine_wait;
     let no_waits = vec![Duration::ZERO; waits.len()];
@@ -159,12 +157,11 @@
         let left = routed.time_left();
         let mut run = run.clone();
         run.left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        let answer = call_queue_node(shared, addr, run).await;
+        let answer = call_queue_node(shared, addr, run, left).await;
         if let Ok(done) = &answer {
             let wait = Duration::from_millis(done.wait_ms);
-            let spec = &routed.route().stages[stage];
-            let key = (&spec.service, spec.size);
-            shared.queue_waits().record(clock::boot(), key, wait, done.rate);
+            let service = &routed.route().stages[stage].service;
+            shared.queue_waits().record(clock::boot(), service, wait, done.rate);
         }
         match answer {
             Ok(done) if done.outcome() == Outcome::Unavailable => {}
@@ -227,15 +224,15 @@
     shared.nodes().queue_node(clock::boot(), service, except).map(|n| n.addr)
 }
 
-/// Calls a queue node for as long as the request lasts.
-///
-/// The call has no timeout of its own: the end of the request's deadline says nothing about the
-/// queue node. Keep-alive pings end the call if the node is silent.
 async fn call_queue_node(
     shared: &Shared,
     addr: SocketAddr,
     run: StageRun,
+    left: Duration,
 ) -> Result<StageDone, tonic::Status> {
-    let done = shared.peers.client(addr)?.run(run).await;
-    done.map(tonic::Response::into_inner)
+    let call = async { shared.peers.client(addr)?.run(run).await };
+    match timeout(left, call).await {
+        Ok(done) => done.map(tonic::Response::into_inner),
+        Err(_) => Err(tonic::Status::deadline_exceeded("no answer in time")),
+    }
 }
--- a/src/limpetmux/stage_queues/mod.rs
+++ b/src/limpetmux/stage_queues/mod.rs
@@ -100,11 +100,9 @@
         Ok((key, queue.pieces.step(now)))
     }
 
-    /// Returns the queueing time of a new stage of a service with results of `size` bytes.
-    pub fn stage_wait(&self, service: &str, size: u64) -> Duration {
-        let queues = self.lock();
-        let queue = queues.get(service);
-        queue.map_or(Duration::ZERO, |q| q.pieces.stage_wait(clock::boot(), size))
+    /// Returns the queueing time of a new stage of a service.
+    pub fn stage_wait(&self, service: &str) -> Duration {
+        self.lock().get(service).map_or(Duration::ZERO, |q| q.pieces.stage_wait(clock::boot()))
     }
 
     /// Returns how many pieces per second a service computes.
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -297,10 +297,10 @@
     let Ok(done) = fleet::StageDone::decode(bytes) else { return };
     assert!(done.results.len() <= bytes.len());
     let (mut waits, service) = (QueueWaits::default(), Arc::from("first"));
-    waits.record(NOW, (&service, 8), Duration::from_millis(done.wait_ms), done.rate);
+    waits.record(NOW, &service, Duration::from_millis(done.wait_ms), done.rate);
     waits.add_expected(&service, 30_000);
-    let wait = waits.wait(NOW, (&service, 8));
-    let later = waits.wait_after(NOW, (&service, 8), Duration::ZERO, 100);
+    let wait = waits.wait(NOW, &service);
+    let later = waits.wait_after(NOW, &service, Duration::ZERO, 100);
     // The waits of all stages of a request are added up.
     assert!((wait + later) * 1_000 >= wait);
 }
--- a/tests/testsuite/decoders/stage_messages.rs
+++ b/tests/testsuite/decoders/stage_messages.rs
@@ -45,8 +45,7 @@
 /// Uses everything that a queue states about itself.
 fn check_state(queue: &PieceQueue) {
     let _ = queue.is_room_short(NOW);
-    let _ = queue.stage_wait(NOW, 1) * 1_000;
-    let _ = queue.stage_wait(NOW, u64::MAX) * 1_000;
+    let _ = queue.stage_wait(NOW) * 1_000;
     assert!(queue.rate(NOW) >= 0.0);
     let held = queue.held_results(NOW);
     let _ = views::decode_held(views::encode_held("first", held));
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -33,7 +33,6 @@
 mod queue_waits;
 mod resent;
 mod retry_share;
-mod room_short;
 mod soak;
 mod stage_calls;
 mod store_answers;
--- a/tests/testsuite/platform/pieces.rs
+++ b/tests/testsuite/platform/pieces.rs
@@ -32,14 +32,14 @@
     }
 }
 
-pub(super) fn queue(workers: &[(&str, &str)]) -> PieceQueue {
+fn queue(workers: &[(&str, &str)]) -> PieceQueue {
     let mut queue = PieceQueue::new(piece_spec());
     queue.set_workers(workers.iter().map(|(id, zone)| worker(id, zone)).collect());
     queue
 }
 
 /// A stage of `pieces` pieces that is due 2 s and has its deadline 6 s after `now`.
-pub(super) fn job(now: Moment, request: &str, pieces: usize) -> JobSpec {
+fn job(now: Moment, request: &str, pieces: usize) -> JobSpec {
     JobSpec {
         request: request.into(),
         stage: 0,
@@ -56,7 +56,7 @@
 }
 
 /// Returns an answer to a call with a result for each piece.
-pub(super) fn completed(call: &Call) -> CallEnd {
+fn completed(call: &Call) -> CallEnd {
     let name = |(n, item): (usize, _)| {
         let item: &limpetmux::core::pieces::CallItem = item;
         PieceOutcome::Completed(format!("{}/{}-{n}", call.addr, item.request).into())
