--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -26,6 +26,7 @@
 pub mod pieces;
 pub mod placement;
 pub mod planner;
+pub mod prompt_part;
 pub mod queue_waits;
 pub mod read_limits;
 pub mod refusal;
--- a/src/limpetmux/platform/caller.rs
+++ b/src/limpetmux/platform/caller.rs
@@ -2,6 +2,7 @@
 
 use super::names;
 use crate::core::engines::PromptPart;
+use crate::core::prompt_part::PartId;
 use crate::util::hash::hash_parts;
 use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
@@ -35,6 +36,8 @@
     pub api_key: Option<String>,
     /// The parts of the prompt in order; the last one is not shared with other prompts.
     pub prompt_parts: Vec<PromptPart>,
+    /// The names of the parts that other prompts may share: all but the last one.
+    pub shared_parts: Vec<PartId>,
     /// The number of tokens of the prompt.
     pub prompt_tokens: u32,
     /// The number of pieces of each stage.
@@ -99,7 +102,7 @@
     if !target.starts_with('/') {
         return Err(BadRequest::Path);
     }
-    let prompt = single(headers, &names::PROMPT_PARTS).map(prompt_parts).unwrap_or_default();
+    let prompt = single(headers, &names::PROMPT_PARTS);
     let pieces = match headers.contains_key(&names::PIECES) {
         true => pieces(single(headers, &names::PIECES))?,
         false => Vec::new(),
@@ -112,7 +115,8 @@
         method: parts.method.clone(),
         deadline: deadline(headers)?,
         api_key: key(headers),
-        prompt_parts: prompt,
+        prompt_parts: prompt.map(prompt_parts).unwrap_or_default(),
+        shared_parts: prompt.map(shared_parts).unwrap_or_default(),
         prompt_tokens: single(headers, &names::TOKENS).map_or(0, prompt_tokens),
         pieces,
         piece_key: single(headers, &names::PIECE_KEY).unwrap_or_default().to_owned(),
@@ -159,6 +163,14 @@
     parts
 }
 
+/// Parses the names of all parts of a prompt but the last.
+fn shared_parts(text: &str) -> Vec<PartId> {
+    let (shared, _) = text.rsplit_once(',').unwrap_or_default();
+    let name = |part: &str| part.split(':').next().unwrap_or_default().trim().to_owned();
+    let names = shared.split(',').map(name).filter(|name| !name.is_empty());
+    names.map(|name| PartId::named(&name)).collect()
+}
+
 fn prompt_tokens(text: &str) -> u32 {
     text.split(',').next().and_then(|t| t.trim().parse().ok()).unwrap_or_default()
 }
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at a request at one backend server, and the transfer of its answer to the caller.
 
 use super::connections::{ActiveConnection, ConnectionError};
+use super::ended::{self, BrokenRequest};
 use super::head_watch::HeadWatch;
 use super::inputs::Inputs;
 use super::node::Shared;
@@ -11,6 +12,7 @@
 use crate::core::engines::EngineReport;
 use crate::core::listing::Server;
 use crate::core::placement::PlaceEnd;
+use crate::core::prompt_part;
 use crate::core::read_limits::{Exceeded, Peer};
 use crate::core::time::Moment;
 use crate::event;
@@ -23,6 +25,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,6 +37,7 @@
     pub(super) shared: Arc<Shared>,
     pub(super) routed: Arc<RoutedRequest>,
     server: Arc<str>,
+    addr: SocketAddr,
     pub(super) began: Moment,
     /// The limits on the answer.
     pub(super) limits: AnswerLimits,
@@ -54,11 +58,12 @@
         server: &Server,
         began: Moment,
     ) -> Self {
-        let server = Arc::clone(&server.id);
+        let (server, addr) = (Arc::clone(&server.id), server.addr);
         Self {
             shared: Arc::clone(shared),
             routed: Arc::clone(routed),
             server,
+            addr,
             began,
             limits: shared.settings().answers,
             watch: HeadWatch::default(),
@@ -117,6 +122,10 @@
             ConnectionError::Unreadable(_) | ConnectionError::Informational => {
                 self.end(PlaceEnd::Failed);
             }
+            ConnectionError::Broken(_) => {
+                self.examine_server(0);
+                self.end(PlaceEnd::Broken);
+            }
             _ => self.end(PlaceEnd::Broken),
         }
         if let Some(exceeded) = error.exceeded(Peer::BackendServer) {
@@ -130,6 +139,19 @@
         self.fail(&exceeded.to_string());
     }
 
+    /// Finds out whether the backend server has ended, after its answer broke off behind some events.
+    pub(super) fn examine_server(&self, events: u64) {
+        if self.routed.head.shared_parts.is_empty() {
+            return;
+        }
+        let request = BrokenRequest {
+            id: self.routed.head.id.as_str().into(),
+            parts: self.routed.head.shared_parts.clone(),
+            events,
+        };
+        ended::examine(&self.shared, &self.server, self.addr, request);
+    }
+
     /// Logs and counts that reading from the backend server stopped.
     pub fn record_stop(&self, exceeded: Exceeded) {
         read_stop::record(&self.shared.metrics, exceeded, &self.server);
@@ -193,7 +215,7 @@
             head_ms = self.head_at.since(self.began).as_millis(),
             first_ms = first_latency.as_millis(),
             expected_ms = self.expected.unwrap_or_default().as_millis(),
-            prefix = self.routed.head.prefix().unwrap_or_default(),
+            parts = prompt_part::list(&self.routed.head.shared_parts),
             tokens = self.routed.head.prompt_tokens,
             framing = framing,
             bytes = received.bytes,
@@ -280,7 +302,10 @@
         StreamEnd::Broken | StreamEnd::Truncated | StreamEnd::Exceeded(_) => {
             match end {
                 StreamEnd::Exceeded(exceeded) => attempt.stop_reading(exceeded),
-                _ => attempt.fail("the answer ended early"),
+                _ => {
+                    attempt.examine_server(received.events.events());
+                    attempt.fail("the answer ended early");
+                }
             }
             event!(
                 EventCode::RequestFailed,
--- a/src/limpetmux/serve/connections.rs
+++ b/src/limpetmux/serve/connections.rs
@@ -20,6 +20,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use strum::IntoStaticStr;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
@@ -250,6 +251,27 @@
     }
 }
 
+/// What an attempt to connect shows about a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Listener {
+    /// It accepts connections.
+    Present,
+    /// Its host refuses connections to its address, so its process has ended.
+    Absent,
+    /// There was no answer in time, or none that shows either.
+    Unknown,
+}
+
+/// Finds out whether a backend server accepts connections, by one that carries no request.
+pub async fn find_listener(addr: SocketAddr) -> Listener {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+        Ok(Ok(_)) => Listener::Present,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Listener::Absent,
+        Ok(Err(_)) | Err(_) => Listener::Unknown,
+    }
+}
+
 async fn connect(addr: SocketAddr) -> Result<Connection, ConnectionError> {
     let timed_out = || std::io::Error::from(std::io::ErrorKind::TimedOut);
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of one node share.
 
 use super::connections::ConnectionPool;
+use super::ended::Examined;
 use super::front::caller_connections;
 use super::settings::NodeSettings;
 use crate::adapters::admission::ConnectionBounds;
@@ -86,6 +87,8 @@
     queue_waits: Mutex<QueueWaits>,
     /// Engine times measured since the last call to a queue node.
     engine_times: Mutex<Vec<EngineReport>>,
+    /// The backend servers that are being examined because answers of them broke off.
+    pub(super) examined: Examined,
 }
 
 impl Shared {
@@ -112,6 +115,7 @@
             nodes: Mutex::new(Nodes::new(local_node.clone())),
             queue_waits: Mutex::default(),
             engine_times: Mutex::default(),
+            examined: Examined::default(),
             local_node,
             placement: Mutex::new(Placement::new()),
             retry_share: Mutex::new(RetryShare::new(settings.bounds.retry_limit)),
--- a/src/limpetmux/serve/plain.rs
+++ b/src/limpetmux/serve/plain.rs
@@ -55,7 +55,10 @@
             attempt.count_answer(&received, end);
             match end {
                 StreamEnd::Exceeded(exceeded) => attempt.stop_reading(exceeded),
-                _ => attempt.fail(&error.to_string()),
+                _ => {
+                    attempt.examine_server(received.events.events());
+                    attempt.fail(&error.to_string());
+                }
             }
             SendOutcome::Lost
         }
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -181,6 +181,11 @@
     /// Reading from a peer was stopped because it exceeded a limit of bytes or of time.
     #[strum(props(level = "warn"))]
     ReadStopped = 610,
+    /// A backend server has ended while a request ran there.
+    #[strum(props(level = "warn"))]
+    ServerEnded = 611,
+    /// A backend server broke off an answer and still accepts connections, or cannot be reached.
+    AnswerBroken = 612,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/tests/testsuite/platform/adapter.rs
+++ b/tests/testsuite/platform/adapter.rs
@@ -5,6 +5,7 @@
 use hyper::http::request::Parts;
 use limpetmux::core::answer_proof::AnswerOwner;
 use limpetmux::core::pieces::{CallEnd, CallItem, PieceError, PieceOutcome, Source};
+use limpetmux::core::prompt_part::PartId;
 use limpetmux::platform::boot::{self, BootError};
 use limpetmux::platform::caller::{BadRequest, decode};
 use limpetmux::platform::store::Record;
@@ -236,3 +237,21 @@
     assert_eq!(stage::holder("10.1.0.9:80/a"), Some("10.1.0.9:80".parse().unwrap()));
     assert_eq!(stage::holder("nowhere"), None);
 }
+
+#[test]
+fn shared_parts_are_named_alike_wherever_they_stand_in_a_prompt() {
+    // Guards against evidence about a part that is collected under several names.
+    let parse = |text: &'static str| {
+        let request = Request::post("/x")
+            .header("host", "a.example")
+            .header("x-limpetmux-request-id", "1f")
+            .header("x-limpetmux-prompt-prefix", text);
+        decode(&request.body(()).unwrap().into_parts().0).unwrap().shared_parts
+    };
+
+    let (first, later) = (parse("5c1e07a2:800,91bd:410,e4:250"), parse("7:1, 5c1e07a2:9,e4:250"));
+
+    assert_eq!(first, [PartId::new(0x5c1e_07a2), PartId::new(0x91bd)]);
+    assert_eq!(later, [PartId::new(7), PartId::new(0x5c1e_07a2)]);
+    assert_eq!(parse("e4:250"), []);
+}
