--- a/crates/limpetmux-standins/src/users/connection.rs
+++ b/crates/limpetmux-standins/src/users/connection.rs
@@ -7,7 +7,7 @@
 use super::server::{STREAM_EVENTS, SharedState, lock, reply};
 use crate::raw::read_request;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, BufReader};
@@ -28,26 +28,45 @@
     Reset,
 }
 
-/// Serves the connections to a port that the system chooses, until the runtime ends.
-pub(super) async fn serve(state: SharedState) -> std::io::Result<SocketAddr> {
-    listen(move |stream| {
-        let state = Arc::clone(&state);
-        async move { serve_connection(stream, &state).await }
+/// The loopback address with a port that the system chooses.
+pub(super) const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Serves the connections to an address until the backend server or the runtime ends.
+pub(super) async fn serve(state: SharedState, addr: SocketAddr) -> std::io::Result<SocketAddr> {
+    let served = lock(&state).ended.subscribe();
+    let mut ended = served.clone();
+    let end = async move { drop(ended.wait_for(|ended| *ended).await) };
+    listen(addr, end, move |stream| {
+        let (state, mut ended) = (Arc::clone(&state), served.clone());
+        async move {
+            tokio::select! {
+                served = serve_connection(stream, &state) => served,
+                _ = ended.wait_for(|ended| *ended) => Ok(()),
+            }
+        }
     })
     .await
 }
 
-/// Serves the connections to a port that the system chooses, until the runtime ends.
+/// Serves the connections to an address until `end` completes or the runtime ends.
 pub(super) async fn listen<F>(
+    addr: SocketAddr,
+    end: impl Future<Output = ()> + Send + 'static,
     serve: impl Fn(TcpStream) -> F + Send + 'static,
 ) -> std::io::Result<SocketAddr>
 where
     F: Future<Output = std::io::Result<()>> + Send + 'static,
 {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let listener = TcpListener::bind(addr).await?;
     let addr = listener.local_addr()?;
     tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
+        let mut end = std::pin::pin!(end);
+        loop {
+            let stream = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = end.as_mut() => return,
+            };
+            let Ok((stream, _)) = stream else { return };
             let served = serve(stream);
             tokio::spawn(async move {
                 match served.await {
@@ -127,6 +146,11 @@
         Content::Whole(body) => [&head[..], body].concat(),
         Content::Events => {
             stream.write_all(&head).await?;
+            if reply.crashes {
+                sleep(reply.work).await;
+                lock(state).ended.send_replace(true);
+                return Ok(Next::Reset);
+            }
             send_events(stream, reply).await?
         }
     };
--- a/crates/limpetmux-standins/src/users/reply.rs
+++ b/crates/limpetmux-standins/src/users/reply.rs
@@ -30,6 +30,8 @@
     pub(super) signed: bool,
     /// Whether it states that the request did not run.
     pub(super) unrun: bool,
+    /// Whether the backend server ends when it begins the body.
+    pub(super) crashes: bool,
     /// The further answer to the same request, if the fault sends one.
     pub(super) further: Vec<u8>,
 }
@@ -46,6 +48,7 @@
             status,
             signed: false,
             unrun: true,
+            crashes: false,
             further: Vec::new(),
         }
     }
--- a/crates/limpetmux-standins/src/users/server.rs
+++ b/crates/limpetmux-standins/src/users/server.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// The prefix of paths that are answered by a stream of events.
@@ -55,6 +56,10 @@
     pub(super) answers: SharedAnswers,
     /// The processing time of each request, or of each event of a stream.
     work: Duration,
+    /// The part of a prompt that ends the backend server when it begins to answer.
+    crash_part: Option<String>,
+    /// Whether its process has ended.
+    pub(super) ended: watch::Sender<bool>,
 }
 
 /// A backend server of the users, which serves plain requests, streams and stages.
@@ -78,7 +83,7 @@
     pub async fn start(id: &str) -> std::io::Result<Self> {
         let state = ServerState { id: id.to_owned(), ..ServerState::default() };
         let state = Arc::new(Mutex::new(state));
-        Ok(Self { addr: connection::serve(Arc::clone(&state)).await?, state })
+        Ok(Self { addr: connection::serve(Arc::clone(&state), connection::ANY).await?, state })
     }
 
     /// Returns the record that lists it in the store.
@@ -93,6 +98,35 @@
         self.lock().fault = fault;
     }
 
+    /// Sets the part of a prompt that ends the backend server when it begins to answer a request with
+    /// it; the last part of a prompt never does.
+    pub fn set_crash_part(&self, part: &str) {
+        self.lock().crash_part = Some(part.to_owned());
+    }
+
+    /// Ends the backend server: its connections close, and its address refuses new ones.
+    pub fn crash(&self) {
+        self.lock().ended.send_replace(true);
+    }
+
+    /// Returns whether the backend server has ended.
+    pub fn has_ended(&self) -> bool {
+        *self.lock().ended.borrow()
+    }
+
+    /// Starts the backend server again at its address, under another id.
+    ///
+    /// # Errors
+    /// Returns an error if the address cannot be bound.
+    pub async fn restart(&self, id: &str) -> std::io::Result<()> {
+        {
+            let mut state = self.lock();
+            state.id = id.to_owned();
+            state.ended = watch::Sender::new(false);
+        }
+        connection::serve(Arc::clone(&self.state), self.addr).await.map(drop)
+    }
+
     /// Sets the processing time of each request, or of each event of a stream.
     pub fn set_work_time(&self, work: Duration) {
         self.lock().work = work;
@@ -153,6 +187,7 @@
     }
     let status = fault.run_status();
     let streams = request.path.starts_with(STREAMS) && status == 200;
+    let prompt = request.header("x-limpetmux-prompt-prefix").to_owned();
     state.requests.push(request);
     let body = event(1, &server, &id).into_bytes();
     let further = match fault {
@@ -164,7 +199,15 @@
     };
     let content = if streams { Content::Events } else { Content::Whole(body) };
     let work = state.work;
-    Reply { fault, work, content, server, id, status, signed: true, unrun: false, further }
+    let crashes =
+        streams && state.crash_part.as_deref().is_some_and(|part| has_part(&prompt, part));
+    Reply { fault, work, content, server, id, status, signed: true, unrun: false, crashes, further }
+}
+
+/// Returns whether a part of a prompt, other than the last, has a name.
+fn has_part(prompt: &str, name: &str) -> bool {
+    let (shared, _) = prompt.rsplit_once(',').unwrap_or_default();
+    shared.split(',').any(|part| part.split(':').next() == Some(name))
 }
 
 fn received(message: Message, fault: UsersFault) -> ReceivedRequest {
--- a/crates/limpetmux-standins/src/users/stages.rs
+++ b/crates/limpetmux-standins/src/users/stages.rs
@@ -82,6 +82,7 @@
         status: 200,
         signed: false,
         unrun: false,
+        crashes: false,
         further: Vec::new(),
     }
 }
--- a/crates/limpetmux-standins/src/users/store.rs
+++ b/crates/limpetmux-standins/src/users/store.rs
@@ -1,7 +1,7 @@
 //! The platform's store: keyed topics, which the operator and backend servers write.
 
 use super::bytes::{self, BadBytes, Played, SharedAnswers, lock_answers};
-use super::connection::listen;
+use super::connection::{ANY, listen};
 use crate::raw::{Message, read_request};
 use poem::endpoint::BoxEndpoint;
 use poem::http::{Method, StatusCode};
@@ -79,7 +79,7 @@
             let (routes, topics) = (Arc::clone(&routes), Arc::clone(&shared));
             async move { serve_connection(stream, &routes, &topics).await }
         };
-        Ok(Self { addr: listen(serve).await?, topics })
+        Ok(Self { addr: listen(ANY, std::future::pending(), serve).await?, topics })
     }
 
     /// Writes the newest record of a key, as the operator or a backend server does.
