--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -27,6 +27,7 @@
 pub mod placement;
 pub mod planner;
 pub mod prompt_part;
+pub mod quarantine;
 pub mod queue_waits;
 pub mod read_limits;
 pub mod refusal;
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -95,6 +95,7 @@
         listing_end: view.listing.end_offset,
         config_at: view.orders.config.as_ref().map_or(0, |d| d.offset),
         wait_ms: millis(wait),
+        ..PullRequest::default()
     }
 }
 
@@ -106,6 +107,8 @@
         listing_end: u64::MAX,
         config_at: u64::MAX,
         wait_ms: 0,
+        evidence_seen: u64::MAX,
+        evidence: None,
     }
 }
 
@@ -140,6 +143,7 @@
             servers: view.listing.changes(from).map(record).collect(),
         }),
         held_ms: millis(now.since(arrived)),
+        ..PullReply::default()
     }
 }
 
--- a/src/limpetmux/fleet/follow/discover.rs
+++ b/src/limpetmux/fleet/follow/discover.rs
@@ -4,7 +4,7 @@
 use crate::core::nodes::Node;
 use crate::event;
 use crate::fleet::convert;
-use crate::platform::store::NODES_TOPIC;
+use crate::platform::store::{self, NODES_TOPIC};
 use crate::util::clock;
 use crate::util::event::EventCode;
 use rand::seq::SliceRandom;
@@ -81,9 +81,12 @@
         self.record_stop(NODES_TOPIC, &result);
         match result {
             Ok(page) => {
+                self.candidates_read.store(true, Ordering::Relaxed);
+                self.merge_verdicts(&page);
                 let found: Vec<Node> = page
                     .records
                     .iter()
+                    .filter(|r| !store::is_verdict(&r.key))
                     .filter_map(|r| convert::decode_node_record(&r.value))
                     .collect();
                 let mut nodes = self.shared.nodes();
--- /dev/null
+++ b/src/limpetmux/fleet/follow/evidence.rs
@@ -0,0 +1,152 @@
+//! Exchange of evidence about parts of prompts that crash backend servers.
+//!
+//! A pull tells the called node what it lacks of the caller's evidence, and the reply the opposite.
+//! As all nodes pull from one, evidence reaches all of them within two pulls, and at once where the
+//! called node holds a pull. Verdicts are also preserved in the store, as all processes may stop at
+//! the same time.
+
+use super::pull::PULL_WAIT;
+use super::{Follower, READERS};
+use crate::core::quarantine::{Evidence, HoldRecord};
+use crate::event;
+use crate::fleet::evidence;
+use crate::platform::store::{NODES_TOPIC, Page, StoreError, is_verdict, verdict_key};
+use crate::serve::quarantine::is_same_process;
+use crate::util::clock;
+use crate::util::event::EventCode;
+use crate::wire::fleet::{PullReply, PullRequest};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// The time between two checks for verdicts that the store lacks, besides those after a change.
+const PRESERVE_INTERVAL: Duration = Duration::from_secs(5);
+/// The time after which a verdict that the store did not accept is written again.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// The most nodes whose exchanges are remembered; all are forgotten when there is one more.
+const MAX_EXCHANGES: usize = 1_024;
+
+/// Up to which versions this node and another one know each other's evidence.
+#[derive(Clone, Copy, Debug, Default)]
+struct Exchange {
+    /// The version of this node's evidence that the other one has.
+    told: u64,
+    /// The version of the other one's evidence that this node has.
+    seen: u64,
+}
+
+/// The exchanges with all nodes that this one has pulled from.
+#[derive(Debug, Default)]
+pub(super) struct Exchanges(Mutex<BTreeMap<SocketAddr, Exchange>>);
+
+impl Exchanges {
+    fn get(&self, addr: SocketAddr) -> Exchange {
+        let exchanges = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        exchanges.get(&addr).copied().unwrap_or_default()
+    }
+
+    /// Records a pull that told evidence up to one version and got it up to another.
+    pub(super) fn record(&self, addr: SocketAddr, told: u64, seen: u64) {
+        let mut exchanges = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if exchanges.len() >= MAX_EXCHANGES && !exchanges.contains_key(&addr) {
+            exchanges.clear();
+        }
+        let exchange = exchanges.entry(addr).or_default();
+        // A process that has started since the last pull has lost what it was told before.
+        let kept = exchange.seen == 0 || is_same_process(exchange.seen, seen);
+        *exchange = Exchange { told: if kept { told } else { 0 }, seen };
+    }
+}
+
+impl Follower {
+    /// Adds the evidence that the called node lacks to a pull; returns also its version.
+    pub(super) fn with_evidence(
+        &self,
+        addr: SocketAddr,
+        request: PullRequest,
+    ) -> (PullRequest, u64) {
+        let Exchange { told, seen } = self.exchanged.get(addr);
+        let (evidence, version) = self.shared.quarantine.evidence_since(told);
+        let evidence = evidence::encode(evidence);
+        (PullRequest { evidence_seen: seen, evidence, ..request }, version)
+    }
+
+    /// Adds the evidence in a reply to this node's.
+    pub(super) fn merge_evidence(&self, reply: &PullReply) {
+        if let Some(evidence) = reply.evidence.clone() {
+            self.shared.quarantine.merge(&self.shared.metrics, evidence::decode(evidence));
+        }
+    }
+
+    /// Pulls from a node that may hold the pull; new evidence of this node ends the wait and is told
+    /// at once. Returns whether the view in the reply was fresh.
+    pub(super) async fn pull_or_tell(&self, addr: SocketAddr) -> bool {
+        let told = self.exchanged.get(addr).told;
+        let mut versions = self.shared.quarantine.versions();
+        let has_news = async {
+            let is_told = versions.wait_for(|version| *version > told).await.is_err();
+            if is_told {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            biased;
+            fresh = self.pull(addr, PULL_WAIT) => return fresh,
+            () = has_news => {}
+        }
+        self.pull(addr, Duration::ZERO).await
+    }
+
+    /// Adds the verdicts of a page of the product's own topic.
+    pub(super) fn merge_verdicts(&self, page: &Page) {
+        let records = page.records.iter().filter(|r| is_verdict(&r.key));
+        let holds = records.filter_map(|r| evidence::decode_record(&r.value)).collect();
+        let evidence = Evidence { crashes: Vec::new(), holds };
+        self.shared.quarantine.merge(&self.shared.metrics, evidence);
+    }
+
+    /// Writes verdicts into the store whenever they change, as long as this node reads it for all.
+    pub(super) async fn preserve_verdicts(&self) {
+        let mut preserved: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+        let mut versions = self.shared.quarantine.versions();
+        let mut interval = PRESERVE_INTERVAL;
+        loop {
+            let changed = timeout(interval, versions.changed()).await;
+            if matches!(changed, Ok(Err(_))) {
+                return;
+            }
+            interval = PRESERVE_INTERVAL;
+            if !self.is_reader_of_all() {
+                continue;
+            }
+            let (evidence, _) = self.shared.quarantine.evidence_since(0);
+            for hold in evidence.holds {
+                let (key, state) = (verdict_key(hold.part), (hold.turn, hold.trials));
+                if preserved.get(&key) == Some(&state) {
+                    continue;
+                }
+                if let Err(error) = self.preserve(&key, hold).await {
+                    event!(EventCode::VerdictUnsaved, key = key, reason = error);
+                    interval = RETRY_INTERVAL;
+                    sleep(RETRY_INTERVAL).await;
+                    break;
+                }
+                preserved.insert(key, state);
+            }
+        }
+    }
+
+    async fn preserve(&self, key: &str, hold: HoldRecord) -> Result<(), StoreError> {
+        let result = self.store.put(NODES_TOPIC, key, &evidence::encode_record(hold)).await;
+        self.record_stop(NODES_TOPIC, &result);
+        result
+    }
+
+    fn is_reader_of_all(&self) -> bool {
+        let nodes = self.shared.nodes();
+        let order = nodes.order(clock::boot(), READERS);
+        self.shared.has_discovered() && order.first().is_some_and(|n| n.addr == nodes.local().addr)
+    }
+}
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! Three loops run on the control thread: one for the operator's records, one for the backend
 //! servers and one for other nodes. Each of them updates the one view of the process, which the
-//! traffic threads read.
+//! traffic threads read. `pull` asks other nodes, and
+//! `evidence` exchanges with them what they know of prompts that crash backend servers.
 
 mod discover;
+mod evidence;
+mod pull;
 mod stops;
 
-use super::convert;
 use crate::core::listing::ListRecord;
 use crate::core::operator::Order;
 use crate::core::time::Moment;
@@ -18,13 +20,12 @@
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
 use crate::util::event::EventCode;
-use crate::wire::fleet::PullReply;
+use evidence::Exchanges;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// The age of the operator's records above which a node reads them itself. It exceeds the sum of
 /// two holds at the store and one at another node.
@@ -35,10 +36,6 @@
 const ORDERS_WAIT: Duration = Duration::from_millis(600);
 /// The time between two reads of the backend servers.
 const LISTING_INTERVAL: Duration = Duration::from_millis(500);
-/// How long another node may hold a pull until it has changes.
-const PULL_WAIT: Duration = Duration::from_millis(600);
-/// The time allowed for a pull in addition to [`PULL_WAIT`].
-const PULL_TIMEOUT: Duration = Duration::from_millis(700);
 /// The time between two checks whether the node has to read the store.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Half the backoff after a first failed call; the backoff doubles with each further failure.
@@ -47,10 +44,8 @@
 const MAX_DOUBLINGS: u32 = 4;
 /// The least time between two turns of pulls.
 const PULL_INTERVAL: Duration = Duration::from_millis(50);
-/// The turns between two pulls from an arbitrary known address, by which nodes that have lost
-/// contact merge again.
-const MERGE_TURNS: usize = 8;
-/// The turns after which a node that knows no other node reads addresses from the store again.
+/// The turns after which a node that knows no other node, or could not read the product's own topic
+/// before, reads that topic again.
 const CANDIDATE_TURNS: usize = 16;
 /// The purpose that is hashed into the order in which nodes read the store; all nodes must agree on
 /// it.
@@ -64,18 +59,34 @@
     publisher: Publisher<StoreView>,
     /// Whether the store answered the last call.
     reachable: AtomicBool,
+    exchanged: Exchanges,
+    /// Whether the product's own topic has been read.
+    candidates_read: AtomicBool,
 }
 
 impl Follower {
     /// Creates a follower with an empty view.
     pub fn new(shared: Arc<Shared>, store: Store, publisher: Publisher<StoreView>) -> Arc<Self> {
         let view = Mutex::new(StoreView::default());
-        Arc::new(Self { shared, store, view, publisher, reachable: AtomicBool::new(true) })
+        Arc::new(Self {
+            shared,
+            store,
+            view,
+            publisher,
+            reachable: AtomicBool::new(true),
+            exchanged: Exchanges::default(),
+            candidates_read: AtomicBool::new(false),
+        })
     }
 
     /// Follows the store until the process exits.
     pub async fn run(self: Arc<Self>) {
-        tokio::join!(self.follow_orders(), self.follow_listing(), self.follow_nodes());
+        tokio::join!(
+            self.follow_orders(),
+            self.follow_listing(),
+            self.follow_nodes(),
+            self.preserve_verdicts()
+        );
     }
 
     async fn follow_orders(&self) {
@@ -224,12 +235,15 @@
                 self.pull(addr, Duration::ZERO).await;
             }
             for addr in sources {
-                if self.pull(addr, PULL_WAIT).await {
+                if self.pull_or_tell(addr).await {
                     break;
                 }
             }
+            self.shared.quarantine.weigh(&self.shared.metrics);
             turn += 1;
-            if turn.is_multiple_of(CANDIDATE_TURNS) && self.is_alone() {
+            if turn.is_multiple_of(CANDIDATE_TURNS)
+                && (self.is_alone() || !self.candidates_read.load(Ordering::Relaxed))
+            {
                 self.read_candidates().await;
             }
             let took = clock::boot().since(began);
@@ -238,94 +252,6 @@
         }
     }
 
-    /// Returns the nodes to pull from in this turn, in order of preference.
-    fn sources(&self, turn: usize) -> Vec<SocketAddr> {
-        let now = clock::boot();
-        let stale = self.with_view(|v| v.orders.age(now) > ORDERS_STALE);
-        let nodes = self.shared.nodes();
-        let local_addr = nodes.local().addr;
-        let order: Vec<SocketAddr> = nodes.order(now, READERS).iter().map(|n| n.addr).collect();
-        let others: Vec<SocketAddr> = order.iter().copied().filter(|a| *a != local_addr).collect();
-        let is_reader = order.first() == Some(&local_addr);
-        match (is_reader, stale, others.len()) {
-            (_, _, 0) => {
-                let settings = self.shared.settings();
-                settings.seeds.iter().copied().filter(|s| *s != local_addr).collect()
-            }
-            (true, false, _) => Vec::new(),
-            (_, true, n) => vec![others[0], others[turn % n]],
-            (false, false, _) => vec![others[0]],
-        }
-    }
-
-    /// Returns a current or former address of a node every [`MERGE_TURNS`] turns, so that groups of
-    /// nodes that have lost contact merge again; a node without others gets one in each turn.
-    fn merge_addr(&self, turn: usize) -> Option<SocketAddr> {
-        if !turn.is_multiple_of(MERGE_TURNS) && !self.is_alone() {
-            return None;
-        }
-        let nodes = self.shared.nodes();
-        let local_addr = nodes.local().addr;
-        let settings = self.shared.settings();
-        let addrs = settings.seeds.iter().copied().chain(nodes.candidates());
-        let addrs: Vec<SocketAddr> = addrs.filter(|a| *a != local_addr).collect();
-        addrs.get(turn / MERGE_TURNS % addrs.len().max(1)).copied()
-    }
-
-    /// Pulls from one node; returns whether its view was fresh.
-    async fn pull(&self, addr: SocketAddr, wait: Duration) -> bool {
-        let requested_at = clock::boot();
-        let request = {
-            let view = self.with_view(Clone::clone);
-            let nodes = self.shared.nodes();
-            let wait = if view.orders.end_offset == 0 { Duration::ZERO } else { wait };
-            convert::pull_request(nodes.local(), &view, wait)
-        };
-        let call = async { self.shared.peers.client(addr)?.pull(request).await };
-        match timeout(PULL_WAIT + PULL_TIMEOUT, call).await {
-            Ok(Ok(reply)) => self.apply_reply(requested_at, addr, &reply.into_inner()),
-            Ok(Err(status)) => {
-                self.mark_unresponsive(addr, &status.to_string());
-                false
-            }
-            Err(_) => {
-                self.record_late_pull(addr, PULL_WAIT + PULL_TIMEOUT);
-                self.mark_unresponsive(addr, "no answer in time");
-                false
-            }
-        }
-    }
-
-    fn mark_unresponsive(&self, addr: SocketAddr, reason: &str) {
-        event!(EventCode::NodeSilent, node = addr, reason = reason);
-        self.shared.peers.close(addr);
-        self.shared.nodes().record_failure(addr, clock::boot());
-    }
-
-    fn apply_reply(&self, requested_at: Moment, addr: SocketAddr, reply: &PullReply) -> bool {
-        let now = clock::boot();
-        self.record_members(now, addr, reply);
-        let age = reply.operator.as_ref().map_or(u64::MAX, |o| o.age_ms);
-        let applied = self.update(|v| convert::apply_reply(requested_at, v, reply));
-        if let Err(error) = applied {
-            event!(EventCode::OrderUnreadable, source = addr, reason = error);
-            return false;
-        }
-        Duration::from_millis(age) < ORDERS_STALE
-    }
-
-    /// Records the nodes that another node has heard of.
-    fn record_members(&self, now: Moment, addr: SocketAddr, reply: &PullReply) {
-        let mut nodes = self.shared.nodes();
-        for member in &reply.members {
-            if let Some(node) = convert::node(member) {
-                let at = now - Duration::from_millis(member.heard_ms);
-                nodes.observe(node, at);
-            }
-        }
-        nodes.record_answer(addr, now);
-    }
-
     /// Logs when the store stops answering or answers again.
     fn log_reachability(&self, result: &Result<(), StoreError>) {
         let reachable = result.is_ok();
--- /dev/null
+++ b/src/limpetmux/fleet/follow/pull.rs
@@ -0,0 +1,121 @@
+//! Pulls from other nodes: which ones are asked, and what their replies change.
+
+use super::{Follower, ORDERS_STALE, READERS};
+use crate::core::time::Moment;
+use crate::event;
+use crate::fleet::convert;
+use crate::util::clock;
+use crate::util::event::EventCode;
+use crate::wire::fleet::PullReply;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// How long another node may hold a pull until it has changes.
+pub(super) const PULL_WAIT: Duration = Duration::from_millis(600);
+/// The time allowed for a pull in addition to [`PULL_WAIT`].
+const PULL_TIMEOUT: Duration = Duration::from_millis(700);
+/// The turns between two pulls from an arbitrary known address, by which nodes that have lost
+/// contact merge again.
+const MERGE_TURNS: usize = 8;
+
+impl Follower {
+    /// Returns the nodes to pull from in this turn, in order of preference.
+    pub(super) fn sources(&self, turn: usize) -> Vec<SocketAddr> {
+        let now = clock::boot();
+        let stale = self.with_view(|v| v.orders.age(now) > ORDERS_STALE);
+        let nodes = self.shared.nodes();
+        let local_addr = nodes.local().addr;
+        let order: Vec<SocketAddr> = nodes.order(now, READERS).iter().map(|n| n.addr).collect();
+        let others: Vec<SocketAddr> = order.iter().copied().filter(|a| *a != local_addr).collect();
+        let is_reader = order.first() == Some(&local_addr);
+        match (is_reader, stale, others.len()) {
+            (_, _, 0) => {
+                let settings = self.shared.settings();
+                settings.seeds.iter().copied().filter(|s| *s != local_addr).collect()
+            }
+            (true, false, _) => Vec::new(),
+            (_, true, n) => vec![others[0], others[turn % n]],
+            (false, false, _) => vec![others[0]],
+        }
+    }
+
+    /// Returns a current or former address of a node every [`MERGE_TURNS`] turns, so that groups of
+    /// nodes that have lost contact merge again; a node without others gets one in each turn.
+    pub(super) fn merge_addr(&self, turn: usize) -> Option<SocketAddr> {
+        if !turn.is_multiple_of(MERGE_TURNS) && !self.is_alone() {
+            return None;
+        }
+        let nodes = self.shared.nodes();
+        let local_addr = nodes.local().addr;
+        let settings = self.shared.settings();
+        let addrs = settings.seeds.iter().copied().chain(nodes.candidates());
+        let addrs: Vec<SocketAddr> = addrs.filter(|a| *a != local_addr).collect();
+        addrs.get(turn / MERGE_TURNS % addrs.len().max(1)).copied()
+    }
+
+    /// Pulls from one node; returns whether its view was fresh.
+    pub(super) async fn pull(&self, addr: SocketAddr, wait: Duration) -> bool {
+        let requested_at = clock::boot();
+        let request = {
+            let view = self.with_view(Clone::clone);
+            let nodes = self.shared.nodes();
+            let wait = if view.orders.end_offset == 0 { Duration::ZERO } else { wait };
+            convert::pull_request(nodes.local(), &view, wait)
+        };
+        let (request, told) = self.with_evidence(addr, request);
+        let call = async { self.shared.peers.client(addr)?.pull(request).await };
+        match timeout(PULL_WAIT + PULL_TIMEOUT, call).await {
+            Ok(Ok(reply)) => {
+                let reply = reply.into_inner();
+                self.exchanged.record(addr, told, reply.evidence_version);
+                self.apply_reply(requested_at, addr, &reply)
+            }
+            Ok(Err(status)) => {
+                self.mark_unresponsive(addr, &status.to_string());
+                false
+            }
+            Err(_) => {
+                self.record_late_pull(addr, PULL_WAIT + PULL_TIMEOUT);
+                self.mark_unresponsive(addr, "no answer in time");
+                false
+            }
+        }
+    }
+
+    fn mark_unresponsive(&self, addr: SocketAddr, reason: &str) {
+        event!(EventCode::NodeSilent, node = addr, reason = reason);
+        self.shared.peers.close(addr);
+        self.shared.nodes().record_failure(addr, clock::boot());
+    }
+
+    pub(super) fn apply_reply(
+        &self,
+        requested_at: Moment,
+        addr: SocketAddr,
+        reply: &PullReply,
+    ) -> bool {
+        let now = clock::boot();
+        self.record_members(now, addr, reply);
+        self.merge_evidence(reply);
+        let age = reply.operator.as_ref().map_or(u64::MAX, |o| o.age_ms);
+        let applied = self.update(|v| convert::apply_reply(requested_at, v, reply));
+        if let Err(error) = applied {
+            event!(EventCode::OrderUnreadable, source = addr, reason = error);
+            return false;
+        }
+        Duration::from_millis(age) < ORDERS_STALE
+    }
+
+    /// Records the nodes that another node has heard of.
+    pub(super) fn record_members(&self, now: Moment, addr: SocketAddr, reply: &PullReply) {
+        let mut nodes = self.shared.nodes();
+        for member in &reply.members {
+            if let Some(node) = convert::node(member) {
+                let at = now - Duration::from_millis(member.heard_ms);
+                nodes.observe(node, at);
+            }
+        }
+        nodes.record_answer(addr, now);
+    }
+}
--- a/src/limpetmux/fleet/mod.rs
+++ b/src/limpetmux/fleet/mod.rs
@@ -6,10 +6,12 @@
 //! view.
 //!
 //! [`follow`] does this on the control thread, [`service`] answers other nodes, [`peers`] keeps the
-//! connections to them, and [`convert`] converts views to messages and back. See
+//! connections to them, and [`convert`] converts views to messages and back, as [`evidence`] does
+//! with evidence about parts of prompts. See
 //! `docs/design/platform.md`.
 
 pub mod convert;
+pub mod evidence;
 pub mod follow;
 pub mod peers;
 pub mod service;
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -1,18 +1,19 @@
 //! The gRPC service for other nodes: pulls of the view, stages to run, and results to free.
 
-use super::convert;
+use super::{convert, evidence};
 use crate::core::pieces::StageEnd;
+use crate::core::prompt_part::PartId;
 use crate::core::read_limits::MAX_MESSAGE_BYTES;
 use crate::event;
-use crate::serve::node::Shared;
+use crate::serve::node::{Shared, StoreView};
 use crate::stage_queues::StageQueues;
 use crate::stage_queues::engines::EnginePools;
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::wire::fleet::fleet_server::{Fleet, FleetServer};
 use crate::wire::fleet::{
-    EnginePlaced, FreeResults, Freed, Left, NodeLeaving, Outcome, PlaceEngine, PullReply,
-    PullRequest, StageDone, StageRun,
+    self as wire, EnginePlaced, FreeResults, Freed, Left, NodeLeaving, Outcome, PlaceEngine,
+    PullReply, PullRequest, QuarantineRequest, StageDone, StageRun,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -52,8 +53,18 @@
     async fn wait_for_changes(&self, request: &PullRequest) {
         let until = Instant::now() + Duration::from_millis(request.wait_ms).min(MAX_HOLD);
         let mut view = self.shared.view.clone();
-        while !convert::has_changes(&view.load(), request) {
-            if !matches!(timeout_at(until, view.changed()).await, Ok(true)) {
+        let mut evidence = self.shared.quarantine.versions();
+        let has_changes = |view: &StoreView, version: u64| {
+            convert::has_changes(view, request) || version > request.evidence_seen
+        };
+        while !has_changes(&view.load(), *evidence.borrow_and_update()) {
+            let changed = async {
+                tokio::select! {
+                    changed = view.changed() => changed,
+                    changed = evidence.changed() => changed.is_ok(),
+                }
+            };
+            if !matches!(timeout_at(until, changed).await, Ok(true)) {
                 return;
             }
         }
@@ -64,14 +75,20 @@
 impl Fleet for FleetService {
     async fn pull(&self, request: Request<PullRequest>) -> Result<Response<PullReply>, Status> {
         let arrived = clock::boot();
-        let request = request.into_inner();
+        let mut request = request.into_inner();
+        if let Some(evidence) = request.evidence.take() {
+            self.shared.quarantine.merge(&self.shared.metrics, evidence::decode(evidence));
+        }
         if let Some(node) = request.caller.as_ref().and_then(convert::node) {
             self.shared.nodes().observe(node, clock::boot());
         }
         self.wait_for_changes(&request).await;
         let view = self.shared.view.load();
+        let (evidence, version) = self.shared.quarantine.evidence_since(request.evidence_seen);
         let nodes = self.shared.nodes();
-        Ok(Response::new(convert::pull_reply((arrived, clock::boot()), &nodes, &view, &request)))
+        let reply = convert::pull_reply((arrived, clock::boot()), &nodes, &view, &request);
+        let evidence = evidence::encode(evidence);
+        Ok(Response::new(PullReply { evidence_version: version, evidence, ..reply }))
     }
 
     async fn run(&self, request: Request<StageRun>) -> Result<Response<StageDone>, Status> {
@@ -105,6 +122,15 @@
         Ok(Response::new(Left {}))
     }
 
+    async fn quarantine(
+        &self,
+        request: Request<QuarantineRequest>,
+    ) -> Result<Response<wire::Evidence>, Status> {
+        let lift: Vec<PartId> = request.into_inner().lift.into_iter().map(PartId::new).collect();
+        let left = self.shared.quarantine.lift(&self.shared.metrics, &lift);
+        Ok(Response::new(evidence::encode(left).unwrap_or_default()))
+    }
+
     async fn free(&self, request: Request<FreeResults>) -> Result<Response<Freed>, Status> {
         let free = request.into_inner();
         let results = free.results.iter().map(|r| Arc::from(r.as_str())).collect();
--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -1,6 +1,7 @@
 //! A client of the platform's store, a log with keyed topics.
 
 use super::store_call::{CallError, Connections};
+use crate::core::prompt_part::PartId;
 use crate::core::read_limits::{
     Bound, Exceeded, MAX_APPEND_ANSWER_BYTES, MAX_LIST_BYTES, MAX_LOG_BYTES, MAX_LOG_RECORDS,
     MAX_PAGE_BYTES, MAX_PAGE_RECORDS, Peer,
@@ -22,8 +23,21 @@
 /// The time allowed for all pages of one list of newest records.
 const LIST_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// The product's own topic, through which nodes that know no other node discover each other.
+/// The product's own topic: addresses by which nodes that know no other node discover each other,
+/// and verdicts on parts of prompts.
 pub const NODES_TOPIC: &str = "keyed.nodes";
+/// The beginning of the keys of verdicts in [`NODES_TOPIC`].
+const VERDICT_KEY: &str = "part/";
+
+/// Returns the key of the verdict on a part of prompts in [`NODES_TOPIC`].
+pub fn verdict_key(part: PartId) -> String {
+    format!("{VERDICT_KEY}{part}")
+}
+
+/// Returns whether a key of [`NODES_TOPIC`] is that of a verdict.
+pub fn is_verdict(key: &str) -> bool {
+    key.starts_with(VERDICT_KEY)
+}
 
 /// A record of a keyed topic.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -13,6 +13,7 @@
 use crate::core::listing::Server;
 use crate::core::placement::PlaceEnd;
 use crate::core::prompt_part;
+use crate::core::quarantine::ServerRun;
 use crate::core::read_limits::{Exceeded, Peer};
 use crate::core::time::Moment;
 use crate::event;
@@ -37,6 +38,7 @@
     pub(super) shared: Arc<Shared>,
     pub(super) routed: Arc<RoutedRequest>,
     server: Arc<str>,
+    run: ServerRun,
     addr: SocketAddr,
     pub(super) began: Moment,
     /// The limits on the answer.
@@ -58,11 +60,13 @@
         server: &Server,
         began: Moment,
     ) -> Self {
+        let run = ServerRun { server: Arc::clone(&server.id), started_ms: server.started_ms };
         let (server, addr) = (Arc::clone(&server.id), server.addr);
         Self {
             shared: Arc::clone(shared),
             routed: Arc::clone(routed),
             server,
+            run,
             addr,
             began,
             limits: shared.settings().answers,
@@ -149,7 +153,7 @@
             parts: self.routed.head.shared_parts.clone(),
             events,
         };
-        ended::examine(&self.shared, &self.server, self.addr, request);
+        ended::examine(&self.shared, &self.run, self.addr, request);
     }
 
     /// Logs and counts that reading from the backend server stopped.
@@ -204,6 +208,10 @@
         let tags = [("workspace", workspace), ("pipeline", &*self.routed.route().name)];
         let (framing, tail) = names(received);
         self.shared.metrics.count(Metric::RequestsAnswered, 1, &tags);
+        if status.is_success() {
+            let parts = &self.routed.head.shared_parts;
+            self.shared.quarantine.record_use(&self.shared.metrics, self.began, parts);
+        }
         self.shared.metrics.time(Metric::RequestTime, now.since(self.routed.arrived), &tags);
         event!(
             EventCode::RequestServed,
--- a/src/limpetmux/serve/ended.rs
+++ b/src/limpetmux/serve/ended.rs
@@ -6,7 +6,9 @@
 use super::connections::{Listener, find_listener};
 use super::node::Shared;
 use crate::core::prompt_part::{self, PartId};
+use crate::core::quarantine::ServerRun;
 use crate::event;
+use crate::util::clock;
 use crate::util::event::EventCode;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -30,33 +32,39 @@
 
 /// The requests that broke off at each backend server that is being examined.
 #[derive(Debug, Default)]
-pub struct Examined(Mutex<BTreeMap<Arc<str>, Vec<BrokenRequest>>>);
+pub struct Examined(Mutex<BTreeMap<ServerRun, Vec<BrokenRequest>>>);
 
 impl Examined {
     /// Adds a request; returns whether it is the first at its backend server.
-    fn add(&self, server: &Arc<str>, request: BrokenRequest) -> bool {
+    fn add(&self, run: &ServerRun, request: BrokenRequest) -> bool {
         let mut servers = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let requests = servers.entry(Arc::clone(server)).or_default();
+        let requests = servers.entry(run.clone()).or_default();
         requests.push(request);
         requests.len() == 1
     }
 
-    fn take(&self, server: &str) -> Vec<BrokenRequest> {
+    fn take(&self, run: &ServerRun) -> Vec<BrokenRequest> {
         let mut servers = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        servers.remove(server).unwrap_or_default()
+        servers.remove(run).unwrap_or_default()
     }
 }
 
 /// Finds out whether a backend server has ended, once for all requests that break off together.
-pub fn examine(shared: &Arc<Shared>, server: &Arc<str>, addr: SocketAddr, request: BrokenRequest) {
-    if !shared.examined.add(server, request) {
+pub fn examine(shared: &Arc<Shared>, run: &ServerRun, addr: SocketAddr, request: BrokenRequest) {
+    if !shared.examined.add(run, request) {
         return;
     }
-    let (shared, server) = (Arc::clone(shared), Arc::clone(server));
+    let (shared, run) = (Arc::clone(shared), run.clone());
+    let broke_at = clock::boot();
     tokio::spawn(async move {
         sleep(GATHER_TIME).await;
         let listener = find_listener(addr).await;
-        record(&server, listener, &shared.examined.take(&server));
+        let requests = shared.examined.take(&run);
+        record(&run.server, listener, &requests);
+        if listener == Listener::Absent {
+            let parts: Vec<PartId> = requests.into_iter().flat_map(|r| r.parts).collect();
+            shared.quarantine.record_crash(&shared.metrics, broke_at, run, &parts);
+        }
     });
 }
 
--- a/src/limpetmux/serve/engines.rs
+++ b/src/limpetmux/serve/engines.rs
@@ -3,9 +3,11 @@
 //! The queue node knows the load of all entries. Without its answer the entry chooses an engine
 //! itself, knowing only its own requests.
 
+use super::failure::Failure;
 use super::node::Shared;
-use super::request::RoutedRequest;
+use super::request::{RoutedRequest, check_parts, held};
 use crate::core::engines::EngineReport;
+use crate::core::prompt_part::PartId;
 use crate::event;
 use crate::util::clock;
 use crate::util::event::EventCode;
@@ -38,23 +40,31 @@
 }
 
 /// Plans an engine for a request that is sent after `delay`, when its stages have ended.
+///
+/// # Errors
+/// Returns a refusal if the queue node knows that a part of the prompt is quarantined.
 pub async fn plan(
     shared: &Shared,
     routed: &RoutedRequest,
     delay: Duration,
-) -> Option<PlacedEngine> {
+) -> Result<Option<PlacedEngine>, Failure> {
     let message = PlaceEngine { planned: true, ahead_ms: millis(delay), ..message(routed, delay) };
     call(shared, routed, message).await
 }
 
 /// Chooses an engine for a request that is sent now, excluding some engines.
+///
+/// # Errors
+/// Returns a refusal if a part of the prompt is quarantined.
 pub async fn place(
     shared: &Shared,
     routed: &RoutedRequest,
     inputs: &InputLocation,
     except: &[Arc<str>],
-) -> Option<PlacedEngine> {
+) -> Result<Option<PlacedEngine>, Failure> {
+    let trial = check_parts(shared, &routed.head)?;
     let message = PlaceEngine {
+        trial: trial.is_some(),
         zone: inputs.zone.clone(),
         bytes: inputs.bytes,
         except: except.iter().map(ToString::to_string).collect(),
@@ -69,6 +79,7 @@
         service: routed.service.to_string(),
         request: routed.head.id.clone(),
         parts: parts.collect(),
+        shared: routed.head.shared_parts.iter().map(|p| p.value()).collect(),
         tokens: routed.head.prompt_tokens,
         slack_ms: millis(clock::boot().until(routed.latency_deadline()).saturating_sub(delay)),
         ..PlaceEngine::default()
@@ -79,33 +90,38 @@
     shared: &Shared,
     routed: &RoutedRequest,
     mut message: PlaceEngine,
-) -> Option<PlacedEngine> {
+) -> Result<Option<PlacedEngine>, Failure> {
     if !shared.has_discovered() {
-        return None;
+        return Ok(None);
     }
     let now = clock::boot();
-    let addr = shared.nodes().queue_node(now, &routed.service, &[]).map(|n| n.addr)?;
+    let addr = shared.nodes().queue_node(now, &routed.service, &[]).map(|n| n.addr);
+    let Some(addr) = addr else { return Ok(None) };
     message.times = shared.take_engine_times().iter().map(engine_time).collect();
     let call = async { shared.peers.client(addr)?.place(message).await };
     let reason = match timeout(PLACE_TIMEOUT, call).await {
-        Ok(Ok(reply)) => return choice(reply.into_inner()),
+        Ok(Ok(reply)) => return choice(routed, reply.into_inner()),
         Ok(Err(status)) => status.to_string(),
         Err(_) => "no answer in time".to_owned(),
     };
     event!(EventCode::NodeSilent, node = addr, reason = reason);
     shared.peers.close(addr);
     shared.nodes().record_failure(addr, clock::boot());
-    None
+    Ok(None)
 }
 
-fn choice(reply: EnginePlaced) -> Option<PlacedEngine> {
+fn choice(routed: &RoutedRequest, reply: EnginePlaced) -> Result<Option<PlacedEngine>, Failure> {
+    if reply.trial_ms > 0 {
+        let (part, trial_in) = (reply.quarantined, Duration::from_millis(reply.trial_ms));
+        return Err(held(&routed.head, PartId::new(part), trial_in));
+    }
     let expected = Duration::from_millis(reply.wait_ms.saturating_add(reply.work_ms));
     let source = Some(reply.source).filter(|s| !s.is_empty()).map(Arc::from);
-    (!reply.server.is_empty()).then(|| PlacedEngine {
+    Ok((!reply.server.is_empty()).then(|| PlacedEngine {
         server: reply.server.into(),
         expected,
         source,
-    })
+    }))
 }
 
 fn engine_time(report: &EngineReport) -> EngineTime {
--- a/src/limpetmux/serve/failure.rs
+++ b/src/limpetmux/serve/failure.rs
@@ -42,6 +42,8 @@
     Unavailable,
     /// Every backend server that was tried refused the request.
     AllFull,
+    /// A part of the prompt crashes backend servers and is quarantined.
+    Quarantined,
     /// The deadline passed before the request was sent.
     TooLate,
     /// The deadline passed while a backend server was running the request.
@@ -87,6 +89,7 @@
             | Reason::InputsGone
             | Reason::Unavailable
             | Reason::AllFull
+            | Reason::Quarantined
             | Reason::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -12,15 +12,19 @@
 use super::inputs::Inputs;
 use super::node::Shared;
 use super::plain;
-use super::request::{RoutedRequest, authorize};
+use super::request::{RoutedRequest, authorize, check_parts};
 use super::stream::Body;
 use crate::core::answer_proof::{self, Proof};
 use crate::core::catalog::PoolSpec;
 use crate::core::listing::Server;
 use crate::core::placement::{PlaceEnd, PlaceQuery};
+use crate::core::prompt_part::PartId;
 use crate::core::read_limits::{Bound, Exceeded, Peer};
+use crate::event;
+use crate::platform::caller::RequestHead;
 use crate::platform::server::{self, AddedHeaders, ReplyHead};
 use crate::util::clock;
+use crate::util::event::EventCode;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Response;
 use hyper::body::Incoming;
@@ -125,7 +129,7 @@
     async fn find_server(&self) -> Result<(Server, Option<PlacedEngine>), Failure> {
         let until = clock::boot() + self.routed.time_left() / SEARCH_TIME_DIVISOR;
         loop {
-            let choice = self.choose_engine().await;
+            let choice = self.choose_engine().await?;
             if let Some(server) = self.pick(choice.as_ref())? {
                 let choice = choice.filter(|c| c.server == server.id);
                 return Ok((server, choice));
@@ -138,23 +142,23 @@
     }
 
     /// Lets the queue node of a pool of model engines choose one; `None` for other pools.
-    async fn choose_engine(&self) -> Option<PlacedEngine> {
-        let except = {
-            let view = self.shared.view.load();
-            let pool = view.orders.config.as_ref()?.catalog.pool(&self.routed.service)?;
-            pool.engine?;
-            let entries = self.shared.nodes().entries(clock::boot());
-            let servers = view.usable(&self.routed.service);
-            let query = self.query(Some(pool), &entries, None);
-            let unusable = self.shared.placement().unusable(clock::boot(), &servers, query);
-            if unusable.len() >= servers.len() {
-                return None;
-            }
-            unusable
-        };
+    async fn choose_engine(&self) -> Result<Option<PlacedEngine>, Failure> {
+        let Some(except) = self.unusable_engines() else { return Ok(None) };
         engines::place(self.shared, self.routed, &self.location, &except).await
     }
 
+    /// Returns the engines that cannot be chosen; `None` if there is no other, or for other pools.
+    fn unusable_engines(&self) -> Option<Vec<Arc<str>>> {
+        let view = self.shared.view.load();
+        let pool = view.orders.config.as_ref()?.catalog.pool(&self.routed.service)?;
+        pool.engine?;
+        let entries = self.shared.nodes().entries(clock::boot());
+        let servers = view.usable(&self.routed.service);
+        let query = self.query(Some(pool), &entries, None);
+        let unusable = self.shared.placement().unusable(clock::boot(), &servers, query);
+        (unusable.len() < servers.len()).then_some(unusable)
+    }
+
     fn query<'q>(
         &'q self,
         pool: Option<&PoolSpec>,
@@ -188,11 +192,16 @@
         let route = catalog.route(&routed.head.host, &routed.head.path);
         let route = route.ok_or(Failure::new(Reason::NoRoute))?;
         authorize(self.shared, &view, catalog, &catalog.routes[route], &routed.head)?;
+        let trial = check_parts(self.shared, &routed.head)?;
         let pool = catalog.pool(&routed.service).or_else(|| routed.catalog.pool(&routed.service));
         let entries = self.shared.nodes().entries(now);
         let query = self.query(pool, &entries, choice);
         let servers = view.usable(&routed.service);
-        Ok(self.shared.placement().pick(now, &servers, query).cloned())
+        let server = self.shared.placement().pick(now, &servers, query).cloned();
+        if let (Some(part), Some(server)) = (trial, &server) {
+            begin_trial(self.shared, &routed.head, part, &server.id);
+        }
+        Ok(server)
     }
 
     /// Takes one retry from the entry's share of the budget; returns whether there was one.
@@ -310,6 +319,12 @@
     }
 }
 
+/// Counts and logs a request that is sent as the trial of a quarantined part.
+fn begin_trial(shared: &Shared, head: &RequestHead, part: PartId, server: &str) {
+    shared.quarantine.begin_trial(&shared.metrics, part);
+    event!(EventCode::PartTried, request = head.id, part = part, server = server);
+}
+
 /// Waits for an answer and frees the inputs once the model engine must have fetched them.
 async fn free_when_fetched<T>(sending: impl Future<Output = T>, inputs: &mut Option<Inputs>) -> T {
     let mut sending = std::pin::pin!(sending);
--- a/src/limpetmux/serve/mod.rs
+++ b/src/limpetmux/serve/mod.rs
@@ -6,7 +6,7 @@
 //! sends it to a backend server. Each send is an [`attempt`]; `plain` reads a plain answer, and
 //! [`stream`] forwards a streamed or long one to the caller. [`head_watch`] follows what arrives
 //! before the answer. [`failure`] holds the answers that the node creates itself.
-//! [`connections`] pools connections to backend servers, `ended` finds out whether one of them has ended, [`node`] holds the shared state, and
+//! [`connections`] pools connections to backend servers, `ended` finds out whether one of them has ended, [`quarantine`] holds back requests that crash them, [`node`] holds the shared state, and
 //! [`run`] starts and stops a process. See `docs/design/platform.md`.
 
 pub mod attempt;
@@ -22,6 +22,7 @@
 pub mod inputs;
 pub mod node;
 mod plain;
+pub mod quarantine;
 pub mod request;
 pub mod run;
 pub mod settings;
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -3,6 +3,7 @@
 use super::connections::ConnectionPool;
 use super::ended::Examined;
 use super::front::caller_connections;
+use super::quarantine::NodeQuarantine;
 use super::settings::NodeSettings;
 use crate::adapters::admission::ConnectionBounds;
 use crate::adapters::channel::Channels;
@@ -12,6 +13,8 @@
 use crate::core::nodes::{Node, Nodes};
 use crate::core::operator::Orders;
 use crate::core::placement::Placement;
+use crate::core::prompt_part::PartId;
+use crate::core::quarantine::{Entries, Verdict};
 use crate::core::queue_waits::QueueWaits;
 use crate::core::read_limits::{NODE_IDLE_TIME, node_connections};
 use crate::core::retry_share::RetryShare;
@@ -89,6 +92,8 @@
     engine_times: Mutex<Vec<EngineReport>>,
     /// The backend servers that are being examined because answers of them broke off.
     pub(super) examined: Examined,
+    /// The parts of prompts that crash backend servers.
+    pub quarantine: NodeQuarantine,
 }
 
 impl Shared {
@@ -116,6 +121,7 @@
             queue_waits: Mutex::default(),
             engine_times: Mutex::default(),
             examined: Examined::default(),
+            quarantine: NodeQuarantine::new(local_node.started),
             local_node,
             placement: Mutex::new(Placement::new()),
             retry_share: Mutex::new(RetryShare::new(settings.bounds.retry_limit)),
@@ -203,6 +209,16 @@
         self.discovered.store(true, Ordering::Relaxed);
     }
 
+    /// Decides whether a request with some shared parts of its prompt may be sent.
+    pub fn verdict(&self, parts: &[PartId]) -> Verdict {
+        if parts.is_empty() {
+            return Verdict::Sound;
+        }
+        let all = self.nodes().entries(clock::boot());
+        let entries = Entries { local: &self.local_node.name, all: &all };
+        self.quarantine.check(&self.metrics, parts, entries)
+    }
+
     /// Returns whether the operator's records are recent enough to accept keys.
     pub fn is_fresh(&self) -> bool {
         let age = self.view.load().orders.age(clock::boot());
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -4,9 +4,12 @@
 use super::failure::{Failure, Reason};
 use super::forward;
 use super::node::{Shared, StoreView};
+use super::quarantine;
 use super::stages;
 use super::stream::Body;
 use crate::core::catalog::{Catalog, KeyHolder, Route, RouteKey};
+use crate::core::prompt_part::PartId;
+use crate::core::quarantine::Verdict;
 use crate::core::read_limits::{Bound, Exceeded, Peer};
 use crate::core::time::Moment;
 use crate::event;
@@ -176,6 +179,7 @@
     let holder = authorize(shared, &view, &catalog, &catalog.routes[route], &head)?;
     let allowed = head.deadline.min(catalog.routes[route].timeout).saturating_sub(ANSWER_MARGIN);
     let body = read_body(shared, &head.id, body, catalog.limits.max_body, allowed).await?;
+    check_parts(shared, &head)?;
     let service = choose_service(&catalog.routes[route]).ok_or(Failure::new(Reason::NoRoute))?;
     let deadline = arrived + allowed;
     if !shared.accepts(deadline) {
@@ -219,6 +223,24 @@
     holder.cloned().map(Some).ok_or(Failure::new(Reason::UnknownKey))
 }
 
+/// Returns the trial that a request is, if it is one of a quarantined part.
+///
+/// # Errors
+/// Returns a refusal if a part of its prompt is quarantined otherwise.
+pub fn check_parts(shared: &Shared, head: &RequestHead) -> Result<Option<PartId>, Failure> {
+    match shared.verdict(&head.shared_parts) {
+        Verdict::Sound => Ok(None),
+        Verdict::Trial(part) => Ok(Some(part)),
+        Verdict::Held { part, trial_in } => Err(held(head, part, trial_in)),
+    }
+}
+
+/// Logs which part holds a request back and returns its refusal.
+pub fn held(head: &RequestHead, part: PartId, trial_in: Duration) -> Failure {
+    event!(EventCode::RequestHeld, request = head.id, part = part, trial_ms = trial_in.as_millis());
+    Failure::with_retry(Reason::Quarantined, quarantine::retry_delay(trial_in))
+}
+
 /// Reads a body within the operator's limit and the time that the request has.
 async fn read_body(
     shared: &Shared,
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -8,7 +8,7 @@
 use super::failure::{Failure, Reason};
 use super::inputs::Inputs;
 use super::node::Shared;
-use super::request::RoutedRequest;
+use super::request::{RoutedRequest, check_parts};
 use crate::core::catalog::StageSpec;
 use crate::core::chain;
 use crate::core::placement::PlaceQuery;
@@ -50,12 +50,13 @@
     let times = chain::stage_times(&routed.catalog, routed.route(), &pieces);
     let engine = engine_time(routed);
     let stage_time = admit(shared, routed, &times, engine)?;
-    let planned = planned_engine(shared, routed, stage_time).await;
+    let planned = planned_engine(shared, routed, stage_time).await?;
     let engine = planned.expected.map_or(engine, |e| e + ENGINE_START);
     let remaining = chain::downstream_times(routed.route(), &times).into_iter().map(|b| b + engine);
     let mut chain = Chain::new(shared, routed, remaining.collect(), planned);
     let mut running = FuturesUnordered::new();
     loop {
+        check_parts(shared, &routed.head)?;
         for (stage, run) in chain.start() {
             running.push(run_stage(shared, routed, stage, run));
         }
@@ -110,8 +111,8 @@
     shared: &Shared,
     routed: &RoutedRequest,
     stage_time: Duration,
-) -> PlannedEngine {
-    let choice = engines::plan(shared, routed, stage_time).await;
+) -> Result<PlannedEngine, Failure> {
+    let choice = engines::plan(shared, routed, stage_time).await?;
     let view = shared.view.load();
     let servers = view.usable(&routed.service);
     let entries = shared.nodes().entries(clock::boot());
@@ -127,11 +128,11 @@
         cold_time: Duration::ZERO,
     };
     let server = shared.placement().choose(clock::boot(), &servers, query).cloned();
-    server.map_or_else(PlannedEngine::default, |s| PlannedEngine {
+    Ok(server.map_or_else(PlannedEngine::default, |s| PlannedEngine {
         zone: s.zone.to_string(),
         expected: choice.map(|p| p.expected),
         server: Some(s.id),
-    })
+    }))
 }
 
 /// Estimates the time that a model engine takes until its first event.
--- a/src/limpetmux/stage_queues/engines.rs
+++ b/src/limpetmux/stage_queues/engines.rs
@@ -2,6 +2,8 @@
 
 use crate::core::engines::{EnginePool, EngineQuery, EngineReport, PromptPart};
 use crate::core::listing::Server;
+use crate::core::prompt_part::PartId;
+use crate::core::quarantine::Verdict;
 use crate::serve::node::Shared;
 use crate::util::clock;
 use crate::wire::fleet::{EnginePlaced, PlaceEngine};
@@ -23,6 +25,9 @@
 
     /// Records the engine times that the entry measured, and chooses an engine for its request.
     pub fn place(&self, message: &PlaceEngine) -> EnginePlaced {
+        if let Some(refusal) = self.refusal(message) {
+            return refusal;
+        }
         let now = clock::boot();
         let view = self.shared.view.load();
         let allowed = |s: &&Server| !message.except.iter().any(|e| **e == *s.id);
@@ -61,8 +66,20 @@
             wait_ms: millis(c.wait),
             work_ms: millis(c.work),
             source: c.source.map(|s| s.to_string()).unwrap_or_default(),
+            ..EnginePlaced::default()
         })
     }
+
+    /// Returns the refusal of a prompt with a quarantined part, of which the entry may not know yet.
+    fn refusal(&self, message: &PlaceEngine) -> Option<EnginePlaced> {
+        if message.trial {
+            return None;
+        }
+        let shared: Vec<PartId> = message.shared.iter().copied().map(PartId::new).collect();
+        let Verdict::Held { part, trial_in } = self.shared.verdict(&shared) else { return None };
+        let (quarantined, trial_ms) = (part.value(), millis(trial_in).max(1));
+        Some(EnginePlaced { quarantined, trial_ms, ..EnginePlaced::default() })
+    }
 }
 
 fn millis(time: Duration) -> u64 {
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -97,6 +97,8 @@
     AttemptNotRun = 209,
     /// An idle connection closed before a request was sent on it, and another one is used.
     ConnectionReplaced = 210,
+    /// A request is refused because a part of its prompt is quarantined.
+    RequestHeld = 211,
 
     // 3xx: idempotency keys.
     /// The claims stream of the platform log became reachable or unreachable.
@@ -186,6 +188,22 @@
     ServerEnded = 611,
     /// A backend server broke off an answer and still accepts connections, or cannot be reached.
     AnswerBroken = 612,
+    /// Crashes of backend servers separate a part of prompts from others, but are too few for a verdict.
+    PartSuspected = 613,
+    /// A part of prompts that crashes backend servers is quarantined; requests with it are refused.
+    #[strum(props(level = "warn"))]
+    PartHeld = 614,
+    /// A part of prompts is no longer quarantined.
+    #[strum(props(level = "warn"))]
+    PartFreed = 615,
+    /// The quarantine of a part of prompts was dropped because there are too many.
+    #[strum(props(level = "error"))]
+    PartDropped = 616,
+    /// A request is sent as the trial of a quarantined part of prompts.
+    PartTried = 617,
+    /// A verdict on a part of prompts cannot be preserved in the platform's store yet.
+    #[strum(props(level = "warn"))]
+    VerdictUnsaved = 618,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/src/limpetmux/util/exposition.rs
+++ b/src/limpetmux/util/exposition.rs
@@ -16,7 +16,7 @@
 /// The upper bounds of the histogram buckets, in milliseconds.
 const BUCKETS_MS: [u64; 12] = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_000, 4_000, 8_000, 16_000];
 
-/// One counter or histogram; a counter uses only `sum`.
+/// One counter, gauge or histogram; the first two use only `sum`.
 #[derive(Clone, Debug, Default)]
 struct Series {
     sum: u64,
@@ -46,7 +46,7 @@
                 continue;
             }
             let is_timer = metric.kind() == "timer";
-            let kind = if is_timer { "histogram" } else { "counter" };
+            let kind = if is_timer { "histogram" } else { metric.kind() };
             // Writing to a string cannot fail.
             let _ = writeln!(text, "# TYPE limpetmux_{} {kind}", metric.name());
             for ((_, labels), series) in rows {
@@ -67,7 +67,7 @@
         let is_full = series.len() >= MAX_SERIES && !series.contains_key(&(metric, labels.clone()));
         let key = (metric, if is_full { String::new() } else { labels });
         let entry = series.entry(key).or_default();
-        entry.sum += value;
+        entry.sum = if metric.kind() == "gauge" { value } else { entry.sum + value };
         entry.count += 1;
         for (bucket, _) in entry.buckets.iter_mut().zip(BUCKETS_MS).filter(|(_, b)| value <= *b) {
             *bucket += 1;
--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -46,6 +46,12 @@
     /// Reads from a peer that were stopped at a limit of bytes or of time.
     #[strum(props(kind = "counter", tags = "peer, bound"))]
     ReadsStopped,
+    /// Verdicts on parts of prompts that crash backend servers.
+    #[strum(props(kind = "counter", tags = "verdict"))]
+    PartVerdicts,
+    /// Quarantined parts of prompts.
+    #[strum(props(kind = "gauge", tags = "none"))]
+    PartsHeld,
     /// Time to a complete response in milliseconds.
     #[strum(props(kind = "timer", tags = "workspace, pipeline"))]
     RequestTime,
@@ -77,7 +83,7 @@
         self.get_documentation().unwrap_or_default()
     }
 
-    /// Returns `counter` or `timer`.
+    /// Returns `counter`, `gauge` or `timer`.
     pub fn kind(self) -> &'static str {
         self.get_str("kind").unwrap_or_default()
     }
@@ -145,6 +151,13 @@
         builder.send();
     }
 
+    /// Sets a gauge.
+    pub fn gauge(&self, metric: Metric, value: u64) {
+        if let Some(client) = &self.0 {
+            client.gauge_with_tags(metric.name(), value).send();
+        }
+    }
+
     /// Records a duration in a timer.
     pub fn time(&self, metric: Metric, duration: Duration, tags: &[(&str, &str)]) {
         let Some(client) = &self.0 else { return };
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -16,7 +16,7 @@
     #[prost(uint64, tag = "6")]
     pub heard_ms: u64,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PullRequest {
     #[prost(message, optional, tag = "1")]
     pub caller: ::core::option::Option<Member>,
@@ -31,6 +31,12 @@
     /// The maximum time that the called node waits for a change, in milliseconds.
     #[prost(uint64, tag = "5")]
     pub wait_ms: u64,
+    /// The version of the called node's evidence that the caller has.
+    #[prost(uint64, tag = "6")]
+    pub evidence_seen: u64,
+    /// Evidence of the caller that the called node lacks.
+    #[prost(message, optional, tag = "7")]
+    pub evidence: ::core::option::Option<Evidence>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PullReply {
@@ -43,6 +49,72 @@
     /// Milliseconds that the called node waited for a change.
     #[prost(uint64, tag = "4")]
     pub held_ms: u64,
+    /// The version of the called node's evidence.
+    #[prost(uint64, tag = "5")]
+    pub evidence_version: u64,
+    /// What the caller lacks of it.
+    #[prost(message, optional, tag = "6")]
+    pub evidence: ::core::option::Option<Evidence>,
+}
+/// What a node knows of parts of prompts that crash backend servers.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Evidence {
+    #[prost(message, repeated, tag = "1")]
+    pub crashes: ::prost::alloc::vec::Vec<CrashRecord>,
+    #[prost(message, repeated, tag = "2")]
+    pub holds: ::prost::alloc::vec::Vec<HoldRecord>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CrashRecord {
+    /// The backend server that ended, and the Unix milliseconds of its start.
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub started: u64,
+    /// Milliseconds since the crash.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub parts: ::prost::alloc::vec::Vec<PartMark>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PartMark {
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Whether answers were completed with the part before the crash.
+    #[prost(bool, tag = "2")]
+    pub known: bool,
+    /// Whether an answer to a request that was sent after the crash was completed with the part.
+    #[prost(bool, tag = "3")]
+    pub harmless: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HoldRecord {
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// The number of changes between quarantined and free; odd if the part is quarantined.
+    #[prost(uint32, tag = "2")]
+    pub turn: u32,
+    /// Milliseconds since the last crash before the part was quarantined, or since it became free.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// Trials since the last change, and milliseconds since the last trial.
+    #[prost(uint32, tag = "4")]
+    pub trials: u32,
+    #[prost(uint64, tag = "5")]
+    pub tried_ms: u64,
+    /// Whether answers had been completed with the part before.
+    #[prost(bool, tag = "6")]
+    pub known: bool,
+    /// The backend servers whose crashes the verdict rests on.
+    #[prost(string, repeated, tag = "7")]
+    pub servers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct QuarantineRequest {
+    /// The parts to free.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub lift: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OperatorView {
@@ -181,6 +253,12 @@
     /// The times of engines that the caller has measured since its last call.
     #[prost(message, repeated, tag = "11")]
     pub times: ::prost::alloc::vec::Vec<EngineTime>,
+    /// The names of the prompt's shared parts.
+    #[prost(fixed64, repeated, tag = "12")]
+    pub shared: ::prost::alloc::vec::Vec<u64>,
+    /// Whether the request is the trial of a quarantined part.
+    #[prost(bool, tag = "13")]
+    pub trial: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Part {
@@ -216,6 +294,12 @@
     /// The engine from whose cache the prompt's shared parts are fetched; empty if none.
     #[prost(string, tag = "4")]
     pub source: ::prost::alloc::string::String,
+    /// The quarantined part because of which no engine is chosen, and the milliseconds until it may be
+    /// tried; zero if there is none.
+    #[prost(fixed64, tag = "5")]
+    pub quarantined: u64,
+    #[prost(uint64, tag = "6")]
+    pub trial_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct NodeLeaving {
@@ -485,6 +569,28 @@
                 .insert(GrpcMethod::new("limpetmux.fleet.v1.Fleet", "Leave"));
             self.inner.unary(req, path, codec).await
         }
+        /// Lists the quarantined parts of prompts, after freeing some of them.
+        pub async fn quarantine(
+            &mut self,
+            request: impl tonic::IntoRequest<super::QuarantineRequest>,
+        ) -> std::result::Result<tonic::Response<super::Evidence>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/limpetmux.fleet.v1.Fleet/Quarantine",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("limpetmux.fleet.v1.Fleet", "Quarantine"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -525,6 +631,11 @@
             &self,
             request: tonic::Request<super::NodeLeaving>,
         ) -> std::result::Result<tonic::Response<super::Left>, tonic::Status>;
+        /// Lists the quarantined parts of prompts, after freeing some of them.
+        async fn quarantine(
+            &self,
+            request: tonic::Request<super::QuarantineRequest>,
+        ) -> std::result::Result<tonic::Response<super::Evidence>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct FleetServer<T> {
@@ -817,6 +928,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/limpetmux.fleet.v1.Fleet/Quarantine" => {
+                    #[allow(non_camel_case_types)]
+                    struct QuarantineSvc<T: Fleet>(pub Arc<T>);
+                    impl<T: Fleet> tonic::server::UnaryService<super::QuarantineRequest>
+                    for QuarantineSvc<T> {
+                        type Response = super::Evidence;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::QuarantineRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Fleet>::quarantine(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = QuarantineSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -120,6 +120,8 @@
                 servers,
             }),
             held_ms: draw_number(u)?,
+            evidence_version: draw_number(u)?,
+            evidence: None,
         };
         check_pull(&draw(u, &reply.encode_to_vec())?);
         Ok(())
--- a/tests/testsuite/platform/endless_nodes.rs
+++ b/tests/testsuite/platform/endless_nodes.rs
@@ -10,8 +10,8 @@
 use limpetmux::serve::run::{RunningNode, start};
 use limpetmux::wire::fleet::fleet_server::{Fleet, FleetServer};
 use limpetmux::wire::fleet::{
-    EnginePlaced, FreeResults, Freed, Left, Member, NodeLeaving, Outcome, PlaceEngine, PullReply,
-    PullRequest, StageDone, StageRun,
+    EnginePlaced, Evidence, FreeResults, Freed, Left, Member, NodeLeaving, Outcome, PlaceEngine,
+    PullReply, PullRequest, QuarantineRequest, StageDone, StageRun,
 };
 use std::future::pending;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -111,6 +111,13 @@
         self.pass(Fault::Leave).await;
         Ok(Response::new(Left {}))
     }
+
+    async fn quarantine(
+        &self,
+        _: Request<QuarantineRequest>,
+    ) -> Result<Response<Evidence>, Status> {
+        Ok(Response::new(Evidence::default()))
+    }
 }
 
 /// A node that knows a node with a fault, which it asks first, and a sound one.
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -31,6 +31,7 @@
 mod pieces;
 mod placement;
 mod poison_requests;
+mod quarantine;
 mod queue_nodes;
 mod queue_waits;
 mod resent;
--- a/tests/testsuite/platform/poison_requests.rs
+++ b/tests/testsuite/platform/poison_requests.rs
@@ -50,6 +50,11 @@
 
     let arrivals = fixture.arrivals('b');
     let crashes = fixture.crashes.lock().unwrap().clone();
+    println!(
+        "{} engines ended, {} requests with the part reached engines",
+        crashes.len(),
+        arrivals.len()
+    );
     assert!(crashes.len() >= 2, "only {} engines ended", crashes.len());
     if let Some(fifth) = crashes.get(COUNTED_CRASHES - 1) {
         let late = arrivals.iter().filter(|at| **at > *fifth + CONTACT_TIME).count();
--- /dev/null
+++ b/tests/testsuite/platform/quarantine.rs
@@ -0,0 +1,215 @@
+//! A part that crashes backend servers is told from all others that were present at the crashes.
+
+use super::{arc, at, ms};
+use limpetmux::core::prompt_part::PartId;
+use limpetmux::core::quarantine::{
+    CRASHES, Change, Entries, Evidence, Quarantine, SETTLE_TIME, ServerRun, Verdict,
+};
+use limpetmux::core::time::Moment;
+use std::sync::Arc;
+
+const BAD: PartId = PartId::new(0xbad);
+const FIRST: PartId = PartId::new(1);
+const TOPIC: PartId = PartId::new(2);
+
+fn run(number: u64) -> ServerRun {
+    ServerRun { server: arc(&format!("e{number}")), started_ms: 1 }
+}
+
+fn names(count: usize) -> Vec<Arc<str>> {
+    (0..count).map(|n| arc(&format!("entry{n}"))).collect()
+}
+
+fn check(quarantine: &mut Quarantine, now: Moment, parts: &[PartId]) -> Verdict {
+    let all = names(1);
+    quarantine.check(now, parts, Entries { local: "entry0", all: &all })
+}
+
+fn is_held(quarantine: &mut Quarantine, now: Moment, part: PartId) -> bool {
+    !matches!(check(quarantine, now, &[part]), Verdict::Sound)
+}
+
+/// Records crashes a second apart, the first at 0 ms, each with the same parts.
+fn crash_series(quarantine: &mut Quarantine, count: u64, parts: &[PartId]) {
+    for n in 0..count {
+        quarantine.record_crash(at(n * 1_000), at(n * 1_000), run(n), parts);
+    }
+}
+
+/// The time at which the evidence of a series has settled.
+fn settled(count: u64) -> Moment {
+    at(count * 1_000) + SETTLE_TIME
+}
+
+#[test]
+fn part_of_several_crashes_is_held_and_parts_with_completed_answers_are_not() {
+    // Guards against requests with one part that crash one engine after the other (BUDGET), and against
+    // the refusal of sound requests that share their other parts (LOST).
+    let mut quarantine = Quarantine::new(0);
+    quarantine.record_use(at(0), at(0), &[FIRST, TOPIC]);
+    for n in 0..CRASHES as u64 {
+        let now = at(1_000 + n * 1_000);
+        quarantine.record_crash(now, now, run(n), &[FIRST, TOPIC, BAD]);
+        quarantine.record_use(now + ms(300), now + ms(100), &[FIRST, TOPIC]);
+    }
+    let now = settled(CRASHES as u64 + 1);
+
+    assert!(is_held(&mut quarantine, now, BAD));
+    assert!(!is_held(&mut quarantine, now, FIRST));
+    assert!(!is_held(&mut quarantine, now, TOPIC));
+}
+
+#[test]
+fn no_part_is_held_by_fewer_crashes() {
+    // Guards against parts that are refused although they were only present.
+    let mut quarantine = Quarantine::new(0);
+
+    crash_series(&mut quarantine, CRASHES as u64 - 1, &[BAD]);
+
+    assert!(!is_held(&mut quarantine, settled(100), BAD));
+}
+
+#[test]
+fn backend_servers_that_end_together_count_as_one_crash() {
+    // Guards against popular parts that are refused once a zone has lost its backend servers.
+    let mut quarantine = Quarantine::new(0);
+    let (popular, new) = (FIRST, TOPIC);
+    quarantine.record_use(at(0), at(0), &[popular]);
+    for n in 0..10 {
+        let now = at(1_000 + n * 20);
+        quarantine.record_crash(now, now, run(n), &[popular, new]);
+    }
+
+    assert!(!is_held(&mut quarantine, settled(9), popular));
+    assert!(!is_held(&mut quarantine, settled(9), new));
+}
+
+#[test]
+fn parts_present_at_the_crashes_of_another_part_are_not_held() {
+    // Guards against rare sound parts whose few requests all ran where a poison request did.
+    let mut quarantine = Quarantine::new(0);
+    crash_series(&mut quarantine, 2, &[BAD]);
+    for n in 2..6 {
+        let rare = [TOPIC, BAD];
+        quarantine.record_crash(at(n * 1_000), at(n * 1_000), run(n), &rare);
+    }
+
+    assert!(is_held(&mut quarantine, settled(7), BAD));
+    assert!(!is_held(&mut quarantine, settled(7), TOPIC));
+}
+
+#[test]
+fn second_part_is_held_beside_the_first() {
+    // Guards against a quarantine that stops at one part.
+    let mut quarantine = Quarantine::new(0);
+    let other = PartId::new(0xbad2);
+    crash_series(&mut quarantine, 4, &[BAD, FIRST]);
+    for n in 10..14 {
+        quarantine.record_crash(at(n * 1_000), at(n * 1_000), run(n), &[other]);
+    }
+
+    assert!(is_held(&mut quarantine, settled(15), other));
+    assert!(is_held(&mut quarantine, settled(15), BAD));
+}
+
+#[test]
+fn part_that_was_harmless_before_is_held_after_it_turned_bad() {
+    // Guards against a part that no crash can reach any more because answers were completed once.
+    let mut quarantine = Quarantine::new(0);
+    quarantine.record_use(at(0), at(0), &[BAD]);
+    for n in 1..=CRASHES as u64 {
+        let now = at(n * 1_500);
+        quarantine.record_crash(now, now, run(n), &[BAD]);
+    }
+
+    assert!(is_held(&mut quarantine, settled(9), BAD));
+}
+
+#[test]
+fn completed_answer_after_the_crashes_frees_a_part() {
+    // Guards against a sound part that stays refused although an answer was completed with it.
+    let mut quarantine = Quarantine::new(0);
+    crash_series(&mut quarantine, 4, &[TOPIC]);
+    assert!(is_held(&mut quarantine, settled(5), TOPIC));
+
+    quarantine.record_use(settled(7), settled(6), &[TOPIC]);
+
+    assert!(!is_held(&mut quarantine, settled(8), TOPIC));
+    assert!(quarantine.take_changes().contains(&Change::Freed(TOPIC)));
+}
+
+#[test]
+fn quarantine_does_not_end_by_time_and_trials_are_rare() {
+    // Guards against a bad part that comes free by time alone, and against trials at many engines.
+    let mut quarantine = Quarantine::new(0);
+    crash_series(&mut quarantine, 4, &[BAD]);
+    let mut trials = 0;
+
+    for second in 0..7_200 {
+        let now = settled(5) + ms(second * 1_000);
+        match check(&mut quarantine, now, &[BAD]) {
+            Verdict::Sound => panic!("free after {second} s"),
+            Verdict::Trial(part) => {
+                quarantine.begin_trial(now, part);
+                trials += 1;
+            }
+            Verdict::Held { .. } => {}
+        }
+    }
+
+    assert!((3..=5).contains(&trials), "{trials} trials in two hours");
+}
+
+#[test]
+fn one_entry_at_a_time_may_try_a_part() {
+    // Guards against a trial by each entry at the same time.
+    let mut quarantine = Quarantine::new(0);
+    crash_series(&mut quarantine, 4, &[BAD]);
+    assert!(is_held(&mut quarantine, settled(5), BAD));
+    let all = names(5);
+    let now = settled(5) + ms(70_000);
+
+    let tries = |local: &Arc<str>| {
+        let entries = Entries { local, all: &all };
+        matches!(quarantine.clone().check(now, &[BAD], entries), Verdict::Trial(_))
+    };
+
+    assert_eq!(all.iter().filter(|entry| tries(entry)).count(), 1);
+}
+
+#[test]
+fn evidence_of_several_nodes_meets_at_a_node_that_starts_late() {
+    // Guards against a verdict that only the nodes know which saw the crashes.
+    let mut nodes = [Quarantine::new(0), Quarantine::new(0), Quarantine::new(0)];
+    for n in 0..4 {
+        nodes[n as usize % 3].record_crash(at(n * 500), at(n * 500), run(n), &[BAD]);
+    }
+    let mut late = Quarantine::new(0);
+
+    let now = settled(5);
+    let told: Vec<Evidence> = nodes.iter().map(|node| node.evidence_since(now, 0)).collect();
+    told.into_iter().for_each(|evidence| late.merge(now, evidence));
+
+    assert!(is_held(&mut late, now, BAD));
+}
+
+#[test]
+fn what_nodes_tell_each_other_comes_to_an_end() {
+    // Guards against nodes that tell each other the same evidence for ever.
+    let mut nodes = [Quarantine::new(0), Quarantine::new(0)];
+    nodes[0].record_use(at(0), at(0), &[FIRST]);
+    crash_series(&mut nodes[1], 4, &[BAD, FIRST]);
+    let mut seen = [0, 0];
+
+    for turn in 0..6 {
+        let (from, to) = (turn % 2, 1 - turn % 2);
+        let now = settled(5 + turn as u64);
+        let evidence = nodes[from].evidence_since(now, seen[from]);
+        seen[from] = nodes[from].version();
+        nodes[to].merge(now, evidence);
+    }
+
+    let now = settled(12);
+    assert!(nodes.iter().zip(seen).all(|(n, seen)| n.evidence_since(now, seen).is_empty()));
+    assert!(nodes.iter_mut().all(|n| is_held(n, now, BAD)));
+}
