--- a/src/limpetmux/core/quarantine/crash.rs
+++ b/src/limpetmux/core/quarantine/crash.rs
@@ -15,9 +15,11 @@
     pub started_ms: u64,
 }
 
-/// What speaks for a part that ran at a crash; marks are only ever added.
+/// What speaks for and against a part that ran at a crash; marks are only ever added.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Mark {
+    /// A request with the part had no event of its answer yet.
+    pub early: bool,
     /// Answers were completed with the part before the crash.
     pub known: bool,
     /// An answer was completed with the part by a request that was sent after the crash.
@@ -86,6 +88,10 @@
 
 impl Mark {
     fn or(self, other: Self) -> Self {
-        Self { known: self.known || other.known, harmless: self.harmless || other.harmless }
+        Self {
+            early: self.early || other.early,
+            known: self.known || other.known,
+            harmless: self.harmless || other.harmless,
+        }
     }
 }
--- a/src/limpetmux/core/quarantine/mod.rs
+++ b/src/limpetmux/core/quarantine/mod.rs
@@ -142,10 +142,18 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Records that a backend server has ended while requests with some parts ran there.
-    pub fn record_crash(&mut self, now: Moment, at: Moment, run: ServerRun, parts: &[PartId]) {
-        let marks = parts.iter().map(|part| (*part, Mark::default())).collect();
-        self.add_crash(now, at, run, marks);
+    /// Records that a backend server has ended while requests with some parts ran there; of each it is
+    /// stated whether a request with it had no event of its answer yet.
+    pub fn record_crash(
+        &mut self,
+        now: Moment,
+        at: Moment,
+        run: ServerRun,
+        parts: &[(PartId, bool)],
+    ) {
+        let mark =
+            |(part, early): &(PartId, bool)| (*part, Mark { early: *early, ..Mark::default() });
+        self.add_crash(now, at, run, parts.iter().map(mark).collect());
     }
 
     /// Records that an answer to a request that was sent at `began` was completed.
--- a/src/limpetmux/fleet/evidence.rs
+++ b/src/limpetmux/fleet/evidence.rs
@@ -38,6 +38,7 @@
         part: part.value(),
         known: mark.known,
         harmless: mark.harmless,
+        early: mark.early,
     };
     wire::CrashRecord {
         server: crash.run.server.to_string(),
@@ -48,8 +49,9 @@
 }
 
 fn decode_crash(crash: wire::CrashRecord) -> CrashRecord {
-    let mark =
-        |m: wire::PartMark| (PartId::new(m.part), Mark { known: m.known, harmless: m.harmless });
+    let mark = |m: wire::PartMark| {
+        (PartId::new(m.part), Mark { early: m.early, known: m.known, harmless: m.harmless })
+    };
     CrashRecord {
         run: ServerRun { server: crash.server.into(), started_ms: crash.started },
         age: Duration::from_millis(crash.age_ms),
--- a/src/limpetmux/serve/ended.rs
+++ b/src/limpetmux/serve/ended.rs
@@ -30,6 +30,13 @@
     pub events: u64,
 }
 
+impl BrokenRequest {
+    /// Returns its parts, each with whether no event of the answer had arrived.
+    fn risks(&self) -> impl Iterator<Item = (PartId, bool)> {
+        self.parts.iter().map(|part| (*part, self.events == 0))
+    }
+}
+
 /// The requests that broke off at each backend server that is being examined.
 #[derive(Debug, Default)]
 pub struct Examined(Mutex<BTreeMap<ServerRun, Vec<BrokenRequest>>>);
@@ -62,7 +69,8 @@
         let requests = shared.examined.take(&run);
         record(&run.server, listener, &requests);
         if listener == Listener::Absent {
-            let parts: Vec<PartId> = requests.into_iter().flat_map(|r| r.parts).collect();
+            let parts: Vec<(PartId, bool)> =
+                requests.iter().flat_map(BrokenRequest::risks).collect();
             shared.quarantine.record_crash(&shared.metrics, broke_at, run, &parts);
         }
     });
--- a/src/limpetmux/serve/quarantine.rs
+++ b/src/limpetmux/serve/quarantine.rs
@@ -45,8 +45,15 @@
         *self.version.borrow()
     }
 
-    /// Records that a backend server has ended while requests with some parts ran there.
-    pub fn record_crash(&self, metrics: &Metrics, at: Moment, run: ServerRun, parts: &[PartId]) {
+    /// Records that a backend server has ended while requests with some parts ran there; of each it is
+    /// stated whether a request with it had no event of its answer yet.
+    pub fn record_crash(
+        &self,
+        metrics: &Metrics,
+        at: Moment,
+        run: ServerRun,
+        parts: &[(PartId, bool)],
+    ) {
         self.change(metrics, |state, now| state.record_crash(now, at, run, parts));
     }
 
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -87,6 +87,9 @@
     /// Whether an answer to a request that was sent after the crash was completed with the part.
     #[prost(bool, tag = "3")]
     pub harmless: bool,
+    /// Whether a request with the part had no event of its answer yet.
+    #[prost(bool, tag = "4")]
+    pub early: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HoldRecord {
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -32,6 +32,7 @@
 mod placement;
 mod poison_requests;
 mod quarantine;
+mod quarantine_model;
 mod queue_nodes;
 mod queue_waits;
 mod resent;
