--- a/src/bin/limpetmux/commands/mod.rs
+++ b/src/bin/limpetmux/commands/mod.rs
@@ -8,6 +8,7 @@
 pub mod local;
 pub mod node;
 mod operator;
+pub mod quarantine;
 mod role;
 pub mod settings;
 pub mod sheet;
--- a/src/limpetmux/core/quarantine/evidence.rs
+++ b/src/limpetmux/core/quarantine/evidence.rs
@@ -4,6 +4,7 @@
 
 use super::crash::{Mark, ServerRun};
 use crate::core::prompt_part::PartId;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -44,6 +45,15 @@
     pub known: bool,
     /// The backend servers whose crashes the verdict rests on.
     pub servers: Vec<Arc<str>>,
+    /// The parts that a request has besides if it is held back.
+    pub with: BTreeSet<PartId>,
+}
+
+impl HoldRecord {
+    /// Returns whether the part is quarantined.
+    pub fn is_held(&self) -> bool {
+        !self.turn.is_multiple_of(2)
+    }
 }
 
 impl Evidence {
--- a/src/limpetmux/core/quarantine/hold.rs
+++ b/src/limpetmux/core/quarantine/hold.rs
@@ -1,10 +1,12 @@
 //! The verdict on one part: whether it is quarantined, and when it is tried.
 
+use super::crash::Crash;
 use super::evidence::HoldRecord;
 use super::{Entries, Grounds};
 use crate::core::prompt_part::PartId;
 use crate::core::time::Moment;
 use crate::util::hash::hash_parts;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +33,8 @@
     tried_at: Moment,
     known: bool,
     servers: Vec<Arc<str>>,
+    /// The parts that a request has besides if it is held back; parts are only ever taken out.
+    with: BTreeSet<PartId>,
     /// When a request was last refused because of it.
     pub(super) refused_at: Moment,
     /// The version at which it last changed.
@@ -42,6 +46,42 @@
         !self.turn.is_multiple_of(2)
     }
 
+    /// Returns whether a request with some parts, of which this hold's is one, is held back.
+    pub(super) fn holds_back(&self, parts: &[PartId]) -> bool {
+        self.is_held() && self.with.iter().all(|part| parts.contains(part))
+    }
+
+    /// Returns whether the hold is only for requests that also have another part.
+    pub(super) fn is_with(&self, part: PartId) -> bool {
+        self.with.contains(&part)
+    }
+
+    /// Returns whether answers had been completed with the part before the verdict.
+    pub(super) fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// Returns the number of other parts that a request has if it is held back.
+    pub(super) fn with_count(&self) -> usize {
+        self.with.len()
+    }
+
+    /// Returns whether this verdict on a part explains a crash.
+    pub(super) fn explains(&self, part: PartId, crash: &Crash) -> bool {
+        self.is_held()
+            && crash.implicates(part)
+            && self.with.iter().all(|other| crash.implicates(*other))
+    }
+
+    /// Keeps only some of the other parts; returns whether that changes anything.
+    pub(super) fn narrow(&mut self, keep: impl Fn(PartId) -> bool, version: u64) -> bool {
+        let before = self.with.len();
+        self.with.retain(|part| keep(*part));
+        let changed = self.with.len() < before;
+        self.changed = if changed { version } else { self.changed };
+        changed
+    }
+
     /// Quarantines the part.
     pub(super) fn begin(&mut self, now: Moment, grounds: &Grounds, version: u64) {
         self.turn = self.turn.saturating_add(1);
@@ -50,6 +90,7 @@
         self.trials = 0;
         self.known = grounds.known;
         self.servers.clone_from(&grounds.servers);
+        self.with.clone_from(&grounds.with);
         self.changed = version;
     }
 
@@ -85,9 +126,17 @@
 
     /// Adopts what another node knows of the verdict, if it is newer; returns whether it was.
     pub(super) fn merge(&mut self, now: Moment, record: &HoldRecord, version: u64) -> bool {
-        if (record.turn, record.trials) <= (self.turn, self.trials) {
+        if record.turn < self.turn {
             return false;
         }
+        if record.turn == self.turn {
+            let narrowed = self.narrow(|part| record.with.contains(&part), version);
+            if record.trials <= self.trials {
+                return narrowed;
+            }
+        } else {
+            self.with.clone_from(&record.with);
+        }
         self.turn = record.turn;
         self.at = now - record.age;
         self.trials = record.trials;
@@ -107,11 +156,12 @@
             tried_age: now.since(self.tried_at),
             known: self.known,
             servers: self.servers.clone(),
+            with: self.with.clone(),
         }
     }
 
     pub(super) fn grounds(&self, now: Moment, part: PartId) -> Grounds {
-        let (servers, known) = (self.servers.clone(), self.known);
-        Grounds { part, servers, span: now.since(self.at), last: self.at, known }
+        let (with, servers) = (self.with.clone(), self.servers.clone());
+        Grounds { part, with, servers, span: now.since(self.at), last: self.at, known: self.known }
     }
 }
--- a/src/limpetmux/core/quarantine/mod.rs
+++ b/src/limpetmux/core/quarantine/mod.rs
@@ -4,7 +4,8 @@
 //! the other requests there along, so that their parts were present at the crash too. What counts are
 //! the crashes of a part against its harmless uses: a part that no answer has completed with since
 //! [`CRASHES`] crashes at separate times, and that explains more of them than any other part, is
-//! quarantined. Crashes that a quarantined part explains are no evidence against others.
+//! quarantined. Crashes that a quarantined part explains are no evidence against others. Parts that
+//! were present at the very same crashes are only held back where they occur together.
 //!
 //! All nodes exchange their evidence and verdicts, so that each of them decides alike and none has to
 //! be asked. A quarantine does not end by time: from time to time one entry sends one request as a
@@ -24,7 +25,7 @@
 use crate::core::time::Moment;
 use crash::Crash;
 use hold::Hold;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use uses::Uses;
@@ -78,6 +79,8 @@
 pub struct Grounds {
     /// The part.
     pub part: PartId,
+    /// The parts that a request has besides if it is held back because of this one.
+    pub with: BTreeSet<PartId>,
     /// The backend servers that have ended.
     pub servers: Vec<Arc<str>>,
     /// The time since the first of the crashes.
@@ -160,10 +163,7 @@
     pub fn record_use(&mut self, now: Moment, began: Moment, parts: &[PartId]) {
         for part in parts {
             self.uses.record(now, *part);
-            let is_cleared = self.holds.get(part).is_some_and(|h| h.is_held() && h.at < began);
-            if is_cleared {
-                self.free(now, *part);
-            }
+            self.clear_holds(now, began, *part);
             let version = self.version + 1;
             for crash in self.crashes.values_mut().filter(|c| c.at < began) {
                 if crash.clear(*part, version) {
@@ -173,12 +173,27 @@
         }
     }
 
+    /// Ends what verdicts before a request was sent say about a part of it, after it was answered.
+    fn clear_holds(&mut self, now: Moment, began: Moment, part: PartId) {
+        let version = self.version + 1;
+        for hold in self.holds.values_mut().filter(|h| h.is_held() && h.at < began) {
+            if hold.narrow(|other| other != part, version) {
+                self.version = version;
+            }
+        }
+        if self.holds.get(&part).is_some_and(|h| h.is_held() && h.at < began) {
+            self.free(now, part);
+        }
+    }
+
     /// Decides what may happen to a request with some parts.
     pub fn check(&mut self, now: Moment, parts: &[PartId], entries: Entries<'_>) -> Verdict {
         self.weigh(now);
-        let mut held = parts.iter().filter(|p| self.holds.get(p).is_some_and(Hold::is_held));
+        let holds = &self.holds;
+        let holds_back = |p: &&PartId| holds.get(p).is_some_and(|h| h.holds_back(parts));
+        let mut held = parts.iter().filter(holds_back);
         let Some(part) = held.next() else { return Verdict::Sound };
-        let is_only = held.all(|other| other == part);
+        let is_only = held.all(|other| other == part || holds[part].is_with(*other));
         let Some(hold) = self.holds.get_mut(part) else { return Verdict::Sound };
         hold.refused_at = now;
         let trial_in = now.until(hold.trial_at());
@@ -221,12 +236,30 @@
         self.crashes.retain(|_, c| now.since(c.at) < CRASH_AGE);
         let next = self.crashes.values().map(|c| c.at + SETTLE_TIME).filter(|at| *at > now).min();
         self.weigh_at = next;
+        self.narrow_holds(now);
         while let Some(found) = suspects::find(now, &self.crashes, &self.holds) {
             found.into_iter().for_each(|grounds| self.hold(now, grounds));
         }
+        for part in suspects::explained(&self.crashes, &self.holds) {
+            self.free(now, part);
+        }
         self.note_suspects(now);
     }
 
+    /// Takes parts out of verdicts that were missing at a later crash.
+    fn narrow_holds(&mut self, now: Moment) {
+        let version = self.version + 1;
+        for crash in self.crashes.values().filter(|c| now.since(c.at) >= SETTLE_TIME) {
+            let present = |part: &PartId| crash.implicates(*part);
+            for (_, hold) in self.holds.iter_mut().filter(|(part, h)| h.is_held() && present(part))
+            {
+                if hold.narrow(|other| crash.implicates(other), version) {
+                    self.version = version;
+                }
+            }
+        }
+    }
+
     /// Returns what a node lacks that has seen the evidence up to a version.
     pub fn evidence_since(&self, now: Moment, version: u64) -> Evidence {
         let crashes = self.crashes.iter().filter(|(_, c)| c.changed > version);
@@ -284,7 +317,11 @@
         self.version = version;
         let is_held = hold.is_held();
         match (before, is_held) {
-            (false, true) => self.changes.push(Change::Held(hold.grounds(now, part))),
+            (false, true) => {
+                self.changes.push(Change::Held(hold.grounds(now, part)));
+                // This node may know that another part explains its crashes.
+                self.weigh_at = Some(now);
+            }
             (true, false) => {
                 self.clear(part, version);
                 self.changes.push(Change::Freed(part));
--- a/src/limpetmux/core/quarantine/suspects.rs
+++ b/src/limpetmux/core/quarantine/suspects.rs
@@ -5,6 +5,7 @@
 use super::{Grounds, SETTLE_TIME};
 use crate::core::prompt_part::PartId;
 use crate::core::time::Moment;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +26,10 @@
 /// several such times, a common cause is unlikely.
 const KNOWN_SEPARATE_TIME: Duration = Duration::from_millis(500);
 
+/// A verdict is taken back if another part was present at this many times as many crashes. Fewer may be
+/// those of a part that the other one was present with, and a bad part must not come free.
+const EXPLAINED_FACTOR: usize = 2;
+
 /// The unexplained crashes that speak against one part.
 struct Suspect<'a> {
     part: PartId,
@@ -37,27 +42,64 @@
 
 /// Returns the parts to quarantine next, if any.
 ///
-/// They are the one part against which the crashes speak most, or several if they speak alike against
-/// all of them after one more. Whoever calls this adds them to the verdicts and calls it again, as the
-/// crashes that they explain no longer speak against others.
+/// They are the one part against which the crashes speak most. Parts that were present at the very
+/// same crashes cannot be told apart, so each of them is quarantined together with the others.
+/// Whoever calls this adds them to the verdicts and calls it again, as the crashes that they explain
+/// no longer speak against others.
 pub(super) fn find(
     now: Moment,
     crashes: &BTreeMap<ServerRun, Crash>,
     holds: &BTreeMap<PartId, Hold>,
 ) -> Option<Vec<Grounds>> {
     let leaders = leaders(now, crashes, holds);
-    let margin = leaders.first()?.margin;
-    let is_tie = leaders.len() > 1;
-    let is_tie_of_known = is_tie && leaders.iter().any(|s| s.known);
-    if margin < tie_margin(is_tie) || is_tie_of_known {
+    // Where several parts with completed answers lead, something else is the cause.
+    let is_tie_of_known = leaders.len() > 1 && leaders.iter().any(|s| s.known);
+    if leaders.first()?.margin < 0 || is_tie_of_known {
         return None;
     }
-    Some(leaders.iter().map(|s| s.grounds(now)).collect())
+    let grounds = |s: &Suspect<'_>| {
+        let others = leaders.iter().filter(|o| o.part != s.part && o.crashes == s.crashes);
+        Grounds { with: others.map(|o| o.part).collect(), ..s.grounds(now) }
+    };
+    Some(leaders.iter().map(grounds).collect())
 }
 
-/// Returns the points beyond those needed from which on the leading parts are quarantined.
-fn tie_margin(is_tie: bool) -> i64 {
-    if is_tie { EARLY_POINTS as i64 } else { 0 }
+/// Returns the quarantined parts whose crashes others explain that were present at more crashes.
+///
+/// A node that knew only some of the parts that ran at a crash may have decided on the wrong one.
+pub(super) fn explained(
+    crashes: &BTreeMap<ServerRun, Crash>,
+    holds: &BTreeMap<PartId, Hold>,
+) -> Vec<PartId> {
+    let mut held: Vec<(PartId, &Hold, BTreeSet<&ServerRun>)> = Vec::new();
+    for (part, hold) in holds.iter().filter(|(_, h)| h.is_held()) {
+        let explained = crashes.iter().filter(|(_, c)| hold.explains(*part, c));
+        held.push((*part, hold, explained.map(|(run, _)| run).collect()));
+    }
+    held.sort_by_key(|(_, hold, runs)| (hold.is_known(), Reverse(runs.len()), hold.with_count()));
+    let has_grounds = |part: PartId, runs: &BTreeSet<&ServerRun>| {
+        let own = crashes.iter().filter(|(run, _)| runs.contains(run));
+        suspects(own).iter().any(|s| s.part == part && s.margin >= 0)
+    };
+    let mut unfounded = Vec::new();
+    for (index, (part, hold, runs)) in held.iter().enumerate() {
+        let outweighs = |(other, by, all): &&(PartId, &Hold, BTreeSet<&ServerRun>)| {
+            let is_clear = match (by.is_known(), hold.is_known()) {
+                (false, true) => true,
+                (true, false) => false,
+                _ => all.len() >= runs.len() * EXPLAINED_FACTOR,
+            };
+            is_clear && !hold.is_with(*other)
+        };
+        let before = held[..index].iter().filter(outweighs);
+        let explained: BTreeSet<&ServerRun> = before.flat_map(|(.., runs)| runs).copied().collect();
+        let rest = runs.difference(&explained).copied().collect();
+        // Crashes that are merely too old to be remembered do not end a verdict.
+        if has_grounds(*part, runs) && !has_grounds(*part, &rest) {
+            unfounded.push(*part);
+        }
+    }
+    unfounded
 }
 
 /// Returns the parts with the most evidence that have no verdict yet and lack one crash for it.
@@ -70,34 +112,32 @@
     leaders.iter().filter(|s| s.margin >= -(EARLY_POINTS as i64)).map(|s| s.grounds(now)).collect()
 }
 
-/// Returns the parts with the most evidence; those with which no answer was completed before go
-/// first, so that others are only returned if there are none of these.
+/// Returns the parts that were present at most crashes among those against which enough of them
+/// speak or, if there are none, the parts with the most evidence; those with which no answer was
+/// completed before go first.
 fn leaders<'a>(
     now: Moment,
     crashes: &'a BTreeMap<ServerRun, Crash>,
     holds: &BTreeMap<PartId, Hold>,
 ) -> Vec<Suspect<'a>> {
-    let suspects = suspects(now, crashes, holds);
-    let rank = |s: &Suspect<'_>| (s.margin, !s.known);
+    let is_explained = |c: &Crash| holds.iter().any(|(part, hold)| hold.explains(*part, c));
+    let is_settled = |c: &Crash| now.since(c.at) >= SETTLE_TIME;
+    let open = crashes.iter().filter(|(_, c)| is_settled(c) && !is_explained(c));
+    let suspects = suspects(open);
+    let rank = |s: &Suspect<'_>| {
+        let count = if s.margin < 0 { 0 } else { s.crashes.len() };
+        (s.margin.min(0), count, !s.known)
+    };
     let Some(best) = suspects.iter().map(rank).max() else { return Vec::new() };
     suspects.into_iter().filter(|s| rank(s) == best).collect()
 }
 
-/// Returns all parts against which settled crashes speak that no quarantined part explains.
-fn suspects<'a>(
-    now: Moment,
-    crashes: &'a BTreeMap<ServerRun, Crash>,
-    holds: &BTreeMap<PartId, Hold>,
-) -> Vec<Suspect<'a>> {
-    let held: BTreeSet<PartId> =
-        holds.iter().filter(|(_, h)| h.is_held()).map(|(part, _)| *part).collect();
-    let is_explained = |c: &Crash| held.iter().any(|part| c.implicates(*part));
-    let is_settled = |c: &Crash| now.since(c.at) >= SETTLE_TIME;
-    let counts = |c: &&Crash| is_settled(c) && !is_explained(c);
-    let mut times: Vec<Moment> = crashes.values().filter(counts).map(|c| c.at).collect();
-    times.sort_unstable();
+/// Returns all parts against which some crashes speak.
+fn suspects<'a>(crashes: impl Iterator<Item = (&'a ServerRun, &'a Crash)>) -> Vec<Suspect<'a>> {
+    let mut times: Vec<Moment> = Vec::new();
     let mut found: BTreeMap<PartId, Suspect<'_>> = BTreeMap::new();
-    for (run, crash) in crashes.iter().filter(|(_, c)| counts(c)) {
+    for (run, crash) in crashes {
+        times.push(crash.at);
         for (part, mark) in crash.parts.iter().filter(|(_, mark)| !mark.harmless) {
             let new = || Suspect { part: *part, crashes: Vec::new(), known: false, margin: 0 };
             let suspect = found.entry(*part).or_insert_with(new);
@@ -106,6 +146,7 @@
             suspect.known |= mark.known;
         }
     }
+    times.sort_unstable();
     let mut suspects: Vec<Suspect<'_>> = found.into_values().collect();
     suspects.iter_mut().for_each(|s| s.weigh(&times));
     suspects
@@ -156,6 +197,7 @@
         let first = self.crashes.first().map_or(now, |(at, ..)| *at);
         let servers = self.crashes.iter().map(|(_, run, _)| Arc::clone(&run.server)).collect();
         let last = self.crashes.last().map_or(now, |(at, ..)| *at);
-        Grounds { part: self.part, servers, span: now.since(first), last, known: self.known }
+        let (part, with, span) = (self.part, BTreeSet::new(), now.since(first));
+        Grounds { part, with, servers, span, last, known: self.known }
     }
 }
--- a/src/limpetmux/fleet/evidence.rs
+++ b/src/limpetmux/fleet/evidence.rs
@@ -68,6 +68,7 @@
         tried_ms: millis(hold.tried_age),
         known: hold.known,
         servers: hold.servers.iter().map(ToString::to_string).collect(),
+        with: hold.with.iter().map(|part| part.value()).collect(),
     }
 }
 
@@ -80,6 +81,7 @@
         tried_age: Duration::from_millis(hold.tried_ms),
         known: hold.known,
         servers: hold.servers.into_iter().map(Arc::from).collect(),
+        with: hold.with.into_iter().map(PartId::new).collect(),
     }
 }
 
--- a/src/limpetmux/ops/admin_client.rs
+++ b/src/limpetmux/ops/admin_client.rs
@@ -49,12 +49,22 @@
     channels: &Channels,
     addr: SocketAddr,
 ) -> Result<AdminClient<Channel>, AdminError> {
+    connect_channel(channels, addr).await.map(AdminClient::new)
+}
+
+/// Connects to a process.
+///
+/// # Errors
+/// Returns [`AdminError::Connect`] if no connection can be made.
+pub(super) async fn connect_channel(
+    channels: &Channels,
+    addr: SocketAddr,
+) -> Result<Channel, AdminError> {
     let error = |source| AdminError::Connect { addr, source };
     let endpoint = channels.endpoint(addr, CONNECT_TIMEOUT).map_err(error)?;
     let endpoint = endpoint.timeout(CALL_TIMEOUT).keep_alive_timeout(KEEPALIVE_TIMEOUT);
     let endpoint = endpoint.http2_keep_alive_interval(KEEPALIVE_INTERVAL);
-    let channel = endpoint.connect().await.map_err(error)?;
-    Ok(AdminClient::new(channel))
+    endpoint.connect().await.map_err(error)
 }
 
 /// Converts the status of a failed call into an [`AdminError::NoAnswer`].
--- a/src/limpetmux/ops/mod.rs
+++ b/src/limpetmux/ops/mod.rs
@@ -8,6 +8,7 @@
 pub mod config_files;
 pub mod drain;
 pub mod explain;
+pub mod quarantine;
 pub mod sheet;
 mod sheet_error;
 pub mod sheet_plan;
--- a/src/limpetmux/serve/quarantine.rs
+++ b/src/limpetmux/serve/quarantine.rs
@@ -1,7 +1,7 @@
 //! The quarantine of prompt parts as the tasks of one node share it: with its log lines and metrics,
 //! and a signal for each change that other nodes have to learn.
 
-use crate::core::prompt_part::PartId;
+use crate::core::prompt_part::{self, PartId};
 use crate::core::quarantine::{Change, Entries, Evidence, Grounds, Quarantine, ServerRun, Verdict};
 use crate::core::time::Moment;
 use crate::event;
@@ -142,9 +142,11 @@
 }
 
 fn log_grounds(code: EventCode, grounds: &Grounds) {
+    let with: Vec<PartId> = grounds.with.iter().copied().collect();
     event!(
         code,
         part = grounds.part,
+        with = prompt_part::list(&with),
         crashes = grounds.servers.len(),
         servers = grounds.servers.join(","),
         span_ms = grounds.span.as_millis(),
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -112,6 +112,9 @@
     /// The backend servers whose crashes the verdict rests on.
     #[prost(string, repeated, tag = "7")]
     pub servers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The parts that a request has besides if it is held back.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub with: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct QuarantineRequest {
--- a/tests/testsuite/platform/crash_fixture.rs
+++ b/tests/testsuite/platform/crash_fixture.rs
@@ -4,6 +4,7 @@
 use limpetmux::serve::run::{RunningNode, start};
 use limpetmux_standins::users::{UsersServer, UsersStore};
 use reqwest::{Client, RequestBuilder};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -96,6 +97,15 @@
     /// Starts one more entry and waits until it is ready.
     pub(super) async fn start_entry(&self, name: &str) -> RunningNode {
         let seeds = self.sidecar.iter().map(|s| s.node_addr).collect();
+        self.start_entry_with(name, seeds).await
+    }
+
+    /// Starts one more entry, which knows a node at the start.
+    pub(super) async fn start_entry_near(&self, name: &str, node: SocketAddr) -> RunningNode {
+        self.start_entry_with(name, vec![node]).await
+    }
+
+    async fn start_entry_with(&self, name: &str, seeds: Vec<SocketAddr>) -> RunningNode {
         let entry = start(settings(name, self.store.addr, true, seeds)).await.unwrap();
         while !entry.is_ready() {
             sleep(Duration::from_millis(10)).await;
--- a/tests/testsuite/platform/poison_requests.rs
+++ b/tests/testsuite/platform/poison_requests.rs
@@ -1,6 +1,11 @@
 //! Requests with a part that crashes model engines are held back, and sound ones are served.
 
 use super::crash_fixture::{CrashFixture, POISON, crash_fixture, is_served};
+use limpetmux::adapters::channel::Channels;
+use limpetmux::core::prompt_part::PartId;
+use limpetmux::ops::quarantine;
+use limpetmux::serve::run::RunningNode;
+use limpetmux_standins::users::UsersServer;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -62,3 +67,138 @@
     }
     assert!(served * 10 >= sound * 9, "{served} of {sound} sound requests were served");
 }
+
+/// Sends requests with the part, beside sound ones with their other parts, until each entry refuses
+/// them at once whatever else they have; panics if that takes long.
+async fn hold_part(fixture: &CrashFixture) {
+    let until = Instant::now() + SPELL;
+    for number in 0.. {
+        assert!(Instant::now() < until, "the part is not held");
+        let first = if number % 3 == 2 { "f2" } else { "f1" };
+        let parts = format!("{first}:200,{POISON}:50,c{number:x}:50");
+        let entry = &fixture.entries[number % fixture.entries.len()];
+        let sound = fixture.prompt(entry, &format!("a{number}"), &format!("f1:200,c{number:x}:50"));
+        tokio::spawn(is_served(sound));
+        let id = format!("b{number}");
+        let sent = fixture.entries.iter().map(|entry| is_held(fixture, entry, &id, &parts));
+        if futures::future::join_all(sent).await.into_iter().all(|held| held) {
+            return;
+        }
+        sleep(Duration::from_millis(150)).await;
+    }
+}
+
+/// Sends a request and returns whether it was refused because of a part of its prompt.
+async fn is_held(fixture: &CrashFixture, entry: &RunningNode, id: &str, parts: &str) -> bool {
+    let Ok(answer) = fixture.prompt(entry, id, parts).send().await else { return false };
+    answer.status() == 503 && answer.text().await.is_ok_and(|text| text == "quarantined")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_that_starts_after_the_crashes_holds_the_part_back() {
+    // Guards against a verdict that only those know which saw the crashes.
+    let mut fixture = crash_fixture(2).await;
+    hold_part(&fixture).await;
+
+    let late = fixture.start_entry("late").await;
+    sleep(Duration::from_millis(700)).await;
+    let before = fixture.arrivals('b').len();
+    let held = is_held(&fixture, &late, "b-late", &format!("f2:9,{POISON}:9,c:9")).await;
+    let sound = is_served(fixture.prompt(&late, "a-late", "f1:200,c:50")).await;
+    fixture.entries.push(late);
+
+    assert!(held);
+    assert!(sound, "a sound request is held too");
+    assert_eq!(fixture.arrivals('b').len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn part_stays_held_when_the_node_that_all_pull_from_stops() {
+    // Guards against evidence that is lost with the node at which it meets.
+    let mut fixture = crash_fixture(2).await;
+    hold_part(&fixture).await;
+
+    let sidecar = fixture.sidecar.take().unwrap();
+    assert_eq!(sidecar.drain().await, 0);
+    sleep(Duration::from_millis(1_500)).await;
+    let late = fixture.start_entry_near("late", fixture.entries[0].node_addr).await;
+    sleep(Duration::from_millis(1_500)).await;
+    let held = is_held(&fixture, &late, "b-late", &format!("f1:9,{POISON}:9,c:9")).await;
+    let old = is_held(&fixture, &fixture.entries[0], "b-old", &format!("{POISON}:9,c:9")).await;
+    fixture.entries.push(late);
+
+    assert!(held && old, "held by the late entry: {held}, by an old one: {old}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn part_stays_held_when_all_processes_start_again() {
+    // Guards against a bad part that comes free because all processes stop at once.
+    let mut fixture = crash_fixture(2).await;
+    hold_part(&fixture).await;
+    // The verdict is written by the node that reads the store.
+    sleep(Duration::from_millis(1_000)).await;
+
+    fixture.entries.clear();
+    fixture.sidecar = None;
+    let entry = fixture.start_entry("again").await;
+    sleep(Duration::from_millis(500)).await;
+    let held = is_held(&fixture, &entry, "b-again", &format!("f1:9,{POISON}:9,c:9")).await;
+    fixture.entries.push(entry);
+
+    assert!(held);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_part_is_held_when_engines_end_for_other_reasons() {
+    // Guards against sound requests that are refused after crashes that none of them caused (LOST).
+    let fixture = crash_fixture(3).await;
+    let began = Instant::now();
+    let mut sent = Vec::new();
+    let mut number = 0_usize;
+    while began.elapsed() < Duration::from_secs(6) {
+        let entry = &fixture.entries[number % 3];
+        let parts = format!("f1{}:200,c{:03}:50", number % 3, number % 10);
+        sent.push(tokio::spawn(is_served(fixture.prompt(entry, &format!("a{number}"), &parts))));
+        match number {
+            n if n.is_multiple_of(70) => {
+                fixture.engines.iter().take(4).for_each(UsersServer::crash)
+            }
+            n if n.is_multiple_of(9) => fixture.engines[number % 8].crash(),
+            _ => {}
+        }
+        number += 1;
+        sleep(Duration::from_millis(20)).await;
+    }
+    drop(futures::future::join_all(sent).await);
+    sleep(Duration::from_millis(800)).await;
+
+    let mut served = 0;
+    for topic in 0..10 {
+        let entry = &fixture.entries[topic % 3];
+        let parts = format!("f1{}:200,c{topic:03}:50", topic % 3);
+        let request = fixture.prompt(entry, &format!("a-last{topic}"), &parts);
+        served += usize::from(is_served(request).await);
+    }
+
+    assert!(fixture.crashes.lock().unwrap().len() > 15);
+    assert_eq!(served, 10);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_can_list_and_lift_a_quarantine() {
+    // Guards against a quarantine that nobody can see or end.
+    let fixture = crash_fixture(2).await;
+    hold_part(&fixture).await;
+    let part = PartId::named(POISON);
+    let channels = Channels::plain();
+
+    let listed = quarantine::run(&channels, fixture.entries[0].node_addr, &[]).await.unwrap();
+    let parts: Vec<PartId> = listed.iter().map(|held| held.part).collect();
+    let left = quarantine::run(&channels, fixture.entries[0].node_addr, &parts).await.unwrap();
+    sleep(Duration::from_millis(1_500)).await;
+    let elsewhere = quarantine::run(&channels, fixture.entries[1].node_addr, &[]).await.unwrap();
+
+    assert!(listed.iter().any(|held| held.part == part), "{listed:?}");
+    assert!(quarantine::table(&listed).contains(POISON), "{}", quarantine::table(&listed));
+    assert!(left.is_empty() && elsewhere.is_empty(), "{left:?} {elsewhere:?}");
+}
--- a/tests/testsuite/platform/quarantine.rs
+++ b/tests/testsuite/platform/quarantine.rs
@@ -108,6 +108,7 @@
     // Guards against a quarantine that stops at one part.
     let mut quarantine = Quarantine::new(0);
     let other = PartId::new(0xbad2);
+    quarantine.record_use(at(0), at(0), &[FIRST]);
     crash_series(&mut quarantine, 4, &[BAD, FIRST]);
     for n in 10..14 {
         quarantine.record_crash(at(n * 1_000), at(n * 1_000), run(n), &early(&[other]));
@@ -255,3 +256,81 @@
 
     assert!(!is_held(&mut quarantine, settled(9), TOPIC));
 }
+
+#[test]
+fn parts_that_always_occur_together_are_held_together_only() {
+    // Guards against sound requests that are refused because all poison requests had their first part.
+    let mut quarantine = Quarantine::new(0);
+    crash_series(&mut quarantine, 4, &[FIRST, BAD]);
+    let now = settled(5);
+
+    assert_ne!(check(&mut quarantine, now, &[FIRST, BAD, TOPIC]), Verdict::Sound);
+    assert_eq!(check(&mut quarantine, now, &[FIRST, TOPIC]), Verdict::Sound);
+    quarantine.record_use(now + ms(300), now + ms(100), &[FIRST, TOPIC]);
+    assert_ne!(check(&mut quarantine, now + ms(400), &[BAD, TOPIC]), Verdict::Sound);
+    assert_eq!(check(&mut quarantine, now + ms(400), &[FIRST, TOPIC]), Verdict::Sound);
+}
+
+#[test]
+fn part_that_crashes_without_the_others_is_held_alone() {
+    // Guards against poison requests that get through because they lack a part of the first ones.
+    let mut quarantine = Quarantine::new(0);
+    crash_series(&mut quarantine, 4, &[FIRST, BAD]);
+    assert_eq!(check(&mut quarantine, settled(5), &[BAD]), Verdict::Sound);
+
+    quarantine.record_crash(settled(6), settled(6), run(9), &early(&[BAD, TOPIC]));
+
+    assert_ne!(check(&mut quarantine, settled(7), &[BAD]), Verdict::Sound);
+}
+
+#[test]
+fn parts_held_together_can_be_tried() {
+    // Guards against a sound pair of parts that is refused for ever.
+    let mut quarantine = Quarantine::new(0);
+    crash_series(&mut quarantine, 4, &[FIRST, TOPIC]);
+    let parts = [FIRST, TOPIC];
+    assert_ne!(check(&mut quarantine, settled(5), &parts), Verdict::Sound);
+
+    let later = settled(70);
+    let Verdict::Trial(part) = check(&mut quarantine, later, &parts) else { panic!("no trial") };
+    quarantine.begin_trial(later, part);
+    quarantine.record_use(later + ms(500), later, &parts);
+
+    assert_eq!(check(&mut quarantine, later + ms(600), &parts), Verdict::Sound);
+}
+
+#[test]
+fn verdict_of_a_node_that_knew_too_little_is_taken_back() {
+    // Guards against a sound part that stays refused because a node that was cut off saw it, and not the
+    // bad one, at three crashes.
+    let (mut cut, mut other) = (Quarantine::new(0), Quarantine::new(0));
+    crash_series(&mut other, 7, &[BAD]);
+    for n in 0..3 {
+        cut.record_crash(at(n * 1_000), at(n * 1_000), run(n), &early(&[TOPIC]));
+    }
+    assert!(is_held(&mut cut, settled(4), TOPIC) && is_held(&mut other, settled(8), BAD));
+
+    cut.merge(settled(9), other.evidence_since(settled(9), 0));
+
+    assert!(!is_held(&mut cut, settled(10), TOPIC));
+    assert!(is_held(&mut cut, settled(10), BAD));
+}
+
+#[test]
+fn bad_part_does_not_come_free_because_of_a_popular_one() {
+    // Guards against a bad part that is released because a node without evidence of harmless uses took a
+    // popular part for the cause (model seed 1299).
+    let mut quarantine = Quarantine::new(0);
+    crash_series(&mut quarantine, 4, &[BAD]);
+    assert!(is_held(&mut quarantine, settled(5), BAD));
+    let mut other = Quarantine::new(0);
+    other.record_use(at(0), at(0), &[FIRST]);
+    for n in 0..12 {
+        other.record_crash(at(n * 600), at(n * 600), run(n), &early(&[FIRST]));
+    }
+    assert!(is_held(&mut other, settled(9), FIRST));
+
+    quarantine.merge(settled(10), other.evidence_since(settled(10), 0));
+
+    assert!(is_held(&mut quarantine, settled(11), BAD));
+}
--- a/tests/testsuite/platform/quarantine_model.rs
+++ b/tests/testsuite/platform/quarantine_model.rs
@@ -44,6 +44,9 @@
     poison: bool,
 }
 
+/// A crash that an entry notices later: when, which entry, where, and with which of its parts.
+type Unnoticed = (u64, usize, ServerRun, Vec<(PartId, bool)>);
+
 /// What an entry and the node that it pulls from have told each other.
 #[derive(Clone, Copy, Default)]
 struct Told {
@@ -65,8 +68,7 @@
     back: Vec<u64>,
     starts: Vec<u64>,
     running: Vec<Running>,
-    /// Crashes that entries notice later: when, when they happened, where, and with which parts.
-    unnoticed: Vec<(u64, usize, ServerRun, Vec<(PartId, bool)>)>,
+    unnoticed: Vec<Unnoticed>,
     poison_crashes: Vec<u64>,
     /// When poison requests were sent by entries in touch.
     poison_sent: Vec<u64>,
