--- a/crates/limpetmux-standins/src/engine/mod.rs
+++ b/crates/limpetmux-standins/src/engine/mod.rs
@@ -64,6 +64,8 @@
     orders: Mutex<Vec<Order>>,
     pending_breaks: AtomicU32,
     break_after: AtomicU32,
+    /// The prompt whose streams break, and how many of them have.
+    poison: Mutex<(Option<String>, u32)>,
     tokens: AtomicU64,
 }
 
@@ -84,6 +86,18 @@
         self.cache.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn poison(&self) -> MutexGuard<'_, (Option<String>, u32)> {
+        self.poison.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether the streams that answer a prompt break, and counts this one.
+    fn breaks(&self, prompt: &str) -> bool {
+        let mut poison = self.poison();
+        let breaks = poison.0.as_deref() == Some(prompt);
+        poison.1 += u32::from(breaks);
+        breaks
+    }
+
     fn orders(&self) -> MutexGuard<'_, Vec<Order>> {
         self.orders.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -117,6 +131,7 @@
             orders: Mutex::default(),
             pending_breaks: AtomicU32::new(0),
             break_after: AtomicU32::new(0),
+            poison: Mutex::default(),
             tokens: AtomicU64::new(0),
         });
         let route = Route::new()
@@ -138,6 +153,16 @@
         self.state.pending_breaks.store(streams, Ordering::SeqCst);
     }
 
+    /// Cuts the connections of all streams that answer a prompt, before their first token.
+    pub fn break_prompt(&self, prompt: &str) {
+        self.state.poison().0 = Some(prompt.to_owned());
+    }
+
+    /// Returns the number of streams that were cut because of their prompt.
+    pub fn broken_prompts(&self) -> u32 {
+        self.state.poison().1
+    }
+
     /// Drops every `every`-th cache event; 0 drops none.
     pub fn set_gaps(&self, every: u64) {
         self.state.cache().gap_interval = every;
--- a/crates/limpetmux-standins/src/engine/stream.rs
+++ b/crates/limpetmux-standins/src/engine/stream.rs
@@ -118,7 +118,10 @@
         };
         let prefill = if hit || imported { state.prefill.div_ceil(4) } else { state.prefill };
         let after = state.break_after.load(Ordering::SeqCst) as usize;
-        let break_at = take_fault(&state.pending_breaks).then_some(body.prefix.len() + after);
+        let break_at = match state.breaks(&body.prompt) {
+            true => Some(body.prefix.len()),
+            false => take_fault(&state.pending_breaks).then_some(body.prefix.len() + after),
+        };
         let at_limit = tokens.len() == body.max_tokens as usize;
         Self {
             state: Arc::clone(state),
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -142,6 +142,27 @@
     local.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn input_that_breaks_every_backend_server_is_held_back() {
+    // Guards against an input that takes one backend server after the other, as each request with it is
+    // resumed elsewhere and the next one starts anew (BUDGET, on the product's own interface).
+    let (local, caller) = start().await;
+    let encode = limpetmux_standins::PoolKind::Encode;
+    let poison = limpetmux_standins::pool::output(encode, &json!("poison")).to_string();
+    engines(&local).iter().for_each(|e| e.break_prompt(&poison));
+
+    for _ in 0..8 {
+        drop(caller.stream("hotels", "voicemail", &json!({ "input": "poison" })).await);
+    }
+
+    let broken: u32 = engines(&local).iter().map(|e| e.broken_prompts()).sum();
+    let sound = caller.stream("hotels", "voicemail", &json!({ "input": "call me back" })).await;
+    local.stop().await;
+    assert!(sound.iter().any(|e| e.event == "done"));
+    // Five may show what is wrong, and three more may be under way.
+    assert!(broken <= 8, "{broken} streams broke");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn caller_that_disconnects_frees_the_engine() {
     let (local, caller) = start().await;
