--- a/src/limpetmux/core/quarantine/crash.rs
+++ b/src/limpetmux/core/quarantine/crash.rs
@@ -26,6 +26,15 @@
     pub harmless: bool,
 }
 
+/// What came of adding the parts of a crash to those that are known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Merged {
+    /// Some of them are new.
+    pub(super) is_new: bool,
+    /// More is known of them than was added.
+    pub(super) adds: bool,
+}
+
 /// One crash.
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
@@ -42,29 +51,30 @@
         Self { at, parts: BTreeMap::new(), changed: 0 }
     }
 
-    /// Adds parts and marks; returns whether any of them is new.
+    /// Adds parts and marks.
     pub(super) fn merge(
         &mut self,
         marks: Vec<(PartId, Mark)>,
         max_parts: usize,
         version: u64,
         is_known: impl Fn(PartId) -> bool,
-    ) -> bool {
-        let mut is_new = false;
-        for (part, mark) in marks {
+    ) -> Merged {
+        let mut merged = Merged::default();
+        for (part, told) in marks {
             if !self.parts.contains_key(&part) && self.parts.len() >= max_parts {
                 continue;
             }
-            let mark = Mark { known: mark.known || is_known(part), ..mark };
+            let mark = Mark { known: told.known || is_known(part), ..told };
             let old = self.parts.insert(part, mark);
-            let merged = old.map_or(mark, |old| old.or(mark));
-            self.parts.insert(part, merged);
-            is_new |= old != Some(merged);
+            let mark = old.map_or(mark, |old| old.or(mark));
+            self.parts.insert(part, mark);
+            merged.is_new |= old != Some(mark);
+            merged.adds |= told != mark;
         }
-        if is_new {
+        if merged.is_new {
             self.changed = version;
         }
-        is_new
+        merged
     }
 
     /// Marks a part as harmless; returns whether that is new.
--- a/src/limpetmux/core/quarantine/mod.rs
+++ b/src/limpetmux/core/quarantine/mod.rs
@@ -270,30 +270,41 @@
         }
     }
 
-    /// Adds the evidence of another node.
-    pub fn merge(&mut self, now: Moment, evidence: Evidence) {
+    /// Adds the evidence of another node; returns whether this node knows more of the same crashes.
+    pub fn merge(&mut self, now: Moment, evidence: Evidence) -> bool {
         for hold in evidence.holds {
             self.merge_hold(now, hold);
         }
+        let mut adds = false;
         for crash in evidence.crashes {
-            self.add_crash(now, now - crash.age, crash.run, crash.parts);
+            adds |= self.add_crash(now, now - crash.age, crash.run, crash.parts);
         }
+        adds
     }
 
-    fn add_crash(&mut self, now: Moment, at: Moment, run: ServerRun, marks: Vec<(PartId, Mark)>) {
+    /// Adds parts that ran at a crash; returns whether more was known of them.
+    fn add_crash(
+        &mut self,
+        now: Moment,
+        at: Moment,
+        run: ServerRun,
+        marks: Vec<(PartId, Mark)>,
+    ) -> bool {
         if marks.is_empty() || now.since(at) >= CRASH_AGE {
-            return;
+            return false;
         }
         let version = self.version + 1;
         let is_known = |part| self.uses.is_known(now, part);
         let crash = self.crashes.entry(run).or_insert_with(|| Crash::new(at));
-        if !crash.merge(marks, MAX_CRASH_PARTS, version, is_known) {
-            return;
+        let merged = crash.merge(marks, MAX_CRASH_PARTS, version, is_known);
+        if !merged.is_new {
+            return merged.adds;
         }
         self.version = version;
         let settled = now.max(crash.at + SETTLE_TIME);
         self.weigh_at = Some(self.weigh_at.map_or(settled, |at| at.min(settled)));
         self.drop_oldest();
+        merged.adds
     }
 
     /// Drops the oldest crashes until the others are within their bounds.
--- a/src/limpetmux/fleet/follow/evidence.rs
+++ b/src/limpetmux/fleet/follow/evidence.rs
@@ -47,6 +47,14 @@
         exchanges.get(&addr).copied().unwrap_or_default()
     }
 
+    /// Records up to which version a node has this one's evidence.
+    fn set_told(&self, addr: SocketAddr, told: u64) {
+        let mut exchanges = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(exchange) = exchanges.get_mut(&addr) {
+            exchange.told = told;
+        }
+    }
+
     /// Records a pull that told evidence up to one version and got it up to another.
     pub(super) fn record(&self, addr: SocketAddr, told: u64, seen: u64) {
         let mut exchanges = self.0.lock().unwrap_or_else(PoisonError::into_inner);
@@ -74,10 +82,12 @@
     }
 
     /// Adds the evidence in a reply to this node's.
-    pub(super) fn merge_evidence(&self, reply: &PullReply) {
-        if let Some(evidence) = reply.evidence.clone() {
-            self.shared.quarantine.merge(&self.shared.metrics, evidence::decode(evidence));
-        }
+    pub(super) fn merge_evidence(&self, addr: SocketAddr, reply: &PullReply) {
+        let Some(evidence) = reply.evidence.clone() else { return };
+        let told = self.exchanged.get(addr).told;
+        let evidence = evidence::decode(evidence);
+        let told = self.shared.quarantine.merge(&self.shared.metrics, evidence, told);
+        self.exchanged.set_told(addr, told);
     }
 
     /// Pulls from a node that may hold the pull; new evidence of this node ends the wait and is told
@@ -104,7 +114,7 @@
         let records = page.records.iter().filter(|r| is_verdict(&r.key));
         let holds = records.filter_map(|r| evidence::decode_record(&r.value)).collect();
         let evidence = Evidence { crashes: Vec::new(), holds };
-        self.shared.quarantine.merge(&self.shared.metrics, evidence);
+        self.shared.quarantine.merge(&self.shared.metrics, evidence, 0);
     }
 
     /// Writes verdicts into the store whenever they change, as long as this node reads it for all.
--- a/src/limpetmux/fleet/follow/pull.rs
+++ b/src/limpetmux/fleet/follow/pull.rs
@@ -97,7 +97,7 @@
     ) -> bool {
         let now = clock::boot();
         self.record_members(now, addr, reply);
-        self.merge_evidence(reply);
+        self.merge_evidence(addr, reply);
         let age = reply.operator.as_ref().map_or(u64::MAX, |o| o.age_ms);
         let applied = self.update(|v| convert::apply_reply(requested_at, v, reply));
         if let Err(error) = applied {
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -17,11 +17,13 @@
 };
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use tonic::{Request, Response, Status};
 
 /// The longest time for which a pull is held until there are changes.
 const MAX_HOLD: Duration = Duration::from_secs(2);
+/// How long a pull is held after new evidence about parts of prompts, for more of it.
+const EVIDENCE_PAUSE: Duration = Duration::from_millis(100);
 /// The most pieces of one stage.
 const MAX_PIECES: u32 = 10_000;
 
@@ -68,6 +70,10 @@
                 return;
             }
         }
+        if !convert::has_changes(&view.load(), request) {
+            // More evidence of the same crash follows within moments.
+            sleep(EVIDENCE_PAUSE).await;
+        }
     }
 }
 
@@ -77,7 +83,8 @@
         let arrived = clock::boot();
         let mut request = request.into_inner();
         if let Some(evidence) = request.evidence.take() {
-            self.shared.quarantine.merge(&self.shared.metrics, evidence::decode(evidence));
+            let evidence = evidence::decode(evidence);
+            self.shared.quarantine.merge(&self.shared.metrics, evidence, 0);
         }
         if let Some(node) = request.caller.as_ref().and_then(convert::node) {
             self.shared.nodes().observe(node, clock::boot());
--- a/src/limpetmux/serve/quarantine.rs
+++ b/src/limpetmux/serve/quarantine.rs
@@ -92,9 +92,14 @@
         })
     }
 
-    /// Adds the evidence of another node.
-    pub fn merge(&self, metrics: &Metrics, evidence: Evidence) {
-        self.change(metrics, |state, now| state.merge(now, evidence));
+    /// Adds the evidence of another node that knows this node's up to a version; returns up to which
+    /// version it does then.
+    pub fn merge(&self, metrics: &Metrics, evidence: Evidence, told: u64) -> u64 {
+        self.change(metrics, |state, now| {
+            let had_news = state.version() > told;
+            let adds = state.merge(now, evidence);
+            if had_news || adds { told } else { state.version() }
+        })
     }
 
     /// Returns what a node lacks that has seen the evidence up to a version, and the version up to
--- a/tests/testsuite/platform/quarantine.rs
+++ b/tests/testsuite/platform/quarantine.rs
@@ -194,7 +194,9 @@
 
     let now = settled(5);
     let told: Vec<Evidence> = nodes.iter().map(|node| node.evidence_since(now, 0)).collect();
-    told.into_iter().for_each(|evidence| late.merge(now, evidence));
+    for evidence in told {
+        late.merge(now, evidence);
+    }
 
     assert!(is_held(&mut late, now, BAD));
 }
@@ -334,3 +336,16 @@
 
     assert!(is_held(&mut quarantine, settled(11), BAD));
 }
+
+#[test]
+fn node_that_learns_nothing_of_its_own_has_nothing_to_tell_back() {
+    // Guards against evidence that each of many nodes sends back to the one that told it.
+    let mut knows = Quarantine::new(0);
+    knows.record_use(at(0), at(0), &[FIRST]);
+    let mut told = Quarantine::new(0);
+    crash_series(&mut told, 2, &[BAD, FIRST]);
+    let evidence = told.evidence_since(settled(2), 0);
+
+    assert!(!Quarantine::new(0).merge(settled(2), evidence.clone()));
+    assert!(knows.merge(settled(2), evidence), "the completed answers are news");
+}
