--- a/src/limpetmux/core/quarantine/mod.rs
+++ b/src/limpetmux/core/quarantine/mod.rs
@@ -140,6 +140,11 @@
         self.holds.values().filter(|h| h.is_held()).count()
     }
 
+    /// Returns the number of parts that are remembered because answers were completed with them.
+    pub fn known_parts(&self) -> usize {
+        self.uses.len()
+    }
+
     /// Takes the changes since the last call.
     pub fn take_changes(&mut self) -> Vec<Change> {
         std::mem::take(&mut self.changes)
@@ -250,9 +255,8 @@
     fn narrow_holds(&mut self, now: Moment) {
         let version = self.version + 1;
         for crash in self.crashes.values().filter(|c| now.since(c.at) >= SETTLE_TIME) {
-            let present = |part: &PartId| crash.implicates(*part);
-            for (_, hold) in self.holds.iter_mut().filter(|(part, h)| h.is_held() && present(part))
-            {
+            for part in crash.parts.keys().filter(|part| crash.implicates(**part)) {
+                let Some(hold) = self.holds.get_mut(part).filter(|h| h.is_held()) else { continue };
                 if hold.narrow(|other| crash.implicates(other), version) {
                     self.version = version;
                 }
--- a/src/limpetmux/core/quarantine/suspects.rs
+++ b/src/limpetmux/core/quarantine/suspects.rs
@@ -71,10 +71,16 @@
     crashes: &BTreeMap<ServerRun, Crash>,
     holds: &BTreeMap<PartId, Hold>,
 ) -> Vec<PartId> {
-    let mut held: Vec<(PartId, &Hold, BTreeSet<&ServerRun>)> = Vec::new();
-    for (part, hold) in holds.iter().filter(|(_, h)| h.is_held()) {
-        let explained = crashes.iter().filter(|(_, c)| hold.explains(*part, c));
-        held.push((*part, hold, explained.map(|(run, _)| run).collect()));
+    let mut runs: BTreeMap<PartId, (&Hold, BTreeSet<&ServerRun>)> = BTreeMap::new();
+    for (run, crash) in crashes {
+        for (part, hold) in explaining(holds, crash) {
+            runs.entry(part).or_insert_with(|| (hold, BTreeSet::new())).1.insert(run);
+        }
+    }
+    let mut held: Vec<(PartId, &Hold, BTreeSet<&ServerRun>)> =
+        runs.into_iter().map(|(part, (hold, runs))| (part, hold, runs)).collect();
+    if held.len() < 2 {
+        return Vec::new();
     }
     held.sort_by_key(|(_, hold, runs)| (hold.is_known(), Reverse(runs.len()), hold.with_count()));
     let has_grounds = |part: PartId, runs: &BTreeSet<&ServerRun>| {
@@ -120,7 +126,7 @@
     crashes: &'a BTreeMap<ServerRun, Crash>,
     holds: &BTreeMap<PartId, Hold>,
 ) -> Vec<Suspect<'a>> {
-    let is_explained = |c: &Crash| holds.iter().any(|(part, hold)| hold.explains(*part, c));
+    let is_explained = |c: &Crash| explaining(holds, c).next().is_some();
     let is_settled = |c: &Crash| now.since(c.at) >= SETTLE_TIME;
     let open = crashes.iter().filter(|(_, c)| is_settled(c) && !is_explained(c));
     let suspects = suspects(open);
@@ -132,6 +138,15 @@
     suspects.into_iter().filter(|s| rank(s) == best).collect()
 }
 
+/// Returns the verdicts that explain a crash.
+fn explaining<'a>(
+    holds: &'a BTreeMap<PartId, Hold>,
+    crash: &'a Crash,
+) -> impl Iterator<Item = (PartId, &'a Hold)> {
+    let holds = crash.parts.keys().filter_map(|part| Some((*part, holds.get(part)?)));
+    holds.filter(|(part, hold)| hold.explains(*part, crash))
+}
+
 /// Returns all parts against which some crashes speak.
 fn suspects<'a>(crashes: impl Iterator<Item = (&'a ServerRun, &'a Crash)>) -> Vec<Suspect<'a>> {
     let mut times: Vec<Moment> = Vec::new();
--- a/src/limpetmux/core/quarantine/uses.rs
+++ b/src/limpetmux/core/quarantine/uses.rs
@@ -26,6 +26,10 @@
         self.0.retain(|_, at| *at > median);
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Returns whether an answer was completed with a part recently.
     pub(super) fn is_known(&self, now: Moment, part: PartId) -> bool {
         self.0.get(&part).is_some_and(|at| now.since(*at) < KNOWN_TIME)
--- a/tests/testsuite/platform/quarantine.rs
+++ b/tests/testsuite/platform/quarantine.rs
@@ -349,3 +349,41 @@
     assert!(!Quarantine::new(0).merge(settled(2), evidence.clone()));
     assert!(knows.merge(settled(2), evidence), "the completed answers are news");
 }
+
+#[test]
+fn flood_of_distinct_parts_does_not_fill_a_node() {
+    // Guards against callers that fill a node's memory, or drown the evidence against a bad part, by
+    // requests with thousands of parts of their own.
+    let mut quarantine = Quarantine::new(0);
+    let parts = |n: u64, count: u64| (0..count).map(move |p| PartId::new((n << 32) + p + 10));
+    for n in 0..100 {
+        let used: Vec<PartId> = parts(n + 1_000, 1_000).collect();
+        quarantine.record_use(at(n * 10), at(n * 10), &used);
+    }
+    for n in 0..200 {
+        let mut ran: Vec<(PartId, bool)> = parts(n, 3_900).map(|part| (part, true)).collect();
+        ran.push((BAD, true));
+        quarantine.record_crash(at(n * 1_000), at(n * 1_000), run(n), &ran);
+    }
+
+    let evidence = quarantine.evidence_since(settled(200), 0);
+    let remembered: usize = evidence.crashes.iter().map(|c| c.parts.len()).sum();
+    assert!(evidence.crashes.len() <= 128 && remembered <= 20_000, "{remembered} parts");
+    assert!(quarantine.known_parts() <= 8_192, "{} known parts", quarantine.known_parts());
+    assert!(is_held(&mut quarantine, settled(200), BAD));
+}
+
+#[test]
+fn verdicts_are_bounded() {
+    // Guards against a list of verdicts that grows for ever.
+    let mut quarantine = Quarantine::new(0);
+    for n in 0..2_000 {
+        let part = [PartId::new(10 + n / 3)];
+        let now = at(n * 1_000);
+        quarantine.record_crash(now, now, run(n), &early(&part));
+        check(&mut quarantine, now + SETTLE_TIME, &part);
+    }
+
+    assert!(quarantine.evidence_since(settled(2_000), 0).holds.len() <= 512);
+    assert!(is_held(&mut quarantine, settled(2_000), PartId::new(10 + 1_997 / 3)));
+}
