--- a/tests/testsuite/platform/poison_requests.rs
+++ b/tests/testsuite/platform/poison_requests.rs
@@ -152,10 +152,8 @@
 async fn no_part_is_held_when_engines_end_for_other_reasons() {
     // Guards against sound requests that are refused after crashes that none of them caused (LOST).
     let fixture = crash_fixture(3).await;
-    let began = Instant::now();
     let mut sent = Vec::new();
-    let mut number = 0_usize;
-    while began.elapsed() < Duration::from_secs(6) {
+    for number in 0_usize..150 {
         let entry = &fixture.entries[number % 3];
         let parts = format!("f1{}:200,c{:03}:50", number % 3, number % 10);
         sent.push(tokio::spawn(is_served(fixture.prompt(entry, &format!("a{number}"), &parts))));
@@ -166,7 +164,6 @@
             n if n.is_multiple_of(9) => fixture.engines[number % 8].crash(),
             _ => {}
         }
-        number += 1;
         sleep(Duration::from_millis(20)).await;
     }
     drop(futures::future::join_all(sent).await);
@@ -180,7 +177,8 @@
         served += usize::from(is_served(request).await);
     }
 
-    assert!(fixture.crashes.lock().unwrap().len() > 15);
+    let crashes = fixture.crashes.lock().unwrap().len();
+    assert!(crashes > 20, "{crashes} engines ended");
     assert_eq!(served, 10);
 }
 
