--- a/src/limpetmux/core/quarantine/suspects.rs
+++ b/src/limpetmux/core/quarantine/suspects.rs
@@ -30,11 +30,26 @@
 /// those of a part that the other one was present with, and a bad part must not come free.
 const EXPLAINED_FACTOR: usize = 2;
 
+/// One crash as evidence against one part.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Presence<'a> {
+    at: Moment,
+    run: &'a ServerRun,
+    points: usize,
+}
+
+/// A verdict and the crashes that it explains.
+struct Explained<'a> {
+    part: PartId,
+    hold: &'a Hold,
+    runs: BTreeSet<&'a ServerRun>,
+}
+
 /// The unexplained crashes that speak against one part.
 struct Suspect<'a> {
     part: PartId,
-    /// The crashes in the order of their times, each with its points.
-    crashes: Vec<(Moment, &'a ServerRun, usize)>,
+    /// The crashes in the order of their times.
+    crashes: Vec<Presence<'a>>,
     known: bool,
     /// The points that speak against it beyond those that are needed.
     margin: i64,
@@ -71,43 +86,48 @@
     crashes: &BTreeMap<ServerRun, Crash>,
     holds: &BTreeMap<PartId, Hold>,
 ) -> Vec<PartId> {
-    let mut runs: BTreeMap<PartId, (&Hold, BTreeSet<&ServerRun>)> = BTreeMap::new();
+    let mut found: BTreeMap<PartId, Explained<'_>> = BTreeMap::new();
     for (run, crash) in crashes {
         for (part, hold) in explaining(holds, crash) {
-            runs.entry(part).or_insert_with(|| (hold, BTreeSet::new())).1.insert(run);
+            let new = || Explained { part, hold, runs: BTreeSet::new() };
+            found.entry(part).or_insert_with(new).runs.insert(run);
         }
     }
-    let mut held: Vec<(PartId, &Hold, BTreeSet<&ServerRun>)> =
-        runs.into_iter().map(|(part, (hold, runs))| (part, hold, runs)).collect();
+    let mut held: Vec<Explained<'_>> = found.into_values().collect();
     if held.len() < 2 {
         return Vec::new();
     }
-    held.sort_by_key(|(_, hold, runs)| (hold.is_known(), Reverse(runs.len()), hold.with_count()));
+    held.sort_by_key(|e| (e.hold.is_known(), Reverse(e.runs.len()), e.hold.with_count()));
     let has_grounds = |part: PartId, runs: &BTreeSet<&ServerRun>| {
         let own = crashes.iter().filter(|(run, _)| runs.contains(run));
         suspects(own).iter().any(|s| s.part == part && s.margin >= 0)
     };
     let mut unfounded = Vec::new();
-    for (index, (part, hold, runs)) in held.iter().enumerate() {
-        let outweighs = |(other, by, all): &&(PartId, &Hold, BTreeSet<&ServerRun>)| {
-            let is_clear = match (by.is_known(), hold.is_known()) {
-                (false, true) => true,
-                (true, false) => false,
-                _ => all.len() >= runs.len() * EXPLAINED_FACTOR,
-            };
-            is_clear && !hold.is_with(*other)
-        };
-        let before = held[..index].iter().filter(outweighs);
-        let explained: BTreeSet<&ServerRun> = before.flat_map(|(.., runs)| runs).copied().collect();
-        let rest = runs.difference(&explained).copied().collect();
+    for (index, own) in held.iter().enumerate() {
+        let before = held[..index].iter().filter(|other| other.outweighs(own));
+        let explained: BTreeSet<&ServerRun> =
+            before.flat_map(|other| &other.runs).copied().collect();
+        let rest = own.runs.difference(&explained).copied().collect();
         // Crashes that are merely too old to be remembered do not end a verdict.
-        if has_grounds(*part, runs) && !has_grounds(*part, &rest) {
-            unfounded.push(*part);
+        if has_grounds(own.part, &own.runs) && !has_grounds(own.part, &rest) {
+            unfounded.push(own.part);
         }
     }
     unfounded
 }
 
+impl Explained<'_> {
+    /// Returns whether this verdict may take back another one whose crashes it explains.
+    fn outweighs(&self, other: &Explained<'_>) -> bool {
+        let is_clear = match (self.hold.is_known(), other.hold.is_known()) {
+            (false, true) => true,
+            (true, false) => false,
+            _ => self.runs.len() >= other.runs.len() * EXPLAINED_FACTOR,
+        };
+        is_clear && !other.hold.is_with(self.part)
+    }
+}
+
 /// Returns the parts with the most evidence that have no verdict yet and lack one crash for it.
 pub(super) fn leading(
     now: Moment,
@@ -157,7 +177,7 @@
             let new = || Suspect { part: *part, crashes: Vec::new(), known: false, margin: 0 };
             let suspect = found.entry(*part).or_insert_with(new);
             let points = if mark.early { EARLY_POINTS } else { LATE_POINTS };
-            suspect.crashes.push((crash.at, run, points));
+            suspect.crashes.push(Presence { at: crash.at, run, points });
             suspect.known |= mark.known;
         }
     }
@@ -192,7 +212,7 @@
             true => (KNOWN_CRASHES, KNOWN_SEPARATE_TIME),
             false => (CRASHES, SEPARATE_TIME),
         };
-        let points = sum_points(self.crashes.iter().map(|(at, _, points)| (*at, *points)), gap);
+        let points = sum_points(self.crashes.iter().map(|c| (c.at, c.points)), gap);
         // Where backend servers end often, a sound part is present at some ends by chance, but hardly
         // at many of them without one completed answer in between.
         let others = sum_points(self.others(all).map(|at| (at, LATE_POINTS)), SEPARATE_TIME);
@@ -202,16 +222,16 @@
 
     /// Returns the times of the crashes between its first and last at which it was not present.
     fn others(&self, all: &[Moment]) -> impl Iterator<Item = Moment> {
-        let own: BTreeSet<Moment> = self.crashes.iter().map(|(at, ..)| *at).collect();
+        let own: BTreeSet<Moment> = self.crashes.iter().map(|c| c.at).collect();
         let span = own.first().copied().zip(own.last().copied());
         let is_between = move |at: &Moment| span.is_some_and(|(a, b)| a < *at && *at < b);
         all.iter().copied().filter(is_between).filter(move |at| !own.contains(at))
     }
 
     fn grounds(&self, now: Moment) -> Grounds {
-        let first = self.crashes.first().map_or(now, |(at, ..)| *at);
-        let servers = self.crashes.iter().map(|(_, run, _)| Arc::clone(&run.server)).collect();
-        let last = self.crashes.last().map_or(now, |(at, ..)| *at);
+        let first = self.crashes.first().map_or(now, |c| c.at);
+        let servers = self.crashes.iter().map(|c| Arc::clone(&c.run.server)).collect();
+        let last = self.crashes.last().map_or(now, |c| c.at);
         let (part, with, span) = (self.part, BTreeSet::new(), now.since(first));
         Grounds { part, with, servers, span, last, known: self.known }
     }
