--- a/src/limpetmux/serve/engines.rs
+++ b/src/limpetmux/serve/engines.rs
@@ -42,13 +42,15 @@
 /// Plans an engine for a request that is sent after `delay`, when its stages have ended.
 ///
 /// # Errors
-/// Returns a refusal if the queue node knows that a part of the prompt is quarantined.
+/// Returns a refusal if a part of the prompt is quarantined.
 pub async fn plan(
     shared: &Shared,
     routed: &RoutedRequest,
     delay: Duration,
 ) -> Result<Option<PlacedEngine>, Failure> {
-    let message = PlaceEngine { planned: true, ahead_ms: millis(delay), ..message(routed, delay) };
+    let trial = check_parts(shared, &routed.head)?.is_some();
+    let message =
+        PlaceEngine { planned: true, trial, ahead_ms: millis(delay), ..message(routed, delay) };
     call(shared, routed, message).await
 }
 
@@ -62,9 +64,9 @@
     inputs: &InputLocation,
     except: &[Arc<str>],
 ) -> Result<Option<PlacedEngine>, Failure> {
-    let trial = check_parts(shared, &routed.head)?;
+    let trial = check_parts(shared, &routed.head)?.is_some();
     let message = PlaceEngine {
-        trial: trial.is_some(),
+        trial,
         zone: inputs.zone.clone(),
         bytes: inputs.bytes,
         except: except.iter().map(ToString::to_string).collect(),
