Log restores of the store, and what backend servers state about themselves

A stale answer named neither a restore nor the end that was known, and nothing told that a backend server had said that it leaves or wants no requests. Change: the client of the store reads the era of each answer, and store_restored (619) tells when it rises; stale_answer tells the known end; server_leaving (620) and server_held (621) tell what an answer states. No decision uses them yet. Evidence: event catalogue and follow_store tests pass.

--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -159,7 +159,7 @@
                     true => v.orders.apply_part(page.end, changes),
                     false => v.orders.apply(requested_at, page.end, changes),
                 });
-                log_stale(current, &page);
+                log_stale(current, &page, from);
                 Ok(())
             }
             Err(StoreError::Trimmed) => self.load_orders(requested_at).await,
@@ -179,7 +179,9 @@
             }
         }
         self.update(|v| {
-            log_stale(v.orders.replace(requested_at, page.end, config, evacuated), &page);
+            let known = v.orders.end_offset;
+            let current = v.orders.replace(requested_at, page.end, config, evacuated);
+            log_stale(current, &page, known);
         });
         Ok(())
     }
@@ -200,7 +202,7 @@
                     v.listing.expire(requested_at);
                     current
                 });
-                log_stale(current, &page);
+                log_stale(current, &page, from);
                 Ok(())
             }
             Err(StoreError::Trimmed) => self.load_listing(requested_at).await,
@@ -211,7 +213,10 @@
     async fn load_listing(&self, requested_at: Moment) -> Result<(), StoreError> {
         let page = self.store.newest(servers::TOPIC).await?;
         let entries = decode_servers(page.records.clone());
-        self.update(|v| log_stale(v.listing.replace(requested_at, page.end, entries), &page));
+        self.update(|v| {
+            let known = v.listing.end_offset;
+            log_stale(v.listing.replace(requested_at, page.end, entries), &page, known);
+        });
         Ok(())
     }
 
@@ -319,8 +324,8 @@
     decoded
 }
 
-fn log_stale(current: bool, page: &Page) {
+fn log_stale(current: bool, page: &Page, known: u64) {
     if !current {
-        event!(EventCode::StaleAnswer, end = page.end);
+        event!(EventCode::StaleAnswer, end = page.end, known = known);
     }
 }
--- a/src/limpetmux/platform/names.rs
+++ b/src/limpetmux/platform/names.rs
@@ -29,6 +29,11 @@
 /// The results that a model engine needs.
 pub const INPUTS: HeaderName = HeaderName::from_static("x-limpetmux-inputs");
 
+/// How often the store was restored from a copy.
+pub const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+/// Present in all answers of a backend server that leaves.
+pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+
 /// Headers that only the system may set, in addition to those above.
 const RESERVED: [&str; 6] = [
     "x-limpetmux-hold",
--- a/src/limpetmux/platform/server.rs
+++ b/src/limpetmux/platform/server.rs
@@ -4,9 +4,12 @@
 use super::names;
 use crate::core::answer_proof::{AnswerClaims, AnswerOwner, StatusClass};
 use crate::core::event_stream::Framing;
+use crate::core::server_notices::{MAX_HOLD, ServerNotice};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode, Version};
 use std::net::SocketAddr;
@@ -53,6 +56,8 @@
     pub closes: bool,
     /// How the answer states where its body ends.
     pub framing: Framing,
+    /// What the backend server states about itself.
+    pub notice: ServerNotice,
 }
 
 /// Builds the request to a backend server.
@@ -102,9 +107,31 @@
         keep_alive: keep_alive(headers),
         closes: text(&CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close")),
         framing: framing(answer.status(), headers),
+        notice: notice(answer.status(), headers),
     }
 }
 
+/// Returns what a backend server states about itself; an answer that says that another one runs at the
+/// address states nothing about the one that the request was meant for.
+fn notice(status: StatusCode, headers: &HeaderMap) -> ServerNotice {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return ServerNotice::default();
+    }
+    let leaving = headers.get(names::LEAVING).is_some_and(|v| v.as_bytes() == b"1");
+    let retry_after =
+        headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+    ServerNotice { leaving, hold: retry_after.and_then(hold_time) }
+}
+
+/// Decodes a `Retry-After` in seconds, which may have a fraction; one that cannot be read asks for
+/// nothing.
+fn hold_time(value: &HeaderValue) -> Option<Duration> {
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    let seconds = Some(seconds).filter(|s| s.is_finite())?.min(MAX_HOLD.as_secs_f64());
+    let hold = Duration::try_from_secs_f64(seconds).ok()?;
+    (!hold.is_zero()).then_some(hold)
+}
+
 impl ReplyHead {
     /// Returns what the head states about the request.
     pub fn claims(&self) -> AnswerClaims {
--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -1,11 +1,14 @@
 //! A client of the platform's store, a log with keyed topics.
 
-use super::store_call::{CallError, Connections};
+use super::store_call::{CallError, Connections, StoreAnswer};
+use crate::core::log_position::StoreEra;
 use crate::core::prompt_part::PartId;
 use crate::core::read_limits::{
     Bound, Exceeded, MAX_APPEND_ANSWER_BYTES, MAX_LIST_BYTES, MAX_LOG_BYTES, MAX_LOG_RECORDS,
     MAX_PAGE_BYTES, MAX_PAGE_RECORDS, Peer,
 };
+use crate::event;
+use crate::util::event::EventCode;
 use bytes::{Buf, Bytes};
 use http_body_util::Full;
 use hyper::header::HOST;
@@ -14,6 +17,7 @@
 use serde_with::{base64::Base64, serde_as};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// The time allowed for a whole answer, in addition to the time that the store may hold the call.
@@ -122,12 +126,15 @@
 pub struct Store {
     connections: Connections,
     host: String,
+    /// The latest era of all answers so far; `None` before the first answer.
+    era: watch::Sender<Option<StoreEra>>,
 }
 
 impl Store {
     /// Creates a client for the store at an address.
     pub fn new(address: SocketAddr) -> Self {
-        Self { connections: Connections::new(address), host: address.to_string() }
+        let (connections, host) = (Connections::new(address), address.to_string());
+        Self { connections, host, era: watch::Sender::new(None) }
     }
 
     /// Reads the newest record of every key.
@@ -223,12 +230,28 @@
         limit: usize,
     ) -> Result<Bytes, StoreError> {
         let late = |_| StoreError::Exceeded(Exceeded::time(Peer::Store, time));
-        match timeout(time, self.connections.call(call, limit)).await.map_err(late)?? {
-            (status, body) if status.is_success() => Ok(body),
-            (StatusCode::GONE, _) => Err(StoreError::Trimmed),
-            (status, _) => Err(StoreError::Status(status)),
+        let answer = timeout(time, self.connections.call(call, limit)).await.map_err(late)??;
+        self.observe(&answer);
+        match answer.status {
+            status if status.is_success() => Ok(answer.body),
+            StatusCode::GONE => Err(StoreError::Trimmed),
+            status => Err(StoreError::Status(status)),
         }
     }
+
+    /// Records the era of an answer, and logs when it rises.
+    fn observe(&self, answer: &StoreAnswer) {
+        self.era.send_if_modified(|known| {
+            if known.is_some_and(|known| known >= answer.era) {
+                return false;
+            }
+            if let Some(known) = known {
+                event!(EventCode::StoreRestored, era = answer.era, before = known);
+            }
+            *known = Some(answer.era);
+            true
+        });
+    }
 }
 
 /// Encodes a value for a query.
--- a/src/limpetmux/platform/store_call.rs
+++ b/src/limpetmux/platform/store_call.rs
@@ -4,6 +4,8 @@
 //! informational answers before it, the framing of the body and trailers. At its limit the
 //! connection fails, and the call ends with an [`Exceeded`].
 
+use super::names;
+use crate::core::log_position::StoreEra;
 use crate::core::read_limits::{Bound, Exceeded, MAX_HEAD_BYTES, MAX_HEADERS, Peer};
 use crate::util::read_body::read_body;
 use crate::util::watched_stream::WatchedStream;
@@ -50,6 +52,19 @@
     /// The answer exceeds a bound.
     #[error(transparent)]
     Exceeded(#[from] Exceeded),
+    /// The answer states an era that is no number.
+    #[error("the answer states an era that cannot be read")]
+    Era,
+}
+
+/// An answer of the store, whatever its status.
+#[derive(Debug)]
+pub(super) struct StoreAnswer {
+    pub(super) status: StatusCode,
+    /// The era in which it was given; the first one if the store states none.
+    pub(super) era: StoreEra,
+    /// The body; empty for an answer without success.
+    pub(super) body: Bytes,
 }
 
 impl From<hyper::Error> for CallError {
@@ -129,7 +144,7 @@
         &self,
         mut request: Request<Full<Bytes>>,
         limit: usize,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<StoreAnswer, CallError> {
         while let Some(mut connection) = self.take_idle() {
             connection.budget.begin();
             match connection.sender.try_send_request(request).await {
@@ -151,15 +166,15 @@
         connection: Connection,
         answer: Response<Incoming>,
         limit: usize,
-    ) -> Result<(StatusCode, Bytes), CallError> {
-        let status = answer.status();
+    ) -> Result<StoreAnswer, CallError> {
+        let (status, era) = (answer.status(), era(&answer)?);
         if !status.is_success() {
-            return Ok((status, Bytes::new()));
+            return Ok(StoreAnswer { status, era, body: Bytes::new() });
         }
         connection.budget.begin_body(limit);
         let body = read_body::<CallError>(answer.into_body(), Peer::Store, limit).await?;
         self.keep(connection);
-        Ok((status, body))
+        Ok(StoreAnswer { status, era, body })
     }
 
     fn keep(&self, mut connection: Connection) {
@@ -182,6 +197,15 @@
     }
 }
 
+/// Returns the era in which an answer was given.
+fn era(answer: &Response<Incoming>) -> Result<StoreEra, CallError> {
+    let Some(value) = answer.headers().get(names::STORE_ERA) else {
+        return Ok(StoreEra::default());
+    };
+    let era = value.to_str().ok().and_then(|v| v.trim().parse().ok());
+    era.map(StoreEra).ok_or(CallError::Era)
+}
+
 /// Wraps a connection so that it fails once more bytes have been read than are left.
 fn metered(
     stream: TcpStream,
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -11,6 +11,7 @@
 use super::failure::{Failure, Reason};
 use super::inputs::Inputs;
 use super::node::Shared;
+use super::notices;
 use super::plain;
 use super::request::{RoutedRequest, authorize, check_parts};
 use super::stream::Body;
@@ -260,6 +261,7 @@
         };
         let head = server::head(&routed.head.id, &answer);
         attempt.head_at = clock::boot();
+        notices::record(&server.id, head.notice);
         match answer_proof::proof(head.claims()) {
             Proof::Answered if head.status.is_informational() => {
                 attempt.fail_answer("the answer is informational", &head);
--- a/src/limpetmux/serve/mod.rs
+++ b/src/limpetmux/serve/mod.rs
@@ -21,6 +21,7 @@
 pub mod head_watch;
 pub mod inputs;
 pub mod node;
+pub mod notices;
 mod plain;
 pub mod quarantine;
 pub mod request;
--- a/src/limpetmux/stage_queues/exchange.rs
+++ b/src/limpetmux/stage_queues/exchange.rs
@@ -9,6 +9,7 @@
 use crate::core::read_limits::{Exceeded, Peer};
 use crate::platform::server::{self, ReplyHead};
 use crate::serve::connections::{ActiveConnection, ConnectionError, ConnectionPool, Reuse};
+use crate::serve::notices;
 use crate::util::read_body::read_body;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -78,6 +79,7 @@
 ) -> Result<CallAnswer, ExchangeError> {
     let (answer, connection) = connections.send(addr, request, reuse).await?;
     let head = server::head("", &answer);
+    notices::record(&addr.to_string(), head.notice);
     if head.owner != AnswerOwner::Unnamed {
         return Err(ExchangeError::OtherCall);
     }
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -204,6 +204,13 @@
     /// A verdict on a part of prompts cannot be preserved in the platform's store yet.
     #[strum(props(level = "warn"))]
     VerdictUnsaved = 618,
+    /// The platform's store was restored from a copy; it has lost its latest records.
+    #[strum(props(level = "warn"))]
+    StoreRestored = 619,
+    /// A backend server has stated in an answer that it leaves.
+    ServerLeaving = 620,
+    /// A backend server has refused a request and stated for how long it wants no others.
+    ServerHeld = 621,
 
     // 7xx: the process itself.
     /// The process has started.
