--- a/crates/limpetmux-standins/src/users/mod.rs
+++ b/crates/limpetmux-standins/src/users/mod.rs
@@ -15,4 +15,4 @@
 pub use fault::{FurtherAnswer, FurtherTime, UsersFault};
 pub use server::{ReceivedRequest, STREAM_EVENTS, STREAMS, UsersServer};
 pub use stages::StageResult;
-pub use store::UsersStore;
+pub use store::{LostRecord, UsersStore};
--- a/crates/limpetmux-standins/src/users/reply.rs
+++ b/crates/limpetmux-standins/src/users/reply.rs
@@ -12,6 +12,15 @@
     Events,
 }
 
+/// What a backend server states of itself in all its answers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Notices {
+    /// Whether it is leaving.
+    pub(super) leaving: bool,
+    /// The `Retry-After` of its refusals.
+    pub(super) retry_after: Option<String>,
+}
+
 /// An answer to one request.
 pub(super) struct Reply {
     /// The fault that it is sent with.
@@ -34,6 +43,8 @@
     pub(super) crashes: bool,
     /// The further answer to the same request, if the fault sends one.
     pub(super) further: Vec<u8>,
+    /// What the backend server states of itself.
+    pub(super) notices: Notices,
 }
 
 impl Reply {
@@ -50,13 +61,21 @@
             unrun: true,
             crashes: false,
             further: Vec::new(),
+            notices: Notices::default(),
         }
     }
 
     /// Encodes the headers except that which states where the body ends.
     pub(super) fn fields(&self) -> String {
         let signed = self.signed && self.fault != UsersFault::Unsigned;
-        fields(self.fault.echo(&self.id), signed, self.unrun)
+        let mut fields = fields(self.fault.echo(&self.id), signed, self.unrun);
+        if self.notices.leaving {
+            fields.push_str("server-leaving: 1\r\n");
+        }
+        if let Some(value) = self.notices.retry_after.as_ref().filter(|_| self.unrun) {
+            fields.push_str(&format!("retry-after: {value}\r\n"));
+        }
+        fields
     }
 
     /// Returns the first bytes of the body.
--- a/crates/limpetmux-standins/src/users/server.rs
+++ b/crates/limpetmux-standins/src/users/server.rs
@@ -3,7 +3,7 @@
 use super::bytes::{EndedAnswer, Played, SharedAnswers, lock_answers};
 use super::connection;
 use super::fault::UsersFault;
-use super::reply::{Content, Reply, all_events, event, further};
+use super::reply::{Content, Notices, Reply, all_events, event, further};
 use super::stages::{StageResult, stage_free, stage_run};
 use crate::raw::Message;
 use serde_json::json;
@@ -56,6 +56,10 @@
     pub(super) answers: SharedAnswers,
     /// The processing time of each request, or of each event of a stream.
     work: Duration,
+    /// What it states of itself in its answers; with a `Retry-After` it refuses all requests.
+    notices: Notices,
+    /// When each request or call for pieces arrived, whether it ran or not.
+    arrivals: Vec<Instant>,
     /// The part of a prompt that ends the backend server when it begins to answer.
     crash_part: Option<String>,
     /// Whether its process has ended.
@@ -98,6 +102,21 @@
         self.lock().fault = fault;
     }
 
+    /// Sets whether its answers state that it is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.lock().notices.leaving = leaving;
+    }
+
+    /// Makes it refuse all requests with a `Retry-After`, or serve them again.
+    pub fn set_retry_after(&self, value: Option<&str>) {
+        self.lock().notices.retry_after = value.map(str::to_owned);
+    }
+
+    /// Returns when each request or call for pieces arrived, whether it ran or not.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
     /// Sets the part of a prompt that ends the backend server when it begins to answer a request with
     /// it; the last part of a prompt never does.
     pub fn set_crash_part(&self, part: &str) {
@@ -167,11 +186,20 @@
 pub(super) fn reply(state: &SharedState, message: Message) -> Reply {
     let state = &mut *lock(state);
     let request = received(message, state.fault);
-    match request.path.as_str() {
+    let notices = state.notices.clone();
+    if request.path != "/stage-free" {
+        state.arrivals.push(Instant::now());
+        if notices.retry_after.is_some() {
+            let id = request.header("x-limpetmux-request-id");
+            return Reply { notices, ..Reply::refusal(503, id, UsersFault::None) };
+        }
+    }
+    let reply = match request.path.as_str() {
         "/stage-run" => stage_run(state, &request),
         "/stage-free" => stage_free(state, &request),
         _ => run(state, request),
-    }
+    };
+    Reply { notices, ..reply }
 }
 
 /// Records a request as a run and returns its answer, or a refusal if it does not run.
@@ -201,7 +229,19 @@
     let work = state.work;
     let crashes =
         streams && state.crash_part.as_deref().is_some_and(|part| has_part(&prompt, part));
-    Reply { fault, work, content, server, id, status, signed: true, unrun: false, crashes, further }
+    Reply {
+        fault,
+        work,
+        content,
+        server,
+        id,
+        status,
+        signed: true,
+        unrun: false,
+        crashes,
+        further,
+        notices: Notices::default(),
+    }
 }
 
 /// Returns whether a part of a prompt, other than the last, has a name.
--- a/crates/limpetmux-standins/src/users/stages.rs
+++ b/crates/limpetmux-standins/src/users/stages.rs
@@ -1,7 +1,7 @@
 //! The stage endpoints of the users' backend server: running pieces and freeing their results.
 
 use super::fault::UsersFault;
-use super::reply::{Content, Reply, further};
+use super::reply::{Content, Notices, Reply, further};
 use super::server::{ReceivedRequest, ServerState};
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -84,5 +84,6 @@
         unrun: false,
         crashes: false,
         further: Vec::new(),
+        notices: Notices::default(),
     }
 }
--- a/crates/limpetmux-standins/src/users/store.rs
+++ b/crates/limpetmux-standins/src/users/store.rs
@@ -21,15 +21,48 @@
 /// The interval at which a waiting read checks for new records.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The header in which all answers state how often the store was restored.
+const ERA_HEADER: &str = "store-era";
+
+/// The topics that the operator and backend servers write.
+const OUTSIDE_TOPICS: [&str; 2] = ["keyed.op", "keyed.servers"];
+
+#[derive(Clone)]
+struct StoredRecord {
+    key: String,
+    value: Vec<u8>,
+    at: Instant,
+}
+
+/// A record that a restored store has lost, and that its writer writes again.
+#[derive(Clone, Debug)]
+pub struct LostRecord {
+    /// The topic.
+    pub topic: String,
+    /// The key.
+    pub key: String,
+    /// The value; empty if the key was deleted.
+    pub value: Vec<u8>,
+}
+
 #[derive(Default)]
 struct Topic {
-    records: Vec<(String, Vec<u8>)>,
+    records: Vec<StoredRecord>,
+}
+
+impl Topic {
+    fn append(&mut self, key: &str, value: &[u8]) {
+        let (key, value) = (key.to_owned(), value.to_vec());
+        self.records.push(StoredRecord { key, value, at: Instant::now() });
+    }
 }
 
 #[derive(Default)]
 struct Topics {
     topics: BTreeMap<String, Topic>,
     calls: u64,
+    /// How often the store was restored; stated in all answers once it is set.
+    era: Option<u64>,
     down: bool,
     bytes: Option<BadBytes>,
     answers: SharedAnswers,
@@ -84,9 +117,51 @@
 
     /// Writes the newest record of a key, as the operator or a backend server does.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
+        self.write(topic, key, value.as_bytes());
+    }
+
+    fn write(&self, topic: &str, key: &str, value: &[u8]) {
         let mut topics = lock(&self.topics);
-        let topic = topics.topics.entry(topic.to_owned()).or_default();
-        topic.records.push((key.to_owned(), value.as_bytes().to_vec()));
+        topics.topics.entry(topic.to_owned()).or_default().append(key, value);
+    }
+
+    /// Writes a lost record again, as the operator or a backend server does.
+    pub fn put_again(&self, record: &LostRecord) {
+        self.write(&record.topic, &record.key, &record.value);
+    }
+
+    /// Replaces all records by a copy of some age, as if the store came back from it; returns those
+    /// of the lost ones that others than the nodes have written.
+    pub fn restore(&self, age: Duration) -> Vec<LostRecord> {
+        let mut topics = lock(&self.topics);
+        topics.era = Some(topics.era.unwrap_or_default() + 1);
+        let copied_at = Instant::now().checked_sub(age);
+        let mut lost = Vec::new();
+        for (topic, log) in &mut topics.topics {
+            let kept = log.records.partition_point(|r| Some(r.at) <= copied_at);
+            let records = log.records.split_off(kept);
+            if OUTSIDE_TOPICS.contains(&topic.as_str()) {
+                let record = |r: StoredRecord| LostRecord {
+                    topic: topic.clone(),
+                    key: r.key,
+                    value: r.value,
+                };
+                lost.extend(records.into_iter().map(record));
+            }
+        }
+        lost
+    }
+
+    /// Returns the newest value of each key of a topic.
+    pub fn values(&self, topic: &str) -> BTreeMap<String, Vec<u8>> {
+        let topics = lock(&self.topics);
+        let records = topics.topics.get(topic).map_or(&[][..], |t| &t.records);
+        let mut values = BTreeMap::new();
+        for record in records {
+            values.insert(record.key.clone(), record.value.clone());
+        }
+        values.retain(|_, value| !value.is_empty());
+        values
     }
 
     /// Makes the store refuse all calls, or serve them again.
@@ -127,15 +202,17 @@
         let answer = routes.get_response(request(message)?).await;
         let status = answer.status().as_u16();
         let body = answer.into_body().into_bytes().await.map_err(std::io::Error::other)?;
-        let (bytes, answers) = {
+        let (bytes, answers, era) = {
             let topics = lock(topics);
-            (topics.bytes, Arc::clone(&topics.answers))
+            (topics.bytes, Arc::clone(&topics.answers), topics.era)
         };
         if let Some(bytes) = bytes {
             bytes::play(stream.get_ref(), bytes, "", "", &body, &answers).await?;
             continue;
         }
-        let head = format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n\r\n", body.len());
+        let era = era.map(|era| format!("{ERA_HEADER}: {era}\r\n")).unwrap_or_default();
+        let length = body.len();
+        let head = format!("HTTP/1.1 {status} Status\r\n{era}content-length: {length}\r\n\r\n");
         stream.write_all(&[head.as_bytes(), &body].concat()).await?;
     }
 }
@@ -164,7 +241,7 @@
     let topics = lock(&topics);
     let records = topics.topics.get(&query.topic).map_or(&[][..], |t| &t.records);
     let mut items: BTreeMap<&str, Item<'_>> = BTreeMap::new();
-    for (offset, (key, value)) in records.iter().enumerate() {
+    for (offset, StoredRecord { key, value, .. }) in records.iter().enumerate() {
         items.insert(key, Item { key, value, offset });
         if value.is_empty() {
             items.remove(key.as_str());
@@ -182,29 +259,39 @@
     }
     let deadline = Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
-        if let Some(body) = page(&lock(&topics), &query, Instant::now() >= deadline) {
-            return body.into_response();
+        match page(&lock(&topics), &query, Instant::now() >= deadline) {
+            Some(Ok(body)) => return body.into_response(),
+            Some(Err(status)) => return status.into_response(),
+            None => {}
         }
         sleep(POLL_INTERVAL).await;
     }
 }
 
-/// Encodes the records from an offset on; returns `None` to wait for records until `timed_out`.
-fn page(topics: &Topics, query: &TopicQuery, timed_out: bool) -> Option<Vec<u8>> {
+/// Encodes the records from an offset on, which the log must have reached; returns `None` to wait for
+/// records until `timed_out`.
+fn page(
+    topics: &Topics,
+    query: &TopicQuery,
+    timed_out: bool,
+) -> Option<Result<Vec<u8>, StatusCode>> {
     let records = topics.topics.get(&query.topic).map_or(&[][..], |t| &t.records);
+    if records.len() < query.from {
+        return Some(Err(StatusCode::GONE));
+    }
     if records.len() <= query.from && !timed_out {
         return None;
     }
     let mut body = (records.len() as u64).to_be_bytes().to_vec();
     body.extend(0_u64.to_be_bytes());
-    for (key, value) in records.iter().skip(query.from) {
+    for StoredRecord { key, value, .. } in records.iter().skip(query.from) {
         let mut record = vec![u8::try_from(key.len()).unwrap_or(u8::MAX)];
         record.extend(key.as_bytes());
         record.extend(value);
         body.extend(u32::try_from(record.len()).unwrap_or(u32::MAX).to_be_bytes());
         body.extend(record);
     }
-    Some(body)
+    Some(Ok(body))
 }
 
 #[handler]
@@ -223,7 +310,7 @@
     while let Some((len, data)) = rest.split_first_chunk::<4>() {
         let (record, next) = data.split_at(u32::from_be_bytes(*len) as usize);
         let (key, value) = record[1..].split_at(usize::from(record[0]));
-        topic.records.push((String::from_utf8_lossy(key).into_owned(), value.to_vec()));
+        topic.append(&String::from_utf8_lossy(key), value);
         rest = next;
     }
     json!({"offset": offset, "end": topic.records.len()}).to_string().into_response()
