--- a/src/limpetmux/core/log_position.rs
+++ b/src/limpetmux/core/log_position.rs
@@ -11,6 +11,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StoreEra(pub u64);
 
+impl StoreEra {
+    /// An era that no store reaches.
+    pub const MAX: Self = Self(u64::MAX);
+}
+
 impl fmt::Display for StoreEra {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
@@ -29,11 +34,18 @@
 impl LogPosition {
     /// The position before all records.
     pub const START: Self = Self { era: StoreEra(0), offset: 0 };
+    /// The position after all records.
+    pub const LAST: Self = Self { era: StoreEra::MAX, offset: u64::MAX };
 
     /// Creates a position.
     pub const fn new(era: StoreEra, offset: u64) -> Self {
         Self { era, offset }
     }
+
+    /// Returns whether it lies before all records of its era.
+    pub const fn is_start(self) -> bool {
+        self.offset == 0
+    }
 }
 
 impl fmt::Display for LogPosition {
--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod config;
 pub mod cost;
 pub mod engines;
+pub mod evacuations;
 pub mod event_stream;
 pub mod frames;
 pub mod keys;
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -1,14 +1,16 @@
 //! Converts views and nodes to messages between nodes and back.
 
-use crate::core::listing::ListRecord;
+use crate::core::listing::{ListRecord, ListedServer, WriteNumber};
+use crate::core::log_position::{LogPosition, StoreEra};
 use crate::core::nodes::{Node, Nodes};
-use crate::core::operator::DeclaredConfig;
+use crate::core::operator::{DeclaredConfig, StatedOrders};
 use crate::core::pieces::{HeldResult, JobSpec, Source};
 use crate::core::time::Moment;
 use crate::platform::{orders, servers, store::Record};
 use crate::serve::node::StoreView;
 use crate::wire::fleet::{
     self as wire, ListingView, Member, OperatorView, PullReply, PullRequest, ServerRecord,
+    UnlistedZone,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -89,32 +91,48 @@
 
 /// Builds a pull for everything that this node's view lacks.
 pub fn pull_request(local: &Node, view: &StoreView, wait: Duration) -> PullRequest {
+    let config = view.orders.config.as_ref().map_or(LogPosition::START, |d| d.position);
     PullRequest {
         caller: Some(member(local, Duration::ZERO)),
-        operator_end: view.orders.end_offset,
-        listing_end: view.listing.end_offset,
-        config_at: view.orders.config.as_ref().map_or(0, |d| d.offset),
+        operator_end: view.orders.end.offset,
+        operator_era: view.orders.end.era.0,
+        listing_end: view.listing.end.offset,
+        listing_era: view.listing.end.era.0,
+        config_at: config.offset,
+        config_era: config.era.0,
         wait_ms: millis(wait),
         ..PullRequest::default()
     }
 }
 
+/// Returns up to where the caller of a pull knows the operator's records and the list.
+fn known_ends(request: &PullRequest) -> (LogPosition, LogPosition) {
+    let orders = LogPosition::new(StoreEra(request.operator_era), request.operator_end);
+    (orders, LogPosition::new(StoreEra(request.listing_era), request.listing_end))
+}
+
 /// Builds a pull that asks only which nodes are alive.
 pub fn members_only(local: &Node) -> PullRequest {
     PullRequest {
         caller: Some(member(local, Duration::ZERO)),
         operator_end: u64::MAX,
+        operator_era: u64::MAX,
         listing_end: u64::MAX,
+        listing_era: u64::MAX,
         config_at: u64::MAX,
+        config_era: u64::MAX,
         wait_ms: 0,
         evidence_seen: u64::MAX,
         evidence: None,
+        leaving: Vec::new(),
+        leaving_seen: u64::MAX,
     }
 }
 
 /// Returns whether the view has changes that the caller lacks.
 pub fn has_changes(view: &StoreView, request: &PullRequest) -> bool {
-    view.orders.end_offset > request.operator_end || view.listing.has_changes(request.listing_end)
+    let (orders, listing) = known_ends(request);
+    view.orders.end > orders || view.listing.has_changes(listing)
 }
 
 /// Builds the reply to a pull that came in at `arrived`, with the changes that the caller lacks.
@@ -126,36 +144,61 @@
 ) -> PullReply {
     let mut members = vec![member(nodes.local(), Duration::ZERO)];
     members.extend(nodes.live(now).map(|(node, heard)| member(node, now.since(heard))));
-    let whole = request.listing_end == 0;
-    let from = if whole { 0 } else { request.listing_end };
-    let record = |(id, listed): (&Arc<str>, &crate::core::listing::ListedServer)| ServerRecord {
-        id: id.to_string(),
-        offset: listed.offset,
-        value: listed.raw.to_vec(),
-    };
+    let (_, known) = known_ends(request);
+    // Otherwise the caller would keep a server whose removal this node does not know.
+    let whole =
+        known.is_start() || !(view.listing.knows_since(known) || known == LogPosition::LAST);
+    let from = if whole { LogPosition::START } else { known };
     PullReply {
         members,
         operator: Some(operator(now, view, request)),
         listing: Some(ListingView {
-            end: view.listing.end_offset,
+            end: view.listing.end.offset,
+            era: view.listing.end.era.0,
             age_ms: millis(now.since(view.listing.confirmed_at)),
             whole,
-            servers: view.listing.changes(from).map(record).collect(),
+            servers: (view.listing.changes(from))
+                .filter(|(_, listed)| !listed.is_unlisted())
+                .map(encode_record)
+                .collect(),
         }),
         held_ms: millis(now.since(arrived)),
         ..PullReply::default()
     }
 }
 
+fn encode_unlisted(now: Moment, (zone, since): (&Arc<str>, Moment)) -> UnlistedZone {
+    UnlistedZone { zone: zone.to_string(), age_ms: millis(now.since(since)) }
+}
+
+fn encode_record((id, listed): (&Arc<str>, &ListedServer)) -> ServerRecord {
+    ServerRecord {
+        id: id.to_string(),
+        offset: listed.position.offset,
+        era: listed.position.era.0,
+        value: listed.raw.to_vec(),
+        started: listed.latest.map_or(0, |w| w.started_ms),
+        sequence: listed.latest.map_or(0, |w| w.sequence),
+    }
+}
+
 fn operator(now: Moment, view: &StoreView, request: &PullRequest) -> OperatorView {
     let config = view.orders.config.as_ref();
-    let changed = config.filter(|d| d.offset > request.config_at || request.config_at == 0);
+    let position = config.map_or(LogPosition::START, |d| d.position);
+    let known = LogPosition::new(StoreEra(request.config_era), request.config_at);
+    // A caller of a later era may have read an older version from the restored store.
+    let is_later_era =
+        request.operator_era > view.orders.end.era.0 && request.operator_era < u64::MAX;
+    let is_sent = position > known || known.is_start() || is_later_era;
     OperatorView {
-        end: view.orders.end_offset,
+        end: view.orders.end.offset,
+        era: view.orders.end.era.0,
         age_ms: millis(view.orders.age(now)),
-        config_at: config.map_or(0, |d| d.offset),
-        config: changed.map(|d| d.raw.to_vec()).unwrap_or_default(),
-        evacuated: view.orders.evacuated.iter().map(ToString::to_string).collect(),
+        config_at: position.offset,
+        config_era: position.era.0,
+        config: config.filter(|_| is_sent).map(|d| d.raw.to_vec()).unwrap_or_default(),
+        evacuated: view.orders.evacuated.listed().map(ToString::to_string).collect(),
+        unlisted: view.orders.evacuated.unlisted().map(|zone| encode_unlisted(now, zone)).collect(),
     }
 }
 
@@ -178,13 +221,25 @@
         let config = config(operator)?;
         let evacuated: BTreeSet<Arc<str>> =
             operator.evacuated.iter().map(|z| Arc::from(z.as_str())).collect();
-        let confirmed = sent - Duration::from_millis(operator.age_ms);
-        current = view.orders.replace(confirmed, operator.end, config, evacuated);
+        let stated = StatedOrders {
+            confirmed_at: sent - Duration::from_millis(operator.age_ms),
+            end: LogPosition::new(StoreEra(operator.era), operator.end),
+            config,
+            evacuated,
+            unlisted: (operator.unlisted.iter())
+                .map(|z| (z.zone.as_str().into(), sent - Duration::from_millis(z.age_ms)))
+                .collect(),
+        };
+        current = view.orders.replace(asked, stated);
     }
     if let Some(listing) = &reply.listing {
         let confirmed = sent - Duration::from_millis(listing.age_ms);
+        let end = LogPosition::new(StoreEra(listing.era), listing.end);
         let entries: Vec<ListRecord> = listing.servers.iter().map(entry).collect();
-        current &= view.listing.apply(confirmed, listing.end, entries);
+        current &= match listing.whole {
+            true => view.listing.replace(confirmed, end, entries),
+            false => view.listing.apply(confirmed, end, entries),
+        };
         view.listing.expire(asked);
     }
     Ok(current)
@@ -194,12 +249,17 @@
     if operator.config.is_empty() {
         return Ok(None);
     }
-    orders::decode_config(&operator.config, operator.config_at).map(Some)
+    let position = LogPosition::new(StoreEra(operator.config_era), operator.config_at);
+    orders::decode_config(&operator.config, position).map(Some)
 }
 
 fn entry(record: &ServerRecord) -> ListRecord {
     let value = record.value.clone().into();
-    servers::decode(Record { offset: record.offset, key: record.id.clone(), value }).0
+    let position = LogPosition::new(StoreEra(record.era), record.offset);
+    let decoded = servers::decode(Record { position, key: record.id.clone(), value }).0;
+    let write = WriteNumber { started_ms: record.started, sequence: record.sequence };
+    let write = decoded.write.or((record.started > 0).then_some(write));
+    ListRecord { write, ..decoded }
 }
 
 fn millis(time: Duration) -> u64 {
--- a/src/limpetmux/fleet/follow/discover.rs
+++ b/src/limpetmux/fleet/follow/discover.rs
@@ -4,7 +4,7 @@
 use crate::core::nodes::Node;
 use crate::event;
 use crate::fleet::convert;
-use crate::platform::store::{self, NODES_TOPIC};
+use crate::platform::store::{self, NODES_TOPIC, StoreError};
 use crate::util::clock;
 use crate::util::event::EventCode;
 use rand::seq::SliceRandom;
@@ -18,6 +18,8 @@
     [Duration::ZERO, Duration::from_millis(60), Duration::from_millis(120)];
 /// How many addresses are probed in each round in addition to the seeds.
 const EXTRA_ADDRESSES: usize = 5;
+/// The time over which nodes spread the writes of their addresses after a restore of the store.
+const ANNOUNCE_SPREAD: Duration = Duration::from_secs(3);
 /// The time allowed for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
 
@@ -48,7 +50,7 @@
     async fn probe(&self, addr: SocketAddr) {
         let began = clock::boot();
         let needs_view =
-            self.with_view(|v| v.orders.end_offset == 0) && !self.reachable.load(Ordering::Relaxed);
+            self.with_view(|v| v.orders.end.is_start()) && !self.reachable.load(Ordering::Relaxed);
         let request = match needs_view {
             true => self.with_view(|v| {
                 convert::pull_request(self.shared.nodes().local(), v, Duration::ZERO)
@@ -64,15 +66,39 @@
         }
     }
 
+    /// Writes this node's address again whenever the store was restored from a copy, which may lack
+    /// it.
+    pub(super) async fn announce_again(&self) {
+        let mut view = self.shared.view.clone();
+        let mut announced = self.era();
+        loop {
+            let era = self.era();
+            if era > announced {
+                // The other nodes write theirs too, and the store limits the rate of all together.
+                sleep(ANNOUNCE_SPREAD.mul_f64(rand::random())).await;
+                if self.announce().await.is_ok() {
+                    announced = era;
+                    event!(EventCode::RecordRewritten, record = "node", era = era);
+                }
+            } else if !view.changed().await {
+                return;
+            }
+        }
+    }
+
     /// Writes this node's address into the store for nodes that know no other node.
-    pub(super) async fn announce(&self) {
+    ///
+    /// # Errors
+    /// Returns [`StoreError`] if the call fails; the record may still have been written.
+    pub(super) async fn announce(&self) -> Result<(), StoreError> {
         let local = self.shared.nodes().local().clone();
         let value = convert::encode_node_record(&local);
         let result = self.store.put(NODES_TOPIC, &local.addr.to_string(), &value).await;
         self.record_stop(NODES_TOPIC, &result);
-        if let Err(error) = result {
+        if let Err(error) = &result {
             event!(EventCode::StoreLost, call = "announce", reason = error);
         }
+        result
     }
 
     /// Reads the addresses of other nodes from the store.
--- a/src/limpetmux/fleet/follow/evidence.rs
+++ b/src/limpetmux/fleet/follow/evidence.rs
@@ -120,6 +120,7 @@
     /// Writes verdicts into the store whenever they change, as long as this node reads it for all.
     pub(super) async fn preserve_verdicts(&self) {
         let mut preserved: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+        let mut era = None;
         let mut versions = self.shared.quarantine.versions();
         let mut interval = PRESERVE_INTERVAL;
         loop {
@@ -131,6 +132,12 @@
             if !self.is_reader_of_all() {
                 continue;
             }
+            // A store that was restored from a copy may have lost them.
+            let current = self.era();
+            if era.replace(current) != Some(current) && !preserved.is_empty() {
+                event!(EventCode::RecordRewritten, record = "verdicts", era = current);
+                preserved.clear();
+            }
             let (evidence, _) = self.shared.quarantine.evidence_since(0);
             for hold in evidence.holds {
                 let (key, state) = (verdict_key(hold.part), (hold.turn, hold.trials));
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -11,7 +11,8 @@
 mod stops;
 
 use crate::core::listing::ListRecord;
-use crate::core::operator::Order;
+use crate::core::log_position::{LogPosition, StoreEra};
+use crate::core::operator::{Order, StatedOrders};
 use crate::core::time::Moment;
 use crate::event;
 use crate::kernel::Publisher;
@@ -85,7 +86,8 @@
             self.follow_orders(),
             self.follow_listing(),
             self.follow_nodes(),
-            self.preserve_verdicts()
+            self.preserve_verdicts(),
+            self.announce_again()
         );
     }
 
@@ -104,7 +106,7 @@
             failures = if result.is_ok() { 0 } else { failures + 1 };
             if result.is_err() {
                 sleep(self.backoff(failures)).await;
-            } else if self.with_view(|v| v.orders.end_offset == 0) {
+            } else if self.with_view(|v| v.orders.end.is_start()) {
                 // The store does not hold reads of an empty topic.
                 sleep(ORDERS_WAIT).await;
             }
@@ -140,7 +142,7 @@
 
     fn is_reader(&self) -> bool {
         if !self.shared.has_discovered() {
-            return self.with_view(|v| v.orders.end_offset == 0 || v.listing.end_offset == 0);
+            return self.with_view(|v| v.orders.end.is_start() || v.listing.end.is_start());
         }
         let nodes = self.shared.nodes();
         let order = nodes.order(clock::boot(), READERS);
@@ -148,8 +150,8 @@
     }
 
     async fn read_orders(&self, requested_at: Moment) -> Result<(), StoreError> {
-        let from = self.with_view(|v| v.orders.end_offset);
-        if from == 0 {
+        let from = self.with_view(|v| v.orders.end);
+        if from.is_start() {
             return self.load_orders(requested_at).await;
         }
         match self.store.read(orders::TOPIC, from, ORDERS_WAIT).await {
@@ -162,7 +164,7 @@
                 log_stale(current, &page, from);
                 Ok(())
             }
-            Err(StoreError::Trimmed) => self.load_orders(requested_at).await,
+            Err(StoreError::Trimmed | StoreError::Restored) => self.load_orders(requested_at).await,
             Err(error) => Err(error),
         }
     }
@@ -179,16 +181,18 @@
             }
         }
         self.update(|v| {
-            let known = v.orders.end_offset;
-            let current = v.orders.replace(requested_at, page.end, config, evacuated);
-            log_stale(current, &page, known);
+            let known = v.orders.end;
+            let (confirmed_at, end) = (requested_at, page.end);
+            let unlisted = Vec::new();
+            let stated = StatedOrders { confirmed_at, end, config, evacuated, unlisted };
+            log_stale(v.orders.replace(requested_at, stated), &page, known);
         });
         Ok(())
     }
 
     async fn read_listing(&self, requested_at: Moment) -> Result<(), StoreError> {
-        let from = self.with_view(|v| v.listing.end_offset);
-        if from == 0 {
+        let from = self.with_view(|v| v.listing.end);
+        if from.is_start() {
             return self.load_listing(requested_at).await;
         }
         match self.store.read(servers::TOPIC, from, Duration::ZERO).await {
@@ -205,7 +209,9 @@
                 log_stale(current, &page, from);
                 Ok(())
             }
-            Err(StoreError::Trimmed) => self.load_listing(requested_at).await,
+            Err(StoreError::Trimmed | StoreError::Restored) => {
+                self.load_listing(requested_at).await
+            }
             Err(error) => Err(error),
         }
     }
@@ -214,7 +220,7 @@
         let page = self.store.newest(servers::TOPIC).await?;
         let entries = decode_servers(page.records.clone());
         self.update(|v| {
-            let known = v.listing.end_offset;
+            let known = v.listing.end;
             log_stale(v.listing.replace(requested_at, page.end, entries), &page, known);
         });
         Ok(())
@@ -224,7 +230,8 @@
     /// stale, from others as well.
     async fn follow_nodes(&self) {
         let announced = async {
-            self.announce().await;
+            // A failure is logged; the other nodes learn of this one from its pulls, too.
+            let _ = self.announce().await;
             self.read_candidates().await;
         };
         tokio::join!(announced, self.discover());
@@ -264,7 +271,7 @@
             return;
         }
         match result {
-            Ok(()) => event!(EventCode::StoreBack, end = self.with_view(|v| v.listing.end_offset)),
+            Ok(()) => event!(EventCode::StoreBack, end = self.with_view(|v| v.listing.end)),
             Err(error) => event!(EventCode::StoreLost, call = "read", reason = error),
         }
     }
@@ -277,6 +284,11 @@
         BACKOFF_BASE * (1 << failures.min(doublings))
     }
 
+    /// Returns the era of the view.
+    fn era(&self) -> StoreEra {
+        self.with_view(|v| v.orders.end.era)
+    }
+
     fn with_view<T>(&self, read: impl FnOnce(&StoreView) -> T) -> T {
         read(&self.view.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -288,11 +300,11 @@
         let result = change(&mut view);
         let orders = &view.orders;
         if before.0 != orders.version() {
-            event!(EventCode::VersionInForce, version = orders.version(), end = orders.end_offset);
+            event!(EventCode::VersionInForce, version = orders.version(), end = orders.end);
         }
         if before.1 != orders.evacuated {
-            let zones: Vec<&str> = orders.evacuated.iter().map(|z| &**z).collect();
-            event!(EventCode::ZonesEvacuated, zones = zones.join(","), end = orders.end_offset);
+            let zones: Vec<&str> = orders.evacuated.zones().map(|z| &**z).collect();
+            event!(EventCode::ZonesEvacuated, zones = zones.join(","), end = orders.end);
         }
         self.publisher.publish(view.clone());
         result
@@ -324,7 +336,7 @@
     decoded
 }
 
-fn log_stale(current: bool, page: &Page, known: u64) {
+fn log_stale(current: bool, page: &Page, known: LogPosition) {
     if !current {
         event!(EventCode::StaleAnswer, end = page.end, known = known);
     }
--- a/src/limpetmux/fleet/follow/pull.rs
+++ b/src/limpetmux/fleet/follow/pull.rs
@@ -60,7 +60,7 @@
         let request = {
             let view = self.with_view(Clone::clone);
             let nodes = self.shared.nodes();
-            let wait = if view.orders.end_offset == 0 { Duration::ZERO } else { wait };
+            let wait = if view.orders.end.is_start() { Duration::ZERO } else { wait };
             convert::pull_request(nodes.local(), &view, wait)
         };
         let (request, told) = self.with_evidence(addr, request);
--- a/src/limpetmux/platform/orders.rs
+++ b/src/limpetmux/platform/orders.rs
@@ -5,6 +5,7 @@
     CallerLimits, Catalog, CatalogSpec, EngineSpec, PieceSpec, PoolSpec, RetryClass, Route,
     StageSpec, WorkspaceSpec,
 };
+use crate::core::log_position::LogPosition;
 use crate::core::operator::{DeclaredConfig, Order};
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
@@ -182,17 +183,17 @@
     if record.value.is_empty() {
         return Ok(None);
     }
-    Ok(Some(Order::Declare(decode_config(&record.value, record.offset)?)))
+    Ok(Some(Order::Declare(decode_config(&record.value, record.position)?)))
 }
 
 /// Decodes a configuration.
 ///
 /// # Errors
 /// Returns [`OrderError::Config`] if it cannot be decoded.
-pub fn decode_config(raw: &[u8], offset: u64) -> Result<DeclaredConfig, OrderError> {
+pub fn decode_config(raw: &[u8], position: LogPosition) -> Result<DeclaredConfig, OrderError> {
     let config: Config = serde_json::from_slice(raw)?;
     let catalog = Arc::new(Catalog::compile(spec(config)));
-    Ok(DeclaredConfig { catalog, raw: raw.into(), offset })
+    Ok(DeclaredConfig { catalog, raw: raw.into(), position })
 }
 
 fn spec(config: Config) -> CatalogSpec {
--- a/src/limpetmux/platform/servers.rs
+++ b/src/limpetmux/platform/servers.rs
@@ -1,7 +1,7 @@
 //! The records that backend servers write into the store.
 
 use super::store::Record;
-use crate::core::listing::{ListRecord, Server};
+use crate::core::listing::{ListRecord, Server, WriteNumber};
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, serde_as};
 use std::net::SocketAddr;
@@ -28,6 +28,9 @@
     /// The Unix time in milliseconds at which it started.
     #[serde(default)]
     born: u64,
+    /// The number of the write since then.
+    #[serde(default)]
+    sequence: u64,
 }
 
 #[derive(Deserialize, PartialEq)]
@@ -42,18 +45,32 @@
 pub fn decode(record: Record) -> (ListRecord, Option<serde_json::Error>) {
     let id: Arc<str> = record.key.into();
     let raw: Arc<[u8]> = record.value.as_ref().into();
+    let unusable = ListRecord {
+        id: Arc::clone(&id),
+        position: record.position,
+        server: None,
+        write: None,
+        raw: Arc::clone(&raw),
+    };
     if raw.is_empty() {
-        return (ListRecord { id, offset: record.offset, server: None, raw }, None);
+        return (unusable, None);
     }
     match serde_json::from_slice::<ServerRecord>(&raw) {
         Ok(fields) => {
-            let server = Some(server(Arc::clone(&id), fields));
-            (ListRecord { id, offset: record.offset, server, raw }, None)
+            let write = write_number(&fields);
+            (ListRecord { server: Some(server(id, fields)), write, ..unusable }, None)
         }
-        Err(error) => (ListRecord { id, offset: record.offset, server: None, raw }, Some(error)),
+        Err(error) => (unusable, Some(error)),
     }
 }
 
+/// Returns the number of a write; the counts of a backend server that does not state its start may
+/// begin anew unnoticed.
+fn write_number(record: &ServerRecord) -> Option<WriteNumber> {
+    let number = WriteNumber { started_ms: record.born, sequence: record.sequence };
+    (record.born > 0).then_some(number)
+}
+
 fn server(id: Arc<str>, record: ServerRecord) -> Server {
     Server {
         id,
--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -1,7 +1,7 @@
 //! A client of the platform's store, a log with keyed topics.
 
 use super::store_call::{CallError, Connections, StoreAnswer};
-use crate::core::log_position::StoreEra;
+use crate::core::log_position::{LogPosition, StoreEra};
 use crate::core::prompt_part::PartId;
 use crate::core::read_limits::{
     Bound, Exceeded, MAX_APPEND_ANSWER_BYTES, MAX_LIST_BYTES, MAX_LOG_BYTES, MAX_LOG_RECORDS,
@@ -46,8 +46,8 @@
 /// A record of a keyed topic.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Record {
-    /// The record's offset in the log.
-    pub offset: u64,
+    /// The record's position in the log.
+    pub position: LogPosition,
     /// The record's key.
     pub key: String,
     /// The record's value; empty if the key was deleted.
@@ -57,8 +57,8 @@
 /// A range of the records of a topic.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Page {
-    /// The offset from which reading continues.
-    pub end: u64,
+    /// The position from which reading continues.
+    pub end: LogPosition,
     /// The records, ordered by offset or by key.
     pub records: Vec<Record>,
     /// Whether the log had records after `end` when the store answered.
@@ -89,6 +89,13 @@
     /// The answer lacks records that it states to exist.
     #[error("the answer ends before its last record")]
     Truncated,
+    /// The store was restored from a copy after the records that the call refers to, or between the
+    /// pages of one list.
+    #[error("the store was restored from a copy")]
+    Restored,
+    /// The answer was given before another one that states a later era.
+    #[error("the answer is from before the restore of the store")]
+    Outdated,
     /// The answer states an offset that has no successor or lies beyond the end of the log.
     #[error("the answer states an offset that no record can have")]
     Offset,
@@ -152,19 +159,22 @@
     async fn pages(&self, topic: &str) -> Result<Page, StoreError> {
         let mut bytes = 0;
         let mut after: Option<String> = None;
-        let mut first_end = None;
+        let mut first_end: Option<LogPosition> = None;
         let mut records = Vec::new();
         for _ in 0..MAX_PAGES {
             let mut query = vec![("topic", topic.to_owned()), ("part", "0".to_owned())];
             query.extend(after.take().map(|key| ("after", key)));
             let call = self.call(Method::GET, "/log-newest", &query, Bytes::new())?;
-            let body = self.send(call, ANSWER_TIMEOUT, MAX_PAGE_BYTES).await?;
+            let (era, body) = self.send(call, ANSWER_TIMEOUT, MAX_PAGE_BYTES).await?;
             bytes += body.len();
             let page = decode_newest(&body)?;
             check(Bound::Body, bytes, MAX_LIST_BYTES)?;
-            let end = *first_end.get_or_insert(page.end);
+            let end = *first_end.get_or_insert(LogPosition::new(era, page.end));
+            if era != end.era {
+                return Err(StoreError::Restored);
+            }
             after = page.items.last().map(|i| i.key.clone());
-            records.extend(page.items.into_iter().map(record));
+            records.extend(page.items.into_iter().map(|item| record(era, item)));
             if !page.has_more {
                 return Ok(Page { end, records, has_more: false });
             }
@@ -175,21 +185,29 @@
         Err(StoreError::Truncated)
     }
 
-    /// Reads records of a keyed topic from an offset on; the store holds the call for up to `wait`
+    /// Reads records of a keyed topic from a position on; the store holds the call for up to `wait`
     /// until there is one.
     ///
     /// # Errors
-    /// Returns [`StoreError::Trimmed`] if the records were deleted, and another error if the call
-    /// fails.
-    pub async fn read(&self, topic: &str, from: u64, wait: Duration) -> Result<Page, StoreError> {
+    /// Returns [`StoreError::Trimmed`] if the records were deleted, [`StoreError::Restored`] if the
+    /// position is from before a restore, and another error if the call fails.
+    pub async fn read(
+        &self,
+        topic: &str,
+        from: LogPosition,
+        wait: Duration,
+    ) -> Result<Page, StoreError> {
         let query = [
             ("topic", topic.to_owned()),
             ("part", "0".to_owned()),
-            ("from", from.to_string()),
+            ("from", from.offset.to_string()),
             ("wait-ms", wait.as_millis().to_string()),
         ];
         let call = self.call(Method::GET, "/log-read", &query, Bytes::new())?;
-        let body = self.send(call, wait + ANSWER_TIMEOUT, MAX_LOG_BYTES).await?;
+        let (era, body) = self.send(call, wait + ANSWER_TIMEOUT, MAX_LOG_BYTES).await?;
+        if era != from.era {
+            return Err(StoreError::Restored);
+        }
         page(from, body)
     }
 
@@ -222,26 +240,36 @@
         Request::builder().method(method).uri(target).header(HOST, &self.host).body(Full::new(body))
     }
 
-    /// Sends a call and reads its whole answer; at a bound its connection closes.
+    /// Returns a receiver of the latest era that an answer has stated; `None` before the first one.
+    pub fn eras(&self) -> watch::Receiver<Option<StoreEra>> {
+        self.era.subscribe()
+    }
+
+    /// Sends a call and reads its whole answer and era; at a bound its connection closes.
     async fn send(
         &self,
         call: Request<Full<Bytes>>,
         time: Duration,
         limit: usize,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<(StoreEra, Bytes), StoreError> {
         let late = |_| StoreError::Exceeded(Exceeded::time(Peer::Store, time));
         let answer = timeout(time, self.connections.call(call, limit)).await.map_err(late)??;
-        self.observe(&answer);
+        self.observe(&answer)?;
         match answer.status {
-            status if status.is_success() => Ok(answer.body),
+            status if status.is_success() => Ok((answer.era, answer.body)),
             StatusCode::GONE => Err(StoreError::Trimmed),
             status => Err(StoreError::Status(status)),
         }
     }
 
     /// Records the era of an answer, and logs when it rises.
-    fn observe(&self, answer: &StoreAnswer) {
+    ///
+    /// # Errors
+    /// Returns [`StoreError::Outdated`] if another answer has stated a later era before.
+    fn observe(&self, answer: &StoreAnswer) -> Result<(), StoreError> {
+        let mut outdated = false;
         self.era.send_if_modified(|known| {
+            outdated = known.is_some_and(|known| known > answer.era);
             if known.is_some_and(|known| known >= answer.era) {
                 return false;
             }
@@ -251,6 +279,7 @@
             *known = Some(answer.era);
             true
         });
+        if outdated { Err(StoreError::Outdated) } else { Ok(()) }
     }
 }
 
@@ -285,22 +314,23 @@
     }
 }
 
-fn record(item: Item) -> Record {
-    Record { offset: item.offset, key: item.key, value: item.value.into() }
+fn record(era: StoreEra, item: Item) -> Record {
+    let position = LogPosition::new(era, item.offset);
+    Record { position, key: item.key, value: item.value.into() }
 }
 
 /// Decodes an answer: the end of the log, the first offset that still exists, and records.
-fn page(from: u64, mut body: Bytes) -> Result<Page, StoreError> {
+fn page(from: LogPosition, mut body: Bytes) -> Result<Page, StoreError> {
     if body.len() < 16 {
         return Err(StoreError::Truncated);
     }
     let end = body.get_u64();
     let first = body.get_u64();
     // The store answers with 410 if it has deleted the records, so this offset is false.
-    if first > from {
+    if first > from.offset {
         return Err(StoreError::Offset);
     }
-    let mut offset = from;
+    let mut offset = from.offset;
     let mut records = Vec::new();
     while body.has_remaining() {
         let len = split(&mut body, 4).map(|mut b| b.get_u32() as usize)?;
@@ -313,18 +343,19 @@
         let key_len = usize::from(data.get_u8());
         let key = split(&mut data, key_len)?;
         let key = String::from_utf8_lossy(&key).into_owned();
-        records.push(Record { offset, key, value: data });
+        records.push(Record { position: LogPosition::new(from.era, offset), key, value: data });
         check(Bound::Count, records.len(), MAX_LOG_RECORDS)?;
         offset = next;
     }
     // An answer may not reach the end of the log, but has a record if there is one.
-    if offset > from {
-        return Ok(Page { end: offset, records, has_more: end > offset });
+    if offset > from.offset {
+        let has_more = end > offset;
+        return Ok(Page { end: LogPosition::new(from.era, offset), records, has_more });
     }
-    if end > from {
+    if end > from.offset {
         return Err(StoreError::Truncated);
     }
-    Ok(Page { end, records, has_more: false })
+    Ok(Page { end: LogPosition::new(from.era, end), records, has_more: false })
 }
 
 fn split(body: &mut Bytes, len: usize) -> Result<Bytes, StoreError> {
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -207,6 +207,8 @@
     /// The platform's store was restored from a copy; it has lost its latest records.
     #[strum(props(level = "warn"))]
     StoreRestored = 619,
+    /// A record of this node was written again after the store was restored from a copy.
+    RecordRewritten = 622,
     /// A backend server has stated in an answer that it leaves.
     ServerLeaving = 620,
     /// A backend server has refused a request and stated for how long it wants no others.
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -37,6 +37,19 @@
     /// Evidence of the caller that the called node lacks.
     #[prost(message, optional, tag = "7")]
     pub evidence: ::core::option::Option<Evidence>,
+    /// The eras of the store in which the offsets above were given out.
+    #[prost(uint64, tag = "8")]
+    pub operator_era: u64,
+    #[prost(uint64, tag = "9")]
+    pub listing_era: u64,
+    #[prost(uint64, tag = "10")]
+    pub config_era: u64,
+    /// The backend servers that the caller knows to be leaving.
+    #[prost(message, repeated, tag = "11")]
+    pub leaving: ::prost::alloc::vec::Vec<LeavingServer>,
+    /// The version of the called node's notices of leaving servers that the caller has.
+    #[prost(uint64, tag = "12")]
+    pub leaving_seen: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PullReply {
@@ -55,6 +68,23 @@
     /// What the caller lacks of it.
     #[prost(message, optional, tag = "6")]
     pub evidence: ::core::option::Option<Evidence>,
+    /// The backend servers that the called node knows to be leaving, and the version of that.
+    #[prost(message, repeated, tag = "7")]
+    pub leaving: ::prost::alloc::vec::Vec<LeavingServer>,
+    #[prost(uint64, tag = "8")]
+    pub leaving_version: u64,
+}
+/// A backend server that has stated that it leaves.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LeavingServer {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    /// Unix milliseconds of the start of its incarnation.
+    #[prost(uint64, tag = "2")]
+    pub started: u64,
+    /// Milliseconds since a node first heard it.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 /// What a node knows of parts of prompts that crash backend servers.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -122,7 +152,7 @@
     #[prost(fixed64, repeated, tag = "1")]
     pub lift: ::prost::alloc::vec::Vec<u64>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct OperatorView {
     #[prost(uint64, tag = "1")]
     pub end: u64,
@@ -136,6 +166,22 @@
     pub config: ::prost::alloc::vec::Vec<u8>,
     #[prost(string, repeated, tag = "5")]
     pub evacuated: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The eras of the store in which `end` and `config_at` were given out.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
+    #[prost(uint64, tag = "7")]
+    pub config_era: u64,
+    /// Zones that stay evacuated although the store, which was restored, does not list them.
+    #[prost(message, repeated, tag = "8")]
+    pub unlisted: ::prost::alloc::vec::Vec<UnlistedZone>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UnlistedZone {
+    #[prost(string, tag = "1")]
+    pub zone: ::prost::alloc::string::String,
+    /// Milliseconds since the node found that the store does not list it.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ListingView {
@@ -148,6 +194,9 @@
     pub whole: bool,
     #[prost(message, repeated, tag = "4")]
     pub servers: ::prost::alloc::vec::Vec<ServerRecord>,
+    /// The era of the store in which `end` was given out.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServerRecord {
@@ -158,6 +207,14 @@
     /// The record as written by the backend server; empty once it is removed.
     #[prost(bytes = "vec", tag = "3")]
     pub value: ::prost::alloc::vec::Vec<u8>,
+    /// The era of the store in which the offset was given out.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
+    /// The backend server's latest known write: Unix milliseconds of its start, and the number.
+    #[prost(uint64, tag = "5")]
+    pub started: u64,
+    #[prost(uint64, tag = "6")]
+    pub sequence: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StageRun {
--- a/tests/testsuite/decoders/mod.rs
+++ b/tests/testsuite/decoders/mod.rs
@@ -38,7 +38,7 @@
 }
 
 /// Checks a property on cases from fixed seeds.
-fn check(name: &str, property: impl Fn(&mut Unstructured<'_>) -> Result<()>) {
+pub(crate) fn check(name: &str, property: impl Fn(&mut Unstructured<'_>) -> Result<()>) {
     let (started, time) = (Instant::now(), set_time());
     let (mut cases, mut slowest) = (0, Duration::ZERO);
     while time.map_or(cases < CASES, |time| started.elapsed() < time) {
--- a/tests/testsuite/decoders/platform_records.rs
+++ b/tests/testsuite/decoders/platform_records.rs
@@ -6,6 +6,7 @@
 use limpetmux::core::catalog::Catalog;
 use limpetmux::core::chain;
 use limpetmux::core::listing::Listing;
+use limpetmux::core::log_position::{LogPosition, StoreEra};
 use limpetmux::core::pieces::CallEnd;
 use limpetmux::core::time::Moment;
 use limpetmux::platform::store::Record;
@@ -48,8 +49,13 @@
   "platform": {"address": "10.200.1.7:8624"}
 }"#;
 
+/// Returns a position in the first era of the store.
+fn position(offset: u64) -> LogPosition {
+    LogPosition::new(StoreEra(0), offset)
+}
+
 fn record(key: &str, value: &[u8]) -> Record {
-    Record { offset: 3, key: key.to_owned(), value: value.to_vec().into() }
+    Record { position: position(3), key: key.to_owned(), value: value.to_vec().into() }
 }
 
 /// Makes the computations on a configuration that a request makes.
@@ -74,7 +80,7 @@
 
 /// Decodes a configuration and uses it if it is valid.
 pub(super) fn check_config(value: &[u8]) {
-    if let Ok(declared) = orders::decode_config(value, 3) {
+    if let Ok(declared) = orders::decode_config(value, position(3)) {
         assert_eq!(&*declared.raw, value);
         use_catalog(&declared.catalog);
     }
@@ -82,7 +88,7 @@
 
 #[test]
 fn orders_are_decoded_or_refused_and_can_be_used() {
-    use_catalog(&orders::decode_config(CONFIG.as_bytes(), 3).unwrap().catalog);
+    use_catalog(&orders::decode_config(CONFIG.as_bytes(), position(3)).unwrap().catalog);
     check("operator's records", |u| {
         let value = draw(u, CONFIG.as_bytes())?;
         let key = if u.ratio(1, 8)? { draw_text(u, "evacuate/mnl-a")? } else { "config".into() };
@@ -104,7 +110,7 @@
     assert_eq!(&*entry.raw, value);
     let cold = entry.server.as_ref().map(|s| s.cold);
     assert_eq!(now + cold.unwrap_or_default(), Moment::MAX);
-    listing.apply(now, end, vec![entry]);
+    listing.apply(now, position(end), vec![entry]);
     listing.expire(now);
 }
 
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -102,8 +102,14 @@
 fn views_of_other_nodes_are_applied_or_refused() {
     check("views of the store", |u| {
         let value = draw(u, SERVER.as_bytes())?;
-        let servers =
-            vec![fleet::ServerRecord { id: "i-1".into(), offset: draw_number(u)?, value }];
+        let servers = vec![fleet::ServerRecord {
+            id: "i-1".into(),
+            offset: draw_number(u)?,
+            value,
+            era: draw_number(u)?,
+            started: draw_number(u)?,
+            sequence: draw_number(u)?,
+        }];
         let reply = fleet::PullReply {
             members: vec![views::member(&local_node(), Duration::from_millis(draw_number(u)?))],
             operator: Some(fleet::OperatorView {
@@ -112,16 +118,29 @@
                 config_at: draw_number(u)?,
                 config: CONFIG.into(),
                 evacuated: vec!["mnl-a".into()],
+                era: draw_number(u)?,
+                config_era: draw_number(u)?,
+                unlisted: vec![fleet::UnlistedZone {
+                    zone: "mnl-a".into(),
+                    age_ms: draw_number(u)?,
+                }],
             }),
             listing: Some(fleet::ListingView {
                 end: draw_number(u)?,
                 age_ms: draw_number(u)?,
                 whole: u.arbitrary()?,
                 servers,
+                era: draw_number(u)?,
             }),
             held_ms: draw_number(u)?,
             evidence_version: draw_number(u)?,
             evidence: None,
+            leaving: vec![fleet::LeavingServer {
+                server: "i-1".into(),
+                started: draw_number(u)?,
+                age_ms: draw_number(u)?,
+            }],
+            leaving_version: draw_number(u)?,
         };
         check_pull(&draw(u, &reply.encode_to_vec())?);
         Ok(())
--- a/tests/testsuite/decoders/store.rs
+++ b/tests/testsuite/decoders/store.rs
@@ -3,6 +3,7 @@
 use super::check;
 use super::damage::draw;
 use arbtest::arbitrary::{Result, Unstructured};
+use limpetmux::core::log_position::{LogPosition, StoreEra};
 use limpetmux::platform::store::{Page, Store, StoreError};
 use limpetmux_standins::raw::{RawRequest, serve_requests};
 use std::sync::{Arc, Mutex};
@@ -36,18 +37,23 @@
     Fixture { runtime, store: Store::new(addr), answer, received }
 }
 
+/// Returns a position in the first era of the store.
+fn position(offset: u64) -> LogPosition {
+    LogPosition::new(StoreEra(0), offset)
+}
+
 impl Fixture {
     fn read(&self, from: u64, body: &[u8]) -> std::result::Result<Page, StoreError> {
         *self.answer.lock().unwrap() = body.to_vec();
-        self.runtime.block_on(self.store.read(TOPIC, from, Duration::ZERO))
+        self.runtime.block_on(self.store.read(TOPIC, position(from), Duration::ZERO))
     }
 
     /// Reads a page and checks that it holds no more than its bytes.
     pub(super) fn check_page(&self, from: u64, body: &[u8]) {
         let Ok(page) = self.read(from, body) else { return };
-        let offsets: Vec<u64> = page.records.iter().map(|r| r.offset).collect();
+        let offsets: Vec<u64> = page.records.iter().map(|r| r.position.offset).collect();
         assert!(offsets.windows(2).all(|w| w[0] < w[1]), "{offsets:?}");
-        assert!(offsets.iter().all(|o| *o >= from && *o < page.end), "{page:?}");
+        assert!(offsets.iter().all(|o| *o >= from && *o < page.end.offset), "{page:?}");
         let values: usize = page.records.iter().map(|r| r.value.len()).sum();
         assert!(values + page.records.len() * 5 + 16 <= body.len());
     }
@@ -55,7 +61,7 @@
     /// Reads a list and checks that it holds no more than its bytes.
     pub(super) fn check_newest(&self, body: &[u8]) {
         let Ok(list) = self.newest(body) else { return };
-        assert!(list.records.iter().all(|r| r.offset < u64::MAX));
+        assert!(list.records.iter().all(|r| r.position.offset < u64::MAX));
         let bytes: usize = list.records.iter().map(|r| r.key.len() + r.value.len()).sum();
         assert!(bytes <= body.len());
     }
@@ -116,8 +122,8 @@
         let page = fixture.read(4, &[log_page(5, 0, &[]), record].concat()).unwrap();
 
         let read = &page.records[0];
-        assert_eq!((read.offset, &read.key, &*read.value), (4, &key, value.as_slice()));
-        assert_eq!((page.records.len(), page.end), (1, 5));
+        assert_eq!((read.position, &read.key, &*read.value), (position(4), &key, value.as_slice()));
+        assert_eq!((page.records.len(), page.end), (1, position(5)));
         Ok(())
     });
 }
--- a/tests/testsuite/platform/adapter.rs
+++ b/tests/testsuite/platform/adapter.rs
@@ -1,6 +1,7 @@
 //! The adapter decodes the platform's settings, requests, answers and records, and reports invalid
 //! ones.
 
+use super::pos;
 use hyper::Request;
 use hyper::http::request::Parts;
 use limpetmux::core::answer_proof::AnswerOwner;
@@ -177,8 +178,11 @@
 
 #[test]
 fn invalid_server_record_is_decoded_without_a_server() {
-    let record =
-        |value: &str| Record { offset: 3, key: "i-1".to_owned(), value: value.to_owned().into() };
+    let record = |value: &str| Record {
+        position: pos(3),
+        key: "i-1".to_owned(),
+        value: value.to_owned().into(),
+    };
     let good = r#"{"service":"s","address":"10.1.0.9:80","zone":"z","state":"draining","born":7}"#;
 
     let (entry, error) = servers::decode(record(good));
--- a/tests/testsuite/platform/endless_store.rs
+++ b/tests/testsuite/platform/endless_store.rs
@@ -1,6 +1,7 @@
 //! Answers of the store without end, or a byte at a time, end at a bound.
 
 use super::node_fixture::settings;
+use super::pos;
 use limpetmux::core::read_limits::{Bound, Exceeded, MAX_LIST_BYTES, Peer};
 use limpetmux::platform::store::{Page, Store, StoreError};
 use limpetmux::serve::run::{RunningNode, start};
@@ -109,7 +110,7 @@
 async fn stops(answer: Endless) -> [Exceeded; 3] {
     let (addr, done) = serve_endless(move |_| answer.clone()).await;
     let store = Store::new(addr);
-    let read = store.read("keyed.op", 4, Duration::ZERO).await;
+    let read = store.read("keyed.op", pos(4), Duration::ZERO).await;
     let newest = store.newest("keyed.op").await;
     let put = store.put("keyed.nodes", "k", b"v").await;
     done.closed().await;
@@ -149,7 +150,7 @@
         let answer = endless(&format!("{CHUNKED}{begin}"), b"x");
         let (addr, done) = serve_endless(move |_| answer.clone()).await;
 
-        let ended = Store::new(addr).read("keyed.op", 4, Duration::ZERO).await;
+        let ended = Store::new(addr).read("keyed.op", pos(4), Duration::ZERO).await;
 
         done.closed().await;
         let is_bounded = match &ended {
@@ -168,7 +169,7 @@
         let answer = Endless { pause, ..endless("HTTP/1.1 500 Text\r\n\r\n", b" ") };
         let (addr, done) = serve_endless(move |_| answer.clone()).await;
 
-        let ended = Store::new(addr).read("keyed.op", 4, Duration::ZERO).await;
+        let ended = Store::new(addr).read("keyed.op", pos(4), Duration::ZERO).await;
 
         done.closed().await;
         assert!(matches!(ended, Err(StoreError::Status(_))), "{ended:?}");
@@ -314,7 +315,7 @@
 async fn read(records: &[u8], end: u64, first: u64, from: u64) -> Result<Page, StoreError> {
     let body = [&end.to_be_bytes()[..], &first.to_be_bytes(), records].concat();
     let store = Store::new(serve_bytes(unframed(&body)).await.unwrap());
-    store.read("keyed.op", from, Duration::ZERO).await
+    store.read("keyed.op", pos(from), Duration::ZERO).await
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/testsuite/platform/follow_store.rs
+++ b/tests/testsuite/platform/follow_store.rs
@@ -100,7 +100,7 @@
         }
     })
     .await;
-    wait(&shared, |v| v.orders.end_offset > 6 && v.listing.end_offset > 6).await;
+    wait(&shared, |v| v.orders.end.offset > 6 && v.listing.end.offset > 6).await;
 
     let view = shared.view.load();
     let confirmed = [view.orders.confirmed_at, view.listing.confirmed_at];
--- a/tests/testsuite/platform/listing.rs
+++ b/tests/testsuite/platform/listing.rs
@@ -1,6 +1,6 @@
 //! The list of backend servers under stale answers, expired records and outages of the store.
 
-use super::{at, server};
+use super::{at, pos, server};
 use limpetmux::core::listing::{ListRecord, Listing};
 use limpetmux::fleet::convert;
 use limpetmux::serve::node::StoreView;
@@ -8,11 +8,13 @@
 
 fn record(id: &str, offset: u64) -> ListRecord {
     let raw = id.as_bytes().into();
-    ListRecord { id: id.into(), offset, server: Some(server(id, "mnl-a")), raw }
+    let server = Some(server(id, "mnl-a"));
+    ListRecord { id: id.into(), position: pos(offset), server, write: None, raw }
 }
 
 fn removed(id: &str, offset: u64) -> ListRecord {
-    ListRecord { id: id.into(), offset, server: None, raw: [].as_slice().into() }
+    let raw = [].as_slice().into();
+    ListRecord { id: id.into(), position: pos(offset), server: None, write: None, raw }
 }
 
 fn ids(listing: &Listing) -> Vec<String> {
@@ -22,9 +24,9 @@
 #[test]
 fn answer_with_a_lower_end_offset_changes_nothing() {
     let mut listing = Listing::default();
-    listing.apply(at(0), 10, vec![record("a", 9)]);
+    listing.apply(at(0), pos(10), vec![record("a", 9)]);
 
-    let current = listing.apply(at(500), 8, vec![record("b", 7)]);
+    let current = listing.apply(at(500), pos(8), vec![record("b", 7)]);
 
     assert!(!current);
     assert_eq!(ids(&listing), ["a"]);
@@ -42,11 +44,11 @@
         (server.started_ms, server.addr) = (started_ms, ([127, 0, 0, 1], port).into());
         record
     };
-    listing.apply(at(0), 10, vec![started("old", 8, 100, 1), started("other", 9, 100, 2)]);
+    listing.apply(at(0), pos(10), vec![started("old", 8, 100, 1), started("other", 9, 100, 2)]);
 
-    listing.apply(at(500), 13, vec![started("new", 11, 200, 1), started("silent", 12, 0, 2)]);
+    listing.apply(at(500), pos(13), vec![started("new", 11, 200, 1), started("silent", 12, 0, 2)]);
     let after = ids(&listing);
-    listing.apply(at(600), 14, vec![removed("new", 13)]);
+    listing.apply(at(600), pos(14), vec![removed("new", 13)]);
 
     // A record without a start time replaces nothing.
     assert_eq!(after, ["new", "other", "silent"]);
@@ -56,9 +58,9 @@
 #[test]
 fn removal_takes_effect_at_once_while_the_store_answers() {
     let mut listing = Listing::default();
-    listing.apply(at(0), 10, vec![record("a", 8), record("b", 9)]);
+    listing.apply(at(0), pos(10), vec![record("a", 8), record("b", 9)]);
 
-    listing.apply(at(500), 11, vec![removed("a", 10)]);
+    listing.apply(at(500), pos(11), vec![removed("a", 10)]);
 
     assert_eq!(ids(&listing), ["b"]);
 }
@@ -66,12 +68,12 @@
 #[test]
 fn records_that_expired_in_an_outage_of_the_store_are_kept_for_the_grace_time() {
     let mut listing = Listing::default();
-    listing.apply(at(0), 10, vec![record("a", 8), record("b", 9)]);
+    listing.apply(at(0), pos(10), vec![record("a", 8), record("b", 9)]);
 
     // The store is unreachable for 5 s; both records expire, and only one is written again.
-    listing.apply(at(5_000), 12, vec![removed("a", 10), removed("b", 11)]);
+    listing.apply(at(5_000), pos(12), vec![removed("a", 10), removed("b", 11)]);
     assert_eq!(ids(&listing), ["a", "b"]);
-    listing.apply(at(6_000), 13, vec![record("b", 12)]);
+    listing.apply(at(6_000), pos(13), vec![record("b", 12)]);
     listing.expire(at(7_100));
     assert_eq!(ids(&listing), ["a", "b"]);
 
@@ -85,9 +87,9 @@
     let mut listing = Listing::default();
     let mut leaving = record("a", 9);
     leaving.server.as_mut().expect("a record").draining = true;
-    listing.apply(at(0), 10, vec![leaving]);
+    listing.apply(at(0), pos(10), vec![leaving]);
 
-    listing.apply(at(5_000), 11, vec![removed("a", 10)]);
+    listing.apply(at(5_000), pos(11), vec![removed("a", 10)]);
 
     assert_eq!(ids(&listing), Vec::<String>::new());
 }
@@ -95,9 +97,9 @@
 #[test]
 fn servers_missing_from_the_newest_records_are_removed() {
     let mut listing = Listing::default();
-    listing.apply(at(0), 10, vec![record("a", 8), record("b", 9)]);
+    listing.apply(at(0), pos(10), vec![record("a", 8), record("b", 9)]);
 
-    listing.replace(at(500), 20, vec![record("b", 15)]);
+    listing.replace(at(500), pos(20), vec![record("b", 15)]);
 
     assert_eq!(ids(&listing), ["b"]);
 }
@@ -105,14 +107,14 @@
 #[test]
 fn changed_counters_alone_are_not_passed_to_other_nodes() {
     let mut listing = Listing::default();
-    listing.apply(at(0), 10, vec![record("a", 8), record("b", 9)]);
+    listing.apply(at(0), pos(10), vec![record("a", 8), record("b", 9)]);
 
     // A heartbeat with other counters, and one that says that the server drains.
     let mut leaving = record("b", 11);
     leaving.server.as_mut().expect("a record").draining = true;
-    listing.apply(at(500), 12, vec![record("a", 10), leaving]);
+    listing.apply(at(500), pos(12), vec![record("a", 10), leaving]);
 
-    let changed: Vec<&str> = listing.changes(10).map(|(id, _)| &**id).collect();
+    let changed: Vec<&str> = listing.changes(pos(10)).map(|(id, _)| &**id).collect();
     assert_eq!(changed, ["b"]);
 }
 
@@ -123,22 +125,23 @@
     let mut reader = Listing::default();
     let mut puller = Listing::default();
     for listing in [&mut reader, &mut puller] {
-        listing.apply(at(0), 10, vec![record("a", 9)]);
+        listing.apply(at(0), pos(10), vec![record("a", 9)]);
     }
     let pull = |reader: &Listing, puller: &mut Listing, now: u64| {
-        let changes = reader.changes(puller.end_offset).map(|(id, listed)| ListRecord {
+        let changes = reader.changes(puller.end).map(|(id, listed)| ListRecord {
             id: id.clone(),
-            offset: listed.offset,
+            position: listed.position,
+            write: listed.latest,
             server: (!listed.raw.is_empty()).then(|| server(id, "mnl-a")),
             raw: listed.raw.clone(),
         });
         let changes = changes.collect();
-        puller.apply(at(now), reader.end_offset, changes);
+        puller.apply(at(now), reader.end, changes);
     };
 
-    reader.apply(at(5_000), 11, vec![removed("a", 10)]);
+    reader.apply(at(5_000), pos(11), vec![removed("a", 10)]);
     pull(&reader, &mut puller, 5_000);
-    reader.apply(at(6_000), 12, vec![record("a", 11)]);
+    reader.apply(at(6_000), pos(12), vec![record("a", 11)]);
     pull(&reader, &mut puller, 6_000);
     for listing in [&mut reader, &mut puller] {
         listing.expire(at(9_000));
@@ -152,12 +155,12 @@
 fn record_beyond_the_end_of_its_list_is_a_change_only_once_the_log_has_reached_it() {
     // Guards against a node whose copy always has a change: each pull from it returns at once.
     let mut view = StoreView::default();
-    view.listing.replace(at(0), 10, vec![record("a", 9), record("b", 50)]);
+    view.listing.replace(at(0), pos(10), vec![record("a", 9), record("b", 50)]);
     let pull = |listing_end| PullRequest { listing_end, ..PullRequest::default() };
     let changed = |view: &StoreView| [0, 10].map(|end| convert::has_changes(view, &pull(end)));
 
     let before = changed(&view);
-    view.listing.apply(at(500), 51, Vec::new());
+    view.listing.apply(at(500), pos(51), Vec::new());
     let after = changed(&view);
 
     assert_eq!(before, [true, false]);
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -38,6 +38,7 @@
 mod queue_waits;
 mod resent;
 mod restored_store;
+mod restored_views;
 mod retry_share;
 mod soak;
 mod stage_calls;
@@ -47,6 +48,7 @@
 mod whole_path;
 
 use limpetmux::core::listing::Server;
+use limpetmux::core::log_position::{LogPosition, StoreEra};
 use limpetmux::core::time::Moment;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,6 +58,11 @@
     Moment::from_millis(1_000_000 + ms)
 }
 
+/// Returns a position in the first era of the store.
+fn pos(offset: u64) -> LogPosition {
+    LogPosition::new(StoreEra(0), offset)
+}
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
--- a/tests/testsuite/platform/orders.rs
+++ b/tests/testsuite/platform/orders.rs
@@ -1,8 +1,8 @@
 //! The operator's configuration never returns to an older version, and its age counts from the
 //! start of the read that last confirmed it.
 
-use super::{arc, at, ms};
-use limpetmux::core::operator::{Order, Orders};
+use super::{arc, at, ms, pos};
+use limpetmux::core::operator::{Order, Orders, StatedOrders};
 use limpetmux::platform::orders::{OrderError, decode, decode_config};
 use limpetmux::platform::store::Record;
 use std::collections::BTreeSet;
@@ -15,25 +15,29 @@
 }
 
 fn order(version: u64, offset: u64) -> Order {
-    Order::Declare(decode_config(config(version).as_bytes(), offset).expect("a configuration"))
+    Order::Declare(decode_config(config(version).as_bytes(), pos(offset)).expect("a configuration"))
 }
 
 fn record(key: &str, value: &str) -> Record {
-    Record { offset: 4, key: key.to_owned(), value: value.to_owned().into() }
+    Record { position: pos(4), key: key.to_owned(), value: value.to_owned().into() }
 }
 
 #[test]
 fn version_never_decreases() {
     let mut orders = Orders::default();
-    orders.apply(at(0), 6, vec![order(7, 5)]);
+    orders.apply(at(0), pos(6), vec![order(7, 5)]);
 
     let stale = orders.replace(
         at(100),
-        4,
-        Some(decode_config(config(3).as_bytes(), 3).unwrap()),
-        BTreeSet::new(),
+        StatedOrders {
+            confirmed_at: at(100),
+            end: pos(4),
+            config: Some(decode_config(config(3).as_bytes(), pos(3)).unwrap()),
+            evacuated: BTreeSet::new(),
+            unlisted: Vec::new(),
+        },
     );
-    let older = orders.apply(at(200), 8, vec![order(6, 7)]);
+    let older = orders.apply(at(200), pos(8), vec![order(6, 7)]);
 
     assert!(!stale);
     assert!(older, "the answer itself is current");
@@ -43,9 +47,9 @@
 #[test]
 fn stale_answer_confirms_nothing() {
     let mut orders = Orders::default();
-    orders.apply(at(0), 6, vec![order(7, 5)]);
+    orders.apply(at(0), pos(6), vec![order(7, 5)]);
 
-    orders.apply(at(4_000), 5, Vec::new());
+    orders.apply(at(4_000), pos(5), Vec::new());
 
     assert_eq!(orders.age(at(4_100)), ms(4_100));
 }
@@ -56,12 +60,12 @@
     let evacuate = decode(&record("evacuate/mnl-a", "{}")).unwrap();
     let restore = decode(&record("evacuate/mnl-a", "")).unwrap();
 
-    orders.apply(at(0), 5, evacuate.into_iter().collect());
-    let during = orders.evacuated.clone();
-    orders.apply(at(10), 6, restore.into_iter().collect());
+    orders.apply(at(0), pos(5), evacuate.into_iter().collect());
+    let during: Vec<_> = orders.evacuated.zones().cloned().collect();
+    orders.apply(at(10), pos(6), restore.into_iter().collect());
 
-    assert_eq!(during, BTreeSet::from([arc("mnl-a")]));
-    assert!(orders.evacuated.is_empty());
+    assert_eq!(during, [arc("mnl-a")]);
+    assert_eq!(orders.evacuated.zones().next(), None);
 }
 
 #[test]
--- a/tests/testsuite/platform/store_answers.rs
+++ b/tests/testsuite/platform/store_answers.rs
@@ -1,5 +1,6 @@
 //! Answers of the store that end early are errors, not shorter answers.
 
+use super::pos;
 use limpetmux::platform::store::{Page, Store, StoreError};
 use limpetmux_standins::raw::{serve_bytes, unframed};
 use std::time::Duration;
@@ -16,7 +17,7 @@
 
 async fn read(body: &[u8], from: u64) -> Result<Page, StoreError> {
     let store = Store::new(serve_bytes(unframed(body)).await.unwrap());
-    store.read("keyed.op", from, Duration::ZERO).await
+    store.read("keyed.op", pos(from), Duration::ZERO).await
 }
 
 async fn newest(body: &str) -> Result<Page, StoreError> {
@@ -34,9 +35,9 @@
     let none = read(&log_page(9, 0), 9).await.unwrap();
 
     assert!(matches!(cut, Err(StoreError::Truncated)), "{cut:?}");
-    assert_eq!((behind_empty_records.records.len(), behind_empty_records.end), (0, 6));
-    assert_eq!((part.records.len(), part.end), (2, 6));
-    assert_eq!((none.records.len(), none.end), (0, 9));
+    assert_eq!((behind_empty_records.records.len(), behind_empty_records.end), (0, pos(6)));
+    assert_eq!((part.records.len(), part.end), (2, pos(6)));
+    assert_eq!((none.records.len(), none.end), (0, pos(9)));
 }
 
 #[tokio::test]
@@ -61,7 +62,7 @@
     let equal = read(&equal, 4).await.unwrap();
 
     assert!(matches!(beyond, Err(StoreError::Offset)), "{beyond:?}");
-    assert_eq!((equal.records.len(), equal.end), (2, 6));
+    assert_eq!((equal.records.len(), equal.end), (2, pos(6)));
 }
 
 #[tokio::test]
@@ -91,5 +92,5 @@
 
     assert!(matches!(empty_page, Err(StoreError::Truncated)), "{empty_page:?}");
     assert!(matches!(endless, Err(StoreError::Truncated)), "{endless:?}");
-    assert_eq!((whole.records.len(), whole.end), (1, 9));
+    assert_eq!((whole.records.len(), whole.end), (1, pos(9)));
 }
