Let what a backend server states about itself decide who gets the next request

Callers' requests reached backend servers that had said in their answers that they leave (DRAIN), and servers that had refused with Retry-After (the newer BUDGET rule). Cause: such a statement was known only to the connection that heard it; the store's list was the only source for the choice of the next server. Change: every answer that the product reads from a backend server, plain, stream, refusal, unusable, pieces and releases, hands its statement to one place per node (core/server_notices), and every choice asks there: first sends, retries, pieces, plans and choices of queue nodes. It holds for one incarnation whatever the list says. A pool that leaves as a whole serves until the drain time has passed; one that wants no requests is refused at once with the time of the first that does. Nodes tell each other in their pulls, with ages.

--- a/crates/limpetmux-capacity/tests/decoders.rs
+++ b/crates/limpetmux-capacity/tests/decoders.rs
@@ -7,6 +7,7 @@
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
 use limpetmux::core::config::record;
+use limpetmux::core::log_position::LogPosition;
 use limpetmux::core::once::Record;
 use limpetmux::core::planner::DutyRecord;
 use limpetmux::platform::{boot, orders};
@@ -28,7 +29,7 @@
         "duties" => drop(DutyRecord::decode(bytes)),
         "frames" => drop(stage::Frame::decode(bytes)),
         "gossip" => drop(peer::Sync::decode(bytes)),
-        "orders" => drop(orders::decode_config(bytes, 0)),
+        "orders" => drop(orders::decode_config(bytes, LogPosition::START)),
         "piece_queues" => drop(fleet::StageDone::decode(bytes)),
         "placements" => drop(fleet::PlaceEngine::decode(bytes)),
         "platform_settings" => drop(boot::parse("boot", &String::from_utf8_lossy(bytes))),
--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -250,6 +250,11 @@
         self.servers.values().filter_map(|l| l.server.as_ref()).filter(is_newest)
     }
 
+    /// Returns whether an id is listed as a backend server.
+    pub fn is_listed(&self, id: &str) -> bool {
+        self.get(id).is_some_and(|listed| listed.server.is_some())
+    }
+
     /// Returns the record of an id.
     pub fn get(&self, id: &str) -> Option<&ListedServer> {
         self.servers.get(id)
--- a/src/limpetmux/core/server_notices.rs
+++ b/src/limpetmux/core/server_notices.rs
@@ -1,10 +1,23 @@
 //! What backend servers state about themselves in their answers: that they leave, and for how long
-//! they want no requests. See `docs/design/leaving.md`.
+//! they want no requests.
+//!
+//! Both hold for one incarnation, whatever its record in the platform's list says. A server that
+//! leaves gets new requests only while no other one is left, and none once its drain time has passed
+//! since this node first heard of it. A server that wants no requests gets none. See
+//! `docs/design/leaving.md`.
 
+use crate::core::listing::Server;
+use crate::core::time::Moment;
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The longest time for which a backend server can ask for no requests; longer ones are taken for it.
 pub const MAX_HOLD: Duration = Duration::from_secs(600);
+/// How long a notice is kept of a backend server that is not listed.
+const UNLISTED_TIME: Duration = Duration::from_secs(60);
+/// The most backend servers of which notices are kept.
+const MAX_SERVERS: usize = 4_096;
 
 /// What one answer states about the backend server that sent it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -14,3 +27,187 @@
     /// For how long it wants no requests, counted from the answer.
     pub hold: Option<Duration>,
 }
+
+/// One incarnation of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Incarnation {
+    /// The id.
+    pub id: Arc<str>,
+    /// The Unix millisecond of its start.
+    pub started_ms: u64,
+}
+
+/// An incarnation that leaves, as nodes tell each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingServer {
+    /// The incarnation.
+    pub incarnation: Incarnation,
+    /// The time since a node first heard of it.
+    pub age: Duration,
+}
+
+/// What a notice has changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NoticeChange {
+    /// Whether it is new that the backend server leaves.
+    pub leaves: bool,
+    /// Whether it is new that the backend server wants no requests.
+    pub holds: bool,
+}
+
+/// No backend server of a pool may get a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoolClosed {
+    /// The time until one of them accepts requests again; `None` if all of them leave.
+    pub opens_in: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+struct Notices {
+    started_ms: u64,
+    /// When a node first heard that it leaves.
+    leaving_since: Option<Moment>,
+    /// Until when it wants no requests.
+    held_until: Option<Moment>,
+    /// When the latest notice was recorded, or the server was last listed.
+    used_at: Moment,
+}
+
+/// Whether a backend server may get requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    Open,
+    /// It leaves, and may get requests that no other one can serve.
+    LastResort,
+    /// It may get no requests until a moment, if that is known.
+    Closed(Option<Moment>),
+}
+
+/// The notices of all backend servers that a node has heard of.
+#[derive(Clone, Debug, Default)]
+pub struct ServerNotices {
+    servers: BTreeMap<Arc<str>, Notices>,
+}
+
+impl ServerNotices {
+    /// Records what an answer that arrives at `now` states.
+    pub fn record(
+        &mut self,
+        now: Moment,
+        server: &Incarnation,
+        notice: ServerNotice,
+    ) -> NoticeChange {
+        if notice == ServerNotice::default() {
+            return NoticeChange::default();
+        }
+        let Some(notices) = self.entry(now, server) else { return NoticeChange::default() };
+        notices.used_at = now;
+        let was_held = notices.held_until.is_some_and(|until| until > now);
+        let held_until = notice.hold.map(|hold| now + hold.min(MAX_HOLD));
+        notices.held_until = notices.held_until.max(held_until);
+        let leaves = notice.leaving && notices.leaving_since.is_none();
+        if leaves {
+            notices.leaving_since = Some(now);
+        }
+        NoticeChange { leaves, holds: notice.hold.is_some() && !was_held }
+    }
+
+    /// Records what another node has heard, of a backend server that is listed or not; returns whether
+    /// it is new.
+    pub fn learn(&mut self, now: Moment, server: &LeavingServer, is_listed: bool) -> bool {
+        // Otherwise nodes would tell each other for good what each of them drops.
+        if !is_listed && server.age >= UNLISTED_TIME {
+            return false;
+        }
+        let Some(notices) = self.entry(now, &server.incarnation) else { return false };
+        let since = now - server.age;
+        let is_new = notices.leaving_since.is_none();
+        notices.leaving_since = Some(notices.leaving_since.map_or(since, |own| own.min(since)));
+        is_new
+    }
+
+    /// Returns those of a pool's backend servers that may get a request now.
+    ///
+    /// # Errors
+    /// Returns [`PoolClosed`] if the pool has backend servers and none of them may.
+    pub fn available<'a>(
+        &self,
+        now: Moment,
+        drain_time: Duration,
+        servers: Vec<&'a Server>,
+    ) -> Result<Vec<&'a Server>, PoolClosed> {
+        if self.servers.is_empty() {
+            return Ok(servers);
+        }
+        let standing = |s: &&Server| self.standing(now, drain_time, s);
+        for wanted in [Standing::Open, Standing::LastResort] {
+            let found: Vec<&Server> =
+                servers.iter().copied().filter(|s| standing(s) == wanted).collect();
+            if !found.is_empty() || servers.is_empty() {
+                return Ok(found);
+            }
+        }
+        let opens_at = servers.iter().filter_map(|s| match standing(s) {
+            Standing::Closed(until) => until,
+            Standing::Open | Standing::LastResort => None,
+        });
+        Err(PoolClosed { opens_in: opens_at.min().map(|at| now.until(at)) })
+    }
+
+    /// Returns whether a backend server wants no requests now.
+    pub fn is_held(&self, now: Moment, server: &Server) -> bool {
+        matches!(self.standing(now, Duration::MAX, server), Standing::Closed(_))
+    }
+
+    /// Returns the incarnations that leave, for other nodes.
+    pub fn leaving(&self, now: Moment) -> Vec<LeavingServer> {
+        let leaving = |(id, notices): (&Arc<str>, &Notices)| {
+            let since = notices.leaving_since?;
+            let incarnation = Incarnation { id: Arc::clone(id), started_ms: notices.started_ms };
+            Some(LeavingServer { incarnation, age: now.since(since) })
+        };
+        self.servers.iter().filter_map(leaving).collect()
+    }
+
+    /// Drops the notices of backend servers that have not been listed for a while.
+    pub fn remove_unlisted(&mut self, now: Moment, is_listed: impl Fn(&str) -> bool) {
+        for (_, notices) in self.servers.iter_mut().filter(|(id, _)| is_listed(id)) {
+            notices.used_at = now;
+        }
+        self.servers.retain(|_, notices| now.since(notices.used_at) < UNLISTED_TIME);
+    }
+
+    /// Returns the notices of an incarnation; `None` if a later one of the id is known.
+    fn entry(&mut self, now: Moment, server: &Incarnation) -> Option<&mut Notices> {
+        let known = self.servers.get(&server.id).map(|n| n.started_ms);
+        if known.is_none() && self.servers.len() >= MAX_SERVERS {
+            return None;
+        }
+        if known.is_none_or(|known| known < server.started_ms) {
+            let notices = Notices {
+                started_ms: server.started_ms,
+                leaving_since: None,
+                held_until: None,
+                used_at: now,
+            };
+            self.servers.insert(Arc::clone(&server.id), notices);
+        }
+        let notices = self.servers.get_mut(&server.id)?;
+        (notices.started_ms == server.started_ms).then_some(notices)
+    }
+
+    fn standing(&self, now: Moment, drain_time: Duration, server: &Server) -> Standing {
+        let Some(notices) = self.servers.get(&server.id) else { return Standing::Open };
+        if notices.started_ms < server.started_ms {
+            return Standing::Open;
+        }
+        if let Some(until) = notices.held_until.filter(|until| *until > now) {
+            return Standing::Closed(Some(until).filter(|_| notices.leaving_since.is_none()));
+        }
+        match notices.leaving_since {
+            None => Standing::Open,
+            Some(since) if now.since(since) < drain_time => Standing::LastResort,
+            Some(_) => Standing::Closed(None),
+        }
+    }
+}
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -5,6 +5,7 @@
 use crate::core::nodes::{Node, Nodes};
 use crate::core::operator::{DeclaredConfig, StatedOrders};
 use crate::core::pieces::{HeldResult, JobSpec, Source};
+use crate::core::server_notices::{Incarnation, LeavingServer};
 use crate::core::time::Moment;
 use crate::platform::{orders, servers, store::Record};
 use crate::serve::node::StoreView;
@@ -39,6 +40,25 @@
     })
 }
 
+/// Encodes the backend servers that leave.
+pub fn encode_leaving(leaving: Vec<LeavingServer>) -> Vec<wire::LeavingServer> {
+    let encode = |server: LeavingServer| wire::LeavingServer {
+        server: server.incarnation.id.to_string(),
+        started: server.incarnation.started_ms,
+        age_ms: millis(server.age),
+    };
+    leaving.into_iter().map(encode).collect()
+}
+
+/// Decodes the backend servers that leave.
+pub fn decode_leaving(leaving: &[wire::LeavingServer]) -> Vec<LeavingServer> {
+    let decode = |server: &wire::LeavingServer| LeavingServer {
+        incarnation: Incarnation { id: server.server.as_str().into(), started_ms: server.started },
+        age: Duration::from_millis(server.age_ms),
+    };
+    leaving.iter().map(decode).collect()
+}
+
 /// Decodes results that another node hands over, grouped by service.
 pub fn decode_held(results: Vec<wire::HeldResult>) -> BTreeMap<Arc<str>, Vec<HeldResult>> {
     let mut services: BTreeMap<Arc<str>, Vec<HeldResult>> = BTreeMap::new();
--- /dev/null
+++ b/src/limpetmux/fleet/follow/leaving.rs
@@ -0,0 +1,54 @@
+//! Exchange of the backend servers that have stated that they leave.
+//!
+//! A pull tells the called node all that the caller knows, and the reply what the caller lacks. As all
+//! nodes pull from one, what one node hears reaches all of them within two pulls. The few servers that
+//! leave at a time are sent whole.
+
+use super::Follower;
+use crate::fleet::convert;
+use crate::wire::fleet::{PullReply, PullRequest};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+/// The most nodes whose versions are remembered; all are forgotten when there is one more.
+const MAX_NODES: usize = 1_024;
+
+/// Up to which version this node knows what each other node has heard.
+#[derive(Debug, Default)]
+pub(super) struct SeenVersions(Mutex<BTreeMap<SocketAddr, u64>>);
+
+impl SeenVersions {
+    fn get(&self, addr: SocketAddr) -> u64 {
+        let versions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        versions.get(&addr).copied().unwrap_or_default()
+    }
+
+    fn set(&self, addr: SocketAddr, version: u64) {
+        let mut versions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if versions.len() >= MAX_NODES && !versions.contains_key(&addr) {
+            versions.clear();
+        }
+        versions.insert(addr, version);
+    }
+}
+
+impl Follower {
+    /// Adds the backend servers that leave to a pull.
+    pub(super) fn with_leaving(&self, addr: SocketAddr, request: PullRequest) -> PullRequest {
+        let leaving = convert::encode_leaving(self.shared.notices.leaving().0);
+        PullRequest { leaving, leaving_seen: self.leaving_seen.get(addr), ..request }
+    }
+
+    /// Records the backend servers that leave by a reply.
+    pub(super) fn learn_leaving(&self, addr: SocketAddr, reply: &PullReply) {
+        self.shared.learn_leaving(&convert::decode_leaving(&reply.leaving));
+        self.leaving_seen.set(addr, reply.leaving_version);
+    }
+
+    /// Drops what backend servers have stated that are no longer listed.
+    pub(super) fn forget_notices(&self) {
+        let view = self.shared.view.load();
+        self.shared.notices.remove_unlisted(|id| view.listing.is_listed(id));
+    }
+}
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -3,10 +3,12 @@
 //! Three loops run on the control thread: one for the operator's records, one for the backend
 //! servers and one for other nodes. Each of them updates the one view of the process, which the
 //! traffic threads read. `pull` asks other nodes, and
-//! `evidence` exchanges with them what they know of prompts that crash backend servers.
+//! `evidence` exchanges with them what they know of prompts that crash backend servers, and `leaving`
+//! which backend servers have stated that they leave.
 
 mod discover;
 mod evidence;
+mod leaving;
 mod pull;
 mod stops;
 
@@ -22,6 +24,7 @@
 use crate::util::clock;
 use crate::util::event::EventCode;
 use evidence::Exchanges;
+use leaving::SeenVersions;
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -61,6 +64,7 @@
     /// Whether the store answered the last call.
     reachable: AtomicBool,
     exchanged: Exchanges,
+    leaving_seen: SeenVersions,
     /// Whether the product's own topic has been read.
     candidates_read: AtomicBool,
 }
@@ -76,6 +80,7 @@
             publisher,
             reachable: AtomicBool::new(true),
             exchanged: Exchanges::default(),
+            leaving_seen: SeenVersions::default(),
             candidates_read: AtomicBool::new(false),
         })
     }
@@ -261,6 +266,7 @@
             let took = clock::boot().since(began);
             sleep(PULL_INTERVAL.saturating_sub(took).max(Duration::from_millis(1))).await;
             self.shared.nodes().remove_dead(clock::boot());
+            self.forget_notices();
         }
     }
 
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -5,7 +5,7 @@
 use crate::core::prompt_part::PartId;
 use crate::core::read_limits::MAX_MESSAGE_BYTES;
 use crate::event;
-use crate::serve::node::{Shared, StoreView};
+use crate::serve::node::Shared;
 use crate::stage_queues::StageQueues;
 use crate::stage_queues::engines::EnginePools;
 use crate::util::clock;
@@ -56,21 +56,24 @@
         let until = Instant::now() + Duration::from_millis(request.wait_ms).min(MAX_HOLD);
         let mut view = self.shared.view.clone();
         let mut evidence = self.shared.quarantine.versions();
-        let has_changes = |view: &StoreView, version: u64| {
-            convert::has_changes(view, request) || version > request.evidence_seen
-        };
-        while !has_changes(&view.load(), *evidence.borrow_and_update()) {
+        let mut leaving = self.shared.notices.versions();
+        let has_evidence = |version: u64| version > request.evidence_seen;
+        while !convert::has_changes(&view.load(), request)
+            && !has_evidence(*evidence.borrow_and_update())
+            && *leaving.borrow_and_update() <= request.leaving_seen
+        {
             let changed = async {
                 tokio::select! {
                     changed = view.changed() => changed,
                     changed = evidence.changed() => changed.is_ok(),
+                    changed = leaving.changed() => changed.is_ok(),
                 }
             };
             if !matches!(timeout_at(until, changed).await, Ok(true)) {
                 return;
             }
         }
-        if !convert::has_changes(&view.load(), request) {
+        if !convert::has_changes(&view.load(), request) && has_evidence(*evidence.borrow()) {
             // More evidence of the same crash follows within moments.
             sleep(EVIDENCE_PAUSE).await;
         }
@@ -89,13 +92,18 @@
         if let Some(node) = request.caller.as_ref().and_then(convert::node) {
             self.shared.nodes().observe(node, clock::boot());
         }
+        self.shared.learn_leaving(&convert::decode_leaving(&request.leaving));
         self.wait_for_changes(&request).await;
         let view = self.shared.view.load();
         let (evidence, version) = self.shared.quarantine.evidence_since(request.evidence_seen);
+        let (leaving, leaving_version) = self.shared.notices.leaving();
+        let leaving = convert::encode_leaving(leaving);
         let nodes = self.shared.nodes();
         let reply = convert::pull_reply((arrived, clock::boot()), &nodes, &view, &request);
         let evidence = evidence::encode(evidence);
-        Ok(Response::new(PullReply { evidence_version: version, evidence, ..reply }))
+        let evidence_version = version;
+        let reply = PullReply { evidence_version, evidence, leaving, leaving_version, ..reply };
+        Ok(Response::new(reply))
     }
 
     async fn run(&self, request: Request<StageRun>) -> Result<Response<StageDone>, Status> {
--- a/src/limpetmux/serve/failure.rs
+++ b/src/limpetmux/serve/failure.rs
@@ -2,6 +2,7 @@
 //! guarantees that the request has not run.
 
 use super::stream::Body;
+use crate::core::server_notices::PoolClosed;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -12,6 +13,12 @@
 /// The shortest delay in `Retry-After`.
 const MIN_RETRY: Duration = Duration::from_millis(50);
 
+/// The time over which callers return once a pool accepts requests again.
+const REOPEN_SPREAD: Duration = Duration::from_millis(500);
+/// The retry delay for a caller whose pool has only backend servers that leave; others that replace
+/// them appear in the list.
+const REPLACEMENT_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Why a request was not answered by a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -42,6 +49,8 @@
     Unavailable,
     /// Every backend server that was tried refused the request.
     AllFull,
+    /// Every backend server has asked for no requests.
+    Held,
     /// A part of the prompt crashes backend servers and is quarantined.
     Quarantined,
     /// The deadline passed before the request was sent.
@@ -61,6 +70,17 @@
     pub retry: Option<Duration>,
 }
 
+impl From<PoolClosed> for Failure {
+    fn from(closed: PoolClosed) -> Self {
+        match closed.opens_in {
+            Some(time) => {
+                Self::with_retry(Reason::Held, time + REOPEN_SPREAD.mul_f64(rand::random()))
+            }
+            None => Self::with_retry(Reason::Unavailable, REPLACEMENT_RETRY_DELAY),
+        }
+    }
+}
+
 impl Failure {
     /// Creates a failure without `Retry-After`.
     pub fn new(reason: Reason) -> Self {
@@ -89,6 +109,7 @@
             | Reason::InputsGone
             | Reason::Unavailable
             | Reason::AllFull
+            | Reason::Held
             | Reason::Quarantined
             | Reason::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -11,7 +11,6 @@
 use super::failure::{Failure, Reason};
 use super::inputs::Inputs;
 use super::node::Shared;
-use super::notices;
 use super::plain;
 use super::request::{RoutedRequest, authorize, check_parts};
 use super::stream::Body;
@@ -155,8 +154,11 @@
         pool.engine?;
         let entries = self.shared.nodes().entries(clock::boot());
         let servers = view.usable(&self.routed.service);
+        let available = self.shared.available(&view, &self.routed.service).ok()?;
         let query = self.query(Some(pool), &entries, None);
-        let unusable = self.shared.placement().unusable(clock::boot(), &servers, query);
+        let mut unusable = self.shared.placement().unusable(clock::boot(), &available, query);
+        let closed = servers.iter().filter(|s| !available.iter().any(|a| a.id == s.id));
+        unusable.extend(closed.map(|s| Arc::clone(&s.id)));
         (unusable.len() < servers.len()).then_some(unusable)
     }
 
@@ -197,7 +199,7 @@
         let pool = catalog.pool(&routed.service).or_else(|| routed.catalog.pool(&routed.service));
         let entries = self.shared.nodes().entries(now);
         let query = self.query(pool, &entries, choice);
-        let servers = view.usable(&routed.service);
+        let servers = self.shared.available(&view, &routed.service)?;
         let server = self.shared.placement().pick(now, &servers, query).cloned();
         if let (Some(part), Some(server)) = (trial, &server) {
             begin_trial(self.shared, &routed.head, part, &server.id);
@@ -261,7 +263,7 @@
         };
         let head = server::head(&routed.head.id, &answer);
         attempt.head_at = clock::boot();
-        notices::record(&server.id, head.notice);
+        shared.record_notice(server, head.notice);
         match answer_proof::proof(head.claims()) {
             Proof::Answered if head.status.is_informational() => {
                 attempt.fail_answer("the answer is informational", &head);
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -3,6 +3,7 @@
 use super::connections::ConnectionPool;
 use super::ended::Examined;
 use super::front::caller_connections;
+use super::notices::NodeNotices;
 use super::quarantine::NodeQuarantine;
 use super::settings::NodeSettings;
 use crate::adapters::admission::ConnectionBounds;
@@ -18,6 +19,7 @@
 use crate::core::queue_waits::QueueWaits;
 use crate::core::read_limits::{NODE_IDLE_TIME, node_connections};
 use crate::core::retry_share::RetryShare;
+use crate::core::server_notices::{Incarnation, LeavingServer, PoolClosed, ServerNotice};
 use crate::core::time::Moment;
 use crate::fleet::peers::Peers;
 use crate::kernel::{Published, Publisher};
@@ -47,7 +49,7 @@
 }
 
 impl StoreView {
-    /// Returns the backend servers of a service that may get requests.
+    /// Returns the backend servers of a service that may get requests by the store's records.
     pub fn usable<'a>(&'a self, service: &'a str) -> Vec<&'a Server> {
         let serves = |s: &&Server| *s.service == *service && !s.draining;
         let in_use = |s: &&Server| !self.orders.evacuated.contains(&s.zone);
@@ -94,6 +96,8 @@
     pub(super) examined: Examined,
     /// The parts of prompts that crash backend servers.
     pub quarantine: NodeQuarantine,
+    /// What backend servers have stated about themselves.
+    pub notices: NodeNotices,
 }
 
 impl Shared {
@@ -122,6 +126,7 @@
             engine_times: Mutex::default(),
             examined: Examined::default(),
             quarantine: NodeQuarantine::new(local_node.started),
+            notices: NodeNotices::new(local_node.started),
             local_node,
             placement: Mutex::new(Placement::new()),
             retry_share: Mutex::new(RetryShare::new(settings.bounds.retry_limit)),
@@ -209,6 +214,33 @@
         self.discovered.store(true, Ordering::Relaxed);
     }
 
+    /// Returns the backend servers of a service that may get requests now, by the store's records and
+    /// by what they have stated themselves.
+    ///
+    /// # Errors
+    /// Returns [`PoolClosed`] if there are backend servers and all of them have stated that they leave
+    /// or want no requests.
+    pub fn available<'a>(
+        &self,
+        view: &'a StoreView,
+        service: &'a str,
+    ) -> Result<Vec<&'a Server>, PoolClosed> {
+        let drain_time = self.settings.load().bounds.drain_time;
+        self.notices.available(drain_time, view.usable(service))
+    }
+
+    /// Records what a backend server has stated about itself.
+    pub fn record_notice(&self, server: &Server, notice: ServerNotice) {
+        let incarnation = Incarnation { id: Arc::clone(&server.id), started_ms: server.started_ms };
+        self.notices.record(&self.metrics, &incarnation, notice);
+    }
+
+    /// Records the backend servers that another node knows to be leaving.
+    pub fn learn_leaving(&self, leaving: &[LeavingServer]) {
+        let view = self.view.load();
+        self.notices.learn(&self.metrics, leaving, |id| view.listing.is_listed(id));
+    }
+
     /// Decides whether a request with some shared parts of its prompt may be sent.
     pub fn verdict(&self, parts: &[PartId]) -> Verdict {
         if parts.is_empty() {
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -114,7 +114,7 @@
 ) -> Result<PlannedEngine, Failure> {
     let choice = engines::plan(shared, routed, stage_time).await?;
     let view = shared.view.load();
-    let servers = view.usable(&routed.service);
+    let servers = shared.available(&view, &routed.service)?;
     let entries = shared.nodes().entries(clock::boot());
     let query = PlaceQuery {
         prefix: routed.head.prefix(),
--- a/src/limpetmux/stage_queues/call.rs
+++ b/src/limpetmux/stage_queues/call.rs
@@ -52,8 +52,12 @@
         }
     };
     let limit = MAX_CALL_ANSWER_BYTES + MAX_PIECE_ANSWER_BYTES * call.items.len();
-    let connections = &shared.connections;
-    let answer = match exchange(connections, call.addr, request, Reuse::Forbidden, limit).await {
+    let view = shared.view.load();
+    let server = view.listing.get(&call.server).and_then(|l| l.server.as_ref());
+    let on_notice = |notice| server.map_or((), |server| shared.record_notice(server, notice));
+    let (connections, reuse) = (&shared.connections, Reuse::Forbidden);
+    let answer = exchange(connections, call.addr, request, reuse, limit, on_notice).await;
+    let answer = match answer {
         Ok(answer) => answer,
         Err(error) => {
             record_stop(shared, &error, &call.server);
@@ -105,10 +109,18 @@
     addr: SocketAddr,
     results: Vec<Arc<str>>,
 ) {
+    let shared = &queues.shared;
+    let view = shared.view.load();
+    let server = view.listing.servers().find(|s| s.addr == addr);
+    if server.is_some_and(|server| shared.notices.is_held(server)) {
+        event!(EventCode::FreeFailed, addr = addr, reason = "the backend server wants no requests");
+        return;
+    }
+    let on_notice = |notice| server.map_or((), |server| shared.record_notice(server, notice));
     let call = async {
         let request = stage::free(addr, &results)?;
-        let limit = MAX_CALL_ANSWER_BYTES;
-        let answer = exchange(&queues.freeing, addr, request, Reuse::Allowed, limit).await?;
+        let (limit, reuse) = (MAX_CALL_ANSWER_BYTES, Reuse::Allowed);
+        let answer = exchange(&queues.freeing, addr, request, reuse, limit, on_notice).await?;
         match answer.head.status {
             status if status.is_success() => {
                 answer.keep();
--- a/src/limpetmux/stage_queues/engines.rs
+++ b/src/limpetmux/stage_queues/engines.rs
@@ -32,7 +32,9 @@
         let view = self.shared.view.load();
         let allowed = |s: &&Server| !message.except.iter().any(|e| **e == *s.id);
         let servers: Vec<&Server> =
-            view.usable(&message.service).into_iter().filter(allowed).collect();
+            (self.shared.available(&view, &message.service).unwrap_or_default().into_iter())
+                .filter(allowed)
+                .collect();
         let config = view.orders.config.as_ref();
         let pool = config.and_then(|d| d.catalog.pool(&message.service));
         let parts: Vec<PromptPart> =
--- a/src/limpetmux/stage_queues/exchange.rs
+++ b/src/limpetmux/stage_queues/exchange.rs
@@ -7,9 +7,9 @@
 
 use crate::core::answer_proof::AnswerOwner;
 use crate::core::read_limits::{Exceeded, Peer};
+use crate::core::server_notices::ServerNotice;
 use crate::platform::server::{self, ReplyHead};
 use crate::serve::connections::{ActiveConnection, ConnectionError, ConnectionPool, Reuse};
-use crate::serve::notices;
 use crate::util::read_body::read_body;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -69,6 +69,7 @@
 
 /// Sends a call and reads its answer to the end, whose body has at most `limit` bytes.
 ///
+/// `on_notice` gets what the answer states about the backend server, also if it is not used otherwise.
 /// The caller bounds the time. At both bounds the connection closes.
 pub(super) async fn exchange(
     connections: &ConnectionPool,
@@ -76,10 +77,11 @@
     request: Request<Full<Bytes>>,
     reuse: Reuse,
     limit: usize,
+    on_notice: impl FnOnce(ServerNotice),
 ) -> Result<CallAnswer, ExchangeError> {
     let (answer, connection) = connections.send(addr, request, reuse).await?;
     let head = server::head("", &answer);
-    notices::record(&addr.to_string(), head.notice);
+    on_notice(head.notice);
     if head.owner != AnswerOwner::Unnamed {
         return Err(ExchangeError::OtherCall);
     }
--- a/src/limpetmux/stage_queues/leave.rs
+++ b/src/limpetmux/stage_queues/leave.rs
@@ -1,6 +1,6 @@
 //! The handover of results from a stopping node to the nodes that replace it.
 
-use super::{StageQueues, queue, workers};
+use super::{StageQueues, queue, worker_specs};
 use crate::core::pieces::HeldResult;
 use crate::event;
 use crate::fleet::convert;
@@ -23,7 +23,9 @@
         let mut queues = self.lock();
         for (service, held) in held {
             if let Some(queue) = queue(&mut queues, &view, &service) {
-                queue.pieces.set_workers(workers(&view, &service));
+                // Results also take up room at servers that get no new calls; the next step leaves
+                // those out.
+                queue.pieces.set_workers(worker_specs(view.usable(&service)));
                 queue.pieces.adopt_results(clock::boot(), held);
             }
         }
--- a/src/limpetmux/stage_queues/mod.rs
+++ b/src/limpetmux/stage_queues/mod.rs
@@ -10,8 +10,10 @@
 mod exchange;
 mod leave;
 
+use crate::core::listing::Server;
 use crate::core::pieces::{Actions, CallEnd, JobKey, JobSpec, PieceQueue, StageEnd};
 use crate::core::pieces::{CallKey, WorkerSpec};
+use crate::core::server_notices::PoolClosed;
 use crate::platform::stage;
 use crate::serve::connections::ConnectionPool;
 use crate::serve::inputs::free_results;
@@ -94,7 +96,12 @@
         let view = self.shared.view.load();
         let mut queues = self.lock();
         let queue = queue(&mut queues, &view, service).ok_or(StageEnd::Unavailable)?;
-        queue.pieces.set_workers(workers(&view, service));
+        let available = workers(&self.shared, &view, service);
+        queue.pieces.set_workers(available.clone().unwrap_or_default());
+        if let Err(PoolClosed { opens_in }) = available {
+            return Err(opens_in
+                .map_or(StageEnd::Unavailable, |retry_after| StageEnd::Late { retry_after }));
+        }
         let key = queue.pieces.submit(now, spec)?;
         queue.waiters.insert(key, waiter);
         Ok((key, queue.pieces.step(now)))
@@ -161,7 +168,8 @@
         let actions = {
             let mut queues = self.lock();
             let Some(queue) = queue(&mut queues, &view, service) else { return };
-            queue.pieces.set_workers(workers(&view, service));
+            let available = workers(&self.shared, &view, service);
+            queue.pieces.set_workers(available.unwrap_or_default());
             queue.pieces.step(clock::boot())
         };
         self.perform(service, actions);
@@ -233,12 +241,21 @@
     Some(queue)
 }
 
-fn workers(view: &StoreView, service: &str) -> Vec<WorkerSpec> {
-    let worker = |s: &crate::core::listing::Server| WorkerSpec {
+/// Returns the backend servers of a service that may get calls now.
+fn workers(
+    shared: &Shared,
+    view: &StoreView,
+    service: &str,
+) -> Result<Vec<WorkerSpec>, PoolClosed> {
+    Ok(worker_specs(shared.available(view, service)?))
+}
+
+fn worker_specs(servers: Vec<&Server>) -> Vec<WorkerSpec> {
+    let worker = |s: &Server| WorkerSpec {
         id: Arc::clone(&s.id),
         started_ms: s.started_ms,
         addr: s.addr,
         zone: Arc::clone(&s.zone),
     };
-    view.usable(service).into_iter().map(worker).collect()
+    servers.into_iter().map(worker).collect()
 }
--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -49,6 +49,9 @@
     /// Verdicts on parts of prompts that crash backend servers.
     #[strum(props(kind = "counter", tags = "verdict"))]
     PartVerdicts,
+    /// Backend servers that leave, or that want no requests for a time.
+    #[strum(props(kind = "counter", tags = "notice"))]
+    ServerNotices,
     /// Quarantined parts of prompts.
     #[strum(props(kind = "gauge", tags = "none"))]
     PartsHeld,
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -40,6 +40,7 @@
 mod restored_store;
 mod restored_views;
 mod retry_share;
+mod server_notices;
 mod soak;
 mod stage_calls;
 mod store_answers;
