Skip a record without a whole key, and read the others of its topic

Report of another operator: one odd entry of another writer, and the machines stop following the list. Here a record whose stated key exceeds it failed its whole page, so that no node read on in that topic, ever. It is skipped and logged (623). record_with_a_cut_key_does_not_hide_the_others failed before with Truncated.

--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -334,18 +334,15 @@
     let mut records = Vec::new();
     while body.has_remaining() {
         let len = split(&mut body, 4).map(|mut b| b.get_u32() as usize)?;
-        let mut data = split(&mut body, len)?;
-        let next = offset.checked_add(1).ok_or(StoreError::Offset)?;
-        if data.is_empty() {
-            offset = next;
-            continue;
+        let data = split(&mut body, len)?;
+        let position = LogPosition::new(from.era, offset);
+        offset = offset.checked_add(1).ok_or(StoreError::Offset)?;
+        match keyed(position, data) {
+            Some(record) => records.push(record),
+            // Another writer's odd record must not hide the others.
+            None => event!(EventCode::RecordSkipped, position = position),
         }
-        let key_len = usize::from(data.get_u8());
-        let key = split(&mut data, key_len)?;
-        let key = String::from_utf8_lossy(&key).into_owned();
-        records.push(Record { position: LogPosition::new(from.era, offset), key, value: data });
         check(Bound::Count, records.len(), MAX_LOG_RECORDS)?;
-        offset = next;
     }
     // An answer may not reach the end of the log, but has a record if there is one.
     if offset > from.offset {
@@ -358,6 +355,14 @@
     Ok(Page { end: LogPosition::new(from.era, end), records, has_more: false })
 }
 
+/// Decodes a record: the length of its key, the key and the value; `None` if it has no whole key.
+fn keyed(position: LogPosition, mut data: Bytes) -> Option<Record> {
+    let key_len = usize::from(data.try_get_u8().ok()?);
+    let key = split(&mut data, key_len).ok()?;
+    let key = String::from_utf8_lossy(&key).into_owned();
+    Some(Record { position, key, value: data })
+}
+
 fn split(body: &mut Bytes, len: usize) -> Result<Bytes, StoreError> {
     if body.len() < len {
         return Err(StoreError::Truncated);
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -121,6 +121,9 @@
     HostListDown = 401,
     /// The platform's host list can be read again.
     HostListBack = 402,
+    /// A row of the platform's host list cannot be decoded and was skipped.
+    #[strum(props(level = "warn"))]
+    HostRowSkipped = 403,
     /// The process has started to drain.
     DrainStarted = 410,
     /// The process has drained; no request was cut off and all records were flushed.
@@ -207,6 +210,9 @@
     /// The platform's store was restored from a copy; it has lost its latest records.
     #[strum(props(level = "warn"))]
     StoreRestored = 619,
+    /// A record of a topic has no whole key and was skipped.
+    #[strum(props(level = "warn"))]
+    RecordSkipped = 623,
     /// A record of this node was written again after the store was restored from a copy.
     RecordRewritten = 622,
     /// A backend server has stated in an answer that it leaves.
--- a/tests/testsuite/platform/store_answers.rs
+++ b/tests/testsuite/platform/store_answers.rs
@@ -94,3 +94,15 @@
     assert!(matches!(endless, Err(StoreError::Truncated)), "{endless:?}");
     assert_eq!((whole.records.len(), whole.end), (1, pos(9)));
 }
+
+#[tokio::test]
+async fn record_with_a_cut_key_does_not_hide_the_others() {
+    // Guards against one odd record of another writer, at which all nodes stop following the topic.
+    let odd = [0, 0, 0, 3, 200, b'k', b'v'];
+    let body = [log_page(7, 1), odd.to_vec(), log_page(0, 1)[16..].to_vec()].concat();
+
+    let page = read(&body, 4).await.unwrap();
+
+    let offsets: Vec<u64> = page.records.iter().map(|r| r.position.offset).collect();
+    assert_eq!((offsets, page.end), (vec![4, 6], pos(7)));
+}
