Use no backend server whose id or address no request can have

An odd entry with an id that cannot be sent in a header was used, and the requests for it were refused as invalid (400); one with port 0 or a multicast address was tried. Such entries name no backend server. Deep nesting, numbers out of range and ports out of range were skipped before, and have tests now. odd_record_of_another_writer_names_no_server failed before at the empty id.

--- a/src/limpetmux/platform/servers.rs
+++ b/src/limpetmux/platform/servers.rs
@@ -40,9 +40,23 @@
     Draining,
 }
 
+/// Why a record names no backend server that can be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ServerError {
+    /// The value cannot be decoded.
+    #[error("the record cannot be decoded")]
+    Value(#[from] serde_json::Error),
+    /// The id cannot be sent in a header of a request.
+    #[error("the id cannot be sent in a request")]
+    Id,
+    /// No backend server can listen at the address.
+    #[error("no backend server can listen at the address")]
+    Address,
+}
+
 /// Decodes a record; if that fails, the entry has no backend server, and the second value is the
 /// reason, for a log line.
-pub fn decode(record: Record) -> (ListRecord, Option<serde_json::Error>) {
+pub fn decode(record: Record) -> (ListRecord, Option<ServerError>) {
     let id: Arc<str> = record.key.into();
     let raw: Arc<[u8]> = record.value.as_ref().into();
     let unusable = ListRecord {
@@ -55,7 +69,7 @@
     if raw.is_empty() {
         return (unusable, None);
     }
-    match serde_json::from_slice::<ServerRecord>(&raw) {
+    match fields(&id, &raw) {
         Ok(fields) => {
             let write = write_number(&fields);
             (ListRecord { server: Some(server(id, fields)), write, ..unusable }, None)
@@ -64,6 +78,19 @@
     }
 }
 
+/// Decodes the fields of a record of which another writer may have written anything.
+fn fields(id: &str, raw: &[u8]) -> Result<ServerRecord, ServerError> {
+    let fields: ServerRecord = serde_json::from_slice(raw)?;
+    if id.is_empty() || !id.bytes().all(|b| b.is_ascii_graphic()) {
+        return Err(ServerError::Id);
+    }
+    let ip = fields.address.ip();
+    if fields.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+        return Err(ServerError::Address);
+    }
+    Ok(fields)
+}
+
 /// Returns the number of a write; the counts of a backend server that does not state its start may
 /// begin anew unnoticed.
 fn write_number(record: &ServerRecord) -> Option<WriteNumber> {
--- a/tests/testsuite/platform/adapter.rs
+++ b/tests/testsuite/platform/adapter.rs
@@ -11,6 +11,7 @@
 use limpetmux::platform::caller::{BadRequest, decode};
 use limpetmux::platform::store::Record;
 use limpetmux::platform::{server, servers, stage};
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -259,3 +260,53 @@
     assert_eq!(later, [PartId::new(7), PartId::new(0x5c1e_07a2)]);
     assert_eq!(parse("e4:250"), []);
 }
+
+#[test]
+fn odd_record_of_another_writer_names_no_server() {
+    // Guards against a record whose server cannot be sent to: its requests were refused as invalid, or
+    // the process ended.
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let record = |id: &str, changes: &[(&str, &str)]| {
+        let mut fields = BTreeMap::from([
+            ("service", "\"s\""),
+            ("address", "\"127.0.0.1:80\""),
+            ("zone", "\"z\""),
+            ("slots", "4"),
+            ("state", "\"ready\""),
+            ("cold-remaining-ms", "0"),
+            ("born", "5"),
+            ("sequence", "1"),
+        ]);
+        fields.extend(changes.iter().copied());
+        let fields: Vec<String> = fields.iter().map(|(n, v)| format!("\"{n}\":{v}")).collect();
+        let value = format!("{{{}}}", fields.join(",")).into();
+        Record { position: pos(3), key: id.to_owned(), value }
+    };
+    let is_usable = |record: Record| servers::decode(record).0.server.is_some();
+
+    assert!(is_usable(record("i-1", &[])));
+    assert!(is_usable(record("i-1", &[("a-new-field", &nested)])));
+    for id in ["", "a\nb", "\u{e9}", "a b"] {
+        assert!(!is_usable(record(id, &[])), "{id:?}");
+    }
+    for (name, value) in [
+        ("address", "\"127.0.0.1:70000\""),
+        ("address", "\"127.0.0.1:0\""),
+        ("address", "\"0.0.0.0:80\""),
+        ("address", "\"224.0.0.1:80\""),
+        ("address", nested.as_str()),
+        ("zone", nested.as_str()),
+        ("slots", "1e30"),
+        ("slots", "-1"),
+        ("state", "\"asleep\""),
+        ("cold-remaining-ms", "1e400"),
+        ("cold-remaining-ms", "-1"),
+        ("born", "1e300"),
+        ("born", "1.5"),
+        ("sequence", "99999999999999999999999"),
+    ] {
+        let decoded = record("i-1", &[(name, value)]);
+        assert!(!is_usable(decoded), "{name} {}", &value[..value.len().min(30)]);
+    }
+    servers::decode(record("i-1", &[("cold-remaining-ms", "1e300")]));
+}
