--- a/src/limpetmux/adapters/hosts.rs
+++ b/src/limpetmux/adapters/hosts.rs
@@ -4,8 +4,11 @@
 use super::one_call::OneCallClient;
 use crate::core::membership::ListedHost;
 use crate::core::read_limits::{MAX_HOST_LIST_BYTES, Peer};
+use crate::event;
+use crate::util::event::EventCode;
 use futures::FutureExt;
 use futures::future::BoxFuture;
+use serde_json::value::RawValue;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,5 +58,13 @@
     if !status.is_success() {
         return Err(HostsError::Refused(status.as_u16()));
     }
-    Ok(answer::read_json(response, Peer::Platform, MAX_HOST_LIST_BYTES).await?)
+    let rows: Vec<Box<RawValue>> =
+        answer::read_json(response, Peer::Platform, MAX_HOST_LIST_BYTES).await?;
+    Ok(rows.iter().filter_map(|row| decode(row)).collect())
+}
+
+/// Decodes one row; an odd row of another writer must not hide the others.
+fn decode(row: &RawValue) -> Option<ListedHost> {
+    let decoded = serde_json::from_str(row.get());
+    decoded.inspect_err(|error| event!(EventCode::HostRowSkipped, reason = error)).ok()
 }
--- a/tests/testsuite/decoders/product_answers.rs
+++ b/tests/testsuite/decoders/product_answers.rs
@@ -206,3 +206,25 @@
         Ok(())
     });
 }
+
+#[test]
+fn odd_row_of_the_host_list_does_not_hide_the_others() {
+    // Guards against one odd row of another writer, at which all processes stop following the list.
+    let fixture = fixture();
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let good = r#"{"host": "a", "state": "live", "incarnation": 3}"#;
+    for odd in [
+        nested.as_str(),
+        "7",
+        r#"{"host": "b", "state": "asleep", "incarnation": 3}"#,
+        r#"{"host": "b", "state": "live", "incarnation": 1e300}"#,
+        r#"{"host": "b", "state": "live", "incarnation": 99999999999999999999999}"#,
+        r#"{"host": {"a": [1]}, "state": "live", "incarnation": 1}"#,
+    ] {
+        fixture.set(format!("[{odd}, {good}]").as_bytes());
+        let rows = fixture.runtime.block_on((fixture.hosts.list)());
+        let hosts: Vec<String> =
+            rows.expect("a list").iter().map(|row| row.host.as_str().to_owned()).collect();
+        assert_eq!(hosts, ["a"], "{}", &odd[..odd.len().min(60)]);
+    }
+}
