End a resumed generation as failed if the model engine reports an error in it

Report of another operator: a stream broke off, the next server answered with an error, and the stream ended as if it were complete. On the product's own interface a resumed generation counted as finished from its start, and an error in the event stream was ignored, so that [DONE] behind it ended the answer as complete; any reason of an end counted as success. An error, and an end for a reason other than stop or length, are failures now. error_of_the_next_server_does_not_end_a_resumed_generation_as_complete failed before with an empty success. The users' platform passed its new test at once (error_of_another_engine_is_not_found_in_a_stream_that_broke_off): it does not resume streams, a broken one is reset.

--- a/src/limpetmux/adapters/backend.rs
+++ b/src/limpetmux/adapters/backend.rs
@@ -92,6 +92,9 @@
         /// The HTTP status.
         status: u16,
     },
+    /// The model engine failed after it had begun its answer.
+    #[error("the model engine failed inside its answer")]
+    FailedInStream,
     /// The connection failed, so the call may have run.
     #[error("the connection to the backend server failed before its answer was complete")]
     ResponseLost(#[source] reqwest::Error),
--- a/src/limpetmux/adapters/backend_http.rs
+++ b/src/limpetmux/adapters/backend_http.rs
@@ -12,6 +12,7 @@
 use eventsource_stream::{Event, EventStreamError, Eventsource};
 use futures::{FutureExt, Stream, StreamExt, TryStreamExt, future::BoxFuture, stream};
 use reqwest::{RequestBuilder, Response, StatusCode};
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::collections::VecDeque;
@@ -61,12 +62,24 @@
 #[derive(Deserialize)]
 struct CompletionEvent {
     choices: Vec<Choice>,
+    /// Present if the model engine has failed.
+    error: Option<IgnoredAny>,
 }
 
 #[derive(Deserialize)]
 struct Choice {
     text: String,
-    finish_reason: Option<String>,
+    finish_reason: Option<FinishReason>,
+}
+
+/// Why a completion has ended.
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum FinishReason {
+    Stop,
+    Length,
+    #[serde(other)]
+    Failure,
 }
 
 #[derive(Serialize)]
@@ -229,7 +242,13 @@
         return if state.finished { Ok(()) } else { Err(BackendError::Truncated) };
     }
     let event: CompletionEvent = serde_json::from_str(data).map_err(BackendError::Malformed)?;
+    if event.error.is_some() {
+        return Err(BackendError::FailedInStream);
+    }
     for choice in event.choices {
+        if matches!(choice.finish_reason, Some(FinishReason::Failure)) {
+            return Err(BackendError::FailedInStream);
+        }
         state.finished = choice.finish_reason.is_some();
         if !choice.text.is_empty() {
             state.chunks += 1;
--- a/tests/testsuite/backend_answers.rs
+++ b/tests/testsuite/backend_answers.rs
@@ -12,6 +12,15 @@
 
 /// Runs a call at a backend server that answers with `answer`; returns the payloads joined.
 async fn run(kind: StageKind, answer: Vec<u8>) -> Result<Bytes, BackendError> {
+    run_after(kind, &[], answer).await
+}
+
+/// Runs a call that continues after the tokens that have been delivered.
+async fn run_after(
+    kind: StageKind,
+    prefix: &[&str],
+    answer: Vec<u8>,
+) -> Result<Bytes, BackendError> {
     let url = format!("http://{}", serve_bytes(answer).await.unwrap());
     let backend = Backend::http(OneCallClient::new().unwrap(), &url);
     let job = Job {
@@ -19,7 +28,7 @@
         kind,
         model: None,
         input: Bytes::from_static(b"1"),
-        prefix: Vec::new(),
+        prefix: prefix.iter().map(ToString::to_string).collect(),
         max_tokens: 8,
         priority: 0,
         fence: None,
@@ -75,3 +84,30 @@
     assert!(matches!(cut, Err(BackendError::Truncated)), "{cut:?}");
     assert!(matches!(cut_before, Err(BackendError::Truncated)), "{cut_before:?}");
 }
+
+#[tokio::test]
+async fn error_of_the_next_server_does_not_end_a_resumed_generation_as_complete() {
+    // Guards against a generation that broke off, and whose next backend server answers with an error:
+    // its caller got the error's text, or an end as if the generation were complete.
+    let token = r#"data: {"choices":[{"text":"b","finish_reason":null}]}"#;
+    let in_stream = r#"data: {"choices":[],"error":{"message":"no memory"}}"#;
+    let ended = r#"data: {"choices":[{"text":"","finish_reason":"error"}]}"#;
+    let unknown = r#"data: {"choices":[{"text":"","finish_reason":"no memory"}]}"#;
+    let done = "data: [DONE]";
+    let events =
+        |lines: &[&str]| framed(&lines.iter().map(|l| format!("{l}\n\n")).collect::<String>());
+
+    for (name, answer) in [
+        ("an error event", events(&[in_stream, done])),
+        ("an error event behind a token", events(&[token, in_stream, done])),
+        ("an end by an error", events(&[ended, done])),
+        ("an end for an unknown reason", events(&[token, unknown, done])),
+        ("a failure", b"HTTP/1.1 500 Failed\r\ncontent-length: 4\r\n\r\noops".to_vec()),
+        ("text in place of events", framed("out of memory")),
+        ("a JSON error in place of events", framed(r#"{"error":{"message":"no memory"}}"#)),
+        ("a whole head in place of events", framed("HTTP/1.1 500 Failed\r\n\r\noops\r\n\r\n")),
+    ] {
+        let resumed = run_after(StageKind::Generate, &["a"], answer).await;
+        assert!(resumed.is_err(), "{name}: {resumed:?}");
+    }
+}
--- a/tests/testsuite/platform/truncated.rs
+++ b/tests/testsuite/platform/truncated.rs
@@ -1,10 +1,12 @@
 //! Answers that end early are not passed on as complete.
 
-use super::node_fixture::fixture;
-use limpetmux_standins::users::{STREAM_EVENTS, UsersFault};
+use super::node_fixture::{config, fixture};
+use limpetmux_standins::users::{STREAM_EVENTS, UsersFault, UsersServer};
 use reqwest::Version;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 /// Sends a request that is answered by a stream, from an engine with a fault, and reads its answer.
 async fn read_stream(fault: UsersFault) -> Result<String, reqwest::Error> {
@@ -86,3 +88,47 @@
     let error = cut.expect_err("the connection was closed in order");
     assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
 }
+
+/// A configuration in which streams may be resumed at other engines.
+fn resumable_config() -> String {
+    let route = r#""path-prefix":"/stream/","kind":"streaming""#;
+    let resumable = r#""path-prefix":"/stream/","kind":"streaming","resumable":true"#;
+    let config = config(2, "k1").replace(route, resumable);
+    assert!(config.contains("resumable"), "the route of streams is not found");
+    config.replace(r#""max-attempts":1}],"#, r#""max-attempts":2}],"#)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn error_of_another_engine_is_not_found_in_a_stream_that_broke_off() {
+    // Guards against a stream that broke off, and whose caller finds the error of the next engine in
+    // it, or an end as if it were complete.
+    let fixture = fixture().await;
+    let other = UsersServer::start("e2").await.expect("a server");
+    fixture.store.put("keyed.op", "config", &resumable_config());
+    fixture.store.put("keyed.servers", "e2", &other.entry("engine", "mnl-a", "ready"));
+    sleep(Duration::from_secs(1)).await;
+    for fault in [UsersFault::Error, UsersFault::Refused, UsersFault::Failed(503)] {
+        for [broken, failing] in [[&fixture.engine, &other], [&other, &fixture.engine]] {
+            broken.set_fault(UsersFault::CutStream);
+            failing.set_fault(fault);
+            for number in 0..4 {
+                let mut answer = fixture.send("/stream/x", &format!("{fault:?}-{number}")).await;
+                let is_stream = answer.status().is_success();
+                let mut body = Vec::new();
+                let end = loop {
+                    match answer.chunk().await {
+                        Ok(Some(chunk)) => body.extend(chunk),
+                        end => break end,
+                    }
+                };
+                let text = String::from_utf8(body).expect("events");
+                let lines = text.lines().filter(|l| !l.is_empty());
+                let is_event = |l: &str| l.starts_with("id: ") || l.starts_with("data: from ");
+                let has_other =
+                    lines.clone().any(|l| !is_event(l) && !"data: from ".starts_with(l));
+                assert!(!is_stream || !has_other, "{text}");
+                assert!(!is_stream || end.is_err(), "ended as if complete: {text}");
+            }
+        }
+    }
+}
