Draw restores of the store, leaving servers and Retry-After in the soak, and check them

A series of its own draws them throughout each run, in turn; the store's writers write again what it lost; records of backend servers are numbered. Two checks: no request at a server whose leaving the same entry had passed on 2 s before, and at most two requests of an entry while a Retry-After binds. Both have a test of facts that violate them.

--- a/crates/limpetmux-soak/src/checks.rs
+++ b/crates/limpetmux-soak/src/checks.rs
@@ -2,14 +2,16 @@
 
 use crate::callers::{BODY, DEADLINE, Kind, Outcome, PIECES, SentRequest};
 use crate::fleet::REVOKE_BOUND;
+use crate::notices;
 use crate::usage::{MAX_MEMORY_KB, MAX_SOCKETS, Usage};
 use crate::world::{
     Backend, ENGINE_SERVICE, OperatorActions, ROUTE_TIMEOUT, WORKSPACE, World, lock, service_of,
 };
 use limpetmux_standins::users::{
-    BadBytes, EndedAnswer, ReceivedRequest, STREAM_EVENTS, StageResult,
+    Arrival, BadBytes, EndedAnswer, ReceivedRequest, STREAM_EVENTS, StageResult,
 };
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 use strum::IntoEnumIterator;
 use tokio::time::Instant;
@@ -25,7 +27,7 @@
 /// meanwhile.
 const DRAIN_BOUND: Duration = Duration::from_secs(7);
 /// The measurement error that is allowed for on a busy machine.
-const TIMING_MARGIN: Duration = Duration::from_millis(300);
+pub(crate) const TIMING_MARGIN: Duration = Duration::from_millis(300);
 
 /// A guarantee that was violated.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
@@ -68,6 +70,12 @@
     /// A draining backend server got a request.
     #[error("request {0} ran at the draining server {1} {2:?} after the bound")]
     DrainingServer(String, String, Duration),
+    /// A backend server got a request through an entry that had passed on that it leaves.
+    #[error("request {0} ran at {1}, of which its entry had passed on {2:?} before that it leaves")]
+    LeavingServer(String, String, Duration),
+    /// A backend server got requests through an entry that it had asked for none.
+    #[error("{2} requests through entry {1} reached {0}, which had refused with Retry-After")]
+    HeldServer(String, usize, usize),
     /// A process cut a request without a disturbance that excuses it.
     #[error("request {0} ran and was cut by entry {1}, which no fault but a planned stop affected")]
     CutRequest(String, usize),
@@ -112,6 +120,8 @@
     pub body: Vec<u8>,
     /// Whether the backend server cut its stream, or sent a body that was not whole in time.
     pub cut: bool,
+    /// Whether its answer stated that the backend server leaves.
+    pub leaving: bool,
     /// The handles of the results that it ran with.
     pub inputs: Vec<String>,
 }
@@ -129,6 +139,8 @@
     pub actions: OperatorActions,
     /// The spans in which a process or its links were disturbed: process, start and end.
     pub disturbances: Vec<(usize, Instant, Instant)>,
+    /// The requests that arrived at each backend server, with its name.
+    pub arrivals: BTreeMap<String, Vec<Arrival>>,
     /// What each process used.
     pub usage: Vec<Usage>,
     /// The endless answers that ended.
@@ -158,14 +170,29 @@
                 runs.entry(id).or_default().push(run(backend, request));
             }
         }
+        let name = |(number, b): (usize, &Arc<Backend>)| {
+            (format!("{} {number}", b.service), b.server.arrivals())
+        };
+        let arrivals = world.backends.iter().enumerate().map(name).collect();
         let ended = world.backends.iter().flat_map(|b| b.server.ended_answers()).collect();
         let endless = world.played().into_iter().map(|(name, played)| (name, played.active));
         let endless = endless.collect();
-        Self { runs, results, sent, actions, disturbances, usage, ended, endless, recovered }
+        Self {
+            runs,
+            results,
+            sent,
+            actions,
+            disturbances,
+            arrivals,
+            usage,
+            ended,
+            endless,
+            recovered,
+        }
     }
 
     /// Returns whether a process was undisturbed from [`SETTLE_TIME`] before a span to its end.
-    fn is_undisturbed(&self, node: usize, (from, to): (Instant, Instant)) -> bool {
+    pub(crate) fn is_undisturbed(&self, node: usize, (from, to): (Instant, Instant)) -> bool {
         !self
             .disturbances
             .iter()
@@ -188,6 +215,7 @@
         body: request.body,
         cut: request.fault.bytes().is_some_and(BadBytes::breaks_body)
             || backend.service == ENGINE_SERVICE && request.fault.cuts_streams(),
+        leaving: request.leaving,
         inputs: inputs.split(',').filter(|i| !i.is_empty()).map(str::to_owned).collect(),
     }
 }
@@ -209,6 +237,8 @@
         let runs = facts.runs.get(&sent.id).map_or(&[][..], Vec::as_slice);
         violations.extend(check_answer(facts, sent, runs));
     }
+    violations.extend(notices::check_leaving(facts, &known));
+    violations.extend(notices::check_holds(facts, &known));
     violations.extend(check_pieces(&facts.results));
     violations.extend(facts.ended.iter().filter_map(|e| check_read(facts, &known, e)));
     violations.extend(check_usage(facts));
--- a/crates/limpetmux-soak/src/faults.rs
+++ b/crates/limpetmux-soak/src/faults.rs
@@ -72,6 +72,14 @@
     Burst(usize, BadBytes),
     /// A backend server drains, and is listed again under a new id.
     Drain(usize),
+    /// The store is away and returns from a copy; its age, and the times until it is back and until its
+    /// writers have written again what it lost, in milliseconds.
+    Restore(u64, u64, u64),
+    /// A backend server states in its answers that it leaves, while it is listed as ready; later it is
+    /// listed again under a new id.
+    Leave(usize),
+    /// A backend server refuses requests with a `Retry-After` of some milliseconds.
+    Hold(usize, u64),
     /// The operator writes a new configuration version, which moves a route.
     Declare,
     /// The operator revokes a key and replaces it by a new one.
@@ -110,6 +118,7 @@
     faults.extend(draw_answer_ends(rng, sizes, length));
     faults.extend(draw_false_answers(rng, sizes, length));
     faults.extend(draw_bad_bytes(rng, sizes, length));
+    faults.extend(draw_notices(rng, sizes, length));
     faults.sort_by_key(|(at, _)| *at);
     faults.retain(|(at, _)| *at < length);
     faults
@@ -179,6 +188,30 @@
     faults
 }
 
+/// Draws a series of its own, so that restores of the store, and backend servers that leave or want no
+/// requests, occur throughout a run.
+fn draw_notices(rng: &mut Pcg64, sizes: Sizes, length: Duration) -> Vec<(Duration, Fault)> {
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    let mut kind = rng.random_range(0..3);
+    while at < length {
+        let server = rng.random_range(0..sizes.servers);
+        let fault = match kind {
+            0 => Fault::Restore(
+                rng.random_range(200..6_000),
+                rng.random_range(0..1_500),
+                rng.random_range(0..1_500),
+            ),
+            1 => Fault::Leave(server),
+            _ => Fault::Hold(server, rng.random_range(700..3_000)),
+        };
+        faults.push((at, fault));
+        kind = (kind + 1) % 3;
+        at += Duration::from_millis(rng.random_range(700..2_500));
+    }
+    faults
+}
+
 fn pick<T: Copy>(rng: &mut Pcg64, choices: &[T]) -> T {
     choices[rng.random_range(0..choices.len())]
 }
@@ -225,6 +258,8 @@
         Fault::ServerLink(n, link, ms) => Fault::ServerLink(server(n), link, ms),
         Fault::ServerFault(n, kind, ms) => Fault::ServerFault(server(n), kind, ms),
         Fault::Drain(n) => Fault::Drain(server(n)),
+        Fault::Leave(n) => Fault::Leave(server(n)),
+        Fault::Hold(n, ms) => Fault::Hold(server(n), ms),
         other => other,
     }
 }
--- a/crates/limpetmux-soak/src/inject.rs
+++ b/crates/limpetmux-soak/src/inject.rs
@@ -14,6 +14,10 @@
 
 /// The time after which a draining backend server is listed again under a new id.
 const RELIST_DELAY: Duration = Duration::from_secs(9);
+/// How long a backend server refuses with a `Retry-After`.
+const HOLD_SPAN: Duration = Duration::from_millis(600);
+/// The time in which nodes read the records that a restored store got again.
+const RESYNC_TIME: Duration = Duration::from_secs(1);
 /// The time within which a read of the store ends after its fault.
 const STORE_READ_TIME: Duration = Duration::from_secs(3);
 
@@ -36,6 +40,9 @@
             disturb_server(&w.backends[server].server, fault, ms(time)).await;
         }
         Fault::Drain(server) => drain(&w, server).await,
+        Fault::Restore(age, away, rewrite) => restore(&w, [age, away, rewrite].map(ms)).await,
+        Fault::Leave(server) => leave(&w, server).await,
+        Fault::Hold(server, time) => hold(&w.backends[server].server, ms(time)).await,
         Fault::Declare => w.write_version(),
         Fault::Revoke => w.revoke_key(),
         Fault::Evacuate(zone, time) => evacuate(&w, zone, ms(time)).await,
@@ -108,6 +115,32 @@
     world.relist(&backend);
 }
 
+/// Lets the store return from a copy of some age after a time away; its writers write again what it
+/// has lost.
+async fn restore(world: &World, [age, away, rewrite]: [Duration; 3]) {
+    record_disturbance(world, world.nodes.len(), away + rewrite + RESYNC_TIME);
+    world.store.set_down(true);
+    sleep(away).await;
+    let lost = world.store.restore(age);
+    world.store.set_down(false);
+    sleep(rewrite).await;
+    lost.iter().for_each(|record| world.store.put_again(record));
+}
+
+/// Lets a backend server leave without a record that says so.
+async fn leave(world: &World, server: usize) {
+    let backend = Arc::clone(&world.backends[server]);
+    backend.server.set_leaving(true);
+    sleep(RELIST_DELAY).await;
+    world.relist(&backend);
+}
+
+async fn hold(server: &UsersServer, time: Duration) {
+    server.set_retry_after(Some(&time.as_secs_f64().to_string()));
+    sleep(HOLD_SPAN).await;
+    server.set_retry_after(None);
+}
+
 async fn evacuate(world: &World, zone: usize, time: Duration) {
     world.evacuate(zone, true);
     sleep(time).await;
--- a/crates/limpetmux-soak/src/lib.rs
+++ b/crates/limpetmux-soak/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fleet;
 mod inject;
 pub mod measure;
+mod notices;
 pub mod proxy;
 pub mod usage;
 pub mod world;
--- a/crates/limpetmux-soak/src/world.rs
+++ b/crates/limpetmux-soak/src/world.rs
@@ -6,6 +6,7 @@
 use serde_json::{Value, json};
 use std::net::Ipv4Addr;
 use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -70,6 +71,8 @@
     pub zone: usize,
     /// The id under which it is listed.
     pub id: Mutex<String>,
+    /// The number of its records so far.
+    sequence: AtomicU64,
     /// When the store recorded that it is draining, each time with the id that is draining.
     pub drained: Mutex<Vec<(Instant, String)>>,
 }
@@ -183,9 +186,10 @@
     /// Writes the server-list entry of a backend server.
     pub fn write_entry(&self, backend: &Backend, state: &str) {
         let id = lock(&backend.id).clone();
+        let sequence = backend.sequence.fetch_add(1, Ordering::Relaxed);
         let entry = json!({"service": backend.service, "address": backend.proxy.addr,
             "zone": ZONES[backend.zone], "version": "v1", "slots": 4, "state": state,
-            "cold-remaining-ms": 0, "sequence": 1, "born": 1});
+            "cold-remaining-ms": 0, "sequence": sequence, "born": 1});
         self.store.put("keyed.servers", &id, &entry.to_string());
     }
 
@@ -202,6 +206,7 @@
         let (stem, number) = old.rsplit_once('.').unwrap_or((&old, "0"));
         let new = format!("{stem}.{}", number.parse::<u32>().unwrap_or_default() + 1);
         backend.server.set_id(&new);
+        backend.server.set_leaving(false);
         *lock(&backend.id) = new;
         self.write_entry(backend, "ready");
     }
@@ -226,7 +231,8 @@
     server.set_work_time(WORK_TIME);
     let proxy = Proxy::start(server.addr).await?;
     let (zone, id, drained) = (number % ZONES.len(), Mutex::new(id), Mutex::default());
-    Ok(Backend { server, proxy, service, zone, id, drained })
+    let sequence = AtomicU64::new(1);
+    Ok(Backend { server, proxy, service, zone, id, sequence, drained })
 }
 
 fn address([a, b]: [u8; 2], index: usize) -> Ipv4Addr {
--- a/crates/limpetmux-soak/tests/checks.rs
+++ b/crates/limpetmux-soak/tests/checks.rs
@@ -4,7 +4,7 @@
 use limpetmux_soak::checks::{Facts, Run, Violation, check};
 use limpetmux_soak::usage::{MAX_MEMORY_KB, MAX_SOCKETS, Usage};
 use limpetmux_soak::world::{OperatorActions, PERMANENT_KEY, WORKSPACE, service_of};
-use limpetmux_standins::users::{EndedAnswer, StageResult};
+use limpetmux_standins::users::{Arrival, EndedAnswer, StageResult};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use strum::IntoEnumIterator;
@@ -39,6 +39,7 @@
         keyed: false,
         body: BODY.to_vec(),
         cut: false,
+        leaving: false,
         inputs: handles("r", 1),
     }
 }
@@ -82,7 +83,20 @@
     let endless = vec![("store".to_owned(), 0), ("plain 0".to_owned(), 0)];
     let ended = vec![EndedAnswer { id: "r".into(), from: at, until: at + SECOND * 3 }];
     let sent = all;
-    (Facts { runs, results, sent, actions, disturbances, usage, ended, endless, recovered }, at)
+    let arrivals = BTreeMap::new();
+    let facts = Facts {
+        runs,
+        results,
+        sent,
+        actions,
+        disturbances,
+        arrivals,
+        usage,
+        ended,
+        endless,
+        recovered,
+    };
+    (facts, at)
 }
 
 fn request(facts: &mut Facts) -> &mut SentRequest {
@@ -258,6 +272,41 @@
     }
 }
 
+#[test]
+fn run_at_a_server_whose_leaving_its_entry_has_passed_on_is_found() {
+    // Guards against a soak that misses requests to servers that have said that they leave (rule
+    // DRAIN).
+    for (entry, gap, found) in [(0, SECOND * 5, 1), (0, SECOND, 0), (1, SECOND * 5, 0)] {
+        let (mut facts, at) = facts(Kind::Safe);
+        let mut heard = sent("heard", Kind::Safe, at - gap);
+        heard.entry = entry;
+        facts.sent.insert(0, heard);
+        let heard = Run { leaving: true, ..run("plain", at - gap) };
+        facts.runs.insert("heard".into(), vec![heard]);
+        assert_eq!(check(&facts).len(), found, "{entry} {gap:?}");
+
+        facts.disturbances.push((0, at - SECOND, at));
+        assert_eq!(check(&facts), [], "{entry} {gap:?}");
+    }
+}
+
+#[test]
+fn requests_during_a_retry_after_are_found() {
+    // Guards against a soak that misses requests to a server that has asked for none (rule BUDGET).
+    let arrival = |at, hold| Arrival { at, id: "r".into(), hold };
+    for (count, found) in [(2, 0), (3, 1)] {
+        let (mut facts, at) = facts(Kind::Safe);
+        let mut arrivals = vec![arrival(at, Some(SECOND * 3))];
+        arrivals.extend(vec![arrival(at + SECOND / 4, None); 5]);
+        arrivals.extend(vec![arrival(at + SECOND, None); count]);
+        arrivals.extend(vec![arrival(at + SECOND * 4, None); 5]);
+        facts.arrivals.insert("plain 0".into(), arrivals);
+
+        let held = vec![Violation::HeldServer("plain 0".into(), 0, count); found];
+        assert_eq!(check(&facts), held);
+    }
+}
+
 #[test]
 fn request_that_ran_and_was_cut_by_an_undisturbed_process_is_found() {
     let (mut facts, at) = facts(Kind::Safe);
--- a/crates/limpetmux-standins/src/users/reply.rs
+++ b/crates/limpetmux-standins/src/users/reply.rs
@@ -21,6 +21,13 @@
     pub(super) retry_after: Option<String>,
 }
 
+impl Notices {
+    /// Returns the time of the `Retry-After`.
+    pub(super) fn hold(&self) -> Option<Duration> {
+        Duration::try_from_secs_f64(self.retry_after.as_ref()?.parse().ok()?).ok()
+    }
+}
+
 /// An answer to one request.
 pub(super) struct Reply {
     /// The fault that it is sent with.
--- a/crates/limpetmux-standins/src/users/server.rs
+++ b/crates/limpetmux-standins/src/users/server.rs
@@ -32,6 +32,19 @@
     pub at: Instant,
     /// The fault of the backend server at that time.
     pub fault: UsersFault,
+    /// Whether the answer states that the backend server leaves.
+    pub leaving: bool,
+}
+
+/// A request or call that arrived at a backend server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When it arrived.
+    pub at: Instant,
+    /// The id of the request; empty for calls.
+    pub id: String,
+    /// The time of the `Retry-After` that it was refused with.
+    pub hold: Option<Duration>,
 }
 
 impl ReceivedRequest {
@@ -58,8 +71,8 @@
     work: Duration,
     /// What it states of itself in its answers; with a `Retry-After` it refuses all requests.
     notices: Notices,
-    /// When each request or call for pieces arrived, whether it ran or not.
-    arrivals: Vec<Instant>,
+    /// The requests and calls that arrived, whether they ran or not.
+    arrivals: Vec<Arrival>,
     /// The part of a prompt that ends the backend server when it begins to answer.
     crash_part: Option<String>,
     /// Whether its process has ended.
@@ -112,8 +125,8 @@
         self.lock().notices.retry_after = value.map(str::to_owned);
     }
 
-    /// Returns when each request or call for pieces arrived, whether it ran or not.
-    pub fn arrivals(&self) -> Vec<Instant> {
+    /// Returns the requests and calls that arrived, whether they ran or not.
+    pub fn arrivals(&self) -> Vec<Arrival> {
         self.lock().arrivals.clone()
     }
 
@@ -185,14 +198,12 @@
 /// Runs or refuses a request and returns its answer.
 pub(super) fn reply(state: &SharedState, message: Message) -> Reply {
     let state = &mut *lock(state);
-    let request = received(message, state.fault);
     let notices = state.notices.clone();
-    if request.path != "/stage-free" {
-        state.arrivals.push(Instant::now());
-        if notices.retry_after.is_some() {
-            let id = request.header("x-limpetmux-request-id");
-            return Reply { notices, ..Reply::refusal(503, id, UsersFault::None) };
-        }
+    let request = ReceivedRequest { leaving: notices.leaving, ..received(message, state.fault) };
+    let id = request.header("x-limpetmux-request-id").to_owned();
+    state.arrivals.push(Arrival { at: request.at, id: id.clone(), hold: notices.hold() });
+    if notices.retry_after.is_some() {
+        return Reply { notices, ..Reply::refusal(503, &id, UsersFault::None) };
     }
     let reply = match request.path.as_str() {
         "/stage-run" => stage_run(state, &request),
@@ -256,7 +267,8 @@
     let path = target.split('?').next().unwrap_or_default().to_owned();
     let headers = lines.filter_map(|line| line.split_once(':'));
     let headers = headers.map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_owned())).collect();
-    ReceivedRequest { path, headers, body: message.body, at: Instant::now(), fault }
+    let (body, at) = (message.body, Instant::now());
+    ReceivedRequest { path, headers, body, at, fault, leaving: false }
 }
 
 pub(super) fn lock(state: &SharedState) -> MutexGuard<'_, ServerState> {
--- a/crates/limpetmux-standins/src/users/store.rs
+++ b/crates/limpetmux-standins/src/users/store.rs
@@ -43,6 +43,8 @@
     pub key: String,
     /// The value; empty if the key was deleted.
     pub value: Vec<u8>,
+    /// When the store lost it.
+    pub lost_at: Instant,
 }
 
 #[derive(Default)]
@@ -125,18 +127,24 @@
         topics.topics.entry(topic.to_owned()).or_default().append(key, value);
     }
 
-    /// Writes a lost record again, as the operator or a backend server does.
+    /// Writes a lost record again, as the operator or a backend server does that has written nothing
+    /// newer since.
     pub fn put_again(&self, record: &LostRecord) {
-        self.write(&record.topic, &record.key, &record.value);
+        let mut topics = lock(&self.topics);
+        let log = topics.topics.entry(record.topic.clone()).or_default();
+        if !log.records.iter().any(|r| r.key == record.key && r.at > record.lost_at) {
+            log.append(&record.key, &record.value);
+        }
     }
 
-    /// Replaces all records by a copy of some age, as if the store came back from it; returns those
-    /// of the lost ones that others than the nodes have written.
+    /// Replaces all records by a copy of some age, as if the store came back from it; returns the
+    /// newest lost record of each key that others than the nodes have written.
     pub fn restore(&self, age: Duration) -> Vec<LostRecord> {
         let mut topics = lock(&self.topics);
         topics.era = Some(topics.era.unwrap_or_default() + 1);
-        let copied_at = Instant::now().checked_sub(age);
-        let mut lost = Vec::new();
+        let lost_at = Instant::now();
+        let copied_at = lost_at.checked_sub(age);
+        let mut lost = BTreeMap::new();
         for (topic, log) in &mut topics.topics {
             let kept = log.records.partition_point(|r| Some(r.at) <= copied_at);
             let records = log.records.split_off(kept);
@@ -145,11 +153,14 @@
                     topic: topic.clone(),
                     key: r.key,
                     value: r.value,
+                    lost_at,
                 };
-                lost.extend(records.into_iter().map(record));
+                let keyed =
+                    records.into_iter().map(|r| ((topic.clone(), r.key.clone()), record(r)));
+                lost.extend(keyed);
             }
         }
-        lost
+        lost.into_values().collect()
     }
 
     /// Returns the newest value of each key of a topic.
--- a/tests/testsuite/platform/leaving.rs
+++ b/tests/testsuite/platform/leaving.rs
@@ -3,6 +3,7 @@
 
 use super::node_fixture::{Fixture, fixture, settings};
 use limpetmux::serve::run::start;
+use limpetmux_standins::users::Arrival;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -45,13 +46,13 @@
         number += 1;
     }
 
-    let refused_at = fixture.plain[0].arrivals()[0];
+    let refused_at = fixture.plain[0].arrivals()[0].at;
     while refused_at.elapsed() < time {
         fixture.send("/safe/x", &format!("held-{number}")).await;
         number += 1;
     }
 
-    let held = |at: &&Instant| **at > refused_at + HOLD_LAG && **at < refused_at + time;
+    let held = |a: &&Arrival| a.at > refused_at + HOLD_LAG && a.at < refused_at + time;
     let arrivals = fixture.plain[0].arrivals().iter().filter(held).count();
     assert!(arrivals <= MAX_HELD_ARRIVALS, "{arrivals} requests at the refusing server");
 }
--- a/tests/testsuite/platform/restored_store.rs
+++ b/tests/testsuite/platform/restored_store.rs
@@ -2,9 +2,7 @@
 //! offsets are given out again. See `docs/design/restored-store.md`.
 
 use super::node_fixture::{Fixture, config, fixture};
-use limpetmux_standins::users::LostRecord;
 use reqwest::header::{AUTHORIZATION, HeaderMap, HeaderValue};
-use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -17,12 +15,6 @@
 /// The age of a copy that has none of the records written by a test.
 const COPY_AGE: Duration = Duration::from_millis(500);
 
-/// Returns the newest of the lost records of each key, which their writers write again.
-fn newest(lost: Vec<LostRecord>) -> Vec<LostRecord> {
-    let keyed = lost.into_iter().map(|r| ((r.topic.clone(), r.key.clone()), r));
-    keyed.collect::<BTreeMap<_, _>>().into_values().collect()
-}
-
 impl Fixture {
     async fn status_of(&self, path: &str, id: &str, key: &str) -> u16 {
         let value = HeaderValue::from_str(&format!("Bearer {key}")).expect("a header");
@@ -62,7 +54,7 @@
     fixture.write_versions(2..=6).await;
     fixture.accepted_after("k6", APPLY_TIME).await;
 
-    let lost = newest(fixture.store.restore(COPY_AGE));
+    let lost = fixture.store.restore(COPY_AGE);
     lost.iter().for_each(|record| fixture.store.put_again(record));
     sleep(PAUSE).await;
     fixture.write_versions(7..=7).await;
