--- a/tests/testsuite/platform/adapter.rs
+++ b/tests/testsuite/platform/adapter.rs
@@ -2,11 +2,12 @@
 //! ones.
 
 use super::pos;
-use hyper::Request;
 use hyper::http::request::Parts;
+use hyper::{Request, Response};
 use limpetmux::core::answer_proof::AnswerOwner;
 use limpetmux::core::pieces::{CallEnd, CallItem, PieceError, PieceOutcome, Source};
 use limpetmux::core::prompt_part::PartId;
+use limpetmux::core::server_notices::MAX_HOLD;
 use limpetmux::platform::boot::{self, BootError};
 use limpetmux::platform::caller::{BadRequest, decode};
 use limpetmux::platform::store::Record;
@@ -310,3 +311,27 @@
     }
     servers::decode(record("i-1", &[("cold-remaining-ms", "1e300")]));
 }
+
+#[test]
+fn answer_states_that_its_server_leaves_or_wants_no_requests() {
+    let notice = |status: u16, headers: &[(&str, &str)]| {
+        let mut answer = Response::builder().status(status);
+        for (name, value) in headers {
+            answer = answer.header(*name, *value);
+        }
+        server::head("9c41", &answer.body(()).expect("an answer")).notice
+    };
+    let hold = |value| notice(503, &[("Retry-After", value)]).hold;
+    let leaving = [("Server-Leaving", "1")];
+
+    assert_eq!([200, 500, 503].map(|status| notice(status, &leaving).leaving), [true; 3]);
+    assert!(!notice(421, &leaving).leaving, "another server runs at the address");
+    assert!(!notice(200, &[("Server-Leaving", "0")]).leaving);
+    assert_eq!(hold("3"), Some(Duration::from_secs(3)));
+    assert_eq!(hold(" 0.25 "), Some(Duration::from_millis(250)));
+    assert_eq!(hold("1e300"), Some(MAX_HOLD));
+    for value in ["", "soon", "-1", "0", "nan", "inf", "Sat, 05 Dec 2026 02:16:31 GMT"] {
+        assert_eq!(hold(value), None, "{value:?}");
+    }
+    assert_eq!(notice(429, &[("Retry-After", "3")]).hold, None);
+}
