--- a/crates/limpetmux-soak/src/lib.rs
+++ b/crates/limpetmux-soak/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod callers;
 pub mod checks;
+pub mod facts;
 pub mod faults;
 pub mod fleet;
 mod inject;
@@ -18,7 +19,8 @@
 pub mod usage;
 pub mod world;
 
-use checks::{Facts, Violation};
+use checks::Violation;
+use facts::Facts;
 use faults::Sizes;
 use proxy::Link;
 use rand::SeedableRng;
--- a/crates/limpetmux-soak/src/notices.rs
+++ b/crates/limpetmux-soak/src/notices.rs
@@ -1,7 +1,8 @@
 //! Checks that entries heed what backend servers state about themselves in their answers.
 
 use crate::callers::{Outcome, SentRequest};
-use crate::checks::{Facts, TIMING_MARGIN, Violation};
+use crate::checks::{TIMING_MARGIN, Violation};
+use crate::facts::{Facts, Run};
 use limpetmux_standins::users::Arrival;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -26,7 +27,7 @@
             *at = sent.until.min(*at);
         }
     }
-    let late = |(sent, run): &(&SentRequest, &crate::checks::Run)| {
+    let late = |(sent, run): &(&SentRequest, &Run)| {
         let passed_on = *heard.get(&(run.server.as_str(), sent.entry))?;
         let age = sent.at.checked_duration_since(passed_on + LEAVING_BOUND + TIMING_MARGIN)?;
         let undisturbed = facts.is_undisturbed(sent.entry, (passed_on, run.at));
--- a/crates/limpetmux-soak/tests/checks.rs
+++ b/crates/limpetmux-soak/tests/checks.rs
@@ -1,7 +1,8 @@
 //! Each check reports facts that violate its guarantee, and no others.
 
 use limpetmux_soak::callers::{BODY, Kind, Outcome, PIECES, SentRequest};
-use limpetmux_soak::checks::{Facts, Run, Violation, check};
+use limpetmux_soak::checks::{Violation, check};
+use limpetmux_soak::facts::{Facts, Run};
 use limpetmux_soak::usage::{MAX_MEMORY_KB, MAX_SOCKETS, Usage};
 use limpetmux_soak::world::{OperatorActions, PERMANENT_KEY, WORKSPACE, service_of};
 use limpetmux_standins::users::{Arrival, EndedAnswer, StageResult};
