--- a/crates/limpetmux-soak/src/facts.rs
+++ b/crates/limpetmux-soak/src/facts.rs
@@ -51,6 +51,9 @@
     pub actions: OperatorActions,
     /// The spans in which a process or its links were disturbed: process, start and end.
     pub disturbances: Vec<(usize, Instant, Instant)>,
+    /// The spans in which a process was killed, stopped, paused or cut from a backend server: process,
+    /// start and end.
+    pub interruptions: Vec<(usize, Instant, Instant)>,
     /// The requests that arrived at each backend server, with its name.
     pub arrivals: BTreeMap<String, Vec<Arrival>>,
     /// What each process used.
@@ -95,6 +98,7 @@
             sent,
             actions,
             disturbances,
+            interruptions: lock(&world.interruptions).clone(),
             arrivals,
             usage,
             ended,
@@ -103,6 +107,14 @@
         }
     }
 
+    /// Returns whether a process ran throughout a span and was not cut from a backend server.
+    ///
+    /// Nothing else excuses requests to a server that has said that it leaves or wants none, not the
+    /// state of the store either.
+    pub(crate) fn is_uninterrupted(&self, node: usize, (from, to): (Instant, Instant)) -> bool {
+        !self.interruptions.iter().any(|(n, a, b)| *n == node && *a <= to && *b >= from)
+    }
+
     /// Returns whether a process was undisturbed from [`SETTLE_TIME`] before a span to its end.
     pub(crate) fn is_undisturbed(&self, node: usize, (from, to): (Instant, Instant)) -> bool {
         !self
--- a/crates/limpetmux-soak/src/faults.rs
+++ b/crates/limpetmux-soak/src/faults.rs
@@ -38,6 +38,8 @@
     UsersFault::ResetHead,
 ];
 
+/// The faults in a round of restores of the store and notices of backend servers, one of them a restore.
+const NOTICE_KINDS: u32 = 6;
 /// The fraction of faults of bad bytes that affect the store.
 const STORE_RATIO: f64 = 0.2;
 /// The number of bursts of requests whose answers do not end.
@@ -193,7 +195,7 @@
 fn draw_notices(rng: &mut Pcg64, sizes: Sizes, length: Duration) -> Vec<(Duration, Fault)> {
     let mut faults = Vec::new();
     let mut at = Duration::ZERO;
-    let mut kind = rng.random_range(0..3);
+    let mut kind = rng.random_range(0..NOTICE_KINDS);
     while at < length {
         let server = rng.random_range(0..sizes.servers);
         let fault = match kind {
@@ -202,11 +204,11 @@
                 rng.random_range(0..1_500),
                 rng.random_range(0..1_500),
             ),
-            1 => Fault::Leave(server),
+            1 | 3 => Fault::Leave(server),
             _ => Fault::Hold(server, rng.random_range(700..3_000)),
         };
         faults.push((at, fault));
-        kind = (kind + 1) % 3;
+        kind = (kind + 1) % NOTICE_KINDS;
         at += Duration::from_millis(rng.random_range(700..2_500));
     }
     faults
--- a/crates/limpetmux-soak/src/inject.rs
+++ b/crates/limpetmux-soak/src/inject.rs
@@ -63,24 +63,30 @@
 
 async fn kill(world: &World, node: usize, downtime: Duration) -> Result<()> {
     world.record_disturbance(node, Instant::now() + downtime + Duration::from_secs(1));
+    let from = Instant::now();
     lock(&world.nodes[node]).kill();
     sleep(downtime).await;
+    world.record_interruption(node, from);
     lock(&world.nodes[node]).ensure_running()
 }
 
 async fn stop(world: &World, node: usize) -> Result<()> {
+    let from = Instant::now();
     let stopping = lock(&world.nodes[node]).terminate();
     if let Some(id) = stopping {
         fleet::wait_for_exit(&world.nodes[node], id).await;
     }
+    world.record_interruption(node, from);
     lock(&world.nodes[node]).ensure_running()
 }
 
 async fn pause(world: &World, node: usize, time: Duration) {
     world.record_disturbance(node, Instant::now() + time);
+    let from = Instant::now();
     lock(&world.nodes[node]).set_paused(true);
     sleep(time).await;
     lock(&world.nodes[node]).set_paused(false);
+    world.record_interruption(node, from);
 }
 
 async fn disturb_store_link(world: &World, node: usize, link: Link, time: Duration) {
@@ -105,7 +111,9 @@
 
 async fn disturb_server_link(world: &World, server: usize, link: Link, time: Duration) {
     record_disturbance(world, world::ENTRIES, time);
+    let from = Instant::now();
     disturb_link(&world.backends[server].proxy, link, time).await;
+    (0..world::ENTRIES).for_each(|node| world.record_interruption(node, from));
 }
 
 async fn drain(world: &World, server: usize) {
--- a/crates/limpetmux-soak/src/notices.rs
+++ b/crates/limpetmux-soak/src/notices.rs
@@ -30,8 +30,8 @@
     let late = |(sent, run): &(&SentRequest, &Run)| {
         let passed_on = *heard.get(&(run.server.as_str(), sent.entry))?;
         let age = sent.at.checked_duration_since(passed_on + LEAVING_BOUND + TIMING_MARGIN)?;
-        let undisturbed = facts.is_undisturbed(sent.entry, (passed_on, run.at));
-        undisturbed.then(|| Violation::LeavingServer(sent.id.clone(), run.server.clone(), age))
+        let runs_on = facts.is_uninterrupted(sent.entry, (passed_on, run.at));
+        runs_on.then(|| Violation::LeavingServer(sent.id.clone(), run.server.clone(), age))
     };
     all.iter().filter_map(late).collect()
 }
@@ -48,7 +48,7 @@
         }
         for (entry, arrivals) in entries {
             let refused = arrivals.iter().filter_map(|a| Some((a.at, a.at + a.hold?)));
-            let held = refused.filter(|span| facts.is_undisturbed(entry, *span)).map(|span| {
+            let held = refused.filter(|span| facts.is_uninterrupted(entry, *span)).map(|span| {
                 let binds = |a: &&&Arrival| a.at > span.0 + HOLD_LAG && a.at < span.1;
                 arrivals.iter().filter(binds).count()
             });
--- a/crates/limpetmux-soak/src/world.rs
+++ b/crates/limpetmux-soak/src/world.rs
@@ -100,6 +100,9 @@
     pub actions: Mutex<OperatorActions>,
     /// The spans in which a process or its links were disturbed: process, start and end.
     pub disturbances: Mutex<Vec<(usize, Instant, Instant)>>,
+    /// The spans in which a process was killed, stopped, paused or cut from a backend server: process,
+    /// start and end.
+    pub interruptions: Mutex<Vec<(usize, Instant, Instant)>>,
     layout: Layout,
 }
 
@@ -137,8 +140,15 @@
             };
             nodes.push(Arc::new(Mutex::new(NodeProcess::start(binary, dir, spec)?)));
         }
-        let (actions, disturbances) = (Mutex::default(), Mutex::default());
-        let world = Arc::new(Self { store, backends, nodes, actions, disturbances, layout });
+        let world = Arc::new(Self {
+            store,
+            backends,
+            nodes,
+            actions: Mutex::default(),
+            disturbances: Mutex::default(),
+            interruptions: Mutex::default(),
+            layout,
+        });
         world.backends.iter().for_each(|b| world.write_entry(b, "ready"));
         world.write_version();
         Ok(world)
@@ -219,6 +229,11 @@
         std::iter::once(("store".to_owned(), self.store.played())).chain(servers).collect()
     }
 
+    /// Records that a process does not run, or is cut from a backend server, from `from` until now.
+    pub fn record_interruption(&self, node: usize, from: Instant) {
+        lock(&self.interruptions).push((node, from, Instant::now()));
+    }
+
     /// Records that a process or its links are disturbed from now until `until`.
     pub fn record_disturbance(&self, node: usize, until: Instant) {
         lock(&self.disturbances).push((node, Instant::now(), until));
--- a/crates/limpetmux-soak/tests/checks.rs
+++ b/crates/limpetmux-soak/tests/checks.rs
@@ -91,6 +91,7 @@
         sent,
         actions,
         disturbances,
+        interruptions: Vec::new(),
         arrivals,
         usage,
         ended,
@@ -287,6 +288,9 @@
         assert_eq!(check(&facts).len(), found, "{entry} {gap:?}");
 
         facts.disturbances.push((0, at - SECOND, at));
+        assert_eq!(check(&facts).len(), found, "the store excuses nothing: {entry} {gap:?}");
+
+        facts.interruptions.push((0, at - SECOND / 2, at - SECOND / 3));
         assert_eq!(check(&facts), [], "{entry} {gap:?}");
     }
 }
