--- a/tests/testsuite/platform/restored_views.rs
+++ b/tests/testsuite/platform/restored_views.rs
@@ -181,7 +181,7 @@
         let Server { started, sequence, draining, .. } = self.servers[server];
         let state = if draining { "draining" } else { "ready" };
         let value = format!(
-            r#"{{"service":"s","address":"127.0.0.1:{server}","zone":"north","slots":1,
+            r#"{{"service":"s","address":"127.0.0.1:8{server}","zone":"north","slots":1,
             "state":"{state}","sequence":{sequence},"born":{started}}}"#
         );
         self.lost[1].remove(&id(server));
