--- a/tests/testsuite/platform/listing.rs
+++ b/tests/testsuite/platform/listing.rs
@@ -1,7 +1,8 @@
 //! The list of backend servers under stale answers, expired records and outages of the store.
 
 use super::{at, pos, server};
-use limpetmux::core::listing::{ListRecord, Listing};
+use limpetmux::core::listing::{ListRecord, Listing, WriteNumber};
+use limpetmux::core::log_position::{LogPosition, StoreEra};
 use limpetmux::fleet::convert;
 use limpetmux::serve::node::StoreView;
 use limpetmux::wire::fleet::PullRequest;
@@ -166,3 +167,47 @@
     assert_eq!(before, [true, false]);
     assert_eq!(after, [true, true]);
 }
+
+fn in_era(era: u64, record: ListRecord, sequence: u64) -> ListRecord {
+    let position = LogPosition::new(StoreEra(era), record.position.offset);
+    let write = Some(WriteNumber { started_ms: 5, sequence });
+    ListRecord { position, write, ..record }
+}
+
+#[test]
+fn servers_that_a_restored_copy_lacks_are_kept_for_the_grace_time() {
+    // Guards against a copy that is taken for the news that a server has left.
+    let mut listing = Listing::default();
+    let end = |era| LogPosition::new(StoreEra(era), 10);
+    listing.replace(at(0), end(0), vec![record("a", 8), record("b", 9)]);
+
+    listing.replace(at(500), end(1), vec![in_era(1, record("a", 3), 1)]);
+    listing.expire(at(2_600));
+    let during = ids(&listing);
+    listing.expire(at(2_800));
+
+    assert_eq!(during, ["a", "b"]);
+    assert_eq!(ids(&listing), ["a"]);
+}
+
+#[test]
+fn later_write_that_another_node_knows_from_before_a_restore_counts() {
+    // Guards against a node that has read only the copy and uses a server that others know to drain.
+    let mut listing = Listing::default();
+    listing.replace(
+        at(0),
+        LogPosition::new(StoreEra(1), 10),
+        vec![in_era(1, record("a", 3), 7), in_era(1, record("b", 4), 7)],
+    );
+    let draining = |id, sequence| {
+        let mut known = in_era(0, record(id, 90), sequence);
+        known.server.as_mut().expect("a server").draining = true;
+        known
+    };
+
+    let current = listing.apply(at(500), pos(99), vec![draining("a", 8), draining("b", 6)]);
+
+    assert!(!current);
+    let used: Vec<&str> = listing.servers().filter(|s| !s.draining).map(|s| &*s.id).collect();
+    assert_eq!(used, ["b"]);
+}
