Log when a backend server names, changes or ends its limit on requests

The statement is decoded and logged as server_limit (624) with its source and age; no decision uses it yet.

--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -36,6 +36,7 @@
 pub mod retry_share;
 pub mod revision;
 pub mod routing;
+pub mod server_limits;
 pub mod server_notices;
 pub mod shutdown;
 pub mod time;
--- a/src/limpetmux/core/server_notices.rs
+++ b/src/limpetmux/core/server_notices.rs
@@ -7,6 +7,7 @@
 //! `docs/design/leaving.md`.
 
 use crate::core::listing::Server;
+use crate::core::server_limits::{LimitNotice, RequestRate, StatedLimit};
 use crate::core::time::Moment;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -26,6 +27,8 @@
     pub leaving: bool,
     /// For how long it wants no requests, counted from the answer.
     pub hold: Option<Duration>,
+    /// The requests that it accepts from all hosts together.
+    pub limit: LimitNotice,
 }
 
 /// One incarnation of a backend server.
@@ -37,6 +40,13 @@
     pub started_ms: u64,
 }
 
+impl Incarnation {
+    /// Returns the incarnation that the list has of a backend server.
+    pub fn of(server: &Server) -> Self {
+        Self { id: Arc::clone(&server.id), started_ms: server.started_ms }
+    }
+}
+
 /// An incarnation that leaves, as nodes tell each other.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LeavingServer {
@@ -55,6 +65,15 @@
     pub holds: bool,
 }
 
+/// A change of the limit that a backend server names; `None` stands for no limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitChange {
+    /// The former limit.
+    pub from: Option<RequestRate>,
+    /// The limit now.
+    pub to: Option<RequestRate>,
+}
+
 /// No backend server of a pool may get a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PoolClosed {
@@ -69,6 +88,8 @@
     leaving_since: Option<Moment>,
     /// Until when it wants no requests.
     held_until: Option<Moment>,
+    /// Its limit, or that it has none any more.
+    limit: Option<StatedLimit>,
     /// When the latest notice was recorded, or the server was last listed.
     used_at: Moment,
 }
@@ -97,7 +118,7 @@
         server: &Incarnation,
         notice: ServerNotice,
     ) -> NoticeChange {
-        if notice == ServerNotice::default() {
+        if !notice.leaving && notice.hold.is_none() {
             return NoticeChange::default();
         }
         let Some(notices) = self.entry(now, server) else { return NoticeChange::default() };
@@ -112,6 +133,33 @@
         NoticeChange { leaves, holds: notice.hold.is_some() && !was_held }
     }
 
+    /// Records a limit, or the end of one; returns what it changes.
+    pub fn record_limit(
+        &mut self,
+        now: Moment,
+        server: &Incarnation,
+        stated: StatedLimit,
+    ) -> Option<LimitChange> {
+        // Most backend servers have no limit, and nothing is kept of them.
+        if stated.rate.is_none() && !self.servers.contains_key(&server.id) {
+            return None;
+        }
+        let notices = self.entry(now, server)?;
+        notices.used_at = now;
+        let from = notices.limit.and_then(|limit| limit.rate);
+        let limit = notices.limit.map_or(stated, |known| known.or_newer(stated));
+        notices.limit = Some(limit);
+        let change = LimitChange { from, to: limit.rate };
+        (change.from != change.to).then_some(change)
+    }
+
+    /// Returns the limit of an incarnation.
+    pub fn limit(&self, server: &Incarnation) -> Option<RequestRate> {
+        let notices = self.servers.get(&server.id)?;
+        let limit = notices.limit.filter(|_| notices.started_ms == server.started_ms)?;
+        limit.rate
+    }
+
     /// Records what another node has heard, of a backend server that is listed or not; returns whether
     /// it is new.
     pub fn learn(&mut self, now: Moment, server: &LeavingServer, is_listed: bool) -> bool {
@@ -188,6 +236,7 @@
                 started_ms: server.started_ms,
                 leaving_since: None,
                 held_until: None,
+                limit: None,
                 used_at: now,
             };
             self.servers.insert(Arc::clone(&server.id), notices);
--- a/src/limpetmux/platform/names.rs
+++ b/src/limpetmux/platform/names.rs
@@ -33,6 +33,8 @@
 pub const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 /// Present in all answers of a backend server that leaves.
 pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// The requests per second that a backend server accepts from all hosts together.
+pub const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 
 /// Headers that only the system may set, in addition to those above.
 const RESERVED: [&str; 6] = [
--- a/src/limpetmux/platform/server.rs
+++ b/src/limpetmux/platform/server.rs
@@ -4,6 +4,7 @@
 use super::names;
 use crate::core::answer_proof::{AnswerClaims, AnswerOwner, StatusClass};
 use crate::core::event_stream::Framing;
+use crate::core::server_limits::{LimitNotice, RequestRate};
 use crate::core::server_notices::{MAX_HOLD, ServerNotice};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -94,6 +95,7 @@
 pub fn head<B>(id: &str, answer: &Response<B>) -> ReplyHead {
     let headers = answer.headers();
     let text = |name| headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
+    let owner = owner(id, headers);
     ReplyHead {
         status: answer.status(),
         not_run: headers.contains_key(&names::NOT_RUN)
@@ -101,26 +103,45 @@
         wrong_server: answer.status() == StatusCode::MISDIRECTED_REQUEST,
         inputs_missing: headers.contains_key(&names::NOT_RUN)
             && answer.status() == StatusCode::CONFLICT,
-        owner: owner(id, headers),
+        owner,
         states_unrun: headers.contains_key(&names::NOT_RUN),
         signed: headers.contains_key(&names::SIGNATURE),
         keep_alive: keep_alive(headers),
         closes: text(&CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close")),
         framing: framing(answer.status(), headers),
-        notice: notice(answer.status(), headers),
+        notice: notice(answer.status(), owner, headers),
     }
 }
 
 /// Returns what a backend server states about itself; an answer that says that another one runs at the
 /// address states nothing about the one that the request was meant for.
-fn notice(status: StatusCode, headers: &HeaderMap) -> ServerNotice {
+fn notice(status: StatusCode, owner: AnswerOwner, headers: &HeaderMap) -> ServerNotice {
     if status == StatusCode::MISDIRECTED_REQUEST {
         return ServerNotice::default();
     }
     let leaving = headers.get(names::LEAVING).is_some_and(|v| v.as_bytes() == b"1");
     let retry_after =
         headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
-    ServerNotice { leaving, hold: retry_after.and_then(hold_time) }
+    let limit = match owner {
+        // It may have been sent long ago.
+        AnswerOwner::Another => LimitNotice::Unstated,
+        AnswerOwner::Sent | AnswerOwner::Unnamed => limit(headers),
+    };
+    ServerNotice { leaving, hold: retry_after.and_then(hold_time), limit }
+}
+
+/// Decodes the limit of a backend server; a value that is no rate, or several values, state nothing.
+fn limit(headers: &HeaderMap) -> LimitNotice {
+    let mut values = headers.get_all(names::LIMIT).iter();
+    match (values.next(), values.next()) {
+        (None, _) => LimitNotice::Unlimited,
+        (Some(value), None) => rate(value).map_or(LimitNotice::Unstated, LimitNotice::Limited),
+        (Some(_), Some(_)) => LimitNotice::Unstated,
+    }
+}
+
+fn rate(value: &HeaderValue) -> Option<RequestRate> {
+    RequestRate::per_second(value.to_str().ok()?.trim().parse().ok()?)
 }
 
 /// Decodes a `Retry-After` in seconds, which may have a fraction; one that cannot be read asks for
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -263,7 +263,7 @@
         };
         let head = server::head(&routed.head.id, &answer);
         attempt.head_at = clock::boot();
-        shared.record_notice(server, head.notice);
+        shared.record_notice(server, began, head.notice);
         match answer_proof::proof(head.claims()) {
             Proof::Answered if head.status.is_informational() => {
                 attempt.fail_answer("the answer is informational", &head);
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -229,10 +229,10 @@
         self.notices.available(drain_time, view.usable(service))
     }
 
-    /// Records what a backend server has stated about itself.
-    pub fn record_notice(&self, server: &Server, notice: ServerNotice) {
-        let incarnation = Incarnation { id: Arc::clone(&server.id), started_ms: server.started_ms };
-        self.notices.record(&self.metrics, &incarnation, notice);
+    /// Records what a backend server has stated about itself, in the answer to a request that was sent
+    /// at `asked_at`.
+    pub fn record_notice(&self, server: &Server, asked_at: Moment, notice: ServerNotice) {
+        self.notices.record(&self.metrics, &Incarnation::of(server), asked_at, notice);
     }
 
     /// Records the backend servers that another node knows to be leaving.
--- a/src/limpetmux/serve/notices.rs
+++ b/src/limpetmux/serve/notices.rs
@@ -2,9 +2,11 @@
 //! with log lines, and a signal for what other nodes have to learn.
 
 use crate::core::listing::Server;
+use crate::core::server_limits::StatedLimit;
 use crate::core::server_notices::{
-    Incarnation, LeavingServer, PoolClosed, ServerNotice, ServerNotices,
+    Incarnation, LeavingServer, LimitChange, PoolClosed, ServerNotice, ServerNotices,
 };
+use crate::core::time::Moment;
 use crate::event;
 use crate::util::clock;
 use crate::util::event::EventCode;
@@ -37,8 +39,20 @@
         self.version.subscribe()
     }
 
-    /// Records, logs and counts what an answer states about the backend server that sent it.
-    pub fn record(&self, metrics: &Metrics, server: &Incarnation, notice: ServerNotice) {
+    /// Records, logs and counts what an answer states about the backend server that sent it, to a
+    /// request that was sent at `asked_at`.
+    pub fn record(
+        &self,
+        metrics: &Metrics,
+        server: &Incarnation,
+        asked_at: Moment,
+        notice: ServerNotice,
+    ) {
+        let heard_at = clock::boot();
+        if let Some(rate) = notice.limit.stated() {
+            let stated = StatedLimit { rate, asked_at, heard_at };
+            self.record_limit(metrics, server, stated, "answer");
+        }
         let change = self.lock().record(clock::boot(), server, notice);
         if change.leaves {
             self.announce(metrics, server, "answer", Duration::ZERO);
@@ -49,6 +63,28 @@
         }
     }
 
+    /// Records, logs and counts a limit that an answer or another node states.
+    fn record_limit(
+        &self,
+        metrics: &Metrics,
+        server: &Incarnation,
+        stated: StatedLimit,
+        source: &str,
+    ) {
+        let now = clock::boot();
+        let change = self.lock().record_limit(now, server, stated);
+        let Some(LimitChange { from, to }) = change else { return };
+        metrics.count(Metric::ServerNotices, 1, &[("notice", "limit")]);
+        event!(
+            EventCode::ServerLimit,
+            server = server.id,
+            from = from.map_or_else(|| "none".to_owned(), |rate| rate.to_string()),
+            to = to.map_or_else(|| "none".to_owned(), |rate| rate.to_string()),
+            source = source,
+            age_ms = now.since(stated.heard_at).as_millis()
+        );
+    }
+
     /// Records and logs what another node has heard.
     pub fn learn(
         &self,
--- a/src/limpetmux/stage_queues/call.rs
+++ b/src/limpetmux/stage_queues/call.rs
@@ -8,6 +8,7 @@
 use crate::platform::stage;
 use crate::serve::connections::Reuse;
 use crate::serve::node::Shared;
+use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
 use crate::util::read_stop;
@@ -54,7 +55,9 @@
     let limit = MAX_CALL_ANSWER_BYTES + MAX_PIECE_ANSWER_BYTES * call.items.len();
     let view = shared.view.load();
     let server = view.listing.get(&call.server).and_then(|l| l.server.as_ref());
-    let on_notice = |notice| server.map_or((), |server| shared.record_notice(server, notice));
+    let asked_at = clock::boot();
+    let on_notice =
+        |notice| server.map_or((), |server| shared.record_notice(server, asked_at, notice));
     let (connections, reuse) = (&shared.connections, Reuse::Forbidden);
     let answer = exchange(connections, call.addr, request, reuse, limit, on_notice).await;
     let answer = match answer {
@@ -116,7 +119,9 @@
         event!(EventCode::FreeFailed, addr = addr, reason = "the backend server wants no requests");
         return;
     }
-    let on_notice = |notice| server.map_or((), |server| shared.record_notice(server, notice));
+    let asked_at = clock::boot();
+    let on_notice =
+        |notice| server.map_or((), |server| shared.record_notice(server, asked_at, notice));
     let call = async {
         let request = stage::free(addr, &results)?;
         let (limit, reuse) = (MAX_CALL_ANSWER_BYTES, Reuse::Allowed);
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -219,6 +219,8 @@
     ServerLeaving = 620,
     /// A backend server has refused a request and stated for how long it wants no others.
     ServerHeld = 621,
+    /// A backend server has named, changed or ended a limit on the requests of all hosts together.
+    ServerLimit = 624,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -49,7 +49,7 @@
     /// Verdicts on parts of prompts that crash backend servers.
     #[strum(props(kind = "counter", tags = "verdict"))]
     PartVerdicts,
-    /// Backend servers that leave, or that want no requests for a time.
+    /// Backend servers that leave, want no requests for a time, or change their limit on requests.
     #[strum(props(kind = "counter", tags = "notice"))]
     ServerNotices,
     /// Quarantined parts of prompts.
--- a/tests/testsuite/platform/adapter.rs
+++ b/tests/testsuite/platform/adapter.rs
@@ -7,6 +7,7 @@
 use limpetmux::core::answer_proof::AnswerOwner;
 use limpetmux::core::pieces::{CallEnd, CallItem, PieceError, PieceOutcome, Source};
 use limpetmux::core::prompt_part::PartId;
+use limpetmux::core::server_limits::{LimitNotice, RequestRate};
 use limpetmux::core::server_notices::MAX_HOLD;
 use limpetmux::platform::boot::{self, BootError};
 use limpetmux::platform::caller::{BadRequest, decode};
@@ -335,3 +336,30 @@
     }
     assert_eq!(notice(429, &[("Retry-After", "3")]).hold, None);
 }
+
+#[test]
+fn answer_names_the_limit_of_its_server() {
+    // Guards against a value that is no rate, or an answer of another server or request, that sets or
+    // ends a limit.
+    let stated = |status: u16, values: &[&str], id: &str| {
+        let mut answer = Response::builder().status(status).header("x-limpetmux-request-id", id);
+        for value in values {
+            answer = answer.header("Server-Limit", *value);
+        }
+        server::head("9c41", &answer.body(()).expect("an answer")).notice.limit
+    };
+    let limited = |rate| RequestRate::per_second(rate).map(LimitNotice::Limited).expect("a rate");
+
+    assert_eq!(stated(200, &["1"], "9c41"), limited(1.0));
+    assert_eq!(stated(503, &[" 0.25 "], "9c41"), limited(0.25));
+    assert_eq!(stated(200, &["0"], "9c41"), LimitNotice::Limited(RequestRate::MIN));
+    assert_eq!(stated(200, &["1e300"], "9c41"), LimitNotice::Limited(RequestRate::MAX));
+    assert_eq!(stated(200, &[], "9c41"), LimitNotice::Unlimited);
+    for value in ["", "soon", "-1", "nan", "inf", "1,2", "1 2"] {
+        assert_eq!(stated(200, &[value], "9c41"), LimitNotice::Unstated, "{value:?}");
+    }
+    assert_eq!(stated(200, &["1", "2"], "9c41"), LimitNotice::Unstated);
+    assert_eq!(stated(421, &["1"], "9c41"), LimitNotice::Unstated);
+    assert_eq!(stated(200, &["1"], "2a"), LimitNotice::Unstated);
+    assert_eq!(stated(200, &[], "2a"), LimitNotice::Unstated);
+}
--- a/tests/testsuite/platform/server_notices.rs
+++ b/tests/testsuite/platform/server_notices.rs
@@ -2,6 +2,7 @@
 
 use super::{arc, at, ms, server};
 use limpetmux::core::listing::Server;
+use limpetmux::core::server_limits::LimitNotice;
 use limpetmux::core::server_notices::{
     Incarnation, LeavingServer, MAX_HOLD, PoolClosed, ServerNotice, ServerNotices,
 };
@@ -9,7 +10,8 @@
 
 /// The time in which a backend server that leaves may still get requests.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
-const LEAVING: ServerNotice = ServerNotice { leaving: true, hold: None };
+const LEAVING: ServerNotice =
+    ServerNotice { leaving: true, hold: None, limit: LimitNotice::Unstated };
 
 fn run(id: &str, started_ms: u64) -> Incarnation {
     Incarnation { id: arc(id), started_ms }
@@ -20,7 +22,7 @@
 }
 
 fn hold(time: Duration) -> ServerNotice {
-    ServerNotice { leaving: false, hold: Some(time) }
+    ServerNotice { hold: Some(time), ..ServerNotice::default() }
 }
 
 fn ids(notices: &ServerNotices, now: u64, pool: &[Server]) -> Result<Vec<String>, PoolClosed> {
