--- a/crates/limpetmux-standins/src/users/reply.rs
+++ b/crates/limpetmux-standins/src/users/reply.rs
@@ -19,6 +19,8 @@
     pub(super) leaving: bool,
     /// The `Retry-After` of its refusals.
     pub(super) retry_after: Option<String>,
+    /// The requests per second that it accepts from all hosts together.
+    pub(super) limit: Option<String>,
 }
 
 impl Notices {
@@ -82,6 +84,9 @@
         if let Some(value) = self.notices.retry_after.as_ref().filter(|_| self.unrun) {
             fields.push_str(&format!("retry-after: {value}\r\n"));
         }
+        if let Some(limit) = &self.notices.limit {
+            fields.push_str(&format!("server-limit: {limit}\r\n"));
+        }
         fields
     }
 
--- a/crates/limpetmux-standins/src/users/server.rs
+++ b/crates/limpetmux-standins/src/users/server.rs
@@ -125,6 +125,11 @@
         self.lock().notices.retry_after = value.map(str::to_owned);
     }
 
+    /// Sets the requests per second that its answers name as its limit; it keeps to none itself.
+    pub fn set_limit(&self, value: Option<&str>) {
+        self.lock().notices.limit = value.map(str::to_owned);
+    }
+
     /// Returns the requests and calls that arrived, whether they ran or not.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.lock().arrivals.clone()
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -22,6 +22,7 @@
 mod explain;
 mod follow_store;
 mod leaving;
+mod limits;
 mod listing;
 mod names;
 mod node_fixture;
--- a/tests/testsuite/platform/node_fixture.rs
+++ b/tests/testsuite/platform/node_fixture.rs
@@ -139,7 +139,12 @@
 
 impl Fixture {
     pub(super) fn post(&self, path: &str, id: &str) -> RequestBuilder {
-        let addr = self.entry.caller_addr.unwrap();
+        self.post_at(&self.entry, path, id)
+    }
+
+    /// A request through another entry.
+    pub(super) fn post_at(&self, entry: &RunningNode, path: &str, id: &str) -> RequestBuilder {
+        let addr = entry.caller_addr.unwrap();
         Client::new()
             .post(format!("http://{addr}{path}"))
             .header("host", "a.example")
