--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -31,6 +31,7 @@
 pub mod prompt_part;
 pub mod quarantine;
 pub mod queue_waits;
+pub mod quota;
 pub mod read_limits;
 pub mod refusal;
 pub mod retry_share;
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -12,7 +12,9 @@
 
 pub use held::HeldResult;
 pub use job::{JobKey, JobSpec, Source, StageEnd};
-pub use worker::{Call, CallEnd, CallItem, CallKey, PieceError, PieceOutcome, WorkerSpec};
+pub use worker::{
+    Call, CallEnd, CallItem, CallKey, CallQuota, PieceError, PieceOutcome, WorkerSpec,
+};
 
 use crate::core::catalog::PieceSpec;
 use crate::core::time::Moment;
@@ -86,7 +88,10 @@
             let known = self.workers.get_mut(&spec.id);
             match known.filter(|w| w.spec.started_ms == spec.started_ms && w.spec.addr == spec.addr)
             {
-                Some(worker) => worker.usable = true,
+                Some(worker) => {
+                    worker.usable = true;
+                    worker.spec.quota = spec.quota;
+                }
                 None => drop(self.workers.insert(Arc::clone(&spec.id), Worker::new(spec))),
             }
         }
@@ -137,8 +142,7 @@
 
     /// Returns the pieces per second that the available backend servers complete in full batches.
     pub fn rate(&self, now: Moment) -> f64 {
-        let speed: f64 =
-            self.workers.values().filter(|w| w.is_available(now)).map(Worker::speed).sum();
+        let speed = self.speed(now);
         let batch = self.spec.batch.max(1);
         speed * batch as f64 / self.call_time(batch).as_secs_f64().max(0.001)
     }
@@ -345,10 +349,16 @@
         self.drain_time(now, ahead.map(Job::open_count).sum())
     }
 
+    /// Returns how many backend servers with the expected call time do as much as the available ones.
+    fn speed(&self, now: Moment) -> f64 {
+        let call_time = self.call_time(self.spec.batch.max(1));
+        let available = self.workers.values().filter(|w| w.is_available(now));
+        available.map(|w| w.speed(call_time)).sum()
+    }
+
     /// Returns how long the available backend servers need for a number of pieces.
     fn drain_time(&self, now: Moment, pieces: usize) -> Duration {
-        let rate: f64 =
-            self.workers.values().filter(|w| w.is_available(now)).map(Worker::speed).sum();
+        let rate = self.speed(now);
         let per_call = self.spec.batch.max(1);
         let calls = (pieces as f64 / per_call as f64) / rate.max(0.2);
         self.call_time(per_call).mul_f64(calls)
--- a/src/limpetmux/core/pieces/worker.rs
+++ b/src/limpetmux/core/pieces/worker.rs
@@ -41,6 +41,17 @@
     pub addr: SocketAddr,
     /// The availability zone of its host.
     pub zone: Arc<str>,
+    /// What its limit on calls leaves.
+    pub quota: CallQuota,
+}
+
+/// What the limit of a backend server on calls leaves for them; the default is no limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallQuota {
+    /// When the next call may be sent.
+    pub opens_at: Moment,
+    /// The time between two calls.
+    pub interval: Duration,
 }
 
 /// A piece in a call.
@@ -113,6 +124,8 @@
     Refused,
     /// No connection was established, so nothing was sent.
     Unsent,
+    /// The limit of the backend server was used up, so nothing was sent.
+    Denied,
     /// Another backend server runs at the address.
     WrongServer,
     /// There was no usable answer; the pieces may have run.
@@ -178,7 +191,7 @@
     }
 
     pub(super) fn is_idle(&self, now: Moment) -> bool {
-        self.is_available(now) && self.running.is_none()
+        self.is_available(now) && self.running.is_none() && now >= self.spec.quota.opens_at
     }
 
     /// Returns whether the backend server is expected to accept and answer calls.
@@ -186,9 +199,10 @@
         self.usable && !self.replaced && now >= self.paused_until
     }
 
-    /// Returns its throughput relative to a backend server with the expected call time.
-    pub(super) fn speed(&self) -> f64 {
-        1.0 / self.slowness.max(1.0)
+    /// Returns its throughput relative to a backend server with the expected time of a full call.
+    pub(super) fn speed(&self, call_time: Duration) -> f64 {
+        let time = call_time.mul_f64(self.slowness.max(1.0)).max(self.spec.quota.interval);
+        call_time.as_secs_f64() / time.as_secs_f64().max(f64::EPSILON)
     }
 
     pub(super) fn is_running(&self, call: CallKey) -> bool {
@@ -273,6 +287,9 @@
                 self.refusals += 1;
                 vec![PieceOutcome::Failed(PieceError::Refused); running.items.len()]
             }
+            CallEnd::Denied => {
+                vec![PieceOutcome::Failed(PieceError::Refused); running.items.len()]
+            }
             CallEnd::WrongServer => {
                 self.replaced = true;
                 vec![PieceOutcome::Failed(PieceError::Refused); running.items.len()]
--- a/src/limpetmux/core/server_notices.rs
+++ b/src/limpetmux/core/server_notices.rs
@@ -1,10 +1,10 @@
-//! What backend servers state about themselves in their answers: that they leave, and for how long
-//! they want no requests.
+//! What backend servers state about themselves in their answers: that they leave, for how long they
+//! want no requests, and how many requests a second they accept.
 //!
-//! Both hold for one incarnation, whatever its record in the platform's list says. A server that
+//! All hold for one incarnation, whatever its record in the platform's list says. A server that
 //! leaves gets new requests only while no other one is left, and none once its drain time has passed
-//! since this node first heard of it. A server that wants no requests gets none. See
-//! `docs/design/leaving.md`.
+//! since this node first heard of it. A server that wants no requests gets none, and
+//! one with a limit only what is granted. See `docs/design/leaving.md` and `docs/design/limits.md`.
 
 use crate::core::listing::Server;
 use crate::core::server_limits::{LimitNotice, RequestRate, StatedLimit};
@@ -65,6 +65,19 @@
     pub holds: bool,
 }
 
+/// A limit that a backend server has named or ended, as nodes tell each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitedServer {
+    /// The incarnation.
+    pub incarnation: Incarnation,
+    /// The rate; `None` if there is no limit any more.
+    pub rate: Option<RequestRate>,
+    /// The time since the request was sent whose answer states it.
+    pub asked_age: Duration,
+    /// The time since that answer arrived.
+    pub heard_age: Duration,
+}
+
 /// A change of the limit that a backend server names; `None` stands for no limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LimitChange {
@@ -79,6 +92,8 @@
 pub struct PoolClosed {
     /// The time until one of them accepts requests again; `None` if all of them leave.
     pub opens_in: Option<Duration>,
+    /// Whether a limit on requests closes the one that accepts requests first.
+    pub is_limited: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -90,6 +105,8 @@
     held_until: Option<Moment>,
     /// Its limit, or that it has none any more.
     limit: Option<StatedLimit>,
+    /// Until when this node gets no grant for it.
+    denied_until: Option<Moment>,
     /// When the latest notice was recorded, or the server was last listed.
     used_at: Moment,
 }
@@ -100,6 +117,8 @@
     Open,
     /// It leaves, and may get requests that no other one can serve.
     LastResort,
+    /// Its limit is used up until a moment.
+    Limited(Moment),
     /// It may get no requests until a moment, if that is known.
     Closed(Option<Moment>),
 }
@@ -149,10 +168,62 @@
         let from = notices.limit.and_then(|limit| limit.rate);
         let limit = notices.limit.map_or(stated, |known| known.or_newer(stated));
         notices.limit = Some(limit);
+        if limit.rate.is_none() {
+            notices.denied_until = None;
+        }
         let change = LimitChange { from, to: limit.rate };
         (change.from != change.to).then_some(change)
     }
 
+    /// Records a limit that another node states of a backend server that is listed or not; returns what
+    /// it changes.
+    pub fn learn_limit(
+        &mut self,
+        now: Moment,
+        stated: &LimitedServer,
+        is_listed: bool,
+    ) -> Option<LimitChange> {
+        if !is_listed && stated.heard_age >= UNLISTED_TIME {
+            return None;
+        }
+        // What is told on grows younger by each transfer, so a limit that is known is not renewed.
+        if self.limit(&stated.incarnation) == stated.rate {
+            return None;
+        }
+        let (asked_at, heard_at) = (now - stated.asked_age, now - stated.heard_age);
+        let limit = StatedLimit { rate: stated.rate, asked_at, heard_at };
+        self.record_limit(now, &stated.incarnation, limit)
+    }
+
+    /// Returns the limits, and those that ended lately, for other nodes.
+    pub fn limits(&self, now: Moment) -> Vec<LimitedServer> {
+        let limited = |(id, notices): (&Arc<str>, &Notices)| {
+            let limit = notices.limit?;
+            let is_told = limit.rate.is_some() || now.since(limit.heard_at) < UNLISTED_TIME;
+            let incarnation = Incarnation { id: Arc::clone(id), started_ms: notices.started_ms };
+            is_told.then(|| LimitedServer {
+                incarnation,
+                rate: limit.rate,
+                asked_age: now.since(limit.asked_at),
+                heard_age: now.since(limit.heard_at),
+            })
+        };
+        self.servers.iter().filter_map(limited).collect()
+    }
+
+    /// Records that this node gets no grant for a limited backend server until a moment.
+    pub fn deny(&mut self, now: Moment, server: &Incarnation, until: Moment) {
+        if let Some(notices) = self.entry(now, server) {
+            notices.denied_until = Some(until);
+        }
+    }
+
+    /// Returns until when this node gets no grant for a backend server.
+    pub fn denied_until(&self, server: &Incarnation) -> Option<Moment> {
+        let notices = self.servers.get(&server.id)?;
+        notices.denied_until.filter(|_| notices.started_ms == server.started_ms)
+    }
+
     /// Returns the limit of an incarnation.
     pub fn limit(&self, server: &Incarnation) -> Option<RequestRate> {
         let notices = self.servers.get(&server.id)?;
@@ -174,7 +245,8 @@
         is_new
     }
 
-    /// Returns those of a pool's backend servers that may get a request now.
+    /// Returns those of a pool's backend servers that may get a request now; without one, those whose
+    /// limit may grant it one within `patience`.
     ///
     /// # Errors
     /// Returns [`PoolClosed`] if the pool has backend servers and none of them may.
@@ -183,23 +255,60 @@
         now: Moment,
         drain_time: Duration,
         servers: Vec<&'a Server>,
+        patience: Duration,
+    ) -> Result<Vec<&'a Server>, PoolClosed> {
+        let is_soon = |s| matches!(s, Standing::Limited(until) if until <= now + patience);
+        let tiers: [&dyn Fn(Standing) -> bool; 3] =
+            [&|s| s == Standing::Open, &|s| s == Standing::LastResort, &is_soon];
+        self.first_of(&tiers, now, drain_time, servers)
+    }
+
+    /// Returns those of a pool's backend servers that may get requests, also if their limits are used up
+    /// now.
+    ///
+    /// # Errors
+    /// Returns [`PoolClosed`] if the pool has backend servers and none of them may.
+    pub fn open_or_limited<'a>(
+        &self,
+        now: Moment,
+        drain_time: Duration,
+        servers: Vec<&'a Server>,
+    ) -> Result<Vec<&'a Server>, PoolClosed> {
+        let is_open = |s| matches!(s, Standing::Open | Standing::Limited(_));
+        let tiers: [&dyn Fn(Standing) -> bool; 2] = [&is_open, &|s| s == Standing::LastResort];
+        self.first_of(&tiers, now, drain_time, servers)
+    }
+
+    /// Returns the backend servers of the first tier that has any.
+    fn first_of<'a>(
+        &self,
+        tiers: &[&dyn Fn(Standing) -> bool],
+        now: Moment,
+        drain_time: Duration,
+        servers: Vec<&'a Server>,
     ) -> Result<Vec<&'a Server>, PoolClosed> {
-        if self.servers.is_empty() {
+        if self.servers.is_empty() || servers.is_empty() {
             return Ok(servers);
         }
-        let standing = |s: &&Server| self.standing(now, drain_time, s);
-        for wanted in [Standing::Open, Standing::LastResort] {
+        let standings: Vec<(&Server, Standing)> =
+            servers.into_iter().map(|s| (s, self.standing(now, drain_time, s))).collect();
+        for tier in tiers {
             let found: Vec<&Server> =
-                servers.iter().copied().filter(|s| standing(s) == wanted).collect();
-            if !found.is_empty() || servers.is_empty() {
+                standings.iter().filter(|(_, standing)| tier(*standing)).map(|(s, _)| *s).collect();
+            if !found.is_empty() {
                 return Ok(found);
             }
         }
-        let opens_at = servers.iter().filter_map(|s| match standing(s) {
-            Standing::Closed(until) => until,
+        let opens_at = standings.iter().filter_map(|(_, standing)| match standing {
+            Standing::Limited(until) => Some((*until, true)),
+            Standing::Closed(until) => until.map(|until| (until, false)),
             Standing::Open | Standing::LastResort => None,
         });
-        Err(PoolClosed { opens_in: opens_at.min().map(|at| now.until(at)) })
+        let first = opens_at.min();
+        Err(PoolClosed {
+            opens_in: first.map(|(at, _)| now.until(at)),
+            is_limited: first.is_some_and(|(_, is_limited)| is_limited),
+        })
     }
 
     /// Returns whether a backend server wants no requests now.
@@ -237,6 +346,7 @@
                 leaving_since: None,
                 held_until: None,
                 limit: None,
+                denied_until: None,
                 used_at: now,
             };
             self.servers.insert(Arc::clone(&server.id), notices);
@@ -253,10 +363,12 @@
         if let Some(until) = notices.held_until.filter(|until| *until > now) {
             return Standing::Closed(Some(until).filter(|_| notices.leaving_since.is_none()));
         }
-        match notices.leaving_since {
+        let has_left = notices.leaving_since.is_some_and(|since| now.since(since) >= drain_time);
+        match notices.denied_until.filter(|until| *until > now) {
+            _ if has_left => Standing::Closed(None),
+            Some(until) => Standing::Limited(until),
+            None if notices.leaving_since.is_some() => Standing::LastResort,
             None => Standing::Open,
-            Some(since) if now.since(since) < drain_time => Standing::LastResort,
-            Some(_) => Standing::Closed(None),
         }
     }
 }
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -5,7 +5,8 @@
 use crate::core::nodes::{Node, Nodes};
 use crate::core::operator::{DeclaredConfig, StatedOrders};
 use crate::core::pieces::{HeldResult, JobSpec, Source};
-use crate::core::server_notices::{Incarnation, LeavingServer};
+use crate::core::server_limits::RequestRate;
+use crate::core::server_notices::{Incarnation, LeavingServer, LimitedServer};
 use crate::core::time::Moment;
 use crate::platform::{orders, servers, store::Record};
 use crate::serve::node::StoreView;
@@ -59,6 +60,37 @@
     leaving.iter().map(decode).collect()
 }
 
+/// Encodes a limit of a backend server.
+pub fn encode_limit(limit: &LimitedServer) -> wire::LimitedServer {
+    wire::LimitedServer {
+        server: limit.incarnation.id.to_string(),
+        started: limit.incarnation.started_ms,
+        micros: limit.rate.map(RequestRate::as_micros),
+        asked_ms: millis(limit.asked_age),
+        heard_ms: millis(limit.heard_age),
+    }
+}
+
+/// Decodes a limit of a backend server.
+pub fn decode_limit(limit: &wire::LimitedServer) -> LimitedServer {
+    LimitedServer {
+        incarnation: Incarnation { id: limit.server.as_str().into(), started_ms: limit.started },
+        rate: limit.micros.map(RequestRate::from_micros),
+        asked_age: Duration::from_millis(limit.asked_ms),
+        heard_age: Duration::from_millis(limit.heard_ms),
+    }
+}
+
+/// Encodes the limits of backend servers.
+pub fn encode_limits(limits: &[LimitedServer]) -> Vec<wire::LimitedServer> {
+    limits.iter().map(encode_limit).collect()
+}
+
+/// Decodes the limits of backend servers.
+pub fn decode_limits(limits: &[wire::LimitedServer]) -> Vec<LimitedServer> {
+    limits.iter().map(decode_limit).collect()
+}
+
 /// Decodes results that another node hands over, grouped by service.
 pub fn decode_held(results: Vec<wire::HeldResult>) -> BTreeMap<Arc<str>, Vec<HeldResult>> {
     let mut services: BTreeMap<Arc<str>, Vec<HeldResult>> = BTreeMap::new();
@@ -146,6 +178,7 @@
         evidence: None,
         leaving: Vec::new(),
         leaving_seen: u64::MAX,
+        limits: Vec::new(),
     }
 }
 
--- a/src/limpetmux/fleet/follow/leaving.rs
+++ b/src/limpetmux/fleet/follow/leaving.rs
@@ -1,8 +1,8 @@
-//! Exchange of the backend servers that have stated that they leave.
+//! Exchange of what backend servers have stated: that they leave, and their limits.
 //!
 //! A pull tells the called node all that the caller knows, and the reply what the caller lacks. As all
 //! nodes pull from one, what one node hears reaches all of them within two pulls. The few servers that
-//! leave at a time are sent whole.
+//! leave or have limits at a time are sent whole.
 
 use super::Follower;
 use crate::fleet::convert;
@@ -34,15 +34,17 @@
 }
 
 impl Follower {
-    /// Adds the backend servers that leave to a pull.
-    pub(super) fn with_leaving(&self, addr: SocketAddr, request: PullRequest) -> PullRequest {
+    /// Adds to a pull what backend servers have stated.
+    pub(super) fn with_notices(&self, addr: SocketAddr, request: PullRequest) -> PullRequest {
         let leaving = convert::encode_leaving(self.shared.notices.leaving().0);
-        PullRequest { leaving, leaving_seen: self.leaving_seen.get(addr), ..request }
+        let limits = convert::encode_limits(&self.shared.notices.limits());
+        PullRequest { leaving, limits, leaving_seen: self.leaving_seen.get(addr), ..request }
     }
 
-    /// Records the backend servers that leave by a reply.
-    pub(super) fn learn_leaving(&self, addr: SocketAddr, reply: &PullReply) {
+    /// Records what backend servers have stated by a reply.
+    pub(super) fn learn_notices(&self, addr: SocketAddr, reply: &PullReply) {
         self.shared.learn_leaving(&convert::decode_leaving(&reply.leaving));
+        self.shared.learn_limits(&convert::decode_limits(&reply.limits));
         self.leaving_seen.set(addr, reply.leaving_version);
     }
 
@@ -50,5 +52,6 @@
     pub(super) fn forget_notices(&self) {
         let view = self.shared.view.load();
         self.shared.notices.remove_unlisted(|id| view.listing.is_listed(id));
+        self.shared.quotas.remove_idle();
     }
 }
--- a/src/limpetmux/fleet/follow/pull.rs
+++ b/src/limpetmux/fleet/follow/pull.rs
@@ -64,7 +64,7 @@
             convert::pull_request(nodes.local(), &view, wait)
         };
         let (request, told) = self.with_evidence(addr, request);
-        let request = self.with_leaving(addr, request);
+        let request = self.with_notices(addr, request);
         let call = async { self.shared.peers.client(addr)?.pull(request).await };
         match timeout(PULL_WAIT + PULL_TIMEOUT, call).await {
             Ok(Ok(reply)) => {
@@ -99,7 +99,7 @@
         let now = clock::boot();
         self.record_members(now, addr, reply);
         self.merge_evidence(addr, reply);
-        self.learn_leaving(addr, reply);
+        self.learn_notices(addr, reply);
         let age = reply.operator.as_ref().map_or(u64::MAX, |o| o.age_ms);
         let applied = self.update(|v| convert::apply_reply(requested_at, v, reply));
         if let Err(error) = applied {
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -12,8 +12,8 @@
 use crate::util::event::EventCode;
 use crate::wire::fleet::fleet_server::{Fleet, FleetServer};
 use crate::wire::fleet::{
-    self as wire, EnginePlaced, FreeResults, Freed, Left, NodeLeaving, Outcome, PlaceEngine,
-    PullReply, PullRequest, QuarantineRequest, StageDone, StageRun,
+    self as wire, EnginePlaced, FreeResults, Freed, GrantReply, GrantRequest, Left, NodeLeaving,
+    Outcome, PlaceEngine, PullReply, PullRequest, QuarantineRequest, StageDone, StageRun,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -93,16 +93,19 @@
             self.shared.nodes().observe(node, clock::boot());
         }
         self.shared.learn_leaving(&convert::decode_leaving(&request.leaving));
+        self.shared.learn_limits(&convert::decode_limits(&request.limits));
         self.wait_for_changes(&request).await;
         let view = self.shared.view.load();
         let (evidence, version) = self.shared.quarantine.evidence_since(request.evidence_seen);
         let (leaving, leaving_version) = self.shared.notices.leaving();
         let leaving = convert::encode_leaving(leaving);
+        let limits = convert::encode_limits(&self.shared.notices.limits());
         let nodes = self.shared.nodes();
         let reply = convert::pull_reply((arrived, clock::boot()), &nodes, &view, &request);
         let evidence = evidence::encode(evidence);
         let evidence_version = version;
-        let reply = PullReply { evidence_version, evidence, leaving, leaving_version, ..reply };
+        let reply =
+            PullReply { evidence_version, evidence, leaving, leaving_version, limits, ..reply };
         Ok(Response::new(reply))
     }
 
@@ -126,6 +129,11 @@
         Ok(Response::new(self.pools.place(&request.into_inner())))
     }
 
+    async fn grant(&self, request: Request<GrantRequest>) -> Result<Response<GrantReply>, Status> {
+        self.refuse_if_stopping()?;
+        Ok(Response::new(self.shared.grant_for(&request.into_inner())))
+    }
+
     async fn leave(&self, request: Request<NodeLeaving>) -> Result<Response<Left>, Status> {
         let message = request.into_inner();
         let node = message.node.as_ref().and_then(convert::node);
--- a/src/limpetmux/serve/failure.rs
+++ b/src/limpetmux/serve/failure.rs
@@ -51,6 +51,8 @@
     AllFull,
     /// Every backend server has asked for no requests.
     Held,
+    /// The limits of all backend servers are used up.
+    Limited,
     /// A part of the prompt crashes backend servers and is quarantined.
     Quarantined,
     /// The deadline passed before the request was sent.
@@ -74,7 +76,8 @@
     fn from(closed: PoolClosed) -> Self {
         match closed.opens_in {
             Some(time) => {
-                Self::with_retry(Reason::Held, time + REOPEN_SPREAD.mul_f64(rand::random()))
+                let reason = if closed.is_limited { Reason::Limited } else { Reason::Held };
+                Self::with_retry(reason, time + REOPEN_SPREAD.mul_f64(rand::random()))
             }
             None => Self::with_retry(Reason::Unavailable, REPLACEMENT_RETRY_DELAY),
         }
@@ -110,6 +113,7 @@
             | Reason::Unavailable
             | Reason::AllFull
             | Reason::Held
+            | Reason::Limited
             | Reason::Quarantined
             | Reason::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -44,6 +44,9 @@
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The time after which a model engine has fetched the inputs of a request.
 const INPUT_FETCH_TIME: Duration = Duration::from_millis(150);
+/// A request waits for its turn at a limited backend server for at most the remaining time divided by
+/// this.
+const PATIENCE_DIVISOR: u32 = 8;
 /// The most bytes that are read of the body of a refusal.
 const MAX_REFUSAL_BYTES: usize = 16 * 1024;
 /// The time in which the body of a refusal is read.
@@ -130,17 +133,38 @@
         let until = clock::boot() + self.routed.time_left() / SEARCH_TIME_DIVISOR;
         loop {
             let choice = self.choose_engine().await?;
-            if let Some(server) = self.pick(choice.as_ref())? {
-                let choice = choice.filter(|c| c.server == server.id);
-                return Ok((server, choice));
+            let picked = self.pick(choice.as_ref())?;
+            let is_denied = picked.is_some();
+            if let Some((server, trial)) = picked {
+                if self.take_quota(&server).await {
+                    if let Some(part) = trial {
+                        begin_trial(self.shared, &self.routed.head, part, &server.id);
+                    }
+                    let choice = choice.filter(|c| c.server == server.id);
+                    return Ok((server, choice));
+                }
+                self.shared.placement().finished(clock::boot(), &server.id, PlaceEnd::Neutral);
             }
-            if clock::boot() >= until || !self.excluded.is_empty() {
+            if clock::boot() >= until || !(is_denied || self.excluded.is_empty()) {
                 return Err(Failure::with_retry(Reason::Unavailable, FULL_RETRY_DELAY));
             }
-            sleep(SEARCH_PAUSE).await;
+            if !is_denied {
+                sleep(SEARCH_PAUSE).await;
+            }
         }
     }
 
+    /// Returns how long the request may wait for its turn at a limited backend server.
+    fn patience(&self) -> Duration {
+        self.routed.time_left() / PATIENCE_DIVISOR
+    }
+
+    /// Takes one request from what a limited backend server accepts; returns whether it may be sent.
+    async fn take_quota(&self, server: &Server) -> bool {
+        let request = &self.routed.head.id;
+        self.shared.take_quota(request, server, self.patience()).await.is_ok()
+    }
+
     /// Lets the queue node of a pool of model engines choose one; `None` for other pools.
     async fn choose_engine(&self) -> Result<Option<PlacedEngine>, Failure> {
         let Some(except) = self.unusable_engines() else { return Ok(None) };
@@ -154,7 +178,7 @@
         pool.engine?;
         let entries = self.shared.nodes().entries(clock::boot());
         let servers = view.usable(&self.routed.service);
-        let available = self.shared.available(&view, &self.routed.service).ok()?;
+        let available = self.shared.available(&view, &self.routed.service, Duration::ZERO).ok()?;
         let query = self.query(Some(pool), &entries, None);
         let mut unusable = self.shared.placement().unusable(clock::boot(), &available, query);
         let closed = servers.iter().filter(|s| !available.iter().any(|a| a.id == s.id));
@@ -184,7 +208,12 @@
 
     /// Picks a backend server by the current view, which may have changed since the request was
     /// accepted; an engine that the queue node chose is used if it is still allowed.
-    fn pick(&self, choice: Option<&PlacedEngine>) -> Result<Option<Server>, Failure> {
+    ///
+    /// Returns also the part of the prompt of which the request is a trial.
+    fn pick(
+        &self,
+        choice: Option<&PlacedEngine>,
+    ) -> Result<Option<(Server, Option<PartId>)>, Failure> {
         let now = clock::boot();
         let view = self.shared.view.load();
         let routed = self.routed;
@@ -199,12 +228,9 @@
         let pool = catalog.pool(&routed.service).or_else(|| routed.catalog.pool(&routed.service));
         let entries = self.shared.nodes().entries(now);
         let query = self.query(pool, &entries, choice);
-        let servers = self.shared.available(&view, &routed.service)?;
+        let servers = self.shared.available(&view, &routed.service, self.patience())?;
         let server = self.shared.placement().pick(now, &servers, query).cloned();
-        if let (Some(part), Some(server)) = (trial, &server) {
-            begin_trial(self.shared, &routed.head, part, &server.id);
-        }
-        Ok(server)
+        Ok(server.map(|server| (server, trial)))
     }
 
     /// Takes one retry from the entry's share of the budget; returns whether there was one.
--- a/src/limpetmux/serve/mod.rs
+++ b/src/limpetmux/serve/mod.rs
@@ -24,6 +24,7 @@
 pub mod notices;
 mod plain;
 pub mod quarantine;
+pub mod quota;
 pub mod request;
 pub mod run;
 pub mod settings;
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -5,6 +5,7 @@
 use super::front::caller_connections;
 use super::notices::NodeNotices;
 use super::quarantine::NodeQuarantine;
+use super::quota::NodeQuotas;
 use super::settings::NodeSettings;
 use crate::adapters::admission::ConnectionBounds;
 use crate::adapters::channel::Channels;
@@ -98,6 +99,8 @@
     pub quarantine: NodeQuarantine,
     /// What backend servers have stated about themselves.
     pub notices: NodeNotices,
+    /// The requests that backend servers with limits may still get.
+    pub quotas: NodeQuotas,
 }
 
 impl Shared {
@@ -127,6 +130,7 @@
             examined: Examined::default(),
             quarantine: NodeQuarantine::new(local_node.started),
             notices: NodeNotices::new(local_node.started),
+            quotas: NodeQuotas::default(),
             local_node,
             placement: Mutex::new(Placement::new()),
             retry_share: Mutex::new(RetryShare::new(settings.bounds.retry_limit)),
@@ -214,19 +218,36 @@
         self.discovered.store(true, Ordering::Relaxed);
     }
 
-    /// Returns the backend servers of a service that may get requests now, by the store's records and
-    /// by what they have stated themselves.
+    /// Returns the backend servers of a service that may get a request now, by the store's records and
+    /// by what they have stated themselves; without one, those whose limit may grant it one within
+    /// `patience`.
     ///
     /// # Errors
-    /// Returns [`PoolClosed`] if there are backend servers and all of them have stated that they leave
-    /// or want no requests.
+    /// Returns [`PoolClosed`] if there are backend servers and none of them may, by what they have stated
+    /// themselves.
     pub fn available<'a>(
         &self,
         view: &'a StoreView,
         service: &'a str,
+        patience: Duration,
     ) -> Result<Vec<&'a Server>, PoolClosed> {
         let drain_time = self.settings.load().bounds.drain_time;
-        self.notices.available(drain_time, view.usable(service))
+        self.notices.available(drain_time, view.usable(service), patience)
+    }
+
+    /// Returns the backend servers of a service that may get requests, also if their limits are used up
+    /// now.
+    ///
+    /// # Errors
+    /// Returns [`PoolClosed`] if there are backend servers and none of them may, by what they have stated
+    /// themselves.
+    pub fn open_or_limited<'a>(
+        &self,
+        view: &'a StoreView,
+        service: &'a str,
+    ) -> Result<Vec<&'a Server>, PoolClosed> {
+        let drain_time = self.settings.load().bounds.drain_time;
+        self.notices.open_or_limited(drain_time, view.usable(service))
     }
 
     /// Records what a backend server has stated about itself, in the answer to a request that was sent
--- a/src/limpetmux/serve/notices.rs
+++ b/src/limpetmux/serve/notices.rs
@@ -2,9 +2,9 @@
 //! with log lines, and a signal for what other nodes have to learn.
 
 use crate::core::listing::Server;
-use crate::core::server_limits::StatedLimit;
+use crate::core::server_limits::{RequestRate, StatedLimit};
 use crate::core::server_notices::{
-    Incarnation, LeavingServer, LimitChange, PoolClosed, ServerNotice, ServerNotices,
+    Incarnation, LeavingServer, LimitChange, LimitedServer, PoolClosed, ServerNotice, ServerNotices,
 };
 use crate::core::time::Moment;
 use crate::event;
@@ -23,7 +23,8 @@
 #[derive(Debug)]
 pub struct NodeNotices {
     state: Mutex<ServerNotices>,
-    /// Rises with each backend server that this node learns to be leaving.
+    /// Rises with each backend server that this node learns to be leaving, and with each change of a
+    /// limit.
     version: watch::Sender<u64>,
 }
 
@@ -51,7 +52,8 @@
         let heard_at = clock::boot();
         if let Some(rate) = notice.limit.stated() {
             let stated = StatedLimit { rate, asked_at, heard_at };
-            self.record_limit(metrics, server, stated, "answer");
+            let change = self.lock().record_limit(heard_at, server, stated);
+            self.announce_limit(metrics, server, change, "answer", Duration::ZERO);
         }
         let change = self.lock().record(clock::boot(), server, notice);
         if change.leaves {
@@ -63,26 +65,62 @@
         }
     }
 
-    /// Records, logs and counts a limit that an answer or another node states.
-    fn record_limit(
+    /// Records and logs the limits that another node knows.
+    pub fn learn_limits(
+        &self,
+        metrics: &Metrics,
+        limits: &[LimitedServer],
+        is_listed: impl Fn(&str) -> bool,
+    ) {
+        for limit in limits {
+            let listed = is_listed(&limit.incarnation.id);
+            let change = self.lock().learn_limit(clock::boot(), limit, listed);
+            self.announce_limit(metrics, &limit.incarnation, change, "node", limit.heard_age);
+        }
+    }
+
+    /// Logs and counts a change of a limit, and tells other tasks.
+    fn announce_limit(
         &self,
         metrics: &Metrics,
         server: &Incarnation,
-        stated: StatedLimit,
+        change: Option<LimitChange>,
         source: &str,
+        age: Duration,
     ) {
-        let now = clock::boot();
-        let change = self.lock().record_limit(now, server, stated);
         let Some(LimitChange { from, to }) = change else { return };
+        let text = |rate: Option<RequestRate>| rate.map_or("none".to_owned(), |r| r.to_string());
         metrics.count(Metric::ServerNotices, 1, &[("notice", "limit")]);
         event!(
             EventCode::ServerLimit,
             server = server.id,
-            from = from.map_or_else(|| "none".to_owned(), |rate| rate.to_string()),
-            to = to.map_or_else(|| "none".to_owned(), |rate| rate.to_string()),
+            from = text(from),
+            to = text(to),
             source = source,
-            age_ms = now.since(stated.heard_at).as_millis()
+            age_ms = age.as_millis()
         );
+        self.version.send_modify(|version| *version += 1);
+    }
+
+    /// Returns the limits that this node knows, for other nodes.
+    pub fn limits(&self) -> Vec<LimitedServer> {
+        self.lock().limits(clock::boot())
+    }
+
+    /// Returns the limit of an incarnation.
+    pub fn limit(&self, server: &Incarnation) -> Option<RequestRate> {
+        self.lock().limit(server)
+    }
+
+    /// Records that this node gets no grant for a backend server for some time.
+    pub fn deny(&self, server: &Incarnation, time: Duration) {
+        let now = clock::boot();
+        self.lock().deny(now, server, now + time);
+    }
+
+    /// Returns until when this node gets no grant for a backend server.
+    pub fn denied_until(&self, server: &Incarnation) -> Option<Moment> {
+        self.lock().denied_until(server)
     }
 
     /// Records and logs what another node has heard.
@@ -100,7 +138,8 @@
         }
     }
 
-    /// Returns those of a pool's backend servers that may get a request now.
+    /// Returns those of a pool's backend servers that may get a request now; without one, those whose
+    /// limit may grant it one within `patience`.
     ///
     /// # Errors
     /// Returns [`PoolClosed`] if the pool has backend servers and none of them may.
@@ -108,8 +147,22 @@
         &self,
         drain_time: Duration,
         servers: Vec<&'a Server>,
+        patience: Duration,
+    ) -> Result<Vec<&'a Server>, PoolClosed> {
+        self.lock().available(clock::boot(), drain_time, servers, patience)
+    }
+
+    /// Returns those of a pool's backend servers that may get requests, also if their limits are used up
+    /// now.
+    ///
+    /// # Errors
+    /// Returns [`PoolClosed`] if the pool has backend servers and none of them may.
+    pub fn open_or_limited<'a>(
+        &self,
+        drain_time: Duration,
+        servers: Vec<&'a Server>,
     ) -> Result<Vec<&'a Server>, PoolClosed> {
-        self.lock().available(clock::boot(), drain_time, servers)
+        self.lock().open_or_limited(clock::boot(), drain_time, servers)
     }
 
     /// Returns whether a backend server wants no requests now.
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -114,7 +114,9 @@
 ) -> Result<PlannedEngine, Failure> {
     let choice = engines::plan(shared, routed, stage_time).await?;
     let view = shared.view.load();
-    let servers = shared.available(&view, &routed.service)?;
+    // By the time that its stages have ended, a limited engine may be open again.
+    let patience = stage_time + routed.time_left() / RETRY_TIME_DIVISOR;
+    let servers = shared.available(&view, &routed.service, patience)?;
     let entries = shared.nodes().entries(clock::boot());
     let query = PlaceQuery {
         prefix: routed.head.prefix(),
--- a/src/limpetmux/stage_queues/call.rs
+++ b/src/limpetmux/stage_queues/call.rs
@@ -4,10 +4,12 @@
 use super::exchange::{ExchangeError, exchange};
 use crate::core::pieces::{Call, CallEnd, PieceError, PieceOutcome};
 use crate::core::read_limits::{Exceeded, MAX_CALL_ANSWER_BYTES, MAX_PIECE_ANSWER_BYTES, Peer};
+use crate::core::server_notices::Incarnation;
 use crate::event;
 use crate::platform::stage;
 use crate::serve::connections::Reuse;
 use crate::serve::node::Shared;
+use crate::serve::quota::QuotaDenied;
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
@@ -17,10 +19,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// The time allowed for a call that frees results.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long results at a limited backend server are gathered at least.
+const FREE_DELAY: Duration = Duration::from_millis(500);
+/// The requests of its limit for which they are gathered at least.
+const FREE_INTERVALS: u32 = 4;
+/// How long freeing them waits for its turn.
+const FREE_PATIENCE: Duration = Duration::from_secs(2);
 
 /// Sends one call for pieces and reports its outcome to the queue.
 pub(super) async fn run_call(queues: Arc<StageQueues>, service: Arc<str>, call: Call) {
@@ -38,6 +46,7 @@
         CallEnd::Refused => "refused",
         CallEnd::WrongServer => "elsewhere",
         CallEnd::Unsent => "unsent",
+        CallEnd::Denied => "denied",
         CallEnd::Lost => "lost",
     };
     queues.shared.metrics.count(Metric::SidecarCalls, 1, &[("outcome", outcome)]);
@@ -55,6 +64,11 @@
     let limit = MAX_CALL_ANSWER_BYTES + MAX_PIECE_ANSWER_BYTES * call.items.len();
     let view = shared.view.load();
     let server = view.listing.get(&call.server).and_then(|l| l.server.as_ref());
+    if let Some(server) = server
+        && shared.take_quota("", server, Duration::ZERO).await.is_err()
+    {
+        return CallEnd::Denied;
+    }
     let asked_at = clock::boot();
     let on_notice =
         |notice| server.map_or((), |server| shared.record_notice(server, asked_at, notice));
@@ -103,10 +117,40 @@
     }
 }
 
+/// Frees results at a backend server; at one with a limit together with others, so that few of the
+/// requests that it accepts are spent on this.
+pub(super) async fn free(
+    queues: Arc<StageQueues>,
+    service: Arc<str>,
+    addr: SocketAddr,
+    results: Vec<Arc<str>>,
+) {
+    let shared = &queues.shared;
+    let view = shared.view.load();
+    let Some(server) = view.listing.servers().find(|s| s.addr == addr) else {
+        return send_free(queues, service, addr, results).await;
+    };
+    let Some(rate) = shared.notices.limit(&Incarnation::of(server)) else {
+        return send_free(queues, service, addr, results).await;
+    };
+    if !queues.delay(addr, results) {
+        return;
+    }
+    sleep((rate.interval() * FREE_INTERVALS).max(FREE_DELAY)).await;
+    let permitted = shared.take_quota("", server, FREE_PATIENCE).await;
+    let results = queues.take_delayed(addr);
+    match permitted {
+        Ok(()) => send_free(queues, service, addr, results).await,
+        Err(QuotaDenied) => {
+            event!(EventCode::FreeFailed, addr = addr, reason = "the limit is used up");
+        }
+    }
+}
+
 /// Asks a backend server to free results that are not needed any more.
 ///
 /// Their memory counts as used until the backend server has confirmed this very call.
-pub(super) async fn free(
+async fn send_free(
     queues: Arc<StageQueues>,
     service: Arc<str>,
     addr: SocketAddr,
--- a/src/limpetmux/stage_queues/engines.rs
+++ b/src/limpetmux/stage_queues/engines.rs
@@ -31,9 +31,10 @@
         let now = clock::boot();
         let view = self.shared.view.load();
         let allowed = |s: &&Server| !message.except.iter().any(|e| **e == *s.id);
+        let is_open = |s: &&Server| message.planned || self.shared.opens_at(s) <= now;
         let servers: Vec<&Server> =
-            (self.shared.available(&view, &message.service).unwrap_or_default().into_iter())
-                .filter(allowed)
+            (self.shared.open_or_limited(&view, &message.service).unwrap_or_default().into_iter())
+                .filter(|s| allowed(s) && is_open(s))
                 .collect();
         let config = view.orders.config.as_ref();
         let pool = config.and_then(|d| d.catalog.pool(&message.service));
--- a/src/limpetmux/stage_queues/mod.rs
+++ b/src/limpetmux/stage_queues/mod.rs
@@ -12,8 +12,9 @@
 
 use crate::core::listing::Server;
 use crate::core::pieces::{Actions, CallEnd, JobKey, JobSpec, PieceQueue, StageEnd};
-use crate::core::pieces::{CallKey, WorkerSpec};
-use crate::core::server_notices::PoolClosed;
+use crate::core::pieces::{CallKey, CallQuota, WorkerSpec};
+use crate::core::server_limits::RequestRate;
+use crate::core::server_notices::{Incarnation, PoolClosed};
 use crate::platform::stage;
 use crate::serve::connections::ConnectionPool;
 use crate::serve::inputs::free_results;
@@ -30,6 +31,9 @@
 /// The time between two steps of a queue that has waiting or running pieces.
 const STEP_INTERVAL: Duration = Duration::from_millis(25);
 
+/// The most results that are freed together; a backend server drops others when they expire.
+const MAX_DELAYED: usize = 4_096;
+
 struct Queue {
     pieces: PieceQueue,
     waiters: BTreeMap<JobKey, oneshot::Sender<StageEnd>>,
@@ -40,6 +44,8 @@
     shared: Arc<Shared>,
     /// Connections that carry only calls that free results.
     freeing: ConnectionPool,
+    /// Results at limited backend servers that are freed together.
+    delayed: Mutex<BTreeMap<SocketAddr, Vec<Arc<str>>>>,
     queues: Mutex<BTreeMap<Arc<str>, Queue>>,
 }
 
@@ -67,7 +73,12 @@
 impl StageQueues {
     /// Creates the queues of a node; there are none at first.
     pub fn new(shared: Arc<Shared>) -> Arc<Self> {
-        Arc::new(Self { shared, freeing: ConnectionPool::default(), queues: Mutex::default() })
+        Arc::new(Self {
+            shared,
+            freeing: ConnectionPool::default(),
+            delayed: Mutex::default(),
+            queues: Mutex::default(),
+        })
     }
 
     /// Queues a stage and returns its outcome once it has ended.
@@ -98,7 +109,7 @@
         let queue = queue(&mut queues, &view, service).ok_or(StageEnd::Unavailable)?;
         let available = workers(&self.shared, &view, service);
         queue.pieces.set_workers(available.clone().unwrap_or_default());
-        if let Err(PoolClosed { opens_in }) = available {
+        if let Err(PoolClosed { opens_in, .. }) = available {
             return Err(opens_in
                 .map_or(StageEnd::Unavailable, |retry_after| StageEnd::Late { retry_after }));
         }
@@ -144,6 +155,23 @@
         }
     }
 
+    /// Adds results to those that are freed together at a backend server; returns whether they are the
+    /// first.
+    fn delay(&self, addr: SocketAddr, results: Vec<Arc<str>>) -> bool {
+        let mut delayed = self.delayed.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_first = !delayed.contains_key(&addr);
+        let known = delayed.entry(addr).or_default();
+        let room = MAX_DELAYED.saturating_sub(known.len());
+        known.extend(results.into_iter().take(room));
+        is_first
+    }
+
+    /// Takes the results that are freed together at a backend server.
+    fn take_delayed(&self, addr: SocketAddr) -> Vec<Arc<str>> {
+        let mut delayed = self.delayed.lock().unwrap_or_else(PoisonError::into_inner);
+        delayed.remove(&addr).unwrap_or_default()
+    }
+
     /// Steps all queues with waiting or running pieces and closes idle connections, until the
     /// process exits.
     pub async fn run_queues(self: Arc<Self>) {
@@ -241,13 +269,24 @@
     Some(queue)
 }
 
-/// Returns the backend servers of a service that may get calls now.
+/// Returns the backend servers of a service that may get calls, with what their limits leave.
 fn workers(
     shared: &Shared,
     view: &StoreView,
     service: &str,
 ) -> Result<Vec<WorkerSpec>, PoolClosed> {
-    Ok(worker_specs(shared.available(view, service)?))
+    let servers = shared.open_or_limited(view, service)?;
+    let quotas: Vec<CallQuota> = servers.iter().map(|s| call_quota(shared, s)).collect();
+    let specs = worker_specs(servers).into_iter().zip(quotas);
+    Ok(specs.map(|(spec, quota)| WorkerSpec { quota, ..spec }).collect())
+}
+
+fn call_quota(shared: &Shared, server: &Server) -> CallQuota {
+    let rate = shared.notices.limit(&Incarnation::of(server));
+    rate.map_or_else(CallQuota::default, |rate: RequestRate| CallQuota {
+        opens_at: shared.opens_at(server),
+        interval: rate.interval(),
+    })
 }
 
 fn worker_specs(servers: Vec<&Server>) -> Vec<WorkerSpec> {
@@ -256,6 +295,7 @@
         started_ms: s.started_ms,
         addr: s.addr,
         zone: Arc::clone(&s.zone),
+        quota: CallQuota::default(),
     };
     servers.into_iter().map(worker).collect()
 }
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -221,6 +221,8 @@
     ServerHeld = 621,
     /// A backend server has named, changed or ended a limit on the requests of all hosts together.
     ServerLimit = 624,
+    /// The limit of a backend server is used up; it gets no requests of this node for a time.
+    QuotaDenied = 625,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -52,6 +52,9 @@
     /// Backend servers that leave, want no requests for a time, or change their limit on requests.
     #[strum(props(kind = "counter", tags = "notice"))]
     ServerNotices,
+    /// Requests for which a limited backend server was asked for, by who decides.
+    #[strum(props(kind = "counter", tags = "outcome, source"))]
+    QuotaRequests,
     /// Quarantined parts of prompts.
     #[strum(props(kind = "gauge", tags = "none"))]
     PartsHeld,
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -50,6 +50,9 @@
     /// The version of the called node's notices of leaving servers that the caller has.
     #[prost(uint64, tag = "12")]
     pub leaving_seen: u64,
+    /// The limits that the caller knows backend servers to have named or ended.
+    #[prost(message, repeated, tag = "13")]
+    pub limits: ::prost::alloc::vec::Vec<LimitedServer>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PullReply {
@@ -73,6 +76,9 @@
     pub leaving: ::prost::alloc::vec::Vec<LeavingServer>,
     #[prost(uint64, tag = "8")]
     pub leaving_version: u64,
+    /// The limits that the called node knows; `leaving_version` counts their changes, too.
+    #[prost(message, repeated, tag = "9")]
+    pub limits: ::prost::alloc::vec::Vec<LimitedServer>,
 }
 /// A backend server that has stated that it leaves.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -86,6 +92,42 @@
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
 }
+/// A limit that a backend server has named or ended.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LimitedServer {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    /// Unix milliseconds of the start of its incarnation.
+    #[prost(uint64, tag = "2")]
+    pub started: u64,
+    /// Millionths of a request per second; absent if there is no limit any more.
+    #[prost(uint64, optional, tag = "3")]
+    pub micros: ::core::option::Option<u64>,
+    /// Milliseconds since the request was sent whose answer states it, and since that answer arrived.
+    #[prost(uint64, tag = "4")]
+    pub asked_ms: u64,
+    #[prost(uint64, tag = "5")]
+    pub heard_ms: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct GrantRequest {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// The backend server with the limit that the caller knows.
+    #[prost(message, optional, tag = "2")]
+    pub server: ::core::option::Option<LimitedServer>,
+    /// Milliseconds for which the request may wait.
+    #[prost(uint64, tag = "3")]
+    pub patience_ms: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct GrantReply {
+    #[prost(enumeration = "GrantOutcome", tag = "1")]
+    pub outcome: i32,
+    /// Milliseconds after which the request may be sent, or after which one may be granted.
+    #[prost(uint64, tag = "2")]
+    pub wait_ms: u64,
+}
 /// What a node knows of parts of prompts that crash backend servers.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Evidence {
@@ -391,6 +433,36 @@
 pub struct Left {}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
+pub enum GrantOutcome {
+    /// The called node does not grant the requests of the service.
+    Elsewhere = 0,
+    Given = 1,
+    Denied = 2,
+}
+impl GrantOutcome {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Elsewhere => "ELSEWHERE",
+            Self::Given => "GIVEN",
+            Self::Denied => "DENIED",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ELSEWHERE" => Some(Self::Elsewhere),
+            "GIVEN" => Some(Self::Given),
+            "DENIED" => Some(Self::Denied),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
 pub enum Outcome {
     Unknown = 0,
     Made = 1,
@@ -632,6 +704,28 @@
                 .insert(GrpcMethod::new("limpetmux.fleet.v1.Fleet", "Leave"));
             self.inner.unary(req, path, codec).await
         }
+        /// Grants a request to a backend server that has named a limit for all nodes together.
+        pub async fn grant(
+            &mut self,
+            request: impl tonic::IntoRequest<super::GrantRequest>,
+        ) -> std::result::Result<tonic::Response<super::GrantReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/limpetmux.fleet.v1.Fleet/Grant",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("limpetmux.fleet.v1.Fleet", "Grant"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Lists the quarantined parts of prompts, after freeing some of them.
         pub async fn quarantine(
             &mut self,
@@ -694,6 +788,11 @@
             &self,
             request: tonic::Request<super::NodeLeaving>,
         ) -> std::result::Result<tonic::Response<super::Left>, tonic::Status>;
+        /// Grants a request to a backend server that has named a limit for all nodes together.
+        async fn grant(
+            &self,
+            request: tonic::Request<super::GrantRequest>,
+        ) -> std::result::Result<tonic::Response<super::GrantReply>, tonic::Status>;
         /// Lists the quarantined parts of prompts, after freeing some of them.
         async fn quarantine(
             &self,
@@ -991,6 +1090,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/limpetmux.fleet.v1.Fleet/Grant" => {
+                    #[allow(non_camel_case_types)]
+                    struct GrantSvc<T: Fleet>(pub Arc<T>);
+                    impl<T: Fleet> tonic::server::UnaryService<super::GrantRequest>
+                    for GrantSvc<T> {
+                        type Response = super::GrantReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::GrantRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Fleet>::grant(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = GrantSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/limpetmux.fleet.v1.Fleet/Quarantine" => {
                     #[allow(non_camel_case_types)]
                     struct QuarantineSvc<T: Fleet>(pub Arc<T>);
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -19,6 +19,7 @@
 };
 use limpetmux::core::queue_waits::QueueWaits;
 use limpetmux::core::revision::Offset;
+use limpetmux::core::server_notices::ServerNotices;
 use limpetmux::core::time::Moment;
 use limpetmux::fleet::convert as views;
 use limpetmux::serve::node::StoreView;
@@ -89,6 +90,11 @@
     }
     nodes.remove_dead(NOW);
     let _ = views::apply_reply(NOW, &mut view, &reply);
+    let mut notices = ServerNotices::default();
+    for limit in views::decode_limits(&reply.limits) {
+        notices.learn_limit(NOW, &limit, true);
+    }
+    assert!(views::encode_limits(&notices.limits(NOW)).len() <= reply.limits.len());
     let request = views::pull_request(&local_node(), &view, Duration::MAX);
     let _ = views::has_changes(&view, &request);
     let again = views::pull_reply((NOW, NOW), &nodes, &view, &fleet::PullRequest::default());
@@ -141,6 +147,13 @@
                 age_ms: draw_number(u)?,
             }],
             leaving_version: draw_number(u)?,
+            limits: vec![fleet::LimitedServer {
+                server: "i-1".into(),
+                started: draw_number(u)?,
+                micros: Some(draw_number(u)?),
+                asked_ms: draw_number(u)?,
+                heard_ms: draw_number(u)?,
+            }],
         };
         check_pull(&draw(u, &reply.encode_to_vec())?);
         Ok(())
--- a/tests/testsuite/decoders/stage_messages.rs
+++ b/tests/testsuite/decoders/stage_messages.rs
@@ -11,7 +11,9 @@
 use limpetmux::core::once::{
     Guards, HostId, Incarnation, KeyId, KeyTime, Node as OnceNode, Record, Rules, Time,
 };
-use limpetmux::core::pieces::{CallEnd, HeldResult, PieceOutcome, PieceQueue, WorkerSpec};
+use limpetmux::core::pieces::{
+    CallEnd, CallQuota, HeldResult, PieceOutcome, PieceQueue, WorkerSpec,
+};
 use limpetmux::core::revision::Offset;
 use limpetmux::fleet::convert as views;
 use limpetmux::sidecar::once::ScopedKey;
@@ -37,6 +39,7 @@
         started_ms: 1,
         addr: ([127, 0, 0, 1], 80).into(),
         zone: "mnl-a".into(),
+        quota: CallQuota::default(),
     };
     queue.set_workers(vec![worker("i-1"), worker("i-2")]);
     queue
--- a/tests/testsuite/platform/endless_nodes.rs
+++ b/tests/testsuite/platform/endless_nodes.rs
@@ -10,8 +10,9 @@
 use limpetmux::serve::run::{RunningNode, start};
 use limpetmux::wire::fleet::fleet_server::{Fleet, FleetServer};
 use limpetmux::wire::fleet::{
-    EnginePlaced, Evidence, FreeResults, Freed, Left, Member, NodeLeaving, Outcome, PlaceEngine,
-    PullReply, PullRequest, QuarantineRequest, StageDone, StageRun,
+    EnginePlaced, Evidence, FreeResults, Freed, GrantReply, GrantRequest, Left, Member,
+    NodeLeaving, Outcome, PlaceEngine, PullReply, PullRequest, QuarantineRequest, StageDone,
+    StageRun,
 };
 use std::future::pending;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -39,6 +40,8 @@
     LongRun,
     /// The choice of an engine.
     Place,
+    /// A grant of a request to a limited backend server.
+    Grant,
     /// Results that are not needed any more.
     Free,
     /// The stop of another node.
@@ -107,6 +110,11 @@
         Ok(Response::new(EnginePlaced::default()))
     }
 
+    async fn grant(&self, _: Request<GrantRequest>) -> Result<Response<GrantReply>, Status> {
+        self.pass(Fault::Grant).await;
+        Ok(Response::new(GrantReply::default()))
+    }
+
     async fn leave(&self, _: Request<NodeLeaving>) -> Result<Response<Left>, Status> {
         self.pass(Fault::Leave).await;
         Ok(Response::new(Left {}))
@@ -241,6 +249,15 @@
     faulty.answered("/stream/x").await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn limited_engine_is_used_although_a_node_does_not_grant() {
+    // Guards against a limited engine that gets nothing while the node that grants does not reply.
+    let faulty = faulty(Fault::Grant).await;
+    faulty.fixture.engine.set_limit(Some("5"));
+
+    faulty.answered("/stream/x").await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn results_are_freed_although_a_node_does_not_reply() {
     // Guards against results that take up memory until they expire.
--- a/tests/testsuite/platform/pieces.rs
+++ b/tests/testsuite/platform/pieces.rs
@@ -4,8 +4,8 @@
 use super::{arc, at, ms};
 use limpetmux::core::catalog::PieceSpec;
 use limpetmux::core::pieces::{
-    Actions, Call, CallEnd, HeldResult, JobKey, JobSpec, PieceError, PieceOutcome, PieceQueue,
-    Source, StageEnd, WorkerSpec,
+    Actions, Call, CallEnd, CallQuota, HeldResult, JobKey, JobSpec, PieceError, PieceOutcome,
+    PieceQueue, Source, StageEnd, WorkerSpec,
 };
 use limpetmux::core::time::Moment;
 use std::sync::Arc;
@@ -29,6 +29,7 @@
         started_ms: 1,
         addr: ([127, 0, 0, 1], port).into(),
         zone: zone.into(),
+        quota: CallQuota::default(),
     }
 }
 
--- a/tests/testsuite/platform/server_notices.rs
+++ b/tests/testsuite/platform/server_notices.rs
@@ -26,7 +26,8 @@
 }
 
 fn ids(notices: &ServerNotices, now: u64, pool: &[Server]) -> Result<Vec<String>, PoolClosed> {
-    let available = notices.available(at(now), DRAIN_TIME, pool.iter().collect())?;
+    let available =
+        notices.available(at(now), DRAIN_TIME, pool.iter().collect(), Duration::ZERO)?;
     Ok(available.iter().map(|s| s.id.to_string()).collect())
 }
 
@@ -56,7 +57,7 @@
     let after = ids(&notices, 2_000, &pool);
 
     assert_eq!(before, Ok(vec!["a".to_owned()]));
-    assert_eq!(after, Err(PoolClosed { opens_in: None }));
+    assert_eq!(after, Err(PoolClosed { opens_in: None, is_limited: false }));
 }
 
 #[test]
@@ -103,7 +104,7 @@
 
     let closed = ids(&notices, 500, &pool);
 
-    assert_eq!(closed, Err(PoolClosed { opens_in: Some(ms(1_500)) }));
+    assert_eq!(closed, Err(PoolClosed { opens_in: Some(ms(1_500)), is_limited: false }));
 }
 
 #[test]
@@ -133,7 +134,7 @@
     notices.remove_unlisted(at(100_000), |_| false);
 
     assert_eq!(told, [heard(1_700)]);
-    assert_eq!(late, Err(PoolClosed { opens_in: None }));
+    assert_eq!(late, Err(PoolClosed { opens_in: None, is_limited: false }));
     assert_eq!(notices.leaving(at(100_000)), []);
     assert!(!notices.learn(at(100_000), &heard(91_500), false));
 }
