--- a/src/limpetmux/core/quota.rs
+++ b/src/limpetmux/core/quota.rs
@@ -1,8 +1,8 @@
 //! Shares the request rates that backend servers accept from all hosts together.
 //!
 //! One node grants the requests of all others at a backend server, from a token bucket. A node that
-//! cannot reach it falls back to an equal part of half the rate, which the bound on the sum leaves room
-//! for beside what is granted. See `docs/design/limits.md`.
+//! cannot reach it falls back to an equal part of a quarter of the rate, for which the bound on the sum
+//! leaves room beside what is granted. See `docs/design/limits.md`.
 
 use crate::core::server_limits::RequestRate;
 use crate::core::server_notices::Incarnation;
@@ -10,10 +10,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// The time whose requests a bucket keeps while there is no demand.
+/// The time whose requests a bucket keeps while there is no demand, besides [`MIN_BURST`].
 const BURST_TIME: Duration = Duration::from_millis(250);
+/// The requests that a bucket keeps in any case.
+const MIN_BURST: f64 = 2.0;
 /// The part of a rate that nodes without grants may use together.
-const FALLBACK_PART: f64 = 0.5;
+const FALLBACK_PART: f64 = 0.25;
 /// How long the state of a backend server without requests is kept.
 const IDLE_TIME: Duration = Duration::from_secs(60);
 /// The most backend servers whose state is kept.
@@ -45,7 +47,7 @@
     }
 
     fn fill(&mut self, now: Moment, rate: RequestRate) {
-        let most = 1.0 + rate.as_f64() * BURST_TIME.as_secs_f64();
+        let most = MIN_BURST + rate.as_f64() * BURST_TIME.as_secs_f64();
         let added = now.since(self.filled_at).as_secs_f64() * self.rate.as_f64();
         self.tokens = (self.tokens + added).min(most);
         self.rate = rate;
@@ -140,16 +142,12 @@
             return Grant::Denied(IDLE_TIME);
         }
         let interval = part.rate.interval().mul_f64(part.nodes.max(1) as f64 / FALLBACK_PART);
-        let due = self.due.entry(server.clone()).or_insert(Moment::ZERO);
-        if now >= *due + interval {
-            *due = now + interval.mul_f64(part.phase);
-        }
-        let wait = now.until(*due);
-        if wait > patience {
-            return Grant::Denied(wait);
-        }
-        *due = now + wait + interval;
-        Grant::Given(wait)
+        let known = self.due.get(server).copied().filter(|due| now < *due + interval);
+        let due = known.unwrap_or_else(|| now + interval.mul_f64(part.phase));
+        let wait = now.until(due);
+        let is_given = wait <= patience;
+        self.due.insert(server.clone(), if is_given { due + interval } else { due });
+        if is_given { Grant::Given(wait) } else { Grant::Denied(wait) }
     }
 
     /// Drops the state of backend servers whose next request has long been due.
