--- a/crates/limpetmux-soak/src/checks.rs
+++ b/crates/limpetmux-soak/src/checks.rs
@@ -3,6 +3,7 @@
 use crate::callers::{BODY, DEADLINE, Kind, Outcome, PIECES, SentRequest};
 use crate::facts::{Facts, Run};
 use crate::fleet::REVOKE_BOUND;
+use crate::limits;
 use crate::notices;
 use crate::usage::{MAX_MEMORY_KB, MAX_SOCKETS};
 use crate::world::{OperatorActions, ROUTE_TIMEOUT, WORKSPACE, service_of};
@@ -70,6 +71,9 @@
     /// A backend server got requests through an entry that it had asked for none.
     #[error("{2} requests through entry {1} reached {0}, which had refused with Retry-After")]
     HeldServer(String, usize, usize),
+    /// A backend server got more requests than the limit that it had named allows.
+    #[error("{1} requests in 4 s reached {0}, whose limit allows {2}")]
+    NamedLimit(String, usize, usize),
     /// A process cut a request without a disturbance that excuses it.
     #[error("request {0} ran and was cut by entry {1}, which no fault but a planned stop affected")]
     CutRequest(String, usize),
@@ -112,6 +116,7 @@
     }
     violations.extend(notices::check_leaving(facts, &known));
     violations.extend(notices::check_holds(facts, &known));
+    violations.extend(limits::check_limits(facts, &known));
     violations.extend(check_pieces(&facts.results));
     violations.extend(facts.ended.iter().filter_map(|e| check_read(facts, &known, e)));
     violations.extend(check_usage(facts));
--- a/crates/limpetmux-soak/src/faults.rs
+++ b/crates/limpetmux-soak/src/faults.rs
@@ -40,6 +40,8 @@
 
 /// The faults in a round of restores of the store and notices of backend servers, one of them a restore.
 const NOTICE_KINDS: u32 = 6;
+/// The limits that backend servers name, in tenths of a request per second.
+const LIMITS: [u64; 5] = [0, 5, 10, 30, 80];
 /// The fraction of faults of bad bytes that affect the store.
 const STORE_RATIO: f64 = 0.2;
 /// The number of bursts of requests whose answers do not end.
@@ -82,6 +84,8 @@
     Leave(usize),
     /// A backend server refuses requests with a `Retry-After` of some milliseconds.
     Hold(usize, u64),
+    /// A backend server names a limit, in tenths of a request per second, for some milliseconds.
+    Limit(usize, u64, u64),
     /// The operator writes a new configuration version, which moves a route.
     Declare,
     /// The operator revokes a key and replaces it by a new one.
@@ -121,6 +125,7 @@
     faults.extend(draw_false_answers(rng, sizes, length));
     faults.extend(draw_bad_bytes(rng, sizes, length));
     faults.extend(draw_notices(rng, sizes, length));
+    faults.extend(draw_limits(rng, sizes, length));
     faults.sort_by_key(|(at, _)| *at);
     faults.retain(|(at, _)| *at < length);
     faults
@@ -214,6 +219,19 @@
     faults
 }
 
+/// Draws a series of its own, so that throughout a run a few backend servers name limits.
+fn draw_limits(rng: &mut Pcg64, sizes: Sizes, length: Duration) -> Vec<(Duration, Fault)> {
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < length {
+        let server = rng.random_range(0..sizes.servers);
+        let limit = pick(rng, &LIMITS);
+        faults.push((at, Fault::Limit(server, limit, rng.random_range(4_000..12_000))));
+        at += Duration::from_millis(rng.random_range(1_000..4_000));
+    }
+    faults
+}
+
 fn pick<T: Copy>(rng: &mut Pcg64, choices: &[T]) -> T {
     choices[rng.random_range(0..choices.len())]
 }
@@ -262,6 +280,7 @@
         Fault::Drain(n) => Fault::Drain(server(n)),
         Fault::Leave(n) => Fault::Leave(server(n)),
         Fault::Hold(n, ms) => Fault::Hold(server(n), ms),
+        Fault::Limit(n, limit, ms) => Fault::Limit(server(n), limit, ms),
         other => other,
     }
 }
--- a/crates/limpetmux-soak/src/inject.rs
+++ b/crates/limpetmux-soak/src/inject.rs
@@ -43,6 +43,9 @@
         Fault::Restore(age, away, rewrite) => restore(&w, [age, away, rewrite].map(ms)).await,
         Fault::Leave(server) => leave(&w, server).await,
         Fault::Hold(server, time) => hold(&w.backends[server].server, ms(time)).await,
+        Fault::Limit(server, limit, time) => {
+            name_limit(&w.backends[server].server, limit, ms(time)).await;
+        }
         Fault::Declare => w.write_version(),
         Fault::Revoke => w.revoke_key(),
         Fault::Evacuate(zone, time) => evacuate(&w, zone, ms(time)).await,
@@ -143,6 +146,12 @@
     world.relist(&backend);
 }
 
+async fn name_limit(server: &UsersServer, tenths: u64, time: Duration) {
+    server.set_limit(Some(&format!("{}.{}", tenths / 10, tenths % 10)));
+    sleep(time).await;
+    server.set_limit(None);
+}
+
 async fn hold(server: &UsersServer, time: Duration) {
     server.set_retry_after(Some(&time.as_secs_f64().to_string()));
     sleep(HOLD_SPAN).await;
--- a/crates/limpetmux-soak/src/lib.rs
+++ b/crates/limpetmux-soak/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod faults;
 pub mod fleet;
 mod inject;
+mod limits;
 pub mod measure;
 mod notices;
 pub mod proxy;
--- a/crates/limpetmux-soak/src/world.rs
+++ b/crates/limpetmux-soak/src/world.rs
@@ -217,6 +217,7 @@
         let new = format!("{stem}.{}", number.parse::<u32>().unwrap_or_default() + 1);
         backend.server.set_id(&new);
         backend.server.set_leaving(false);
+        backend.server.set_limit(None);
         *lock(&backend.id) = new;
         self.write_entry(backend, "ready");
     }
--- a/crates/limpetmux-soak/tests/checks.rs
+++ b/crates/limpetmux-soak/tests/checks.rs
@@ -101,6 +101,11 @@
     (facts, at)
 }
 
+/// Returns an arrival of the request `r`.
+fn arrival(at: Instant) -> Arrival {
+    Arrival { at, id: "r".into(), hold: None, server: "s".into(), limit: None }
+}
+
 fn request(facts: &mut Facts) -> &mut SentRequest {
     // `facts` puts the request `r` last.
     let last = facts.sent.len() - 1;
@@ -298,7 +303,7 @@
 #[test]
 fn requests_during_a_retry_after_are_found() {
     // Guards against a soak that misses requests to a server that has asked for none (rule BUDGET).
-    let arrival = |at, hold| Arrival { at, id: "r".into(), hold };
+    let arrival = |at, hold| Arrival { at, hold, ..arrival(at) };
     for (count, found) in [(2, 0), (3, 1)] {
         let (mut facts, at) = facts(Kind::Safe);
         let mut arrivals = vec![arrival(at, Some(SECOND * 3))];
@@ -402,3 +407,25 @@
         assert_eq!(check(&facts), [violation]);
     }
 }
+
+#[test]
+fn more_requests_than_a_named_limit_allows_are_reported() {
+    let found = |count: usize, spacing: Duration, interrupted: bool| {
+        let (mut facts, at) = facts(Kind::Safe);
+        let arrivals = (0..count).map(|n| {
+            let at = at + spacing * u32::try_from(n).expect("a small number");
+            Arrival { limit: Some(1.0), ..arrival(at) }
+        });
+        facts.arrivals.insert("plain 0".into(), arrivals.collect());
+        if interrupted {
+            facts.interruptions.push((0, at + SECOND, at + SECOND));
+        }
+        check(&facts)
+    };
+
+    assert_eq!(found(40, SECOND, false), []);
+    assert_eq!(found(40, Duration::from_millis(370), false), []);
+    let violation = Violation::NamedLimit("s".into(), 40, 11);
+    assert_eq!(found(400, SECOND / 10, false), [violation]);
+    assert_eq!(found(400, SECOND / 10, true), []);
+}
--- a/crates/limpetmux-standins/src/raw.rs
+++ b/crates/limpetmux-standins/src/raw.rs
@@ -19,7 +19,7 @@
         while let Ok((stream, _)) = listener.accept().await {
             let answer = Arc::clone(&answer);
             tokio::spawn(async move {
-                if let Err(error) = serve_one(stream, &answer).await {
+                if let Err(error) = serve_one(stream, &answer, true).await {
                     eprintln!("stand-in server failed: {error}");
                 }
             });
@@ -28,6 +28,41 @@
     Ok(addr)
 }
 
+/// An answer that breaks off.
+#[derive(Clone, Debug)]
+pub struct CutAnswer {
+    /// The bytes that are sent.
+    pub bytes: Vec<u8>,
+    /// Whether the connection is reset behind them; otherwise it closes in order.
+    pub resets: bool,
+}
+
+/// Answers every request with what `answer` returns, and then ends the connection.
+///
+/// Returns its address; it runs until the runtime ends.
+///
+/// # Errors
+/// Returns an error if no port can be bound.
+pub async fn serve_cut(
+    answer: impl Fn() -> CutAnswer + Send + 'static,
+) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer();
+            tokio::spawn(async move {
+                if answer.resets && stream.set_zero_linger().is_err() {
+                    return;
+                }
+                // The other side may end the connection first.
+                drop(serve_one(stream, &answer.bytes, !answer.resets).await);
+            });
+        }
+    });
+    Ok(addr)
+}
+
 /// Returns an answer that has neither a length nor chunks, so that it ends with its connection.
 pub fn unframed(body: &[u8]) -> Vec<u8> {
     [b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", body].concat()
@@ -90,11 +125,11 @@
 }
 
 /// Reads one request, as a close with unread bytes would be a reset, and answers it.
-async fn serve_one(stream: TcpStream, answer: &[u8]) -> std::io::Result<()> {
+async fn serve_one(stream: TcpStream, answer: &[u8], closes: bool) -> std::io::Result<()> {
     let mut stream = BufReader::new(stream);
     read_request(&mut stream).await?;
     stream.write_all(answer).await?;
-    stream.shutdown().await
+    if closes { stream.shutdown().await } else { Ok(()) }
 }
 
 /// A request as it was sent.
--- a/crates/limpetmux-standins/src/users/server.rs
+++ b/crates/limpetmux-standins/src/users/server.rs
@@ -45,6 +45,10 @@
     pub id: String,
     /// The time of the `Retry-After` that it was refused with.
     pub hold: Option<Duration>,
+    /// The id that the backend server had.
+    pub server: String,
+    /// The requests per second that its answer names as the limit.
+    pub limit: Option<f64>,
 }
 
 impl ReceivedRequest {
@@ -206,7 +210,13 @@
     let notices = state.notices.clone();
     let request = ReceivedRequest { leaving: notices.leaving, ..received(message, state.fault) };
     let id = request.header("x-limpetmux-request-id").to_owned();
-    state.arrivals.push(Arrival { at: request.at, id: id.clone(), hold: notices.hold() });
+    state.arrivals.push(Arrival {
+        at: request.at,
+        id: id.clone(),
+        hold: notices.hold(),
+        server: state.id.clone(),
+        limit: notices.limit.as_ref().and_then(|limit| limit.parse().ok()),
+    });
     if notices.retry_after.is_some() {
         return Reply { notices, ..Reply::refusal(503, &id, UsersFault::None) };
     }
--- a/tests/testsuite/backend_answers.rs
+++ b/tests/testsuite/backend_answers.rs
@@ -7,7 +7,8 @@
 use limpetmux::core::config::StageKind;
 use limpetmux::core::frames::{AttemptKey, RequestId};
 use limpetmux::core::keys::StageIndex;
-use limpetmux_standins::raw::{serve_bytes, unframed};
+use limpetmux_standins::raw::{CutAnswer, serve_bytes, serve_cut, unframed};
+use std::net::SocketAddr;
 use uuid::Uuid;
 
 /// Runs a call at a backend server that answers with `answer`; returns the payloads joined.
@@ -21,7 +22,12 @@
     prefix: &[&str],
     answer: Vec<u8>,
 ) -> Result<Bytes, BackendError> {
-    let url = format!("http://{}", serve_bytes(answer).await.unwrap());
+    run_at(serve_bytes(answer).await.unwrap(), kind, prefix).await
+}
+
+/// Runs a call at the backend server at an address.
+async fn run_at(addr: SocketAddr, kind: StageKind, prefix: &[&str]) -> Result<Bytes, BackendError> {
+    let url = format!("http://{addr}");
     let backend = Backend::http(OneCallClient::new().unwrap(), &url);
     let job = Job {
         key: AttemptKey { request: RequestId(Uuid::nil()), stage: StageIndex(0), attempt: 0 },
@@ -111,3 +117,24 @@
         assert!(resumed.is_err(), "{name}: {resumed:?}");
     }
 }
+
+#[tokio::test]
+async fn answer_that_stops_at_any_byte_of_its_head_is_not_passed_on() {
+    // Guards against a 200 with an empty or short body, framed as whole, of a backend server that
+    // stopped in the middle of its answer's head.
+    let event = "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\n\
+        data: [DONE]\n\n";
+    for (kind, answer) in
+        [(StageKind::Plain, framed("{\"a\":1}")), (StageKind::Generate, framed(event))]
+    {
+        for (cut, resets) in (0..answer.len()).flat_map(|cut| [(cut, false), (cut, true)]) {
+            let bytes = answer[..cut].to_vec();
+            let addr = serve_cut(move || CutAnswer { bytes: bytes.clone(), resets }).await;
+
+            let passed_on = run_at(addr.expect("a port"), kind, &[]).await;
+
+            assert!(passed_on.is_err(), "cut at {cut}: {passed_on:?}");
+        }
+        assert!(run(kind, answer).await.is_ok());
+    }
+}
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -6,6 +6,7 @@
 mod catalog;
 mod chain;
 mod crash_fixture;
+mod cut_heads;
 mod drain;
 mod endless_answers;
 mod endless_callers;
