Answer the requests that still run when the grace of a stopping entry ends

On the product's own interface a request that outlasted the grace of a planned stop was cut: its caller found the connection closed and did not know whether the request had run. It may have been taken during the stop, as an entry accepts requests for the three seconds in which balancers notice. The deadline of a stop now ends such requests with the code stopped and how much of them may have run, before the listeners close. The new test failed (both requests ended without an answer) and passes. The check of invariants counts such an answer as a cut too, so that the mutation of a drain that does not wait is still caught; reports_what_is_unfinished_at_deadline expects the new step.

--- a/crates/limpetmux-test-support/src/invariants/recorded_caller.rs
+++ b/crates/limpetmux-test-support/src/invariants/recorded_caller.rs
@@ -4,7 +4,7 @@
 use crate::http::{Caller, split_events};
 use crate::load::expected_summary;
 use futures::future::join_all;
-use limpetmux::core::refusal::Execution;
+use limpetmux::core::refusal::{Execution, RefusalCode};
 use limpetmux::util::hash::hash_bytes;
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -138,7 +138,9 @@
         let id = id.as_str().or(reply.body["request"].as_str());
         self.recorder.set_request_id(request, id.unwrap_or_default());
         let execution = reply.body["execution"].as_str().and_then(|e| e.parse::<Execution>().ok());
-        self.recorder.record(match execution {
+        // An answer that says so in place of a closed connection interrupts the request as well.
+        let is_stopped = reply.body["code"] == <&str>::from(RefusalCode::Stopped);
+        self.recorder.record(match execution.filter(|_| !is_stopped) {
             Some(execution) => Fact::Refused { request, execution },
             None if reply.is_answer() => Fact::Answered { request, text, expected },
             None => Fact::Cut { request },
--- a/crates/limpetmux-test-support/src/lone_entry.rs
+++ b/crates/limpetmux-test-support/src/lone_entry.rs
@@ -1,18 +1,24 @@
 //! An entry without the rest of a deployment, and hosts that answer its attempts as a test decides.
 
 use crate::http::Caller;
+use futures::FutureExt;
 use limpetmux::adapters::channel::Channels;
 use limpetmux::core::config::Config;
 use limpetmux::core::frames::AttemptKey;
 use limpetmux::core::revision::Revision;
+use limpetmux::core::shutdown::{DrainReport, ShutdownOptions};
 use limpetmux::core::view::View;
 use limpetmux::entry::{Entry, EntryOptions, Limits, Members};
-use limpetmux::kernel::Publisher;
+use limpetmux::kernel::{Kernel, Publisher};
+use limpetmux::node::process::{EntryListeners, Process, ProcessParts, run_entry};
 use limpetmux::util::metrics::Metrics;
+use limpetmux::wire::admin::StatusReply;
 use limpetmux::wire::stage::stage_server::Stage;
 use limpetmux::wire::{convert, stage};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 use tokio_stream::Iter;
 use tonic::{Request, Response, Status};
 
@@ -24,6 +30,53 @@
 /// Panics if no port can be bound or the configuration has no availability zone.
 pub async fn start(config: &Config) -> Caller {
     let view = Publisher::new(View::compile(Revision(1), config));
+    let (entry, listener) = (create(config, &view), bind().await);
+    let caller = caller(&listener);
+    tokio::spawn(async move {
+        let _view = view;
+        entry.serve(listener, std::future::pending(), Duration::ZERO).await
+    });
+    caller
+}
+
+/// Starts the process of such an entry, which stops at `signal`, and returns its caller and its report.
+///
+/// # Panics
+/// Panics if no port can be bound or the configuration has no availability zone.
+pub async fn start_process(
+    config: &Config,
+    times: ShutdownOptions,
+    signal: impl Future<Output = ()> + Send + 'static,
+) -> (Caller, JoinHandle<DrainReport>) {
+    let view = Publisher::new(View::compile(Revision(1), config));
+    let entry = create(config, &view);
+    let kernel = Arc::new(Kernel::new());
+    let parts = ProcessParts {
+        kernel: Arc::clone(&kernel),
+        channels: Channels::plain(),
+        times,
+        flush: Arc::new(|| async { true }.boxed()),
+        status: Arc::new(StatusReply::default),
+    };
+    let process = Process::entry(&entry, parts).unwrap();
+    let listeners = EntryListeners { http: bind().await, grpc: bind().await };
+    let caller = caller(&listeners.http);
+    let report = tokio::spawn(async move {
+        let _running = (view, kernel);
+        run_entry(entry, process, listeners, signal).await.unwrap()
+    });
+    (caller, report)
+}
+
+async fn bind() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.unwrap()
+}
+
+fn caller(listener: &TcpListener) -> Caller {
+    Caller::new(&limpetmux::entry::base_url(listener.local_addr().unwrap()))
+}
+
+fn create(config: &Config, view: &Publisher<View>) -> Arc<Entry> {
     let entry = Entry::start(EntryOptions {
         zone: config.zones.keys().next().unwrap().clone(),
         ordinal: 0,
@@ -33,13 +86,7 @@
         limits: Limits::default(),
         metrics: Metrics::none(),
     });
-    let (entry, listener) = (entry.unwrap(), TcpListener::bind("127.0.0.1:0").await.unwrap());
-    let caller = Caller::new(&limpetmux::entry::base_url(listener.local_addr().unwrap()));
-    tokio::spawn(async move {
-        let _view = view;
-        entry.serve(listener, std::future::pending(), Duration::ZERO).await
-    });
-    caller
+    entry.unwrap()
 }
 
 /// Returns the frames that answer an attempt; `None` leaves it without an answer.
--- a/src/limpetmux/core/refusal.rs
+++ b/src/limpetmux/core/refusal.rs
@@ -83,6 +83,8 @@
     Cancelled,
     /// The home cannot guarantee that it knows every claim of the idempotency key.
     Unvouched,
+    /// The process exits before the request has ended.
+    Stopped,
 }
 
 /// A typed refusal of a request or a stage.
--- a/src/limpetmux/core/shutdown/mod.rs
+++ b/src/limpetmux/core/shutdown/mod.rs
@@ -3,7 +3,8 @@
 //! SIGTERM and a drain order start the same sequence: the process reports that it is not ready
 //! while it still serves, so that the load balancer stops sending; then new work is refused as not
 //! run and running work finishes; then records that still have to reach the platform are flushed;
-//! then the process exits with a report. A deadline bounds the wait for running work, and a separate
+//! then the process exits with a report. A deadline bounds the wait for running work, which is then
+//! answered that its outcome is not known, and a separate
 //! time limit bounds the flush. See `docs/design/shutdown.md`.
 
 use crate::core::time::Moment;
@@ -77,6 +78,8 @@
     Unready,
     /// Refuse new work as not run.
     Refuse,
+    /// Answer the requests that still run, as the exit would cut them off.
+    Answer,
     /// Send outstanding records to the platform.
     Flush,
     /// Close the listeners and exit.
@@ -88,7 +91,7 @@
 pub struct DrainReport {
     /// The time from the order to the exit, in microseconds.
     pub took_us: u64,
-    /// Requests that still ran at the deadline and are cut off by the exit.
+    /// Requests that still ran at the deadline; an entry answers them, a sidecar cuts them off.
     pub unfinished: u32,
     /// Whether all records reached the platform.
     pub flushed: bool,
@@ -152,6 +155,9 @@
             self.phase = Phase::Flushing;
             self.unfinished = running;
             self.flush_deadline = now + self.options.flush;
+            if running > 0 {
+                actions.push(ShutdownAction::Answer);
+            }
             actions.push(ShutdownAction::Flush);
         }
         if self.phase == Phase::Flushing && now >= self.flush_deadline {
--- a/src/limpetmux/entry/attempt.rs
+++ b/src/limpetmux/entry/attempt.rs
@@ -222,7 +222,8 @@
         | RefusalCode::KeyReused
         | RefusalCode::Deadline
         | RefusalCode::Cancelled
-        | RefusalCode::Unvouched => false,
+        | RefusalCode::Unvouched
+        | RefusalCode::Stopped => false,
     };
     transient && (idempotent || refusal.execution == Execution::NotRun)
 }
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -49,6 +49,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 /// The options of an entry.
 pub struct EntryOptions {
@@ -78,6 +79,8 @@
     pub(crate) log_throttle: Throttle,
     unready: AtomicBool,
     draining: AtomicBool,
+    /// Whether running requests have to be answered now.
+    exiting: watch::Sender<bool>,
     inflight: AtomicU32,
 }
 
@@ -120,6 +123,7 @@
             log_throttle: Throttle::default(),
             unready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            exiting: watch::Sender::new(false),
             inflight: AtomicU32::new(0),
         });
         tokio::spawn(probe::run(Arc::downgrade(&entry)));
@@ -150,6 +154,17 @@
         self.draining.store(draining, Ordering::Release);
     }
 
+    /// Answers all running requests at once, as the process is about to exit.
+    pub fn answer_running(&self) {
+        self.exiting.send_replace(true);
+    }
+
+    /// Waits until running requests have to be answered because the process is about to exit.
+    pub(crate) async fn must_answer(&self) {
+        // The sender lives as long as the entry.
+        drop(self.exiting.subscribe().wait_for(|exiting| *exiting).await);
+    }
+
     /// Returns whether readiness checks succeed, so that the load balancer sends requests.
     pub fn is_ready(&self) -> bool {
         self.accepts() && !self.unready.load(Ordering::Acquire)
--- a/src/limpetmux/entry/pipeline.rs
+++ b/src/limpetmux/entry/pipeline.rs
@@ -47,8 +47,13 @@
     let started = Instant::now();
     let run = Run { entry, fleet, request, progress: Progress::default() };
     let stages = run_stages(&run, started, sink);
-    let result = tokio::time::timeout_at(started + request.deadline, stages).await;
-    let result = result.unwrap_or(Err(Refusal::unknown(RefusalCode::Deadline)));
+    let result = tokio::select! {
+        biased;
+        result = tokio::time::timeout_at(started + request.deadline, stages) => {
+            result.unwrap_or(Err(Refusal::unknown(RefusalCode::Deadline)))
+        }
+        () = entry.must_answer() => Err(Refusal::unknown(RefusalCode::Stopped)),
+    };
     let result =
         result.map_err(|refusal| Refusal { execution: run.progress.execution(), ..refusal });
     let is_late = match &result {
--- a/src/limpetmux/entry/problem.rs
+++ b/src/limpetmux/entry/problem.rs
@@ -92,6 +92,7 @@
         RefusalCode::Overloaded
         | RefusalCode::Cold
         | RefusalCode::Draining
+        | RefusalCode::Stopped
         | RefusalCode::ZoneOut
         | RefusalCode::Stale
         | RefusalCode::Unconfigured
@@ -118,5 +119,6 @@
         RefusalCode::NotHome => "the host of the idempotency key is not available",
         RefusalCode::Cancelled => "the request was cancelled",
         RefusalCode::Unvouched => "the outcome of the idempotency key is not known",
+        RefusalCode::Stopped => "the process exits before the request has ended",
     }
 }
--- a/src/limpetmux/node/process.rs
+++ b/src/limpetmux/node/process.rs
@@ -75,6 +75,8 @@
         let hooks = ShutdownHooks {
             unready: Arc::new(|| ()),
             refuse: Arc::new(move || refusing.gate().set_draining(true)),
+            // Entries know which of their attempts may have run.
+            answer: Arc::new(|| ()),
             running: Arc::new(move || running.running()),
             flush: parts.flush,
         };
@@ -90,10 +92,11 @@
     /// Returns [`KernelError::AlreadyRegistered`] if the kernel already has a shutdown service.
     pub fn entry(entry: &Arc<Entry>, parts: ProcessParts) -> Result<Self, KernelError> {
         let (unready, refusing) = (Arc::clone(entry), Arc::clone(entry));
-        let running = Arc::clone(entry);
+        let (answering, running) = (Arc::clone(entry), Arc::clone(entry));
         let hooks = ShutdownHooks {
             unready: Arc::new(move || unready.set_unready()),
             refuse: Arc::new(move || refusing.set_draining(true)),
+            answer: Arc::new(move || answering.answer_running()),
             running: Arc::new(move || running.inflight()),
             flush: parts.flush,
         };
--- a/src/limpetmux/shutdown/mod.rs
+++ b/src/limpetmux/shutdown/mod.rs
@@ -38,6 +38,8 @@
     pub unready: Arc<dyn Fn() + Send + Sync>,
     /// Makes the role refuse new work as not run.
     pub refuse: Arc<dyn Fn() + Send + Sync>,
+    /// Answers all running requests at once.
+    pub answer: Arc<dyn Fn() + Send + Sync>,
     /// Returns the number of running requests.
     pub running: Arc<dyn Fn() -> u32 + Send + Sync>,
     /// Sends the pending records to the platform; returns whether all were delivered.
@@ -146,6 +148,7 @@
                     (self.hooks.unready)();
                 }
                 ShutdownAction::Refuse => (self.hooks.refuse)(),
+                ShutdownAction::Answer => (self.hooks.answer)(),
                 ShutdownAction::Flush => self.flush = Some((self.hooks.flush)()),
                 ShutdownAction::Exit(result) => report = Some(result),
             }
--- a/tests/testsuite/admin.rs
+++ b/tests/testsuite/admin.rs
@@ -36,6 +36,7 @@
     let hooks = ShutdownHooks {
         unready: Arc::new(noop),
         refuse: Arc::new(noop),
+        answer: Arc::new(noop),
         running: Arc::new(move || running.load(Ordering::SeqCst)),
         flush: Arc::new(|| async { true }.boxed()),
     };
--- a/tests/testsuite/channel_not_run.rs
+++ b/tests/testsuite/channel_not_run.rs
@@ -27,14 +27,15 @@
 /// The longest that a machine under load may take for a few calls.
 const MAX_WAIT: Duration = Duration::from_secs(20);
 
-type Arrived = Arc<Mutex<BTreeSet<String>>>;
+/// The ids of the requests that arrived at a host.
+pub(super) type Arrived = Arc<Mutex<BTreeSet<String>>>;
 
 fn lock(arrived: &Arrived) -> MutexGuard<'_, BTreeSet<String>> {
     arrived.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// A host that records the requests that arrive and answers none.
-fn silent_host(arrived: &Arrived) -> FakeStage {
+pub(super) fn silent_host(arrived: &Arrived) -> FakeStage {
     let arrived = Arc::clone(arrived);
     FakeStage::new(move |key| {
         lock(&arrived).insert(key.request.to_string());
@@ -59,7 +60,7 @@
 }
 
 /// Returns a configuration whose first stage has one host only.
-fn one_host(addr: SocketAddr) -> Config {
+pub(super) fn one_host(addr: SocketAddr) -> Config {
     let mut config = summary_config();
     let encode = name("encode");
     let ids: Vec<_> = config.hosts.iter().filter(|(_, h)| h.service == encode).collect();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -57,4 +57,5 @@
 mod shutdown;
 mod standins;
 mod starting;
+mod stopping_entry;
 mod zones;
--- a/tests/testsuite/shutdown.rs
+++ b/tests/testsuite/shutdown.rs
@@ -48,7 +48,7 @@
     let flush = shutdown.tick(at(1_010), 7);
     let end = shutdown.tick(at(6_010), 7);
 
-    assert_eq!(flush, [ShutdownAction::Flush]);
+    assert_eq!(flush, [ShutdownAction::Answer, ShutdownAction::Flush]);
     let report = DrainReport { took_us: 6_010_000, unfinished: 7, flushed: false };
     assert_eq!(end, [ShutdownAction::Exit(report)]);
 }
@@ -98,6 +98,7 @@
     ShutdownHooks {
         unready: Arc::new(note("unready")),
         refuse: Arc::new(note("refuse")),
+        answer: Arc::new(note("answer")),
         running: Arc::new(move || running.load(Ordering::SeqCst)),
         flush: Arc::new(move || {
             flush();
