Do not count nodes of an earlier version, which know no grants, as silent

During a rolling upgrade each request to a limited server would have closed the connection to such a node and skipped it for a while, for pulls and placements too. Not run against an earlier version.

--- a/src/limpetmux/serve/quota.rs
+++ b/src/limpetmux/serve/quota.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 use strum::IntoStaticStr;
 use tokio::time::{sleep, timeout};
+use tonic::Code;
 
 /// The time allowed for the answer of the node that grants.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -188,6 +189,8 @@
         let call = async { self.peers.client(addr)?.grant(message).await };
         let reason = match timeout(GRANT_TIMEOUT, call).await {
             Ok(Ok(reply)) => return grant(&reply.into_inner()),
+            // A node of an earlier version, which does everything else.
+            Ok(Err(status)) if status.code() == Code::Unimplemented => return None,
             Ok(Err(status)) => status.to_string(),
             Err(_) => "no answer in time".to_owned(),
         };
