Ask again whether a request that waited for its turn may be sent, and count it while it waits

A wait for a grant lies between the choice of a server and the send. Meanwhile the server may have begun to drain or its zone may be evacuated, and the caller's key may be revoked; so this is asked again. And a caller that left during the wait left the request counted as in flight at the server for good, as the count ended only with the attempt; the attempt begins before the wait now. Both found by reading; no test shows them.

--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -10,8 +10,9 @@
 use super::engines::{self, InputLocation, PlacedEngine};
 use super::failure::{Failure, Reason};
 use super::inputs::Inputs;
-use super::node::Shared;
+use super::node::{Shared, StoreView};
 use super::plain;
+use super::quota::QuotaDenied;
 use super::request::{RoutedRequest, authorize, check_parts};
 use super::stream::Body;
 use crate::core::answer_proof::{self, Proof};
@@ -95,11 +96,11 @@
         Attempts { shared, routed, planned, location, excluded: Vec::new(), runs: 0, refusals: 0 };
     let mut fallback = None;
     loop {
-        let (server, choice) = match attempts.find_server().await {
+        let (server, choice, attempt) = match attempts.find_server().await {
             Ok(found) => found,
             Err(failure) => return fallback.ok_or(attempts.lost_if_run(failure)),
         };
-        match attempts.send_once(&server, choice, &mut inputs).await? {
+        match attempts.send_once(&server, choice, attempt, &mut inputs).await? {
             SendOutcome::Answer(answer) => return Ok(answer),
             SendOutcome::NotRun(reason) => {
                 attempts.refusals += 1;
@@ -129,27 +130,29 @@
 
 impl Attempts<'_> {
     /// Searches for a backend server for a part of the remaining time.
-    async fn find_server(&self) -> Result<(Server, Option<PlacedEngine>), Failure> {
+    async fn find_server(&self) -> Result<(Server, Option<PlacedEngine>, Attempt), Failure> {
         let until = clock::boot() + self.routed.time_left() / SEARCH_TIME_DIVISOR;
         loop {
             let choice = self.choose_engine().await?;
-            let picked = self.pick(choice.as_ref())?;
-            let is_denied = picked.is_some();
-            if let Some((server, trial)) = picked {
-                if self.take_quota(&server).await {
-                    if let Some(part) = trial {
-                        begin_trial(self.shared, &self.routed.head, part, &server.id);
-                    }
-                    let choice = choice.filter(|c| c.server == server.id);
-                    return Ok((server, choice));
+            let Some((server, trial)) = self.pick(choice.as_ref())? else {
+                if clock::boot() >= until || !self.excluded.is_empty() {
+                    return Err(Failure::with_retry(Reason::Unavailable, FULL_RETRY_DELAY));
                 }
-                self.shared.placement().finished(clock::boot(), &server.id, PlaceEnd::Neutral);
-            }
-            if clock::boot() >= until || !(is_denied || self.excluded.is_empty()) {
-                return Err(Failure::with_retry(Reason::Unavailable, FULL_RETRY_DELAY));
-            }
-            if !is_denied {
                 sleep(SEARCH_PAUSE).await;
+                continue;
+            };
+            // Counts the request at its server from here on, and no more if it is not sent.
+            let mut attempt = Attempt::new(self.shared, self.routed, &server, clock::boot());
+            if self.take_quota(&server).await? {
+                if let Some(part) = trial {
+                    begin_trial(self.shared, &self.routed.head, part, &server.id);
+                }
+                let choice = choice.filter(|c| c.server == server.id);
+                attempt.expected = choice.as_ref().map(|c| c.expected);
+                return Ok((server, choice, attempt));
+            }
+            if clock::boot() >= until {
+                return Err(Failure::with_retry(Reason::Limited, FULL_RETRY_DELAY));
             }
         }
     }
@@ -160,9 +163,35 @@
     }
 
     /// Takes one request from what a limited backend server accepts; returns whether it may be sent.
-    async fn take_quota(&self, server: &Server) -> bool {
+    async fn take_quota(&self, server: &Server) -> Result<bool, Failure> {
         let request = &self.routed.head.id;
-        self.shared.take_quota(request, server, self.patience()).await.is_ok()
+        match self.shared.take_quota(request, server, self.patience()).await {
+            Ok(Duration::ZERO) => Ok(true),
+            Ok(_) => self.is_allowed(server),
+            Err(QuotaDenied) => Ok(false),
+        }
+    }
+
+    /// Returns whether the request, which has waited for its turn, may still be sent to its backend
+    /// server.
+    fn is_allowed(&self, server: &Server) -> Result<bool, Failure> {
+        let view = self.shared.view.load();
+        self.authorize(&view)?;
+        let servers = self.shared.open_or_limited(&view, &self.routed.service)?;
+        Ok(servers.iter().any(|s| s.id == server.id && s.started_ms == server.started_ms))
+    }
+
+    /// Refuses the request if its route or its key is not in the view.
+    fn authorize(&self, view: &StoreView) -> Result<(), Failure> {
+        let routed = self.routed;
+        let Some(config) = &view.orders.config else {
+            return Err(Failure::with_retry(Reason::NoConfig, FULL_RETRY_DELAY));
+        };
+        let catalog = &config.catalog;
+        let route = catalog.route(&routed.head.host, &routed.head.path);
+        let route = route.ok_or(Failure::new(Reason::NoRoute))?;
+        authorize(self.shared, view, catalog, &catalog.routes[route], &routed.head)?;
+        Ok(())
     }
 
     /// Lets the queue node of a pool of model engines choose one; `None` for other pools.
@@ -217,14 +246,9 @@
         let now = clock::boot();
         let view = self.shared.view.load();
         let routed = self.routed;
-        let Some(config) = &view.orders.config else {
-            return Err(Failure::with_retry(Reason::NoConfig, FULL_RETRY_DELAY));
-        };
-        let catalog = &config.catalog;
-        let route = catalog.route(&routed.head.host, &routed.head.path);
-        let route = route.ok_or(Failure::new(Reason::NoRoute))?;
-        authorize(self.shared, &view, catalog, &catalog.routes[route], &routed.head)?;
+        self.authorize(&view)?;
         let trial = check_parts(self.shared, &routed.head)?;
+        let catalog = view.orders.config.as_ref().map_or(&routed.catalog, |c| &c.catalog);
         let pool = catalog.pool(&routed.service).or_else(|| routed.catalog.pool(&routed.service));
         let entries = self.shared.nodes().entries(now);
         let query = self.query(pool, &entries, choice);
@@ -258,12 +282,12 @@
         &self,
         server: &Server,
         choice: Option<PlacedEngine>,
+        mut attempt: Attempt,
         inputs: &mut Option<Inputs>,
     ) -> Result<SendOutcome, Failure> {
         let (shared, routed) = (self.shared, self.routed);
         let began = clock::boot();
-        let mut attempt = Attempt::new(shared, routed, server, began);
-        attempt.expected = choice.as_ref().map(|c| c.expected);
+        attempt.began = began;
         let results = inputs.as_ref().map(|i| i.results.as_slice()).unwrap_or_default();
         let added = AddedHeaders {
             server: &server.id,
--- a/src/limpetmux/serve/quota.rs
+++ b/src/limpetmux/serve/quota.rs
@@ -60,7 +60,9 @@
 impl Shared {
     /// Waits until a request may be sent to a backend server, for at most `patience`.
     ///
-    /// This has to be the last step before the request is sent; a grant that is not used is lost.
+    /// This has to be the last decision before the request is sent; a grant that is not used is lost.
+    /// Returns the time that it took, in which the other decisions may have become wrong; zero for a
+    /// backend server without a limit.
     ///
     /// # Errors
     /// Returns an error if the backend server has a limit and its turn is later; until then the backend
@@ -70,9 +72,10 @@
         request: &str,
         server: &Server,
         patience: Duration,
-    ) -> Result<(), QuotaDenied> {
+    ) -> Result<Duration, QuotaDenied> {
         let incarnation = Incarnation::of(server);
-        let Some(rate) = self.notices.limit(&incarnation) else { return Ok(()) };
+        let Some(rate) = self.notices.limit(&incarnation) else { return Ok(Duration::ZERO) };
+        let began = clock::boot();
         let mut granter = self.granter(&server.service);
         let grant = match granter {
             Granter::Local => Some(self.grant_local(&incarnation, rate, patience)),
@@ -90,7 +93,7 @@
         match grant {
             Grant::Given(wait) => {
                 sleep(wait).await;
-                Ok(())
+                Ok(clock::boot().since(began))
             }
             Grant::Denied(opens_in) => {
                 self.notices.deny(&incarnation, opens_in);
--- a/src/limpetmux/stage_queues/call.rs
+++ b/src/limpetmux/stage_queues/call.rs
@@ -140,7 +140,7 @@
     let permitted = shared.take_quota("", server, FREE_PATIENCE).await;
     let results = queues.take_delayed(addr);
     match permitted {
-        Ok(()) => send_free(queues, service, addr, results).await,
+        Ok(_) => send_free(queues, service, addr, results).await,
         Err(QuotaDenied) => {
             event!(EventCode::FreeFailed, addr = addr, reason = "the limit is used up");
         }
