--- a/review/support/mod.rs
+++ b/review/support/mod.rs
@@ -116,6 +116,8 @@
     mode: Arc<AtomicU8>,
     /// When the door last answered a read of the list of backend servers.
     read_at: Arc<Mutex<Option<Instant>>>,
+    /// When it last refused one.
+    refused_at: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Door {
@@ -126,6 +128,10 @@
     pub fn last_read(&self) -> Option<Instant> {
         *self.read_at.lock().unwrap()
     }
+
+    pub fn last_refused(&self) -> Option<Instant> {
+        *self.refused_at.lock().unwrap()
+    }
 }
 
 impl Store {
@@ -146,7 +152,12 @@
     pub fn door(&self) -> Door {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let addr = listener.local_addr().unwrap();
-        let door = Door { addr, mode: Arc::default(), read_at: Arc::default() };
+        let door = Door {
+            addr,
+            mode: Arc::default(),
+            read_at: Arc::default(),
+            refused_at: Arc::default(),
+        };
         let (store, at) = (self.clone(), door.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -172,6 +183,9 @@
                     *door.read_at.lock().unwrap() = Some(Instant::now());
                 }
             }
+            if status == 503 && call.target().contains("topic=keyed.servers") {
+                *door.refused_at.lock().unwrap() = Some(Instant::now());
+            }
             let head = format!("HTTP/1.1 {status} S\r\ncontent-length: {}\r\n\r\n", body.len());
             stream.write_all(&[head.as_bytes(), &body].concat())?;
         }
@@ -247,7 +261,8 @@
     const CODE: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0_u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
+        let word =
+            chunk.iter().fold(0_u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
         for place in 0..4 {
             let index = (word >> (18 - 6 * place)) & 63;
             text.push(if place <= chunk.len() { char::from(CODE[index as usize]) } else { '=' });
@@ -367,7 +382,8 @@
         let until = Instant::now() + Duration::from_secs(20);
         while Instant::now() < until {
             let ready = |n: &Node| {
-                call(n.ready, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n").is_ok_and(|a| a.status() == 200)
+                call(n.ready, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n")
+                    .is_ok_and(|a| a.status() == 200)
             };
             if self.entries().all(ready) {
                 return true;
