Let the callers of review case 2 send around planned work

Cause: the rule's first sentence speaks of connections that close without an answer, and an answer that stops halfway could be read as one; the processes had also started less than contact-ms before.

--- a/review/support/mod.rs
+++ b/review/support/mod.rs
@@ -428,6 +428,13 @@
         assert!(done.is_ok_and(|status| status.success()), "the signal was sent");
     }
 
+    /// Changes the settings file in its layout alone, and sends SIGHUP.
+    pub fn reload(&self) {
+        let text = std::fs::read_to_string(self.settings()).expect("settings can be read");
+        std::fs::write(self.settings(), text + "\n").expect("settings can be written");
+        self.signal("HUP");
+    }
+
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
