Let tests share one fake host of idempotency keys

Cause: three tests implemented the same gRPC service, each with the calls that it does not use. Change: FakeOnce in the test support answers look-ups and tables by closures; the three tests use it.

--- a/tests/testsuite/endless_entry.rs
+++ b/tests/testsuite/endless_entry.rs
@@ -16,17 +16,16 @@
 use limpetmux::util::hash::StreamHash;
 use limpetmux::util::metrics::Metrics;
 use limpetmux::wire::once::once_client::OnceClient;
-use limpetmux::wire::once::once_server::{Once, OnceServer};
+use limpetmux::wire::once::once_server::OnceServer;
 use limpetmux::wire::stage::frame::Kind;
 use limpetmux::wire::stage::stage_server::{Stage, StageServer};
 use limpetmux::wire::{convert, once, stage};
 use limpetmux_test_support::config::summary_config;
-use limpetmux_test_support::fake_log::FakeLog;
 use limpetmux_test_support::http::{Answer, Caller};
+use limpetmux_test_support::{FakeLog, FakeOnce};
 use prost::Message;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -58,7 +57,7 @@
 /// An answer without pieces.
 pub(super) const NO_PIECES: Pieces = Pieces { count: 0, bytes: 0 };
 
-/// A host that answers attempts with pieces after a wait, and look-ups not at all.
+/// A host that answers attempts with pieces after a wait.
 struct FakeHost {
     pieces: Pieces,
     wait: Duration,
@@ -93,37 +92,6 @@
     }
 }
 
-#[tonic::async_trait]
-impl Once for FakeHost {
-    async fn promise(
-        &self,
-        _: Request<once::PromiseRequest>,
-    ) -> Result<Response<once::PromiseReply>, Status> {
-        Err(Status::unimplemented("no promise"))
-    }
-
-    async fn forward_claims(
-        &self,
-        _: Request<once::ForwardClaimsRequest>,
-    ) -> Result<Response<once::ForwardClaimsReply>, Status> {
-        Err(Status::unimplemented("no claims"))
-    }
-
-    async fn hand_over(
-        &self,
-        _: Request<once::HandOverRequest>,
-    ) -> Result<Response<once::HandOverReply>, Status> {
-        Err(Status::unimplemented("no handover"))
-    }
-
-    async fn look_up(
-        &self,
-        _: Request<once::LookUpRequest>,
-    ) -> Result<Response<once::LookUpReply>, Status> {
-        std::future::pending().await
-    }
-}
-
 /// Returns the frames of a complete answer: blanks, then the JSON value 1.
 fn frames(key: AttemptKey, pieces: Pieces) -> impl Iterator<Item = stage::Frame> + Send {
     let blank = " ".repeat(pieces.bytes);
@@ -161,9 +129,9 @@
         for host in config.hosts.values_mut().filter(|h| is_faked(&h.service)) {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             host.sidecar = listener.local_addr().unwrap();
-            let fake = Arc::new(FakeHost { pieces, wait });
-            let routes = Routes::new(StageServer::from_arc(Arc::clone(&fake)));
-            let routes = routes.add_service(OnceServer::from_arc(fake));
+            let silent = FakeOnce::default().look_up(std::future::pending);
+            let routes = Routes::new(StageServer::new(FakeHost { pieces, wait }));
+            let routes = routes.add_service(OnceServer::new(silent));
             tokio::spawn(async move {
                 Channels::plain().serve(routes, listener, std::future::pending()).await
             });
--- a/tests/testsuite/entry_not_run.rs
+++ b/tests/testsuite/entry_not_run.rs
@@ -4,10 +4,11 @@
 use limpetmux::core::config::Name;
 use limpetmux::core::frames::AttemptKey;
 use limpetmux::core::refusal::{Refusal, RefusalCode};
-use limpetmux::wire::once::once_server::{Once, OnceServer};
+use limpetmux::wire::once::once_server::OnceServer;
 use limpetmux::wire::stage::frame::Kind;
 use limpetmux::wire::stage::stage_server::StageServer;
 use limpetmux::wire::{convert, once, stage};
+use limpetmux_test_support::FakeOnce;
 use limpetmux_test_support::config::summary_config;
 use limpetmux_test_support::http::Caller;
 use limpetmux_test_support::lone_entry::{self, FakeStage};
@@ -17,8 +18,8 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
+use tonic::Status;
 use tonic::service::Routes;
-use tonic::{Request, Response, Status};
 use uuid::Uuid;
 
 const WORKSPACE: &str = "exchange";
@@ -36,48 +37,16 @@
 /// The state of a host that does not answer look-ups.
 const SILENT: &str = "silent";
 
-/// A host that answers look-ups with a given state.
-struct FakeOnce {
-    state: Arc<Mutex<&'static str>>,
-}
-
-#[tonic::async_trait]
-impl Once for FakeOnce {
-    async fn promise(
-        &self,
-        _: Request<once::PromiseRequest>,
-    ) -> Result<Response<once::PromiseReply>, Status> {
-        Err(Status::unimplemented("no promise"))
+/// Answers a look-up with a given state.
+async fn look_up(state: &'static str) -> Result<once::LookUpReply, Status> {
+    if state == SILENT {
+        return Err(Status::unavailable("the host does not answer"));
     }
-
-    async fn forward_claims(
-        &self,
-        _: Request<once::ForwardClaimsRequest>,
-    ) -> Result<Response<once::ForwardClaimsReply>, Status> {
-        Err(Status::unimplemented("no claims"))
-    }
-
-    async fn hand_over(
-        &self,
-        _: Request<once::HandOverRequest>,
-    ) -> Result<Response<once::HandOverReply>, Status> {
-        Err(Status::unimplemented("no handover"))
-    }
-
-    async fn look_up(
-        &self,
-        _: Request<once::LookUpRequest>,
-    ) -> Result<Response<once::LookUpReply>, Status> {
-        let state = *self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        if state == SILENT {
-            return Err(Status::unavailable("the host does not answer"));
-        }
-        let reported = state.strip_prefix(LATE).unwrap_or(state).to_owned();
-        if reported != state {
-            sleep(LATE_TIME).await;
-        }
-        Ok(Response::new(once::LookUpReply { state: reported, ..once::LookUpReply::default() }))
+    let reported = state.strip_prefix(LATE).unwrap_or(state).to_owned();
+    if reported != state {
+        sleep(LATE_TIME).await;
     }
+    Ok(once::LookUpReply { state: reported, ..once::LookUpReply::default() })
 }
 
 /// An entry in front of hosts that answer as given.
@@ -109,7 +78,9 @@
                 Some(frames(key))
             });
             let routes = Routes::new(StageServer::new(fake));
-            let routes = routes.add_service(OnceServer::new(FakeOnce { state }));
+            let fake = FakeOnce::default()
+                .look_up(move || look_up(*state.lock().unwrap_or_else(PoisonError::into_inner)));
+            let routes = routes.add_service(OnceServer::new(fake));
             tokio::spawn(async move {
                 Channels::plain().serve(routes, listener, std::future::pending()).await
             });
--- a/tests/testsuite/once_gate.rs
+++ b/tests/testsuite/once_gate.rs
@@ -11,9 +11,9 @@
 use limpetmux::kernel::Publisher;
 use limpetmux::sidecar::once::{Decision, OnceGate, OnceOptions, ScopedKey};
 use limpetmux::wire::once;
-use limpetmux::wire::once::once_server::{Once, OnceServer};
-use limpetmux_test_support::FakeLog;
+use limpetmux::wire::once::once_server::OnceServer;
 use limpetmux_test_support::config::summary_config;
+use limpetmux_test_support::{FakeLog, FakeOnce};
 use std::future::Future;
 use std::pin::pin;
 use std::sync::Arc;
@@ -21,8 +21,8 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep, timeout};
+use tonic::Status;
 use tonic::service::Routes;
-use tonic::{Request, Response, Status};
 use uuid::Uuid;
 
 const WORKSPACE: &str = "exchange";
@@ -33,47 +33,19 @@
 /// Longer than any step of these tests takes.
 const LONG: Duration = Duration::from_secs(10);
 
-/// A successor that answers the first table as given and accepts each further one.
-#[derive(Clone)]
-struct FakeSuccessor {
-    /// Whether it refuses the first table; it does not answer it otherwise.
-    refuses: bool,
-    tables: Arc<AtomicU32>,
-}
-
-#[tonic::async_trait]
-impl Once for FakeSuccessor {
-    async fn promise(
-        &self,
-        _: Request<once::PromiseRequest>,
-    ) -> Result<Response<once::PromiseReply>, Status> {
-        Err(Status::unimplemented("no promise"))
-    }
-
-    async fn forward_claims(
-        &self,
-        _: Request<once::ForwardClaimsRequest>,
-    ) -> Result<Response<once::ForwardClaimsReply>, Status> {
-        Err(Status::unimplemented("no claims"))
-    }
-
-    async fn hand_over(
-        &self,
-        _: Request<once::HandOverRequest>,
-    ) -> Result<Response<once::HandOverReply>, Status> {
-        let is_first = self.tables.fetch_add(1, Ordering::SeqCst) == 0;
-        if is_first && !self.refuses {
+/// Returns a successor that refuses the first table, or does not answer it, and accepts each further
+/// one, and the number of tables that it has received.
+fn successor(refuses: bool) -> (FakeOnce, Arc<AtomicU32>) {
+    let tables = Arc::<AtomicU32>::default();
+    let received = Arc::clone(&tables);
+    let successor = FakeOnce::default().hand_over(move || {
+        let is_first = received.fetch_add(1, Ordering::SeqCst) == 0;
+        if is_first && !refuses {
             return Err(Status::unavailable("the reply is lost"));
         }
-        Ok(Response::new(once::HandOverReply { accepted: !is_first }))
-    }
-
-    async fn look_up(
-        &self,
-        _: Request<once::LookUpRequest>,
-    ) -> Result<Response<once::LookUpReply>, Status> {
-        Ok(Response::new(once::LookUpReply::default()))
-    }
+        Ok(once::HandOverReply { accepted: !is_first })
+    });
+    (successor, tables)
 }
 
 /// A home in front of such a successor.
@@ -90,15 +62,14 @@
     /// Starts a home and waits until it runs keys.
     async fn start(refuses: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let successor = FakeSuccessor { refuses, tables: Arc::default() };
+        let (successor, tables) = successor(refuses);
         let mut config = summary_config();
         let hosts = config.hosts.iter_mut().filter(|(_, h)| h.service.as_str() == "provisioning");
         let [(name, _), (_, other)] = <[_; 2]>::try_from(hosts.collect::<Vec<_>>()).unwrap();
         let name = name.clone();
         other.sidecar = listener.local_addr().unwrap();
         let view = Publisher::new(View::compile(Revision(1), &config));
-        let (log, draining, tables) =
-            (FakeLog::new(), Arc::default(), Arc::clone(&successor.tables));
+        let (log, draining) = (FakeLog::new(), Arc::default());
         let gate = OnceGate::start(OnceOptions {
             host: name.clone(),
             view: view.reader(),
