Read the load and the speed that backend servers state

Cause: the answers of some backend servers state how many requests run and wait there, their slots, and by how much longer work takes now. Nothing read it: entries knew only their own requests, and piece queues guessed slowness from the durations of past calls, which cannot follow a figure that changes many times a second.

Change: the adapter decodes the header strictly, on answers to requests and to calls for pieces. A bad slowdown leaves the counts, a bad header states nothing; both are counted and take no server out. Answers of another server or to another request state nothing. Piece queues divide durations by it and use it for the choice of a worker, waits, rates and timeouts; plain requests go to the least expected end where loads are stated. Where none is, nothing changes.

--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -42,3 +42,4 @@
 pub mod shutdown;
 pub mod time;
 pub mod view;
+pub mod work;
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::core::catalog::PieceSpec;
 use crate::core::time::Moment;
+use crate::core::work::load::ServerLoad;
 use job::Job;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -98,6 +99,13 @@
         self.workers.retain(|_, w| w.usable || w.is_busy() || !w.results.is_empty());
     }
 
+    /// Records the load that a backend server states in the answer to a call.
+    pub fn record_load(&mut self, now: Moment, server: &str, load: ServerLoad) {
+        if let Some(worker) = self.workers.get_mut(server) {
+            worker.record_load(now, load);
+        }
+    }
+
     /// Adds a stage of a request; a later step reports its end.
     ///
     /// # Errors
@@ -173,7 +181,7 @@
                 key,
                 server: Arc::clone(&id),
                 addr: worker.spec.addr,
-                timeout: expected.mul_f64(worker.slowness.max(1.0)) * TIMEOUT_FACTOR
+                timeout: expected.mul_f64(worker.slowness(now, expected).max(1.0)) * TIMEOUT_FACTOR
                     + TIMEOUT_MARGIN,
                 items: items.iter().filter_map(|i| call_item(now, &self.jobs, *i)).collect(),
             };
@@ -283,7 +291,7 @@
             if items.is_empty() || !self.is_worthwhile(now, worker, items.len()) {
                 continue;
             }
-            let score = self.score(worker, &items);
+            let score = self.score(now, worker, &items);
             if best.as_ref().is_none_or(|(best_score, ..)| score > *best_score) {
                 best = Some((score, Arc::clone(&worker.spec.id), items));
             }
@@ -318,19 +326,22 @@
 
     /// Returns whether a slow backend server would finish the pieces before the others could.
     fn is_worthwhile(&self, now: Moment, worker: &Worker, items: usize) -> bool {
-        if worker.slowness <= worker::USUAL_SLOWNESS {
+        let call_time = self.call_time(items);
+        let slowness = worker.slowness(now, call_time);
+        if slowness <= worker::USUAL_SLOWNESS {
             return true;
         }
-        let slow_time = self.call_time(items).mul_f64(worker.slowness);
+        let slow_time = call_time.mul_f64(slowness);
         let open = self.jobs.values().map(Job::open_count).sum();
-        slow_time < self.drain_time(now, open) + self.call_time(items)
+        slow_time < self.drain_time(now, open) + call_time
     }
 
     /// Returns the score of a call; fast backend servers and pieces in their own zone raise it.
-    fn score(&self, worker: &Worker, items: &[worker::Item]) -> f64 {
+    fn score(&self, now: Moment, worker: &Worker, items: &[worker::Item]) -> f64 {
         let in_zone =
             items.iter().filter(|i| !self.jobs[&i.job].needs_other_zone(&worker.spec.zone));
-        (items.len() as f64 + in_zone.count() as f64) / worker.slowness
+        let slowness = worker.slowness(now, self.call_time(items.len()));
+        (items.len() as f64 + in_zone.count() as f64) / slowness
     }
 
     /// Returns whether a stage has enough time left to wait for a backend server in its zone.
@@ -353,7 +364,7 @@
     fn speed(&self, now: Moment) -> f64 {
         let call_time = self.call_time(self.spec.batch.max(1));
         let available = self.workers.values().filter(|w| w.is_available(now));
-        available.map(|w| w.speed(call_time)).sum()
+        available.map(|w| w.speed(now, call_time)).sum()
     }
 
     /// Returns how long the available backend servers need for a number of pieces.
--- a/src/limpetmux/core/pieces/worker.rs
+++ b/src/limpetmux/core/pieces/worker.rs
@@ -2,6 +2,8 @@
 
 use super::job::{JobKey, Source};
 use crate::core::time::Moment;
+use crate::core::work::load::ServerLoad;
+use crate::core::work::speed::SpeedRecord;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -139,6 +141,8 @@
     sizes: Vec<u64>,
     sent: Moment,
     expected: Duration,
+    /// The slowdown that was expected when it was sent.
+    slowdown: f64,
     retention: Duration,
     reissued: bool,
 }
@@ -150,8 +154,11 @@
     pub(super) usable: bool,
     /// Whether another backend server was found at its address.
     pub(super) replaced: bool,
-    /// Moving average of the actual time of a call divided by its expected time.
-    pub(super) slowness: f64,
+    /// Moving average of the actual time of a call divided by its expected time at the stated
+    /// slowdown.
+    slowness: f64,
+    /// The slowdowns that it has stated.
+    stated: SpeedRecord,
     /// Results that take up room, with their sizes in bytes and when they expire.
     pub(super) results: BTreeMap<Arc<str>, (u64, Moment)>,
     running: Option<Running>,
@@ -175,6 +182,7 @@
             usable: true,
             replaced: false,
             slowness: 1.0,
+            stated: SpeedRecord::default(),
             results: BTreeMap::new(),
             running: None,
             unconfirmed: Vec::new(),
@@ -199,9 +207,23 @@
         self.usable && !self.replaced && now >= self.paused_until
     }
 
+    /// Returns by how much longer than usual a call of a usual time takes that is sent now: by what it
+    /// states, and by what past calls took beyond that.
+    pub(super) fn slowness(&self, now: Moment, usual: Duration) -> f64 {
+        self.slowness * self.stated.slowdown_over(now, usual)
+    }
+
+    /// Records the load that it states.
+    pub(super) fn record_load(&mut self, now: Moment, load: ServerLoad) {
+        if let Some(slowdown) = load.slowdown {
+            self.stated.record(now, slowdown);
+        }
+    }
+
     /// Returns its throughput relative to a backend server with the expected time of a full call.
-    pub(super) fn speed(&self, call_time: Duration) -> f64 {
-        let time = call_time.mul_f64(self.slowness.max(1.0)).max(self.spec.quota.interval);
+    pub(super) fn speed(&self, now: Moment, call_time: Duration) -> f64 {
+        let slowness = self.slowness(now, call_time).max(1.0);
+        let time = call_time.mul_f64(slowness).max(self.spec.quota.interval);
         call_time.as_secs_f64() / time.as_secs_f64().max(f64::EPSILON)
     }
 
@@ -229,7 +251,8 @@
     /// Returns the time until the running call should end.
     pub(super) fn busy_for(&self, now: Moment) -> Duration {
         let Some(running) = &self.running else { return Duration::ZERO };
-        now.until(running.sent + running.expected.mul_f64(self.slowness.max(1.0)))
+        let slowness = (self.slowness * running.slowdown).max(1.0);
+        now.until(running.sent + running.expected.mul_f64(slowness))
     }
 
     pub(super) fn start(
@@ -241,16 +264,25 @@
         items: Vec<Item>,
         sizes: Vec<u64>,
     ) {
-        let running =
-            Running { key, items, sizes, sent: now, expected, retention, reissued: false };
+        let slowdown = self.stated.slowdown_over(now, expected);
+        let running = Running {
+            key,
+            items,
+            sizes,
+            sent: now,
+            expected,
+            slowdown,
+            retention,
+            reissued: false,
+        };
         self.running = Some(running);
     }
 
     /// Returns the pieces of the running call, once, if the call is overdue: if it takes longer
     /// than `halves` halves of its expected time plus `margin`.
     pub(super) fn overdue(&mut self, now: Moment, halves: u32, margin: Duration) -> Vec<Item> {
-        let slowness = self.slowness.clamp(1.0, 2.0);
         let Some(running) = &mut self.running else { return Vec::new() };
+        let slowness = (self.slowness * running.slowdown).clamp(1.0, 2.0);
         let limit = running.expected.mul_f64(slowness) * halves / 2 + margin;
         if running.reissued || now.since(running.sent) < limit {
             return Vec::new();
@@ -329,7 +361,9 @@
             self.failures = 0;
             self.refusals = 0;
             let took = now.since(running.sent).as_secs_f64();
-            let sample = (took / running.expected.as_secs_f64().max(0.001)).clamp(0.5, 20.0);
+            let slowdown = (running.slowdown * self.stated.slowdown(now)).sqrt();
+            let expected = running.expected.as_secs_f64() * slowdown;
+            let sample = (took / expected.max(0.001)).clamp(0.5, 20.0);
             self.slowness += (sample - self.slowness) * SLOWNESS_WEIGHT;
             self.sampled_at = now;
         }
--- a/src/limpetmux/core/placement.rs
+++ b/src/limpetmux/core/placement.rs
@@ -9,6 +9,7 @@
 use crate::core::listing::Server;
 use crate::core::routing::Outlier;
 use crate::core::time::Moment;
+use crate::core::work::load::{LoadRecord, ServerLoad};
 use crate::util::hash::hash_parts;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -27,6 +28,9 @@
 /// How long a backend server gets no requests after another one was found at its address; its
 /// record in the list expires meanwhile.
 const REPLACED_TIME: Duration = Duration::from_secs(10);
+/// Expected ends are compared in steps of a usual time of a request divided by this; within a step
+/// the requests in flight decide.
+const END_STEPS: f64 = 4.0;
 /// Weight of a new sample in the moving average of the time to the first byte.
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// A backend server is slow if its time to the first byte exceeds this many times the median of
@@ -94,6 +98,8 @@
     first_byte: Option<f64>,
     /// When a request last started or ended.
     used_at: Moment,
+    /// The load that it last stated.
+    load: LoadRecord,
 }
 
 /// The state that an entry keeps of the backend servers that it sends requests to.
@@ -138,7 +144,7 @@
         let planned = named(query.planned);
         let planned = planned.filter(|s| self.inflight(&s.id) < self.affine_limit(&pool) + 1);
         let affine = || query.prefix.and_then(|p| self.affine(&pool, p));
-        planned.or_else(affine).or_else(|| self.least_loaded(&pool, query))
+        planned.or_else(affine).or_else(|| self.least_loaded(now, &pool, query))
     }
 
     /// Returns the servers that cannot be chosen for a request now.
@@ -190,6 +196,13 @@
         }
     }
 
+    /// Records the load that a server states in the answer to a request in flight there.
+    pub fn record_load(&mut self, now: Moment, id: &str, load: ServerLoad) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.load.record(now, load, record.inflight);
+        }
+    }
+
     /// Returns the number of this entry's requests in flight at a server.
     pub fn inflight(&self, id: &str) -> u32 {
         self.records.get(id).map_or(0, |r| r.inflight)
@@ -251,7 +264,12 @@
         MIN_AFFINE_LIMIT.max((share * AFFINE_FACTOR).ceil() as u32)
     }
 
-    fn least_loaded<'a>(&self, pool: &[&'a Server], query: PlaceQuery<'_>) -> Option<&'a Server> {
+    fn least_loaded<'a>(
+        &self,
+        now: Moment,
+        pool: &[&'a Server],
+        query: PlaceQuery<'_>,
+    ) -> Option<&'a Server> {
         let tie = |s: &Server| hash_parts(&[query.entry.as_bytes(), s.id.as_bytes()]);
         let load = |s: &Server| {
             let other_zone = u32::from(*s.zone != *query.zone);
@@ -259,7 +277,18 @@
             // least one request fewer in flight.
             (self.inflight(&s.id) * 2 + other_zone, tie(s))
         };
-        pool.iter().copied().min_by_key(|s| load(s))
+        let rank = |s: &Server| {
+            let end = self.expected_end(now, s).map_or(0, |end| (end * END_STEPS) as u64);
+            (end, load(s))
+        };
+        pool.iter().copied().min_by_key(|s| rank(s))
+    }
+
+    /// Returns the expected end of one more request at a server, in usual times of a request; `None` if
+    /// the server has not stated its load.
+    fn expected_end(&self, now: Moment, server: &Server) -> Option<f64> {
+        let record = self.records.get(&server.id)?;
+        record.load.expected_end(now, record.inflight)
     }
 }
 
--- a/src/limpetmux/platform/names.rs
+++ b/src/limpetmux/platform/names.rs
@@ -35,6 +35,8 @@
 pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// The requests per second that a backend server accepts from all hosts together.
 pub const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// The load of a backend server: the requests that run and wait, its slots, and its slowdown.
+pub const LOAD: HeaderName = HeaderName::from_static("x-limpetmux-server-load");
 
 /// Headers that only the system may set, in addition to those above.
 const RESERVED: [&str; 6] = [
--- a/src/limpetmux/platform/server.rs
+++ b/src/limpetmux/platform/server.rs
@@ -6,6 +6,7 @@
 use crate::core::event_stream::Framing;
 use crate::core::server_limits::{LimitNotice, RequestRate};
 use crate::core::server_notices::{MAX_HOLD, ServerNotice};
+use crate::core::work::load::{LoadNotice, SLOWDOWN_RANGE, ServerLoad};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{
@@ -59,6 +60,8 @@
     pub framing: Framing,
     /// What the backend server states about itself.
     pub notice: ServerNotice,
+    /// What the backend server states about its load.
+    pub load: LoadNotice,
 }
 
 /// Builds the request to a backend server.
@@ -110,6 +113,7 @@
         closes: text(&CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close")),
         framing: framing(answer.status(), headers),
         notice: notice(answer.status(), owner, headers),
+        load: load(answer.status(), owner, headers),
     }
 }
 
@@ -140,6 +144,47 @@
     }
 }
 
+/// Decodes the load of a backend server; an answer of another one, or to another request, states
+/// nothing.
+fn load(status: StatusCode, owner: AnswerOwner, headers: &HeaderMap) -> LoadNotice {
+    if status == StatusCode::MISDIRECTED_REQUEST || owner == AnswerOwner::Another {
+        return LoadNotice::Unstated;
+    }
+    let mut values = headers.get_all(names::LOAD).iter();
+    match (values.next(), values.next()) {
+        (None, _) => LoadNotice::Unstated,
+        (Some(value), None) => {
+            value.to_str().ok().and_then(load_notice).unwrap_or(LoadNotice::Unreadable)
+        }
+        (Some(_), Some(_)) => LoadNotice::Unreadable,
+    }
+}
+
+/// Decodes three counts, and possibly a slowdown in hundredths.
+fn load_notice(text: &str) -> Option<LoadNotice> {
+    let mut fields = text.split(',').map(str::trim);
+    let mut count = || digits(fields.next()?, "")?.parse::<u32>().ok();
+    let (running, waiting) = (count()?, count()?);
+    let slots = count().filter(|slots| *slots > 0)?;
+    let load = ServerLoad { running, waiting, slots, slowdown: None };
+    let Some(slowdown) = fields.next() else { return Some(LoadNotice::Stated(load)) };
+    if fields.next().is_some() {
+        return None;
+    }
+    let (least, most) = SLOWDOWN_RANGE;
+    let hundredths = digits(slowdown, ".").and_then(|text| text.parse::<f64>().ok());
+    let slowdown = hundredths.map(|hundredths| hundredths / 100.0);
+    Some(match slowdown.filter(|s| (least..=most).contains(s)) {
+        Some(_) => LoadNotice::Stated(ServerLoad { slowdown, ..load }),
+        None => LoadNotice::SpeedUnreadable(load),
+    })
+}
+
+/// Returns a text that has only digits and some other characters.
+fn digits<'a>(text: &'a str, others: &str) -> Option<&'a str> {
+    text.chars().all(|c| c.is_ascii_digit() || others.contains(c)).then_some(text)
+}
+
 fn rate(value: &HeaderValue) -> Option<RequestRate> {
     RequestRate::per_second(value.to_str().ok()?.trim().parse().ok()?)
 }
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -10,6 +10,7 @@
 use super::engines::{self, InputLocation, PlacedEngine};
 use super::failure::{Failure, Reason};
 use super::inputs::Inputs;
+use super::load;
 use super::node::{Shared, StoreView};
 use super::plain;
 use super::quota::QuotaDenied;
@@ -314,6 +315,9 @@
         let head = server::head(&routed.head.id, &answer);
         attempt.head_at = clock::boot();
         shared.record_notice(server, began, head.notice);
+        if let Some(load) = load::stated(&shared.metrics, head.load) {
+            shared.placement().record_load(attempt.head_at, &server.id, load);
+        }
         match answer_proof::proof(head.claims()) {
             Proof::Answered if head.status.is_informational() => {
                 attempt.fail_answer("the answer is informational", &head);
--- a/src/limpetmux/serve/mod.rs
+++ b/src/limpetmux/serve/mod.rs
@@ -20,6 +20,7 @@
 mod head_time;
 pub mod head_watch;
 pub mod inputs;
+pub mod load;
 pub mod node;
 pub mod notices;
 mod plain;
--- a/src/limpetmux/stage_queues/call.rs
+++ b/src/limpetmux/stage_queues/call.rs
@@ -6,6 +6,7 @@
 use crate::core::read_limits::{Exceeded, MAX_CALL_ANSWER_BYTES, MAX_PIECE_ANSWER_BYTES, Peer};
 use crate::core::server_notices::Incarnation;
 use crate::event;
+use crate::platform::server::ReplyHead;
 use crate::platform::stage;
 use crate::serve::connections::Reuse;
 use crate::serve::node::Shared;
@@ -32,7 +33,7 @@
 
 /// Sends one call for pieces and reports its outcome to the queue.
 pub(super) async fn run_call(queues: Arc<StageQueues>, service: Arc<str>, call: Call) {
-    let end = match timeout(call.timeout, send(&queues.shared, &call)).await {
+    let end = match timeout(call.timeout, send(&queues, &service, &call)).await {
         Ok(end) => end,
         Err(_) => {
             event!(EventCode::CallOverdue, server = call.server, pieces = call.items.len());
@@ -53,7 +54,8 @@
     queues.finish(&service, call.key, end);
 }
 
-async fn send(shared: &Shared, call: &Call) -> CallEnd {
+async fn send(queues: &StageQueues, service: &str, call: &Call) -> CallEnd {
+    let shared = &queues.shared;
     let request = match stage::run(&call.server, call.addr, &call.items) {
         Ok(request) => request,
         Err(error) => {
@@ -70,10 +72,14 @@
         return CallEnd::Denied;
     }
     let asked_at = clock::boot();
-    let on_notice =
-        |notice| server.map_or((), |server| shared.record_notice(server, asked_at, notice));
+    let on_head = |head: &ReplyHead| {
+        if let Some(server) = server {
+            shared.record_notice(server, asked_at, head.notice);
+        }
+        queues.record_load(service, &call.server, head.load);
+    };
     let (connections, reuse) = (&shared.connections, Reuse::Forbidden);
-    let answer = exchange(connections, call.addr, request, reuse, limit, on_notice).await;
+    let answer = exchange(connections, call.addr, request, reuse, limit, on_head).await;
     let answer = match answer {
         Ok(answer) => answer,
         Err(error) => {
@@ -164,12 +170,15 @@
         return;
     }
     let asked_at = clock::boot();
-    let on_notice =
-        |notice| server.map_or((), |server| shared.record_notice(server, asked_at, notice));
+    let on_head = |head: &ReplyHead| {
+        if let Some(server) = server {
+            shared.record_notice(server, asked_at, head.notice);
+        }
+    };
     let call = async {
         let request = stage::free(addr, &results)?;
         let (limit, reuse) = (MAX_CALL_ANSWER_BYTES, Reuse::Allowed);
-        let answer = exchange(&queues.freeing, addr, request, reuse, limit, on_notice).await?;
+        let answer = exchange(&queues.freeing, addr, request, reuse, limit, on_head).await?;
         match answer.head.status {
             status if status.is_success() => {
                 answer.keep();
--- a/src/limpetmux/stage_queues/exchange.rs
+++ b/src/limpetmux/stage_queues/exchange.rs
@@ -7,7 +7,6 @@
 
 use crate::core::answer_proof::AnswerOwner;
 use crate::core::read_limits::{Exceeded, Peer};
-use crate::core::server_notices::ServerNotice;
 use crate::platform::server::{self, ReplyHead};
 use crate::serve::connections::{ActiveConnection, ConnectionError, ConnectionPool, Reuse};
 use crate::util::read_body::read_body;
@@ -69,7 +68,7 @@
 
 /// Sends a call and reads its answer to the end, whose body has at most `limit` bytes.
 ///
-/// `on_notice` gets what the answer states about the backend server, also if it is not used otherwise.
+/// `on_head` gets the head, also if the answer is not used otherwise.
 /// The caller bounds the time. At both bounds the connection closes.
 pub(super) async fn exchange(
     connections: &ConnectionPool,
@@ -77,11 +76,11 @@
     request: Request<Full<Bytes>>,
     reuse: Reuse,
     limit: usize,
-    on_notice: impl FnOnce(ServerNotice),
+    on_head: impl FnOnce(&ReplyHead),
 ) -> Result<CallAnswer, ExchangeError> {
     let (answer, connection) = connections.send(addr, request, reuse).await?;
     let head = server::head("", &answer);
-    on_notice(head.notice);
+    on_head(&head);
     if head.owner != AnswerOwner::Unnamed {
         return Err(ExchangeError::OtherCall);
     }
--- a/src/limpetmux/stage_queues/mod.rs
+++ b/src/limpetmux/stage_queues/mod.rs
@@ -15,9 +15,11 @@
 use crate::core::pieces::{CallKey, CallQuota, WorkerSpec};
 use crate::core::server_limits::RequestRate;
 use crate::core::server_notices::{Incarnation, PoolClosed};
+use crate::core::work::load::LoadNotice;
 use crate::platform::stage;
 use crate::serve::connections::ConnectionPool;
 use crate::serve::inputs::free_results;
+use crate::serve::load;
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
 use call::{free, run_call};
@@ -237,6 +239,14 @@
         }
     }
 
+    /// Records the load that a backend server states in the answer to a call.
+    fn record_load(&self, service: &str, server: &str, notice: LoadNotice) {
+        let Some(load) = load::stated(&self.shared.metrics, notice) else { return };
+        if let Some(queue) = self.lock().get_mut(service) {
+            queue.pieces.record_load(clock::boot(), server, load);
+        }
+    }
+
     fn finish(self: &Arc<Self>, service: &Arc<str>, call: CallKey, end: CallEnd) {
         let now = clock::boot();
         let (ended, next) = {
--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -55,6 +55,9 @@
     /// Requests for which a limited backend server was asked for, by who decides.
     #[strum(props(kind = "counter", tags = "outcome, source"))]
     QuotaRequests,
+    /// Responses of backend servers that state their load, by whether it can be read.
+    #[strum(props(kind = "counter", tags = "notice"))]
+    ServerLoads,
     /// Quarantined parts of prompts.
     #[strum(props(kind = "gauge", tags = "none"))]
     PartsHeld,
