Decide roll-outs of a service's version

Add the decisions without network or clock: the book of orders, statuses and steps, which merges in any order and bars versions; the share of a version that is tried, counted by each node from its own requests; the counts of all nodes; and the judge, which compares both versions on each route. The record of a backend server keeps its version. Nothing is wired yet.

--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -44,6 +44,8 @@
     pub draining: bool,
     /// How long it stays cold after the record was written.
     pub cold: Duration,
+    /// The version of its software, if it states one.
+    pub version: Option<Arc<str>>,
 }
 
 /// Which of a backend server's writes a record is; later writes are greater.
--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -36,6 +36,7 @@
 pub mod refusal;
 pub mod retry_share;
 pub mod revision;
+pub mod rollout;
 pub mod routing;
 pub mod server_limits;
 pub mod server_notices;
--- a/src/limpetmux/platform/servers.rs
+++ b/src/limpetmux/platform/servers.rs
@@ -31,6 +31,9 @@
     /// The number of the write since then.
     #[serde(default)]
     sequence: u64,
+    /// The version of its software; one that is not a text states none.
+    #[serde(default)]
+    version: serde_json::Value,
 }
 
 #[derive(Deserialize, PartialEq)]
@@ -108,5 +111,6 @@
         slots: record.slots,
         draining: record.state == State::Draining,
         cold: record.cold_left,
+        version: record.version.as_str().map(Arc::from),
     }
 }
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -267,6 +267,7 @@
         slots: 4,
         draining: false,
         cold: Duration::ZERO,
+        version: None,
     }
 }
 
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -43,6 +43,8 @@
 mod restored_store;
 mod restored_views;
 mod retry_share;
+mod rollout;
+mod rollout_model;
 mod server_limits;
 mod server_notices;
 mod soak;
@@ -84,6 +86,7 @@
         slots: 4,
         draining: false,
         cold: Duration::ZERO,
+        version: None,
     }
 }
 
