Learn the time of reading and the pace of each engine

Cause: the largest tenth of the prompts with the least time was late most often.

Change: the pool fits a fixed time, a time by token and a time by pair of tokens from prompts that waited for nothing, and keeps each engine's own pace from the same. The pace decides only where a prompt would be late otherwise, so that fast engines stay free for those; a prompt that is late at any engine does not take a fast one. The time of a fetch comes from the configuration where that declares it. The terms of each engine are one public struct, for a report of a decision.

--- a/src/limpetmux/core/catalog.rs
+++ b/src/limpetmux/core/catalog.rs
@@ -123,6 +123,8 @@
     pub slots: u32,
     /// The tokens that fit into its memory, of running requests and cached parts together.
     pub memory_tokens: u64,
+    /// The time in which it fetches a thousand tokens from another engine, if that is declared.
+    pub fetch_time: Option<Duration>,
 }
 
 /// The operator's declaration of a service.
--- a/src/limpetmux/core/engines/engine.rs
+++ b/src/limpetmux/core/engines/engine.rs
@@ -2,6 +2,7 @@
 
 use super::{EngineReport, PROMPT_OVERHEAD, PromptPart};
 use crate::core::time::Moment;
+use crate::core::work::read_cost::ReadSize;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +16,12 @@
 /// Part by which the pace of a slow engine without new samples approaches the usual one every
 /// second.
 const PACE_RECOVERY: f64 = 0.1;
+/// Range of the ratio of a sample of an engine's own pace; others come from something that passes.
+const OWN_RANGE: (f64, f64) = (0.5, 2.0);
+/// The smallest weight of a new sample in the moving average of an engine's own pace.
+const OWN_WEIGHT: f64 = 0.1;
+/// The samples for which the usual pace counts in an engine's own one.
+const USUAL_SAMPLES: f64 = 3.0;
 /// Prompts that are remembered until a report of them or of a later one; the oldest is dropped first.
 const MAX_UNREPORTED: usize = 4_096;
 
@@ -25,6 +32,9 @@
     pub(super) started_ms: u64,
     /// Moving average of the time a prompt takes divided by the time at pace 1.
     pace: f64,
+    /// Moving average of the logarithm of the same for prompts that waited for nothing, and the number
+    /// of samples in it.
+    own_pace: (f64, u32),
     /// When the engine was created or last got a prompt.
     pub(super) used_at: Moment,
     /// When the engine will have read all prompts sent to it.
@@ -48,6 +58,17 @@
     pace: f64,
     /// The work of all prompts up to this one.
     total_work: Duration,
+    /// What the engine reads for it, if that is all that its first event waits for.
+    alone: Option<ReadSize>,
+}
+
+/// The time that an engine took to read a prompt that waited for nothing.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReadSample {
+    /// What it read.
+    pub(super) size: ReadSize,
+    /// The time that it took.
+    pub(super) took: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -64,6 +85,7 @@
         Self {
             started_ms,
             pace,
+            own_pace: (0.0, 0),
             used_at: now,
             busy_until: now,
             sampled_at: now,
@@ -78,8 +100,15 @@
         now.until(self.busy_until)
     }
 
-    /// Adds a prompt that is sent now.
-    pub(super) fn send(&mut self, now: Moment, request: &str, work: Duration, usual: f64) {
+    /// Adds a prompt that is sent now; `size` is what the engine reads for it, unless it also fetches.
+    pub(super) fn send(
+        &mut self,
+        now: Moment,
+        request: &str,
+        (work, size): (Duration, Option<ReadSize>),
+        usual: f64,
+    ) {
+        let alone = size.filter(|_| self.busy_until <= now);
         self.busy_until = self.busy_until.max(now) + work;
         self.used_at = now;
         self.total_work += work;
@@ -87,7 +116,7 @@
             self.unreported.pop_front();
         }
         let (pace, total_work) = (self.pace(now, usual), self.total_work);
-        let prompt = SentPrompt { request: request.into(), sent_at: now, pace, total_work };
+        let prompt = SentPrompt { request: request.into(), sent_at: now, pace, total_work, alone };
         self.unreported.push_back(prompt);
     }
 
@@ -96,15 +125,32 @@
     /// Prompts are read in the order of their sends, so at the first event of one of them only the
     /// later ones are left. Many prompts that wait at the same time report the same delay; adding up
     /// what each of them was off by would count it many times. A report of a prompt before one that
-    /// is known to be read says nothing about the backlog.
-    pub(super) fn record(&mut self, now: Moment, report: &EngineReport) {
-        let Some(index) = self.unreported.iter().position(|s| s.request == report.request) else {
-            return;
-        };
-        let Some(read) = self.unreported.drain(..=index).next_back() else { return };
+    /// is known to be read says nothing about the backlog. Returns the time if it is all reading.
+    pub(super) fn record(&mut self, now: Moment, report: &EngineReport) -> Option<ReadSample> {
+        let index = self.unreported.iter().position(|s| s.request == report.request)?;
+        let read = self.unreported.drain(..=index).next_back()?;
         let took = report.took.min(now.since(read.sent_at));
         self.busy_until = read.sent_at + took + (self.total_work - read.total_work);
         self.record_pace(now, report, read.pace);
+        read.alone.map(|size| ReadSample { size, took })
+    }
+
+    /// Adds a sample of the engine's own pace: the time of a prompt divided by the usual one.
+    pub(super) fn record_own(&mut self, ratio: f64) {
+        if !(OWN_RANGE.0..=OWN_RANGE.1).contains(&ratio) {
+            return;
+        }
+        let (mean, samples) = &mut self.own_pace;
+        *samples = samples.saturating_add(1);
+        *mean += (ratio.ln() - *mean) * f64::from(*samples).recip().max(OWN_WEIGHT);
+    }
+
+    /// Returns how much longer than the usual engine of its pool this one takes, as far as its prompts
+    /// show that.
+    pub(super) fn own_pace(&self) -> f64 {
+        let (mean, samples) = self.own_pace;
+        let samples = f64::from(samples);
+        (mean * samples / (samples + USUAL_SAMPLES)).exp()
     }
 
     fn record_pace(&mut self, now: Moment, report: &EngineReport, assumed: f64) {
@@ -128,18 +174,23 @@
         self.pace
     }
 
-    /// Returns the assumed pace: the usual one of the pool, unless the engine is much slower.
-    ///
-    /// Small differences are noise of the prompts that were measured. If they decided, all prompts
-    /// would go to the few engines that were measured when idle, until these are overloaded. A slow
-    /// engine without samples is assumed to recover.
+    /// Returns the assumed pace: its own, and more while the engine is much slower than usual.
     pub(super) fn pace(&self, now: Moment, usual: f64) -> f64 {
+        self.own_pace() * self.slowdown(now, usual)
+    }
+
+    /// Returns by how much the engine is much slower than the usual pace for now; 1 if it is not.
+    ///
+    /// Prompts that waited tell about the prompts before them, and not about the engine. If small
+    /// differences decided, all prompts would go to the few engines that were measured when idle, until
+    /// these are overloaded. A slow engine without samples is assumed to recover.
+    pub(super) fn slowdown(&self, now: Moment, usual: f64) -> f64 {
         if self.pace <= usual * SLOW_RATIO {
-            return usual;
+            return 1.0;
         }
         let idle = now.since(self.sampled_at).as_secs_f64();
         let kept = (1.0 - PACE_RECOVERY).powf(idle);
-        usual + (self.pace - usual) * kept
+        1.0 + (self.pace / usual - 1.0) * kept
     }
 
     /// Adds the parts of a prompt that was sent or is only planned.
--- a/src/limpetmux/core/engines/mod.rs
+++ b/src/limpetmux/core/engines/mod.rs
@@ -4,28 +4,36 @@
 //! entries send. It assumes that an engine reads prompts one after the other, and records which
 //! shared parts each engine has read. A prompt goes to the engine with the least cost in time: for
 //! reading its tokens that are not cached, for waiting behind earlier prompts, and for transferring
-//! its inputs between zones. Times measured by entries correct the estimates. If the node is lost,
+//! its inputs between zones. Times measured by entries teach the time of reading and the pace of each
+//! engine, which decides where the prompt would otherwise be late. If the node is lost,
 //! another one starts with an empty pool; the hash of a prompt's shared part then selects the same
 //! engine. See `docs/design/platform.md`.
 
 mod engine;
+mod terms;
 
 use crate::core::listing::Server;
 use crate::core::time::Moment;
+use crate::core::work::read_cost::{ReadCost, ReadSize};
 use crate::util::hash::hash_parts;
 use engine::Engine;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+pub use terms::PlaceTerms;
 
-/// Tokens per millisecond that an engine of pace 1 reads.
-const READ_TOKENS_PER_MS: f64 = 40.0;
-/// Fixed time that an engine needs for any prompt.
+/// Least time that a prompt is expected to take where that is compared with a measured time.
 const PROMPT_OVERHEAD: Duration = Duration::from_millis(20);
 /// Weight of time spent waiting relative to time spent reading, as waiting delays no other prompt.
 const WAIT_WEIGHT: f64 = 0.2;
 /// Weight of time beyond the request's latency objective.
 const LATE_WEIGHT: f64 = 4.0;
+/// Part of a prompt's expected time by which it may take longer.
+const WORK_MARGIN: f64 = 0.12;
+/// A prompt is late at any engine if its least time exceeds the time that it has by this factor.
+const HOPELESS_RATIO: f64 = 1.15;
+/// Such a prompt gets this multiple of its least time, so that it leaves the fast engines to others.
+const HOPELESS_SLACK: f64 = 1.5;
 /// Bytes of inputs whose transfer between zones costs as much as a millisecond of reading.
 const TRANSFER_BYTES_PER_MS: f64 = 120_000.0;
 /// Costs are compared in steps of this many milliseconds; the hash decides within a step.
@@ -33,8 +41,8 @@
 /// Cost of fetching a token from another engine relative to reading it. A fetch takes almost no
 /// time, but uses the links and memory of both engines.
 const FETCH_WEIGHT: f64 = 0.3;
-/// Tokens per millisecond that an engine fetches from another one.
-const FETCH_TOKENS_PER_MS: f64 = 1_500.0;
+/// The time in which an engine fetches a thousand tokens from another one, unless that is declared.
+const FETCH_TIME: Duration = Duration::from_micros(667);
 /// Fewest tokens that are worth a fetch.
 const MIN_FETCH_TOKENS: u32 = 256;
 /// Estimated part of an engine's memory that is left for cached parts beside running requests.
@@ -113,6 +121,10 @@
     plans: BTreeMap<Arc<str>, Plan>,
     /// The tokens that fit into the memory of one engine.
     memory: u64,
+    /// The time of reading at an engine of pace 1.
+    read: ReadCost,
+    /// The time in which an engine fetches a thousand tokens, if that is declared.
+    fetch_time: Option<Duration>,
 }
 
 impl EnginePool {
@@ -121,6 +133,11 @@
         self.memory = memory;
     }
 
+    /// Sets the time in which an engine fetches a thousand tokens from another one.
+    pub fn set_fetch_time(&mut self, time: Option<Duration>) {
+        self.fetch_time = time;
+    }
+
     /// Chooses an engine for a request that will be sent later.
     pub fn plan(
         &mut self,
@@ -130,7 +147,7 @@
         query: EngineQuery<'_>,
     ) -> Option<EngineChoice> {
         self.expire(now, servers);
-        let (server, choice) = self.choose(now, servers, query, true)?;
+        let (server, choice, _) = self.choose(now, servers, query, true)?;
         let plan = Plan {
             server: Arc::clone(&choice.server),
             work: choice.work,
@@ -153,10 +170,11 @@
     ) -> Option<EngineChoice> {
         self.plans.remove(request);
         self.expire(now, servers);
-        let (server, choice) = self.choose(now, servers, query, false)?;
+        let (server, choice, size) = self.choose(now, servers, query, false)?;
         let (memory, usual) = (self.memory, self.usual_pace(servers));
         let engine = self.engine(now, server, usual);
-        engine.send(now, request, choice.work, usual);
+        let size = Some(size).filter(|_| choice.source.is_none());
+        engine.send(now, request, (choice.work, size), usual);
         engine.mark_cached(now, query.parts, true);
         engine.evict((memory as f64 * CACHE_SHARE) as u64);
         Some(choice)
@@ -164,40 +182,56 @@
 
     /// Records how long a prompt took.
     pub fn report(&mut self, now: Moment, report: &EngineReport) {
-        if let Some(engine) = self.engines.get_mut(&report.server) {
-            engine.record(now, report);
+        let Some(engine) = self.engines.get_mut(&report.server) else { return };
+        let Some(sample) = engine.record(now, report) else { return };
+        let pace = engine.own_pace();
+        let usual = self.read.time(sample.size).as_secs_f64();
+        if self.read.learn(sample.size, sample.took.div_f64(pace)) {
+            engine.record_own(sample.took.as_secs_f64() / usual);
         }
     }
 
-    fn choose<'a>(
+    /// Returns the terms of a prompt at each engine, as [`place`](Self::place) would weigh them.
+    pub fn terms<'a>(
         &self,
         now: Moment,
         servers: &[&'a Server],
         query: EngineQuery<'_>,
         planning: bool,
-    ) -> Option<(&'a Server, EngineChoice)> {
-        let shared = query.parts.len().saturating_sub(2);
-        let hash = query.parts.get(shared).map_or(0, |p| p.key);
+    ) -> Vec<(&'a Server, PlaceTerms)> {
         let source = self.source(servers, query);
         let planned = if planning { self.planned(now) } else { BTreeMap::new() };
         let usual = self.usual_pace(servers);
-        let estimate = |s: &Server| {
+        let terms = |s: &&'a Server| {
             let planned = planned.get(&*s.id).copied().unwrap_or_default();
-            self.estimate(now, s, query, source, (planned, usual))
+            (*s, self.estimate(now, s, query, source, (planned, usual)))
         };
-        let rank = |s: &&&Server| {
-            let cost = estimate(s).cost(s, query);
+        servers.iter().map(terms).collect()
+    }
+
+    fn choose<'a>(
+        &self,
+        now: Moment,
+        servers: &[&'a Server],
+        query: EngineQuery<'_>,
+        planning: bool,
+    ) -> Option<(&'a Server, EngineChoice, ReadSize)> {
+        let shared = query.parts.len().saturating_sub(2);
+        let hash = query.parts.get(shared).map_or(0, |p| p.key);
+        let candidates = self.terms(now, servers, query, planning);
+        let least = candidates.iter().map(|(_, t)| t.work).min()?;
+        let is_hopeless = least > query.latency_budget.mul_f64(HOPELESS_RATIO);
+        let budget = if is_hopeless { least.mul_f64(HOPELESS_SLACK) } else { query.latency_budget };
+        let rank = |(s, terms): &&(&Server, PlaceTerms)| {
             let tie = hash_parts(&[&hash.to_le_bytes(), s.id.as_bytes()]);
-            ((cost / COST_STEP_MS) as u64, std::cmp::Reverse(tie))
+            ((terms.cost(budget) / COST_STEP_MS) as u64, std::cmp::Reverse(tie))
         };
-        let server = *servers.iter().min_by_key(rank)?;
-        let estimate = estimate(server);
-        let source = source.filter(|_| estimate.fetched > 0).map(|(s, _)| Arc::clone(&s.id));
+        let (server, terms) = candidates.iter().min_by_key(rank)?;
+        let source = self.source(servers, query).filter(|_| terms.fetched > 0);
+        let source = source.map(|(s, _)| Arc::clone(&s.id));
         let id = Arc::clone(&server.id);
-        Some((
-            server,
-            EngineChoice { server: id, wait: estimate.wait, work: estimate.work, source },
-        ))
+        let choice = EngineChoice { server: id, wait: terms.wait, work: terms.work, source };
+        Some((server, choice, terms.size))
     }
 
     /// Returns the engine that has read most of a prompt, and how many of its tokens.
@@ -223,7 +257,7 @@
         query: EngineQuery<'_>,
         source: Option<(&Server, u32)>,
         (planned, usual): (Duration, f64),
-    ) -> Estimate {
+    ) -> PlaceTerms {
         let engine = self.engines.get(&server.id);
         let sent = engine.map_or(Duration::ZERO, |e| e.backlog(now));
         // Planned prompts arrive at any time before this one, on average after half of the delay.
@@ -231,12 +265,25 @@
         let held = self.cached(&server.id, query.parts, true);
         let more = source.map_or(0, |(_, tokens)| tokens.saturating_sub(held));
         let fetched = if more >= MIN_FETCH_TOKENS { more } else { 0 };
-        let fetch = Duration::from_secs_f64(f64::from(fetched) / FETCH_TOKENS_PER_MS / 1_000.0);
-        let pace = engine.map_or(usual, |e| e.pace(now, usual));
-        let work =
-            |cached: u32| read_time(query.tokens.saturating_sub(cached)).mul_f64(pace) + fetch;
+        let fetch_time = self.fetch_time.unwrap_or(FETCH_TIME);
+        let fetch = fetch_time.mul_f64(f64::from(fetched) / 1_000.0);
+        let size = ReadSize::new(query.tokens, held + fetched);
+        let usual_work = self.read.time(size);
+        let pace = engine.map_or(1.0, |e| e.pace(now, usual));
         let planned_cached = self.cached(&server.id, query.parts, false).max(held + fetched);
-        Estimate { wait, work: work(held + fetched), expected: work(planned_cached), fetched }
+        let slowdown = engine.map_or(1.0, |e| e.slowdown(now, usual));
+        let expected = self.read.time(ReadSize::new(query.tokens, planned_cached));
+        let crosses_zones = !query.input_zone.is_empty() && *query.input_zone != *server.zone;
+        PlaceTerms {
+            wait,
+            work: usual_work.mul_f64(pace) + fetch,
+            expected: expected.mul_f64(slowdown) + fetch,
+            pace,
+            fetched,
+            size,
+            fetch_cost: self.read.time(ReadSize::new(fetched, 0)).mul_f64(FETCH_WEIGHT),
+            transferred: if crosses_zones { query.input_bytes } else { 0 },
+        }
     }
 
     /// Returns the time of the planned prompts of each engine.
@@ -248,7 +295,7 @@
         planned
     }
 
-    /// Returns the pace that all engines are assumed to have which are not much slower: the median.
+    /// Returns the pace that engines are compared with to find the slow ones: the median.
     ///
     /// Unknown engines count with pace 1.
     fn usual_pace(&self, servers: &[&Server]) -> f64 {
@@ -274,33 +321,3 @@
         }
     }
 }
-
-/// Returns the time that an engine of pace 1 needs for tokens that are not cached.
-fn read_time(tokens: u32) -> Duration {
-    PROMPT_OVERHEAD + Duration::from_secs_f64(f64::from(tokens) / READ_TOKENS_PER_MS / 1_000.0)
-}
-
-/// The estimated times of a prompt at one engine.
-struct Estimate {
-    /// The time that the engine spends on other prompts first.
-    wait: Duration,
-    /// The time that it spends on this prompt.
-    work: Duration,
-    /// The time on this prompt with the parts cached that planned prompts will read.
-    expected: Duration,
-    /// The tokens fetched from another engine.
-    fetched: u32,
-}
-
-impl Estimate {
-    /// Returns the cost of a prompt at an engine, in milliseconds.
-    fn cost(&self, server: &Server, query: EngineQuery<'_>) -> f64 {
-        let ms = |d: Duration| d.as_secs_f64() * 1_000.0;
-        let late = (self.wait + self.work).saturating_sub(query.latency_budget);
-        let crosses_zones = !query.input_zone.is_empty() && *query.input_zone != *server.zone;
-        let transfer =
-            if crosses_zones { query.input_bytes as f64 / TRANSFER_BYTES_PER_MS } else { 0.0 };
-        let fetch = f64::from(self.fetched) / READ_TOKENS_PER_MS * FETCH_WEIGHT;
-        ms(self.expected) + ms(self.wait) * WAIT_WEIGHT + ms(late) * LATE_WEIGHT + transfer + fetch
-    }
-}
--- a/src/limpetmux/core/work/mod.rs
+++ b/src/limpetmux/core/work/mod.rs
@@ -5,4 +5,5 @@
 //! Placement and piece queues read these estimates. See `docs/design/expected-work.md`.
 
 pub mod load;
+pub mod read_cost;
 pub mod speed;
--- a/src/limpetmux/platform/orders.rs
+++ b/src/limpetmux/platform/orders.rs
@@ -119,6 +119,12 @@
     /// The capacity in tokens for running requests and cached parts.
     #[serde(default)]
     kv_capacity: u64,
+    /// The bytes of one token in that memory.
+    #[serde(default)]
+    kv_token_bytes: u64,
+    /// Millions of bits per second between two engines.
+    #[serde(default)]
+    link_mbps: f64,
 }
 
 #[serde_as]
@@ -252,7 +258,11 @@
         connections: service.max_connections,
         cold_time: service.cold_time.min(MAX_TIME),
         cold_rate: service.cold_rate,
-        engine: service.engine.map(|e| EngineSpec { slots: e.slots, memory_tokens: e.kv_capacity }),
+        engine: service.engine.map(|e| EngineSpec {
+            slots: e.slots,
+            memory_tokens: e.kv_capacity,
+            fetch_time: fetch_time(&e),
+        }),
         pieces: service.pieces.map(|p| PieceSpec {
             slots: p.slots,
             batch: p.batch,
@@ -264,6 +274,15 @@
     }
 }
 
+/// Returns the time in which an engine fetches a thousand tokens, if its link and their bytes are
+/// declared.
+fn fetch_time(engine: &Engine) -> Option<Duration> {
+    let bits = engine.kv_token_bytes as f64 * 8.0 * 1_000.0;
+    let seconds = bits / (engine.link_mbps * 1e6);
+    let time = Duration::try_from_secs_f64(seconds).ok()?;
+    Some(time.min(MAX_TIME)).filter(|time| !time.is_zero())
+}
+
 fn workspace(tenant: ConfigTenant) -> WorkspaceSpec {
     WorkspaceSpec { name: tenant.name, keys: tenant.api_keys, priority: tenant.priority }
 }
--- a/src/limpetmux/stage_queues/engines.rs
+++ b/src/limpetmux/stage_queues/engines.rs
@@ -50,7 +50,9 @@
         };
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         let engines = pools.entry(message.service.as_str().into()).or_default();
-        engines.configure(pool.and_then(|p| p.engine).map_or(0, |e| e.memory_tokens));
+        let spec = pool.and_then(|p| p.engine);
+        engines.configure(spec.map_or(0, |e| e.memory_tokens));
+        engines.set_fetch_time(spec.and_then(|e| e.fetch_time));
         for time in &message.times {
             let report = EngineReport {
                 server: time.server.as_str().into(),
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -23,6 +23,7 @@
 mod expiry;
 mod explain;
 mod follow_store;
+mod largest_prompts;
 mod leaving;
 mod limits;
 mod listing;
