Let stages that have little time go first and in small calls

Cause: a stage counted as late as soon as its latest start by the estimates had passed, and went behind all others. So the stages of the longest prompts, whose reading takes nearly all of the time, could go last. Calls were filled with others' pieces, 16 ms each, whatever they cost those before.

Change: a stage is late from 100 ms behind its latest start on. While the queue is short, a call is not filled with pieces that make it late for one that is already in it. The time of the engine in a stage's due time is the expected one with 20 ms for its choice instead of 60 ms, as the learned time has the start in it.

--- a/src/limpetmux/core/pieces/job.rs
+++ b/src/limpetmux/core/pieces/job.rs
@@ -9,6 +9,9 @@
 /// Added to a stage's latest start for each step of its request's priority, so that requests with a
 /// lower number go first.
 const PRIORITY_DELAY: Duration = Duration::from_millis(150);
+/// A stage counts as late only if it starts this much after its latest start, as the times of what
+/// follows it are estimates.
+const LATE_TOLERANCE: Duration = Duration::from_millis(100);
 
 /// Attempts at one piece before its stage fails.
 const MAX_SENDS: u32 = 3;
@@ -141,7 +144,7 @@
 
     pub(super) fn rank(&self, now: Moment, call_time: Duration) -> Rank {
         let start = self.spec.due - call_time;
-        let late = start < now;
+        let late = start + LATE_TOLERANCE < now;
         let delay = PRIORITY_DELAY * u32::from(self.spec.priority);
         let priority = if late { self.spec.priority } else { 0 };
         let start = if late { self.spec.deadline } else { start + delay };
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -308,18 +308,26 @@
     ) -> Vec<worker::Item> {
         let mut items = Vec::new();
         let mut room = worker.room(now, self.spec.result_room);
-        for (_, key) in order {
+        let mut most = self.spec.batch;
+        let open = order.iter().map(|(_, key)| self.jobs[key].open_count()).sum();
+        // While the queue is short, a call is not filled with pieces that make it late for one before.
+        let is_short = self.drain_time(now, open) < self.spec.call_time;
+        for (rank, key) in order {
             let job = &self.jobs[key];
             if job.needs_other_zone(&worker.spec.zone) && self.can_wait(now, job) {
                 continue;
             }
             for piece in job.open_pieces(&worker.spec.id) {
-                if items.len() >= self.spec.batch || room < job.spec.size {
+                if items.len() >= most || room < job.spec.size {
                     break;
                 }
                 room -= job.spec.size;
                 items.push(worker::Item { job: *key, piece });
             }
+            if is_short && !rank.is_late() && items.last().is_some_and(|i| i.job == *key) {
+                most =
+                    most.min(worker.pieces_until(now, job.spec.due, &self.spec)).max(items.len());
+            }
         }
         items
     }
--- a/src/limpetmux/core/pieces/worker.rs
+++ b/src/limpetmux/core/pieces/worker.rs
@@ -1,6 +1,7 @@
 //! The state that a piece queue keeps of one backend server of its service.
 
 use super::job::{JobKey, Source};
+use crate::core::catalog::PieceSpec;
 use crate::core::time::Moment;
 use crate::core::work::load::ServerLoad;
 use crate::core::work::speed::SpeedRecord;
@@ -213,6 +214,13 @@
         self.slowness * self.stated.slowdown_over(now, usual)
     }
 
+    /// Returns how many pieces a call may have that is sent now and ends by some time.
+    pub(super) fn pieces_until(&self, now: Moment, end: Moment, spec: &PieceSpec) -> usize {
+        let time = now.until(end).div_f64(self.slowness(now, spec.call_time));
+        let for_pieces = time.saturating_sub(spec.call_time).as_secs_f64();
+        (for_pieces / spec.item_time.as_secs_f64().max(f64::EPSILON)) as usize
+    }
+
     /// Records the load that it states.
     pub(super) fn record_load(&mut self, now: Moment, load: ServerLoad) {
         if let Some(slowdown) = load.slowdown {
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -31,6 +31,8 @@
 const QUEUE_NODE_PAUSE: Duration = Duration::from_millis(30);
 /// The time that a model engine needs before its first event, in addition to reading the prompt.
 const ENGINE_START: Duration = Duration::from_millis(60);
+/// The time in which the engine of a request is chosen once more when its stages have ended.
+const CHOICE_TIME: Duration = Duration::from_millis(20);
 /// The tokens of a prompt that a model engine reads in a millisecond.
 const ENGINE_TOKENS_PER_MS: u32 = 40;
 /// The retry delay for a caller whose stages failed.
@@ -51,7 +53,7 @@
     let engine = engine_time(routed);
     let stage_time = admit(shared, routed, &times, engine)?;
     let planned = planned_engine(shared, routed, stage_time).await?;
-    let engine = planned.expected.map_or(engine, |e| e + ENGINE_START);
+    let engine = planned.expected.map_or(engine, |e| e + CHOICE_TIME);
     let remaining = chain::downstream_times(routed.route(), &times).into_iter().map(|b| b + engine);
     let mut chain = Chain::new(shared, routed, remaining.collect(), planned);
     let mut running = FuturesUnordered::new();
--- a/tests/testsuite/platform/expected_work.rs
+++ b/tests/testsuite/platform/expected_work.rs
@@ -219,3 +219,39 @@
 
     assert!(slow < usual * 0.8 && slow > usual * 0.5, "{slow} {usual}");
 }
+
+/// A stage of two pieces that has to end some time after time zero.
+fn due_job(request: &str, due: u64) -> JobSpec {
+    JobSpec { due: at(due), ..job(request) }
+}
+
+#[test]
+fn call_is_not_filled_with_pieces_that_make_it_late_for_the_first_ones() {
+    // Load pattern: the stage of a long prompt, which has little time left, waits beside others that
+    // have much, while the queue is short.
+    let mut queue = queue(1.0);
+    for (request, due) in [("tight", 190), ("wide", 2_000), ("wider", 3_000)] {
+        queue.submit(at(1), due_job(request, due)).unwrap();
+    }
+
+    let calls = queue.step(at(1)).calls;
+
+    let requests = |n: usize| calls[n].items.iter().map(|i| &*i.request).collect::<Vec<_>>();
+    assert_eq!(requests(0), ["tight", "tight"]);
+    assert_eq!(requests(1), ["wide", "wide", "wider", "wider"]);
+}
+
+#[test]
+fn stage_that_is_just_too_late_by_an_estimate_still_goes_first() {
+    // Load pattern: the stage of the longest prompts, whose time is used up by the expected time of
+    // reading alone; behind all others it would certainly be late.
+    let mut queue = queue(1.0);
+    for n in 0..8 {
+        queue.submit(at(1), due_job(&format!("wide{n}"), 2_000)).unwrap();
+    }
+    queue.submit(at(1), due_job("tight", 140)).unwrap();
+
+    let calls = queue.step(at(1)).calls;
+
+    assert!(calls.iter().any(|c| c.items.iter().any(|i| &*i.request == "tight")), "{calls:?}");
+}
