Move the start tags of fair queuing out of the sidecar's queue

Change: core/share/ holds the tags and the id of a workspace; the sidecar's queue keeps its order and its use of them.

--- a/src/limpetmux/core/admission/mod.rs
+++ b/src/limpetmux/core/admission/mod.rs
@@ -15,10 +15,11 @@
 
 pub use estimate::Estimate;
 pub use offer::{
-    Actions, AdmissionDecision, Cancelled, FlowId, Limits, Load, Offer, Outcome, ServerReport,
-    Ticket,
+    Actions, AdmissionDecision, Cancelled, Limits, Load, Offer, Outcome, ServerReport, Ticket,
 };
 
+pub use crate::core::share::FlowId;
+
 use crate::core::refusal::{Refusal, RefusalCode};
 use crate::core::time::Moment;
 use limit::Limiter;
--- a/src/limpetmux/core/admission/offer.rs
+++ b/src/limpetmux/core/admission/offer.rs
@@ -1,9 +1,9 @@
 //! Inputs and outputs of admission.
 
-use crate::core::config::{Name, ServiceSpec};
+use crate::core::config::ServiceSpec;
 use crate::core::refusal::Refusal;
+use crate::core::share::FlowId;
 use crate::core::time::Moment;
-use crate::util::hash::hash_bytes;
 use std::time::Duration;
 
 /// The maximum number of queued calls of one sidecar, which only limits memory.
@@ -14,17 +14,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
-/// Identifies the workspace of a call across configuration views, by the hash of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct FlowId(pub u64);
-
-impl FlowId {
-    /// Returns the id of a workspace.
-    pub fn of(workspace: &Name) -> Self {
-        Self(hash_bytes(workspace.as_str().as_bytes()))
-    }
-}
-
 /// The declared limits of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
--- a/src/limpetmux/core/admission/queue.rs
+++ b/src/limpetmux/core/admission/queue.rs
@@ -4,16 +4,12 @@
 //! with the work already admitted for its workspace, divided by the workspace's weight. The call
 //! with the highest place is the least valuable one and is shed first.
 
-use super::offer::{FlowId, Offer, Ticket};
+use super::offer::{Offer, Ticket};
+use crate::core::share::{FairTags, FlowId, Tag};
 use crate::core::time::Moment;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// The tag length of one unit of work at weight one.
-const TAG_SCALE: u64 = 1 << 16;
-/// Idle flows are dropped when more flows than this are stored.
-const MAX_FLOWS: usize = 512;
-
 /// The position of a call; lower runs earlier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Place {
@@ -26,6 +22,12 @@
     span: u64,
 }
 
+impl Place {
+    fn tag(self) -> Tag {
+        Tag { start: self.tag, span: self.span }
+    }
+}
+
 /// A queued call.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct QueuedCall {
@@ -41,10 +43,7 @@
     calls: BTreeMap<Place, QueuedCall>,
     places: BTreeMap<Ticket, Place>,
     expiry: BTreeSet<(Moment, Ticket)>,
-    /// The tag at which each flow's last call ends.
-    ends: BTreeMap<(u8, FlowId), u64>,
-    /// The highest start tag of a started call, by rank.
-    served: BTreeMap<u8, u64>,
+    tags: FairTags,
 }
 
 impl FairQueue {
@@ -59,17 +58,14 @@
     /// Returns the place that a call would get, without inserting it.
     pub(super) fn place(&self, offer: &Offer, ticket: Ticket) -> Place {
         let rank = u8::MAX - offer.priority;
-        let served = self.served.get(&rank).copied().unwrap_or(0);
-        let end = self.ends.get(&(rank, offer.flow)).copied().unwrap_or(0);
-        let work = u64::from(offer.work.max(1));
-        let span = (work * TAG_SCALE / u64::from(offer.weight.max(1))).max(1);
-        Place { rank, tag: served.max(end), ticket, span }
+        let tag = self.tags.next(rank, offer.flow, offer.weight, u64::from(offer.work));
+        Place { rank, tag: tag.start, ticket, span: tag.span }
     }
 
     /// Counts a call that starts without being queued.
     pub(super) fn bypass(&mut self, offer: &Offer, place: Place) {
-        self.ends.insert((place.rank, offer.flow), place.tag.saturating_add(place.span));
-        self.serve(place);
+        self.tags.add(place.rank, offer.flow, place.tag());
+        self.tags.serve(place.rank, place.tag());
     }
 
     /// Returns the number of queued calls before a place.
@@ -83,7 +79,7 @@
     }
 
     pub(super) fn insert(&mut self, place: Place, call: QueuedCall) {
-        self.ends.insert((place.rank, call.flow), place.tag.saturating_add(place.span));
+        self.tags.add(place.rank, call.flow, place.tag());
         self.expiry.insert((call.start_by, call.ticket));
         self.places.insert(call.ticket, place);
         self.calls.insert(place, call);
@@ -94,7 +90,7 @@
         let (place, call) = self.calls.pop_first()?;
         self.places.remove(&call.ticket);
         self.expiry.remove(&(call.start_by, call.ticket));
-        self.serve(place);
+        self.tags.serve(place.rank, place.tag());
         Some(call.ticket)
     }
 
@@ -103,9 +99,7 @@
         let place = self.places.remove(&ticket)?;
         let call = self.calls.remove(&place)?;
         self.expiry.remove(&(call.start_by, ticket));
-        if let Some(end) = self.ends.get_mut(&(place.rank, call.flow)) {
-            *end = end.saturating_sub(place.span);
-        }
+        self.tags.give_back(place.rank, call.flow, place.tag());
         Some(call)
     }
 
@@ -132,14 +126,4 @@
         }
         late
     }
-
-    /// Advances the served tag of a rank and drops idle flows if there are too many.
-    fn serve(&mut self, place: Place) {
-        let served = self.served.entry(place.rank).or_insert(0);
-        *served = (*served).max(place.tag);
-        if self.ends.len() > MAX_FLOWS {
-            let tags = &self.served;
-            self.ends.retain(|(rank, _), end| tags.get(rank).is_some_and(|served| *end > *served));
-        }
-    }
 }
--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -39,6 +39,7 @@
 pub mod routing;
 pub mod server_limits;
 pub mod server_notices;
+pub mod share;
 pub mod shutdown;
 pub mod time;
 pub mod view;
--- a/src/limpetmux/entry/policy.rs
+++ b/src/limpetmux/entry/policy.rs
@@ -72,7 +72,7 @@
 
     /// Admits a request unless its workspace has reached its limit of requests in progress.
     pub(super) fn admit(&self, workspace: &WorkspaceRow) -> Result<InflightPermit<'_>, Refusal> {
-        let flow = FlowId::of(&workspace.name);
+        let flow = FlowId::of(workspace.name.as_str());
         let mut state = self.lock();
         let running = state.flows.entry(flow).or_insert(0);
         if *running >= workspace.inflight {
--- a/src/limpetmux/entry/stage.rs
+++ b/src/limpetmux/entry/stage.rs
@@ -74,7 +74,7 @@
     }
 
     fn flow(&self) -> FlowId {
-        FlowId::of(&self.run.fleet.view.workspaces[self.run.request.workspace].name)
+        FlowId::of(self.run.fleet.view.workspaces[self.run.request.workspace].name.as_str())
     }
 
     /// Returns whether another attempt can resume an interrupted one.
--- a/src/limpetmux/sidecar/gate.rs
+++ b/src/limpetmux/sidecar/gate.rs
@@ -133,7 +133,7 @@
         };
         let row = &view.workspaces[workspace];
         Ok(CheckedAttempt {
-            flow: FlowId::of(&row.name),
+            flow: FlowId::of(row.name.as_str()),
             weight: row.weight,
             priority: u8::try_from(info.priority).unwrap_or(u8::MAX),
             size: info.max_tokens,
