Share a full stage queue between workspaces

Cause: a stage queue knew no workspace, so that at the scarcest service the first to ask won. The queue node states how long each workspace waits, and entries refuse by the wait of the workspace that asks. Two log events, one counter, the workspace in two others. Checks: `QueueWaits::wait` and `wait_after` take the workspace; their tests pass none and expect the same.

--- a/src/limpetmux/core/pieces/job.rs
+++ b/src/limpetmux/core/pieces/job.rs
@@ -1,6 +1,7 @@
 //! One stage of one request while its pieces are queued or running.
 
 use super::worker::{PieceError, PieceOutcome};
+use crate::core::share::FlowId;
 use crate::core::time::Moment;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -13,6 +14,9 @@
 /// Attempts at one piece before its stage fails.
 const MAX_SENDS: u32 = 3;
 
+/// The flow of requests without a workspace.
+const NO_WORKSPACE: FlowId = FlowId(0);
+
 /// The key of a stage in the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobKey(pub u64);
@@ -41,6 +45,8 @@
     pub due: Moment,
     /// The request's deadline.
     pub deadline: Moment,
+    /// The workspace of the request, if the configuration names workspaces.
+    pub workspace: Option<Arc<str>>,
     /// The priority of the request; 0 goes first.
     pub priority: u8,
     /// The zone where the results are needed; empty if that does not matter.
@@ -93,17 +99,30 @@
 }
 
 /// The order of stages: those on time first, by their latest start with a delay for the priority;
-/// then late ones, by priority and deadline.
+/// then late ones, by priority and deadline. While workspaces compete for a full queue, both kinds
+/// are ordered by priority and then by share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
     late: bool,
-    /// The priority of the request if the stage is late, otherwise 0.
+    /// The priority of the request if the stage is late or workspaces compete, otherwise 0.
     priority: u8,
+    /// The start tag while workspaces compete, otherwise 0.
+    tag: u64,
     /// The latest start plus the delay for the priority; the deadline if the stage is late.
     start: Moment,
 }
 
 impl Rank {
+    /// Returns the place while workspaces compete.
+    pub(super) fn shared(self, priority: u8, tag: u64) -> Self {
+        Self { priority, tag, ..self }
+    }
+
+    /// Returns the start tag while workspaces compete, otherwise 0.
+    pub(super) fn tag(self) -> u64 {
+        self.tag
+    }
+
     /// Returns whether the stage can no longer meet its request's latency objective.
     pub(super) fn is_late(self) -> bool {
         self.late
@@ -115,6 +134,7 @@
 pub(super) struct Job {
     pub(super) spec: JobSpec,
     pub(super) queued_at: Moment,
+    pub(super) flow: FlowId,
     pieces: Vec<Piece>,
     sends: Vec<u32>,
     /// When the last piece was sent, once all pieces are sent.
@@ -127,7 +147,8 @@
     pub(super) fn new(now: Moment, spec: JobSpec) -> Self {
         let pieces = vec![Piece::Open; spec.pieces];
         let sends = vec![0; spec.pieces];
-        Self { spec, queued_at: now, pieces, sends, sent_at: None, avoided: Vec::new() }
+        let flow = spec.workspace.as_deref().map_or(NO_WORKSPACE, FlowId::of);
+        Self { spec, queued_at: now, flow, pieces, sends, sent_at: None, avoided: Vec::new() }
     }
 
     pub(super) fn pieces(&self) -> usize {
@@ -139,13 +160,14 @@
         self.pieces.iter().filter(|p| **p == Piece::Open).count()
     }
 
+    /// Returns the place in the usual order of stages.
     pub(super) fn rank(&self, now: Moment, call_time: Duration) -> Rank {
         let start = self.spec.due - call_time;
         let late = start < now;
         let delay = PRIORITY_DELAY * u32::from(self.spec.priority);
         let priority = if late { self.spec.priority } else { 0 };
         let start = if late { self.spec.deadline } else { start + delay };
-        Rank { late, priority, start }
+        Rank { late, priority, tag: 0, start }
     }
 
     /// Returns whether the results are needed in another zone.
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -8,15 +8,18 @@
 
 mod held;
 mod job;
+mod share;
 mod worker;
 
 pub use held::HeldResult;
 pub use job::{JobKey, JobSpec, Source, StageEnd};
+pub use share::StageWaits;
 pub use worker::{
     Call, CallEnd, CallItem, CallKey, CallQuota, PieceError, PieceOutcome, WorkerSpec,
 };
 
 use crate::core::catalog::PieceSpec;
+use crate::core::share::FairTags;
 use crate::core::time::Moment;
 use job::Job;
 use std::collections::BTreeMap;
@@ -46,12 +49,16 @@
 /// time.
 const RETENTION_MARGIN: Duration = Duration::from_millis(500);
 
+/// The key of a stage that is not queued yet, behind all others of the same rank.
+const NEW_JOB: JobKey = JobKey(u64::MAX);
+
 /// The pieces and backend servers of one service.
 #[derive(Debug)]
 pub struct PieceQueue {
     spec: PieceSpec,
     jobs: BTreeMap<JobKey, Job>,
     workers: BTreeMap<Arc<str>, Worker>,
+    tags: FairTags,
     next_key: u64,
 }
 
@@ -71,7 +78,8 @@
 impl PieceQueue {
     /// Creates a queue without backend servers.
     pub fn new(spec: PieceSpec) -> Self {
-        Self { spec, jobs: BTreeMap::new(), workers: BTreeMap::new(), next_key: 0 }
+        let (jobs, workers) = (BTreeMap::new(), BTreeMap::new());
+        Self { spec, jobs, workers, tags: FairTags::default(), next_key: 0 }
     }
 
     /// Applies a new declaration of the service.
@@ -116,6 +124,7 @@
         }
         self.next_key += 1;
         let key = JobKey(self.next_key);
+        self.enter(&job);
         self.jobs.insert(key, job);
         Ok(key)
     }
@@ -132,14 +141,6 @@
         }
     }
 
-    /// Returns how long a new stage that is not late waits in the queue.
-    pub fn stage_wait(&self, now: Moment) -> Duration {
-        let open = self.jobs.values().filter(|j| !self.rank(now, j).is_late());
-        let busy =
-            self.workers.values().filter(|w| w.is_available(now)).map(|w| w.busy_for(now)).min();
-        self.drain_time(now, open.map(Job::open_count).sum()) + busy.unwrap_or_default()
-    }
-
     /// Returns the pieces per second that the available backend servers complete in full batches.
     pub fn rate(&self, now: Moment) -> f64 {
         let speed = self.speed(now);
@@ -180,8 +181,10 @@
             let size = |item: &worker::Item| self.jobs.get(&item.job).map_or(0, |j| j.spec.size);
             let sizes = items.iter().map(size).collect();
             worker.start(key, now, expected, retention, items.clone(), sizes);
+            let span = self.piece_span();
             for item in items {
                 if let Some(job) = self.jobs.get_mut(&item.job) {
+                    self.tags.charge(job.spec.priority, job.flow, span);
                     job.mark_sent(now, item.piece, &id);
                 }
             }
@@ -250,9 +253,7 @@
     /// Returns the stages with queued pieces, most urgent first.
     fn order(&self, now: Moment) -> Vec<(job::Rank, JobKey)> {
         let waiting = self.jobs.iter().filter(|(_, j)| j.open_count() > 0);
-        let mut order: Vec<_> = waiting.map(|(k, j)| (self.rank(now, j), *k)).collect();
-        order.sort_unstable();
-        order
+        self.sorted(now, waiting.map(|(key, job)| (*key, job)).collect())
     }
 
     fn rank(&self, now: Moment, job: &Job) -> job::Rank {
@@ -344,9 +345,11 @@
 
     /// Returns how long a stage waits behind more urgent ones.
     fn queue_wait(&self, now: Moment, job: &Job) -> Duration {
-        let rank = self.rank(now, job);
-        let ahead = self.jobs.values().filter(|j| self.rank(now, j) < rank);
-        self.drain_time(now, ahead.map(Job::open_count).sum())
+        let mut waiting: Vec<(JobKey, &Job)> = self.jobs.iter().map(|(k, j)| (*k, j)).collect();
+        waiting.push((NEW_JOB, job));
+        let order = self.sorted(now, waiting);
+        let ahead = order.iter().take_while(|(_, key)| *key != NEW_JOB);
+        self.drain_time(now, ahead.map(|(_, key)| self.jobs[key].open_count()).sum())
     }
 
     /// Returns how many backend servers with the expected call time do as much as the available ones.
--- a/src/limpetmux/core/queue_waits.rs
+++ b/src/limpetmux/core/queue_waits.rs
@@ -16,11 +16,16 @@
 /// The longest wait. Longer ones are taken for it, so that sums of waits stay in range.
 const MAX_WAIT: Duration = Duration::from_secs(24 * 3_600);
 
+/// Most workspaces that are kept of one report.
+const MAX_WORKSPACES: usize = 64;
+
 /// The latest report of one service.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Report {
     /// How long a new stage waits.
     wait: Duration,
+    /// How long it waits if it is of one of these workspaces.
+    workspaces: BTreeMap<Arc<str>, Duration>,
     /// The pieces per second that the service completes.
     rate: f64,
     received_at: Moment,
@@ -38,10 +43,19 @@
     /// Records how long a new stage waits at a service, and how many pieces per second the service
     /// completes.
     pub fn record(&mut self, now: Moment, service: &Arc<str>, wait: Duration, rate: f64) {
-        let report = Report { wait: wait.min(MAX_WAIT), rate, received_at: now };
+        let (wait, workspaces) = (wait.min(MAX_WAIT), BTreeMap::new());
+        let report = Report { wait, workspaces, rate, received_at: now };
         self.reports.insert(Arc::clone(service), report);
     }
 
+    /// Adds to the latest report of a service how long stages of some workspaces wait.
+    pub fn record_workspaces(&mut self, service: &str, waits: Vec<(Arc<str>, Duration)>) {
+        if let Some(report) = self.reports.get_mut(service) {
+            let waits = waits.into_iter().take(MAX_WORKSPACES);
+            report.workspaces = waits.map(|(name, wait)| (name, wait.min(MAX_WAIT))).collect();
+        }
+    }
+
     /// Adds pieces that this entry will submit to a service.
     pub fn add_expected(&mut self, service: &Arc<str>, pieces: usize) {
         *self.expected.entry(Arc::clone(service)).or_default() += pieces;
@@ -54,13 +68,15 @@
         }
     }
 
-    /// Returns how long a new stage waits at a service; a reported wait shrinks as time passes.
-    pub fn wait(&self, now: Moment, service: &str) -> Duration {
-        self.recent(now, service)
-            .map_or(Duration::ZERO, |r| r.wait.saturating_sub(now.since(r.received_at)))
+    /// Returns how long a new stage of a workspace waits at a service; a reported wait shrinks as
+    /// time passes.
+    pub fn wait(&self, now: Moment, service: &str, workspace: Option<&str>) -> Duration {
+        let Some(report) = self.recent(now, service) else { return Duration::ZERO };
+        let own = workspace.and_then(|w| report.workspaces.get(w));
+        own.unwrap_or(&report.wait).saturating_sub(now.since(report.received_at))
     }
 
-    /// Returns how long a stage will wait that is submitted to a service after `until`.
+    /// Returns how long a stage of a workspace will wait that is submitted to a service after `until`.
     ///
     /// By then the service has completed that much work, and the pieces that all `entries` will
     /// submit are in its queue; each entry is assumed to submit as many as this one.
@@ -68,16 +84,17 @@
         &self,
         now: Moment,
         service: &str,
+        workspace: Option<&str>,
         until: Duration,
         entries: usize,
     ) -> Duration {
         let Some(report) = self.recent(now, service).filter(|r| r.rate > 0.0) else {
-            return self.wait(now, service);
+            return self.wait(now, service, workspace);
         };
         let expected = self.expected.get(service).copied().unwrap_or_default() * entries;
         let backlog = Duration::try_from_secs_f64(expected as f64 / report.rate);
         let backlog = backlog.map_or(MAX_WAIT, |b| b.min(MAX_WAIT));
-        (self.wait(now, service) + backlog).saturating_sub(until)
+        (self.wait(now, service, workspace) + backlog).saturating_sub(until)
     }
 
     fn recent(&self, now: Moment, service: &str) -> Option<&Report> {
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -133,6 +133,7 @@
         source,
         due: if run.due_ms < 0 { now - due } else { now + due },
         deadline: now + Duration::from_millis(run.left_ms),
+        workspace: Some(run.workspace).filter(|w| !w.is_empty()).map(Arc::from),
         priority: u8::try_from(run.priority).unwrap_or(u8::MAX),
         zone: run.zone.into(),
         size: run.size,
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -1,7 +1,7 @@
 //! The gRPC service for other nodes: pulls of the view, stages to run, and results to free.
 
 use super::{convert, evidence};
-use crate::core::pieces::StageEnd;
+use crate::core::pieces::{StageEnd, StageWaits};
 use crate::core::prompt_part::PartId;
 use crate::core::read_limits::MAX_MESSAGE_BYTES;
 use crate::event;
@@ -14,6 +14,7 @@
 use crate::wire::fleet::{
     self as wire, EnginePlaced, FreeResults, Freed, GrantReply, GrantRequest, Left, NodeLeaving,
     Outcome, PlaceEngine, PullReply, PullRequest, QuarantineRequest, StageDone, StageRun,
+    WorkspaceWait,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -118,7 +119,7 @@
         let service: Arc<str> = run.service.as_str().into();
         let spec = convert::job(clock::boot(), run);
         let end = self.queues.run(&service, spec).await;
-        let mut done = done(end, self.queues.stage_wait(&service));
+        let mut done = done(end, self.queues.stage_waits(&service));
         done.rate = self.queues.rate(&service);
         done.tight = self.queues.is_room_short(&service);
         Ok(Response::new(done))
@@ -162,9 +163,15 @@
     }
 }
 
-fn done(end: StageEnd, wait: Duration) -> StageDone {
+fn done(end: StageEnd, waits: StageWaits) -> StageDone {
     let millis = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
-    let mut done = StageDone { wait_ms: millis(wait), ..StageDone::default() };
+    let workspace_wait = |(workspace, wait): (Arc<str>, Duration)| WorkspaceWait {
+        workspace: workspace.to_string(),
+        wait_ms: millis(wait),
+    };
+    let workspace_waits = waits.workspaces.into_iter().map(workspace_wait).collect();
+    let mut done =
+        StageDone { wait_ms: millis(waits.usual), workspace_waits, ..StageDone::default() };
     let outcome = match end {
         StageEnd::Completed { results, zone } => {
             done.results = results.iter().map(ToString::to_string).collect();
--- a/src/limpetmux/serve/chain.rs
+++ b/src/limpetmux/serve/chain.rs
@@ -144,6 +144,7 @@
             priority: u32::from(self.routed.priority()),
             zone: chain::preferred_zone(route, index, &self.pieces, &self.zones, &self.engine_zone),
             size: stage.size,
+            workspace: self.routed.workspace().unwrap_or_default().to_owned(),
             frees,
             tight,
             ..source(self.routed, inputs)
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -78,6 +78,11 @@
         workspace.unwrap_or(self.route().priority)
     }
 
+    /// Returns the workspace of the caller's key, if the route needs a key.
+    pub fn workspace(&self) -> Option<&str> {
+        self.holder.as_ref().map(|h| &*h.workspace)
+    }
+
     /// Returns the number of pieces of each stage of the route.
     pub fn pieces(&self) -> Vec<u32> {
         let count = |stage| self.head.pieces.get(stage).copied().unwrap_or_default();
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -38,6 +38,9 @@
 /// The retry delay of a refused caller is at most its remaining time divided by this.
 const RETRY_TIME_DIVISOR: u32 = 3;
 
+/// The workspace of requests without a key, in logs and metrics.
+const NO_WORKSPACE: &str = "none";
+
 /// Runs all stages of a request.
 ///
 /// # Errors
@@ -81,11 +84,11 @@
     let waits: Vec<Duration> = {
         let queue_waits = shared.queue_waits();
         let wait = |(s, start): (&StageSpec, &Duration)| {
-            queue_waits.wait_after(now, &s.service, *start, entries)
+            queue_waits.wait_after(now, &s.service, routed.workspace(), *start, entries)
         };
         route.stages.iter().zip(&starts).map(wait).collect()
     };
-    let engine_wait = shared.queue_waits().wait(now, &routed.service);
+    let engine_wait = shared.queue_waits().wait(now, &routed.service, None);
     let stage_time = chain::chain_time(route, times, &waits);
     let needed = stage_time + engine + engine_wait;
     let no_waits = vec![Duration::ZERO; waits.len()];
@@ -97,15 +100,23 @@
     event!(
         EventCode::NotAdmitted,
         request = routed.head.id,
+        workspace = routed.workspace().unwrap_or(NO_WORKSPACE),
         needed_ms = needed.as_millis(),
         aim_ms = latency_left.as_millis(),
         waits_ms = waited.as_millis(),
         engine_wait_ms = engine_wait.as_millis(),
         version = routed.catalog.version
     );
+    count_refused(shared, routed);
     Err(Failure::with_retry(Reason::Overloaded, retry.min(routed.time_left() / RETRY_TIME_DIVISOR)))
 }
 
+fn count_refused(shared: &Shared, routed: &RoutedRequest) {
+    let workspace = routed.workspace().unwrap_or(NO_WORKSPACE);
+    let tags = [("workspace", workspace), ("service", &*routed.service)];
+    shared.metrics.count(Metric::WorkspaceRefused, 1, &tags);
+}
+
 /// Plans which model engine a request will be sent to after its stages.
 async fn planned_engine(
     shared: &Shared,
@@ -162,9 +173,8 @@
         run.left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         let answer = call_queue_node(shared, addr, run, left).await;
         if let Ok(done) = &answer {
-            let wait = Duration::from_millis(done.wait_ms);
             let service = &routed.route().stages[stage].service;
-            shared.queue_waits().record(clock::boot(), service, wait, done.rate);
+            record_waits(shared, service, done);
         }
         match answer {
             Ok(done) if done.outcome() == Outcome::Unavailable => {}
@@ -185,6 +195,18 @@
     StageOutcome { stage, done: Err(Failure::with_retry(Reason::StagesFailed, FAILED_RETRY_DELAY)) }
 }
 
+/// Records the waits that a queue node has stated.
+fn record_waits(shared: &Shared, service: &Arc<str>, done: &StageDone) {
+    let wait = Duration::from_millis(done.wait_ms);
+    let workspaces = done.workspace_waits.iter();
+    let workspaces = workspaces
+        .map(|w| (Arc::from(w.workspace.as_str()), Duration::from_millis(w.wait_ms)))
+        .collect();
+    let mut queue_waits = shared.queue_waits();
+    queue_waits.record(clock::boot(), service, wait, done.rate);
+    queue_waits.record_workspaces(service, workspaces);
+}
+
 fn record_stage(
     shared: &Shared,
     routed: &RoutedRequest,
@@ -211,13 +233,17 @@
         EventCode::StageUnmade,
         request = routed.head.id,
         stage = stage,
+        workspace = routed.workspace().unwrap_or(NO_WORKSPACE),
         outcome = done.outcome().as_str_name(),
         wait_ms = done.wait_ms,
         version = shared.view.load().orders.version()
     );
     let retry = Duration::from_millis(done.retry_ms).min(routed.time_left() / RETRY_TIME_DIVISOR);
     match done.outcome() {
-        Outcome::Late => Err(Failure::with_retry(Reason::Overloaded, retry)),
+        Outcome::Late => {
+            count_refused(shared, routed);
+            Err(Failure::with_retry(Reason::Overloaded, retry))
+        }
         Outcome::Gone => Err(Failure::with_retry(Reason::InputsGone, FAILED_RETRY_DELAY)),
         _ => Err(Failure::with_retry(Reason::StagesFailed, FAILED_RETRY_DELAY)),
     }
--- a/src/limpetmux/stage_queues/mod.rs
+++ b/src/limpetmux/stage_queues/mod.rs
@@ -10,16 +10,20 @@
 mod exchange;
 mod leave;
 
+use crate::core::catalog::PieceSpec;
 use crate::core::listing::Server;
-use crate::core::pieces::{Actions, CallEnd, JobKey, JobSpec, PieceQueue, StageEnd};
+use crate::core::pieces::{Actions, CallEnd, JobKey, JobSpec, PieceQueue, StageEnd, StageWaits};
 use crate::core::pieces::{CallKey, CallQuota, WorkerSpec};
 use crate::core::server_limits::RequestRate;
 use crate::core::server_notices::{Incarnation, PoolClosed};
+use crate::core::share::{Contest, Spell};
+use crate::event;
 use crate::platform::stage;
 use crate::serve::connections::ConnectionPool;
 use crate::serve::inputs::free_results;
 use crate::serve::node::{Shared, StoreView};
 use crate::util::clock;
+use crate::util::event::EventCode;
 use call::{free, run_call};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -34,8 +38,12 @@
 /// The most results that are freed together; a backend server drops others when they expire.
 const MAX_DELAYED: usize = 4_096;
 
+/// How many workspaces are named in a log line.
+const LOGGED_WAITS: usize = 4;
+
 struct Queue {
     pieces: PieceQueue,
+    contest: Contest,
     waiters: BTreeMap<JobKey, oneshot::Sender<StageEnd>>,
 }
 
@@ -118,9 +126,12 @@
         Ok((key, queue.pieces.step(now)))
     }
 
-    /// Returns the queueing time of a new stage of a service.
-    pub fn stage_wait(&self, service: &str) -> Duration {
-        self.lock().get(service).map_or(Duration::ZERO, |q| q.pieces.stage_wait(clock::boot()))
+    /// Returns the queueing times of new stages of a service.
+    pub fn stage_waits(&self, service: &str) -> StageWaits {
+        let queues = self.lock();
+        queues
+            .get(service)
+            .map_or_else(StageWaits::default, |q| q.pieces.stage_waits(clock::boot()))
     }
 
     /// Returns how many pieces per second a service computes.
@@ -187,7 +198,7 @@
 
     fn busy(&self) -> Vec<Arc<str>> {
         let queues = self.lock();
-        let busy = queues.iter().filter(|(_, q)| !q.pieces.is_idle());
+        let busy = queues.iter().filter(|(_, q)| !q.pieces.is_idle() || q.contest.is_open());
         busy.map(|(service, _)| Arc::clone(service)).collect()
     }
 
@@ -198,6 +209,7 @@
             let Some(queue) = queue(&mut queues, &view, service) else { return };
             let available = workers(&self.shared, &view, service);
             queue.pieces.set_workers(available.unwrap_or_default());
+            log_contest(service, queue);
             queue.pieces.step(clock::boot())
         };
         self.perform(service, actions);
@@ -262,13 +274,40 @@
 ) -> Option<&'a mut Queue> {
     let config = view.orders.config.as_ref()?;
     let spec = config.catalog.pool(service)?.pieces?;
-    let queue = queues
-        .entry(Arc::clone(service))
-        .or_insert_with(|| Queue { pieces: PieceQueue::new(spec), waiters: BTreeMap::new() });
+    let queue = queues.entry(Arc::clone(service)).or_insert_with(|| new_queue(spec));
     queue.pieces.configure(spec);
     Some(queue)
 }
 
+fn new_queue(spec: PieceSpec) -> Queue {
+    Queue { pieces: PieceQueue::new(spec), contest: Contest::default(), waiters: BTreeMap::new() }
+}
+
+/// Logs when workspaces begin and cease to compete for a queue.
+fn log_contest(service: &str, queue: &mut Queue) {
+    let now = clock::boot();
+    match queue.contest.observe(now, queue.pieces.competing(now)) {
+        Some(Spell::Begun { workspaces }) => event!(
+            EventCode::ShareBegun,
+            service = service,
+            workspaces = workspaces,
+            waits_ms = waits_text(&queue.pieces.stage_waits(now))
+        ),
+        Some(Spell::Ended { lasted }) => {
+            event!(EventCode::ShareEnded, service = service, lasted_ms = lasted.as_millis());
+        }
+        None => {}
+    }
+}
+
+/// Returns the longest waits of workspaces in milliseconds, for a log line.
+fn waits_text(waits: &StageWaits) -> String {
+    let longest = waits.workspaces.iter().take(LOGGED_WAITS);
+    let text: Vec<String> =
+        longest.map(|(name, wait)| format!("{name}:{}", wait.as_millis())).collect();
+    text.join(",")
+}
+
 /// Returns the backend servers of a service that may get calls, with what their limits leave.
 fn workers(
     shared: &Shared,
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -223,6 +223,10 @@
     ServerLimit = 624,
     /// The limit of a backend server is used up; it gets no requests of this node for a time.
     QuotaDenied = 625,
+    /// Workspaces compete for a full stage queue; each gets its share from now on.
+    ShareBegun = 660,
+    /// Workspaces no longer compete for a stage queue.
+    ShareEnded = 661,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -40,6 +40,9 @@
     /// Requests refused or failed for other reasons.
     #[strum(props(kind = "counter", tags = "code, execution"))]
     RequestsRefused,
+    /// Requests refused because a queue before the service was full, by workspace.
+    #[strum(props(kind = "counter", tags = "workspace, service"))]
+    WorkspaceRefused,
     /// Responses of backend servers read up to their end, by framing and by how they ended.
     #[strum(props(kind = "counter", tags = "framing, end"))]
     AnswersRead,
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -295,6 +295,9 @@
     /// as soon as they have been fetched, and not only when the stage is completed.
     #[prost(bool, tag = "13")]
     pub tight: bool,
+    /// The workspace of the request; empty if the route needs no key.
+    #[prost(string, tag = "50")]
+    pub workspace: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StageDone {
@@ -309,7 +312,8 @@
     /// Milliseconds after which a stage that was not completed may be retried.
     #[prost(uint64, tag = "4")]
     pub retry_ms: u64,
-    /// Milliseconds that a new stage of the service waits in the queue.
+    /// Milliseconds that a new stage of the service waits in the queue; while workspaces compete for a
+    /// full queue, one of a workspace that is not listed in `workspace_waits`.
     #[prost(uint64, tag = "5")]
     pub wait_ms: u64,
     /// The number of pieces that the service completes per second.
@@ -318,6 +322,17 @@
     /// Whether the backend servers of the service are short of room for results.
     #[prost(bool, tag = "7")]
     pub tight: bool,
+    /// The workspaces whose stages wait longer, while workspaces compete for a full queue.
+    #[prost(message, repeated, tag = "50")]
+    pub workspace_waits: ::prost::alloc::vec::Vec<WorkspaceWait>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct WorkspaceWait {
+    #[prost(string, tag = "1")]
+    pub workspace: ::prost::alloc::string::String,
+    /// Milliseconds that a new stage of the workspace waits in the queue.
+    #[prost(uint64, tag = "2")]
+    pub wait_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FreeResults {
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -333,8 +333,8 @@
     let (mut waits, service) = (QueueWaits::default(), Arc::from("first"));
     waits.record(NOW, &service, Duration::from_millis(done.wait_ms), done.rate);
     waits.add_expected(&service, 30_000);
-    let wait = waits.wait(NOW, &service);
-    let later = waits.wait_after(NOW, &service, Duration::ZERO, 100);
+    let wait = waits.wait(NOW, &service, None);
+    let later = waits.wait_after(NOW, &service, None, Duration::ZERO, 100);
     // The waits of all stages of a request are added up.
     assert!((wait + later) * 1_000 >= wait);
 }
--- a/tests/testsuite/platform/pieces.rs
+++ b/tests/testsuite/platform/pieces.rs
@@ -48,6 +48,7 @@
         source: Source::Key("k".into()),
         due: now + ms(2_000),
         deadline: now + ms(6_000),
+        workspace: None,
         priority: 1,
         zone: "".into(),
         size: 1_000,
--- a/tests/testsuite/platform/queue_waits.rs
+++ b/tests/testsuite/platform/queue_waits.rs
@@ -9,10 +9,10 @@
     let mut waits = QueueWaits::default();
     waits.record(at(0), &arc("a"), ms(900), 100.0);
 
-    assert_eq!(waits.wait(at(0), "a"), ms(900));
-    assert_eq!(waits.wait(at(400), "a"), ms(500));
-    assert_eq!(waits.wait(at(2_100), "a"), ms(0));
-    assert_eq!(waits.wait(at(0), "b"), ms(0));
+    assert_eq!(waits.wait(at(0), "a", None), ms(900));
+    assert_eq!(waits.wait(at(400), "a", None), ms(500));
+    assert_eq!(waits.wait(at(2_100), "a", None), ms(0));
+    assert_eq!(waits.wait(at(0), "b", None), ms(0));
 }
 
 #[test]
@@ -37,9 +37,9 @@
     // Six requests of 16 pieces at each of five entries, this one included.
     (0..6).for_each(|_| waits.add_expected(&service, 16));
 
-    let busy = waits.wait_after(at(0), "last", ms(800), 5);
+    let busy = waits.wait_after(at(0), "last", None, ms(800), 5);
     (0..5).for_each(|_| waits.remove_expected("last", 16));
-    let idle = waits.wait_after(at(0), "last", ms(800), 5);
+    let idle = waits.wait_after(at(0), "last", None, ms(800), 5);
 
     assert_eq!((busy, idle), (ms(4_000), ms(0)));
 }
