--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -40,6 +40,7 @@
 pub mod routing;
 pub mod server_limits;
 pub mod server_notices;
+pub mod share;
 pub mod shutdown;
 pub mod time;
 pub mod view;
--- a/tests/testsuite/platform/expected_work.rs
+++ b/tests/testsuite/platform/expected_work.rs
@@ -190,6 +190,7 @@
         source: Source::Key("k".into()),
         due: at(2_000),
         deadline: at(6_000),
+        workspace: None,
         priority: 1,
         zone: "".into(),
         size: 1_000,
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -22,6 +22,7 @@
 mod expected_work;
 mod expiry;
 mod explain;
+mod fair_share;
 mod follow_store;
 mod largest_prompts;
 mod leaving;
