Tell peers all records since the end of their views

A restored store had the same fault: a record that seemed earlier than a removal was dropped for good, though its server runs and writes no more.

Change: a reply has all records whose position or change is not below the caller's end. At one position the later write counts. A removal in a whole list no longer hides that the list lacks a later record. The configuration is sent whenever its position differs from the caller's.

The test of the renewed record reads what a peer lacks, as pulls do.

--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -5,9 +5,11 @@
 //! disappears because its backend server has stopped, or only because the store was unreachable and
 //! got no updates of it; in the second case it is kept for a grace period after the store is
 //! reachable again. The same holds for one that disappears because the store was restored from a copy;
-//! what a backend server had written before the copy's record of it stays in force. See
+//! what a backend server had written before the copy's record of it stays in force, until the store has
+//! listed that record for so long that it must be true. See
 //! `docs/design/platform.md` and `docs/design/restored-store.md`.
 
+pub use crate::core::listed::{ListRecord, ListedServer, WriteNumber};
 use crate::core::log_position::LogPosition;
 use crate::core::time::Moment;
 use std::collections::BTreeMap;
@@ -46,93 +48,6 @@
     pub cold: Duration,
 }
 
-/// Which of a backend server's writes a record is; later writes are greater.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct WriteNumber {
-    /// The Unix millisecond of the start of the incarnation.
-    pub started_ms: u64,
-    /// The number of the write in the incarnation.
-    pub sequence: u64,
-}
-
-impl WriteNumber {
-    /// Returns the number that no write of the incarnation exceeds, as after its removal.
-    fn last(self) -> Self {
-        Self { sequence: u64::MAX, ..self }
-    }
-}
-
-/// A record of the list with its position in the store's log.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ListedServer {
-    /// The record, or `None` if it was removed or is unusable.
-    pub server: Option<Server>,
-    /// The record as stored, to pass on to other nodes.
-    pub raw: Arc<[u8]>,
-    /// The position of the newest record of the id.
-    pub position: LogPosition,
-    /// The position at which the record last changed in more than a counter.
-    pub changed: LogPosition,
-    /// The latest known write of the id, if its records are numbered.
-    pub latest: Option<WriteNumber>,
-    /// When this node learned of the last change.
-    pub learned_at: Moment,
-    /// Since when the record is missing from the store's list of newest records.
-    missing_since: Option<Moment>,
-}
-
-/// One record as received from the store or from another node.
-#[derive(Clone, Debug)]
-pub struct ListRecord {
-    /// The id of the backend server.
-    pub id: Arc<str>,
-    /// The position in the store's log.
-    pub position: LogPosition,
-    /// The record, or `None` if it was removed or is unusable.
-    pub server: Option<Server>,
-    /// Which write of the id it is, or the last one before its removal, if that is known.
-    pub write: Option<WriteNumber>,
-    /// The record as stored.
-    pub raw: Arc<[u8]>,
-}
-
-impl ListRecord {
-    /// Returns the latest write that is known with this record, given the one known before.
-    fn latest(&self, before: Option<WriteNumber>) -> Option<WriteNumber> {
-        let is_removal = self.raw.is_empty();
-        match &self.server {
-            Some(_) => self.write,
-            None if is_removal => self.write.or(before).map(WriteNumber::last),
-            None => before,
-        }
-    }
-}
-
-impl ListedServer {
-    /// Returns whether the record is kept although the store no longer lists it.
-    pub fn is_unlisted(&self) -> bool {
-        self.missing_since.is_some() && !self.raw.is_empty()
-    }
-
-    /// Returns whether a record is from the copy that the store was restored from, and an earlier write
-    /// than the one that is known.
-    fn is_ahead_of(&self, record: &ListRecord) -> bool {
-        let is_restored = record.position.era > self.position.era;
-        is_restored && record.write.is_some() && record.write < self.latest
-    }
-
-    /// Removes the backend server; other nodes learn of it as of the last record before `end`.
-    fn remove(&mut self, now: Moment, end: LogPosition) {
-        self.server = None;
-        self.raw = Arc::default();
-        self.position = LogPosition { offset: end.offset.saturating_sub(1), ..end };
-        self.changed = end;
-        self.latest = self.latest.map(WriteNumber::last);
-        self.missing_since = None;
-        self.learned_at = now;
-    }
-}
-
 /// One node's copy of the list.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
@@ -182,7 +97,7 @@
         }
         self.detect_recovery(requested_at, end);
         for entry in entries {
-            self.put(requested_at, entry);
+            self.put(requested_at, end, entry);
         }
         self.index_starts();
         self.end = end;
@@ -204,12 +119,20 @@
             return false;
         }
         self.detect_recovery(requested_at, end);
-        let known: Vec<Arc<str>> = entries.iter().map(|e| Arc::clone(&e.id)).collect();
+        // A removal that is older than this node's record does not list it.
+        let stated = |e: &ListRecord| (Arc::clone(&e.id), (!e.raw.is_empty(), e.position));
+        let stated: BTreeMap<Arc<str>, (bool, LogPosition)> = entries.iter().map(stated).collect();
         for entry in entries {
-            self.put(requested_at, entry);
+            self.put(requested_at, end, entry);
         }
         for (id, listed) in &mut self.servers {
-            if !known.contains(id) && listed.position < end {
+            let stated = stated.get(id);
+            let is_known = stated.is_some_and(|(is_listed, p)| *is_listed || *p >= listed.position);
+            if is_known || listed.position >= end {
+                continue;
+            }
+            listed.doubted = None;
+            if listed.server.is_some() || !listed.raw.is_empty() {
                 listed.missing_since.get_or_insert(requested_at);
             }
         }
@@ -229,9 +152,13 @@
                 listed.remove(now, end);
             }
         }
+        for listed in self.servers.values_mut() {
+            listed.believe(self.confirmed_at, end);
+        }
         let is_old =
             |l: &ListedServer| l.server.is_none() && now.since(l.learned_at) >= TOMBSTONE_TIME;
-        let forgotten = self.servers.values().filter(|l| is_old(l)).map(|l| l.changed).max();
+        let old = self.servers.values().filter(|l| is_old(l));
+        let forgotten = old.map(ListedServer::last_position).max();
         if let Some(LogPosition { era, offset }) = forgotten {
             let after = LogPosition::new(era, offset.saturating_add(1));
             self.known_from = self.known_from.max(after);
@@ -260,12 +187,20 @@
         self.servers.get(id)
     }
 
+    /// Returns the records that another node lacks whose copy ends at a position.
+    ///
+    /// These are all that were written since, also those that changed in no more than a counter: the
+    /// other node may know of a removal that this one has not seen, between two equal records.
+    pub fn since(&self, end: LogPosition) -> impl Iterator<Item = (&Arc<str>, &ListedServer)> {
+        self.servers.iter().filter(move |(_, l)| l.last_position() >= end)
+    }
+
     /// Returns the records that changed at or after a position.
     pub fn changes(&self, from: LogPosition) -> impl Iterator<Item = (&Arc<str>, &ListedServer)> {
         self.servers.iter().filter(move |(_, l)| l.changed >= from)
     }
 
-    /// Returns whether [`changes`](Self::changes) has all changes at or after a position, removals too.
+    /// Returns whether [`since`](Self::since) has all that another node lacks, removals too.
     pub fn knows_since(&self, from: LogPosition) -> bool {
         from >= self.known_from && from.era == self.end.era
     }
@@ -284,15 +219,16 @@
         self.servers.is_empty()
     }
 
-    fn put(&mut self, now: Moment, entry: ListRecord) {
+    fn put(&mut self, now: Moment, end: LogPosition, entry: ListRecord) {
         let in_grace = self.is_in_grace(now);
         if let Some(old) = self.servers.get_mut(&entry.id) {
-            if old.position >= entry.position {
+            if old.position >= entry.position && !old.is_outdone_by(&entry) {
                 return;
             }
             if old.is_ahead_of(&entry) {
                 old.position = entry.position;
                 old.missing_since = None;
+                old.doubted = Some((now, entry));
                 return;
             }
         }
@@ -308,14 +244,22 @@
             Some(old) if old.server == server && !is_kept && old.missing_since.is_none() => {
                 (old.changed, old.learned_at)
             }
+            Some(old) if old.position == entry.position => (end, now),
             _ => (entry.position, now),
         };
         let missing_since = is_kept.then_some(now);
-        let (raw, position) = (entry.raw, entry.position);
-        self.servers.insert(
-            entry.id,
-            ListedServer { server, raw, position, changed, latest, learned_at, missing_since },
-        );
+        let listed = ListedServer {
+            server,
+            raw: entry.raw,
+            position: entry.position,
+            changed,
+            latest,
+            learned_at,
+            missing_since,
+            doubted: entry.doubted.map(|doubted| (now, *doubted)),
+            believed: entry.believed,
+        };
+        self.servers.insert(entry.id, listed);
     }
 
     /// Adds what another node knows from before the restore of the store: later writes of backend
@@ -329,7 +273,7 @@
                 }
                 continue;
             };
-            if record.write.is_some() && record.write > known.latest {
+            if record.write > known.latest {
                 known.latest = record.latest(known.latest);
                 known.server = record.server;
                 known.raw = record.raw;
@@ -350,6 +294,8 @@
             latest: record.write,
             learned_at: now,
             missing_since: Some(now),
+            doubted: None,
+            believed: false,
         };
         self.servers.insert(record.id, listed);
     }
--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -18,6 +18,7 @@
 pub mod event_stream;
 pub mod frames;
 pub mod keys;
+pub mod listed;
 pub mod listing;
 pub mod log_position;
 pub mod membership;
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -27,6 +27,7 @@
         gate: node.queues_pieces,
         started: node.started,
         heard_ms: millis(age),
+        ..Member::default()
     }
 }
 
@@ -210,7 +211,7 @@
             era: view.listing.end.era.0,
             age_ms: millis(now.since(view.listing.confirmed_at)),
             whole,
-            servers: (view.listing.changes(from))
+            servers: (view.listing.since(from))
                 .filter(|(_, listed)| !listed.is_unlisted())
                 .map(encode_record)
                 .collect(),
@@ -232,6 +233,8 @@
         value: listed.raw.to_vec(),
         started: listed.latest.map_or(0, |w| w.started_ms),
         sequence: listed.latest.map_or(0, |w| w.sequence),
+        believed: listed.believed,
+        doubted: listed.doubted().map(|raw| raw.to_vec()).unwrap_or_default(),
     }
 }
 
@@ -239,10 +242,9 @@
     let config = view.orders.config.as_ref();
     let position = config.map_or(LogPosition::START, |d| d.position);
     let known = LogPosition::new(StoreEra(request.config_era), request.config_at);
-    // A caller of a later era may have read an older version from the restored store.
-    let is_later_era =
-        request.operator_era > view.orders.end.era.0 && request.operator_era < u64::MAX;
-    let is_sent = position > known || known.is_start() || is_later_era;
+    // A position says nothing of the version: either node may have read an older one from a restored
+    // store. The caller decides.
+    let is_sent = (position != known || known.is_start()) && known != LogPosition::LAST;
     OperatorView {
         end: view.orders.end.offset,
         era: view.orders.end.era.0,
@@ -307,12 +309,17 @@
 }
 
 fn entry(record: &ServerRecord) -> ListRecord {
-    let value = record.value.clone().into();
-    let position = LogPosition::new(StoreEra(record.era), record.offset);
-    let decoded = servers::decode(Record { position, key: record.id.clone(), value }).0;
+    let decoded = decode_value(record, &record.value);
     let write = WriteNumber { started_ms: record.started, sequence: record.sequence };
     let write = decoded.write.or((record.started > 0).then_some(write));
-    ListRecord { write, ..decoded }
+    let doubted = (!record.doubted.is_empty()).then(|| decode_value(record, &record.doubted));
+    ListRecord { write, believed: record.believed, doubted: doubted.map(Box::new), ..decoded }
+}
+
+fn decode_value(record: &ServerRecord, value: &[u8]) -> ListRecord {
+    let position = LogPosition::new(StoreEra(record.era), record.offset);
+    let value = value.to_vec().into();
+    servers::decode(Record { position, key: record.id.clone(), value }).0
 }
 
 fn millis(time: Duration) -> u64 {
--- a/src/limpetmux/platform/servers.rs
+++ b/src/limpetmux/platform/servers.rs
@@ -62,6 +62,8 @@
     let unusable = ListRecord {
         id: Arc::clone(&id),
         position: record.position,
+        believed: false,
+        doubted: None,
         server: None,
         write: None,
         raw: Arc::clone(&raw),
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -15,6 +15,9 @@
     /// Milliseconds since the last sign of life from the node.
     #[prost(uint64, tag = "6")]
     pub heard_ms: u64,
+    /// Whether the node's reads of the store fail, so that others should not wait for it to read.
+    #[prost(bool, tag = "20")]
+    pub store_lost: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PullRequest {
@@ -257,6 +260,12 @@
     pub started: u64,
     #[prost(uint64, tag = "6")]
     pub sequence: u64,
+    /// Whether it counts although an earlier record seemed to be later.
+    #[prost(bool, tag = "20")]
+    pub believed: bool,
+    /// The record at the offset that the node doubts, if `value` is what it knows instead.
+    #[prost(bytes = "vec", tag = "21")]
+    pub doubted: ::prost::alloc::vec::Vec<u8>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StageRun {
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -115,6 +115,8 @@
             era: draw_number(u)?,
             started: draw_number(u)?,
             sequence: draw_number(u)?,
+            believed: u.arbitrary()?,
+            doubted: draw(u, SERVER.as_bytes())?,
         }];
         let reply = fleet::PullReply {
             members: vec![views::member(&local_node(), Duration::from_millis(draw_number(u)?))],
--- a/tests/testsuite/platform/endless_nodes.rs
+++ b/tests/testsuite/platform/endless_nodes.rs
@@ -147,6 +147,7 @@
         gate: true,
         started: 1,
         heard_ms: 0,
+        ..Member::default()
     };
     let calls = Arc::<Calls>::default();
     let holder = fixture.stages[0].addr;
--- a/tests/testsuite/platform/listing.rs
+++ b/tests/testsuite/platform/listing.rs
@@ -10,12 +10,20 @@
 fn record(id: &str, offset: u64) -> ListRecord {
     let raw = id.as_bytes().into();
     let server = Some(server(id, "mnl-a"));
-    ListRecord { id: id.into(), position: pos(offset), server, write: None, raw }
+    ListRecord { server, raw, ..removed(id, offset) }
 }
 
 fn removed(id: &str, offset: u64) -> ListRecord {
     let raw = [].as_slice().into();
-    ListRecord { id: id.into(), position: pos(offset), server: None, write: None, raw }
+    ListRecord {
+        id: id.into(),
+        position: pos(offset),
+        believed: false,
+        doubted: None,
+        server: None,
+        write: None,
+        raw,
+    }
 }
 
 fn ids(listing: &Listing) -> Vec<String> {
@@ -106,7 +114,7 @@
 }
 
 #[test]
-fn changed_counters_alone_are_not_passed_to_other_nodes() {
+fn changed_counters_alone_do_not_end_a_held_pull() {
     let mut listing = Listing::default();
     listing.apply(at(0), pos(10), vec![record("a", 8), record("b", 9)]);
 
@@ -129,9 +137,11 @@
         listing.apply(at(0), pos(10), vec![record("a", 9)]);
     }
     let pull = |reader: &Listing, puller: &mut Listing, now: u64| {
-        let changes = reader.changes(puller.end).map(|(id, listed)| ListRecord {
+        let changes = reader.since(puller.end).map(|(id, listed)| ListRecord {
             id: id.clone(),
             position: listed.position,
+            believed: listed.believed,
+            doubted: None,
             write: listed.latest,
             server: (!listed.raw.is_empty()).then(|| server(id, "mnl-a")),
             raw: listed.raw.clone(),
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -19,6 +19,7 @@
 mod engine_bursts;
 mod engines;
 mod event_stream;
+mod exchanged_views;
 mod expiry;
 mod explain;
 mod follow_store;
--- a/tests/testsuite/platform/restored_views.rs
+++ b/tests/testsuite/platform/restored_views.rs
@@ -18,13 +18,13 @@
 /// The zones that the operator evacuates.
 const ZONES: [&str; 2] = ["north", "south"];
 /// The number of backend servers.
-const SERVERS: usize = 3;
+pub(super) const SERVERS: usize = 3;
 /// The number of nodes.
-const NODES: usize = 3;
+pub(super) const NODES: usize = 3;
 /// The longest time after which writers write again what a restored store has lost.
 const REWRITE_TIME: u64 = 1_500;
 /// The time after which a view has to equal what was written.
-const SETTLE_TIME: u64 = 12_000;
+pub(super) const SETTLE_TIME: u64 = 12_000;
 
 /// One topic of the store.
 #[derive(Clone, Default)]
@@ -89,8 +89,8 @@
     version: u64,
 }
 
-struct World {
-    now: u64,
+pub(super) struct World {
+    pub(super) now: u64,
     operator: Log,
     list: Log,
     /// What the writers have not written again yet, and since when.
@@ -99,6 +99,8 @@
     version: u64,
     evacuated: BTreeSet<String>,
     servers: [Server; SERVERS],
+    /// The servers whose records have expired although they run.
+    lapsed: BTreeSet<usize>,
     nodes: [WatchedNode; NODES],
 }
 
@@ -124,7 +126,7 @@
 }
 
 impl World {
-    fn new() -> Self {
+    pub(super) fn new() -> Self {
         let mut world = Self {
             now: 0,
             operator: Log::default(),
@@ -134,6 +136,7 @@
             version: 0,
             evacuated: BTreeSet::new(),
             servers: [Server { started: 1, ..Server::default() }; SERVERS],
+            lapsed: BTreeSet::new(),
             nodes: Default::default(),
         };
         world.declare();
@@ -173,10 +176,11 @@
     }
 
     /// Writes the record of a backend server, unless it is gone.
-    fn beat(&mut self, server: usize) {
+    pub(super) fn beat(&mut self, server: usize) {
         if self.servers[server].gone {
             return;
         }
+        self.lapsed.remove(&server);
         self.servers[server].sequence += 1;
         let Server { started, sequence, draining, .. } = self.servers[server];
         let state = if draining { "draining" } else { "ready" };
@@ -188,6 +192,20 @@
         self.list.put(&id(server), &value);
     }
 
+    /// Removes the record of a backend server that runs, as after too long a silence.
+    pub(super) fn lapse(&mut self, server: usize) {
+        if !self.servers[server].gone {
+            self.lapsed.insert(server);
+            self.lost[1].remove(&id(server));
+            self.list.put(&id(server), "");
+        }
+    }
+
+    /// Lets the backend servers whose records have expired write them again.
+    pub(super) fn renew_lapsed(&mut self) {
+        std::mem::take(&mut self.lapsed).into_iter().for_each(|server| self.beat(server));
+    }
+
     /// Lets a backend server drain, leave, and come back as another incarnation, one after the other.
     fn advance(&mut self, server: usize, announces: bool) {
         let state = &mut self.servers[server];
@@ -196,6 +214,7 @@
             self.beat(server);
         } else if state.draining || !announces {
             state.gone = true;
+            self.lapsed.remove(&server);
             self.lost[1].remove(&id(server));
             self.list.put(&id(server), "");
         } else {
@@ -211,14 +230,14 @@
         self.lost_at = self.now;
     }
 
-    fn rewrite(&mut self) {
+    pub(super) fn rewrite(&mut self) {
         let [orders, servers] = std::mem::take(&mut self.lost);
         orders.iter().for_each(|(key, value)| self.operator.put(key, value));
         servers.iter().for_each(|(key, value)| self.list.put(key, value));
     }
 
     /// Reads the store as a node does that follows it.
-    fn read(&mut self, node: usize) {
+    pub(super) fn read(&mut self, node: usize) {
         let now = self.moment();
         self.read_orders(node, now);
         self.read_list(node, now);
@@ -289,7 +308,7 @@
     }
 
     /// Lets a node pull from another one.
-    fn pull(&mut self, node: usize, from: usize) {
+    pub(super) fn pull(&mut self, node: usize, from: usize) {
         let now = self.moment();
         let nodes = Nodes::new(local(from));
         let request = convert::pull_request(&local(node), &self.nodes[node].view, Duration::ZERO);
@@ -298,7 +317,7 @@
     }
 
     /// Checks what has to hold in each node at any time, and records what it knows.
-    fn check(&mut self) {
+    pub(super) fn check(&mut self) {
         for node in &mut self.nodes {
             assert!(node.view.orders.version() >= node.version, "the version decreases");
             node.version = node.view.orders.version();
@@ -310,7 +329,7 @@
         }
     }
 
-    fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+    pub(super) fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         self.now += u.int_in_range(0..=300)?;
         if self.now - self.lost_at > REWRITE_TIME {
             self.rewrite();
@@ -340,6 +359,11 @@
             (0..NODES).for_each(|node| self.read(node));
             self.check();
         }
+        self.assert_current();
+    }
+
+    /// Checks that the view of each node equals what was written.
+    pub(super) fn assert_current(&self) {
         let used = self.servers.iter().enumerate().filter(|(_, s)| !s.draining && !s.gone);
         let north = self.evacuated.contains(ZONES[0]);
         let used: Vec<String> = used.filter(|_| !north).map(|(number, _)| id(number)).collect();
