Ask another queue node when one is unavailable

Cause: an entry asked the same queue node four times although it had answered that it knows no backend server, and took the end of its request's own deadline for the node's silence, so that two nodes queued for one service.

Change: the next node in the order is asked, and the first again only when none is left. At the end of a deadline the node is asked whether it is alive, at most every 0.5 s; only a node that does not answer is skipped.

--- a/src/limpetmux/core/nodes.rs
+++ b/src/limpetmux/core/nodes.rs
@@ -19,6 +19,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Most doublings of that time.
 const MAX_DOUBLINGS: u32 = 4;
+/// The least time between two questions whether a node is alive.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// A node of the deployment.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,6 +46,8 @@
     failed_at: Moment,
     /// Failed calls of this node in a row.
     failures: u32,
+    /// When this node last asked it whether it is alive.
+    checked_at: Moment,
 }
 
 impl Known {
@@ -98,7 +102,13 @@
                 known.node = node;
             }
             None => {
-                let known = Known { node, heard_at: at, failed_at: Moment::ZERO, failures: 0 };
+                let known = Known {
+                    node,
+                    heard_at: at,
+                    failed_at: Moment::ZERO,
+                    failures: 0,
+                    checked_at: Moment::ZERO,
+                };
                 self.known.insert(known.node.addr, known);
             }
         }
@@ -113,6 +123,16 @@
         self.stopped.insert(addr, started);
     }
 
+    /// Returns whether to ask a node whether it is alive: it is known and was not asked lately.
+    pub fn begin_check(&mut self, addr: SocketAddr, now: Moment) -> bool {
+        let Some(known) = self.known.get_mut(&addr) else { return false };
+        let is_due = now.since(known.checked_at) >= CHECK_INTERVAL;
+        if is_due {
+            known.checked_at = now;
+        }
+        is_due
+    }
+
     /// Skips a node that did not answer until a later sign of life of it is reported.
     pub fn record_failure(&mut self, addr: SocketAddr, now: Moment) {
         if let Some(known) = self.known.get_mut(&addr) {
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -14,6 +14,7 @@
 use crate::core::placement::PlaceQuery;
 use crate::core::queue_waits;
 use crate::event;
+use crate::fleet::convert;
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
@@ -29,6 +30,8 @@
 const MAX_QUEUE_NODE_CALLS: usize = 4;
 /// The pause before the next queue node is called.
 const QUEUE_NODE_PAUSE: Duration = Duration::from_millis(30);
+/// The time allowed for the answer of a node that is asked whether it is alive.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 /// The time that a model engine needs before its first event, in addition to reading the prompt.
 const ENGINE_START: Duration = Duration::from_millis(60);
 /// The tokens of a prompt that a model engine reads in a millisecond.
@@ -38,6 +41,17 @@
 /// The retry delay of a refused caller is at most its remaining time divided by this.
 const RETRY_TIME_DIVISOR: u32 = 3;
 
+/// Why a call to a queue node has no answer.
+#[derive(Debug, thiserror::Error)]
+enum CallError {
+    /// The time of the request is used up.
+    #[error("the time of the request is used up")]
+    OutOfTime,
+    /// The node does not answer, or refuses.
+    #[error("the node does not answer")]
+    Silent(#[from] tonic::Status),
+}
+
 /// Runs all stages of a request.
 ///
 /// # Errors
@@ -149,35 +163,38 @@
     stage: usize,
     run: StageRun,
 ) -> StageOutcome {
-    let mut unresponsive: Vec<SocketAddr> = Vec::new();
+    let (mut silent, mut unavailable): (Vec<SocketAddr>, Vec<SocketAddr>) = Default::default();
     let began = clock::boot();
     // Before discovery has finished, nodes would not agree on the queue node of a service.
     while !shared.has_discovered() {
         sleep(QUEUE_NODE_PAUSE).await;
     }
-    for _ in 0..MAX_QUEUE_NODE_CALLS {
-        let Some(addr) = queue_node(shared, &run.service, &unresponsive) else { break };
+    let service = &routed.route().stages[stage].service;
+    for calls in 1..=MAX_QUEUE_NODE_CALLS {
+        let Some(addr) = queue_node(shared, &run.service, &silent, &unavailable) else { break };
         let left = routed.time_left();
         let mut run = run.clone();
         run.left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        let answer = call_queue_node(shared, addr, run, left).await;
-        if let Ok(done) = &answer {
-            let wait = Duration::from_millis(done.wait_ms);
-            let service = &routed.route().stages[stage].service;
-            shared.queue_waits().record(clock::boot(), service, wait, done.rate);
-        }
-        match answer {
-            Ok(done) if done.outcome() == Outcome::Unavailable => {}
+        match call_queue_node(shared, addr, run, left).await {
             Ok(done) => {
-                let done = check_outcome(shared, routed, stage, done);
-                record_stage(shared, routed, stage, clock::boot().since(began), unresponsive.len());
-                return StageOutcome { stage, done };
+                let wait = Duration::from_millis(done.wait_ms);
+                shared.queue_waits().record(clock::boot(), service, wait, done.rate);
+                if done.outcome() != Outcome::Unavailable {
+                    record_stage(shared, routed, stage, clock::boot().since(began), calls);
+                    let done = check_outcome(shared, routed, stage, done);
+                    return StageOutcome { stage, done };
+                }
+                // Its view may lack what the next one knows.
+                event!(EventCode::QueueUnavailable, node = addr, service = service);
+                unavailable.push(addr);
             }
-            Err(status) => {
-                event!(EventCode::NodeSilent, node = addr, reason = status);
-                shared.peers.close(addr);
-                shared.nodes().record_failure(addr, clock::boot());
-                unresponsive.push(addr);
+            Err(CallError::OutOfTime) => {
+                tokio::spawn(check_node(Arc::clone(shared), addr));
+                break;
+            }
+            Err(CallError::Silent(status)) => {
+                skip_node(shared, addr, status.message());
+                silent.push(addr);
             }
         }
         sleep(QUEUE_NODE_PAUSE).await;
@@ -190,12 +207,12 @@
     routed: &RoutedRequest,
     stage: usize,
     took: Duration,
-    unresponsive: usize,
+    calls: usize,
 ) {
     let stage = stage.to_string();
     let tags = [("pipeline", &*routed.route().name), ("stage", stage.as_str())];
     shared.metrics.time(Metric::StageTime, took, &tags);
-    shared.metrics.count(Metric::StageAttempts, unresponsive as u64 + 1, &tags);
+    shared.metrics.count(Metric::StageAttempts, calls as u64, &tags);
 }
 
 fn check_outcome(
@@ -223,8 +240,16 @@
     }
 }
 
-fn queue_node(shared: &Shared, service: &str, except: &[SocketAddr]) -> Option<SocketAddr> {
-    shared.nodes().queue_node(clock::boot(), service, except).map(|n| n.addr)
+/// Returns the first queue node that has not been called; without one, the first one that answered.
+fn queue_node(
+    shared: &Shared,
+    service: &str,
+    silent: &[SocketAddr],
+    unavailable: &[SocketAddr],
+) -> Option<SocketAddr> {
+    let (now, nodes) = (clock::boot(), shared.nodes());
+    let new = nodes.queue_node(now, service, &[silent, unavailable].concat());
+    new.or_else(|| nodes.queue_node(now, service, silent)).map(|n| n.addr)
 }
 
 async fn call_queue_node(
@@ -232,10 +257,31 @@
     addr: SocketAddr,
     run: StageRun,
     left: Duration,
-) -> Result<StageDone, tonic::Status> {
+) -> Result<StageDone, CallError> {
     let call = async { shared.peers.client(addr)?.run(run).await };
     match timeout(left, call).await {
-        Ok(done) => done.map(tonic::Response::into_inner),
-        Err(_) => Err(tonic::Status::deadline_exceeded("no answer in time")),
+        Ok(done) => Ok(done?.into_inner()),
+        Err(_) => Err(CallError::OutOfTime),
     }
 }
+
+/// Skips a node that does not answer a question either, after a call to it has used up the time of its
+/// request; the end of that time alone says nothing of the node.
+async fn check_node(shared: Arc<Shared>, addr: SocketAddr) {
+    if !shared.nodes().begin_check(addr, clock::boot()) {
+        return;
+    }
+    let question = convert::members_only(&shared.local_node);
+    let call = async { shared.peers.client(addr)?.pull(question).await };
+    match timeout(CHECK_TIMEOUT, call).await {
+        Ok(Ok(_)) => {}
+        Ok(Err(status)) => skip_node(&shared, addr, status.message()),
+        Err(_) => skip_node(&shared, addr, "no answer in time"),
+    }
+}
+
+fn skip_node(shared: &Shared, addr: SocketAddr, reason: &str) {
+    event!(EventCode::NodeSilent, node = addr, reason = reason);
+    shared.peers.close(addr);
+    shared.nodes().record_failure(addr, clock::boot());
+}
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -223,6 +223,12 @@
     ServerLimit = 624,
     /// The limit of a backend server is used up; it gets no requests of this node for a time.
     QuotaDenied = 625,
+    /// A queue node knows no backend server of a stage's service; another node is asked.
+    QueueUnavailable = 630,
+    /// This node cannot read the platform's store; another node reads it for all.
+    ReaderSteppedBack = 631,
+    /// This node can read the platform's store again.
+    ReaderBack = 632,
 
     // 7xx: the process itself.
     /// The process has started.
