Step back from reading the store when it turns the reader away

Change: a read that fails, or is late, is told at once with the replies to held pulls, and the next node in the order reads; the node that stepped back tries the store with its backoff. The ages above which views are stale, the holds of reads and pulls and the limit of a pull are worked out from the settings' bounds (config-apply-ms, revoke-ms, evacuate-ms, drain-ms; 16 s and revoke-ms where a file states none). A held pull ends when the reader has read, so that views are renewed at the rate of the reads; reads are as frequent as before where the bounds allow it.

Tests: read_times, turned_away (503, no answer, slow answers) and the order of readers are new and pass.

--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -34,6 +34,7 @@
 pub mod queue_waits;
 pub mod quota;
 pub mod read_limits;
+pub mod read_times;
 pub mod refusal;
 pub mod retry_share;
 pub mod revision;
--- a/src/limpetmux/core/nodes.rs
+++ b/src/limpetmux/core/nodes.rs
@@ -22,6 +22,10 @@
 /// The least time between two questions whether a node is alive.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The purpose that is hashed into the order in which nodes read the store; all nodes must agree on
+/// it.
+const READERS: &str = "store readers";
+
 /// A node of the deployment.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Node {
@@ -48,6 +52,8 @@
     failures: u32,
     /// When this node last asked it whether it is alive.
     checked_at: Moment,
+    /// Whether it cannot read the store, as of a moment.
+    store_lost: (Moment, bool),
 }
 
 impl Known {
@@ -69,6 +75,8 @@
     candidates: BTreeSet<SocketAddr>,
     /// The start times of nodes that announced their shutdown.
     stopped: BTreeMap<SocketAddr, u64>,
+    /// Whether this node cannot read the store.
+    store_lost: bool,
 }
 
 impl Nodes {
@@ -79,6 +87,7 @@
             known: BTreeMap::new(),
             candidates: BTreeSet::new(),
             stopped: BTreeMap::new(),
+            store_lost: false,
         }
     }
 
@@ -99,6 +108,9 @@
             Some(known) => {
                 let is_newer = known.node.started < node.started || at > known.heard_at;
                 known.heard_at = if is_newer { at } else { known.heard_at };
+                if known.node.started < node.started {
+                    known.store_lost = (Moment::ZERO, false);
+                }
                 known.node = node;
             }
             None => {
@@ -108,6 +120,7 @@
                     failed_at: Moment::ZERO,
                     failures: 0,
                     checked_at: Moment::ZERO,
+                    store_lost: (Moment::ZERO, false),
                 };
                 self.known.insert(known.node.addr, known);
             }
@@ -123,6 +136,35 @@
         self.stopped.insert(addr, started);
     }
 
+    /// Records whether this node can read the store; returns whether that changes.
+    pub fn set_store_lost(&mut self, lost: bool) -> bool {
+        std::mem::replace(&mut self.store_lost, lost) != lost
+    }
+
+    /// Records whether another node can read the store, as of a moment.
+    pub fn record_store_lost(&mut self, addr: SocketAddr, lost: bool, at: Moment) {
+        let Some(known) = self.known.get_mut(&addr) else { return };
+        if at >= known.store_lost.0 {
+            known.store_lost = (at, lost);
+        }
+    }
+
+    /// Returns whether a node, this one too, is known to be unable to read the store.
+    pub fn is_store_lost(&self, addr: SocketAddr) -> bool {
+        match addr == self.local.addr {
+            true => self.store_lost,
+            false => self.known.get(&addr).is_some_and(|known| known.store_lost.1),
+        }
+    }
+
+    /// Returns the live nodes, including this one, in the order in which they read the store for all;
+    /// those that cannot read it come last.
+    pub fn readers(&self, now: Moment) -> Vec<&Node> {
+        let mut nodes = self.order(now, READERS);
+        nodes.sort_by_key(|node| self.is_store_lost(node.addr));
+        nodes
+    }
+
     /// Returns whether to ask a node whether it is alive: it is known and was not asked lately.
     pub fn begin_check(&mut self, addr: SocketAddr, now: Moment) -> bool {
         let Some(known) = self.known.get_mut(&addr) else { return false };
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -196,6 +196,10 @@
     view: &StoreView,
     request: &PullRequest,
 ) -> PullReply {
+    let member = |node: &Node, age| Member {
+        store_lost: nodes.is_store_lost(node.addr),
+        ..member(node, age)
+    };
     let mut members = vec![member(nodes.local(), Duration::ZERO)];
     members.extend(nodes.live(now).map(|(node, heard)| member(node, now.since(heard))));
     let (_, known) = known_ends(request);
--- a/src/limpetmux/fleet/follow/evidence.rs
+++ b/src/limpetmux/fleet/follow/evidence.rs
@@ -5,8 +5,7 @@
 //! called node holds a pull. Verdicts are also preserved in the store, as all processes may stop at
 //! the same time.
 
-use super::pull::PULL_WAIT;
-use super::{Follower, READERS};
+use super::Follower;
 use crate::core::quarantine::{Evidence, HoldRecord};
 use crate::event;
 use crate::fleet::evidence;
@@ -94,6 +93,7 @@
     /// at once. Returns whether the view in the reply was fresh.
     pub(super) async fn pull_or_tell(&self, addr: SocketAddr) -> bool {
         let told = self.exchanged.get(addr).told;
+        let wait = self.times().pull_hold;
         let mut versions = self.shared.quarantine.versions();
         let has_news = async {
             let is_told = versions.wait_for(|version| *version > told).await.is_err();
@@ -103,7 +103,7 @@
         };
         tokio::select! {
             biased;
-            fresh = self.pull(addr, PULL_WAIT) => return fresh,
+            fresh = self.pull(addr, wait) => return fresh,
             () = has_news => {}
         }
         self.pull(addr, Duration::ZERO).await
@@ -163,7 +163,7 @@
 
     fn is_reader_of_all(&self) -> bool {
         let nodes = self.shared.nodes();
-        let order = nodes.order(clock::boot(), READERS);
+        let order = nodes.readers(clock::boot());
         self.shared.has_discovered() && order.first().is_some_and(|n| n.addr == nodes.local().addr)
     }
 }
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -10,11 +10,13 @@
 mod evidence;
 mod notices;
 mod pull;
+mod reader;
 mod stops;
 
 use crate::core::listing::ListRecord;
 use crate::core::log_position::{LogPosition, StoreEra};
 use crate::core::operator::{Order, StatedOrders};
+use crate::core::read_times::ReadTimes;
 use crate::core::time::Moment;
 use crate::event;
 use crate::kernel::Publisher;
@@ -25,21 +27,13 @@
 use crate::util::event::EventCode;
 use evidence::Exchanges;
 use notices::SeenVersions;
+use reader::LostReads;
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// The age of the operator's records above which a node reads them itself. It exceeds the sum of
-/// two holds at the store and one at another node.
-const ORDERS_STALE: Duration = Duration::from_millis(2_300);
-/// The age of the list of backend servers above which a node reads it itself.
-const LISTING_STALE: Duration = Duration::from_millis(1_500);
-/// How long the store may hold a read until there is a new record of the operator.
-const ORDERS_WAIT: Duration = Duration::from_millis(600);
-/// The time between two reads of the backend servers.
-const LISTING_INTERVAL: Duration = Duration::from_millis(500);
 /// The time between two checks whether the node has to read the store.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Half the backoff after a first failed call; the backoff doubles with each further failure.
@@ -51,9 +45,6 @@
 /// The turns after which a node that knows no other node, or could not read the product's own topic
 /// before, reads that topic again.
 const CANDIDATE_TURNS: usize = 16;
-/// The purpose that is hashed into the order in which nodes read the store; all nodes must agree on
-/// it.
-const READERS: &str = "store readers";
 
 /// Owns the view of the process and keeps it up to date.
 pub struct Follower {
@@ -63,6 +54,8 @@
     publisher: Publisher<StoreView>,
     /// Whether the store answered the last call.
     reachable: AtomicBool,
+    /// Whether the last reads of the two topics failed or are late.
+    lost: LostReads,
     exchanged: Exchanges,
     leaving_seen: SeenVersions,
     /// Whether the product's own topic has been read.
@@ -79,6 +72,7 @@
             view,
             publisher,
             reachable: AtomicBool::new(true),
+            lost: LostReads::default(),
             exchanged: Exchanges::default(),
             leaving_seen: SeenVersions::default(),
             candidates_read: AtomicBool::new(false),
@@ -100,12 +94,12 @@
         let mut failures = 0;
         loop {
             let age = self.with_view(|v| v.orders.age(clock::boot()));
-            if !self.has_to_read(age, ORDERS_STALE) {
+            if !self.has_to_read(age, self.times().orders_stale, &self.lost.orders) {
                 sleep(IDLE_INTERVAL).await;
                 continue;
             }
             let requested_at = clock::boot();
-            let result = self.read_orders(requested_at).await;
+            let result = self.watch(&self.lost.orders, self.read_orders(requested_at)).await;
             self.record_stop(orders::TOPIC, &result);
             self.log_reachability(&result);
             failures = if result.is_ok() { 0 } else { failures + 1 };
@@ -113,7 +107,7 @@
                 sleep(self.backoff(failures)).await;
             } else if self.with_view(|v| v.orders.end.is_start()) {
                 // The store does not hold reads of an empty topic.
-                sleep(ORDERS_WAIT).await;
+                sleep(self.times().read_hold).await;
             }
         }
     }
@@ -122,23 +116,33 @@
         let mut failures = 0;
         loop {
             let age = self.with_view(|v| clock::boot().since(v.listing.confirmed_at));
-            if !self.has_to_read(age, LISTING_STALE) {
+            if !self.has_to_read(age, self.times().listing_stale, &self.lost.listing) {
                 sleep(IDLE_INTERVAL).await;
                 continue;
             }
             let requested_at = clock::boot();
-            let result = self.read_listing(requested_at).await;
+            let result = self.watch(&self.lost.listing, self.read_listing(requested_at)).await;
             self.record_stop(servers::TOPIC, &result);
             self.log_reachability(&result);
             failures = if result.is_ok() { 0 } else { failures + 1 };
-            sleep(if result.is_ok() { LISTING_INTERVAL } else { self.backoff(failures) }).await;
+            sleep(if result.is_ok() {
+                self.times().listing_interval
+            } else {
+                self.backoff(failures)
+            })
+            .await;
         }
     }
 
-    /// Returns whether this node reads the store itself, given the age of its view and the age
-    /// above which that is stale.
-    fn has_to_read(&self, age: Duration, stale: Duration) -> bool {
-        age > stale || self.is_reader()
+    /// Returns whether this node reads the store itself, given the age of its view, the age above which
+    /// that is stale, and whether its last read failed, so that it tries whether the store is back.
+    fn has_to_read(&self, age: Duration, stale: Duration, is_lost: &AtomicBool) -> bool {
+        age > stale || is_lost.load(Ordering::Relaxed) || self.is_reader()
+    }
+
+    /// Returns the times that keep the bounds of the settings.
+    fn times(&self) -> ReadTimes {
+        self.shared.settings().bounds.read_times()
     }
 
     fn is_alone(&self) -> bool {
@@ -150,7 +154,7 @@
             return self.with_view(|v| v.orders.end.is_start() || v.listing.end.is_start());
         }
         let nodes = self.shared.nodes();
-        let order = nodes.order(clock::boot(), READERS);
+        let order = nodes.readers(clock::boot());
         order.first().is_some_and(|n| n.addr == nodes.local().addr)
     }
 
@@ -159,7 +163,7 @@
         if from.is_start() {
             return self.load_orders(requested_at).await;
         }
-        match self.store.read(orders::TOPIC, from, ORDERS_WAIT).await {
+        match self.store.read(orders::TOPIC, from, self.times().read_hold).await {
             Ok(page) => {
                 let changes = decode_orders(page.records.clone());
                 let current = self.update(|v| match page.has_more {
--- a/src/limpetmux/fleet/follow/pull.rs
+++ b/src/limpetmux/fleet/follow/pull.rs
@@ -1,6 +1,6 @@
 //! Pulls from other nodes: which ones are asked, and what their replies change.
 
-use super::{Follower, ORDERS_STALE, READERS};
+use super::Follower;
 use crate::core::time::Moment;
 use crate::event;
 use crate::fleet::convert;
@@ -11,10 +11,6 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// How long another node may hold a pull until it has changes.
-pub(super) const PULL_WAIT: Duration = Duration::from_millis(600);
-/// The time allowed for a pull in addition to [`PULL_WAIT`].
-const PULL_TIMEOUT: Duration = Duration::from_millis(700);
 /// The turns between two pulls from an arbitrary known address, by which nodes that have lost
 /// contact merge again.
 const MERGE_TURNS: usize = 8;
@@ -23,10 +19,10 @@
     /// Returns the nodes to pull from in this turn, in order of preference.
     pub(super) fn sources(&self, turn: usize) -> Vec<SocketAddr> {
         let now = clock::boot();
-        let stale = self.with_view(|v| v.orders.age(now) > ORDERS_STALE);
+        let stale = self.with_view(|v| v.orders.age(now)) > self.times().orders_stale;
         let nodes = self.shared.nodes();
         let local_addr = nodes.local().addr;
-        let order: Vec<SocketAddr> = nodes.order(now, READERS).iter().map(|n| n.addr).collect();
+        let order: Vec<SocketAddr> = nodes.readers(now).iter().map(|n| n.addr).collect();
         let others: Vec<SocketAddr> = order.iter().copied().filter(|a| *a != local_addr).collect();
         let is_reader = order.first() == Some(&local_addr);
         match (is_reader, stale, others.len()) {
@@ -61,12 +57,17 @@
             let view = self.with_view(Clone::clone);
             let nodes = self.shared.nodes();
             let wait = if view.orders.end.is_start() { Duration::ZERO } else { wait };
-            convert::pull_request(nodes.local(), &view, wait)
+            let mut request = convert::pull_request(nodes.local(), &view, wait);
+            if let Some(caller) = &mut request.caller {
+                caller.store_lost = nodes.is_store_lost(nodes.local().addr);
+            }
+            request
         };
         let (request, told) = self.with_evidence(addr, request);
         let request = self.with_notices(addr, request);
         let call = async { self.shared.peers.client(addr)?.pull(request).await };
-        match timeout(PULL_WAIT + PULL_TIMEOUT, call).await {
+        let limit = self.times().pull_limit;
+        match timeout(limit, call).await {
             Ok(Ok(reply)) => {
                 let reply = reply.into_inner();
                 self.exchanged.record(addr, told, reply.evidence_version);
@@ -77,7 +78,7 @@
                 false
             }
             Err(_) => {
-                self.record_late_pull(addr, PULL_WAIT + PULL_TIMEOUT);
+                self.record_late_pull(addr, limit);
                 self.mark_unresponsive(addr, "no answer in time");
                 false
             }
@@ -106,7 +107,7 @@
             event!(EventCode::OrderUnreadable, source = addr, reason = error);
             return false;
         }
-        Duration::from_millis(age) < ORDERS_STALE
+        Duration::from_millis(age) < self.times().orders_stale
     }
 
     /// Records the nodes that another node has heard of.
@@ -115,7 +116,9 @@
         for member in &reply.members {
             if let Some(node) = convert::node(member) {
                 let at = now - Duration::from_millis(member.heard_ms);
+                let addr = node.addr;
                 nodes.observe(node, at);
+                nodes.record_store_lost(addr, member.store_lost, at);
             }
         }
         nodes.record_answer(addr, now);
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -5,7 +5,7 @@
 use crate::core::prompt_part::PartId;
 use crate::core::read_limits::MAX_MESSAGE_BYTES;
 use crate::event;
-use crate::serve::node::Shared;
+use crate::serve::node::{Shared, StoreView};
 use crate::stage_queues::StageQueues;
 use crate::stage_queues::engines::EnginePools;
 use crate::util::clock;
@@ -51,14 +51,24 @@
         }
     }
 
+    fn is_store_lost(&self) -> bool {
+        self.shared.nodes().is_store_lost(self.shared.local_node.addr)
+    }
+
     /// Waits until the view has changes that the caller lacks, for at most the time that it allows.
     async fn wait_for_changes(&self, request: &PullRequest) {
         let until = Instant::now() + Duration::from_millis(request.wait_ms).min(MAX_HOLD);
         let mut view = self.shared.view.clone();
+        let (confirmed_at, is_lost) = (view.load().orders.confirmed_at, self.is_store_lost());
+        let is_as_before = |view: &StoreView| {
+            // The caller's view is renewed, or another node reads the store from now on.
+            view.orders.confirmed_at == confirmed_at && self.is_store_lost() == is_lost
+        };
         let mut evidence = self.shared.quarantine.versions();
         let mut leaving = self.shared.notices.versions();
         let has_evidence = |version: u64| version > request.evidence_seen;
         while !convert::has_changes(&view.load(), request)
+            && is_as_before(&view.load())
             && !has_evidence(*evidence.borrow_and_update())
             && *leaving.borrow_and_update() <= request.leaving_seen
         {
@@ -90,7 +100,10 @@
             self.shared.quarantine.merge(&self.shared.metrics, evidence, 0);
         }
         if let Some(node) = request.caller.as_ref().and_then(convert::node) {
-            self.shared.nodes().observe(node, clock::boot());
+            let lost = request.caller.as_ref().is_some_and(|caller| caller.store_lost);
+            let (mut nodes, now, addr) = (self.shared.nodes(), clock::boot(), node.addr);
+            nodes.observe(node, now);
+            nodes.record_store_lost(addr, lost, now);
         }
         self.shared.learn_leaving(&convert::decode_leaving(&request.leaving));
         self.shared.learn_limits(&convert::decode_limits(&request.limits));
--- a/src/limpetmux/platform/boot.rs
+++ b/src/limpetmux/platform/boot.rs
@@ -12,6 +12,8 @@
 
 /// The environment variable that holds the path of the file.
 const PATH_VARIABLE: &str = "LIMPETMUX_BOOT";
+/// The longest bound that can be meant.
+const MAX_BOUND: Duration = Duration::from_secs(24 * 60 * 60);
 /// The kind of process that accepts callers.
 const SERVES_CALLERS: &str = "edge";
 
@@ -86,6 +88,12 @@
     grace_s: Duration,
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     revoke_ms: Duration,
+    #[serde(default = "default_config_apply")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    config_apply_ms: Duration,
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    evacuate_ms: Option<Duration>,
     #[serde(rename = "retry-budget-ratio")]
     budget_ratio: f64,
     #[serde(rename = "retry-budget-slack")]
@@ -148,12 +156,29 @@
     if !(0.0..=10.0).contains(&ratio) {
         return invalid("bounds.retry-budget-ratio", "is not a ratio");
     }
-    if file.bounds.revoke_ms.is_zero() {
-        return invalid("bounds.revoke-ms", "is zero");
+    let bounds = &file.bounds;
+    let times = [
+        ("bounds.revoke-ms", bounds.revoke_ms),
+        ("bounds.config-apply-ms", bounds.config_apply_ms),
+        ("bounds.evacuate-ms", bounds.evacuate_ms.unwrap_or(bounds.revoke_ms)),
+        ("bounds.drain-ms", bounds.drain_ms),
+    ];
+    for (field, time) in times {
+        if time.is_zero() {
+            return invalid(field, "is zero");
+        }
+        if time > MAX_BOUND {
+            return invalid(field, "is longer than a day");
+        }
     }
     Ok(())
 }
 
+/// The bound on new configurations of a file that states none: the system's target.
+fn default_config_apply() -> Duration {
+    Duration::from_secs(16)
+}
+
 fn settings(file: File) -> NodeSettings {
     let [first, _] = file.internal_ports;
     let serves_callers = file.serves.iter().any(|s| s == SERVES_CALLERS);
@@ -176,6 +201,8 @@
             drain_time: file.bounds.drain_ms,
             grace_period: file.bounds.grace_s,
             revoke_bound: file.bounds.revoke_ms,
+            config_bound: file.bounds.config_apply_ms,
+            evacuate_bound: file.bounds.evacuate_ms.unwrap_or(file.bounds.revoke_ms),
             retry_limit,
         },
         answers: AnswerLimits::default(),
--- a/src/limpetmux/serve/settings.rs
+++ b/src/limpetmux/serve/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of a node of a deployment.
 
 use crate::core::answer_limits::{AnswerLimits, LimitError, StatedLimits};
+use crate::core::read_times::{ReadTimes, ViewBounds};
 use crate::core::retry_share::RetryLimit;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -58,10 +59,26 @@
     pub grace_period: Duration,
     /// The longest time for which a key is accepted after it was revoked.
     pub revoke_bound: Duration,
+    /// The longest time until an acknowledged configuration is in force.
+    pub config_bound: Duration,
+    /// The longest time for which an evacuated zone gets requests.
+    pub evacuate_bound: Duration,
     /// The retry budget of a service.
     pub retry_limit: RetryLimit,
 }
 
+impl Bounds {
+    /// Returns the times of reads and pulls that keep the bounds.
+    pub fn read_times(&self) -> ReadTimes {
+        ReadTimes::new(ViewBounds {
+            config: self.config_bound,
+            revoke: self.revoke_bound,
+            evacuate: self.evacuate_bound,
+            drain: self.drain_time,
+        })
+    }
+}
+
 /// How to reach the platform's store.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreSettings {
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -40,6 +40,7 @@
 mod queue_nodes;
 mod queue_waits;
 mod quota;
+mod read_times;
 mod resent;
 mod restored_store;
 mod restored_views;
@@ -50,6 +51,7 @@
 mod stage_calls;
 mod store_answers;
 mod truncated;
+mod turned_away;
 mod unsent;
 mod whole_path;
 
--- a/tests/testsuite/platform/node_fixture.rs
+++ b/tests/testsuite/platform/node_fixture.rs
@@ -60,6 +60,8 @@
             drain_time: Duration::from_secs(2),
             grace_period: Duration::from_secs(5),
             revoke_bound: Duration::from_secs(5),
+            config_bound: Duration::from_secs(2),
+            evacuate_bound: Duration::from_secs(5),
             retry_limit: RetryLimit {
                 ratio: 0.2,
                 allowance: 50.0,
--- a/tests/testsuite/platform/nodes.rs
+++ b/tests/testsuite/platform/nodes.rs
@@ -101,3 +101,23 @@
     assert_ne!(second, Some(first));
     assert_eq!(queue_addr(&nodes, 80, "a"), Some(first));
 }
+
+#[test]
+fn node_that_cannot_read_the_store_is_the_last_to_read_it() {
+    // Guards against nodes that wait for a reader which the store turns away.
+    let mut nodes = view(1);
+    let reader = |nodes: &Nodes, now| nodes.readers(at(now))[0].addr;
+    let first = reader(&nodes, 1);
+
+    nodes.record_store_lost(first, true, at(100));
+    // What another node relays may be older.
+    nodes.record_store_lost(first, false, at(90));
+    let second = reader(&nodes, 110);
+    nodes.record_store_lost(first, false, at(120));
+
+    assert_ne!(second, first);
+    assert_eq!(reader(&nodes, 130), first);
+    let own = addr(1);
+    nodes.set_store_lost(true);
+    assert_eq!(nodes.readers(at(140)).last().map(|n| n.addr), Some(own));
+}
