Log which engine was chosen for a prompt, with expected work

Cause: an operator who asks why a prompt went to an engine saw only the expected time at the entry.

Change: the queue node of a pool logs event 650 for each plan and choice: what the engine reads, the wait ahead, the work, the time that there was, and from where it fetches.

--- a/src/limpetmux/core/engines/mod.rs
+++ b/src/limpetmux/core/engines/mod.rs
@@ -90,6 +90,8 @@
     pub wait: Duration,
     /// The time that the engine spends on this prompt.
     pub work: Duration,
+    /// What it reads of the prompt.
+    pub size: ReadSize,
     /// The engine that has read more of the prompt, to fetch those tokens from.
     pub source: Option<Arc<str>>,
 }
@@ -147,7 +149,7 @@
         query: EngineQuery<'_>,
     ) -> Option<EngineChoice> {
         self.expire(now, servers);
-        let (server, choice, _) = self.choose(now, servers, query, true)?;
+        let (server, choice) = self.choose(now, servers, query, true)?;
         let plan = Plan {
             server: Arc::clone(&choice.server),
             work: choice.work,
@@ -170,10 +172,10 @@
     ) -> Option<EngineChoice> {
         self.plans.remove(request);
         self.expire(now, servers);
-        let (server, choice, size) = self.choose(now, servers, query, false)?;
+        let (server, choice) = self.choose(now, servers, query, false)?;
         let (memory, usual) = (self.memory, self.usual_pace(servers));
         let engine = self.engine(now, server, usual);
-        let size = Some(size).filter(|_| choice.source.is_none());
+        let size = Some(choice.size).filter(|_| choice.source.is_none());
         engine.send(now, request, (choice.work, size), usual);
         engine.mark_cached(now, query.parts, true);
         engine.evict((memory as f64 * CACHE_SHARE) as u64);
@@ -215,7 +217,7 @@
         servers: &[&'a Server],
         query: EngineQuery<'_>,
         planning: bool,
-    ) -> Option<(&'a Server, EngineChoice, ReadSize)> {
+    ) -> Option<(&'a Server, EngineChoice)> {
         let shared = query.parts.len().saturating_sub(2);
         let hash = query.parts.get(shared).map_or(0, |p| p.key);
         let candidates = self.terms(now, servers, query, planning);
@@ -230,8 +232,8 @@
         let source = self.source(servers, query).filter(|_| terms.fetched > 0);
         let source = source.map(|(s, _)| Arc::clone(&s.id));
         let id = Arc::clone(&server.id);
-        let choice = EngineChoice { server: id, wait: terms.wait, work: terms.work, source };
-        Some((server, choice, terms.size))
+        let (wait, work, size) = (terms.wait, terms.work, terms.size);
+        Some((server, EngineChoice { server: id, wait, work, size, source }))
     }
 
     /// Returns the engine that has read most of a prompt, and how many of its tokens.
--- a/src/limpetmux/core/pieces/job.rs
+++ b/src/limpetmux/core/pieces/job.rs
@@ -1,6 +1,6 @@
 //! One stage of one request while its pieces are queued or running.
 
-use super::worker::{PieceError, PieceOutcome};
+use super::worker::{CallItem, PieceError, PieceOutcome};
 use crate::core::time::Moment;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -137,6 +137,17 @@
         self.pieces.len()
     }
 
+    /// Returns the description of a piece that is sent to a backend server.
+    pub(super) fn call_item(&self, now: Moment, piece: u32) -> CallItem {
+        CallItem {
+            request: Arc::clone(&self.spec.request),
+            stage: self.spec.stage,
+            piece,
+            source: self.spec.source.clone(),
+            remaining: now.until(self.spec.deadline),
+        }
+    }
+
     /// Returns the number of queued pieces.
     pub(super) fn open_count(&self) -> usize {
         self.pieces.iter().filter(|p| **p == Piece::Open).count()
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -177,13 +177,15 @@
             self.next_key += 1;
             let key = CallKey(self.next_key);
             let Some(worker) = self.workers.get_mut(&id) else { break };
+            let call_item =
+                |i: &worker::Item| self.jobs.get(&i.job).map(|job| job.call_item(now, i.piece));
             let call = Call {
                 key,
                 server: Arc::clone(&id),
                 addr: worker.spec.addr,
                 timeout: expected.mul_f64(worker.slowness(now, expected).max(1.0)) * TIMEOUT_FACTOR
                     + TIMEOUT_MARGIN,
-                items: items.iter().filter_map(|i| call_item(now, &self.jobs, *i)).collect(),
+                items: items.iter().filter_map(call_item).collect(),
             };
             let size = |item: &worker::Item| self.jobs.get(&item.job).map_or(0, |j| j.spec.size);
             let sizes = items.iter().map(size).collect();
@@ -392,15 +394,3 @@
         self.spec.call_time + self.spec.item_time * u32::try_from(pieces).unwrap_or(u32::MAX)
     }
 }
-
-/// Returns the description of a piece that is sent to a backend server.
-fn call_item(now: Moment, jobs: &BTreeMap<JobKey, Job>, item: worker::Item) -> Option<CallItem> {
-    let spec = &jobs.get(&item.job)?.spec;
-    Some(CallItem {
-        request: Arc::clone(&spec.request),
-        stage: spec.stage,
-        piece: item.piece,
-        source: spec.source.clone(),
-        remaining: now.until(spec.deadline),
-    })
-}
--- a/src/limpetmux/stage_queues/engines.rs
+++ b/src/limpetmux/stage_queues/engines.rs
@@ -1,11 +1,13 @@
 //! The state of the pools of model engines of which this node is the queue node.
 
-use crate::core::engines::{EnginePool, EngineQuery, EngineReport, PromptPart};
+use crate::core::engines::{EngineChoice, EnginePool, EngineQuery, EngineReport, PromptPart};
 use crate::core::listing::Server;
 use crate::core::prompt_part::PartId;
 use crate::core::quarantine::Verdict;
+use crate::event;
 use crate::serve::node::Shared;
 use crate::util::clock;
+use crate::util::event::EventCode;
 use crate::wire::fleet::{EnginePlaced, PlaceEngine};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -66,6 +68,10 @@
             true => engines.plan(now, &servers, &message.request, query),
             false => engines.place(now, &servers, &message.request, query),
         };
+        drop(pools);
+        if let Some(choice) = &choice {
+            log_choice(message, choice);
+        }
         choice.map_or_else(EnginePlaced::default, |c| EnginePlaced {
             server: c.server.to_string(),
             wait_ms: millis(c.wait),
@@ -87,6 +93,22 @@
     }
 }
 
+/// Logs which engine was chosen for a prompt, and what is expected of it.
+fn log_choice(message: &PlaceEngine, choice: &EngineChoice) {
+    event!(
+        EventCode::EngineChosen,
+        request = message.request,
+        server = choice.server,
+        planned = message.planned,
+        tokens = message.tokens,
+        read = choice.size.tokens,
+        wait_ms = choice.wait.as_millis(),
+        work_ms = choice.work.as_millis(),
+        budget_ms = message.slack_ms,
+        source = choice.source.as_deref().unwrap_or_default()
+    );
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -223,6 +223,8 @@
     ServerLimit = 624,
     /// The limit of a backend server is used up; it gets no requests of this node for a time.
     QuotaDenied = 625,
+    /// A model engine was chosen for a prompt, with the work that is expected and that is ahead of it.
+    EngineChosen = 650,
 
     // 7xx: the process itself.
     /// The process has started.
