End connections of callers by their progress, not by unacknowledged time

Change: a connection of a caller ends once it has taken nothing for the configuration's idle-timeout-ms while bytes wait, one for readiness or metrics after 10 s; dead peers are found by keep-alive probes. The end has an event (670) and a counter.

--- a/src/limpetmux/serve/connections.rs
+++ b/src/limpetmux/serve/connections.rs
@@ -31,6 +31,10 @@
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// The idle time before the first TCP keep-alive probe, and the time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// The unanswered keep-alive probes after which a connection of a peer closes.
+const MAX_PROBES: u32 = 2;
+/// The bytes that the system buffers of an answer beyond those that the peer has room for.
+const UNSENT_BYTES: u32 = 64 * 1024;
 /// How long an idle connection is kept, unless its backend server states a shorter time.
 const MAX_IDLE: Duration = Duration::from_secs(4);
 /// How much earlier than its backend server an idle connection is closed.
@@ -292,8 +296,9 @@
     Ok(Connection { sender, driver, expires: Instant::now(), earlier: 0, read })
 }
 
-/// Sets socket options that close a connection whose peer does not answer any more.
-pub fn set_timeouts(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets socket options that close a connection whose peer does not answer any more, also while the peer
+/// does not take the bytes that it was sent.
+fn set_timeouts(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
@@ -301,3 +306,14 @@
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&probes)
 }
+
+/// Sets socket options of a connection that the peer has opened. They close it if the peer does not
+/// answer any more, but not if it takes bytes slowly; [`crate::util::progress`] bounds that.
+pub fn set_probes(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    // Where the system lacks this option, the progress of a write is seen in larger steps only.
+    let _ = socket.set_tcp_notsent_lowat(UNSENT_BYTES);
+    let probes = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL);
+    socket.set_tcp_keepalive(&probes.with_interval(KEEPALIVE_INTERVAL).with_retries(MAX_PROBES))
+}
--- a/src/limpetmux/serve/front.rs
+++ b/src/limpetmux/serve/front.rs
@@ -1,6 +1,6 @@
 //! Accepts connections of callers, of the balancer and of metrics scrapers.
 
-use super::connections::set_timeouts;
+use super::connections::set_probes;
 use super::head_time::{HeadStart, HeadTimer, timed};
 use super::node::Shared;
 use super::request;
@@ -12,6 +12,7 @@
 };
 use crate::event;
 use crate::util::event::EventCode;
+use crate::util::progress::{ProgressStream, Stalled};
 use crate::util::read_stop;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -77,7 +78,7 @@
 }
 
 async fn connection(shared: Arc<Shared>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
-    if let Err(error) = set_timeouts(&stream) {
+    if let Err(error) = set_probes(&stream) {
         event!(EventCode::ConnectionRefused, reason = error);
         return;
     }
@@ -85,7 +86,7 @@
     let limits = limits(&shared);
     let start = HeadStart::default();
     let timer = HeadTimer { start: start.clone(), head: limits.header_timeout };
-    let stream = timed(stream, start.clone());
+    let stream = ProgressStream::new(timed(stream, start.clone()), limits.idle_timeout);
     let handled = Arc::clone(&shared);
     let knows_chunks = AtomicBool::new(true);
     let service = service_fn(|request: Request<Incoming>| {
@@ -108,10 +109,13 @@
     let Err(error) = ended else { return };
     log::debug!(target: "limpetmux", "connection of a caller closed with an error: {error}");
     if let Some(exceeded) = exceeded(&error, &start, limits) {
-        read_stop::record(&shared.metrics, exceeded, peer);
+        read_stop::record(&shared.metrics, exceeded, &peer);
+    }
+    if let Some(stalled) = Stalled::of(&error) {
+        stalled.record(&shared.metrics, Peer::Caller, &peer);
     }
     if !knows_chunks.load(Ordering::Relaxed) {
-        reset(serving.into_parts().io.inner().get_ref());
+        reset(serving.into_parts().io.inner().get_ref().get_ref());
     }
 }
 
@@ -180,6 +184,9 @@
                 if let Some(exceeded) = probe_exceeded(&error) {
                     read_stop::record(&shared.metrics, exceeded, peer);
                 }
+                if let Some(stalled) = Stalled::of(&error) {
+                    stalled.record(&shared.metrics, Peer::Operator, peer);
+                }
             }
             drop(permit);
         });
@@ -190,10 +197,11 @@
     stream: TcpStream,
     answer: impl Fn() -> Response<Body>,
 ) -> Result<(), hyper::Error> {
-    if let Err(error) = set_timeouts(&stream) {
+    if let Err(error) = set_probes(&stream) {
         event!(EventCode::ConnectionRefused, reason = error);
         return Ok(());
     }
+    let stream = ProgressStream::new(stream, MAX_PROBE_TIME);
     let service = service_fn(move |_: Request<Incoming>| {
         let answer = answer();
         async move { Ok::<_, Infallible>(answer) }
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -223,6 +223,9 @@
     ServerLimit = 624,
     /// The limit of a backend server is used up; it gets no requests of this node for a time.
     QuotaDenied = 625,
+    /// Writing to a peer was stopped because it took no bytes for a time.
+    #[strum(props(level = "warn"))]
+    WriteStopped = 670,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -46,6 +46,9 @@
     /// Reads from a peer that were stopped at a limit of bytes or of time.
     #[strum(props(kind = "counter", tags = "peer, bound"))]
     ReadsStopped,
+    /// Writes to a peer that were stopped because it took no bytes for a time.
+    #[strum(props(kind = "counter", tags = "peer"))]
+    WritesStopped,
     /// Verdicts on parts of prompts that crash backend servers.
     #[strum(props(kind = "counter", tags = "verdict"))]
     PartVerdicts,
--- a/src/limpetmux/util/mod.rs
+++ b/src/limpetmux/util/mod.rs
@@ -7,6 +7,7 @@
 pub mod jsonc;
 pub mod logging;
 pub mod metrics;
+pub mod progress;
 pub mod read_body;
 pub mod read_stop;
 pub mod throttle;
