Bound the memory that is held for callers, and connections by the descriptors there are

Under half nothing is limited; above, large bodies are refused before they are read and uploads that stopped are ended for others, both with 503, not run; one body of the largest size has room. A body is read into one buffer, not a list of what arrived. Events 671 and 672, counter memory_refusals. The listeners for readiness and metrics have a fifteenth of the descriptors each, 128 at most as before; an entry with 4,100 accepts 408 connections of other nodes, not 500, as the listeners together could take all.

--- a/src/bin/limpetmux/commands/node.rs
+++ b/src/bin/limpetmux/commands/node.rs
@@ -37,6 +37,16 @@
     /// the most bytes of one event of a streamed answer; 256 KiB by default
     #[argh(option)]
     event_bytes: Option<usize>,
+    /// the most bytes held for callers; a quarter of the process's memory by default
+    #[argh(option)]
+    caller_bytes: Option<usize>,
+}
+
+/// The limits that an operator states on the command line.
+#[derive(Clone, Copy)]
+struct Stated {
+    answers: StatedLimits,
+    callers: Option<usize>,
 }
 
 /// The time between two reads of the settings file, which may change without a signal.
@@ -55,16 +65,18 @@
 /// Runs the node until SIGTERM or ctrl-c.
 pub fn exec(args: NodeArgs) -> miette::Result<()> {
     let path = boot::path(args.settings)?;
-    let stated = StatedLimits {
+    let answers = StatedLimits {
         plain: args.answer_bytes,
         stream: args.stream_bytes,
         event: args.event_bytes,
     };
+    let stated = Stated { answers, callers: args.caller_bytes };
     let settings = load(&path, stated)?;
     if args.check {
         println!("{}: settings of `{}` can be used", path.display(), settings.name);
         let AnswerLimits { plain, stream, event } = settings.answers;
         println!("answers: {plain} bytes plain, {stream} bytes streamed, {event} bytes an event");
+        println!("callers: {} bytes held", settings.caller_bytes);
         return Ok(());
     }
     logging::init_stdout()?;
@@ -83,13 +95,13 @@
 }
 
 /// Reads the settings file and applies the limits of the command line.
-fn load(path: &Path, stated: StatedLimits) -> miette::Result<NodeSettings> {
-    Ok(boot::load(path)?.with_limits(stated)?)
+fn load(path: &Path, stated: Stated) -> miette::Result<NodeSettings> {
+    Ok(boot::load(path)?.with_limits(stated.answers)?.with_caller_bytes(stated.callers)?)
 }
 
 /// Reads the settings again on SIGHUP and every [`SETTINGS_INTERVAL`], and sends them if they
 /// changed.
-async fn watch_settings(path: PathBuf, stated: StatedLimits, updates: mpsc::Sender<NodeSettings>) {
+async fn watch_settings(path: PathBuf, stated: Stated, updates: mpsc::Sender<NodeSettings>) {
     let Ok(mut hangups) = signal(SignalKind::hangup()) else { return };
     let mut known = std::fs::read(&path).unwrap_or_default();
     loop {
--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -21,6 +21,7 @@
 pub mod listing;
 pub mod log_position;
 pub mod membership;
+pub mod memory;
 pub mod node_stop;
 pub mod nodes;
 pub mod once;
--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -83,6 +83,12 @@
 /// The most connections of one listener for readiness checks or metrics.
 pub const MAX_PROBE_CONNECTIONS: usize = 128;
 
+/// The descriptors that are left to files and to connections that the process opens itself.
+const OWN_DESCRIPTORS: usize = 200;
+/// The part of a process's descriptors that one listener for readiness checks or metrics may use: one
+/// of this number.
+const PROBE_PART: usize = 15;
+
 /// The time for the message of a call from another process.
 pub const MAX_MESSAGE_TIME: Duration = Duration::from_secs(5);
 
@@ -102,6 +108,22 @@
     (descriptors / 2).clamp(MIN_NODE_CONNECTIONS, MAX_NODE_CONNECTIONS)
 }
 
+/// Returns the most connections of one listener for readiness checks or metrics.
+pub fn probe_connections(descriptors: usize) -> usize {
+    (descriptors / PROBE_PART).clamp(1, MAX_PROBE_CONNECTIONS)
+}
+
+/// Returns the most connections of other processes to one with few descriptors, `for_callers` of which
+/// are for callers.
+///
+/// A quarter of what the listeners leave is for connections to backend servers and other processes.
+pub fn entry_node_connections(descriptors: usize, for_callers: usize) -> usize {
+    let left = descriptors.saturating_sub(for_callers);
+    let probes = 2 * probe_connections(descriptors);
+    let unused = left.saturating_sub(OWN_DESCRIPTORS + probes);
+    node_connections(left).min(unused - unused / 4).max(MIN_NODE_CONNECTIONS)
+}
+
 /// What a process reads from.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr, VariantArray, strum::Display,
--- a/src/limpetmux/platform/boot.rs
+++ b/src/limpetmux/platform/boot.rs
@@ -1,8 +1,9 @@
 //! The settings file that the platform writes for each process.
 
 use crate::core::answer_limits::AnswerLimits;
+use crate::core::memory::CALLER_PART;
 use crate::core::retry_share::RetryLimit;
-use crate::serve::settings::{Bounds, NodeSettings, StoreSettings};
+use crate::serve::settings::{Bounds, NodeSettings, StoreSettings, memory_bytes};
 use crate::util::jsonc::{self, JsoncError};
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
@@ -171,6 +172,7 @@
         metrics_addr: SocketAddr::new(file.ip, METRICS_PORT),
         seeds: file.seeds.iter().map(|s| SocketAddr::new(s.ip(), first)).collect(),
         memory_mb: file.limits.memory_mb,
+        caller_bytes: memory_bytes(file.limits.memory_mb) / CALLER_PART,
         max_descriptors: file.limits.max_fds,
         bounds: Bounds {
             drain_time: file.bounds.drain_ms,
--- a/src/limpetmux/serve/failure.rs
+++ b/src/limpetmux/serve/failure.rs
@@ -55,6 +55,8 @@
     Limited,
     /// A part of the prompt crashes backend servers and is quarantined.
     Quarantined,
+    /// The process has no memory for the request.
+    MemoryFull,
     /// The deadline passed before the request was sent.
     TooLate,
     /// The deadline passed while a backend server was running the request.
@@ -115,6 +117,7 @@
             | Reason::Held
             | Reason::Limited
             | Reason::Quarantined
+            | Reason::MemoryFull
             | Reason::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/src/limpetmux/serve/front.rs
+++ b/src/limpetmux/serve/front.rs
@@ -8,7 +8,7 @@
 use crate::core::catalog::CallerLimits;
 use crate::core::read_limits::{
     Bound, DEFAULT_CALLER_HEAD_BYTES, DEFAULT_CALLER_HEAD_TIME, DEFAULT_CALLER_IDLE_TIME, Exceeded,
-    MAX_PROBE_CONNECTIONS, MAX_PROBE_HEAD_BYTES, MAX_PROBE_TIME, MIN_CALLER_HEAD_BYTES, Peer,
+    MAX_PROBE_HEAD_BYTES, MAX_PROBE_TIME, MIN_CALLER_HEAD_BYTES, Peer, probe_connections,
 };
 use crate::event;
 use crate::util::event::EventCode;
@@ -167,7 +167,8 @@
     listener: TcpListener,
     answer: impl Fn() -> Response<Body> + Clone + Send + 'static,
 ) {
-    let permits = Arc::new(tokio::sync::Semaphore::new(MAX_PROBE_CONNECTIONS));
+    let max_connections = probe_connections(shared.settings().max_descriptors);
+    let permits = Arc::new(tokio::sync::Semaphore::new(max_connections));
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -3,6 +3,7 @@
 use super::connections::ConnectionPool;
 use super::ended::Examined;
 use super::front::caller_connections;
+use super::memory::Memory;
 use super::notices::NodeNotices;
 use super::quarantine::NodeQuarantine;
 use super::quota::NodeQuotas;
@@ -18,7 +19,7 @@
 use crate::core::prompt_part::PartId;
 use crate::core::quarantine::{Entries, Verdict};
 use crate::core::queue_waits::QueueWaits;
-use crate::core::read_limits::{NODE_IDLE_TIME, node_connections};
+use crate::core::read_limits::{NODE_IDLE_TIME, entry_node_connections};
 use crate::core::retry_share::RetryShare;
 use crate::core::server_notices::{Incarnation, LeavingServer, PoolClosed, ServerNotice};
 use crate::core::time::Moment;
@@ -62,7 +63,7 @@
 fn bounds(settings: &NodeSettings) -> ConnectionBounds {
     let descriptors = settings.max_descriptors;
     let for_callers = settings.caller_addr.map_or(0, |_| caller_connections(descriptors));
-    let count = node_connections(descriptors.saturating_sub(for_callers));
+    let count = entry_node_connections(descriptors, for_callers);
     ConnectionBounds { count, idle: NODE_IDLE_TIME }
 }
 
@@ -101,6 +102,8 @@
     pub notices: NodeNotices,
     /// The requests that backend servers with limits may still get.
     pub quotas: NodeQuotas,
+    /// The memory that is held for callers.
+    pub memory: Memory,
 }
 
 impl Shared {
@@ -115,6 +118,7 @@
         };
         let exposition = Exposition::default();
         let channels = Channels::plain().bounded(bounds(&settings), exposition.metrics());
+        let memory = Memory::new(settings.caller_bytes, exposition.metrics());
         Arc::new(Self {
             metrics: exposition.metrics(),
             exposition,
@@ -131,6 +135,7 @@
             quarantine: NodeQuarantine::new(local_node.started),
             notices: NodeNotices::new(local_node.started),
             quotas: NodeQuotas::default(),
+            memory,
             local_node,
             placement: Mutex::new(Placement::new()),
             retry_share: Mutex::new(RetryShare::new(settings.bounds.retry_limit)),
@@ -146,6 +151,7 @@
     /// Applies changed settings; addresses stay as they were at the start.
     pub fn reload(&self, settings: NodeSettings) {
         self.retry_share().set_limit(settings.bounds.retry_limit);
+        self.memory.set_limit(settings.caller_bytes);
         self.settings.store(Arc::new(settings));
     }
 
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -3,23 +3,23 @@
 use super::connections::Reuse;
 use super::failure::{Failure, Reason};
 use super::forward;
+use super::memory::{Reservation, Use};
 use super::node::{Shared, StoreView};
 use super::quarantine;
 use super::stages;
 use super::stream::Body;
+use super::upload;
 use crate::core::catalog::{Catalog, KeyHolder, Route, RouteKey};
+use crate::core::memory::head_bytes;
 use crate::core::prompt_part::PartId;
 use crate::core::quarantine::Verdict;
-use crate::core::read_limits::{Bound, Exceeded, Peer};
 use crate::core::time::Moment;
 use crate::event;
 use crate::platform::caller::{self, RequestHead};
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
-use crate::util::read_stop;
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
@@ -64,6 +64,8 @@
     pub maybe_ran: AtomicBool,
     /// The addresses that it was sent to.
     sent_to: Mutex<BTreeSet<SocketAddr>>,
+    /// The claim on the memory of its head; that of its body is part of the body.
+    _memory: Reservation,
 }
 
 impl RoutedRequest {
@@ -130,7 +132,7 @@
         Ok(routed) => run(&shared, routed).await,
         Err(failure) => {
             // The rest of the body may still arrive.
-            closes |= failure.reason == Reason::TooLate;
+            closes |= matches!(failure.reason, Reason::TooLate | Reason::MemoryFull);
             refuse(&shared, &id, arrived, failure)
         }
     };
@@ -170,6 +172,7 @@
     body: Incoming,
     arrived: Moment,
 ) -> Result<RoutedRequest, Failure> {
+    let memory = claim_head(shared, &head)?;
     let view = shared.view.load();
     let Some(config) = &view.orders.config else {
         return Err(Failure::with_retry(Reason::NoConfig, NOT_READY_RETRY_DELAY));
@@ -178,7 +181,7 @@
     let route = catalog.route(&head.host, &head.path).ok_or(Failure::new(Reason::NoRoute))?;
     let holder = authorize(shared, &view, &catalog, &catalog.routes[route], &head)?;
     let allowed = head.deadline.min(catalog.routes[route].timeout).saturating_sub(ANSWER_MARGIN);
-    let body = read_body(shared, &head.id, body, catalog.limits.max_body, allowed).await?;
+    let body = upload::read(shared, &head.id, body, catalog.limits.max_body, allowed).await?;
     check_parts(shared, &head)?;
     let service = choose_service(&catalog.routes[route]).ok_or(Failure::new(Reason::NoRoute))?;
     let deadline = arrived + allowed;
@@ -197,9 +200,17 @@
         deadline,
         maybe_ran,
         sent_to,
+        _memory: memory,
     })
 }
 
+/// Claims the memory of a head, which holds most of a request with very many headers.
+fn claim_head(shared: &Shared, head: &RequestHead) -> Result<Reservation, Failure> {
+    let text = head.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
+    let claimed = shared.memory.reserve(head_bytes(head.headers.len(), text));
+    claimed.map_err(|full| upload::refuse(shared, Use::Head, full, &head.id))
+}
+
 /// Returns the holder of the caller's key, or `None` if the route needs no key.
 ///
 /// # Errors
@@ -241,29 +252,6 @@
     Failure::with_retry(Reason::Quarantined, quarantine::retry_delay(trial_in))
 }
 
-/// Reads a body within the operator's limit and the time that the request has.
-async fn read_body(
-    shared: &Shared,
-    id: &str,
-    body: Incoming,
-    limit: usize,
-    time: Duration,
-) -> Result<Bytes, Failure> {
-    let stop = |exceeded, reason| {
-        read_stop::record(&shared.metrics, exceeded, id);
-        Err(Failure::new(reason))
-    };
-    match timeout(time, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            stop(Exceeded::count(Peer::Caller, Bound::Body, limit), Reason::BodyTooLarge)
-        }
-        Ok(Err(_)) => Err(Failure::new(Reason::BodyCut)),
-        // The request has been sent nowhere.
-        Err(_) => stop(Exceeded::time(Peer::Caller, time), Reason::TooLate),
-    }
-}
-
 fn choose_service(route: &Route) -> Option<Arc<str>> {
     let weights = route.targets.iter().map(|(_, weight)| u64::from(*weight));
     let total: u64 = weights.sum();
--- a/src/limpetmux/serve/settings.rs
+++ b/src/limpetmux/serve/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of a node of a deployment.
 
 use crate::core::answer_limits::{AnswerLimits, LimitError, StatedLimits};
+use crate::core::memory::{self, CallerBytesError};
 use crate::core::retry_share::RetryLimit;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,13 +33,29 @@
     pub max_descriptors: usize,
     /// The bounds that the operator sets.
     pub bounds: Bounds,
+    /// The most bytes that are held for callers.
+    pub caller_bytes: usize,
     /// The limits on answers of backend servers.
     pub answers: AnswerLimits,
     /// How to reach the platform's store.
     pub store: StoreSettings,
 }
 
+/// Returns megabytes of memory in bytes.
+pub fn memory_bytes(megabytes: u64) -> usize {
+    usize::try_from(megabytes.saturating_mul(MEGABYTE)).unwrap_or(usize::MAX)
+}
+
 impl NodeSettings {
+    /// Replaces the bound on the memory for callers by the one that an operator states, if any.
+    ///
+    /// # Errors
+    /// Returns [`CallerBytesError`] if it cannot be used with these settings.
+    pub fn with_caller_bytes(self, stated: Option<usize>) -> Result<Self, CallerBytesError> {
+        let caller_bytes = memory::caller_bytes(memory_bytes(self.memory_mb), stated)?;
+        Ok(Self { caller_bytes, ..self })
+    }
+
     /// Replaces the limits on answers by those that an operator states.
     ///
     /// # Errors
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -226,6 +226,12 @@
     /// Writing to a peer was stopped because it took no bytes for a time.
     #[strum(props(level = "warn"))]
     WriteStopped = 670,
+    /// A request was refused because the memory for callers is used up.
+    #[strum(props(level = "warn"))]
+    MemoryFull = 671,
+    /// An upload without progress was ended to make room for another one.
+    #[strum(props(level = "warn"))]
+    UploadEnded = 672,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,6 +31,7 @@
 mod log_pages;
 mod lost_answers;
 mod membership;
+mod memory;
 mod node_connections;
 mod once;
 mod once_explore;
--- a/tests/testsuite/platform/node_fixture.rs
+++ b/tests/testsuite/platform/node_fixture.rs
@@ -55,6 +55,7 @@
         metrics_addr: any,
         seeds,
         memory_mb: 100,
+        caller_bytes: 25_000_000,
         max_descriptors: 2_000,
         bounds: Bounds {
             drain_time: Duration::from_secs(2),
