--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -49,6 +49,12 @@
     /// Reads from a peer that were stopped at a limit of bytes or of time.
     #[strum(props(kind = "counter", tags = "peer, bound"))]
     ReadsStopped,
+    /// Writes to a peer that were stopped because it took no bytes for a time.
+    #[strum(props(kind = "counter", tags = "peer"))]
+    WritesStopped,
+    /// Requests that the memory for callers had no room for, by what it was claimed for.
+    #[strum(props(kind = "counter", tags = "use"))]
+    MemoryRefusals,
     /// Verdicts on parts of prompts that crash backend servers.
     #[strum(props(kind = "counter", tags = "verdict"))]
     PartVerdicts,
