Carry out roll-outs on the users' platform

Read the orders, keep statuses and steps in the view, and let the node that reads the store judge. It writes a status only where nothing was written since it read the topic, so a lost or late write makes no second verdict. All choices of backend servers bar what a roll-out bars: sends, retries, pieces, engine pools and resumed streams. Nodes count their answers by version and route and tell them with their pulls, every 250 ms at most while a version is tried. Without an order no message, call or choice changes.

Stand-ins take versions of five kinds, conditional appends, and appends whose answer is lost or that are done late.

--- a/crates/limpetmux-standins/src/users/mod.rs
+++ b/crates/limpetmux-standins/src/users/mod.rs
@@ -13,6 +13,6 @@
 
 pub use bytes::{BadBytes, EndedAnswer, Played};
 pub use fault::{FurtherAnswer, FurtherTime, UsersFault};
-pub use server::{Arrival, ReceivedRequest, STREAM_EVENTS, STREAMS, UsersServer};
+pub use server::{Arrival, ReceivedRequest, STREAM_EVENTS, STREAMS, UsersServer, VersionQuality};
 pub use stages::StageResult;
-pub use store::{LostRecord, UsersStore};
+pub use store::{AppendFault, LostRecord, UsersStore};
--- a/src/limpetmux/core/rollout/book.rs
+++ b/src/limpetmux/core/rollout/book.rs
@@ -103,12 +103,14 @@
         self.orders.remove(service);
     }
 
-    /// Takes over all orders that the store lists; `keeps` says that the store was restored, which may
-    /// have lost orders.
-    pub fn replace_orders(&mut self, orders: BTreeMap<Arc<str>, KnownOrder>, keeps: bool) {
-        if !keeps {
-            self.orders.retain(|service, _| orders.contains_key(service));
-        }
+    /// Takes over all orders that the store lists, except of services for which `keeps` says that it
+    /// states nothing: a restored store may have lost orders, and a record may be unreadable.
+    pub fn replace_orders(
+        &mut self,
+        orders: BTreeMap<Arc<str>, KnownOrder>,
+        keeps: impl Fn(&str) -> bool,
+    ) {
+        self.orders.retain(|service, _| orders.contains_key(service) || keeps(service));
         for (service, known) in orders {
             self.put_order(service, known.order, known.learned_at);
         }
@@ -168,6 +170,11 @@
         (status.key == known.order.key && status.state == State::Running).then_some(known)
     }
 
+    /// Returns whether an order of any service is being carried out.
+    pub fn has_running(&self) -> bool {
+        self.orders.keys().any(|service| self.running(service).is_some())
+    }
+
     /// Returns the service's status if it belongs to the order in force, or if there is no order.
     fn own_status(&self, service: &str) -> Option<&Status> {
         let status = self.statuses.get(service)?;
--- a/src/limpetmux/core/rollout/evidence.rs
+++ b/src/limpetmux/core/rollout/evidence.rs
@@ -94,6 +94,11 @@
     range.min(RANGES - 1)
 }
 
+/// Returns the time at which a range ends.
+pub fn range_end(range: usize) -> Duration {
+    Duration::from_secs_f64((((range + 1) as f64) / RANGES_PER_DOUBLING).exp2() / 1_000.0)
+}
+
 /// The counts of one node for one order.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
--- a/src/limpetmux/core/rollout/mod.rs
+++ b/src/limpetmux/core/rollout/mod.rs
@@ -15,6 +15,9 @@
 use std::time::Duration;
 use strum::{EnumString, FromRepr, IntoStaticStr};
 
+/// The part of the requests that the other versions keep until they get none.
+const CONTROL_SHARE: f64 = 0.1;
+
 /// Which of the operator's orders it is, also after a restore of the store, which keeps offsets.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OrderKey {
@@ -64,7 +67,7 @@
     Third = 1,
     /// It gets two thirds of the requests.
     Most = 2,
-    /// It gets all requests that its backend servers accept.
+    /// It gets all requests that its backend servers accept, but some to compare with.
     Offered = 3,
     /// The other versions get no more requests.
     Sealed = 4,
@@ -79,7 +82,8 @@
             Self::Canary => canary,
             Self::Third => 1.0 / 3.0,
             Self::Most => 2.0 / 3.0,
-            Self::Offered | Self::Sealed => 1.0,
+            Self::Offered => 1.0 - CONTROL_SHARE,
+            Self::Sealed => 1.0,
             Self::Stopped => 0.0,
         }
     }
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -8,6 +8,7 @@
 use crate::core::server_limits::RequestRate;
 use crate::core::server_notices::{Incarnation, LeavingServer, LimitedServer};
 use crate::core::time::Moment;
+use crate::fleet::rollout;
 use crate::platform::{orders, servers, store::Record};
 use crate::serve::node::StoreView;
 use crate::wire::fleet::{
@@ -179,13 +180,18 @@
         leaving: Vec::new(),
         leaving_seen: u64::MAX,
         limits: Vec::new(),
+        rollout: None,
     }
 }
 
 /// Returns whether the view has changes that the caller lacks.
 pub fn has_changes(view: &StoreView, request: &PullRequest) -> bool {
     let (orders, listing) = known_ends(request);
-    view.orders.end > orders || view.listing.has_changes(listing)
+    let rollout = request.rollout.as_ref().map_or(0, |notice| notice.digest);
+    let is_waiting = request.wait_ms > 0;
+    view.orders.end > orders
+        || view.listing.has_changes(listing)
+        || is_waiting && view.rollouts.digest() != rollout
 }
 
 /// Builds the reply to a pull that came in at `arrived`, with the changes that the caller lacks.
@@ -252,6 +258,7 @@
         config: config.filter(|_| is_sent).map(|d| d.raw.to_vec()).unwrap_or_default(),
         evacuated: view.orders.evacuated.listed().map(ToString::to_string).collect(),
         unlisted: view.orders.evacuated.unlisted().map(|zone| encode_unlisted(now, zone)).collect(),
+        rollouts: rollout::encode_orders(now, &view.rollouts),
     }
 }
 
@@ -284,6 +291,10 @@
                 .collect(),
         };
         current = view.orders.replace(asked, stated);
+        if current {
+            let orders = rollout::decode_orders(sent, &operator.rollouts);
+            view.rollouts.replace_orders(orders, |_| false);
+        }
     }
     if let Some(listing) = &reply.listing {
         let confirmed = sent - Duration::from_millis(listing.age_ms);
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -4,12 +4,13 @@
 //! servers and one for other nodes. Each of them updates the one view of the process, which the
 //! traffic threads read. `pull` asks other nodes, and
 //! `evidence` exchanges with them what they know of prompts that crash backend servers, and `notices`
-//! what backend servers have stated about themselves.
+//! what backend servers have stated about themselves. `rollout` judges versions that are being tried.
 
 mod discover;
 mod evidence;
 mod notices;
 mod pull;
+mod rollout;
 mod stops;
 
 use crate::core::listing::ListRecord;
@@ -18,6 +19,7 @@
 use crate::core::time::Moment;
 use crate::event;
 use crate::kernel::Publisher;
+use crate::platform::rollout::RolloutChange;
 use crate::platform::store::{Page, Record, Store, StoreError};
 use crate::platform::{orders, servers};
 use crate::serve::node::{Shared, StoreView};
@@ -92,6 +94,7 @@
             self.follow_listing(),
             self.follow_nodes(),
             self.preserve_verdicts(),
+            self.carry_out_rollouts(),
             self.announce_again()
         );
     }
@@ -162,9 +165,16 @@
         match self.store.read(orders::TOPIC, from, ORDERS_WAIT).await {
             Ok(page) => {
                 let changes = decode_orders(page.records.clone());
-                let current = self.update(|v| match page.has_more {
-                    true => v.orders.apply_part(page.end, changes),
-                    false => v.orders.apply(requested_at, page.end, changes),
+                let (rollouts, _) = rollout::decode_changes(&page.records);
+                let current = self.update(|v| {
+                    let current = match page.has_more {
+                        true => v.orders.apply_part(page.end, changes),
+                        false => v.orders.apply(requested_at, page.end, changes),
+                    };
+                    if current {
+                        rollouts.into_iter().for_each(|c| c.apply(&mut v.rollouts, requested_at));
+                    }
+                    current
                 });
                 log_stale(current, &page, from);
                 Ok(())
@@ -185,12 +195,21 @@
                 Order::Restore(_) => {}
             }
         }
+        let (rollouts, unusable) = rollout::decode_changes(&page.records);
         self.update(|v| {
             let known = v.orders.end;
             let (confirmed_at, end) = (requested_at, page.end);
             let unlisted = Vec::new();
             let stated = StatedOrders { confirmed_at, end, config, evacuated, unlisted };
-            log_stale(v.orders.replace(requested_at, stated), &page, known);
+            let current = v.orders.replace(requested_at, stated);
+            if current {
+                let is_restored = page.end.era > known.era;
+                v.rollouts
+                    .replace_orders(RolloutChange::orders(rollouts, requested_at), |service| {
+                        is_restored || unusable.contains(service)
+                    });
+            }
+            log_stale(current, &page, known);
         });
         Ok(())
     }
@@ -303,6 +322,7 @@
     fn update<T>(&self, change: impl FnOnce(&mut StoreView) -> T) -> T {
         let mut view = self.view.lock().unwrap_or_else(PoisonError::into_inner);
         let before = (view.orders.version(), view.orders.evacuated.clone());
+        let rollouts = view.rollouts.clone();
         let result = change(&mut view);
         let orders = &view.orders;
         if before.0 != orders.version() {
@@ -312,6 +332,9 @@
             let zones: Vec<&str> = orders.evacuated.zones().map(|z| &**z).collect();
             event!(EventCode::ZonesEvacuated, zones = zones.join(","), end = orders.end);
         }
+        if rollouts != view.rollouts {
+            rollout::log_changes(&rollouts, &view.rollouts);
+        }
         self.publisher.publish(view.clone());
         result
     }
--- a/src/limpetmux/fleet/follow/pull.rs
+++ b/src/limpetmux/fleet/follow/pull.rs
@@ -3,7 +3,7 @@
 use super::{Follower, ORDERS_STALE, READERS};
 use crate::core::time::Moment;
 use crate::event;
-use crate::fleet::convert;
+use crate::fleet::{convert, rollout};
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::wire::fleet::PullReply;
@@ -13,6 +13,10 @@
 
 /// How long another node may hold a pull until it has changes.
 pub(super) const PULL_WAIT: Duration = Duration::from_millis(600);
+/// How long another node may hold a pull while a version is being tried, as the pull tells its answers.
+const TRIAL_WAIT: Duration = Duration::from_millis(250);
+/// The pulls that fit at least into the time after which a bad version gets no more requests.
+const ROLLBACK_PULLS: u32 = 20;
 /// The time allowed for a pull in addition to [`PULL_WAIT`].
 const PULL_TIMEOUT: Duration = Duration::from_millis(700);
 /// The turns between two pulls from an arbitrary known address, by which nodes that have lost
@@ -60,11 +64,16 @@
         let request = {
             let view = self.with_view(Clone::clone);
             let nodes = self.shared.nodes();
+            let is_trying = view.rollouts.has_running();
+            let rollback = self.shared.settings().bounds.rollout.rollback;
+            let trial_wait = (rollback / ROLLBACK_PULLS).min(TRIAL_WAIT);
+            let wait = if is_trying { wait.min(trial_wait) } else { wait };
             let wait = if view.orders.end.is_start() { Duration::ZERO } else { wait };
             convert::pull_request(nodes.local(), &view, wait)
         };
         let (request, told) = self.with_evidence(addr, request);
         let request = self.with_notices(addr, request);
+        let request = self.with_rollouts(request);
         let call = async { self.shared.peers.client(addr)?.pull(request).await };
         match timeout(PULL_WAIT + PULL_TIMEOUT, call).await {
             Ok(Ok(reply)) => {
@@ -101,7 +110,13 @@
         self.merge_evidence(addr, reply);
         self.learn_notices(addr, reply);
         let age = reply.operator.as_ref().map_or(u64::MAX, |o| o.age_ms);
-        let applied = self.update(|v| convert::apply_reply(requested_at, v, reply));
+        let applied = self.update(|v| {
+            let applied = convert::apply_reply(requested_at, v, reply);
+            if let Some(notice) = &reply.rollout {
+                rollout::merge(&mut v.rollouts, notice);
+            }
+            applied
+        });
         if let Err(error) = applied {
             event!(EventCode::OrderUnreadable, source = addr, reason = error);
             return false;
--- a/src/limpetmux/fleet/mod.rs
+++ b/src/limpetmux/fleet/mod.rs
@@ -7,11 +7,12 @@
 //!
 //! [`follow`] does this on the control thread, [`service`] answers other nodes, [`peers`] keeps the
 //! connections to them, and [`convert`] converts views to messages and back, as [`evidence`] does
-//! with evidence about parts of prompts. See
+//! with evidence about parts of prompts and [`rollout`] with what is known of versions that are tried. See
 //! `docs/design/platform.md`.
 
 pub mod convert;
 pub mod evidence;
 pub mod follow;
 pub mod peers;
+pub mod rollout;
 pub mod service;
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -1,9 +1,10 @@
 //! The gRPC service for other nodes: pulls of the view, stages to run, and results to free.
 
-use super::{convert, evidence};
+use super::{convert, evidence, rollout};
 use crate::core::pieces::StageEnd;
 use crate::core::prompt_part::PartId;
 use crate::core::read_limits::MAX_MESSAGE_BYTES;
+use crate::core::rollout::evidence::Counter;
 use crate::event;
 use crate::serve::node::Shared;
 use crate::stage_queues::StageQueues;
@@ -51,6 +52,15 @@
         }
     }
 
+    /// Keeps what the caller knows of roll-outs, apart from the digest, which the reply depends on.
+    fn hear_rollouts(&self, request: &mut PullRequest) {
+        let (Some(caller), Some(notice)) = (&request.caller, &mut request.rollout) else { return };
+        let counter = Counter { node: caller.node.as_str().into(), started_ms: caller.started };
+        let told = rollout::decode_told(notice);
+        notice.counts.clear();
+        self.shared.rollouts.hear(counter, notice.clone(), &told);
+    }
+
     /// Waits until the view has changes that the caller lacks, for at most the time that it allows.
     async fn wait_for_changes(&self, request: &PullRequest) {
         let until = Instant::now() + Duration::from_millis(request.wait_ms).min(MAX_HOLD);
@@ -94,6 +104,7 @@
         }
         self.shared.learn_leaving(&convert::decode_leaving(&request.leaving));
         self.shared.learn_limits(&convert::decode_limits(&request.limits));
+        self.hear_rollouts(&mut request);
         self.wait_for_changes(&request).await;
         let view = self.shared.view.load();
         let (evidence, version) = self.shared.quarantine.evidence_since(request.evidence_seen);
@@ -104,6 +115,8 @@
         let reply = convert::pull_reply((arrived, clock::boot()), &nodes, &view, &request);
         let evidence = evidence::encode(evidence);
         let evidence_version = version;
+        let rollout = rollout::encode(&view.rollouts, &[]);
+        let reply = PullReply { rollout, ..reply };
         let reply =
             PullReply { evidence_version, evidence, leaving, leaving_version, limits, ..reply };
         Ok(Response::new(reply))
--- a/src/limpetmux/platform/boot.rs
+++ b/src/limpetmux/platform/boot.rs
@@ -2,6 +2,7 @@
 
 use crate::core::answer_limits::AnswerLimits;
 use crate::core::retry_share::RetryLimit;
+use crate::core::rollout::RolloutBounds;
 use crate::serve::settings::{Bounds, NodeSettings, StoreSettings};
 use crate::util::jsonc::{self, JsoncError};
 use serde::Deserialize;
@@ -93,6 +94,12 @@
     #[serde(rename = "budget-window-s")]
     #[serde_as(as = "DurationSeconds<f64>")]
     budget_window: Duration,
+    /// The bounds on roll-outs, where a deployment has them.
+    expose_share: Option<f64>,
+    expose_slack: Option<f64>,
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    rollback_ms: Option<Duration>,
 }
 
 #[derive(Deserialize)]
@@ -148,6 +155,9 @@
     if !(0.0..=10.0).contains(&ratio) {
         return invalid("bounds.retry-budget-ratio", "is not a ratio");
     }
+    if file.bounds.expose_share.is_some_and(|share| !(0.0..=1.0).contains(&share)) {
+        return invalid("bounds.expose-share", "is not a part of one");
+    }
     if file.bounds.revoke_ms.is_zero() {
         return invalid("bounds.revoke-ms", "is zero");
     }
@@ -177,11 +187,21 @@
             grace_period: file.bounds.grace_s,
             revoke_bound: file.bounds.revoke_ms,
             retry_limit,
+            rollout: rollout_bounds(&file.bounds),
         },
         answers: AnswerLimits::default(),
         store: StoreSettings { address: file.platform.address },
     }
 }
 
+fn rollout_bounds(bounds: &FileBounds) -> RolloutBounds {
+    let usual = RolloutBounds::default();
+    RolloutBounds {
+        share: bounds.expose_share.unwrap_or(usual.share),
+        slack: bounds.expose_slack.unwrap_or(usual.slack),
+        rollback: bounds.rollback_ms.unwrap_or(usual.rollback),
+    }
+}
+
 /// The port that `deploy/system.toml` names for metrics.
 const METRICS_PORT: u16 = 9464;
--- a/src/limpetmux/platform/orders.rs
+++ b/src/limpetmux/platform/orders.rs
@@ -1,5 +1,6 @@
 //! The operator's records in the store: the configuration and the evacuated zones.
 
+use super::rollout;
 use super::store::Record;
 use crate::core::catalog::{
     CallerLimits, Catalog, CatalogSpec, EngineSpec, PieceSpec, PoolSpec, RetryClass, Route,
@@ -177,6 +178,9 @@
             if record.value.is_empty() { Order::Restore(zone) } else { Order::Evacuate(zone) };
         return Ok(Some(order));
     }
+    if rollout::is_order(&record.key) {
+        return Ok(None);
+    }
     if record.key != CONFIG_KEY {
         return Err(OrderError::Key(record.key.clone()));
     }
--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -86,6 +86,9 @@
     /// The requested records were deleted.
     #[error("the requested records were deleted")]
     Trimmed,
+    /// The topic ends elsewhere than the call requires; nothing was appended.
+    #[error("the topic ends elsewhere")]
+    Moved,
     /// The answer lacks records that it states to exist.
     #[error("the answer ends before its last record")]
     Truncated,
@@ -216,16 +219,40 @@
     /// # Errors
     /// Returns [`StoreError`] if the call fails; the record may still have been appended.
     pub async fn put(&self, topic: &str, key: &str, value: &[u8]) -> Result<(), StoreError> {
+        self.append(topic, key, value, None).await
+    }
+
+    /// Appends a record for a key if the topic ends at a position, and not otherwise.
+    ///
+    /// # Errors
+    /// Returns [`StoreError::Moved`] if it ends elsewhere; after other errors it may still be executed.
+    pub async fn put_at(
+        &self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+        end: LogPosition,
+    ) -> Result<(), StoreError> {
+        self.append(topic, key, value, Some(end.offset)).await
+    }
+
+    async fn append(
+        &self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+        end: Option<u64>,
+    ) -> Result<(), StoreError> {
         let key_len = u8::try_from(key.len()).unwrap_or(u8::MAX);
         let mut record = vec![key_len];
         record.extend_from_slice(&key.as_bytes()[..usize::from(key_len)]);
         record.extend_from_slice(value);
         let mut body = u32::try_from(record.len()).unwrap_or(u32::MAX).to_be_bytes().to_vec();
         body.extend(record);
-        let query = [("topic", topic.to_owned()), ("part", "0".to_owned())];
+        let mut query = vec![("topic", topic.to_owned()), ("part", "0".to_owned())];
+        query.extend(end.map(|end| ("as-of", end.to_string())));
         let call = self.call(Method::POST, "/log-append", &query, body.into())?;
-        self.send(call, ANSWER_TIMEOUT, MAX_APPEND_ANSWER_BYTES).await?;
-        Ok(())
+        self.send(call, ANSWER_TIMEOUT, MAX_APPEND_ANSWER_BYTES).await.map(drop)
     }
 
     fn call(
@@ -258,6 +285,7 @@
         match answer.status {
             status if status.is_success() => Ok((answer.era, answer.body)),
             StatusCode::GONE => Err(StoreError::Trimmed),
+            StatusCode::PRECONDITION_FAILED => Err(StoreError::Moved),
             status => Err(StoreError::Status(status)),
         }
     }
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -6,6 +6,7 @@
 use super::inputs::Inputs;
 use super::node::Shared;
 use super::request::{RoutedRequest, Running};
+use super::rollout::SendEnd;
 use super::stages::engine_time;
 use super::stream::{Body, ForwardedBody, Received, STALL_TIME, StreamEnd, StreamHooks};
 use crate::core::answer_limits::AnswerLimits;
@@ -15,6 +16,7 @@
 use crate::core::prompt_part;
 use crate::core::quarantine::ServerRun;
 use crate::core::read_limits::{Exceeded, Peer};
+use crate::core::rollout::evidence::Answer;
 use crate::core::time::Moment;
 use crate::event;
 use crate::platform::server::{self, ReplyHead};
@@ -33,6 +35,9 @@
 /// An attempt that ends with less time than this left has reached the request's deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
+/// A caller that leaves after this time without a byte of the answer has found it slow.
+const LONG_WAIT: Duration = Duration::from_secs(1);
+
 /// One attempt at a request; counts as in flight at its backend server until it ends.
 pub struct Attempt {
     pub(super) shared: Arc<Shared>,
@@ -40,6 +45,8 @@
     server: Arc<str>,
     run: ServerRun,
     addr: SocketAddr,
+    /// The backend server as it was listed, if its service has a roll-out.
+    tried: Option<Server>,
     pub(super) began: Moment,
     /// The limits on the answer.
     pub(super) limits: AnswerLimits,
@@ -47,6 +54,8 @@
     pub watch: HeadWatch,
     /// When the head of the answer arrived.
     pub head_at: Moment,
+    /// The time to the first byte or event of the answer, once it has arrived.
+    pub first: Option<Duration>,
     /// The time to the first event that the queue node of the pool expects.
     pub expected: Option<Duration>,
     ended: bool,
@@ -60,6 +69,8 @@
         server: &Server,
         began: Moment,
     ) -> Self {
+        let is_tried = shared.view.load().rollouts.concerns(&server.service);
+        let tried = is_tried.then(|| server.clone());
         let run = ServerRun { server: Arc::clone(&server.id), started_ms: server.started_ms };
         let (server, addr) = (Arc::clone(&server.id), server.addr);
         Self {
@@ -68,6 +79,8 @@
             server,
             run,
             addr,
+            tried,
+            first: None,
             began,
             limits: shared.settings().answers,
             watch: HeadWatch::default(),
@@ -81,6 +94,27 @@
     pub fn end(&mut self, end: PlaceEnd) {
         if !std::mem::replace(&mut self.ended, true) {
             self.shared.placement().finished(clock::boot(), &self.server, end);
+            self.record_evidence(end);
+        }
+    }
+
+    /// Records the end as evidence on the version of the backend server.
+    fn record_evidence(&self, end: PlaceEnd) {
+        let Some(server) = &self.tried else { return };
+        let took = clock::boot().since(self.began);
+        let answered = |took| Some(SendEnd::Answer(Answer::Answered(took)));
+        let end = match end {
+            PlaceEnd::Answered(took) => answered(took),
+            PlaceEnd::Streamed => answered(self.first.unwrap_or(took)),
+            PlaceEnd::Failed => Some(SendEnd::Answer(Answer::Failed)),
+            PlaceEnd::Broken => Some(SendEnd::Broken),
+            PlaceEnd::Full | PlaceEnd::WrongServer => None,
+            // Whoever waited this long has seen how slow it is.
+            PlaceEnd::Neutral if self.first.is_none() && took < LONG_WAIT => None,
+            PlaceEnd::Neutral => answered(self.first.unwrap_or(took)),
+        };
+        if let Some(end) = end {
+            self.shared.record_send(&self.routed.route().name, server, end);
         }
     }
 
@@ -283,7 +317,8 @@
         }
     });
     let on_end = Box::new(move |end: StreamEnd, received: &Received| {
-        let first_latency = to_first.lock().ok().and_then(|at| *at).unwrap_or_default();
+        attempt.first = to_first.lock().ok().and_then(|at| *at);
+        let first_latency = attempt.first.unwrap_or_default();
         attempt.count_answer(received, end);
         if end == StreamEnd::Complete {
             attempt.end(PlaceEnd::Streamed);
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -209,6 +209,8 @@
         let servers = view.usable(&self.routed.service);
         let available = self.shared.available(&view, &self.routed.service, Duration::ZERO).ok()?;
         let query = self.query(Some(pool), &entries, None);
+        let route = &self.routed.route().name;
+        let available = self.shared.lanes(&view, &self.routed.service, route, available).first;
         let mut unusable = self.shared.placement().unusable(clock::boot(), &available, query);
         let closed = servers.iter().filter(|s| !available.iter().any(|a| a.id == s.id));
         unusable.extend(closed.map(|s| Arc::clone(&s.id)));
@@ -253,7 +255,16 @@
         let entries = self.shared.nodes().entries(now);
         let query = self.query(pool, &entries, choice);
         let servers = self.shared.available(&view, &routed.service, self.patience())?;
-        let server = self.shared.placement().pick(now, &servers, query).cloned();
+        let route = &routed.route().name;
+        let lanes = self.shared.lanes(&view, &routed.service, route, servers);
+        let server = {
+            let mut placement = self.shared.placement();
+            let first = placement.pick(now, &lanes.first, query);
+            first.or_else(|| placement.pick(now, &lanes.second, query)).cloned()
+        };
+        if let Some(server) = &server {
+            self.shared.count_send(&view, route, server);
+        }
         Ok(server.map(|server| (server, trial)))
     }
 
--- a/src/limpetmux/serve/mod.rs
+++ b/src/limpetmux/serve/mod.rs
@@ -26,6 +26,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod request;
+pub mod rollout;
 pub mod run;
 pub mod settings;
 pub mod stages;
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -6,6 +6,7 @@
 use super::notices::NodeNotices;
 use super::quarantine::NodeQuarantine;
 use super::quota::NodeQuotas;
+use super::rollout::NodeRollouts;
 use super::settings::NodeSettings;
 use crate::adapters::admission::ConnectionBounds;
 use crate::adapters::channel::Channels;
@@ -20,6 +21,7 @@
 use crate::core::queue_waits::QueueWaits;
 use crate::core::read_limits::{NODE_IDLE_TIME, node_connections};
 use crate::core::retry_share::RetryShare;
+use crate::core::rollout::book::Book;
 use crate::core::server_notices::{Incarnation, LeavingServer, PoolClosed, ServerNotice};
 use crate::core::time::Moment;
 use crate::fleet::peers::Peers;
@@ -47,6 +49,8 @@
     pub orders: Orders,
     /// The backend servers.
     pub listing: Listing,
+    /// The roll-outs of versions.
+    pub rollouts: Book,
 }
 
 impl StoreView {
@@ -54,7 +58,13 @@
     pub fn usable<'a>(&'a self, service: &'a str) -> Vec<&'a Server> {
         let serves = |s: &&Server| *s.service == *service && !s.draining;
         let in_use = |s: &&Server| !self.orders.evacuated.contains(&s.zone);
-        self.listing.servers().filter(serves).filter(in_use).collect()
+        let usable = self.listing.servers().filter(serves).filter(in_use).collect();
+        if !self.rollouts.concerns(service) {
+            return usable;
+        }
+        let listed: Vec<&Server> =
+            self.listing.servers().filter(|s| *s.service == *service).collect();
+        self.rollouts.allowed(service, &listed, usable)
     }
 }
 
@@ -101,6 +111,8 @@
     pub notices: NodeNotices,
     /// The requests that backend servers with limits may still get.
     pub quotas: NodeQuotas,
+    /// What this node has sent and counted in roll-outs.
+    pub rollouts: NodeRollouts,
 }
 
 impl Shared {
@@ -131,6 +143,7 @@
             quarantine: NodeQuarantine::new(local_node.started),
             notices: NodeNotices::new(local_node.started),
             quotas: NodeQuotas::default(),
+            rollouts: NodeRollouts::default(),
             local_node,
             placement: Mutex::new(Placement::new()),
             retry_share: Mutex::new(RetryShare::new(settings.bounds.retry_limit)),
--- a/src/limpetmux/serve/settings.rs
+++ b/src/limpetmux/serve/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::core::answer_limits::{AnswerLimits, LimitError, StatedLimits};
 use crate::core::retry_share::RetryLimit;
+use crate::core::rollout::RolloutBounds;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,6 +61,8 @@
     pub revoke_bound: Duration,
     /// The retry budget of a service.
     pub retry_limit: RetryLimit,
+    /// The bounds on roll-outs.
+    pub rollout: RolloutBounds,
 }
 
 /// How to reach the platform's store.
--- a/src/limpetmux/stage_queues/call.rs
+++ b/src/limpetmux/stage_queues/call.rs
@@ -4,12 +4,14 @@
 use super::exchange::{ExchangeError, exchange};
 use crate::core::pieces::{Call, CallEnd, PieceError, PieceOutcome};
 use crate::core::read_limits::{Exceeded, MAX_CALL_ANSWER_BYTES, MAX_PIECE_ANSWER_BYTES, Peer};
+use crate::core::rollout::evidence::Answer;
 use crate::core::server_notices::Incarnation;
 use crate::event;
 use crate::platform::stage;
 use crate::serve::connections::Reuse;
 use crate::serve::node::Shared;
 use crate::serve::quota::QuotaDenied;
+use crate::serve::rollout::SendEnd;
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::metrics::Metric;
@@ -32,6 +34,8 @@
 
 /// Sends one call for pieces and reports its outcome to the queue.
 pub(super) async fn run_call(queues: Arc<StageQueues>, service: Arc<str>, call: Call) {
+    let running = queues.shared.rollouts.begin_call(&call.server);
+    let began = clock::boot();
     let end = match timeout(call.timeout, send(&queues.shared, &call)).await {
         Ok(end) => end,
         Err(_) => {
@@ -49,10 +53,40 @@
         CallEnd::Denied => "denied",
         CallEnd::Lost => "lost",
     };
+    record_evidence(&queues.shared, &service, &call, clock::boot().since(began), &end);
+    drop(running);
     queues.shared.metrics.count(Metric::SidecarCalls, 1, &[("outcome", outcome)]);
     queues.finish(&service, call.key, end);
 }
 
+/// Records how a call ended as evidence on the version of its backend server.
+fn record_evidence(
+    shared: &Shared,
+    service: &Arc<str>,
+    call: &Call,
+    took: Duration,
+    end: &CallEnd,
+) {
+    let view = shared.view.load();
+    if !view.rollouts.concerns(service) {
+        return;
+    }
+    let server = view.listing.get(&call.server).and_then(|l| l.server.as_ref());
+    let failed = PieceOutcome::Failed(PieceError::ServerFailed);
+    let end = match end {
+        CallEnd::Answered(outcomes) if outcomes.contains(&failed) => {
+            SendEnd::Answer(Answer::Failed)
+        }
+        CallEnd::Answered(_) => SendEnd::Answer(Answer::Answered(took)),
+        CallEnd::Lost if took >= call.timeout => SendEnd::Answer(Answer::Answered(took)),
+        CallEnd::Lost => SendEnd::Broken,
+        CallEnd::Refused | CallEnd::WrongServer | CallEnd::Unsent | CallEnd::Denied => return,
+    };
+    if let Some(server) = server {
+        shared.record_send(service, server, end);
+    }
+}
+
 async fn send(shared: &Shared, call: &Call) -> CallEnd {
     let request = match stage::run(&call.server, call.addr, &call.items) {
         Ok(request) => request,
--- a/src/limpetmux/stage_queues/mod.rs
+++ b/src/limpetmux/stage_queues/mod.rs
@@ -11,7 +11,7 @@
 mod leave;
 
 use crate::core::listing::Server;
-use crate::core::pieces::{Actions, CallEnd, JobKey, JobSpec, PieceQueue, StageEnd};
+use crate::core::pieces::{Actions, Call, CallEnd, JobKey, JobSpec, PieceQueue, StageEnd};
 use crate::core::pieces::{CallKey, CallQuota, WorkerSpec};
 use crate::core::server_limits::RequestRate;
 use crate::core::server_notices::{Incarnation, PoolClosed};
@@ -212,11 +212,28 @@
         }
         self.free(service, actions.unneeded_results);
         self.free_fetched(actions.fetched_inputs);
+        if !actions.calls.is_empty() {
+            self.count_calls(service, &actions.calls);
+        }
         for call in actions.calls {
             tokio::spawn(run_call(Arc::clone(self), Arc::clone(service), call));
         }
     }
 
+    /// Counts calls that are sent, if the service has a roll-out.
+    fn count_calls(&self, service: &Arc<str>, calls: &[Call]) {
+        let view = self.shared.view.load();
+        if !view.rollouts.concerns(service) {
+            return;
+        }
+        for call in calls {
+            let server = view.listing.get(&call.server).and_then(|l| l.server.as_ref());
+            if let Some(server) = server {
+                self.shared.count_send(&view, service, server);
+            }
+        }
+    }
+
     /// Frees results of other services through their queue nodes.
     fn free_fetched(&self, results: Vec<Arc<str>>) {
         if results.is_empty() {
@@ -273,9 +290,10 @@
 fn workers(
     shared: &Shared,
     view: &StoreView,
-    service: &str,
+    service: &Arc<str>,
 ) -> Result<Vec<WorkerSpec>, PoolClosed> {
     let servers = shared.open_or_limited(view, service)?;
+    let servers = shared.call_servers(view, service, servers);
     let quotas: Vec<CallQuota> = servers.iter().map(|s| call_quota(shared, s)).collect();
     let specs = worker_specs(servers).into_iter().zip(quotas);
     Ok(specs.map(|(spec, quota)| WorkerSpec { quota, ..spec }).collect())
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -223,6 +223,28 @@
     ServerLimit = 624,
     /// The limit of a backend server is used up; it gets no requests of this node for a time.
     QuotaDenied = 625,
+    /// An order to move a service to a version cannot be used and changes nothing.
+    #[strum(props(level = "error"))]
+    RolloutRejected = 640,
+    /// An order to move a service to a version is in force.
+    RolloutOrdered = 641,
+    /// An order to move a service to a version was taken back.
+    #[strum(props(level = "warn"))]
+    RolloutWithdrawn = 642,
+    /// A step of a roll-out was decided here, with the answers that it rests on.
+    RolloutDecided = 643,
+    /// A step of a roll-out is in force at this node.
+    RolloutStep = 644,
+    /// What the platform's store states about a roll-out has changed.
+    RolloutStatus = 645,
+    /// The status of a roll-out was written to the platform's store.
+    RolloutWritten = 646,
+    /// The status of a roll-out cannot be read or written yet.
+    #[strum(props(level = "warn"))]
+    RolloutUnwritten = 647,
+    /// The status of a roll-out that another writer has written cannot be decoded.
+    #[strum(props(level = "error"))]
+    RolloutUnreadable = 648,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -55,6 +55,9 @@
     /// Requests for which a limited backend server was asked for, by who decides.
     #[strum(props(kind = "counter", tags = "outcome, source"))]
     QuotaRequests,
+    /// Answers of backend servers during a roll-out, by version and by how they ended.
+    #[strum(props(kind = "counter", tags = "service, version, outcome"))]
+    RolloutAnswers,
     /// Quarantined parts of prompts.
     #[strum(props(kind = "gauge", tags = "none"))]
     PartsHeld,
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -53,6 +53,9 @@
     /// The limits that the caller knows backend servers to have named or ended.
     #[prost(message, repeated, tag = "13")]
     pub limits: ::prost::alloc::vec::Vec<LimitedServer>,
+    /// What the caller knows of roll-outs; absent if there are none.
+    #[prost(message, optional, tag = "30")]
+    pub rollout: ::core::option::Option<RolloutNotice>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PullReply {
@@ -79,6 +82,94 @@
     /// The limits that the called node knows; `leaving_version` counts their changes, too.
     #[prost(message, repeated, tag = "9")]
     pub limits: ::prost::alloc::vec::Vec<LimitedServer>,
+    /// What the called node knows of roll-outs, without counts; absent if there are none.
+    #[prost(message, optional, tag = "30")]
+    pub rollout: ::core::option::Option<RolloutNotice>,
+}
+/// What a node knows of the roll-outs of versions.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutNotice {
+    /// A number that differs between nodes that know different statuses or steps.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub statuses: ::prost::alloc::vec::Vec<RolloutStatus>,
+    #[prost(message, repeated, tag = "3")]
+    pub steps: ::prost::alloc::vec::Vec<RolloutStep>,
+    #[prost(message, repeated, tag = "4")]
+    pub counts: ::prost::alloc::vec::Vec<RolloutCounts>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutKey {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// The offset of the order's record, and the version that it names.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    #[prost(string, tag = "3")]
+    pub target: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutOrder {
+    #[prost(message, optional, tag = "1")]
+    pub key: ::core::option::Option<RolloutKey>,
+    #[prost(uint64, tag = "2")]
+    pub duration_ms: u64,
+    /// Milliseconds since a node first learned of it.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
+/// What is written about an order in the store.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutStatus {
+    #[prost(message, optional, tag = "1")]
+    pub key: ::core::option::Option<RolloutKey>,
+    /// The name of the state.
+    #[prost(string, tag = "2")]
+    pub state: ::prost::alloc::string::String,
+    #[prost(string, repeated, tag = "3")]
+    pub refused: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Unix milliseconds at which the order was first seen.
+    #[prost(uint64, tag = "4")]
+    pub since: u64,
+    /// The position of the record.
+    #[prost(uint64, tag = "5")]
+    pub offset: u64,
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutStep {
+    #[prost(message, optional, tag = "1")]
+    pub key: ::core::option::Option<RolloutKey>,
+    /// The number of the step.
+    #[prost(uint32, tag = "2")]
+    pub step: u32,
+}
+/// The answers that the caller has got since it knows the order.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutCounts {
+    #[prost(message, optional, tag = "1")]
+    pub key: ::core::option::Option<RolloutKey>,
+    #[prost(message, repeated, tag = "2")]
+    pub arms: ::prost::alloc::vec::Vec<RolloutArm>,
+    /// The requests and calls that run at backend servers of other versions; present once those get no
+    /// more.
+    #[prost(uint32, optional, tag = "3")]
+    pub left: ::core::option::Option<u32>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutArm {
+    #[prost(string, tag = "1")]
+    pub route: ::prost::alloc::string::String,
+    /// Whether the backend servers run the version that is tried.
+    #[prost(bool, tag = "2")]
+    pub is_new: bool,
+    #[prost(uint32, tag = "3")]
+    pub failed: u32,
+    /// The other answers by ranges of their time.
+    #[prost(uint32, repeated, tag = "4")]
+    pub times: ::prost::alloc::vec::Vec<u32>,
 }
 /// A backend server that has stated that it leaves.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -216,6 +307,9 @@
     /// Zones that stay evacuated although the store, which was restored, does not list them.
     #[prost(message, repeated, tag = "8")]
     pub unlisted: ::prost::alloc::vec::Vec<UnlistedZone>,
+    /// The orders to move services to versions.
+    #[prost(message, repeated, tag = "30")]
+    pub rollouts: ::prost::alloc::vec::Vec<RolloutOrder>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct UnlistedZone {
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -19,9 +19,12 @@
 };
 use limpetmux::core::queue_waits::QueueWaits;
 use limpetmux::core::revision::Offset;
+use limpetmux::core::rollout::evidence::{self, Ledger};
+use limpetmux::core::rollout::judge::Judge;
+use limpetmux::core::rollout::{RolloutBounds, Step};
 use limpetmux::core::server_notices::ServerNotices;
 use limpetmux::core::time::Moment;
-use limpetmux::fleet::convert as views;
+use limpetmux::fleet::{convert as views, rollout as rollouts};
 use limpetmux::serve::node::StoreView;
 use limpetmux::sidecar::once::{decode_table, encode_table};
 use limpetmux::wire::{convert, fleet, once, peer, stage};
@@ -90,6 +93,9 @@
     }
     nodes.remove_dead(NOW);
     let _ = views::apply_reply(NOW, &mut view, &reply);
+    if let Some(notice) = &reply.rollout {
+        check_notice(&mut view, notice);
+    }
     let mut notices = ServerNotices::default();
     for limit in views::decode_limits(&reply.limits) {
         notices.learn_limit(NOW, &limit, true);
@@ -104,6 +110,55 @@
     let _ = views::apply_reply(NOW, &mut copy, &again);
 }
 
+fn rollout_key(u: &mut Unstructured<'_>) -> Result<fleet::RolloutKey> {
+    Ok(fleet::RolloutKey { service: "desk".into(), offset: draw_number(u)?, target: "v2".into() })
+}
+
+fn rollout_notice(u: &mut Unstructured<'_>) -> Result<fleet::RolloutNotice> {
+    let status = fleet::RolloutStatus {
+        key: Some(rollout_key(u)?),
+        state: "running".into(),
+        refused: vec!["v0".into()],
+        since: draw_number(u)?,
+        offset: draw_number(u)?,
+        era: draw_number(u)?,
+    };
+    let arm = fleet::RolloutArm {
+        route: "r1".into(),
+        is_new: u.arbitrary()?,
+        failed: u.arbitrary()?,
+        times: vec![u.arbitrary()?; usize::from(u.arbitrary::<u8>()?)],
+    };
+    Ok(fleet::RolloutNotice {
+        digest: draw_number(u)?,
+        statuses: vec![status],
+        steps: vec![fleet::RolloutStep { key: Some(rollout_key(u)?), step: u.arbitrary()? }],
+        counts: vec![fleet::RolloutCounts {
+            key: Some(rollout_key(u)?),
+            arms: vec![arm],
+            left: Some(u.arbitrary()?),
+        }],
+    })
+}
+
+/// Takes over what another node knows of roll-outs, and judges by it.
+fn check_notice(view: &mut StoreView, notice: &fleet::RolloutNotice) {
+    let _ = rollouts::merge(&mut view.rollouts, notice);
+    view.rollouts.date_orders(NOW, u64::MAX);
+    let bounds = RolloutBounds::default();
+    for told in rollouts::decode_told(notice) {
+        let mut ledger = Ledger::new(told.key.clone());
+        let counter = evidence::Counter { node: "n1".into(), started_ms: 1 };
+        ledger.record(counter.clone(), &told);
+        ledger.record(evidence::Counter { started_ms: 2, ..counter }, &told);
+        let times = (Duration::from_secs(1), Duration::from_secs(2));
+        let _ = Judge::default().decide(Step::Canary, times, &ledger.totals(), &bounds);
+    }
+    let sent = rollouts::encode(&view.rollouts, &[]);
+    let mut copy = view.rollouts.clone();
+    assert!(sent.is_none_or(|sent| !rollouts::merge(&mut copy, &sent)));
+}
+
 #[test]
 fn views_of_other_nodes_are_applied_or_refused() {
     check("views of the store", |u| {
@@ -130,6 +185,11 @@
                     zone: "mnl-a".into(),
                     age_ms: draw_number(u)?,
                 }],
+                rollouts: vec![fleet::RolloutOrder {
+                    key: Some(rollout_key(u)?),
+                    duration_ms: draw_number(u)?,
+                    age_ms: draw_number(u)?,
+                }],
             }),
             listing: Some(fleet::ListingView {
                 end: draw_number(u)?,
@@ -154,6 +214,7 @@
                 asked_ms: draw_number(u)?,
                 heard_ms: draw_number(u)?,
             }],
+            rollout: Some(rollout_notice(u)?),
         };
         check_pull(&draw(u, &reply.encode_to_vec())?);
         Ok(())
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -45,6 +45,8 @@
 mod retry_share;
 mod rollout;
 mod rollout_model;
+mod rollout_nodes;
+mod rollout_records;
 mod server_limits;
 mod server_notices;
 mod soak;
--- a/tests/testsuite/platform/node_fixture.rs
+++ b/tests/testsuite/platform/node_fixture.rs
@@ -2,6 +2,7 @@
 
 use limpetmux::core::answer_limits::AnswerLimits;
 use limpetmux::core::retry_share::RetryLimit;
+use limpetmux::core::rollout::RolloutBounds;
 use limpetmux::serve::run::{RunningNode, start};
 use limpetmux::serve::settings::{Bounds, NodeSettings, StoreSettings};
 use limpetmux_standins::users::{UsersFault, UsersServer, UsersStore};
@@ -65,6 +66,7 @@
                 allowance: 50.0,
                 window: Duration::from_secs(10),
             },
+            rollout: RolloutBounds::default(),
         },
         answers: AnswerLimits::default(),
         store: StoreSettings { address: store },
