--- a/src/limpetmux/fleet/follow/evidence.rs
+++ b/src/limpetmux/fleet/follow/evidence.rs
@@ -161,7 +161,8 @@
         result
     }
 
-    fn is_reader_of_all(&self) -> bool {
+    /// Returns whether this node reads the store for all, once it knows the others.
+    pub(super) fn is_reader_of_all(&self) -> bool {
         let nodes = self.shared.nodes();
         let order = nodes.readers(clock::boot());
         self.shared.has_discovered() && order.first().is_some_and(|n| n.addr == nodes.local().addr)
--- a/src/limpetmux/platform/boot.rs
+++ b/src/limpetmux/platform/boot.rs
@@ -3,6 +3,7 @@
 use crate::core::answer_limits::AnswerLimits;
 use crate::core::memory::CALLER_PART;
 use crate::core::retry_share::RetryLimit;
+use crate::core::rollout::RolloutBounds;
 use crate::serve::settings::{Bounds, NodeSettings, StoreSettings, memory_bytes};
 use crate::util::jsonc::{self, JsoncError};
 use serde::Deserialize;
@@ -102,6 +103,12 @@
     #[serde(rename = "budget-window-s")]
     #[serde_as(as = "DurationSeconds<f64>")]
     budget_window: Duration,
+    /// The bounds on roll-outs, where a deployment has them.
+    expose_share: Option<f64>,
+    expose_slack: Option<f64>,
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    rollback_ms: Option<Duration>,
 }
 
 #[derive(Deserialize)]
@@ -157,6 +164,9 @@
     if !(0.0..=10.0).contains(&ratio) {
         return invalid("bounds.retry-budget-ratio", "is not a ratio");
     }
+    if file.bounds.expose_share.is_some_and(|share| !(0.0..=1.0).contains(&share)) {
+        return invalid("bounds.expose-share", "is not a part of one");
+    }
     let bounds = &file.bounds;
     let times = [
         ("bounds.revoke-ms", bounds.revoke_ms),
@@ -206,11 +216,21 @@
             config_bound: file.bounds.config_apply_ms,
             evacuate_bound: file.bounds.evacuate_ms.unwrap_or(file.bounds.revoke_ms),
             retry_limit,
+            rollout: rollout_bounds(&file.bounds),
         },
         answers: AnswerLimits::default(),
         store: StoreSettings { address: file.platform.address },
     }
 }
 
+fn rollout_bounds(bounds: &FileBounds) -> RolloutBounds {
+    let usual = RolloutBounds::default();
+    RolloutBounds {
+        share: bounds.expose_share.unwrap_or(usual.share),
+        slack: bounds.expose_slack.unwrap_or(usual.slack),
+        rollback: bounds.rollback_ms.unwrap_or(usual.rollback),
+    }
+}
+
 /// The port that `deploy/system.toml` names for metrics.
 const METRICS_PORT: u16 = 9464;
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -7,6 +7,7 @@
 use super::notices::NodeNotices;
 use super::quarantine::NodeQuarantine;
 use super::quota::NodeQuotas;
+use super::rollout::NodeRollouts;
 use super::settings::NodeSettings;
 use crate::adapters::admission::ConnectionBounds;
 use crate::adapters::channel::Channels;
@@ -21,6 +22,7 @@
 use crate::core::queue_waits::QueueWaits;
 use crate::core::read_limits::{NODE_IDLE_TIME, entry_node_connections};
 use crate::core::retry_share::RetryShare;
+use crate::core::rollout::book::Book;
 use crate::core::server_notices::{Incarnation, LeavingServer, PoolClosed, ServerNotice};
 use crate::core::time::Moment;
 use crate::fleet::peers::Peers;
@@ -48,6 +50,8 @@
     pub orders: Orders,
     /// The backend servers.
     pub listing: Listing,
+    /// The roll-outs of versions.
+    pub rollouts: Book,
 }
 
 impl StoreView {
@@ -55,7 +59,13 @@
     pub fn usable<'a>(&'a self, service: &'a str) -> Vec<&'a Server> {
         let serves = |s: &&Server| *s.service == *service && !s.draining;
         let in_use = |s: &&Server| !self.orders.evacuated.contains(&s.zone);
-        self.listing.servers().filter(serves).filter(in_use).collect()
+        let usable = self.listing.servers().filter(serves).filter(in_use).collect();
+        if !self.rollouts.concerns(service) {
+            return usable;
+        }
+        let listed: Vec<&Server> =
+            self.listing.servers().filter(|s| *s.service == *service).collect();
+        self.rollouts.allowed(service, &listed, usable)
     }
 }
 
@@ -104,6 +114,8 @@
     pub quotas: NodeQuotas,
     /// The memory that is held for callers.
     pub memory: Memory,
+    /// What this node has sent and counted in roll-outs.
+    pub rollouts: NodeRollouts,
 }
 
 impl Shared {
@@ -136,6 +148,7 @@
             notices: NodeNotices::new(local_node.started),
             quotas: NodeQuotas::default(),
             memory,
+            rollouts: NodeRollouts::default(),
             local_node,
             placement: Mutex::new(Placement::new()),
             retry_share: Mutex::new(RetryShare::new(settings.bounds.retry_limit)),
--- a/src/limpetmux/serve/settings.rs
+++ b/src/limpetmux/serve/settings.rs
@@ -4,6 +4,7 @@
 use crate::core::memory::{self, CallerBytesError};
 use crate::core::read_times::{ReadTimes, ViewBounds};
 use crate::core::retry_share::RetryLimit;
+use crate::core::rollout::RolloutBounds;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,6 +83,8 @@
     pub evacuate_bound: Duration,
     /// The retry budget of a service.
     pub retry_limit: RetryLimit,
+    /// The bounds on roll-outs.
+    pub rollout: RolloutBounds,
 }
 
 impl Bounds {
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -223,14 +223,36 @@
     ServerLimit = 624,
     /// The limit of a backend server is used up; it gets no requests of this node for a time.
     QuotaDenied = 625,
-    /// A model engine was chosen for a prompt, with the work that is expected and that is ahead of it.
-    EngineChosen = 650,
     /// A queue node knows no backend server of a stage's service; another node is asked.
     QueueUnavailable = 630,
     /// This node cannot read the platform's store; another node reads it for all.
     ReaderSteppedBack = 631,
     /// This node can read the platform's store again.
     ReaderBack = 632,
+    /// An order to move a service to a version cannot be used and changes nothing.
+    #[strum(props(level = "error"))]
+    RolloutRejected = 640,
+    /// An order to move a service to a version is in force.
+    RolloutOrdered = 641,
+    /// An order to move a service to a version was taken back.
+    #[strum(props(level = "warn"))]
+    RolloutWithdrawn = 642,
+    /// A step of a roll-out was decided here, with the answers that it rests on.
+    RolloutDecided = 643,
+    /// A step of a roll-out is in force at this node.
+    RolloutStep = 644,
+    /// What the platform's store states about a roll-out has changed.
+    RolloutStatus = 645,
+    /// The status of a roll-out was written to the platform's store.
+    RolloutWritten = 646,
+    /// The status of a roll-out cannot be read or written yet.
+    #[strum(props(level = "warn"))]
+    RolloutUnwritten = 647,
+    /// The status of a roll-out that another writer has written cannot be decoded.
+    #[strum(props(level = "error"))]
+    RolloutUnreadable = 648,
+    /// A model engine was chosen for a prompt, with the work that is expected and that is ahead of it.
+    EngineChosen = 650,
     /// Workspaces compete for a full stage queue; each gets its share from now on.
     ShareBegun = 660,
     /// Workspaces no longer compete for a stage queue.
--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -67,6 +67,9 @@
     /// Responses of backend servers that state their load, by whether it can be read.
     #[strum(props(kind = "counter", tags = "notice"))]
     ServerLoads,
+    /// Answers of backend servers during a roll-out, by version and by how they ended.
+    #[strum(props(kind = "counter", tags = "service, version, outcome"))]
+    RolloutAnswers,
     /// Quarantined parts of prompts.
     #[strum(props(kind = "gauge", tags = "none"))]
     PartsHeld,
