Judge roll-outs while the store is away

The judge and the writer of statuses were one loop, so a call to the store that hung or failed delayed the judge by seconds; the time in which a bad version has to be stopped ran on meanwhile. The loop also woke up five times a second without any order.

Let two tasks judge and write, and let both wait for the first order.

--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -94,7 +94,8 @@
             self.follow_listing(),
             self.follow_nodes(),
             self.preserve_verdicts(),
-            self.carry_out_rollouts(),
+            self.judge_rollouts(),
+            self.write_rollouts(),
             self.announce_again()
         );
     }
--- a/src/limpetmux/fleet/follow/rollout.rs
+++ b/src/limpetmux/fleet/follow/rollout.rs
@@ -31,10 +31,12 @@
 /// For how long all nodes have to state that nothing runs at the old versions.
 const LEFT_TIME: Duration = Duration::from_millis(800);
 
-/// What the judge keeps between its turns.
+/// The judges of the orders of services.
+type Judges = BTreeMap<Arc<str>, (OrderKey, Judge)>;
+
+/// What the writing task keeps between its turns.
 #[derive(Default)]
-struct Bench {
-    judges: BTreeMap<Arc<str>, (OrderKey, Judge)>,
+struct Desk {
     /// Since when nothing runs at the old versions of a service.
     left_since: BTreeMap<Arc<str>, Moment>,
     /// The era of the store in which the statuses were read last.
@@ -43,28 +45,56 @@
 
 impl Follower {
     /// Takes over what other nodes tell of roll-outs, and judges them as long as this node reads the
-    /// store for all.
-    pub(super) async fn carry_out_rollouts(&self) {
-        let mut bench = Bench::default();
+    /// store for all. The store may be away meanwhile, so [`write_rollouts`](Self::write_rollouts) is
+    /// another task.
+    pub(super) async fn judge_rollouts(&self) {
+        let mut judges = Judges::new();
         loop {
+            self.wait_for_rollouts().await;
             sleep(TURN_INTERVAL).await;
             self.take_over();
-            if self.with_view(|v| v.rollouts.is_empty()) {
+            self.tell_itself();
+            if !self.is_judge() {
+                judges.clear();
                 continue;
             }
-            self.tell_itself();
+            for service in self.rollout_services() {
+                self.decide(&mut judges, &service);
+            }
+        }
+    }
+
+    /// Reads and writes the statuses as long as this node reads the store for all.
+    pub(super) async fn write_rollouts(&self) {
+        let mut desk = Desk::default();
+        loop {
+            self.wait_for_rollouts().await;
+            sleep(TURN_INTERVAL).await;
             if !self.is_judge() {
-                bench = Bench::default();
+                desk = Desk::default();
                 continue;
             }
-            if let Err(error) = self.judge(&mut bench).await {
+            if let Err(error) = self.write_due(&mut desk).await {
                 event!(EventCode::RolloutUnwritten, reason = error);
-                bench.read_in = None;
+                desk.read_in = None;
                 sleep(RETRY_INTERVAL).await;
             }
         }
     }
 
+    /// Waits until there is an order or a status.
+    async fn wait_for_rollouts(&self) {
+        let mut view = self.shared.view.clone();
+        while view.load().rollouts.is_empty() && view.changed().await {}
+    }
+
+    fn rollout_services(&self) -> BTreeSet<Arc<str>> {
+        self.with_view(|v| {
+            let orders = v.rollouts.orders().map(|(service, _)| Arc::clone(service));
+            orders.chain(v.rollouts.statuses().map(|(service, _)| Arc::clone(service))).collect()
+        })
+    }
+
     fn is_judge(&self) -> bool {
         let nodes = self.shared.nodes();
         let order = nodes.order(clock::boot(), READERS);
@@ -110,18 +140,13 @@
         Counter { node: Arc::clone(&local.name), started_ms: local.started }
     }
 
-    async fn judge(&self, bench: &mut Bench) -> Result<(), StoreError> {
-        let services: BTreeSet<Arc<str>> = self.with_view(|v| {
-            let orders = v.rollouts.orders().map(|(service, _)| Arc::clone(service));
-            orders.chain(v.rollouts.statuses().map(|(service, _)| Arc::clone(service))).collect()
-        });
-        if bench.read_in != Some(self.era()) {
+    async fn write_due(&self, desk: &mut Desk) -> Result<(), StoreError> {
+        if desk.read_in != Some(self.era()) {
             self.read_statuses().await?;
-            bench.read_in = Some(self.era());
+            desk.read_in = Some(self.era());
         }
-        for service in services {
-            self.decide(bench, &service);
-            let verdict = self.verdict(bench, &service);
+        for service in self.rollout_services() {
+            let verdict = self.verdict(desk, &service);
             if self.due(&service, verdict.clone()).is_some() {
                 self.write_status(&service, verdict).await?;
             }
@@ -130,7 +155,7 @@
     }
 
     /// Lets the judge of a service take a step, if its order is being carried out.
-    fn decide(&self, bench: &mut Bench, service: &Arc<str>) {
+    fn decide(&self, judges: &mut Judges, service: &Arc<str>) {
         let now = clock::boot();
         let Some((known, step)) = self.with_view(|v| {
             let known = v.rollouts.running(service)?.clone();
@@ -142,7 +167,7 @@
         let KnownOrder { order, learned_at } = known;
         let totals = self.shared.rollouts.totals(service, &order.key);
         let fresh = || (order.key.clone(), Judge::default());
-        let (key, judge) = bench.judges.entry(Arc::clone(service)).or_insert_with(fresh);
+        let (key, judge) = judges.entry(Arc::clone(service)).or_insert_with(fresh);
         if *key != order.key {
             (*key, *judge) = fresh();
         }
@@ -155,11 +180,7 @@
     }
 
     /// Returns the verdict that the step of a service's order calls for, with the replaced versions.
-    fn verdict(
-        &self,
-        bench: &mut Bench,
-        service: &Arc<str>,
-    ) -> Option<(State, BTreeSet<Arc<str>>)> {
+    fn verdict(&self, desk: &mut Desk, service: &Arc<str>) -> Option<(State, BTreeSet<Arc<str>>)> {
         let now = clock::boot();
         let (key, step, versions) = self.with_view(|v| {
             let key = v.rollouts.running(service)?.order.key.clone();
@@ -172,11 +193,11 @@
         match step {
             Step::Stopped => Some((State::RolledBack, BTreeSet::new())),
             Step::Sealed if self.shared.rollouts.is_left(service, &key, &self.live_counters()) => {
-                let since = *bench.left_since.entry(Arc::clone(service)).or_insert(now);
+                let since = *desk.left_since.entry(Arc::clone(service)).or_insert(now);
                 (now.since(since) >= LEFT_TIME).then_some((State::Completed, versions))
             }
             _ => {
-                bench.left_since.remove(service);
+                desk.left_since.remove(service);
                 None
             }
         }
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -44,6 +44,7 @@
 mod restored_views;
 mod retry_share;
 mod rollout;
+mod rollout_failures;
 mod rollout_model;
 mod rollout_nodes;
 mod rollout_records;
--- a/tests/testsuite/platform/rollout_nodes.rs
+++ b/tests/testsuite/platform/rollout_nodes.rs
@@ -3,16 +3,17 @@
 
 use super::node_fixture::{Fixture, fixture, settings};
 use limpetmux::serve::run::{RunningNode, start};
-use limpetmux_standins::users::{AppendFault, UsersServer, VersionQuality};
+use limpetmux_standins::users::{AppendFault, UsersServer, UsersStore, VersionQuality};
 use serde_json::Value;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-const ORDER: &str = "rollout/plain";
-const STATUS: &str = "keyed.status";
+pub(super) const ORDER: &str = "rollout/plain";
+pub(super) const STATUS: &str = "keyed.status";
 /// The pause of each of the callers between two requests.
 const PAUSE: Duration = Duration::from_millis(20);
 const CALLERS: u32 = 6;
@@ -21,7 +22,7 @@
 
 /// The fixture with a second entry and two backend servers of another version.
 struct Deployment {
-    fixture: Arc<Fixture>,
+    fixture: Fixture,
     second: RunningNode,
     new: [UsersServer; 2],
 }
@@ -40,7 +41,7 @@
         fixture.store.put("keyed.servers", id, &entry);
     }
     fixture.plain.iter().for_each(|s| s.set_work_time(Duration::from_millis(2)));
-    Deployment { fixture: Arc::new(fixture), second, new }
+    Deployment { fixture, second, new }
 }
 
 impl Deployment {
@@ -49,23 +50,12 @@
         self.fixture.store.put("keyed.op", ORDER, &order);
     }
 
-    /// Returns the states that were written, in their order.
     fn states(&self) -> Vec<String> {
-        let history = self.fixture.store.history(STATUS, ORDER);
-        let state = |value: &Vec<u8>| -> String {
-            let status: Value = serde_json::from_slice(value).unwrap();
-            assert_eq!(status["target"], "v2");
-            status["state"].as_str().unwrap().to_owned()
-        };
-        history.iter().map(state).collect()
+        states(&self.fixture.store)
     }
 
     async fn wait_state(&self, state: &str, within: Duration) {
-        let end = Instant::now() + within;
-        while self.states().last().is_none_or(|last| last != state) {
-            assert!(Instant::now() < end, "not {state} within {within:?}: {:?}", self.states());
-            sleep(Duration::from_millis(20)).await;
-        }
+        wait_state(&self.fixture.store, state, within).await;
     }
 
     fn new_requests(&self) -> usize {
@@ -76,40 +66,62 @@
         self.fixture.plain.iter().map(|s| s.requests().len()).sum()
     }
 
-    /// Sends requests through both entries until the result is dropped.
+    /// Sends requests through both entries until the result is ended.
     fn load(&self) -> Load {
-        let (tasks, failures) = (JoinSet::new(), Arc::new(AtomicU32::new(0)));
-        let mut load = Load { tasks, failures, stops: Arc::default() };
         let entries = [self.fixture.entry.caller_addr, self.second.caller_addr];
-        for caller in 0..CALLERS {
-            let addr = entries[caller as usize % 2].unwrap();
-            let path = if caller < CALLERS / 2 { "/safe/x" } else { "/once/x" };
-            let (failures, stops) = (Arc::clone(&load.failures), Arc::clone(&load.stops));
-            load.tasks.spawn(async move {
-                let client = reqwest::Client::new();
-                for number in 0.. {
-                    if stops.load(Ordering::Relaxed) {
-                        return;
-                    }
-                    let request = client
-                        .post(format!("http://{addr}{path}"))
-                        .header("host", "a.example")
-                        .header("x-limpetmux-request-id", format!("c{caller}-{number}"))
-                        .header("x-limpetmux-deadline-ms", "2000")
-                        .header("authorization", "Bearer k1");
-                    let answer = request.body("body").send().await;
-                    let is_served = answer.is_ok_and(|a| a.status().is_success());
-                    failures.fetch_add(u32::from(!is_served), Ordering::Relaxed);
-                    sleep(PAUSE).await;
+        load(&entries.map(Option::unwrap))
+    }
+}
+
+/// Returns the states that were written of the order, in their order.
+pub(super) fn states(store: &UsersStore) -> Vec<String> {
+    let state = |value: &Vec<u8>| -> String {
+        let status: Value = serde_json::from_slice(value).unwrap();
+        status["state"].as_str().unwrap().to_owned()
+    };
+    store.history(STATUS, ORDER).iter().map(state).collect()
+}
+
+pub(super) async fn wait_state(store: &UsersStore, state: &str, within: Duration) {
+    let end = Instant::now() + within;
+    while states(store).last().is_none_or(|last| last != state) {
+        assert!(Instant::now() < end, "not {state} within {within:?}: {:?}", states(store));
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Sends requests through some entries until the result is ended.
+pub(super) fn load(entries: &[SocketAddr]) -> Load {
+    let (tasks, failures) = (JoinSet::new(), Arc::new(AtomicU32::new(0)));
+    let mut load = Load { tasks, failures, stops: Arc::default() };
+    for caller in 0..CALLERS {
+        let addr = entries[caller as usize % entries.len()];
+        let path = if caller < CALLERS / 2 { "/safe/x" } else { "/once/x" };
+        let (failures, stops) = (Arc::clone(&load.failures), Arc::clone(&load.stops));
+        load.tasks.spawn(async move {
+            let client = reqwest::Client::new();
+            for number in 0.. {
+                if stops.load(Ordering::Relaxed) {
+                    return;
                 }
-            });
-        }
-        load
+                let request = client
+                    .post(format!("http://{addr}{path}"))
+                    .header("host", "a.example")
+                    .header("x-limpetmux-request-id", format!("c{caller}-{number}"))
+                    .header("x-limpetmux-deadline-ms", "2000")
+                    .header("authorization", "Bearer k1");
+                let answer = request.body("body").send().await;
+                let is_served = answer.is_ok_and(|a| a.status().is_success());
+                failures.fetch_add(u32::from(!is_served), Ordering::Relaxed);
+                sleep(PAUSE).await;
+            }
+        });
     }
+    load
 }
 
 /// Callers that send requests.
-struct Load {
+pub(super) struct Load {
     tasks: JoinSet<()>,
     failures: Arc<AtomicU32>,
     stops: Arc<AtomicBool>,
@@ -117,7 +129,7 @@
 
 impl Load {
     /// Ends the callers and returns how many requests were not served.
-    async fn end(mut self) -> u32 {
+    pub(super) async fn end(mut self) -> u32 {
         self.stops.store(true, Ordering::Relaxed);
         while self.tasks.join_next().await.is_some() {}
         self.failures.load(Ordering::Relaxed)
