Let writes of the roll-out test be done after they were repeated

The late write was done just as the judge read the topic again, so the test passed without the condition of the write, too. With the write done 1.6 s late it failed without the condition ("completed" three times) and passed with it, in one run each.

--- a/tests/testsuite/platform/rollout_nodes.rs
+++ b/tests/testsuite/platform/rollout_nodes.rs
@@ -246,9 +246,9 @@
     store.set_appends(AppendFault::AnswerLost);
     deployment.order("8");
     deployment.wait_state("running", Duration::from_secs(3)).await;
-    store.set_appends(AppendFault::DoneLate(Duration::from_millis(700)));
+    store.set_appends(AppendFault::DoneLate(Duration::from_millis(1_600)));
     deployment.wait_state("completed", Duration::from_secs(10)).await;
-    sleep(Duration::from_millis(1_500)).await;
+    sleep(Duration::from_secs(3)).await;
     assert_eq!(deployment.states(), ["running", "completed"]);
     assert_eq!(load.end().await, 0);
 }
