Hold no request back for overdrawn credit after the seal

Sends at the same moment may overdraw the credit of a route. Once all requests go to the new version, each one adds and takes a whole request, so a node with a debt would have refused that route for good.

Allow all requests at a share of one.

--- a/src/limpetmux/core/rollout/exposure.rs
+++ b/src/limpetmux/core/rollout/exposure.rs
@@ -53,13 +53,15 @@
 
     /// Returns whether the next request of a route may go to the new version, if it gets `share`.
     pub fn allows(&self, route: &str, share: f64) -> bool {
-        share > 0.0 && self.credit(route) + share >= WHOLE
+        // Sends at the same moment may overdraw the credit, and nothing pays that back once all requests go
+        // to the new version.
+        share >= 1.0 || share > 0.0 && self.credit(route) + share >= WHOLE
     }
 
     /// Returns how many requests of a route may go to the new version now.
     pub fn room(&self, route: &str, share: f64) -> usize {
-        if share <= 0.0 {
-            return 0;
+        if share <= 0.0 || share >= 1.0 {
+            return if share >= 1.0 { usize::MAX } else { 0 };
         }
         (self.credit(route) + share + 1.0 - WHOLE).max(0.0) as usize
     }
--- a/tests/testsuite/platform/rollout_model.rs
+++ b/tests/testsuite/platform/rollout_model.rs
@@ -220,3 +220,17 @@
         assert!(sent as f64 >= least, "{sent} of {all}");
     }
 }
+
+#[test]
+fn overdrawn_credit_holds_no_request_back_once_all_go_to_the_new_version() {
+    let key = OrderKey { offset: 3, target: arc("v2") };
+    let mut exposure = Exposure::new(key, arc("n1"), 0.0);
+    let route = arc("r1");
+    (0..3).for_each(|_| exposure.count(&route, 0.08, true));
+    assert!(!exposure.allows(&route, 2.0 / 3.0));
+    for _ in 0..20 {
+        assert!(exposure.allows(&route, Step::Sealed.share(0.08)));
+        exposure.count(&route, 1.0, true);
+    }
+    assert!(exposure.room(&route, 1.0) > 100);
+}
