Let odd records, stepped clocks and many headers harm nobody

Cause: a record of a service that no configuration names hid a listed server at its address if it stated a later start (Listing::index_starts). A node whose time of day stepped back between two starts passed for the process that had stopped. A request of more than 100 headers was refused although its head was within max-header-bytes.

Change: the list knows the services of the configuration in force. Of two processes at an address the one that was heard of last is the later one. As many headers are read as the head has room for. Ages of members count from the earliest moment at which a reply may have been sent, like those of views.

--- a/src/limpetmux/core/catalog.rs
+++ b/src/limpetmux/core/catalog.rs
@@ -236,6 +236,11 @@
         self.has_keys && !route.public
     }
 
+    /// Returns the names of all services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.pool_names.keys()
+    }
+
     /// Returns a service by its name.
     pub fn pool(&self, name: &str) -> Option<&PoolSpec> {
         self.pool_names.get(name).and_then(|key| self.pools.get(*key))
--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -12,7 +12,7 @@
 pub use crate::core::listed::{ListRecord, ListedServer, WriteNumber};
 use crate::core::log_position::LogPosition;
 use crate::core::time::Moment;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,7 +58,9 @@
     /// The position from which on the copy knows all removals.
     known_from: LogPosition,
     servers: BTreeMap<Arc<str>, ListedServer>,
-    /// The latest known start time at each address.
+    /// The services that the configuration in force names; none before one is known.
+    services: BTreeSet<Arc<str>>,
+    /// The latest known start time at each address, of servers of these services.
     starts: BTreeMap<SocketAddr, u64>,
     /// When the store was reachable again after its latest outage or restore.
     recovered_at: Option<Moment>,
@@ -174,7 +176,17 @@
             s.started_ms == UNKNOWN_START
                 || self.starts.get(&s.addr).is_none_or(|started| *started == s.started_ms)
         };
-        self.servers.values().filter_map(|l| l.server.as_ref()).filter(is_newest)
+        let servers = self.servers.values().filter_map(|l| l.server.as_ref());
+        servers.filter(|s| is_named(&self.services, s)).filter(is_newest)
+    }
+
+    /// Sets the services that the configuration in force names. A record of another service names no
+    /// backend server, whoever wrote it, and takes nobody's address.
+    pub fn set_services(&mut self, services: BTreeSet<Arc<str>>) {
+        if self.services != services {
+            self.services = services;
+            self.index_starts();
+        }
     }
 
     /// Returns whether an id is listed as a backend server.
@@ -306,7 +318,8 @@
 
     fn index_starts(&mut self) {
         self.starts.clear();
-        for server in self.servers.values().filter_map(|l| l.server.as_ref()) {
+        let servers = self.servers.values().filter_map(|l| l.server.as_ref());
+        for server in servers.filter(|s| is_named(&self.services, s)) {
             let newest = self.starts.entry(server.addr).or_default();
             *newest = server.started_ms.max(*newest);
         }
@@ -321,3 +334,8 @@
         }
     }
 }
+
+/// Returns whether a configuration names the service of a backend server, or none is known.
+fn is_named(services: &BTreeSet<Arc<str>>, server: &Server) -> bool {
+    services.is_empty() || services.contains(&server.service)
+}
--- a/src/limpetmux/core/nodes.rs
+++ b/src/limpetmux/core/nodes.rs
@@ -73,8 +73,8 @@
     known: BTreeMap<SocketAddr, Known>,
     /// Addresses of former nodes, which may be dead.
     candidates: BTreeSet<SocketAddr>,
-    /// The start times of nodes that announced their shutdown.
-    stopped: BTreeMap<SocketAddr, u64>,
+    /// The start times of nodes that announced their shutdown, and when each was last heard of.
+    stopped: BTreeMap<SocketAddr, (u64, Moment)>,
     /// Whether this node cannot read the store.
     store_lost: bool,
 }
@@ -98,17 +98,20 @@
 
     /// Records a sign of life of a node at a moment.
     pub fn observe(&mut self, node: Node, at: Moment) {
-        let has_stopped =
-            self.stopped.get(&node.addr).is_some_and(|started| node.started <= *started);
+        // The time of day may step back between two starts, so of two processes at an address the one
+        // that was heard of last is the later one.
+        let has_stopped = self.stopped.get(&node.addr).is_some_and(|(started, heard_at)| {
+            node.started == *started || (node.started < *started && at <= *heard_at)
+        });
         if node.addr == self.local.addr || has_stopped {
             return;
         }
         match self.known.get_mut(&node.addr) {
-            Some(known) if known.node.started > node.started => {}
+            Some(known) if known.node.started != node.started && at <= known.heard_at => {}
             Some(known) => {
-                let is_newer = known.node.started < node.started || at > known.heard_at;
+                let is_newer = known.node.started != node.started || at > known.heard_at;
                 known.heard_at = if is_newer { at } else { known.heard_at };
-                if known.node.started < node.started {
+                if known.node.started != node.started {
                     known.store_lost = (Moment::ZERO, false);
                 }
                 known.node = node;
@@ -130,10 +133,12 @@
     /// Removes a node that announced its shutdown; a process that starts later at its address is
     /// another node.
     pub fn remove_stopped(&mut self, addr: SocketAddr, started: u64) {
-        if self.known.get(&addr).is_some_and(|k| k.node.started <= started) {
+        let known = self.known.get(&addr);
+        let heard_at = known.map_or(Moment::ZERO, |known| known.heard_at);
+        if known.is_some_and(|known| known.node.started <= started) {
             self.known.remove(&addr);
         }
-        self.stopped.insert(addr, started);
+        self.stopped.insert(addr, (started, heard_at));
     }
 
     /// Records whether this node can read the store; returns whether that changes.
--- a/src/limpetmux/core/read_limits.rs
+++ b/src/limpetmux/core/read_limits.rs
@@ -70,6 +70,8 @@
 pub const DEFAULT_CALLER_HEAD_BYTES: usize = 16 * 1024;
 /// The least limit on the head of a caller's request that the HTTP server supports, in bytes.
 pub const MIN_CALLER_HEAD_BYTES: usize = 8 * 1024;
+/// The least bytes of a header: a name of one byte, a colon and the end of the line.
+pub const MIN_HEADER_BYTES: usize = 4;
 /// The time for the head of a caller's request until a configuration sets it.
 pub const DEFAULT_CALLER_HEAD_TIME: Duration = Duration::from_secs(5);
 /// The longest idle time of a caller's connection until a configuration sets it.
--- a/src/limpetmux/fleet/follow/discover.rs
+++ b/src/limpetmux/fleet/follow/discover.rs
@@ -60,7 +60,7 @@
         let call = async { self.shared.peers.client(addr)?.pull(request).await };
         match timeout(PROBE_TIMEOUT, call).await {
             Ok(Ok(reply)) if needs_view => drop(self.apply_reply(began, addr, &reply.into_inner())),
-            Ok(Ok(reply)) => self.record_members(clock::boot(), addr, &reply.into_inner()),
+            Ok(Ok(reply)) => self.record_members(began, addr, &reply.into_inner()),
             // There may be no node at this address, so no node is marked as unresponsive.
             Ok(Err(_)) | Err(_) => self.shared.peers.close(addr),
         }
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -308,6 +308,7 @@
         let mut view = self.view.lock().unwrap_or_else(PoisonError::into_inner);
         let before = (view.orders.version(), view.orders.evacuated.clone());
         let result = change(&mut view);
+        view.name_services();
         let orders = &view.orders;
         if before.0 != orders.version() {
             event!(EventCode::VersionInForce, version = orders.version(), end = orders.end);
--- a/src/limpetmux/fleet/follow/pull.rs
+++ b/src/limpetmux/fleet/follow/pull.rs
@@ -97,8 +97,7 @@
         addr: SocketAddr,
         reply: &PullReply,
     ) -> bool {
-        let now = clock::boot();
-        self.record_members(now, addr, reply);
+        self.record_members(requested_at, addr, reply);
         self.merge_evidence(addr, reply);
         self.learn_notices(addr, reply);
         let age = reply.operator.as_ref().map_or(u64::MAX, |o| o.age_ms);
@@ -111,16 +110,20 @@
     }
 
     /// Records the nodes that another node has heard of.
-    pub(super) fn record_members(&self, now: Moment, addr: SocketAddr, reply: &PullReply) {
+    ///
+    /// Ages count from the earliest moment at which the reply may have been sent, so that nodes which
+    /// tell each other of a third one never make it look younger than it is.
+    pub(super) fn record_members(&self, asked: Moment, addr: SocketAddr, reply: &PullReply) {
+        let sent = asked + Duration::from_millis(reply.held_ms);
         let mut nodes = self.shared.nodes();
         for member in &reply.members {
             if let Some(node) = convert::node(member) {
-                let at = now - Duration::from_millis(member.heard_ms);
+                let at = sent - Duration::from_millis(member.heard_ms);
                 let addr = node.addr;
                 nodes.observe(node, at);
                 nodes.record_store_lost(addr, member.store_lost, at);
             }
         }
-        nodes.record_answer(addr, now);
+        nodes.record_answer(addr, clock::boot());
     }
 }
--- a/src/limpetmux/serve/front.rs
+++ b/src/limpetmux/serve/front.rs
@@ -8,7 +8,8 @@
 use crate::core::catalog::CallerLimits;
 use crate::core::read_limits::{
     Bound, DEFAULT_CALLER_HEAD_BYTES, DEFAULT_CALLER_HEAD_TIME, DEFAULT_CALLER_IDLE_TIME, Exceeded,
-    MAX_PROBE_CONNECTIONS, MAX_PROBE_HEAD_BYTES, MAX_PROBE_TIME, MIN_CALLER_HEAD_BYTES, Peer,
+    MAX_PROBE_CONNECTIONS, MAX_PROBE_HEAD_BYTES, MAX_PROBE_TIME, MIN_CALLER_HEAD_BYTES,
+    MIN_HEADER_BYTES, Peer,
 };
 use crate::event;
 use crate::util::event::EventCode;
@@ -97,6 +98,7 @@
         .timer(timer)
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_header)
+        .max_headers(limits.max_header / MIN_HEADER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
         ended = &mut serving => ended,
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -50,6 +50,13 @@
 }
 
 impl StoreView {
+    /// Tells the list of backend servers which services the configuration in force names.
+    pub fn name_services(&mut self) {
+        if let Some(config) = &self.orders.config {
+            self.listing.set_services(config.catalog.services().cloned().collect());
+        }
+    }
+
     /// Returns the backend servers of a service that may get requests by the store's records.
     pub fn usable<'a>(&'a self, service: &'a str) -> Vec<&'a Server> {
         let serves = |s: &&Server| *s.service == *service && !s.draining;
--- a/tests/testsuite/platform/listing.rs
+++ b/tests/testsuite/platform/listing.rs
@@ -64,6 +64,21 @@
     assert_eq!(ids(&listing), ["old", "other", "silent"]);
 }
 
+#[test]
+fn record_of_an_unknown_service_hides_no_server_at_its_address() {
+    // Guards against another writer's record: a later start at the address took the server's place.
+    let mut listing = Listing::default();
+    let mut odd = record("odd", 9);
+    let server = odd.server.as_mut().expect("a record");
+    (server.addr, server.started_ms) = (super::server("a", "mnl-a").addr, 100);
+    server.service = "no-service".into();
+
+    listing.apply(at(0), pos(10), vec![record("a", 8), odd]);
+    listing.set_services(["plain".into()].into());
+
+    assert_eq!(ids(&listing), ["a"]);
+}
+
 #[test]
 fn removal_takes_effect_at_once_while_the_store_answers() {
     let mut listing = Listing::default();
--- a/tests/testsuite/platform/nodes.rs
+++ b/tests/testsuite/platform/nodes.rs
@@ -121,3 +121,29 @@
     nodes.set_store_lost(true);
     assert_eq!(nodes.readers(at(140)).last().map(|n| n.addr), Some(own));
 }
+
+#[test]
+fn node_whose_time_of_day_stepped_back_before_its_start_is_another_node() {
+    // Guards against a node that passes for the process before it, which had stopped, for good.
+    let mut nodes = view(1);
+    let first = queue_addr(&nodes, 1, "a").expect("a node");
+    let number = first.ip().to_string().rsplit('.').next().unwrap().parse().unwrap();
+    let started = |started| Node { started, ..node(number, true) };
+    nodes.observe(started(9), at(40));
+
+    nodes.remove_stopped(first, 9);
+    nodes.observe(started(9), at(60));
+    // An earlier process of which another node still tells.
+    nodes.observe(started(4), at(30));
+    let stopped = queue_addr(&nodes, 65, "a");
+    nodes.observe(started(5), at(70));
+    let back = queue_addr(&nodes, 80, "a");
+    // It is killed, and its time steps back once more.
+    nodes.observe(started(2), at(90));
+    nodes.observe(started(5), at(70));
+
+    assert_ne!(stopped, Some(first));
+    assert_eq!(back, Some(first));
+    let now = nodes.queue_node(at(100), "a", &[]).expect("a node");
+    assert_eq!((now.addr, now.started), (first, 2));
+}
--- a/tests/testsuite/platform/whole_path.rs
+++ b/tests/testsuite/platform/whole_path.rs
@@ -166,3 +166,18 @@
     assert_eq!(drain.await.unwrap(), 0);
     assert!(plain.iter().any(|s| !s.requests().is_empty()) && callers.port() > 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_with_many_short_headers_is_served() {
+    // Guards against a limit on the number of headers that no configuration states.
+    let fixture = fixture().await;
+    let mut request = fixture.post("/once/", "h1");
+    for number in 0..300 {
+        request = request.header(format!("x-{number}"), "1");
+    }
+
+    let answer = request.send().await.unwrap();
+
+    assert_eq!(answer.status(), 200);
+    assert_eq!(fixture.runs("h1"), 1);
+}
