Measure when a version is in force, and answer no bad request with a pass

The first form of turned_away took any answer but 404 for a version in force, also the refusal of an odd request id, and so passed on any code. It waits for 200 now, begins each version just after the last one, and prints the longest delay.

--- a/tests/testsuite/platform/turned_away.rs
+++ b/tests/testsuite/platform/turned_away.rs
@@ -14,9 +14,10 @@
 
 /// The bound of the fixture's settings.
 const CONFIG_BOUND: Duration = Duration::from_secs(2);
-/// The versions of each test, and the time between two of them.
+/// The versions of each test, and the time from one in force to the next one, which begins to wait just
+/// after a read.
 const VERSIONS: u32 = 8;
-const VERSION_INTERVAL: Duration = Duration::from_millis(430);
+const VERSION_INTERVAL: Duration = Duration::from_millis(40);
 
 /// How the link of one node to the store behaves.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -82,17 +83,18 @@
     (reader, entries)
 }
 
-/// Returns how long an entry answers that a route is unknown.
-async fn delay(entry: SocketAddr, path: String) -> Duration {
+/// Returns how long an entry answers that the route of a version is unknown.
+async fn delay(entry: SocketAddr, version: u32) -> Duration {
     let began = Instant::now();
     for number in 0.. {
-        let request = Client::new().post(format!("http://{entry}{path}x"));
+        let request = Client::new().post(format!("http://{entry}/v{version}/x"));
         let request = request.header("host", "a.example").header("authorization", "Bearer k1");
-        let request = request.header("x-limpetmux-request-id", format!("{number}{path}"));
+        let request = request.header("x-limpetmux-request-id", format!("{version}-{number}"));
         let asked = began.elapsed();
         let answer = request.header("x-limpetmux-deadline-ms", "1000").body("b").send().await;
-        if answer.unwrap().status() != StatusCode::NOT_FOUND {
-            return asked;
+        match answer.unwrap().status() {
+            StatusCode::OK => return asked,
+            status => assert_eq!(status, StatusCode::NOT_FOUND),
         }
         sleep(ms(20)).await;
     }
@@ -114,10 +116,11 @@
     for version in 2..2 + VERSIONS {
         let path = format!("/v{version}/");
         store.put("keyed.op", "config", &config(version, "k1").replace("/once/", &path));
-        let delays = entries.each_ref().map(|e| delay(e.caller_addr.unwrap(), path.clone()));
+        let delays = entries.each_ref().map(|e| delay(e.caller_addr.unwrap(), version));
         longest = futures::future::join_all(delays).await.into_iter().fold(longest, Duration::max);
         sleep(VERSION_INTERVAL).await;
     }
+    println!("{state:?}: in force after {longest:?} at most");
     longest
 }
 
