--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -329,6 +329,7 @@
         let before = (view.orders.version(), view.orders.evacuated.clone());
         let rollouts = view.rollouts.clone();
         let result = change(&mut view);
+        view.name_services();
         let orders = &view.orders;
         if before.0 != orders.version() {
             event!(EventCode::VersionInForce, version = orders.version(), end = orders.end);
