Add tests of clients that misbehave at the product's own interface, before any mend

Change: the crowds of the clients target at a limpetmux entry process: the path that runs a pipeline, a path without a route, and the path of the readiness check. The bound is the same 80 MB; its settings have no memory.

--- a/crates/limpetmux-test-support/src/processes.rs
+++ b/crates/limpetmux-test-support/src/processes.rs
@@ -57,9 +57,14 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Returns the directory of the process in `/proc`.
+    pub fn proc(&self) -> PathBuf {
+        PathBuf::from(format!("/proc/{}", self.child.id()))
+    }
+
     /// Returns the CPU time and the resident memory of the process; zero if `/proc` lacks them.
     pub fn usage(&self) -> Usage {
-        let proc = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let proc = self.proc();
         let stat = std::fs::read_to_string(proc.join("stat")).unwrap_or_default();
         let fields: Vec<&str> =
             stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
--- a/tests/clients/crowd.rs
+++ b/tests/clients/crowd.rs
@@ -1,6 +1,6 @@
 //! Crowds of clients that misbehave in one manner.
 
-use crate::fixture::{Door, Fixture, MAX_BODY, MAX_HEAD, head};
+use crate::fixture::{Door, MAX_BODY, MAX_HEAD, head};
 use futures::future::join_all;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -65,8 +65,7 @@
 
 impl Crowd {
     /// Connects all clients and waits until each has sent what it sends, or was cut off.
-    pub async fn start(fixture: &Fixture, door: Door, manner: Manner) -> Self {
-        let addr = fixture.addr(door);
+    pub async fn start(addr: SocketAddr, door: Door, manner: Manner) -> Self {
         let members = (0..CROWD).map(|number| async move {
             let sending = timeout(SEND_TIME, client(addr, door, manner, number));
             sending.await.ok().flatten()
--- a/tests/clients/fixture.rs
+++ b/tests/clients/fixture.rs
@@ -18,8 +18,8 @@
 /// The time before a caller that was refused returns.
 const RETURN_DELAY: Duration = Duration::from_millis(200);
 /// The memory of the process, in megabytes.
-const MEMORY_MB: u64 = 80;
-const MEGABYTE: u64 = 1_000_000;
+pub const MEMORY_MB: u64 = 80;
+pub const MEGABYTE: u64 = 1_000_000;
 /// The descriptors of the process.
 const MAX_FDS: usize = 400;
 /// The descriptors that are not for connections.
@@ -56,17 +56,27 @@
     Metrics,
     /// The port for other processes of the system.
     Node,
+    /// The path that runs a pipeline, at an entry of the product's own interface.
+    OwnRuns,
+    /// A path without a route there.
+    OwnUnknown,
+    /// The path of the readiness check there.
+    OwnReady,
 }
 
 impl Door {
     pub const ALL: [Self; 6] =
         [Self::Known, Self::Unknown, Self::ReadyPath, Self::Readiness, Self::Metrics, Self::Node];
+    /// The paths at an entry of the product's own interface.
+    pub const OWN: [Self; 3] = [Self::OwnRuns, Self::OwnUnknown, Self::OwnReady];
 
     /// Returns the path that a crowd asks for; `answer` is the length of the answer on a known path.
     pub fn path(self, answer: usize) -> String {
         match self {
             Self::Known => format!("/safe/{answer}"),
-            Self::Unknown => "/nowhere/x".to_owned(),
+            Self::Unknown | Self::OwnUnknown => "/nowhere/x".to_owned(),
+            Self::OwnRuns => "/v1/workspaces/exchange/pipelines/call-summary/runs".to_owned(),
+            Self::OwnReady => "/readyz".to_owned(),
             Self::ReadyPath | Self::Readiness => "/ready".to_owned(),
             Self::Metrics => "/metrics".to_owned(),
             Self::Node => "/x".to_owned(),
@@ -108,6 +118,7 @@
     pub fn addr(&self, door: Door) -> SocketAddr {
         let port = match door {
             Door::Known | Door::Unknown | Door::ReadyPath => self.ports[0],
+            Door::OwnRuns | Door::OwnUnknown | Door::OwnReady => unreachable!("another process"),
             Door::Readiness => self.ports[1],
             Door::Node => self.ports[2],
             Door::Metrics => METRICS_PORT,
@@ -143,11 +154,8 @@
         PathBuf::from(format!("/proc/{}", self.child.lock().unwrap().id()))
     }
 
-    /// Returns the resident memory at its peak.
     fn peak_bytes(&self) -> u64 {
-        let status = std::fs::read_to_string(self.proc().join("status")).unwrap();
-        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
-        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1_024
+        peak_bytes(&self.proc())
     }
 
     /// Returns the number of open sockets.
@@ -193,6 +201,13 @@
     }
 }
 
+/// Returns the resident memory of a process at its peak, by its directory in `/proc`.
+pub fn peak_bytes(proc: &Path) -> u64 {
+    let status = std::fs::read_to_string(proc.join("status")).unwrap();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1_024
+}
+
 /// Returns the begin of a request, without its framing and the end of its head.
 pub fn head(path: &str) -> String {
     let id: u64 = rand::random();
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -8,6 +8,7 @@
 
 mod crowd;
 mod fixture;
+mod own;
 mod readers;
 
 use crowd::{Crowd, Manner};
@@ -18,7 +19,7 @@
     alone(async {
         let fixture = Fixture::start(name).await;
         for door in Door::ALL {
-            let crowd = Crowd::start(&fixture, door, manner).await;
+            let crowd = Crowd::start(fixture.addr(door), door, manner).await;
 
             fixture.check_served(door, manner).await;
 
@@ -102,7 +103,7 @@
         let fixture = Fixture::start("doors").await;
         let mut crowds = Vec::new();
         for door in Door::ALL {
-            crowds.push(Crowd::start(&fixture, door, Manner::Silent).await);
+            crowds.push(Crowd::start(fixture.addr(door), door, Manner::Silent).await);
         }
 
         fixture.check_bounds();
