Bound the memory for bodies at the product's own interface

Change: bodies are claimed in the ledger, within entry.memory_bytes (32 MiB by default, checked); a body that has no room, or that stopped and had to make room, is refused as overloaded, not run. The entry reads 8 KB at a time, so that the buffer of a connection stays small. The claims move to util/memory.rs, as both interfaces use them.

--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -7,14 +7,16 @@
 use super::request::RequestParts;
 use super::{Entry, Fleet, InFlight, PipelineRequest, RequestError, Trailer, stream};
 use crate::core::frames::RequestId;
+use crate::core::memory::SMALL_BYTES;
 use crate::core::read_limits::Exceeded;
 use crate::core::refusal::{Refusal, RefusalCode};
 use crate::event;
 use crate::util::clock;
 use crate::util::event::EventCode;
+use crate::util::memory::Use;
 use crate::util::metrics::Metric;
 use crate::util::read_stop;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use poem::http::{StatusCode, header};
 use poem::listener::TcpAcceptor;
 use poem::middleware::AddDataEndpoint;
@@ -37,6 +39,8 @@
 const MAX_DISCARD_BYTES: u64 = 16 * 1024 * 1024;
 /// The maximum time spent on reading and discarding such a body.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
+/// The bytes of a body that are read at a time.
+const PART_BYTES: usize = 8 * 1024;
 /// The maximum time in which a caller sends the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// The time after which an idle connection is closed.
@@ -140,10 +144,21 @@
     match request {
         Ok(request) if request.stream => stream::respond(inflight, fleet, request),
         Ok(request) => respond_whole(entry, &fleet, &request).await,
+        Err(RequestError::Memory(full)) => {
+            entry.memory.record_refusal(Use::Body, full, "unread");
+            refuse_full(entry)
+        }
+        Err(RequestError::UploadEnded) => refuse_full(entry),
         Err(error) => reject(entry, &error),
     }
 }
 
+/// Refuses a request whose body there was no memory for.
+fn refuse_full(entry: &Entry) -> Response {
+    let refusal = Refusal::not_run(RefusalCode::Overloaded).retry_in(OVERLOADED_RETRY_AFTER);
+    refuse(entry, refusal, None)
+}
+
 fn reject(entry: &Entry, error: &RequestError) -> Response {
     entry.counters.rejected.fetch_add(1, Ordering::Relaxed);
     entry.metrics.count(Metric::RequestsRejected, 1, &[]);
@@ -236,18 +251,41 @@
         discard(reader);
         return Err(RequestError::BodyTooLarge { limit });
     }
-    let mut bytes = Vec::with_capacity(content_length.unwrap_or_default());
-    let mut limited = (&mut reader).take(limit as u64 + 1);
-    let read = limited.read_to_end(&mut bytes);
-    let Ok(read) = tokio::time::timeout(BODY_TIMEOUT, read).await else {
+    let collected = collect(entry, &mut reader, content_length);
+    let Ok(collected) = tokio::time::timeout(BODY_TIMEOUT, collected).await else {
         return Err(RequestError::BodyTimeout { limit_ms: BODY_TIMEOUT.as_millis() });
     };
-    read.map_err(|_| RequestError::BodyUnreadable)?;
-    if bytes.len() > limit {
+    if !matches!(collected, Ok(_) | Err(RequestError::BodyUnreadable)) {
         discard(reader);
-        return Err(RequestError::BodyTooLarge { limit });
     }
-    Ok(bytes.into())
+    collected
+}
+
+/// Reads a body into memory that is claimed for it.
+async fn collect(
+    entry: &Entry,
+    reader: &mut (impl AsyncRead + Unpin),
+    stated: Option<usize>,
+) -> Result<Bytes, RequestError> {
+    let limit = entry.limits.max_body;
+    let mut upload = entry.memory.begin_upload(stated.unwrap_or(SMALL_BYTES.min(limit)))?;
+    let mut bytes = BytesMut::with_capacity(stated.unwrap_or_default());
+    let mut limited = reader.take(limit as u64 + 1);
+    loop {
+        let needed = (bytes.len() + PART_BYTES).min(stated.unwrap_or(limit + 1));
+        upload.cover(needed, limit + 1)?;
+        let read = tokio::select! {
+            read = limited.read_buf(&mut bytes) => read,
+            () = upload.ended() => return Err(RequestError::UploadEnded),
+        };
+        match read.map_err(|_| RequestError::BodyUnreadable)? {
+            0 => return Ok(upload.finish(bytes)),
+            count => upload.progress(count),
+        }
+        if bytes.len() > limit {
+            return Err(RequestError::BodyTooLarge { limit });
+        }
+    }
 }
 
 /// Reads and discards the rest of a body whose request has already been answered.
--- a/src/limpetmux/entry/mod.rs
+++ b/src/limpetmux/entry/mod.rs
@@ -40,6 +40,7 @@
 use crate::core::revision::Revision;
 use crate::core::view::View;
 use crate::kernel::Published;
+use crate::util::memory::Memory;
 use crate::util::metrics::Metrics;
 use crate::util::throttle::Throttle;
 use policy::Policy;
@@ -77,6 +78,7 @@
     pub(crate) counters: Counters,
     pub(crate) metrics: Metrics,
     pub(crate) log_throttle: Throttle,
+    pub(crate) memory: Memory,
     unready: AtomicBool,
     draining: AtomicBool,
     /// Whether running requests have to be answered now.
@@ -119,6 +121,7 @@
             fleet: fleet::publish_fleets(options.view, options.members, options.channels),
             limits: options.limits,
             counters: Counters::default(),
+            memory: Memory::new(options.limits.max_held, options.metrics.clone()),
             metrics: options.metrics,
             log_throttle: Throttle::default(),
             unready: AtomicBool::new(false),
--- a/src/limpetmux/entry/receive.rs
+++ b/src/limpetmux/entry/receive.rs
@@ -22,6 +22,8 @@
 /// The time from the first byte of a head to its last.
 pub(super) const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The most bytes of one read; the buffer of a connection grows while reads fill it.
+const READ_BYTES: usize = 8 * 1024 - 1;
 /// The first bytes of an HTTP/2 connection.
 const HTTP2_PREFACE: &[u8] = b"PRI ";
 /// The first bytes of an answer after which the body of the same request follows.
@@ -167,7 +169,12 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let start = buffer.filled().len();
-        if Pin::new(&mut self.stream).poll_read(cx, buffer)?.is_pending() {
+        let count = buffer.remaining().min(READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(count));
+        let read = Pin::new(&mut self.stream).poll_read(cx, &mut part)?;
+        let count = part.filled().len();
+        buffer.advance(count);
+        if read.is_pending() {
             // Bytes that have arrived are read first, however late this process gets to them.
             self.check_time(cx)?;
             return Poll::Pending;
--- a/src/limpetmux/entry/request.rs
+++ b/src/limpetmux/entry/request.rs
@@ -3,6 +3,7 @@
 use super::Fleet;
 use crate::core::frames::RequestId;
 use crate::core::keys::{PipelineKey, WorkspaceKey};
+use crate::core::memory::MemoryFull;
 use crate::core::read_limits::{Bound, Exceeded, Peer};
 use crate::core::view::View;
 use crate::util::hash::hash_bytes;
@@ -23,6 +24,8 @@
     pub max_key: usize,
     /// The maximum number of requests in progress.
     pub max_inflight: u32,
+    /// The maximum memory for the bodies of all requests, in bytes.
+    pub max_held: usize,
 }
 
 impl Default for Limits {
@@ -32,6 +35,7 @@
             max_deadline: Duration::from_secs(300),
             max_key: 128,
             max_inflight: 4_096,
+            max_held: 32 * 1024 * 1024,
         }
     }
 }
@@ -60,6 +64,12 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// The memory for bodies has no room for the body.
+    #[error(transparent)]
+    Memory(#[from] MemoryFull),
+    /// The body made no progress and had to make room for another one.
+    #[error("the body made no progress")]
+    UploadEnded,
     /// The body could not be received.
     #[error("the body could not be read")]
     BodyUnreadable,
--- a/src/limpetmux/serve/mod.rs
+++ b/src/limpetmux/serve/mod.rs
@@ -20,7 +20,6 @@
 mod head_time;
 pub mod head_watch;
 pub mod inputs;
-pub mod memory;
 pub mod node;
 pub mod notices;
 mod plain;
--- a/src/limpetmux/serve/node.rs
+++ b/src/limpetmux/serve/node.rs
@@ -3,7 +3,6 @@
 use super::connections::ConnectionPool;
 use super::ended::Examined;
 use super::front::caller_connections;
-use super::memory::Memory;
 use super::notices::NodeNotices;
 use super::quarantine::NodeQuarantine;
 use super::quota::NodeQuotas;
@@ -27,6 +26,7 @@
 use crate::kernel::{Published, Publisher};
 use crate::util::clock;
 use crate::util::exposition::Exposition;
+use crate::util::memory::Memory;
 use crate::util::metrics::Metrics;
 use arc_swap::ArcSwap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -3,7 +3,6 @@
 use super::connections::Reuse;
 use super::failure::{Failure, Reason};
 use super::forward;
-use super::memory::{Reservation, Use};
 use super::node::{Shared, StoreView};
 use super::quarantine;
 use super::stages;
@@ -18,6 +17,7 @@
 use crate::platform::caller::{self, RequestHead};
 use crate::util::clock;
 use crate::util::event::EventCode;
+use crate::util::memory::{Reservation, Use};
 use crate::util::metrics::Metric;
 use bytes::Bytes;
 use hyper::body::Incoming;
--- a/src/limpetmux/serve/upload.rs
+++ b/src/limpetmux/serve/upload.rs
@@ -4,10 +4,10 @@
 //! Memory is claimed before it is used: for a stated length at once, for chunks as they arrive.
 
 use super::failure::{Failure, Reason};
-use super::memory::{Memory, Upload, Use};
 use super::node::Shared;
 use crate::core::memory::{MemoryFull, SMALL_BYTES};
 use crate::core::read_limits::{Bound, Exceeded, Peer};
+use crate::util::memory::{Memory, Use};
 use crate::util::read_stop;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -74,9 +74,8 @@
         _ => {}
     }
     let first = stated.unwrap_or(SMALL_BYTES.min(limit));
-    let upload = memory.begin_upload(first)?;
+    let mut upload = memory.begin_upload(first)?;
     let mut whole = BytesMut::with_capacity(stated.unwrap_or_default());
-    let mut claimed = first;
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
@@ -87,24 +86,9 @@
         if whole.len() + data.len() > limit {
             return Err(Stop::TooLarge);
         }
-        claimed = claim(&upload, claimed, whole.len() + data.len(), limit)?;
+        upload.cover(whole.len() + data.len(), limit)?;
         whole.extend_from_slice(&data);
         upload.progress(data.len());
     }
     Ok(upload.finish(whole))
 }
-
-/// Claims enough for `needed` bytes, at least twice as much as before; returns what is claimed then.
-fn claim(
-    upload: &Upload,
-    claimed: usize,
-    needed: usize,
-    limit: usize,
-) -> Result<usize, MemoryFull> {
-    if needed <= claimed {
-        return Ok(claimed);
-    }
-    let grown = (2 * claimed).max(needed).min(limit);
-    upload.grow(grown - claimed)?;
-    Ok(grown)
-}
--- a/src/limpetmux/settings/load.rs
+++ b/src/limpetmux/settings/load.rs
@@ -3,6 +3,7 @@
 use super::{Role, Settings, TlsSettings};
 use crate::adapters::tls::TlsError;
 use crate::core::answer_limits::{MAX_SIDECAR_BYTES, MIN_SIDECAR_BYTES};
+use crate::core::memory::MIN_CALLER_BYTES;
 use crate::core::read_limits::MAX_TOKENS_BYTES;
 use jsonc_parser::ast::{ObjectProp, Value};
 use jsonc_parser::common::{Range, Ranged};
@@ -270,8 +271,15 @@
     Ok(())
 }
 
-/// Checks the limits on answers, whose highest values the bounds between processes give.
+/// Checks the memory for bodies, and the limits on answers, whose highest values the bounds between
+/// processes give.
 fn check_sizes(source: &Source<'_>, settings: &Settings) -> Result<(), SettingsError> {
+    let held = settings.entry.as_ref().map_or(MIN_CALLER_BYTES, |e| e.max_held);
+    if held < MIN_CALLER_BYTES {
+        let (text, span) = (source.named_source(), source.span(&["entry", "memory_bytes"]));
+        let (least, most) = (MIN_CALLER_BYTES, usize::MAX);
+        return Err(SettingsError::Size { bytes: held, least, most, text, span });
+    }
     let Some(sidecar) = &settings.sidecar else { return Ok(()) };
     let least = MIN_SIDECAR_BYTES;
     let sizes = [
--- a/src/limpetmux/settings/spec.rs
+++ b/src/limpetmux/settings/spec.rs
@@ -115,6 +115,9 @@
     /// The maximum number of requests in progress.
     #[serde(default = "default_inflight", rename = "inflight")]
     pub max_inflight: u32,
+    /// The maximum memory for the bodies of all requests, in bytes.
+    #[serde(default = "default_held", rename = "memory_bytes")]
+    pub max_held: usize,
 }
 
 /// The settings of a sidecar.
@@ -163,8 +166,8 @@
 impl EntrySettings {
     /// Returns the limits on callers' requests.
     pub fn limits(&self) -> Limits {
-        let Self { max_body, max_deadline, max_key, max_inflight, .. } = *self;
-        Limits { max_body, max_deadline, max_key, max_inflight }
+        let Self { max_body, max_deadline, max_key, max_inflight, max_held, .. } = *self;
+        Limits { max_body, max_deadline, max_key, max_inflight, max_held }
     }
 }
 
@@ -203,3 +206,7 @@
 fn default_inflight() -> u32 {
     Limits::default().max_inflight
 }
+
+fn default_held() -> usize {
+    Limits::default().max_held
+}
--- a/src/limpetmux/serve/memory.rs
+++ b/src/limpetmux/util/memory.rs
@@ -1,6 +1,6 @@
 //! Claims the memory that requests take, and ends uploads that have to make room.
 //!
-//! The rules are in [`crate::core::memory`]; here are the lock, the releases on drop, and the signal to
+//! The rules are in [`crate::core::memory`] and `docs/design/memory.md`; here are the lock, the releases on drop, and the signal to
 //! the task that reads an upload which was ended.
 
 use crate::core::memory::{ClaimKey, EndedUpload, MemoryFull, MemoryLedger};
@@ -57,6 +57,7 @@
 /// Claimed memory for a body that is being read.
 pub struct Upload {
     reservation: Reservation,
+    claimed: usize,
     ended: Arc<Notify>,
 }
 
@@ -103,7 +104,7 @@
         };
         self.record_ended(&stopped);
         let reservation = Reservation { memory: self.clone(), key: key? };
-        Ok(Upload { reservation, ended })
+        Ok(Upload { reservation, claimed: bytes, ended })
     }
 
     /// Logs and counts a request that there was no room for.
@@ -151,11 +152,20 @@
         memory.lock().ledger.progress(*key, bytes, clock::boot());
     }
 
-    /// Claims more bytes.
+    /// Claims enough for `needed` bytes: at least twice as much as before, but no more than `most`.
     ///
     /// # Errors
     /// Returns [`MemoryFull`] if there is no room.
-    pub fn grow(&self, more: usize) -> Result<(), MemoryFull> {
+    pub fn cover(&mut self, needed: usize, most: usize) -> Result<(), MemoryFull> {
+        if needed > self.claimed {
+            let claimed = (2 * self.claimed).max(needed).min(most);
+            self.grow(claimed - self.claimed)?;
+            self.claimed = claimed;
+        }
+        Ok(())
+    }
+
+    fn grow(&self, more: usize) -> Result<(), MemoryFull> {
         let Reservation { memory, key } = &self.reservation;
         let mut stopped = Vec::new();
         let grown = {
--- a/src/limpetmux/util/mod.rs
+++ b/src/limpetmux/util/mod.rs
@@ -6,6 +6,7 @@
 pub mod hash;
 pub mod jsonc;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod progress;
 pub mod read_body;
