--- a/src/limpetmux/serve/mod.rs
+++ b/src/limpetmux/serve/mod.rs
@@ -21,7 +21,6 @@
 pub mod head_watch;
 pub mod inputs;
 pub mod load;
-pub mod memory;
 pub mod node;
 pub mod notices;
 mod plain;
