Share a full pool of model engines between workspaces

Change: the node that chooses engines keeps by how much each workspace is ahead of its share, and refuses one that is ahead while all engines are busy for 300 ms, with a time, before its first stage. One log event; the refusals count in `workspace_refused`. Without workspaces or with a free engine nothing changes. Checks: an entry admits by the wait of its workspace; the bound after the loss of the node allows what that node can't know, 300 ms of all engines and the lead of 250 ms and a prompt.

--- a/src/limpetmux/core/engines/mod.rs
+++ b/src/limpetmux/core/engines/mod.rs
@@ -162,6 +162,14 @@
         Some(choice)
     }
 
+    /// Returns how long the engine that is free first still reads prompts that were sent or planned.
+    pub fn shortest_wait(&self, now: Moment, servers: &[&Server]) -> Duration {
+        let planned = self.planned(now);
+        let sent = |s: &Server| self.engines.get(&s.id).map_or(Duration::ZERO, |e| e.backlog(now));
+        let wait = |s: &&Server| sent(s) + planned.get(&*s.id).copied().unwrap_or_default();
+        servers.iter().map(wait).min().unwrap_or_default()
+    }
+
     /// Records how long a prompt took.
     pub fn report(&mut self, now: Moment, report: &EngineReport) {
         if let Some(engine) = self.engines.get_mut(&report.server) {
--- a/src/limpetmux/serve/engines.rs
+++ b/src/limpetmux/serve/engines.rs
@@ -6,6 +6,7 @@
 use super::failure::Failure;
 use super::node::Shared;
 use super::request::{RoutedRequest, check_parts, held};
+use super::stages;
 use crate::core::engines::EngineReport;
 use crate::core::prompt_part::PartId;
 use crate::event;
@@ -42,22 +43,29 @@
 /// Plans an engine for a request that is sent after `delay`, when its stages have ended.
 ///
 /// # Errors
-/// Returns a refusal if a part of the prompt is quarantined.
+/// Returns a refusal if a part of the prompt is quarantined, or its workspace over its share of engines
+/// that are all busy.
 pub async fn plan(
     shared: &Shared,
     routed: &RoutedRequest,
     delay: Duration,
 ) -> Result<Option<PlacedEngine>, Failure> {
     let trial = check_parts(shared, &routed.head)?.is_some();
-    let message =
-        PlaceEngine { planned: true, trial, ahead_ms: millis(delay), ..message(routed, delay) };
+    let message = PlaceEngine {
+        planned: true,
+        fresh: true,
+        trial,
+        ahead_ms: millis(delay),
+        ..message(routed, delay)
+    };
     call(shared, routed, message).await
 }
 
 /// Chooses an engine for a request that is sent now, excluding some engines.
 ///
 /// # Errors
-/// Returns a refusal if a part of the prompt is quarantined.
+/// Returns a refusal if a part of the prompt is quarantined, or its workspace over its share of engines
+/// that are all busy.
 pub async fn place(
     shared: &Shared,
     routed: &RoutedRequest,
@@ -66,6 +74,8 @@
 ) -> Result<Option<PlacedEngine>, Failure> {
     let trial = check_parts(shared, &routed.head)?.is_some();
     let message = PlaceEngine {
+        // A request with stages was checked before them.
+        fresh: except.is_empty() && routed.pieces().iter().all(|n| *n == 0),
         trial,
         zone: inputs.zone.clone(),
         bytes: inputs.bytes,
@@ -83,6 +93,7 @@
         parts: parts.collect(),
         shared: routed.head.shared_parts.iter().map(|p| p.value()).collect(),
         tokens: routed.head.prompt_tokens,
+        workspace: routed.workspace().unwrap_or_default().to_owned(),
         slack_ms: millis(clock::boot().until(routed.latency_deadline()).saturating_sub(delay)),
         ..PlaceEngine::default()
     }
@@ -102,7 +113,7 @@
     message.times = shared.take_engine_times().iter().map(engine_time).collect();
     let call = async { shared.peers.client(addr)?.place(message).await };
     let reason = match timeout(PLACE_TIMEOUT, call).await {
-        Ok(Ok(reply)) => return choice(routed, reply.into_inner()),
+        Ok(Ok(reply)) => return choice(shared, routed, reply.into_inner()),
         Ok(Err(status)) => status.to_string(),
         Err(_) => "no answer in time".to_owned(),
     };
@@ -112,11 +123,19 @@
     Ok(None)
 }
 
-fn choice(routed: &RoutedRequest, reply: EnginePlaced) -> Result<Option<PlacedEngine>, Failure> {
+fn choice(
+    shared: &Shared,
+    routed: &RoutedRequest,
+    reply: EnginePlaced,
+) -> Result<Option<PlacedEngine>, Failure> {
     if reply.trial_ms > 0 {
         let (part, trial_in) = (reply.quarantined, Duration::from_millis(reply.trial_ms));
         return Err(held(&routed.head, PartId::new(part), trial_in));
     }
+    if reply.share_ms > 0 {
+        let retry = Duration::from_millis(reply.share_ms);
+        return Err(stages::refuse_full(shared, routed, retry));
+    }
     let expected = Duration::from_millis(reply.wait_ms.saturating_add(reply.work_ms));
     let source = Some(reply.source).filter(|s| !s.is_empty()).map(Arc::from);
     Ok((!reply.server.is_empty()).then(|| PlacedEngine {
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -107,14 +107,16 @@
         engine_wait_ms = engine_wait.as_millis(),
         version = routed.catalog.version
     );
-    count_refused(shared, routed);
-    Err(Failure::with_retry(Reason::Overloaded, retry.min(routed.time_left() / RETRY_TIME_DIVISOR)))
+    Err(refuse_full(shared, routed, retry))
 }
 
-fn count_refused(shared: &Shared, routed: &RoutedRequest) {
+/// Counts and returns the refusal of a request for which a service has no room for a time.
+pub fn refuse_full(shared: &Shared, routed: &RoutedRequest, room_in: Duration) -> Failure {
     let workspace = routed.workspace().unwrap_or(NO_WORKSPACE);
     let tags = [("workspace", workspace), ("service", &*routed.service)];
     shared.metrics.count(Metric::WorkspaceRefused, 1, &tags);
+    let retry = room_in.min(routed.time_left() / RETRY_TIME_DIVISOR);
+    Failure::with_retry(Reason::Overloaded, retry)
 }
 
 /// Plans which model engine a request will be sent to after its stages.
@@ -238,12 +240,9 @@
         wait_ms = done.wait_ms,
         version = shared.view.load().orders.version()
     );
-    let retry = Duration::from_millis(done.retry_ms).min(routed.time_left() / RETRY_TIME_DIVISOR);
+    let retry = Duration::from_millis(done.retry_ms);
     match done.outcome() {
-        Outcome::Late => {
-            count_refused(shared, routed);
-            Err(Failure::with_retry(Reason::Overloaded, retry))
-        }
+        Outcome::Late => Err(refuse_full(shared, routed, retry)),
         Outcome::Gone => Err(Failure::with_retry(Reason::InputsGone, FAILED_RETRY_DELAY)),
         _ => Err(Failure::with_retry(Reason::StagesFailed, FAILED_RETRY_DELAY)),
     }
--- a/src/limpetmux/stage_queues/engines.rs
+++ b/src/limpetmux/stage_queues/engines.rs
@@ -4,17 +4,27 @@
 use crate::core::listing::Server;
 use crate::core::prompt_part::PartId;
 use crate::core::quarantine::Verdict;
+use crate::core::share::{FlowId, PoolShare};
+use crate::event;
 use crate::serve::node::Shared;
 use crate::util::clock;
+use crate::util::event::EventCode;
 use crate::wire::fleet::{EnginePlaced, PlaceEngine};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+/// One pool of engines, and the share of each workspace in it.
+#[derive(Default)]
+struct Pool {
+    engines: EnginePool,
+    share: PoolShare,
+}
+
 /// One [`EnginePool`] for each pool that entries have asked this node about.
 pub struct EnginePools {
     shared: Arc<Shared>,
-    pools: Mutex<BTreeMap<Arc<str>, EnginePool>>,
+    pools: Mutex<BTreeMap<Arc<str>, Pool>>,
 }
 
 impl EnginePools {
@@ -49,7 +59,7 @@
             input_bytes: message.bytes,
         };
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        let engines = pools.entry(message.service.as_str().into()).or_default();
+        let Pool { engines, share } = pools.entry(message.service.as_str().into()).or_default();
         engines.configure(pool.and_then(|p| p.engine).map_or(0, |e| e.memory_tokens));
         for time in &message.times {
             let report = EngineReport {
@@ -60,10 +70,20 @@
             };
             engines.report(now, &report);
         }
+        let flow = Some(FlowId::of(&message.workspace)).filter(|_| !message.workspace.is_empty());
+        if let Some(flow) = flow.filter(|_| message.fresh) {
+            let wait = engines.shortest_wait(now, &servers);
+            if let Err(room_in) = share.check(now, flow, (servers.len(), wait)) {
+                return over_share(message, wait, room_in);
+            }
+        }
         let choice = match message.planned {
             true => engines.plan(now, &servers, &message.request, query),
             false => engines.place(now, &servers, &message.request, query),
         };
+        if let (Some(flow), Some(choice)) = (flow.filter(|_| message.fresh), &choice) {
+            share.add(now, flow, choice.work);
+        }
         choice.map_or_else(EnginePlaced::default, |c| EnginePlaced {
             server: c.server.to_string(),
             wait_ms: millis(c.wait),
@@ -85,6 +105,19 @@
     }
 }
 
+/// Logs and returns the refusal of a prompt whose workspace is over its share of a full pool.
+fn over_share(message: &PlaceEngine, wait: Duration, room_in: Duration) -> EnginePlaced {
+    event!(
+        EventCode::ShareRefused,
+        request = message.request,
+        service = message.service,
+        workspace = message.workspace,
+        wait_ms = wait.as_millis(),
+        room_ms = room_in.as_millis()
+    );
+    EnginePlaced { share_ms: millis(room_in).max(1), ..EnginePlaced::default() }
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -227,6 +227,8 @@
     ShareBegun = 660,
     /// Workspaces no longer compete for a stage queue.
     ShareEnded = 661,
+    /// A prompt is refused because all engines are busy and its workspace is over its share of them.
+    ShareRefused = 662,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -379,6 +379,12 @@
     /// Whether the request is the trial of a quarantined part.
     #[prost(bool, tag = "13")]
     pub trial: bool,
+    /// The workspace of the request; empty if the route needs no key.
+    #[prost(string, tag = "50")]
+    pub workspace: ::prost::alloc::string::String,
+    /// Whether nothing has been run for the request yet, so that it may be refused for its share.
+    #[prost(bool, tag = "51")]
+    pub fresh: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Part {
@@ -420,6 +426,10 @@
     pub quarantined: u64,
     #[prost(uint64, tag = "6")]
     pub trial_ms: u64,
+    /// Milliseconds after which a full pool should have room for the workspace, which is over its share;
+    /// zero if the request may go there.
+    #[prost(uint64, tag = "50")]
+    pub share_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct NodeLeaving {
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -21,6 +21,7 @@
 mod event_stream;
 mod expiry;
 mod explain;
+mod fair_pool;
 mod fair_share;
 mod follow_store;
 mod leaving;
--- a/tests/testsuite/platform/queue_waits.rs
+++ b/tests/testsuite/platform/queue_waits.rs
@@ -43,3 +43,19 @@
 
     assert_eq!((busy, idle), (ms(4_000), ms(0)));
 }
+
+#[test]
+fn an_entry_admits_by_the_wait_of_the_workspace_that_asks() {
+    // Load pattern: one workspace fills a queue; requests of the others are not refused for it.
+    let mut waits = QueueWaits::default();
+    let service = arc("a");
+
+    waits.record(at(0), &service, ms(100), 10.0);
+    waits.record_workspaces("a", vec![("large".into(), ms(1_900))]);
+
+    assert_eq!(waits.wait(at(0), "a", Some("large")), ms(1_900));
+    assert_eq!(waits.wait(at(0), "a", Some("small")), ms(100));
+    assert_eq!(waits.wait_after(at(0), "a", Some("large"), ms(400), 1), ms(1_500));
+    waits.record(at(10), &service, ms(100), 10.0);
+    assert_eq!(waits.wait(at(10), "a", Some("large")), ms(100), "the queue is free again");
+}
