--- a/src/limpetmux/core/nodes.rs
+++ b/src/limpetmux/core/nodes.rs
@@ -19,6 +19,12 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Most doublings of that time.
 const MAX_DOUBLINGS: u32 = 4;
+/// The least time between two questions whether a node is alive.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The purpose that is hashed into the order in which nodes read the store; all nodes must agree on
+/// it.
+const READERS: &str = "store readers";
 
 /// A node of the deployment.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,6 +50,10 @@
     failed_at: Moment,
     /// Failed calls of this node in a row.
     failures: u32,
+    /// When this node last asked it whether it is alive.
+    checked_at: Moment,
+    /// Whether it cannot read the store, as of a moment.
+    store_lost: (Moment, bool),
 }
 
 impl Known {
@@ -65,6 +75,8 @@
     candidates: BTreeSet<SocketAddr>,
     /// The start times of nodes that announced their shutdown.
     stopped: BTreeMap<SocketAddr, u64>,
+    /// Whether this node cannot read the store.
+    store_lost: bool,
 }
 
 impl Nodes {
@@ -75,6 +87,7 @@
             known: BTreeMap::new(),
             candidates: BTreeSet::new(),
             stopped: BTreeMap::new(),
+            store_lost: false,
         }
     }
 
@@ -95,10 +108,20 @@
             Some(known) => {
                 let is_newer = known.node.started < node.started || at > known.heard_at;
                 known.heard_at = if is_newer { at } else { known.heard_at };
+                if known.node.started < node.started {
+                    known.store_lost = (Moment::ZERO, false);
+                }
                 known.node = node;
             }
             None => {
-                let known = Known { node, heard_at: at, failed_at: Moment::ZERO, failures: 0 };
+                let known = Known {
+                    node,
+                    heard_at: at,
+                    failed_at: Moment::ZERO,
+                    failures: 0,
+                    checked_at: Moment::ZERO,
+                    store_lost: (Moment::ZERO, false),
+                };
                 self.known.insert(known.node.addr, known);
             }
         }
@@ -113,6 +136,45 @@
         self.stopped.insert(addr, started);
     }
 
+    /// Records whether this node can read the store; returns whether that changes.
+    pub fn set_store_lost(&mut self, lost: bool) -> bool {
+        std::mem::replace(&mut self.store_lost, lost) != lost
+    }
+
+    /// Records whether another node can read the store, as of a moment.
+    pub fn record_store_lost(&mut self, addr: SocketAddr, lost: bool, at: Moment) {
+        let Some(known) = self.known.get_mut(&addr) else { return };
+        if at >= known.store_lost.0 {
+            known.store_lost = (at, lost);
+        }
+    }
+
+    /// Returns whether a node, this one too, is known to be unable to read the store.
+    pub fn is_store_lost(&self, addr: SocketAddr) -> bool {
+        match addr == self.local.addr {
+            true => self.store_lost,
+            false => self.known.get(&addr).is_some_and(|known| known.store_lost.1),
+        }
+    }
+
+    /// Returns the live nodes, including this one, in the order in which they read the store for all;
+    /// those that cannot read it come last.
+    pub fn readers(&self, now: Moment) -> Vec<&Node> {
+        let mut nodes = self.order(now, READERS);
+        nodes.sort_by_key(|node| self.is_store_lost(node.addr));
+        nodes
+    }
+
+    /// Returns whether to ask a node whether it is alive: it is known and was not asked lately.
+    pub fn begin_check(&mut self, addr: SocketAddr, now: Moment) -> bool {
+        let Some(known) = self.known.get_mut(&addr) else { return false };
+        let is_due = now.since(known.checked_at) >= CHECK_INTERVAL;
+        if is_due {
+            known.checked_at = now;
+        }
+        is_due
+    }
+
     /// Skips a node that did not answer until a later sign of life of it is reported.
     pub fn record_failure(&mut self, addr: SocketAddr, now: Moment) {
         if let Some(known) = self.known.get_mut(&addr) {
--- a/src/limpetmux/core/pieces/job.rs
+++ b/src/limpetmux/core/pieces/job.rs
@@ -1,6 +1,6 @@
 //! One stage of one request while its pieces are queued or running.
 
-use super::worker::{PieceError, PieceOutcome};
+use super::worker::{CallItem, PieceError, PieceOutcome};
 use crate::core::share::FlowId;
 use crate::core::time::Moment;
 use std::collections::BTreeMap;
@@ -10,6 +10,9 @@
 /// Added to a stage's latest start for each step of its request's priority, so that requests with a
 /// lower number go first.
 const PRIORITY_DELAY: Duration = Duration::from_millis(150);
+/// A stage counts as late only if it starts this much after its latest start, as the times of what
+/// follows it are estimates.
+const LATE_TOLERANCE: Duration = Duration::from_millis(100);
 
 /// Attempts at one piece before its stage fails.
 const MAX_SENDS: u32 = 3;
@@ -155,6 +158,17 @@
         self.pieces.len()
     }
 
+    /// Returns the description of a piece that is sent to a backend server.
+    pub(super) fn call_item(&self, now: Moment, piece: u32) -> CallItem {
+        CallItem {
+            request: Arc::clone(&self.spec.request),
+            stage: self.spec.stage,
+            piece,
+            source: self.spec.source.clone(),
+            remaining: now.until(self.spec.deadline),
+        }
+    }
+
     /// Returns the number of queued pieces.
     pub(super) fn open_count(&self) -> usize {
         self.pieces.iter().filter(|p| **p == Piece::Open).count()
@@ -163,7 +177,7 @@
     /// Returns the place in the usual order of stages.
     pub(super) fn rank(&self, now: Moment, call_time: Duration) -> Rank {
         let start = self.spec.due - call_time;
-        let late = start < now;
+        let late = start + LATE_TOLERANCE < now;
         let delay = PRIORITY_DELAY * u32::from(self.spec.priority);
         let priority = if late { self.spec.priority } else { 0 };
         let start = if late { self.spec.deadline } else { start + delay };
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -21,6 +21,7 @@
 use crate::core::catalog::PieceSpec;
 use crate::core::share::FairTags;
 use crate::core::time::Moment;
+use crate::core::work::load::ServerLoad;
 use job::Job;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -106,6 +107,13 @@
         self.workers.retain(|_, w| w.usable || w.is_busy() || !w.results.is_empty());
     }
 
+    /// Records the load that a backend server states in the answer to a call.
+    pub fn record_load(&mut self, now: Moment, server: &str, load: ServerLoad) {
+        if let Some(worker) = self.workers.get_mut(server) {
+            worker.record_load(now, load);
+        }
+    }
+
     /// Adds a stage of a request; a later step reports its end.
     ///
     /// # Errors
@@ -170,13 +178,15 @@
             self.next_key += 1;
             let key = CallKey(self.next_key);
             let Some(worker) = self.workers.get_mut(&id) else { break };
+            let call_item =
+                |i: &worker::Item| self.jobs.get(&i.job).map(|job| job.call_item(now, i.piece));
             let call = Call {
                 key,
                 server: Arc::clone(&id),
                 addr: worker.spec.addr,
-                timeout: expected.mul_f64(worker.slowness.max(1.0)) * TIMEOUT_FACTOR
+                timeout: expected.mul_f64(worker.slowness(now, expected).max(1.0)) * TIMEOUT_FACTOR
                     + TIMEOUT_MARGIN,
-                items: items.iter().filter_map(|i| call_item(now, &self.jobs, *i)).collect(),
+                items: items.iter().filter_map(call_item).collect(),
             };
             let size = |item: &worker::Item| self.jobs.get(&item.job).map_or(0, |j| j.spec.size);
             let sizes = items.iter().map(size).collect();
@@ -284,7 +294,7 @@
             if items.is_empty() || !self.is_worthwhile(now, worker, items.len()) {
                 continue;
             }
-            let score = self.score(worker, &items);
+            let score = self.score(now, worker, &items);
             if best.as_ref().is_none_or(|(best_score, ..)| score > *best_score) {
                 best = Some((score, Arc::clone(&worker.spec.id), items));
             }
@@ -301,37 +311,48 @@
     ) -> Vec<worker::Item> {
         let mut items = Vec::new();
         let mut room = worker.room(now, self.spec.result_room);
-        for (_, key) in order {
+        let mut most = self.spec.batch;
+        let open = order.iter().map(|(_, key)| self.jobs[key].open_count()).sum();
+        // While the queue is short, a call is not filled with pieces that make it late for one before.
+        let is_short = self.drain_time(now, open) < self.spec.call_time;
+        for (rank, key) in order {
             let job = &self.jobs[key];
             if job.needs_other_zone(&worker.spec.zone) && self.can_wait(now, job) {
                 continue;
             }
             for piece in job.open_pieces(&worker.spec.id) {
-                if items.len() >= self.spec.batch || room < job.spec.size {
+                if items.len() >= most || room < job.spec.size {
                     break;
                 }
                 room -= job.spec.size;
                 items.push(worker::Item { job: *key, piece });
             }
+            if is_short && !rank.is_late() && items.last().is_some_and(|i| i.job == *key) {
+                most =
+                    most.min(worker.pieces_until(now, job.spec.due, &self.spec)).max(items.len());
+            }
         }
         items
     }
 
     /// Returns whether a slow backend server would finish the pieces before the others could.
     fn is_worthwhile(&self, now: Moment, worker: &Worker, items: usize) -> bool {
-        if worker.slowness <= worker::USUAL_SLOWNESS {
+        let call_time = self.call_time(items);
+        let slowness = worker.slowness(now, call_time);
+        if slowness <= worker::USUAL_SLOWNESS {
             return true;
         }
-        let slow_time = self.call_time(items).mul_f64(worker.slowness);
+        let slow_time = call_time.mul_f64(slowness);
         let open = self.jobs.values().map(Job::open_count).sum();
-        slow_time < self.drain_time(now, open) + self.call_time(items)
+        slow_time < self.drain_time(now, open) + call_time
     }
 
     /// Returns the score of a call; fast backend servers and pieces in their own zone raise it.
-    fn score(&self, worker: &Worker, items: &[worker::Item]) -> f64 {
+    fn score(&self, now: Moment, worker: &Worker, items: &[worker::Item]) -> f64 {
         let in_zone =
             items.iter().filter(|i| !self.jobs[&i.job].needs_other_zone(&worker.spec.zone));
-        (items.len() as f64 + in_zone.count() as f64) / worker.slowness
+        let slowness = worker.slowness(now, self.call_time(items.len()));
+        (items.len() as f64 + in_zone.count() as f64) / slowness
     }
 
     /// Returns whether a stage has enough time left to wait for a backend server in its zone.
@@ -356,7 +377,7 @@
     fn speed(&self, now: Moment) -> f64 {
         let call_time = self.call_time(self.spec.batch.max(1));
         let available = self.workers.values().filter(|w| w.is_available(now));
-        available.map(|w| w.speed(call_time)).sum()
+        available.map(|w| w.speed(now, call_time)).sum()
     }
 
     /// Returns how long the available backend servers need for a number of pieces.
@@ -376,15 +397,3 @@
         self.spec.call_time + self.spec.item_time * u32::try_from(pieces).unwrap_or(u32::MAX)
     }
 }
-
-/// Returns the description of a piece that is sent to a backend server.
-fn call_item(now: Moment, jobs: &BTreeMap<JobKey, Job>, item: worker::Item) -> Option<CallItem> {
-    let spec = &jobs.get(&item.job)?.spec;
-    Some(CallItem {
-        request: Arc::clone(&spec.request),
-        stage: spec.stage,
-        piece: item.piece,
-        source: spec.source.clone(),
-        remaining: now.until(spec.deadline),
-    })
-}
--- a/src/limpetmux/core/share/pool.rs
+++ b/src/limpetmux/core/share/pool.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// A pool is full once work waits for longer than this at each of its servers.
-const FULL_WAIT: Duration = Duration::from_millis(300);
+const FULL_WAIT: Duration = Duration::from_millis(500);
 /// The time in which a workspace's share does the work by which it may be ahead at a full pool.
 const MAX_LEAD: Duration = Duration::from_millis(250);
 /// The time in which it does the most work that is counted, so that lent work is forgotten.
--- a/src/limpetmux/serve/front.rs
+++ b/src/limpetmux/serve/front.rs
@@ -1,6 +1,6 @@
 //! Accepts connections of callers, of the balancer and of metrics scrapers.
 
-use super::connections::set_timeouts;
+use super::connections::set_probes;
 use super::head_time::{HeadStart, HeadTimer, timed};
 use super::node::Shared;
 use super::request;
@@ -8,10 +8,11 @@
 use crate::core::catalog::CallerLimits;
 use crate::core::read_limits::{
     Bound, DEFAULT_CALLER_HEAD_BYTES, DEFAULT_CALLER_HEAD_TIME, DEFAULT_CALLER_IDLE_TIME, Exceeded,
-    MAX_PROBE_CONNECTIONS, MAX_PROBE_HEAD_BYTES, MAX_PROBE_TIME, MIN_CALLER_HEAD_BYTES, Peer,
+    MAX_PROBE_HEAD_BYTES, MAX_PROBE_TIME, MIN_CALLER_HEAD_BYTES, Peer, probe_connections,
 };
 use crate::event;
 use crate::util::event::EventCode;
+use crate::util::progress::{ProgressStream, Stalled};
 use crate::util::read_stop;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -77,7 +78,7 @@
 }
 
 async fn connection(shared: Arc<Shared>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
-    if let Err(error) = set_timeouts(&stream) {
+    if let Err(error) = set_probes(&stream) {
         event!(EventCode::ConnectionRefused, reason = error);
         return;
     }
@@ -85,7 +86,7 @@
     let limits = limits(&shared);
     let start = HeadStart::default();
     let timer = HeadTimer { start: start.clone(), head: limits.header_timeout };
-    let stream = timed(stream, start.clone());
+    let stream = ProgressStream::new(timed(stream, start.clone()), limits.idle_timeout);
     let handled = Arc::clone(&shared);
     let knows_chunks = AtomicBool::new(true);
     let service = service_fn(|request: Request<Incoming>| {
@@ -108,10 +109,13 @@
     let Err(error) = ended else { return };
     log::debug!(target: "limpetmux", "connection of a caller closed with an error: {error}");
     if let Some(exceeded) = exceeded(&error, &start, limits) {
-        read_stop::record(&shared.metrics, exceeded, peer);
+        read_stop::record(&shared.metrics, exceeded, &peer);
+    }
+    if let Some(stalled) = Stalled::of(&error) {
+        stalled.record(&shared.metrics, Peer::Caller, &peer);
     }
     if !knows_chunks.load(Ordering::Relaxed) {
-        reset(serving.into_parts().io.inner().get_ref());
+        reset(serving.into_parts().io.inner().get_ref().get_ref());
     }
 }
 
@@ -163,7 +167,8 @@
     listener: TcpListener,
     answer: impl Fn() -> Response<Body> + Clone + Send + 'static,
 ) {
-    let permits = Arc::new(tokio::sync::Semaphore::new(MAX_PROBE_CONNECTIONS));
+    let max_connections = probe_connections(shared.settings().max_descriptors);
+    let permits = Arc::new(tokio::sync::Semaphore::new(max_connections));
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
@@ -180,6 +185,9 @@
                 if let Some(exceeded) = probe_exceeded(&error) {
                     read_stop::record(&shared.metrics, exceeded, peer);
                 }
+                if let Some(stalled) = Stalled::of(&error) {
+                    stalled.record(&shared.metrics, Peer::Operator, peer);
+                }
             }
             drop(permit);
         });
@@ -190,10 +198,11 @@
     stream: TcpStream,
     answer: impl Fn() -> Response<Body>,
 ) -> Result<(), hyper::Error> {
-    if let Err(error) = set_timeouts(&stream) {
+    if let Err(error) = set_probes(&stream) {
         event!(EventCode::ConnectionRefused, reason = error);
         return Ok(());
     }
+    let stream = ProgressStream::new(stream, MAX_PROBE_TIME);
     let service = service_fn(move |_: Request<Incoming>| {
         let answer = answer();
         async move { Ok::<_, Infallible>(answer) }
--- a/src/limpetmux/stage_queues/engines.rs
+++ b/src/limpetmux/stage_queues/engines.rs
@@ -1,6 +1,6 @@
 //! The state of the pools of model engines of which this node is the queue node.
 
-use crate::core::engines::{EnginePool, EngineQuery, EngineReport, PromptPart};
+use crate::core::engines::{EngineChoice, EnginePool, EngineQuery, EngineReport, PromptPart};
 use crate::core::listing::Server;
 use crate::core::prompt_part::PartId;
 use crate::core::quarantine::Verdict;
@@ -9,7 +9,7 @@
 use crate::serve::node::Shared;
 use crate::util::clock;
 use crate::util::event::EventCode;
-use crate::wire::fleet::{EnginePlaced, PlaceEngine};
+use crate::wire::fleet::{EnginePlaced, EngineTime, PlaceEngine};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -60,18 +60,12 @@
         };
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         let Pool { engines, share } = pools.entry(message.service.as_str().into()).or_default();
-        engines.configure(pool.and_then(|p| p.engine).map_or(0, |e| e.memory_tokens));
-        for time in &message.times {
-            let report = EngineReport {
-                server: time.server.as_str().into(),
-                request: time.request.as_str().into(),
-                expected: Duration::from_millis(time.expected_ms),
-                took: Duration::from_millis(time.took_ms),
-            };
-            engines.report(now, &report);
-        }
-        let flow = Some(FlowId::of(&message.workspace)).filter(|_| !message.workspace.is_empty());
-        if let Some(flow) = flow.filter(|_| message.fresh) {
+        let spec = pool.and_then(|p| p.engine);
+        engines.configure(spec.map_or(0, |e| e.memory_tokens));
+        engines.set_fetch_time(spec.and_then(|e| e.fetch_time));
+        message.times.iter().for_each(|t| engines.report(now, &report(t)));
+        let flow = sharing(message);
+        if let Some(flow) = flow {
             let wait = engines.shortest_wait(now, &servers);
             if let Err(room_in) = share.check(now, flow, (servers.len(), wait)) {
                 return over_share(message, wait, room_in);
@@ -81,9 +75,13 @@
             true => engines.plan(now, &servers, &message.request, query),
             false => engines.place(now, &servers, &message.request, query),
         };
-        if let (Some(flow), Some(choice)) = (flow.filter(|_| message.fresh), &choice) {
+        if let (Some(flow), Some(choice)) = (flow, &choice) {
             share.add(now, flow, choice.work);
         }
+        drop(pools);
+        if let Some(choice) = &choice {
+            log_choice(message, choice);
+        }
         choice.map_or_else(EnginePlaced::default, |c| EnginePlaced {
             server: c.server.to_string(),
             wait_ms: millis(c.wait),
@@ -105,6 +103,21 @@
     }
 }
 
+fn report(time: &EngineTime) -> EngineReport {
+    EngineReport {
+        server: time.server.as_str().into(),
+        request: time.request.as_str().into(),
+        expected: Duration::from_millis(time.expected_ms),
+        took: Duration::from_millis(time.took_ms),
+    }
+}
+
+/// Returns the workspace that a prompt counts for, unless it was counted before or has none.
+fn sharing(message: &PlaceEngine) -> Option<FlowId> {
+    let counts = message.fresh && !message.workspace.is_empty();
+    counts.then(|| FlowId::of(&message.workspace))
+}
+
 /// Logs and returns the refusal of a prompt whose workspace is over its share of a full pool.
 fn over_share(message: &PlaceEngine, wait: Duration, room_in: Duration) -> EnginePlaced {
     event!(
@@ -118,6 +131,22 @@
     EnginePlaced { share_ms: millis(room_in).max(1), ..EnginePlaced::default() }
 }
 
+/// Logs which engine was chosen for a prompt, and what is expected of it.
+fn log_choice(message: &PlaceEngine, choice: &EngineChoice) {
+    event!(
+        EventCode::EngineChosen,
+        request = message.request,
+        server = choice.server,
+        planned = message.planned,
+        tokens = message.tokens,
+        read = choice.size.tokens,
+        wait_ms = choice.wait.as_millis(),
+        work_ms = choice.work.as_millis(),
+        budget_ms = message.slack_ms,
+        source = choice.source.as_deref().unwrap_or_default()
+    );
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -223,12 +223,29 @@
     ServerLimit = 624,
     /// The limit of a backend server is used up; it gets no requests of this node for a time.
     QuotaDenied = 625,
+    /// A model engine was chosen for a prompt, with the work that is expected and that is ahead of it.
+    EngineChosen = 650,
+    /// A queue node knows no backend server of a stage's service; another node is asked.
+    QueueUnavailable = 630,
+    /// This node cannot read the platform's store; another node reads it for all.
+    ReaderSteppedBack = 631,
+    /// This node can read the platform's store again.
+    ReaderBack = 632,
     /// Workspaces compete for a full stage queue; each gets its share from now on.
     ShareBegun = 660,
     /// Workspaces no longer compete for a stage queue.
     ShareEnded = 661,
     /// A prompt is refused because all engines are busy and its workspace is over its share of them.
     ShareRefused = 662,
+    /// Writing to a peer was stopped because it took no bytes for a time.
+    #[strum(props(level = "warn"))]
+    WriteStopped = 670,
+    /// A request was refused because the memory for callers is used up.
+    #[strum(props(level = "warn"))]
+    MemoryFull = 671,
+    /// An upload without progress was ended to make room for another one.
+    #[strum(props(level = "warn"))]
+    UploadEnded = 672,
 
     // 7xx: the process itself.
     /// The process has started.
--- a/src/limpetmux/util/metrics.rs
+++ b/src/limpetmux/util/metrics.rs
@@ -49,6 +49,12 @@
     /// Reads from a peer that were stopped at a limit of bytes or of time.
     #[strum(props(kind = "counter", tags = "peer, bound"))]
     ReadsStopped,
+    /// Writes to a peer that were stopped because it took no bytes for a time.
+    #[strum(props(kind = "counter", tags = "peer"))]
+    WritesStopped,
+    /// Requests that the memory for callers had no room for, by what it was claimed for.
+    #[strum(props(kind = "counter", tags = "use"))]
+    MemoryRefusals,
     /// Verdicts on parts of prompts that crash backend servers.
     #[strum(props(kind = "counter", tags = "verdict"))]
     PartVerdicts,
@@ -58,6 +64,9 @@
     /// Requests for which a limited backend server was asked for, by who decides.
     #[strum(props(kind = "counter", tags = "outcome, source"))]
     QuotaRequests,
+    /// Responses of backend servers that state their load, by whether it can be read.
+    #[strum(props(kind = "counter", tags = "notice"))]
+    ServerLoads,
     /// Quarantined parts of prompts.
     #[strum(props(kind = "gauge", tags = "none"))]
     PartsHeld,
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -19,11 +19,14 @@
 mod engine_bursts;
 mod engines;
 mod event_stream;
+mod exchanged_views;
+mod expected_work;
 mod expiry;
 mod explain;
 mod fair_pool;
 mod fair_share;
 mod follow_store;
+mod largest_prompts;
 mod leaving;
 mod limits;
 mod listing;
@@ -41,16 +44,20 @@
 mod queue_nodes;
 mod queue_waits;
 mod quota;
+mod read_times;
 mod resent;
 mod restored_store;
 mod restored_views;
 mod retry_share;
+mod rollout;
+mod rollout_model;
 mod server_limits;
 mod server_notices;
 mod soak;
 mod stage_calls;
 mod store_answers;
 mod truncated;
+mod turned_away;
 mod unsent;
 mod whole_path;
 
@@ -86,6 +93,7 @@
         slots: 4,
         draining: false,
         cold: Duration::ZERO,
+        version: None,
     }
 }
 
--- a/tests/testsuite/platform/node_fixture.rs
+++ b/tests/testsuite/platform/node_fixture.rs
@@ -55,11 +55,14 @@
         metrics_addr: any,
         seeds,
         memory_mb: 100,
+        caller_bytes: 25_000_000,
         max_descriptors: 2_000,
         bounds: Bounds {
             drain_time: Duration::from_secs(2),
             grace_period: Duration::from_secs(5),
             revoke_bound: Duration::from_secs(5),
+            config_bound: Duration::from_secs(2),
+            evacuate_bound: Duration::from_secs(5),
             retry_limit: RetryLimit {
                 ratio: 0.2,
                 allowance: 50.0,
