Read a silent store again without a further pause

Change: the time of a read without an answer counts toward the pause before the next one. A store that refuses at once is asked as seldom as before.

--- a/src/limpetmux/core/read_times.rs
+++ b/src/limpetmux/core/read_times.rs
@@ -14,6 +14,23 @@
 /// The longest time between two reads of the backend servers.
 const MAX_LISTING_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Half the pause after a first failed read; the pause doubles with each further failure.
+const PAUSE_BASE: Duration = Duration::from_millis(100);
+/// How often the pause doubles at most.
+const MAX_DOUBLINGS: u32 = 4;
+/// How often it doubles at most while the node has no configuration.
+const MAX_NEW_DOUBLINGS: u32 = 1;
+
+/// Returns the pause after some failed reads of the store in a row, the last of which took `took`; it is
+/// shorter while the node has no configuration.
+///
+/// The time of a read that stayed without an answer counts toward the pause: it has spaced the reads
+/// already, and until the next one the node doesn't notice that the store is back.
+pub fn retry_pause(failures: u32, is_new: bool, took: Duration) -> Duration {
+    let doublings = if is_new { MAX_NEW_DOUBLINGS } else { MAX_DOUBLINGS };
+    (PAUSE_BASE * (1 << failures.min(doublings))).saturating_sub(took)
+}
+
 /// Within which times the operator's changes have to take effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ViewBounds {
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -16,7 +16,7 @@
 use crate::core::listing::ListRecord;
 use crate::core::log_position::{LogPosition, StoreEra};
 use crate::core::operator::{Order, StatedOrders};
-use crate::core::read_times::ReadTimes;
+use crate::core::read_times::{ReadTimes, retry_pause};
 use crate::core::time::Moment;
 use crate::event;
 use crate::kernel::Publisher;
@@ -36,10 +36,6 @@
 
 /// The time between two checks whether the node has to read the store.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
-/// Half the backoff after a first failed call; the backoff doubles with each further failure.
-const BACKOFF_BASE: Duration = Duration::from_millis(100);
-/// How often the backoff doubles at most.
-const MAX_DOUBLINGS: u32 = 4;
 /// The least time between two turns of pulls.
 const PULL_INTERVAL: Duration = Duration::from_millis(50);
 /// The turns after which a node that knows no other node, or could not read the product's own topic
@@ -104,7 +100,7 @@
             self.log_reachability(&result);
             failures = if result.is_ok() { 0 } else { failures + 1 };
             if result.is_err() {
-                sleep(self.backoff(failures)).await;
+                sleep(self.pause(failures, requested_at)).await;
             } else if self.with_view(|v| v.orders.end.is_start()) {
                 // The store does not hold reads of an empty topic.
                 sleep(self.times().read_hold).await;
@@ -128,7 +124,7 @@
             sleep(if result.is_ok() {
                 self.times().listing_interval
             } else {
-                self.backoff(failures)
+                self.pause(failures, requested_at)
             })
             .await;
         }
@@ -286,12 +282,10 @@
         }
     }
 
-    /// Returns the backoff after some failed calls; it is shorter while the node has no
-    /// configuration.
-    fn backoff(&self, failures: u32) -> Duration {
+    /// Returns the pause after some failed reads, the last of which began at `began`.
+    fn pause(&self, failures: u32, began: Moment) -> Duration {
         let is_new = self.with_view(|v| v.orders.config.is_none());
-        let doublings = if is_new { 1 } else { MAX_DOUBLINGS };
-        BACKOFF_BASE * (1 << failures.min(doublings))
+        retry_pause(failures, is_new, clock::boot().since(began))
     }
 
     /// Returns the era of the view.
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -56,6 +56,7 @@
 mod soak;
 mod stage_calls;
 mod store_answers;
+mod store_silence;
 mod truncated;
 mod turned_away;
 mod unsent;
