--- a/src/limpetmux/stage_queues/engines.rs
+++ b/src/limpetmux/stage_queues/engines.rs
@@ -4,19 +4,27 @@
 use crate::core::listing::Server;
 use crate::core::prompt_part::PartId;
 use crate::core::quarantine::Verdict;
+use crate::core::share::{FlowId, PoolShare};
 use crate::event;
 use crate::serve::node::Shared;
 use crate::util::clock;
 use crate::util::event::EventCode;
-use crate::wire::fleet::{EnginePlaced, PlaceEngine};
+use crate::wire::fleet::{EnginePlaced, EngineTime, PlaceEngine};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+/// One pool of engines, and the share of each workspace in it.
+#[derive(Default)]
+struct Pool {
+    engines: EnginePool,
+    share: PoolShare,
+}
+
 /// One [`EnginePool`] for each pool that entries have asked this node about.
 pub struct EnginePools {
     shared: Arc<Shared>,
-    pools: Mutex<BTreeMap<Arc<str>, EnginePool>>,
+    pools: Mutex<BTreeMap<Arc<str>, Pool>>,
 }
 
 impl EnginePools {
@@ -51,23 +59,25 @@
             input_bytes: message.bytes,
         };
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        let engines = pools.entry(message.service.as_str().into()).or_default();
+        let Pool { engines, share } = pools.entry(message.service.as_str().into()).or_default();
         let spec = pool.and_then(|p| p.engine);
         engines.configure(spec.map_or(0, |e| e.memory_tokens));
         engines.set_fetch_time(spec.and_then(|e| e.fetch_time));
-        for time in &message.times {
-            let report = EngineReport {
-                server: time.server.as_str().into(),
-                request: time.request.as_str().into(),
-                expected: Duration::from_millis(time.expected_ms),
-                took: Duration::from_millis(time.took_ms),
-            };
-            engines.report(now, &report);
+        message.times.iter().for_each(|t| engines.report(now, &report(t)));
+        let flow = sharing(message);
+        if let Some(flow) = flow {
+            let wait = engines.shortest_wait(now, &servers);
+            if let Err(room_in) = share.check(now, flow, (servers.len(), wait)) {
+                return over_share(message, wait, room_in);
+            }
         }
         let choice = match message.planned {
             true => engines.plan(now, &servers, &message.request, query),
             false => engines.place(now, &servers, &message.request, query),
         };
+        if let (Some(flow), Some(choice)) = (flow, &choice) {
+            share.add(now, flow, choice.work);
+        }
         drop(pools);
         if let Some(choice) = &choice {
             log_choice(message, choice);
@@ -93,6 +103,34 @@
     }
 }
 
+fn report(time: &EngineTime) -> EngineReport {
+    EngineReport {
+        server: time.server.as_str().into(),
+        request: time.request.as_str().into(),
+        expected: Duration::from_millis(time.expected_ms),
+        took: Duration::from_millis(time.took_ms),
+    }
+}
+
+/// Returns the workspace that a prompt counts for, unless it was counted before or has none.
+fn sharing(message: &PlaceEngine) -> Option<FlowId> {
+    let counts = message.fresh && !message.workspace.is_empty();
+    counts.then(|| FlowId::of(&message.workspace))
+}
+
+/// Logs and returns the refusal of a prompt whose workspace is over its share of a full pool.
+fn over_share(message: &PlaceEngine, wait: Duration, room_in: Duration) -> EnginePlaced {
+    event!(
+        EventCode::ShareRefused,
+        request = message.request,
+        service = message.service,
+        workspace = message.workspace,
+        wait_ms = wait.as_millis(),
+        room_ms = room_in.as_millis()
+    );
+    EnginePlaced { share_ms: millis(room_in).max(1), ..EnginePlaced::default() }
+}
+
 /// Logs which engine was chosen for a prompt, and what is expected of it.
 fn log_choice(message: &PlaceEngine, choice: &EngineChoice) {
     event!(
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -257,6 +257,8 @@
     ShareBegun = 660,
     /// Workspaces no longer compete for a stage queue.
     ShareEnded = 661,
+    /// A prompt is refused because all engines are busy and its workspace is over its share of them.
+    ShareRefused = 662,
     /// Writing to a peer was stopped because it took no bytes for a time.
     #[strum(props(level = "warn"))]
     WriteStopped = 670,
