--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -48,6 +48,7 @@
 mod rollout_model;
 mod rollout_nodes;
 mod rollout_records;
+mod rollout_stages;
 mod server_limits;
 mod server_notices;
 mod soak;
