--- a/tests/testsuite/platform/expected_work.rs
+++ b/tests/testsuite/platform/expected_work.rs
@@ -1,13 +1,14 @@
 //! What backend servers state about their load and speed decides where requests go, and nothing bad
 //! that they state takes one out.
 
+use super::pieces::{job, piece_spec, worker};
 use super::{arc, at, ms, server};
 use hyper::Response;
-use limpetmux::core::catalog::PieceSpec;
 use limpetmux::core::listing::Server;
-use limpetmux::core::pieces::{CallQuota, JobSpec, PieceQueue, Source, WorkerSpec};
+use limpetmux::core::pieces::{JobSpec, PieceQueue};
 use limpetmux::core::placement::{PlaceEnd, PlaceQuery, Placement};
 use limpetmux::core::work::load::{LoadNotice, LoadRecord, ServerLoad};
+use limpetmux::core::work::read_cost::ReadCost;
 use limpetmux::core::work::speed::SpeedRecord;
 use limpetmux::platform::server as adapter;
 use rand::rngs::StdRng;
@@ -161,49 +162,20 @@
     assert_eq!([choose([slow, idle]), choose([idle, slow])], [arc("s2"), arc("s1")]);
 }
 
-fn worker(id: &str) -> WorkerSpec {
-    let server = server(id, "a");
-    let (started_ms, addr, zone) = (1, server.addr, server.zone);
-    WorkerSpec { id: server.id, started_ms, addr, zone, quota: CallQuota::default() }
-}
-
 /// A queue of two workers, of which the first one states a slowdown at time zero.
 fn queue(slowdown: f64) -> PieceQueue {
-    let mut queue = PieceQueue::new(PieceSpec {
-        slots: 1,
-        batch: 8,
-        call_time: ms(150),
-        item_time: ms(16),
-        result_room: 28_000,
-        result_ttl: ms(4_000),
-    });
-    queue.set_workers(vec![worker("w1"), worker("w2")]);
+    let mut queue = PieceQueue::new(piece_spec());
+    queue.set_workers(vec![worker("w1", "a"), worker("w2", "a")]);
     queue.record_load(at(0), "w1", load(0, 0, 1, Some(slowdown)));
     queue
 }
 
-fn job(request: &str) -> JobSpec {
-    JobSpec {
-        request: request.into(),
-        stage: 0,
-        pieces: 2,
-        source: Source::Key("k".into()),
-        due: at(2_000),
-        deadline: at(6_000),
-        priority: 1,
-        zone: "".into(),
-        size: 1_000,
-        frees_inputs: false,
-        room_short: false,
-    }
-}
-
 #[test]
 fn pieces_go_to_the_worker_that_is_fast_now() {
     // Load pattern: a stage service whose backend servers share their machines, with both idle.
     let first = |slowdown| {
         let mut queue = queue(slowdown);
-        queue.submit(at(1), job("r")).unwrap();
+        queue.submit(at(1), job(at(1), "r", 2)).unwrap();
         queue.step(at(1)).calls.remove(0).server
     };
 
@@ -222,7 +194,7 @@
 
 /// A stage of two pieces that has to end some time after time zero.
 fn due_job(request: &str, due: u64) -> JobSpec {
-    JobSpec { due: at(due), ..job(request) }
+    JobSpec { due: at(due), ..job(at(0), request, 2) }
 }
 
 #[test]
@@ -255,3 +227,11 @@
 
     assert!(calls.iter().any(|c| c.items.iter().any(|i| &*i.request == "tight")), "{calls:?}");
 }
+
+#[test]
+fn state_of_a_server_has_a_fixed_size() {
+    // Load pattern: any; what is learned must not grow with the requests.
+    let sizes = [size_of::<SpeedRecord>(), size_of::<LoadRecord>(), size_of::<ReadCost>()];
+
+    assert!(sizes.iter().all(|size| *size <= 128), "{sizes:?}");
+}
--- a/tests/testsuite/platform/pieces.rs
+++ b/tests/testsuite/platform/pieces.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-fn piece_spec() -> PieceSpec {
+pub(super) fn piece_spec() -> PieceSpec {
     PieceSpec {
         slots: 1,
         batch: 8,
@@ -22,7 +22,7 @@
     }
 }
 
-fn worker(id: &str, zone: &str) -> WorkerSpec {
+pub(super) fn worker(id: &str, zone: &str) -> WorkerSpec {
     let port = id.bytes().map(u16::from).sum::<u16>();
     WorkerSpec {
         id: id.into(),
@@ -40,7 +40,7 @@
 }
 
 /// A stage of `pieces` pieces that is due 2 s and has its deadline 6 s after `now`.
-fn job(now: Moment, request: &str, pieces: usize) -> JobSpec {
+pub(super) fn job(now: Moment, request: &str, pieces: usize) -> JobSpec {
     JobSpec {
         request: request.into(),
         stage: 0,
