Mend what the review of the new parts found

Cause and change, by part. Memory: a whole body holds no more than its bytes, uploads are not ended for a claim that is refused all the same, the reserve holds for bodies in chunks. Exchange: of two records at one position a believed one counts; a second notice of a stop keeps when the node was heard. Expected work: a server that states no load is not taken for idle, a stated slowdown fades in silence, the cost of reading stays finite.

--- a/src/limpetmux/core/engines/mod.rs
+++ b/src/limpetmux/core/engines/mod.rs
@@ -183,10 +183,17 @@
     }
 
     /// Returns how long the engine that is free first still reads prompts that were sent or planned.
-    pub fn shortest_wait(&self, now: Moment, servers: &[&Server]) -> Duration {
-        let planned = self.planned(now);
+    pub fn shortest_wait(
+        &self,
+        now: Moment,
+        servers: &[&Server],
+        send_delay: Duration,
+    ) -> Duration {
+        // A prompt that is sent now goes before those that are only planned.
+        let planned = if send_delay.is_zero() { BTreeMap::new() } else { self.planned(now) };
         let sent = |s: &Server| self.engines.get(&s.id).map_or(Duration::ZERO, |e| e.backlog(now));
-        let wait = |s: &&Server| sent(s) + planned.get(&*s.id).copied().unwrap_or_default();
+        let planned = |s: &Server| planned.get(&*s.id).copied().unwrap_or_default();
+        let wait = |s: &&Server| (sent(s) + planned(s)).saturating_sub(send_delay);
         servers.iter().map(wait).min().unwrap_or_default()
     }
 
--- a/src/limpetmux/core/listed.rs
+++ b/src/limpetmux/core/listed.rs
@@ -106,7 +106,7 @@
     /// Returns whether another node knows more of the same position: a later write from before a
     /// restore of the store, or that an earlier one counts.
     pub(super) fn is_outdone_by(&self, record: &ListRecord) -> bool {
-        let is_later = record.write > self.latest || (record.believed && !self.believed);
+        let is_later = (record.believed, record.write) > (self.believed, self.latest);
         record.position == self.position && is_later
     }
 
--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -287,7 +287,7 @@
                 }
                 continue;
             };
-            if record.write > known.latest {
+            if !known.believed && record.write > known.latest {
                 known.latest = record.latest(known.latest);
                 known.server = record.server;
                 known.raw = record.raw;
--- a/src/limpetmux/core/memory.rs
+++ b/src/limpetmux/core/memory.rs
@@ -89,6 +89,13 @@
     upload: Option<Upload>,
 }
 
+impl Claim {
+    /// Returns whether it is an upload that has made no progress for [`STALL_TIME`].
+    fn is_stopped(&self, now: Moment) -> bool {
+        self.upload.is_some_and(|upload| now.since(upload.progressed) >= STALL_TIME)
+    }
+}
+
 /// The claims on the memory that a process holds for its callers.
 #[derive(Debug)]
 pub struct MemoryLedger {
@@ -126,6 +133,10 @@
         now: Moment,
         ended: &mut Vec<EndedUpload>,
     ) -> Result<ClaimKey, MemoryFull> {
+        let kept = self.held - self.stopped_bytes(None, now);
+        if !self.has_room(bytes) && kept + bytes > self.bound(bytes) {
+            return Err(self.full());
+        }
         while !self.has_room(bytes) {
             self.end_stopped(None, now, ended)?;
         }
@@ -185,11 +196,13 @@
         }
     }
 
-    /// Records that an upload is whole; its bytes stay claimed.
-    pub fn end_upload(&mut self, key: ClaimKey) {
-        if let Some(claim) = self.claims.get_mut(&key) {
-            claim.upload = None;
-        }
+    /// Records that an upload is whole; of its claim, at most `bytes` stay.
+    pub fn end_upload(&mut self, key: ClaimKey, bytes: usize) {
+        let Some(claim) = self.claims.get_mut(&key) else { return };
+        let unused = claim.bytes.saturating_sub(bytes);
+        claim.bytes -= unused;
+        claim.upload = None;
+        self.held -= unused;
     }
 
     /// Releases a claim; one that was ended is released already.
@@ -204,8 +217,24 @@
 
     /// Returns whether a claim is granted without the reserve and without ending an upload.
     fn has_room(&self, bytes: usize) -> bool {
-        let bound = if bytes <= SMALL_BYTES { self.limit } else { self.limit / 2 };
-        self.held + bytes <= bound
+        self.held + bytes <= self.bound(bytes)
+    }
+
+    /// Returns up to where claims of a size are granted without the reserve.
+    fn bound(&self, bytes: usize) -> usize {
+        if bytes <= SMALL_BYTES { self.limit } else { self.limit / 2 }
+    }
+
+    /// Returns whether the upload that holds the reserve may be ended for another claim.
+    fn is_reserve_stopped(&self, now: Moment) -> bool {
+        let claim = self.reserve.and_then(|key| self.claims.get(&key));
+        claim.is_some_and(|claim| claim.is_stopped(now))
+    }
+
+    /// Returns the bytes of the uploads that may be ended for another claim.
+    fn stopped_bytes(&self, own: Option<ClaimKey>, now: Moment) -> usize {
+        let others = self.claims.iter().filter(|(key, _)| Some(**key) != own);
+        others.filter(|(_, claim)| claim.is_stopped(now)).map(|(_, claim)| claim.bytes).sum()
     }
 
     /// Makes room for a claim or for more bytes of `own`; returns whether it takes the reserve.
@@ -216,9 +245,15 @@
         now: Moment,
         ended: &mut Vec<EndedUpload>,
     ) -> Result<bool, MemoryFull> {
+        let is_own = own.is_some() && self.reserve == own;
+        let kept = self.held - self.stopped_bytes(own, now);
+        let has_reserve = self.reserve.is_none() || self.is_reserve_stopped(now);
+        let suffices = kept + bytes <= self.bound(bytes) || (has_reserve && kept <= self.limit);
+        if !is_own && !suffices {
+            return Err(self.full());
+        }
         while !self.has_room(bytes) {
-            let is_free = self.reserve.is_none() || self.reserve == own;
-            if is_free && self.held <= self.limit {
+            if is_own || (self.reserve.is_none() && self.held <= self.limit) {
                 return Ok(true);
             }
             self.end_stopped(own, now, ended)?;
--- a/src/limpetmux/core/nodes.rs
+++ b/src/limpetmux/core/nodes.rs
@@ -134,7 +134,8 @@
     /// another node.
     pub fn remove_stopped(&mut self, addr: SocketAddr, started: u64) {
         let known = self.known.get(&addr);
-        let heard_at = known.map_or(Moment::ZERO, |known| known.heard_at);
+        let before = self.stopped.get(&addr).map_or(Moment::ZERO, |(_, heard_at)| *heard_at);
+        let heard_at = known.map_or(before, |known| known.heard_at.max(before));
         if known.is_some_and(|known| known.node.started <= started) {
             self.known.remove(&addr);
         }
--- a/src/limpetmux/core/pieces/mod.rs
+++ b/src/limpetmux/core/pieces/mod.rs
@@ -288,9 +288,12 @@
     /// Chooses an idle backend server and the pieces for its next call.
     fn choose(&self, now: Moment) -> Option<(Arc<str>, Vec<worker::Item>)> {
         let order = self.order(now);
+        let open = order.iter().map(|(_, key)| self.jobs[key].open_count()).sum();
+        // While the queue is short, a call is not filled with pieces that make it late for one before.
+        let is_short = self.drain_time(now, open) < self.spec.call_time;
         let mut best: Option<(f64, Arc<str>, Vec<worker::Item>)> = None;
         for worker in self.workers.values().filter(|w| w.is_idle(now)) {
-            let items = self.items_for(now, worker, &order);
+            let items = self.items_for(now, worker, &order, is_short);
             if items.is_empty() || !self.is_worthwhile(now, worker, items.len()) {
                 continue;
             }
@@ -308,13 +311,11 @@
         now: Moment,
         worker: &Worker,
         order: &[(job::Rank, JobKey)],
+        is_short: bool,
     ) -> Vec<worker::Item> {
         let mut items = Vec::new();
         let mut room = worker.room(now, self.spec.result_room);
         let mut most = self.spec.batch;
-        let open = order.iter().map(|(_, key)| self.jobs[key].open_count()).sum();
-        // While the queue is short, a call is not filled with pieces that make it late for one before.
-        let is_short = self.drain_time(now, open) < self.spec.call_time;
         for (rank, key) in order {
             let job = &self.jobs[key];
             if job.needs_other_zone(&worker.spec.zone) && self.can_wait(now, job) {
--- a/src/limpetmux/core/placement.rs
+++ b/src/limpetmux/core/placement.rs
@@ -277,9 +277,14 @@
             // least one request fewer in flight.
             (self.inflight(&s.id) * 2 + other_zone, tie(s))
         };
+        // A server that states no load is taken for a small one that only this entry uses.
+        let slots = pool.iter().filter_map(|s| self.records.get(&s.id)?.load.slots()).min();
+        let unstated = |s: &Server| {
+            slots.map(|slots| (f64::from(self.inflight(&s.id) + 1) / f64::from(slots)).max(1.0))
+        };
         let rank = |s: &Server| {
-            let end = self.expected_end(now, s).map_or(0, |end| (end * END_STEPS) as u64);
-            (end, load(s))
+            let end = self.expected_end(now, s).or_else(|| unstated(s));
+            (end.map_or(0, |end| (end * END_STEPS) as u64), load(s))
         };
         pool.iter().copied().min_by_key(|s| rank(s))
     }
--- a/src/limpetmux/core/rollout/book.rs
+++ b/src/limpetmux/core/rollout/book.rs
@@ -136,7 +136,7 @@
             (true, false) => true,
             (false, true) => false,
             // Only a restored store can hold a second verdict, and the first one is in force.
-            (true, true) if status.state != known.state => status.position < known.position,
+            (true, true) => status.position < known.position,
             _ => status.position > known.position,
         }
     }
@@ -327,10 +327,13 @@
 
     /// Moves the start of orders back to what the store states of it, for a node that has learned of
     /// them late, as after a stop of all processes.
-    pub fn date_orders(&mut self, now: Moment, unix: u64) {
+    ///
+    /// `started` is the Unix millisecond of the start of this process. Orders that came later are dated
+    /// by the ages that nodes tell each other, which no step of a time of day changes.
+    pub fn date_orders(&mut self, (now, unix): (Moment, u64), started: u64) {
         for (service, known) in &mut self.orders {
             let status = self.statuses.get(service).filter(|s| s.key == known.order.key);
-            let Some(status) = status else { continue };
+            let Some(status) = status.filter(|s| s.since <= started) else { continue };
             let age = Duration::from_millis(unix.saturating_sub(status.since));
             let started_at = now - age.min(known.order.duration);
             known.learned_at = known.learned_at.min(started_at);
--- a/src/limpetmux/core/share/pool.rs
+++ b/src/limpetmux/core/share/pool.rs
@@ -54,7 +54,8 @@
         self.rate = servers as f64 / (others + 1) as f64;
         let lead = self.leads.get(&flow).map_or(Duration::ZERO, |l| l.work);
         let allowed = MAX_LEAD.mul_f64(self.rate);
-        if wait <= FULL_WAIT || lead <= allowed {
+        // Nobody else wants what a workspace alone is given.
+        if others == 0 || wait <= FULL_WAIT || lead <= allowed {
             return Ok(());
         }
         let until_share = (lead - allowed).div_f64(self.rate.max(f64::EPSILON));
--- a/src/limpetmux/core/work/load.rs
+++ b/src/limpetmux/core/work/load.rs
@@ -89,6 +89,11 @@
         Some(turns.max(1.0) * self.slowdown(now))
     }
 
+    /// Returns the slots that the server stated last.
+    pub fn slots(&self) -> Option<u32> {
+        self.latest.map(|latest| latest.slots)
+    }
+
     /// Returns the expected slowdown; 1 if none was stated.
     pub fn slowdown(&self, now: Moment) -> f64 {
         self.speed.slowdown(now)
--- a/src/limpetmux/core/work/read_cost.rs
+++ b/src/limpetmux/core/work/read_cost.rs
@@ -16,6 +16,8 @@
 const FORGET: f64 = 0.003;
 /// The longest expected time; callers state the sizes of prompts.
 const MAX_TIME: Duration = Duration::from_secs(3_600);
+/// The least expected time that errors are relative to, in milliseconds.
+const LEAST_TIME_MS: f64 = 1.0;
 /// A prompt that took more or less than the expected time by this factor is not learned from.
 const MAX_FACTOR: f64 = 2.5;
 
@@ -72,7 +74,8 @@
     /// Prompts count by their relative error, so that the many short ones and the long ones fit alike.
     pub fn learn(&mut self, size: ReadSize, took: Duration) -> bool {
         let terms = size.terms();
-        let (took, expected) = (took.as_secs_f64() * 1e3, dot(&self.coefficients, &terms));
+        let took = took.as_secs_f64() * 1e3;
+        let expected = dot(&self.coefficients, &terms).max(LEAST_TIME_MS);
         if took > expected * MAX_FACTOR || took * MAX_FACTOR < expected {
             return false;
         }
--- a/src/limpetmux/core/work/speed.rs
+++ b/src/limpetmux/core/work/speed.rs
@@ -17,6 +17,10 @@
 const FIRST_DECAY: Duration = Duration::from_millis(60);
 /// The shortest and the longest time that a value counts.
 const DECAY_RANGE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(2));
+/// How long the mean counts in full after the latest value.
+const TRUST_TIME: Duration = Duration::from_secs(2);
+/// The time constant with which it approaches the usual speed after that.
+const RETURN_TIME: Duration = Duration::from_secs(4);
 /// The spread of logarithms below which a slowdown does not move.
 const STILL: f64 = 1e-6;
 
@@ -61,7 +65,8 @@
     pub fn slowdown(&self, now: Moment) -> f64 {
         let Some((value, at)) = self.latest else { return 1.0 };
         let kept = (-now.since(at).as_secs_f64() / self.decay().as_secs_f64()).exp();
-        (self.mean + (value - self.mean) * kept).exp()
+        let mean = self.mean_at(now);
+        (mean + (value - mean) * kept).exp()
     }
 
     /// Returns the expected mean slowdown of work that begins at `now` and usually takes `usual`; 1 if
@@ -71,7 +76,15 @@
         let decay = self.decay().as_secs_f64();
         let turns = (usual.as_secs_f64() / decay).max(f64::EPSILON);
         let kept = (-now.since(at).as_secs_f64() / decay).exp() * (1.0 - (-turns).exp()) / turns;
-        (self.mean + (value - self.mean) * kept).exp()
+        let mean = self.mean_at(now);
+        (mean + (value - mean) * kept).exp()
+    }
+
+    /// Returns the mean at `now`; without new values it fades, so that the server is asked again.
+    fn mean_at(&self, now: Moment) -> f64 {
+        let silent = self.latest.map_or(Duration::ZERO, |(_, at)| now.since(at));
+        let faded = silent.saturating_sub(TRUST_TIME).as_secs_f64() / RETURN_TIME.as_secs_f64();
+        self.mean * (-faded).exp()
     }
 
     /// Returns the time after which about a third of a value's distance to the mean is left.
--- a/src/limpetmux/entry/http.rs
+++ b/src/limpetmux/entry/http.rs
@@ -269,14 +269,16 @@
 ) -> Result<Bytes, RequestError> {
     let limit = entry.limits.max_body;
     let mut upload = entry.memory.begin_upload(stated.unwrap_or(SMALL_BYTES.min(limit)))?;
-    let mut bytes = BytesMut::with_capacity(stated.unwrap_or_default());
+    // The read that finds the end needs room for a byte.
+    let mut bytes = BytesMut::with_capacity(stated.map_or(0, |length| length + 1));
     let mut limited = reader.take(limit as u64 + 1);
     loop {
         let needed = (bytes.len() + PART_BYTES).min(stated.unwrap_or(limit + 1));
         upload.cover(needed, limit + 1)?;
         let read = tokio::select! {
-            read = limited.read_buf(&mut bytes) => read,
+            biased;
             () = upload.ended() => return Err(RequestError::UploadEnded),
+            read = limited.read_buf(&mut bytes) => read,
         };
         match read.map_err(|_| RequestError::BodyUnreadable)? {
             0 => return Ok(upload.finish(bytes)),
--- a/src/limpetmux/fleet/follow/rollout.rs
+++ b/src/limpetmux/fleet/follow/rollout.rs
@@ -28,6 +28,8 @@
 const TURN_INTERVAL: Duration = Duration::from_millis(200);
 /// The time after which a failed call is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// The time after which the statuses are read again while an order is being carried out.
+const READ_INTERVAL: Duration = Duration::from_secs(2);
 /// For how long all nodes have to state that nothing runs at the old versions.
 const LEFT_TIME: Duration = Duration::from_millis(800);
 
@@ -39,8 +41,9 @@
 struct Desk {
     /// Since when nothing runs at the old versions of a service.
     left_since: BTreeMap<Arc<str>, Moment>,
-    /// The era of the store in which the statuses were read last.
+    /// The era of the store in which the statuses were read last, and when.
     read_in: Option<StoreEra>,
+    read_at: Moment,
 }
 
 impl Follower {
@@ -135,14 +138,22 @@
     }
 
     async fn write_due(&self, desk: &mut Desk) -> Result<(), StoreError> {
-        if desk.read_in != Some(self.era()) {
+        // Before the operator's records were read, each order would pass for one that was taken back.
+        if self.with_view(|v| v.orders.end.is_start()) {
+            return Ok(());
+        }
+        // Another node may have written while this one was cut off from the others.
+        let is_old = clock::boot().since(desk.read_at) >= READ_INTERVAL;
+        let is_running = self.with_view(|v| v.rollouts.has_running());
+        if desk.read_in != Some(self.era()) || (is_running && is_old) {
             self.read_statuses().await?;
             desk.read_in = Some(self.era());
+            desk.read_at = clock::boot();
         }
         for service in self.rollout_services() {
             let verdict = self.verdict(desk, &service);
-            if self.due(&service, verdict.clone()).is_some() {
-                self.write_status(&service, verdict).await?;
+            if self.due(&service, verdict).is_some() {
+                self.write_status(desk, &service).await?;
             }
         }
         Ok(())
@@ -223,12 +234,15 @@
             for (service, status) in &read {
                 v.rollouts.put_status(Arc::clone(service), status.clone());
             }
-            v.rollouts.date_orders(now, unix);
+            v.rollouts.date_orders((now, unix), self.shared.local_node.started);
             let is_stored = |service: &Arc<str>, status: &Status| {
                 let stored = read.get(service);
                 stored.is_some_and(|s| s.key == status.key && s.state == status.state)
             };
-            let mut lost = v.rollouts.statuses().filter(|(service, s)| !is_stored(service, s));
+            // Only a restored store can have lost one; any other that it lacks was replaced.
+            let is_lost =
+                |service, s: &Status| s.position.era < page.end.era && !is_stored(service, s);
+            let mut lost = v.rollouts.statuses().filter(|(service, s)| is_lost(service, s));
             lost.next().map(|(service, s)| (Arc::clone(service), s.clone()))
         });
         let Some((service, status)) = lost else { return Ok(page.end) };
@@ -242,12 +256,10 @@
     }
 
     /// Writes the status that is due of a service, unless the store has it already.
-    async fn write_status(
-        &self,
-        service: &Arc<str>,
-        verdict: Option<(State, BTreeSet<Arc<str>>)>,
-    ) -> Result<(), StoreError> {
+    async fn write_status(&self, desk: &mut Desk, service: &Arc<str>) -> Result<(), StoreError> {
         let end = self.read_statuses().await?;
+        // The judge may have stopped the version meanwhile.
+        let verdict = self.verdict(desk, service);
         let Some(status) = self.due(service, verdict) else { return Ok(()) };
         self.append_status(service, status, end).await
     }
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -4,7 +4,7 @@
 use crate::core::pieces::{StageEnd, StageWaits};
 use crate::core::prompt_part::PartId;
 use crate::core::read_limits::MAX_MESSAGE_BYTES;
-use crate::core::rollout::evidence::Counter;
+use crate::core::rollout::evidence::{Counter, Told};
 use crate::event;
 use crate::serve::node::{Shared, StoreView};
 use crate::stage_queues::StageQueues;
@@ -61,7 +61,12 @@
     fn hear_rollouts(&self, request: &mut PullRequest) {
         let (Some(caller), Some(notice)) = (&request.caller, &mut request.rollout) else { return };
         let counter = Counter { node: caller.node.as_str().into(), started_ms: caller.started };
-        let told = rollout::decode_told(notice);
+        // Counts of another order, which a node that lags may tell, would replace those of this one.
+        let view = self.shared.view.load();
+        let is_current = |told: &Told| {
+            view.rollouts.order(&told.service).is_some_and(|known| known.order.key == told.key)
+        };
+        let told: Vec<Told> = rollout::decode_told(notice).into_iter().filter(is_current).collect();
         notice.counts.clear();
         self.shared.rollouts.hear(counter, notice.clone(), &told);
     }
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -59,6 +59,8 @@
     /// The time to the first event that the queue node of the pool expects.
     pub expected: Option<Duration>,
     ended: bool,
+    /// Whether the answer broke off, which may be the end of the backend server.
+    cut: bool,
 }
 
 impl Attempt {
@@ -87,6 +89,7 @@
             head_at: began,
             expected: None,
             ended: false,
+            cut: false,
         }
     }
 
@@ -106,6 +109,7 @@
         let end = match end {
             PlaceEnd::Answered(took) => answered(took),
             PlaceEnd::Streamed => answered(self.first.unwrap_or(took)),
+            PlaceEnd::Failed if self.cut => Some(SendEnd::Broken),
             PlaceEnd::Failed => Some(SendEnd::Answer(Answer::Failed)),
             PlaceEnd::Broken => Some(SendEnd::Broken),
             PlaceEnd::Full | PlaceEnd::WrongServer => None,
@@ -113,6 +117,11 @@
             PlaceEnd::Neutral if self.first.is_none() && took < LONG_WAIT => None,
             PlaceEnd::Neutral => answered(self.first.unwrap_or(took)),
         };
+        // A cold backend server is slow whatever its version.
+        let is_timed = matches!(end, Some(SendEnd::Answer(Answer::Answered(_))));
+        if is_timed && !server.cold.is_zero() {
+            return;
+        }
         if let Some(end) = end {
             self.shared.record_send(&self.routed.route().name, server, end);
         }
@@ -347,6 +356,7 @@
                 StreamEnd::Exceeded(exceeded) => attempt.stop_reading(exceeded),
                 _ => {
                     attempt.examine_server(received.events.events());
+                    attempt.cut = true;
                     attempt.fail("the answer ended early");
                 }
             }
--- a/src/limpetmux/serve/rollout.rs
+++ b/src/limpetmux/serve/rollout.rs
@@ -11,6 +11,7 @@
 use crate::core::rollout::evidence::{Answer, Arm, Counter, Counts, Ledger, Told};
 use crate::core::rollout::exposure::{self, Exposure, SHARE_USED};
 use crate::core::rollout::{OrderKey, Step};
+use crate::core::server_notices::Incarnation;
 use crate::util::clock;
 use crate::util::metrics::Metric;
 use crate::wire::fleet::RolloutNotice;
@@ -58,8 +59,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     services: BTreeMap<Arc<str>, State>,
-    /// The breaks at each backend server that has not answered since.
-    broken: BTreeMap<Arc<str>, u32>,
+    /// The breaks on each route at each incarnation of a backend server that has not answered since.
+    broken: BTreeMap<Incarnation, BTreeMap<Arm, u32>>,
     /// The calls that run at each backend server.
     calls: BTreeMap<Arc<str>, u32>,
     heard: Vec<RolloutNotice>,
@@ -71,12 +72,11 @@
         let state = self.services.entry(Arc::clone(service)).or_insert_with(|| State::new(key));
         if state.ledger.key != *key {
             *state = State::new(key);
+            self.broken.clear();
         }
         state
     }
-}
 
-impl Inner {
     /// Returns the credits for an order, which begin with the given reserve of the node.
     fn exposure(
         &mut self,
@@ -250,16 +250,19 @@
         let arm = Arm { route: Arc::clone(route), is_new };
         let mut inner = self.rollouts.lock();
         let SendEnd::Answer(answer) = end else {
-            if inner.broken.len() < MAX_BROKEN || inner.broken.contains_key(&server.id) {
-                *inner.broken.entry(Arc::clone(&server.id)).or_default() += 1;
+            let run = Incarnation::of(server);
+            if inner.broken.len() < MAX_BROKEN || inner.broken.contains_key(&run) {
+                *inner.broken.entry(run).or_default().entry(arm).or_default() += 1;
             }
             return;
         };
         // The server runs on, so it has not crashed.
-        let broken = inner.broken.remove(&server.id).unwrap_or_default();
+        let broken = inner.broken.remove(&Incarnation::of(server)).unwrap_or_default();
         let counts = &mut inner.state(service, &known.order.key).counts;
-        counts.add(arm.clone(), answer);
-        (0..broken).for_each(|_| counts.add(arm.clone(), Answer::Failed));
+        counts.add(arm, answer);
+        for (arm, breaks) in broken {
+            (0..breaks).for_each(|_| counts.add(arm.clone(), Answer::Failed));
+        }
         drop(inner);
         let outcome = if answer == Answer::Failed { "failed" } else { "answered" };
         let tags = [("service", &**service), ("version", version(server)), ("outcome", outcome)];
--- a/src/limpetmux/serve/upload.rs
+++ b/src/limpetmux/serve/upload.rs
@@ -78,8 +78,9 @@
     let mut whole = BytesMut::with_capacity(stated.unwrap_or_default());
     loop {
         let frame = tokio::select! {
-            frame = body.frame() => frame,
+            biased;
             () = upload.ended() => return Err(Stop::Ended),
+            frame = body.frame() => frame,
         };
         let Some(frame) = frame else { break };
         let Ok(data) = frame.map_err(|_| Stop::Cut)?.into_data() else { continue };
--- a/src/limpetmux/stage_queues/call.rs
+++ b/src/limpetmux/stage_queues/call.rs
@@ -83,7 +83,9 @@
         CallEnd::Lost => SendEnd::Broken,
         CallEnd::Refused | CallEnd::WrongServer | CallEnd::Unsent | CallEnd::Denied => return,
     };
-    if let Some(server) = server {
+    // A cold backend server is slow whatever its version.
+    let is_timed = matches!(end, SendEnd::Answer(Answer::Answered(_)));
+    if let Some(server) = server.filter(|s| s.cold.is_zero() || !is_timed) {
         shared.record_send(service, server, end);
     }
 }
--- a/src/limpetmux/stage_queues/engines.rs
+++ b/src/limpetmux/stage_queues/engines.rs
@@ -66,7 +66,7 @@
         message.times.iter().for_each(|t| engines.report(now, &report(t)));
         let flow = sharing(message);
         if let Some(flow) = flow {
-            let wait = engines.shortest_wait(now, &servers);
+            let wait = engines.shortest_wait(now, &servers, query.send_delay);
             if let Err(room_in) = share.check(now, flow, (servers.len(), wait)) {
                 return over_share(message, wait, room_in);
             }
--- a/src/limpetmux/util/memory.rs
+++ b/src/limpetmux/util/memory.rs
@@ -181,7 +181,7 @@
     /// Returns the whole body; its memory is claimed until the last copy of it is dropped.
     pub fn finish(self, bytes: BytesMut) -> Bytes {
         let Reservation { memory, key } = &self.reservation;
-        memory.lock().ledger.end_upload(*key);
+        memory.lock().ledger.end_upload(*key, bytes.capacity());
         Bytes::from_owner(ClaimedBytes { bytes, _reservation: self.reservation })
     }
 }
