End held pulls one by one where the bounds leave the time

Cause: since a read of the store that renews a view ends the pulls that are held, the node that reads answers all others in one moment. Change: reads end pulls only where a view would otherwise be stale, by the bounds of the settings.

--- a/src/limpetmux/core/read_times.rs
+++ b/src/limpetmux/core/read_times.rs
@@ -57,8 +57,11 @@
     pub read_late: Duration,
     /// The time between two reads of the backend servers.
     pub listing_interval: Duration,
-    /// How long another node may hold a pull; longer than a read, whose end ends the pull as well.
+    /// How long another node may hold a pull; longer than a read.
     pub pull_hold: Duration,
+    /// Whether a read that renews a view ends the pulls that are held, as the views of the callers would be
+    /// stale otherwise. All of them end at once then, so that the reader answers every node in one moment.
+    pub ends_pulls: bool,
     /// The time allowed for a whole pull.
     pub pull_limit: Duration,
 }
@@ -73,6 +76,7 @@
         let listing_stale = bounds.drain * 3 / 4;
         let read_hold = MAX_HOLD.min(orders_stale * 2 / 5);
         let pull_hold = read_hold * 5 / 4;
+        let oldest = read_hold + pull_hold + MAX_PULL_EXTRA;
         Self {
             orders_stale,
             listing_stale,
@@ -80,6 +84,7 @@
             read_late: read_hold + (orders_stale - read_hold) / 2,
             listing_interval: MAX_LISTING_INTERVAL.min(listing_stale / 3),
             pull_hold,
+            ends_pulls: oldest > orders_stale,
             pull_limit: (read_hold + MAX_PULL_EXTRA).min(orders_stale).max(pull_hold),
         }
     }
--- a/src/limpetmux/fleet/service.rs
+++ b/src/limpetmux/fleet/service.rs
@@ -76,9 +76,11 @@
         let until = Instant::now() + Duration::from_millis(request.wait_ms).min(MAX_HOLD);
         let mut view = self.shared.view.clone();
         let (confirmed_at, is_lost) = (view.load().orders.confirmed_at, self.is_store_lost());
+        let ends_pulls = self.shared.settings().bounds.read_times().ends_pulls;
         let is_as_before = |view: &StoreView| {
             // The caller's view is renewed, or another node reads the store from now on.
-            view.orders.confirmed_at == confirmed_at && self.is_store_lost() == is_lost
+            let is_renewed = ends_pulls && view.orders.confirmed_at != confirmed_at;
+            !is_renewed && self.is_store_lost() == is_lost
         };
         let mut evidence = self.shared.quarantine.versions();
         let mut leaving = self.shared.notices.versions();
--- a/tests/testsuite/platform/read_times.rs
+++ b/tests/testsuite/platform/read_times.rs
@@ -28,6 +28,8 @@
         // A view is as old as two reads, and renewed at the end of each.
         assert!(times.read_hold * 2 < times.orders_stale, "{bounds:?} {times:?}");
         assert!(times.pull_hold > times.read_hold && times.pull_hold <= times.pull_limit);
+        let held = times.read_hold + times.pull_hold;
+        assert!(times.ends_pulls || held + ms(700) <= times.orders_stale, "{bounds:?} {times:?}");
         assert!(times.read_hold <= ms(600) && times.listing_interval <= ms(500));
         Ok(())
     });
@@ -40,3 +42,13 @@
     assert_eq!((times.read_hold, times.listing_interval), (ms(600), ms(500)));
     assert_eq!(times.orders_stale, Duration::from_millis(2_500));
 }
+
+#[test]
+fn pulls_end_together_only_where_the_bounds_need_it() {
+    // Load pattern: hundreds of nodes pull from the one that reads the store; replies to all of them in
+    // one moment keep it busy for longer than a pull may take.
+    let short = ReadTimes::new(bounds(2_000, 5_000, 5_000, 2_000));
+    let long = ReadTimes::new(bounds(3_000, 5_000, 5_000, 3_000));
+
+    assert!(short.ends_pulls && !long.ends_pulls);
+}
