--- a/review/kit-2/cases.rs
+++ b/review/kit-2/cases.rs
@@ -15,6 +15,7 @@
         "stop-cuts-answer" => stop_cuts_answer(play),
         "stalled-uploads" => stalled_uploads(play),
         "cached-parts" => cached_parts(play),
+        "unread-answers" => unread_answers(play),
         _ => fail("unknown case"),
     }
 }
@@ -350,7 +351,7 @@
     let addr = nodes[3].front();
     let bookers = Bookers::start(play, addr, 8);
     let mut ends = Vec::new();
-    let prompts = [parts(0x10..0xa80), parts(0x1000..0x18a0)];
+    let prompts = [parts(0x100..0x420), parts(0x1000..0x1320)];
     for (index, parts) in prompts.iter().enumerate() {
         for round in 0..3 {
             let number = index as u32 * 3 + round + 1;
@@ -619,3 +620,33 @@
     let text = format!("{served} of {sent} prompts are served; killed for their memory: {ends:?}");
     play.end(often >= 2, &text)
 }
+
+/// No case of its own: callers that send eight requests ahead and read none of the answers.
+fn unread_answers(play: &Play) -> i32 {
+    const CROWD: usize = 2_200;
+    const SIZE: usize = 65_000;
+    play.store.put("keyed.op", "config", config(6_000).as_bytes());
+    let _seen = start_core(play, Duration::from_millis(5), SIZE);
+    let mut nodes = start_nodes(play, 160);
+    let ahead = if play.trouble { 8 } else { 1 };
+    let (mut open, mut ends) = (Vec::new(), Vec::new());
+    for client in 0..CROWD {
+        let Ok(mut stream) = TcpStream::connect(nodes[3].front()) else { continue };
+        make_slow(&stream);
+        for number in 0..ahead {
+            let request = booking(&format!("r{client}-{number}"), 6_000);
+            let _ = stream.write_all(request.as_bytes());
+        }
+        open.push(stream);
+        thread::sleep(Duration::from_millis(3));
+        if client % 100 == 99 {
+            log_memory(play, &nodes);
+        }
+        if nodes[3].is_over() {
+            break;
+        }
+    }
+    supervise(play, &mut nodes, &mut ends, Duration::from_secs(3));
+    let text = format!("{} clients; killed for its memory: {ends:?}", open.len());
+    play.end(!ends.is_empty(), &text)
+}
