--- a/review/kit-2/cases.rs
+++ b/review/kit-2/cases.rs
@@ -302,7 +302,7 @@
     play.log(&nodes.iter().map(used).collect::<Vec<_>>().join(", "));
 }
 
-/// Lets the runner that reads a prompt crash while it does, and come back three seconds later; without
+/// Lets the runner that reads a prompt crash while it does, and come back two seconds later; without
 /// the disruption the prompt is answered. `rest` passes the time.
 fn crash_reader(
     play: &Play,
@@ -333,12 +333,17 @@
     let mut gone = runners.remove(reader);
     gone.crash();
     play.log(&format!("{} crashed while it read prompt {id}: {:?}", gone.id, asked.join().ok()));
-    rest(Duration::from_millis(3_000));
-    play.store.put("keyed.servers", &gone.id, b"");
-    rest(Duration::from_millis(500));
+    rest(DOWN_TIME);
     runners.push(ModelRunner::start(play, gone.host, number, READ_MS));
+    rest(LAPSE_TIME - DOWN_TIME);
+    play.store.put("keyed.servers", &gone.id, b"");
 }
 
+/// How long a runner is down that has crashed.
+const DOWN_TIME: Duration = Duration::from_millis(2_000);
+/// The time after which its entry lapses: three heartbeat intervals.
+const LAPSE_TIME: Duration = Duration::from_millis(3_600);
+
 /// How long a model runner reads a prompt.
 const READ_MS: u32 = 300;
 
