Take an answer without a length for whole only once its request was sent

Cause: such a body ends with its connection, and one that closed in order counted as the end of the answer, though the request was still being written. The system took up to 4 MB of it ahead of the server.

Change: bytes written are counted up to each flush; an answer that ends with its connection before its request was written whole is a broken one. The system buffers at most 64 KiB beyond the server's room.

--- a/crates/limpetmux-standins/src/raw.rs
+++ b/crates/limpetmux-standins/src/raw.rs
@@ -2,8 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// The bytes that are read at a time of a body that is not kept.
+const PART_BYTES: usize = 64 * 1024;
+/// The time between the end of one side of a connection and that of the other one.
+const CLOSE_TIME: Duration = Duration::from_millis(20);
 
 /// Answers every request with the same bytes and then closes the connection in order.
 ///
@@ -63,6 +70,62 @@
     Ok(addr)
 }
 
+/// An answer that begins while the body of its request is still being sent.
+#[derive(Clone, Debug)]
+pub struct EarlyAnswer {
+    /// The bytes that are sent.
+    pub bytes: Vec<u8>,
+    /// The bytes of the body that are read, with those that have arrived by then.
+    pub reads: usize,
+    /// Whether the connection is reset; otherwise it closes in order, as that of a process that ends with
+    /// nothing unread.
+    pub resets: bool,
+}
+
+/// Answers every request after its head with what `answer` returns, and then ends the connection.
+///
+/// Returns its address; it runs until the runtime ends.
+///
+/// # Errors
+/// Returns an error if no port can be bound.
+pub async fn serve_early(
+    answer: impl Fn() -> EarlyAnswer + Send + 'static,
+) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            // The other side may end the connection first.
+            tokio::spawn(serve_one_early(stream, answer()));
+        }
+    });
+    Ok(addr)
+}
+
+async fn serve_one_early(stream: TcpStream, answer: EarlyAnswer) -> std::io::Result<()> {
+    if answer.resets {
+        stream.set_zero_linger()?;
+    }
+    let mut stream = BufReader::new(stream);
+    let (_, body_len) = read_head(&mut stream).await?;
+    stream.write_all(&answer.bytes).await?;
+    let mut body = vec![0; answer.reads];
+    stream.read_exact(&mut body).await?;
+    if !answer.resets {
+        // At most a quarter: the other side may send as fast as this one reads, and the system takes the
+        // rest of a short body for it.
+        let mut read = answer.reads;
+        let mut part = vec![0; PART_BYTES];
+        while let (true, Ok(count)) = (read < body_len / 4, stream.get_ref().try_read(&mut part)) {
+            read += count;
+        }
+        stream.shutdown().await?;
+        // The other side reads the end before its own bytes are refused.
+        sleep(CLOSE_TIME).await;
+    }
+    Ok(())
+}
+
 /// Returns an answer that has neither a length nor chunks, so that it ends with its connection.
 pub fn unframed(body: &[u8]) -> Vec<u8> {
     [b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", body].concat()
@@ -142,6 +205,14 @@
 
 /// Reads a request, whose body has a length.
 pub(crate) async fn read_request(stream: &mut BufReader<TcpStream>) -> std::io::Result<Message> {
+    let (head, body_len) = read_head(stream).await?;
+    let mut body = vec![0; body_len];
+    stream.read_exact(&mut body).await?;
+    Ok(Message { head, body })
+}
+
+/// Reads the head of a request; returns it and the length of the body.
+async fn read_head(stream: &mut BufReader<TcpStream>) -> std::io::Result<(String, usize)> {
     let mut head = String::new();
     let mut body_len = 0;
     loop {
@@ -159,7 +230,5 @@
         head.push_str(line);
         head.push('\n');
     }
-    let mut body = vec![0; body_len];
-    stream.read_exact(&mut body).await?;
-    Ok(Message { head, body })
+    Ok((head, body_len))
 }
--- a/src/limpetmux/serve/connections.rs
+++ b/src/limpetmux/serve/connections.rs
@@ -6,12 +6,14 @@
 //! no copy of an earlier answer to it can arrive. Errors state whether the request was sent.
 
 use super::head_watch::{BytesRead, HeadWatch, counted};
+use crate::core::event_stream::Framing;
 use crate::core::read_limits::{Bound, Exceeded, MAX_HEAD_BYTES, MAX_INFORMATIONAL, Peer};
 use crate::event;
 use crate::util::event::EventCode;
+use crate::util::watched_stream::Written;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -33,7 +35,7 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The unanswered keep-alive probes after which a connection of a peer closes.
 const MAX_PROBES: u32 = 2;
-/// The bytes that the system buffers of an answer beyond those that the peer has room for.
+/// The bytes that the system buffers of an answer or a request beyond those that the peer has room for.
 const UNSENT_BYTES: u32 = 64 * 1024;
 /// How long an idle connection is kept, unless its backend server states a shorter time.
 const MAX_IDLE: Duration = Duration::from_secs(4);
@@ -102,6 +104,9 @@
     /// The requests that were answered on it before.
     earlier: u32,
     read: BytesRead,
+    written: Arc<Written>,
+    /// The bytes that were written before the last request, and those of its body.
+    sent_at: u64,
 }
 
 impl Drop for Connection {
@@ -219,6 +224,8 @@
         watch: &HeadWatch,
     ) -> Result<Response<Incoming>, NoHead> {
         watch.send_on(&self.read);
+        let body = request.body().size_hint().lower();
+        self.sent_at = self.written.flushed().saturating_add(body);
         let sent = tokio::select! {
             sent = self.sender.try_send_request(request) => sent,
             () = watch.too_many() => return Err(NoHead::Ended(ConnectionError::Informational)),
@@ -236,6 +243,18 @@
         self.connection.earlier
     }
 
+    /// Returns whether the end of an answer whose body ended without an error shows that it is whole.
+    ///
+    /// An answer that ends with its connection may be cut if the request was not sent whole by then: the
+    /// connection of a backend server that ends while it reads closes in order if it has just read all that
+    /// had arrived, and a reset may be seen by the request's write alone.
+    pub fn proves_end(&self, framing: Framing) -> bool {
+        // The head goes before the body, so a flush behind more bytes than the body has is one behind the
+        // whole request, unless both are so short that they are written at once.
+        framing != Framing::Connection
+            || self.connection.written.flushed() > self.connection.sent_at
+    }
+
     /// Returns the connection to the pool after its answer was read to the end.
     ///
     /// `keep` is how long the backend server keeps an idle connection, if it states that.
@@ -284,7 +303,9 @@
         .map_err(ConnectionError::Connect)?;
     set_timeouts(&stream).map_err(ConnectionError::Connect)?;
     let read = BytesRead::default();
-    let stream = TokioIo::new(counted(stream, Arc::clone(&read)));
+    let stream = counted(stream, Arc::clone(&read));
+    let written = stream.written();
+    let stream = TokioIo::new(stream);
     // hyper allows 100 headers by default; setting their number costs an allocation for each head.
     let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await;
     let (sender, connection) = handshake.map_err(ConnectionError::Unsent)?;
@@ -293,7 +314,15 @@
             log::debug!(target: "limpetmux", "connection to {addr} closed: {error}");
         }
     });
-    Ok(Connection { sender, driver, expires: Instant::now(), earlier: 0, read })
+    Ok(Connection {
+        sender,
+        driver,
+        expires: Instant::now(),
+        earlier: 0,
+        read,
+        written,
+        sent_at: 0,
+    })
 }
 
 /// Sets socket options that close a connection whose peer does not answer any more, also while the peer
@@ -302,6 +331,8 @@
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
+    // Where the system lacks this option, more of a request counts as sent than the peer has room for.
+    let _ = socket.set_tcp_notsent_lowat(UNSENT_BYTES);
     let probes =
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&probes)
--- a/src/limpetmux/serve/plain.rs
+++ b/src/limpetmux/serve/plain.rs
@@ -42,6 +42,12 @@
         return SendOutcome::Lost;
     }
     match hold(&mut body).await {
+        Ok(Held::Whole(_)) if !connection.proves_end(head.framing) => {
+            attempt.count_answer(&received, StreamEnd::Truncated);
+            attempt.examine_server(received.events.events());
+            attempt.fail("the answer ended before its request was sent");
+            SendOutcome::Lost
+        }
         Ok(Held::Whole(held)) => {
             if !head.closes {
                 connection.keep(head.keep_alive);
--- a/src/limpetmux/serve/stream.rs
+++ b/src/limpetmux/serve/stream.rs
@@ -222,7 +222,10 @@
     }
 
     fn is_complete(&self) -> bool {
-        self.forwarding == Forwarding::Plain || self.received.is_complete_stream()
+        let framing = self.received.framing;
+        let is_end_proved = self.connection.as_ref().is_some_and(|c| c.proves_end(framing));
+        is_end_proved
+            && (self.forwarding == Forwarding::Plain || self.received.is_complete_stream())
     }
 
     /// Counts bytes and checks them against their bounds before they are forwarded.
--- a/src/limpetmux/util/watched_stream.rs
+++ b/src/limpetmux/util/watched_stream.rs
@@ -1,22 +1,49 @@
-//! A TCP connection that reports the bytes that are read from it, and can fail because of them.
+//! A TCP connection that reports the bytes that are read from it, and can fail because of them. It also
+//! counts the bytes that are written to it.
 
 use std::io::{IoSlice, Result};
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// The bytes that were written to a connection.
+#[derive(Debug, Default)]
+pub struct Written {
+    all: AtomicU64,
+    /// The bytes up to the last flush, before which nothing was left to write.
+    flushed: AtomicU64,
+}
+
+impl Written {
+    /// Returns the bytes of whole messages, behind which nothing waits to be written.
+    pub fn flushed(&self) -> u64 {
+        self.flushed.load(Ordering::Relaxed)
+    }
+
+    fn add(&self, count: usize) {
+        self.all.fetch_add(count as u64, Ordering::Relaxed);
+    }
+
+    fn flush(&self) {
+        self.flushed.store(self.all.load(Ordering::Relaxed), Ordering::Relaxed);
+    }
+}
+
 /// A TCP connection whose reads are reported; an error of `on_read` fails the read.
 #[derive(Debug)]
 pub struct WatchedStream<F> {
     stream: TcpStream,
     on_read: F,
+    written: Arc<Written>,
 }
 
 impl<F: FnMut(usize) -> Result<()> + Unpin> WatchedStream<F> {
     /// Wraps a connection; `on_read` gets the number of bytes of each read, 0 at the end.
     pub fn new(stream: TcpStream, on_read: F) -> Self {
-        Self { stream, on_read }
+        Self { stream, on_read, written: Arc::default() }
     }
 }
 
@@ -25,6 +52,11 @@
     pub fn get_ref(&self) -> &TcpStream {
         &self.stream
     }
+
+    /// Returns the count of the bytes that are written.
+    pub fn written(&self) -> Arc<Written> {
+        Arc::clone(&self.written)
+    }
 }
 
 impl<F: FnMut(usize) -> Result<()> + Unpin> AsyncRead for WatchedStream<F> {
@@ -46,7 +78,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let count = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        self.written.add(count);
+        Poll::Ready(Ok(count))
     }
 
     fn poll_write_vectored(
@@ -54,7 +88,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let count = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
+        self.written.add(count);
+        Poll::Ready(Ok(count))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -62,7 +98,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.written.flush();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
--- a/tests/testsuite/backend_answers.rs
+++ b/tests/testsuite/backend_answers.rs
@@ -7,7 +7,9 @@
 use limpetmux::core::config::StageKind;
 use limpetmux::core::frames::{AttemptKey, RequestId};
 use limpetmux::core::keys::StageIndex;
-use limpetmux_standins::raw::{CutAnswer, serve_bytes, serve_cut, unframed};
+use limpetmux_standins::raw::{
+    CutAnswer, EarlyAnswer, serve_bytes, serve_cut, serve_early, unframed,
+};
 use std::net::SocketAddr;
 use uuid::Uuid;
 
@@ -27,13 +29,23 @@
 
 /// Runs a call at the backend server at an address.
 async fn run_at(addr: SocketAddr, kind: StageKind, prefix: &[&str]) -> Result<Bytes, BackendError> {
+    run_with(addr, kind, prefix, Bytes::from_static(b"1")).await
+}
+
+/// Runs a call with an input at the backend server at an address.
+async fn run_with(
+    addr: SocketAddr,
+    kind: StageKind,
+    prefix: &[&str],
+    input: Bytes,
+) -> Result<Bytes, BackendError> {
     let url = format!("http://{addr}");
     let backend = Backend::http(OneCallClient::new().unwrap(), &url);
     let job = Job {
         key: AttemptKey { request: RequestId(Uuid::nil()), stage: StageIndex(0), attempt: 0 },
         kind,
         model: None,
-        input: Bytes::from_static(b"1"),
+        input,
         prefix: prefix.iter().map(ToString::to_string).collect(),
         max_tokens: 8,
         priority: 0,
@@ -138,3 +150,37 @@
         assert!(run(kind, answer).await.is_ok());
     }
 }
+
+#[tokio::test]
+async fn part_of_an_answer_to_a_request_that_is_still_being_sent_is_not_passed_on() {
+    // Guards against a part of an early answer without a length that the next stage gets as complete because
+    // the connection ended while the request was being written (MIXED, users' report).
+    let input = Bytes::from(format!("\"{}\"", "x".repeat(3_000_000)));
+    let token = "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\n";
+    for (kind, part) in [(StageKind::Plain, "{\"a\":1"), (StageKind::Generate, token)] {
+        for (step, resets) in (0..16).flat_map(|step| [(step, true), (step, false)]) {
+            let answer =
+                EarlyAnswer { bytes: unframed(part.as_bytes()), reads: 20_000 * step, resets };
+            let addr = serve_early(move || answer.clone()).await.expect("a port");
+
+            let passed_on = run_with(addr, kind, &[], input.clone()).await;
+
+            assert!(passed_on.is_err(), "step {step}, reset {resets}: {passed_on:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn answer_with_a_status_that_is_none_is_not_passed_on() {
+    // Guards against an answer with the status 000 that the next stage gets (MIXED, users' report).
+    for status in ["000", "001", "099", "0", "1000", "-20", "2 0"] {
+        for body in ["{\"a\":1}", ""] {
+            let length = body.len();
+            let answer = format!("HTTP/1.1 {status} Odd\r\ncontent-length: {length}\r\n\r\n{body}");
+
+            let passed_on = run(StageKind::Plain, answer.into_bytes()).await;
+
+            assert!(passed_on.is_err(), "{status}: {passed_on:?}");
+        }
+    }
+}
