Log from whom a node learns a version, and test readers that are turned away in turn

Change: version_in_force and zones_evacuated name the source and the age of the view, so that one late version can be followed.

--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -31,6 +31,7 @@
 use notices::SeenVersions;
 use reader::LostReads;
 use std::collections::BTreeSet;
+use std::fmt::Display;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -317,8 +318,14 @@
         read(&self.view.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Changes the view and publishes it; logs changes of the version and of evacuated zones.
+    /// Changes the view by what the store or this node knows, and publishes it.
     fn update<T>(&self, change: impl FnOnce(&mut StoreView) -> T) -> T {
+        self.update_from("store", change)
+    }
+
+    /// Changes the view by what a source knows, and publishes it; logs changes of the version and of
+    /// evacuated zones, so that a version can be followed through the nodes.
+    fn update_from<T>(&self, source: impl Display, change: impl FnOnce(&mut StoreView) -> T) -> T {
         let mut view = self.view.lock().unwrap_or_else(PoisonError::into_inner);
         let before = (view.orders.version(), view.orders.evacuated.clone());
         let rollouts = view.rollouts.clone();
@@ -326,11 +333,22 @@
         view.name_services();
         let orders = &view.orders;
         if before.0 != orders.version() {
-            event!(EventCode::VersionInForce, version = orders.version(), end = orders.end);
+            event!(
+                EventCode::VersionInForce,
+                version = orders.version(),
+                end = orders.end,
+                source = source,
+                age_ms = orders.age(clock::boot()).as_millis()
+            );
         }
         if before.1 != orders.evacuated {
             let zones: Vec<&str> = orders.evacuated.zones().map(|z| &**z).collect();
-            event!(EventCode::ZonesEvacuated, zones = zones.join(","), end = orders.end);
+            event!(
+                EventCode::ZonesEvacuated,
+                zones = zones.join(","),
+                end = orders.end,
+                source = source
+            );
         }
         if rollouts != view.rollouts {
             rollout::log_changes(&rollouts, &view.rollouts);
--- a/src/limpetmux/fleet/follow/pull.rs
+++ b/src/limpetmux/fleet/follow/pull.rs
@@ -110,7 +110,7 @@
         self.merge_evidence(addr, reply);
         self.learn_notices(addr, reply);
         let age = reply.operator.as_ref().map_or(u64::MAX, |o| o.age_ms);
-        let applied = self.update(|v| {
+        let applied = self.update_from(addr, |v| {
             let applied = convert::apply_reply(requested_at, v, reply);
             if let Some(notice) = &reply.rollout {
                 rollout::merge(&mut v.rollouts, notice);
--- a/src/limpetmux/serve/plain.rs
+++ b/src/limpetmux/serve/plain.rs
@@ -21,8 +21,8 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::http::response::Parts;
 
-/// The memory of an answer that is held. It is more than a small claim, so that answers leave half of the
-/// memory for callers to heads and small bodies.
+/// The memory of an answer that is held, unless it states a shorter length. It is more than a small
+/// claim, so that such answers leave half of the memory for callers to heads and small bodies.
 const ANSWER_CLAIM: usize = HELD_ANSWER_BYTES + BACKEND_READ_BYTES;
 
 /// The beginning of a body.
@@ -85,16 +85,18 @@
     // Parts of a body are copied, as each of them may keep a whole buffer of its connection.
     let mut held = Vec::new();
     let mut claim = None;
+    let stated = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    let size = stated.map_or(ANSWER_CLAIM, |length| length.min(ANSWER_CLAIM));
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
         if claim.is_none() && held.len() + data.len() > UNCLAIMED_ANSWER_BYTES {
-            claim = claim_answer(attempt);
-        }
-        let most = if claim.is_some() { HELD_ANSWER_BYTES } else { UNCLAIMED_ANSWER_BYTES };
-        if claim.is_some() && held.capacity() < ANSWER_CLAIM {
-            held.reserve_exact(ANSWER_CLAIM - held.len());
+            claim = claim_answer(attempt, size);
+            if claim.is_some() {
+                held.reserve_exact(size.saturating_sub(held.len()));
+            }
         }
         held.extend_from_slice(&data);
+        let most = if claim.is_some() { HELD_ANSWER_BYTES } else { UNCLAIMED_ANSWER_BYTES };
         if held.len() > most && !body.is_end_stream() {
             return Ok(Held::Begun(cover(claim, held)));
         }
@@ -103,12 +105,12 @@
 }
 
 /// Claims the memory of an answer that is held; without it, the answer is passed on as it arrives.
-fn claim_answer(attempt: &Attempt) -> Option<Reservation> {
+fn claim_answer(attempt: &Attempt, size: usize) -> Option<Reservation> {
     let memory = &attempt.shared.memory;
     let refused = |full: &MemoryFull| {
         memory.record_refusal(Use::Answer, *full, &attempt.routed.head.id);
     };
-    memory.reserve(ANSWER_CLAIM).inspect_err(refused).ok()
+    memory.reserve(size).inspect_err(refused).ok()
 }
 
 fn cover(claim: Option<Reservation>, held: Vec<u8>) -> Bytes {
--- a/tests/testsuite/platform/turned_away.rs
+++ b/tests/testsuite/platform/turned_away.rs
@@ -68,19 +68,23 @@
     }
 }
 
-/// A sidecar, which reads the store for all, over a link, and two entries.
+/// Sidecars, the first of which reads the store for all, over a link each, and two entries.
 async fn nodes(
     store: &UsersStore,
-    states: watch::Receiver<Link>,
-) -> (RunningNode, [RunningNode; 2]) {
-    let reader = settings("side", link(store.addr, states).await, false, Vec::new());
-    let reader = start(reader).await.unwrap();
-    let entry = |name| start(settings(name, store.addr, true, vec![reader.node_addr]));
+    links: Vec<watch::Receiver<Link>>,
+) -> (Vec<RunningNode>, [RunningNode; 2]) {
+    let mut sidecars: Vec<RunningNode> = Vec::new();
+    for states in links {
+        let seeds = sidecars.iter().map(|s| s.node_addr).take(1).collect();
+        let settings = settings("side", link(store.addr, states).await, false, seeds);
+        sidecars.push(start(settings).await.unwrap());
+    }
+    let entry = |name| start(settings(name, store.addr, true, vec![sidecars[0].node_addr]));
     let entries = [entry("e1").await.unwrap(), entry("e2").await.unwrap()];
     while !entries.iter().all(RunningNode::is_ready) {
         sleep(ms(10)).await;
     }
-    (reader, entries)
+    (sidecars, entries)
 }
 
 /// Returns how long an entry answers that the route of a version is unknown.
@@ -101,47 +105,95 @@
     unreachable!("the numbers do not end")
 }
 
-/// Declares versions with one more route each while the reader's link is bad; returns the longest time
-/// until one is in force at an entry.
-async fn longest_delay(state: Link) -> Duration {
+/// Declares versions with one more route each while the links of `SIDECARS` sidecars change as `disturb`
+/// says; returns the longest time until one is in force at an entry.
+async fn longest_delay<const SIDECARS: usize>(
+    disturb: impl AsyncFnOnce([watch::Sender<Link>; SIDECARS]),
+) -> Duration {
     let store = UsersStore::start().await.unwrap();
     let server = UsersServer::start("p1").await.unwrap();
     store.put("keyed.op", "config", &config(1, "k1"));
     store.put("keyed.servers", "p1", &server.entry("plain", "mnl-a", "ready"));
-    let (sender, states) = watch::channel(Link::Sound);
-    let (_reader, entries) = nodes(&store, states).await;
+    let senders = [(); SIDECARS].map(|()| watch::Sender::new(Link::Sound));
+    let links = senders.iter().map(watch::Sender::subscribe).collect();
+    let (_sidecars, entries) = nodes(&store, links).await;
     sleep(ms(1_500)).await;
-    sender.send_replace(state);
-    let mut longest = Duration::ZERO;
-    for version in 2..2 + VERSIONS {
-        let path = format!("/v{version}/");
-        store.put("keyed.op", "config", &config(version, "k1").replace("/once/", &path));
-        let delays = entries.each_ref().map(|e| delay(e.caller_addr.unwrap(), version));
-        longest = futures::future::join_all(delays).await.into_iter().fold(longest, Duration::max);
-        sleep(VERSION_INTERVAL).await;
+    let declare = async {
+        let mut longest = Duration::ZERO;
+        for version in 2..2 + VERSIONS {
+            let path = format!("/v{version}/");
+            store.put("keyed.op", "config", &config(version, "k1").replace("/once/", &path));
+            let delays = entries.each_ref().map(|e| delay(e.caller_addr.unwrap(), version));
+            let delays = futures::future::join_all(delays).await;
+            longest = delays.into_iter().fold(longest, Duration::max);
+            println!("version {version}: in force after {longest:?} at most");
+            sleep(VERSION_INTERVAL).await;
+        }
+        longest
+    };
+    let disturb = async {
+        disturb(senders).await;
+        std::future::pending().await
+    };
+    tokio::select! {
+        longest = declare => longest,
+        () = disturb => unreachable!("the links stay as they are"),
+    }
+}
+
+/// Gives all links one state and keeps them so.
+async fn set_all<const SIDECARS: usize>(links: [watch::Sender<Link>; SIDECARS], state: Link) {
+    for link in &links {
+        link.send_replace(state);
     }
-    println!("{state:?}: in force after {longest:?} at most");
-    longest
+    std::future::pending().await
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn version_is_in_force_in_time_while_the_store_turns_the_reader_away() {
     // Guards against a reader that stays the source of all although it cannot read.
-    let delay = longest_delay(Link::Refused).await;
+    let delay = longest_delay::<1>(async |links| set_all(links, Link::Refused).await).await;
 
     assert!(delay <= CONFIG_BOUND, "{delay:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn version_is_in_force_in_time_while_the_store_does_not_answer_the_reader() {
-    let delay = longest_delay(Link::Silent).await;
+    let delay = longest_delay::<1>(async |links| set_all(links, Link::Silent).await).await;
 
     assert!(delay <= CONFIG_BOUND, "{delay:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn version_is_in_force_in_time_while_the_reader_reads_slowly() {
-    let delay = longest_delay(Link::Slow(ms(1_200))).await;
+    let state = Link::Slow(ms(1_200));
+    let delay = longest_delay::<1>(async |links| set_all(links, state).await).await;
+
+    assert!(delay <= CONFIG_BOUND, "{delay:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn version_is_in_force_in_time_while_the_store_does_not_answer_several_readers() {
+    // Guards against one late reader after the other, each of which takes its time (review/3, CONFIG).
+    let delay = longest_delay::<3>(async |links| set_all(links, Link::Silent).await).await;
+
+    assert!(delay <= CONFIG_BOUND, "{delay:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn version_is_in_force_in_time_while_the_store_turns_readers_away_in_turn() {
+    // Guards against a reader that is back with an old view, and pulls from one that has just stepped back
+    // (review/3, CONFIG).
+    let states = [Link::Refused, Link::Silent];
+    let delay = longest_delay::<3>(async |links| {
+        for turn in 0.. {
+            let state = states[turn / links.len() % states.len()];
+            links[turn % links.len()].send_replace(state);
+            sleep(ms(700)).await;
+            links[turn % links.len()].send_replace(Link::Sound);
+        }
+    })
+    .await;
 
     assert!(delay <= CONFIG_BOUND, "{delay:?}");
 }
