--- a/tests/clients/fixture.rs
+++ b/tests/clients/fixture.rs
@@ -30,6 +30,9 @@
 pub const MAX_HEAD: usize = 16_384;
 /// The deadline of each request, in milliseconds.
 pub const DEADLINE_MS: u64 = 10_000;
+/// The requests that the ordinary backend server and each faulty one run at once.
+const PLAIN_SLOTS: u32 = 64;
+const JUNK_SLOTS: u32 = 1_000;
 /// The port for metrics, which `deploy/system.toml` names.
 const METRICS_PORT: u16 = 9464;
 
@@ -113,7 +116,7 @@
         let store = UsersStore::start().await.unwrap();
         store.put("keyed.op", "config", &config().to_string());
         let server = backend().await;
-        store.put("keyed.servers", "p1", &server_record("plain", server));
+        store.put("keyed.servers", "p1", &server_record("plain", server, PLAIN_SLOTS, 1));
         let [a, b] = (std::process::id() as u16).to_be_bytes();
         let ip = Ipv4Addr::new(127, 98, a, b.max(2));
         let ports = [free_port(ip), free_port(ip), free_port(ip)];
@@ -154,7 +157,8 @@
     /// Replaces the backend servers of the second service.
     pub fn set_junk(&self, servers: &[SocketAddr]) {
         for (number, server) in servers.iter().enumerate() {
-            let record = server_record("junk", *server);
+            // A server of another start has no failures of the one before it.
+            let record = server_record("junk", *server, JUNK_SLOTS, server.port());
             self.store.put("keyed.servers", &format!("j{number}"), &record);
         }
     }
@@ -245,9 +249,9 @@
     )
 }
 
-fn server_record(service: &str, addr: SocketAddr) -> String {
-    json!({"service": service, "address": addr, "zone": "mnl-a", "version": "v1", "slots": 1_000,
-        "state": "ready", "cold-remaining-ms": 0, "sequence": 1, "born": addr.port()})
+fn server_record(service: &str, addr: SocketAddr, slots: u32, born: u16) -> String {
+    json!({"service": service, "address": addr, "zone": "mnl-a", "version": "v1", "slots": slots,
+        "state": "ready", "cold-remaining-ms": 0, "sequence": 1, "born": born})
     .to_string()
 }
 
--- a/tests/testsuite/platform/store_answers.rs
+++ b/tests/testsuite/platform/store_answers.rs
@@ -106,3 +106,16 @@
     let offsets: Vec<u64> = page.records.iter().map(|r| r.position.offset).collect();
     assert_eq!((offsets, page.end), (vec![4, 6], pos(7)));
 }
+
+#[tokio::test]
+async fn answer_with_a_status_that_is_none_is_an_error() {
+    // Guards against records, or a write that counts as done, by an answer with the status 000.
+    for status in ["000", "099", "1000"] {
+        let answer = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 16\r\n\r\n");
+        let bytes = [answer.as_bytes(), &log_page(9, 0)].concat();
+        let store = Store::new(serve_bytes(bytes).await.unwrap());
+
+        assert!(store.read("keyed.op", pos(9), Duration::ZERO).await.is_err(), "{status}");
+        assert!(store.put("keyed.op", "k", b"v").await.is_err(), "{status}");
+    }
+}
