Keep a stopping entry until its answers were written

Cause: a request ran until its answer was handed to the HTTP library; what the library held for a slow caller kept nothing alive, and wait_idle exited 20 ms after the last request had ended in this sense. Change: each connection keeps its latest request running until the library has taken the whole answer and nothing is left to write to the connection (serve/unsent.rs). The connection reports its flushes; the library flushes it only when its own buffer is empty.

--- a/src/limpetmux/serve/front.rs
+++ b/src/limpetmux/serve/front.rs
@@ -3,8 +3,9 @@
 use super::connections::set_probes;
 use super::head_time::{HeadStart, HeadTimer, timed};
 use super::node::Shared;
-use super::request;
+use super::request::{self, Running};
 use super::stream::Body;
+use super::unsent::Unsent;
 use crate::core::catalog::CallerLimits;
 use crate::core::read_limits::{
     Bound, DEFAULT_CALLER_HEAD_BYTES, DEFAULT_CALLER_HEAD_TIME, DEFAULT_CALLER_IDLE_TIME, Exceeded,
@@ -87,13 +88,20 @@
     let limits = limits(&shared);
     let start = HeadStart::default();
     let timer = HeadTimer { start: start.clone(), head: limits.header_timeout };
-    let stream = ProgressStream::new(timed(stream, start.clone()), limits.idle_timeout);
+    let unsent = Unsent::default();
+    let sent = unsent.clone();
+    let stream = timed(stream, start.clone(), move || sent.flushed());
+    let stream = ProgressStream::new(stream, limits.idle_timeout);
     let handled = Arc::clone(&shared);
     let knows_chunks = AtomicBool::new(true);
     let service = service_fn(|request: Request<Incoming>| {
         knows_chunks.store(request.version() > Version::HTTP_10, Ordering::Relaxed);
-        let shared = Arc::clone(&handled);
-        async move { Ok::<Response<Body>, Infallible>(request::handle(shared, request).await) }
+        let (shared, unsent) = (Arc::clone(&handled), unsent.clone());
+        async move {
+            let running = Running::new(&shared);
+            let answer = request::handle(shared, request).await;
+            Ok::<Response<Body>, Infallible>(answer.map(|body| unsent.hold(running, body)))
+        }
     });
     let mut serving = http1::Builder::new()
         .timer(timer)
--- a/src/limpetmux/serve/head_time.rs
+++ b/src/limpetmux/serve/head_time.rs
@@ -73,15 +73,18 @@
 
 impl Sleep for HeadSleep {}
 
-/// Wraps the connection of a caller so that `start` is known once bytes arrive.
+/// Wraps the connection of a caller so that `start` is known once bytes arrive, and `flushed` is called
+/// whenever all answers were written.
 pub(super) fn timed(
     stream: TcpStream,
     start: HeadStart,
-) -> WatchedStream<impl FnMut(usize) -> io::Result<()>> {
-    WatchedStream::new(stream, move |count| {
+    flushed: impl FnMut(),
+) -> WatchedStream<impl FnMut(usize) -> io::Result<()>, impl FnMut()> {
+    let watched = WatchedStream::new(stream, move |count| {
         if count > 0 {
             start.lock().get_or_insert_with(Instant::now);
         }
         Ok(())
-    })
+    });
+    watched.reporting_flushes(flushed)
 }
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -121,7 +121,6 @@
 /// Answers a request.
 pub async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let arrived = clock::boot();
-    let _running = Running::new(&shared);
     let (parts, body) = request.into_parts();
     let head = match caller::decode(&parts) {
         Ok(head) => head,
--- a/src/limpetmux/util/watched_stream.rs
+++ b/src/limpetmux/util/watched_stream.rs
@@ -32,11 +32,12 @@
     }
 }
 
-/// A TCP connection whose reads are reported; an error of `on_read` fails the read.
+/// A TCP connection whose reads and flushes are reported; an error of `on_read` fails the read.
 #[derive(Debug)]
-pub struct WatchedStream<F> {
+pub struct WatchedStream<F, G = fn()> {
     stream: TcpStream,
     on_read: F,
+    on_flush: G,
     /// The most bytes of one read.
     most: usize,
     written: Arc<Written>,
@@ -45,16 +46,22 @@
 impl<F: FnMut(usize) -> Result<()> + Unpin> WatchedStream<F> {
     /// Wraps a connection; `on_read` gets the number of bytes of each read, 0 at the end.
     pub fn new(stream: TcpStream, on_read: F) -> Self {
-        Self { stream, on_read, most: usize::MAX, written: Arc::default() }
+        Self { stream, on_read, on_flush: || (), most: usize::MAX, written: Arc::default() }
     }
 
     /// Reads at most `most` bytes at a time, so that the buffer of whoever reads a fast peer does not grow.
     pub fn reading_at_most(self, most: usize) -> Self {
         Self { most, ..self }
     }
+
+    /// Calls `on_flush` whenever nothing is left to write.
+    pub fn reporting_flushes<G: FnMut()>(self, on_flush: G) -> WatchedStream<F, G> {
+        let Self { stream, on_read, most, written, .. } = self;
+        WatchedStream { stream, on_read, on_flush, most, written }
+    }
 }
 
-impl<F> WatchedStream<F> {
+impl<F, G> WatchedStream<F, G> {
     /// Returns the connection itself.
     pub fn get_ref(&self) -> &TcpStream {
         &self.stream
@@ -66,7 +73,7 @@
     }
 }
 
-impl<F: FnMut(usize) -> Result<()> + Unpin> AsyncRead for WatchedStream<F> {
+impl<F: FnMut(usize) -> Result<()> + Unpin, G: Unpin> AsyncRead for WatchedStream<F, G> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -81,7 +88,7 @@
     }
 }
 
-impl<F: Unpin> AsyncWrite for WatchedStream<F> {
+impl<F: Unpin, G: FnMut() + Unpin> AsyncWrite for WatchedStream<F, G> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -109,6 +116,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
         self.written.flush();
+        (self.on_flush)();
         Poll::Ready(Ok(()))
     }
 
--- a/tests/testsuite/platform/drain.rs
+++ b/tests/testsuite/platform/drain.rs
@@ -5,12 +5,15 @@
 use limpetmux::core::node_stop::NodeStop;
 use limpetmux::core::time::Moment;
 use limpetmux::serve::run::{start, wait_idle};
+use limpetmux_standins::raw::serve_bytes;
+use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -200,3 +203,63 @@
         assert!(is_true, "request {id} was answered with {status:?} and ran {runs} times");
     }
 }
+
+/// The bytes of a long answer, and what its slow caller takes at a time and its pause after that: more than
+/// the time until the node closes idle connections, and less than its grace period.
+const LONG_BYTES: usize = 1_000_000;
+const READ_BYTES: usize = 2_000;
+const READ_PAUSE: Duration = Duration::from_millis(7);
+
+/// Connects with the segments of an Ethernet link and a small receive buffer.
+fn connect_slow(addr: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_tcp_mss(1_460).unwrap();
+    socket.set_recv_buffer_size(16_384).unwrap();
+    socket.connect(&addr.into()).unwrap();
+    socket.set_nonblocking(true).unwrap();
+    TcpStream::from_std(socket.into()).unwrap()
+}
+
+/// Asks for a long answer and reads it slowly; returns how many bytes of it arrive.
+async fn read_slowly(addr: SocketAddr, path: &str) -> usize {
+    let mut stream = connect_slow(addr);
+    let head = "host: a.example\r\nx-limpetmux-request-id: 1f\r\nauthorization: Bearer k2\r\n";
+    let request = format!("POST {path} HTTP/1.1\r\n{head}content-length: 0\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let (mut part, mut read) = (vec![0; READ_BYTES], Vec::new());
+    while let Ok(count @ 1..) = stream.read(&mut part).await {
+        read.extend_from_slice(&part[..count]);
+        sleep(READ_PAUSE).await;
+    }
+    let end = read.windows(4).position(|w| w == b"\r\n\r\n").expect("an answer");
+    read.len() - end - 4
+}
+
+#[test]
+fn answer_that_its_caller_takes_slowly_is_not_cut_by_the_exit() {
+    // Guards against a process that exits while the HTTP server holds the end of an answer (rule LOST).
+    let (tests, process) = (Runtime::new().unwrap(), Runtime::new().unwrap());
+    let (arrived, left) = tests.block_on(async {
+        let head = "HTTP/1.1 200 OK\r\nx-limpetmux-request-id: 1f\r\nx-limpetmux-response-signature: s\r\n";
+        let answer = format!("{head}content-length: {LONG_BYTES}\r\n\r\n{}", "x".repeat(LONG_BYTES));
+        let addr = serve_bytes(answer).await.unwrap();
+        let fixture = slow_fixture(OwnServer { id: "own", service: "plain", addr }).await;
+        let seeds = vec![fixture.sidecar.node_addr];
+        let mut settings = settings("other", fixture.store.addr, true, seeds);
+        settings.bounds.grace_period = Duration::from_secs(10);
+        let node = process.spawn(start(settings)).await.unwrap().unwrap();
+        while !node.is_ready() {
+            sleep(ms(10)).await;
+        }
+        let caller = tokio::spawn(read_slowly(node.caller_addr.unwrap(), "/once/x"));
+        sleep(ms(200)).await;
+
+        let left = timeout(PATIENCE, process.spawn(node.drain())).await.unwrap().unwrap();
+        // All connections close, as when the process exits.
+        process.shutdown_background();
+
+        (timeout(PATIENCE, caller).await.unwrap().unwrap(), left)
+    });
+
+    assert_eq!((arrived, left), (LONG_BYTES, 0));
+}
