Give answers of the own interface what is left of a drain's deadline

Change: the report of a shutdown states what is left of its deadline, also of one that an operator brought forward, and the connections of callers have that time, 1 s at least. The test of the shutdown's report now also asks for the time that is left.

--- a/src/limpetmux/core/shutdown/mod.rs
+++ b/src/limpetmux/core/shutdown/mod.rs
@@ -91,6 +91,9 @@
 pub struct DrainReport {
     /// The time from the order to the exit, in microseconds.
     pub took_us: u64,
+    /// The time from the exit to the deadline, in microseconds, in which answers may still leave; 0 in the
+    /// report of another process.
+    pub left_us: u64,
     /// Requests that still ran at the deadline; an entry answers them, a sidecar cuts them off.
     pub unfinished: u32,
     /// Whether all records reached the platform.
@@ -176,7 +179,10 @@
 
     fn end(&mut self, now: Moment, flushed: bool) -> ShutdownAction {
         self.phase = Phase::Ended;
-        let took_us = u64::try_from(now.since(self.started).as_micros()).unwrap_or(u64::MAX);
-        ShutdownAction::Exit(DrainReport { took_us, unfinished: self.unfinished, flushed })
+        let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        let took_us = micros(now.since(self.started));
+        let left_us = micros(now.until(self.deadline));
+        let unfinished = self.unfinished;
+        ShutdownAction::Exit(DrainReport { took_us, left_us, unfinished, flushed })
     }
 }
--- a/src/limpetmux/node/process.rs
+++ b/src/limpetmux/node/process.rs
@@ -20,7 +20,7 @@
 use tokio::sync::oneshot;
 use tonic::service::Routes;
 
-/// The maximum time for connections to close after a drain has ended.
+/// The maximum time for connections to close after a drain has ended at its deadline.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why a process fails.
@@ -60,6 +60,7 @@
 pub struct Process {
     /// Starts a drain.
     pub shutdown: ShutdownHandle,
+    times: ShutdownOptions,
     service: ShutdownService,
     channels: Channels,
     routes: Routes,
@@ -83,7 +84,7 @@
         let (service, shutdown) = register(&parts.kernel, parts.times, hooks)?;
         let admin = AdminService::server(shutdown.clone(), parts.status);
         let routes = sidecar_routes(sidecar).add_service(admin);
-        Ok(Self { shutdown, service, channels: parts.channels, routes })
+        Ok(Self { shutdown, times: parts.times, service, channels: parts.channels, routes })
     }
 
     /// Prepares the process of an entry.
@@ -102,7 +103,7 @@
         };
         let (service, shutdown) = register(&parts.kernel, parts.times, hooks)?;
         let routes = Routes::new(AdminService::server(shutdown.clone(), parts.status));
-        Ok(Self { shutdown, service, channels: parts.channels, routes })
+        Ok(Self { shutdown, times: parts.times, service, channels: parts.channels, routes })
     }
 
     /// Adds gRPC services to the process.
@@ -177,7 +178,8 @@
     signal: impl Future<Output = ()> + Send,
 ) -> Result<DrainReport, ProcessError> {
     let (drained, ended) = oneshot::channel::<()>();
-    let http = entry.serve(listeners.http, async { drop(ended.await) }, CLOSE_TIMEOUT);
+    let longest = process.times.deadline.max(CLOSE_TIMEOUT);
+    let http = entry.serve(listeners.http, async { drop(ended.await) }, longest);
     tokio::pin!(http);
     let report = tokio::select! {
         report = process.run(listeners.grpc, signal) => report?,
@@ -187,7 +189,12 @@
         }
     };
     drop(drained);
-    http.await?;
+    // Callers that read slowly still take their answers, which belong to no running request. A connection
+    // that is open after this is dropped with the process.
+    let left = Duration::from_micros(report.left_us).max(CLOSE_TIMEOUT);
+    if let Ok(result) = tokio::time::timeout(left, http).await {
+        result?;
+    }
     Ok(report)
 }
 
--- a/src/limpetmux/ops/drain.rs
+++ b/src/limpetmux/ops/drain.rs
@@ -36,5 +36,5 @@
     let reply = client.drain(DrainRequest { deadline_ms: ms }).await.map_err(no_answer(addr))?;
     let reply = reply.into_inner();
     let (took_us, unfinished, flushed) = (reply.took_us, reply.unfinished, reply.flushed);
-    Ok(DrainReport { took_us, unfinished, flushed })
+    Ok(DrainReport { took_us, unfinished, flushed, ..DrainReport::default() })
 }
--- a/tests/testsuite/platform/drain.rs
+++ b/tests/testsuite/platform/drain.rs
@@ -220,13 +220,11 @@
     TcpStream::from_std(socket.into()).unwrap()
 }
 
-/// Asks for a long answer and reads it slowly; returns how many bytes of it arrive.
-async fn read_slowly(addr: SocketAddr, path: &str) -> usize {
+/// Sends a request and reads a long answer slowly, `most` bytes at a time; returns how many bytes of its body arrive.
+pub(crate) async fn read_slowly(addr: SocketAddr, request: String, most: usize) -> usize {
     let mut stream = connect_slow(addr);
-    let head = "host: a.example\r\nx-limpetmux-request-id: 1f\r\nauthorization: Bearer k2\r\n";
-    let request = format!("POST {path} HTTP/1.1\r\n{head}content-length: 0\r\n\r\n");
     stream.write_all(request.as_bytes()).await.unwrap();
-    let (mut part, mut read) = (vec![0; READ_BYTES], Vec::new());
+    let (mut part, mut read) = (vec![0; most], Vec::new());
     while let Ok(count @ 1..) = stream.read(&mut part).await {
         read.extend_from_slice(&part[..count]);
         sleep(READ_PAUSE).await;
@@ -251,7 +249,9 @@
         while !node.is_ready() {
             sleep(ms(10)).await;
         }
-        let caller = tokio::spawn(read_slowly(node.caller_addr.unwrap(), "/once/x"));
+        let head = "host: a.example\r\nx-limpetmux-request-id: 1f\r\nauthorization: Bearer k2\r\n";
+        let request = format!("POST /once/x HTTP/1.1\r\n{head}content-length: 0\r\n\r\n");
+        let caller = tokio::spawn(read_slowly(node.caller_addr.unwrap(), request, READ_BYTES));
         sleep(ms(200)).await;
 
         let left = timeout(PATIENCE, process.spawn(node.drain())).await.unwrap().unwrap();
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -7,7 +7,7 @@
 mod chain;
 mod crash_fixture;
 mod cut_heads;
-mod drain;
+pub(crate) mod drain;
 mod early_answers;
 mod endless_answers;
 mod endless_callers;
--- a/tests/testsuite/shutdown.rs
+++ b/tests/testsuite/shutdown.rs
@@ -35,7 +35,8 @@
     assert_eq!((early, busy), (vec![], vec![]));
     assert_eq!(notice, [ShutdownAction::Refuse]);
     assert_eq!(idle, [ShutdownAction::Flush]);
-    let report = DrainReport { took_us: 10_500_000, unfinished: 0, flushed: true };
+    let report =
+        DrainReport { took_us: 10_500_000, left_us: 19_500_000, unfinished: 0, flushed: true };
     assert_eq!(end, [ShutdownAction::Exit(report)]);
 }
 
@@ -49,7 +50,7 @@
     let end = shutdown.tick(at(6_010), 7);
 
     assert_eq!(flush, [ShutdownAction::Answer, ShutdownAction::Flush]);
-    let report = DrainReport { took_us: 6_010_000, unfinished: 7, flushed: false };
+    let report = DrainReport { took_us: 6_010_000, left_us: 0, unfinished: 7, flushed: false };
     assert_eq!(end, [ShutdownAction::Exit(report)]);
 }
 
