Claim the parts of prompts, and read them only once a request is whole

Cause: the head was decoded whole on arrival, 98 KB of parts for 16 KB of text, and the claim counted the text. Change: the prompt stays text until the body is whole; then its parts are claimed and read into lists of their size. The test of decoded heads now also asks that parts take no more than what is claimed for them.

--- a/src/limpetmux/platform/caller.rs
+++ b/src/limpetmux/platform/caller.rs
@@ -4,7 +4,9 @@
 use crate::core::engines::PromptPart;
 use crate::core::prompt_part::PartId;
 use crate::util::hash::hash_parts;
-use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName, TRANSFER_ENCODING};
+use hyper::header::{
+    AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
 use std::time::Duration;
@@ -34,10 +36,8 @@
     pub deadline: Duration,
     /// The caller's key.
     pub api_key: Option<String>,
-    /// The parts of the prompt in order; the last one is not shared with other prompts.
-    pub prompt_parts: Vec<PromptPart>,
-    /// The names of the parts that other prompts may share: all but the last one.
-    pub shared_parts: Vec<PartId>,
+    /// The parts of the prompt as the caller wrote them, which [`Prompt::decode`] reads.
+    pub prompt: Option<HeaderValue>,
     /// The number of tokens of the prompt.
     pub prompt_tokens: u32,
     /// The number of pieces of each stage.
@@ -74,11 +74,41 @@
     Path,
 }
 
-impl RequestHead {
+/// The parts of a prompt.
+///
+/// They may take many times the bytes of their text, so they are read only once a request is whole, and
+/// their memory is claimed before. See `docs/design/memory.md`.
+#[derive(Clone, Debug, Default)]
+pub struct Prompt {
+    /// All parts in order; the last one is not shared with other prompts.
+    pub parts: Vec<PromptPart>,
+    /// The names of the parts that other prompts may share: all but the last one.
+    pub shared: Vec<PartId>,
+}
+
+impl Prompt {
+    /// Reads the parts of a prompt that a head states; there are none without a header.
+    pub fn decode(head: &RequestHead) -> Self {
+        let Some(text) = head.prompt_text() else { return Self::default() };
+        Self { parts: prompt_parts(text), shared: shared_parts(text) }
+    }
+
+    /// Returns the bytes that the parts of a prompt take once they are read.
+    pub fn bytes(head: &RequestHead) -> usize {
+        let count = head.prompt_text().map_or(0, count_parts);
+        count * (size_of::<PromptPart>() + size_of::<PartId>())
+    }
+
     /// Returns the hash of the longest prefix of the prompt that other requests share.
     pub fn prefix(&self) -> Option<u64> {
-        let shared = self.prompt_parts.len().saturating_sub(2);
-        self.prompt_parts.get(shared).map(|p| p.key)
+        let shared = self.parts.len().saturating_sub(2);
+        self.parts.get(shared).map(|p| p.key)
+    }
+}
+
+impl RequestHead {
+    fn prompt_text(&self) -> Option<&str> {
+        self.prompt.as_ref()?.to_str().ok().map(str::trim)
     }
 }
 
@@ -102,7 +132,7 @@
     if !target.starts_with('/') {
         return Err(BadRequest::Path);
     }
-    let prompt = single(headers, &names::PROMPT_PARTS);
+    let prompt = single_value(headers, &names::PROMPT_PARTS).cloned();
     let pieces = match headers.contains_key(&names::PIECES) {
         true => pieces(single(headers, &names::PIECES))?,
         false => Vec::new(),
@@ -115,8 +145,7 @@
         method: parts.method.clone(),
         deadline: deadline(headers)?,
         api_key: key(headers),
-        prompt_parts: prompt.map(prompt_parts).unwrap_or_default(),
-        shared_parts: prompt.map(shared_parts).unwrap_or_default(),
+        prompt,
         prompt_tokens: single(headers, &names::TOKENS).map_or(0, prompt_tokens),
         pieces,
         piece_key: single(headers, &names::PIECE_KEY).unwrap_or_default().to_owned(),
@@ -131,11 +160,15 @@
     if lengths > 1 || (lengths == 1 && chunked) { Err(BadRequest::Length) } else { Ok(()) }
 }
 
-/// Returns the value of a header that occurs exactly once.
+/// Returns the text of a header that occurs exactly once.
 fn single<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    single_value(headers, name)?.to_str().ok().map(str::trim)
+}
+
+fn single_value<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a HeaderValue> {
     let mut values = headers.get_all(name).iter();
-    let value = values.next()?.to_str().ok()?;
-    values.next().is_none().then_some(value.trim())
+    let value = values.next()?;
+    values.next().is_none().then_some(value)
 }
 
 fn key(headers: &HeaderMap) -> Option<String> {
@@ -151,9 +184,13 @@
     Duration::try_from_secs_f64(ms / 1_000.0).map_err(|_| BadRequest::Deadline)
 }
 
+fn count_parts(text: &str) -> usize {
+    text.split(',').count()
+}
+
 /// Parses the parts of a prompt; the key of each is a hash of the ids of all parts up to it.
 fn prompt_parts(text: &str) -> Vec<PromptPart> {
-    let mut parts: Vec<PromptPart> = Vec::new();
+    let mut parts: Vec<PromptPart> = Vec::with_capacity(count_parts(text));
     for part in text.split(',') {
         let (id, tokens) = part.trim().split_once(':').unwrap_or((part.trim(), ""));
         let previous = parts.last().map_or(0, |p| p.key);
@@ -168,7 +205,9 @@
     let (shared, _) = text.rsplit_once(',').unwrap_or_default();
     let name = |part: &str| part.split(':').next().unwrap_or_default().trim().to_owned();
     let names = shared.split(',').map(name).filter(|name| !name.is_empty());
-    names.map(|name| PartId::named(&name)).collect()
+    let mut parts = Vec::with_capacity(count_parts(shared));
+    parts.extend(names.map(|name| PartId::named(&name)));
+    parts
 }
 
 fn prompt_tokens(text: &str) -> u32 {
--- a/src/limpetmux/serve/attempt.rs
+++ b/src/limpetmux/serve/attempt.rs
@@ -188,12 +188,12 @@
 
     /// Finds out whether the backend server has ended, after its answer broke off behind some events.
     pub(super) fn examine_server(&self, events: u64) {
-        if self.routed.head.shared_parts.is_empty() {
+        if self.routed.prompt.shared.is_empty() {
             return;
         }
         let request = BrokenRequest {
             id: self.routed.head.id.as_str().into(),
-            parts: self.routed.head.shared_parts.clone(),
+            parts: self.routed.prompt.shared.clone(),
             events,
         };
         ended::examine(&self.shared, &self.run, self.addr, request);
@@ -252,7 +252,7 @@
         let (framing, tail) = names(received);
         self.shared.metrics.count(Metric::RequestsAnswered, 1, &tags);
         if status.is_success() {
-            let parts = &self.routed.head.shared_parts;
+            let parts = &self.routed.prompt.shared;
             self.shared.quarantine.record_use(&self.shared.metrics, self.began, parts);
         }
         self.shared.metrics.time(Metric::RequestTime, now.since(self.routed.arrived), &tags);
@@ -266,7 +266,7 @@
             head_ms = self.head_at.since(self.began).as_millis(),
             first_ms = first_latency.as_millis(),
             expected_ms = self.expected.unwrap_or_default().as_millis(),
-            parts = prompt_part::list(&self.routed.head.shared_parts),
+            parts = prompt_part::list(&self.routed.prompt.shared),
             tokens = self.routed.head.prompt_tokens,
             framing = framing,
             bytes = received.bytes,
--- a/src/limpetmux/serve/engines.rs
+++ b/src/limpetmux/serve/engines.rs
@@ -50,7 +50,7 @@
     routed: &RoutedRequest,
     delay: Duration,
 ) -> Result<Option<PlacedEngine>, Failure> {
-    let trial = check_parts(shared, &routed.head)?.is_some();
+    let trial = check_parts(shared, &routed.head, &routed.prompt)?.is_some();
     let message = PlaceEngine {
         planned: true,
         fresh: true,
@@ -72,7 +72,7 @@
     inputs: &InputLocation,
     except: &[Arc<str>],
 ) -> Result<Option<PlacedEngine>, Failure> {
-    let trial = check_parts(shared, &routed.head)?.is_some();
+    let trial = check_parts(shared, &routed.head, &routed.prompt)?.is_some();
     let message = PlaceEngine {
         // A request with stages was checked before them.
         fresh: except.is_empty() && routed.pieces().iter().all(|n| *n == 0),
@@ -86,12 +86,12 @@
 }
 
 fn message(routed: &RoutedRequest, delay: Duration) -> PlaceEngine {
-    let parts = routed.head.prompt_parts.iter().map(|p| Part { key: p.key, tokens: p.tokens });
+    let parts = routed.prompt.parts.iter().map(|p| Part { key: p.key, tokens: p.tokens });
     PlaceEngine {
         service: routed.service.to_string(),
         request: routed.head.id.clone(),
         parts: parts.collect(),
-        shared: routed.head.shared_parts.iter().map(|p| p.value()).collect(),
+        shared: routed.prompt.shared.iter().map(|p| p.value()).collect(),
         tokens: routed.head.prompt_tokens,
         workspace: routed.workspace().unwrap_or_default().to_owned(),
         slack_ms: millis(clock::boot().until(routed.latency_deadline()).saturating_sub(delay)),
--- a/src/limpetmux/serve/forward.rs
+++ b/src/limpetmux/serve/forward.rs
@@ -226,7 +226,7 @@
     ) -> PlaceQuery<'q> {
         let is_engine = pool.is_some_and(|p| p.engine.is_some());
         PlaceQuery {
-            prefix: self.routed.head.prefix().filter(|_| is_engine),
+            prefix: self.routed.prompt.prefix().filter(|_| is_engine),
             zone: &self.shared.local_node.zone,
             planned: self.planned.as_deref(),
             chosen: choice.map(|c| &*c.server),
@@ -250,7 +250,7 @@
         let view = self.shared.view.load();
         let routed = self.routed;
         self.authorize(&view)?;
-        let trial = check_parts(self.shared, &routed.head)?;
+        let trial = check_parts(self.shared, &routed.head, &routed.prompt)?;
         let catalog = view.orders.config.as_ref().map_or(&routed.catalog, |c| &c.catalog);
         let pool = catalog.pool(&routed.service).or_else(|| routed.catalog.pool(&routed.service));
         let entries = self.shared.nodes().entries(now);
--- a/src/limpetmux/serve/request.rs
+++ b/src/limpetmux/serve/request.rs
@@ -14,7 +14,7 @@
 use crate::core::quarantine::{Trial, Verdict};
 use crate::core::time::Moment;
 use crate::event;
-use crate::platform::caller::{self, RequestHead};
+use crate::platform::caller::{self, Prompt, RequestHead};
 use crate::util::clock;
 use crate::util::event::EventCode;
 use crate::util::memory::{Reservation, Use};
@@ -45,6 +45,8 @@
 pub struct RoutedRequest {
     /// The head of the request.
     pub head: RequestHead,
+    /// The parts of its prompt.
+    pub prompt: Prompt,
     /// The body of the request.
     pub body: Bytes,
     /// The configuration under which it was accepted.
@@ -64,8 +66,8 @@
     pub maybe_ran: AtomicBool,
     /// The addresses that it was sent to.
     sent_to: Mutex<BTreeSet<SocketAddr>>,
-    /// The claim on the memory of its head; that of its body is part of the body.
-    _memory: Reservation,
+    /// The claims on the memory of its head and its prompt; that of its body is part of the body.
+    _memory: [Reservation; 2],
 }
 
 impl RoutedRequest {
@@ -186,7 +188,8 @@
     let holder = authorize(shared, &view, &catalog, &catalog.routes[route], &head)?;
     let allowed = head.deadline.min(catalog.routes[route].timeout).saturating_sub(ANSWER_MARGIN);
     let body = upload::read(shared, &head.id, body, catalog.limits.max_body, allowed).await?;
-    check_parts(shared, &head)?;
+    let (prompt, parts_memory) = read_prompt(shared, &head)?;
+    check_parts(shared, &head, &prompt)?;
     let service = choose_service(&catalog.routes[route]).ok_or(Failure::new(Reason::NoRoute))?;
     let deadline = arrived + allowed;
     if !shared.accepts(deadline) {
@@ -195,6 +198,7 @@
     let (maybe_ran, sent_to) = (AtomicBool::new(false), Mutex::default());
     Ok(RoutedRequest {
         head,
+        prompt,
         body,
         catalog,
         route,
@@ -204,7 +208,7 @@
         deadline,
         maybe_ran,
         sent_to,
-        _memory: memory,
+        _memory: [memory, parts_memory],
     })
 }
 
@@ -215,6 +219,13 @@
     claimed.map_err(|full| upload::refuse(shared, Use::Head, full, &head.id))
 }
 
+/// Claims the memory of a prompt's parts and reads them. An upload that has stopped holds only their text.
+fn read_prompt(shared: &Shared, head: &RequestHead) -> Result<(Prompt, Reservation), Failure> {
+    let claimed = shared.memory.reserve(Prompt::bytes(head));
+    let memory = claimed.map_err(|full| upload::refuse(shared, Use::Prompt, full, &head.id))?;
+    Ok((Prompt::decode(head), memory))
+}
+
 /// Returns the holder of the caller's key, or `None` if the route needs no key.
 ///
 /// # Errors
@@ -242,8 +253,12 @@
 ///
 /// # Errors
 /// Returns a refusal if a part of its prompt is quarantined otherwise.
-pub fn check_parts(shared: &Shared, head: &RequestHead) -> Result<Option<Trial>, Failure> {
-    match shared.verdict(&head.shared_parts) {
+pub fn check_parts(
+    shared: &Shared,
+    head: &RequestHead,
+    prompt: &Prompt,
+) -> Result<Option<Trial>, Failure> {
+    match shared.verdict(&prompt.shared) {
         Verdict::Sound => Ok(None),
         Verdict::Trial(trial) => Ok(Some(trial)),
         Verdict::Held { part, trial_in } => Err(held(head, part, trial_in)),
--- a/src/limpetmux/serve/stages.rs
+++ b/src/limpetmux/serve/stages.rs
@@ -75,7 +75,7 @@
     let mut chain = Chain::new(shared, routed, remaining.collect(), planned);
     let mut running = FuturesUnordered::new();
     loop {
-        check_parts(shared, &routed.head)?;
+        check_parts(shared, &routed.head, &routed.prompt)?;
         for (stage, run) in chain.start() {
             running.push(run_stage(shared, routed, stage, run));
         }
@@ -148,7 +148,7 @@
     let servers = shared.available(&view, &routed.service, patience)?;
     let entries = shared.nodes().entries(clock::boot());
     let query = PlaceQuery {
-        prefix: routed.head.prefix(),
+        prefix: routed.prompt.prefix(),
         zone: &shared.local_node.zone,
         planned: None,
         chosen: choice.as_ref().map(|p| &*p.server),
--- a/src/limpetmux/util/memory.rs
+++ b/src/limpetmux/util/memory.rs
@@ -20,6 +20,8 @@
 pub enum Use {
     /// The head of a request.
     Head,
+    /// The parts of a prompt.
+    Prompt,
     /// The body of a request.
     Body,
     /// The beginning of an answer.
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -9,6 +9,7 @@
 mod crowd;
 mod fixture;
 mod own;
+mod prompts;
 mod readers;
 mod servers;
 
--- a/tests/testsuite/decoders/callers.rs
+++ b/tests/testsuite/decoders/callers.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use limpetmux::core::time::Moment;
-use limpetmux::platform::caller::{self, RequestHead};
+use limpetmux::platform::caller::{self, Prompt, RequestHead};
 use limpetmux::platform::server::{self, AddedHeaders};
 use std::convert::Infallible;
 use std::sync::Mutex;
@@ -45,7 +45,10 @@
 /// Checks what holds for every head that was decoded.
 fn check_head(parts: &Parts, head: &RequestHead) {
     let bytes: usize = parts.headers.values().map(HeaderValue::len).sum();
-    assert!(head.prompt_parts.len() <= bytes + 1 && head.pieces.len() <= bytes + 1);
+    let prompt = Prompt::decode(head);
+    let held = size_of_val(&*prompt.parts) + size_of_val(&*prompt.shared);
+    assert!(held <= Prompt::bytes(head) && prompt.parts.capacity() == prompt.parts.len());
+    assert!(prompt.parts.len() <= bytes + 1 && head.pieces.len() <= bytes + 1);
     assert!(head.pieces.iter().all(|p| *p <= MAX_PIECES));
     assert!(!head.id.is_empty() && head.target.starts_with('/'));
     assert!(!head.headers.contains_key("authorization"));
--- a/tests/testsuite/platform/adapter.rs
+++ b/tests/testsuite/platform/adapter.rs
@@ -10,7 +10,7 @@
 use limpetmux::core::server_limits::{LimitNotice, RequestRate};
 use limpetmux::core::server_notices::MAX_HOLD;
 use limpetmux::platform::boot::{self, BootError};
-use limpetmux::platform::caller::{BadRequest, decode};
+use limpetmux::platform::caller::{BadRequest, Prompt, decode};
 use limpetmux::platform::store::Record;
 use limpetmux::platform::{server, servers, stage};
 use std::collections::BTreeMap;
@@ -105,9 +105,10 @@
     assert_eq!(request.api_key.as_deref(), Some("k1"));
     // Prompts that differ only in their last part have the same prefix.
     let similar = valid_head(&[("x-limpetmux-prompt-prefix", "5c1e07a2:800,91bd3f06:410,aaaa:9")]);
-    assert_eq!(request.prefix(), decode(&similar).unwrap().prefix());
-    assert!(request.prefix().is_some());
-    let tokens: Vec<u32> = request.prompt_parts.iter().map(|p| p.tokens).collect();
+    let prompt = Prompt::decode(&request);
+    assert_eq!(prompt.prefix(), Prompt::decode(&decode(&similar).unwrap()).prefix());
+    assert!(prompt.prefix().is_some());
+    let tokens: Vec<u32> = prompt.parts.iter().map(|p| p.tokens).collect();
     assert_eq!(tokens, [800, 410, 250]);
 }
 
@@ -253,7 +254,7 @@
             .header("host", "a.example")
             .header("x-limpetmux-request-id", "1f")
             .header("x-limpetmux-prompt-prefix", text);
-        decode(&request.body(()).unwrap().into_parts().0).unwrap().shared_parts
+        Prompt::decode(&decode(&request.body(()).unwrap().into_parts().0).unwrap()).shared
     };
 
     let (first, later) = (parse("5c1e07a2:800,91bd:410,e4:250"), parse("7:1, 5c1e07a2:9,e4:250"));
