Bound the parts that are remembered of engines in number

Cause: what an engine holds was bounded by its tokens alone, and not at all for planned prompts and for parts without tokens; ids of unreported prompts were kept as callers wrote them, up to the size of a head each. Ids are kept as hashes.

--- a/src/limpetmux/core/engines/engine.rs
+++ b/src/limpetmux/core/engines/engine.rs
@@ -1,10 +1,11 @@
 //! The state that an engine pool keeps of one engine: its backlog of prompts, its pace and its cache.
 
-use super::{EngineReport, PROMPT_OVERHEAD, PromptPart};
+use super::cache::PartCache;
+use super::{EngineReport, PROMPT_OVERHEAD};
 use crate::core::time::Moment;
 use crate::core::work::read_cost::ReadSize;
-use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
+use crate::util::hash::hash_bytes;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Weight of a new sample in the moving average of an engine's pace.
@@ -46,13 +47,14 @@
     /// The work of all prompts sent so far.
     total_work: Duration,
     /// The parts that it has read, or will read for planned prompts.
-    cached: BTreeMap<u64, Cached>,
+    pub(super) cache: PartCache,
 }
 
 /// A prompt that an engine was sent.
 #[derive(Clone, Debug)]
 struct SentPrompt {
-    request: Arc<str>,
+    /// The hash of its id, as callers choose how long an id is.
+    request: u64,
     sent_at: Moment,
     /// The pace that its expected time assumes.
     pace: f64,
@@ -71,14 +73,6 @@
     pub(super) took: Duration,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Cached {
-    tokens: u32,
-    used_at: Moment,
-    /// Whether a prompt with this part was sent; otherwise one is only planned.
-    is_read: bool,
-}
-
 impl Engine {
     /// Creates an idle engine without cached parts.
     pub(super) fn new(now: Moment, started_ms: u64, pace: f64) -> Self {
@@ -91,7 +85,7 @@
             sampled_at: now,
             unreported: VecDeque::new(),
             total_work: Duration::ZERO,
-            cached: BTreeMap::new(),
+            cache: PartCache::default(),
         }
     }
 
@@ -116,7 +110,8 @@
             self.unreported.pop_front();
         }
         let (pace, total_work) = (self.pace(now, usual), self.total_work);
-        let prompt = SentPrompt { request: request.into(), sent_at: now, pace, total_work, alone };
+        let request = hash_bytes(request.as_bytes());
+        let prompt = SentPrompt { request, sent_at: now, pace, total_work, alone };
         self.unreported.push_back(prompt);
     }
 
@@ -127,7 +122,8 @@
     /// what each of them was off by would count it many times. A report of a prompt before one that
     /// is known to be read says nothing about the backlog. Returns the time if it is all reading.
     pub(super) fn record(&mut self, now: Moment, report: &EngineReport) -> Option<ReadSample> {
-        let index = self.unreported.iter().position(|s| s.request == report.request)?;
+        let request = hash_bytes(report.request.as_bytes());
+        let index = self.unreported.iter().position(|s| s.request == request)?;
         let read = self.unreported.drain(..=index).next_back()?;
         let took = report.took.min(now.since(read.sent_at));
         self.busy_until = read.sent_at + took + (self.total_work - read.total_work);
@@ -161,14 +157,6 @@
         self.sampled_at = now;
     }
 
-    /// Returns the tokens of the leading parts that are cached; parts of planned prompts count
-    /// unless `only_read` is set.
-    pub(super) fn cached(&self, parts: &[PromptPart], only_read: bool) -> u32 {
-        let holds =
-            |p: &&PromptPart| self.cached.get(&p.key).is_some_and(|c| c.is_read || !only_read);
-        parts.iter().take_while(holds).fold(0, |sum, p| p.tokens.saturating_add(sum))
-    }
-
     /// Returns the moving average of the pace.
     pub(super) fn measured_pace(&self) -> f64 {
         self.pace
@@ -192,32 +180,4 @@
         let kept = (1.0 - PACE_RECOVERY).powf(idle);
         1.0 + (self.pace / usual - 1.0) * kept
     }
-
-    /// Adds the parts of a prompt that was sent or is only planned.
-    pub(super) fn mark_cached(&mut self, now: Moment, parts: &[PromptPart], is_read: bool) {
-        for part in parts {
-            let new = Cached { tokens: part.tokens, used_at: now, is_read };
-            let cached = self.cached.entry(part.key).or_insert(new);
-            cached.used_at = now;
-            cached.is_read |= is_read;
-        }
-    }
-
-    /// Evicts the least recently used parts until the rest fits.
-    pub(super) fn evict(&mut self, max_tokens: u64) {
-        let mut held: u64 = self.cached.values().map(|c| u64::from(c.tokens)).sum();
-        if held <= max_tokens {
-            return;
-        }
-        let mut oldest: Vec<(Moment, u64, u32)> =
-            self.cached.iter().map(|(key, c)| (c.used_at, *key, c.tokens)).collect();
-        oldest.sort_unstable();
-        for (_, key, tokens) in oldest {
-            if held <= max_tokens {
-                return;
-            }
-            self.cached.remove(&key);
-            held -= u64::from(tokens);
-        }
-    }
 }
--- a/src/limpetmux/core/engines/mod.rs
+++ b/src/limpetmux/core/engines/mod.rs
@@ -9,13 +9,15 @@
 //! another one starts with an empty pool; the hash of a prompt's shared part then selects the same
 //! engine. See `docs/design/platform.md`.
 
+mod cache;
 mod engine;
 mod terms;
 
 use crate::core::listing::Server;
 use crate::core::time::Moment;
 use crate::core::work::read_cost::{ReadCost, ReadSize};
-use crate::util::hash::hash_parts;
+use crate::util::hash::{hash_bytes, hash_parts};
+use cache::CacheBounds;
 use engine::Engine;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -47,6 +49,8 @@
 const MIN_FETCH_TOKENS: u32 = 256;
 /// Estimated part of an engine's memory that is left for cached parts beside running requests.
 const CACHE_SHARE: f64 = 0.6;
+/// The most parts that are remembered of all engines of a pool together.
+const MAX_POOL_PARTS: usize = 262_144;
 /// How long a plan is kept after the time at which its prompt should have been sent.
 const PLAN_MARGIN: Duration = Duration::from_millis(1_500);
 /// An engine without prompts for this long is removed.
@@ -120,7 +124,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EnginePool {
     engines: BTreeMap<Arc<str>, Engine>,
-    plans: BTreeMap<Arc<str>, Plan>,
+    /// The plans by the hash of the request's id, as callers choose how long an id is.
+    plans: BTreeMap<u64, Plan>,
     /// The tokens that fit into the memory of one engine.
     memory: u64,
     /// The time of reading at an engine of pace 1.
@@ -155,10 +160,13 @@
             work: choice.work,
             until: now + query.send_delay + PLAN_MARGIN,
         };
-        self.plans.insert(request.into(), plan);
+        self.plans.insert(hash_bytes(request.as_bytes()), plan);
         let (_, shared) = query.parts.split_last().unwrap_or((&NO_PART, &[]));
-        let usual = self.usual_pace(servers);
-        self.engine(now, server, usual).mark_cached(now, shared, false);
+        let (bounds, usual) = (self.bounds(servers), self.usual_pace(servers));
+        let engine = self.engine(now, server, usual);
+        engine.cache.add(now, shared, false);
+        // Until the prompt is sent, what the engine holds is not replaced by what it may read.
+        engine.cache.evict(CacheBounds { tokens: u64::MAX, ..bounds });
         Some(choice)
     }
 
@@ -170,18 +178,30 @@
         request: &str,
         query: EngineQuery<'_>,
     ) -> Option<EngineChoice> {
-        self.plans.remove(request);
+        self.plans.remove(&hash_bytes(request.as_bytes()));
         self.expire(now, servers);
         let (server, choice) = self.choose(now, servers, query, false)?;
-        let (memory, usual) = (self.memory, self.usual_pace(servers));
+        let (bounds, usual) = (self.bounds(servers), self.usual_pace(servers));
         let engine = self.engine(now, server, usual);
         let size = Some(choice.size).filter(|_| choice.source.is_none());
         engine.send(now, request, (choice.work, size), usual);
-        engine.mark_cached(now, query.parts, true);
-        engine.evict((memory as f64 * CACHE_SHARE) as u64);
+        engine.cache.add(now, query.parts, true);
+        engine.cache.evict(bounds);
         Some(choice)
     }
 
+    /// Returns the number of prompt parts that are remembered of all engines.
+    pub fn parts(&self) -> usize {
+        self.engines.values().map(|e| e.cache.count()).sum()
+    }
+
+    /// Returns the bounds on what is remembered of each engine.
+    fn bounds(&self, servers: &[&Server]) -> CacheBounds {
+        let tokens = (self.memory as f64 * CACHE_SHARE) as u64;
+        let engines = self.engines.len().max(servers.len()).max(1);
+        CacheBounds { tokens, parts: MAX_POOL_PARTS / engines }
+    }
+
     /// Returns how long the engine that is free first still reads prompts that were sent or planned.
     pub fn shortest_wait(
         &self,
@@ -262,7 +282,7 @@
     }
 
     fn cached(&self, server: &str, parts: &[PromptPart], only_read: bool) -> u32 {
-        self.engines.get(server).map_or(0, |e| e.cached(parts, only_read))
+        self.engines.get(server).map_or(0, |e| e.cache.tokens(parts, only_read))
     }
 
     /// Estimates the time that an engine needs for a prompt, given the work planned for the engine
--- a/tests/testsuite/platform/engines.rs
+++ b/tests/testsuite/platform/engines.rs
@@ -238,3 +238,49 @@
     assert!(cached.work < first.work / 4);
     assert_eq!(restarted.work, first.work);
 }
+
+/// A prompt of very many parts without tokens, or with one each, that no other prompt has.
+fn many_parts(number: u64, tokens: u32) -> Vec<PromptPart> {
+    (0..3_851).map(|n| PromptPart { key: number * 10_000 + n, tokens }).collect()
+}
+
+#[test]
+fn parts_that_are_remembered_are_bounded_in_number() {
+    // Guards against a node that runs out of memory because callers send prompts of thousands of parts
+    // (end of the process, review/10): 40 bytes for each part, up to the tokens that engines hold.
+    let all = engines(41);
+    let refs: Vec<&Server> = all.iter().collect();
+    let mut pool = EnginePool::default();
+    pool.configure(532_110);
+    let mut most = 0;
+
+    for n in 0..2_000 {
+        let prompt = many_parts(n, (n % 2) as u32);
+        let request = n.to_string();
+        if n % 3 == 0 {
+            pool.plan(at(n * 3), &refs, &request, query(&prompt)).expect("an engine");
+        }
+        if n % 5 != 0 {
+            pool.place(at(n * 3), &refs, &request, query(&prompt)).expect("an engine");
+        }
+        most = most.max(pool.parts());
+    }
+
+    assert!(most <= 262_144, "{most}");
+}
+
+#[test]
+fn leading_parts_of_a_prompt_of_many_parts_are_found_again() {
+    // Guards against parts that are remembered without the ones before them, which finds nothing.
+    let all = engines(2);
+    let refs: Vec<&Server> = all.iter().collect();
+    let mut pool = EnginePool::default();
+    pool.configure(500_000);
+    let prompt = many_parts(1, 20);
+
+    let first = pool.place(at(0), &refs, "first", query(&prompt)).expect("an engine");
+    let again = pool.place(at(5_000), &refs, "again", query(&prompt)).expect("an engine");
+
+    assert_eq!(again.server, first.server);
+    assert!(again.work < first.work, "{:?}, {:?} at first", again.work, first.work);
+}
