Don't count a Retry-After that stands behind a further answer in the soak

Change: the stand-in records the hold of a refusal only if no further answer stands before it on its connection. The check and its bound are unchanged; refusals on all other connections bind as before, which the new test of the stand-in shows for both kinds.

--- a/crates/limpetmux-standins/src/users/connection.rs
+++ b/crates/limpetmux-standins/src/users/connection.rs
@@ -90,9 +90,11 @@
     stream.set_nodelay(true)?;
     let mut stream = BufReader::new(stream);
     let mut further = Vec::new();
+    // Whether an answer that no request waits for stands before the next one.
+    let mut is_displaced = false;
     loop {
         let request = read_request(&mut stream).await?;
-        let reply = reply(state, request);
+        let reply = reply(state, request, is_displaced);
         // The further answer to the request before is sent where this one's answer is due.
         stream.write_all(&std::mem::take(&mut further)).await?;
         let next = send(&mut stream, &reply, state).await?;
@@ -101,6 +103,7 @@
             Next::Close => return stream.shutdown().await,
             Next::Reset => return stream.get_ref().set_zero_linger(),
         }
+        is_displaced |= !reply.further.is_empty();
         match reply.fault {
             UsersFault::Further(answer) if answer.time == FurtherTime::Late => {
                 sleep(LATE_DELAY).await;
--- a/crates/limpetmux-standins/src/users/server.rs
+++ b/crates/limpetmux-standins/src/users/server.rs
@@ -71,7 +71,8 @@
     pub at: Instant,
     /// The id of the request; empty for calls.
     pub id: String,
-    /// The time of the `Retry-After` that it was refused with.
+    /// The time of the `Retry-After` that it was refused with, unless a further answer to an earlier request
+    /// stands before the refusal on its connection: then nobody takes the refusal for the answer to it.
     pub hold: Option<Duration>,
     /// The id that the backend server had.
     pub server: String,
@@ -245,8 +246,9 @@
     }
 }
 
-/// Runs or refuses a request and returns its answer.
-pub(super) fn reply(state: &SharedState, message: Message) -> Reply {
+/// Runs or refuses a request and returns its answer; `is_displaced` tells whether a further answer to an
+/// earlier request stands before it.
+pub(super) fn reply(state: &SharedState, message: Message, is_displaced: bool) -> Reply {
     let state = &mut *lock(state);
     let notices = state.notices.clone();
     let request = ReceivedRequest { leaving: notices.leaving, ..received(message, state.fault) };
@@ -254,7 +256,7 @@
     state.arrivals.push(Arrival {
         at: request.at,
         id: id.clone(),
-        hold: notices.hold(),
+        hold: notices.hold().filter(|_| !is_displaced),
         server: state.id.clone(),
         limit: notices.limit.as_ref().and_then(|limit| limit.parse().ok()),
     });
--- a/tests/testsuite/standins.rs
+++ b/tests/testsuite/standins.rs
@@ -1,12 +1,15 @@
 //! The stand-ins inject the faults that other tests rely on.
 
 use limpetmux::core::config::check;
+use limpetmux_standins::users::{FurtherAnswer, FurtherTime, UsersFault, UsersServer};
 use limpetmux_standins::{
     BackendOptions, Engine, EngineOptions, Log, LogOptions, Plain, Pool, PoolKind, engine, pool,
 };
 use limpetmux_test_support::{sample_config, small_config};
 use serde_json::{Value, json};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 fn client() -> reqwest::Client {
     reqwest::Client::builder().no_proxy().build().unwrap()
@@ -153,3 +156,34 @@
         assert_eq!(check(&config), []);
     }
 }
+
+/// Sends a request on an open connection and waits for bytes of an answer.
+async fn ask_on(stream: &mut TcpStream, id: &str) {
+    let head = format!("x-limpetmux-request-id: {id}\r\ncontent-length: 0\r\n\r\n");
+    let request = format!("POST /x HTTP/1.1\r\nhost: a\r\n{head}");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    assert_ne!(stream.read(&mut [0; 8_192]).await.unwrap(), 0);
+}
+
+#[tokio::test]
+async fn refusal_behind_a_further_answer_binds_nobody() {
+    // Guards against a check that blames an entry for requests after a `Retry-After` that stands where the
+    // answer to another request is due (soak, seeds 58018 and 58027).
+    let server = UsersServer::start("p1").await.unwrap();
+    let addr = server.addr;
+    let [mut displaced, mut other] =
+        [TcpStream::connect(addr).await.unwrap(), TcpStream::connect(addr).await.unwrap()];
+    let further = FurtherAnswer { status: 409, named: true, time: FurtherTime::BeforeNext };
+    server.set_fault(UsersFault::Further(further));
+
+    ask_on(&mut displaced, "first").await;
+    server.set_fault(UsersFault::None);
+    ask_on(&mut other, "usual").await;
+    server.set_retry_after(Some("5"));
+    ask_on(&mut displaced, "behind").await;
+    ask_on(&mut other, "refused").await;
+
+    let held: Vec<_> =
+        server.arrivals().into_iter().filter(|a| a.hold.is_some()).map(|a| a.id).collect();
+    assert_eq!(held, ["refused"]);
+}
