--- a/src/limpetmux/serve/mod.rs
+++ b/src/limpetmux/serve/mod.rs
@@ -5,9 +5,10 @@
 //! configuration, [`stages`] runs its stages in the order that `chain` computes, and [`forward`]
 //! sends it to a backend server. Each send is an [`attempt`]; `plain` reads a plain answer, and
 //! [`stream`] forwards a streamed or long one to the caller. [`head_watch`] follows what arrives
-//! before the answer, and `unsent` what has not left after it. [`failure`] holds the answers that the node creates itself.
-//! [`connections`] pools connections to backend servers, `ended` finds out whether one of them has ended, [`quarantine`] holds back requests that crash them, [`node`] holds the shared state, and
-//! [`run`] starts and stops a process. See `docs/design/platform.md`.
+//! before the answer, and `unsent` what has not left after it. [`failure`] holds the answers that the
+//! node creates itself. [`connections`] pools connections to backend servers, `ended` finds out whether
+//! one of them has ended, [`quarantine`] holds back requests that crash them, [`node`] holds the shared
+//! state, and [`run`] starts and stops a process. See `docs/design/platform.md`.
 
 pub mod attempt;
 mod chain;
