Trust the end of an answer without length only if its request was sent before it began

Callers saw: a part of an early answer as a whole one (MIXED). Cause: an answer that ends with its connection counted if its request was written whole by that end. The system of the backend server takes megabytes that the server never reads (its buffer may be 33 MB here), so a request was whole by the end of an answer that had begun long before. Change: what counts is whether the request was written whole when the head of the answer arrived. A flush is recorded by the task that then reads the head, so an answer to a whole request always finds it.

--- a/src/limpetmux/serve/connections.rs
+++ b/src/limpetmux/serve/connections.rs
@@ -107,6 +107,8 @@
     written: Arc<Written>,
     /// The bytes that were written before the last request, and those of its body.
     sent_at: u64,
+    /// Whether the last request was written whole when the head of its answer arrived.
+    sent_first: bool,
 }
 
 impl Drop for Connection {
@@ -230,6 +232,9 @@
             sent = self.sender.try_send_request(request) => sent,
             () = watch.too_many() => return Err(NoHead::Ended(ConnectionError::Informational)),
         };
+        // The head goes before the body, so a flush behind more bytes than the body has is one behind the
+        // whole request, unless both are so short that they are written at once.
+        self.sent_first = self.written.flushed() > self.sent_at;
         sent.map_err(|mut error| match error.take_message() {
             Some(unsent) => NoHead::Unsent(Box::new(unsent), error.into_error()),
             None => NoHead::Ended(ConnectionError::sent(error.into_error())),
@@ -245,14 +250,12 @@
 
     /// Returns whether the end of an answer whose body ended without an error shows that it is whole.
     ///
-    /// An answer that ends with its connection may be cut if the request was not sent whole by then: the
+    /// An answer that ends with its connection may be cut if it began before the request was sent whole: the
     /// connection of a backend server that ends while it reads closes in order if it has just read all that
-    /// had arrived, and a reset may be seen by the request's write alone.
+    /// had arrived, and a reset may be seen by the request's write alone. That the request was sent whole
+    /// before the end shows nothing, as the system takes megabytes that the backend server never reads.
     pub fn proves_end(&self, framing: Framing) -> bool {
-        // The head goes before the body, so a flush behind more bytes than the body has is one behind the
-        // whole request, unless both are so short that they are written at once.
-        framing != Framing::Connection
-            || self.connection.written.flushed() > self.connection.sent_at
+        framing != Framing::Connection || self.connection.sent_first
     }
 
     /// Returns the connection to the pool after its answer was read to the end.
@@ -322,6 +325,7 @@
         read,
         written,
         sent_at: 0,
+        sent_first: false,
     })
 }
 
