--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/limpetmux ] && [ -x target/review-3/kit ] || exit 2
-exec target/review-3/kit late-write review/13
+exec target/review-3/kit last-tenant review/13
