--- a/review/kit-3/cases.rs
+++ b/review/kit-3/cases.rs
@@ -1,6 +1,6 @@
 //! The cases.
 
-use crate::fleet::{Addresses, Bounds, CONTINUE, Fleet, ONCE, Record, STOP, Traffic, config, send};
+use crate::fleet::{Addresses, Bounds, Fleet, ONCE, Record, Traffic, config, send};
 use crate::server::{HEARTBEAT, Server};
 use crate::store::Store;
 use std::io::{Error, Result};
@@ -12,8 +12,6 @@
 const TENANTS: &str = "[{\"name\":\"bozi300\",\"api-keys\":[\"9dnn2ctnfzs989anu6ws\"],\"priority\":1}]";
 /// The bounds of the small deployments.
 const SMALL: Bounds = Bounds { drain: 2_000, config: 2_000, contact: 3_000 };
-/// The bounds of the deployments of a hundred machines.
-const GROWN: Bounds = Bounds { drain: 3_000, config: 3_000, contact: 4_000 };
 
 /// Runs a case; returns whether its rule was broken.
 pub fn run(case: &str, folder: &str, trouble: bool) -> Result<bool> {
@@ -21,7 +19,6 @@
         "late-write" => late_write(folder, trouble),
         "killed-server" => crate::killed::run(folder, trouble),
         "last-tenant" => last_tenant(folder, trouble),
-        "frozen-reader" => frozen_reader(folder, trouble),
         _ => Err(Error::other("unknown case")),
     }
 }
@@ -97,49 +94,6 @@
     finish(&record, &traffic, late)
 }
 
-/// The sidecar, which reads the store for all nodes, is frozen for 4 s again and again; each time a server
-/// leaves without a report that it drains.
-fn frozen_reader(folder: &str, trouble: bool) -> Result<bool> {
-    let record = Record::create(folder)?;
-    let addresses = Addresses::choose()?;
-    let store = Store::start(addresses.store())?;
-    store.put("keyed.op", "config", &config(2, &[ONCE], TENANTS));
-    let start = |n: u8| {
-        let id = format!("i-{n:08}");
-        Server::start(&store, &record, (&id, "wuno96b"), addresses.server(n), ms(30))
-    };
-    let mut servers: Vec<Arc<Server>> = (1..=3).map(start).collect::<Result<_>>()?;
-    let fleet = Fleet::start(&addresses, GROWN, (2, 1))?;
-    fleet.wait_ready(&addresses, 11)?;
-    fleet.wait_ready(&addresses, 12)?;
-    let fronts = [addresses.front(11), addresses.front(12)];
-    let mut traffic = Traffic::start(&record, &fronts, KEY, 8, ms(100));
-    sleep(ms(4_000));
-    let (mut late, side) = (0, fleet.node("side-21"));
-    for round in 0..10_u8 {
-        let began = Instant::now();
-        if trouble {
-            record.say(&format!("round {round}: {} is frozen", side.name));
-            side.signal(STOP);
-        }
-        sleep_until(began + ms(1_200));
-        let server = servers.remove(0);
-        let left = server.leave(&store);
-        record.say(&format!("the removal of {} is acknowledged", server.id));
-        sleep_until(began + ms(4_000));
-        side.signal(CONTINUE);
-        sleep_until(left + ms(6_000));
-        server.end(&store);
-        let count = late_arrivals(&record, &server, left, ms(GROWN.drain));
-        record.say(&format!("round {round}: {count} requests reached {} too late", server.id));
-        late += count;
-        servers.push(start(4 + round)?);
-        sleep_until(began + ms(10_000));
-    }
-    traffic.stop();
-    finish(&record, &traffic, late)
-}
-
 /// The keys of the only tenant are taken away: the new version lists no tenant.
 fn last_tenant(folder: &str, trouble: bool) -> Result<bool> {
     let record = Record::create(folder)?;
