Keep what a backend server wrote last when the store executes an earlier write late

Cause: within an era of the store, records of one id were ordered by offset alone, which says in which order the store executed writes. The server's own number was read and compared only after a restore, and a removal replaced it by the greatest one. Change: within an era too, a record whose number is not above the latest one read changes nothing; a removal keeps that number, so a server that had expired returns with its next write. An earlier start counts once its writes have gone on for 7 s, longer than a late write can. Nodes tell the number, what they know from earlier offsets, and what they doubt; a node that starts pulls the whole list once from one that has run for 10 s longer. Two new events say what was decided. Ruled out: shutting out numbers below a removal for good (an expired server writes on at once); believing a second late write (the random courses found a server that was gone and came back; 5 s were too short); keeping the highest doubted number of any start (they found a server with a clock set back shut out). Failed before, on: late_writes::late_write_sends_no_requests_to_a_server_that_leaves, 4 of 8 requests at a node that ran and 4 of 8 at one that started.

--- a/src/limpetmux/core/listed.rs
+++ b/src/limpetmux/core/listed.rs
@@ -1,32 +1,42 @@
 //! One backend server's record in a node's copy of the list, and how two records of it compare.
 //!
-//! `listing` decides with these which of two records counts: by their positions in the store's log or,
-//! after a restore of the store from a copy, by the backend server's own numbers. See
-//! `docs/design/restored-store.md`.
+//! `listing` decides with these which of two records counts. Positions in the store's log say in which
+//! order the store executed the writes, the backend server's own numbers in which order it made them. The
+//! two differ if the store executes a write late, or was restored from a copy. See
+//! `docs/design/late-writes.md` and `docs/design/restored-store.md`.
 
+use crate::core::doubt::Doubt;
 use crate::core::listing::Server;
-use crate::core::log_position::LogPosition;
+use crate::core::log_position::{LogPosition, StoreEra};
 use crate::core::time::Moment;
 use std::sync::Arc;
-use std::time::Duration;
 
-/// How long a restored store has to list a record that seems to be earlier than what is known, until
-/// it counts; a backend server that has left is removed from the store in less.
-const DOUBT_TIME: Duration = Duration::from_secs(5);
-
-/// Which of a backend server's writes a record is; later writes are greater.
+/// Which of a backend server's writes a record is; later writes are greater, and a removal is greater than
+/// all writes of its incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WriteNumber {
     /// The Unix millisecond of the start of the incarnation.
     pub started_ms: u64,
+    /// Whether the record was removed after the write.
+    pub removed: bool,
     /// The number of the write in the incarnation.
     pub sequence: u64,
 }
 
 impl WriteNumber {
-    /// Returns the number that no write of the incarnation exceeds, as after its removal.
+    /// Creates the number of a write.
+    pub fn new(started_ms: u64, sequence: u64) -> Self {
+        Self { started_ms, removed: false, sequence }
+    }
+
+    /// Returns the number after the removal of the record.
     pub(super) fn last(self) -> Self {
-        Self { sequence: u64::MAX, ..self }
+        Self { removed: true, ..self }
+    }
+
+    /// Returns what orders the writes of a backend server that may return after its removal.
+    pub fn place(self) -> (u64, u64) {
+        (self.started_ms, self.sequence)
     }
 }
 
@@ -43,13 +53,15 @@
     pub changed: LogPosition,
     /// The latest known write of the id, if its records are numbered.
     pub latest: Option<WriteNumber>,
+    /// The era of the store in which that write was read.
+    pub write_era: StoreEra,
     /// When this node learned of the last change.
     pub learned_at: Moment,
     /// Since when the record is missing from the store's list of newest records.
     pub(super) missing_since: Option<Moment>,
-    /// A record of a restored store that seems to be earlier than what is known, and since when.
-    pub(super) doubted: Option<(Moment, ListRecord)>,
-    /// Whether the record counts although an earlier one seemed to be later.
+    /// A later record of the log that seems to be an earlier write than what is known.
+    pub(super) doubted: Option<Doubt>,
+    /// Whether the writes of this incarnation count although an earlier record seemed to be later.
     pub believed: bool,
 }
 
@@ -64,10 +76,14 @@
     pub believed: bool,
     /// The record at the position that another node doubts, if this one is what it knows instead.
     pub doubted: Option<Box<ListRecord>>,
+    /// Whether the doubted record is a write that the store executed late, not one of a copy.
+    pub late: bool,
     /// The record, or `None` if it was removed or is unusable.
     pub server: Option<Server>,
     /// Which write of the id it is, or the last one before its removal, if that is known.
     pub write: Option<WriteNumber>,
+    /// The era of the store in which that write was read.
+    pub write_era: StoreEra,
     /// The record as stored.
     pub raw: Arc<[u8]>,
 }
@@ -77,11 +93,26 @@
     pub(super) fn latest(&self, before: Option<WriteNumber>) -> Option<WriteNumber> {
         let is_removal = self.raw.is_empty();
         match &self.server {
-            Some(_) => self.write,
-            None if is_removal => self.write.or(before).map(WriteNumber::last),
+            // Records of other writers have no number and tell nothing of the backend server's.
+            Some(_) => self.write.or(before),
+            None if is_removal => {
+                self.write.max(before.map(WriteNumber::last)).map(WriteNumber::last)
+            }
             None => before,
         }
     }
+
+    /// Returns whether the record says more of its backend server than another one at a later position
+    /// of the same era, which is then a write that the store executed late.
+    pub(super) fn outlasts(&self, later: &ListedServer) -> bool {
+        let (Some(write), Some(latest)) = (self.write, later.latest) else { return false };
+        let is_removed = self.raw.is_empty() && !later.raw.is_empty();
+        let is_repeat = is_removed && self.write_era == self.position.era;
+        let is_same_era = self.position.era == later.position.era;
+        let is_ahead =
+            write.place() > latest.place() || (is_repeat && write.place() == latest.place());
+        is_same_era && is_ahead && !later.believed
+    }
 }
 
 impl ListedServer {
@@ -92,15 +123,39 @@
 
     /// Returns the record of a restored store that is doubted, as stored.
     pub fn doubted(&self) -> Option<&Arc<[u8]>> {
-        self.doubted.as_ref().map(|(_, record)| &record.raw)
+        self.doubted.as_ref().map(|doubt| &doubt.record.raw)
     }
 
-    /// Returns whether a record is from the copy that the store was restored from, and an earlier write
-    /// than the one that is known.
+    /// Returns whether the doubted record is a write that the store executed late.
+    pub fn is_doubt_late(&self) -> bool {
+        self.doubted.as_ref().is_some_and(|doubt| !doubt.is_copy)
+    }
+
+    /// Returns whether a record at a later position is an earlier write than the one that is known.
     pub(super) fn is_ahead_of(&self, record: &ListRecord) -> bool {
         let is_restored = record.position.era > self.position.era;
-        let is_earlier = record.write.is_some() && record.write < self.latest;
-        is_restored && is_earlier && !record.believed
+        let is_earlier = match is_restored {
+            true => record.write.is_some() && record.write < self.latest,
+            false => self.is_after(record),
+        };
+        is_earlier && !record.believed
+    }
+
+    /// Returns whether a record of the same era is a write that the store executed late: a backend server
+    /// that was removed only returns with a write that it has not made before, or has to make again as a
+    /// restored store lost it.
+    fn is_after(&self, record: &ListRecord) -> bool {
+        let (Some(latest), Some(write)) = (self.latest, record.write) else { return false };
+        let is_removed = self.raw.is_empty() && self.write_era == record.position.era;
+        let is_repeat = is_removed && write.place() == latest.place();
+        record.server.is_some() && (write.place() < latest.place() || is_repeat)
+    }
+
+    /// Returns whether a record is a further write of an incarnation that counts although an earlier
+    /// record seemed to be later.
+    pub(super) fn is_believed_in(&self, record: &ListRecord) -> bool {
+        let starts = [self.latest, record.write].map(|write| write.map(|w| w.started_ms));
+        self.believed && record.server.is_some() && starts[0] == starts[1]
     }
 
     /// Returns whether another node knows more of the same position: a later write from before a
@@ -130,16 +185,57 @@
         self.learned_at = now;
     }
 
-    /// Takes over a doubted record that the store still lists at `confirmed`; other nodes learn of it as
-    /// of `end`.
-    pub(super) fn believe(&mut self, confirmed: Moment, end: LogPosition) {
-        let is_due = |(since, _): &(Moment, ListRecord)| confirmed.since(*since) >= DOUBT_TIME;
-        let Some((_, record)) = self.doubted.take_if(|doubted| is_due(doubted)) else { return };
-        self.latest = record.write;
-        self.server = record.server;
-        self.raw = record.raw;
+    /// Keeps what is known instead of a record at a later position, which was read at `now`.
+    pub(super) fn doubt(&mut self, now: Moment, record: ListRecord) {
+        let is_copy = record.position.era > self.position.era;
+        self.position = record.position;
+        if is_copy {
+            self.missing_since = None;
+        }
+        self.doubted = Some(match self.doubted.take() {
+            Some(doubt) if !is_copy => doubt.follow(now, record),
+            _ => Doubt::new(now, record, is_copy),
+        });
+    }
+
+    /// Takes over a doubted record that has to be true, as the store confirmed it at `confirmed`; other
+    /// nodes learn of it as of `end`. Returns whether there was one.
+    pub(super) fn believe(&mut self, confirmed: Moment, end: LogPosition) -> bool {
+        let Some(doubt) = self.doubted.take_if(|doubt| doubt.is_true(confirmed)) else {
+            return false;
+        };
+        self.latest = doubt.record.write;
+        self.write_era = doubt.record.write_era;
+        self.server = doubt.record.server;
+        self.raw = doubt.record.raw;
+        self.missing_since = None;
         self.believed = true;
         self.changed = end;
         self.learned_at = confirmed;
+        true
+    }
+
+    /// Takes over what another node knows from an earlier position of the log instead of the record here,
+    /// which the store executed late.
+    pub(super) fn take_earlier(&mut self, now: Moment, end: LogPosition, record: ListRecord) {
+        let late = ListRecord {
+            id: Arc::clone(&record.id),
+            position: self.position,
+            believed: false,
+            doubted: None,
+            late: false,
+            server: self.server.take(),
+            write: self.latest,
+            write_era: self.write_era,
+            raw: Arc::clone(&self.raw),
+        };
+        self.latest = record.latest(self.latest);
+        self.write_era = record.write_era;
+        self.server = record.server;
+        self.raw = record.raw;
+        self.missing_since = None;
+        self.doubted = Some(Doubt::new(now, late, false));
+        self.changed = end;
+        self.learned_at = now;
     }
 }
--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -1,14 +1,16 @@
 //! One node's copy of the platform's list of backend servers, and when it was last current.
 //!
-//! The list lags and has gaps. A record at a higher offset replaces one at a lower offset; an
-//! answer of the store that ends below the known offset is stale and changes nothing. A record
+//! The list lags and has gaps. A record at a higher offset replaces one at a lower offset, unless the
+//! backend server made that write earlier and the store executed it late; an answer of the store that
+//! ends below the known offset is stale and changes nothing else. A record
 //! disappears because its backend server has stopped, or only because the store was unreachable and
 //! got no updates of it; in the second case it is kept for a grace period after the store is
 //! reachable again. The same holds for one that disappears because the store was restored from a copy;
 //! what a backend server had written before the copy's record of it stays in force, until the store has
-//! listed that record for so long that it must be true. See
-//! `docs/design/platform.md` and `docs/design/restored-store.md`.
+//! listed that record for so long that it must be true. See `docs/design/platform.md`,
+//! `docs/design/late-writes.md` and `docs/design/restored-store.md`.
 
+use crate::core::doubt::Doubt;
 pub use crate::core::listed::{ListRecord, ListedServer, WriteNumber};
 use crate::core::log_position::LogPosition;
 use crate::core::time::Moment;
@@ -50,6 +52,21 @@
     pub version: Option<Arc<str>>,
 }
 
+/// A record that seems to be an earlier write than what a node knows, and what was decided about it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WriteDecision {
+    /// The id of the backend server.
+    pub id: Arc<str>,
+    /// The position of the record.
+    pub position: LogPosition,
+    /// Which write the record is.
+    pub write: Option<WriteNumber>,
+    /// The latest write that was known before.
+    pub latest: Option<WriteNumber>,
+    /// Whether the record counts nevertheless.
+    pub believed: bool,
+}
+
 /// One node's copy of the list.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
@@ -66,6 +83,8 @@
     starts: BTreeMap<SocketAddr, u64>,
     /// When the store was reachable again after its latest outage or restore.
     recovered_at: Option<Moment>,
+    /// What was decided about earlier writes since these were last taken.
+    decisions: Vec<WriteDecision>,
 }
 
 impl Listing {
@@ -156,11 +175,17 @@
                 listed.remove(now, end);
             }
         }
-        for listed in self.servers.values_mut() {
-            listed.believe(self.confirmed_at, end);
+        for (id, listed) in &mut self.servers {
+            let (position, latest) = (listed.position, listed.latest);
+            if listed.believe(self.confirmed_at, end) {
+                let (id, write) = (Arc::clone(id), listed.latest);
+                self.decisions.push(WriteDecision { id, position, write, latest, believed: true });
+            }
         }
-        let is_old =
-            |l: &ListedServer| l.server.is_none() && now.since(l.learned_at) >= TOMBSTONE_TIME;
+        let is_old = |l: &ListedServer| {
+            let is_doubted = l.doubted().is_some();
+            l.server.is_none() && !is_doubted && now.since(l.learned_at) >= TOMBSTONE_TIME
+        };
         let old = self.servers.values().filter(|l| is_old(l));
         let forgotten = old.map(ListedServer::last_position).max();
         if let Some(LogPosition { era, offset }) = forgotten {
@@ -228,6 +253,11 @@
         is_later || self.changes(from).any(|(_, listed)| listed.changed < self.end)
     }
 
+    /// Takes what was decided about earlier writes since the last call, for log lines.
+    pub fn take_decisions(&mut self) -> Vec<WriteDecision> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// Returns whether there is neither a record nor a tombstone.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
@@ -240,9 +270,10 @@
                 return;
             }
             if old.is_ahead_of(&entry) {
-                old.position = entry.position;
-                old.missing_since = None;
-                old.doubted = Some((now, entry));
+                let ListRecord { position, write, .. } = entry;
+                let (id, latest) = (Arc::clone(&entry.id), old.latest);
+                old.doubt(now, entry);
+                self.decisions.push(WriteDecision { id, position, write, latest, believed: false });
                 return;
             }
         }
@@ -253,6 +284,13 @@
             Some(old) if is_kept => old.latest,
             old => entry.latest(old.and_then(|l| l.latest)),
         };
+        let is_told = latest.is_some()
+            && entry.write.map(WriteNumber::place) == latest.map(WriteNumber::place);
+        let write_era = match old {
+            Some(old) if !is_told => old.write_era,
+            _ => entry.write_era,
+        };
+        let believed = entry.believed || old.is_some_and(|old| old.is_believed_in(&entry));
         let server = if is_kept { kept } else { entry.server };
         let (changed, learned_at) = match old {
             Some(old) if old.server == server && !is_kept && old.missing_since.is_none() => {
@@ -268,27 +306,36 @@
             position: entry.position,
             changed,
             latest,
+            write_era,
             learned_at,
             missing_since,
-            doubted: entry.doubted.map(|doubted| (now, *doubted)),
-            believed: entry.believed,
+            doubted: entry.doubted.map(|doubted| Doubt::new(now, *doubted, !entry.late)),
+            believed,
         };
         self.servers.insert(entry.id, listed);
     }
 
-    /// Adds what another node knows from before the restore of the store: later writes of backend
-    /// servers, and those that the restored store does not list, for the grace period.
+    /// Adds what another node knows from earlier positions: later writes of backend servers than one that
+    /// the store executed late and, from before a restore of the store, later writes than the copy's and
+    /// those that it does not list, for the grace period.
     fn add_earlier(&mut self, now: Moment, records: Vec<ListRecord>) {
         let (end, in_grace) = (self.end, self.is_in_grace(now));
-        for record in records.into_iter().filter(|r| r.position.era < end.era) {
+        for record in records {
+            let is_restored = record.position.era < end.era;
             let Some(known) = self.servers.get_mut(&record.id) else {
-                if in_grace && record.server.is_some() {
+                if is_restored && in_grace && record.server.is_some() {
                     self.insert_unlisted(now, record);
                 }
                 continue;
             };
-            if !known.believed && record.write > known.latest {
+            if record.outlasts(known) {
+                let (id, position) = (Arc::clone(&record.id), known.position);
+                let (write, latest) = (known.latest, record.write);
+                known.take_earlier(now, end, record);
+                self.decisions.push(WriteDecision { id, position, write, latest, believed: false });
+            } else if is_restored && !known.believed && record.write > known.latest {
                 known.latest = record.latest(known.latest);
+                known.write_era = record.write_era;
                 known.server = record.server;
                 known.raw = record.raw;
                 known.changed = end;
@@ -306,6 +353,7 @@
             position: record.position,
             changed: self.end,
             latest: record.write,
+            write_era: record.write_era,
             learned_at: now,
             missing_since: Some(now),
             doubted: None,
--- a/src/limpetmux/core/mod.rs
+++ b/src/limpetmux/core/mod.rs
@@ -13,6 +13,7 @@
 pub mod chain;
 pub mod config;
 pub mod cost;
+pub(crate) mod doubt;
 pub mod engines;
 pub mod evacuations;
 pub mod event_stream;
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -19,6 +19,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The number of a write in a message that says that the record was removed.
+const REMOVED: u64 = u64::MAX;
+
 /// Encodes a node; `age` is the time since it was last heard of.
 pub fn member(node: &Node, age: Duration) -> Member {
     Member {
@@ -243,12 +246,24 @@
         era: listed.position.era.0,
         value: listed.raw.to_vec(),
         started: listed.latest.map_or(0, |w| w.started_ms),
-        sequence: listed.latest.map_or(0, |w| w.sequence),
+        sequence: listed.latest.map_or(0, |w| if w.removed { REMOVED } else { w.sequence }),
+        seen: listed.latest.map_or(0, |w| w.sequence),
+        write_era: listed.write_era.0,
         believed: listed.believed,
         doubted: listed.doubted().map(|raw| raw.to_vec()).unwrap_or_default(),
+        late: listed.is_doubt_late(),
     }
 }
 
+/// Decodes the latest write of a record. A node of an earlier version does not say which write was the last
+/// one before a removal, so that each later one may be the backend server's return.
+fn write_number(record: &ServerRecord) -> Option<WriteNumber> {
+    let removed = record.sequence == REMOVED;
+    let sequence = if removed { record.seen } else { record.sequence };
+    let number = WriteNumber { started_ms: record.started, removed, sequence };
+    (record.started > 0).then_some(number)
+}
+
 fn operator(now: Moment, view: &StoreView, request: &PullRequest) -> OperatorView {
     let config = view.orders.config.as_ref();
     let position = config.map_or(LogPosition::START, |d| d.position);
@@ -326,10 +341,11 @@
 
 fn entry(record: &ServerRecord) -> ListRecord {
     let decoded = decode_value(record, &record.value);
-    let write = WriteNumber { started_ms: record.started, sequence: record.sequence };
-    let write = decoded.write.or((record.started > 0).then_some(write));
+    let write = decoded.write.or_else(|| write_number(record));
     let doubted = (!record.doubted.is_empty()).then(|| decode_value(record, &record.doubted));
-    ListRecord { write, believed: record.believed, doubted: doubted.map(Box::new), ..decoded }
+    let (believed, late) = (record.believed, record.late);
+    let (doubted, write_era) = (doubted.map(Box::new), StoreEra(record.write_era));
+    ListRecord { write, write_era, believed, doubted, late, ..decoded }
 }
 
 fn decode_value(record: &ServerRecord, value: &[u8]) -> ListRecord {
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -14,7 +14,7 @@
 mod rollout;
 mod stops;
 
-use crate::core::listing::ListRecord;
+use crate::core::listing::{ListRecord, WriteDecision, WriteNumber};
 use crate::core::log_position::{LogPosition, StoreEra};
 use crate::core::operator::{Order, StatedOrders};
 use crate::core::read_times::{ReadTimes, retry_pause};
@@ -59,6 +59,8 @@
     leaving_seen: SeenVersions,
     /// Whether the product's own topic has been read.
     candidates_read: AtomicBool,
+    /// Whether the list of a node that has run for longer was pulled.
+    compared: AtomicBool,
 }
 
 impl Follower {
@@ -75,6 +77,7 @@
             exchanged: Exchanges::default(),
             leaving_seen: SeenVersions::default(),
             candidates_read: AtomicBool::new(false),
+            compared: AtomicBool::new(false),
         })
     }
 
@@ -265,6 +268,7 @@
         let mut turn = 0;
         loop {
             let began = clock::boot();
+            self.compare_list().await;
             let sources = self.sources(turn);
             if sources.is_empty() {
                 sleep(IDLE_INTERVAL).await;
@@ -353,6 +357,7 @@
         if rollouts != view.rollouts {
             rollout::log_changes(&rollouts, &view.rollouts);
         }
+        view.listing.take_decisions().iter().for_each(|decision| log_write(decision, &source));
         self.publisher.publish(view.clone());
         result
     }
@@ -383,6 +388,25 @@
     decoded
 }
 
+fn log_write(decision: &WriteDecision, source: impl Display) {
+    let code = match decision.believed {
+        true => EventCode::WriteBelieved,
+        false => EventCode::WriteDoubted,
+    };
+    let [write, latest] =
+        [decision.write, decision.latest].map(|write| write.map_or((0, 0), WriteNumber::place));
+    event!(
+        code,
+        server = decision.id,
+        position = decision.position,
+        started_ms = write.0,
+        write = write.1,
+        known_start_ms = latest.0,
+        known_write = latest.1,
+        source = source
+    );
+}
+
 fn log_stale(current: bool, page: &Page, known: LogPosition) {
     if !current {
         event!(EventCode::StaleAnswer, end = page.end, known = known);
--- a/src/limpetmux/fleet/follow/pull.rs
+++ b/src/limpetmux/fleet/follow/pull.rs
@@ -6,8 +6,10 @@
 use crate::fleet::{convert, rollout};
 use crate::util::clock;
 use crate::util::event::EventCode;
-use crate::wire::fleet::PullReply;
+use crate::wire::fleet::{PullReply, PullRequest};
+use rand::seq::IteratorRandom;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -18,6 +20,9 @@
 /// The turns between two pulls from an arbitrary known address, by which nodes that have lost
 /// contact merge again.
 const MERGE_TURNS: usize = 8;
+/// How much longer than this node another one has to have run to know which writes the store may have
+/// executed late in the list that this node has read at its start.
+const ELDER_AGE: Duration = Duration::from_secs(10);
 
 impl Follower {
     /// Returns the nodes to pull from in this turn, in order of preference.
@@ -54,23 +59,53 @@
         addrs.get(turn / MERGE_TURNS % addrs.len().max(1)).copied()
     }
 
+    /// Pulls the whole list of a node that has run for longer, once: the newest records alone do not show
+    /// which of them are earlier writes that the store executed late (`docs/design/late-writes.md`).
+    pub(super) async fn compare_list(&self) {
+        if self.compared.load(Ordering::Relaxed) {
+            return;
+        }
+        let Some(addr) = self.elder() else { return };
+        let request =
+            PullRequest { listing_end: 0, listing_era: 0, ..self.request(Duration::ZERO) };
+        if self.exchange(addr, request).await.is_some() {
+            self.compared.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns one of the nodes that have run for longer than this one.
+    fn elder(&self) -> Option<SocketAddr> {
+        let nodes = self.shared.nodes();
+        let margin = u64::try_from(ELDER_AGE.as_millis()).unwrap_or(u64::MAX);
+        let latest = nodes.local().started.saturating_sub(margin);
+        let elders = nodes.live(clock::boot()).filter(|(node, _)| node.started <= latest);
+        elders.map(|(node, _)| node.addr).choose(&mut rand::rng())
+    }
+
     /// Pulls from one node; returns whether its view was fresh.
     pub(super) async fn pull(&self, addr: SocketAddr, wait: Duration) -> bool {
+        self.exchange(addr, self.request(wait)).await.unwrap_or(false)
+    }
+
+    /// Builds a pull for what this node's view lacks.
+    fn request(&self, wait: Duration) -> PullRequest {
+        let view = self.with_view(Clone::clone);
+        let nodes = self.shared.nodes();
+        let is_trying = view.rollouts.has_running();
+        let rollback = self.shared.settings().bounds.rollout.rollback;
+        let trial_wait = (rollback / ROLLBACK_PULLS).min(TRIAL_WAIT);
+        let wait = if is_trying { wait.min(trial_wait) } else { wait };
+        let wait = if view.orders.end.is_start() { Duration::ZERO } else { wait };
+        let mut request = convert::pull_request(nodes.local(), &view, wait);
+        if let Some(caller) = &mut request.caller {
+            caller.store_lost = nodes.is_store_lost(nodes.local().addr);
+        }
+        request
+    }
+
+    /// Sends a pull and applies the reply; returns whether the view in it was fresh, or `None` without one.
+    async fn exchange(&self, addr: SocketAddr, request: PullRequest) -> Option<bool> {
         let requested_at = clock::boot();
-        let request = {
-            let view = self.with_view(Clone::clone);
-            let nodes = self.shared.nodes();
-            let is_trying = view.rollouts.has_running();
-            let rollback = self.shared.settings().bounds.rollout.rollback;
-            let trial_wait = (rollback / ROLLBACK_PULLS).min(TRIAL_WAIT);
-            let wait = if is_trying { wait.min(trial_wait) } else { wait };
-            let wait = if view.orders.end.is_start() { Duration::ZERO } else { wait };
-            let mut request = convert::pull_request(nodes.local(), &view, wait);
-            if let Some(caller) = &mut request.caller {
-                caller.store_lost = nodes.is_store_lost(nodes.local().addr);
-            }
-            request
-        };
         let (request, told) = self.with_evidence(addr, request);
         let request = self.with_notices(addr, request);
         let request = self.with_rollouts(request);
@@ -80,16 +115,16 @@
             Ok(Ok(reply)) => {
                 let reply = reply.into_inner();
                 self.exchanged.record(addr, told, reply.evidence_version);
-                self.apply_reply(requested_at, addr, &reply)
+                Some(self.apply_reply(requested_at, addr, &reply))
             }
             Ok(Err(status)) => {
                 self.mark_unresponsive(addr, &status.to_string());
-                false
+                None
             }
             Err(_) => {
                 self.record_late_pull(addr, limit);
                 self.mark_unresponsive(addr, "no answer in time");
-                false
+                None
             }
         }
     }
--- a/src/limpetmux/platform/servers.rs
+++ b/src/limpetmux/platform/servers.rs
@@ -29,8 +29,7 @@
     #[serde(default)]
     born: u64,
     /// The number of the write since then.
-    #[serde(default)]
-    sequence: u64,
+    sequence: Option<u64>,
     /// The version of its software; one that is not a text states none.
     #[serde(default)]
     version: serde_json::Value,
@@ -67,8 +66,10 @@
         position: record.position,
         believed: false,
         doubted: None,
+        late: false,
         server: None,
         write: None,
+        write_era: record.position.era,
         raw: Arc::clone(&raw),
     };
     if raw.is_empty() {
@@ -99,8 +100,8 @@
 /// Returns the number of a write; the counts of a backend server that does not state its start may
 /// begin anew unnoticed.
 fn write_number(record: &ServerRecord) -> Option<WriteNumber> {
-    let number = WriteNumber { started_ms: record.born, sequence: record.sequence };
-    (record.born > 0).then_some(number)
+    let sequence = record.sequence.filter(|_| record.born > 0)?;
+    Some(WriteNumber::new(record.born, sequence))
 }
 
 fn server(id: Arc<str>, record: ServerRecord) -> Server {
--- a/src/limpetmux/util/event.rs
+++ b/src/limpetmux/util/event.rs
@@ -210,6 +210,12 @@
     /// The platform's store was restored from a copy; it has lost its latest records.
     #[strum(props(level = "warn"))]
     StoreRestored = 619,
+    /// A record of a backend server is an earlier write than what is known; what is known stays in use.
+    #[strum(props(level = "warn"))]
+    WriteDoubted = 633,
+    /// A backend server goes on writing records that seemed to be earlier ones; they count from now on.
+    #[strum(props(level = "warn"))]
+    WriteBelieved = 634,
     /// A record of a topic has no whole key and was skipped.
     #[strum(props(level = "warn"))]
     RecordSkipped = 623,
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -365,6 +365,15 @@
     /// The record at the offset that the node doubts, if `value` is what it knows instead.
     #[prost(bytes = "vec", tag = "21")]
     pub doubted: ::prost::alloc::vec::Vec<u8>,
+    /// The number of the latest known write; `sequence` is the greatest number after a removal.
+    #[prost(uint64, tag = "22")]
+    pub seen: u64,
+    /// The era of the store in which that write was read.
+    #[prost(uint64, tag = "24")]
+    pub write_era: u64,
+    /// Whether `doubted` is a write that the store executed late.
+    #[prost(bool, tag = "23")]
+    pub late: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StageRun {
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -172,6 +172,9 @@
             sequence: draw_number(u)?,
             believed: u.arbitrary()?,
             doubted: draw(u, SERVER.as_bytes())?,
+            seen: draw_number(u)?,
+            late: u.arbitrary()?,
+            write_era: draw_number(u)?,
         }];
         let reply = fleet::PullReply {
             members: vec![views::member(&local_node(), Duration::from_millis(draw_number(u)?))],
--- a/tests/testsuite/platform/listing.rs
+++ b/tests/testsuite/platform/listing.rs
@@ -20,8 +20,10 @@
         position: pos(offset),
         believed: false,
         doubted: None,
+        late: false,
         server: None,
         write: None,
+        write_era: pos(0).era,
         raw,
     }
 }
@@ -157,7 +159,9 @@
             position: listed.position,
             believed: listed.believed,
             doubted: None,
+            late: false,
             write: listed.latest,
+            write_era: listed.write_era,
             server: (!listed.raw.is_empty()).then(|| server(id, "mnl-a")),
             raw: listed.raw.clone(),
         });
@@ -195,8 +199,8 @@
 
 fn in_era(era: u64, record: ListRecord, sequence: u64) -> ListRecord {
     let position = LogPosition::new(StoreEra(era), record.position.offset);
-    let write = Some(WriteNumber { started_ms: 5, sequence });
-    ListRecord { position, write, ..record }
+    let write = Some(WriteNumber::new(5, sequence));
+    ListRecord { position, write, write_era: position.era, ..record }
 }
 
 #[test]
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -28,6 +28,8 @@
 mod fair_share;
 mod follow_store;
 mod largest_prompts;
+mod late_views;
+mod late_writes;
 mod leaving;
 mod limits;
 mod listing;
--- a/tests/testsuite/platform/restored_views.rs
+++ b/tests/testsuite/platform/restored_views.rs
@@ -12,6 +12,7 @@
 use limpetmux::platform::store::Record;
 use limpetmux::platform::{orders, servers};
 use limpetmux::serve::node::StoreView;
+use limpetmux::wire::fleet::{PullReply, PullRequest};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -23,6 +24,12 @@
 pub(super) const NODES: usize = 3;
 /// The longest time after which writers write again what a restored store has lost.
 const REWRITE_TIME: u64 = 1_500;
+/// The shortest and the longest time after which the store executes a write that gets no answer.
+const LATE_TIMES: std::ops::RangeInclusive<u64> = 1_000..=6_000;
+/// The time without a write after which the store removes the record of a backend server.
+const EXPIRY_TIME: u64 = 3_600;
+/// The time between the starts of two incarnations, among which starts by a wrong clock fit.
+const START_GAP: u64 = 10;
 /// The time after which a view has to equal what was written.
 pub(super) const SETTLE_TIME: u64 = 12_000;
 
@@ -79,6 +86,15 @@
     gone: bool,
 }
 
+/// A write that the store executes late.
+struct LateWrite {
+    due: u64,
+    server: usize,
+    started: u64,
+    sequence: u64,
+    value: String,
+}
+
 #[derive(Default)]
 struct WatchedNode {
     view: StoreView,
@@ -101,6 +117,9 @@
     servers: [Server; SERVERS],
     /// The servers whose records have expired although they run.
     lapsed: BTreeSet<usize>,
+    late: Vec<LateWrite>,
+    /// When the store removes the records of servers that are gone, which late writes brought back.
+    expiries: BTreeMap<usize, u64>,
     nodes: [WatchedNode; NODES],
 }
 
@@ -117,6 +136,12 @@
     Node { name: arc("n"), addr, zone: arc("north"), queues_pieces: false, started: 1 }
 }
 
+/// Returns the reply of a node to a pull of its whole list.
+pub(super) fn whole_list(view: &StoreView, now: Moment) -> PullReply {
+    let request = PullRequest::default();
+    convert::pull_reply((now, now), &Nodes::new(local(0)), view, &request)
+}
+
 impl WatchedNode {
     /// Returns the backend servers that may get requests.
     fn listed(&self) -> BTreeSet<(String, u64)> {
@@ -135,8 +160,10 @@
             lost_at: 0,
             version: 0,
             evacuated: BTreeSet::new(),
-            servers: [Server { started: 1, ..Server::default() }; SERVERS],
+            servers: [Server { started: START_GAP, ..Server::default() }; SERVERS],
             lapsed: BTreeSet::new(),
+            late: Vec::new(),
+            expiries: BTreeMap::new(),
             nodes: Default::default(),
         };
         world.declare();
@@ -181,15 +208,97 @@
             return;
         }
         self.lapsed.remove(&server);
+        self.expiries.remove(&server);
+        let value = self.next_value(server);
+        self.lost[1].remove(&id(server));
+        self.list.put(&id(server), &value);
+    }
+
+    /// Returns the next write of a backend server.
+    fn next_value(&mut self, server: usize) -> String {
         self.servers[server].sequence += 1;
         let Server { started, sequence, draining, .. } = self.servers[server];
         let state = if draining { "draining" } else { "ready" };
-        let value = format!(
+        format!(
             r#"{{"service":"s","address":"127.0.0.1:8{server}","zone":"north","slots":1,
             "state":"{state}","sequence":{sequence},"born":{started}}}"#
-        );
-        self.lost[1].remove(&id(server));
-        self.list.put(&id(server), &value);
+        )
+    }
+
+    /// Lets a write of a backend server get no answer and be executed some time later; its next write is
+    /// executed at once, as an acknowledgement counts only from a stable store.
+    pub(super) fn write_late(&mut self, server: usize, u: &mut Unstructured<'_>) -> Result<()> {
+        if self.servers[server].gone {
+            return Ok(());
+        }
+        let due = self.now + u.int_in_range(LATE_TIMES)?;
+        let value = self.next_value(server);
+        let Server { started, sequence, .. } = self.servers[server];
+        self.late.push(LateWrite { due, server, started, sequence, value });
+        self.beat(server);
+        Ok(())
+    }
+
+    /// Executes the late writes that are due, and removes the records that they brought back of servers
+    /// that are gone.
+    pub(super) fn execute_late(&mut self) {
+        let now = self.now;
+        let (due, rest) = std::mem::take(&mut self.late).into_iter().partition(|w| w.due <= now);
+        self.late = rest;
+        for write in due {
+            let write: LateWrite = write;
+            self.list.put(&id(write.server), &write.value);
+            if self.servers[write.server].gone {
+                self.expiries.insert(write.server, now + EXPIRY_TIME);
+            }
+            self.excuse(&write);
+        }
+        let expired: Vec<usize> =
+            self.expiries.iter().filter(|(_, at)| **at <= now).map(|(server, _)| *server).collect();
+        for server in expired {
+            self.expiries.remove(&server);
+            self.list.put(&id(server), "");
+        }
+    }
+
+    /// Excuses the nodes that have not read any later write of a server: they cannot know that this one is
+    /// late.
+    fn excuse(&mut self, write: &LateWrite) {
+        let key = (id(write.server), write.started);
+        for node in &mut self.nodes {
+            let latest = node.view.listing.get(&key.0).and_then(|l| l.latest);
+            if latest.is_none_or(|l| l.place() < (write.started, write.sequence)) {
+                node.left.remove(&key);
+            }
+        }
+    }
+
+    /// Starts a backend server that is gone with a clock that was set back.
+    pub(super) fn start_earlier(&mut self, server: usize) {
+        let Server { started, gone, .. } = self.servers[server];
+        if gone && started % START_GAP != 1 {
+            self.servers[server] = Server { started: started - 1, ..Server::default() };
+            self.beat(server);
+        }
+    }
+
+    /// Lets a node pull the whole list of another one.
+    pub(super) fn pull_whole(&mut self, node: usize, from: usize) {
+        let now = self.moment();
+        let reply = whole_list(&self.nodes[from].view, now);
+        convert::apply_reply(now, &mut self.nodes[node].view, &reply).expect("a view");
+    }
+
+    /// Starts a node that reads the newest records and then pulls the list of one that has run for longer;
+    /// it has to know of the servers that have left what that one knows.
+    pub(super) fn start_beside(&mut self, node: usize, from: usize) {
+        self.nodes[node] = WatchedNode::default();
+        self.read(node);
+        if node != from && self.nodes[from].view.listing.end.era == self.list.end().era {
+            self.pull_whole(node, from);
+            let left = self.nodes[from].left.clone();
+            self.nodes[node].left.extend(left);
+        }
     }
 
     /// Removes the record of a backend server that runs, as after too long a silence.
@@ -207,10 +316,12 @@
     }
 
     /// Lets a backend server drain, leave, and come back as another incarnation, one after the other.
-    fn advance(&mut self, server: usize, announces: bool) {
+    pub(super) fn advance(&mut self, server: usize, announces: bool) {
         let state = &mut self.servers[server];
         if state.gone {
-            *state = Server { started: self.now + 2, ..Server::default() };
+            let after = state.started - state.started % START_GAP + 2 * START_GAP;
+            let started = after.max((self.now + 2) * START_GAP);
+            *state = Server { started, ..Server::default() };
             self.beat(server);
         } else if state.draining || !announces {
             state.gone = true;
