Keep routes closed when the last workspace is taken away

Cause: an absent list and an empty one were one value, and the catalog derived from the number of workspaces that no key is needed. Evidence: the unknown key ran, which the version before refuses, so the new version was in force; a workspace that stays in the list without keys is refused. Change: the catalog knows whether there is a list. The same confusion for "no service is known yet" and "the configuration names none" in the list of backend servers is mended with it. Failed before, on: last_workspace::routes_stay_closed_when_the_last_workspace_is_taken_away, statuses 200, 200, 200 instead of 401, 401, 200.

--- a/src/limpetmux/core/catalog.rs
+++ b/src/limpetmux/core/catalog.rs
@@ -177,8 +177,9 @@
     pub routes: Vec<Route>,
     /// All services.
     pub pools: Vec<PoolSpec>,
-    /// All workspaces; if there are none, no route needs an API key.
-    pub workspaces: Vec<WorkspaceSpec>,
+    /// All workspaces; `None` if the configuration has no list of them, so that no route needs an API key.
+    /// A list without workspaces leaves no key that could be accepted.
+    pub workspaces: Option<Vec<WorkspaceSpec>>,
     /// The limits on what callers send.
     pub limits: CallerLimits,
 }
@@ -206,14 +207,15 @@
     host_routes: BTreeMap<Arc<str>, Vec<RouteKey>>,
     pool_names: BTreeMap<Arc<str>, PoolKey>,
     holders: BTreeMap<String, KeyHolder>,
+    /// Whether routes that are not public need a key, which the number of keys does not tell.
     has_keys: bool,
 }
 
 impl Catalog {
     /// Resolves a decoded version.
     pub fn compile(spec: CatalogSpec) -> Self {
-        let has_keys = !spec.workspaces.is_empty();
-        let holders = spec.workspaces.into_iter().flat_map(holders).collect();
+        let has_keys = spec.workspaces.is_some();
+        let holders = spec.workspaces.into_iter().flatten().flat_map(holders).collect();
         let routes: Arena<RouteKey, Route> = spec.routes.into_iter().collect();
         let pools: Arena<PoolKey, PoolSpec> = spec.pools.into_iter().collect();
         let pool_names = pools.iter().map(|(key, p)| (Arc::clone(&p.name), key)).collect();
--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -77,8 +77,8 @@
     /// The position from which on the copy knows all removals.
     known_from: LogPosition,
     servers: BTreeMap<Arc<str>, ListedServer>,
-    /// The services that the configuration in force names; none before one is known.
-    services: BTreeSet<Arc<str>>,
+    /// The services that the configuration in force names; `None` before one is known.
+    services: Option<BTreeSet<Arc<str>>>,
     /// The latest known start time at each address, of servers of these services.
     starts: BTreeMap<SocketAddr, u64>,
     /// When the store was reachable again after its latest outage or restore.
@@ -204,14 +204,14 @@
                 || self.starts.get(&s.addr).is_none_or(|started| *started == s.started_ms)
         };
         let servers = self.servers.values().filter_map(|l| l.server.as_ref());
-        servers.filter(|s| is_named(&self.services, s)).filter(is_newest)
+        servers.filter(|s| is_named(self.services.as_ref(), s)).filter(is_newest)
     }
 
     /// Sets the services that the configuration in force names. A record of another service names no
     /// backend server, whoever wrote it, and takes nobody's address.
     pub fn set_services(&mut self, services: BTreeSet<Arc<str>>) {
-        if self.services != services {
-            self.services = services;
+        if self.services.as_ref() != Some(&services) {
+            self.services = Some(services);
             self.index_starts();
         }
     }
@@ -369,7 +369,7 @@
     fn index_starts(&mut self) {
         self.starts.clear();
         let servers = self.servers.values().filter_map(|l| l.server.as_ref());
-        for server in servers.filter(|s| is_named(&self.services, s)) {
+        for server in servers.filter(|s| is_named(self.services.as_ref(), s)) {
             let newest = self.starts.entry(server.addr).or_default();
             *newest = server.started_ms.max(*newest);
         }
@@ -385,7 +385,7 @@
     }
 }
 
-/// Returns whether a configuration names the service of a backend server, or none is known.
-fn is_named(services: &BTreeSet<Arc<str>>, server: &Server) -> bool {
-    services.is_empty() || services.contains(&server.service)
+/// Returns whether a configuration names the service of a backend server, or no configuration is known.
+fn is_named(services: Option<&BTreeSet<Arc<str>>>, server: &Server) -> bool {
+    services.is_none_or(|services| services.contains(&server.service))
 }
--- a/src/limpetmux/platform/orders.rs
+++ b/src/limpetmux/platform/orders.rs
@@ -8,7 +8,7 @@
 };
 use crate::core::log_position::LogPosition;
 use crate::core::operator::{DeclaredConfig, Order};
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,8 +40,16 @@
     routes: Vec<ConfigRoute>,
     services: Vec<ConfigService>,
     limits: ConfigLimits,
-    #[serde(default)]
-    tenants: Vec<ConfigTenant>,
+    /// The workspaces; only a configuration without this field needs no keys.
+    #[serde(default, deserialize_with = "present")]
+    tenants: Option<Vec<ConfigTenant>>,
+}
+
+/// Decodes a field that is there, in which a null is no value.
+fn present<'de, T: Deserialize<'de>, D: Deserializer<'de>>(
+    field: D,
+) -> Result<Option<T>, D::Error> {
+    T::deserialize(field).map(Some)
 }
 
 #[serde_as]
@@ -217,7 +225,7 @@
         version: config.version,
         routes: config.routes.into_iter().map(route).collect(),
         pools: config.services.into_iter().map(pool).collect(),
-        workspaces: config.tenants.into_iter().map(workspace).collect(),
+        workspaces: config.tenants.map(|tenants| tenants.into_iter().map(workspace).collect()),
         limits,
     }
 }
--- a/tests/testsuite/platform/catalog.rs
+++ b/tests/testsuite/platform/catalog.rs
@@ -22,14 +22,18 @@
 }
 
 fn catalog() -> Catalog {
+    let key = "k1".to_owned();
+    let workspace = WorkspaceSpec { name: "w".into(), keys: vec![key], priority: Some(0) };
+    catalog_of(Some(vec![workspace]))
+}
+
+fn catalog_of(workspaces: Option<Vec<WorkspaceSpec>>) -> Catalog {
     let limits = CallerLimits {
         max_header: 16_384,
         max_body: 1_000,
         header_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     };
-    let workspaces =
-        vec![WorkspaceSpec { name: "w".into(), keys: vec!["k1".to_owned()], priority: Some(0) }];
     let routes = vec![route("short", "/a/"), route("long", "/a/b/"), route("open", "/open/")];
     Catalog::compile(CatalogSpec { version: 3, routes, pools: Vec::new(), workspaces, limits })
 }
@@ -59,10 +63,21 @@
 
     assert_eq!(holder.map(|h| (h.workspace.to_string(), h.priority)), Some(("w".into(), Some(0))));
     assert_eq!(catalog.holder("k2"), None);
-    let needs_key = |path: &str| {
-        let route = catalog.route("a.example", path).expect("a route");
-        catalog.needs_key(&catalog.routes[route])
-    };
-    assert!(needs_key("/a/x"));
-    assert!(!needs_key("/open/x"));
+    assert_eq!(["/a/x", "/open/x"].map(|path| needs_key(&catalog, path)), [true, false]);
+}
+
+fn needs_key(catalog: &Catalog, path: &str) -> bool {
+    let route = catalog.route("a.example", path).expect("a route");
+    catalog.needs_key(&catalog.routes[route])
+}
+
+#[test]
+fn list_without_workspaces_opens_no_route() {
+    // Guards against routes that are open to everybody once the last workspace is taken away (rule CONFIG).
+    let without_keys = WorkspaceSpec { name: "w".into(), keys: Vec::new(), priority: None };
+
+    let catalogs = [None, Some(Vec::new()), Some(vec![without_keys])].map(catalog_of);
+
+    assert_eq!(catalogs.each_ref().map(|c| needs_key(c, "/a/x")), [false, true, true]);
+    assert_eq!(catalogs.each_ref().map(|c| needs_key(c, "/open/x")), [false; 3]);
 }
--- a/tests/testsuite/platform/chain.rs
+++ b/tests/testsuite/platform/chain.rs
@@ -58,7 +58,7 @@
         version: 1,
         routes,
         pools: vec![pool],
-        workspaces: vec![],
+        workspaces: None,
         limits,
     })
 }
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -28,6 +28,7 @@
 mod fair_share;
 mod follow_store;
 mod largest_prompts;
+mod last_workspace;
 mod late_views;
 mod late_writes;
 mod leaving;
