Write verdicts so that an earlier one is not executed after a later one

Callers saw nothing yet; a test shows that the store ends with the verdict from before an operator lifted a quarantine, which a process that starts once all have stopped reads. Cause: verdicts were written without a condition and again after a lost answer, and the store may execute a write seconds late. Change: a verdict is written on the condition that its topic ends where it was read, as statuses of roll-outs.

--- a/src/limpetmux/fleet/follow/evidence.rs
+++ b/src/limpetmux/fleet/follow/evidence.rs
@@ -6,6 +6,7 @@
 //! preserved in the store, as all processes may stop at the same time.
 
 use super::Follower;
+use crate::core::log_position::LogPosition;
 use crate::core::quarantine::{Evidence, HoldRecord};
 use crate::event;
 use crate::fleet::evidence;
@@ -162,6 +163,7 @@
                 event!(EventCode::RecordRewritten, record = "verdicts", era = current);
                 preserved.clear();
             }
+            let mut end = None;
             let narrowed = wrote_narrowed.elapsed() >= PRESERVE_INTERVAL;
             wrote_narrowed = if narrowed { Instant::now() } else { wrote_narrowed };
             for hold in self.shared.quarantine.holds() {
@@ -169,7 +171,7 @@
                 if preserved.get(&key).is_some_and(|known| known.suffices(&hold, narrowed)) {
                     continue;
                 }
-                if let Err(error) = self.preserve(&key, hold).await {
+                if let Err(error) = self.preserve(&key, hold, &mut end).await {
                     event!(EventCode::VerdictUnsaved, key = key, reason = error);
                     interval = RETRY_INTERVAL;
                     sleep(RETRY_INTERVAL).await;
@@ -180,8 +182,27 @@
         }
     }
 
-    async fn preserve(&self, key: &str, hold: HoldRecord) -> Result<(), StoreError> {
-        let result = self.store.put(NODES_TOPIC, key, &evidence::encode_record(hold)).await;
+    /// Writes a verdict if its topic ends at `end`, which is read first if it is not known, and moves that on.
+    ///
+    /// An earlier verdict whose write got no answer may be executed late, but not behind this one, as its
+    /// own condition then no longer holds (`docs/design/late-writes.md`).
+    async fn preserve(
+        &self,
+        key: &str,
+        hold: HoldRecord,
+        end: &mut Option<LogPosition>,
+    ) -> Result<(), StoreError> {
+        let result = async {
+            let known = match *end {
+                Some(end) => end,
+                None => self.store.newest(NODES_TOPIC).await?.end,
+            };
+            self.store.put_at(NODES_TOPIC, key, &evidence::encode_record(hold), known).await?;
+            let offset = known.offset.saturating_add(1);
+            *end = Some(LogPosition { offset, ..known });
+            Ok(())
+        }
+        .await;
         self.record_stop(NODES_TOPIC, &result);
         result
     }
--- a/tests/testsuite/platform/poison_requests.rs
+++ b/tests/testsuite/platform/poison_requests.rs
@@ -3,9 +3,12 @@
 use super::crash_fixture::{CrashFixture, POISON, crash_fixture, is_served};
 use limpetmux::adapters::channel::Channels;
 use limpetmux::core::prompt_part::PartId;
+use limpetmux::fleet::evidence::decode_record;
 use limpetmux::ops::quarantine;
+use limpetmux::platform::store::{NODES_TOPIC, is_verdict};
 use limpetmux::serve::run::RunningNode;
-use limpetmux_standins::users::UsersServer;
+use limpetmux_standins::users::{AppendFault, UsersServer};
+use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -88,6 +91,19 @@
     }
 }
 
+impl CrashFixture {
+    /// Returns the turns of all verdicts in the store by their keys, in the order in which it has them.
+    fn verdicts(&self) -> BTreeMap<String, Vec<u32>> {
+        let keys = self.store.values(NODES_TOPIC).into_keys().filter(|key| is_verdict(key));
+        let turns = |key: &str| {
+            let records = self.store.history(NODES_TOPIC, key);
+            let decode = |value: &Vec<u8>| decode_record(value).expect("a verdict").turn;
+            records.iter().map(decode).collect()
+        };
+        keys.map(|key| (key.clone(), turns(&key))).collect()
+    }
+}
+
 /// Sends a request and returns whether it was refused because of a part of its prompt.
 async fn is_held(fixture: &CrashFixture, entry: &RunningNode, id: &str, parts: &str) -> bool {
     let Ok(answer) = fixture.prompt(entry, id, parts).send().await else { return false };
@@ -151,6 +167,26 @@
     assert!(held);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn verdict_that_the_store_writes_late_does_not_replace_a_later_one() {
+    // Guards against a quarantine that an operator has lifted and that a process reads which starts once all
+    // have stopped, as the store executed the write of the earlier verdict after that of the later one.
+    let fixture = crash_fixture(2).await;
+    fixture.store.set_appends(AppendFault::DoneLate(Duration::from_secs(6)));
+    hold_part(&fixture).await;
+    // The verdict is written by the node that reads the store.
+    sleep(Duration::from_millis(1_500)).await;
+    fixture.store.set_appends(AppendFault::None);
+    let addr = fixture.entries[0].node_addr;
+    quarantine::run(&Channels::plain(), addr, &[PartId::named(POISON)]).await.unwrap();
+    sleep(Duration::from_secs(8)).await;
+
+    let turns: Vec<Vec<u32>> = fixture.verdicts().values().cloned().collect();
+
+    assert!(turns.iter().any(|turns| turns.iter().any(|turn| *turn > 1)), "{turns:?}");
+    assert!(turns.iter().all(|turns| turns.last() == turns.iter().max()), "{turns:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn no_part_is_held_when_engines_end_for_other_reasons() {
     // Guards against sound requests that are refused after crashes that none of them caused (LOST).
