Take only a failed call for an outage of the store

Cause: a view that was older than 2 s counted as an outage of the store, after which removed records are kept for 2.2 s; but a view also grows old when the nodes that read the store for it are lost. Change: a call that got no answer or was refused tells of an outage; nodes that pull learn from the reply how long ago the store was back. Three tests of the grace time say now that calls failed, which they took for granted, and so does the model of exchanged views. Failed before: listing::view_that_grew_old_without_an_outage_keeps_no_removed_server on ("a" and "b" used instead of "b").

--- a/src/limpetmux/core/listing.rs
+++ b/src/limpetmux/core/listing.rs
@@ -81,6 +81,8 @@
     services: Option<BTreeSet<Arc<str>>>,
     /// The latest known start time at each address, of servers of these services.
     starts: BTreeMap<SocketAddr, u64>,
+    /// When this node's latest call to the store that failed began.
+    failed_at: Option<Moment>,
     /// When the store was reachable again after its latest outage or restore.
     recovered_at: Option<Moment>,
     /// What was decided about earlier writes since these were last taken.
@@ -253,6 +255,21 @@
         is_later || self.changes(from).any(|(_, listed)| listed.changed < self.end)
     }
 
+    /// Records that a call to the store that began at a moment got no answer or was refused.
+    pub fn record_failure(&mut self, began: Moment) {
+        self.failed_at = self.failed_at.max(Some(began));
+    }
+
+    /// Records when the store was reachable again, as another node has seen it.
+    pub fn learn_recovery(&mut self, at: Moment) {
+        self.recovered_at = self.recovered_at.max(Some(at));
+    }
+
+    /// Returns the time since the store was reachable again, if records that disappeared meanwhile are kept.
+    pub fn recovery_age(&self, now: Moment) -> Option<Duration> {
+        self.recovered_at.map(|at| now.since(at)).filter(|age| *age < MISSING_GRACE)
+    }
+
     /// Takes what was decided about earlier writes since the last call, for log lines.
     pub fn take_decisions(&mut self) -> Vec<WriteDecision> {
         std::mem::take(&mut self.decisions)
@@ -377,8 +394,12 @@
 
     /// Begins the grace period if the store was unreachable, or restored, before the answer that ends at
     /// `end`; a node that starts may have missed either.
+    ///
+    /// Only a call that failed tells that the store was unreachable: the view of a node also grows old when
+    /// the nodes that read the store for it are lost.
     fn detect_recovery(&mut self, now: Moment, end: LogPosition) {
-        let was_unreachable = now.since(self.confirmed_at) > UNREACHABLE_AFTER;
+        let has_failed = self.failed_at.is_some_and(|at| at >= self.confirmed_at);
+        let was_unreachable = has_failed && now.since(self.confirmed_at) > UNREACHABLE_AFTER;
         if end.era > self.end.era || (was_unreachable && self.confirmed_at > Moment::ZERO) {
             self.recovered_at = Some(now);
         }
--- a/src/limpetmux/fleet/convert.rs
+++ b/src/limpetmux/fleet/convert.rs
@@ -224,6 +224,7 @@
             end: view.listing.end.offset,
             era: view.listing.end.era.0,
             age_ms: millis(now.since(view.listing.confirmed_at)),
+            back_ms: view.listing.recovery_age(now).map_or(0, |age| millis(age).max(1)),
             whole,
             servers: (view.listing.since(from))
                 .filter(|(_, listed)| !listed.is_unlisted())
@@ -321,6 +322,9 @@
     if let Some(listing) = &reply.listing {
         let confirmed = sent - Duration::from_millis(listing.age_ms);
         let end = LogPosition::new(StoreEra(listing.era), listing.end);
+        if listing.back_ms > 0 {
+            view.listing.learn_recovery(sent - Duration::from_millis(listing.back_ms));
+        }
         let entries: Vec<ListRecord> = listing.servers.iter().map(entry).collect();
         current &= match listing.whole {
             true => view.listing.replace(confirmed, end, entries),
--- a/src/limpetmux/fleet/follow/mod.rs
+++ b/src/limpetmux/fleet/follow/mod.rs
@@ -128,6 +128,9 @@
             let result = self.watch(&self.lost.listing, self.read_listing(requested_at)).await;
             self.record_stop(servers::TOPIC, &result);
             self.log_reachability(&result);
+            if result.as_ref().is_err_and(StoreError::is_outage) {
+                self.record_failure(requested_at);
+            }
             failures = if result.is_ok() { 0 } else { failures + 1 };
             sleep(if result.is_ok() {
                 self.times().listing_interval
@@ -138,6 +141,12 @@
         }
     }
 
+    /// Records a failed read of the list in the view; nobody waits for that.
+    fn record_failure(&self, began: Moment) {
+        let mut view = self.view.lock().unwrap_or_else(PoisonError::into_inner);
+        view.listing.record_failure(began);
+    }
+
     /// Returns whether this node reads the store itself, given the age of its view, the age above which
     /// that is stale, and whether its last read failed, so that it tries whether the store is back.
     fn has_to_read(&self, age: Duration, stale: Duration, is_lost: &AtomicBool) -> bool {
--- a/src/limpetmux/platform/store.rs
+++ b/src/limpetmux/platform/store.rs
@@ -104,6 +104,13 @@
     Offset,
 }
 
+impl StoreError {
+    /// Returns whether the call got no whole answer or was refused, as in an outage of the store.
+    pub fn is_outage(&self) -> bool {
+        matches!(self, Self::NoAnswer(_) | Self::Exceeded(_) | Self::Status(_))
+    }
+}
+
 impl From<CallError> for StoreError {
     fn from(error: CallError) -> Self {
         match error {
--- a/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
+++ b/src/limpetmux/wire/gen/limpetmux.fleet.v1.rs
@@ -341,6 +341,10 @@
     /// The era of the store in which `end` was given out.
     #[prost(uint64, tag = "5")]
     pub era: u64,
+    /// Milliseconds since the store was reachable again, while records that disappeared in its outage are
+    /// kept; otherwise zero.
+    #[prost(uint64, tag = "6")]
+    pub back_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServerRecord {
--- a/tests/testsuite/decoders/product_messages.rs
+++ b/tests/testsuite/decoders/product_messages.rs
@@ -202,6 +202,7 @@
                 whole: u.arbitrary()?,
                 servers,
                 era: draw_number(u)?,
+                back_ms: draw_number(u)?,
             }),
             held_ms: draw_number(u)?,
             evidence_version: draw_number(u)?,
--- a/tests/testsuite/platform/exchanged_views.rs
+++ b/tests/testsuite/platform/exchanged_views.rs
@@ -16,7 +16,7 @@
     match u.int_in_range(0..=9)? {
         0 | 1 => world.lapse(server),
         2 => world.beat(server),
-        3 => world.now += OUTAGE_TIME,
+        3 => world.lose_store(OUTAGE_TIME),
         _ => world.step(u)?,
     }
     world.check();
--- a/tests/testsuite/platform/listing.rs
+++ b/tests/testsuite/platform/listing.rs
@@ -97,6 +97,7 @@
     listing.apply(at(0), pos(10), vec![record("a", 8), record("b", 9)]);
 
     // The store is unreachable for 5 s; both records expire, and only one is written again.
+    listing.record_failure(at(3_000));
     listing.apply(at(5_000), pos(12), vec![removed("a", 10), removed("b", 11)]);
     assert_eq!(ids(&listing), ["a", "b"]);
     listing.apply(at(6_000), pos(13), vec![record("b", 12)]);
@@ -114,12 +115,51 @@
     let mut leaving = record("a", 9);
     leaving.server.as_mut().expect("a record").draining = true;
     listing.apply(at(0), pos(10), vec![leaving]);
+    listing.record_failure(at(3_000));
 
     listing.apply(at(5_000), pos(11), vec![removed("a", 10)]);
 
     assert_eq!(ids(&listing), Vec::<String>::new());
 }
 
+#[test]
+fn view_that_grew_old_without_an_outage_keeps_no_removed_server() {
+    // Guards against requests to servers that have left, at nodes that the readers of the store were lost
+    // to and that read it themselves in the end (rule DRAIN).
+    let mut listing = Listing::default();
+    listing.apply(at(0), pos(10), vec![record("a", 8), record("b", 9)]);
+
+    listing.apply(at(2_600), pos(11), vec![removed("a", 10)]);
+    let read = ids(&listing);
+    // A call that failed before the view was last confirmed says nothing of what follows.
+    listing.record_failure(at(2_500));
+    listing.apply(at(5_200), pos(12), vec![removed("b", 11)]);
+
+    assert_eq!(read, ["b"]);
+    assert_eq!(ids(&listing), Vec::<String>::new());
+}
+
+#[test]
+fn node_that_pulls_learns_of_an_outage_from_the_one_that_reads() {
+    // Guards against servers that run and get no requests after an outage, at nodes that read no store.
+    let view = |failed_at: Option<u64>| {
+        let mut listing = Listing::default();
+        listing.apply(at(0), pos(10), vec![record("a", 8), record("b", 9)]);
+        failed_at.into_iter().for_each(|ms| listing.record_failure(at(ms)));
+        StoreView { listing, ..StoreView::default() }
+    };
+    let (mut reader, mut puller) = (view(Some(3_000)), view(None));
+
+    reader.listing.apply(at(5_000), pos(12), vec![removed("a", 10), removed("b", 11)]);
+    let reply = super::restored_views::whole_list(&reader, at(5_100));
+    convert::apply_reply(at(5_100), &mut puller, &reply).expect("a view");
+    let during = ids(&puller.listing);
+    puller.listing.expire(at(7_300));
+
+    assert_eq!(during, ["a", "b"]);
+    assert_eq!(ids(&puller.listing), Vec::<String>::new());
+}
+
 #[test]
 fn servers_missing_from_the_newest_records_are_removed() {
     let mut listing = Listing::default();
@@ -169,6 +209,7 @@
         puller.apply(at(now), reader.end, changes);
     };
 
+    reader.record_failure(at(3_000));
     reader.apply(at(5_000), pos(11), vec![removed("a", 10)]);
     pull(&reader, &mut puller, 5_000);
     reader.apply(at(6_000), pos(12), vec![record("a", 11)]);
--- a/tests/testsuite/platform/restored_views.rs
+++ b/tests/testsuite/platform/restored_views.rs
@@ -334,6 +334,13 @@
         }
     }
 
+    /// Lets some time pass in which the reads of all nodes fail.
+    pub(super) fn lose_store(&mut self, ms: u64) {
+        self.now += ms;
+        let now = self.moment();
+        self.nodes.iter_mut().for_each(|node| node.view.listing.record_failure(now));
+    }
+
     fn restore(&mut self, lost: usize) {
         // Writers have written again what an earlier restore lost.
         self.rewrite();
