--- a/src/limpetmux/core/evacuations.rs
+++ b/src/limpetmux/core/evacuations.rs
@@ -46,6 +46,9 @@
     }
 
     /// Begins an evacuation that the operator has declared.
+    ///
+    /// The record has no number, so a write that the store executes late cannot be told from a new one: the
+    /// positions in the log decide, until the operator writes again (`docs/design/late-writes.md`).
     pub(super) fn begin(&mut self, zone: Arc<str>) {
         self.ended.remove(&zone);
         self.zones.insert(zone, None);
--- a/src/limpetmux/core/listed.rs
+++ b/src/limpetmux/core/listed.rs
@@ -121,7 +121,7 @@
         self.missing_since.is_some() && !self.raw.is_empty()
     }
 
-    /// Returns the record of a restored store that is doubted, as stored.
+    /// Returns the doubted record, as stored.
     pub fn doubted(&self) -> Option<&Arc<[u8]>> {
         self.doubted.as_ref().map(|doubt| &doubt.record.raw)
     }
