Use a backend server again that makes its last write again after a removal

Cause: that mend took the latest number after a removal for a late write, and such servers write no other. Change: only a number below the latest one read is late; an equal one counts by its position, as before. Tests: late_writes, late_views, listing, restored and exchanged views: 38 passed.

--- a/src/limpetmux/core/listed.rs
+++ b/src/limpetmux/core/listed.rs
@@ -106,11 +106,8 @@
     /// of the same era, which is then a write that the store executed late.
     pub(super) fn outlasts(&self, later: &ListedServer) -> bool {
         let (Some(write), Some(latest)) = (self.write, later.latest) else { return false };
-        let is_removed = self.raw.is_empty() && !later.raw.is_empty();
-        let is_repeat = is_removed && self.write_era == self.position.era;
         let is_same_era = self.position.era == later.position.era;
-        let is_ahead =
-            write.place() > latest.place() || (is_repeat && write.place() == latest.place());
+        let is_ahead = write.place() > latest.place();
         is_same_era && is_ahead && !later.believed
     }
 }
@@ -141,14 +138,11 @@
         is_earlier && !record.believed
     }
 
-    /// Returns whether a record of the same era is a write that the store executed late: a backend server
-    /// that was removed only returns with a write that it has not made before, or has to make again as a
-    /// restored store lost it.
+    /// Returns whether a record of the same era is a write that the store executed late. One with the latest
+    /// number is none: a backend server whose record has expired may make its last write again.
     fn is_after(&self, record: &ListRecord) -> bool {
         let (Some(latest), Some(write)) = (self.latest, record.write) else { return false };
-        let is_removed = self.raw.is_empty() && self.write_era == record.position.era;
-        let is_repeat = is_removed && write.place() == latest.place();
-        record.server.is_some() && (write.place() < latest.place() || is_repeat)
+        record.server.is_some() && write.place() < latest.place()
     }
 
     /// Returns whether a record is a further write of an incarnation that counts although an earlier
